--- /dev/null
+++ b/internal/bench/bench.go
@@ -0,0 +1,28 @@
+// Package bench holds the commands of the sailbench program, one a file.
+package bench
+
+import (
+	"github.com/jessevdk/go-flags"
+
+	"dandelionsail.example/dandelionsail/internal/tool"
+)
+
+// Main runs the command that the arguments name and returns the exit code.
+func Main(args []string) int {
+	parser := flags.NewNamedParser("sailbench", flags.HelpFlag|flags.PassDoubleDash)
+	parser.LongDescription = "Stand-ins, load and experiments for dandelionsail."
+	standin, err := parser.AddCommand("standin", "Run the stand-in of an outside system", "", &struct{}{})
+	if err != nil {
+		panic(err)
+	}
+	add(standin, "engine", "Run a model engine", &engineCommand{})
+	add(standin, "service", "Run a plain service", &serviceCommand{})
+	add(standin, "platform", "Run the platform's key-value service and instance list", &platformCommand{})
+	return tool.Main(parser, args)
+}
+
+func add(parent *flags.Command, name, short string, handler any) {
+	if _, err := parent.AddCommand(name, short, "", handler); err != nil {
+		panic(err)
+	}
+}
--- /dev/null
+++ b/internal/bench/platform.go
@@ -0,0 +1,27 @@
+package bench
+
+import (
+	"fmt"
+	"net"
+	"time"
+
+	"dandelionsail.example/dandelionsail/internal/stand"
+	"dandelionsail.example/dandelionsail/internal/tool"
+)
+
+type platformCommand struct {
+	Listen string        `long:"listen" env:"SAILBENCH_LISTEN" description:"address, host:port; port 0 takes a free one" default:"127.0.0.1:0"`
+	Lag    time.Duration `long:"list-lag" description:"how late the instance list shows a change" default:"1s"`
+}
+
+// Execute implements flags.Commander.
+func (cmd *platformCommand) Execute(_ []string) error {
+	if _, _, err := net.SplitHostPort(cmd.Listen); err != nil {
+		return tool.Usage(fmt.Errorf("bench: --listen is %q; give host:port", cmd.Listen))
+	}
+	if cmd.Lag < 0 {
+		return tool.Usage(fmt.Errorf("bench: --list-lag is %s; give 0s or more", cmd.Lag))
+	}
+	platform := stand.NewPlatform(cmd.Lag)
+	return serve(cmd.Listen, platform.Handler(), func(string) error { return nil }, platform.Run)
+}
--- /dev/null
+++ b/internal/bench/standin.go
@@ -0,0 +1,77 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"dandelionsail.example/dandelionsail/internal/plat"
+	"dandelionsail.example/dandelionsail/internal/tool"
+)
+
+// standinOptions are common to the stand-ins that the platform lists.
+type standinOptions struct {
+	Name          string `long:"name" env:"SAILBENCH_NAME" description:"name in the platform's list" required:"yes"`
+	Service       string `long:"service" env:"SAILBENCH_SERVICE" description:"service of which this is a replica" required:"yes"`
+	FailureDomain string `long:"failure-domain" env:"SAILBENCH_FAILURE_DOMAIN" description:"failure domain" default:"a"`
+	Listen        string `long:"listen" env:"SAILBENCH_LISTEN" description:"address, host:port; port 0 takes a free one" default:"127.0.0.1:0"`
+	Platform      string `long:"platform" env:"SAILBENCH_PLATFORM" description:"address of the platform that lists this replica; empty lists it nowhere"`
+}
+
+// check names the flag, its value and what is allowed.
+func (opts *standinOptions) check() error {
+	for flag, address := range map[string]string{"listen": opts.Listen, "platform": opts.Platform} {
+		if address == "" && flag == "platform" {
+			continue
+		}
+		if _, _, err := net.SplitHostPort(address); err != nil {
+			return tool.Usage(fmt.Errorf("bench: --%s is %q; give host:port", flag, address))
+		}
+	}
+	return nil
+}
+
+// stopTime bounds how long a stand-in waits for its connections at a stop.
+const stopTime = time.Second
+
+// serve runs a handler and a background part until a signal ends them.
+func serve(address string, handler http.Handler, listening func(address string) error, run func(context.Context) error) error {
+	ctx, stop := tool.Context()
+	defer stop()
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return fmt.Errorf("bench: --listen %s cannot be used; choose a free address: %w", address, err)
+	}
+	fmt.Println(listener.Addr())
+	if err := listening(listener.Addr().String()); err != nil {
+		return err
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: 10 * time.Second}
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return run(ctx) })
+	group.Go(func() error { return server.Serve(listener) })
+	group.Go(func() error {
+		<-ctx.Done()
+		limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTime)
+		defer cancel()
+		return server.Shutdown(limited)
+	})
+	if err := group.Wait(); err != nil && err != http.ErrServerClosed && err != context.Canceled {
+		return err
+	}
+	return nil
+}
+
+// register asks the platform to list the replica.
+func (opts *standinOptions) register(address string) error {
+	if opts.Platform == "" {
+		return nil
+	}
+	return plat.Put(opts.Platform, plat.Entry{
+		Name: opts.Name, Service: opts.Service, Address: address, FailureDomain: opts.FailureDomain, State: plat.StateLive,
+	})
+}
--- /dev/null
+++ b/internal/body/body_test.go
@@ -0,0 +1,78 @@
+package body_test
+
+import (
+	"io"
+	"testing"
+
+	"github.com/joomcode/errorx"
+	"gotest.tools/v3/assert"
+
+	"dandelionsail.example/dandelionsail/internal/body"
+)
+
+func TestScan(t *testing.T) {
+	cases := map[string]struct {
+		raw    string
+		model  string
+		prompt string
+		stream bool
+		tokens int64
+		chat   bool
+	}{
+		"plain prompt":     {raw: `{"model":"m","prompt":"hello","stream":true,"max_tokens":7}`, model: "m", prompt: `"hello"`, stream: true, tokens: 7},
+		"escaped quote":    {raw: `{"prompt":"a\"b\\","model":"m"}`, model: "m", prompt: `"a\"b\\"`},
+		"messages":         {raw: `{"model":"m","messages":[{"role":"user","content":"x"}]}`, model: "m", prompt: `[{"role":"user","content":"x"}]`, chat: true},
+		"unknown members":  {raw: ` { "a" : [1, {"b":null}, -2.5e3] , "model":"m", "prompt":"p" } `, model: "m", prompt: `"p"`},
+		"stream off":       {raw: `{"model":"m","prompt":"p","stream":false}`, model: "m", prompt: `"p"`},
+		"no bound of none": {raw: `{"model":"m","prompt":"p","max_tokens":null}`, model: "m", prompt: `"p"`},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			bd, err := body.Scan([]byte(tc.raw))
+			assert.NilError(t, err)
+			assert.Equal(t, bd.Model, tc.model)
+			assert.Equal(t, string(bd.PromptBytes()), tc.prompt)
+			assert.Equal(t, bd.Stream, tc.stream)
+			assert.Equal(t, bd.MaxTokens, tc.tokens)
+			assert.Equal(t, bd.Chat, tc.chat)
+		})
+	}
+}
+
+func TestScanRefuses(t *testing.T) {
+	cases := map[string]string{
+		"empty":              ``,
+		"no object":          `["model"]`,
+		"cut short":          `{"model":"m","prompt":"hel`,
+		"no prompt":          `{"model":"m"}`,
+		"model is no string": `{"model":1,"prompt":"p"}`,
+		"bound below one":    `{"model":"m","prompt":"p","max_tokens":0}`,
+		"two objects":        `{"model":"m","prompt":"p"}{}`,
+		"bare word":          `{"model":m,"prompt":"p"}`,
+	}
+	for name, raw := range cases {
+		t.Run(name, func(t *testing.T) {
+			_, err := body.Scan([]byte(raw))
+			assert.Assert(t, errorx.IsOfType(err, body.Malformed), "got %v", err)
+		})
+	}
+}
+
+func TestStreamed(t *testing.T) {
+	cases := map[string]struct{ raw, want string }{
+		"absent": {`{"model":"m","prompt":"p"}`, `{"stream":true,"model":"m","prompt":"p"}`},
+		"off":    {`{"prompt":"p","stream":false}`, `{"prompt":"p","stream":true}`},
+		"on":     {`{"prompt":"p","stream":true}`, `{"prompt":"p","stream":true}`},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			bd, err := body.Scan([]byte(tc.raw))
+			assert.NilError(t, err)
+			reader, length := bd.Streamed()
+			got, err := io.ReadAll(reader)
+			assert.NilError(t, err)
+			assert.Equal(t, string(got), tc.want)
+			assert.Equal(t, length, int64(len(got)))
+		})
+	}
+}
--- /dev/null
+++ b/internal/cmds/demo.go
@@ -0,0 +1,290 @@
+package cmds
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/phuslu/log"
+	"golang.org/x/sync/errgroup"
+
+	"dandelionsail.example/dandelionsail/internal/conf"
+	"dandelionsail.example/dandelionsail/internal/entry"
+	"dandelionsail.example/dandelionsail/internal/load"
+	"dandelionsail.example/dandelionsail/internal/plat"
+	"dandelionsail.example/dandelionsail/internal/stand"
+	"dandelionsail.example/dandelionsail/internal/store"
+	"dandelionsail.example/dandelionsail/internal/tool"
+	"dandelionsail.example/dandelionsail/pkg/decl"
+)
+
+// The size of the demonstration.
+const (
+	demoEngines   = 3
+	demoInstances = 2
+	demoToken     = "demo-token"
+	demoTime      = 18 * time.Second
+	demoListLag   = 50 * time.Millisecond
+)
+
+type demoCommand struct {
+	Keep    bool `long:"keep" description:"leave everything running and print the addresses"`
+	Verbose bool `long:"verbose" description:"log to standard error"`
+}
+
+// Execute implements flags.Commander.
+func (cmd *demoCommand) Execute(_ []string) error {
+	ctx, stop := tool.Context()
+	defer stop()
+	if !cmd.Keep {
+		limited, cancel := context.WithTimeout(ctx, demoTime)
+		defer cancel()
+		ctx = limited
+	}
+	logger := tool.Logger()
+	if !cmd.Verbose {
+		logger.SetLevel(log.ErrorLevel)
+	}
+	dm := &demo{logger: logger, platform: stand.NewPlatform(demoListLag)}
+	return dm.run(ctx, cmd.Keep, os.Stdout)
+}
+
+// demo is a whole fleet in one process.
+type demo struct {
+	logger    *log.Logger
+	platform  *stand.Platform
+	address   string
+	instances []string
+	engines   []*stand.Engine
+	service   *stand.Service
+}
+
+func (dm *demo) run(ctx context.Context, keep bool, out io.Writer) error {
+	parts, stop := context.WithCancel(ctx)
+	defer stop()
+	group, parts := errgroup.WithContext(parts)
+	if err := dm.start(parts, group); err != nil {
+		return err
+	}
+	if err := dm.ready(ctx); err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "platform %s, %d engines, 1 plain service, entry instances %v\n\n", dm.address, demoEngines, dm.instances)
+	err := dm.exercise(ctx, out)
+	if keep && err == nil {
+		dm.invite(out)
+		<-ctx.Done()
+	}
+	stop()
+	if ended := group.Wait(); err == nil && ended != nil && ended != context.Canceled {
+		err = ended
+	}
+	return err
+}
+
+func (dm *demo) start(ctx context.Context, group *errgroup.Group) error {
+	var err error
+	if dm.address, err = serveOn(ctx, group, dm.platform.Handler()); err != nil {
+		return err
+	}
+	group.Go(func() error { return dm.platform.Run(ctx) })
+	for i := range demoEngines {
+		if err := dm.startEngine(ctx, group, i); err != nil {
+			return err
+		}
+	}
+	dm.service = stand.NewService(5 * time.Millisecond)
+	address, err := serveOn(ctx, group, dm.service.Handler())
+	if err != nil {
+		return err
+	}
+	dm.platform.Put(plat.Entry{Name: "board-0", Service: "board", Address: address, FailureDomain: "a", State: plat.StateLive})
+	if err := dm.configure(ctx); err != nil {
+		return err
+	}
+	for i := range demoInstances {
+		if err := dm.startInstance(ctx, group, i); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (dm *demo) startEngine(ctx context.Context, group *errgroup.Group, number int) error {
+	opts := stand.DefaultEngine()
+	opts.Step = 5 * time.Millisecond
+	opts.PrefillChunk = 1000
+	engine := stand.NewEngine(opts)
+	address, err := serveOn(ctx, group, engine.Handler())
+	if err != nil {
+		return err
+	}
+	group.Go(func() error { return engine.Run(ctx) })
+	dm.engines = append(dm.engines, engine)
+	name := fmt.Sprintf("lyric-%d", number)
+	dm.platform.Put(plat.Entry{Name: name, Service: "lyric", Address: address, FailureDomain: "a", State: plat.StateLive})
+	return nil
+}
+
+// serveOn serves the handler on a free loopback port until the context ends.
+func serveOn(ctx context.Context, group *errgroup.Group, handler http.Handler) (string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: 10 * time.Second}
+	group.Go(func() error {
+		if err := server.Serve(listener); err != http.ErrServerClosed {
+			return err
+		}
+		return nil
+	})
+	group.Go(func() error {
+		<-ctx.Done()
+		return server.Close()
+	})
+	return listener.Addr().String(), nil
+}
+
+func (dm *demo) startInstance(ctx context.Context, group *errgroup.Group, number int) error {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	opts := entry.Options{
+		Name:          fmt.Sprintf("entry-%d", number),
+		FailureDomain: "a",
+		Listen:        listener.Addr().String(),
+		Platform:      dm.address,
+		Store:         dm.address,
+		ListPeriod:    100 * time.Millisecond,
+		LoadPeriod:    100 * time.Millisecond,
+		DrainTime:     time.Second,
+		MaxBody:       8 << 20,
+		BodyTimeout:   10 * time.Second,
+	}
+	if err := opts.Check(); err != nil {
+		return err
+	}
+	dm.instances = append(dm.instances, opts.Listen)
+	dm.platform.Put(plat.Entry{Name: opts.Name, Service: plat.ServiceEntry, Address: opts.Listen, FailureDomain: "a", State: plat.StateLive})
+	instance := entry.New(opts, dm.logger)
+	group.Go(func() error { return instance.Serve(ctx, listener) })
+	return nil
+}
+
+// configure submits the first version of the configuration.
+func (dm *demo) configure(ctx context.Context) error {
+	services := map[string]decl.Service{
+		"lyric": {Kind: decl.KindModel, Models: []decl.Model{{Name: "lyric"}}, MemoryTokens: 400_000, PrefillTokensPerSecond: 200_000, DecodeTokensPerSecond: 200},
+		"board": {Kind: decl.KindPlain, Path: "/board/"},
+	}
+	organisations := map[string]decl.Organisation{"demo": {TokenDigests: []string{decl.TokenDigest(demoToken)}}}
+	operations := []patchOperation{
+		{Op: "add", Path: "/Services", Value: services},
+		{Op: "add", Path: "/Organisations", Value: organisations},
+	}
+	raw, err := json.Marshal(operations)
+	if err != nil {
+		return err
+	}
+	client := store.New(dm.address)
+	defer client.Close()
+	_, err = conf.New(client).Submit(ctx, conf.Patch{ID: "demo", Author: "demo", At: time.Now(), Operations: raw})
+	return err
+}
+
+type patchOperation struct {
+	Op    string `json:"op"`
+	Path  string `json:"path"`
+	Value any    `json:"value"`
+}
+
+// ready waits until every instance serves.
+func (dm *demo) ready(ctx context.Context) error {
+	for _, address := range dm.instances {
+		for !isReady(ctx, address) {
+			select {
+			case <-ctx.Done():
+				return fmt.Errorf("demo: instance %s did not become ready: %w", address, ctx.Err())
+			case <-time.After(20 * time.Millisecond):
+			}
+		}
+	}
+	return nil
+}
+
+func isReady(ctx context.Context, address string) bool {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/readyz", nil)
+	if err != nil {
+		return false
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return resp.StatusCode == http.StatusOK
+}
+
+func (dm *demo) invite(out io.Writer) {
+	fmt.Fprintf(out, "\nstill running; stop it with an interrupt. Try:\n"+
+		"curl -N http://%s/v1/completions -H 'Authorization: Bearer %s' -d '{\"model\":\"lyric\",\"prompt\":\"Which hymn is next?\",\"max_tokens\":8,\"stream\":true}'\n",
+		dm.instances[0], demoToken)
+}
+
+// exercise sends the requests and prints the report.
+func (dm *demo) exercise(ctx context.Context, out io.Writer) error {
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+	defer client.CloseIdleConnections()
+	rp := &demoReport{}
+	var group errgroup.Group
+	for i, tokens := range demoPrompts() {
+		caller := &load.Caller{Address: dm.instances[i%demoInstances], Token: demoToken, HTTP: client}
+		group.Go(func() error {
+			rp.add(tokens, caller.Complete(ctx, "lyric", load.Prompt(tokens, uint64(i)), 20))
+			return nil
+		})
+	}
+	group.Go(func() error { return dm.updateBoard(ctx, client, rp) })
+	if err := group.Wait(); err != nil {
+		return err
+	}
+	rp.write(out)
+	fmt.Fprintf(out, "\nboard updates: %d sent with %d keys, %d run\n", rp.updates, rp.keys, len(dm.service.Runs()))
+	return rp.verdict(len(dm.service.Runs()))
+}
+
+// demoPrompts are the lengths sent: mostly short ones, and long ones beside them.
+func demoPrompts() []int64 {
+	prompts := []int64{300_000, 60_000, 150_000}
+	for i := range 40 {
+		prompts = append(prompts, int64(1000+200*i))
+	}
+	return prompts
+}
+
+// updateBoard sends each non-idempotent update twice under one key, as a caller does whose first answer was lost.
+func (dm *demo) updateBoard(ctx context.Context, client *http.Client, rp *demoReport) error {
+	for number := range 5 {
+		header := http.Header{"Idempotency-Key": {fmt.Sprintf("hymn-%d", number)}}
+		raw := fmt.Appendf(nil, `{"Hymn":%d}`, 100+number)
+		for send := range 2 {
+			caller := &load.Caller{Address: dm.instances[send%demoInstances], Token: demoToken, HTTP: client}
+			resp, err := caller.Do(ctx, http.MethodPost, "/board/next", raw, header)
+			if err != nil {
+				return err
+			}
+			_, _ = io.Copy(io.Discard, resp.Body)
+			_ = resp.Body.Close()
+			rp.updated(resp.StatusCode)
+		}
+		rp.keys++
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/core/poison.go
@@ -0,0 +1,90 @@
+package core
+
+import (
+	"time"
+
+	"dandelionsail.example/dandelionsail/internal/effect"
+	"dandelionsail.example/dandelionsail/internal/event"
+)
+
+// Quarantine of requests that take their upstreams down.
+const (
+	// deathsToQuarantine is how many upstreams may die of one request.
+	deathsToQuarantine = 2
+	// quarantineTime is how long a digest stays refused.
+	quarantineTime = 30 * time.Minute
+	// deathMemory is how long a single death is remembered.
+	deathMemory = 10 * time.Minute
+	// maxQuarantine bounds the digests remembered.
+	maxQuarantine = 10000
+)
+
+// quarantine remembers the digests that were in flight on upstreams that broke off. A caller resends a poisonous
+// request under a new id, so deaths are counted by content.
+type quarantine struct {
+	byDigest map[event.Digest]event.Quarantined
+}
+
+func newQuarantine() quarantine {
+	return quarantine{byDigest: map[event.Digest]event.Quarantined{}}
+}
+
+func (st *State) checkQuarantine(digest event.Digest) *effect.Refusal {
+	entry, ok := st.byDigest[digest]
+	if !ok || entry.Deaths < deathsToQuarantine || !st.now.Before(entry.Until) {
+		return nil
+	}
+	return &effect.Refusal{
+		Reason:     effect.ReasonQuarantine,
+		Ran:        effect.NotRun,
+		RetryAfter: entry.Until.Sub(st.now),
+		Remedy:     "this content took upstreams down before; change it or tell the operators",
+	}
+}
+
+// countDeath notes that an upstream broke off while running the request, and refuses the request at the second one.
+func (st *State) countDeath(req *Request, ev event.AttemptEnded) *effect.Refusal {
+	if ev.Result != event.ResultFailed && ev.Result != event.ResultBroken {
+		return nil
+	}
+	entry := st.byDigest[req.Digest]
+	entry.Digest = req.Digest
+	entry.Deaths++
+	entry.Until = st.now.Add(deathMemory)
+	if entry.Deaths >= deathsToQuarantine {
+		entry.Until = st.now.Add(quarantineTime)
+	}
+	st.remember(entry)
+	st.emit(effect.TellQuarantine{Quarantined: entry})
+	if entry.Deaths < deathsToQuarantine {
+		return nil
+	}
+	st.emit(effect.Note{Counter: "Requests.Quarantined", Line: "request quarantined: upstreams broke off while running it", Subject: req.Organisation})
+	return &effect.Refusal{
+		Reason: effect.ReasonQuarantine,
+		Ran:    effect.HasRun,
+		Remedy: "it ran and took its upstream down; change it or tell the operators",
+	}
+}
+
+func (st *State) quarantined(ev event.Quarantined) {
+	known := st.byDigest[ev.Digest]
+	if ev.Deaths > known.Deaths || ev.Until.After(known.Until) {
+		st.remember(ev)
+	}
+}
+
+func (st *State) remember(entry event.Quarantined) {
+	if len(st.byDigest) >= maxQuarantine {
+		st.forgetOld()
+	}
+	st.byDigest[entry.Digest] = entry
+}
+
+func (st *State) forgetOld() {
+	for digest, entry := range st.byDigest {
+		if !st.now.Before(entry.Until) {
+			delete(st.byDigest, digest)
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/state.go
@@ -0,0 +1,173 @@
+// Package core composes the reducers of one instance: the life of each request, from arrival to its one end.
+package core
+
+import (
+	"time"
+
+	"dandelionsail.example/dandelionsail/internal/admit"
+	"dandelionsail.example/dandelionsail/internal/effect"
+	"dandelionsail.example/dandelionsail/internal/event"
+	"dandelionsail.example/dandelionsail/internal/route"
+	"dandelionsail.example/dandelionsail/pkg/decl"
+)
+
+// Options fix what an instance is.
+type Options struct {
+	Name          string
+	FailureDomain string
+	// Seed makes random choices repeatable.
+	Seed uint64
+	// Permits makes long prompts ask their pool's coordinator.
+	Permits bool
+}
+
+// State is everything an instance decides from. It belongs to one goroutine.
+type State struct {
+	Options Options
+	// Config is the version in force, never nil and never replaced by a lower one.
+	Config *decl.Config
+	Admit  *admit.State
+	Route  *route.State
+	// Requests holds every request that has no Finish yet or whose claim is not settled.
+	Requests map[event.RequestID]*Request
+	// Instances is the platform's list of entry instances.
+	Instances []event.Instance
+	// Draining refuses new requests.
+	Draining bool
+
+	now       time.Time
+	effects   []effect.Effect
+	deadlines deadlineHeap
+	quarantine
+}
+
+// Phase is where in its life a request is.
+type Phase int
+
+// The phases of a request.
+const (
+	// PhaseClaiming waits for the idempotency key to be recorded.
+	PhaseClaiming Phase = iota + 1
+	// PhaseQueued waits for an upstream with room.
+	PhaseQueued
+	// PhasePermit waits for the pool's coordinator.
+	PhasePermit
+	// PhaseRunning has an attempt under way.
+	PhaseRunning
+	// PhaseAbandoned has had its Finish and waits only for its claim to settle, to release it.
+	PhaseAbandoned
+)
+
+// Request is one request's state.
+type Request struct {
+	event.Arrived
+	Phase Phase
+	Class decl.LengthClass
+	// At is when it arrived.
+	At time.Time
+	// Attempt counts from 1; 0 before the first.
+	Attempt int
+	// Upstreams are those of the attempt under way.
+	Upstreams []event.Upstream
+	// Tried names the upstreams that failed it.
+	Tried []string
+	// Offset is how many tokens of the answer the caller has.
+	Offset int64
+	// Answered tells that some of the answer came.
+	Answered bool
+	// MayHaveRun tells that some attempt may have run or may yet run.
+	MayHaveRun bool
+	// Gone tells that the caller left.
+	Gone bool
+	// Aborted tells that an Abort was sent for the attempt under way.
+	Aborted bool
+	// Claimed tells that the key is recorded.
+	Claimed bool
+	// Permit names the reservation held, empty if none.
+	Permit string
+	// NotBefore delays the next attempt after a refusal by an upstream.
+	NotBefore time.Time
+	// Deaths counts the upstreams that broke off while running it.
+	Deaths int
+}
+
+// Tokens is the memory that the request needs.
+func (req *Request) Tokens() int64 {
+	return req.PromptTokens + req.MaxTokens
+}
+
+// New returns the state of an instance that has seen nothing yet.
+func New(opts Options) *State {
+	return &State{
+		Options:    opts,
+		Config:     &decl.Config{},
+		Admit:      admit.New(),
+		Route:      route.New(opts.FailureDomain, opts.Seed),
+		Requests:   map[event.RequestID]*Request{},
+		quarantine: newQuarantine(),
+	}
+}
+
+// Reduce takes one event and returns what is to be done. The slice is valid until the next call.
+func (st *State) Reduce(now time.Time, ev event.Event) []effect.Effect {
+	st.now = now
+	st.effects = st.effects[:0]
+	switch ev := ev.(type) {
+	case event.Arrived:
+		st.arrived(ev)
+	case event.CallerGone:
+		st.callerGone(ev)
+	case event.Answering:
+		st.answering(ev)
+	case event.AttemptEnded:
+		st.attemptEnded(ev)
+	case event.ClaimSettled:
+		st.claimSettled(ev)
+	case event.PermitAnswered:
+		st.permitAnswered(ev)
+	case event.LoadReported:
+		st.Route.Report(ev)
+	case event.UpstreamsListed:
+		st.Route.List(ev)
+		st.pumpAll()
+	case event.InstancesListed:
+		st.instancesListed(ev)
+	case event.ConfigAccepted:
+		st.configAccepted(ev)
+	case event.Quarantined:
+		st.quarantined(ev)
+	case event.DrainStarted:
+		st.Draining = true
+	case event.Ticked:
+		st.expire()
+		st.pumpAll()
+	}
+	return st.effects
+}
+
+func (st *State) emit(eff effect.Effect) {
+	st.effects = append(st.effects, eff)
+}
+
+func (st *State) count(counter string) {
+	st.emit(effect.Note{Counter: counter})
+}
+
+func (st *State) configAccepted(ev event.ConfigAccepted) {
+	if ev.Config.Version <= st.Config.Version {
+		return
+	}
+	st.Config = ev.Config
+	st.pumpAll()
+}
+
+func (st *State) instancesListed(ev event.InstancesListed) {
+	st.Instances = ev.Instances
+	live := 0
+	for _, inst := range ev.Instances {
+		if !inst.Leaving {
+			live++
+		}
+	}
+	st.Admit.Instances = max(1, live)
+}
--- /dev/null
+++ b/internal/entry/answer.go
@@ -0,0 +1,92 @@
+package entry
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+
+	"dandelionsail.example/dandelionsail/internal/upstr"
+)
+
+// answer puts a streamed answer together for a caller that wants it whole.
+type answer struct {
+	text   bytes.Buffer
+	id     string
+	model  string
+	finish string
+	usage  json.RawMessage
+}
+
+type chunkChoice struct {
+	Text         string `json:"text"`
+	Delta        delta  `json:"delta"`
+	FinishReason string `json:"finish_reason"`
+}
+
+type delta struct {
+	Content string `json:"content"`
+}
+
+type chunkDocument struct {
+	ID      string          `json:"id"`
+	Model   string          `json:"model"`
+	Choices []chunkChoice   `json:"choices"`
+	Usage   json.RawMessage `json:"usage"`
+}
+
+// add takes one chunk.
+func (an *answer) add(data []byte) error {
+	var doc chunkDocument
+	if err := json.Unmarshal(data, &doc); err != nil {
+		return upstr.Failed.Wrap(err, "entry: the upstream sent a chunk that is no JSON")
+	}
+	an.id = doc.ID
+	an.model = doc.Model
+	if len(doc.Usage) > 0 {
+		an.usage = doc.Usage
+	}
+	for _, choice := range doc.Choices {
+		an.text.WriteString(choice.Text)
+		an.text.WriteString(choice.Delta.Content)
+		if choice.FinishReason != "" {
+			an.finish = choice.FinishReason
+		}
+	}
+	return nil
+}
+
+type message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+type wholeChoice struct {
+	Index        int      `json:"index"`
+	Text         string   `json:"text,omitempty"`
+	Message      *message `json:"message,omitempty"`
+	FinishReason string   `json:"finish_reason"`
+}
+
+type wholeDocument struct {
+	ID      string          `json:"id"`
+	Object  string          `json:"object"`
+	Model   string          `json:"model"`
+	Choices []wholeChoice   `json:"choices"`
+	Usage   json.RawMessage `json:"usage,omitempty"`
+}
+
+// write gives the caller the whole answer.
+func (an *answer) write(cl *call) {
+	doc := wholeDocument{ID: an.id, Object: "text_completion", Model: an.model, Usage: an.usage}
+	choice := wholeChoice{FinishReason: an.finish}
+	if cl.body.Chat {
+		doc.Object = "chat.completion"
+		choice.Message = &message{Role: "assistant", Content: an.text.String()}
+	} else {
+		choice.Text = an.text.String()
+	}
+	doc.Choices = []wholeChoice{choice}
+	cl.w.Header().Set("Content-Type", "application/json")
+	cl.w.WriteHeader(http.StatusOK)
+	_ = json.NewEncoder(cl.w).Encode(doc)
+}
--- /dev/null
+++ b/internal/entry/claims.go
@@ -0,0 +1,45 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"dandelionsail.example/dandelionsail/internal/effect"
+	"dandelionsail.example/dandelionsail/internal/event"
+	"dandelionsail.example/dandelionsail/internal/once"
+)
+
+// settleTime is how long an instance tries to record an outcome; after it a resend hears "unknown".
+const settleTime = time.Minute
+
+func (in *Instance) claim(eff effect.Claim) {
+	cl := in.find(eff.ID)
+	if cl == nil {
+		in.loop.Submit(event.ClaimSettled{ID: eff.ID, Result: event.ClaimUnavailable})
+		return
+	}
+	ky := once.Key{Organisation: eff.Organisation, Service: eff.Service, Key: eff.Key}
+	name := cl.name
+	in.pending.Go(func() {
+		ctx, cancel := context.WithDeadline(context.Background(), eff.Deadline)
+		defer cancel()
+		result, out := in.claims.Claim(ctx, ky, eff.Digest, name)
+		in.loop.Submit(event.ClaimSettled{ID: eff.ID, Result: result, Outcome: out})
+	})
+}
+
+func (in *Instance) recordOutcome(eff effect.RecordOutcome) {
+	ky := once.Key{Organisation: eff.Organisation, Service: eff.Service, Key: eff.Key}
+	var out event.Outcome
+	name := in.requestName(eff.ID)
+	if cl := in.find(eff.ID); cl != nil && !eff.Unknown {
+		out = cl.outcome.Outcome()
+	}
+	in.pending.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), settleTime)
+		defer cancel()
+		if err := in.claims.Settle(ctx, ky, name, out, eff.Release); err != nil {
+			in.log.Warn().Err(err).Msg("outcome of a claim not recorded; resends hear that it is unknown")
+		}
+	})
+}
--- /dev/null
+++ b/internal/entry/completions.go
@@ -0,0 +1,131 @@
+package entry
+
+import (
+	"crypto/sha256"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"dandelionsail.example/dandelionsail/internal/body"
+	"dandelionsail.example/dandelionsail/internal/event"
+	"dandelionsail.example/dandelionsail/pkg/decl"
+)
+
+// defaultMaxTokens bounds an answer for which the caller named no bound.
+const defaultMaxTokens = 256
+
+// completions serves both forms of the completions API.
+func (in *Instance) completions(w http.ResponseWriter, req *http.Request) {
+	arrived := time.Now()
+	dir := in.config.Load()
+	org, ok := dir.organisation(req)
+	if !ok {
+		unauthorized().write(w)
+		return
+	}
+	raw, ae := in.readBody(w, req)
+	if ae != nil {
+		ae.write(w)
+		return
+	}
+	bd, err := body.Scan(raw)
+	if err != nil {
+		badRequest(http.StatusBadRequest, "MalformedBody", err.Error()).write(w)
+		return
+	}
+	service, ok := dir.models[bd.Model]
+	if !ok || !dir.cfg.Organisations[org].MayUse(service) {
+		badRequest(http.StatusNotFound, "UnknownModel", fmt.Sprintf("no model %q is offered; GET /v1/models lists them", bd.Model)).write(w)
+		return
+	}
+	svc := dir.cfg.Services[service].WithDefaults()
+	deadline, ae := readDeadline(req, svc, arrived)
+	if ae != nil {
+		ae.write(w)
+		return
+	}
+	if bd.MaxTokens == 0 {
+		bd.MaxTokens = defaultMaxTokens
+	}
+	cl := newCall(w, req, arrived)
+	cl.body = bd
+	cl.raw = raw
+	cl.organisation = org
+	cl.service = service
+	in.serve(cl, event.Arrived{
+		Organisation: org,
+		Service:      service,
+		Model:        bd.Model,
+		PromptTokens: bd.PromptTokens(),
+		MaxTokens:    bd.MaxTokens,
+		Deadline:     deadline,
+		Idempotent:   true,
+		Key:          req.Header.Get("Idempotency-Key"),
+		Digest:       digest(req, raw),
+		Prefixes:     body.Prefixes(bd.PromptBytes()),
+	})
+}
+
+func digest(req *http.Request, raw []byte) event.Digest {
+	hash := sha256.New()
+	_, _ = fmt.Fprintf(hash, "%s\n%s\n", req.Method, req.URL.RequestURI())
+	_, _ = hash.Write(raw)
+	return event.Digest(hash.Sum(nil))
+}
+
+// readBody reads the whole body once, within its bounds of length and time.
+func (in *Instance) readBody(w http.ResponseWriter, req *http.Request) ([]byte, *apiError) {
+	if req.ContentLength > in.opts.MaxBody {
+		return nil, tooLarge(in.opts.MaxBody)
+	}
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(in.opts.BodyTimeout))
+	defer func() { _ = control.SetReadDeadline(time.Time{}) }()
+	raw, err := readAll(http.MaxBytesReader(w, req.Body, in.opts.MaxBody), req.ContentLength)
+	if err == nil {
+		return raw, nil
+	}
+	if _, ok := err.(*http.MaxBytesError); ok {
+		return nil, tooLarge(in.opts.MaxBody)
+	}
+	return nil, badRequest(http.StatusBadRequest, "IncompleteBody", "the body ended early or came too slowly; send it whole")
+}
+
+func tooLarge(limit int64) *apiError {
+	return badRequest(http.StatusRequestEntityTooLarge, "BodyTooLarge", fmt.Sprintf("the body has more than %d bytes; shorten it", limit))
+}
+
+// readAll reads a body of known length into one allocation of that length.
+func readAll(reader io.Reader, length int64) ([]byte, error) {
+	if length < 0 {
+		return io.ReadAll(reader)
+	}
+	raw := make([]byte, length)
+	_, err := io.ReadFull(reader, raw)
+	return raw, err
+}
+
+// readDeadline takes the caller's deadline, capped by the service's.
+func readDeadline(req *http.Request, svc decl.Service, now time.Time) (time.Time, *apiError) {
+	text := req.Header.Get(HeaderDeadline)
+	if text == "" {
+		return now.Add(svc.Deadline.Std()), nil
+	}
+	latest := now.Add(svc.MaxDeadline.Std())
+	at, err := time.Parse(time.RFC3339Nano, text)
+	if err != nil {
+		period, err := time.ParseDuration(text)
+		if err != nil {
+			return time.Time{}, badRequest(http.StatusBadRequest, "BadDeadline", HeaderDeadline+`: give a duration such as "30s" or an RFC 3339 time`)
+		}
+		at = now.Add(period)
+	}
+	if !at.After(now) {
+		return time.Time{}, badRequest(http.StatusBadRequest, "BadDeadline", HeaderDeadline+": the deadline is not in the future")
+	}
+	if at.After(latest) {
+		at = latest
+	}
+	return at, nil
+}
--- /dev/null
+++ b/internal/entry/errors.go
@@ -0,0 +1,99 @@
+package entry
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"dandelionsail.example/dandelionsail/internal/effect"
+)
+
+// Headers towards callers.
+const (
+	// HeaderRan says of a refused or failed request whether it ran: NotRun, Ran or Unknown.
+	HeaderRan = "Dandelionsail-Run"
+	// HeaderDeadline is the caller's deadline, as a duration such as "30s" or as an RFC 3339 time.
+	HeaderDeadline = "X-Request-Deadline"
+	// HeaderRequestID returns the request's id for support.
+	HeaderRequestID = "X-Request-Id"
+)
+
+// apiError is an error in the shape that callers of the completions API expect.
+type apiError struct {
+	Status  int           `json:"-"`
+	Ran     effect.Ran    `json:"-"`
+	After   time.Duration `json:"-"`
+	Message string        `json:"message"`
+	Type    string        `json:"type"`
+	Code    string        `json:"code"`
+}
+
+// badRequest is a refusal before the request reached the reducer.
+func badRequest(status int, code, message string) *apiError {
+	return &apiError{Status: status, Ran: effect.NotRun, Message: message, Type: "invalid_request_error", Code: code}
+}
+
+// statuses gives each reason its HTTP status.
+var statuses = map[effect.Reason]int{
+	effect.ReasonLimit:        http.StatusTooManyRequests,
+	effect.ReasonBusy:         http.StatusServiceUnavailable,
+	effect.ReasonDeadline:     http.StatusGatewayTimeout,
+	effect.ReasonTooLong:      http.StatusRequestEntityTooLarge,
+	effect.ReasonNoUpstream:   http.StatusServiceUnavailable,
+	effect.ReasonUpstream:     http.StatusBadGateway,
+	effect.ReasonQuarantine:   http.StatusUnprocessableEntity,
+	effect.ReasonKeyReused:    http.StatusUnprocessableEntity,
+	effect.ReasonKeyRunning:   http.StatusConflict,
+	effect.ReasonClaim:        http.StatusServiceUnavailable,
+	effect.ReasonDraining:     http.StatusServiceUnavailable,
+	effect.ReasonUnknownModel: http.StatusNotFound,
+	effect.ReasonOutcome:      http.StatusBadGateway,
+}
+
+func fromRefusal(refusal *effect.Refusal) *apiError {
+	status, ok := statuses[refusal.Reason]
+	if !ok {
+		status = http.StatusInternalServerError
+	}
+	kind := "server_error"
+	if status == http.StatusTooManyRequests {
+		kind = "rate_limit_error"
+	} else if status < http.StatusInternalServerError {
+		kind = "invalid_request_error"
+	}
+	return &apiError{
+		Status:  status,
+		Ran:     refusal.Ran,
+		After:   refusal.RetryAfter,
+		Message: string(refusal.Reason) + ": " + refusal.Remedy,
+		Type:    kind,
+		Code:    string(refusal.Reason),
+	}
+}
+
+func (ae *apiError) document() []byte {
+	raw, err := json.Marshal(struct {
+		Error *apiError `json:"error"`
+	}{ae})
+	if err != nil {
+		return []byte(`{"error":{"message":"the error does not encode","type":"server_error","code":"Internal"}}`)
+	}
+	return raw
+}
+
+// write answers a request whose header is not out yet.
+func (ae *apiError) write(w http.ResponseWriter) {
+	header := w.Header()
+	header.Set("Content-Type", "application/json")
+	header.Set(HeaderRan, string(ae.Ran))
+	if ae.After > 0 {
+		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(ae.After.Seconds()))))
+	}
+	if ae.Status == http.StatusUnauthorized {
+		header.Set("WWW-Authenticate", "Bearer")
+	}
+	w.WriteHeader(ae.Status)
+	_, _ = w.Write(ae.document())
+}
--- /dev/null
+++ b/internal/entry/instance.go
@@ -0,0 +1,242 @@
+// Package entry is the shell of an entry instance: HTTP towards callers, and the hands that carry out what the
+// reducers decide.
+package entry
+
+import (
+	"context"
+	"fmt"
+	"hash/fnv"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sync/errgroup"
+
+	"dandelionsail.example/dandelionsail/internal/conf"
+	"dandelionsail.example/dandelionsail/internal/core"
+	"dandelionsail.example/dandelionsail/internal/effect"
+	"dandelionsail.example/dandelionsail/internal/event"
+	"dandelionsail.example/dandelionsail/internal/once"
+	"dandelionsail.example/dandelionsail/internal/plat"
+	"dandelionsail.example/dandelionsail/internal/store"
+	"dandelionsail.example/dandelionsail/internal/upstr"
+	"dandelionsail.example/dandelionsail/pkg/decl"
+
+	"github.com/phuslu/log"
+)
+
+// Limits of the callers' side.
+const (
+	maxHeaderBytes    = 64 << 10
+	readHeaderTimeout = 10 * time.Second
+	idleTimeout       = 2 * time.Minute
+)
+
+// Instance is one running entry instance.
+type Instance struct {
+	opts Options
+	// run names this run of the instance: its name and when it started.
+	run      string
+	loop     *core.Loop
+	upstream *upstr.Client
+	store    *store.Client
+	platform *plat.Client
+	conf     *conf.Log
+	claims   *once.Claims
+	log      *log.Logger
+	// Metrics holds the instance's counters and timers.
+	Metrics metrics.Registry
+
+	nextID atomic.Uint64
+	config atomic.Pointer[directory]
+	// listed tells that the platform named upstreams; draining that this instance is on its way out.
+	listed   atomic.Bool
+	draining atomic.Bool
+	mu       sync.Mutex
+	calls    map[event.RequestID]*call
+	pending  sync.WaitGroup
+	// reporters are the running load readers by upstream name.
+	reporters map[string]context.CancelFunc
+}
+
+// New returns an instance that has not started.
+func New(opts Options, logger *log.Logger) *Instance {
+	in := &Instance{
+		opts:      opts,
+		run:       opts.Name + "." + strconv.FormatInt(time.Now().UnixMicro(), 36),
+		upstream:  upstr.New(),
+		store:     store.New(opts.Store),
+		platform:  plat.New(opts.Platform),
+		log:       logger,
+		Metrics:   metrics.NewRegistry(),
+		calls:     map[event.RequestID]*call{},
+		reporters: map[string]context.CancelFunc{},
+	}
+	in.conf = conf.New(in.store)
+	in.claims = once.New(in.store, opts.Name)
+	in.config.Store(newDirectory(&decl.Config{}))
+	in.loop = core.NewLoop(core.New(core.Options{
+		Name:          opts.Name,
+		FailureDomain: opts.FailureDomain,
+		Seed:          seed(opts),
+	}), in.perform)
+	return in
+}
+
+func seed(opts Options) uint64 {
+	if opts.Seed != 0 {
+		return opts.Seed
+	}
+	hash := fnv.New64a()
+	_, _ = hash.Write([]byte(opts.Name))
+	return hash.Sum64()
+}
+
+// Run serves until the context ends, then drains and returns.
+func (in *Instance) Run(ctx context.Context) error {
+	listener, err := net.Listen("tcp", in.opts.Listen)
+	if err != nil {
+		return Errors.NewType("listen").Wrap(err, "entry: --listen %s cannot be used; choose a free address", in.opts.Listen)
+	}
+	// Who started the process with port 0 learns the address from here.
+	fmt.Println(listener.Addr())
+	return in.Serve(ctx, listener)
+}
+
+// Serve is Run on a listener that is open already.
+func (in *Instance) Serve(ctx context.Context, listener net.Listener) error {
+	// Work under way outlives the order to stop, so the parts run under a context of their own.
+	parts, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	server := &http.Server{
+		Handler:           in.routes(),
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+	group, parts := errgroup.WithContext(parts)
+	group.Go(func() error { return in.loop.Run(parts) })
+	group.Go(func() error { return in.followConfig(parts) })
+	group.Go(func() error { return in.followPlatform(parts) })
+	group.Go(func() error { return in.claims.Run(parts) })
+	group.Go(func() error { return ignoreClosed(server.Serve(listener)) })
+	group.Go(func() error {
+		select {
+		case <-ctx.Done():
+		case <-parts.Done():
+		}
+		defer stop()
+		return in.drain(parts, server)
+	})
+	in.log.Info().Str("Instance", in.opts.Name).Str("Address", listener.Addr().String()).Msg("serving")
+	err := group.Wait()
+	in.close()
+	if ctx.Err() != nil || err == context.Canceled {
+		return nil
+	}
+	return err
+}
+
+func ignoreClosed(err error) error {
+	if err == http.ErrServerClosed {
+		return nil
+	}
+	return err
+}
+
+// drain stops without cutting a request: readiness goes off, the balancer gets time to see it, and what was admitted
+// finishes.
+func (in *Instance) drain(ctx context.Context, server *http.Server) error {
+	in.draining.Store(true)
+	in.log.Info().Str("Instance", in.opts.Name).Msg("draining")
+	pause(ctx, in.opts.DrainNotice)
+	in.loop.Submit(event.DrainStarted{})
+	deadline, cancel := context.WithTimeout(ctx, in.opts.DrainTime)
+	defer cancel()
+	return server.Shutdown(deadline)
+}
+
+func (in *Instance) close() {
+	in.upstream.Close()
+	in.store.Close()
+	in.platform.Close()
+	in.log.Info().Str("Instance", in.opts.Name).Msg("stopped")
+}
+
+func pause(ctx context.Context, period time.Duration) {
+	timer := time.NewTimer(period)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+func (in *Instance) followConfig(ctx context.Context) error {
+	return in.conf.Follow(ctx, func(cfg *decl.Config) {
+		in.config.Store(newDirectory(cfg))
+		in.loop.Submit(event.ConfigAccepted{Config: cfg})
+		in.log.Info().Str("Instance", in.opts.Name).Int64("Version", cfg.Version).Msg("configuration in force")
+	})
+}
+
+// ready reports whether the balancer may send requests here.
+func (in *Instance) ready() bool {
+	return in.listed.Load() && !in.draining.Load() && in.config.Load().cfg.Version > 0
+}
+
+func (in *Instance) followPlatform(ctx context.Context) error {
+	failing := false
+	for ctx.Err() == nil {
+		listing, err := in.platform.List(ctx)
+		if (err != nil) != failing && ctx.Err() == nil {
+			failing = err != nil
+			in.log.Warn().Bool("Failing", failing).Err(err).Msg("instance list changed state")
+		}
+		if err == nil {
+			ups, insts := listing.Events()
+			in.loop.Submit(ups)
+			in.loop.Submit(insts)
+			in.followReports(ctx, ups)
+			in.listed.Store(in.listed.Load() || len(ups.Upstreams) > 0)
+		}
+		pause(ctx, in.opts.ListPeriod)
+	}
+	in.stopReports()
+	return ctx.Err()
+}
+
+// perform carries out one effect; it never blocks, since the reducer's goroutine calls it.
+func (in *Instance) perform(eff effect.Effect) {
+	switch eff := eff.(type) {
+	case effect.Send:
+		in.mail(eff.ID, eff)
+	case effect.Finish:
+		in.mail(eff.ID, eff)
+	case effect.Abort:
+		in.abort(eff)
+	case effect.Claim:
+		in.claim(eff)
+	case effect.RecordOutcome:
+		in.recordOutcome(eff)
+	case effect.AskPermit:
+		in.loop.Submit(event.PermitAnswered{ID: eff.ID, Lost: true})
+	case effect.ReleasePermit:
+	case effect.TellQuarantine:
+	case effect.CloseIdle:
+		in.upstream.CloseIdle(eff.Upstream)
+	case effect.Note:
+		in.note(eff)
+	}
+}
+
+func (in *Instance) note(eff effect.Note) {
+	metrics.GetOrRegisterCounter(eff.Counter, in.Metrics).Inc(1)
+	if eff.Line != "" {
+		in.log.Warn().Str("Subject", eff.Subject).Msg(eff.Line)
+	}
+}
--- /dev/null
+++ b/internal/entry/options.go
@@ -0,0 +1,72 @@
+package entry
+
+import (
+	"net"
+	"time"
+
+	"github.com/joomcode/errorx"
+)
+
+var (
+	// Errors groups what this package returns.
+	Errors = errorx.NewNamespace("entry")
+	// BadOption tells that a setting cannot be used.
+	BadOption = Errors.NewType("bad_option")
+)
+
+// Options are the settings of one entry instance.
+type Options struct {
+	Name          string        `long:"name" env:"DANDELIONSAIL_NAME" description:"name of this instance, unique in the fleet" required:"yes"`
+	FailureDomain string        `long:"failure-domain" env:"DANDELIONSAIL_FAILURE_DOMAIN" description:"failure domain of this instance" required:"yes"`
+	Listen        string        `long:"listen" env:"DANDELIONSAIL_LISTEN" description:"address for callers, host:port" default:"127.0.0.1:8080"`
+	Platform      string        `long:"platform" env:"DANDELIONSAIL_PLATFORM" description:"address of the platform's instance list, host:port" required:"yes"`
+	Store         string        `long:"store" env:"DANDELIONSAIL_STORE" description:"address of the platform's key-value service, host:port" required:"yes"`
+	ListPeriod    time.Duration `long:"list-period" env:"DANDELIONSAIL_LIST_PERIOD" description:"time between reads of the instance list" default:"1s"`
+	LoadPeriod    time.Duration `long:"load-period" env:"DANDELIONSAIL_LOAD_PERIOD" description:"time between load reports of one engine" default:"500ms"`
+	DrainTime     time.Duration `long:"drain-time" env:"DANDELIONSAIL_DRAIN_TIME" description:"longest time for streams to finish at a stop" default:"10m"`
+	DrainNotice   time.Duration `long:"drain-notice" env:"DANDELIONSAIL_DRAIN_NOTICE" description:"time for the balancer to see that readiness is off" default:"3s"`
+	MaxBody       int64         `long:"max-body" env:"DANDELIONSAIL_MAX_BODY" description:"longest request body in bytes" default:"8388608"`
+	BodyTimeout   time.Duration `long:"body-timeout" env:"DANDELIONSAIL_BODY_TIMEOUT" description:"longest time for a caller to send its body" default:"30s"`
+	Seed          uint64        `long:"seed" env:"DANDELIONSAIL_SEED" description:"seed of random choices; 0 takes one from the name" default:"0"`
+}
+
+// Check returns a BadOption error that names the flag, its value and what is allowed.
+func (opts *Options) Check() error {
+	for flag, address := range map[string]string{"listen": opts.Listen, "platform": opts.Platform, "store": opts.Store} {
+		if err := checkAddress(flag, address); err != nil {
+			return err
+		}
+	}
+	if opts.Name == "" {
+		return BadOption.New("entry: --name is empty; give the instance a name of its own")
+	}
+	if opts.FailureDomain == "" {
+		return BadOption.New("entry: --failure-domain is empty; give the name of the instance's failure domain")
+	}
+	periods := map[string]time.Duration{
+		"list-period": opts.ListPeriod, "load-period": opts.LoadPeriod, "drain-time": opts.DrainTime, "body-timeout": opts.BodyTimeout,
+	}
+	for flag, period := range periods {
+		if period < 10*time.Millisecond {
+			return BadOption.New("entry: --%s is %s; give 10ms or more", flag, period)
+		}
+	}
+	if opts.DrainNotice < 0 {
+		return BadOption.New("entry: --drain-notice is %s; give 0s or more", opts.DrainNotice)
+	}
+	if opts.MaxBody < 1024 {
+		return BadOption.New("entry: --max-body is %d; give 1024 or more", opts.MaxBody)
+	}
+	return nil
+}
+
+func checkAddress(flag, address string) error {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return BadOption.New("entry: --%s is %q; give an IP number and a port, such as 127.0.0.1:8080", flag, address)
+	}
+	if net.ParseIP(host) == nil {
+		return BadOption.New("entry: --%s is %q; give the host as an IP number", flag, address)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/proof/proof_test.go
@@ -0,0 +1,77 @@
+package proof_test
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"os"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"dandelionsail.example/dandelionsail/internal/bench"
+	"dandelionsail.example/dandelionsail/internal/cmds"
+	"dandelionsail.example/dandelionsail/internal/conf"
+	"dandelionsail.example/dandelionsail/internal/fleet"
+	"dandelionsail.example/dandelionsail/internal/load"
+	"dandelionsail.example/dandelionsail/internal/store"
+	"dandelionsail.example/dandelionsail/pkg/decl"
+)
+
+func TestMain(m *testing.M) {
+	fleet.Dispatch(map[string]func([]string) int{fleet.ProgramProduct: cmds.Main, fleet.ProgramBench: bench.Main})
+	os.Exit(m.Run())
+}
+
+const token = "proof-token"
+
+// configure submits a first configuration with a model service and a plain one.
+func configure(t *testing.T, fl *fleet.Fleet) {
+	t.Helper()
+	cfg := decl.Config{
+		Services: map[string]decl.Service{
+			"lyric": {Kind: decl.KindModel, Models: []decl.Model{{Name: "lyric"}}, MemoryTokens: 400_000},
+			"board": {Kind: decl.KindPlain, Path: "/board/"},
+		},
+		Organisations: map[string]decl.Organisation{"parish": {TokenDigests: []string{decl.TokenDigest(token)}}},
+	}
+	document, err := json.Marshal(cfg)
+	assert.NilError(t, err)
+	operations := json.RawMessage(`[{"op":"replace","path":"","value":` + string(document) + `}]`)
+	client := store.New(fl.Platform.Address)
+	defer client.Close()
+	_, err = conf.New(client).Submit(t.Context(), conf.Patch{ID: "first", Operations: operations})
+	assert.NilError(t, err)
+}
+
+func TestRequestThroughProcesses(t *testing.T) {
+	// A caller streams an answer through an entry instance from an engine, all of them processes of their own.
+	// The engine is killed in mid-stream, and the caller still gets the whole answer, from the other engine.
+	fl := &fleet.Fleet{}
+	t.Cleanup(fl.Close)
+	assert.NilError(t, fl.StartPlatform("--list-lag", "0s"))
+	configure(t, fl)
+	engines := map[string]*fleet.Process{}
+	for _, name := range []string{"lyric-0", "lyric-1"} {
+		engine, err := fl.StartEngine(name, "lyric", "a", "--step", "10ms")
+		assert.NilError(t, err)
+		engines[name] = engine
+	}
+	inst, err := fl.StartEntry("entry-0", "a")
+	assert.NilError(t, err)
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	assert.NilError(t, fleet.WaitReady(ctx, inst.Address))
+	caller := &load.Caller{Address: inst.Address, Token: token, HTTP: http.DefaultClient}
+	results := make(chan load.Result, 8)
+	for i := range cap(results) {
+		go func() { results <- caller.Complete(ctx, "lyric", load.Prompt(1000, uint64(i)), 100) }()
+	}
+	time.Sleep(300 * time.Millisecond)
+	assert.NilError(t, engines["lyric-0"].Kill())
+	for range cap(results) {
+		res := <-results
+		assert.Equal(t, res.Outcome, load.OutcomeWhole, res.Detail)
+	}
+}
--- /dev/null
+++ b/internal/upstr/client.go
@@ -0,0 +1,274 @@
+package upstr
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"dandelionsail.example/dandelionsail/internal/event"
+)
+
+// Bounds of the connections to upstreams.
+const (
+	dialTimeout         = 2 * time.Second
+	idleTimeout         = 30 * time.Second
+	idlePerUpstream     = 64
+	maxReportBytes      = 1 << 20
+	maxCacheEventsBytes = 8 << 20
+)
+
+// Client implements Engine and Plain over net/http.
+type Client struct {
+	mu sync.Mutex
+	// pools holds a transport an address, so that a silent upstream's connections can be closed alone.
+	pools map[string]*http.Transport
+	fresh *http.Transport
+}
+
+// New returns a client with no connections.
+func New() *Client {
+	return &Client{pools: map[string]*http.Transport{}, fresh: newTransport(true)}
+}
+
+func newTransport(fresh bool) *http.Transport {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &http.Transport{
+		DialContext:         dialer.DialContext,
+		DisableKeepAlives:   fresh,
+		DisableCompression:  true,
+		MaxIdleConnsPerHost: idlePerUpstream,
+		IdleConnTimeout:     idleTimeout,
+		WriteBufferSize:     64 << 10,
+		ReadBufferSize:      32 << 10,
+	}
+}
+
+func (cl *Client) transport(call Call) *http.Transport {
+	// A transport repeats a request by itself when a kept connection breaks under it and the request carries an
+	// idempotency key or has no body, which would run it twice. A connection that nothing used before is never
+	// repeated on, so calls that must not be repeated ask for a fresh one.
+	if call.Fresh {
+		return cl.fresh
+	}
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	pool, ok := cl.pools[call.Address]
+	if !ok {
+		pool = newTransport(false)
+		cl.pools[call.Address] = pool
+	}
+	return pool
+}
+
+// CloseIdle implements Engine.
+func (cl *Client) CloseIdle(address string) {
+	cl.mu.Lock()
+	pool := cl.pools[address]
+	delete(cl.pools, address)
+	cl.mu.Unlock()
+	if pool != nil {
+		pool.CloseIdleConnections()
+	}
+}
+
+// Close closes all idle connections.
+func (cl *Client) Close() {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	for _, pool := range cl.pools {
+		pool.CloseIdleConnections()
+	}
+	cl.fresh.CloseIdleConnections()
+}
+
+// Do implements Plain.
+func (cl *Client) Do(ctx context.Context, call Call) (*http.Response, error) {
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	req, err := newRequest(httptrace.WithClientTrace(ctx, trace), call)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := cl.transport(call).RoundTrip(req)
+	if err == nil {
+		return resp, nil
+	}
+	// Before a connection is there no byte can have left; after it some may have.
+	if !connected.Load() {
+		return nil, NotSent.Wrap(err, "upstr: no connection to %s; check that it runs and that the address is right", call.Address)
+	}
+	return nil, Failed.Wrap(err, "upstr: %s gave no answer", call.Address)
+}
+
+func newRequest(ctx context.Context, call Call) (*http.Request, error) {
+	target, err := url.Parse("http://" + call.Address + call.Path)
+	if err != nil {
+		return nil, NotSent.Wrap(err, "upstr: the path %q does not parse", call.Path)
+	}
+	req := &http.Request{
+		Method:        call.Method,
+		URL:           target,
+		Host:          call.Address,
+		Header:        call.Header.Clone(),
+		ContentLength: call.Length,
+	}
+	if req.Header == nil {
+		req.Header = http.Header{}
+	}
+	if call.Length != 0 {
+		req.Body = io.NopCloser(call.Body)
+	}
+	req.Header.Set(HeaderRequest, call.Request)
+	return req.WithContext(ctx), nil
+}
+
+// Complete implements Engine.
+func (cl *Client) Complete(ctx context.Context, call Call) (Stream, error) {
+	call.Header = engineHeader(call)
+	resp, err := cl.Do(ctx, call)
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode == http.StatusOK {
+		return NewReader(resp.Body, call.Request, call.Offset), nil
+	}
+	defer drain(resp.Body)
+	return nil, refusal(call.Address, resp)
+}
+
+func engineHeader(call Call) http.Header {
+	header := call.Header.Clone()
+	if header == nil {
+		header = http.Header{}
+	}
+	header.Set(HeaderPriority, strconv.Itoa(call.Priority))
+	if call.Offset > 0 {
+		header.Set(HeaderOffset, strconv.FormatInt(call.Offset, 10))
+	}
+	if call.Reservation != "" {
+		header.Set(HeaderReservation, call.Reservation)
+	}
+	if len(call.Imports) > 0 {
+		header.Set(HeaderImports, strings.Join(call.Imports, ","))
+	}
+	return header
+}
+
+func refusal(address string, resp *http.Response) error {
+	kind := Failed
+	if resp.Header.Get(HeaderRun) == RunStateNotRun {
+		kind = NotRun
+	}
+	err := kind.New("upstr: %s answered %s", address, resp.Status)
+	return err.WithProperty(PropertyStatus, resp.StatusCode).
+		WithProperty(PropertyRetryAfter, RetryAfter(resp.Header))
+}
+
+// RetryAfter reads the header of that name in seconds, 0 if it is absent or not a number.
+func RetryAfter(header http.Header) time.Duration {
+	seconds, err := strconv.ParseFloat(header.Get("Retry-After"), 64)
+	if err != nil || seconds < 0 {
+		return 0
+	}
+	return time.Duration(seconds * float64(time.Second))
+}
+
+// drain reads a little of what is left, so that the connection can be used again.
+func drain(body io.ReadCloser) {
+	_, _ = io.CopyN(io.Discard, body, 4<<10)
+	_ = body.Close()
+}
+
+// Prefill implements Engine.
+func (cl *Client) Prefill(ctx context.Context, call Call, from, to int64) (string, error) {
+	call.Method = http.MethodPost
+	call.Path = "/v1/prefill"
+	call.Header = engineHeader(call)
+	call.Header.Set(HeaderSegment, fmt.Sprintf("%d-%d", from, to))
+	resp, err := cl.Do(ctx, call)
+	if err != nil {
+		return "", err
+	}
+	defer drain(resp.Body)
+	if resp.StatusCode != http.StatusOK {
+		return "", refusal(call.Address, resp)
+	}
+	var answer struct{ Handle string }
+	if err := json.NewDecoder(resp.Body).Decode(&answer); err != nil {
+		return "", Failed.Wrap(err, "upstr: %s ended its prefill answer early", call.Address)
+	}
+	return answer.Handle, nil
+}
+
+// Drop implements Engine.
+func (cl *Client) Drop(ctx context.Context, address, request string) error {
+	path := "/v1/requests/" + url.PathEscape(request)
+	return cl.exchange(ctx, Call{Address: address, Method: http.MethodDelete, Path: path}, 0, nil)
+}
+
+// Load implements Engine.
+func (cl *Client) Load(ctx context.Context, address string) (Report, error) {
+	var report Report
+	err := cl.exchange(ctx, Call{Address: address, Method: http.MethodGet, Path: "/v1/load"}, maxReportBytes, &report)
+	return report, err
+}
+
+// CacheEvents implements Engine.
+func (cl *Client) CacheEvents(ctx context.Context, address string, after int64) ([]event.CacheChanged, error) {
+	path := "/v1/cache/events?after=" + strconv.FormatInt(after, 10)
+	var batches []event.CacheChanged
+	err := cl.exchange(ctx, Call{Address: address, Method: http.MethodGet, Path: path}, maxCacheEventsBytes, &batches)
+	return batches, err
+}
+
+// Order implements Engine.
+func (cl *Client) Order(ctx context.Context, address string, order Order) error {
+	raw, err := json.Marshal(order)
+	if err != nil {
+		return err
+	}
+	call := Call{
+		Address: address,
+		Method:  http.MethodPost,
+		Path:    "/v1/orders",
+		Header:  http.Header{HeaderFence: {strconv.FormatInt(order.Fence, 10)}},
+		Body:    bytes.NewReader(raw),
+		Length:  int64(len(raw)),
+		// A repeated order would be a late one.
+		Fresh: true,
+	}
+	return cl.exchange(ctx, call, 0, nil)
+}
+
+// exchange sends a small call and decodes up to limit bytes of the answer into out, unless out is nil.
+func (cl *Client) exchange(ctx context.Context, call Call, limit int64, out any) error {
+	resp, err := cl.Do(ctx, call)
+	if err != nil {
+		return err
+	}
+	defer drain(resp.Body)
+	if resp.StatusCode == http.StatusPreconditionFailed {
+		return Fenced.New("upstr: %s refused an old fencing number; let the present holder give the order", call.Address)
+	}
+	if resp.StatusCode/100 != 2 {
+		return refusal(call.Address, resp)
+	}
+	if out == nil {
+		return nil
+	}
+	if err := json.NewDecoder(io.LimitReader(resp.Body, limit)).Decode(out); err != nil {
+		return Failed.Wrap(err, "upstr: %s%s answered no JSON", call.Address, call.Path)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/wire/wire.go
@@ -0,0 +1,148 @@
+// Package wire defines the messages between entry instances and their CBOR form.
+package wire
+
+import (
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/joomcode/errorx"
+
+	"dandelionsail.example/dandelionsail/internal/event"
+)
+
+// Message is what one entry instance says to another.
+type Message interface{ isMessage() }
+
+// Ack answers a message that wants nothing but to be heard.
+type Ack struct{}
+
+// PermitAsk asks a pool's coordinator for a reservation.
+type PermitAsk struct {
+	Holder        string
+	Request       string
+	Service       string
+	FailureDomain string
+	Organisation  string
+	Tokens        int64
+	Class         string
+	Priority      int
+	// Wait is how long the asker can wait.
+	Wait time.Duration
+}
+
+// PermitGrant answers a PermitAsk.
+type PermitGrant struct {
+	Granted    bool
+	Permit     string
+	Upstreams  []string
+	Lasts      time.Duration
+	RetryAfter time.Duration
+}
+
+// PermitReturn gives a reservation back.
+type PermitReturn struct {
+	Permit  string
+	Service string
+}
+
+// Quarantine passes on that a content took upstreams down.
+type Quarantine struct {
+	Digest event.Digest
+	Deaths int
+	Lasts  time.Duration
+}
+
+// ConfigWant asks for the patches after a version.
+type ConfigWant struct{ After int64 }
+
+// ConfigPatches answers with patches in order, or with a whole configuration if the patches are trimmed.
+type ConfigPatches struct {
+	First    int64
+	Patches  [][]byte
+	Snapshot []byte
+}
+
+func (Ack) isMessage()           {}
+func (PermitAsk) isMessage()     {}
+func (PermitGrant) isMessage()   {}
+func (PermitReturn) isMessage()  {}
+func (Quarantine) isMessage()    {}
+func (ConfigWant) isMessage()    {}
+func (ConfigPatches) isMessage() {}
+
+// MaxMessage bounds the encoded length of a message in bytes.
+const MaxMessage = 4 << 20
+
+var (
+	// Errors groups what this package returns.
+	Errors = errorx.NewNamespace("wire")
+	// Malformed tells that bytes are no message.
+	Malformed = Errors.NewType("malformed")
+)
+
+// kinds gives every message type its number on the wire. A number is never used again for another type.
+var kinds = map[uint64]func(raw []byte) (Message, error){
+	1: decode[Ack],
+	2: decode[PermitAsk],
+	3: decode[PermitGrant],
+	4: decode[PermitReturn],
+	5: decode[Quarantine],
+	6: decode[ConfigWant],
+	7: decode[ConfigPatches],
+}
+
+func kindOf(msg Message) uint64 {
+	switch msg.(type) {
+	case Ack:
+		return 1
+	case PermitAsk:
+		return 2
+	case PermitGrant:
+		return 3
+	case PermitReturn:
+		return 4
+	case Quarantine:
+		return 5
+	case ConfigWant:
+		return 6
+	case ConfigPatches:
+		return 7
+	}
+	return 0
+}
+
+type envelope struct {
+	_    struct{} `cbor:",toarray"`
+	Kind uint64
+	Body cbor.RawMessage
+}
+
+func decode[M Message](raw []byte) (Message, error) {
+	var msg M
+	if err := cbor.Unmarshal(raw, &msg); err != nil {
+		return nil, Malformed.Wrap(err, "wire: the body does not decode; run the same release on all instances")
+	}
+	return msg, nil
+}
+
+// Encode returns the bytes of a message.
+func Encode(msg Message) ([]byte, error) {
+	body, err := cbor.Marshal(msg)
+	if err != nil {
+		return nil, Malformed.Wrap(err, "wire: %T does not encode", msg)
+	}
+	return cbor.Marshal(envelope{Kind: kindOf(msg), Body: body})
+}
+
+// Decode returns the message that the bytes hold.
+func Decode(raw []byte) (Message, error) {
+	var env envelope
+	if err := cbor.Unmarshal(raw, &env); err != nil {
+		return nil, Malformed.Wrap(err, "wire: the envelope does not decode")
+	}
+	decodeBody, ok := kinds[env.Kind]
+	if !ok {
+		return nil, Malformed.New("wire: message kind %d is unknown; run the same release on all instances", env.Kind)
+	}
+	return decodeBody(env.Body)
+}
--- /dev/null
+++ b/main.go
@@ -0,0 +1,12 @@
+// Dandelionsail serves prompts of very unlike lengths over a shared fleet of model engines.
+package main
+
+import (
+	"os"
+
+	"dandelionsail.example/dandelionsail/internal/cmds"
+)
+
+func main() {
+	os.Exit(cmds.Main(os.Args[1:]))
+}
--- /dev/null
+++ b/pkg/decl/organisation.go
@@ -0,0 +1,57 @@
+package decl
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+)
+
+// Organisation is a caller with its own tokens, share and limits.
+type Organisation struct {
+	// TokenDigests are lower-case hexadecimal SHA-256 digests of the bearer tokens, see TokenDigest.
+	TokenDigests []string
+	// Weight is the share of the fleet under contention, above 0; 0 counts as 1.
+	Weight float64
+	// Limits bound the organisation over the whole fleet; a zero field is unlimited.
+	Limits Limits
+	// Services names what the organisation may use; empty allows all.
+	Services []string
+}
+
+// Limits bound what one organisation may ask for over all instances together.
+type Limits struct {
+	// RequestsPerSecond is the sustained rate; bursts of one second's worth pass.
+	RequestsPerSecond float64
+	// TokensPerSecond counts prompt and asked-for completion tokens.
+	TokensPerSecond float64
+	// RequestsInFlight counts admitted requests that have not ended.
+	RequestsInFlight int64
+	// TokensInFlight counts the tokens of admitted requests that have not ended.
+	TokensInFlight int64
+}
+
+// TokenDigest returns the digest under which a bearer token is declared.
+func TokenDigest(token string) string {
+	sum := sha256.Sum256([]byte(token))
+	return hex.EncodeToString(sum[:])
+}
+
+// ShareWeight returns the weight with the default filled in.
+func (org Organisation) ShareWeight() float64 {
+	if org.Weight <= 0 {
+		return 1
+	}
+	return org.Weight
+}
+
+// MayUse reports whether the organisation is allowed the service.
+func (org Organisation) MayUse(service string) bool {
+	if len(org.Services) == 0 {
+		return true
+	}
+	for _, name := range org.Services {
+		if name == service {
+			return true
+		}
+	}
+	return false
+}
