--- /dev/null
+++ b/internal/core/arrive.go
@@ -0,0 +1,86 @@
+package core
+
+import (
+	"time"
+
+	"dandelionsail.example/dandelionsail/internal/admit"
+	"dandelionsail.example/dandelionsail/internal/effect"
+	"dandelionsail.example/dandelionsail/internal/event"
+	"dandelionsail.example/dandelionsail/pkg/decl"
+)
+
+func (st *State) arrived(ev event.Arrived) {
+	if refusal := st.checkArrived(ev); refusal != nil {
+		st.count("Requests.Refused." + string(refusal.Reason))
+		st.emit(effect.Finish{ID: ev.ID, Refusal: refusal})
+		return
+	}
+	class, _ := st.Config.ClassOf(ev.PromptTokens)
+	req := &Request{Arrived: ev, Class: class, At: st.now}
+	st.Requests[ev.ID] = req
+	st.deadlines.push(ev.Deadline, ev.ID)
+	st.count("Requests.Admitted")
+	if st.needsClaim(req) {
+		req.Phase = PhaseClaiming
+		st.emit(effect.Claim{
+			ID:           ev.ID,
+			Organisation: ev.Organisation,
+			Service:      ev.Service,
+			Key:          ev.Key,
+			Digest:       ev.Digest,
+			Deadline:     ev.Deadline,
+		})
+		return
+	}
+	st.enqueue(req)
+}
+
+func (st *State) checkArrived(ev event.Arrived) *effect.Refusal {
+	if st.Draining {
+		return notRun(effect.ReasonDraining, time.Second, "send the request again; another instance will take it")
+	}
+	if !st.now.Before(ev.Deadline) {
+		return notRun(effect.ReasonDeadline, 0, "give the request a deadline in the future")
+	}
+	if _, ok := st.Config.Services[ev.Service]; !ok {
+		return notRun(effect.ReasonUnknownModel, 0, "name a model that GET /v1/models lists")
+	}
+	if _, ok := st.Config.ClassOf(ev.PromptTokens); !ok {
+		return notRun(effect.ReasonTooLong, 0, "shorten the prompt to what the longest length class allows")
+	}
+	if refusal := st.checkQuarantine(ev.Digest); refusal != nil {
+		return refusal
+	}
+	if !st.Route.Serves(ev.Service) {
+		return notRun(effect.ReasonNoUpstream, time.Second, "try again; no replica of the service is live")
+	}
+	org := st.Config.Organisations[ev.Organisation]
+	return st.Admit.Admit(st.now, ev.Organisation, org, ev.PromptTokens+ev.MaxTokens)
+}
+
+func notRun(reason effect.Reason, after time.Duration, remedy string) *effect.Refusal {
+	return &effect.Refusal{Reason: reason, Ran: effect.NotRun, RetryAfter: after, Remedy: remedy}
+}
+
+func (st *State) service(req *Request) decl.Service {
+	return st.Config.Services[req.Service].WithDefaults()
+}
+
+func (st *State) enqueue(req *Request) {
+	if req.Class.Long && st.Options.Permits && st.service(req).Kind == decl.KindModel {
+		st.askPermit(req)
+		return
+	}
+	req.Phase = PhaseQueued
+	org := st.Config.Organisations[req.Organisation]
+	st.Admit.Push(admit.Item{
+		ID:           req.ID,
+		Organisation: req.Organisation,
+		Service:      req.Service,
+		Class:        req.Class,
+		Tokens:       max(1, req.Tokens()),
+		Arrived:      req.At,
+		Deadline:     req.Deadline,
+	}, org.ShareWeight())
+	st.pump(req.Service)
+}
--- /dev/null
+++ b/internal/entry/perform.go
@@ -0,0 +1,39 @@
+package entry
+
+import (
+	"github.com/rcrowley/go-metrics"
+
+	"dandelionsail.example/dandelionsail/internal/effect"
+	"dandelionsail.example/dandelionsail/internal/event"
+)
+
+// perform carries out one effect; it never blocks, since the reducer's goroutine calls it.
+func (in *Instance) perform(eff effect.Effect) {
+	switch eff := eff.(type) {
+	case effect.Send:
+		in.mail(eff.ID, eff)
+	case effect.Finish:
+		in.mail(eff.ID, eff)
+	case effect.Abort:
+		in.abort(eff)
+	case effect.Claim:
+		in.claim(eff)
+	case effect.RecordOutcome:
+		in.recordOutcome(eff)
+	case effect.AskPermit:
+		in.loop.Submit(event.PermitAnswered{ID: eff.ID, Lost: true})
+	case effect.ReleasePermit:
+	case effect.TellQuarantine:
+	case effect.CloseIdle:
+		in.upstream.CloseIdle(eff.Upstream)
+	case effect.Note:
+		in.note(eff)
+	}
+}
+
+func (in *Instance) note(eff effect.Note) {
+	metrics.GetOrRegisterCounter(eff.Counter, in.Metrics).Inc(1)
+	if eff.Line != "" {
+		in.log.Warn().Str("Subject", eff.Subject).Msg(eff.Line)
+	}
+}
