--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -36,6 +36,8 @@
 type State struct {
 	// Instances is how many instances share the limits, at least 1.
 	Instances int
+	// FirstCome serves each queue in the order of arrival, as the baselines do.
+	FirstCome bool
 	orgs      map[string]*account
 	queues    map[string]*queue
 }
@@ -163,7 +165,7 @@
 	}
 	var best *Item
 	for _, it := range qu.items {
-		if best == nil || before(now, it, best) {
+		if best == nil || st.before(now, it, best) {
 			best = it
 		}
 	}
@@ -172,7 +174,10 @@
 
 // before orders items by priority, raised by one class for each third of its time that an item has waited, then by
 // fair share.
-func before(now time.Time, one, two *Item) bool {
+func (st *State) before(now time.Time, one, two *Item) bool {
+	if st.FirstCome {
+		return one.ID < two.ID
+	}
 	rankOne, rankTwo := one.rank(now), two.rank(now)
 	if rankOne != rankTwo {
 		return rankOne > rankTwo
--- a/internal/core/arrive.go
+++ b/internal/core/arrive.go
@@ -67,7 +67,7 @@
 }
 
 func (st *State) enqueue(req *Request) {
-	if req.Class.Long && st.Options.Permits && st.service(req).Kind == decl.KindModel {
+	if st.needsPermit(req) {
 		st.askPermit(req)
 		return
 	}
@@ -84,3 +84,7 @@
 	}, org.ShareWeight())
 	st.pump(req.Service)
 }
+
+func (st *State) needsPermit(req *Request) bool {
+	return req.Class.Long && st.Options.Permits && !st.baseline() && st.service(req).Kind == decl.KindModel
+}
--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -54,7 +54,7 @@
 		Attempt:   req.Attempt,
 		Upstreams: upstreams,
 		Offset:    req.Offset,
-		Priority:  req.Class.Priority,
+		Priority:  st.priority(req),
 		Permit:    req.Permit,
 		Fresh:     !st.repeatable(req) || req.Attempt > 1,
 		Deadline:  req.Deadline,
@@ -67,3 +67,11 @@
 		req.Answered = true
 	}
 }
+
+// priority is what the engine is told; the baselines tell it nothing.
+func (st *State) priority(req *Request) int {
+	if st.baseline() {
+		return 0
+	}
+	return req.Class.Priority
+}
--- a/internal/core/state.go
+++ b/internal/core/state.go
@@ -19,6 +19,9 @@
 	Seed uint64
 	// Permits makes long prompts ask their pool's coordinator.
 	Permits bool
+	// Policy is how replicas are chosen; nil is route.Sail. A baseline also serves first come first served, without
+	// permits and without priorities at the engines.
+	Policy route.Policy
 }
 
 // State is everything an instance decides from. It belongs to one goroutine.
@@ -98,7 +101,7 @@
 
 // New returns the state of an instance that has seen nothing yet.
 func New(opts Options) *State {
-	return &State{
+	st := &State{
 		Options:    opts,
 		Config:     &decl.Config{},
 		Admit:      admit.New(),
@@ -106,6 +109,17 @@
 		Requests:   map[event.RequestID]*Request{},
 		quarantine: newQuarantine(),
 	}
+	if opts.Policy != nil {
+		st.Route.Policy = opts.Policy
+	}
+	st.Admit.FirstCome = st.baseline()
+	return st
+}
+
+// baseline tells that the instance runs a policy kept for comparison only.
+func (st *State) baseline() bool {
+	_, own := st.Route.Policy.(route.Sail)
+	return !own
 }
 
 // Reduce takes one event and returns what is to be done. The slice is valid until the next call.
--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -78,10 +78,12 @@
 	in.conf = conf.New(in.store)
 	in.claims = once.New(in.store, opts.Name)
 	in.config.Store(newDirectory(&decl.Config{}))
+	policy, _ := opts.policy()
 	in.loop = core.NewLoop(core.New(core.Options{
 		Name:          opts.Name,
 		FailureDomain: opts.FailureDomain,
 		Seed:          seed(opts),
+		Policy:        policy,
 	}), in.perform)
 	return in
 }
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/joomcode/errorx"
+
+	"dandelionsail.example/dandelionsail/internal/route"
 )
 
 var (
@@ -28,6 +30,7 @@
 	MaxBody       int64         `long:"max-body" env:"DANDELIONSAIL_MAX_BODY" description:"longest request body in bytes" default:"8388608"`
 	BodyTimeout   time.Duration `long:"body-timeout" env:"DANDELIONSAIL_BODY_TIMEOUT" description:"longest time for a caller to send its body" default:"30s"`
 	Seed          uint64        `long:"seed" env:"DANDELIONSAIL_SEED" description:"seed of random choices; 0 takes one from the name" default:"0"`
+	Policy        string        `long:"policy" env:"DANDELIONSAIL_POLICY" description:"how requests are ordered and routed: dandelionsail, or a baseline for comparison: round-robin, least-requests" default:"dandelionsail"`
 }
 
 // Check returns a BadOption error that names the flag, its value and what is allowed.
@@ -54,12 +57,23 @@
 	if opts.DrainNotice < 0 {
 		return BadOption.New("entry: --drain-notice is %s; give 0s or more", opts.DrainNotice)
 	}
+	if _, ok := opts.policy(); !ok {
+		return BadOption.New("entry: --policy is %q; give %s, %s or %s", opts.Policy, route.NameSail, route.NameRoundRobin, route.NameLeastRequests)
+	}
 	if opts.MaxBody < 1024 {
 		return BadOption.New("entry: --max-body is %d; give 1024 or more", opts.MaxBody)
 	}
 	return nil
 }
 
+// policy returns the policy of the setting; an empty one is the default.
+func (opts *Options) policy() (route.Policy, bool) {
+	if opts.Policy == "" {
+		return route.Sail{}, true
+	}
+	return route.ParsePolicy(opts.Policy)
+}
+
 func checkAddress(flag, address string) error {
 	host, _, err := net.SplitHostPort(address)
 	if err != nil {
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -49,7 +49,11 @@
 	Replicas map[string]*Replica
 	// Services holds the names of each service's replicas in the order of the list.
 	Services map[string][]*Replica
-	random   *rand.Rand
+	// Policy is how Pick chooses.
+	Policy Policy
+	// turns counts the choices of RoundRobin by service.
+	turns  map[string]uint64
+	random *rand.Rand
 }
 
 // New returns the state of an instance in the failure domain; the seed makes its choices repeatable.
@@ -58,6 +62,8 @@
 		FailureDomain: failureDomain,
 		Replicas:      map[string]*Replica{},
 		Services:      map[string][]*Replica{},
+		Policy:        Sail{},
+		turns:         map[string]uint64{},
 		random:        rand.New(rand.NewPCG(seed, seed)),
 	}
 }
@@ -109,12 +115,19 @@
 	rep.Loading = ev.Loading
 }
 
-// Pick returns a replica with room for the request, or nil. Replicas of the own failure domain go before others.
+// Pick returns a replica with room for the request, or nil. Sail takes replicas of the own failure domain before
+// others; the baselines take no notice of it.
 func (st *State) Pick(now time.Time, want Want) *Replica {
 	near, far := st.candidates(now, want, false)
 	if len(near)+len(far) == 0 {
 		near, far = st.candidates(now, want, true)
 	}
+	switch st.Policy.(type) {
+	case RoundRobin:
+		return st.inTurn(want.Service, append(near, far...))
+	case LeastRequests:
+		return st.leastRequests(append(near, far...))
+	}
 	if rep := st.twoChoices(near); rep != nil {
 		return rep
 	}
