Declarations directory, differences, schema, burn rates and reports

Operators keep declarations as files: a directory is joined into one configuration, each problem names file, path and remedy; a difference between two configurations is a JSON Patch. pkg/burn counts good and bad events in 10 s and 5 min buckets (about 30 KB an objective) and applies the multi-window burn rate alerts.

Checked by tests: both examples load, the patch between any two of them applies to its target. A slow alert after ten minutes of total failure was at first taken for a mistake; it is right, since 10 minutes use 23% of a month's budget at 99.9%.

--- /dev/null
+++ b/internal/meter/report.go
@@ -0,0 +1,158 @@
+package meter
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"dandelionsail.example/dandelionsail/pkg/burn"
+	"dandelionsail.example/dandelionsail/pkg/decl"
+)
+
+// Report is what one instance, or several together, measured.
+type Report struct {
+	At time.Time
+	// Instances names whose figures are in it.
+	Instances []string
+	// Missing names instances that gave no answer, so that a reader knows the report is partial.
+	Missing    []string
+	Objectives []ObjectiveReport
+	Latencies  []LatencyReport
+}
+
+// ObjectiveReport is the burn of one objective.
+type ObjectiveReport struct {
+	Name      string
+	Objective decl.Objective
+	Windows   []WindowReport
+	// Alert names the most urgent alert that fires, empty if none does.
+	Alert string
+	// Series is the last hour, a bucket a burn.FineSpan.
+	Series []burn.Bucket
+}
+
+// WindowReport is the count of one window.
+type WindowReport struct {
+	Window decl.Duration
+	Count  burn.Count
+	Rate   float64
+}
+
+// LatencyReport is the time to first token of one service and length class since the instances started.
+type LatencyReport struct {
+	Service string
+	Class   string
+	// Microseconds is the histogram.
+	Microseconds *hdrhistogram.Snapshot
+}
+
+// Report returns the figures of one instance.
+func (mt *Meter) Report(now time.Time, instance string) Report {
+	mt.mu.Lock()
+	defer mt.mu.Unlock()
+	rp := Report{At: now, Instances: []string{instance}}
+	for name, obj := range mt.objectives {
+		tracker := mt.trackers[name]
+		rp.Objectives = append(rp.Objectives, objectiveReport(name, obj, tracker.Counts(now), tracker.Series(now)))
+	}
+	for key, histogram := range mt.latencies {
+		rp.Latencies = append(rp.Latencies, LatencyReport{key.service, key.class, histogram.Export()})
+	}
+	rp.sort()
+	return rp
+}
+
+func objectiveReport(name string, obj decl.Objective, counts burn.Counts, series []burn.Bucket) ObjectiveReport {
+	or := ObjectiveReport{Name: name, Objective: obj, Series: series}
+	for _, window := range burn.Windows() {
+		count := counts[window]
+		or.Windows = append(or.Windows, WindowReport{decl.Duration(window), count, count.Rate(obj.Target)})
+	}
+	if alert, firing := burn.Firing(counts, obj.Target); firing {
+		or.Alert = alert.Name
+	}
+	return or
+}
+
+func (rp *Report) sort() {
+	slices.SortFunc(rp.Objectives, func(one, two ObjectiveReport) int { return cmp.Compare(one.Name, two.Name) })
+	slices.SortFunc(rp.Latencies, func(one, two LatencyReport) int {
+		return cmp.Or(cmp.Compare(one.Service, two.Service), cmp.Compare(one.Class, two.Class))
+	})
+}
+
+// Merge returns the figures of several instances as one. Objectives that differ between instances, as they do while a
+// configuration comes into force, are kept under the newest report's wording.
+func Merge(reports []Report) Report {
+	var all Report
+	objectives := map[string]ObjectiveReport{}
+	latencies := map[latencyKey]*hdrhistogram.Histogram{}
+	for _, rp := range reports {
+		all.Instances = append(all.Instances, rp.Instances...)
+		all.Missing = append(all.Missing, rp.Missing...)
+		if rp.At.After(all.At) {
+			all.At = rp.At
+		}
+		for _, or := range rp.Objectives {
+			objectives[or.Name] = mergeObjective(objectives[or.Name], or)
+		}
+		for _, lr := range rp.Latencies {
+			mergeLatency(latencies, lr)
+		}
+	}
+	for _, or := range objectives {
+		all.Objectives = append(all.Objectives, or)
+	}
+	for key, histogram := range latencies {
+		all.Latencies = append(all.Latencies, LatencyReport{key.service, key.class, histogram.Export()})
+	}
+	slices.Sort(all.Instances)
+	all.sort()
+	return all
+}
+
+func mergeObjective(one, two ObjectiveReport) ObjectiveReport {
+	if one.Name == "" || one.Objective != two.Objective {
+		return two
+	}
+	counts := burn.Counts{}
+	for _, wr := range append(slices.Clone(one.Windows), two.Windows...) {
+		counts[wr.Window.Std()] = counts[wr.Window.Std()].Add(wr.Count)
+	}
+	return objectiveReport(one.Name, one.Objective, counts, mergeSeries(one.Series, two.Series))
+}
+
+func mergeSeries(one, two []burn.Bucket) []burn.Bucket {
+	sums := map[int64]burn.Count{}
+	for _, bucket := range append(slices.Clone(one), two...) {
+		sums[bucket.Start] = sums[bucket.Start].Add(bucket.Count)
+	}
+	series := make([]burn.Bucket, 0, len(sums))
+	for start, count := range sums {
+		series = append(series, burn.Bucket{Start: start, Count: count})
+	}
+	slices.SortFunc(series, func(one, two burn.Bucket) int { return cmp.Compare(one.Start, two.Start) })
+	return series
+}
+
+func mergeLatency(latencies map[latencyKey]*hdrhistogram.Histogram, lr LatencyReport) {
+	key := latencyKey{lr.Service, lr.Class}
+	part := hdrhistogram.Import(lr.Microseconds)
+	if latencies[key] == nil {
+		latencies[key] = part
+		return
+	}
+	latencies[key].Merge(part)
+}
+
+// Quantile returns a latency's value at the quantile in percent.
+func (lr LatencyReport) Quantile(percent float64) time.Duration {
+	return time.Duration(hdrhistogram.Import(lr.Microseconds).ValueAtQuantile(percent)) * time.Microsecond
+}
+
+// Total returns how many requests a latency counts.
+func (lr LatencyReport) Total() int64 {
+	return hdrhistogram.Import(lr.Microseconds).TotalCount()
+}
--- a/pkg/decl/check.go
+++ b/pkg/decl/check.go
@@ -32,29 +32,33 @@
 
 // Check returns an Invalid error that lists everything wrong with the configuration.
 func (cfg *Config) Check() error {
-	ck := &checker{cfg: cfg}
-	ck.organisations()
-	ck.services()
-	ck.classes()
-	ck.objectives()
-	if len(ck.problems) == 0 {
+	problems := cfg.Problems()
+	if len(problems) == 0 {
 		return nil
 	}
-	return Invalid.New("decl: %s", strings.Join(ck.problems, "; "))
+	lines := make([]string, 0, len(problems))
+	for _, pr := range problems {
+		lines = append(lines, pr.String())
+	}
+	return Invalid.New("decl: %s", strings.Join(lines, "; "))
 }
 
+// smallestPrompt is the shortest prompt, in tokens, that an organisation must be able to send.
+const smallestPrompt = 1000
+
 type checker struct {
 	cfg      *Config
-	problems []string
+	problems []Problem
 }
 
 func (ck *checker) problem(path, format string, args ...any) {
-	ck.problems = append(ck.problems, path+": "+fmt.Sprintf(format, args...))
+	ck.problems = append(ck.problems, Problem{Path: path, Remedy: fmt.Sprintf(format, args...)})
 }
 
 func (ck *checker) organisations() {
 	owner := map[string]string{}
-	for name, org := range ck.cfg.Organisations {
+	for _, name := range sortedKeys(ck.cfg.Organisations) {
+		org := ck.cfg.Organisations[name]
 		path := "/Organisations/" + name
 		if len(org.TokenDigests) == 0 {
 			ck.problem(path+"/TokenDigests", "give at least one digest")
@@ -84,16 +88,21 @@
 	}
 }
 
+// limits finds limits that no request could ever pass.
 func (ck *checker) limits(path string, lim Limits) {
 	if lim.RequestsPerSecond < 0 || lim.TokensPerSecond < 0 || lim.RequestsInFlight < 0 || lim.TokensInFlight < 0 {
 		ck.problem(path, "a limit is below 0; use 0 for none")
 	}
+	if lim.TokensInFlight > 0 && lim.TokensInFlight < smallestPrompt {
+		ck.problem(path+"/TokensInFlight", "%d is below the smallest prompt of %d tokens; raise it", lim.TokensInFlight, smallestPrompt)
+	}
 }
 
 func (ck *checker) services() {
 	models := map[string]string{}
 	paths := map[string]string{}
-	for name, svc := range ck.cfg.Services {
+	for _, name := range sortedKeys(ck.cfg.Services) {
+		svc := ck.cfg.Services[name]
 		path := "/Services/" + name
 		ck.service(path, svc)
 		for _, model := range svc.Models {
@@ -123,6 +132,12 @@
 	default:
 		ck.problem(path+"/Kind", "%q is unknown; use %s or %s", svc.Kind, KindModel, KindPlain)
 	}
+	if svc.MaxDeadline == 0 && svc.Deadline > Duration(DefaultMaxDeadline) {
+		ck.problem(path+"/MaxDeadline", "Deadline %s is above the default of %s; state it", svc.Deadline, DefaultMaxDeadline)
+	}
+	if svc.PrefillTokensPerSecond < 0 || svc.DecodeTokensPerSecond < 0 {
+		ck.problem(path, "a speed is below 0; use 0 for the default")
+	}
 	if svc.Deadline < 0 || svc.MaxDeadline < 0 || svc.ProgressTimeout < 0 || svc.MaxRunning < 0 {
 		ck.problem(path, "a duration or count is below 0; use 0 for the default")
 	}
@@ -141,20 +156,42 @@
 	if svc.MemoryTokens <= 0 {
 		ck.problem(path+"/MemoryTokens", "state how many tokens one engine's memory holds")
 	}
-	for class, weight := range svc.ClassWeights {
-		if weight <= 0 {
+	for _, class := range sortedKeys(svc.ClassWeights) {
+		if weight := svc.ClassWeights[class]; weight <= 0 {
 			ck.problem(path+"/ClassWeights/"+class, "%g is not above 0", weight)
 		}
+		if !ck.hasClass(class) {
+			ck.problem(path+"/ClassWeights/"+class, "no length class of this name is declared")
+		}
+	}
+	for _, role := range sortedKeys(svc.Roles) {
+		if svc.Roles[role] < 0 {
+			ck.problem(path+"/Roles/"+role, "%d is below 0", svc.Roles[role])
+		}
+	}
+}
+
+func (ck *checker) hasClass(name string) bool {
+	for _, class := range ck.cfg.Classes() {
+		if class.Name == name {
+			return true
+		}
 	}
+	return false
 }
 
 func (ck *checker) classes() {
 	var last int64
+	seen := map[string]bool{}
 	for i, class := range ck.cfg.LengthClasses {
 		path := fmt.Sprintf("/LengthClasses/%d", i)
 		if class.Name == "" {
 			ck.problem(path+"/Name", "name the class")
 		}
+		if seen[class.Name] {
+			ck.problem(path+"/Name", "%q stands twice; give each class its own name", class.Name)
+		}
+		seen[class.Name] = true
 		if class.MaxTokens <= last {
 			ck.problem(path+"/MaxTokens", "%d does not rise above %d; order the classes by length", class.MaxTokens, last)
 		}
@@ -162,8 +199,23 @@
 	}
 }
 
+func (ck *checker) operators() {
+	owner := map[string]string{}
+	for _, name := range sortedKeys(ck.cfg.Operators) {
+		path := "/Operators/" + name
+		for _, digest := range ck.cfg.Operators[name].TokenDigests {
+			ck.digest(path, digest)
+			if other, ok := owner[digest]; ok && other != name {
+				ck.problem(path+"/TokenDigests", "%s has the same token; give each operator its own", other)
+			}
+			owner[digest] = name
+		}
+	}
+}
+
 func (ck *checker) objectives() {
-	for name, obj := range ck.cfg.Objectives {
+	for _, name := range sortedKeys(ck.cfg.Objectives) {
+		obj := ck.cfg.Objectives[name]
 		path := "/Objectives/" + name
 		if obj.Target <= 0 || obj.Target >= 1 {
 			ck.problem(path+"/Target", "%g is not between 0 and 1", obj.Target)
@@ -177,6 +229,9 @@
 		default:
 			ck.problem(path+"/Signal", "%q is unknown; use %s, %s or %s", obj.Signal, SignalFirstToken, SignalBetweenTokens, SignalOutcome)
 		}
+		if obj.LengthClass != "" && !ck.hasClass(obj.LengthClass) {
+			ck.problem(path+"/LengthClass", "no length class %q is declared", obj.LengthClass)
+		}
 		if _, ok := ck.cfg.Services[obj.Service]; obj.Service != "" && !ok {
 			ck.problem(path+"/Service", "no service %q is declared", obj.Service)
 		}
