Operator API, service-level observations and metrics of an instance

Operators read status, report and configuration and submit patches under their own tokens; a read-only operator may not submit, and a bootstrap token ends with version 1. Every ended request feeds the objectives; failures that are the caller's own count for none. Metrics, health and profiles have an address of their own.

--- a/internal/core/poison.go
+++ b/internal/core/poison.go
@@ -30,7 +30,7 @@
 }
 
 func (st *State) checkQuarantine(digest event.Digest) *effect.Refusal {
-	entry, ok := st.byDigest[digest]
+	entry, ok := st.poison.byDigest[digest]
 	if !ok || entry.Deaths < deathsToQuarantine || !st.now.Before(entry.Until) {
 		return nil
 	}
@@ -47,7 +47,7 @@
 	if ev.Result != event.ResultFailed && ev.Result != event.ResultBroken {
 		return nil
 	}
-	entry := st.byDigest[req.Digest]
+	entry := st.poison.byDigest[req.Digest]
 	entry.Digest = req.Digest
 	entry.Deaths++
 	entry.Until = st.now.Add(deathMemory)
@@ -68,23 +68,34 @@
 }
 
 func (st *State) quarantined(ev event.Quarantined) {
-	known := st.byDigest[ev.Digest]
+	known := st.poison.byDigest[ev.Digest]
 	if ev.Deaths > known.Deaths || ev.Until.After(known.Until) {
 		st.remember(ev)
 	}
 }
 
 func (st *State) remember(entry event.Quarantined) {
-	if len(st.byDigest) >= maxQuarantine {
+	if len(st.poison.byDigest) >= maxQuarantine {
 		st.forgetOld()
 	}
-	st.byDigest[entry.Digest] = entry
+	st.poison.byDigest[entry.Digest] = entry
 }
 
 func (st *State) forgetOld() {
-	for digest, entry := range st.byDigest {
+	for digest, entry := range st.poison.byDigest {
 		if !st.now.Before(entry.Until) {
-			delete(st.byDigest, digest)
+			delete(st.poison.byDigest, digest)
 		}
 	}
 }
+
+// Quarantine returns the digests that are refused now.
+func (st *State) Quarantine() []event.Quarantined {
+	var refused []event.Quarantined
+	for _, entry := range st.poison.byDigest {
+		if entry.Deaths >= deathsToQuarantine && st.now.Before(entry.Until) {
+			refused = append(refused, entry)
+		}
+	}
+	return refused
+}
--- a/internal/core/state.go
+++ b/internal/core/state.go
@@ -41,7 +41,7 @@
 	now       time.Time
 	effects   []effect.Effect
 	deadlines deadlineHeap
-	quarantine
+	poison    quarantine
 }
 
 // Phase is where in its life a request is.
@@ -102,12 +102,12 @@
 // New returns the state of an instance that has seen nothing yet.
 func New(opts Options) *State {
 	st := &State{
-		Options:    opts,
-		Config:     &decl.Config{},
-		Admit:      admit.New(),
-		Route:      route.New(opts.FailureDomain, opts.Seed),
-		Requests:   map[event.RequestID]*Request{},
-		quarantine: newQuarantine(),
+		Options:  opts,
+		Config:   &decl.Config{},
+		Admit:    admit.New(),
+		Route:    route.New(opts.FailureDomain, opts.Seed),
+		Requests: map[event.RequestID]*Request{},
+		poison:   newQuarantine(),
 	}
 	if opts.Policy != nil {
 		st.Route.Policy = opts.Policy
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -7,8 +7,6 @@
 	"sync"
 	"time"
 
-	"github.com/rcrowley/go-metrics"
-
 	"dandelionsail.example/dandelionsail/internal/body"
 	"dandelionsail.example/dandelionsail/internal/effect"
 	"dandelionsail.example/dandelionsail/internal/event"
@@ -180,16 +178,3 @@
 	w.WriteHeader(out.Status)
 	_, _ = w.Write(out.Body)
 }
-
-// observe feeds the timers of a request that ended.
-func (in *Instance) observe(cl *call, eff effect.Finish) {
-	if eff.Refusal != nil || cl.firstAt.IsZero() {
-		return
-	}
-	class := "Plain"
-	if cl.body != nil {
-		found, _ := in.config.Load().cfg.ClassOf(cl.body.PromptTokens())
-		class = found.Name
-	}
-	metrics.GetOrRegisterTimer("FirstToken."+class, in.Metrics).Update(cl.firstAt.Sub(cl.arrived))
-}
--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -13,12 +13,12 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/errgroup"
 
 	"dandelionsail.example/dandelionsail/internal/conf"
 	"dandelionsail.example/dandelionsail/internal/core"
 	"dandelionsail.example/dandelionsail/internal/event"
+	"dandelionsail.example/dandelionsail/internal/meter"
 	"dandelionsail.example/dandelionsail/internal/once"
 	"dandelionsail.example/dandelionsail/internal/plat"
 	"dandelionsail.example/dandelionsail/internal/store"
@@ -47,8 +47,8 @@
 	conf     *conf.Log
 	claims   *once.Claims
 	log      *log.Logger
-	// Metrics holds the instance's counters and timers.
-	Metrics metrics.Registry
+	// Meter holds the instance's counters, timers and service-level burn.
+	Meter *meter.Meter
 
 	nextID atomic.Uint64
 	config atomic.Pointer[directory]
@@ -71,7 +71,7 @@
 		store:     store.New(opts.Store),
 		platform:  plat.New(opts.Platform),
 		log:       logger,
-		Metrics:   metrics.NewRegistry(),
+		Meter:     meter.New(),
 		calls:     map[event.RequestID]*call{},
 		reporters: map[string]context.CancelFunc{},
 	}
@@ -124,6 +124,8 @@
 	group.Go(func() error { return in.followConfig(parts) })
 	group.Go(func() error { return in.followPlatform(parts) })
 	group.Go(func() error { return in.claims.Run(parts) })
+	group.Go(func() error { return in.Meter.Run(parts, in.log) })
+	group.Go(func() error { return in.serveMetrics(parts) })
 	group.Go(func() error { return ignoreClosed(server.Serve(listener)) })
 	group.Go(func() error {
 		select {
@@ -180,6 +182,7 @@
 func (in *Instance) followConfig(ctx context.Context) error {
 	return in.conf.Follow(ctx, func(cfg *decl.Config) {
 		in.config.Store(newDirectory(cfg))
+		in.Meter.Configure(cfg)
 		in.loop.Submit(event.ConfigAccepted{Config: cfg})
 		in.log.Info().Str("Instance", in.opts.Name).Int64("Version", cfg.Version).Msg("configuration in force")
 	})
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"crypto/sha256"
 	"net"
 	"time"
 
@@ -29,6 +30,9 @@
 	DrainNotice   time.Duration `long:"drain-notice" env:"DANDELIONSAIL_DRAIN_NOTICE" description:"time for the balancer to see that readiness is off" default:"3s"`
 	MaxBody       int64         `long:"max-body" env:"DANDELIONSAIL_MAX_BODY" description:"longest request body in bytes" default:"8388608"`
 	BodyTimeout   time.Duration `long:"body-timeout" env:"DANDELIONSAIL_BODY_TIMEOUT" description:"longest time for a caller to send its body" default:"30s"`
+	MetricsListen string        `long:"metrics-listen" env:"DANDELIONSAIL_METRICS_LISTEN" description:"address for metrics and health, host:port, without authentication; empty serves none"`
+	Profiling     bool          `long:"profiling" env:"DANDELIONSAIL_PROFILING" description:"serve profiles of the process at the metrics address"`
+	Bootstrap     string        `long:"bootstrap-operator" env:"DANDELIONSAIL_BOOTSTRAP_OPERATOR" description:"SHA-256 digest of a token that may submit patches while there is no configuration"`
 	Seed          uint64        `long:"seed" env:"DANDELIONSAIL_SEED" description:"seed of random choices; 0 takes one from the name" default:"0"`
 	Policy        string        `long:"policy" env:"DANDELIONSAIL_POLICY" description:"how requests are ordered and routed: dandelionsail, or a baseline for comparison: round-robin, least-requests" default:"dandelionsail"`
 }
@@ -40,6 +44,17 @@
 			return err
 		}
 	}
+	if opts.MetricsListen != "" {
+		if err := checkAddress("metrics-listen", opts.MetricsListen); err != nil {
+			return err
+		}
+	}
+	if opts.Profiling && opts.MetricsListen == "" {
+		return BadOption.New("entry: --profiling needs --metrics-listen; give the address that serves the profiles")
+	}
+	if opts.Bootstrap != "" && len(opts.Bootstrap) != 2*sha256.Size {
+		return BadOption.New("entry: --bootstrap-operator is %q; give the 64 hexadecimal digits of the token's SHA-256 digest", opts.Bootstrap)
+	}
 	if opts.Name == "" {
 		return BadOption.New("entry: --name is empty; give the instance a name of its own")
 	}
--- a/internal/entry/perform.go
+++ b/internal/entry/perform.go
@@ -32,7 +32,7 @@
 }
 
 func (in *Instance) note(eff effect.Note) {
-	metrics.GetOrRegisterCounter(eff.Counter, in.Metrics).Inc(1)
+	metrics.GetOrRegisterCounter(eff.Counter, in.Meter.Registry).Inc(1)
 	if eff.Line != "" {
 		in.log.Warn().Str("Subject", eff.Subject).Msg(eff.Line)
 	}
--- a/internal/entry/routes.go
+++ b/internal/entry/routes.go
@@ -12,6 +12,10 @@
 	mux.HandleFunc("GET /v1/models", in.models)
 	mux.HandleFunc("GET /healthz", in.healthz)
 	mux.HandleFunc("GET /readyz", in.readyz)
+	mux.HandleFunc("GET /operator/v1/status", in.operator(readOnly, in.serveStatus))
+	mux.HandleFunc("GET /operator/v1/report", in.operator(readOnly, in.serveReport))
+	mux.HandleFunc("GET /operator/v1/config", in.operator(readOnly, in.serveConfig))
+	mux.HandleFunc("POST /operator/v1/config/patches", in.operator(mayWrite, in.submitPatch))
 	mux.HandleFunc("/", in.plainService)
 	return mux
 }
