Set faults, rates and counts of the platform stand-in; harden the store client

The stand-in counted calls and could do nothing else, so no test could lose an answer or cut a watch. Faults now change while it runs (outage, delay, lost answers of writes that took effect, watches cut, list outage), rates refuse with ResourceExhausted, and the same service can be called without a connection for tests whose clock is paused. A weight store with a rate joins it.

The client: a redirect is not followed, a watch that never starts ends after the call's time, a watch's messages are bounded, keep-alives find a forgotten watch, and a call that timed out closes the idle connections with it.

--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -18,6 +18,7 @@
 	add(standin, "engine", "Run a model engine", &engineCommand{})
 	add(standin, "service", "Run a plain service", &serviceCommand{})
 	add(standin, "platform", "Run the platform's key-value service and instance list", &platformCommand{})
+	add(standin, "weights", "Run the platform's weight store", &weightsCommand{})
 	return tool.Main(parser, args)
 }
 
--- a/internal/bench/platform.go
+++ b/internal/bench/platform.go
@@ -12,6 +12,8 @@
 type platformCommand struct {
 	Listen string        `long:"listen" env:"SAILBENCH_LISTEN" description:"address, host:port; port 0 takes a free one" default:"127.0.0.1:0"`
 	Lag    time.Duration `long:"list-lag" description:"how late the instance list shows a change" default:"1s"`
+	Writes float64       `long:"writes" description:"writes a second of the key-value service before it refuses; 0 is no bound" default:"0"`
+	Reads  float64       `long:"reads" description:"reads a second of the key-value service before it refuses; 0 is no bound" default:"0"`
 }
 
 // Execute implements flags.Commander.
@@ -22,6 +24,10 @@
 	if cmd.Lag < 0 {
 		return tool.Usage(fmt.Errorf("bench: --list-lag is %s; give 0s or more", cmd.Lag))
 	}
+	if cmd.Writes < 0 || cmd.Reads < 0 {
+		return tool.Usage(fmt.Errorf("bench: --writes is %g and --reads is %g; give 0 or more", cmd.Writes, cmd.Reads))
+	}
 	platform := stand.NewPlatform(cmd.Lag)
+	platform.KV = stand.NewKV(stand.Rates{Writes: cmd.Writes, Reads: cmd.Reads})
 	return serve(cmd.Listen, platform.Handler(), func(string) error { return nil }, platform.Run)
 }
--- a/internal/stand/kv.go
+++ b/internal/stand/kv.go
@@ -33,19 +33,31 @@
 	history  []store.WatchEvent
 	// changed is closed and replaced at each change.
 	changed chan struct{}
-	calls   map[string]int64
+	gate    *gate
 }
 
-// NewKV returns an empty service.
-func NewKV() *KV {
+// Codes of errors, as the published protocol gives them.
+const (
+	codeInvalidArgument   = 3
+	codeNotFound          = 5
+	codeResourceExhausted = 8
+)
+
+// NewKV returns an empty service held to the rates.
+func NewKV(rates Rates) *KV {
 	return &KV{
 		pairs:   map[string]store.KeyValue{},
 		leases:  map[int64]*kvLease{},
 		changed: make(chan struct{}),
-		calls:   map[string]int64{},
+		gate:    newGate(rates),
 	}
 }
 
+// SetFaults replaces the faults in force.
+func (kv *KV) SetFaults(fs Faults) {
+	kv.gate.set(fs)
+}
+
 // Run ends leases whose time is over, until the context ends.
 func (kv *KV) Run(ctx context.Context) error {
 	ticker := time.NewTicker(leaseSweep)
@@ -63,6 +75,10 @@
 func (kv *KV) sweep(now time.Time) {
 	kv.mu.Lock()
 	defer kv.mu.Unlock()
+	kv.expire(now)
+}
+
+func (kv *KV) expire(now time.Time) {
 	for id, lease := range kv.leases {
 		if now.After(lease.ends) {
 			kv.endLease(id)
@@ -101,38 +117,33 @@
 	kv.changed = make(chan struct{})
 }
 
-// Calls returns how many calls of each kind came so far.
-func (kv *KV) Calls() map[string]int64 {
-	kv.mu.Lock()
-	defer kv.mu.Unlock()
-	calls := make(map[string]int64, len(kv.calls))
-	for kind, count := range kv.calls {
-		calls[kind] = count
-	}
-	return calls
+// Calls returns what was asked so far.
+func (kv *KV) Calls() Calls {
+	return kv.gate.snapshot()
 }
 
 func (kv *KV) routes(mux *http.ServeMux) {
-	mux.HandleFunc("POST /v3/kv/range", counted(kv, "Range", kv.readRange))
-	mux.HandleFunc("POST /v3/kv/txn", counted(kv, "Txn", kv.txn))
-	mux.HandleFunc("POST /v3/lease/grant", counted(kv, "Grant", kv.grant))
-	mux.HandleFunc("POST /v3/lease/keepalive", counted(kv, "Renew", kv.renew))
-	mux.HandleFunc("POST /v3/lease/revoke", counted(kv, "Revoke", kv.revoke))
+	kv.gate.routes(mux)
+	mux.HandleFunc("POST /v3/kv/range", served(kv, "Range", kv.readRange))
+	mux.HandleFunc("POST /v3/kv/txn", served(kv, "Txn", kv.txn))
+	mux.HandleFunc("POST /v3/lease/grant", served(kv, "Grant", kv.grant))
+	mux.HandleFunc("POST /v3/lease/keepalive", served(kv, "Renew", kv.renew))
+	mux.HandleFunc("POST /v3/lease/revoke", served(kv, "Revoke", kv.revoke))
 	mux.HandleFunc("POST /v3/watch", kv.watch)
 }
 
-// counted decodes a call, runs it under the lock and encodes its answer.
-func counted[Request, Answer any](kv *KV, kind string, run func(Request) (Answer, *store.Status)) http.HandlerFunc {
+// served decodes a call, runs it and encodes its answer.
+func served[Request, Answer any](kv *KV, kind string, run func(Request) (Answer, *store.Status)) http.HandlerFunc {
 	return func(w http.ResponseWriter, req *http.Request) {
 		var request Request
 		if err := json.NewDecoder(http.MaxBytesReader(w, req.Body, 2*store.MaxValue)).Decode(&request); err != nil {
-			fail(w, &store.Status{Code: 3, Message: err.Error()})
+			fail(w, &store.Status{Code: codeInvalidArgument, Message: err.Error()})
 			return
 		}
-		kv.mu.Lock()
-		kv.calls[kind]++
-		answer, status := run(request)
-		kv.mu.Unlock()
+		answer, status, err := do(req.Context(), kv, kind, run, request)
+		if err != nil {
+			panic(http.ErrAbortHandler)
+		}
 		if status != nil {
 			fail(w, status)
 			return
@@ -141,10 +152,30 @@
 	}
 }
 
+// do runs one call through the gate and under the lock. An error means that the caller gets no answer.
+func do[Request, Answer any](ctx context.Context, kv *KV, kind string, run func(Request) (Answer, *store.Status), request Request) (Answer, *store.Status, error) {
+	var none Answer
+	status, err := kv.gate.enter(ctx, kind)
+	if status != nil || err != nil {
+		return none, status, err
+	}
+	kv.mu.Lock()
+	kv.expire(time.Now())
+	answer, status := run(request)
+	kv.mu.Unlock()
+	if status == nil && kv.gate.lost(kind) {
+		return none, nil, errNoAnswer
+	}
+	return answer, status, nil
+}
+
 func fail(w http.ResponseWriter, status *store.Status) {
 	code := http.StatusBadRequest
-	if status.Code == 5 {
+	switch status.Code {
+	case codeNotFound:
 		code = http.StatusNotFound
+	case codeResourceExhausted:
+		code = http.StatusTooManyRequests
 	}
 	w.WriteHeader(code)
 	_ = json.NewEncoder(w).Encode(status)
@@ -175,6 +206,9 @@
 }
 
 func (kv *KV) txn(req store.TxnRequest) (store.TxnAnswer, *store.Status) {
+	if status := kv.admissible(req); status != nil {
+		return store.TxnAnswer{}, status
+	}
 	for _, cmp := range req.Compare {
 		if kv.pairs[string(cmp.Key)].ModRevision != cmp.ModRevision {
 			return store.TxnAnswer{Header: store.Header{Revision: kv.revision}}, nil
@@ -182,18 +216,32 @@
 	}
 	for _, op := range req.Success {
 		if op.Put != nil {
-			if op.Put.Lease != 0 && kv.leases[op.Put.Lease] == nil {
-				return store.TxnAnswer{}, &store.Status{Code: 5, Message: "requested lease not found"}
-			}
 			kv.put(op.Put)
+			kv.gate.wrote(len(op.Put.Value))
 		}
-		if op.Delete != nil {
+		if op.Delete != nil && kv.pairs[string(op.Delete.Key)].ModRevision != 0 {
 			kv.remove(string(op.Delete.Key))
 		}
 	}
 	return store.TxnAnswer{Header: store.Header{Revision: kv.revision}, Succeeded: true}, nil
 }
 
+// admissible refuses a transaction whole if one of its writes cannot be done.
+func (kv *KV) admissible(req store.TxnRequest) *store.Status {
+	for _, op := range req.Success {
+		if op.Put == nil {
+			continue
+		}
+		if len(op.Put.Value) > store.MaxValue {
+			return &store.Status{Code: codeInvalidArgument, Message: "value is too large"}
+		}
+		if op.Put.Lease != 0 && kv.leases[op.Put.Lease] == nil {
+			return &store.Status{Code: codeNotFound, Message: "requested lease not found"}
+		}
+	}
+	return nil
+}
+
 func (kv *KV) grant(req store.LeaseRequest) (store.LeaseAnswer, *store.Status) {
 	kv.nextID++
 	ttl := time.Duration(req.TTL) * time.Second
@@ -212,44 +260,62 @@
 
 func (kv *KV) revoke(req store.LeaseRequest) (struct{}, *store.Status) {
 	if _, ok := kv.leases[req.ID]; !ok {
-		return struct{}{}, &store.Status{Code: 5, Message: "requested lease not found"}
+		return struct{}{}, &store.Status{Code: codeNotFound, Message: "requested lease not found"}
 	}
 	kv.endLease(req.ID)
 	return struct{}{}, nil
 }
 
-// watch streams changes until the caller leaves.
+// watch streams changes until the caller leaves or the watch is cut.
 func (kv *KV) watch(w http.ResponseWriter, req *http.Request) {
 	var request store.WatchRequest
-	if err := json.NewDecoder(req.Body).Decode(&request); err != nil {
-		fail(w, &store.Status{Code: 3, Message: err.Error()})
+	if err := json.NewDecoder(http.MaxBytesReader(w, req.Body, store.MaxValue)).Decode(&request); err != nil {
+		fail(w, &store.Status{Code: codeInvalidArgument, Message: err.Error()})
 		return
 	}
-	kv.mu.Lock()
-	kv.calls["Watch"]++
-	from := request.Create.StartRevision
-	if from == 0 {
-		from = kv.revision + 1
+	status, err := kv.gate.enter(req.Context(), "Watch")
+	if err != nil {
+		panic(http.ErrAbortHandler)
 	}
-	kv.mu.Unlock()
-	created := store.WatchResult{Header: store.Header{Revision: from - 1}, Created: true}
-	if !send(w, created) {
+	if status != nil {
+		fail(w, status)
+		return
+	}
+	cut := kv.gate.watching(1)
+	defer kv.gate.watching(-1)
+	kv.stream(w, request.Create, req.Context().Done(), cut)
+}
+
+func (kv *KV) stream(w http.ResponseWriter, create store.WatchCreate, gone, cut <-chan struct{}) {
+	from := kv.start(create)
+	if !send(w, store.WatchResult{Header: store.Header{Revision: from - 1}, Created: true}) {
 		return
 	}
 	for {
-		events, next, changed := kv.since(request.Create, from)
+		events, next, changed := kv.since(create, from)
 		if len(events) > 0 && !send(w, store.WatchResult{Header: store.Header{Revision: next - 1}, Events: events}) {
 			return
 		}
 		from = next
 		select {
 		case <-changed:
-		case <-req.Context().Done():
+		case <-cut:
+			panic(http.ErrAbortHandler)
+		case <-gone:
 			return
 		}
 	}
 }
 
+func (kv *KV) start(create store.WatchCreate) int64 {
+	kv.mu.Lock()
+	defer kv.mu.Unlock()
+	if create.StartRevision != 0 {
+		return create.StartRevision
+	}
+	return kv.revision + 1
+}
+
 func (kv *KV) since(create store.WatchCreate, from int64) ([]store.WatchEvent, int64, <-chan struct{}) {
 	kv.mu.Lock()
 	defer kv.mu.Unlock()
--- a/internal/stand/platform.go
+++ b/internal/stand/platform.go
@@ -27,9 +27,9 @@
 	listing plat.Listing
 }
 
-// NewPlatform returns a platform without instances.
+// NewPlatform returns a platform without instances whose service has no rates.
 func NewPlatform(lag time.Duration) *Platform {
-	return &Platform{KV: NewKV(), Lag: lag, entries: map[string]plat.Entry{}}
+	return &Platform{KV: NewKV(Rates{}), Lag: lag, entries: map[string]plat.Entry{}}
 }
 
 // Put lists an instance or changes what is listed of it.
@@ -80,6 +80,9 @@
 	mux := http.NewServeMux()
 	pf.KV.routes(mux)
 	mux.HandleFunc("GET "+plat.PathInstances, func(w http.ResponseWriter, _ *http.Request) {
+		if pf.KV.gate.current().ListOutage {
+			panic(http.ErrAbortHandler)
+		}
 		_ = json.NewEncoder(w).Encode(pf.listing())
 	})
 	mux.HandleFunc("PUT "+plat.PathInstances+"/{name}", func(w http.ResponseWriter, req *http.Request) {
--- a/internal/store/etcd.go
+++ b/internal/store/etcd.go
@@ -1,9 +1,11 @@
 package store
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -19,7 +21,11 @@
 	callTimeout = 3 * time.Second
 	// watchBacklog is how many changes wait for a slow reader before the watch stops reading.
 	watchBacklog = 64
-	maxAnswer    = 64 << 20
+	// maxAnswer bounds what is read of one answer in bytes, far above the longest List that this system asks for.
+	maxAnswer = 64 << 20
+	// maxWatchLine bounds one message of a watch: a batch of patches, each below MaxValue, in base64.
+	maxWatchLine  = 32 << 20
+	keepAliveIdle = 5 * time.Second
 )
 
 // Codes of the service's errors, as the JSON form of its published protocol gives them.
@@ -36,9 +42,14 @@
 
 // New returns a client of the service at the address.
 func New(address string) *Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+	// A watch has no traffic for hours; without keep-alives a connection that was forgotten on the way would look
+	// like a store where nothing changes.
+	keepAlive := net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: time.Second, Count: 3}
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive}
 	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 16, IdleConnTimeout: 30 * time.Second}
-	return &Client{base: "http://" + address, http: &http.Client{Transport: transport}}
+	// A redirect followed would be a write sent twice.
+	stay := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return &Client{base: "http://" + address, http: &http.Client{Transport: transport, CheckRedirect: stay}}
 }
 
 // Close closes idle connections.
@@ -152,23 +163,38 @@
 // Watch implements Store.
 func (cl *Client) Watch(ctx context.Context, prefix string, revision int64) (<-chan Change, error) {
 	create := WatchRequest{Create: WatchCreate{Key: []byte(prefix), RangeEnd: RangeEnd(prefix), StartRevision: revision}}
+	ctx, cancel := context.WithCancel(ctx)
+	// A service that takes the call and never answers must not hold the caller for ever.
+	opening := time.AfterFunc(callTimeout, cancel)
 	resp, err := cl.post(ctx, "/v3/watch", create)
 	if err != nil {
+		cancel()
 		return nil, err
 	}
+	lines := bufio.NewScanner(resp.Body)
+	lines.Buffer(nil, maxWatchLine)
+	var created WatchAnswer
+	ok := lines.Scan() && json.Unmarshal(lines.Bytes(), &created) == nil && created.Result.Created && !created.Result.Canceled
+	if !ok || !opening.Stop() {
+		cancel()
+		_ = resp.Body.Close()
+		return nil, Unavailable.New("store: the watch of %s did not start; the platform's service may be down", prefix)
+	}
 	changes := make(chan Change, watchBacklog)
-	go follow(ctx, resp.Body, changes)
+	go func() {
+		defer cancel()
+		follow(ctx, resp.Body, lines, changes)
+	}()
 	return changes, nil
 }
 
 // follow passes on what the service sends until the stream or the context ends; the closed channel is its report.
-func follow(ctx context.Context, body io.ReadCloser, changes chan<- Change) {
+func follow(ctx context.Context, body io.Closer, lines *bufio.Scanner, changes chan<- Change) {
 	defer close(changes)
 	defer func() { _ = body.Close() }()
-	decoder := json.NewDecoder(body)
-	for {
+	for lines.Scan() {
 		var answer WatchAnswer
-		if decoder.Decode(&answer) != nil || answer.Result.Canceled {
+		if json.Unmarshal(lines.Bytes(), &answer) != nil || answer.Result.Canceled {
 			return
 		}
 		for _, ev := range answer.Result.Events {
@@ -189,10 +215,14 @@
 		return err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer+1))
 	if err != nil {
+		cl.forget(err)
 		return Unavailable.Wrap(err, "store: %s answered in part", path)
 	}
+	if len(raw) > maxAnswer {
+		return Invalid.New("store: %s answered more than %d bytes; ask for fewer pairs", path, maxAnswer)
+	}
 	if answer == nil {
 		return nil
 	}
@@ -217,6 +247,7 @@
 	req.GetBody = nil
 	resp, err := cl.http.Do(req)
 	if err != nil {
+		cl.forget(err)
 		return nil, Unavailable.Wrap(err, "store: %s gave no answer; the platform's service may be down", path)
 	}
 	if resp.StatusCode == http.StatusOK {
@@ -226,6 +257,15 @@
 	return nil, failure(path, resp)
 }
 
+// forget closes the idle connections after a call that timed out. When something on the way has lost track of the open
+// connections, all of them are silent while new ones work; without this each of the next calls would find another of
+// them and time out in turn.
+func (cl *Client) forget(err error) {
+	if errors.Is(err, context.DeadlineExceeded) {
+		cl.http.CloseIdleConnections()
+	}
+}
+
 func failure(path string, resp *http.Response) *errorx.Error {
 	var status Status
 	_ = json.NewDecoder(io.LimitReader(resp.Body, 1<<16)).Decode(&status)
--- /dev/null
+++ b/internal/store/etcd_test.go
@@ -0,0 +1,126 @@
+package store_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"gotest.tools/v3/assert"
+
+	"dandelionsail.example/dandelionsail/internal/stand"
+	"dandelionsail.example/dandelionsail/internal/store"
+	"dandelionsail.example/dandelionsail/pkg/decl"
+)
+
+func address(server *httptest.Server) string {
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+func newService(t *testing.T, rates stand.Rates) (*stand.Platform, *store.Client, *httptest.Server) {
+	platform := stand.NewPlatform(0)
+	platform.KV = stand.NewKV(rates)
+	server := httptest.NewServer(platform.Handler())
+	client := store.New(address(server))
+	t.Cleanup(func() {
+		client.Close()
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return platform, client, server
+}
+
+func TestWriteIsSentOnce(t *testing.T) {
+	// The service takes a write on a kept connection and closes it without an answer.
+	// Were the transport to send the write again by itself, the second one would meet the first one's effect and the
+	// caller would be told of a conflict with itself. It has to hear that the effect is unknown.
+	var calls atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if calls.Add(1) > 1 {
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = w.Write([]byte(`{"header":{"revision":"1"},"succeeded":true}`))
+	}))
+	defer server.Close()
+	client := store.New(address(server))
+	defer client.Close()
+	_, err := client.Swap(t.Context(), "k", nil, 0, 0)
+	assert.NilError(t, err)
+	_, err = client.Swap(t.Context(), "k", nil, 1, 0)
+	assert.Assert(t, errorx.IsOfType(err, store.Unavailable), "%v", err)
+	assert.Equal(t, calls.Load(), int64(2))
+}
+
+func TestFaultsOfTheService(t *testing.T) {
+	cases := map[string]struct {
+		faults stand.Faults
+		rates  stand.Rates
+		value  int
+		err    *errorx.Type
+		// took tells whether the write is there afterwards.
+		took bool
+	}{
+		"sound":          {took: true},
+		"outage":         {faults: stand.Faults{Outage: true}, err: store.Unavailable},
+		"lost answer":    {faults: stand.Faults{LostAnswers: 1}, err: store.Unavailable, took: true},
+		"over the rate":  {rates: stand.Rates{Writes: 1}, err: store.Limited},
+		"value too long": {value: store.MaxValue + 1, err: store.Invalid},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			platform, client, _ := newService(t, tc.rates)
+			if tc.rates.Writes > 0 {
+				_, err := client.Swap(t.Context(), "first", nil, 0, 0)
+				assert.NilError(t, err)
+			}
+			platform.KV.SetFaults(tc.faults)
+			_, err := client.Swap(t.Context(), "k", make([]byte, tc.value), 0, 0)
+			if tc.err == nil {
+				assert.NilError(t, err)
+			} else {
+				assert.Assert(t, errorx.IsOfType(err, tc.err), "%v", err)
+			}
+			platform.KV.SetFaults(stand.Faults{})
+			_, err = client.Get(t.Context(), "k")
+			assert.Equal(t, err == nil, tc.took, "%v", err)
+		})
+	}
+}
+
+func TestWatchThatEndsIsSeen(t *testing.T) {
+	// A watch is cut by the service. Its reader must hear of it, or it would take silence for "no change" for good.
+	platform, client, server := newService(t, stand.Rates{})
+	changes, err := client.Watch(t.Context(), "p/", 0)
+	assert.NilError(t, err)
+	assert.Equal(t, platform.KV.Calls().Watching, int64(1))
+	pair, err := client.Swap(t.Context(), "p/1", []byte("v"), 0, 0)
+	assert.NilError(t, err)
+	got := <-changes
+	assert.Equal(t, got.Pair.Revision, pair.Revision)
+	document, err := json.Marshal(stand.Faults{CutWatches: true, Delay: decl.Duration(time.Millisecond)})
+	assert.NilError(t, err)
+	resp, err := http.Post(server.URL+stand.PathFaults, "application/json", bytes.NewReader(document))
+	assert.NilError(t, err)
+	assert.NilError(t, resp.Body.Close())
+	_, open := <-changes
+	assert.Assert(t, !open)
+}
+
+func TestLeaseEndsWithItsPairs(t *testing.T) {
+	platform, client, _ := newService(t, stand.Rates{})
+	lease, err := client.Grant(t.Context(), time.Second)
+	assert.NilError(t, err)
+	_, err = client.Swap(t.Context(), "k", nil, 0, lease)
+	assert.NilError(t, err)
+	assert.NilError(t, client.Renew(t.Context(), lease))
+	assert.NilError(t, client.Revoke(t.Context(), lease))
+	_, err = client.Get(t.Context(), "k")
+	assert.Assert(t, errorx.IsOfType(err, store.Missing), "%v", err)
+	assert.Assert(t, errorx.IsOfType(client.Renew(t.Context(), lease), store.Missing))
+	assert.Equal(t, platform.KV.Calls().Kinds["Renew"], int64(2))
+}
