--- /dev/null
+++ b/internal/cmds/history.go
@@ -0,0 +1,54 @@
+package cmds
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"dandelionsail.example/dandelionsail/internal/conf"
+	"dandelionsail.example/dandelionsail/internal/oper"
+	"dandelionsail.example/dandelionsail/internal/tool"
+	"dandelionsail.example/dandelionsail/pkg/decl"
+)
+
+type historyCommand struct {
+	oper.Options
+	After int64 `long:"after" description:"list only the patches after this version"`
+	JSON  bool  `long:"json" description:"print JSON"`
+}
+
+// Execute implements flags.Commander.
+func (cmd *historyCommand) Execute(_ []string) error {
+	client, err := oper.New(cmd.Options)
+	if err != nil {
+		return tool.Usage(err)
+	}
+	defer client.Close()
+	ctx, stop := tool.Context()
+	defer stop()
+	patches, err := client.History(ctx, cmd.After)
+	if err != nil {
+		return err
+	}
+	if cmd.JSON {
+		return json.NewEncoder(os.Stdout).Encode(patches)
+	}
+	for _, patch := range patches {
+		writePatch(os.Stdout, patch.Base+1, patch)
+	}
+	return nil
+}
+
+// writePatch prints who changed what, a line an operation.
+func writePatch(out io.Writer, version int64, patch conf.Patch) {
+	fmt.Fprintf(out, "version %d by %s at %s (patch %s)\n", version, patch.Author, patch.At.Format(time.RFC3339), patch.ID)
+	var operations []decl.Operation
+	if json.Unmarshal(patch.Operations, &operations) != nil {
+		return
+	}
+	for _, op := range operations {
+		fmt.Fprintf(out, "  %s %s\n", op.Op, op.Path)
+	}
+}
--- a/internal/cmds/report.go
+++ b/internal/cmds/report.go
@@ -1,91 +1,57 @@
 package cmds
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
-	"sync"
-	"time"
+	"os"
 
-	"github.com/HdrHistogram/hdrhistogram-go"
-
-	"dandelionsail.example/dandelionsail/internal/load"
-	"dandelionsail.example/dandelionsail/pkg/decl"
+	"dandelionsail.example/dandelionsail/internal/meter"
+	"dandelionsail.example/dandelionsail/internal/oper"
+	"dandelionsail.example/dandelionsail/internal/report"
+	"dandelionsail.example/dandelionsail/internal/tool"
 )
 
-// maxLatency is the longest time that the histograms hold, in microseconds.
-const maxLatency = int64(10 * time.Minute / time.Microsecond)
-
-// classReport is what the requests of one length class saw.
-type classReport struct {
-	firstToken *hdrhistogram.Histogram
-	outcomes   map[load.Outcome]int
+type reportCommand struct {
+	oper.Options
+	Format string `long:"format" choice:"text" choice:"json" choice:"html" default:"text" description:"form of the report"`
+	Out    string `long:"out" description:"file to write; empty writes to standard output"`
 }
 
-// demoReport gathers the results of a demonstration.
-type demoReport struct {
-	mu      sync.Mutex
-	classes map[string]*classReport
-	updates int
-	failed  int
-	keys    int
-	bad     int
-}
-
-func (rp *demoReport) add(tokens int64, res load.Result) {
-	cfg := &decl.Config{}
-	class, _ := cfg.ClassOf(tokens)
-	rp.mu.Lock()
-	defer rp.mu.Unlock()
-	if rp.classes == nil {
-		rp.classes = map[string]*classReport{}
+// Execute implements flags.Commander.
+func (cmd *reportCommand) Execute(_ []string) error {
+	client, err := oper.New(cmd.Options)
+	if err != nil {
+		return tool.Usage(err)
 	}
-	cr, ok := rp.classes[class.Name]
-	if !ok {
-		cr = &classReport{firstToken: hdrhistogram.New(1, maxLatency, 3), outcomes: map[load.Outcome]int{}}
-		rp.classes[class.Name] = cr
+	defer client.Close()
+	ctx, stop := tool.Context()
+	defer stop()
+	rp, err := client.FleetReport(ctx)
+	if err != nil {
+		return err
 	}
-	cr.outcomes[res.Outcome]++
-	if res.Outcome != load.OutcomeWhole {
-		rp.bad++
-		return
+	if cmd.Out == "" {
+		return cmd.write(os.Stdout, rp)
 	}
-	_ = cr.firstToken.RecordValue(res.FirstToken.Microseconds())
-}
-
-func (rp *demoReport) updated(status int) {
-	rp.mu.Lock()
-	defer rp.mu.Unlock()
-	rp.updates++
-	if status/100 != 2 {
-		rp.failed++
+	file, err := os.Create(cmd.Out)
+	if err != nil {
+		return tool.Usage(fmt.Errorf("report: --out %s cannot be written: %w", cmd.Out, err))
 	}
-}
-
-func (rp *demoReport) write(out io.Writer) {
-	fmt.Fprintf(out, "%-8s %8s %12s %12s %12s\n", "length", "whole", "first p50", "first p95", "first max")
-	for _, class := range decl.DefaultClasses() {
-		cr, ok := rp.classes[class.Name]
-		if !ok {
-			continue
-		}
-		fmt.Fprintf(out, "%-8s %8d %12s %12s %12s\n", class.Name, cr.outcomes[load.OutcomeWhole],
-			micros(cr.firstToken.ValueAtQuantile(50)), micros(cr.firstToken.ValueAtQuantile(95)), micros(cr.firstToken.Max()))
-		for outcome, count := range cr.outcomes {
-			if outcome != load.OutcomeWhole {
-				fmt.Fprintf(out, "%-8s %8d %s\n", "", count, outcome)
-			}
-		}
+	if err := cmd.write(file, rp); err != nil {
+		_ = file.Close()
+		return err
 	}
+	return file.Close()
 }
 
-func micros(value int64) time.Duration {
-	return (time.Duration(value) * time.Microsecond).Round(100 * time.Microsecond)
-}
-
-// verdict fails the demonstration if an answer was not whole or an update not run exactly once.
-func (rp *demoReport) verdict(ran int) error {
-	if rp.bad > 0 || rp.failed > 0 || ran != rp.keys {
-		return fmt.Errorf("demo: %d answers not whole, %d updates failed, %d of %d keys run; see --verbose", rp.bad, rp.failed, ran, rp.keys)
+func (cmd *reportCommand) write(out io.Writer, rp meter.Report) error {
+	switch cmd.Format {
+	case "json":
+		return json.NewEncoder(out).Encode(rp)
+	case "html":
+		return report.HTML(out, rp)
+	default:
+		return report.Text(out, rp)
 	}
-	return nil
 }
--- /dev/null
+++ b/internal/cmds/status.go
@@ -0,0 +1,158 @@
+package cmds
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"sort"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"dandelionsail.example/dandelionsail/internal/entry"
+	"dandelionsail.example/dandelionsail/internal/oper"
+	"dandelionsail.example/dandelionsail/internal/tool"
+)
+
+type statusCommand struct {
+	oper.Options
+	JSON  bool          `long:"json" description:"print JSON"`
+	Watch time.Duration `long:"watch" optional:"yes" optional-value:"2s" description:"print again after each such time until interrupted"`
+}
+
+// fleetStatus is what all instances say.
+type fleetStatus struct {
+	Instances []entry.Status
+	// Missing names instances that gave no answer.
+	Missing []string
+}
+
+// Execute implements flags.Commander.
+func (cmd *statusCommand) Execute(_ []string) error {
+	client, err := oper.New(cmd.Options)
+	if err != nil {
+		return tool.Usage(err)
+	}
+	defer client.Close()
+	ctx, stop := tool.Context()
+	defer stop()
+	for {
+		if err := cmd.once(ctx, client, os.Stdout); err != nil {
+			return err
+		}
+		if cmd.Watch <= 0 {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(cmd.Watch):
+		}
+	}
+}
+
+func (cmd *statusCommand) once(ctx context.Context, client *oper.Client, out io.Writer) error {
+	statuses, missing, err := client.Fleet(ctx)
+	if err != nil {
+		return err
+	}
+	fleet := fleetStatus{Instances: statuses, Missing: missing}
+	if cmd.JSON {
+		return json.NewEncoder(out).Encode(fleet)
+	}
+	return fleet.write(out)
+}
+
+func (fs *fleetStatus) write(out io.Writer) error {
+	table := tabwriter.NewWriter(out, 2, 4, 2, ' ', 0)
+	fmt.Fprintln(table, "INSTANCE\tFAILURE DOMAIN\tVERSION\tSTATE\tREQUESTS")
+	for _, sts := range fs.Instances {
+		fmt.Fprintf(table, "%s\t%s\t%d\t%s\t%s\n", sts.Instance, sts.FailureDomain, sts.Version, stateOf(sts), phases(sts.Requests))
+	}
+	for _, name := range fs.Missing {
+		fmt.Fprintf(table, "%s\t?\t?\tNo answer\t?\n", name)
+	}
+	fs.writeUpstreams(table)
+	fs.writeQuarantine(table)
+	return table.Flush()
+}
+
+func stateOf(sts entry.Status) string {
+	switch {
+	case sts.Draining:
+		return "Draining"
+	case !sts.Ready:
+		return "Not ready"
+	}
+	return "Ready"
+}
+
+func phases(requests map[string]int) string {
+	var parts []string
+	for phase, count := range requests {
+		parts = append(parts, fmt.Sprintf("%d %s", count, phase))
+	}
+	sort.Strings(parts)
+	if len(parts) == 0 {
+		return "-"
+	}
+	return strings.Join(parts, ", ")
+}
+
+// writeUpstreams shows each upstream once, with the work of all instances and every state that is not Live.
+func (fs *fleetStatus) writeUpstreams(out io.Writer) {
+	fmt.Fprintln(out, "\nUPSTREAM\tSERVICE\tFAILURE DOMAIN\tRUNNING\tTOKENS\tMEMORY\tSTATE")
+	var names []string
+	seen := map[string]entry.UpstreamStatus{}
+	states := map[string][]string{}
+	for _, sts := range fs.Instances {
+		for _, us := range sts.Upstreams {
+			all, ok := seen[us.Name]
+			if !ok {
+				names = append(names, us.Name)
+				all = us
+				all.Running, all.Tokens = 0, 0
+			}
+			all.Running += us.Running
+			all.Tokens += us.Tokens
+			seen[us.Name] = all
+			if us.Why != "" {
+				states[us.Name] = append(states[us.Name], fmt.Sprintf("%s at %s: %s", us.State, sts.Instance, us.Why))
+			}
+		}
+	}
+	sort.Strings(names)
+	for _, name := range names {
+		us := seen[name]
+		state := strings.Join(states[name], "; ")
+		if state == "" {
+			state = "Live"
+		}
+		fmt.Fprintf(out, "%s\t%s\t%s\t%d\t%d\t%s\t%s\n", name, us.Service, us.FailureDomain, us.Running, us.Tokens, memory(us), state)
+	}
+}
+
+func memory(us entry.UpstreamStatus) string {
+	if us.Load.MemoryTokens == 0 {
+		return "-"
+	}
+	return fmt.Sprintf("%d%%", 100*us.Load.UsedTokens/us.Load.MemoryTokens)
+}
+
+func (fs *fleetStatus) writeQuarantine(out io.Writer) {
+	seen := map[string]bool{}
+	for _, sts := range fs.Instances {
+		for _, entry := range sts.Quarantine {
+			if seen[entry.Digest] {
+				continue
+			}
+			if len(seen) == 0 {
+				fmt.Fprintln(out, "\nQUARANTINED CONTENT\tUPSTREAMS LOST\tUNTIL")
+			}
+			seen[entry.Digest] = true
+			fmt.Fprintf(out, "%s\t%d\t%s\n", entry.Digest[:16], entry.Deaths, entry.Until.Format(time.RFC3339))
+		}
+	}
+}
--- a/internal/conf/conf.go
+++ b/internal/conf/conf.go
@@ -49,9 +49,9 @@
 
 // Apply returns the configuration with the patch applied and checked.
 func Apply(cfg *decl.Config, patch Patch) (*decl.Config, error) {
-	document, err := json.Marshal(cfg)
+	document, err := cfg.Document()
 	if err != nil {
-		return nil, Broken.Wrap(err, "conf: the configuration does not encode")
+		return nil, err
 	}
 	operations, err := jsonpatch.DecodePatch(patch.Operations)
 	if err != nil {
--- a/internal/core/claim.go
+++ b/internal/core/claim.go
@@ -24,6 +24,8 @@
 		st.settleAbandoned(req, ev)
 		return
 	}
+	// From here on nothing of the claim is under way that a later event would have to give back.
+	req.Phase = PhaseQueued
 	switch ev.Result {
 	case event.ClaimWon:
 		req.Claimed = true
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -139,3 +139,22 @@
 	in.reduce(event.ConfigAccepted{Config: &decl.Config{Version: 2}})
 	assert.Equal(t, in.st.Config.Version, int64(3))
 }
+
+func TestSettledClaimLeavesNothingBehind(t *testing.T) {
+	// A caller resends a redemption that ran before, and hears the recorded answer, or a refusal.
+	// The request is over with that: an entry kept for a claim still under way would stay for good.
+	cases := map[string]event.ClaimSettled{
+		"repeated with its outcome": {ID: 1, Result: event.ClaimRepeated, Outcome: event.Outcome{Known: true, Status: 200}},
+		"repeated while running":    {ID: 1, Result: event.ClaimRepeated, Outcome: event.Outcome{Running: true}},
+		"other content":             {ID: 1, Result: event.ClaimConflict},
+		"store down":                {ID: 1, Result: event.ClaimUnavailable},
+	}
+	for name, settled := range cases {
+		t.Run(name, func(t *testing.T) {
+			in := newInstance(t)
+			only[effect.Claim](t, in.arrive(event.Arrived{Service: "board", Key: "k"}))
+			only[effect.Finish](t, in.reduce(settled))
+			assert.Equal(t, len(in.st.Requests), 0)
+		})
+	}
+}
--- a/internal/entry/operator.go
+++ b/internal/entry/operator.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -74,6 +75,25 @@
 	writeJSON(w, http.StatusOK, in.config.Load().cfg)
 }
 
+// servePatches lists the patches after the version that the query names.
+func (in *Instance) servePatches(w http.ResponseWriter, req *http.Request, _ string) {
+	var after int64
+	if text := req.URL.Query().Get("after"); text != "" {
+		parsed, err := strconv.ParseInt(text, 10, 64)
+		if err != nil || parsed < 0 {
+			badRequest(http.StatusBadRequest, "BadVersion", "after: give a version number").write(w)
+			return
+		}
+		after = parsed
+	}
+	patches, err := in.conf.History(req.Context(), after)
+	if err != nil {
+		writePatchError(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, patches)
+}
+
 // PatchAccepted answers a patch.
 type PatchAccepted struct{ Version int64 }
 
@@ -121,9 +141,9 @@
 		status = http.StatusUnprocessableEntity
 		refused.Code = "BrokenPatch"
 	default:
-		// Whether the patch landed is not known; its own id makes a repeat safe.
+		// Whether a patch landed is not known; its own id makes a repeat safe.
 		refused.Code = "StoreUnavailable"
-		refused.Message += "; send the same patch with the same ID again"
+		refused.Message += "; send the same request again, a patch under the same ID"
 		w.Header().Set(HeaderRan, string(effect.Unknown))
 	}
 	writeJSON(w, status, refused)
--- a/internal/entry/routes.go
+++ b/internal/entry/routes.go
@@ -15,6 +15,7 @@
 	mux.HandleFunc("GET /operator/v1/status", in.operator(readOnly, in.serveStatus))
 	mux.HandleFunc("GET /operator/v1/report", in.operator(readOnly, in.serveReport))
 	mux.HandleFunc("GET /operator/v1/config", in.operator(readOnly, in.serveConfig))
+	mux.HandleFunc("GET /operator/v1/config/patches", in.operator(readOnly, in.servePatches))
 	mux.HandleFunc("POST /operator/v1/config/patches", in.operator(mayWrite, in.submitPatch))
 	mux.HandleFunc("/", in.plainService)
 	return mux
--- a/pkg/decl/class.go
+++ b/pkg/decl/class.go
@@ -9,7 +9,7 @@
 	// Priority orders the classes; a higher one goes first.
 	Priority int
 	// Long prompts need a permit of their pool's coordinator.
-	Long bool
+	Long bool `json:",omitzero"`
 }
 
 // DefaultClasses are used where a configuration declares none.
--- a/pkg/decl/config.go
+++ b/pkg/decl/config.go
@@ -2,6 +2,8 @@
 // length classes and objectives. A Config is one numbered version of all of them.
 package decl
 
+import "encoding/json"
+
 // Config is one version of the whole configuration.
 type Config struct {
 	// Version numbers the accepted patches from 1; 0 is the empty configuration.
@@ -18,10 +20,36 @@
 	Operators map[string]Operator
 }
 
+// Document returns the JSON form that patches are made against: every table is there, empty ones too, so that a patch
+// can add the first entry of each.
+func (cfg *Config) Document() ([]byte, error) {
+	full := *cfg
+	if full.Organisations == nil {
+		full.Organisations = map[string]Organisation{}
+	}
+	if full.Services == nil {
+		full.Services = map[string]Service{}
+	}
+	if full.LengthClasses == nil {
+		full.LengthClasses = []LengthClass{}
+	}
+	if full.Objectives == nil {
+		full.Objectives = map[string]Objective{}
+	}
+	if full.Operators == nil {
+		full.Operators = map[string]Operator{}
+	}
+	raw, err := json.Marshal(full)
+	if err != nil {
+		return nil, Invalid.Wrap(err, "decl: the configuration does not encode")
+	}
+	return raw, nil
+}
+
 // Operator may read the configuration and submit patches.
 type Operator struct {
 	// TokenDigests are lower-case hexadecimal SHA-256 digests of the bearer tokens, see TokenDigest.
 	TokenDigests []string
 	// ReadOnly operators may read status and configuration but submit nothing.
-	ReadOnly bool
+	ReadOnly bool `json:",omitzero"`
 }
--- a/pkg/decl/diff.go
+++ b/pkg/decl/diff.go
@@ -79,9 +79,9 @@
 
 // document returns the JSON form as maps, without the version.
 func document(cfg *Config) (map[string]any, error) {
-	raw, err := json.Marshal(cfg)
+	raw, err := cfg.Document()
 	if err != nil {
-		return nil, Invalid.Wrap(err, "decl: the configuration does not encode")
+		return nil, err
 	}
 	var doc map[string]any
 	if err := json.Unmarshal(raw, &doc); err != nil {
@@ -126,6 +126,5 @@
 	if wasObject && isObject {
 		return diffObjects(path, oldObject, object)
 	}
-	// A table that was empty is written whole.
 	return []Operation{{Op: opReplace, Path: path, Value: value, Before: old}}
 }
--- a/pkg/decl/dir_test.go
+++ b/pkg/decl/dir_test.go
@@ -72,13 +72,13 @@
 			}
 			patch, err := jsonpatch.DecodePatch(raw)
 			assert.NilError(t, err)
-			document, err := json.Marshal(tc.from)
+			document, err := tc.from.Document()
 			assert.NilError(t, err)
 			document, err = patch.Apply(document)
 			assert.NilError(t, err)
-			want, err := json.Marshal(tc.to)
+			want, err := tc.to.Document()
 			assert.NilError(t, err)
-			assert.Equal(t, string(document) == string(want) || jsonpatch.Equal(document, want), true)
+			assert.Assert(t, jsonpatch.Equal(document, want), "%s", document)
 		})
 	}
 }
--- a/pkg/decl/duration.go
+++ b/pkg/decl/duration.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 )
 
@@ -13,9 +14,16 @@
 	return time.Duration(dur)
 }
 
-// String returns the text form.
+// String returns the text form without units that are zero: "5m" and not "5m0s".
 func (dur Duration) String() string {
-	return time.Duration(dur).String()
+	text := time.Duration(dur).String()
+	if strings.HasSuffix(text, "m0s") {
+		text = strings.TrimSuffix(text, "0s")
+	}
+	if strings.HasSuffix(text, "h0m") {
+		text = strings.TrimSuffix(text, "0m")
+	}
+	return text
 }
 
 // MarshalText implements encoding.TextMarshaler.
--- a/pkg/decl/objective.go
+++ b/pkg/decl/objective.go
@@ -15,11 +15,11 @@
 	// Signal is one of the Signal constants.
 	Signal string
 	// Service, Organisation and LengthClass narrow the objective; an empty one means all.
-	Service      string
-	Organisation string
-	LengthClass  string
+	Service      string `json:",omitzero"`
+	Organisation string `json:",omitzero"`
+	LengthClass  string `json:",omitzero"`
 	// Threshold is the bound of a latency signal.
-	Threshold Duration
+	Threshold Duration `json:",omitzero"`
 	// Target is the share of requests that must keep it, between 0 and 1, both excluded.
 	Target float64
 }
--- a/pkg/decl/organisation.go
+++ b/pkg/decl/organisation.go
@@ -10,23 +10,23 @@
 	// TokenDigests are lower-case hexadecimal SHA-256 digests of the bearer tokens, see TokenDigest.
 	TokenDigests []string
 	// Weight is the share of the fleet under contention, above 0; 0 counts as 1.
-	Weight float64
+	Weight float64 `json:",omitzero"`
 	// Limits bound the organisation over the whole fleet; a zero field is unlimited.
-	Limits Limits
+	Limits Limits `json:",omitzero"`
 	// Services names what the organisation may use; empty allows all.
-	Services []string
+	Services []string `json:",omitzero"`
 }
 
 // Limits bound what one organisation may ask for over all instances together.
 type Limits struct {
 	// RequestsPerSecond is the sustained rate; bursts of one second's worth pass.
-	RequestsPerSecond float64
+	RequestsPerSecond float64 `json:",omitzero"`
 	// TokensPerSecond counts prompt and asked-for completion tokens.
-	TokensPerSecond float64
+	TokensPerSecond float64 `json:",omitzero"`
 	// RequestsInFlight counts admitted requests that have not ended.
-	RequestsInFlight int64
+	RequestsInFlight int64 `json:",omitzero"`
 	// TokensInFlight counts the tokens of admitted requests that have not ended.
-	TokensInFlight int64
+	TokensInFlight int64 `json:",omitzero"`
 }
 
 // TokenDigest returns the digest under which a bearer token is declared.
--- a/pkg/decl/service.go
+++ b/pkg/decl/service.go
@@ -23,35 +23,35 @@
 	// Kind is KindModel or KindPlain.
 	Kind string
 	// Models are the names that callers give in the completions API; no two services share one. Model services only.
-	Models []Model
+	Models []Model `json:",omitzero"`
 	// Path is the prefix of the HTTP routes of a plain service, with slashes at both ends.
-	Path string
+	Path string `json:",omitzero"`
 	// Repeatable lists the methods of a plain service that are idempotent; empty means GET, HEAD, PUT, DELETE and OPTIONS.
-	Repeatable []string
+	Repeatable []string `json:",omitzero"`
 	// HonoursKeys says that the service itself runs an idempotency key once, so that a retry is safe.
-	HonoursKeys bool
+	HonoursKeys bool `json:",omitzero"`
 	// ChecksFencing says that the engines refuse an order with an old fencing number.
-	ChecksFencing bool
+	ChecksFencing bool `json:",omitzero"`
 	// Deadline is the time a request has when the caller names none; above 0.
-	Deadline Duration
+	Deadline Duration `json:",omitzero"`
 	// MaxDeadline caps what a caller may ask for; at least Deadline.
-	MaxDeadline Duration
+	MaxDeadline Duration `json:",omitzero"`
 	// ProgressTimeout is the longest silence of an upstream within an answer before it counts as dead.
-	ProgressTimeout Duration
+	ProgressTimeout Duration `json:",omitzero"`
 	// MemoryTokens is what one engine's memory holds; 0 for plain services.
-	MemoryTokens int64
+	MemoryTokens int64 `json:",omitzero"`
 	// PrefillTokensPerSecond is a first estimate of an engine's prefill speed, corrected by what is observed.
-	PrefillTokensPerSecond float64
+	PrefillTokensPerSecond float64 `json:",omitzero"`
 	// DecodeTokensPerSecond is a first estimate of an engine's speed for one stream.
-	DecodeTokensPerSecond float64
+	DecodeTokensPerSecond float64 `json:",omitzero"`
 	// MaxRunning is how many requests one replica runs at once; above 0.
-	MaxRunning int64
+	MaxRunning int64 `json:",omitzero"`
 	// Discipline is DisciplinePriority (default) or DisciplineWeighted.
-	Discipline string
+	Discipline string `json:",omitzero"`
 	// ClassWeights gives each length class its weight under DisciplineWeighted; an absent one counts as 1.
-	ClassWeights map[string]float64
+	ClassWeights map[string]float64 `json:",omitzero"`
 	// Roles wanted of the replicas, by role name, as counts; empty leaves roles alone.
-	Roles map[string]int
+	Roles map[string]int `json:",omitzero"`
 }
 
 // Model is one offered model, with the version and adapters that its replicas should have loaded.
@@ -59,9 +59,9 @@
 	// Name is what callers give.
 	Name string
 	// Version is the wanted weight version; empty leaves it alone.
-	Version string
+	Version string `json:",omitzero"`
 	// Adapters are loaded beside the weights and offered as "model:adapter".
-	Adapters []string
+	Adapters []string `json:",omitzero"`
 }
 
 // Replica defaults where a service names none.
