Refuse what is no JSON, and what an engine could read otherwise

The scanner passed control characters in strings, unknown escapes and malformed numbers, doubled members and escaped keys: an engine's own parser refuses these, or takes the other of two members, after the request was queued for it. Strings are now walked eight bytes at a time.

--- a/internal/body/body.go
+++ b/internal/body/body.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"io"
 	"strconv"
 
@@ -95,8 +96,21 @@
 // member returns the visitor that Scan calls with each member's key and value.
 func (bd *Body) member(sc *scanner) func(key []byte, value Span) error {
 	bd.open = sc.openAt()
+	seen := map[string]bool{}
 	return func(key []byte, value Span) error {
 		bd.members++
+		if bytes.IndexByte(key, '\\') >= 0 {
+			return Malformed.New("body: the key %q has an escape; write it plainly", key)
+		}
+		name, known := members[string(key)]
+		if !known {
+			return nil
+		}
+		// An engine may read the last one where this reads the first, and run what was not checked here.
+		if seen[name] {
+			return Malformed.New("body: %q is there twice; send it once", key)
+		}
+		seen[name] = true
 		text := bd.Raw[value.Start:value.End]
 		switch string(key) {
 		case "model":
@@ -108,7 +122,7 @@
 			bd.Chat = true
 		case "stream":
 			bd.streamValue = value
-			bd.Stream = string(text) == "true"
+			return bd.readStream(text)
 		case "max_tokens", "max_completion_tokens":
 			return bd.readMaxTokens(text)
 		}
@@ -116,22 +130,44 @@
 	}
 }
 
+// members gives the keys that matter the thing that each names.
+var members = map[string]string{
+	"model": "model", "prompt": "prompt", "messages": "prompt", "stream": "stream",
+	"max_tokens": "max_tokens", "max_completion_tokens": "max_tokens",
+}
+
 func (bd *Body) readModel(text []byte) error {
-	name, err := strconv.Unquote(string(text))
-	if err != nil {
-		return Malformed.New(`body: "model" is %s; give the model's name as a string`, text)
+	if text[0] != '"' || json.Unmarshal(text, &bd.Model) != nil {
+		return Malformed.New(`body: "model" is %s; give the model's name as a string`, short(text))
+	}
+	return nil
+}
+
+func (bd *Body) readStream(text []byte) error {
+	switch string(text) {
+	case "true":
+		bd.Stream = true
+	case "false", "null":
+	default:
+		return Malformed.New(`body: "stream" is %s; give true or false`, short(text))
 	}
-	bd.Model = name
 	return nil
 }
 
+// shown is how much of a wrong value an error repeats.
+const shown = 64
+
+func short(text []byte) []byte {
+	return text[:min(len(text), shown)]
+}
+
 func (bd *Body) readMaxTokens(text []byte) error {
 	if string(text) == "null" {
 		return nil
 	}
 	tokens, err := strconv.ParseInt(string(text), 10, 64)
 	if err != nil || tokens < 1 {
-		return Malformed.New(`body: "max_tokens" is %s; give a whole number above 0`, text)
+		return Malformed.New(`body: "max_tokens" is %s; give a whole number above 0`, short(text))
 	}
 	bd.MaxTokens = tokens
 	return nil
--- a/internal/body/body_test.go
+++ b/internal/body/body_test.go
@@ -1,7 +1,9 @@
 package body_test
 
 import (
+	"encoding/json"
 	"io"
+	"strings"
 	"testing"
 
 	"github.com/joomcode/errorx"
@@ -49,6 +51,18 @@
 		"bound below one":    `{"model":"m","prompt":"p","max_tokens":0}`,
 		"two objects":        `{"model":"m","prompt":"p"}{}`,
 		"bare word":          `{"model":m,"prompt":"p"}`,
+		"control character":  "{\"model\":\"m\",\"prompt\":\"a long prompt with a\nline feed\"}",
+		"unknown escape":     `{"model":"m","prompt":"\x"}`,
+		"short escape":       `{"model":"m","prompt":"\u12"}`,
+		"leading zero":       `{"model":"m","prompt":"p","n":01}`,
+		"two signs":          `{"model":"m","prompt":"p","n":--1}`,
+		"no fraction":        `{"model":"m","prompt":"p","n":1.}`,
+		"no exponent":        `{"model":"m","prompt":"p","n":1e}`,
+		"model twice":        `{"model":"m","prompt":"p","model":"x"}`,
+		"prompt twice":       `{"model":"m","prompt":"p","messages":[]}`,
+		"escaped key":        `{"model":"m","prompt":"p","str\u0065am":true}`,
+		"stream is a number": `{"model":"m","prompt":"p","stream":1}`,
+		"bound over 64 bits": `{"model":"m","prompt":"p","max_tokens":99999999999999999999}`,
 	}
 	for name, raw := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -76,3 +90,47 @@
 		})
 	}
 }
+
+// FuzzScan compares with the standard library: what is no JSON must be refused, and what is accepted must be cut where
+// the standard library cuts it.
+func FuzzScan(f *testing.F) {
+	for _, seed := range []string{
+		`{"model":"m","prompt":"hello","stream":true,"max_tokens":7}`,
+		`{"prompt":"a\"b\\","model":"m"}`,
+		`{"model":"m","messages":[{"role":"user","content":"x"}],"n":-1.5e+3}`,
+		"{\"model\":\"m\",\"prompt\":\"\x01\"}",
+		`{"model":"\u00e9\ud83d\ude00","prompt":["a",1,null,true]}`,
+	} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		bd, err := body.Scan(raw)
+		if err != nil {
+			return
+		}
+		var want map[string]json.RawMessage
+		assert.NilError(t, json.Unmarshal(raw, &want))
+		prompt := want["prompt"]
+		if bd.Chat {
+			prompt = want["messages"]
+		}
+		assert.Equal(t, string(bd.PromptBytes()), string(prompt))
+		reader, length := bd.Streamed()
+		streamed, err := io.ReadAll(reader)
+		assert.NilError(t, err)
+		assert.Equal(t, length, int64(len(streamed)))
+		again, err := body.Scan(streamed)
+		assert.NilError(t, err)
+		assert.Assert(t, again.Stream)
+	})
+}
+
+func BenchmarkScan(b *testing.B) {
+	raw := []byte(`{"model":"m","prompt":"` + strings.Repeat("lorem ipsum dolor ", 4<<20/18) + `"}`)
+	b.SetBytes(int64(len(raw)))
+	for b.Loop() {
+		if _, err := body.Scan(raw); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/body/scan.go
+++ b/internal/body/scan.go
@@ -1,6 +1,11 @@
 package body
 
-import "bytes"
+import (
+	"bytes"
+	"encoding/binary"
+	"math/bits"
+	"strings"
+)
 
 // maxDepth bounds the nesting of a body, so that a hostile one cannot exhaust the stack.
 const maxDepth = 64
@@ -154,29 +159,92 @@
 	}
 }
 
-// str walks over a string; the search for its quote is the one hot loop of a long prompt.
+// str walks over a string, eight bytes at a time where nothing needs a look; this is the one hot loop of a long prompt.
 func (sc *scanner) str() error {
 	sc.pos++
 	for {
-		quote := bytes.IndexByte(sc.raw[sc.pos:], '"')
-		if quote < 0 {
-			sc.pos = len(sc.raw)
+		sc.plain()
+		if sc.pos >= len(sc.raw) {
 			return sc.fail("a closing quote")
 		}
-		sc.pos += quote + 1
-		if !sc.escaped(sc.pos - 1) {
+		switch first := sc.raw[sc.pos]; {
+		case first == '"':
+			sc.pos++
 			return nil
+		case first == '\\':
+			if err := sc.escape(); err != nil {
+				return err
+			}
+		case first < ' ':
+			return sc.fail("an escaped control character")
+		default:
+			sc.pos++
 		}
 	}
 }
 
-// escaped reports whether an odd number of backslashes stands before the byte.
-func (sc *scanner) escaped(at int) bool {
-	count := 0
-	for at-1-count >= 0 && sc.raw[at-1-count] == '\\' {
-		count++
+// Words of eight equal bytes, for the search of eight bytes at once.
+const (
+	ones      = 0x0101010101010101
+	highs     = ones * 0x80
+	spaces    = ones * ' '
+	quotes    = ones * '"'
+	backslash = ones * '\\'
+)
+
+// plain goes on to the next eight bytes that hold a quote, a backslash or a control character, or that are not there.
+func (sc *scanner) plain() {
+	for sc.pos+8 <= len(sc.raw) {
+		word := binary.LittleEndian.Uint64(sc.raw[sc.pos:])
+		quote := word ^ quotes
+		slash := word ^ backslash
+		// The high bit of a byte stays set by the subtraction if the byte was below what is taken from it.
+		found := (word-spaces)&^word | (quote-ones)&^quote | (slash-ones)&^slash
+		if found &= highs; found != 0 {
+			sc.pos += bits.TrailingZeros64(found) / 8
+			return
+		}
+		sc.pos += 8
 	}
-	return count%2 == 1
+}
+
+// escape walks over a backslash and what it stands before.
+func (sc *scanner) escape() error {
+	sc.pos++
+	if sc.pos >= len(sc.raw) {
+		return sc.fail("an escape")
+	}
+	switch sc.raw[sc.pos] {
+	case '"', '\\', '/', 'b', 'f', 'n', 'r', 't':
+		sc.pos++
+		return nil
+	case 'u':
+		sc.pos++
+		return sc.hex()
+	default:
+		return sc.fail("an escape that JSON knows")
+	}
+}
+
+// hexDigits is how many follow a "\u".
+const hexDigits = 4
+
+func (sc *scanner) hex() error {
+	for range hexDigits {
+		if sc.pos >= len(sc.raw) || !isHex(sc.raw[sc.pos]) {
+			return sc.fail("four hexadecimal digits")
+		}
+		sc.pos++
+	}
+	return nil
+}
+
+func isHex(char byte) bool {
+	return isDigit(char) || 'a' <= char|0x20 && char|0x20 <= 'f'
+}
+
+func isDigit(char byte) bool {
+	return '0' <= char && char <= '9'
 }
 
 func (sc *scanner) literal(word string) error {
@@ -188,8 +256,37 @@
 }
 
 func (sc *scanner) number() error {
+	sc.accept("-")
+	if !sc.accept("0") {
+		if err := sc.digits(); err != nil {
+			return err
+		}
+	}
+	if sc.accept(".") {
+		if err := sc.digits(); err != nil {
+			return err
+		}
+	}
+	if !sc.accept("eE") {
+		return nil
+	}
+	sc.accept("+-")
+	return sc.digits()
+}
+
+// accept goes on by one byte if it is one of those given.
+func (sc *scanner) accept(chars string) bool {
+	if sc.pos >= len(sc.raw) || strings.IndexByte(chars, sc.raw[sc.pos]) < 0 {
+		return false
+	}
+	sc.pos++
+	return true
+}
+
+// digits walks over one digit or more.
+func (sc *scanner) digits() error {
 	start := sc.pos
-	for sc.pos < len(sc.raw) && bytes.IndexByte([]byte("+-0123456789.eE"), sc.raw[sc.pos]) >= 0 {
+	for sc.pos < len(sc.raw) && isDigit(sc.raw[sc.pos]) {
 		sc.pos++
 	}
 	if sc.pos == start {
