--- a/internal/upstr/client.go
+++ b/internal/upstr/client.go
@@ -22,6 +22,7 @@
 // Bounds of the connections to upstreams.
 const (
 	dialTimeout         = 2 * time.Second
+	probeTimeout        = 300 * time.Millisecond
 	idleTimeout         = 30 * time.Second
 	idlePerUpstream     = 64
 	maxReportBytes      = 1 << 20
@@ -71,6 +72,19 @@
 	return pool
 }
 
+// Reachable reports whether the address takes a new connection. A process that crashed refuses it; one that only
+// closed a connection takes it.
+func (cl *Client) Reachable(ctx context.Context, address string) bool {
+	limited, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	conn, err := (&net.Dialer{}).DialContext(limited, "tcp", address)
+	if err != nil {
+		return false
+	}
+	_ = conn.Close()
+	return true
+}
+
 // CloseIdle implements Engine.
 func (cl *Client) CloseIdle(address string) {
 	cl.mu.Lock()
@@ -95,7 +109,12 @@
 // Do implements Plain.
 func (cl *Client) Do(ctx context.Context, call Call) (*http.Response, error) {
 	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		connected.Store(true)
+		if call.Connected != nil {
+			call.Connected(info.Reused)
+		}
+	}}
 	req, err := newRequest(httptrace.WithClientTrace(ctx, trace), call)
 	if err != nil {
 		return nil, err
@@ -141,7 +160,9 @@
 		return nil, err
 	}
 	if resp.StatusCode == http.StatusOK {
-		return NewReader(resp.Body, call.Request, call.Offset), nil
+		rd := NewReader(resp.Body, call.Request, call.Offset)
+		rd.Heartbeat = call.Heartbeat
+		return rd, nil
 	}
 	defer drain(resp.Body)
 	return nil, refusal(call.Address, resp)
@@ -214,7 +235,7 @@
 // Drop implements Engine.
 func (cl *Client) Drop(ctx context.Context, address, request string) error {
 	path := "/v1/requests/" + url.PathEscape(request)
-	return cl.exchange(ctx, Call{Address: address, Method: http.MethodDelete, Path: path}, 0, nil)
+	return cl.exchange(ctx, Call{Address: address, Method: http.MethodDelete, Path: path, Fresh: true}, 0, nil)
 }
 
 // Load implements Engine.
--- /dev/null
+++ b/internal/upstr/reader_test.go
@@ -0,0 +1,137 @@
+package upstr_test
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"dandelionsail.example/dandelionsail/internal/upstr"
+)
+
+// event frames one server-sent event as an engine does.
+func event(request string, offset int, data string) string {
+	return fmt.Sprintf("id: %s/%d\ndata: %s\n\n", request, offset, data)
+}
+
+// readAll returns the chunks' data and the error that ended the stream.
+func readAll(rd *upstr.Reader) ([]string, error) {
+	var got []string
+	for {
+		chunk, err := rd.Next()
+		if err != nil {
+			return got, err
+		}
+		got = append(got, string(chunk.Data))
+	}
+}
+
+func TestReader(t *testing.T) {
+	// The caller sees its own answer, each token once and in order, or none that looks whole. The engine's chunks come
+	// crossed with another request's, repeated, late or not at all, because its output queue mixes them up.
+	whole := event("r", 0, "a") + event("r", 1, "b") + event("r", 2, "[DONE]")
+	cases := map[string]struct {
+		stream string
+		want   string
+		err    error
+	}{
+		"whole":             {whole, "a b", io.EOF},
+		"crossed":           {event("x", 0, "X") + event("r", 0, "a") + event("x", 1, "[DONE]") + event("r", 1, "b") + event("r", 2, "[DONE]"), "a b", io.EOF},
+		"repeated":          {event("r", 0, "a") + event("r", 0, "a") + event("r", 1, "b") + event("r", 0, "a") + event("r", 2, "[DONE]"), "a b", io.EOF},
+		"late":              {event("r", 1, "b") + event("r", 2, "[DONE]") + event("r", 0, "a"), "a b", io.EOF},
+		"missing":           {event("r", 0, "a") + event("r", 2, "[DONE]"), "a", io.ErrUnexpectedEOF},
+		"no end marker":     {event("r", 0, "a") + event("r", 1, "b"), "a b", io.ErrUnexpectedEOF},
+		"another's end":     {event("r", 0, "a") + event("x", 1, "[DONE]"), "a", io.ErrUnexpectedEOF},
+		"cut in an event":   {event("r", 0, "a") + "id: r/1\ndata: b", "a", io.ErrUnexpectedEOF},
+		"event without id":  {"data: X\n\n" + whole, "a b", io.EOF},
+		"id without number": {"id: r/x\ndata: X\n\n" + whole, "a b", io.EOF},
+		"negative offset":   {event("r", -1, "X") + whole, "a b", io.EOF},
+		"comments":          {": waiting\n\n" + whole, "a b", io.EOF},
+		"id without data":   {"id: r/0\n\ndata: X\n\n" + whole, "a b", io.EOF},
+		"carriage returns":  {strings.ReplaceAll(whole, "\n", "\r\n"), "a b", io.EOF},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			got, err := readAll(upstr.NewReader(io.NopCloser(strings.NewReader(tc.stream)), "r", 0))
+			assert.Equal(t, err, tc.err)
+			assert.Equal(t, strings.Join(got, " "), tc.want)
+		})
+	}
+}
+
+func TestReaderHoldsFewChunks(t *testing.T) {
+	// The caller's answer is resumed, not held up: one chunk never comes, and the engine sends on without end. What
+	// waits for it must not fill the memory.
+	var stream strings.Builder
+	for offset := 1; offset < 200; offset++ {
+		stream.WriteString(event("r", offset, "x"))
+	}
+	got, err := readAll(upstr.NewReader(io.NopCloser(strings.NewReader(stream.String())), "r", 0))
+	assert.Equal(t, err, io.ErrUnexpectedEOF)
+	assert.Equal(t, len(got), 0)
+}
+
+func TestReaderBuffered(t *testing.T) {
+	// The caller has each token when it comes. Part of the next event came with this one, the rest is long in coming;
+	// if the reader called that buffered, the token would wait for it unflushed.
+	rd := upstr.NewReader(io.NopCloser(strings.NewReader(event("r", 0, "a")+"id: r/1\nda")), "r", 0)
+	_, err := rd.Next()
+	assert.NilError(t, err)
+	assert.Assert(t, !rd.Buffered())
+	rd = upstr.NewReader(io.NopCloser(strings.NewReader(event("r", 0, "a")+event("r", 1, "b"))), "r", 0)
+	_, err = rd.Next()
+	assert.NilError(t, err)
+	assert.Assert(t, rd.Buffered())
+}
+
+func TestReaderHeartbeat(t *testing.T) {
+	beats := 0
+	rd := upstr.NewReader(io.NopCloser(strings.NewReader(": waiting\n\n: waiting\n\n"+event("r", 0, "[DONE]"))), "r", 0)
+	rd.Heartbeat = func() { beats++ }
+	_, err := readAll(rd)
+	assert.Equal(t, err, io.EOF)
+	assert.Equal(t, beats, 2)
+}
+
+// FuzzReader feeds what an upstream could send. The chunks are in order whatever comes, and the stream ends.
+func FuzzReader(f *testing.F) {
+	f.Add([]byte(event("r", 0, "a") + event("x", 1, "b") + event("r", 1, "[DONE]")))
+	f.Add([]byte(": c\n\nid: r/1\ndata: b\ndata: c\n\n" + event("r", 0, "a") + event("r", 2, "[DONE]")))
+	f.Add([]byte("id: r/9223372036854775807\ndata: a\n\n"))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		rd := upstr.NewReader(io.NopCloser(strings.NewReader(string(raw))), "r", 0)
+		for want := int64(0); ; want++ {
+			chunk, err := rd.Next()
+			if err != nil {
+				return
+			}
+			assert.Equal(t, chunk.Offset, want)
+			assert.Equal(t, chunk.Request, "r")
+		}
+	})
+}
+
+func BenchmarkReader(b *testing.B) {
+	var stream strings.Builder
+	const tokens = 1000
+	for offset := range tokens {
+		stream.WriteString(event("entry-0.abcdefgh-1", offset, `{"id":"entry-0.abcdefgh-1","object":"text_completion","model":"lyric","choices":[{"index":0,"text":"12345678.1 ","finish_reason":null}]}`))
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		rd := upstr.NewReader(io.NopCloser(strings.NewReader(stream.String())), "entry-0.abcdefgh-1", 0)
+		if got, _ := readAllCount(rd); got != tokens {
+			b.Fatal(got)
+		}
+	}
+}
+
+func readAllCount(rd *upstr.Reader) (int, error) {
+	for count := 0; ; count++ {
+		if _, err := rd.Next(); err != nil {
+			return count, err
+		}
+	}
+}
--- a/internal/upstr/upstr.go
+++ b/internal/upstr/upstr.go
@@ -43,7 +43,8 @@
 	Complete(ctx context.Context, call Call) (Stream, error)
 	// Prefill computes one segment of a prompt on top of imported ones and returns the handle of its exported cache.
 	Prefill(ctx context.Context, call Call, from, to int64) (handle string, err error)
-	// Drop frees what the engine holds for the request, cache exports included.
+	// Drop frees what the engine holds for the request, cache exports included. It uses a connection of its own, since
+	// it is called when an open one may be silent.
 	Drop(ctx context.Context, address, request string) error
 	// Load returns the engine's report of itself.
 	Load(ctx context.Context, address string) (Report, error)
@@ -80,6 +81,11 @@
 	Imports     []string
 	// Fresh asks for a connection that nothing used before and nothing will use again.
 	Fresh bool
+	// Connected is called when the call has its connection, with whether earlier calls used it; nil is allowed.
+	Connected func(reused bool)
+	// Heartbeat is called for each comment in a stream, by which an engine says that it is still at work; nil is
+	// allowed. Engines only.
+	Heartbeat func()
 }
 
 // Stream is an answer as it arrives.
