Say ran or not run only where certain, and blame only deaths

First silence is now bounded by three times the prefill estimate of the prompt and what is queued before it.

--- a/internal/core/arrive.go
+++ b/internal/core/arrive.go
@@ -35,6 +35,7 @@
 	st.enqueue(req)
 }
 
+// checkArrived takes the request into its organisation's limits as its last step, so that a refusal holds nothing.
 func (st *State) checkArrived(ev event.Arrived) *effect.Refusal {
 	if st.Draining {
 		return notRun(effect.ReasonDraining, time.Second, "send the request again; another instance will take it")
--- a/internal/core/claim.go
+++ b/internal/core/claim.go
@@ -7,10 +7,12 @@
 	"dandelionsail.example/dandelionsail/internal/event"
 )
 
+// needsClaim tells whether the request's key has to be recorded before it is sent.
 func (st *State) needsClaim(req *Request) bool {
 	return !req.Idempotent && req.Key != "" && !st.service(req).HonoursKeys
 }
 
+// repeatable tells whether a request that may have run can be sent again.
 func (st *State) repeatable(req *Request) bool {
 	return req.Idempotent || (req.Key != "" && st.service(req).HonoursKeys)
 }
@@ -39,6 +41,7 @@
 	}
 }
 
+// settleAbandoned gives back a claim that was recorded after its request had ended, so that a resend may run.
 func (st *State) settleAbandoned(req *Request, ev event.ClaimSettled) {
 	delete(st.Requests, req.ID)
 	if ev.Result == event.ClaimWon {
--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -1,9 +1,12 @@
 package core
 
 import (
+	"time"
+
 	"dandelionsail.example/dandelionsail/internal/effect"
 	"dandelionsail.example/dandelionsail/internal/event"
 	"dandelionsail.example/dandelionsail/internal/route"
+	"dandelionsail.example/dandelionsail/pkg/decl"
 )
 
 func (st *State) pumpAll() {
@@ -12,6 +15,7 @@
 	}
 }
 
+// pump sends waiting requests of the service for as long as a replica has room.
 func (st *State) pump(service string) {
 	for {
 		it := st.Admit.Head(st.now, service)
@@ -32,11 +36,15 @@
 }
 
 func (st *State) want(req *Request) route.Want {
+	avoid := req.Tried
+	if req.Suspect = st.isSuspect(req); req.Suspect {
+		avoid = append(st.suspected(req), req.Tried...)
+	}
 	return route.Want{
 		Service:    req.Service,
 		Tokens:     req.Tokens(),
 		MaxRunning: st.service(req).MaxRunning,
-		Tried:      req.Tried,
+		Tried:      avoid,
 		Prefixes:   req.Prefixes,
 	}
 }
@@ -59,9 +67,31 @@
 		Fresh:     !st.repeatable(req) || req.Attempt > 1,
 		Deadline:  req.Deadline,
 		Silence:   st.service(req).ProgressTimeout.Std(),
+
+		FirstSilence: st.firstSilence(req, upstreams),
 	})
 }
 
+// prefillSlack is how many times its estimate a prefill may take before the engine counts as silent.
+const prefillSlack = 3
+
+// firstSilence allows an engine that sends no heartbeats the time to prefill the prompt and what is queued before it. A
+// prompt of a million tokens takes far longer than the ProgressTimeout, and to call it silent would start it over.
+func (st *State) firstSilence(req *Request, upstreams []event.Upstream) time.Duration {
+	svc := st.service(req)
+	if svc.Kind != decl.KindModel {
+		return 0
+	}
+	tokens := req.PromptTokens
+	for _, up := range upstreams {
+		if rep, ok := st.Route.Replicas[up.Name]; ok {
+			tokens += rep.Report.QueuedTokens + rep.Tokens
+		}
+	}
+	seconds := prefillSlack * float64(tokens) / svc.PrefillTokensPerSecond
+	return svc.ProgressTimeout.Std() + time.Duration(seconds*float64(time.Second))
+}
+
 func (st *State) answering(ev event.Answering) {
 	if req, ok := st.Requests[ev.ID]; ok && ev.Attempt == req.Attempt {
 		req.Answered = true
--- a/internal/core/finish.go
+++ b/internal/core/finish.go
@@ -28,18 +28,24 @@
 	st.emit(effect.Abort{ID: req.ID, Attempt: req.Attempt})
 }
 
+// ended is the refusal of a request that failed for the reason, with the truth about whether it ran. That it has run is
+// certain only if some of its answer came.
 func (st *State) ended(req *Request, reason effect.Reason, remedy string) *effect.Refusal {
 	ran := effect.NotRun
 	switch {
-	case req.MayHaveRun && (req.Answered || req.Idempotent):
+	case req.MayHaveRun && req.Answered:
 		ran = effect.HasRun
 	case req.MayHaveRun:
 		ran = effect.Unknown
+	}
+	if ran == effect.Unknown && !req.Idempotent {
 		reason = effect.ReasonOutcome
 	}
 	return &effect.Refusal{Reason: reason, Ran: ran, RetryAfter: time.Second, Remedy: remedy}
 }
 
+// finish ends a request. Every way out passes here, so that its limits, queue place, permit and claim are given back
+// exactly once.
 func (st *State) finish(req *Request, refusal *effect.Refusal) {
 	if refusal != nil {
 		st.count("Requests.Failed." + string(refusal.Reason))
@@ -65,6 +71,7 @@
 	}
 }
 
+// expire ends requests whose time is over.
 func (st *State) expire() {
 	for {
 		id, ok := st.deadlines.pop(st.now)
--- a/internal/core/permit.go
+++ b/internal/core/permit.go
@@ -46,6 +46,7 @@
 	st.send(req, upstreams)
 }
 
+// returnPermit gives back a grant that came after its request had ended.
 func (st *State) returnPermit(ev event.PermitAnswered) {
 	if ev.Granted {
 		st.emit(effect.ReleasePermit{ID: ev.ID, Permit: ev.Permit})
--- a/internal/core/poison.go
+++ b/internal/core/poison.go
@@ -42,11 +42,13 @@
 	}
 }
 
-// countDeath notes that an upstream broke off while running the request, and refuses the request at the second one.
+// countDeath notes that an upstream died while running the request, and refuses the request at the second one. An
+// upstream that broke off and takes new connections has not died: kept connections also end by an idle timeout.
 func (st *State) countDeath(req *Request, ev event.AttemptEnded) *effect.Refusal {
-	if ev.Result != event.ResultFailed && ev.Result != event.ResultBroken {
+	if ev.Alive || ev.Result != event.ResultFailed && ev.Result != event.ResultBroken {
 		return nil
 	}
+	req.Suspect = true
 	entry := st.poison.byDigest[req.Digest]
 	entry.Digest = req.Digest
 	entry.Deaths++
@@ -67,6 +69,33 @@
 	}
 }
 
+// clear takes the blame off content that an upstream has run to its end. Everything in flight on a replica that dies is
+// under suspicion, and all but one of it is innocent.
+func (st *State) clear(req *Request) {
+	entry, ok := st.poison.byDigest[req.Digest]
+	if ok && entry.Deaths < deathsToQuarantine {
+		delete(st.poison.byDigest, req.Digest)
+	}
+}
+
+// isSuspect tells whether an upstream has died while running the request's content.
+func (st *State) isSuspect(req *Request) bool {
+	entry, ok := st.poison.byDigest[req.Digest]
+	return ok && st.now.Before(entry.Until)
+}
+
+// suspected names the replicas that run suspects now. A suspect goes to another one if there is any: were two on one
+// replica, its death would put the innocent one into quarantine together with the guilty.
+func (st *State) suspected(req *Request) []string {
+	var names []string
+	for _, other := range st.Requests {
+		if other != req && other.Phase == PhaseRunning && other.Suspect && other.Service == req.Service {
+			names = append(names, other.Upstreams[len(other.Upstreams)-1].Name)
+		}
+	}
+	return names
+}
+
 func (st *State) quarantined(ev event.Quarantined) {
 	known := st.poison.byDigest[ev.Digest]
 	if ev.Deaths > known.Deaths || ev.Until.After(known.Until) {
@@ -78,6 +107,10 @@
 	if len(st.poison.byDigest) >= maxQuarantine {
 		st.forgetOld()
 	}
+	if _, known := st.poison.byDigest[entry.Digest]; !known && len(st.poison.byDigest) >= maxQuarantine {
+		// Full of entries still in force: one more death of an unknown content is the lesser harm.
+		return
+	}
 	st.poison.byDigest[entry.Digest] = entry
 }
 
--- a/internal/core/retry.go
+++ b/internal/core/retry.go
@@ -1,7 +1,9 @@
 package core
 
 import (
+	"net/http"
 	"slices"
+	"strconv"
 	"time"
 
 	"dandelionsail.example/dandelionsail/internal/effect"
@@ -12,7 +14,7 @@
 // Retries of one request.
 
 const (
-	// maxAttempts bounds the attempts, resumptions included.
+	// maxAttempts bounds the attempts in a row that bring the answer no further.
 	maxAttempts = 6
 	// retryPause is the wait after an upstream's refusal that names no time.
 	retryPause = 50 * time.Millisecond
@@ -20,30 +22,18 @@
 	maxRetryPause = time.Second
 )
 
-// checkArrived takes the request into its organisation's limits as its last step, so that a refusal holds nothing.
-
-// needsClaim tells whether the request's key has to be recorded before it is sent.
-
-// repeatable tells whether a request that may have run can be sent again.
-
-// settleAbandoned gives back a claim that was recorded after its request had ended, so that a resend may run.
-
-// returnPermit gives back a grant that came after its request had ended.
-
-// pump sends waiting requests of the service for as long as a replica has room.
-
 func (st *State) attemptEnded(ev event.AttemptEnded) {
 	req, ok := st.Requests[ev.ID]
 	if !ok || req.Phase != PhaseRunning || ev.Attempt != req.Attempt {
 		return
 	}
 	st.settleUpstreams(req, ev)
-	req.Offset = ev.Offset
 	if ev.Result != event.ResultNotSent && ev.Result != event.ResultNotRun {
 		req.MayHaveRun = true
 	}
 	switch {
 	case ev.Result == event.ResultDone:
+		st.clear(req)
 		st.finish(req, nil)
 	case req.Gone || ev.Result == event.ResultCancelled:
 		st.finish(req, st.ended(req, effect.ReasonOutcome, "the caller left"))
@@ -56,11 +46,10 @@
 }
 
 // settleUpstreams takes the attempt off its upstreams and counts it against the one that failed.
-
 func (st *State) settleUpstreams(req *Request, ev event.AttemptEnded) {
 	for _, up := range req.Upstreams {
 		result := event.ResultCancelled
-		if up.Name == ev.Upstream {
+		if up.Name == ev.Upstream && !st.ownEnd(req, ev) {
 			result = ev.Result
 		}
 		if st.Route.Ended(st.now, up.Name, req.Tokens(), result) {
@@ -68,23 +57,45 @@
 		}
 	}
 	if ev.Result == event.ResultSilent {
-		st.emit(effect.CloseIdle{Upstream: ev.Upstream})
+		st.emit(effect.CloseIdle{Upstream: ev.Upstream, Address: addressOf(req.Upstreams, ev.Upstream)})
 	}
 }
 
-// retry sends the request again if that is safe, allowed and in time.
+// ownEnd tells that an attempt failed to connect because its caller had left or its time was over, which says nothing
+// about the upstream.
+func (st *State) ownEnd(req *Request, ev event.AttemptEnded) bool {
+	return ev.Result == event.ResultNotSent && (req.Gone || !st.now.Before(req.Deadline))
+}
+
+func addressOf(ups []event.Upstream, name string) string {
+	for _, up := range ups {
+		if up.Name == name {
+			return up.Address
+		}
+	}
+	return ""
+}
 
+// retry sends the request again if that is safe, allowed and in time.
 func (st *State) retry(req *Request, ev event.AttemptEnded) {
 	req.Tried = append(req.Tried, ev.Upstream)
+	progressed := ev.Offset > req.Offset
+	req.Offset = ev.Offset
 	if refusal := st.countDeath(req, ev); refusal != nil {
 		st.finish(req, refusal)
 		return
 	}
+	if rejects(ev.Status) && st.service(req).Kind == decl.KindModel {
+		refusal := st.ended(req, effect.ReasonRejected, "the engine answered "+strconv.Itoa(ev.Status)+"; correct the request")
+		refusal.RetryAfter = 0
+		st.finish(req, refusal)
+		return
+	}
 	if !st.safeToRetry(req, ev) {
 		st.finish(req, st.ended(req, effect.ReasonUpstream, "look at its effect before sending it again"))
 		return
 	}
-	if req.Attempt >= maxAttempts || !st.Admit.Retry(req.Organisation) {
+	if !st.mayRetry(req, progressed) {
 		st.finish(req, st.ended(req, effect.ReasonUpstream, "send it again later"))
 		return
 	}
@@ -99,8 +110,27 @@
 	st.enqueue(req)
 }
 
-// safeToRetry allows a repeat of what was certainly not run, and of idempotent requests whose answer can be resumed.
+// rejects tells that an engine found the request itself wrong. Other statuses of that kind depend on the replica.
+func rejects(status int) bool {
+	return status == http.StatusBadRequest || status == http.StatusRequestEntityTooLarge || status == http.StatusUnprocessableEntity
+}
+
+// mayRetry bounds the repeats. Attempts that brought the answer forward don't count, so that a long stream outlives
+// any number of broken connections. The first repeat is free: a replica that dies takes all its streams with it, and
+// the budget is there against repeats that add to an overload.
+func (st *State) mayRetry(req *Request, progressed bool) bool {
+	if progressed {
+		req.Fruitless = 0
+		return true
+	}
+	req.Fruitless++
+	if req.Fruitless >= maxAttempts {
+		return false
+	}
+	return req.Fruitless == 1 || st.Admit.Retry(req.Organisation)
+}
 
+// safeToRetry allows a repeat of what was certainly not run, and of idempotent requests whose answer can be resumed.
 func (st *State) safeToRetry(req *Request, ev event.AttemptEnded) bool {
 	if !req.MayHaveRun {
 		return true
@@ -111,11 +141,3 @@
 	// Part of a plain service's answer is with the caller and cannot be resumed.
 	return st.service(req).Kind == decl.KindModel || ev.Result == event.ResultFailed || !req.Answered
 }
-
-// ended is the refusal of a request that failed for the reason, with the truth about whether it ran.
-
-// finish ends a request. Every way out passes here, so that its limits, queue place, permit and claim are given back
-
-// exactly once.
-
-// expire ends requests whose time is over.
--- a/internal/core/state.go
+++ b/internal/core/state.go
@@ -90,8 +90,10 @@
 	Permit string
 	// NotBefore delays the next attempt after a refusal by an upstream.
 	NotBefore time.Time
-	// Deaths counts the upstreams that broke off while running it.
-	Deaths int
+	// Fruitless counts the attempts in a row that brought the answer no further.
+	Fruitless int
+	// Suspect tells that an upstream died while running this content.
+	Suspect bool
 }
 
 // Tokens is the memory that the request needs.
--- a/internal/effect/effect.go
+++ b/internal/effect/effect.go
@@ -30,6 +30,8 @@
 	Deadline time.Time
 	// Silence is the longest time without progress.
 	Silence time.Duration
+	// FirstSilence is the longest time without progress before the first byte of the answer; 0 means Silence.
+	FirstSilence time.Duration
 }
 
 // Abort ends an attempt; its event.AttemptEnded carries ResultCancelled if nothing else came first.
@@ -78,6 +80,8 @@
 	ReasonDraining     Reason = "Draining"
 	ReasonUnknownModel Reason = "UnknownModel"
 	ReasonOutcome      Reason = "OutcomeUnknown"
+	// ReasonRejected means that the upstream found the request itself wrong; another replica would too.
+	ReasonRejected Reason = "RejectedUpstream"
 )
 
 // Refusal is what the caller is told instead of an answer.
@@ -138,7 +142,11 @@
 type TellQuarantine struct{ Quarantined event.Quarantined }
 
 // CloseIdle closes the idle connections to an upstream, because one of them went silent.
-type CloseIdle struct{ Upstream string }
+type CloseIdle struct {
+	Upstream string
+	// Address is the upstream's, which names its connections.
+	Address string
+}
 
 // Note counts something under a metric name and, when Line is set, logs a change of state.
 type Note struct {
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -61,6 +61,8 @@
 	RetryAfter time.Duration
 	// Status is the upstream's HTTP status, 0 if none came.
 	Status int
+	// Alive tells that the upstream took a new connection after it broke this one off, so that it did not die of it.
+	Alive bool
 }
 
 // Result is how an attempt ended.
