Watch the upstream only while it is the one waited for, and settle claims before the end

Causes: the watchdog ran while a slow caller was being written to and blamed the engine; a caller that stops reading held its request beyond the deadline; a broken connection to the caller of a plain service counted against the service; plain calls on a kept connection that went silent waited until their deadline; a silent stream's engine kept the memory of the request; claimed lengths of bodies took their memory before a byte came; max_tokens was unbounded; a stopping process left claims unsettled and closed kept connections under callers.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -15,8 +16,8 @@
 	"dandelionsail.example/dandelionsail/internal/upstr"
 )
 
-// errSilent is the cause with which an attempt without progress is cancelled.
-var errSilent = errors.New("entry: the upstream made no progress in its time")
+// dropTime bounds how long an attempt that went silent waits for its engine to free the request.
+const dropTime = 500 * time.Millisecond
 
 // attempt sends the request to an upstream and passes its answer on. It returns how that ended.
 func (in *Instance) attempt(cl *call, eff effect.Send) event.AttemptEnded {
@@ -25,33 +26,57 @@
 	watched, silence := context.WithCancelCause(ctx)
 	defer silence(nil)
 	last := eff.Upstreams[len(eff.Upstreams)-1]
-	up := upstr.Call{
-		Address:     last.Address,
-		Request:     cl.name,
-		Method:      cl.req.Method,
-		Path:        cl.req.URL.RequestURI(),
-		Header:      forwarded(cl.req.Header),
-		Body:        bytes.NewReader(cl.raw),
-		Length:      int64(len(cl.raw)),
-		Offset:      eff.Offset,
-		Priority:    eff.Priority,
-		Reservation: eff.Permit,
-		Fresh:       eff.Fresh,
-	}
 	ended := event.AttemptEnded{ID: cl.id, Attempt: eff.Attempt, Upstream: last.Name}
 	var err error
 	if cl.body != nil {
-		up.Body, up.Length = cl.body.Streamed()
-		err = in.stream(watched, cl, up, watchdog(silence, eff.Silence))
+		err = in.stream(watched, cl, eff, silence)
 	} else {
-		err = in.exchange(watched, cl, up, &ended)
+		err = in.exchange(watched, cl, eff, silence, &ended)
 	}
 	ended.Offset = cl.offset
 	ended.Result = result(ctx, watched, err, cl)
 	ended.RetryAfter = advice(err)
+	if refused := status(err); refused != 0 {
+		ended.Status = refused
+		ended.Alive = true
+	}
+	in.aftermath(ctx, cl, last, &ended)
 	return ended
 }
 
+// aftermath looks after an upstream that broke off or went silent.
+func (in *Instance) aftermath(ctx context.Context, cl *call, up event.Upstream, ended *event.AttemptEnded) {
+	switch ended.Result {
+	case event.ResultFailed, event.ResultBroken:
+		// A connection also ends by an idle timeout or a restart of what lies between. Only an upstream that refuses
+		// the next connection has died, and only deaths count towards a quarantine.
+		ended.Alive = ended.Alive || in.upstream.Reachable(ctx, up.Address)
+	case event.ResultSilent:
+		if cl.body == nil {
+			return
+		}
+		// The engine does not see a silent connection end, and would keep the request's memory to the end of its answer.
+		limited, cancel := context.WithTimeout(ctx, dropTime)
+		defer cancel()
+		_ = in.upstream.Drop(limited, up.Address, cl.name)
+	}
+}
+
+// upstreamCall is what both kinds of call have in common.
+func (cl *call) upstreamCall(eff effect.Send) upstr.Call {
+	return upstr.Call{
+		Address:     eff.Upstreams[len(eff.Upstreams)-1].Address,
+		Request:     cl.name,
+		Method:      cl.req.Method,
+		Path:        cl.req.URL.RequestURI(),
+		Header:      forwarded(cl.req.Header),
+		Offset:      eff.Offset,
+		Priority:    eff.Priority,
+		Reservation: eff.Permit,
+		Fresh:       eff.Fresh,
+	}
+}
+
 // hopHeaders belong to one connection or are set anew for the upstream.
 var hopHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
@@ -60,34 +85,37 @@
 
 func forwarded(header http.Header) http.Header {
 	kept := header.Clone()
+	for _, list := range header["Connection"] {
+		for name := range strings.SplitSeq(list, ",") {
+			kept.Del(strings.TrimSpace(name))
+		}
+	}
 	for _, name := range hopHeaders {
 		kept.Del(name)
 	}
 	return kept
 }
 
-// watchdog returns a timer that declares the upstream silent unless it is reset in time.
-func watchdog(silence context.CancelCauseFunc, period time.Duration) *progress {
-	return &progress{timer: time.AfterFunc(period, func() { silence(errSilent) }), period: period}
-}
-
-type progress struct {
-	timer  *time.Timer
-	period time.Duration
-}
-
-func (pr *progress) made() {
-	pr.timer.Reset(pr.period)
-}
-
 // stream passes a model's answer on, chunk by chunk.
-func (in *Instance) stream(ctx context.Context, cl *call, up upstr.Call, pr *progress) error {
-	defer pr.timer.Stop()
+func (in *Instance) stream(ctx context.Context, cl *call, eff effect.Send, silence context.CancelCauseFunc) error {
+	wd := watch(silence, eff.FirstSilence, eff.Silence)
+	defer wd.stop()
+	up := cl.upstreamCall(eff)
+	up.Body, up.Length = cl.body.Streamed()
+	up.Heartbeat = func() {
+		in.heartbeats.Store(up.Address, true)
+		wd.progress()
+	}
+	if _, ok := in.heartbeats.Load(up.Address); ok {
+		// An engine that says when it is at work is silent when it does not.
+		wd.expect(eff.Silence)
+	}
 	answer, err := in.upstream.Complete(ctx, up)
 	if err != nil {
 		return err
 	}
 	defer func() { _ = answer.Close() }()
+	answering := false
 	for {
 		chunk, err := answer.Next()
 		if err == io.EOF {
@@ -96,36 +124,47 @@
 		if err != nil {
 			return err
 		}
-		pr.made()
-		if cl.offset == 0 {
-			cl.firstAt = time.Now()
-			in.loop.Submit(event.Answering{ID: cl.id, Attempt: cl.attempt})
+		if !answering {
+			answering = true
+			in.answering(cl)
 		}
+		wd.hold()
 		if err := cl.pass(chunk, answer.Buffered()); err != nil {
 			return err
 		}
+		wd.progress()
 	}
 }
 
+// answering notes that the attempt's answer has begun.
+func (in *Instance) answering(cl *call) {
+	if cl.firstAt.IsZero() {
+		cl.firstAt = time.Now()
+	}
+	in.loop.Submit(event.Answering{ID: cl.id, Attempt: cl.attempt})
+}
+
 // errCaller tells that the caller's connection broke.
 var errCaller = errors.New("entry: the caller's connection broke")
 
 // pass gives the caller one chunk; more tells that another follows at once.
 func (cl *call) pass(chunk upstr.Chunk, more bool) error {
 	cl.offset = chunk.Offset + 1
-	cl.lastAt = time.Now()
 	if !cl.body.Stream {
 		return cl.answer.add(chunk.Data)
 	}
 	cl.startStream()
-	line := append(append([]byte("data: "), chunk.Data...), '\n', '\n')
-	if _, err := cl.w.Write(line); err != nil {
+	cl.line = append(cl.line[:0], "data: "...)
+	cl.line = append(cl.line, chunk.Data...)
+	cl.line = append(cl.line, "\n\n"...)
+	if _, err := cl.w.Write(cl.line); err != nil {
 		return errCaller
 	}
 	if more {
 		return nil
 	}
-	if err := http.NewResponseController(cl.w).Flush(); err != nil {
+	cl.lastAt = time.Now()
+	if err := cl.control.Flush(); err != nil {
 		return errCaller
 	}
 	return nil
@@ -144,6 +183,7 @@
 
 // end passes the end marker on, which the caller sees only after a whole answer.
 func (cl *call) end() error {
+	cl.lastAt = time.Now()
 	if !cl.body.Stream {
 		return nil
 	}
@@ -155,7 +195,19 @@
 }
 
 // exchange passes a plain service's answer on.
-func (in *Instance) exchange(ctx context.Context, cl *call, up upstr.Call, ended *event.AttemptEnded) error {
+func (in *Instance) exchange(ctx context.Context, cl *call, eff effect.Send, silence context.CancelCauseFunc, ended *event.AttemptEnded) error {
+	// How long a plain call takes is the service's affair, so it has until its deadline. A connection that was kept
+	// from an earlier call may have gone silent, so on one the answer must begin in time; the retry uses a new one.
+	wd := watch(silence, time.Until(eff.Deadline), eff.Silence)
+	defer wd.stop()
+	up := cl.upstreamCall(eff)
+	up.Body = bytes.NewReader(cl.raw)
+	up.Length = int64(len(cl.raw))
+	up.Connected = func(reused bool) {
+		if reused {
+			wd.expect(eff.Silence)
+		}
+	}
 	resp, err := in.upstream.Do(ctx, up)
 	if err != nil {
 		return err
@@ -166,8 +218,14 @@
 		return upstr.NotRun.New("entry: the service refused the call and ran nothing").
 			WithProperty(upstr.PropertyRetryAfter, upstr.RetryAfter(resp.Header))
 	}
-	cl.firstAt = time.Now()
-	in.loop.Submit(event.Answering{ID: cl.id, Attempt: cl.attempt})
+	wd.progress()
+	in.answering(cl)
+	cl.startPlain(resp)
+	return cl.copyPlain(resp.Body, wd)
+}
+
+// startPlain gives the caller the status and header of a plain answer.
+func (cl *call) startPlain(resp *http.Response) {
 	header := cl.w.Header()
 	for name, values := range forwarded(resp.Header) {
 		header[name] = values
@@ -179,12 +237,33 @@
 	cl.headerOut = true
 	cl.outcome.Start(resp.StatusCode, resp.Header.Get("Content-Type"))
 	cl.w.WriteHeader(resp.StatusCode)
-	_, err = io.Copy(cl.w, io.TeeReader(resp.Body, &cl.outcome))
-	if err != nil {
-		return io.ErrUnexpectedEOF
+}
+
+// plainBuffer is how much of a plain answer is passed on at a time.
+const plainBuffer = 32 << 10
+
+// copyPlain passes the body on. A caller that reads slowly or leaves is no fault of the upstream.
+func (cl *call) copyPlain(from io.Reader, wd *watchdog) error {
+	buf := make([]byte, plainBuffer)
+	for {
+		count, err := from.Read(buf)
+		wd.hold()
+		_, _ = cl.outcome.Write(buf[:count])
+		if _, err := cl.w.Write(buf[:count]); err != nil {
+			return errCaller
+		}
+		if err == io.EOF {
+			cl.outcome.Complete()
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if err := cl.control.Flush(); err != nil {
+			return errCaller
+		}
+		wd.progress()
 	}
-	cl.outcome.Complete()
-	return nil
 }
 
 // result classifies the end of an attempt. The order matters: a cancelled context breaks the connection too, and is
@@ -210,14 +289,22 @@
 	}
 }
 
+// status returns the HTTP status that a refusal carries, 0 if none came.
+func status(err error) int {
+	value, _ := property(err, upstr.PropertyStatus).(int)
+	return value
+}
+
+// advice returns the time after which the upstream wants to be asked again, 0 if it gave none.
 func advice(err error) time.Duration {
+	after, _ := property(err, upstr.PropertyRetryAfter).(time.Duration)
+	return after
+}
+
+func property(err error, key errorx.Property) any {
 	if err == nil {
-		return 0
-	}
-	value, ok := errorx.ExtractProperty(err, upstr.PropertyRetryAfter)
-	if !ok {
-		return 0
+		return nil
 	}
-	after, _ := value.(time.Duration)
-	return after
+	value, _ := errorx.ExtractProperty(err, key)
+	return value
 }
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -16,6 +16,9 @@
 // mailbox is how many effects wait for a call; a call has at most a Send and a Finish at once.
 const mailbox = 4
 
+// writeGrace is how long after its deadline a caller can still be told of the end.
+const writeGrace = time.Second
+
 // call is one caller's request in the shell.
 type call struct {
 	id       event.RequestID
@@ -30,6 +33,9 @@
 	organisation string
 	service      string
 	mail         chan effect.Effect
+	control      *http.ResponseController
+	// line is the buffer in which chunks are framed for the caller.
+	line []byte
 
 	// headerOut tells that the caller has a status.
 	headerOut bool
@@ -48,7 +54,11 @@
 }
 
 func newCall(w http.ResponseWriter, req *http.Request, arrived time.Time) *call {
-	return &call{w: w, req: req, arrived: arrived, mail: make(chan effect.Effect, mailbox)}
+	return &call{
+		w: w, req: req, arrived: arrived,
+		mail:    make(chan effect.Effect, mailbox),
+		control: http.NewResponseController(w),
+	}
 }
 
 // serve takes a request through the reducer to its end. It returns when the caller has its answer.
@@ -60,6 +70,10 @@
 	cl.w.Header().Set(HeaderRequestID, cl.name)
 	in.register(cl)
 	defer in.unregister(cl)
+	// A caller that stops reading would hold its request, and the upstream's memory, beyond the deadline: a write that
+	// waits for it ends shortly after. The connection may serve another request afterwards.
+	_ = cl.control.SetWriteDeadline(cl.deadline.Add(writeGrace))
+	defer func() { _ = cl.control.SetWriteDeadline(time.Time{}) }()
 	if !in.loop.Submit(ev) {
 		fromRefusal(&effect.Refusal{Reason: effect.ReasonDraining, Ran: effect.NotRun, Remedy: "send it again"}).write(cl.w)
 		return
@@ -165,7 +179,7 @@
 	_, _ = cl.w.Write([]byte("event: error\ndata: "))
 	_, _ = cl.w.Write(ae.document())
 	_, _ = cl.w.Write([]byte("\n\n"))
-	_ = http.NewResponseController(cl.w).Flush()
+	_ = cl.control.Flush()
 }
 
 func replay(w http.ResponseWriter, out *event.Outcome) {
--- a/internal/entry/claims.go
+++ b/internal/entry/claims.go
@@ -20,7 +20,7 @@
 	}
 	ky := once.Key{Organisation: eff.Organisation, Service: eff.Service, Key: eff.Key}
 	name := cl.name
-	in.pending.Go(func() {
+	in.settling.Go(func() {
 		ctx, cancel := context.WithDeadline(context.Background(), eff.Deadline)
 		defer cancel()
 		result, out := in.claims.Claim(ctx, ky, eff.Digest, name)
@@ -35,7 +35,7 @@
 	if cl := in.find(eff.ID); cl != nil && !eff.Unknown {
 		out = cl.outcome.Outcome()
 	}
-	in.pending.Go(func() {
+	in.settling.Go(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), settleTime)
 		defer cancel()
 		if err := in.claims.Settle(ctx, ky, name, out, eff.Release); err != nil {
--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -48,6 +48,10 @@
 	if bd.MaxTokens == 0 {
 		bd.MaxTokens = defaultMaxTokens
 	}
+	if svc.MemoryTokens > 0 && bd.MaxTokens > svc.MemoryTokens {
+		badRequest(http.StatusBadRequest, "MaxTokensTooLarge", fmt.Sprintf("max_tokens is %d; give at most %d", bd.MaxTokens, svc.MemoryTokens)).write(w)
+		return
+	}
 	cl := newCall(w, req, arrived)
 	cl.body = bd
 	cl.raw = raw
@@ -96,14 +100,30 @@
 	return badRequest(http.StatusRequestEntityTooLarge, "BodyTooLarge", fmt.Sprintf("the body has more than %d bytes; shorten it", limit))
 }
 
-// readAll reads a body of known length into one allocation of that length.
+const (
+	// firstBuffer is what a body gets before any of it came.
+	firstBuffer = 64 << 10
+	// growth is by how much its buffer grows when full.
+	growth = 4
+)
+
+// readAll reads a body of known length, whose buffer ends with just that length. It grows with what came, since a
+// caller that only claims a long body would take that much memory from the others.
 func readAll(reader io.Reader, length int64) ([]byte, error) {
 	if length < 0 {
 		return io.ReadAll(reader)
 	}
-	raw := make([]byte, length)
-	_, err := io.ReadFull(reader, raw)
-	return raw, err
+	raw := make([]byte, min(length, firstBuffer))
+	for have := 0; ; {
+		count, err := io.ReadFull(reader, raw[have:])
+		have += count
+		if err != nil || int64(have) == length {
+			return raw[:have], err
+		}
+		grown := make([]byte, min(length, int64(have)*growth))
+		copy(grown, raw)
+		raw = grown
+	}
 }
 
 // readDeadline takes the caller's deadline, capped by the service's.
--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -58,6 +58,10 @@
 	mu       sync.Mutex
 	calls    map[event.RequestID]*call
 	pending  sync.WaitGroup
+	// settling counts the claims and outcomes being recorded.
+	settling sync.WaitGroup
+	// heartbeats holds the addresses of engines that are known to send heartbeats.
+	heartbeats sync.Map
 	// reporters are the running load readers by upstream name.
 	reporters map[string]context.CancelFunc
 }
@@ -114,7 +118,7 @@
 	parts, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	server := &http.Server{
-		Handler:           in.routes(),
+		Handler:           in.shed(in.routes()),
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
@@ -160,7 +164,48 @@
 	in.loop.Submit(event.DrainStarted{})
 	deadline, cancel := context.WithTimeout(ctx, in.opts.DrainTime)
 	defer cancel()
-	return server.Shutdown(deadline)
+	err := server.Shutdown(deadline)
+	in.settle(deadline)
+	return err
+}
+
+// settle waits until every claim and outcome is recorded. A process that ended before would leave the claim of a
+// request that was run, or was certainly not, as "may be running", and a resend would hear that its outcome is unknown.
+func (in *Instance) settle(ctx context.Context) {
+	// Requests whose caller left while its key was being claimed stay in the reducer until the claim is given back.
+	for ctx.Err() == nil && in.unsettled() > 0 {
+		pause(ctx, settlePause)
+	}
+	settled := make(chan struct{})
+	go func() {
+		defer close(settled)
+		in.settling.Wait()
+	}()
+	select {
+	case <-settled:
+	case <-ctx.Done():
+	}
+}
+
+// settlePause is the time between two looks at whether all claims are settled.
+const settlePause = 10 * time.Millisecond
+
+// unsettled returns how many requests the reducer still holds.
+func (in *Instance) unsettled() int {
+	count := 0
+	in.loop.View(func(st *core.State) { count = len(st.Requests) })
+	return count
+}
+
+// shed lets callers' kept connections go while the instance drains: each answer says that its connection closes. A
+// connection that the server closed by itself could just then carry the next request, which would be cut.
+func (in *Instance) shed(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		if in.draining.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, req)
+	})
 }
 
 func (in *Instance) close() {
--- a/internal/entry/perform.go
+++ b/internal/entry/perform.go
@@ -25,7 +25,7 @@
 	case effect.ReleasePermit:
 	case effect.TellQuarantine:
 	case effect.CloseIdle:
-		in.upstream.CloseIdle(eff.Upstream)
+		in.upstream.CloseIdle(eff.Address)
 	case effect.Note:
 		in.note(eff)
 	}
--- a/internal/entry/reports.go
+++ b/internal/entry/reports.go
@@ -55,6 +55,10 @@
 				Loading:  report.Loading,
 			})
 		}
+		if err != nil && ctx.Err() == nil {
+			// Kept connections go silent together; the reports notice it before a request has to wait for it.
+			in.upstream.CloseIdle(up.Address)
+		}
 		pause(ctx, in.opts.LoadPeriod)
 	}
 }
