--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -19,6 +19,7 @@
 	add(standin, "service", "Run a plain service", &serviceCommand{})
 	add(standin, "platform", "Run the platform's key-value service and instance list", &platformCommand{})
 	add(standin, "weights", "Run the platform's weight store", &weightsCommand{})
+	addSlopes(parser)
 	return tool.Main(parser, args)
 }
 
--- /dev/null
+++ b/internal/bench/slopes.go
@@ -0,0 +1,47 @@
+package bench
+
+import (
+	"fmt"
+	"os"
+	"runtime"
+
+	"github.com/jessevdk/go-flags"
+
+	"dandelionsail.example/dandelionsail/internal/slope"
+	"dandelionsail.example/dandelionsail/internal/tool"
+)
+
+func addSlopes(parser *flags.Parser) {
+	slopes, err := parser.AddCommand("slopes", "Measure how costs grow, for docs/CAPACITY.md", "", &struct{}{})
+	if err != nil {
+		panic(err)
+	}
+	add(slopes, "state", "Measure the reducer and the configuration in this process", &stateSlopesCommand{})
+	add(slopes, "table", "Write docs/CAPACITY.md from the measurements", &tableCommand{})
+}
+
+type stateSlopesCommand struct {
+	Out string `long:"out" description:"file of measurements to add to" default:"docs/capacity/measured.json"`
+}
+
+// Execute implements flags.Commander.
+func (cmd *stateSlopesCommand) Execute(_ []string) error {
+	return addSeries(cmd.Out, slope.MeasureState(tool.Progress()))
+}
+
+// addSeries puts the series into a file of measurements, which is made if it is not there, and prints their lines.
+func addSeries(path string, series []slope.Series) error {
+	var ms slope.Measured
+	if _, err := os.Stat(path); err == nil {
+		if ms, err = slope.Read(path); err != nil {
+			return err
+		}
+	}
+	ms.Machine = fmt.Sprintf("%d cores, %s, %s", runtime.NumCPU(), runtime.GOOS+"/"+runtime.GOARCH, runtime.Version())
+	for _, sr := range series {
+		ms.Put(sr)
+		line := sr.Fit()
+		fmt.Printf("%-30s %12.4g %s + %.4g a %s\n", sr.Name, line.Intercept, sr.Unit, line.Slope, sr.Variable)
+	}
+	return ms.Write(path)
+}
--- /dev/null
+++ b/internal/slope/capacity.go
@@ -0,0 +1,212 @@
+package slope
+
+import (
+	"fmt"
+	"io"
+	"strings"
+)
+
+// Target is the size aimed at, with the budget of one instance for control.
+type Target struct {
+	Instances         float64
+	Replicas          float64
+	Models            float64
+	Organisations     float64
+	FailureDomains    float64
+	RequestsPerSecond float64
+	LongShare         float64
+	PatchesPerDay     float64
+	// CoreShare is the share of a core that control may take; MemoryBytes and BytesPerSecond likewise.
+	CoreShare      float64
+	MemoryBytes    float64
+	BytesPerSecond float64
+	// StoreWrites and StoreReads are what the platform's key-value service takes a second.
+	StoreWrites float64
+	StoreReads  float64
+}
+
+// Aim is the size that the design is made for.
+func Aim() Target {
+	return Target{
+		Instances:         430,
+		Replicas:          12000,
+		Models:            40,
+		Organisations:     1700,
+		FailureDomains:    7,
+		RequestsPerSecond: 17000,
+		LongShare:         0.02,
+		PatchesPerDay:     46000,
+		CoreShare:         0.016,
+		MemoryBytes:       256e6,
+		BytesPerSecond:    3000,
+		StoreWrites:       300,
+		StoreReads:        2000,
+	}
+}
+
+const secondsPerDay = 86400
+
+// PatchRate is the patches a second.
+func (tg Target) PatchRate() float64 {
+	return tg.PatchesPerDay / secondsPerDay
+}
+
+// RequestRate is the requests a second of one instance.
+func (tg Target) RequestRate() float64 {
+	return tg.RequestsPerSecond / tg.Instances
+}
+
+// PoolReplicas is the replicas of one model in one failure domain.
+func (tg Target) PoolReplicas() float64 {
+	return tg.Replicas / tg.Models / tg.FailureDomains
+}
+
+// PoolsPerInstance is how many pools an instance coordinates.
+func (tg Target) PoolsPerInstance() float64 {
+	return tg.Models * tg.FailureDomains / tg.Instances
+}
+
+// PermitRate is the permits a second that an instance asks for; it coordinates as many.
+func (tg Target) PermitRate() float64 {
+	return tg.RequestRate() * tg.LongShare
+}
+
+// Resource is what an item takes.
+type Resource string
+
+// The resources.
+const (
+	Processor Resource = "Processor"
+	Memory    Resource = "Memory"
+	Network   Resource = "Network"
+	Writes    Resource = "Store writes"
+	Reads     Resource = "Store reads"
+)
+
+// Item is one part of what a role costs.
+type Item struct {
+	Role     string
+	Resource Resource
+	What     string
+	// Series names the measurement and Size the point of its line.
+	Series string
+	Size   float64
+	// Times multiplies the value: events a second for times and bytes of one event, 1 for the rest.
+	Times     float64
+	Mechanism string
+}
+
+// Cost is what the item takes at its size, and whether it has been measured.
+func (it Item) Cost(ms *Measured) (float64, bool) {
+	sr, err := ms.Find(it.Series)
+	if err != nil {
+		return 0, false
+	}
+	value := sr.Fit().At(it.Size) * it.Times
+	if it.Resource == Processor && sr.Unit == "ns" {
+		value *= 1e-9
+	}
+	return value, true
+}
+
+// format writes a value in the resource's unit.
+func (rs Resource) format(value float64) string {
+	switch rs {
+	case Processor:
+		return fmt.Sprintf("%.3f%% of a core", 100*value)
+	case Memory:
+		return fmt.Sprintf("%.2f MB", value/1e6)
+	case Network:
+		return fmt.Sprintf("%.0f B/s", value)
+	default:
+		return fmt.Sprintf("%.1f /s", value)
+	}
+}
+
+// budget returns what the target allows of the resource.
+func (tg Target) budget(rs Resource) float64 {
+	switch rs {
+	case Processor:
+		return tg.CoreShare
+	case Memory:
+		return tg.MemoryBytes
+	case Network:
+		return tg.BytesPerSecond
+	case Writes:
+		return tg.StoreWrites
+	default:
+		return tg.StoreReads
+	}
+}
+
+// WriteTables writes a table a role, and the sums against the budgets.
+func WriteTables(out io.Writer, tg Target, items []Item, ms *Measured) error {
+	for _, role := range roles(items) {
+		fmt.Fprintf(out, "### %s\n\n| Resource | What | At full size | Mechanism | Command |\n| --- | --- | --- | --- | --- |\n", role)
+		for _, it := range items {
+			if it.Role != role {
+				continue
+			}
+			if _, err := fmt.Fprintln(out, it.row(ms)); err != nil {
+				return err
+			}
+		}
+		fmt.Fprintln(out)
+		writeSums(out, tg, role, items, ms)
+	}
+	return nil
+}
+
+func (it Item) row(ms *Measured) string {
+	cost, ok := it.Cost(ms)
+	if !ok {
+		return fmt.Sprintf("| %s | %s | not measured | %s | |", it.Resource, it.What, it.Mechanism)
+	}
+	sr, _ := ms.Find(it.Series)
+	return fmt.Sprintf("| %s | %s | %s | %s | `%s` |", it.Resource, it.What, it.Resource.format(cost), it.Mechanism, sr.Command)
+}
+
+func roles(items []Item) []string {
+	var names []string
+	seen := map[string]bool{}
+	for _, it := range items {
+		if !seen[it.Role] {
+			seen[it.Role] = true
+			names = append(names, it.Role)
+		}
+	}
+	return names
+}
+
+func writeSums(out io.Writer, tg Target, role string, items []Item, ms *Measured) {
+	var parts []string
+	for _, rs := range []Resource{Processor, Memory, Network, Writes, Reads} {
+		sum, found, missing := sumOf(role, rs, items, ms)
+		if !found {
+			continue
+		}
+		budget := tg.budget(rs)
+		part := fmt.Sprintf("%s %s, %.0f%% of %s", strings.ToLower(string(rs)), rs.format(sum), 100*sum/budget, rs.format(budget))
+		if missing > 0 {
+			part += fmt.Sprintf(" (%d parts not measured)", missing)
+		}
+		parts = append(parts, part)
+	}
+	fmt.Fprintf(out, "Together: %s.\n\n", strings.Join(parts, "; "))
+}
+
+func sumOf(role string, rs Resource, items []Item, ms *Measured) (sum float64, found bool, missing int) {
+	for _, it := range items {
+		if it.Role != role || it.Resource != rs {
+			continue
+		}
+		cost, ok := it.Cost(ms)
+		if !ok {
+			missing++
+			continue
+		}
+		found = true
+		sum += cost
+	}
+	return sum, found, missing
+}
--- /dev/null
+++ b/internal/slope/items.go
@@ -0,0 +1,54 @@
+package slope
+
+// Series that other measurements give.
+const (
+	MemberBytes      = "Member.Bytes"
+	MemberProcessor  = "Member.Processor"
+	PermitBytes      = "Permit.Bytes"
+	PermitTime       = "Permit.DecisionTime"
+	PermitMemory     = "Permit.Memory"
+	UsageBytes       = "Usage.Bytes"
+	DigestBytes      = "Digest.Bytes"
+	RelayBytes       = "Config.RelayBytes"
+	ListBytes        = "Platform.ListBytes"
+	ConfigReads      = "Store.ConfigReads"
+	ConfigWrites     = "Store.ConfigWrites"
+	ClaimWrites      = "Store.ClaimWrites"
+	LeaseWrites      = "Store.LeaseWrites"
+	EntryRequestCost = "Entry.RequestProcessor"
+)
+
+// Roles of the capacity tables.
+const (
+	roleEntry       = "Every instance"
+	roleCoordinator = "Coordinator of a pool (a part that every instance plays)"
+	roleStore       = "The platform's key-value service"
+)
+
+// claimShare is the share of requests that are non-idempotent and carry a key; the letters give none, so one in fifty is assumed.
+const claimShare = 0.02
+
+// Items returns what each role costs at the size aimed at.
+func Items(tg Target) []Item {
+	return []Item{
+		{roleEntry, Processor, "applying patches", ConfigApplyTime, tg.Organisations, tg.PatchRate(), "numbered log; each patch applied once"},
+		{roleEntry, Processor, "ticks of the reducer", TickTime, tg.Replicas, 200, "one tick of 5 ms for all timeouts"},
+		{roleEntry, Processor, "membership", MemberProcessor, tg.Instances, 1, "a few random probes a second, whatever the size"},
+		{roleEntry, Memory, "replicas", ReplicaMemory, tg.Replicas, 1, "one record a listed replica"},
+		{roleEntry, Memory, "organisations in the configuration", OrganisationMemory, tg.Organisations, 1, "one configuration in force"},
+		{roleEntry, Memory, "objectives", ObjectiveMemory, 2 * tg.Models, 1, "rings of buckets"},
+		{roleEntry, Memory, "open requests", RequestMemory, 20 * tg.RequestRate(), 1, "one record until the one Finish"},
+		{roleEntry, Network, "membership", MemberBytes, tg.Instances, 1, "probes with news on their back"},
+		{roleEntry, Network, "patches from peers", RelayBytes, tg.Organisations, tg.PatchRate(), "the version on peer messages; patches from the teller"},
+		{roleEntry, Network, "usage of organisations", UsageBytes, tg.Organisations, 1, "the top users, told rarely"},
+		{roleEntry, Network, "permits asked for", PermitBytes, 1, tg.PermitRate(), "long prompts only"},
+		{roleEntry, Network, "load digests of pools", DigestBytes, tg.PoolReplicas(), 1, "one byte a replica from the pool's coordinator"},
+		{roleCoordinator, Processor, "deciding permits", PermitTime, tg.PoolReplicas(), tg.PermitRate(), "rendezvous hashing over live members"},
+		{roleCoordinator, Network, "answering permits", PermitBytes, 1, tg.PermitRate(), "one answer an ask"},
+		{roleCoordinator, Memory, "reservations", PermitMemory, tg.PoolReplicas() * tg.PoolsPerInstance(), 1, "one record a permit"},
+		{roleStore, Writes, "patches", ConfigWrites, 1, tg.PatchRate(), "one create a patch, a snapshot now and then"},
+		{roleStore, Writes, "claims", ClaimWrites, 1, claimShare * tg.RequestsPerSecond, "many claims a write of their shard"},
+		{roleStore, Writes, "leases of pools", LeaseWrites, tg.Models * tg.FailureDomains, 1, "one lease a pool"},
+		{roleStore, Reads, "followers of the configuration", ConfigReads, tg.FailureDomains, 1, "two watchers a failure domain"},
+	}
+}
--- /dev/null
+++ b/internal/slope/state.go
@@ -0,0 +1,245 @@
+package slope
+
+import (
+	"fmt"
+	"runtime"
+	"strconv"
+	"testing"
+	"time"
+
+	"dandelionsail.example/dandelionsail/internal/core"
+	"dandelionsail.example/dandelionsail/internal/event"
+	"dandelionsail.example/dandelionsail/pkg/burn"
+	"dandelionsail.example/dandelionsail/pkg/decl"
+)
+
+// Names of the series that MeasureState gives.
+const (
+	ReplicaMemory      = "Reducer.ReplicaMemory"
+	OrganisationMemory = "Config.OrganisationMemory"
+	RequestMemory      = "Reducer.RequestMemory"
+	RequestTime        = "Reducer.RequestTime"
+	ReportTime         = "Reducer.ReportTime"
+	TickTime           = "Reducer.TickTime"
+	ConfigApplyTime    = "Config.ApplyTime"
+	ObjectiveMemory    = "Burn.ObjectiveMemory"
+)
+
+// Sizes at which the reducer is measured.
+var (
+	replicaSizes      = []float64{40, 300, 1700, 12000}
+	organisationSizes = []float64{10, 100, 400, 1700}
+	requestSizes      = []float64{100, 1000, 10000}
+	objectiveSizes    = []float64{10, 50, 200}
+)
+
+// models is how many services the replicas are spread over.
+const models = 40
+
+// epoch is the time of the first event; only differences matter.
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// heap returns the live bytes of the heap.
+func heap() float64 {
+	runtime.GC()
+	runtime.GC()
+	var memory runtime.MemStats
+	runtime.ReadMemStats(&memory)
+	return float64(memory.HeapAlloc)
+}
+
+// grown returns the bytes that what build returns keeps alive.
+func grown(build func() any) float64 {
+	before := heap()
+	kept := build()
+	after := heap()
+	runtime.KeepAlive(kept)
+	return max(0, after-before)
+}
+
+func measure(name, unit, variable string, sizes []float64, value func(size int) float64) Series {
+	sr := Series{Name: name, Unit: unit, Variable: variable, Command: "sailbench slopes state"}
+	for _, size := range sizes {
+		sr.Samples = append(sr.Samples, Sample{Size: size, Value: value(int(size))})
+	}
+	return sr
+}
+
+// MeasureState measures the memory and time of the reducer and the configuration in this process.
+func MeasureState(progress func(done string)) []Series {
+	steps := []func() Series{
+		func() Series {
+			return measure(ReplicaMemory, "B", "Replicas", replicaSizes, func(size int) float64 {
+				return grown(func() any { return instance(size, 10) })
+			})
+		},
+		func() Series {
+			return measure(OrganisationMemory, "B", "Organisations", organisationSizes, func(size int) float64 {
+				return grown(func() any { return config(size) })
+			})
+		},
+		func() Series {
+			return measure(RequestMemory, "B", "OpenRequests", requestSizes, openRequests)
+		},
+		func() Series {
+			return measure(RequestTime, "ns", "Replicas", replicaSizes, requestTime)
+		},
+		func() Series {
+			return measure(ReportTime, "ns", "Replicas", replicaSizes, reportTime)
+		},
+		func() Series {
+			return measure(TickTime, "ns", "Replicas", replicaSizes, tickTime)
+		},
+		func() Series {
+			return measure(ConfigApplyTime, "ns", "Organisations", organisationSizes, applyTime)
+		},
+		func() Series {
+			return measure(ObjectiveMemory, "B", "Objectives", objectiveSizes, objectiveMemory)
+		},
+	}
+	series := make([]Series, 0, len(steps))
+	for _, step := range steps {
+		sr := step()
+		progress(sr.Name)
+		series = append(series, sr)
+	}
+	return series
+}
+
+// config returns a configuration of the organisations and of as many services as there are models.
+func config(organisations int) *decl.Config {
+	cfg := &decl.Config{Version: 1, Organisations: map[string]decl.Organisation{}, Services: map[string]decl.Service{}}
+	for i := range organisations {
+		name := fmt.Sprintf("organisation-%04d", i)
+		cfg.Organisations[name] = decl.Organisation{
+			TokenDigests: []string{decl.TokenDigest(name)},
+			Weight:       1,
+			Limits:       decl.Limits{RequestsPerSecond: 1e9, TokensPerSecond: 1e12},
+		}
+	}
+	for i := range models {
+		name := serviceName(i)
+		cfg.Services[name] = decl.Service{
+			Kind:         decl.KindModel,
+			Models:       []decl.Model{{Name: name}},
+			MemoryTokens: 400_000,
+			MaxRunning:   1 << 40,
+		}
+	}
+	return cfg
+}
+
+func serviceName(number int) string {
+	return "model-" + strconv.Itoa(number%models)
+}
+
+// instance returns the reducer of an instance that knows the replicas and the organisations.
+func instance(replicas, organisations int) *core.State {
+	st := core.New(core.Options{Name: "entry-0", FailureDomain: "a", Seed: 1})
+	st.Reduce(epoch, event.ConfigAccepted{Config: config(organisations)})
+	var listed event.UpstreamsListed
+	for i := range replicas {
+		listed.Upstreams = append(listed.Upstreams, event.Upstream{
+			Name:          "replica-" + strconv.Itoa(i),
+			Service:       serviceName(i),
+			Address:       fmt.Sprintf("10.%d.%d.%d:8000", i>>16, i>>8&255, i&255),
+			FailureDomain: string(rune('a' + i/models%7)),
+		})
+	}
+	st.Reduce(epoch, listed)
+	return st
+}
+
+func arrival(number int) event.Arrived {
+	return event.Arrived{
+		ID:           event.RequestID(number),
+		Organisation: fmt.Sprintf("organisation-%04d", number%10),
+		Service:      serviceName(number),
+		Model:        serviceName(number),
+		PromptTokens: 2000,
+		MaxTokens:    200,
+		Deadline:     epoch.Add(time.Hour),
+		Idempotent:   true,
+		Prefixes:     make([]uint64, 7),
+	}
+}
+
+func openRequests(size int) float64 {
+	st := instance(300, 10)
+	return grown(func() any {
+		for i := 1; i <= size; i++ {
+			st.Reduce(epoch, arrival(i))
+		}
+		return st
+	})
+}
+
+// requestTime is the reducer's whole time for one short request: arrival, first byte, end.
+func requestTime(replicas int) float64 {
+	st := instance(replicas, 1700)
+	number := 0
+	result := testing.Benchmark(func(bm *testing.B) {
+		for range bm.N {
+			number++
+			now := epoch.Add(time.Duration(number) * time.Millisecond)
+			id := event.RequestID(number)
+			ev := arrival(number)
+			ev.Deadline = now.Add(time.Minute)
+			st.Reduce(now, ev)
+			name := st.Requests[id].Upstreams[0].Name
+			st.Reduce(now, event.Answering{ID: id, Attempt: 1})
+			st.Reduce(now, event.AttemptEnded{ID: id, Attempt: 1, Upstream: name, Result: event.ResultDone})
+		}
+	})
+	return perOperation(result)
+}
+
+func perOperation(result testing.BenchmarkResult) float64 {
+	return float64(result.T.Nanoseconds()) / float64(result.N)
+}
+
+func reportTime(replicas int) float64 {
+	st := instance(replicas, 10)
+	number := 0
+	result := testing.Benchmark(func(bm *testing.B) {
+		for range bm.N {
+			number++
+			now := epoch.Add(time.Duration(number) * time.Millisecond)
+			st.Reduce(now, event.LoadReported{Upstream: "replica-" + strconv.Itoa(number%replicas), At: now, Load: event.Load{Running: 1}})
+		}
+	})
+	return perOperation(result)
+}
+
+// tickTime is the time of a tick with nothing to do.
+func tickTime(replicas int) float64 {
+	st := instance(replicas, 10)
+	number := 0
+	result := testing.Benchmark(func(bm *testing.B) {
+		for range bm.N {
+			number++
+			st.Reduce(epoch.Add(time.Duration(number)*event.TickPeriod), event.Ticked{})
+		}
+	})
+	return perOperation(result)
+}
+
+func applyTime(organisations int) float64 {
+	cfg := config(organisations)
+	result := testing.Benchmark(func(bm *testing.B) {
+		for range bm.N {
+			applyOne(cfg)
+		}
+	})
+	return perOperation(result)
+}
+
+func objectiveMemory(size int) float64 {
+	return grown(func() any {
+		trackers := make([]*burn.Tracker, size)
+		for i := range trackers {
+			trackers[i] = burn.New()
+		}
+		return trackers
+	})
+}
