--- a/internal/report/html.go
+++ b/internal/report/html.go
@@ -67,7 +67,7 @@
 func burnPlot(or meter.ObjectiveReport) (template.HTML, error) {
 	pl := plot.New()
 	pl.Y.Label.Text = "burn rate"
-	pl.X.Label.Text = "minutes ago"
+	pl.X.Label.Text = "minutes, 0 is now"
 	pl.Y.Min = 0
 	points := burnPoints(or)
 	if len(points) == 0 {
@@ -122,10 +122,15 @@
 	return svg(pl)
 }
 
+// quantileStep is the distance of the points of a distribution, in percent.
+const quantileStep = 1
+
 func distribution(lr meter.LatencyReport) plotter.XYs {
+	histogram := hdrhistogram.Import(lr.Microseconds)
 	var points plotter.XYs
-	for _, bracket := range hdrhistogram.Import(lr.Microseconds).CumulativeDistribution() {
-		points = append(points, plotter.XY{X: max(0.01, float64(bracket.ValueAt)/1000), Y: bracket.Quantile})
+	for percent := 0.0; percent <= 100; percent += quantileStep {
+		millis := float64(histogram.ValueAtQuantile(percent)) / 1000
+		points = append(points, plotter.XY{X: max(0.01, millis), Y: percent})
 	}
 	return points
 }
