--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -2,62 +2,22 @@
 package admit
 
 import (
-	"math"
 	"time"
 
-	"dandelionsail.example/dandelionsail/internal/effect"
 	"dandelionsail.example/dandelionsail/internal/event"
 	"dandelionsail.example/dandelionsail/pkg/decl"
 )
 
-// Retry budget of one organisation.
-const (
-	// retryShare is how many retries each admitted request earns.
-	retryShare = 0.1
-	// retryBurst bounds what is saved up.
-	retryBurst = 10
-)
-
-// Item is one waiting request.
-type Item struct {
-	ID           event.RequestID
-	Organisation string
-	Service      string
-	Class        decl.LengthClass
-	// Tokens is the prompt and answer together.
-	Tokens   int64
-	Arrived  time.Time
-	Deadline time.Time
-	// finish is the virtual time at which the item would end if its organisation had its share alone.
-	finish float64
-}
-
 // State holds the limits and queues of one instance.
 type State struct {
 	// Instances is how many instances share the limits, at least 1.
 	Instances int
-	// FirstCome serves each queue in the order of arrival, as the baselines do.
-	FirstCome bool
 	orgs      map[string]*account
 	queues    map[string]*queue
-}
-
-// account is what one organisation has used.
-type account struct {
-	requests float64
-	tokens   float64
-	filled   time.Time
-	inFlight int64
-	tokensIn int64
-	retries  float64
-}
-
-type queue struct {
-	items []*Item
-	// virtual is the finish time of the item taken last.
-	virtual float64
-	// last holds each organisation's latest finish time.
-	last map[string]float64
+	// services holds the names of queues in the order of their making.
+	services []string
+	// backlog is the buffer of Backlogged.
+	backlog []string
 }
 
 // New returns an empty state.
@@ -65,149 +25,111 @@
 	return &State{Instances: 1, orgs: map[string]*account{}, queues: map[string]*queue{}}
 }
 
-// Admit takes a request into the organisation's limits, or says why not. Every admitted request needs a Release.
-func (st *State) Admit(now time.Time, name string, org decl.Organisation, tokens int64) *effect.Refusal {
-	acc := st.account(now, name, org.Limits)
-	lim := org.Limits
-	share := float64(max(1, st.Instances))
-	if wait := acc.wait(lim, tokens, share); wait > 0 {
-		return limited(wait, "slow down to the declared rate")
-	}
-	if lim.RequestsInFlight > 0 && float64(acc.inFlight) >= math.Ceil(float64(lim.RequestsInFlight)/share) {
-		return limited(time.Second, "wait for earlier requests to end")
-	}
-	if lim.TokensInFlight > 0 && acc.tokensIn > 0 && float64(acc.tokensIn+tokens) > float64(lim.TokensInFlight)/share {
-		return limited(time.Second, "wait for earlier prompts to end")
-	}
-	acc.requests--
-	acc.tokens -= float64(tokens)
-	acc.inFlight++
-	acc.tokensIn += tokens
-	acc.retries = min(acc.retries+retryShare, retryBurst)
-	return nil
-}
+// Discipline is the order in which the requests of one service go.
+type Discipline interface{ isDiscipline() }
 
-func limited(wait time.Duration, remedy string) *effect.Refusal {
-	return &effect.Refusal{
-		Reason:     effect.ReasonLimit,
-		Ran:        effect.NotRun,
-		RetryAfter: wait,
-		Remedy:     remedy + ", or ask the operators to raise the organisation's Limits",
-	}
-}
+// Priority serves the classes by priority; who waits rises by one rank for each ageSteps-th part of its time.
+type Priority struct{}
 
-func (st *State) account(now time.Time, name string, lim decl.Limits) *account {
-	acc, ok := st.orgs[name]
-	if !ok {
-		acc = &account{filled: now, retries: retryBurst, requests: lim.RequestsPerSecond, tokens: lim.TokensPerSecond}
-		st.orgs[name] = acc
-	}
-	passed := now.Sub(acc.filled).Seconds()
-	share := float64(max(1, st.Instances))
-	acc.requests = min(acc.requests+passed*lim.RequestsPerSecond/share, max(1, lim.RequestsPerSecond/share))
-	acc.tokens = min(acc.tokens+passed*lim.TokensPerSecond/share, lim.TokensPerSecond/share)
-	acc.filled = now
-	return acc
-}
+// Weighted shares the service between the classes in proportion to their weights, an absent one counting as 1.
+type Weighted struct{ Weights map[string]float64 }
 
-// wait returns how long the rates make the request wait, 0 if it may go. A request larger than the whole bucket goes
-// when the bucket is full, and leaves a debt.
-func (acc *account) wait(lim decl.Limits, tokens int64, share float64) time.Duration {
-	var seconds float64
-	if lim.RequestsPerSecond > 0 && acc.requests < 1 {
-		seconds = (1 - acc.requests) * share / lim.RequestsPerSecond
-	}
-	if lim.TokensPerSecond > 0 {
-		need := min(float64(tokens), lim.TokensPerSecond/share)
-		seconds = max(seconds, (need-acc.tokens)*share/lim.TokensPerSecond)
-	}
-	return time.Duration(seconds * float64(time.Second))
-}
+// FirstCome serves in the order of arrival, as the baselines do.
+type FirstCome struct{}
 
-// Release gives back what Admit took.
-func (st *State) Release(name string, tokens int64) {
-	acc, ok := st.orgs[name]
-	if !ok {
-		return
-	}
-	acc.inFlight--
-	acc.tokensIn -= tokens
-}
+func (Priority) isDiscipline()  {}
+func (Weighted) isDiscipline()  {}
+func (FirstCome) isDiscipline() {}
 
-// Retry takes one retry from the organisation's budget, or reports false.
-func (st *State) Retry(name string) bool {
-	acc, ok := st.orgs[name]
-	if !ok || acc.retries < 1 {
-		return false
+// DisciplineOf returns the discipline that the service declares.
+func DisciplineOf(svc decl.Service) Discipline {
+	if svc.Discipline == decl.DisciplineWeighted {
+		return Weighted{Weights: svc.ClassWeights}
 	}
-	acc.retries--
-	return true
+	return Priority{}
 }
 
-// Push queues an item for its service.
-func (st *State) Push(it Item, weight float64) {
+// Item is one waiting request.
+type Item struct {
+	ID           event.RequestID
+	Organisation string
+	Service      string
+	Class        decl.LengthClass
+	// Tokens is the prompt and answer together, at least 1.
+	Tokens int64
+	// Work is how long it is expected to keep one replica busy.
+	Work     time.Duration
+	Arrived  time.Time
+	Deadline time.Time
+	// NotBefore keeps the item back, zero if it may go at once.
+	NotBefore time.Time
+
+	// weight is its organisation's share.
+	weight float64
+	// start is the virtual time at which its organisation's share reaches it within its class.
+	start float64
+	// rank is its priority raised by age.
+	rank int
+	// ages is when the rank rises next, zero for never.
+	ages time.Time
+	lane *lane
+	// place, aging and delay are its positions in the heaps of its lane, of ages and of delays; -1 outside.
+	place, aging, delay int
+}
+
+// Push queues an item for its service; the weight is its organisation's share, above 0.
+func (st *State) Push(it Item, weight float64, disc Discipline) {
 	qu, ok := st.queues[it.Service]
 	if !ok {
-		qu = &queue{last: map[string]float64{}}
+		qu = newQueue()
 		st.queues[it.Service] = qu
+		st.services = append(st.services, it.Service)
 	}
-	start := max(qu.virtual, qu.last[it.Organisation])
-	it.finish = start + float64(it.Tokens)/weight
-	qu.last[it.Organisation] = it.finish
-	qu.items = append(qu.items, &it)
+	qu.use(disc)
+	it.weight = weight
+	qu.push(&it)
 }
 
-// Head returns the item that goes next in the service, or nil.
-func (st *State) Head(now time.Time, service string) *Item {
+// Heads returns the items that may go next in the service, one of each class or rank, in the order of preference. The
+// slice is valid until the next call.
+func (st *State) Heads(now time.Time, service string) []*Item {
 	qu, ok := st.queues[service]
 	if !ok {
 		return nil
 	}
-	var best *Item
-	for _, it := range qu.items {
-		if best == nil || st.before(now, it, best) {
-			best = it
-		}
-	}
-	return best
+	return qu.heads(now)
 }
 
-// before orders items by priority, raised by one class for each third of its time that an item has waited, then by
-// fair share.
-func (st *State) before(now time.Time, one, two *Item) bool {
-	if st.FirstCome {
-		return one.ID < two.ID
-	}
-	rankOne, rankTwo := one.rank(now), two.rank(now)
-	if rankOne != rankTwo {
-		return rankOne > rankTwo
+// Head returns the item that goes next in the service, or nil.
+func (st *State) Head(now time.Time, service string) *Item {
+	heads := st.Heads(now, service)
+	if len(heads) == 0 {
+		return nil
 	}
-	return one.finish < two.finish
+	return heads[0]
 }
 
-func (it *Item) rank(now time.Time) int {
-	total := it.Deadline.Sub(it.Arrived)
-	if total <= 0 {
-		return it.Class.Priority
-	}
-	return it.Class.Priority + int(3*now.Sub(it.Arrived)/total)
+// Take removes an item that goes to a replica, and charges its organisation and class for it.
+func (st *State) Take(it *Item) {
+	qu := st.queues[it.Service]
+	qu.charge(it)
+	qu.remove(it)
 }
 
-// Remove takes the item out of its service's queue, because it goes or because it ended. It reports whether the item
-// was there.
+// Remove takes the item out of its service's queue without a charge, because its request ended. It reports whether
+// the item was there.
 func (st *State) Remove(service string, id event.RequestID) bool {
 	qu, ok := st.queues[service]
 	if !ok {
 		return false
 	}
-	for i, it := range qu.items {
-		if it.ID == id {
-			qu.virtual = max(qu.virtual, it.finish-float64(it.Tokens))
-			qu.items = append(qu.items[:i], qu.items[i+1:]...)
-			return true
-		}
+	it, ok := qu.items[id]
+	if !ok {
+		return false
 	}
-	return false
+	qu.refund(it)
+	qu.remove(it)
+	return true
 }
 
 // Waiting returns how many items and tokens wait for the service.
@@ -216,8 +138,16 @@
 	if !ok {
 		return 0, 0
 	}
-	for _, it := range qu.items {
-		tokens += it.Tokens
+	return len(qu.items), qu.tokens
+}
+
+// Backlogged returns the services that have waiting items. The slice is valid until the next call.
+func (st *State) Backlogged() []string {
+	st.backlog = st.backlog[:0]
+	for _, service := range st.services {
+		if len(st.queues[service].items) > 0 {
+			st.backlog = append(st.backlog, service)
+		}
 	}
-	return len(qu.items), tokens
+	return st.backlog
 }
--- /dev/null
+++ b/internal/admit/admit_test.go
@@ -0,0 +1,218 @@
+package admit_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"dandelionsail.example/dandelionsail/internal/admit"
+	"dandelionsail.example/dandelionsail/internal/effect"
+	"dandelionsail.example/dandelionsail/internal/event"
+	"dandelionsail.example/dandelionsail/pkg/decl"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+var classes = decl.DefaultClasses()
+
+func item(id int, organisation string, class int, tokens int64) admit.Item {
+	return admit.Item{
+		ID:           event.RequestID(id),
+		Organisation: organisation,
+		Service:      "lyric",
+		Class:        classes[class],
+		Tokens:       tokens,
+		Work:         time.Duration(tokens) * time.Millisecond,
+		Arrived:      start,
+		Deadline:     start.Add(time.Minute),
+	}
+}
+
+// drain takes everything that waits and returns the items in their order.
+func drain(st *admit.State, now time.Time) []*admit.Item {
+	var taken []*admit.Item
+	for it := st.Head(now, "lyric"); it != nil; it = st.Head(now, "lyric") {
+		st.Take(it)
+		taken = append(taken, it)
+	}
+	return taken
+}
+
+func TestOrder(t *testing.T) {
+	cases := map[string]struct {
+		discipline admit.Discipline
+		after      time.Duration
+		want       string
+	}{
+		"short prompts first":                     {admit.Priority{}, 0, "3 2 1"},
+		"a long prompt rises with age":            {admit.Priority{}, 50 * time.Second, "1 3 2"},
+		"first come first served":                 {admit.FirstCome{}, 0, "1 2 3"},
+		"classes share by weight, lightest first": {admit.Weighted{Weights: map[string]float64{"Huge": 1e6}}, 0, "1 2 3"},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			st := admit.New()
+			st.Push(item(1, "parish", 4, 1000), 1, tc.discipline)
+			for id := 2; id <= 3; id++ {
+				it := item(id, "parish", 4-2*(id-1), 1000)
+				it.Arrived = start.Add(tc.after)
+				it.Deadline = it.Arrived.Add(time.Minute)
+				st.Push(it, 1, tc.discipline)
+			}
+			order := ""
+			for _, it := range drain(st, start.Add(tc.after)) {
+				order += fmt.Sprintf(" %d", it.ID)
+			}
+			assert.Equal(t, order, " "+tc.want)
+		})
+	}
+}
+
+func TestOneOrganisationsFloodDoesNotDelayAnother(t *testing.T) {
+	// An organisation has a hundred translations waiting when another's first one comes.
+	// The other goes next, and from then on they take turns by their weights.
+	st := admit.New()
+	for id := range 100 {
+		st.Push(item(id, "flood", 0, 1000), 1, admit.Priority{})
+	}
+	st.Take(st.Head(start, "lyric"))
+	for id := 100; id < 110; id++ {
+		st.Push(item(id, "parish", 0, 1000), 2, admit.Priority{})
+	}
+	taken := drain(st, start)
+	parish := 0
+	for _, it := range taken[:15] {
+		if it.Organisation == "parish" {
+			parish++
+		}
+	}
+	assert.Equal(t, taken[0].Organisation, "parish")
+	assert.Equal(t, parish, 10, "two of three go to the organisation of weight 2")
+}
+
+func TestDelayedItemDoesNotBlockOthers(t *testing.T) {
+	// An engine refused a request and asked for a pause. What waits behind it goes on meanwhile.
+	st := admit.New()
+	delayed := item(1, "parish", 0, 1000)
+	delayed.NotBefore = start.Add(time.Second)
+	st.Push(delayed, 1, admit.Priority{})
+	st.Push(item(2, "parish", 0, 1000), 1, admit.Priority{})
+	assert.Equal(t, st.Head(start, "lyric").ID, event.RequestID(2))
+	assert.Equal(t, len(drain(st, start)), 1)
+	assert.Equal(t, st.Head(start.Add(time.Second), "lyric").ID, event.RequestID(1))
+}
+
+func TestWeightedClassesShareByWeight(t *testing.T) {
+	st := admit.New()
+	weighted := admit.Weighted{Weights: map[string]float64{"Short": 3, "Large": 1}}
+	for id := range 80 {
+		st.Push(item(id, "parish", id%2*2, 1000), 1, weighted)
+	}
+	short := 0
+	for _, it := range drain(st, start)[:40] {
+		if it.Class.Name == "Short" {
+			short++
+		}
+	}
+	assert.Equal(t, short, 30)
+}
+
+func TestWaitIsEstimatedByShare(t *testing.T) {
+	// A flood's own next request would wait for the whole queue, another organisation's only for its turn.
+	st := admit.New()
+	for id := range 100 {
+		st.Push(item(id, "flood", 0, 1000), 1, admit.Priority{})
+	}
+	assert.Equal(t, st.Wait("lyric", "flood", classes[0], 1, 10), 10*time.Second)
+	assert.Equal(t, st.Wait("lyric", "parish", classes[0], 1, 10), time.Duration(0))
+	assert.Equal(t, st.Wait("lyric", "parish", classes[2], 1, 10), 10*time.Second)
+}
+
+func TestLimitsRefuseAndComeBack(t *testing.T) {
+	cases := map[string]struct {
+		limits decl.Limits
+		passed time.Duration
+	}{
+		"requests a second":  {decl.Limits{RequestsPerSecond: 1}, time.Second},
+		"tokens a second":    {decl.Limits{TokensPerSecond: 1000}, time.Second},
+		"requests in flight": {decl.Limits{RequestsInFlight: 1}, 0},
+		"tokens in flight":   {decl.Limits{TokensInFlight: 1000}, 0},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			st := admit.New()
+			org := decl.Organisation{Limits: tc.limits}
+			assert.Assert(t, st.Admit(start, "parish", org, 1000) == nil)
+			refusal := st.Admit(start, "parish", org, 1000)
+			assert.Assert(t, refusal != nil)
+			assert.Equal(t, refusal.Ran, effect.NotRun)
+			assert.Assert(t, refusal.RetryAfter > 0)
+			st.Release("parish", 1000)
+			assert.Assert(t, st.Admit(start.Add(tc.passed), "parish", org, 1000) == nil)
+		})
+	}
+}
+
+// TestQueueConserves checks that whatever is pushed comes out once, by being taken or removed, under any discipline
+// and any order of calls, and that the sums of what waits stay right.
+func TestQueueConserves(t *testing.T) {
+	disciplines := []admit.Discipline{admit.Priority{}, admit.FirstCome{}, admit.Weighted{Weights: map[string]float64{"Short": 4}}}
+	rapid.Check(t, func(t *rapid.T) {
+		st := admit.New()
+		waiting := map[event.RequestID]int64{}
+		now := start
+		next := 0
+		out := func(id event.RequestID) {
+			_, there := waiting[id]
+			assert.Assert(t, there, "%d came out twice", id)
+			delete(waiting, id)
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"push": func(t *rapid.T) {
+				next++
+				it := item(next, rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "organisation"), rapid.IntRange(0, 4).Draw(t, "class"), rapid.Int64Range(1, 5000).Draw(t, "tokens"))
+				it.Arrived = now
+				it.Deadline = now.Add(time.Duration(rapid.IntRange(1, 60).Draw(t, "time")) * time.Second)
+				if rapid.Bool().Draw(t, "delayed") {
+					it.NotBefore = now.Add(time.Second)
+				}
+				st.Push(it, rapid.Float64Range(0.1, 10).Draw(t, "weight"), rapid.SampledFrom(disciplines).Draw(t, "discipline"))
+				waiting[it.ID] = it.Tokens
+			},
+			"take": func(_ *rapid.T) {
+				if it := st.Head(now, "lyric"); it != nil {
+					st.Take(it)
+					out(it.ID)
+				}
+				st.Blocked(now, "lyric")
+			},
+			"remove": func(t *rapid.T) {
+				id := event.RequestID(rapid.IntRange(0, next).Draw(t, "id"))
+				_, there := waiting[id]
+				assert.Equal(t, st.Remove("lyric", id), there)
+				delete(waiting, id)
+			},
+			"pass": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(0, 20000).Draw(t, "ms")) * time.Millisecond)
+			},
+			"": func(_ *rapid.T) {
+				items, tokens := st.Waiting("lyric")
+				var want int64
+				for _, part := range waiting {
+					want += part
+				}
+				assert.Equal(t, items, len(waiting))
+				assert.Equal(t, tokens, want)
+				assert.Assert(t, st.Wait("lyric", "a", classes[0], 1, 1) >= 0)
+			},
+		})
+		for _, it := range drain(st, now.Add(time.Hour)) {
+			out(it.ID)
+		}
+		assert.Equal(t, len(waiting), 0)
+		assert.Equal(t, st.Wait("lyric", "a", classes[0], 1, 1), time.Duration(0))
+	})
+}
--- /dev/null
+++ b/internal/admit/queue.go
@@ -0,0 +1,354 @@
+package admit
+
+import (
+	"cmp"
+	"container/heap"
+	"slices"
+	"time"
+
+	"dandelionsail.example/dandelionsail/internal/event"
+)
+
+// ageSteps is into how many parts an item's time is cut; its rank rises with each. With the default classes the
+// longest prompt reaches the shortest one's rank when two thirds of its time are gone.
+const ageSteps = 6
+
+// maxFlows is how many flows are kept before the empty ones are forgotten.
+const maxFlows = 4096
+
+// queue holds the waiting items of one service. All operations cost O(log items).
+type queue struct {
+	discipline Discipline
+	items      map[event.RequestID]*Item
+	tokens     int64
+	// lanes holds the items that may go now: one lane for each rank, class, or one for all, by discipline.
+	lanes []*lane
+	// ages orders items by the next rise of their rank, delays those kept back by the end of that.
+	ages, delays itemHeap
+	classes      map[string]*class
+	flows        map[flowKey]*flow
+	// virtual is the start tag of the lane served last, under Weighted.
+	virtual float64
+	next    []*Item
+	drain   drain
+}
+
+// lane is a heap of items that are ordered among themselves by their organisations' fair shares.
+type lane struct {
+	rank  int
+	class string
+	// weight and tag are the lane's share and how much of it was used, under Weighted.
+	weight float64
+	tag    float64
+	heap   itemHeap
+}
+
+// class is what waits of one length class.
+type class struct {
+	priority int
+	// virtual is the start tag of the item taken last.
+	virtual float64
+	work    time.Duration
+	// weights adds up the weights of the organisations that wait.
+	weights float64
+}
+
+type flowKey struct{ organisation, class string }
+
+// flow is what waits of one organisation in one class.
+type flow struct {
+	// last is the virtual time at which its share ends all that it sent.
+	last   float64
+	weight float64
+	items  int
+	work   time.Duration
+}
+
+func newQueue() *queue {
+	qu := &queue{
+		discipline: Priority{},
+		items:      map[event.RequestID]*Item{},
+		classes:    map[string]*class{},
+		flows:      map[flowKey]*flow{},
+	}
+	qu.ages = itemHeap{less: func(one, two *Item) bool { return one.ages.Before(two.ages) }, place: func(it *Item) *int { return &it.aging }}
+	qu.delays = itemHeap{less: func(one, two *Item) bool { return one.NotBefore.Before(two.NotBefore) }, place: func(it *Item) *int { return &it.delay }}
+	return qu
+}
+
+// use switches to the discipline; waiting items are put in its order.
+func (qu *queue) use(disc Discipline) {
+	if sameDiscipline(qu.discipline, disc) {
+		return
+	}
+	qu.discipline = disc
+	qu.lanes = nil
+	for _, it := range qu.items {
+		if it.lane != nil {
+			qu.leaveAges(it)
+			qu.enter(it)
+		}
+	}
+}
+
+func sameDiscipline(one, two Discipline) bool {
+	switch one := one.(type) {
+	case Weighted:
+		other, ok := two.(Weighted)
+		return ok && sameWeights(one.Weights, other.Weights)
+	case Priority:
+		_, ok := two.(Priority)
+		return ok
+	case FirstCome:
+		_, ok := two.(FirstCome)
+		return ok
+	}
+	return false
+}
+
+func sameWeights(one, two map[string]float64) bool {
+	if len(one) != len(two) {
+		return false
+	}
+	for name, weight := range one {
+		if two[name] != weight {
+			return false
+		}
+	}
+	return true
+}
+
+func (qu *queue) push(it *Item) {
+	it.place, it.aging, it.delay = -1, -1, -1
+	it.rank = it.Class.Priority
+	qu.items[it.ID] = it
+	qu.tokens += it.Tokens
+	qu.join(it)
+	if !it.NotBefore.IsZero() {
+		qu.delays.push(it)
+		return
+	}
+	qu.enter(it)
+}
+
+// join gives the item its place in its organisation's share.
+func (qu *queue) join(it *Item) {
+	cl, ok := qu.classes[it.Class.Name]
+	if !ok {
+		cl = &class{}
+		qu.classes[it.Class.Name] = cl
+	}
+	cl.priority = it.Class.Priority
+	cl.work += it.Work
+	key := flowKey{it.Organisation, it.Class.Name}
+	fl, ok := qu.flows[key]
+	if !ok {
+		qu.forgetFlows()
+		fl = &flow{}
+		qu.flows[key] = fl
+	}
+	if fl.items == 0 {
+		fl.weight = it.weight
+		cl.weights += fl.weight
+	}
+	fl.items++
+	fl.work += it.Work
+	it.start = max(cl.virtual, fl.last)
+	fl.last = it.start + float64(it.Tokens)/it.weight
+}
+
+func (qu *queue) forgetFlows() {
+	if len(qu.flows) < maxFlows {
+		return
+	}
+	for key, fl := range qu.flows {
+		if fl.items == 0 && fl.last <= qu.classes[key.class].virtual {
+			delete(qu.flows, key)
+		}
+	}
+}
+
+// enter puts the item into its lane.
+func (qu *queue) enter(it *Item) {
+	it.lane = qu.laneOf(it)
+	it.lane.heap.push(it)
+	if _, ok := qu.discipline.(Priority); ok && it.aging < 0 {
+		qu.startAging(it)
+	}
+}
+
+func (qu *queue) startAging(it *Item) {
+	risen := it.rank - it.Class.Priority
+	step := it.Deadline.Sub(it.Arrived) / ageSteps
+	if step <= 0 || risen == ageSteps {
+		return
+	}
+	it.ages = it.Arrived.Add(step * time.Duration(risen+1))
+	qu.ages.push(it)
+}
+
+func (qu *queue) laneOf(it *Item) *lane {
+	want := lane{weight: 1}
+	switch disc := qu.discipline.(type) {
+	case Priority:
+		want.rank = it.rank
+	case Weighted:
+		want.class = it.Class.Name
+		if weight, ok := disc.Weights[it.Class.Name]; ok {
+			want.weight = weight
+		}
+	}
+	for _, ln := range qu.lanes {
+		if ln.rank == want.rank && ln.class == want.class {
+			qu.reopen(ln)
+			return ln
+		}
+	}
+	ln := &want
+	ln.heap = itemHeap{less: qu.order(), place: func(it *Item) *int { return &it.place }}
+	ln.tag = qu.virtual
+	qu.lanes = append(qu.lanes, ln)
+	slices.SortFunc(qu.lanes, func(one, two *lane) int { return cmp.Compare(two.rank, one.rank) })
+	return ln
+}
+
+// reopen keeps an empty lane from saving up the share that it did not use.
+func (qu *queue) reopen(ln *lane) {
+	if len(ln.heap.items) == 0 {
+		ln.tag = max(ln.tag, qu.virtual)
+	}
+}
+
+func (qu *queue) order() func(one, two *Item) bool {
+	if _, ok := qu.discipline.(FirstCome); ok {
+		return func(one, two *Item) bool { return one.ID < two.ID }
+	}
+	return func(one, two *Item) bool {
+		if one.start != two.start {
+			return one.start < two.start
+		}
+		return one.ID < two.ID
+	}
+}
+
+// heads returns the first item of each lane in the order of preference.
+func (qu *queue) heads(now time.Time) []*Item {
+	for it := qu.delays.first(); it != nil && !now.Before(it.NotBefore); it = qu.delays.first() {
+		qu.delays.remove(it)
+		qu.enter(it)
+	}
+	for it := qu.ages.first(); it != nil && !now.Before(it.ages); it = qu.ages.first() {
+		qu.rise(it)
+	}
+	qu.next = qu.next[:0]
+	for _, ln := range qu.lanes {
+		if it := ln.heap.first(); it != nil {
+			qu.next = append(qu.next, it)
+		}
+	}
+	if _, ok := qu.discipline.(Weighted); ok {
+		slices.SortStableFunc(qu.next, func(one, two *Item) int { return cmp.Compare(one.lane.tag, two.lane.tag) })
+	}
+	return qu.next
+}
+
+// rise moves an item up by one rank.
+func (qu *queue) rise(it *Item) {
+	qu.ages.remove(it)
+	it.lane.heap.remove(it)
+	it.rank++
+	qu.enter(it)
+}
+
+// charge counts an item that goes against its class and lane.
+func (qu *queue) charge(it *Item) {
+	cl := qu.classes[it.Class.Name]
+	cl.virtual = max(cl.virtual, it.start)
+	if it.lane != nil {
+		qu.virtual = max(qu.virtual, it.lane.tag)
+		it.lane.tag += float64(it.Tokens) / it.lane.weight
+	}
+	qu.drain.work += it.Work
+}
+
+// refund gives the share of an item that never went back to its organisation, if nothing was queued after it.
+func (qu *queue) refund(it *Item) {
+	fl := qu.flows[flowKey{it.Organisation, it.Class.Name}]
+	if fl.last == it.start+float64(it.Tokens)/it.weight {
+		fl.last = it.start
+	}
+}
+
+func (qu *queue) remove(it *Item) {
+	delete(qu.items, it.ID)
+	qu.tokens -= it.Tokens
+	cl := qu.classes[it.Class.Name]
+	cl.work -= it.Work
+	fl := qu.flows[flowKey{it.Organisation, it.Class.Name}]
+	fl.items--
+	fl.work -= it.Work
+	if fl.items == 0 {
+		cl.weights -= fl.weight
+	}
+	if it.lane != nil {
+		it.lane.heap.remove(it)
+		it.lane = nil
+	}
+	qu.leaveAges(it)
+	if it.delay >= 0 {
+		qu.delays.remove(it)
+	}
+}
+
+func (qu *queue) leaveAges(it *Item) {
+	if it.aging >= 0 {
+		qu.ages.remove(it)
+	}
+}
+
+// itemHeap is a heap whose items know their places in it.
+type itemHeap struct {
+	items []*Item
+	less  func(one, two *Item) bool
+	place func(it *Item) *int
+}
+
+func (ih *itemHeap) first() *Item {
+	if len(ih.items) == 0 {
+		return nil
+	}
+	return ih.items[0]
+}
+
+func (ih *itemHeap) push(it *Item)   { heap.Push(ih, it) }
+func (ih *itemHeap) remove(it *Item) { heap.Remove(ih, *ih.place(it)) }
+
+// Len implements heap.Interface.
+func (ih *itemHeap) Len() int { return len(ih.items) }
+
+// Less implements heap.Interface.
+func (ih *itemHeap) Less(i, j int) bool { return ih.less(ih.items[i], ih.items[j]) }
+
+// Swap implements heap.Interface.
+func (ih *itemHeap) Swap(i, j int) {
+	ih.items[i], ih.items[j] = ih.items[j], ih.items[i]
+	*ih.place(ih.items[i]) = i
+	*ih.place(ih.items[j]) = j
+}
+
+// Push implements heap.Interface.
+func (ih *itemHeap) Push(item any) {
+	it := item.(*Item)
+	*ih.place(it) = len(ih.items)
+	ih.items = append(ih.items, it)
+}
+
+// Pop implements heap.Interface.
+func (ih *itemHeap) Pop() any {
+	last := len(ih.items) - 1
+	it := ih.items[last]
+	ih.items[last] = nil
+	ih.items = ih.items[:last]
+	*ih.place(it) = -1
+	return it
+}
--- a/internal/core/arrive.go
+++ b/internal/core/arrive.go
@@ -11,12 +11,12 @@
 
 func (st *State) arrived(ev event.Arrived) {
 	if refusal := st.checkArrived(ev); refusal != nil {
-		st.count("Requests.Refused." + string(refusal.Reason))
+		st.countReason("Requests.Refused.", refusal.Reason)
 		st.emit(effect.Finish{ID: ev.ID, Refusal: refusal})
 		return
 	}
-	class, _ := st.Config.ClassOf(ev.PromptTokens)
-	req := &Request{Arrived: ev, Class: class, At: st.now}
+	class, _ := st.table.classOf(ev.PromptTokens)
+	req := &Request{Arrived: ev, Class: class.LengthClass, level: class.level, above: class.above, At: st.now}
 	st.Requests[ev.ID] = req
 	st.deadlines.push(ev.Deadline, ev.ID)
 	st.count("Requests.Admitted")
@@ -43,10 +43,11 @@
 	if !st.now.Before(ev.Deadline) {
 		return notRun(effect.ReasonDeadline, 0, "give the request a deadline in the future")
 	}
-	if _, ok := st.Config.Services[ev.Service]; !ok {
+	if _, ok := st.table.services[ev.Service]; !ok {
 		return notRun(effect.ReasonUnknownModel, 0, "name a model that GET /v1/models lists")
 	}
-	if _, ok := st.Config.ClassOf(ev.PromptTokens); !ok {
+	class, ok := st.table.classOf(ev.PromptTokens)
+	if !ok {
 		return notRun(effect.ReasonTooLong, 0, "shorten the prompt to what the longest length class allows")
 	}
 	if refusal := st.checkQuarantine(ev.Digest); refusal != nil {
@@ -56,6 +57,9 @@
 		return notRun(effect.ReasonNoUpstream, time.Second, "try again; no replica of the service is live")
 	}
 	org := st.Config.Organisations[ev.Organisation]
+	if refusal := st.checkTime(ev, class, org); refusal != nil {
+		return refusal
+	}
 	return st.Admit.Admit(st.now, ev.Organisation, org, ev.PromptTokens+ev.MaxTokens)
 }
 
@@ -63,10 +67,6 @@
 	return &effect.Refusal{Reason: reason, Ran: effect.NotRun, RetryAfter: after, Remedy: remedy}
 }
 
-func (st *State) service(req *Request) decl.Service {
-	return st.Config.Services[req.Service].WithDefaults()
-}
-
 func (st *State) enqueue(req *Request) {
 	if st.needsPermit(req) {
 		st.askPermit(req)
@@ -80,12 +80,28 @@
 		Service:      req.Service,
 		Class:        req.Class,
 		Tokens:       max(1, req.Tokens()),
+		Work:         st.Route.Work(req.Service, req.PromptTokens, req.MaxTokens),
 		Arrived:      req.At,
 		Deadline:     req.Deadline,
-	}, org.ShareWeight())
+		NotBefore:    req.NotBefore,
+	}, org.ShareWeight(), st.discipline(req))
+	st.watchStart(req)
 	st.pump(req.Service)
 }
 
+func (st *State) discipline(req *Request) admit.Discipline {
+	if st.baseline() {
+		return admit.FirstCome{}
+	}
+	return st.service(req).discipline
+}
+
 func (st *State) needsPermit(req *Request) bool {
-	return req.Class.Long && st.Options.Permits && !st.baseline() && st.service(req).Kind == decl.KindModel
+	return st.permitted(req.Class, req.Service)
+}
+
+// permitted tells whether prompts of the class go by permit.
+func (st *State) permitted(class decl.LengthClass, service string) bool {
+	svc, ok := st.table.services[service]
+	return ok && class.Long && st.Options.Permits && !st.baseline() && svc.Kind == decl.KindModel
 }
--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -9,42 +9,55 @@
 	"dandelionsail.example/dandelionsail/pkg/decl"
 )
 
+// pumpAll sends what waits and has a replica by now.
 func (st *State) pumpAll() {
-	for service := range st.Config.Services {
+	for _, service := range st.Admit.Backlogged() {
 		st.pump(service)
 	}
 }
 
-// pump sends waiting requests of the service for as long as a replica has room.
+// pump sends waiting requests of the service for as long as one of its classes finds a replica with room.
 func (st *State) pump(service string) {
-	for {
-		it := st.Admit.Head(st.now, service)
-		if it == nil {
-			return
-		}
+	for st.sendNext(service) {
+	}
+	st.Admit.Blocked(st.now, service)
+}
+
+func (st *State) sendNext(service string) bool {
+	for _, it := range st.Admit.Heads(st.now, service) {
 		req := st.Requests[it.ID]
-		if st.now.Before(req.NotBefore) {
-			return
-		}
-		rep := st.Route.Pick(st.now, st.want(req))
+		want := st.want(req)
+		rep := st.Route.Pick(st.now, &want)
 		if rep == nil {
-			return
+			continue
 		}
-		st.Admit.Remove(service, it.ID)
+		st.Admit.Take(it)
 		st.send(req, []event.Upstream{rep.Upstream})
+		return true
 	}
+	return false
 }
 
 func (st *State) want(req *Request) route.Want {
-	avoid := req.Tried
+	want := st.load(req)
+	want.Tried = req.Tried
 	if req.Suspect = st.isSuspect(req); req.Suspect {
-		avoid = append(st.suspected(req), req.Tried...)
+		want.Tried = append(st.suspected(req), req.Tried...)
 	}
+	return want
+}
+
+// load is what the request asks of a replica, without the replicas to avoid.
+func (st *State) load(req *Request) route.Want {
 	return route.Want{
+		ID:         req.ID,
 		Service:    req.Service,
-		Tokens:     req.Tokens(),
-		MaxRunning: st.service(req).MaxRunning,
-		Tried:      avoid,
+		Model:      req.Model,
+		Prompt:     req.PromptTokens,
+		Answer:     req.MaxTokens,
+		Level:      req.level,
+		Above:      req.above,
+		Repeatable: st.repeatable(req),
 		Prefixes:   req.Prefixes,
 	}
 }
@@ -54,8 +67,9 @@
 	req.Attempt++
 	req.Upstreams = upstreams
 	req.Aborted = false
+	load := st.load(req)
 	for _, up := range upstreams {
-		st.Route.Sent(up.Name, req.Tokens())
+		st.Route.Sent(st.now, up.Name, &load)
 	}
 	st.emit(effect.Send{
 		ID:        req.ID,
@@ -93,12 +107,18 @@
 }
 
 func (st *State) answering(ev event.Answering) {
-	if req, ok := st.Requests[ev.ID]; ok && ev.Attempt == req.Attempt {
-		req.Answered = true
+	req, ok := st.Requests[ev.ID]
+	if !ok || ev.Attempt != req.Attempt {
+		return
+	}
+	req.Answered = true
+	for _, up := range req.Upstreams {
+		st.Route.Answering(st.now, up.Name, req.ID)
 	}
 }
 
-// priority is what the engine is told; the baselines tell it nothing.
+// priority is what the engine is told: the class's own, not raised by age, since a long prefill that has waited would
+// otherwise hold up every short prompt of its engine. The baselines tell it nothing.
 func (st *State) priority(req *Request) int {
 	if st.baseline() {
 		return 0
--- a/internal/core/finish.go
+++ b/internal/core/finish.go
@@ -48,7 +48,7 @@
 // exactly once.
 func (st *State) finish(req *Request, refusal *effect.Refusal) {
 	if refusal != nil {
-		st.count("Requests.Failed." + string(refusal.Reason))
+		st.countReason("Requests.Failed.", refusal.Reason)
 	} else {
 		st.count("Requests.Ended")
 	}
@@ -82,6 +82,9 @@
 		if !ok || req.Phase == PhaseAbandoned {
 			continue
 		}
+		if st.now.Before(req.Deadline) && !st.hopeless(req) {
+			continue
+		}
 		if req.Phase == PhaseRunning {
 			// The attempt's own end follows and says what is known.
 			continue
--- a/internal/core/retry.go
+++ b/internal/core/retry.go
@@ -52,7 +52,7 @@
 		if up.Name == ev.Upstream && !st.ownEnd(req, ev) {
 			result = ev.Result
 		}
-		if st.Route.Ended(st.now, up.Name, req.Tokens(), result) {
+		if st.Route.Ended(st.now, up.Name, req.ID, ev.Offset-req.Offset, result) {
 			st.emit(effect.Note{Counter: "Upstreams.Ejected", Line: "upstream ejected after failures in a row", Subject: up.Name})
 		}
 	}
--- a/internal/core/state.go
+++ b/internal/core/state.go
@@ -42,6 +42,8 @@
 	effects   []effect.Effect
 	deadlines deadlineHeap
 	poison    quarantine
+	table     table
+	reasons   map[reasonKey]string
 }
 
 // Phase is where in its life a request is.
@@ -66,6 +68,8 @@
 	event.Arrived
 	Phase Phase
 	Class decl.LengthClass
+	// level and above place its class among the others by priority.
+	level, above int
 	// At is when it arrived.
 	At time.Time
 	// Attempt counts from 1; 0 before the first.
@@ -110,11 +114,12 @@
 		Route:    route.New(opts.FailureDomain, opts.Seed),
 		Requests: map[event.RequestID]*Request{},
 		poison:   newQuarantine(),
+		table:    newTable(&decl.Config{}),
+		reasons:  map[reasonKey]string{},
 	}
 	if opts.Policy != nil {
 		st.Route.Policy = opts.Policy
 	}
-	st.Admit.FirstCome = st.baseline()
 	return st
 }
 
@@ -142,9 +147,11 @@
 	case event.PermitAnswered:
 		st.permitAnswered(ev)
 	case event.LoadReported:
-		st.Route.Report(ev)
+		st.Route.Report(st.now, ev)
+	case event.CacheChanged:
+		st.Route.CacheChanged(st.now, ev)
 	case event.UpstreamsListed:
-		st.Route.List(ev)
+		st.Route.List(st.now, ev)
 		st.pumpAll()
 	case event.InstancesListed:
 		st.instancesListed(ev)
@@ -156,6 +163,7 @@
 		st.Draining = true
 	case event.Ticked:
 		st.expire()
+		st.ejectSlow()
 		st.pumpAll()
 	}
 	return st.effects
@@ -165,15 +173,13 @@
 	st.effects = append(st.effects, eff)
 }
 
-func (st *State) count(counter string) {
-	st.emit(effect.Note{Counter: counter})
-}
-
 func (st *State) configAccepted(ev event.ConfigAccepted) {
 	if ev.Config.Version <= st.Config.Version {
 		return
 	}
 	st.Config = ev.Config
+	st.table = newTable(ev.Config)
+	st.Route.Configure(ev.Config)
 	st.pumpAll()
 }
 
@@ -186,4 +192,5 @@
 		}
 	}
 	st.Admit.Instances = max(1, live)
+	st.Route.SetInstances(live)
 }
--- /dev/null
+++ b/internal/core/table.go
@@ -0,0 +1,99 @@
+package core
+
+import (
+	"dandelionsail.example/dandelionsail/internal/admit"
+	"dandelionsail.example/dandelionsail/internal/effect"
+	"dandelionsail.example/dandelionsail/pkg/decl"
+)
+
+// table is what each event looks up in the configuration in force, worked out once a version.
+type table struct {
+	services map[string]*service
+	classes  []lengthClass
+	// notes holds the counting effects by counter, so that counting allocates nothing.
+	notes map[string]effect.Effect
+}
+
+// service is a declared service with its defaults filled in.
+type service struct {
+	decl.Service
+	discipline admit.Discipline
+}
+
+// lengthClass is a declared class with its place among the others.
+type lengthClass struct {
+	decl.LengthClass
+	// level counts the distinct lower priorities, above the higher ones.
+	level, above int
+}
+
+func newTable(cfg *decl.Config) table {
+	tb := table{services: make(map[string]*service, len(cfg.Services)), notes: map[string]effect.Effect{}}
+	for name, svc := range cfg.Services {
+		svc = svc.WithDefaults()
+		tb.services[name] = &service{Service: svc, discipline: admit.DisciplineOf(svc)}
+	}
+	for _, class := range cfg.Classes() {
+		tb.classes = append(tb.classes, placed(class, cfg.Classes()))
+	}
+	return tb
+}
+
+func placed(class decl.LengthClass, all []decl.LengthClass) lengthClass {
+	lower, higher := map[int]bool{}, map[int]bool{}
+	for _, other := range all {
+		if other.Priority < class.Priority {
+			lower[other.Priority] = true
+		}
+		if other.Priority > class.Priority {
+			higher[other.Priority] = true
+		}
+	}
+	return lengthClass{LengthClass: class, level: len(lower), above: len(higher)}
+}
+
+// classOf returns the class of a prompt and false if the prompt is longer than every class allows.
+func (tb *table) classOf(tokens int64) (lengthClass, bool) {
+	for _, class := range tb.classes {
+		if tokens <= class.MaxTokens {
+			return class, true
+		}
+	}
+	return tb.classes[len(tb.classes)-1], false
+}
+
+// undeclared stands for a service that the configuration dropped while requests for it were under way.
+var undeclared = &service{Service: decl.Service{}.WithDefaults(), discipline: admit.Priority{}}
+
+func (st *State) service(req *Request) *service {
+	svc, ok := st.table.services[req.Service]
+	if !ok {
+		return undeclared
+	}
+	return svc
+}
+
+func (st *State) count(counter string) {
+	note, ok := st.table.notes[counter]
+	if !ok {
+		note = effect.Note{Counter: counter}
+		st.table.notes[counter] = note
+	}
+	st.emit(note)
+}
+
+// countReason counts under the prefix and the reason. The names are few, so they are put together once.
+func (st *State) countReason(prefix string, reason effect.Reason) {
+	key := reasonKey{prefix, reason}
+	counter, ok := st.reasons[key]
+	if !ok {
+		counter = prefix + string(reason)
+		st.reasons[key] = counter
+	}
+	st.count(counter)
+}
+
+type reasonKey struct {
+	prefix string
+	reason effect.Reason
+}
--- /dev/null
+++ b/internal/route/cost.go
@@ -0,0 +1,76 @@
+package route
+
+import (
+	"time"
+
+	"dandelionsail.example/dandelionsail/pkg/decl"
+)
+
+// The cost of sending a request to a replica is the estimated time to its first token, so that load, speed, cached
+// prefixes and distance can be weighed against each other.
+const (
+	// farCost is how much later the first token may come in the own failure domain before another one is taken.
+	farCost = 50 * time.Millisecond
+	// behindShare is how much work that gives way still delays a request, since a batch is shared.
+	behindShare = 0.05
+	// batchCost is what a full batch adds, since decoding shares the steps with prefill.
+	batchCost = 50 * time.Millisecond
+	// plainCall is how long a call of a plain service is taken to last before one was seen.
+	plainCall = 10 * time.Millisecond
+)
+
+// cost is in seconds.
+func (rep *Replica) cost(now time.Time, want *Want, cached int64) float64 {
+	var total float64
+	if rep.Upstream.FailureDomain != rep.pool.st.FailureDomain {
+		total += farCost.Seconds()
+	}
+	running := float64(rep.running(now))
+	if rep.pool.service.Kind == decl.KindPlain {
+		return total + running*max(plainCall, rep.pool.Attempt).Seconds()*max(1, rep.Slowdown)
+	}
+	before, behind := rep.ahead(now, want.Level)
+	work := float64(before) + behindShare*float64(behind) + float64(max(0, want.Prompt-cached))
+	total += work / rep.PrefillRate
+	most := float64(rep.pool.service.MaxRunning)
+	total += batchCost.Seconds() * running / most
+	if over := running + 1 - most; over > 0 {
+		total += rep.pool.Attempt.Seconds() * over / most
+	}
+	if memory := rep.memory(); memory > 0 {
+		over := rep.used(now) + want.Tokens() - memory
+		total += rep.pool.Attempt.Seconds() * float64(max(0, over)) / float64(memory)
+	}
+	return total
+}
+
+// Holding back of longer prompts.
+const (
+	// headroomStep is the part of memory and batch that each class of higher priority keeps free from one below it.
+	headroomStep = 0.08
+	maxHeadroom  = 0.3
+	// maxBacklog is how much prefill may wait at a replica before longer prompts wait here instead.
+	maxBacklog = time.Second
+)
+
+// fits tells whether the replica may take the request now. Prompts of the highest priority always fit: the engine
+// takes them first. Others leave room for those above them, and wait here, in our order, while the engine still has
+// prefill to do; an idle replica takes any.
+func (rep *Replica) fits(now time.Time, want *Want) bool {
+	if want.Above == 0 || rep.pool.service.Kind == decl.KindPlain {
+		return true
+	}
+	running := rep.running(now)
+	if running == 0 {
+		return true
+	}
+	keep := 1 - min(headroomStep*float64(want.Above), maxHeadroom)
+	if memory := rep.memory(); memory > 0 && float64(rep.used(now)+want.Tokens()) > keep*float64(memory) {
+		return false
+	}
+	if float64(running+1) > max(1, keep*float64(rep.pool.service.MaxRunning)) {
+		return false
+	}
+	before, behind := rep.ahead(now, 0)
+	return float64(before+behind) <= maxBacklog.Seconds()*rep.PrefillRate
+}
--- a/internal/route/policy.go
+++ b/internal/route/policy.go
@@ -1,5 +1,7 @@
 package route
 
+import "slices"
+
 // Policy is how a replica is chosen among those with room.
 type Policy interface{ isPolicy() }
 
@@ -37,12 +39,21 @@
 }
 
 // inTurn returns the next open replica of the service after the one returned last.
-func (st *State) inTurn(service string, open []*Replica) *Replica {
-	if len(open) == 0 {
-		return nil
+func (st *State) inTurn(want *Want) *Replica {
+	reps := st.Services[want.Service]
+	var tried *Replica
+	for range reps {
+		st.turns[want.Service]++
+		rep := reps[st.turns[want.Service]%uint64(len(reps))]
+		switch {
+		case rep.place < 0:
+		case slices.Contains(want.Tried, rep.Upstream.Name):
+			tried = rep
+		default:
+			return rep
+		}
 	}
-	st.turns[service]++
-	return open[st.turns[service]%uint64(len(open))]
+	return tried
 }
 
 // leastRequests returns the open replica with the fewest requests in flight, a random one of several.
--- a/internal/route/policy_test.go
+++ b/internal/route/policy_test.go
@@ -26,7 +26,7 @@
 			FailureDomain: string(rune('a' + i/2)),
 		})
 	}
-	st.List(listed)
+	st.List(start, listed)
 	return st
 }
 
@@ -38,9 +38,9 @@
 	for name, policy := range cases {
 		t.Run(name, func(t *testing.T) {
 			st := pool(policy)
-			for range 12 {
-				rep := st.Pick(start, route.Want{Service: "lyric", Tokens: 100, MaxRunning: 32})
-				st.Sent(rep.Upstream.Name, 100)
+			for i := range 12 {
+				rep := st.Pick(start, &route.Want{ID: event.RequestID(i), Service: "lyric", Prompt: 100})
+				st.Sent(start, rep.Upstream.Name, &route.Want{ID: event.RequestID(i), Service: "lyric", Prompt: 100})
 			}
 			for _, rep := range st.Replicas {
 				assert.Equal(t, rep.Running, int64(3), rep.Upstream.Name)
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -3,57 +3,43 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"dandelionsail.example/dandelionsail/internal/event"
 )
 
-// Ejection of upstreams that keep failing.
-const (
-	// failuresToEject is how many attempts in a row must fail.
-	failuresToEject = 3
-	// ejection is how long an upstream stays out; it doubles with each time in a row up to maxEjection.
-	ejection    = 2 * time.Second
-	maxEjection = time.Minute
-	// maxEjectedShare bounds the part of a service's replicas that may be out at once, so that a fault common to all
-	// never empties the pool.
-	maxEjectedShare = 0.34
-)
-
-// Replica is what is known of one upstream.
-type Replica struct {
-	Upstream event.Upstream
-	// Running and Tokens are what this instance has in flight there.
-	Running int64
-	Tokens  int64
-	// Report is the last load report, measured at ReportAt.
-	Report   event.Load
-	ReportAt time.Time
-	// SentSince is the work dispatched here after ReportAt, which the report cannot show yet.
-	SentSince int64
-	Role      string
-	Models    []string
-	Loading   []string
-	// Failures counts attempts that failed in a row.
-	Failures int
-	// Ejections counts how often in a row it was ejected; EjectedUntil is when the last one ends.
-	Ejections    int
-	EjectedUntil time.Time
-}
+// goneMemory is how long a replica that the platform no longer lists is remembered, so that an older list cannot bring
+// one back that was leaving.
+const goneMemory = 10 * time.Minute
 
 // State is what routing knows of all upstreams.
 type State struct {
 	// FailureDomain is this instance's own.
 	FailureDomain string
-	// Replicas holds every listed upstream by name.
+	// Replicas holds every listed upstream by name, and for a while those that are Gone.
 	Replicas map[string]*Replica
-	// Services holds the names of each service's replicas in the order of the list.
+	// Services holds each service's listed replicas in the order of the list.
 	Services map[string][]*Replica
 	// Policy is how Pick chooses.
 	Policy Policy
+
+	now   time.Time
+	pools map[string]*pool
+	// order holds the names of Services in the order of their first listing.
+	order []string
+	// live is how many instances share the replicas.
+	live int64
+	// out holds the replicas that are ejected or on probation.
+	out       []*Replica
+	nextSlow  time.Time
+	slowdowns []float64
+	prefixes  prefixIndex
 	// turns counts the choices of RoundRobin by service.
 	turns  map[string]uint64
 	random *rand.Rand
+	// candidates is the buffer of one choice.
+	candidates []*Replica
 }
 
 // New returns the state of an instance in the failure domain; the seed makes its choices repeatable.
@@ -63,6 +49,9 @@
 		Replicas:      map[string]*Replica{},
 		Services:      map[string][]*Replica{},
 		Policy:        Sail{},
+		pools:         map[string]*pool{},
+		live:          1,
+		prefixes:      newPrefixIndex(),
 		turns:         map[string]uint64{},
 		random:        rand.New(rand.NewPCG(seed, seed)),
 	}
@@ -70,171 +59,205 @@
 
 // Want is what a request needs of a replica.
 type Want struct {
+	ID      event.RequestID
 	Service string
-	// Tokens is the prompt and answer together.
-	Tokens int64
-	// MaxRunning bounds what this instance runs on one replica.
-	MaxRunning int64
+	// Model is what the caller named, empty for plain services.
+	Model string
+	// Prompt and Answer are in tokens.
+	Prompt int64
+	Answer int64
+	// Level ranks the request's class from 0, the lowest; Above counts the classes of higher priority.
+	Level int
+	Above int
+	// Repeatable requests may be used to probe replicas that failed.
+	Repeatable bool
 	// Tried names replicas that failed this request already; they are taken only if nothing else is there.
 	Tried []string
 	// Prefixes are the hashes of the prompt's leading blocks.
 	Prefixes []uint64
 }
 
-// List takes the platform's list. Replicas that are gone are forgotten.
-func (st *State) List(listed event.UpstreamsListed) {
-	known := st.Replicas
-	st.Replicas = make(map[string]*Replica, len(listed.Upstreams))
-	st.Services = map[string][]*Replica{}
+// Tokens is the memory that the request needs.
+func (want *Want) Tokens() int64 { return want.Prompt + want.Answer }
+
+// List takes the platform's list.
+func (st *State) List(now time.Time, listed event.UpstreamsListed) {
+	st.now = now
+	changed := st.takeListed(listed)
+	changed = st.dropUnlisted(listed) || changed
+	if changed {
+		st.regroup(listed)
+	}
+}
+
+// takeListed updates the replicas and reports whether any joined, moved or began to leave.
+func (st *State) takeListed(listed event.UpstreamsListed) bool {
+	changed := false
 	for _, up := range listed.Upstreams {
-		rep, ok := known[up.Name]
-		if !ok || rep.Upstream.Address != up.Address {
-			rep = &Replica{}
+		rep, ok := st.Replicas[up.Name]
+		if ok && rep.Upstream == up && !rep.Gone {
+			continue
+		}
+		if !ok || rep.Upstream.Address != up.Address || rep.Upstream.Service != up.Service || rep.Upstream.FailureDomain != up.FailureDomain {
+			st.retire(rep)
+			rep = st.newReplica(up)
 		}
 		// Leaving is final for a name and address: a list older than another's word must not bring it back.
 		up.Leaving = up.Leaving || rep.Upstream.Leaving
+		changed = changed || rep.Gone || rep.Upstream != up || !ok
 		rep.Upstream = up
-		st.Replicas[up.Name] = rep
-		st.Services[up.Service] = append(st.Services[up.Service], rep)
+		rep.Gone = false
+		st.settle(rep)
 	}
+	return changed
 }
 
-// Report takes an upstream's load report.
-func (st *State) Report(ev event.LoadReported) {
-	rep, ok := st.Replicas[ev.Upstream]
-	if !ok {
-		return
-	}
-	if ev.At.After(rep.ReportAt) {
-		rep.Report = ev.Load
-		rep.ReportAt = ev.At
-		rep.SentSince = 0
-	}
-	rep.Role = ev.Role
-	rep.Models = ev.Models
-	rep.Loading = ev.Loading
+func (st *State) newReplica(up event.Upstream) *Replica {
+	pl := st.poolOf(up.Service)
+	rep := &Replica{Upstream: up, pool: pl, place: -1, Window: pl.firstWindow(), PrefillRate: pl.Prefill}
+	st.Replicas[up.Name] = rep
+	return rep
 }
 
-// Pick returns a replica with room for the request, or nil. Sail takes replicas of the own failure domain before
-// others; the baselines take no notice of it.
-func (st *State) Pick(now time.Time, want Want) *Replica {
-	near, far := st.candidates(now, want, false)
-	if len(near)+len(far) == 0 {
-		near, far = st.candidates(now, want, true)
-	}
-	switch st.Policy.(type) {
-	case RoundRobin:
-		return st.inTurn(want.Service, append(near, far...))
-	case LeastRequests:
-		return st.leastRequests(append(near, far...))
-	}
-	if rep := st.twoChoices(near); rep != nil {
-		return rep
+// retire takes a replica out of use for good, as another one has its name.
+func (st *State) retire(rep *Replica) {
+	if rep == nil {
+		return
 	}
-	return st.twoChoices(far)
+	rep.Gone = true
+	st.settle(rep)
 }
 
-// Serves reports whether any live replica of the service is listed, with room or without.
-func (st *State) Serves(service string) bool {
-	for _, rep := range st.Services[service] {
-		if !rep.Upstream.Leaving {
-			return true
-		}
+func (st *State) dropUnlisted(listed event.UpstreamsListed) bool {
+	if len(st.Replicas) == len(listed.Upstreams) {
+		return false
 	}
-	return false
-}
-
-func (st *State) candidates(now time.Time, want Want, again bool) (near, far []*Replica) {
-	for _, rep := range st.Services[want.Service] {
-		if !rep.open(now, want, again) {
+	named := make(map[string]bool, len(listed.Upstreams))
+	for _, up := range listed.Upstreams {
+		named[up.Name] = true
+	}
+	changed := false
+	for name, rep := range st.Replicas {
+		if named[name] {
 			continue
 		}
-		if rep.Upstream.FailureDomain == st.FailureDomain {
-			near = append(near, rep)
-		} else {
-			far = append(far, rep)
+		if !rep.Gone {
+			changed = true
+			rep.goneAt = st.now
+			st.retire(rep)
+		}
+		if rep.Running == 0 && st.now.Sub(rep.goneAt) > goneMemory {
+			delete(st.Replicas, name)
 		}
 	}
-	return near, far
+	return changed
 }
 
-func (rep *Replica) open(now time.Time, want Want, again bool) bool {
-	if rep.Upstream.Leaving || now.Before(rep.EjectedUntil) || rep.Running >= want.MaxRunning {
-		return false
-	}
-	if again {
-		return true
+func (st *State) regroup(listed event.UpstreamsListed) {
+	clear(st.Services)
+	for _, pl := range st.pools {
+		pl.live = 0
 	}
-	for _, name := range want.Tried {
-		if name == rep.Upstream.Name {
-			return false
+	for _, up := range listed.Upstreams {
+		rep := st.Replicas[up.Name]
+		if len(st.Services[up.Service]) == 0 && !slices.Contains(st.order, up.Service) {
+			st.order = append(st.order, up.Service)
+		}
+		st.Services[up.Service] = append(st.Services[up.Service], rep)
+		if rep.live() {
+			rep.pool.live++
 		}
 	}
-	return true
+	st.out = slices.DeleteFunc(st.out, func(rep *Replica) bool { return rep.Gone })
 }
 
-// twoChoices draws two replicas and takes the one with less work, which is close to the best of all without every
-// instance running to the same one.
-func (st *State) twoChoices(reps []*Replica) *Replica {
-	if len(reps) == 0 {
-		return nil
+// Report takes an upstream's load report.
+func (st *State) Report(now time.Time, ev event.LoadReported) {
+	st.now = now
+	rep, ok := st.Replicas[ev.Upstream]
+	if !ok {
+		return
 	}
-	one := reps[st.random.IntN(len(reps))]
-	two := reps[st.random.IntN(len(reps))]
-	if two.work() < one.work() {
-		return two
+	rep.Role = ev.Role
+	rep.Models = ev.Models
+	rep.Loading = ev.Loading
+	if ev.At.After(rep.ReportAt) {
+		rep.report(ev)
+		rep.reported()
+		st.settle(rep)
 	}
-	return one
 }
 
-// work estimates the tokens ahead of a new request.
-func (rep *Replica) work() int64 {
-	return rep.Report.QueuedTokens + rep.SentSince + rep.Tokens
+// Serves reports whether any live replica of the service is listed, with room or without.
+func (st *State) Serves(service string) bool {
+	pl, ok := st.pools[service]
+	return ok && pl.live > 0
 }
 
-// Sent counts an attempt that starts.
-func (st *State) Sent(name string, tokens int64) {
+// Sent counts an attempt that starts at the replica.
+func (st *State) Sent(now time.Time, name string, want *Want) {
+	st.now = now
 	rep, ok := st.Replicas[name]
 	if !ok {
 		return
 	}
-	rep.Running++
-	rep.Tokens += tokens
-	rep.SentSince += tokens
+	cached := int64(0)
+	if known, depth := st.prefixes.longest(want.Prefixes); depth > 0 {
+		cached = cachedAt(now, known, rep, depth)
+	}
+	prompt := max(0, want.Prompt-cached)
+	before, _ := rep.ahead(now, want.Level)
+	rep.start(attempt{
+		id:     want.ID,
+		at:     now,
+		tokens: want.Tokens(),
+		answer: want.Answer,
+		prompt: prompt,
+		level:  want.Level,
+		ahead:  before + prompt,
+	})
+	rep.pool.sent(want.Level, prompt)
+	st.prefixes.hint(now, rep, want.Prefixes)
+	st.settle(rep)
 }
 
-// Ended counts an attempt that ended; it returns whether the upstream was ejected by it.
-func (st *State) Ended(now time.Time, name string, tokens int64, result event.Result) bool {
+// Answering notes the first token of an attempt's answer.
+func (st *State) Answering(now time.Time, name string, id event.RequestID) {
 	rep, ok := st.Replicas[name]
 	if !ok {
-		return false
+		return
 	}
-	rep.Running = max(0, rep.Running-1)
-	rep.Tokens = max(0, rep.Tokens-tokens)
-	switch result {
-	case event.ResultDone:
-		rep.Failures = 0
-		rep.Ejections = 0
-	case event.ResultNotSent, event.ResultFailed, event.ResultBroken, event.ResultSilent:
-		rep.Failures++
-		return rep.Failures >= failuresToEject && st.eject(now, rep)
-	}
-	return false
+	i := rep.find(id)
+	if i < 0 {
+		return
+	}
+	rep.answering(now, i)
+	rep.learnFirst(rep.attempts[i])
 }
 
-func (st *State) eject(now time.Time, rep *Replica) bool {
-	pool := st.Services[rep.Upstream.Service]
-	out := 1
-	for _, other := range pool {
-		if other != rep && now.Before(other.EjectedUntil) {
-			out++
-		}
+// Ended counts an attempt that ended with so many tokens of answer; it returns whether the upstream was ejected by it.
+func (st *State) Ended(now time.Time, name string, id event.RequestID, tokens int64, result event.Result) bool {
+	st.now = now
+	rep, ok := st.Replicas[name]
+	if !ok {
+		return false
 	}
-	if float64(out) > maxEjectedShare*float64(len(pool)) {
+	i := rep.find(id)
+	if i < 0 {
 		return false
 	}
-	rep.EjectedUntil = now.Add(min(ejection<<rep.Ejections, maxEjection))
-	rep.Ejections = min(rep.Ejections+1, 6)
-	rep.Failures = 0
-	return true
+	at := rep.end(i)
+	out := false
+	switch {
+	case result == event.ResultDone:
+		rep.learnWhole(now, at, tokens)
+		rep.answered()
+		st.succeeded(rep)
+	case result == event.ResultNotRun:
+		rep.refused(now)
+	case failure(result):
+		out = st.failed(rep)
+	}
+	st.settle(rep)
+	return out
 }
--- /dev/null
+++ b/internal/route/route_test.go
@@ -0,0 +1,347 @@
+package route_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"dandelionsail.example/dandelionsail/internal/event"
+	"dandelionsail.example/dandelionsail/internal/route"
+	"dandelionsail.example/dandelionsail/pkg/decl"
+)
+
+// seconds after start.
+func at(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
+
+func config(svc decl.Service) *decl.Config {
+	svc.Kind = decl.KindModel
+	svc.MemoryTokens = 400_000
+	return &decl.Config{Version: 1, Services: map[string]decl.Service{"lyric": svc}}
+}
+
+func want(id int, prompt int64) *route.Want {
+	return &route.Want{ID: event.RequestID(id), Service: "lyric", Prompt: prompt, Repeatable: true, Level: 4}
+}
+
+func report(name string, when time.Time, load event.Load) event.LoadReported {
+	load.MemoryTokens = 400_000
+	return event.LoadReported{Upstream: name, At: when, Load: load}
+}
+
+func TestOwnFailureDomainUnlessClearlyMoreLoaded(t *testing.T) {
+	cases := map[string]struct {
+		queued int64
+		far    bool
+	}{
+		"idle":                {0, false},
+		"a little work there": {500, false},
+		"much work there":     {40_000, true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			st := pool(route.Sail{})
+			st.Configure(config(decl.Service{}))
+			for _, near := range []string{"lyric-0", "lyric-1"} {
+				st.Report(start, report(near, start, event.Load{QueuedTokens: tc.queued}))
+			}
+			rep := st.Pick(start, want(1, 1000))
+			assert.Equal(t, rep.Upstream.FailureDomain != "a", tc.far)
+		})
+	}
+}
+
+func TestWorkSentAfterTheReportCounts(t *testing.T) {
+	// A report that is 200 ms old shows an idle engine that this instance has just sent a long prompt.
+	// Without correction the next request would follow it there, and each instance would run to the engine that was
+	// idle a moment ago.
+	st := pool(route.Sail{})
+	st.Configure(config(decl.Service{}))
+	st.Sent(at(0.1), "lyric-0", want(1, 60_000))
+	for _, near := range []string{"lyric-0", "lyric-1"} {
+		st.Report(at(0.2), report(near, start, event.Load{}))
+	}
+	for id := range 10 {
+		assert.Equal(t, st.Pick(at(0.2), want(10+id, 1000)).Upstream.Name, "lyric-1")
+	}
+}
+
+func TestOwnWorkInAReportCountsOnce(t *testing.T) {
+	// The engine's report shows 60,000 queued tokens, all of them this instance's, on top of which it would otherwise
+	// count its own again and shun the engine twice as long.
+	st := pool(route.Sail{})
+	st.Configure(config(decl.Service{}))
+	st.Sent(start, "lyric-0", want(1, 60_000))
+	st.Sent(start, "lyric-1", want(2, 70_000))
+	st.Report(at(0.5), report("lyric-0", at(0.2), event.Load{QueuedTokens: 60_000, Running: 1}))
+	st.Report(at(0.5), report("lyric-1", at(0.2), event.Load{QueuedTokens: 70_000, Running: 1}))
+	low := want(3, 1000)
+	low.Level = 0
+	near := st.Pick(at(0.5), low)
+	assert.Assert(t, near.Upstream.FailureDomain == "b", "the far ones are idle")
+	st.Answering(at(0.6), "lyric-0", 1)
+	st.Report(at(0.7), report("lyric-0", at(0.65), event.Load{Running: 1}))
+	for id := range 10 {
+		assert.Equal(t, st.Pick(at(0.7), want(10+id, 1000)).Upstream.Name, "lyric-0")
+	}
+}
+
+func TestPrefixAffinityIsBoundedByLoad(t *testing.T) {
+	prefixes := make([]uint64, 60)
+	for i := range prefixes {
+		prefixes[i] = uint64(1000 + i)
+	}
+	cases := map[string]struct {
+		busy int64
+		near bool
+	}{
+		"idle holder":       {0, true},
+		"overloaded holder": {60_000, false},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			st := pool(route.Sail{})
+			st.Configure(config(decl.Service{}))
+			st.CacheChanged(start, event.CacheChanged{Upstream: "lyric-1", First: 1, Last: 1, Added: prefixes})
+			st.Report(start, report("lyric-1", start, event.Load{QueuedTokens: tc.busy}))
+			for id := range 10 {
+				wanted := want(id, 16_000)
+				wanted.Prefixes = prefixes
+				assert.Equal(t, st.Pick(start, wanted).Upstream.Name == "lyric-1", tc.near)
+			}
+		})
+	}
+}
+
+func TestCacheEventsWithGaps(t *testing.T) {
+	// An engine drops a cached prefix and the event of it is lost. Until then, its prompts go there; after the gap that
+	// shows the loss, the prefix is believed by half and soon not at all, so a prompt is not drawn there for long.
+	prefixes := []uint64{1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16}
+	cases := map[string]struct {
+		events []event.CacheChanged
+		after  time.Duration
+		drawn  bool
+	}{
+		"no gap":         {nil, time.Hour, true},
+		"gap":            {[]event.CacheChanged{{First: 5, Last: 5}}, time.Minute, false},
+		"cleared":        {[]event.CacheChanged{{First: 2, Last: 2, Cleared: true}}, 0, false},
+		"engine renewed": {[]event.CacheChanged{{First: 1, Last: 1}}, 0, false},
+		"removed":        {[]event.CacheChanged{{First: 2, Last: 2, Removed: prefixes}}, 0, false},
+		"late repeat":    {[]event.CacheChanged{{First: 2, Last: 2}, {First: 2, Last: 2, Removed: prefixes}}, 0, true},
+		"confirmed anew": {[]event.CacheChanged{{First: 5, Last: 5, Added: prefixes}}, time.Minute, true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			st := pool(route.Sail{})
+			st.Configure(config(decl.Service{}))
+			st.CacheChanged(start, event.CacheChanged{Upstream: "lyric-3", First: 1, Last: 1, Added: prefixes})
+			for _, ev := range tc.events {
+				ev.Upstream = "lyric-3"
+				st.CacheChanged(at(1), ev)
+			}
+			wanted := want(1, 4096)
+			wanted.Prefixes = prefixes
+			rep := st.Pick(start.Add(time.Second+tc.after), wanted)
+			assert.Equal(t, rep.Upstream.Name == "lyric-3", tc.drawn)
+		})
+	}
+}
+
+func TestLongPromptsLeaveRoomForShortOnes(t *testing.T) {
+	cases := map[string]struct {
+		load   event.Load
+		above  int
+		placed bool
+	}{
+		"short into a full memory":            {event.Load{UsedTokens: 399_000, Running: 9}, 0, true},
+		"long into the room of short prompts": {event.Load{UsedTokens: 300_000, Running: 9}, 2, false},
+		"long while prefill waits":            {event.Load{QueuedTokens: 50_000, Running: 1}, 2, false},
+		"long into an idle engine":            {event.Load{}, 2, true},
+		"long into a batch nearly full":       {event.Load{Running: 30}, 2, false},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			st := pool(route.Sail{})
+			st.Configure(config(decl.Service{}))
+			for i := range 4 {
+				st.Report(start, report(fmt.Sprintf("lyric-%d", i), start, tc.load))
+			}
+			wanted := want(1, 60_000)
+			wanted.Above = tc.above
+			assert.Equal(t, st.Pick(start, wanted) != nil, tc.placed)
+		})
+	}
+}
+
+func TestWindowFollowsTheEngine(t *testing.T) {
+	// Eight instances share a replica of 32. Each may at first send twice its part. One that is refused sends less,
+	// and when the replica shows room again, more.
+	st := pool(route.Sail{})
+	st.Configure(config(decl.Service{}))
+	st.SetInstances(8)
+	rep := st.Replicas["lyric-0"]
+	assert.Equal(t, rep.Window, 8.0)
+	for id := range 8 {
+		st.Sent(start, "lyric-0", want(id, 1000))
+	}
+	for id := range 4 {
+		st.Ended(start, "lyric-0", event.RequestID(id), 0, event.ResultNotRun)
+	}
+	assert.Assert(t, rep.Window < 6 && rep.Window > 5, "one burst of refusals counts once: %g", rep.Window)
+	st.Sent(start, "lyric-0", want(20, 1000))
+	st.Report(at(1), report("lyric-0", at(1), event.Load{Running: 8}))
+	assert.Assert(t, rep.Window > 6, "%g", rep.Window)
+}
+
+func TestEjection(t *testing.T) {
+	// One of three engines breaks off each request. After three it gets no more for a while, then one at a time until
+	// it has shown three times that it works. The other two are never ejected with it, however they fail.
+	st := pool(route.Sail{})
+	st.Configure(config(decl.Service{}))
+	fail := func(when time.Time, name string, id int) bool {
+		st.Sent(when, name, want(id, 1000))
+		return st.Ended(when, name, event.RequestID(id), 0, event.ResultBroken)
+	}
+	assert.Assert(t, !fail(start, "lyric-0", 1))
+	assert.Assert(t, !fail(start, "lyric-0", 2))
+	assert.Assert(t, fail(start, "lyric-0", 3))
+	for id := range 12 {
+		assert.Assert(t, !fail(start, fmt.Sprintf("lyric-%d", 1+id%3), 10+id), "more than a third of the pool")
+	}
+	for id := range 20 {
+		assert.Assert(t, st.Pick(start, want(id, 1000)).Upstream.Name != "lyric-0")
+	}
+	st.Tick(at(3))
+	rep := st.Replicas["lyric-0"]
+	for probe := range 3 {
+		st.Sent(at(3), "lyric-0", want(100+probe, 1000))
+		for id := range 20 {
+			assert.Assert(t, st.Pick(at(3), want(id, 1000)).Upstream.Name != "lyric-0", "one probe at a time")
+		}
+		st.Ended(at(3.1), "lyric-0", event.RequestID(100+probe), 10, event.ResultDone)
+	}
+	assert.Assert(t, !rep.Probing)
+}
+
+func TestSlowReplicaIsEjected(t *testing.T) {
+	st := pool(route.Sail{})
+	st.Configure(config(decl.Service{}))
+	for id := range 60 {
+		name := fmt.Sprintf("lyric-%d", id%4)
+		took := 0.2
+		if name == "lyric-2" {
+			took = 2
+		}
+		st.Sent(start, name, want(id, 2000))
+		st.Answering(at(took), name, event.RequestID(id))
+		st.Ended(at(took+0.1), name, event.RequestID(id), 5, event.ResultDone)
+	}
+	assert.DeepEqual(t, st.Tick(at(5)), []string{"lyric-2"})
+}
+
+func TestLeavingUpstreamNeverComesBack(t *testing.T) {
+	// A replica is listed as leaving, then not at all, and then an older list arrives in which it was live.
+	// It gets no work: a request sent there now would be cut.
+	st := route.New("a", 1)
+	up := event.Upstream{Name: "lyric-0", Service: "lyric", Address: "127.0.0.1:1", FailureDomain: "a"}
+	other := event.Upstream{Name: "lyric-1", Service: "lyric", Address: "127.0.0.1:2", FailureDomain: "a", Leaving: true}
+	leaving := up
+	leaving.Leaving = true
+	for _, listed := range [][]event.Upstream{{up, other}, {leaving, other}, {other}, {up, other}} {
+		st.List(start, event.UpstreamsListed{Upstreams: listed})
+	}
+	assert.Assert(t, st.Pick(start, want(1, 1000)) == nil)
+	assert.Assert(t, !st.Serves("lyric"))
+	up.Address = "127.0.0.1:3"
+	st.List(start, event.UpstreamsListed{Upstreams: []event.Upstream{up, other}})
+	assert.Equal(t, st.Pick(start, want(1, 1000)).Upstream.Address, "127.0.0.1:3", "another process of the same name")
+}
+
+// TestCountsAreConserved checks that what was sent and has ended leaves nothing behind on any replica, that no count
+// is ever negative, and that a leaving replica is never picked, under any order of events.
+func TestCountsAreConserved(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		st := pool(route.Sail{})
+		st.Configure(config(decl.Service{MaxRunning: 4}))
+		now := start
+		next := 0
+		running := map[int]string{}
+		left := map[string]bool{}
+		names := []string{"lyric-0", "lyric-1", "lyric-2", "lyric-3"}
+		draw := func(t *rapid.T) (int, string) {
+			for id := 1; id <= next; id++ {
+				if name, ok := running[id]; ok && (rapid.Bool().Draw(t, "this") || len(running) == 1) {
+					return id, name
+				}
+			}
+			return 0, ""
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"send": func(t *rapid.T) {
+				next++
+				wanted := want(next, rapid.Int64Range(0, 200_000).Draw(t, "prompt"))
+				wanted.Above = rapid.IntRange(0, 4).Draw(t, "above")
+				wanted.Level = 4 - wanted.Above
+				wanted.Prefixes = []uint64{uint64(next % 3), uint64(next%3 + 10)}
+				if rep := st.Pick(now, wanted); rep != nil {
+					assert.Assert(t, !left[rep.Upstream.Name])
+					assert.Assert(t, float64(rep.Running) < rep.Window)
+					st.Sent(now, rep.Upstream.Name, wanted)
+					running[next] = rep.Upstream.Name
+				}
+			},
+			"answering": func(t *rapid.T) {
+				if id, name := draw(t); id > 0 {
+					st.Answering(now, name, event.RequestID(id))
+				}
+			},
+			"end": func(t *rapid.T) {
+				id, name := draw(t)
+				if id == 0 {
+					return
+				}
+				result := event.Result(rapid.IntRange(int(event.ResultDone), int(event.ResultCancelled)).Draw(t, "result"))
+				st.Ended(now, name, event.RequestID(id), rapid.Int64Range(0, 100).Draw(t, "tokens"), result)
+				st.Ended(now, name, event.RequestID(id), 0, result)
+				delete(running, id)
+			},
+			"report": func(t *rapid.T) {
+				age := time.Duration(rapid.IntRange(0, 3000).Draw(t, "age")) * time.Millisecond
+				st.Report(now, report(rapid.SampledFrom(names).Draw(t, "name"), now.Add(-age), event.Load{
+					Running: rapid.Int64Range(0, 40).Draw(t, "running"), QueuedTokens: rapid.Int64Range(0, 100_000).Draw(t, "queued"),
+				}))
+			},
+			"leave": func(t *rapid.T) {
+				name := rapid.SampledFrom(names[2:]).Draw(t, "name")
+				left[name] = true
+				var listed event.UpstreamsListed
+				for _, other := range names {
+					up := st.Replicas[other].Upstream
+					up.Leaving = other == name || rapid.Bool().Draw(t, "late list") && left[other]
+					listed.Upstreams = append(listed.Upstreams, up)
+				}
+				st.List(now, listed)
+			},
+			"pass": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(0, 5000).Draw(t, "ms")) * time.Millisecond)
+				st.Tick(now)
+			},
+			"": func(_ *rapid.T) {
+				for _, rep := range st.Replicas {
+					assert.Assert(t, rep.Running >= 0 && rep.Tokens >= 0)
+				}
+			},
+		})
+		for id, name := range running {
+			st.Ended(now, name, event.RequestID(id), 0, event.ResultCancelled)
+		}
+		for _, rep := range st.Replicas {
+			assert.Equal(t, rep.Running, int64(0))
+			assert.Equal(t, rep.Tokens, int64(0))
+		}
+		st.Tick(now.Add(2 * time.Minute))
+		assert.Assert(t, st.Pick(now.Add(2*time.Minute), want(next+1, 100)) != nil, "two replicas never left")
+	})
+}
