--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -87,29 +87,36 @@
 	return model == "" || len(rep.Models) == 0 || upstr.Offers(rep.Models, model)
 }
 
-// lastResort takes a replica that failed the request before, or one on probation, when no other is open.
+// lastResort takes a replica that failed the request before, or one on probation, when all others are closed: the one
+// whose failure is longest ago, so that a request does not return to a replica that has just died under it.
 func (st *State) lastResort(pl *pool, want *Want) *Replica {
+	var best *Replica
 	for _, set := range []*openSet{&pl.near, &pl.far} {
 		for _, rep := range set.reps {
-			spared := slices.Contains(want.Tried, rep.Upstream.Name) || rep.Probing || !rep.serves(want.Model)
-			if !spared && !rep.fits(st.now, want) {
+			if !rep.serves(want.Model) {
+				continue
+			}
+			fits := rep.fits(st.now, want)
+			if !fits && !rep.Probing && lastTried(want, rep) < 0 {
 				// Another one is only full for the moment.
 				return nil
 			}
+			if fits && (best == nil || lastTried(want, rep) < lastTried(want, best)) {
+				best = rep
+			}
 		}
 	}
-	return st.firstFitting(pl, want)
+	return best
 }
 
-func (st *State) firstFitting(pl *pool, want *Want) *Replica {
-	for _, set := range []*openSet{&pl.near, &pl.far} {
-		for _, rep := range set.reps {
-			if rep.serves(want.Model) && rep.fits(st.now, want) {
-				return rep
-			}
+// lastTried is the last place of the replica in the list of those to avoid, -1 if it is not there.
+func lastTried(want *Want, rep *Replica) int {
+	for i := len(want.Tried) - 1; i >= 0; i-- {
+		if want.Tried[i] == rep.Upstream.Name {
+			return i
 		}
 	}
-	return nil
+	return -1
 }
 
 func cachedAt(now time.Time, known []holder, rep *Replica, depth int64) int64 {
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -345,3 +345,13 @@
 		assert.Assert(t, st.Pick(now.Add(2*time.Minute), want(next+1, 100)) != nil, "two replicas never left")
 	})
 }
+
+func TestRetryAvoidsTheLatestFailure(t *testing.T) {
+	// All replicas failed a request before, one of them just now because it died. The retry goes to the one whose
+	// failure is longest ago, not back to the dead one until the retry budget is used up.
+	st := pool(route.Sail{})
+	st.Configure(config(decl.Service{}))
+	wanted := want(1, 1000)
+	wanted.Tried = []string{"lyric-1", "lyric-0", "lyric-3", "lyric-2", "lyric-0"}
+	assert.Equal(t, st.Pick(start, wanted).Upstream.Name, "lyric-1")
+}
