--- a/internal/route/cost.go
+++ b/internal/route/cost.go
@@ -49,13 +49,13 @@
 	// headroomStep is the part of memory and batch that each class of higher priority keeps free from one below it.
 	headroomStep = 0.08
 	maxHeadroom  = 0.3
-	// maxBacklog is how much prefill may wait at a replica before longer prompts wait here instead.
+	// maxBacklog is how much prefill may go before a longer prompt at a replica for it not to wait here instead.
 	maxBacklog = time.Second
 )
 
 // fits tells whether the replica may take the request now. Prompts of the highest priority always fit: the engine
-// takes them first. Others leave room for those above them, and wait here, in our order, while the engine still has
-// prefill to do; an idle replica takes any.
+// takes them first. Others leave room for those above them, and wait here, in our order, while the engine has prefill to
+// do that goes before theirs; an idle replica takes any.
 func (rep *Replica) fits(now time.Time, want *Want) bool {
 	if want.Above == 0 || rep.pool.service.Kind == decl.KindPlain {
 		return true
@@ -71,6 +71,6 @@
 	if float64(running+1) > max(1, keep*float64(rep.pool.service.MaxRunning)) {
 		return false
 	}
-	before, behind := rep.ahead(now, 0)
-	return float64(before+behind) <= maxBacklog.Seconds()*rep.PrefillRate
+	before, _ := rep.ahead(now, want.Level)
+	return float64(before) <= maxBacklog.Seconds()*rep.PrefillRate
 }
