Let organisations' limits follow the traffic between the instances

Cause: a limit was split equally, so an organisation whose requests all came to one of nine instances got a ninth of what it is allowed.

An instance tells once a second, rarer in a large fleet, which part of its limits an organisation asks for here; the instance of the highest hash adds up and answers with the parts. A tenth stays split equally, and who hears nothing uses an equal split.

--- a/internal/admit/account.go
+++ b/internal/admit/account.go
@@ -24,9 +24,10 @@
 	inFlight int64
 	tokensIn int64
 	retries  float64
-	// offeredRequests and offeredTokens are what it asked for lately, refused or not, forgotten over demandTime.
+	// offeredRequests and offeredTokens are what it asked for lately, refused or not, up to offeredAt.
 	offeredRequests float64
 	offeredTokens   float64
+	offeredAt       time.Time
 	// share is the part of the limits that this instance was told, in force until shareUntil.
 	share      float64
 	shareUntil time.Time
@@ -36,8 +37,7 @@
 func (st *State) Admit(now time.Time, name string, org decl.Organisation, tokens int64) *effect.Refusal {
 	acc, share := st.account(now, name, org.Limits)
 	lim := org.Limits
-	acc.offeredRequests++
-	acc.offeredTokens += float64(tokens)
+	acc.offer(now, tokens, st.TellPeriod())
 	if wait := acc.wait(lim, tokens, share); wait > 0 {
 		return limited(wait, "slow down to the declared rate")
 	}
@@ -74,21 +74,31 @@
 	share = st.share(now, acc)
 	if !ok {
 		acc.requests = requestBurst(lim, share)
-		acc.tokens = lim.TokensPerSecond * share
+		acc.tokens = burst(lim.TokensPerSecond, share)
 	}
 	passed := now.Sub(acc.filled)
 	acc.requests = min(acc.requests+passed.Seconds()*lim.RequestsPerSecond*share, requestBurst(lim, share))
-	acc.tokens = min(acc.tokens+passed.Seconds()*lim.TokensPerSecond*share, lim.TokensPerSecond*share)
-	keep := math.Exp(-passed.Seconds() / demandTime.Seconds())
-	acc.offeredRequests *= keep
-	acc.offeredTokens *= keep
+	acc.tokens = min(acc.tokens+passed.Seconds()*lim.TokensPerSecond*share, burst(lim.TokensPerSecond, share))
 	acc.filled = now
 	return acc, share
 }
 
-// requestBurst is one second's worth, and never less than the one request that could otherwise never go.
+// An instance lets pass at once burstShares times its share of one second's worth, and minBurst requests of it at
+// least. Requests do not come to the instances in turn: with one share, an organisation that keeps well within its
+// limits would be refused whenever some of its requests meet at one instance. The sustained rate stays the declared
+// one.
+const (
+	burstShares = 3
+	minBurst    = 4
+)
+
+func burst(rate, share float64) float64 {
+	return rate * min(1, burstShares*share)
+}
+
+// requestBurst is never less than the one request that could otherwise never go.
 func requestBurst(lim decl.Limits, share float64) float64 {
-	return max(1, lim.RequestsPerSecond*share)
+	return max(1, burst(lim.RequestsPerSecond, share), min(minBurst, lim.RequestsPerSecond))
 }
 
 // wait returns how long the rates make the request wait, 0 if it may go. A request larger than the whole bucket goes
@@ -99,7 +109,7 @@
 		seconds = (1 - acc.requests) / (lim.RequestsPerSecond * share)
 	}
 	if lim.TokensPerSecond > 0 {
-		need := min(float64(tokens), lim.TokensPerSecond*share)
+		need := min(float64(tokens), burst(lim.TokensPerSecond, share))
 		seconds = max(seconds, (need-acc.tokens)/(lim.TokensPerSecond*share))
 	}
 	return time.Duration(seconds * float64(time.Second))
--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -16,13 +16,15 @@
 	queues    map[string]*queue
 	// services holds the names of queues in the order of their making.
 	services []string
+	// demands holds what organisations ask of which instance, for those whose limits this one shares out.
+	demands map[string]map[string]demand
 	// backlog is the buffer of Backlogged.
 	backlog []string
 }
 
 // New returns an empty state.
 func New() *State {
-	return &State{Instances: 1, orgs: map[string]*account{}, queues: map[string]*queue{}}
+	return &State{Instances: 1, orgs: map[string]*account{}, queues: map[string]*queue{}, demands: map[string]map[string]demand{}}
 }
 
 // Discipline is the order in which the requests of one service go.
--- a/internal/core/state.go
+++ b/internal/core/state.go
@@ -44,6 +44,8 @@
 	poison    quarantine
 	table     table
 	reasons   map[reasonKey]string
+	// nextDemands is when the organisations' demands are told next.
+	nextDemands time.Time
 }
 
 // Phase is where in its life a request is.
@@ -159,11 +161,16 @@
 		st.configAccepted(ev)
 	case event.Quarantined:
 		st.quarantined(ev)
+	case event.DemandHeard:
+		st.demandHeard(ev)
+	case event.SharesHeard:
+		st.Admit.TakeShares(st.now, ev.Shares)
 	case event.DrainStarted:
 		st.Draining = true
 	case event.Ticked:
 		st.expire()
 		st.ejectSlow()
+		st.tellDemands()
 		st.pumpAll()
 	}
 	return st.effects
--- a/internal/effect/effect.go
+++ b/internal/effect/effect.go
@@ -141,6 +141,18 @@
 // TellQuarantine passes a quarantine on to all peers.
 type TellQuarantine struct{ Quarantined event.Quarantined }
 
+// TellDemand tells the instance that shares out the organisations' limits what they ask for here. It may be lost.
+type TellDemand struct {
+	To      event.Instance
+	Demands []event.Demand
+}
+
+// TellShares tells an instance its parts of organisations' limits. It may be lost.
+type TellShares struct {
+	To     event.Instance
+	Shares []event.Share
+}
+
 // CloseIdle closes the idle connections to an upstream, because one of them went silent.
 type CloseIdle struct {
 	Upstream string
@@ -164,5 +176,7 @@
 func (AskPermit) isEffect()      {}
 func (ReleasePermit) isEffect()  {}
 func (TellQuarantine) isEffect() {}
+func (TellDemand) isEffect()     {}
+func (TellShares) isEffect()     {}
 func (CloseIdle) isEffect()      {}
 func (Note) isEffect()           {}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -212,6 +212,30 @@
 	Until time.Time
 }
 
+// Demand is what one organisation asks of one instance, as a part of its limits over the whole fleet: 1 for as much
+// as it may.
+type Demand struct {
+	_            struct{} `cbor:",toarray"`
+	Organisation string
+	Part         float32
+}
+
+// Share is the part of an organisation's limits that one instance may use, from 0 to 1.
+type Share struct {
+	_            struct{} `cbor:",toarray"`
+	Organisation string
+	Part         float32
+}
+
+// DemandHeard brings what organisations ask of another instance, to the one that shares out their limits.
+type DemandHeard struct {
+	From    string
+	Demands []Demand
+}
+
+// SharesHeard brings the parts of limits that this instance may use.
+type SharesHeard struct{ Shares []Share }
+
 // DrainStarted tells that this instance was asked to stop.
 type DrainStarted struct{}
 
@@ -233,5 +257,7 @@
 func (PermitAnswered) isEvent()  {}
 func (ClaimSettled) isEvent()    {}
 func (Quarantined) isEvent()     {}
+func (DemandHeard) isEvent()     {}
+func (SharesHeard) isEvent()     {}
 func (DrainStarted) isEvent()    {}
 func (Ticked) isEvent()          {}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -62,6 +62,21 @@
 	Snapshot []byte
 }
 
+// Demand tells the instance that shares out organisations' limits what they ask for at another one.
+type Demand struct {
+	_       struct{} `cbor:",toarray"`
+	From    string
+	Demands []event.Demand
+}
+
+// Shares answers a Demand.
+type Shares struct {
+	_      struct{} `cbor:",toarray"`
+	Shares []event.Share
+}
+
+func (Demand) isMessage()        {}
+func (Shares) isMessage()        {}
 func (Ack) isMessage()           {}
 func (PermitAsk) isMessage()     {}
 func (PermitGrant) isMessage()   {}
@@ -89,6 +104,9 @@
 	5: decode[Quarantine],
 	6: decode[ConfigWant],
 	7: decode[ConfigPatches],
+
+	60: decode[Demand],
+	61: decode[Shares],
 }
 
 func kindOf(msg Message) uint64 {
@@ -108,6 +126,12 @@
 	case ConfigPatches:
 		return 7
 	}
+	switch msg.(type) {
+	case Demand:
+		return 60
+	case Shares:
+		return 61
+	}
 	return 0
 }
 
