--- a/internal/entry/reports_test.go
+++ b/internal/entry/reports_test.go
@@ -22,7 +22,7 @@
 	chosen := map[string]map[string]bool{}
 	for _, name := range []string{"entry-0", "entry-1"} {
 		in := New(Options{Name: name, FailureDomain: "a", Platform: "127.0.0.1:1", Store: "127.0.0.1:1"}, &log.DefaultLogger)
-		defer in.close()
+		t.Cleanup(in.close)
 		in.config.Store(newDirectory(&decl.Config{Services: map[string]decl.Service{"lyric": {Kind: decl.KindModel}}}))
 		chosen[name] = map[string]bool{}
 		for range 2 {
