--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -30,7 +30,7 @@
 // Discipline is the order in which the requests of one service go.
 type Discipline interface{ isDiscipline() }
 
-// Priority serves the classes by priority; who waits rises by one rank for each ageSteps-th part of its time.
+// Priority serves the classes by priority. Items that have waited long go before theirs, up to a share of the work.
 type Priority struct{}
 
 // Weighted shares the service between the classes in proportion to their weights, an absent one counting as 1.
@@ -70,12 +70,11 @@
 	weight float64
 	// start is the virtual time at which its organisation's share reaches it within its class.
 	start float64
-	// rank is its priority raised by age.
-	rank int
-	// ages is when the rank rises next, zero for never.
+	// old tells that most of its time is gone, and ages when that will be.
+	old  bool
 	ages time.Time
 	lane *lane
-	// place, aging and delay are its positions in the heaps of its lane, of ages and of delays; -1 outside.
+	// place, aging and delay are its positions in the heap of its lane or of the old, of ages and of delays; -1 outside.
 	place, aging, delay int
 }
 
@@ -92,7 +91,7 @@
 	qu.push(&it)
 }
 
-// Heads returns the items that may go next in the service, one of each class or rank, in the order of preference. The
+// Heads returns the items that may go next in the service, one of each class and the oldest, in the order of preference. The
 // slice is valid until the next call.
 func (st *State) Heads(now time.Time, service string) []*Item {
 	qu, ok := st.queues[service]
--- a/internal/admit/queue.go
+++ b/internal/admit/queue.go
@@ -9,9 +9,15 @@
 	"dandelionsail.example/dandelionsail/internal/event"
 )
 
-// ageSteps is into how many parts an item's time is cut; its rank rises with each. With the default classes the
-// longest prompt reaches the shortest one's rank when two thirds of its time are gone.
-const ageSteps = 6
+// Ageing under Priority. An item is old when ageAfter of its time is gone. Old items go right behind the highest class,
+// by deadline, with up to oldShare of the work; beyond it they go first within their own class. Without the bound, under
+// overload everything that waits is old, and the old long prompts would make all others wait as long as they.
+const (
+	ageAfter = 0.5
+	oldShare = 0.2
+	// shareMemory is how many tokens taken the share is reckoned over.
+	shareMemory = 4_000_000
+)
 
 // maxFlows is how many flows are kept before the empty ones are forgotten.
 const maxFlows = 4096
@@ -21,12 +27,15 @@
 	discipline Discipline
 	items      map[event.RequestID]*Item
 	tokens     int64
-	// lanes holds the items that may go now: one lane for each rank, class, or one for all, by discipline.
+	// lanes holds the items that may go now: one lane for each class, or one for all.
 	lanes []*lane
-	// ages orders items by the next rise of their rank, delays those kept back by the end of that.
-	ages, delays itemHeap
-	classes      map[string]*class
-	flows        map[flowKey]*flow
+	// old holds the items that are old, by deadline. ages orders the others by when they will be, delays those kept
+	// back by the end of that.
+	old, ages, delays itemHeap
+	// taken counts the tokens taken lately, and takenOld those of old items.
+	taken, takenOld float64
+	classes         map[string]*class
+	flows           map[flowKey]*flow
 	// virtual is the start tag of the lane served last, under Weighted.
 	virtual float64
 	next    []*Item
@@ -35,8 +44,8 @@
 
 // lane is a heap of items that are ordered among themselves by their organisations' fair shares.
 type lane struct {
-	rank  int
-	class string
+	priority int
+	class    string
 	// weight and tag are the lane's share and how much of it was used, under Weighted.
 	weight float64
 	tag    float64
@@ -71,6 +80,7 @@
 		classes:    map[string]*class{},
 		flows:      map[flowKey]*flow{},
 	}
+	qu.old = itemHeap{less: func(one, two *Item) bool { return one.Deadline.Before(two.Deadline) }, place: func(it *Item) *int { return &it.place }}
 	qu.ages = itemHeap{less: func(one, two *Item) bool { return one.ages.Before(two.ages) }, place: func(it *Item) *int { return &it.aging }}
 	qu.delays = itemHeap{less: func(one, two *Item) bool { return one.NotBefore.Before(two.NotBefore) }, place: func(it *Item) *int { return &it.delay }}
 	return qu
@@ -83,9 +93,11 @@
 	}
 	qu.discipline = disc
 	qu.lanes = nil
+	qu.old.items = nil
 	for _, it := range qu.items {
-		if it.lane != nil {
+		if it.delay < 0 {
 			qu.leaveAges(it)
+			it.old = false
 			qu.enter(it)
 		}
 	}
@@ -120,7 +132,6 @@
 
 func (qu *queue) push(it *Item) {
 	it.place, it.aging, it.delay = -1, -1, -1
-	it.rank = it.Class.Priority
 	qu.items[it.ID] = it
 	qu.tokens += it.Tokens
 	qu.join(it)
@@ -178,20 +189,28 @@
 }
 
 func (qu *queue) startAging(it *Item) {
-	risen := it.rank - it.Class.Priority
-	step := it.Deadline.Sub(it.Arrived) / ageSteps
-	if step <= 0 || risen == ageSteps {
+	total := it.Deadline.Sub(it.Arrived)
+	if total <= 0 {
 		return
 	}
-	it.ages = it.Arrived.Add(step * time.Duration(risen+1))
+	it.ages = it.Arrived.Add(time.Duration(ageAfter * float64(total)))
 	qu.ages.push(it)
 }
 
+// grow makes an item old.
+func (qu *queue) grow(it *Item) {
+	qu.ages.remove(it)
+	it.lane.heap.remove(it)
+	it.lane = nil
+	it.old = true
+	qu.old.push(it)
+}
+
 func (qu *queue) laneOf(it *Item) *lane {
 	want := lane{weight: 1}
 	switch disc := qu.discipline.(type) {
 	case Priority:
-		want.rank = it.rank
+		want.priority = it.Class.Priority
 	case Weighted:
 		want.class = it.Class.Name
 		if weight, ok := disc.Weights[it.Class.Name]; ok {
@@ -199,7 +218,7 @@
 		}
 	}
 	for _, ln := range qu.lanes {
-		if ln.rank == want.rank && ln.class == want.class {
+		if ln.priority == want.priority && ln.class == want.class {
 			qu.reopen(ln)
 			return ln
 		}
@@ -208,7 +227,7 @@
 	ln.heap = itemHeap{less: qu.order(), place: func(it *Item) *int { return &it.place }}
 	ln.tag = qu.virtual
 	qu.lanes = append(qu.lanes, ln)
-	slices.SortFunc(qu.lanes, func(one, two *lane) int { return cmp.Compare(two.rank, one.rank) })
+	slices.SortFunc(qu.lanes, func(one, two *lane) int { return cmp.Compare(two.priority, one.priority) })
 	return ln
 }
 
@@ -238,7 +257,7 @@
 		qu.enter(it)
 	}
 	for it := qu.ages.first(); it != nil && !now.Before(it.ages); it = qu.ages.first() {
-		qu.rise(it)
+		qu.grow(it)
 	}
 	qu.next = qu.next[:0]
 	for _, ln := range qu.lanes {
@@ -249,15 +268,21 @@
 	if _, ok := qu.discipline.(Weighted); ok {
 		slices.SortStableFunc(qu.next, func(one, two *Item) int { return cmp.Compare(one.lane.tag, two.lane.tag) })
 	}
+	if it := qu.old.first(); it != nil {
+		qu.next = slices.Insert(qu.next, qu.oldPlace(it), it)
+	}
 	return qu.next
 }
 
-// rise moves an item up by one rank.
-func (qu *queue) rise(it *Item) {
-	qu.ages.remove(it)
-	it.lane.heap.remove(it)
-	it.rank++
-	qu.enter(it)
+// oldPlace is the place of the first old item among the next ones, which are in the order of priority.
+func (qu *queue) oldPlace(old *Item) int {
+	may := qu.takenOld <= oldShare*qu.taken
+	for i, it := range qu.next {
+		if old.Class.Priority >= it.Class.Priority || (may && it.lane.priority < qu.lanes[0].priority) {
+			return i
+		}
+	}
+	return len(qu.next)
 }
 
 // charge counts an item that goes against its class and lane.
@@ -268,9 +293,20 @@
 		qu.virtual = max(qu.virtual, it.lane.tag)
 		it.lane.tag += float64(it.Tokens) / it.lane.weight
 	}
+	qu.countTaken(it)
 	qu.drain.work += it.Work
 }
 
+func (qu *queue) countTaken(it *Item) {
+	tokens := float64(it.Tokens)
+	keep := max(0, 1-tokens/shareMemory)
+	qu.taken = qu.taken*keep + tokens
+	qu.takenOld *= keep
+	if it.old {
+		qu.takenOld += tokens
+	}
+}
+
 // refund gives the share of an item that never went back to its organisation, if nothing was queued after it.
 func (qu *queue) refund(it *Item) {
 	fl := qu.flows[flowKey{it.Organisation, it.Class.Name}]
@@ -290,7 +326,10 @@
 	if fl.items == 0 {
 		cl.weights -= fl.weight
 	}
-	if it.lane != nil {
+	switch {
+	case it.old:
+		qu.old.remove(it)
+	case it.lane != nil:
 		it.lane.heap.remove(it)
 		it.lane = nil
 	}
