--- a/internal/bench/engine.go
+++ b/internal/bench/engine.go
@@ -2,19 +2,33 @@
 
 import (
 	"fmt"
+	"os"
 	"time"
 
 	"dandelionsail.example/dandelionsail/internal/stand"
 	"dandelionsail.example/dandelionsail/internal/tool"
 )
 
+// exitCrashed is the exit status of an engine that a prompt crashed.
+const exitCrashed = 3
+
 type engineCommand struct {
 	standinOptions
-	Model        string        `long:"model" description:"model the engine offers" default:"lyric"`
-	MemoryTokens int64         `long:"memory-tokens" description:"tokens the KV memory holds" default:"400000"`
-	Step         time.Duration `long:"step" description:"time of one step of the batch" default:"20ms"`
-	PrefillChunk int64         `long:"prefill-chunk" description:"prompt tokens prefilled in one step" default:"400"`
-	MaxBatch     int           `long:"max-batch" description:"requests that run at once" default:"32"`
+	Model           string        `long:"model" description:"model the engine offers" default:"lyric"`
+	MemoryTokens    int64         `long:"memory-tokens" description:"tokens the KV memory holds" default:"400000"`
+	Step            time.Duration `long:"step" description:"time of one step of the batch" default:"20ms"`
+	PrefillChunk    int64         `long:"prefill-chunk" description:"token budget of one step" default:"400"`
+	AttentionTokens int64         `long:"attention-tokens" description:"position at which a prompt token costs twice as much; 0 for equal cost" default:"0"`
+	MaxBatch        int           `long:"max-batch" description:"requests that run at once" default:"32"`
+	MaxWaiting      int           `long:"max-waiting" description:"requests that wait before more are refused" default:"256"`
+	ReportLag       time.Duration `long:"report-lag" description:"how old a load report is" default:"200ms"`
+	CacheLag        time.Duration `long:"cache-lag" description:"how late cache events are" default:"300ms"`
+	CacheGap        float64       `long:"cache-gap" description:"share of the batches of cache events that are lost" default:"0"`
+	Scale           float64       `long:"scale" description:"how many times as fast everything goes" default:"1"`
+	CheckFencing    bool          `long:"check-fencing" description:"refuse orders with an old fencing number"`
+	LoadTime        time.Duration `long:"load-time" description:"time to load a model where no weight store is given" default:"2s"`
+	Weights         string        `long:"weights" description:"address of the weight store; empty for none"`
+	Seed            uint64        `long:"seed" description:"seed of the lost batches and random faults" default:"1"`
 }
 
 // Execute implements flags.Commander.
@@ -22,15 +36,33 @@
 	if err := cmd.check(); err != nil {
 		return err
 	}
-	if cmd.Step <= 0 || cmd.MemoryTokens <= 0 || cmd.PrefillChunk <= 0 || cmd.MaxBatch <= 0 {
-		return tool.Usage(fmt.Errorf("bench: --step, --memory-tokens, --prefill-chunk and --max-batch must be above 0"))
+	if cmd.Step <= 0 || cmd.MemoryTokens <= 0 || cmd.PrefillChunk <= 0 || cmd.MaxBatch <= 0 || cmd.Scale <= 0 {
+		return tool.Usage(fmt.Errorf("bench: --step, --memory-tokens, --prefill-chunk, --max-batch and --scale must be above 0"))
+	}
+	if cmd.CacheGap < 0 || cmd.CacheGap > 1 {
+		return tool.Usage(fmt.Errorf("bench: --cache-gap is %g; give a share from 0 to 1", cmd.CacheGap))
 	}
+	engine := stand.NewEngine(cmd.options())
+	return serve(cmd.Listen, engine.Handler(), cmd.register, engine.Run)
+}
+
+func (cmd *engineCommand) options() stand.EngineOptions {
 	opts := stand.DefaultEngine()
 	opts.Model = cmd.Model
 	opts.MemoryTokens = cmd.MemoryTokens
 	opts.Step = cmd.Step
 	opts.PrefillChunk = cmd.PrefillChunk
+	opts.AttentionTokens = cmd.AttentionTokens
 	opts.MaxBatch = cmd.MaxBatch
-	engine := stand.NewEngine(opts)
-	return serve(cmd.Listen, engine.Handler(), cmd.register, engine.Run)
+	opts.MaxWaiting = cmd.MaxWaiting
+	opts.ReportLag = cmd.ReportLag
+	opts.CacheLag = cmd.CacheLag
+	opts.CacheGap = cmd.CacheGap
+	opts.Scale = cmd.Scale
+	opts.CheckFencing = cmd.CheckFencing
+	opts.LoadTime = cmd.LoadTime
+	opts.Weights = cmd.Weights
+	opts.Seed = cmd.Seed
+	opts.Crash = func() { os.Exit(exitCrashed) }
+	return opts
 }
--- a/internal/load/client.go
+++ b/internal/load/client.go
@@ -90,7 +90,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return refused(resp, started)
 	}
-	reading := &reader{bd: bd, started: started, answer: answer}
+	reading := &reader{key: stand.Fingerprint(bd), started: started, answer: answer}
 	return reading.read(resp.Body)
 }
 
@@ -120,7 +120,8 @@
 
 // reader checks an answer as it arrives.
 type reader struct {
-	bd      *body.Body
+	// key is the fingerprint of the prompt.
+	key     uint32
 	started time.Time
 	answer  int64
 	result  Result
@@ -190,7 +191,7 @@
 		rd.result.Detail = "a chunk that is no completion: " + string(data)
 		return true
 	}
-	want := stand.Word(rd.bd, rd.result.Tokens)
+	want := stand.WordOf(rd.key, rd.result.Tokens)
 	if chunk.Choices[0].Text != want {
 		rd.result.Outcome = OutcomeWrong
 		rd.result.Detail = fmt.Sprintf("token %d is %q, not %q", rd.result.Tokens, chunk.Choices[0].Text, want)
