--- a/internal/stand/engine.go
+++ b/internal/stand/engine.go
@@ -92,7 +92,7 @@
 	reports []timedLoad
 	log     cacheLog
 	orders  orders
-	faults  Faults
+	faults  EngineFaults
 	random  *rand.Rand
 	ran     map[string]int
 	// freed counts what may have made room for a waiting job.
--- a/internal/stand/engine_faults.go
+++ b/internal/stand/engine_faults.go
@@ -9,11 +9,8 @@
 	"dandelionsail.example/dandelionsail/internal/body"
 )
 
-// PathFaults takes the faults of an engine.
-const PathFaults = "/stand/faults"
-
-// Faults are what goes wrong in an engine from now on; the zero value is none.
-type Faults struct {
+// EngineFaults are what goes wrong in an engine from now on; the zero value is none.
+type EngineFaults struct {
 	// Cross, Cut, Repeat, Drop and Delay are the shares of chunks that are preceded by a chunk of another request, end
 	// the connection, come twice, never come, or come late by DelayTime.
 	Cross     float64
@@ -33,7 +30,7 @@
 }
 
 func (en *Engine) setFaults(w http.ResponseWriter, req *http.Request) {
-	var faults Faults
+	var faults EngineFaults
 	if err := json.NewDecoder(req.Body).Decode(&faults); err != nil {
 		http.Error(w, "send the faults as JSON: "+err.Error(), http.StatusBadRequest)
 		return
@@ -43,7 +40,7 @@
 }
 
 // SetFaults replaces the faults.
-func (en *Engine) SetFaults(faults Faults) {
+func (en *Engine) SetFaults(faults EngineFaults) {
 	en.mu.Lock()
 	defer en.mu.Unlock()
 	en.faults = faults
--- a/internal/stand/engine_orders.go
+++ b/internal/stand/engine_orders.go
@@ -15,9 +15,6 @@
 	"dandelionsail.example/dandelionsail/internal/upstr"
 )
 
-// PathWeights is where the weight store serves the weights of a model or adapter, by name.
-const PathWeights = "/v1/weights/"
-
 // weightsRetry is the wait after the weight store failed a load.
 const weightsRetry = 100 * time.Millisecond
 
--- a/internal/stand/engine_test.go
+++ b/internal/stand/engine_test.go
@@ -118,7 +118,7 @@
 	for name, end := range cases {
 		t.Run(name, func(t *testing.T) {
 			be := start(t, nil)
-			be.engine.SetFaults(stand.Faults{Slow: 50})
+			be.engine.SetFaults(stand.EngineFaults{Slow: 50})
 			long := call(be, "r1", strings.Replace(document(1000), `"max_tokens":4`, `"max_tokens":4000`, 1))
 			stream, err := be.client.Complete(t.Context(), long)
 			assert.NilError(t, err)
@@ -189,14 +189,14 @@
 func TestEngineFaults(t *testing.T) {
 	// An upstream's answers come crossed, doubled, with holes or cut; the reader must notice each.
 	cases := map[string]struct {
-		faults stand.Faults
+		faults stand.EngineFaults
 		whole  bool
 	}{
-		"none":     {stand.Faults{}, true},
-		"crossed":  {stand.Faults{Cross: 1}, true},
-		"repeated": {stand.Faults{Repeat: 1}, true},
-		"dropped":  {stand.Faults{Drop: 1}, false},
-		"cut":      {stand.Faults{Cut: 1}, false},
+		"none":     {stand.EngineFaults{}, true},
+		"crossed":  {stand.EngineFaults{Cross: 1}, true},
+		"repeated": {stand.EngineFaults{Repeat: 1}, true},
+		"dropped":  {stand.EngineFaults{Drop: 1}, false},
+		"cut":      {stand.EngineFaults{Cut: 1}, false},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
