--- a/internal/cmds/demo.go
+++ b/internal/cmds/demo.go
@@ -13,9 +13,11 @@
 	"github.com/phuslu/log"
 	"golang.org/x/sync/errgroup"
 
+	"dandelionsail.example/dandelionsail/internal/certs"
 	"dandelionsail.example/dandelionsail/internal/conf"
 	"dandelionsail.example/dandelionsail/internal/entry"
 	"dandelionsail.example/dandelionsail/internal/load"
+	"dandelionsail.example/dandelionsail/internal/peers"
 	"dandelionsail.example/dandelionsail/internal/plat"
 	"dandelionsail.example/dandelionsail/internal/stand"
 	"dandelionsail.example/dandelionsail/internal/store"
@@ -62,6 +64,7 @@
 	instances []string
 	engines   []*stand.Engine
 	service   *stand.Service
+	authority *certs.Authority
 }
 
 func (dm *demo) run(ctx context.Context, keep bool, out io.Writer) error {
@@ -168,16 +171,42 @@
 		MaxBody:       8 << 20,
 		BodyTimeout:   10 * time.Second,
 	}
+	opts.PeerListen = "127.0.0.1:0"
+	if opts.PeerKeys, err = dm.issue(opts.Name); err != nil {
+		return err
+	}
 	if err := opts.Check(); err != nil {
 		return err
 	}
-	dm.instances = append(dm.instances, opts.Listen)
-	dm.platform.Put(plat.Entry{Name: opts.Name, Service: plat.ServiceEntry, Address: opts.Listen, FailureDomain: "a", State: plat.StateLive})
 	instance := entry.New(opts, dm.logger)
+	peer, err := instance.OpenPeers()
+	if err != nil {
+		return err
+	}
+	dm.instances = append(dm.instances, opts.Listen)
+	dm.platform.Put(plat.Entry{
+		Name: opts.Name, Service: plat.ServiceEntry, Address: opts.Listen, Peer: peer, FailureDomain: "a", State: plat.StateLive,
+	})
 	group.Go(func() error { return instance.Serve(ctx, listener) })
 	return nil
 }
 
+// issue makes an instance's keys in memory.
+func (dm *demo) issue(name string) (*peers.Keys, error) {
+	if dm.authority == nil {
+		authority, err := certs.New()
+		if err != nil {
+			return nil, err
+		}
+		dm.authority = authority
+	}
+	pair, err := dm.authority.Issue(name)
+	if err != nil {
+		return nil, err
+	}
+	return peers.NewKeys(dm.authority.Certificate, pair.Certificate, pair.Key)
+}
+
 // configure submits the first version of the configuration.
 func (dm *demo) configure(ctx context.Context) error {
 	services := map[string]decl.Service{
--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -20,6 +21,7 @@
 	"dandelionsail.example/dandelionsail/internal/event"
 	"dandelionsail.example/dandelionsail/internal/meter"
 	"dandelionsail.example/dandelionsail/internal/once"
+	"dandelionsail.example/dandelionsail/internal/peers"
 	"dandelionsail.example/dandelionsail/internal/plat"
 	"dandelionsail.example/dandelionsail/internal/store"
 	"dandelionsail.example/dandelionsail/internal/upstr"
@@ -49,6 +51,10 @@
 	log      *log.Logger
 	// Meter holds the instance's counters, timers and service-level burn.
 	Meter *meter.Meter
+	// peers is nil in an instance without keys.
+	peers *peers.QUIC
+	// livePeers holds the peer addresses of the other live instances, never nil.
+	livePeers atomic.Pointer[[]string]
 
 	nextID atomic.Uint64
 	config atomic.Pointer[directory]
@@ -83,6 +89,7 @@
 	in.claims = once.New(in.store, opts.Name)
 	in.config.Store(newDirectory(&decl.Config{}))
 	policy, _ := opts.policy()
+	in.livePeers.Store(&[]string{})
 	in.loop = core.NewLoop(core.New(core.Options{
 		Name:          opts.Name,
 		FailureDomain: opts.FailureDomain,
@@ -107,8 +114,12 @@
 	if err != nil {
 		return Errors.NewType("listen").Wrap(err, "entry: --listen %s cannot be used; choose a free address", in.opts.Listen)
 	}
-	// Who started the process with port 0 learns the address from here.
-	fmt.Println(listener.Addr())
+	peer, err := in.OpenPeers()
+	if err != nil {
+		return err
+	}
+	// Who started the process with port 0 learns the addresses from here.
+	fmt.Println(strings.TrimSpace(listener.Addr().String() + " " + peer))
 	return in.Serve(ctx, listener)
 }
 
@@ -130,6 +141,9 @@
 	group.Go(func() error { return in.claims.Run(parts) })
 	group.Go(func() error { return in.Meter.Run(parts, in.log) })
 	group.Go(func() error { return in.serveMetrics(parts) })
+	if in.peers != nil {
+		group.Go(func() error { return in.peers.Run(parts) })
+	}
 	group.Go(func() error { return ignoreClosed(server.Serve(listener)) })
 	group.Go(func() error {
 		select {
@@ -250,6 +264,7 @@
 			ups, insts := listing.Events()
 			in.loop.Submit(ups)
 			in.loop.Submit(insts)
+			in.knowPeers(insts)
 			in.followReports(ctx, ups)
 			in.listed.Store(in.listed.Load() || len(ups.Upstreams) > 0)
 		}
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -7,6 +7,7 @@
 
 	"github.com/joomcode/errorx"
 
+	"dandelionsail.example/dandelionsail/internal/peers"
 	"dandelionsail.example/dandelionsail/internal/route"
 )
 
@@ -35,6 +36,12 @@
 	Bootstrap     string        `long:"bootstrap-operator" env:"DANDELIONSAIL_BOOTSTRAP_OPERATOR" description:"SHA-256 digest of a token that may submit patches while there is no configuration"`
 	Seed          uint64        `long:"seed" env:"DANDELIONSAIL_SEED" description:"seed of random choices; 0 takes one from the name" default:"0"`
 	Policy        string        `long:"policy" env:"DANDELIONSAIL_POLICY" description:"how requests are ordered and routed: dandelionsail, or a baseline for comparison: round-robin, least-requests" default:"dandelionsail"`
+	PeerListen    string        `long:"peer-listen" env:"DANDELIONSAIL_PEER_LISTEN" description:"UDP address for the other instances, host:port" default:"127.0.0.1:8081"`
+	PeerCA        string        `long:"peer-ca" env:"DANDELIONSAIL_PEER_CA" description:"file with the certificate of the authority that signed all instances' keys; read again when it changes"`
+	PeerCert      string        `long:"peer-cert" env:"DANDELIONSAIL_PEER_CERT" description:"file with this instance's certificate; without it the instance runs without its peers"`
+	PeerKey       string        `long:"peer-key" env:"DANDELIONSAIL_PEER_KEY" description:"file with the certificate's private key"`
+	// PeerKeys go before the files; the demonstration and tests make them in memory.
+	PeerKeys *peers.Keys `no-flag:"true"`
 }
 
 // Check returns a BadOption error that names the flag, its value and what is allowed.
@@ -75,6 +82,9 @@
 	if _, ok := opts.policy(); !ok {
 		return BadOption.New("entry: --policy is %q; give %s, %s or %s", opts.Policy, route.NameSail, route.NameRoundRobin, route.NameLeastRequests)
 	}
+	if err := opts.checkPeers(); err != nil {
+		return err
+	}
 	if opts.MaxBody < 1024 {
 		return BadOption.New("entry: --max-body is %d; give 1024 or more", opts.MaxBody)
 	}
@@ -89,6 +99,22 @@
 	return route.ParsePolicy(opts.Policy)
 }
 
+func (opts *Options) checkPeers() error {
+	given := 0
+	for _, path := range []string{opts.PeerCA, opts.PeerCert, opts.PeerKey} {
+		if path != "" {
+			given++
+		}
+	}
+	if given != 0 && given != 3 {
+		return BadOption.New("entry: --peer-ca, --peer-cert and --peer-key go together; give all three or none")
+	}
+	if given == 0 && opts.PeerKeys == nil {
+		return nil
+	}
+	return checkAddress("peer-listen", opts.PeerListen)
+}
+
 func checkAddress(flag, address string) error {
 	host, _, err := net.SplitHostPort(address)
 	if err != nil {
--- /dev/null
+++ b/internal/entry/peers.go
@@ -0,0 +1,68 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"dandelionsail.example/dandelionsail/internal/effect"
+	"dandelionsail.example/dandelionsail/internal/event"
+	"dandelionsail.example/dandelionsail/internal/peers"
+	"dandelionsail.example/dandelionsail/internal/wire"
+)
+
+// OpenPeers opens the socket towards the other instances and returns its address, empty if there are no keys.
+func (in *Instance) OpenPeers() (string, error) {
+	keys := in.opts.PeerKeys
+	if keys == nil && in.opts.PeerCert == "" {
+		in.log.Warn().Str("Instance", in.opts.Name).Msg("no peer keys given: this instance runs without its peers")
+		return "", nil
+	}
+	if keys == nil {
+		loaded, err := peers.LoadKeys(in.opts.PeerCA, in.opts.PeerCert, in.opts.PeerKey)
+		if err != nil {
+			return "", err
+		}
+		keys = loaded
+	}
+	transport, err := peers.Listen(in.opts.PeerListen, keys, in.hear)
+	if err != nil {
+		return "", err
+	}
+	in.peers = transport
+	return transport.Address(), nil
+}
+
+// hear handles one message of a peer and returns the answer, nil if being heard is enough.
+func (in *Instance) hear(_ context.Context, _ string, msg wire.Message) wire.Message {
+	switch msg := msg.(type) {
+	case wire.Quarantine:
+		in.loop.Submit(event.Quarantined{Digest: msg.Digest, Deaths: msg.Deaths, Until: time.Now().Add(msg.Lasts)})
+	}
+	return nil
+}
+
+// tellAll tells every live peer.
+func (in *Instance) tellAll(msg wire.Message) {
+	if in.peers == nil {
+		return
+	}
+	for _, address := range *in.livePeers.Load() {
+		in.peers.Tell(address, msg)
+	}
+}
+
+func (in *Instance) tellQuarantine(eff effect.TellQuarantine) {
+	qr := eff.Quarantined
+	in.tellAll(wire.Quarantine{Digest: qr.Digest, Deaths: qr.Deaths, Lasts: time.Until(qr.Until)})
+}
+
+// knowPeers takes the peers from the platform's list.
+func (in *Instance) knowPeers(listed event.InstancesListed) {
+	var addresses []string
+	for _, inst := range listed.Instances {
+		if inst.Name != in.opts.Name && inst.Peer != "" {
+			addresses = append(addresses, inst.Peer)
+		}
+	}
+	in.livePeers.Store(&addresses)
+}
--- a/internal/entry/perform.go
+++ b/internal/entry/perform.go
@@ -24,6 +24,7 @@
 		in.loop.Submit(event.PermitAnswered{ID: eff.ID, Lost: true})
 	case effect.ReleasePermit:
 	case effect.TellQuarantine:
+		in.tellQuarantine(eff)
 	case effect.CloseIdle:
 		in.upstream.CloseIdle(eff.Address)
 	case effect.Note:
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -16,6 +16,7 @@
 	"syscall"
 	"time"
 
+	"dandelionsail.example/dandelionsail/internal/certs"
 	"dandelionsail.example/dandelionsail/internal/plat"
 )
 
@@ -57,6 +58,9 @@
 	Platform  *Process
 	mu        sync.Mutex
 	processes []*Process
+	// authority signs the instances' keys, which are files in keys.
+	authority *certs.Authority
+	keys      string
 }
 
 // Start runs one program with the arguments and waits for the line of addresses that it prints first.
@@ -141,6 +145,11 @@
 		"entry", "--name", name, "--failure-domain", domain, "--listen", "127.0.0.1:0",
 		"--platform", fl.Platform.Address, "--store", fl.Platform.Address,
 	}
+	keys, err := fl.issue(name)
+	if err != nil {
+		return nil, err
+	}
+	all = append(all, "--peer-listen", "127.0.0.1:0", "--peer-ca", keys.CA, "--peer-cert", keys.Certificate, "--peer-key", keys.Key)
 	pr, err := fl.Start(ProgramProduct, name, append(all, args...)...)
 	if err != nil {
 		return nil, err
@@ -150,6 +159,23 @@
 	})
 }
 
+// issue writes the keys of an instance.
+func (fl *Fleet) issue(name string) (certs.Files, error) {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	if fl.authority == nil {
+		authority, err := certs.New()
+		if err != nil {
+			return certs.Files{}, err
+		}
+		if fl.keys, err = os.MkdirTemp("", "dandelionsail-keys-"); err != nil {
+			return certs.Files{}, err
+		}
+		fl.authority = authority
+	}
+	return fl.authority.Write(fl.keys, name)
+}
+
 // WaitReady waits until the entry instance at the address is ready.
 func WaitReady(ctx context.Context, address string) error {
 	for {
@@ -220,4 +246,7 @@
 		_ = pr.Wait(ctx)
 		cancel()
 	}
+	if fl.keys != "" {
+		_ = os.RemoveAll(fl.keys)
+	}
 }
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -17,7 +17,8 @@
 	Tell(address string, msg wire.Message)
 }
 
-// Handler answers a peer's message; the answer to a message that was told is dropped. It may run on many goroutines.
+// Handler answers a peer's message; the answer to a message that was told is dropped, and nil stands for wire.Ack. The
+// name is the one in the peer's certificate. It may run on many goroutines and must not block for long.
 type Handler func(ctx context.Context, from string, msg wire.Message) wire.Message
 
 var (
@@ -25,4 +26,6 @@
 	Errors = errorx.NewNamespace("peers")
 	// Unreachable tells that the peer gave no answer; it may have acted on the message.
 	Unreachable = Errors.NewType("unreachable", errorx.Temporary())
+	// BadKeys tells that a key, certificate or authority cannot be used.
+	BadKeys = Errors.NewType("bad_keys")
 )
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -47,7 +47,7 @@
 
 // Quarantine passes on that a content took upstreams down.
 type Quarantine struct {
-	Digest event.Digest
+	Digest [32]byte
 	Deaths int
 	Lasts  time.Duration
 }
