--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -144,7 +144,7 @@
 	if in.peers != nil {
 		group.Go(func() error { return in.peers.Run(parts) })
 	}
-	group.Go(func() error { return ignoreClosed(server.Serve(listener)) })
+	group.Go(func() error { return in.serveCallers(server, listener) })
 	group.Go(func() error {
 		select {
 		case <-ctx.Done():
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -23,6 +23,8 @@
 	Name          string        `long:"name" env:"DANDELIONSAIL_NAME" description:"name of this instance, unique in the fleet" required:"yes"`
 	FailureDomain string        `long:"failure-domain" env:"DANDELIONSAIL_FAILURE_DOMAIN" description:"failure domain of this instance" required:"yes"`
 	Listen        string        `long:"listen" env:"DANDELIONSAIL_LISTEN" description:"address for callers, host:port" default:"127.0.0.1:8080"`
+	TLSCert       string        `long:"tls-cert" env:"DANDELIONSAIL_TLS_CERT" description:"file with the certificate shown to callers; without it callers speak plain HTTP; read again when it changes"`
+	TLSKey        string        `long:"tls-key" env:"DANDELIONSAIL_TLS_KEY" description:"file with that certificate's private key"`
 	Platform      string        `long:"platform" env:"DANDELIONSAIL_PLATFORM" description:"address of the platform's instance list, host:port" required:"yes"`
 	Store         string        `long:"store" env:"DANDELIONSAIL_STORE" description:"address of the platform's key-value service, host:port" required:"yes"`
 	ListPeriod    time.Duration `long:"list-period" env:"DANDELIONSAIL_LIST_PERIOD" description:"time between reads of the instance list" default:"1s"`
@@ -56,6 +58,9 @@
 			return err
 		}
 	}
+	if (opts.TLSCert == "") != (opts.TLSKey == "") {
+		return BadOption.New("entry: --tls-cert is %q and --tls-key is %q; give both or neither", opts.TLSCert, opts.TLSKey)
+	}
 	if opts.Profiling && opts.MetricsListen == "" {
 		return BadOption.New("entry: --profiling needs --metrics-listen; give the address that serves the profiles")
 	}
--- /dev/null
+++ b/internal/entry/tls.go
@@ -0,0 +1,21 @@
+package entry
+
+import (
+	"net"
+	"net/http"
+
+	"dandelionsail.example/dandelionsail/internal/peers"
+)
+
+// serveCallers serves the callers' side, over TLS if a certificate is set.
+func (in *Instance) serveCallers(server *http.Server, listener net.Listener) error {
+	if in.opts.TLSCert == "" {
+		return ignoreClosed(server.Serve(listener))
+	}
+	keys, err := peers.LoadKeys("", in.opts.TLSCert, in.opts.TLSKey)
+	if err != nil {
+		return BadOption.Wrap(err, "entry: --tls-cert and --tls-key cannot be used")
+	}
+	server.TLSConfig = keys.ServerTLS()
+	return ignoreClosed(server.ServeTLS(listener, "", ""))
+}
--- a/internal/oper/oper.go
+++ b/internal/oper/oper.go
@@ -43,6 +43,7 @@
 	Token     string        `long:"token" env:"DANDELIONSAIL_OPERATOR_TOKEN" description:"operator's token; prefer the variable or --token-file"`
 	TokenFile string        `long:"token-file" env:"DANDELIONSAIL_OPERATOR_TOKEN_FILE" description:"file that holds the operator's token"`
 	CA        string        `long:"ca" env:"DANDELIONSAIL_CA" description:"file of the authority that signed the instance's certificate"`
+	CertName  string        `long:"cert-name" env:"DANDELIONSAIL_CERT_NAME" description:"name in the instances' certificates, where they are reached by IP number"`
 	Timeout   time.Duration `long:"timeout" env:"DANDELIONSAIL_TIMEOUT" description:"longest wait for an answer" default:"10s"`
 }
 
@@ -64,7 +65,7 @@
 	}
 	transport := &http.Transport{}
 	if opts.CA != "" {
-		if transport.TLSClientConfig, err = trust(opts.CA); err != nil {
+		if transport.TLSClientConfig, err = trust(opts.CA, opts.CertName); err != nil {
 			return nil, err
 		}
 	}
@@ -85,7 +86,7 @@
 	return strings.TrimSpace(string(raw)), nil
 }
 
-func trust(file string) (*tls.Config, error) {
+func trust(file, name string) (*tls.Config, error) {
 	raw, err := os.ReadFile(file)
 	if err != nil {
 		return nil, BadOption.Wrap(err, "oper: --ca %s cannot be read", file)
@@ -94,7 +95,7 @@
 	if !pool.AppendCertsFromPEM(raw) {
 		return nil, BadOption.New("oper: --ca %s holds no certificate; give a PEM file", file)
 	}
-	return &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS13}, nil
+	return &tls.Config{RootCAs: pool, ServerName: name, MinVersion: tls.VersionTLS13}, nil
 }
 
 func base(server string) string {
--- a/internal/peers/keys.go
+++ b/internal/peers/keys.go
@@ -16,7 +16,8 @@
 
 // Keys are what an instance proves itself with and checks its peers against.
 type Keys struct {
-	// paths are those of the authority's certificate, the own one and its key; all empty if the keys came as bytes.
+	// paths are those of the authority's certificate, the own one and its key; all empty if the keys came as bytes, the
+	// first alone if nobody's certificate is checked.
 	paths   [3]string
 	mu      sync.Mutex
 	stamps  [3]stamp
@@ -36,7 +37,8 @@
 	roots       *x509.CertPool
 }
 
-// LoadKeys reads the keys from files in PEM, and again whenever the files change.
+// LoadKeys reads the keys from files in PEM, and again whenever the files change. Without an authority they are good for
+// ServerTLS only.
 func LoadKeys(ca, certificate, key string) (*Keys, error) {
 	ks := &Keys{paths: [3]string{ca, certificate, key}}
 	stamps, err := ks.stat()
@@ -59,6 +61,9 @@
 	if err != nil {
 		return nil, BadKeys.Wrap(err, "peers: certificate and key do not fit; give a PEM certificate and its own key")
 	}
+	if ca == nil {
+		return &material{certificate: pair}, nil
+	}
 	roots := x509.NewCertPool()
 	if !roots.AppendCertsFromPEM(ca) {
 		return nil, BadKeys.New("peers: the authority's file has no certificate; give it in PEM")
@@ -69,6 +74,9 @@
 func (ks *Keys) stat() ([3]stamp, error) {
 	var stamps [3]stamp
 	for i, path := range ks.paths {
+		if path == "" {
+			continue
+		}
 		info, err := os.Stat(path)
 		if err != nil {
 			return stamps, BadKeys.Wrap(err, "peers: a key file cannot be read; check its path and rights")
@@ -81,6 +89,9 @@
 func (ks *Keys) read() (*material, error) {
 	var contents [3][]byte
 	for i, path := range ks.paths {
+		if path == "" {
+			continue
+		}
 		content, err := os.ReadFile(path)
 		if err != nil {
 			return nil, BadKeys.Wrap(err, "peers: a key file cannot be read; check its path and rights")
@@ -95,7 +106,7 @@
 func (ks *Keys) now() *material {
 	ks.mu.Lock()
 	defer ks.mu.Unlock()
-	if ks.paths[0] == "" || time.Since(ks.looked) < keysPeriod {
+	if ks.paths[1] == "" || time.Since(ks.looked) < keysPeriod {
 		return ks.current
 	}
 	ks.looked = time.Now()
@@ -121,6 +132,16 @@
 	return ks.failed
 }
 
+// ServerTLS is the configuration of a server whose callers prove themselves by other means, such as tokens.
+func (ks *Keys) ServerTLS() *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS12,
+		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) {
+			return &ks.now().certificate, nil
+		},
+	}
+}
+
 // serverConfig asks every peer for a certificate of the authority's. Tickets are off, so that a handshake always
 // checks the peer against the keys in force.
 func (ks *Keys) serverConfig() *tls.Config {
