--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -19,6 +19,12 @@
 	add(standin, "service", "Run a plain service", &serviceCommand{})
 	add(standin, "platform", "Run the platform's key-value service and instance list", &platformCommand{})
 	add(standin, "weights", "Run the platform's weight store", &weightsCommand{})
+	if _, err := parser.AddCommand("load", "Send a scenario's load to entry instances that run", "", &loadCommand{}); err != nil {
+		panic(err)
+	}
+	if _, err := parser.AddCommand("experiment", "Run a named experiment with processes of its own", "", &experimentCommand{}); err != nil {
+		panic(err)
+	}
 	addSlopes(parser)
 	return tool.Main(parser, args)
 }
--- /dev/null
+++ b/internal/bench/experiment.go
@@ -0,0 +1,248 @@
+package bench
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"syscall"
+	"time"
+
+	"dandelionsail.example/dandelionsail/internal/load"
+	"dandelionsail.example/dandelionsail/internal/tool"
+)
+
+type experimentCommand struct {
+	Scenarios string        `long:"scenarios" description:"directory of the scenario files" default:"scenarios"`
+	Seeds     []uint64      `long:"seed" description:"seed of a run; give it once for each" default:"1" default:"2" default:"3"`
+	Policies  []string      `long:"policy" description:"policy to compare; give it once for each" default:"dandelionsail" default:"least-requests" default:"round-robin"`
+	Time      time.Duration `long:"time" description:"length of one run; 0 takes the scenario's"`
+	Out       string        `long:"out" description:"directory for JSON and plots; empty writes none"`
+	Lock      string        `long:"lock" description:"file that is locked during each run, so that several measurers do not disturb each other"`
+	Logs      bool          `long:"logs" description:"pass on what the processes log"`
+	Args      struct {
+		Name string `positional-arg-name:"NAME" required:"yes" description:"sreekovil, sundarban, flood, overload, faults, disciplines or control"`
+	} `positional-args:"yes"`
+}
+
+// variant is one line of an experiment.
+type variant struct {
+	Name     string
+	scenario *load.Scenario
+	policy   string
+	withLong bool
+	// disrupt does harm while the load runs; nil for none.
+	disrupt func(ctx context.Context, rg *rig) error
+}
+
+// outcome is what the runs of a variant gave together.
+type outcome struct {
+	Name    string
+	Runs    int
+	summary *load.Summary
+	// Figures is the summary as written to JSON.
+	Figures summaryFigures
+	// HeldTokens is what engines still held some time after the last request; LostSteps what the machine was too busy
+	// for.
+	HeldTokens int64
+	LostSteps  int64
+	// Doubled counts keys that plain services ran more than once.
+	Doubled int
+	// CoreShare is the mean processor time of one entry instance, in cores; BytesPerSecond of the load passed through it.
+	CoreShare float64
+	// ResidentBytes is the largest memory of an entry instance.
+	ResidentBytes int64
+	// GoodputTokens is the tokens a second of whole answers in time.
+	GoodputTokens float64
+	seconds       float64
+}
+
+// Execute implements flags.Commander.
+func (cmd *experimentCommand) Execute(_ []string) error {
+	ctx, stop := tool.Context()
+	defer stop()
+	variants, err := cmd.variants()
+	if err != nil {
+		return tool.Usage(err)
+	}
+	outcomes, err := cmd.measure(ctx, variants)
+	if err != nil {
+		return err
+	}
+	writeTable(os.Stdout, outcomes)
+	if cmd.Out == "" {
+		return nil
+	}
+	return cmd.save(outcomes)
+}
+
+// measure runs every variant in turn for each seed, so that a disturbance of the machine meets them alike.
+func (cmd *experimentCommand) measure(ctx context.Context, variants []variant) ([]*outcome, error) {
+	progress := tool.Progress()
+	outcomes := make([]*outcome, len(variants))
+	for i, va := range variants {
+		outcomes[i] = &outcome{Name: va.Name, summary: load.NewSummary()}
+	}
+	for _, seed := range cmd.Seeds {
+		for i, va := range variants {
+			progress(fmt.Sprintf("seed %d: %s", seed, va.Name))
+			if err := cmd.locked(func() error { return cmd.run(ctx, va, seed, outcomes[i]) }); err != nil {
+				return nil, fmt.Errorf("bench: seed %d, %s: %w", seed, va.Name, err)
+			}
+		}
+	}
+	for _, oc := range outcomes {
+		oc.finish()
+	}
+	return outcomes, nil
+}
+
+// locked holds the lock file during a run.
+func (cmd *experimentCommand) locked(run func() error) error {
+	if cmd.Lock == "" {
+		return run()
+	}
+	file, err := os.OpenFile(cmd.Lock, os.O_CREATE|os.O_RDWR, 0o644)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = file.Close() }()
+	if err := syscall.Flock(int(file.Fd()), syscall.LOCK_EX); err != nil {
+		return err
+	}
+	return run()
+}
+
+func (cmd *experimentCommand) run(ctx context.Context, va variant, seed uint64, oc *outcome) error {
+	var logs io.Writer
+	if cmd.Logs {
+		logs = os.Stderr
+	}
+	rg, err := newRig(ctx, va.scenario, va.policy, logs)
+	if err != nil {
+		return err
+	}
+	defer rg.fleet.Close()
+	before := rg.usage()
+	started := time.Now()
+	disrupted := make(chan error, 1)
+	if va.disrupt != nil {
+		go func() { disrupted <- va.disrupt(ctx, rg) }()
+	} else {
+		disrupted <- nil
+	}
+	records := rg.run(ctx, load.Plan(va.scenario, seed, va.withLong))
+	if err := <-disrupted; err != nil {
+		return err
+	}
+	oc.add(records, va.scenario)
+	oc.use(before, rg.usage(), time.Since(started))
+	return oc.check(ctx, rg)
+}
+
+func (oc *outcome) add(records []load.Record, sc *load.Scenario) {
+	oc.Runs++
+	oc.summary.Merge(load.Summarise(records))
+	oc.seconds += sc.Scaled(sc.Mix.Duration).Seconds()
+}
+
+// check looks at what the run left behind.
+func (oc *outcome) check(ctx context.Context, rg *rig) error {
+	held, lost, err := rg.settled(ctx)
+	if err != nil {
+		return err
+	}
+	oc.HeldTokens += held
+	oc.LostSteps += lost
+	doubled, err := rg.doubled(ctx)
+	oc.Doubled += doubled
+	return err
+}
+
+// usage is the processor time of each entry instance by process id.
+func (rg *rig) usage() map[int]time.Duration {
+	used := map[int]time.Duration{}
+	for _, pr := range rg.entries {
+		if period, err := processorTime(pr.ProcessID()); err == nil {
+			used[pr.ProcessID()] = period
+		}
+	}
+	return used
+}
+
+func (oc *outcome) use(before, after map[int]time.Duration, elapsed time.Duration) {
+	var total time.Duration
+	for pid, used := range after {
+		total += used - before[pid]
+		if resident, err := residentBytes(pid); err == nil {
+			oc.ResidentBytes = max(oc.ResidentBytes, resident)
+		}
+	}
+	oc.CoreShare += total.Seconds() / elapsed.Seconds() / float64(len(after))
+}
+
+func (oc *outcome) finish() {
+	oc.CoreShare /= float64(oc.Runs)
+	oc.Figures = figuresOf(oc.summary)
+	oc.GoodputTokens = float64(oc.Figures.Classes[load.ClassAll].Tokens) / oc.seconds
+}
+
+// tableClasses is the order of the classes in a table.
+func tableClasses() []string {
+	return []string{"Short", "Medium", "Large", "Long", "Huge", load.ClassAll, load.ClassPlain}
+}
+
+func writeTable(out io.Writer, outcomes []*outcome) {
+	for _, oc := range outcomes {
+		fmt.Fprintf(out, "\n%s (%d runs, %d sends late by at most %.0f ms, %d engine steps lost, %d tokens held after, %d keys run twice, "+
+			"%.2f cores and %d MB an instance, goodput %.0f tokens/s)\n", oc.Name, oc.Runs, oc.Figures.LateSends, oc.Figures.LateMax,
+			oc.LostSteps, oc.HeldTokens, oc.Doubled, oc.CoreShare, oc.ResidentBytes>>20, oc.GoodputTokens)
+		fmt.Fprintf(out, "%-8s %6s %6s %7s %7s %9s %9s %9s %7s %6s %6s %6s %6s %9s\n", "class", "sent", "whole", "in time", "refused",
+			"first p50", "p95", "p99", "not run", "failed", "short", "wrong", "broken", "refuse p95")
+		for _, class := range tableClasses() {
+			fg, ok := oc.Figures.Classes[class]
+			if !ok {
+				continue
+			}
+			fmt.Fprintf(out, "%-8s %6d %6d %7d %7d %9.0f %9.0f %9.0f %7d %6d %6d %6d %6d %9.0f\n", class, fg.Sent, fg.Whole, fg.InTime,
+				fg.Refused, fg.P50, fg.P95, fg.P99, fg.NotRun, fg.Failed, fg.Short, fg.Wrong, fg.Broken, fg.RefusalP95)
+		}
+		writeOrganisations(out, oc)
+		for kind, text := range oc.Figures.Examples {
+			fmt.Fprintf(out, "  %s: %s\n", kind, strings.TrimSpace(text))
+		}
+	}
+}
+
+// writeOrganisations shows the short prompts of each organisation, which is where a flood would be felt.
+func writeOrganisations(out io.Writer, oc *outcome) {
+	names := make([]string, 0, len(oc.summary.Organisations))
+	for name := range oc.summary.Organisations {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		short, all := oc.summary.Organisations[name].Figures(), oc.Figures.Organisations[name]
+		fmt.Fprintf(out, "  %-14s short p95 %6.0f ms, %5d sent, %5d in time, %5d refused, %11d tokens\n",
+			name, short.P95, all.Sent, all.InTime, all.Refused, all.Tokens)
+	}
+}
+
+func (cmd *experimentCommand) save(outcomes []*outcome) error {
+	if err := os.MkdirAll(cmd.Out, 0o755); err != nil {
+		return err
+	}
+	raw, err := json.MarshalIndent(outcomes, "", "  ")
+	if err != nil {
+		return err
+	}
+	base := filepath.Join(cmd.Out, cmd.Args.Name)
+	if err := os.WriteFile(base+".json", raw, 0o644); err != nil {
+		return err
+	}
+	return drawOutcomes(base+".png", cmd.Args.Name, outcomes)
+}
--- /dev/null
+++ b/internal/bench/rig.go
@@ -0,0 +1,266 @@
+package bench
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"dandelionsail.example/dandelionsail/internal/conf"
+	"dandelionsail.example/dandelionsail/internal/fleet"
+	"dandelionsail.example/dandelionsail/internal/load"
+	"dandelionsail.example/dandelionsail/internal/stand"
+	"dandelionsail.example/dandelionsail/internal/store"
+	"dandelionsail.example/dandelionsail/pkg/decl"
+)
+
+const (
+	// readyTime bounds the start of a fleet.
+	readyTime = 30 * time.Second
+	// settleTime is how long engines may take to free their memory after a run.
+	settleTime = 10 * time.Second
+	// loadPeriod is the time between load reports at time scale 1.
+	loadPeriod = decl.Duration(time.Second)
+)
+
+// rig is a deployment of real processes on loopback.
+type rig struct {
+	sc       *load.Scenario
+	fleet    *fleet.Fleet
+	entries  []*fleet.Process
+	engines  []*fleet.Process
+	services []*fleet.Process
+	balancer load.Balancer
+	policy   string
+	replaced int
+}
+
+// newRig starts the scenario's deployment under a policy.
+func newRig(ctx context.Context, sc *load.Scenario, policy string, logs io.Writer) (*rig, error) {
+	rg := &rig{sc: sc, fleet: &fleet.Fleet{Logs: logs}, policy: policy}
+	ctx, cancel := context.WithTimeout(ctx, readyTime)
+	defer cancel()
+	if err := rg.start(ctx); err != nil {
+		rg.fleet.Close()
+		return nil, err
+	}
+	return rg, nil
+}
+
+func (rg *rig) start(ctx context.Context) error {
+	if err := rg.fleet.StartPlatform("--list-lag", "200ms"); err != nil {
+		return err
+	}
+	if err := rg.configure(ctx); err != nil {
+		return err
+	}
+	if err := rg.startUpstreams(); err != nil {
+		return err
+	}
+	for range rg.sc.Instances {
+		if err := rg.startEntry(); err != nil {
+			return err
+		}
+	}
+	for _, pr := range rg.entries {
+		if err := fleet.WaitReady(ctx, pr.Address); err != nil {
+			return err
+		}
+	}
+	rg.balance()
+	// Load reports and cache events of all engines arrive before the first request.
+	time.Sleep(time.Second)
+	return nil
+}
+
+func (rg *rig) domain(number int) string {
+	return rg.sc.FailureDomains[number%len(rg.sc.FailureDomains)]
+}
+
+func (rg *rig) startUpstreams() error {
+	md, pp := rg.sc.Model, rg.sc.Plain
+	args := []string{
+		"--model", md.Service,
+		"--memory-tokens", strconv.FormatInt(md.MemoryTokens, 10),
+		"--step", md.Step.String(),
+		"--prefill-chunk", strconv.FormatInt(md.PrefillChunk, 10),
+		"--attention-tokens", strconv.FormatInt(md.AttentionTokens, 10),
+		"--max-batch", strconv.Itoa(md.MaxBatch),
+		"--report-lag", md.ReportLag.String(),
+		"--cache-lag", md.CacheLag.String(),
+		"--cache-gap", strconv.FormatFloat(md.CacheGap, 'g', -1, 64),
+		"--scale", strconv.FormatFloat(rg.sc.Scale, 'g', -1, 64),
+	}
+	var group errgroup.Group
+	rg.engines = make([]*fleet.Process, md.Replicas)
+	for i := range md.Replicas {
+		group.Go(func() (err error) {
+			rg.engines[i], err = rg.fleet.StartEngine(fmt.Sprintf("%s-%d", md.Service, i), md.Service, rg.domain(i), args...)
+			return err
+		})
+	}
+	rg.services = make([]*fleet.Process, pp.Replicas)
+	for i := range pp.Replicas {
+		group.Go(func() (err error) {
+			rg.services[i], err = rg.fleet.StartService(fmt.Sprintf("%s-%d", pp.Service, i), pp.Service, rg.domain(i),
+				"--delay", rg.sc.Scaled(pp.Delay).String())
+			return err
+		})
+	}
+	return group.Wait()
+}
+
+// startEntry starts one more entry instance.
+func (rg *rig) startEntry() error {
+	number := len(rg.entries) + rg.replaced
+	pr, err := rg.fleet.StartEntry(fmt.Sprintf("entry-%d", number), rg.domain(number),
+		"--policy", rg.policy,
+		"--load-period", rg.sc.Scaled(loadPeriod).String(),
+		"--list-period", "200ms",
+		"--drain-notice", "200ms",
+		"--drain-time", "30s",
+	)
+	if err != nil {
+		return err
+	}
+	rg.entries = append(rg.entries, pr)
+	return nil
+}
+
+// balance lets the balancer know the instances.
+func (rg *rig) balance() {
+	var addresses []string
+	for _, pr := range rg.entries {
+		addresses = append(addresses, pr.Address)
+	}
+	rg.balancer.Set(addresses)
+}
+
+func token(organisation string) string {
+	return "token-of-" + organisation
+}
+
+// configure submits the scenario's configuration.
+func (rg *rig) configure(ctx context.Context) error {
+	raw, err := json.Marshal(rg.config())
+	if err != nil {
+		return err
+	}
+	operations := json.RawMessage(`[{"op":"replace","path":"","value":` + string(raw) + `}]`)
+	client := store.New(rg.fleet.Platform.Address)
+	defer client.Close()
+	_, err = conf.New(client).Submit(ctx, conf.Patch{ID: "scenario", Author: "sailbench", At: time.Now(), Operations: operations})
+	return err
+}
+
+func (rg *rig) config() *decl.Config {
+	md, pp := rg.sc.Model, rg.sc.Plain
+	steps := rg.sc.Scale / md.Step.Std().Seconds()
+	cfg := &decl.Config{
+		Organisations: map[string]decl.Organisation{},
+		Services: map[string]decl.Service{
+			md.Service: {
+				Kind:                   decl.KindModel,
+				Models:                 []decl.Model{{Name: md.Service}},
+				MemoryTokens:           md.MemoryTokens,
+				PrefillTokensPerSecond: steps * float64(md.PrefillChunk),
+				DecodeTokensPerSecond:  steps,
+				MaxRunning:             int64(md.MaxBatch),
+				Discipline:             md.Discipline,
+				ClassWeights:           md.ClassWeights,
+			},
+			pp.Service: {Kind: decl.KindPlain, Path: pp.Path},
+		},
+	}
+	for _, org := range rg.sc.Organisations {
+		cfg.Organisations[org.Name] = decl.Organisation{
+			TokenDigests: []string{decl.TokenDigest(token(org.Name))},
+			Weight:       100 * org.Share,
+		}
+	}
+	return cfg
+}
+
+// run sends the plan at the deployment.
+func (rg *rig) run(ctx context.Context, plan []load.Planned) []load.Record {
+	runner := &load.Runner{Scenario: rg.sc, Balancer: &rg.balancer, Tokens: map[string]string{}, HTTP: load.Client()}
+	defer runner.HTTP.CloseIdleConnections()
+	for _, org := range rg.sc.Organisations {
+		runner.Tokens[org.Name] = token(org.Name)
+	}
+	return runner.Run(ctx, plan)
+}
+
+// engineState reads one engine's true state.
+func engineState(ctx context.Context, address string) (stand.State, error) {
+	var st stand.State
+	err := getJSON(ctx, "http://"+address+stand.PathState, &st)
+	return st, err
+}
+
+func getJSON(ctx context.Context, url string, out any) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return json.NewDecoder(resp.Body).Decode(out)
+}
+
+// memory sums up what all engines hold and the steps they lost.
+func (rg *rig) memory(ctx context.Context) (held, lost int64, err error) {
+	for _, pr := range rg.engines {
+		st, err := engineState(ctx, pr.Address)
+		if err != nil {
+			return 0, 0, err
+		}
+		held += st.UsedTokens
+		lost += st.LostSteps
+	}
+	return held, lost, nil
+}
+
+// settled waits until the engines hold nothing and returns what they still hold when the time is over.
+func (rg *rig) settled(ctx context.Context) (held, lost int64, err error) {
+	ctx, cancel := context.WithTimeout(ctx, settleTime)
+	defer cancel()
+	for {
+		now, steps, err := rg.memory(ctx)
+		if ctx.Err() != nil {
+			return held, lost, nil
+		}
+		if err != nil || now == 0 {
+			return now, steps, err
+		}
+		held, lost = now, steps
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+// doubled counts the keys that plain services ran more than once.
+func (rg *rig) doubled(ctx context.Context) (int, error) {
+	seen := map[string]int{}
+	doubled := 0
+	for _, pr := range rg.services {
+		var runs []stand.Run
+		if err := getJSON(ctx, "http://"+pr.Address+stand.PathRuns, &runs); err != nil {
+			return 0, err
+		}
+		for _, run := range runs {
+			seen[run.Key]++
+			if seen[run.Key] == 2 {
+				doubled++
+			}
+		}
+	}
+	return doubled, nil
+}
--- /dev/null
+++ b/internal/bench/variants.go
@@ -0,0 +1,181 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"path/filepath"
+	"time"
+
+	"dandelionsail.example/dandelionsail/internal/fleet"
+	"dandelionsail.example/dandelionsail/internal/load"
+	"dandelionsail.example/dandelionsail/internal/plat"
+	"dandelionsail.example/dandelionsail/pkg/decl"
+)
+
+// ownPolicy is the project's own; the others are baselines.
+const ownPolicy = "dandelionsail"
+
+// The flood: one organisation of middling size at ten times its share.
+const (
+	floodFactor       = 10
+	floodOrganisation = 4
+)
+
+// variants returns the lines of the named experiment.
+func (cmd *experimentCommand) variants() ([]variant, error) {
+	builders := map[string]func(read func(string) *load.Scenario) []variant{
+		"sreekovil":   func(read func(string) *load.Scenario) []variant { return cmd.mixes(read, "sreekovil") },
+		"sundarban":   func(read func(string) *load.Scenario) []variant { return cmd.policies(read, "sundarban", true) },
+		"flood":       cmd.flood,
+		"overload":    cmd.overload,
+		"faults":      cmd.faults,
+		"disciplines": cmd.disciplines,
+		"control":     cmd.control,
+	}
+	build, ok := builders[cmd.Args.Name]
+	if !ok {
+		return nil, fmt.Errorf("bench: no experiment %q; see sailbench experiment --help", cmd.Args.Name)
+	}
+	var failed error
+	variants := build(func(name string) *load.Scenario {
+		sc, err := load.ReadScenario(filepath.Join(cmd.Scenarios, name+".json"))
+		if err != nil {
+			failed = err
+			return &load.Scenario{}
+		}
+		overrideTime(sc, cmd.Time)
+		return sc
+	})
+	return variants, failed
+}
+
+// policies compares the policies on one scenario.
+func (cmd *experimentCommand) policies(read func(string) *load.Scenario, name string, withLong bool) []variant {
+	var variants []variant
+	for _, policy := range cmd.Policies {
+		variants = append(variants, variant{Name: policy, scenario: read(name), policy: policy, withLong: withLong})
+	}
+	return variants
+}
+
+// mixes compares the policies with the long prompts and the project's own without them: the same other requests at
+// the same times.
+func (cmd *experimentCommand) mixes(read func(string) *load.Scenario, name string) []variant {
+	variants := cmd.policies(read, name, true)
+	return append(variants, variant{Name: ownPolicy + ", no long prompts", scenario: read(name), policy: ownPolicy})
+}
+
+func (cmd *experimentCommand) flood(read func(string) *load.Scenario) []variant {
+	calm := cmd.policies(read, "sreekovil", true)
+	flooded := cmd.policies(read, "sreekovil", true)
+	for i := range flooded {
+		flooded[i].Name += ", flood"
+		orgs := flooded[i].scenario.Organisations
+		if len(orgs) > floodOrganisation {
+			orgs[floodOrganisation].Flood = floodFactor
+		}
+	}
+	return append(calm, flooded...)
+}
+
+// overloadSteps are the utilisations of the overload experiment.
+var overloadSteps = []float64{0.5, 0.75, 1, 1.25, 1.5, 2}
+
+func (cmd *experimentCommand) overload(read func(string) *load.Scenario) []variant {
+	var variants []variant
+	for _, step := range overloadSteps {
+		for _, va := range cmd.policies(read, "sreekovil", true) {
+			va.scenario.Mix.Utilisation = step
+			va.Name = fmt.Sprintf("%s at %.0f%%", va.Name, 100*step)
+			variants = append(variants, va)
+		}
+	}
+	return variants
+}
+
+func (cmd *experimentCommand) faults(read func(string) *load.Scenario) []variant {
+	var variants []variant
+	for _, name := range []string{"sreekovil", "sundarban"} {
+		variants = append(variants, variant{
+			Name: name + ", instances killed and replaced", scenario: read(name), policy: ownPolicy, withLong: true, disrupt: replaceInstances,
+		})
+	}
+	return variants
+}
+
+func (cmd *experimentCommand) disciplines(read func(string) *load.Scenario) []variant {
+	var variants []variant
+	for _, name := range []string{"sreekovil", "sundarban"} {
+		for _, discipline := range []string{decl.DisciplinePriority, decl.DisciplineWeighted} {
+			sc := read(name)
+			sc.Model.Discipline = discipline
+			variants = append(variants, variant{Name: name + ", " + discipline, scenario: sc, policy: ownPolicy, withLong: true})
+		}
+	}
+	return variants
+}
+
+// controlSizes are the instances and replicas of the control experiment: one grows while the other stays.
+var controlSizes = []struct {
+	instances, replicas int
+	utilisation         float64
+}{{3, 14, 0.3}, {6, 14, 0.3}, {9, 14, 0.3}, {6, 7, 0.6}, {6, 21, 0.2}, {6, 14, 0.15}, {6, 14, 0.6}}
+
+func (cmd *experimentCommand) control(read func(string) *load.Scenario) []variant {
+	var variants []variant
+	for _, size := range controlSizes {
+		sc := read("sreekovil")
+		sc.Instances = size.instances
+		sc.Model.Replicas = size.replicas
+		sc.Mix.Utilisation = size.utilisation
+		name := fmt.Sprintf("%d instances, %d replicas, %.1f requests/s", size.instances, size.replicas, sc.Rate()*sc.Scale)
+		variants = append(variants, variant{Name: name, scenario: sc, policy: ownPolicy, withLong: true})
+	}
+	return variants
+}
+
+// replaceInstances kills an instance every few seconds, starts another in its place and stops one gracefully at the
+// end. The rendezvous coordinator of each pool is among those killed, as all of the first ones are.
+func replaceInstances(ctx context.Context, rg *rig) error {
+	const period = 3 * time.Second
+	rounds := int(rg.sc.Scaled(rg.sc.Mix.Duration)/period) - 1
+	for round := range rounds {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(period):
+		}
+		if err := rg.replace(ctx, round%2 == 1); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// replace ends the oldest instance and starts another in its place. A planned stop is announced: the balancer takes
+// the instance out first.
+func (rg *rig) replace(ctx context.Context, planned bool) error {
+	old := rg.entries[0]
+	rg.entries = rg.entries[1:]
+	rg.replaced++
+	end := old.Kill
+	if planned {
+		rg.balance()
+		end = old.Terminate
+	}
+	if err := end(); err != nil {
+		return err
+	}
+	rg.balance()
+	if err := plat.Remove(rg.fleet.Platform.Address, old.Name); err != nil {
+		return err
+	}
+	if err := rg.startEntry(); err != nil {
+		return err
+	}
+	if err := fleet.WaitReady(ctx, rg.entries[len(rg.entries)-1].Address); err != nil {
+		return err
+	}
+	rg.balance()
+	return nil
+}
--- a/internal/load/client.go
+++ b/internal/load/client.go
@@ -55,6 +55,8 @@
 	Address string
 	Token   string
 	HTTP    *http.Client
+	// Deadline is asked for in the header, unless it is 0.
+	Deadline time.Duration
 }
 
 // Prompt returns a prompt of about the length that no other seed gives.
@@ -71,18 +73,39 @@
 	Stream    bool   `json:"stream"`
 }
 
-// Complete sends a streamed completion and checks every token of the answer.
-func (ca *Caller) Complete(ctx context.Context, model, prompt string, answer int64) Result {
+// Completion is a completion request that is ready to be sent.
+type Completion struct {
+	raw    []byte
+	key    uint32
+	answer int64
+}
+
+// NewCompletion encodes a request ahead of its time, since a long prompt takes milliseconds.
+func NewCompletion(model, prompt string, answer int64) (*Completion, error) {
 	raw, err := json.Marshal(completionRequest{Model: model, Prompt: prompt, MaxTokens: answer, Stream: true})
 	if err != nil {
-		return Result{Outcome: OutcomeBroken, Detail: err.Error()}
+		return nil, err
 	}
 	bd, err := body.Scan(raw)
+	if err != nil {
+		return nil, err
+	}
+	return &Completion{raw: raw, key: stand.Fingerprint(bd), answer: answer}, nil
+}
+
+// Complete sends a streamed completion and checks every token of the answer.
+func (ca *Caller) Complete(ctx context.Context, model, prompt string, answer int64) Result {
+	cm, err := NewCompletion(model, prompt, answer)
 	if err != nil {
 		return Result{Outcome: OutcomeBroken, Detail: err.Error()}
 	}
+	return ca.Send(ctx, cm)
+}
+
+// Send is Complete for a request that is ready.
+func (ca *Caller) Send(ctx context.Context, cm *Completion) Result {
 	started := time.Now()
-	resp, err := ca.Do(ctx, http.MethodPost, "/v1/completions", raw, nil)
+	resp, err := ca.Do(ctx, http.MethodPost, "/v1/completions", cm.raw, nil)
 	if err != nil {
 		return Result{Outcome: OutcomeBroken, Detail: err.Error(), Total: time.Since(started)}
 	}
@@ -90,7 +113,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return refused(resp, started)
 	}
-	reading := &reader{key: stand.Fingerprint(bd), started: started, answer: answer}
+	reading := &reader{key: cm.key, started: started, answer: cm.answer}
 	return reading.read(resp.Body)
 }
 
@@ -104,6 +127,9 @@
 		req.Header = header.Clone()
 	}
 	req.Header.Set("Authorization", "Bearer "+ca.Token)
+	if ca.Deadline > 0 {
+		req.Header.Set(entry.HeaderDeadline, ca.Deadline.String())
+	}
 	return ca.HTTP.Do(req)
 }
 
--- /dev/null
+++ b/internal/load/plan.go
@@ -0,0 +1,167 @@
+package load
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Planned is one request and when it is to be sent.
+type Planned struct {
+	// At is the time after the start of the run.
+	At           time.Duration
+	Organisation string
+	// Plain marks a call of the plain service; the fields below but Key are those of completions.
+	Plain bool
+	// Key is the idempotency key of a plain call.
+	Key          uint64
+	PromptTokens int64
+	Answer       int64
+	// Content is the seed of the prompt; requests of one session have the same.
+	Content uint64
+	// Deadline is the time the request has.
+	Deadline time.Duration
+	// Instance chooses the entry instance, modulo their number.
+	Instance uint64
+}
+
+// planner draws the requests of a run. Each draw of one kind has its own source, so that taking long prompts out of a
+// plan leaves the others as they were.
+type planner struct {
+	sc   *Scenario
+	seed uint64
+	plan []Planned
+}
+
+// Plan returns the run's requests in the order of time, the same for the same scenario and seed. Without long ones the
+// others stay as they are.
+func Plan(sc *Scenario, seed uint64, withLong bool) []Planned {
+	pl := &planner{sc: sc, seed: seed}
+	pl.completions(withLong)
+	pl.floods()
+	pl.plain()
+	slices.SortStableFunc(pl.plan, func(one, two Planned) int { return int(one.At - two.At) })
+	return pl.plan
+}
+
+// Streams of random draws.
+const (
+	streamMix = iota + 1
+	streamPlain
+	streamFlood
+)
+
+func (pl *planner) completions(withLong bool) {
+	random := rand.New(rand.NewPCG(pl.seed, streamMix))
+	for _, at := range pl.times(random, pl.sc.Rate()) {
+		req := pl.completion(random, at, pl.organisation(random))
+		if withLong || req.PromptTokens <= pl.sc.Mix.SplitTokens {
+			pl.plan = append(pl.plan, req)
+		}
+	}
+}
+
+// floods adds what organisations send beyond their share.
+func (pl *planner) floods() {
+	for number, org := range pl.sc.Organisations {
+		if org.Flood <= 1 {
+			continue
+		}
+		random := rand.New(rand.NewPCG(pl.seed, streamFlood+uint64(number)))
+		for _, at := range pl.times(random, pl.sc.Rate()*org.Share*(org.Flood-1)) {
+			pl.plan = append(pl.plan, pl.completion(random, at, number))
+		}
+	}
+}
+
+func (pl *planner) plain() {
+	random := rand.New(rand.NewPCG(pl.seed, streamPlain))
+	for _, at := range pl.times(random, pl.sc.Plain.PerSecond) {
+		pl.plan = append(pl.plan, Planned{
+			At:           at,
+			Organisation: pl.sc.Organisations[pl.organisation(random)].Name,
+			Plain:        true,
+			Key:          random.Uint64(),
+			Deadline:     pl.sc.Scaled(pl.sc.Plain.Deadline),
+			Instance:     random.Uint64(),
+		})
+	}
+}
+
+// times draws a Poisson process with bursts whose mean rate, a second of the scenario, is as given.
+func (pl *planner) times(random *rand.Rand, perSecond float64) []time.Duration {
+	if perSecond <= 0 {
+		return nil
+	}
+	end := pl.sc.Scaled(pl.sc.Mix.Duration)
+	rate := perSecond * pl.sc.Scale
+	peak := rate * max(1, pl.sc.Mix.BurstFactor)
+	var times []time.Duration
+	at := time.Duration(0)
+	for {
+		at += time.Duration(random.ExpFloat64() / peak * float64(time.Second))
+		if at >= end {
+			return times
+		}
+		if random.Float64()*peak < rate*pl.burst(at) {
+			times = append(times, at)
+		}
+	}
+}
+
+// burst is the factor on the mean rate at a time.
+func (pl *planner) burst(at time.Duration) float64 {
+	mx := pl.sc.Mix
+	if mx.BurstFactor <= 1 || mx.BurstPeriod <= mx.BurstTime {
+		return 1
+	}
+	if at%pl.sc.Scaled(mx.BurstPeriod) < pl.sc.Scaled(mx.BurstTime) {
+		return mx.BurstFactor
+	}
+	share := float64(mx.BurstTime) / float64(mx.BurstPeriod)
+	return max(0, (1-mx.BurstFactor*share)/(1-share))
+}
+
+func (pl *planner) organisation(random *rand.Rand) int {
+	total := 0.0
+	for _, org := range pl.sc.Organisations {
+		total += org.Share
+	}
+	draw := random.Float64() * total
+	for number, org := range pl.sc.Organisations {
+		draw -= org.Share
+		if draw < 0 {
+			return number
+		}
+	}
+	return len(pl.sc.Organisations) - 1
+}
+
+func (pl *planner) completion(random *rand.Rand, at time.Duration, org int) Planned {
+	mx := pl.sc.Mix
+	// Each request takes the same number of draws whatever comes of them.
+	long, length, answer := random.Float64() < mx.LongShare, random.Float64(), random.Float64()
+	inSession, session, content := random.Float64() < mx.SessionShare, random.IntN(max(1, mx.Sessions)), random.Uint64()
+	req := Planned{
+		At:           at,
+		Organisation: pl.sc.Organisations[org].Name,
+		PromptTokens: logUniform(length, mx.MinTokens, mx.SplitTokens),
+		Answer:       logUniform(answer, mx.MinAnswer, mx.MaxAnswer),
+		Content:      content,
+		Instance:     random.Uint64(),
+	}
+	switch {
+	case long:
+		req.PromptTokens = logUniform(length, mx.SplitTokens+1, mx.MaxTokens)
+	case inSession:
+		req.Content = uint64(org)<<32 | uint64(session) + pl.seed<<48
+	}
+	period := mx.Deadline.Std().Seconds() + float64(req.PromptTokens)/mx.DeadlineRate
+	req.Deadline = time.Duration(period / pl.sc.Scale * float64(time.Second))
+	return req
+}
+
+func logUniform(draw float64, low, high int64) int64 {
+	return int64(math.Round(float64(low) * math.Pow(float64(high)/float64(low), draw)))
+}
--- a/internal/stand/engine.go
+++ b/internal/stand/engine.go
@@ -45,6 +45,8 @@
 	LoadTime time.Duration
 	// Weights is the address of the weight store that loads draw on.
 	Weights string
+	// Keepalive is the time between the comments that an answer under way carries.
+	Keepalive time.Duration
 	// Crash ends the process; nil only drops everything in memory and cuts the connections.
 	Crash func()
 	// Seed makes the lost batches and the random faults repeatable.
@@ -64,6 +66,7 @@
 		CacheLag:     300 * time.Millisecond,
 		CachePeriod:  100 * time.Millisecond,
 		LoadTime:     2 * time.Second,
+		Keepalive:    time.Second,
 	}
 }
 
--- a/internal/stand/engine_api.go
+++ b/internal/stand/engine_api.go
@@ -123,8 +123,10 @@
 		return
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
-	ticker := time.NewTicker(importCheck)
-	defer ticker.Stop()
+	_ = http.NewResponseController(w).Flush()
+	imports, waiting := time.NewTicker(importCheck), time.NewTicker(en.opts.Keepalive)
+	defer imports.Stop()
+	defer waiting.Stop()
 	for {
 		select {
 		case token, ok := <-jb.tokens:
@@ -133,7 +135,9 @@
 				return
 			}
 			en.send(w, jb, rq.body, token)
-		case <-ticker.C:
+		case <-waiting.C:
+			en.keepAlive(w)
+		case <-imports.C:
 			if rq.checkImports(req.Context()) != nil {
 				// Attention over a segment that is gone cannot go on.
 				en.cancel(jb.id)
@@ -142,6 +146,18 @@
 	}
 }
 
+// keepAlive writes a comment, by which a reader tells an engine that queues or prefills from one that hangs.
+func (en *Engine) keepAlive(w http.ResponseWriter) {
+	en.mu.Lock()
+	frozen := en.faults.Freeze
+	en.mu.Unlock()
+	if frozen {
+		return
+	}
+	_, _ = io.WriteString(w, ": waiting\n\n")
+	_ = http.NewResponseController(w).Flush()
+}
+
 // endStream writes the end marker of a whole answer; any other end cuts the connection.
 func endStream(w http.ResponseWriter, jb *job) {
 	if jb.cancelled {
