Know the live instances by random probes

One random probe a second and member, indirect probes, suspicion that is refuted by incarnation, news on the probes and urgent news ahead of them. Upstreams that leave are passed on, and the limits' shares follow the live instances.

--- a/internal/core/state.go
+++ b/internal/core/state.go
@@ -7,6 +7,7 @@
 	"dandelionsail.example/dandelionsail/internal/admit"
 	"dandelionsail.example/dandelionsail/internal/effect"
 	"dandelionsail.example/dandelionsail/internal/event"
+	"dandelionsail.example/dandelionsail/internal/member"
 	"dandelionsail.example/dandelionsail/internal/route"
 	"dandelionsail.example/dandelionsail/pkg/decl"
 )
@@ -17,6 +18,9 @@
 	FailureDomain string
 	// Seed makes random choices repeatable.
 	Seed uint64
+	// Peers turns on the membership. Incarnation is this run's, higher than that of any earlier run of the name.
+	Peers       bool
+	Incarnation uint64
 	// Permits makes long prompts ask their pool's coordinator.
 	Permits bool
 	// Policy is how replicas are chosen; nil is route.Sail. A baseline also serves first come first served, without
@@ -33,7 +37,9 @@
 	Route  *route.State
 	// Requests holds every request that has no Finish yet or whose claim is not settled.
 	Requests map[event.RequestID]*Request
-	// Instances is the platform's list of entry instances.
+	// Member is the membership, nil in an instance without peers.
+	Member *member.State
+	// Instances is who is live by the membership, or the platform's list without one.
 	Instances []event.Instance
 	// Draining refuses new requests.
 	Draining bool
@@ -119,6 +125,10 @@
 		table:    newTable(&decl.Config{}),
 		reasons:  map[reasonKey]string{},
 	}
+	if opts.Peers {
+		self := event.Instance{Name: opts.Name, FailureDomain: opts.FailureDomain}
+		st.Member = member.New(self, opts.Incarnation, opts.Seed)
+	}
 	if opts.Policy != nil {
 		st.Route.Policy = opts.Policy
 	}
@@ -154,6 +164,7 @@
 		st.Route.CacheChanged(st.now, ev)
 	case event.UpstreamsListed:
 		st.Route.List(st.now, ev)
+		st.followMembers(ev)
 		st.pumpAll()
 	case event.InstancesListed:
 		st.instancesListed(ev)
@@ -167,7 +178,11 @@
 		st.Admit.TakeShares(st.now, ev.Shares)
 	case event.DrainStarted:
 		st.Draining = true
+		st.followMembers(ev)
+	case event.Probed, event.ProbeAcked, event.Gossiped:
+		st.followMembers(ev)
 	case event.Ticked:
+		st.followMembers(ev)
 		st.expire()
 		st.ejectSlow()
 		st.tellDemands()
@@ -189,15 +204,3 @@
 	st.Route.Configure(ev.Config)
 	st.pumpAll()
 }
-
-func (st *State) instancesListed(ev event.InstancesListed) {
-	st.Instances = ev.Instances
-	live := 0
-	for _, inst := range ev.Instances {
-		if !inst.Leaving {
-			live++
-		}
-	}
-	st.Admit.Instances = max(1, live)
-	st.Route.SetInstances(live)
-}
--- a/internal/effect/effect.go
+++ b/internal/effect/effect.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"dandelionsail.example/dandelionsail/internal/event"
+	"dandelionsail.example/dandelionsail/internal/wire"
 )
 
 // Effect is one thing the shell is told to do.
@@ -153,6 +154,12 @@
 	Shares []event.Share
 }
 
+// Tell sends a message to the peer address of another instance. It may be lost; who needs an answer tells again.
+type Tell struct {
+	Address string
+	Message wire.Message
+}
+
 // CloseIdle closes the idle connections to an upstream, because one of them went silent.
 type CloseIdle struct {
 	Upstream string
@@ -178,5 +185,6 @@
 func (TellQuarantine) isEffect() {}
 func (TellDemand) isEffect()     {}
 func (TellShares) isEffect()     {}
+func (Tell) isEffect()           {}
 func (CloseIdle) isEffect()      {}
 func (Note) isEffect()           {}
--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -94,6 +94,8 @@
 		Name:          opts.Name,
 		FailureDomain: opts.FailureDomain,
 		Seed:          seed(opts),
+		Peers:         opts.PeerCert != "" || opts.PeerKeys != nil,
+		Incarnation:   uint64(time.Now().UnixMicro()),
 		Policy:        policy,
 	}), in.perform)
 	return in
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -37,10 +37,33 @@
 	switch msg := msg.(type) {
 	case wire.Quarantine:
 		in.loop.Submit(event.Quarantined{Digest: msg.Digest, Deaths: msg.Deaths, Until: time.Now().Add(msg.Lasts)})
+	case wire.Demand:
+		in.loop.Submit(event.DemandHeard{From: msg.From, Demands: msg.Demands})
+	case wire.Shares:
+		in.loop.Submit(event.SharesHeard{Shares: msg.Shares})
+	case wire.Probe:
+		in.loop.Submit(event.Probed(msg))
+	case wire.ProbeAck:
+		in.loop.Submit(event.ProbeAcked(msg))
+	case wire.Gossip:
+		in.loop.Submit(event.Gossiped(msg))
 	}
 	return nil
 }
 
+// tell sends a message to one instance. What an instance tells itself comes back as an event of its own.
+func (in *Instance) tell(address string, msg wire.Message) {
+	if in.peers == nil || address == "" {
+		return
+	}
+	if address == in.peers.Address() {
+		// The reducer's goroutine must not wait for room in its own queue.
+		in.pending.Go(func() { in.hear(context.Background(), in.opts.Name, msg) })
+		return
+	}
+	in.peers.Tell(address, msg)
+}
+
 // tellAll tells every live peer.
 func (in *Instance) tellAll(msg wire.Message) {
 	if in.peers == nil {
--- a/internal/entry/perform.go
+++ b/internal/entry/perform.go
@@ -5,6 +5,7 @@
 
 	"dandelionsail.example/dandelionsail/internal/effect"
 	"dandelionsail.example/dandelionsail/internal/event"
+	"dandelionsail.example/dandelionsail/internal/wire"
 )
 
 // perform carries out one effect; it never blocks, since the reducer's goroutine calls it.
@@ -23,6 +24,12 @@
 	case effect.AskPermit:
 		in.loop.Submit(event.PermitAnswered{ID: eff.ID, Lost: true})
 	case effect.ReleasePermit:
+	case effect.Tell:
+		in.tell(eff.Address, eff.Message)
+	case effect.TellDemand:
+		in.tell(eff.To.Peer, wire.Demand{From: in.opts.Name, Demands: eff.Demands})
+	case effect.TellShares:
+		in.tell(eff.To.Peer, wire.Shares{Shares: eff.Shares})
 	case effect.TellQuarantine:
 		in.tellQuarantine(eff)
 	case effect.CloseIdle:
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -128,6 +128,12 @@
 	st.settle(rep)
 }
 
+// Leave takes another's word that the replica is leaving, ahead of the list.
+func (st *State) Leave(rep *Replica) {
+	rep.Upstream.Leaving = true
+	st.settle(rep)
+}
+
 func (st *State) dropUnlisted(listed event.UpstreamsListed) bool {
 	if len(st.Replicas) == len(listed.Upstreams) {
 		return false
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -105,6 +105,10 @@
 	6: decode[ConfigWant],
 	7: decode[ConfigPatches],
 
+	20: decode[Probe],
+	21: decode[ProbeAck],
+	22: decode[Gossip],
+
 	60: decode[Demand],
 	61: decode[Shares],
 }
@@ -127,6 +131,12 @@
 		return 7
 	}
 	switch msg.(type) {
+	case Probe:
+		return 20
+	case ProbeAck:
+		return 21
+	case Gossip:
+		return 22
 	case Demand:
 		return 60
 	case Shares:
