Demo: the caller of an update asks again when told to

One of four demonstrations failed: the resend met the other instance before the first one's outcome was recorded and was told 409 with the time to come back. A caller does come back; the demonstration now does.

--- a/internal/cmds/demo.go
+++ b/internal/cmds/demo.go
@@ -22,6 +22,7 @@
 	"dandelionsail.example/dandelionsail/internal/stand"
 	"dandelionsail.example/dandelionsail/internal/store"
 	"dandelionsail.example/dandelionsail/internal/tool"
+	"dandelionsail.example/dandelionsail/internal/upstr"
 	"dandelionsail.example/dandelionsail/pkg/decl"
 )
 
@@ -29,6 +30,7 @@
 const (
 	demoEngines   = 3
 	demoInstances = 2
+	demoUpdates   = 5
 	demoToken     = "demo-token"
 	demoTime      = 18 * time.Second
 	demoListLag   = 50 * time.Millisecond
@@ -300,20 +302,39 @@
 
 // updateBoard sends each non-idempotent update twice under one key, as a caller does whose first answer was lost.
 func (dm *demo) updateBoard(ctx context.Context, client *http.Client, rp *demoReport) error {
-	for number := range 5 {
+	for number := range demoUpdates {
 		header := http.Header{"Idempotency-Key": {fmt.Sprintf("hymn-%d", number)}}
 		raw := fmt.Appendf(nil, `{"Hymn":%d}`, 100+number)
 		for send := range 2 {
 			caller := &load.Caller{Address: dm.instances[send%demoInstances], Token: demoToken, HTTP: client}
-			resp, err := caller.Do(ctx, http.MethodPost, "/board/next", raw, header)
+			status, err := updateOnce(ctx, caller, raw, header)
 			if err != nil {
 				return err
 			}
-			_, _ = io.Copy(io.Discard, resp.Body)
-			_ = resp.Body.Close()
-			rp.updated(resp.StatusCode)
+			rp.updated(status)
 		}
 		rp.keys++
 	}
 	return nil
 }
+
+// updateOnce sends an update until it is answered. A resend that meets the first one still under way is told when to
+// ask again.
+func updateOnce(ctx context.Context, caller *load.Caller, raw []byte, header http.Header) (int, error) {
+	for {
+		resp, err := caller.Do(ctx, http.MethodPost, "/board/next", raw, header)
+		if err != nil {
+			return 0, err
+		}
+		_, _ = io.Copy(io.Discard, resp.Body)
+		_ = resp.Body.Close()
+		if resp.StatusCode != http.StatusConflict {
+			return resp.StatusCode, nil
+		}
+		select {
+		case <-ctx.Done():
+			return 0, ctx.Err()
+		case <-time.After(upstr.RetryAfter(resp.Header)):
+		}
+	}
+}
