Hold longer prompts back sooner and choose among more replicas for them

Cause: a prompt of 20,000 to 100,000 tokens went to an engine with up to a second of prefill before it, and stayed there while another fell idle.

--- a/internal/route/cost.go
+++ b/internal/route/cost.go
@@ -50,7 +50,7 @@
 	headroomStep = 0.08
 	maxHeadroom  = 0.3
 	// maxBacklog is how much prefill may go before a longer prompt at a replica for it not to wait here instead.
-	maxBacklog = time.Second
+	maxBacklog = 200 * time.Millisecond
 )
 
 // fits tells whether the replica may take the request now. Prompts of the highest priority always fit: the engine
--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -11,6 +11,10 @@
 	// choices is how many replicas of a failure domain are compared: two come close to the best of all without every
 	// instance running to the same one on reports that lag.
 	choices = 2
+	// carefulChoices is how many are compared for a class that has carefulAbove or more above it. Its prompts are few,
+	// so that the instances seldom choose at once, and a bad choice costs them seconds.
+	carefulChoices = 4
+	carefulAbove   = 2
 	// maxDraws bounds the replicas looked at to find them.
 	maxDraws = 16
 )
@@ -34,8 +38,12 @@
 			st.candidates = append(st.candidates, rep)
 		}
 	}
-	st.draw(&pl.near, want, choices)
-	st.draw(&pl.far, want, max(1, choices-len(pl.near.reps)))
+	near, far := choices, max(1, choices-len(pl.near.reps))
+	if want.Above >= carefulAbove {
+		near, far = carefulChoices, carefulChoices
+	}
+	st.draw(&pl.near, want, near)
+	st.draw(&pl.far, want, far)
 	if len(st.candidates) == 0 {
 		return st.lastResort(pl, want)
 	}
