--- a/internal/core/retry.go
+++ b/internal/core/retry.go
@@ -16,6 +16,8 @@
 const (
 	// maxAttempts bounds the attempts in a row that bring the answer no further.
 	maxAttempts = 6
+	// freeRepeats is how many of those the organisation's retry budget does not pay for.
+	freeRepeats = 2
 	// retryPause is the wait after an upstream's refusal that names no time.
 	retryPause = 50 * time.Millisecond
 	// maxRetryPause caps what an upstream may ask for.
@@ -57,6 +59,7 @@
 		}
 	}
 	if ev.Result == event.ResultSilent {
+		st.count("Attempts.Silent")
 		st.emit(effect.CloseIdle{Upstream: ev.Upstream, Address: addressOf(req.Upstreams, ev.Upstream)})
 	}
 }
@@ -116,8 +119,8 @@
 }
 
 // mayRetry bounds the repeats. Attempts that brought the answer forward don't count, so that a long stream outlives
-// any number of broken connections. The first repeat is free: a replica that dies takes all its streams with it, and
-// the budget is there against repeats that add to an overload.
+// any number of broken connections. The first repeats are free: a replica that dies takes all its streams with
+// it, and the budget is there against repeats that add to an overload.
 func (st *State) mayRetry(req *Request, progressed bool) bool {
 	if progressed {
 		req.Fruitless = 0
@@ -127,7 +130,7 @@
 	if req.Fruitless >= maxAttempts {
 		return false
 	}
-	return req.Fruitless == 1 || st.Admit.Retry(req.Organisation)
+	return req.Fruitless <= freeRepeats || st.Admit.Retry(req.Organisation)
 }
 
 // safeToRetry allows a repeat of what was certainly not run, and of idempotent requests whose answer can be resumed.
--- a/internal/core/retry_test.go
+++ b/internal/core/retry_test.go
@@ -189,3 +189,23 @@
 	short := only[effect.Send](t, in.lyric(2, 7))
 	assert.Assert(t, short.FirstSilence < 6*time.Second, "%s", short.FirstSilence)
 }
+
+func TestDeadlineInTheQueue(t *testing.T) {
+	// All engines are full until a request's time is over. Its caller hears so then, with "not run", and the queue
+	// holds nothing of it.
+	in := newInstance(t)
+	in.engines("lyric-0")
+	id := event.RequestID(1)
+	for ; ; id++ {
+		if _, sent := find[effect.Send](in.lyric(id, byte(id))); !sent {
+			break
+		}
+	}
+	in.now = in.now.Add(10 * time.Second)
+	finish := only[effect.Finish](t, in.reduce(event.Ticked{}))
+	assert.Equal(t, finish.ID, id)
+	assert.Equal(t, finish.Refusal.Reason, effect.ReasonDeadline)
+	assert.Equal(t, finish.Refusal.Ran, effect.NotRun)
+	items, _ := in.st.Admit.Waiting("lyric")
+	assert.Equal(t, items, 0)
+}
--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -83,11 +83,10 @@
 	if req.ContentLength > in.opts.MaxBody {
 		return nil, tooLarge(in.opts.MaxBody)
 	}
-	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(time.Now().Add(in.opts.BodyTimeout))
-	defer func() { _ = control.SetReadDeadline(time.Time{}) }()
 	raw, err := readAll(http.MaxBytesReader(w, req.Body, in.opts.MaxBody), req.ContentLength)
 	if err == nil {
+		// With the bound left in force, the caller would count as gone when it passes.
+		_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 		return raw, nil
 	}
 	if _, ok := err.(*http.MaxBytesError); ok {
--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -131,7 +131,7 @@
 	parts, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	server := &http.Server{
-		Handler:           in.shed(in.routes()),
+		Handler:           in.guard(in.routes()),
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
@@ -213,13 +213,21 @@
 	return count
 }
 
-// shed lets callers' kept connections go while the instance drains: each answer says that its connection closes. A
-// connection that the server closed by itself could just then carry the next request, which would be cut.
-func (in *Instance) shed(next http.Handler) http.Handler {
+// guard wraps all routes with what holds for each request, whatever becomes of it.
+//
+// While the instance drains, each answer says that its connection closes: a connection that the server closed by itself
+// could just then carry the caller's next request, which would be cut.
+//
+// A body has a bounded time to come, also where the request is refused unread: the server reads on before it answers,
+// and a slow sender without a token would hold its connection for good. readBody lifts the bound after the body.
+func (in *Instance) guard(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		if in.draining.Load() {
 			w.Header().Set("Connection", "close")
 		}
+		if req.ContentLength != 0 {
+			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(in.opts.BodyTimeout))
+		}
 		next.ServeHTTP(w, req)
 	})
 }
