--- a/internal/fault/tcp.go
+++ b/internal/fault/tcp.go
@@ -141,6 +141,8 @@
 type part struct {
 	bytes []byte
 	due   time.Time
+	// last closes the connection behind it.
+	last bool
 }
 
 // copy passes one direction on. The filter, if there is one, decides what passes.
@@ -166,18 +168,15 @@
 		if filter != nil && count > 0 {
 			passed, open = filter(passed)
 		}
-		if len(passed) > 0 {
+		if len(passed) > 0 || !open {
+			due := time.Now().Add(cn.px.Faults().Delay.Std())
 			select {
-			case parts <- part{passed, time.Now().Add(cn.px.Faults().Delay.Std())}:
+			case parts <- part{bytes: passed, due: due, last: !open}:
 			case <-ctx.Done():
 				return
 			}
 		}
-		if !open {
-			cn.cut()
-			return
-		}
-		if err != nil {
+		if err != nil || !open {
 			return
 		}
 	}
@@ -194,6 +193,10 @@
 			cn.stop()
 			continue
 		}
+		if pt.last {
+			cn.cut()
+			continue
+		}
 		if rate := cn.px.Faults().BytesPerSecond; rate > 0 {
 			wait(ctx, time.Now().Add(time.Duration(len(pt.bytes))*time.Second/time.Duration(rate)))
 		}
