Count neither answers nor failures that were under way when a replica was ejected

Cause: an answer under way at the ejection counted as a probe; three of them ended the probation while the ejection stood, the replica no longer counted as out, and the next one could be ejected; and each failure under way doubled the ejection, up to a minute at the first offence. Ruled out: the watchdog and the retry budget (requests waited in the queue with attempts left).

--- a/internal/route/eject.go
+++ b/internal/route/eject.go
@@ -35,8 +35,12 @@
 	return st.now.Before(rep.EjectedUntil)
 }
 
-// failed counts a failure and reports whether the replica was ejected by it.
+// failed counts a failure and reports whether the replica was ejected by it. What ends while the replica is out was sent
+// before: a replica that breaks off all its streams at once would be out for the longest time at the first offence.
 func (st *State) failed(rep *Replica) bool {
+	if st.ejected(rep) {
+		return false
+	}
 	rep.Failures++
 	if !rep.Probing && rep.Failures < failuresToEject {
 		return false
@@ -44,8 +48,13 @@
 	return st.eject(rep)
 }
 
-// succeeded counts an answer; a replica on probation comes back after some of them.
+// succeeded counts an answer; a replica on probation comes back after some of them. Answers that were under way at the
+// ejection are no probes: they would end the probation of a replica that is still out, which then no longer counts among
+// those that are, and one replica after another could follow until none is left.
 func (st *State) succeeded(rep *Replica) {
+	if st.ejected(rep) {
+		return
+	}
 	rep.Failures = 0
 	if !rep.Probing {
 		rep.Ejections = 0
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -225,6 +225,39 @@
 	assert.Assert(t, !rep.Probing)
 }
 
+func TestAnswersUnderWayAreNoProbes(t *testing.T) {
+	// Each engine has many streams under way. Some break and get it ejected; others end well, or badly, while it is out.
+	// The good ones must not end its probation, or one engine after another would be ejected until requests wait for
+	// none at all; the bad ones must not stretch the first ejection to a minute.
+	st := pool(route.Sail{})
+	st.Configure(config(decl.Service{}))
+	id := 0
+	for _, name := range []string{"lyric-0", "lyric-1", "lyric-2", "lyric-3"} {
+		first := id
+		for range 20 {
+			st.Sent(start, name, want(id, 1000))
+			id++
+		}
+		for i := range 20 {
+			result := event.ResultBroken
+			if i >= 3 && i%2 == 0 {
+				result = event.ResultDone
+			}
+			st.Ended(start, name, event.RequestID(first+i), 5, result)
+		}
+	}
+	assert.Assert(t, st.Pick(start, want(id, 1000)) != nil)
+	st.Tick(at(3))
+	out := 0
+	for _, rep := range st.Replicas {
+		if rep.Probing {
+			out++
+		}
+		assert.Assert(t, !rep.EjectedUntil.After(at(3)), "%s is out until %s", rep.Upstream.Name, rep.EjectedUntil)
+	}
+	assert.Equal(t, out, 1)
+}
+
 func TestSlowReplicaIsEjected(t *testing.T) {
 	st := pool(route.Sail{})
 	st.Configure(config(decl.Service{}))
