Rig of the data path tests: run the engines inside the check for leaks

The engines' goroutines were started before the check for leaks took its first look and ended after its second, which reported them. The rig runs and ends them now; the check is as strict as before.

--- a/internal/entry/ends_test.go
+++ b/internal/entry/ends_test.go
@@ -22,21 +22,12 @@
 	"dandelionsail.example/dandelionsail/internal/stand"
 )
 
-// engine runs a stand-in of a model engine until the test ends.
-func engine(t *testing.T, step time.Duration) *stand.Engine {
-	t.Helper()
+// engine returns a stand-in of a model engine, which the rig runs.
+func engine(step time.Duration) *stand.Engine {
 	opts := stand.DefaultEngine()
 	opts.Step = step
 	opts.MaxBatch = 256
-	en := stand.NewEngine(opts)
-	ctx, stop := context.WithCancel(context.Background())
-	ended := make(chan error, 1)
-	go func() { ended <- en.Run(ctx) }()
-	t.Cleanup(func() {
-		stop()
-		<-ended
-	})
-	return en
+	return stand.NewEngine(opts)
 }
 
 // proxied puts a fault-injecting proxy before each upstream, until the test ends.
@@ -61,9 +52,9 @@
 	// loses track of them. No error ever comes. The silence is found, the streams go on over new connections, and each
 	// caller has its whole answer; the engines are told to drop what they still hold for the dead connections.
 	var proxies []*fault.Proxy
-	one, two := engine(t, 5*time.Millisecond), engine(t, 5*time.Millisecond)
+	one, two := engine(5*time.Millisecond), engine(5*time.Millisecond)
 	rg := newRig(t, rigOptions{
-		Models: []http.Handler{one.Handler(), two.Handler()}, Progress: 200 * time.Millisecond, Via: proxied(t, &proxies),
+		Engines: []*stand.Engine{one, two}, Progress: 200 * time.Millisecond, Via: proxied(t, &proxies),
 	})
 	const streams = 60
 	results := make(chan load.Result, streams)
@@ -87,8 +78,8 @@
 	// Callers leave at every stage: while their request waits, connects, prefills, and between tokens. The engine drops
 	// each one at once, and neither memory, nor map entries, nor goroutines stay behind.
 	const requests, atOnce = 2000, 100
-	en := engine(t, time.Millisecond)
-	rg := newRig(t, rigOptions{Models: []http.Handler{en.Handler()}, Plain: []http.Handler{stand.NewService(5 * time.Millisecond).Handler()}})
+	en := engine(time.Millisecond)
+	rg := newRig(t, rigOptions{Engines: []*stand.Engine{en}, Plain: []http.Handler{stand.NewService(5 * time.Millisecond).Handler()}})
 	var group sync.WaitGroup
 	for worker := range atOnce {
 		group.Go(func() {
--- a/internal/entry/rig_test.go
+++ b/internal/entry/rig_test.go
@@ -40,6 +40,8 @@
 
 // rigOptions say what differs from a quiet fleet.
 type rigOptions struct {
+	// Engines are run by the rig and listed before Models.
+	Engines []*stand.Engine
 	// Models and Plain serve the upstreams of each kind.
 	Models []http.Handler
 	Plain  []http.Handler
@@ -60,7 +62,12 @@
 	rg.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1000}}
 	t.Cleanup(rg.client.CloseIdleConnections)
 	platform := rg.serve(rg.platform.Handler())
-	rg.list("lyric", opts.Models, opts.Via)
+	models := opts.Models
+	for _, en := range opts.Engines {
+		rg.run(en)
+		models = append(models, en.Handler())
+	}
+	rg.list("lyric", models, opts.Via)
 	rg.list("board", opts.Plain, opts.Via)
 	rg.configure(platform, opts)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -92,6 +99,17 @@
 	}
 }
 
+// run runs an engine until the test ends.
+func (rg *rig) run(en *stand.Engine) {
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- en.Run(ctx) }()
+	rg.t.Cleanup(func() {
+		stop()
+		<-ended
+	})
+}
+
 func (rg *rig) serve(handler http.Handler) string {
 	server := httptest.NewServer(handler)
 	rg.t.Cleanup(func() {
