Reserve engine memory for long prompts by permits of their pool's coordinator

The coordinator of a pool is the instance of the highest hash among the trusted ones of its failure domain. It queues by priority with ageing and by organisation's turn, grants all engines or none, and stores nothing: holders renew each second, and name what they hold to the next coordinator when the last one stops answering.

--- a/internal/core/arrive.go
+++ b/internal/core/arrive.go
@@ -72,6 +72,11 @@
 		st.askPermit(req)
 		return
 	}
+	st.queue(req)
+}
+
+// queue lets the request wait for a replica with room.
+func (st *State) queue(req *Request) {
 	req.Phase = PhaseQueued
 	org := st.Config.Organisations[req.Organisation]
 	st.Admit.Push(admit.Item{
--- a/internal/core/member.go
+++ b/internal/core/member.go
@@ -18,6 +18,7 @@
 	if st.Member.Changed {
 		st.Member.Changed = false
 		st.instancesChanged(st.Member.Instances())
+		st.coordinatorsChanged()
 	}
 }
 
--- a/internal/core/state.go
+++ b/internal/core/state.go
@@ -21,6 +21,8 @@
 	// Peers turns on the membership. Incarnation is this run's, higher than that of any earlier run of the name.
 	Peers       bool
 	Incarnation uint64
+	// NameRequest gives a request its name towards upstreams and coordinators, unique over all runs of all instances.
+	NameRequest func(id event.RequestID) string
 	// Permits makes long prompts ask their pool's coordinator.
 	Permits bool
 	// Policy is how replicas are chosen; nil is route.Sail. A baseline also serves first come first served, without
@@ -44,7 +46,9 @@
 	// Draining refuses new requests.
 	Draining bool
 
-	now       time.Time
+	now time.Time
+	// permits is nil in an instance without peers.
+	permits   *permits
 	effects   []effect.Effect
 	deadlines deadlineHeap
 	poison    quarantine
@@ -128,6 +132,9 @@
 	if opts.Peers {
 		self := event.Instance{Name: opts.Name, FailureDomain: opts.FailureDomain}
 		st.Member = member.New(self, opts.Incarnation, opts.Seed)
+		if opts.Permits {
+			st.permits = st.newPermits(self)
+		}
 	}
 	if opts.Policy != nil {
 		st.Route.Policy = opts.Policy
@@ -164,6 +171,7 @@
 		st.Route.CacheChanged(st.now, ev)
 	case event.UpstreamsListed:
 		st.Route.List(st.now, ev)
+		st.regroupPools()
 		st.followMembers(ev)
 		st.pumpAll()
 	case event.InstancesListed:
@@ -181,8 +189,11 @@
 		st.followMembers(ev)
 	case event.Probed, event.ProbeAcked, event.Gossiped:
 		st.followMembers(ev)
+	case event.PermitAsked, event.PermitGranted, event.PermitReturned, event.PermitRenewed, event.PermitsKnown:
+		st.followPermits(ev)
 	case event.Ticked:
 		st.followMembers(ev)
+		st.followPermits(ev)
 		st.expire()
 		st.ejectSlow()
 		st.tellDemands()
--- a/internal/effect/effect.go
+++ b/internal/effect/effect.go
@@ -154,6 +154,12 @@
 	Shares []event.Share
 }
 
+// Sweep frees what engines still hold for a request whose holder died.
+type Sweep struct {
+	Request   string
+	Upstreams []event.Upstream
+}
+
 // Tell sends a message to the peer address of another instance. It may be lost; who needs an answer tells again.
 type Tell struct {
 	Address string
@@ -185,6 +191,7 @@
 func (TellQuarantine) isEffect() {}
 func (TellDemand) isEffect()     {}
 func (TellShares) isEffect()     {}
+func (Sweep) isEffect()          {}
 func (Tell) isEffect()           {}
 func (CloseIdle) isEffect()      {}
 func (Note) isEffect()           {}
--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -95,7 +95,9 @@
 		FailureDomain: opts.FailureDomain,
 		Seed:          seed(opts),
 		Peers:         opts.PeerCert != "" || opts.PeerKeys != nil,
+		Permits:       opts.PeerCert != "" || opts.PeerKeys != nil,
 		Incarnation:   uint64(time.Now().UnixMicro()),
+		NameRequest:   in.requestName,
 		Policy:        policy,
 	}), in.perform)
 	return in
--- a/internal/entry/perform.go
+++ b/internal/entry/perform.go
@@ -24,6 +24,8 @@
 	case effect.AskPermit:
 		in.loop.Submit(event.PermitAnswered{ID: eff.ID, Lost: true})
 	case effect.ReleasePermit:
+	case effect.Sweep:
+		in.sweep(eff)
 	case effect.Tell:
 		in.tell(eff.Address, eff.Message)
 	case effect.TellDemand:
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -39,6 +39,15 @@
 	SuspectedAt time.Time
 }
 
+// runApart is how far the first incarnations of two runs of one name are apart at least, in microseconds. A run raises
+// its own by one with each refutation, which does not add up to it.
+const runApart = 100_000
+
+// After tells that the member runs anew since the incarnation of an earlier run.
+func (mb *Member) After(incarnation uint64) bool {
+	return mb.Incarnation > incarnation+runApart
+}
+
 // Live tells that the member takes part; a suspected one does until it is declared dead.
 func (mb *Member) Live() bool {
 	return mb.State == event.WordAlive || mb.State == event.WordSuspect
@@ -142,6 +151,7 @@
 	for _, inst := range ev.Instances {
 		named[inst.Name] = true
 		if inst.Name == st.Self.Name {
+			st.Changed = st.Changed || st.Self.Peer != inst.Peer
 			st.Self.Peer = inst.Peer
 			continue
 		}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -16,35 +16,6 @@
 // Ack answers a message that wants nothing but to be heard.
 type Ack struct{}
 
-// PermitAsk asks a pool's coordinator for a reservation.
-type PermitAsk struct {
-	Holder        string
-	Request       string
-	Service       string
-	FailureDomain string
-	Organisation  string
-	Tokens        int64
-	Class         string
-	Priority      int
-	// Wait is how long the asker can wait.
-	Wait time.Duration
-}
-
-// PermitGrant answers a PermitAsk.
-type PermitGrant struct {
-	Granted    bool
-	Permit     string
-	Upstreams  []string
-	Lasts      time.Duration
-	RetryAfter time.Duration
-}
-
-// PermitReturn gives a reservation back.
-type PermitReturn struct {
-	Permit  string
-	Service string
-}
-
 // Quarantine passes on that a content took upstreams down.
 type Quarantine struct {
 	Digest [32]byte
@@ -78,9 +49,6 @@
 func (Demand) isMessage()        {}
 func (Shares) isMessage()        {}
 func (Ack) isMessage()           {}
-func (PermitAsk) isMessage()     {}
-func (PermitGrant) isMessage()   {}
-func (PermitReturn) isMessage()  {}
 func (Quarantine) isMessage()    {}
 func (ConfigWant) isMessage()    {}
 func (ConfigPatches) isMessage() {}
@@ -105,6 +73,9 @@
 	6: decode[ConfigWant],
 	7: decode[ConfigPatches],
 
+	8: decode[PermitRenew],
+	9: decode[PermitState],
+
 	20: decode[Probe],
 	21: decode[ProbeAck],
 	22: decode[Gossip],
@@ -131,6 +102,10 @@
 		return 7
 	}
 	switch msg.(type) {
+	case PermitRenew:
+		return 8
+	case PermitState:
+		return 9
 	case Probe:
 		return 20
 	case ProbeAck:
