Place a request among the engines in one pass over them

With 10 requests waiting for a pool of 200 engines a decision took 26.8 ms, since each count of engines was tried over all of them.

--- a/internal/permit/queue.go
+++ b/internal/permit/queue.go
@@ -59,8 +59,9 @@
 		return false
 	}
 	slices.SortStableFunc(pl.queue, func(one, two *waiting) int { return co.compare(pl, one, two) })
+	rm := pl.room(engines)
 	for _, wt := range pl.queue {
-		names := pl.place(engines, wt.Tokens)
+		names := rm.place(wt.Tokens)
 		if names == nil && wt.impatient(co.now) {
 			// Smaller requests would go on taking every piece of memory that comes free, and this one would never fit.
 			return false
@@ -114,31 +115,3 @@
 	count := int64(max(1, engines))
 	return (tokens + count - 1) / count
 }
-
-// fits tells whether the engines could hold the request if nothing else were there.
-func fits(engines []Engine, tokens int64) bool {
-	return (&pool{}).place(engines, tokens) != nil
-}
-
-// place returns the fewest engines with room for equal parts of the request, in the fixed order of their names, or nil.
-// Among engines with room those with the least reserved and queued go first.
-func (pl *pool) place(engines []Engine, tokens int64) []string {
-	sorted := slices.Clone(engines)
-	slices.SortStableFunc(sorted, func(one, two Engine) int {
-		return int(pl.reserved[one.Upstream.Name] + one.Queued - pl.reserved[two.Upstream.Name] - two.Queued)
-	})
-	for count := 1; count <= len(sorted); count++ {
-		share := shareOf(tokens, count)
-		var names []string
-		for _, en := range sorted {
-			if len(names) < count && pl.reserved[en.Upstream.Name]+share <= en.usable() {
-				names = append(names, en.Upstream.Name)
-			}
-		}
-		if len(names) == count {
-			slices.Sort(names)
-			return names
-		}
-	}
-	return nil
-}
