--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -68,6 +68,8 @@
 	req.Upstreams = upstreams
 	req.Aborted = false
 	load := st.load(req)
+	// Several engines share the prompt in equal parts.
+	load.Prompt = (load.Prompt + int64(len(upstreams)) - 1) / int64(len(upstreams))
 	for _, up := range upstreams {
 		st.Route.Sent(st.now, up.Name, &load)
 	}
--- a/internal/core/permit.go
+++ b/internal/core/permit.go
@@ -2,12 +2,14 @@
 
 import (
 	"slices"
+	"strconv"
 	"strings"
 
 	"dandelionsail.example/dandelionsail/internal/effect"
 	"dandelionsail.example/dandelionsail/internal/event"
 	"dandelionsail.example/dandelionsail/internal/permit"
 	"dandelionsail.example/dandelionsail/internal/route"
+	"dandelionsail.example/dandelionsail/pkg/decl"
 )
 
 // permits is what an instance keeps for the long prompts: its own and those of the pools that it coordinates.
@@ -127,8 +129,9 @@
 		st.finish(req, st.ended(req, effect.ReasonNoUpstream, "try again; no replica of the service is live"))
 		return
 	}
+	req.asked = st.Options.RequestName(req.ID) + effect.PermitMark + strconv.Itoa(req.Attempt+1)
 	ask := event.PermitAsked{
-		Request:      st.Options.RequestName(req.ID),
+		Request:      req.asked,
 		Service:      req.Service,
 		Organisation: req.Organisation,
 		Weight:       st.Config.Organisations[req.Organisation].ShareWeight(),
@@ -194,7 +197,8 @@
 // what it has no room for, and what needs several is refused, as without a permit two prompts could each hold a part
 // of the engines that the other needs.
 func (st *State) permitLost(req *Request) {
-	if req.Tokens() <= st.Config.Services[req.Service].MemoryTokens {
+	req.asked = ""
+	if !st.needsSeveral(req) {
 		st.count("Permits.Lost")
 		st.queue(req)
 		return
@@ -216,10 +220,10 @@
 
 // releasePermit gives back the request's reservation or its place in the coordinator's queue.
 func (st *State) releasePermit(req *Request) {
-	if st.permits != nil && (req.Permit != "" || req.Phase == PhasePermit) {
-		name := st.Options.RequestName(req.ID)
-		st.effects = append(st.effects, st.permits.holder.Release(st.now, name)...)
+	if st.permits != nil && req.asked != "" {
+		st.effects = append(st.effects, st.permits.holder.Release(st.now, req.asked)...)
 	}
+	req.asked = ""
 	if st.permits == nil && req.Permit != "" {
 		st.emit(effect.ReleasePermit{
 			ID: req.ID, Service: req.Service, FailureDomain: st.Options.FailureDomain, Permit: req.Permit,
@@ -227,3 +231,9 @@
 	}
 	req.Permit = ""
 }
+
+// needsSeveral tells that one engine's memory does not hold the request.
+func (st *State) needsSeveral(req *Request) bool {
+	svc := st.Config.Services[req.Service]
+	return svc.Kind == decl.KindModel && svc.MemoryTokens > 0 && req.Tokens() > svc.MemoryTokens
+}
--- a/internal/core/state.go
+++ b/internal/core/state.go
@@ -104,6 +104,8 @@
 	Claimed bool
 	// Permit names the reservation held, empty if none.
 	Permit string
+	// asked names the permit asked for, empty if none is asked for or held.
+	asked string
 	// NotBefore delays the next attempt after a refusal by an upstream.
 	NotBefore time.Time
 	// Fruitless counts the attempts in a row that brought the answer no further.
--- a/internal/effect/effect.go
+++ b/internal/effect/effect.go
@@ -154,6 +154,9 @@
 	Shares []event.Share
 }
 
+// PermitMark parts the name of a permit into its request's name and the number of the attempt.
+const PermitMark = "~"
+
 // Sweep frees what engines still hold for a request whose holder died.
 type Sweep struct {
 	Request   string
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -29,7 +29,7 @@
 	ended := event.AttemptEnded{ID: cl.id, Attempt: eff.Attempt, Upstream: last.Name}
 	var err error
 	if cl.body != nil {
-		err = in.stream(watched, cl, eff, silence)
+		err = in.stream(watched, cl, eff, silence, &ended)
 	} else {
 		err = in.exchange(watched, cl, eff, silence, &ended)
 	}
@@ -40,10 +40,20 @@
 		ended.Status = refused
 		ended.Alive = true
 	}
-	in.aftermath(ctx, cl, last, &ended)
+	in.aftermath(ctx, cl, upstreamOf(eff, ended.Upstream), &ended)
 	return ended
 }
 
+// upstreamOf finds the upstream of the attempt that has the name.
+func upstreamOf(eff effect.Send, name string) event.Upstream {
+	for _, up := range eff.Upstreams {
+		if up.Name == name {
+			return up
+		}
+	}
+	return eff.Upstreams[len(eff.Upstreams)-1]
+}
+
 // aftermath looks after an upstream that broke off or went silent.
 func (in *Instance) aftermath(ctx context.Context, cl *call, up event.Upstream, ended *event.AttemptEnded) {
 	switch ended.Result {
@@ -97,10 +107,20 @@
 }
 
 // stream passes a model's answer on, chunk by chunk.
-func (in *Instance) stream(ctx context.Context, cl *call, eff effect.Send, silence context.CancelCauseFunc) error {
+func (in *Instance) stream(ctx context.Context, cl *call, eff effect.Send, silence context.CancelCauseFunc, ended *event.AttemptEnded) error {
+	var imports []string
+	if len(eff.Upstreams) > 1 {
+		defer in.freeSegments(eff)
+		handles, err := in.prefill(ctx, cl, eff, silence, ended)
+		if err != nil {
+			return err
+		}
+		imports = handles
+	}
 	wd := watch(silence, eff.FirstSilence, eff.Silence)
 	defer wd.stop()
 	up := cl.upstreamCall(eff)
+	up.Imports = imports
 	up.Body, up.Length = cl.body.Streamed()
 	up.Heartbeat = func() {
 		in.heartbeats.Store(up.Address, true)
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -10,14 +10,6 @@
 	"dandelionsail.example/dandelionsail/internal/wire"
 )
 
-// Freeing of what an engine holds.
-const (
-	// freeTime is how long an engine that does not answer is told; one that died has nothing to free.
-	freeTime = 10 * time.Second
-	// freePause is the wait between two tries.
-	freePause = 250 * time.Millisecond
-)
-
 // OpenPeers opens the socket towards the other instances and returns its address, empty if there are no keys.
 func (in *Instance) OpenPeers() (string, error) {
 	keys := in.opts.PeerKeys
@@ -107,21 +99,3 @@
 	}
 	in.livePeers.Store(&addresses)
 }
-
-// sweep frees what engines still hold for a request whose holder died.
-func (in *Instance) sweep(eff effect.Sweep) {
-	in.drop(eff.Request, eff.Upstreams)
-}
-
-// drop frees on each engine what it holds for the request, in the background.
-func (in *Instance) drop(request string, upstreams []event.Upstream) {
-	for _, up := range upstreams {
-		in.pending.Go(func() {
-			ctx, cancel := context.WithTimeout(context.Background(), freeTime)
-			defer cancel()
-			for in.upstream.Drop(ctx, up.Address, request) != nil && ctx.Err() == nil {
-				pause(ctx, freePause)
-			}
-		})
-	}
-}
--- /dev/null
+++ b/internal/proof/permit_test.go
@@ -0,0 +1,176 @@
+package proof_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"dandelionsail.example/dandelionsail/internal/conf"
+	"dandelionsail.example/dandelionsail/internal/fleet"
+	"dandelionsail.example/dandelionsail/internal/load"
+	"dandelionsail.example/dandelionsail/internal/stand"
+	"dandelionsail.example/dandelionsail/internal/store"
+	"dandelionsail.example/dandelionsail/pkg/decl"
+)
+
+// longMemory is one engine's memory in these tests; the prompts have 2.5 times as many tokens.
+const longMemory = 40_000
+
+// longFleet is a pool of engines with small memories and instances that share it.
+type longFleet struct {
+	*fleet.Fleet
+	t       *testing.T
+	engines []*fleet.Process
+	entries []*fleet.Process
+}
+
+func newLongFleet(t *testing.T, engines, entries int) *longFleet {
+	t.Helper()
+	lf := &longFleet{Fleet: &fleet.Fleet{}, t: t}
+	t.Cleanup(lf.Close)
+	assert.NilError(t, lf.StartPlatform("--list-lag", "0s"))
+	lf.configure()
+	for i := range engines {
+		engine, err := lf.StartEngine(fmt.Sprintf("lyric-%d", i), "lyric", "a",
+			"--memory-tokens", fmt.Sprint(longMemory), "--step", "10ms", "--prefill-chunk", "4000")
+		assert.NilError(t, err)
+		lf.engines = append(lf.engines, engine)
+	}
+	for i := range entries {
+		inst, err := lf.StartEntry(fmt.Sprintf("entry-%d", i), "a", "--list-period", "100ms", "--drain-notice", "0s")
+		assert.NilError(t, err)
+		lf.entries = append(lf.entries, inst)
+	}
+	for _, inst := range lf.entries {
+		assert.NilError(t, fleet.WaitReady(t.Context(), inst.Address))
+	}
+	return lf
+}
+
+func (lf *longFleet) configure() {
+	cfg := decl.Config{
+		Services: map[string]decl.Service{
+			"lyric": {
+				Kind: decl.KindModel, Models: []decl.Model{{Name: "lyric"}}, MemoryTokens: longMemory,
+				PrefillTokensPerSecond: 200_000, DecodeTokensPerSecond: 100,
+			},
+		},
+		Organisations: map[string]decl.Organisation{"parish": {TokenDigests: []string{decl.TokenDigest(token)}}},
+		LengthClasses: []decl.LengthClass{
+			{Name: "Short", MaxTokens: 10_000, Priority: 1}, {Name: "Long", MaxTokens: 200_000, Long: true},
+		},
+	}
+	document, err := json.Marshal(cfg)
+	assert.NilError(lf.t, err)
+	client := store.New(lf.Platform.Address)
+	defer client.Close()
+	operations := json.RawMessage(`[{"op":"replace","path":"","value":` + string(document) + `}]`)
+	_, err = conf.New(client).Submit(lf.t.Context(), conf.Patch{ID: "first", Operations: operations})
+	assert.NilError(lf.t, err)
+}
+
+// long sends a prompt of 2.5 engines' memory through the numbered instance.
+func (lf *longFleet) long(entry int, answer int64) chan load.Result {
+	caller := &load.Caller{Address: lf.entries[entry].Address, Token: token, HTTP: http.DefaultClient}
+	ended := make(chan load.Result, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(lf.t.Context()), time.Minute)
+		defer cancel()
+		ended <- caller.Complete(ctx, "lyric", load.Prompt(longMemory*5/2, uint64(entry)), answer)
+	}()
+	return ended
+}
+
+// state returns an engine's true state, and false if the engine is dead.
+func (lf *longFleet) state(engine *fleet.Process) (stand.State, bool) {
+	var st stand.State
+	resp, err := http.Get("http://" + engine.Address + stand.PathState)
+	if err != nil {
+		return st, false
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return st, json.NewDecoder(resp.Body).Decode(&st) == nil
+}
+
+// until waits until the engines' states in the order of the engines are as wanted.
+func (lf *longFleet) until(wanted func(states []stand.State) bool) {
+	lf.t.Helper()
+	for {
+		var states []stand.State
+		for _, engine := range lf.engines {
+			if st, ok := lf.state(engine); ok {
+				states = append(states, st)
+			}
+		}
+		if wanted(states) {
+			return
+		}
+		if lf.t.Context().Err() != nil {
+			lf.t.Fatalf("did not come about: %+v", states)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func freed(states []stand.State) bool {
+	for _, st := range states {
+		if st.UsedTokens > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+func TestPromptOverSeveralEngines(t *testing.T) {
+	// A caller sends a prompt of 2.5 times one engine's memory, and gets its whole answer over three engines.
+	// Then one of the engines is killed while another such answer is on its way. The last engine cannot go on without
+	// the segment, the request asks for a permit again, and the rest comes from the engines left or a clear failure does.
+	// After each of them no engine holds anything.
+	lf := newLongFleet(t, 4, 2)
+	res := <-lf.long(0, 20)
+	assert.Equal(t, res.Outcome, load.OutcomeWhole, res.Detail)
+	lf.until(freed)
+	ended := lf.long(1, 300)
+	lf.until(func(states []stand.State) bool { return generating(states) })
+	for _, engine := range lf.engines {
+		if st, _ := lf.state(engine); len(st.Exports) > 0 {
+			assert.NilError(t, engine.Kill())
+			break
+		}
+	}
+	res = <-ended
+	clear := res.Outcome == load.OutcomeWhole || res.Outcome == load.OutcomeFailed || res.Outcome == load.OutcomeRefused
+	assert.Assert(t, clear, "%s: %s", res.Outcome, res.Detail)
+	t.Logf("an engine killed in the middle: %s %s", res.Outcome, res.Detail)
+	lf.until(freed)
+}
+
+// generating tells that two engines hold segments and a third has the request itself.
+func generating(states []stand.State) bool {
+	exports, running := 0, 0
+	for _, st := range states {
+		exports += len(st.Exports)
+		running += len(st.Requests)
+	}
+	return exports == 2 && running == 1
+}
+
+func TestHolderKilledWithSeveralEngines(t *testing.T) {
+	// The instance that streams an answer over three engines is killed. Its caller's connection breaks. The segments on
+	// the two engines before the last have no end of their own; another instance learns of the death by its probes and
+	// has the engines free what the dead one left.
+	lf := newLongFleet(t, 3, 3)
+	ended := lf.long(0, 2000)
+	lf.until(generating)
+	assert.NilError(t, lf.entries[0].Kill())
+	killed := time.Now()
+	res := <-ended
+	assert.Assert(t, res.Outcome != load.OutcomeWhole)
+	lf.until(freed)
+	t.Logf("freed %s after the holder was killed", time.Since(killed).Round(10*time.Millisecond))
+}
