--- a/internal/proof/permit_test.go
+++ b/internal/proof/permit_test.go
@@ -144,8 +144,8 @@
 		}
 	}
 	res = <-ended
-	clear := res.Outcome == load.OutcomeWhole || res.Outcome == load.OutcomeFailed || res.Outcome == load.OutcomeRefused
-	assert.Assert(t, clear, "%s: %s", res.Outcome, res.Detail)
+	plain := res.Outcome == load.OutcomeWhole || res.Outcome == load.OutcomeFailed || res.Outcome == load.OutcomeRefused
+	assert.Assert(t, plain, "%s: %s", res.Outcome, res.Detail)
 	t.Logf("an engine killed in the middle: %s %s", res.Outcome, res.Detail)
 	lf.until(freed)
 }
