--- /dev/null
+++ b/internal/conf/log_test.go
@@ -0,0 +1,258 @@
+package conf_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+
+	"github.com/joomcode/errorx"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"dandelionsail.example/dandelionsail/internal/conf"
+	"dandelionsail.example/dandelionsail/internal/stand"
+	"dandelionsail.example/dandelionsail/internal/store"
+	"dandelionsail.example/dandelionsail/pkg/decl"
+)
+
+func organisation(name string) json.RawMessage {
+	return json.RawMessage(fmt.Sprintf(`[{"op":"add","path":"/Organisations/%s","value":{"TokenDigests":[%q]}}]`, name, decl.TokenDigest(name)))
+}
+
+func patch(id string, base int64) conf.Patch {
+	return conf.Patch{ID: id, Base: base, Author: "maya", Operations: organisation(id)}
+}
+
+// submitted returns a log with the number of patches, and the service that holds it.
+func submitted(t *testing.T, count int64) (*conf.Log, *stand.KV) {
+	kv := stand.NewKV(stand.Rates{})
+	lg := conf.New(stand.NewMemory(kv))
+	for base := range count {
+		_, err := lg.Submit(t.Context(), patch(fmt.Sprintf("p%d", base), base))
+		assert.NilError(t, err)
+	}
+	return lg, kv
+}
+
+func TestStalePatchIsRefused(t *testing.T) {
+	// An operator patches version 1 while another made versions 2 and 3.
+	// The patch must not be applied to what its author never saw, and the author has to learn what changed meanwhile.
+	lg, kv := submitted(t, 3)
+	_, err := lg.Submit(t.Context(), patch("late", 1))
+	assert.Assert(t, errorx.IsOfType(err, conf.Stale), "%v", err)
+	newest, _ := errorx.ExtractProperty(err, conf.PropertyVersion)
+	assert.Equal(t, newest, int64(3))
+	assert.ErrorContains(t, err, "maya changed /Organisations/p1; maya changed /Organisations/p2")
+	cfg, err := conf.New(stand.NewMemory(kv)).Load(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, len(cfg.Organisations), 3)
+}
+
+func TestBrokenPatchIsRefusedWhole(t *testing.T) {
+	// A patch whose second operation fails must not leave its first one in force.
+	digest := decl.TokenDigest("x")
+	cases := map[string]struct{ operations, message string }{
+		"no such path":    {`[{"op":"add","path":"/Organisations/x","value":{"TokenDigests":["` + digest + `"]}},{"op":"remove","path":"/Services/y"}]`, "operation 1 (remove /Services/y)"},
+		"unknown field":   {`[{"op":"add","path":"/Organisations/x","value":{"Tokens":[]}}]`, `/Organisations/x`},
+		"dangling name":   {`[{"op":"add","path":"/Organisations/x","value":{"TokenDigests":["` + digest + `"],"Services":["nope"]}}]`, "/Organisations/x/Services"},
+		"no JSON Patch":   {`{"Organisations":{}}`, "RFC 6902"},
+		"unknown section": {`[{"op":"add","path":"/Zones/x","value":1}]`, "/Zones/x"},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			lg, _ := submitted(t, 1)
+			_, err := lg.Submit(t.Context(), conf.Patch{ID: "broken", Base: 1, Operations: json.RawMessage(tc.operations)})
+			assert.Assert(t, errorx.IsOfType(err, conf.Broken), "%v", err)
+			assert.ErrorContains(t, err, tc.message)
+			cfg, err := lg.Load(t.Context())
+			assert.NilError(t, err)
+			assert.Equal(t, cfg.Version, int64(1))
+		})
+	}
+}
+
+func TestOperatorsRace(t *testing.T) {
+	// Ten operators patch the same version at once, each through an instance of its own, and some of the store's
+	// answers are lost. Exactly one patch becomes the next version, and every other operator is told that it is stale.
+	synctest.Test(t, func(t *testing.T) {
+		_, kv := submitted(t, 1)
+		kv.SetFaults(stand.Faults{LostAnswers: 0.5})
+		var mu sync.Mutex
+		var group sync.WaitGroup
+		won := 0
+		for i := range 10 {
+			group.Go(func() {
+				version, err := conf.New(stand.NewMemory(kv)).Submit(t.Context(), patch(fmt.Sprintf("racer%d", i), 1))
+				mu.Lock()
+				defer mu.Unlock()
+				if err == nil {
+					won++
+					assert.Check(t, version == 2)
+					return
+				}
+				assert.Check(t, errorx.IsOfType(err, conf.Stale), "%v", err)
+			})
+		}
+		group.Wait()
+		assert.Equal(t, won, 1)
+	})
+}
+
+func TestPatchSentAgainLandsOnce(t *testing.T) {
+	// The answer to a patch is lost and its operator sends it again: at once, after others changed the configuration,
+	// and after the log was trimmed. It must land once and get the version it got the first time.
+	cases := map[string]struct {
+		later   int64
+		compact bool
+	}{
+		"at once":      {},
+		"after others": {later: 3},
+		"after a trim": {later: 40, compact: true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			lg, kv := submitted(t, 2)
+			kv.SetFaults(stand.Faults{LostAnswers: 1})
+			_, err := lg.Submit(t.Context(), patch("mine", 2))
+			assert.NilError(t, err)
+			kv.SetFaults(stand.Faults{})
+			for i := range tc.later {
+				_, err := lg.Submit(t.Context(), patch(fmt.Sprintf("other%d", i), 3+i))
+				assert.NilError(t, err)
+			}
+			if tc.compact {
+				lg.SnapshotEvery, lg.KeepPatches = 10, 4
+				assert.NilError(t, lg.Compact(t.Context()))
+				_, err := lg.Read(t.Context(), 3)
+				assert.Assert(t, errorx.IsOfType(err, store.Missing), "%v", err)
+			}
+			again := conf.New(stand.NewMemory(kv))
+			version, err := again.Submit(t.Context(), patch("mine", 2))
+			assert.NilError(t, err)
+			assert.Equal(t, version, int64(3))
+			other := patch("mine", 3+tc.later)
+			other.Operations = organisation("another")
+			_, err = again.Submit(t.Context(), other)
+			assert.Assert(t, errorx.IsOfType(err, conf.Broken), "%v", err)
+		})
+	}
+}
+
+func TestPausedSubmitterWritesIntoTrimmedLog(t *testing.T) {
+	// A submitter is paused between its read of version 2 and its write, for so long that the log goes on and is
+	// trimmed. Its key is free again and the store takes the write, which no reader would ever see.
+	// The submitter must not hear that it landed.
+	lg, kv := submitted(t, 2)
+	late := conf.New(&pausing{Store: stand.NewMemory(kv), meanwhile: func() {
+		for base := int64(2); base < 40; base++ {
+			_, err := lg.Submit(t.Context(), patch(fmt.Sprintf("p%d", base), base))
+			assert.NilError(t, err)
+		}
+		lg.SnapshotEvery, lg.KeepPatches = 10, 4
+		assert.NilError(t, lg.Compact(t.Context()))
+	}})
+	_, err := late.Submit(t.Context(), patch("late", 2))
+	assert.Assert(t, errorx.IsOfType(err, conf.Stale), "%v", err)
+	cfg, err := conf.New(stand.NewMemory(kv)).Load(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, cfg.Version, int64(40))
+	_, ok := cfg.Organisations["late"]
+	assert.Assert(t, !ok)
+}
+
+func TestRecoveryFromSnapshotAndPatches(t *testing.T) {
+	lg, kv := submitted(t, 30)
+	lg.SnapshotEvery, lg.KeepPatches = 10, 4
+	assert.NilError(t, lg.Compact(t.Context()))
+	_, err := lg.Submit(t.Context(), patch("after", 30))
+	assert.NilError(t, err)
+	whole, err := lg.Load(t.Context())
+	assert.NilError(t, err)
+	fresh := conf.New(stand.NewMemory(kv))
+	cfg, err := fresh.Load(t.Context())
+	assert.NilError(t, err)
+	assert.DeepEqual(t, cfg, whole)
+	history, err := fresh.History(t.Context(), 28)
+	assert.NilError(t, err)
+	assert.Equal(t, len(history), 3)
+	assert.Equal(t, history[2].ID, "after")
+}
+
+func TestPartialApplyIsTheWholeOne(t *testing.T) {
+	// Apply encodes only the entries that a patch names. Its result must be what applying the patch to the whole
+	// document gives, also for moves, copies and failing tests; an operation on a whole section forces the long way.
+	rapid.Check(t, func(t *rapid.T) {
+		cfg := &decl.Config{Version: 5, Organisations: map[string]decl.Organisation{}, Services: map[string]decl.Service{}, Objectives: map[string]decl.Objective{}, Operators: map[string]decl.Operator{}}
+		for _, name := range []string{"a", "b", "c/d"} {
+			cfg.Organisations[name] = decl.Organisation{TokenDigests: []string{decl.TokenDigest(name)}, Weight: 1}
+		}
+		pointers := []string{"/Organisations/a", "/Organisations/b", "/Organisations/c~1d", "/Organisations/e", "/Operators/o"}
+		var operations []string
+		for range rapid.IntRange(1, 4).Draw(t, "count") {
+			pointer := rapid.SampledFrom(pointers).Draw(t, "path")
+			from := rapid.SampledFrom(pointers).Draw(t, "from")
+			operations = append(operations, rapid.SampledFrom([]string{
+				fmt.Sprintf(`{"op":"remove","path":%q}`, pointer),
+				fmt.Sprintf(`{"op":"replace","path":"%s/Weight","value":3}`, pointer),
+				fmt.Sprintf(`{"op":"add","path":%q,"value":{"TokenDigests":[%q]}}`, pointer, decl.TokenDigest(pointer)),
+				fmt.Sprintf(`{"op":"move","path":%q,"from":%q}`, pointer, from),
+				fmt.Sprintf(`{"op":"copy","path":%q,"from":%q}`, pointer, from),
+				fmt.Sprintf(`{"op":"test","path":"%s/Weight","value":1}`, pointer),
+			}).Draw(t, "operation"))
+		}
+		list := "[" + operations[0]
+		for _, op := range operations[1:] {
+			list += "," + op
+		}
+		part, errPart := conf.Apply(cfg, conf.Patch{Operations: json.RawMessage(list + "]")})
+		whole, errWhole := conf.Apply(cfg, conf.Patch{Operations: json.RawMessage(list + `,{"op":"test","path":"/LengthClasses","value":null}]`)})
+		if (errPart == nil) != (errWhole == nil) {
+			t.Fatalf("%s: %v against %v", list, errPart, errWhole)
+		}
+		if errPart == nil {
+			one, _ := json.Marshal(part)
+			two, _ := json.Marshal(whole)
+			assert.Equal(t, string(one), string(two))
+		}
+	})
+}
+
+// full returns a configuration of the size of letter 1.
+func full() *decl.Config {
+	cfg := &decl.Config{Version: 1, Organisations: map[string]decl.Organisation{}, Services: map[string]decl.Service{}}
+	for i := range 40 {
+		name := fmt.Sprintf("model-%d", i)
+		cfg.Services[name] = decl.Service{Kind: decl.KindModel, Models: []decl.Model{{Name: name, Version: "v1", Adapters: []string{"one", "two"}}}, MemoryTokens: 400_000}
+	}
+	for i := range 1700 {
+		name := fmt.Sprintf("organisation-%d", i)
+		cfg.Organisations[name] = decl.Organisation{
+			TokenDigests: []string{decl.TokenDigest(name)},
+			Weight:       1,
+			Limits:       decl.Limits{RequestsPerSecond: 10, TokensPerSecond: 1e6, RequestsInFlight: 100, TokensInFlight: 1e7},
+			Services:     []string{"model-1", "model-2", "model-3"},
+		}
+	}
+	return cfg
+}
+
+// BenchmarkApply gives the cost of one patch at 1,700 organisations, by the entries it names and by the whole document.
+func BenchmarkApply(b *testing.B) {
+	cases := map[string]string{
+		"Entry": `[{"op":"replace","path":"/Organisations/organisation-7/Weight","value":2}]`,
+		"Whole": `[{"op":"replace","path":"/Organisations/organisation-7/Weight","value":2},{"op":"test","path":"/LengthClasses","value":null}]`,
+	}
+	cfg := full()
+	for name, operations := range cases {
+		b.Run(name, func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := conf.Apply(cfg, conf.Patch{Operations: json.RawMessage(operations)}); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/conf/snap.go
@@ -0,0 +1,252 @@
+package conf
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/joomcode/errorx"
+
+	"dandelionsail.example/dandelionsail/internal/store"
+	"dandelionsail.example/dandelionsail/pkg/decl"
+)
+
+const (
+	// snapPrefix is where the sections of snapshots are kept.
+	snapPrefix = "dandelionsail/config/snap/"
+	// manifestKey names the newest snapshot.
+	manifestKey = "dandelionsail/config/manifest"
+	// sectionBytes is the length of a section, well under what the platform holds in one value.
+	sectionBytes = 512 << 10
+	// snapshotReads is how often a reader starts over when a newer snapshot replaces the one it reads.
+	snapshotReads = 3
+)
+
+// snapshot is a version with what a submitter needs to know of the patches before it.
+type snapshot struct {
+	Config *decl.Config
+	// Landed are the patches up to the version, oldest first, at most keptLanded.
+	Landed []Landed
+}
+
+func (sn *snapshot) version() int64 {
+	return sn.Config.Version
+}
+
+// keptLanded is how many patches are remembered by id: about an hour's at 46,000 patches a day. Within it a patch
+// sent again lands once, also after its operations were trimmed.
+const keptLanded = 2048
+
+// next returns the snapshot after one more patch.
+func (sn *snapshot) next(raw []byte) (*snapshot, error) {
+	patch, err := decodePatch(raw)
+	if err != nil {
+		return nil, err
+	}
+	cfg, err := Apply(sn.Config, patch)
+	if err != nil {
+		return nil, err
+	}
+	landed := append(sn.Landed[:len(sn.Landed):len(sn.Landed)], patch.landed(cfg.Version))
+	if len(landed) > keptLanded {
+		landed = landed[len(landed)-keptLanded:]
+	}
+	return &snapshot{Config: cfg, Landed: landed}, nil
+}
+
+// find returns the patch that landed under the id.
+func (sn *snapshot) find(id string) (Landed, bool) {
+	for i := len(sn.Landed) - 1; i >= 0; i-- {
+		if sn.Landed[i].ID == id {
+			return sn.Landed[i], true
+		}
+	}
+	return Landed{}, false
+}
+
+// since returns the remembered patches after the version.
+func (sn *snapshot) since(version int64) []Landed {
+	for i, ld := range sn.Landed {
+		if ld.Version > version {
+			return sn.Landed[i:]
+		}
+	}
+	return nil
+}
+
+// manifest names the newest snapshot. It is swapped after its sections are written, so a reader never meets half of one.
+type manifest struct {
+	Version  int64
+	Sections []section
+}
+
+type section struct {
+	Key    string
+	Digest uint64
+}
+
+func decodeManifest(raw []byte) (manifest, error) {
+	var mf manifest
+	if err := json.Unmarshal(raw, &mf); err != nil {
+		return mf, Corrupt.Wrap(err, "conf: %s does not decode; find out who wrote it", manifestKey)
+	}
+	return mf, nil
+}
+
+func decodeSnapshot(raw []byte) (*snapshot, error) {
+	sn := &snapshot{}
+	if err := json.Unmarshal(raw, sn); err != nil {
+		return nil, Corrupt.Wrap(err, "conf: a snapshot does not decode; run the same release on all instances")
+	}
+	if sn.Config == nil || sn.Config.Version <= 0 {
+		return nil, Corrupt.New("conf: a snapshot holds no configuration; find out who wrote below %s", snapPrefix)
+	}
+	return sn, nil
+}
+
+// split cuts an encoded snapshot into sections that the platform can hold.
+func split(version int64, raw []byte) (manifest, [][]byte) {
+	mf := manifest{Version: version}
+	var parts [][]byte
+	for len(raw) > 0 {
+		part := raw[:min(len(raw), sectionBytes)]
+		raw = raw[len(part):]
+		mf.Sections = append(mf.Sections, section{
+			Key:    fmt.Sprintf("%s%012d/%03d", snapPrefix, version, len(parts)),
+			Digest: xxhash.Sum64(part),
+		})
+		parts = append(parts, part)
+	}
+	return mf, parts
+}
+
+// readManifest returns the manifest and its revision, both zero if there is none yet.
+func (lg *Log) readManifest(ctx context.Context) (manifest, int64, error) {
+	pair, err := lg.st.Get(ctx, manifestKey)
+	if errorx.IsOfType(err, store.Missing) {
+		return manifest{}, 0, nil
+	}
+	if err != nil {
+		return manifest{}, 0, err
+	}
+	mf, err := decodeManifest(pair.Value)
+	return mf, pair.Revision, err
+}
+
+// readSnapshot returns the newest snapshot, the empty version if there is none yet.
+func (lg *Log) readSnapshot(ctx context.Context) (*snapshot, error) {
+	var err error
+	for range snapshotReads {
+		var mf manifest
+		mf, _, err = lg.readManifest(ctx)
+		if err != nil {
+			return nil, err
+		}
+		if mf.Version == 0 {
+			return empty(), nil
+		}
+		var sn *snapshot
+		sn, err = lg.readSections(ctx, mf)
+		if err == nil || !errorx.IsOfType(err, store.Missing) {
+			return sn, err
+		}
+	}
+	return nil, err
+}
+
+func empty() *snapshot {
+	return &snapshot{Config: &decl.Config{}}
+}
+
+func (lg *Log) readSections(ctx context.Context, mf manifest) (*snapshot, error) {
+	var raw []byte
+	for _, sec := range mf.Sections {
+		pair, err := lg.st.Get(ctx, sec.Key)
+		if err != nil {
+			return nil, err
+		}
+		if xxhash.Sum64(pair.Value) != sec.Digest {
+			return nil, Corrupt.New("conf: %s differs from its digest; find out who wrote it", sec.Key)
+		}
+		raw = append(raw, pair.Value...)
+	}
+	return decodeSnapshot(raw)
+}
+
+// Compact writes a snapshot if enough patches landed after the last one, and trims what nobody needs then. Any number
+// of instances may do so at once.
+func (lg *Log) Compact(ctx context.Context) error {
+	sn, err := lg.newest(ctx)
+	if err != nil {
+		return err
+	}
+	old, revision, err := lg.readManifest(ctx)
+	if err != nil || sn.version()-old.Version < lg.SnapshotEvery {
+		return err
+	}
+	raw, err := json.Marshal(sn)
+	if err != nil {
+		return Corrupt.Wrap(err, "conf: version %d does not encode", sn.version())
+	}
+	mf, parts := split(sn.version(), raw)
+	for i, sec := range mf.Sections {
+		if err := lg.writeSection(ctx, sec, parts[i]); err != nil {
+			return err
+		}
+	}
+	raw, err = json.Marshal(mf)
+	if err != nil {
+		return Corrupt.Wrap(err, "conf: the manifest does not encode")
+	}
+	if _, err := lg.st.Swap(ctx, manifestKey, raw, revision, 0); err != nil {
+		return err
+	}
+	return lg.trim(ctx, old.Version, mf.Version)
+}
+
+// writeSection creates the section. Another instance writes the same bytes for the same version, so one that is there
+// already is as good.
+func (lg *Log) writeSection(ctx context.Context, sec section, part []byte) error {
+	_, err := lg.st.Swap(ctx, sec.Key, part, 0, 0)
+	if !errorx.IsOfType(err, store.Conflict) {
+		return err
+	}
+	pair, err := lg.st.Get(ctx, sec.Key)
+	if err == nil && xxhash.Sum64(pair.Value) != sec.Digest {
+		return Corrupt.New("conf: %s was written with another content; run the same release on all instances", sec.Key)
+	}
+	return err
+}
+
+// trim removes the sections older than the snapshot before the newest, which a slow reader may still be reading, and
+// the patches far enough behind the newest one.
+func (lg *Log) trim(ctx context.Context, before, newest int64) error {
+	if err := lg.removeBelow(ctx, snapPrefix, fmt.Sprintf("%s%012d", snapPrefix, before)); err != nil {
+		return err
+	}
+	return lg.removeBelow(ctx, Prefix, key(newest-lg.KeepPatches))
+}
+
+func (lg *Log) removeBelow(ctx context.Context, prefix, end string) error {
+	for {
+		pairs, err := lg.st.List(ctx, prefix, "", listLimit)
+		if err != nil {
+			return err
+		}
+		removed := 0
+		for _, pair := range pairs {
+			if pair.Key >= end || !strings.HasPrefix(pair.Key, prefix) {
+				return nil
+			}
+			if err := lg.st.Delete(ctx, pair.Key, pair.Revision); err != nil && !errorx.IsOfType(err, store.Conflict) {
+				return err
+			}
+			removed++
+		}
+		if removed < listLimit {
+			return nil
+		}
+	}
+}
--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -47,6 +47,7 @@
 	store    *store.Client
 	platform *plat.Client
 	conf     *conf.Log
+	follower *conf.Follower
 	claims   *once.Claims
 	log      *log.Logger
 	// Meter holds the instance's counters, timers and service-level burn.
@@ -86,6 +87,7 @@
 		reporters: map[string]context.CancelFunc{},
 	}
 	in.conf = conf.New(in.store)
+	in.follower = conf.NewFollower(in.conf, event.Instance{Name: opts.Name, FailureDomain: opts.FailureDomain}, in.acceptConfig)
 	in.claims = once.New(in.store, opts.Name)
 	in.config.Store(newDirectory(&decl.Config{}))
 	policy, _ := opts.policy()
@@ -140,7 +142,8 @@
 	}
 	group, parts := errgroup.WithContext(parts)
 	group.Go(func() error { return in.loop.Run(parts) })
-	group.Go(func() error { return in.followConfig(parts) })
+	group.Go(func() error { return in.follower.Run(parts) })
+	group.Go(func() error { return in.follower.RunCompaction(parts) })
 	group.Go(func() error { return in.followPlatform(parts) })
 	group.Go(func() error { return in.claims.Run(parts) })
 	group.Go(func() error { return in.Meter.Run(parts, in.log) })
@@ -250,13 +253,12 @@
 	}
 }
 
-func (in *Instance) followConfig(ctx context.Context) error {
-	return in.conf.Follow(ctx, func(cfg *decl.Config) {
-		in.config.Store(newDirectory(cfg))
-		in.Meter.Configure(cfg)
-		in.loop.Submit(event.ConfigAccepted{Config: cfg})
-		in.log.Info().Str("Instance", in.opts.Name).Int64("Version", cfg.Version).Msg("configuration in force")
-	})
+// acceptConfig brings a version into force; the follower calls it with rising versions, one at a time.
+func (in *Instance) acceptConfig(cfg *decl.Config) {
+	in.config.Store(newDirectory(cfg))
+	in.Meter.Configure(cfg)
+	in.loop.Submit(event.ConfigAccepted{Config: cfg})
+	in.log.Info().Str("Instance", in.opts.Name).Int64("Version", cfg.Version).Msg("configuration in force")
 }
 
 // ready reports whether the balancer may send requests here.
@@ -277,6 +279,7 @@
 			in.loop.Submit(ups)
 			in.loop.Submit(insts)
 			in.knowPeers(insts)
+			in.follower.SetMembers(insts.Instances)
 			in.followReports(ctx, ups)
 			in.listed.Store(in.listed.Load() || len(ups.Upstreams) > 0)
 		}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -48,10 +48,18 @@
 
 func (Demand) isMessage()        {}
 func (Shares) isMessage()        {}
+// ConfigNews tells that a version is in force at the teller; who has a lower one asks there for the patches.
+type ConfigNews struct {
+	Version int64
+	// Teller is the peer address of who has the version.
+	Teller string
+}
+
 func (Ack) isMessage()           {}
 func (Quarantine) isMessage()    {}
 func (ConfigWant) isMessage()    {}
 func (ConfigPatches) isMessage() {}
+func (ConfigNews) isMessage()    {}
 
 // MaxMessage bounds the encoded length of a message in bytes.
 const MaxMessage = 4 << 20
@@ -82,6 +90,7 @@
 
 	60: decode[Demand],
 	61: decode[Shares],
+	40: decode[ConfigNews],
 }
 
 func kindOf(msg Message) uint64 {
@@ -100,6 +109,8 @@
 		return 6
 	case ConfigPatches:
 		return 7
+	case ConfigNews:
+		return 40
 	}
 	switch msg.(type) {
 	case PermitRenew:
