Ask a teller no longer than it has something new

A follower asked a peer again and again for a version that the peer had told of and could not give: a busy loop. It stops when an answer brings it no further, and waits for the next word.

--- a/internal/conf/follow.go
+++ b/internal/conf/follow.go
@@ -361,8 +361,17 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case news := <-fl.heard:
-			for news.Version > fl.Version() && fl.ask(ctx, news.Teller) {
-			}
+			fl.fetch(ctx, news)
+		}
+	}
+}
+
+// fetch asks until the version is in force or the teller has nothing more, whatever it told.
+func (fl *Follower) fetch(ctx context.Context, news wire.ConfigNews) {
+	for news.Version > fl.Version() {
+		before := fl.Version()
+		if !fl.ask(ctx, news.Teller) || fl.Version() == before {
+			return
 		}
 	}
 }
@@ -373,7 +382,7 @@
 		return false
 	}
 	asked := slices.Concat(fl.choose(2, true), fl.choose(1, false))
-	slices.SortStableFunc(asked, func(one, two event.Instance) int { return cmp.Compare(rand.Uint32(), rand.Uint32()) })
+	rand.Shuffle(len(asked), func(i, j int) { asked[i], asked[j] = asked[j], asked[i] })
 	for _, inst := range asked {
 		before := fl.Version()
 		if fl.ask(ctx, inst.Peer) || fl.Version() > before {
