Keep claims in 64 shards, many a write, and give up claims for good

A claim was a key of its own: one write for it, one for its outcome, nothing ever removed, and a claim whose answer was lost until its request was refused stood for ever, so that its resend could never run. A refused claim is released in the background: its nonce is noted in the shard, so no late write of it can land, and the resend runs. During an outage of more than 10 s claims are refused after half a second instead of being held back. An answer that was too long to keep is not replayed as if it were whole.

--- a/internal/conf/apply.go
+++ b/internal/conf/apply.go
@@ -49,9 +49,9 @@
 
 // applyWhole applies the operations to all of the configuration's JSON form.
 func applyWhole(cfg *decl.Config, operations jsonpatch.Patch) (*decl.Config, error) {
-	document, err := json.Marshal(withMaps(cfg))
+	document, err := cfg.Document()
 	if err != nil {
-		return nil, Broken.Wrap(err, "conf: the configuration does not encode")
+		return nil, err
 	}
 	document, err = applyEach(document, operations, cfg.Version)
 	if err != nil {
@@ -66,24 +66,6 @@
 	return patched, nil
 }
 
-// withMaps makes absent maps empty ones, so that a patch can add their first entry.
-func withMaps(cfg *decl.Config) *decl.Config {
-	full := *cfg
-	if full.Organisations == nil {
-		full.Organisations = map[string]decl.Organisation{}
-	}
-	if full.Services == nil {
-		full.Services = map[string]decl.Service{}
-	}
-	if full.Objectives == nil {
-		full.Objectives = map[string]decl.Objective{}
-	}
-	if full.Operators == nil {
-		full.Operators = map[string]decl.Operator{}
-	}
-	return &full
-}
-
 // applyEach applies all operations or names the first that fails.
 func applyEach(document []byte, operations jsonpatch.Patch, version int64) ([]byte, error) {
 	patched, err := operations.Apply(document)
--- a/internal/conf/log.go
+++ b/internal/conf/log.go
@@ -54,15 +54,6 @@
 	return sn.Config, nil
 }
 
-// History returns what is remembered of the patches after the version, oldest first.
-func (lg *Log) History(ctx context.Context, after int64) ([]Landed, error) {
-	sn, err := lg.newest(ctx)
-	if err != nil {
-		return nil, err
-	}
-	return sn.since(after), nil
-}
-
 // Read returns the patch that became the version; store.Missing if it is trimmed.
 func (lg *Log) Read(ctx context.Context, version int64) (Patch, error) {
 	pair, err := lg.st.Get(ctx, key(version))
--- a/internal/conf/log_test.go
+++ b/internal/conf/log_test.go
@@ -174,10 +174,13 @@
 	cfg, err := fresh.Load(t.Context())
 	assert.NilError(t, err)
 	assert.DeepEqual(t, cfg, whole)
-	history, err := fresh.History(t.Context(), 28)
+	changes, err := fresh.Changes(t.Context(), 2)
 	assert.NilError(t, err)
-	assert.Equal(t, len(history), 3)
-	assert.Equal(t, history[2].ID, "after")
+	assert.Equal(t, len(changes), 29)
+	history, err := fresh.History(t.Context(), 2)
+	assert.NilError(t, err)
+	assert.Equal(t, len(history), 6)
+	assert.Equal(t, history[5].ID, "after")
 }
 
 func TestPartialApplyIsTheWholeOne(t *testing.T) {
@@ -207,13 +210,13 @@
 			list += "," + op
 		}
 		part, errPart := conf.Apply(cfg, conf.Patch{Operations: json.RawMessage(list + "]")})
-		whole, errWhole := conf.Apply(cfg, conf.Patch{Operations: json.RawMessage(list + `,{"op":"test","path":"/LengthClasses","value":null}]`)})
+		whole, errWhole := conf.Apply(cfg, conf.Patch{Operations: json.RawMessage(list + `,{"op":"test","path":"/LengthClasses","value":[]}]`)})
 		if (errPart == nil) != (errWhole == nil) {
 			t.Fatalf("%s: %v against %v", list, errPart, errWhole)
 		}
 		if errPart == nil {
-			one, _ := json.Marshal(part)
-			two, _ := json.Marshal(whole)
+			one, _ := part.Document()
+			two, _ := whole.Document()
 			assert.Equal(t, string(one), string(two))
 		}
 	})
@@ -242,7 +245,7 @@
 func BenchmarkApply(b *testing.B) {
 	cases := map[string]string{
 		"Entry": `[{"op":"replace","path":"/Organisations/organisation-7/Weight","value":2}]`,
-		"Whole": `[{"op":"replace","path":"/Organisations/organisation-7/Weight","value":2},{"op":"test","path":"/LengthClasses","value":null}]`,
+		"Whole": `[{"op":"replace","path":"/Organisations/organisation-7/Weight","value":2},{"op":"test","path":"/LengthClasses","value":[]}]`,
 	}
 	cfg := full()
 	for name, operations := range cases {
--- a/internal/core/claim.go
+++ b/internal/core/claim.go
@@ -50,6 +50,15 @@
 }
 
 func (st *State) repeatClaimed(req *Request, out event.Outcome) {
+	if out.Known && out.Truncated {
+		// The start of an answer must not pass for the whole of it.
+		st.finish(req, &effect.Refusal{
+			Reason: effect.ReasonAnswerGone,
+			Ran:    effect.HasRun,
+			Remedy: "the first request with this key ran and was answered; its answer was too long or too old to keep",
+		})
+		return
+	}
 	if out.Known {
 		st.release(req)
 		st.emit(effect.Finish{ID: req.ID, Replay: &out})
--- a/internal/effect/effect.go
+++ b/internal/effect/effect.go
@@ -81,6 +81,7 @@
 	ReasonDraining     Reason = "Draining"
 	ReasonUnknownModel Reason = "UnknownModel"
 	ReasonOutcome      Reason = "OutcomeUnknown"
+	ReasonAnswerGone   Reason = "AnswerNotKept"
 	// ReasonRejected means that the upstream found the request itself wrong; another replica would too.
 	ReasonRejected Reason = "RejectedUpstream"
 )
--- a/internal/entry/errors.go
+++ b/internal/entry/errors.go
@@ -50,6 +50,7 @@
 	effect.ReasonDraining:     http.StatusServiceUnavailable,
 	effect.ReasonUnknownModel: http.StatusNotFound,
 	effect.ReasonOutcome:      http.StatusBadGateway,
+	effect.ReasonAnswerGone:   http.StatusConflict,
 	effect.ReasonRejected:     http.StatusBadRequest,
 }
 
--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -140,6 +140,7 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
+	in.joinState()
 	group, parts := errgroup.WithContext(parts)
 	group.Go(func() error { return in.loop.Run(parts) })
 	group.Go(func() error { return in.follower.Run(parts) })
@@ -257,6 +258,7 @@
 func (in *Instance) acceptConfig(cfg *decl.Config) {
 	in.config.Store(newDirectory(cfg))
 	in.Meter.Configure(cfg)
+	in.claims.Configure(cfg)
 	in.loop.Submit(event.ConfigAccepted{Config: cfg})
 	in.log.Info().Str("Instance", in.opts.Name).Int64("Version", cfg.Version).Msg("configuration in force")
 }
@@ -280,6 +282,7 @@
 			in.loop.Submit(insts)
 			in.knowPeers(insts)
 			in.follower.SetMembers(insts.Instances)
+			in.claims.SetMembers(insts.Instances)
 			in.followReports(ctx, ups)
 			in.listed.Store(in.listed.Load() || len(ups.Upstreams) > 0)
 		}
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -33,8 +33,12 @@
 }
 
 // hear handles one message of a peer and returns the answer, nil if being heard is enough.
-func (in *Instance) hear(_ context.Context, _ string, msg wire.Message) wire.Message {
+func (in *Instance) hear(ctx context.Context, _ string, msg wire.Message) wire.Message {
 	switch msg := msg.(type) {
+	case wire.ConfigNews, wire.ConfigWant:
+		return in.follower.Handle(msg)
+	case wire.ClaimAsk, wire.ClaimSettle:
+		return in.claims.Handle(ctx, msg)
 	case wire.Quarantine:
 		in.loop.Submit(event.Quarantined{Digest: msg.Digest, Deaths: msg.Deaths, Until: time.Now().Add(msg.Lasts)})
 	case wire.Demand:
--- a/internal/once/once.go
+++ b/internal/once/once.go
@@ -1,27 +1,39 @@
 // Package once records idempotency keys before their requests are sent, so that a request that must not be repeated
-// runs at most once, whichever instance a resend meets.
+// runs at most once, whichever instance a resend meets. Claims are grouped by key into a fixed number of shards, one
+// value a shard, written by compare-and-swap: the swap makes it safe, and a home for each shard only saves writes.
 package once
 
 import (
 	"context"
-	"encoding/hex"
-	"encoding/json"
+	"crypto/sha256"
+	"encoding/binary"
+	"sync/atomic"
 	"time"
 
-	"github.com/joomcode/errorx"
+	"golang.org/x/sync/errgroup"
 
 	"dandelionsail.example/dandelionsail/internal/event"
 	"dandelionsail.example/dandelionsail/internal/store"
+	"dandelionsail.example/dandelionsail/pkg/decl"
 )
 
-// Prefix is where claims are kept.
-const Prefix = "dandelionsail/claim/"
-
-// KeptBody is how much of an answer is kept for a resend.
-const KeptBody = 4 << 10
-
-// retryPause is the wait between tries of a claim that the store did not take.
-const retryPause = 100 * time.Millisecond
+const (
+	// Prefix is where claims are kept.
+	Prefix = "dandelionsail/claim/"
+	// Shards is how many values the claims are kept in. It cannot change while claims are kept.
+	Shards = 64
+	// KeptBody is how much of an answer is kept for a resend.
+	KeptBody = 4 << 10
+	// ResendWindow is how long after its deadline a request may be sent again and still be recognised.
+	ResendWindow = 30 * time.Minute
+	// patience is the longest wait for a claim; after it the caller hears "not run" and when to come back.
+	patience = 10 * time.Second
+	// outageAfter is how long the store must have failed until claims are refused after one short try.
+	outageAfter    = 10 * time.Second
+	outagePatience = 500 * time.Millisecond
+	// forwardTimeout bounds one question to a shard's home.
+	forwardTimeout = 2 * time.Second
+)
 
 // Key names a claim.
 type Key struct {
@@ -30,126 +42,138 @@
 	Key          string
 }
 
-func (ky Key) path() string {
-	return Prefix + hex.EncodeToString([]byte(ky.Organisation+"\x00"+ky.Service+"\x00"+ky.Key))
-}
-
-// Record is the stored claim.
-type Record struct {
-	Digest event.Digest
-	// Nonce is the claimant's own, by which it knows its write after a lost answer.
-	Nonce   string
-	Outcome event.Outcome
-	At      time.Time
+// place returns the claim's shard and its name in it.
+func (ky Key) place() (int, Hash) {
+	sum := sha256.Sum256([]byte(ky.Organisation + "\x00" + ky.Service + "\x00" + ky.Key))
+	return int(binary.BigEndian.Uint32(sum[16:]) % Shards), Hash(sum[:16])
 }
 
 // Claims records claims in the store.
 type Claims struct {
-	st   store.Store
-	name string
+	homes
+	st      store.Store
+	name    string
+	workers [Shards]*worker
+	// retained is how long a record is kept, in nanoseconds.
+	retained atomic.Int64
+	// failing is when the store began to fail, in nanoseconds since 1970, 0 while it answers.
+	failing atomic.Int64
 }
 
 // New returns the claims of the named instance.
 func New(st store.Store, name string) *Claims {
-	return &Claims{st: st, name: name}
+	cs := &Claims{st: st, name: name}
+	cs.retained.Store(int64(decl.DefaultMaxDeadline + ResendWindow))
+	for shard := range cs.workers {
+		cs.workers[shard] = newWorker(cs, shard)
+	}
+	return cs
 }
 
-// Run keeps the claims until the context ends.
+// Run writes claims until the context ends.
 func (cs *Claims) Run(ctx context.Context) error {
-	<-ctx.Done()
-	return ctx.Err()
+	group, ctx := errgroup.WithContext(ctx)
+	for _, wk := range cs.workers {
+		group.Go(func() error { return wk.run(ctx) })
+	}
+	return group.Wait()
 }
 
-// Claim records the key, trying again until the context ends. The nonce must be unique to the request.
-func (cs *Claims) Claim(ctx context.Context, ky Key, digest event.Digest, nonce string) (event.ClaimResult, event.Outcome) {
-	record := Record{Digest: digest, Nonce: cs.name + "/" + nonce, Outcome: event.Outcome{Running: true}, At: time.Now()}
-	raw, err := json.Marshal(record)
-	if err != nil {
-		return event.ClaimUnavailable, event.Outcome{}
-	}
-	for {
-		_, err = cs.st.Swap(ctx, ky.path(), raw, 0, 0)
-		if err == nil {
-			return event.ClaimWon, event.Outcome{}
-		}
-		if errorx.IsOfType(err, store.Conflict) {
-			if result, out, ok := cs.judge(ctx, ky, record); ok {
-				return result, out
-			}
-		}
-		if ctx.Err() != nil {
-			return cs.giveUp(ky, record)
-		}
-		pause(ctx, retryPause)
+// Configure takes the retention from the longest deadline that the configuration allows.
+func (cs *Claims) Configure(cfg *decl.Config) {
+	longest := time.Duration(decl.DefaultMaxDeadline)
+	for _, svc := range cfg.Services {
+		longest = max(longest, svc.WithDefaults().MaxDeadline.Std())
 	}
+	cs.retained.Store(int64(longest + ResendWindow))
 }
 
-// judge compares the recorded claim with the one wanted. After a lost answer the record is our own.
-func (cs *Claims) judge(ctx context.Context, ky Key, want Record) (event.ClaimResult, event.Outcome, bool) {
-	there, _, err := cs.read(ctx, ky)
-	if err != nil {
-		return 0, event.Outcome{}, false
-	}
-	switch {
-	case there.Nonce == want.Nonce:
-		return event.ClaimWon, event.Outcome{}, true
-	case there.Digest != want.Digest:
-		return event.ClaimConflict, event.Outcome{}, true
-	default:
-		return event.ClaimRepeated, there.Outcome, true
+func (cs *Claims) retention() time.Duration {
+	return time.Duration(cs.retained.Load())
+}
+
+// heard notes whether the store answers.
+func (cs *Claims) heard(err error) {
+	if err == nil || !unanswered(err) {
+		cs.failing.Store(0)
+		return
 	}
+	cs.failing.CompareAndSwap(0, time.Now().UnixNano())
 }
 
-func (cs *Claims) read(ctx context.Context, ky Key) (Record, int64, error) {
-	var record Record
-	pair, err := cs.st.Get(ctx, ky.path())
-	if err != nil {
-		return record, 0, err
+func (cs *Claims) patience() time.Duration {
+	since := cs.failing.Load()
+	if since != 0 && time.Since(time.Unix(0, since)) > outageAfter {
+		return outagePatience
 	}
-	return record, pair.Revision, json.Unmarshal(pair.Value, &record)
+	return patience
 }
 
-// giveUp ends a claim whose time is over. A write whose answer was lost may still have taken effect; the record then
-// stands as running, which makes a resend "unknown" and never a second run.
-func (cs *Claims) giveUp(_ Key, _ Record) (event.ClaimResult, event.Outcome) {
-	return event.ClaimUnavailable, event.Outcome{}
+// Claim records the key, trying again for the patience or until the context ends. The nonce must be unique to the
+// request. After ClaimUnavailable the claim is not recorded or will be taken away: whoever asked must not run the
+// request, and a resend finds the key free at the latest when the store answers again.
+func (cs *Claims) Claim(ctx context.Context, ky Key, digest event.Digest, nonce string) (event.ClaimResult, event.Outcome) {
+	ends, ok := ctx.Deadline()
+	if !ok {
+		ends = time.Now().Add(decl.DefaultMaxDeadline)
+	}
+	shard, hash := ky.place()
+	op := &claimOp{
+		hash:   hash,
+		digest: [digestBytes]byte(digest[:digestBytes]),
+		nonce:  cs.name + "/" + nonce,
+		ends:   ends,
+		given:  make(chan claimed, 1),
+	}
+	ctx, cancel := context.WithTimeout(ctx, cs.patience())
+	defer cancel()
+	if res, ok := cs.forwardClaim(ctx, shard, op); ok {
+		return res.result, res.out
+	}
+	res := cs.claimHere(ctx, shard, op)
+	if res.result == event.ClaimUnavailable {
+		cs.workers[shard].addSettle(&settleOp{hash: hash, nonce: op.nonce, release: true, done: make(chan struct{})})
+	}
+	return res.result, res.out
 }
 
-// Settle records the outcome of a claim, or removes the claim if release is set, trying until the context ends.
-func (cs *Claims) Settle(ctx context.Context, ky Key, nonce string, out event.Outcome, release bool) error {
-	for {
-		err := cs.settleOnce(ctx, ky, cs.name+"/"+nonce, out, release)
-		if err == nil || ctx.Err() != nil {
-			return err
-		}
-		pause(ctx, retryPause)
+// claimHere records the claim by this instance's own writes.
+func (cs *Claims) claimHere(ctx context.Context, shard int, op *claimOp) claimed {
+	cs.workers[shard].addClaim(op)
+	select {
+	case res := <-op.given:
+		return res
+	case <-ctx.Done():
+		cs.workers[shard].drop(op)
+		return claimed{result: event.ClaimUnavailable}
 	}
 }
 
-func (cs *Claims) settleOnce(ctx context.Context, ky Key, nonce string, out event.Outcome, release bool) error {
-	record, revision, err := cs.read(ctx, ky)
-	if errorx.IsOfType(err, store.Missing) {
+// Settle records the outcome of a claim, or removes the claim if release is set, trying until the context ends; what
+// is not recorded then is tried on in the background.
+func (cs *Claims) Settle(ctx context.Context, ky Key, nonce string, out event.Outcome, release bool) error {
+	shard, hash := ky.place()
+	op := &settleOp{hash: hash, nonce: cs.name + "/" + nonce, out: out, release: release, done: make(chan struct{})}
+	if cs.forwardSettle(ctx, shard, op) {
 		return nil
 	}
-	if err != nil {
-		return err
-	}
-	if record.Nonce != nonce {
+	return cs.settleHere(ctx, shard, op)
+}
+
+func (cs *Claims) settleHere(ctx context.Context, shard int, op *settleOp) error {
+	cs.workers[shard].addSettle(op)
+	select {
+	case <-op.done:
 		return nil
+	case <-ctx.Done():
+		return ctx.Err()
 	}
-	if release {
-		return cs.st.Delete(ctx, ky.path(), revision)
-	}
-	record.Outcome = out
-	raw, err := json.Marshal(record)
-	if err != nil {
-		return err
-	}
-	_, err = cs.st.Swap(ctx, ky.path(), raw, revision, 0)
-	return err
 }
 
 func pause(ctx context.Context, period time.Duration) {
+	if period <= 0 {
+		return
+	}
 	timer := time.NewTimer(period)
 	defer timer.Stop()
 	select {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -46,8 +46,9 @@
 	Shares []event.Share
 }
 
-func (Demand) isMessage()        {}
-func (Shares) isMessage()        {}
+func (Demand) isMessage() {}
+func (Shares) isMessage() {}
+
 // ConfigNews tells that a version is in force at the teller; who has a lower one asks there for the patches.
 type ConfigNews struct {
 	Version int64
@@ -55,11 +56,53 @@
 	Teller string
 }
 
+// ClaimAsk asks a shard's home to record the claim of an idempotency key under the asker's nonce.
+type ClaimAsk struct {
+	Shard  int
+	Hash   [16]byte
+	Digest [16]byte
+	Nonce  string
+	// Lasts is the time that the request has left.
+	Lasts time.Duration
+	// Wait is how long the asker waits for the answer.
+	Wait time.Duration
+}
+
+// ClaimOutcome is the recorded end of a claimed request, see event.Outcome.
+type ClaimOutcome struct {
+	Known       bool
+	Running     bool
+	Status      int
+	Body        []byte
+	ContentType string
+	Truncated   bool
+}
+
+// ClaimAnswer answers a ClaimAsk or a ClaimSettle with an event.ClaimResult.
+type ClaimAnswer struct {
+	Result  int
+	Outcome ClaimOutcome
+}
+
+// ClaimSettle asks a shard's home to record the end of a claimed request.
+type ClaimSettle struct {
+	Shard   int
+	Hash    [16]byte
+	Nonce   string
+	Outcome ClaimOutcome
+	// Release takes the claim away: the request was certainly not run.
+	Release bool
+	Wait    time.Duration
+}
+
 func (Ack) isMessage()           {}
 func (Quarantine) isMessage()    {}
 func (ConfigWant) isMessage()    {}
 func (ConfigPatches) isMessage() {}
 func (ConfigNews) isMessage()    {}
+func (ClaimAsk) isMessage()      {}
+func (ClaimAnswer) isMessage()   {}
+func (ClaimSettle) isMessage()   {}
 
 // MaxMessage bounds the encoded length of a message in bytes.
 const MaxMessage = 4 << 20
@@ -91,6 +134,9 @@
 	60: decode[Demand],
 	61: decode[Shares],
 	40: decode[ConfigNews],
+	41: decode[ClaimAsk],
+	42: decode[ClaimAnswer],
+	43: decode[ClaimSettle],
 }
 
 func kindOf(msg Message) uint64 {
@@ -111,6 +157,12 @@
 		return 7
 	case ConfigNews:
 		return 40
+	case ClaimAsk:
+		return 41
+	case ClaimAnswer:
+		return 42
+	case ClaimSettle:
+		return 43
 	}
 	switch msg.(type) {
 	case PermitRenew:
