--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -19,6 +19,7 @@
 	"dandelionsail.example/dandelionsail/internal/conf"
 	"dandelionsail.example/dandelionsail/internal/core"
 	"dandelionsail.example/dandelionsail/internal/event"
+	"dandelionsail.example/dandelionsail/internal/lease"
 	"dandelionsail.example/dandelionsail/internal/meter"
 	"dandelionsail.example/dandelionsail/internal/once"
 	"dandelionsail.example/dandelionsail/internal/peers"
@@ -49,6 +50,7 @@
 	conf     *conf.Log
 	follower *conf.Follower
 	claims   *once.Claims
+	leases   *lease.Holder
 	log      *log.Logger
 	// Meter holds the instance's counters, timers and service-level burn.
 	Meter *meter.Meter
@@ -89,6 +91,7 @@
 	in.conf = conf.New(in.store)
 	in.follower = conf.NewFollower(in.conf, event.Instance{Name: opts.Name, FailureDomain: opts.FailureDomain}, in.acceptConfig)
 	in.claims = once.New(in.store, opts.Name)
+	in.leases = lease.New(in.store, in.run)
 	in.config.Store(newDirectory(&decl.Config{}))
 	policy, _ := opts.policy()
 	in.livePeers.Store(&[]string{})
@@ -147,6 +150,8 @@
 	group.Go(func() error { return in.follower.RunCompaction(parts) })
 	group.Go(func() error { return in.followPlatform(parts) })
 	group.Go(func() error { return in.claims.Run(parts) })
+	group.Go(func() error { return in.leases.Run(parts) })
+	group.Go(func() error { return in.keepState(parts) })
 	group.Go(func() error { return in.Meter.Run(parts, in.log) })
 	group.Go(func() error { return in.serveMetrics(parts) })
 	if in.peers != nil {
@@ -281,8 +286,6 @@
 			in.loop.Submit(ups)
 			in.loop.Submit(insts)
 			in.knowPeers(insts)
-			in.follower.SetMembers(insts.Instances)
-			in.claims.SetMembers(insts.Instances)
 			in.followReports(ctx, ups)
 			in.listed.Store(in.listed.Load() || len(ups.Upstreams) > 0)
 		}
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -38,6 +38,7 @@
 	Bootstrap     string        `long:"bootstrap-operator" env:"DANDELIONSAIL_BOOTSTRAP_OPERATOR" description:"SHA-256 digest of a token that may submit patches while there is no configuration"`
 	Seed          uint64        `long:"seed" env:"DANDELIONSAIL_SEED" description:"seed of random choices; 0 takes one from the name" default:"0"`
 	Policy        string        `long:"policy" env:"DANDELIONSAIL_POLICY" description:"how requests are ordered and routed: dandelionsail, or a baseline for comparison: round-robin, least-requests" default:"dandelionsail"`
+	WeightLoads   int           `long:"weight-loads-per-minute" env:"DANDELIONSAIL_WEIGHT_LOADS_PER_MINUTE" description:"loads a minute that the weight store serves to the whole fleet; the same on all instances" default:"30"`
 	PeerListen    string        `long:"peer-listen" env:"DANDELIONSAIL_PEER_LISTEN" description:"UDP address for the other instances, host:port" default:"127.0.0.1:8081"`
 	PeerCA        string        `long:"peer-ca" env:"DANDELIONSAIL_PEER_CA" description:"file with the certificate of the authority that signed all instances' keys; read again when it changes"`
 	PeerCert      string        `long:"peer-cert" env:"DANDELIONSAIL_PEER_CERT" description:"file with this instance's certificate; without it the instance runs without its peers"`
@@ -61,6 +62,9 @@
 	if (opts.TLSCert == "") != (opts.TLSKey == "") {
 		return BadOption.New("entry: --tls-cert is %q and --tls-key is %q; give both or neither", opts.TLSCert, opts.TLSKey)
 	}
+	if opts.WeightLoads < 0 {
+		return BadOption.New("entry: --weight-loads-per-minute is %d; give 1 or more, or 0 for the default", opts.WeightLoads)
+	}
 	if opts.Profiling && opts.MetricsListen == "" {
 		return BadOption.New("entry: --profiling needs --metrics-listen; give the address that serves the profiles")
 	}
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -1,5 +1,23 @@
 package entry
 
+import (
+	"cmp"
+	"context"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"dandelionsail.example/dandelionsail/internal/core"
+	"dandelionsail.example/dandelionsail/internal/event"
+	"dandelionsail.example/dandelionsail/internal/order"
+)
+
+// statePeriod is how often the parts that keep state look at the fleet.
+const statePeriod = time.Second
+
+// defaultWeightLoads is the weight store's rate where the setting is 0.
+const defaultWeightLoads = 30
+
 // joinState lets the configuration and the claims reach the peers.
 func (in *Instance) joinState() {
 	if in.peers == nil {
@@ -9,3 +27,67 @@
 	in.follower.SetPeer(in.peers.Address())
 	in.claims.Transport = in.peers
 }
+
+func (in *Instance) newKeeper() *order.Keeper {
+	self := event.Instance{Name: in.opts.Name, FailureDomain: in.opts.FailureDomain}
+	weights := order.NewWeights(in.store, in.run, cmp.Or(in.opts.WeightLoads, defaultWeightLoads))
+	keeper := order.NewKeeper(self, in.leases, weights, in.upstream)
+	keeper.Given = in.orderGiven
+	keeper.Waited = func(string) { in.countState("Orders.Waited") }
+	return keeper
+}
+
+func (in *Instance) countState(counter string) {
+	metrics.GetOrRegisterCounter(counter, in.Meter.Registry).Inc(1)
+}
+
+func (in *Instance) orderGiven(pool string, snd *order.Send, err error) {
+	if err != nil {
+		in.countState("Orders.Failed")
+	} else {
+		in.countState("Orders.Given")
+	}
+	in.log.Info().Str("Pool", pool).Str("Upstream", snd.Replica.Name).Strs("Models", snd.Order.Models).
+		Int64("Fence", snd.Order.Fence).Err(err).Msg("order given")
+}
+
+// keepState tells the configuration and the claims who lives, and gives the orders of the pools held here, until the
+// context ends.
+func (in *Instance) keepState(ctx context.Context) error {
+	keeper := in.newKeeper()
+	ticker := time.NewTicker(statePeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+		view, ok := in.look()
+		if !ok {
+			continue
+		}
+		in.follower.SetMembers(view.Instances)
+		in.claims.SetMembers(view.Instances)
+		if in.draining.Load() {
+			in.leases.Want(nil)
+			continue
+		}
+		keeper.Step(ctx, view)
+	}
+}
+
+// look copies what the reducer knows of the fleet.
+func (in *Instance) look() (order.View, bool) {
+	var view order.View
+	ok := in.loop.View(func(st *core.State) {
+		view.Services = st.Config.Services
+		view.Instances = append(view.Instances, st.Instances...)
+		for _, rep := range st.Route.Replicas {
+			view.Upstreams = append(view.Upstreams, order.Upstream{
+				Upstream: rep.Upstream, Reported: !rep.ReportAt.IsZero(), Models: rep.Models, Loading: rep.Loading, Role: rep.Role,
+			})
+		}
+	})
+	return view, ok
+}
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -121,15 +121,20 @@
 		hd.step(ctx)
 		select {
 		case <-ctx.Done():
-			last, cancel := context.WithTimeout(context.WithoutCancel(ctx), lastWrites)
-			defer cancel()
-			hd.giveUp(last)
+			hd.leave(ctx)
 			return ctx.Err()
 		case <-ticker.C:
 		}
 	}
 }
 
+// leave gives everything back after the context has ended.
+func (hd *Holder) leave(ctx context.Context) {
+	last, cancel := context.WithTimeout(context.WithoutCancel(ctx), lastWrites)
+	defer cancel()
+	hd.giveUp(last)
+}
+
 func (hd *Holder) step(ctx context.Context) {
 	wanted, held := hd.names()
 	if hd.lease != 0 {
