Give a claim up while its request still has time to hear why

A claim waited until its request's deadline, so whether the caller heard that the claim was not to be had (503, when to come back) or that the time was over (504) was a race; a proof of the former failed once under load. It now waits three quarters of the request's time at most.

--- a/internal/once/once.go
+++ b/internal/once/once.go
@@ -125,7 +125,8 @@
 		ends:   ends,
 		given:  make(chan claimed, 1),
 	}
-	ctx, cancel := context.WithTimeout(ctx, cs.patience())
+	// A claim won in the last quarter of its request's time would only be a run that ends too late.
+	ctx, cancel := context.WithTimeout(ctx, min(cs.patience(), time.Until(ends)*3/4))
 	defer cancel()
 	if res, ok := cs.forwardClaim(ctx, shard, op); ok {
 		return res.result, res.out
