--- a/internal/bench/slopes.go
+++ b/internal/bench/slopes.go
@@ -17,6 +17,7 @@
 		panic(err)
 	}
 	add(slopes, "state", "Measure the reducer and the configuration in this process", &stateSlopesCommand{})
+	add(slopes, "store", "Count the calls of a fleet of real processes to the key-value service", &storeSlopesCommand{})
 	add(slopes, "table", "Write docs/CAPACITY.md from the measurements", &tableCommand{})
 }
 
--- /dev/null
+++ b/internal/bench/storeslopes.go
@@ -0,0 +1,329 @@
+package bench
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"dandelionsail.example/dandelionsail/internal/conf"
+	"dandelionsail.example/dandelionsail/internal/fleet"
+	"dandelionsail.example/dandelionsail/internal/load"
+	"dandelionsail.example/dandelionsail/internal/slope"
+	"dandelionsail.example/dandelionsail/internal/stand"
+	"dandelionsail.example/dandelionsail/internal/store"
+	"dandelionsail.example/dandelionsail/pkg/decl"
+)
+
+// storeSlopesCommand counts what a fleet of real processes asks of the key-value service.
+type storeSlopesCommand struct {
+	Out       string        `long:"out" description:"file of measurements to add to" default:"docs/capacity/measured.json"`
+	Instances []int         `long:"instances" description:"size of a fleet; give it several times" default:"3" default:"6" default:"12" default:"30"`
+	Domains   int           `long:"failure-domains" description:"failure domains of each fleet" default:"3"`
+	Claims    []int         `long:"claims" description:"keyed updates a second, sent to the smallest fleet; give it several times" default:"25" default:"100" default:"200" default:"400"`
+	Rate      float64       `long:"rate" description:"patches a second" default:"2"`
+	Time      time.Duration `long:"time" description:"time of each measurement" default:"12s"`
+}
+
+// storeRun is one fleet's figures.
+type storeRun struct {
+	Instances int
+	// Idle has the calls a second by kind, APatch the calls by kind for each patch, its submitter's among them.
+	Idle     map[string]float64
+	APatch   map[string]float64
+	Watching int64
+	// Median and Worst are the times from the submission of a patch until it was in force on all instances.
+	Median time.Duration
+	Worst  time.Duration
+	// Late counts patches not in force everywhere at the end of the measurement.
+	Late int
+}
+
+// Execute implements flags.Commander.
+func (cmd *storeSlopesCommand) Execute(_ []string) error {
+	var runs []storeRun
+	for _, count := range cmd.Instances {
+		run, err := cmd.measure(count)
+		if err != nil {
+			return err
+		}
+		fmt.Printf("%3d instances: idle a second %v, a patch %v, %d watches; in force everywhere: median %s, worst %s, %d late\n",
+			run.Instances, rounded(run.Idle), rounded(run.APatch), run.Watching, run.Median, run.Worst, run.Late)
+		runs = append(runs, run)
+	}
+	claims, err := cmd.measureClaims()
+	if err != nil {
+		return err
+	}
+	return addSeries(cmd.Out, append(cmd.series(runs), claims))
+}
+
+func rounded(rates map[string]float64) map[string]string {
+	text := map[string]string{}
+	for kind, rate := range rates {
+		text[kind] = fmt.Sprintf("%.2f", rate)
+	}
+	return text
+}
+
+func (cmd *storeSlopesCommand) series(runs []storeRun) []slope.Series {
+	const command = "sailbench slopes store"
+	reads := slope.Series{Name: slope.ConfigReads, Unit: "calls/s", Variable: "Instances", Command: command}
+	writes := slope.Series{Name: slope.ConfigWrites, Unit: "calls", Variable: "Instances", Command: command}
+	force := slope.Series{Name: "Config.InForce", Unit: "ns", Variable: "Instances", Command: command}
+	for _, run := range runs {
+		size := float64(run.Instances)
+		reads.Samples = append(reads.Samples, slope.Sample{Size: size, Value: run.Idle["Range"] + float64(run.Watching)})
+		writes.Samples = append(writes.Samples, slope.Sample{Size: size, Value: run.APatch["Txn"]})
+		force.Samples = append(force.Samples, slope.Sample{Size: size, Value: float64(run.Median)})
+	}
+	return []slope.Series{reads, writes, force}
+}
+
+// enforced collects from the instances' logs when each version came into force.
+type enforced struct {
+	mu sync.Mutex
+	// last is when the version came into force last, seen counts the instances.
+	last map[int64]time.Time
+	seen map[int64]int
+}
+
+// Write implements io.Writer; it takes whole lines, as the logger writes them.
+func (ef *enforced) Write(part []byte) (int, error) {
+	ef.mu.Lock()
+	defer ef.mu.Unlock()
+	for line := range bytes.Lines(part) {
+		var entry struct {
+			Time    time.Time `json:"time"`
+			Message string    `json:"message"`
+			Version int64
+		}
+		if json.Unmarshal(line, &entry) != nil || entry.Message != "configuration in force" {
+			continue
+		}
+		ef.seen[entry.Version]++
+		if entry.Time.After(ef.last[entry.Version]) {
+			ef.last[entry.Version] = entry.Time
+		}
+	}
+	return len(part), nil
+}
+
+func (cmd *storeSlopesCommand) measure(count int) (storeRun, error) {
+	run := storeRun{Instances: count}
+	ef := &enforced{last: map[int64]time.Time{}, seen: map[int64]int{}}
+	fl, _, err := cmd.start(count, ef)
+	if err != nil {
+		return run, err
+	}
+	defer fl.Close()
+	if run.Idle, run.Watching, err = cmd.during(fl, func() error { time.Sleep(cmd.Time); return nil }); err != nil {
+		return run, err
+	}
+	submitted := map[int64]time.Time{}
+	began := time.Now()
+	calls, _, err := cmd.during(fl, func() error { return cmd.patch(fl, submitted) })
+	if err != nil {
+		return run, err
+	}
+	run.APatch = map[string]float64{}
+	for kind, rate := range calls {
+		run.APatch[kind] = (rate - run.Idle[kind]) * time.Since(began).Seconds() / float64(len(submitted))
+	}
+	// The last patch has the time that the aim allows.
+	time.Sleep(inForceTime)
+	run.times(ef, submitted)
+	return run, nil
+}
+
+// inForceTime is the longest that a patch may take to be in force everywhere.
+const inForceTime = 11 * time.Second
+
+func (run *storeRun) times(ef *enforced, submitted map[int64]time.Time) {
+	ef.mu.Lock()
+	defer ef.mu.Unlock()
+	var times []time.Duration
+	for version, at := range submitted {
+		if ef.seen[version] < run.Instances {
+			run.Late++
+			continue
+		}
+		times = append(times, max(0, ef.last[version].Sub(at)))
+	}
+	if len(times) > 0 {
+		slices.Sort(times)
+		run.Median, run.Worst = times[len(times)/2], times[len(times)-1]
+	}
+}
+
+// start runs a fleet with one plain service and one model service a failure domain.
+func (cmd *storeSlopesCommand) start(count int, logs io.Writer) (*fleet.Fleet, []*fleet.Process, error) {
+	fl := &fleet.Fleet{Logs: logs}
+	entries, err := cmd.startAll(fl, count)
+	if err != nil {
+		fl.Close()
+		return nil, nil, err
+	}
+	return fl, entries, nil
+}
+
+func (cmd *storeSlopesCommand) startAll(fl *fleet.Fleet, count int) ([]*fleet.Process, error) {
+	if err := fl.StartPlatform("--list-lag", "200ms"); err != nil {
+		return nil, err
+	}
+	if err := configureStore(fl); err != nil {
+		return nil, err
+	}
+	for i := range cmd.Domains {
+		if _, err := fl.StartService(fmt.Sprintf("board-%d", i), "board", fmt.Sprintf("domain-%d", i)); err != nil {
+			return nil, err
+		}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), readyTime)
+	defer cancel()
+	var entries []*fleet.Process
+	for i := range count {
+		pr, err := fl.StartEntry(fmt.Sprintf("entry-%d", i), fmt.Sprintf("domain-%d", i%cmd.Domains))
+		if err != nil {
+			return nil, err
+		}
+		entries = append(entries, pr)
+	}
+	for _, pr := range entries {
+		if err := fleet.WaitReady(ctx, pr.Address); err != nil {
+			return nil, err
+		}
+	}
+	// Every instance knows the others and its part by then.
+	time.Sleep(5 * time.Second)
+	return entries, nil
+}
+
+func configureStore(fl *fleet.Fleet) error {
+	cfg := decl.Config{
+		Services:      map[string]decl.Service{"board": {Kind: decl.KindPlain, Path: "/board/", MaxRunning: 1000}},
+		Organisations: map[string]decl.Organisation{"parish": {TokenDigests: []string{decl.TokenDigest(token("parish"))}}},
+	}
+	document, err := json.Marshal(cfg)
+	if err != nil {
+		return err
+	}
+	client := store.New(fl.Platform.Address)
+	defer client.Close()
+	operations := json.RawMessage(`[{"op":"replace","path":"","value":` + string(document) + `}]`)
+	_, err = conf.New(client).Submit(context.Background(), conf.Patch{ID: "first", Operations: operations})
+	return err
+}
+
+// during returns the calls a second by kind while act runs, and the watches waiting after it.
+func (cmd *storeSlopesCommand) during(fl *fleet.Fleet, act func() error) (map[string]float64, int64, error) {
+	before, err := storeCalls(fl)
+	if err != nil {
+		return nil, 0, err
+	}
+	began := time.Now()
+	if err := act(); err != nil {
+		return nil, 0, err
+	}
+	after, err := storeCalls(fl)
+	if err != nil {
+		return nil, 0, err
+	}
+	rates := map[string]float64{}
+	for kind, calls := range after.Kinds {
+		rates[kind] = float64(calls-before.Kinds[kind]) / time.Since(began).Seconds()
+	}
+	return rates, after.Watching, nil
+}
+
+func storeCalls(fl *fleet.Fleet) (stand.Calls, error) {
+	var calls stand.Calls
+	resp, err := http.Get("http://" + fl.Platform.Address + stand.PathCalls)
+	if err != nil {
+		return calls, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return calls, json.NewDecoder(resp.Body).Decode(&calls)
+}
+
+// patch submits patches at the rate and notes when each was sent.
+func (cmd *storeSlopesCommand) patch(fl *fleet.Fleet, submitted map[int64]time.Time) error {
+	client := store.New(fl.Platform.Address)
+	defer client.Close()
+	lg := conf.New(client)
+	ticker := time.NewTicker(time.Duration(float64(time.Second) / cmd.Rate))
+	defer ticker.Stop()
+	ends := time.Now().Add(cmd.Time)
+	for number := int64(1); time.Now().Before(ends); number++ {
+		<-ticker.C
+		at := time.Now()
+		version, err := lg.Submit(context.Background(), conf.Patch{
+			ID: fmt.Sprintf("patch-%d", number), Base: number, Author: "bench", At: time.Now(),
+			Operations: json.RawMessage(fmt.Sprintf(`[{"op":"add","path":"/Organisations/parish/Weight","value":%d}]`, number)),
+		})
+		if err != nil {
+			return err
+		}
+		submitted[version] = at
+	}
+	return nil
+}
+
+// measureClaims sends keyed updates at rising rates to the smallest fleet and counts the writes.
+func (cmd *storeSlopesCommand) measureClaims() (slope.Series, error) {
+	sr := slope.Series{Name: slope.ClaimWrites, Unit: "calls/s", Variable: "ClaimsPerSecond", Command: "sailbench slopes store"}
+	fl, entries, err := cmd.start(slices.Min(cmd.Instances), nil)
+	if err != nil {
+		return sr, err
+	}
+	defer fl.Close()
+	for _, rate := range cmd.Claims {
+		var done, failed int
+		rates, _, err := cmd.during(fl, func() error {
+			done, failed = sendClaims(entries, rate, cmd.Time)
+			return nil
+		})
+		if err != nil {
+			return sr, err
+		}
+		fmt.Printf("%4d claims a second: %.1f writes/s, %.1f reads/s, %d answered, %d not\n", rate, rates["Txn"], rates["Range"], done, failed)
+		sr.Samples = append(sr.Samples, slope.Sample{Size: float64(rate), Value: rates["Txn"]})
+	}
+	return sr, nil
+}
+
+// sendClaims sends updates, each under a key of its own, at the rate for the time. It returns how many were answered.
+func sendClaims(entries []*fleet.Process, rate int, lasts time.Duration) (done, failed int) {
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}}
+	defer client.CloseIdleConnections()
+	var mu sync.Mutex
+	var group sync.WaitGroup
+	ticker := time.NewTicker(time.Second / time.Duration(rate))
+	defer ticker.Stop()
+	began := time.Now()
+	for number := 0; time.Since(began) < lasts; number++ {
+		<-ticker.C
+		caller := &load.Caller{Address: entries[number%len(entries)].Address, Token: token("parish"), HTTP: client}
+		header := http.Header{"Idempotency-Key": {fmt.Sprintf("%d-%d", began.UnixNano(), number)}}
+		group.Go(func() {
+			resp, err := caller.Do(context.Background(), http.MethodPost, "/board/next", []byte(`{"Hymn":1}`), header)
+			mu.Lock()
+			defer mu.Unlock()
+			if err == nil && resp.StatusCode == http.StatusOK {
+				done++
+			} else {
+				failed++
+			}
+			if err == nil {
+				_ = resp.Body.Close()
+			}
+		})
+	}
+	group.Wait()
+	return done, failed
+}
