Measure the engines' true work, and let sessions share a prefix of one length

A connection that broke within an answer is told apart from an answer that ended as if it were whole.

--- a/internal/bench/experiment.go
+++ b/internal/bench/experiment.go
@@ -50,9 +50,11 @@
 	// for.
 	HeldTokens int64
 	LostSteps  int64
+	// Work is what the engines did as a share of their capacity over the time of sending.
+	Work float64
 	// Doubled counts keys that plain services ran more than once.
 	Doubled int
-	// CoreShare is the mean processor time of one entry instance, in cores; BytesPerSecond of the load passed through it.
+	// CoreShare is the mean processor time of one entry instance, in cores.
 	CoreShare float64
 	// ResidentBytes is the largest memory of an entry instance.
 	ResidentBytes int64
@@ -152,12 +154,13 @@
 
 // check looks at what the run left behind.
 func (oc *outcome) check(ctx context.Context, rg *rig) error {
-	held, lost, err := rg.settled(ctx)
+	st, err := rg.settled(ctx)
 	if err != nil {
 		return err
 	}
-	oc.HeldTokens += held
-	oc.LostSteps += lost
+	oc.HeldTokens += st.UsedTokens
+	oc.LostSteps += st.LostSteps
+	oc.Work += st.Work / (rg.sc.Capacity() * rg.sc.Mix.Duration.Std().Seconds())
 	doubled, err := rg.doubled(ctx)
 	oc.Doubled += doubled
 	return err
@@ -187,6 +190,7 @@
 
 func (oc *outcome) finish() {
 	oc.CoreShare /= float64(oc.Runs)
+	oc.Work /= float64(oc.Runs)
 	oc.Figures = figuresOf(oc.summary)
 	oc.GoodputTokens = float64(oc.Figures.Classes[load.ClassAll].Tokens) / oc.seconds
 }
@@ -198,18 +202,15 @@
 
 func writeTable(out io.Writer, outcomes []*outcome) {
 	for _, oc := range outcomes {
-		fmt.Fprintf(out, "\n%s (%d runs, %d sends late by at most %.0f ms, %d engine steps lost, %d tokens held after, %d keys run twice, "+
-			"%.2f cores and %d MB an instance, goodput %.0f tokens/s)\n", oc.Name, oc.Runs, oc.Figures.LateSends, oc.Figures.LateMax,
-			oc.LostSteps, oc.HeldTokens, oc.Doubled, oc.CoreShare, oc.ResidentBytes>>20, oc.GoodputTokens)
-		fmt.Fprintf(out, "%-8s %6s %6s %7s %7s %9s %9s %9s %7s %6s %6s %6s %6s %9s\n", "class", "sent", "whole", "in time", "refused",
-			"first p50", "p95", "p99", "not run", "failed", "short", "wrong", "broken", "refuse p95")
+		fmt.Fprintf(out, "\n%s (%d runs, engines %.0f%% busy, goodput %.0f tokens/s, %d tokens held after, %d keys run twice,\n"+
+			"  %.2f cores and %d MB an instance, %d sends late by at most %.0f ms, %d engine steps lost)\n", oc.Name, oc.Runs, 100*oc.Work,
+			oc.GoodputTokens, oc.HeldTokens, oc.Doubled, oc.CoreShare, oc.ResidentBytes>>20, oc.Figures.LateSends, oc.Figures.LateMax, oc.LostSteps)
+		fmt.Fprintf(out, "%-8s %6s %6s %7s %9s %9s %9s %7s %7s %7s %9s %6s %4s %6s\n", "class", "sent", "whole", "in time", "first p50",
+			"p95", "p99", "refused", "not run", "> 50 ms", "refuse p95", "failed", "cut", "broken")
 		for _, class := range tableClasses() {
-			fg, ok := oc.Figures.Classes[class]
-			if !ok {
-				continue
+			if fg, ok := oc.Figures.Classes[class]; ok {
+				writeClass(out, class, fg)
 			}
-			fmt.Fprintf(out, "%-8s %6d %6d %7d %7d %9.0f %9.0f %9.0f %7d %6d %6d %6d %6d %9.0f\n", class, fg.Sent, fg.Whole, fg.InTime,
-				fg.Refused, fg.P50, fg.P95, fg.P99, fg.NotRun, fg.Failed, fg.Short, fg.Wrong, fg.Broken, fg.RefusalP95)
 		}
 		writeOrganisations(out, oc)
 		for kind, text := range oc.Figures.Examples {
@@ -218,6 +219,15 @@
 	}
 }
 
+func writeClass(out io.Writer, class string, fg load.Figures) {
+	fmt.Fprintf(out, "%-8s %6d %6d %7d %9.0f %9.0f %9.0f %7d %7d %7d %10.0f %6d %4d %6d", class, fg.Sent, fg.Whole, fg.InTime,
+		fg.P50, fg.P95, fg.P99, fg.Refused, fg.NotRun, fg.RefusedLate, fg.RefusalP95, fg.Failed, fg.Cut, fg.Broken)
+	if fg.Short+fg.Wrong > 0 {
+		fmt.Fprintf(out, "  SHORT %d WRONG %d", fg.Short, fg.Wrong)
+	}
+	fmt.Fprintln(out)
+}
+
 // writeOrganisations shows the short prompts of each organisation, which is where a flood would be felt.
 func writeOrganisations(out io.Writer, oc *outcome) {
 	names := make([]string, 0, len(oc.summary.Organisations))
--- a/internal/bench/rig.go
+++ b/internal/bench/rig.go
@@ -216,32 +216,29 @@
 	return json.NewDecoder(resp.Body).Decode(out)
 }
 
-// memory sums up what all engines hold and the steps they lost.
-func (rg *rig) memory(ctx context.Context) (held, lost int64, err error) {
+// truth sums up the true states of all engines.
+func (rg *rig) truth(ctx context.Context) (stand.State, error) {
+	var total stand.State
 	for _, pr := range rg.engines {
 		st, err := engineState(ctx, pr.Address)
 		if err != nil {
-			return 0, 0, err
+			return total, err
 		}
-		held += st.UsedTokens
-		lost += st.LostSteps
+		total.UsedTokens += st.UsedTokens
+		total.LostSteps += st.LostSteps
+		total.Work += st.Work
 	}
-	return held, lost, nil
+	return total, nil
 }
 
-// settled waits until the engines hold nothing and returns what they still hold when the time is over.
-func (rg *rig) settled(ctx context.Context) (held, lost int64, err error) {
-	ctx, cancel := context.WithTimeout(ctx, settleTime)
-	defer cancel()
+// settled waits until the engines hold nothing, or the time for it is over, and returns their state.
+func (rg *rig) settled(ctx context.Context) (stand.State, error) {
+	end := time.Now().Add(settleTime)
 	for {
-		now, steps, err := rg.memory(ctx)
-		if ctx.Err() != nil {
-			return held, lost, nil
-		}
-		if err != nil || now == 0 {
-			return now, steps, err
+		st, err := rg.truth(ctx)
+		if err != nil || st.UsedTokens == 0 || time.Now().After(end) {
+			return st, err
 		}
-		held, lost = now, steps
 		time.Sleep(100 * time.Millisecond)
 	}
 }
--- a/internal/load/client.go
+++ b/internal/load/client.go
@@ -28,10 +28,12 @@
 	OutcomeRefused Outcome = "Refused"
 	// OutcomeFailed is a clear error within the answer.
 	OutcomeFailed Outcome = "Failed"
-	// OutcomeShort is an answer that ended without its end marker or an error, which is never right.
+	// OutcomeShort is an answer that ended as if it were whole without its end marker, which is never right.
 	OutcomeShort Outcome = "Short"
 	// OutcomeWrong is an answer to another request or with tokens missing, which is never right.
 	OutcomeWrong Outcome = "Wrong"
+	// OutcomeCut is an answer whose connection broke, which the caller notices.
+	OutcomeCut Outcome = "Cut"
 	// OutcomeBroken is a connection that ended before any answer.
 	OutcomeBroken Outcome = "Broken"
 )
@@ -66,6 +68,14 @@
 	return head + strings.Repeat("lorem ipsum dolor ", length/18+1)[:length-len(head)]
 }
 
+// Continued returns a prompt of about the length that begins with a prefix of the session's and goes on as no other.
+func Continued(tokens, prefix int64, session, seed uint64) string {
+	if prefix >= tokens {
+		return Prompt(tokens, session)
+	}
+	return Prompt(prefix, session) + Prompt(tokens-prefix, seed)
+}
+
 type completionRequest struct {
 	Model     string `json:"model"`
 	Prompt    string `json:"prompt"`
@@ -166,7 +176,12 @@
 	lines := bufio.NewReader(stream)
 	for {
 		line, err := lines.ReadString('\n')
+		if err == io.EOF {
+			break
+		}
 		if err != nil {
+			rd.result.Outcome = OutcomeCut
+			rd.result.Detail = err.Error()
 			break
 		}
 		if rd.line(strings.TrimSpace(line)) {
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -96,9 +96,11 @@
 }
 
 func TestSessionsSharePrefixes(t *testing.T) {
-	shorter, longer := load.Prompt(2000, 5), load.Prompt(9000, 5)
-	assert.Assert(t, strings.HasPrefix(longer, shorter))
-	assert.Assert(t, !strings.HasPrefix(longer, load.Prompt(2000, 6)))
+	one, two := load.Continued(9000, 4000, 5, 1), load.Continued(6000, 4000, 5, 2)
+	assert.Equal(t, one[:4*3900], two[:4*3900])
+	assert.Assert(t, one[:4*4100] != two[:4*4100])
+	assert.Assert(t, strings.HasPrefix(one, load.Continued(2000, 4000, 5, 3)))
+	assert.Assert(t, !strings.HasPrefix(one, load.Continued(2000, 4000, 6, 3)))
 }
 
 func TestStallShowsInLatency(t *testing.T) {
--- a/internal/load/plan.go
+++ b/internal/load/plan.go
@@ -18,8 +18,11 @@
 	Key          uint64
 	PromptTokens int64
 	Answer       int64
-	// Content is the seed of the prompt; requests of one session have the same.
+	// Content is the seed of the prompt.
 	Content uint64
+	// Prefix is how many tokens the prompt shares with the others of its Session; 0 for none.
+	Prefix  int64
+	Session uint64
 	// Deadline is the time the request has.
 	Deadline time.Duration
 	// Instance chooses the entry instance, modulo their number.
@@ -155,7 +158,8 @@
 	case long:
 		req.PromptTokens = logUniform(length, mx.SplitTokens+1, mx.MaxTokens)
 	case inSession:
-		req.Content = uint64(org)<<32 | uint64(session) + pl.seed<<48
+		req.Prefix = mx.SessionPrefix
+		req.Session = pl.seed<<48 | uint64(org)<<32 | uint64(session)
 	}
 	period := mx.Deadline.Std().Seconds() + float64(req.PromptTokens)/mx.DeadlineRate
 	req.Deadline = time.Duration(period / pl.sc.Scale * float64(time.Second))
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -102,7 +102,7 @@
 	if req.Plain {
 		return ru.call(limited, req, at)
 	}
-	cm, err := NewCompletion(ru.Scenario.Model.Service, Prompt(req.PromptTokens, req.Content), req.Answer)
+	cm, err := NewCompletion(ru.Scenario.Model.Service, Continued(req.PromptTokens, req.Prefix, req.Session, req.Content), req.Answer)
 	if err != nil {
 		return Record{Planned: req, Result: Result{Outcome: OutcomeBroken, Detail: err.Error()}}
 	}
--- a/internal/load/scenario.go
+++ b/internal/load/scenario.go
@@ -72,9 +72,11 @@
 	// A request's deadline is Deadline and the time of its prompt at DeadlineRate tokens a second.
 	Deadline     decl.Duration
 	DeadlineRate float64
-	// SessionShare of the requests up to SplitTokens continue one of each organisation's Sessions and share its prefix.
-	SessionShare float64
-	Sessions     int
+	// SessionShare of the requests up to SplitTokens belong to one of each organisation's Sessions and share its first
+	// SessionPrefix tokens.
+	SessionShare  float64
+	Sessions      int
+	SessionPrefix int64
 	// Every BurstPeriod the rate is BurstFactor times the mean for BurstTime, and lower in between.
 	BurstPeriod decl.Duration
 	BurstTime   decl.Duration
--- a/internal/load/summary.go
+++ b/internal/load/summary.go
@@ -57,6 +57,7 @@
 	Failed      int64
 	Short       int64
 	Wrong       int64
+	Cut         int64
 	Broken      int64
 	// InTime counts whole answers within their deadline.
 	InTime int64
@@ -88,6 +89,7 @@
 	gr.Failed += other.Failed
 	gr.Short += other.Short
 	gr.Wrong += other.Wrong
+	gr.Cut += other.Cut
 	gr.Broken += other.Broken
 	gr.InTime += other.InTime
 	gr.Tokens += other.Tokens
@@ -117,6 +119,8 @@
 		gr.Short++
 	case OutcomeWrong:
 		gr.Wrong++
+	case OutcomeCut:
+		gr.Cut++
 	case OutcomeBroken:
 		gr.Broken++
 	}
--- a/internal/stand/engine.go
+++ b/internal/stand/engine.go
@@ -103,6 +103,8 @@
 	// steps counts the steps made, and lost the ones that a stalled machine did not make.
 	steps int64
 	lost  int64
+	// work is the token budget spent.
+	work float64
 }
 
 // NewEngine returns an engine without requests.
--- a/internal/stand/engine_batch.go
+++ b/internal/stand/engine_batch.go
@@ -52,7 +52,7 @@
 			budget--
 		}
 	}
-	en.prefill(budget)
+	en.work += float64(en.opts.PrefillChunk) - en.prefill(budget)
 	for _, jb := range en.jobs {
 		if jb.decodes() {
 			jb.tokens <- jb.next
@@ -171,8 +171,9 @@
 	return true
 }
 
-// prefill spends what is left of a step's budget on the admitted requests by priority, then by arrival.
-func (en *Engine) prefill(budget float64) {
+// prefill spends what is left of a step's budget on the admitted requests by priority, then by arrival. It returns what
+// nobody needed.
+func (en *Engine) prefill(budget float64) float64 {
 	for budget > 0 {
 		var best *job
 		for _, jb := range en.jobs {
@@ -181,10 +182,11 @@
 			}
 		}
 		if best == nil {
-			return
+			return budget
 		}
 		budget = en.advance(best, budget)
 	}
+	return 0
 }
 
 // cost is the work of one position: attention makes a late one dearer.
--- a/internal/stand/engine_report.go
+++ b/internal/stand/engine_report.go
@@ -60,6 +60,8 @@
 	// Steps counts the steps made, and LostSteps those that a stalled machine did not make.
 	Steps     int64
 	LostSteps int64
+	// Work is the token budget spent so far, prefill and answers.
+	Work float64
 	// Fence is the highest fencing number seen, Orders what was obeyed in turn, and Fenced counts refused orders.
 	Fence  int64
 	Orders []upstr.Order
@@ -79,6 +81,7 @@
 		Runs:         maps.Clone(en.ran),
 		Steps:        en.steps,
 		LostSteps:    en.lost,
+		Work:         en.work,
 		Fence:        en.orders.fence,
 		Orders:       en.orders.obeyed,
 		Fenced:       en.orders.fenced,
