Status: pools with their coordinators, from all instances

status asked each instance of the first one's list by its address; the first one's own entry has none with membership on, so it was called missing. It is asked through the connection that is there already. Pools show who coordinates, both names where instances differ. Test: three instances, one of them killed, is named as missing.

--- a/internal/cmds/status.go
+++ b/internal/cmds/status.go
@@ -6,13 +6,16 @@
 	"fmt"
 	"io"
 	"os"
+	"slices"
 	"sort"
 	"strings"
 	"text/tabwriter"
 	"time"
 
+	"dandelionsail.example/dandelionsail/internal/core"
 	"dandelionsail.example/dandelionsail/internal/entry"
 	"dandelionsail.example/dandelionsail/internal/oper"
+	"dandelionsail.example/dandelionsail/internal/permit"
 	"dandelionsail.example/dandelionsail/internal/tool"
 )
 
@@ -75,6 +78,7 @@
 		fmt.Fprintf(table, "%s\t?\t?\tNo answer\t?\n", name)
 	}
 	fs.writeUpstreams(table)
+	fs.writePools(table)
 	fs.writeQuarantine(table)
 	return table.Flush()
 }
@@ -134,6 +138,47 @@
 	}
 }
 
+// writePools shows each pool with its coordinator; where instances name different ones, all are named.
+func (fs *fleetStatus) writePools(out io.Writer) {
+	var keys []permit.Pool
+	seen := map[permit.Pool]*poolRow{}
+	for _, sts := range fs.Instances {
+		for _, pl := range sts.Pools {
+			row, ok := seen[pl.Pool]
+			if !ok {
+				row = &poolRow{}
+				seen[pl.Pool] = row
+				keys = append(keys, pl.Pool)
+			}
+			row.add(pl)
+		}
+	}
+	for i, key := range keys {
+		if i == 0 {
+			fmt.Fprintln(out, "\nPOOL\tFAILURE DOMAIN\tREPLICAS\tCOORDINATOR\tRESERVED TOKENS")
+		}
+		row := seen[key]
+		fmt.Fprintf(out, "%s\t%s\t%d\t%s\t%d\n", key.Service, key.FailureDomain, row.replicas, strings.Join(row.coordinators, " or "), row.reserved)
+	}
+}
+
+// poolRow is what all instances say of one pool.
+type poolRow struct {
+	replicas     int
+	coordinators []string
+	reserved     int64
+}
+
+func (pr *poolRow) add(pl core.Pool) {
+	pr.replicas = max(pr.replicas, pl.Replicas)
+	if pl.Coordinator != "" && !slices.Contains(pr.coordinators, pl.Coordinator) {
+		pr.coordinators = append(pr.coordinators, pl.Coordinator)
+	}
+	for _, tokens := range pl.Reserved {
+		pr.reserved += tokens
+	}
+}
+
 func memory(us entry.UpstreamStatus) string {
 	if us.Load.MemoryTokens == 0 {
 		return "-"
--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -22,9 +22,11 @@
 	Ready    bool
 	Draining bool
 	// Requests counts the requests here by phase.
-	Requests   map[string]int
-	Instances  []event.Instance
-	Upstreams  []UpstreamStatus
+	Requests  map[string]int
+	Instances []event.Instance
+	Upstreams []UpstreamStatus
+	// Pools names the coordinators as this instance knows them.
+	Pools      []core.Pool
 	Quarantine []QuarantineStatus
 }
 
@@ -97,6 +99,7 @@
 		sts.Upstreams = append(sts.Upstreams, sts.upstream(rep))
 	}
 	slices.SortFunc(sts.Upstreams, func(one, two UpstreamStatus) int { return strings.Compare(one.Name, two.Name) })
+	sts.Pools = st.Pools()
 	for _, entry := range st.Quarantine() {
 		sts.Quarantine = append(sts.Quarantine, QuarantineStatus{
 			Digest: hex.EncodeToString(entry.Digest[:]),
--- a/internal/oper/oper.go
+++ b/internal/oper/oper.go
@@ -161,31 +161,8 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	statuses = make([]entry.Status, len(first.Instances))
-	failed := make([]bool, len(first.Instances))
-	var group errgroup.Group
-	group.SetLimit(fanOut)
-	for i, inst := range first.Instances {
-		group.Go(func() error {
-			var err error
-			statuses[i], err = cl.at(inst.Address).Status(ctx)
-			failed[i] = err != nil
-			return nil
-		})
-	}
-	_ = group.Wait()
-	var answered []entry.Status
-	for i, inst := range first.Instances {
-		if failed[i] {
-			missing = append(missing, inst.Name)
-			continue
-		}
-		answered = append(answered, statuses[i])
-	}
-	if len(first.Instances) == 0 {
-		answered = append(answered, first)
-	}
-	return answered, missing, nil
+	statuses, missing = askAll(cl, first, func(at *Client) (entry.Status, error) { return at.Status(ctx) })
+	return statuses, missing, nil
 }
 
 // FleetReport returns the figures of every live instance as one.
@@ -194,24 +171,39 @@
 	if err != nil {
 		return meter.Report{}, err
 	}
-	if len(first.Instances) == 0 {
-		return cl.Report(ctx)
+	reports, missing := askAll(cl, first, func(at *Client) (meter.Report, error) { return at.Report(ctx) })
+	return meter.Merge(append(reports, meter.Report{Missing: missing})), nil
+}
+
+// askAll asks the instance that gave the status and all that it knows.
+func askAll[Answer any](cl *Client, first entry.Status, ask func(at *Client) (Answer, error)) (answers []Answer, missing []string) {
+	asked := []*Client{cl}
+	names := []string{first.Instance}
+	for _, inst := range first.Instances {
+		if inst.Name != first.Instance {
+			asked = append(asked, cl.at(inst.Address))
+			names = append(names, inst.Name)
+		}
 	}
-	reports := make([]meter.Report, len(first.Instances))
+	all := make([]Answer, len(asked))
+	errs := make([]error, len(asked))
 	var group errgroup.Group
 	group.SetLimit(fanOut)
-	for i, inst := range first.Instances {
+	for i, at := range asked {
 		group.Go(func() error {
-			rp, err := cl.at(inst.Address).Report(ctx)
-			if err != nil {
-				rp = meter.Report{Missing: []string{inst.Name}}
-			}
-			reports[i] = rp
+			all[i], errs[i] = ask(at)
 			return nil
 		})
 	}
 	_ = group.Wait()
-	return meter.Merge(reports), nil
+	for i, name := range names {
+		if errs[i] != nil {
+			missing = append(missing, name)
+			continue
+		}
+		answers = append(answers, all[i])
+	}
+	return answers, missing
 }
 
 // maxAnswer bounds an answer in bytes.
