--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -58,9 +58,9 @@
 func (in *Instance) aftermath(ctx context.Context, cl *call, up event.Upstream, ended *event.AttemptEnded) {
 	switch ended.Result {
 	case event.ResultFailed, event.ResultBroken:
-		// A connection also ends by an idle timeout or a restart of what lies between. Only an upstream that refuses
-		// the next connection has died, and only deaths count towards a quarantine.
-		ended.Alive = ended.Alive || in.upstream.Reachable(ctx, up.Address)
+		// A connection also ends by an idle timeout or a restart of what lies between. Only deaths count towards a
+		// quarantine.
+		ended.Alive = ended.Alive || !in.upstream.Died(ctx, up.Address)
 	case event.ResultSilent:
 		if cl.body == nil {
 			return
--- a/internal/upstr/client.go
+++ b/internal/upstr/client.go
@@ -4,12 +4,14 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -72,17 +74,31 @@
 	return pool
 }
 
-// Reachable reports whether the address takes a new connection. A process that crashed refuses it; one that only
-// closed a connection takes it.
-func (cl *Client) Reachable(ctx context.Context, address string) bool {
+// Died reports whether the upstream's process is gone: it refuses a new connection, or ends it without a word. One that
+// only closed a connection answers on the next. A connection alone shows nothing, as something between the two ends may
+// accept it for a process that is gone; so a request is sent that every server answers and that does nothing. No answer
+// in time is no death either: a process that crashes does not leave its connections open.
+func (cl *Client) Died(ctx context.Context, address string) bool {
 	limited, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	conn, err := (&net.Dialer{}).DialContext(limited, "tcp", address)
-	if err != nil {
-		return false
+	if err == nil {
+		defer func() { _ = conn.Close() }()
+		err = probe(limited, conn, address)
+	}
+	return err != nil && limited.Err() == nil && !errors.Is(err, os.ErrDeadlineExceeded)
+}
+
+// probe waits for the first byte of the answer to a request for the server's options.
+func probe(ctx context.Context, conn net.Conn, address string) error {
+	if until, ok := ctx.Deadline(); ok {
+		_ = conn.SetDeadline(until)
+	}
+	if _, err := fmt.Fprintf(conn, "OPTIONS * HTTP/1.1\r\nHost: %s\r\nConnection: close\r\n\r\n", address); err != nil {
+		return err
 	}
-	_ = conn.Close()
-	return true
+	_, err := conn.Read(make([]byte, 1))
+	return err
 }
 
 // CloseIdle implements Engine.
