--- a/internal/proof/callers.go
+++ b/internal/proof/callers.go
@@ -25,8 +25,6 @@
 	kindKeyed kind = "Keyed"
 	// kindOnce is a board update without a key, sent once.
 	kindOnce kind = "Once"
-	// kindPoison crashes each engine that runs it, and is sent again.
-	kindPoison kind = "Poison"
 )
 
 const (
