Replace a refused fencing number, count claims, route around engines that load

An engine that refused a fencing number left its holder behind its own key for good; the holder now gives the name back and takes it with a higher number. An engine that reports nothing loaded and something loading gets no requests of a model. Claims are counted by result; two gauges and a line tell what an instance holds and whether its claims get answers.

--- a/internal/entry/claims.go
+++ b/internal/entry/claims.go
@@ -12,6 +12,14 @@
 // settleTime is how long an instance tries to record an outcome; after it a resend hears "unknown".
 const settleTime = time.Minute
 
+// claimCounters names the counter of each result of a claim.
+var claimCounters = map[event.ClaimResult]string{
+	event.ClaimWon:         "Won",
+	event.ClaimRepeated:    "Repeated",
+	event.ClaimConflict:    "Conflict",
+	event.ClaimUnavailable: "Unavailable",
+}
+
 func (in *Instance) claim(eff effect.Claim) {
 	cl := in.find(eff.ID)
 	if cl == nil {
@@ -24,6 +32,7 @@
 		ctx, cancel := context.WithDeadline(context.Background(), eff.Deadline)
 		defer cancel()
 		result, out := in.claims.Claim(ctx, ky, eff.Digest, name)
+		in.countState("Claims." + claimCounters[result])
 		in.loop.Submit(event.ClaimSettled{ID: eff.ID, Result: result, Outcome: out})
 	})
 }
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -48,6 +48,7 @@
 func (in *Instance) metrics(w http.ResponseWriter, _ *http.Request) {
 	in.gauge("Config.Version", in.config.Load().cfg.Version)
 	in.gauge("Requests.Open", in.openCalls())
+	in.stateGauges()
 	in.gauge("Process.Goroutines", int64(runtime.NumGoroutine()))
 	var memory runtime.MemStats
 	runtime.ReadMemStats(&memory)
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -51,10 +51,25 @@
 		Int64("Fence", snd.Order.Fence).Err(err).Msg("order given")
 }
 
+// stateGauges shows which parts this instance has and whether its claims get answers.
+func (in *Instance) stateGauges() {
+	in.gauge("Config.Watches", one(in.follower.Watches()))
+	in.gauge("Leases.Held", int64(len(in.leases.Names())))
+	in.gauge("Claims.StoreFailing", one(in.claims.Failing()))
+}
+
+func one(is bool) int64 {
+	if is {
+		return 1
+	}
+	return 0
+}
+
 // keepState tells the configuration and the claims who lives, and gives the orders of the pools held here, until the
 // context ends.
 func (in *Instance) keepState(ctx context.Context) error {
 	keeper := in.newKeeper()
+	failing := false
 	ticker := time.NewTicker(statePeriod)
 	defer ticker.Stop()
 	for {
@@ -63,6 +78,10 @@
 			return ctx.Err()
 		case <-ticker.C:
 		}
+		if in.claims.Failing() != failing {
+			failing = !failing
+			in.log.Warn().Bool("Failing", failing).Msg("claims in the key-value service changed state")
+		}
 		view, ok := in.look()
 		if !ok {
 			continue
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -47,6 +47,8 @@
 	mu     sync.Mutex
 	wanted map[string]bool
 	held   map[string]Held
+	// dropped are held names to be given back.
+	dropped map[string]bool
 	// until is when the holder has to stop, by the monotonic clock; wall is the same by the wall clock, which alone
 	// goes on while a virtual machine is suspended.
 	until time.Time
@@ -64,12 +66,13 @@
 // New returns a holder that holds nothing. The nonce names this run of the instance and no other.
 func New(st store.Store, nonce string) *Holder {
 	return &Holder{
-		st:     st,
-		nonce:  nonce,
-		wanted: map[string]bool{},
-		held:   map[string]Held{},
-		tried:  map[string]time.Time{},
-		unsure: map[string]bool{},
+		st:      st,
+		nonce:   nonce,
+		wanted:  map[string]bool{},
+		held:    map[string]Held{},
+		dropped: map[string]bool{},
+		tried:   map[string]time.Time{},
+		unsure:  map[string]bool{},
 	}
 }
 
@@ -92,14 +95,14 @@
 	defer hd.mu.Unlock()
 	held, ok := hd.held[name]
 	now := time.Now()
-	return held, ok && now.Before(hd.until) && now.Round(0).Before(hd.wall)
+	return held, ok && !hd.dropped[name] && now.Before(hd.until) && now.Round(0).Before(hd.wall)
 }
 
-// Drop gives up a lease that an upstream says another holds.
+// Drop gives back a lease whose fencing number an upstream refused, to take it anew with a higher one if it is free.
 func (hd *Holder) Drop(name string) {
 	hd.mu.Lock()
 	defer hd.mu.Unlock()
-	delete(hd.held, name)
+	hd.dropped[name] = true
 }
 
 // Names returns what is held right now.
@@ -136,15 +139,13 @@
 }
 
 func (hd *Holder) step(ctx context.Context) {
-	wanted, held := hd.names()
 	if hd.lease != 0 {
 		hd.renew(ctx)
 	}
-	for _, name := range held {
-		if !slices.Contains(wanted, name) {
-			hd.giveBack(ctx, name)
-		}
+	for _, name := range hd.unwanted() {
+		hd.giveBack(ctx, name)
 	}
+	wanted, held := hd.names()
 	for name := range hd.unsure {
 		if !slices.Contains(wanted, name) {
 			// The name may be ours without our knowing; kept alive by the renewals it would bar everyone else.
@@ -166,6 +167,19 @@
 	}
 }
 
+// unwanted returns what is held and is to be given back.
+func (hd *Holder) unwanted() []string {
+	hd.mu.Lock()
+	defer hd.mu.Unlock()
+	var names []string
+	for name := range hd.held {
+		if !hd.wanted[name] || hd.dropped[name] {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 func (hd *Holder) names() (wanted, held []string) {
 	hd.mu.Lock()
 	defer hd.mu.Unlock()
@@ -212,6 +226,7 @@
 	hd.mu.Lock()
 	defer hd.mu.Unlock()
 	hd.held = map[string]Held{}
+	hd.dropped = map[string]bool{}
 	hd.until = time.Time{}
 	hd.lease = 0
 	clear(hd.unsure)
@@ -231,6 +246,8 @@
 	hd.mu.Lock()
 	held := hd.held[name]
 	delete(hd.held, name)
+	delete(hd.dropped, name)
+	delete(hd.tried, name)
 	hd.mu.Unlock()
 	if hd.st.Delete(ctx, Prefix+name, held.Fence) != nil {
 		hd.unsure[name] = true
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -100,6 +100,25 @@
 	})
 }
 
+func TestRefusedFenceIsReplaced(t *testing.T) {
+	// An engine says that it has seen a higher fencing number than the holder's. The holder must not go on with it, and
+	// not wait behind its own name either: it takes the name anew, with a higher number.
+	synctest.Test(t, func(t *testing.T) {
+		kv := stand.NewKV(stand.Rates{})
+		hd := holder(t, stand.NewMemory(kv), "one")
+		time.Sleep(2 * time.Second)
+		first, ok := hd.Check("pool")
+		assert.Assert(t, ok)
+		hd.Drop("pool")
+		_, ok = hd.Check("pool")
+		assert.Assert(t, !ok)
+		time.Sleep(3 * time.Second)
+		second, ok := hd.Check("pool")
+		assert.Assert(t, ok)
+		assert.Assert(t, second.Fence > first.Fence)
+	})
+}
+
 func TestLostAnswerToTheTaking(t *testing.T) {
 	// The service takes the name for the holder and the answer is lost. The holder finds out that it is its own, and
 	// does not wait for itself for good; when the pool is not wanted any more, the name is free for others.
--- a/internal/once/once.go
+++ b/internal/once/once.go
@@ -101,6 +101,11 @@
 	cs.failing.CompareAndSwap(0, time.Now().UnixNano())
 }
 
+// Failing reports whether the store gave no answer to the last write or read of claims.
+func (cs *Claims) Failing() bool {
+	return cs.failing.Load() != 0
+}
+
 func (cs *Claims) patience() time.Duration {
 	since := cs.failing.Load()
 	if since != 0 && time.Since(time.Unix(0, since)) > outageAfter {
--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -92,7 +92,7 @@
 
 // serves tells whether the replica has the model loaded; one that has reported none may have it.
 func (rep *Replica) serves(model string) bool {
-	return model == "" || len(rep.Models) == 0 || upstr.Offers(rep.Models, model)
+	return model == "" || len(rep.Models)+len(rep.Loading) == 0 || upstr.Offers(rep.Models, model)
 }
 
 // lastResort takes a replica that failed the request before, or one on probation, when all others are closed: the one
