Count the store's calls by failure domains, and read claims at their rate

Calls of followers grow with the failure domains and not with the instances, so that is what their series counts; claims are read at their rate and not for each one.

--- a/internal/bench/storeslopes.go
+++ b/internal/bench/storeslopes.go
@@ -23,8 +23,8 @@
 // storeSlopesCommand counts what a fleet of real processes asks of the key-value service.
 type storeSlopesCommand struct {
 	Out       string        `long:"out" description:"file of measurements to add to" default:"docs/capacity/measured.json"`
-	Instances []int         `long:"instances" description:"size of a fleet; give it several times" default:"3" default:"6" default:"12" default:"30"`
-	Domains   int           `long:"failure-domains" description:"failure domains of each fleet" default:"3"`
+	Instances []int         `long:"instances" description:"size of a fleet; give it several times" default:"3" default:"12" default:"30"`
+	Domains   []int         `long:"failure-domains" description:"failure domains of an idle fleet; give it several times" default:"1" default:"3" default:"7"`
 	Claims    []int         `long:"claims" description:"keyed updates a second, sent to the smallest fleet; give it several times" default:"25" default:"100" default:"200" default:"400"`
 	Rate      float64       `long:"rate" description:"patches a second" default:"2"`
 	Time      time.Duration `long:"time" description:"time of each measurement" default:"12s"`
@@ -56,11 +56,40 @@
 			run.Instances, rounded(run.Idle), rounded(run.APatch), run.Watching, run.Median, run.Worst, run.Late)
 		runs = append(runs, run)
 	}
+	reads, err := cmd.measureReads()
+	if err != nil {
+		return err
+	}
 	claims, err := cmd.measureClaims()
 	if err != nil {
 		return err
 	}
-	return addSeries(cmd.Out, append(cmd.series(runs), claims))
+	return addSeries(cmd.Out, append(series(runs), reads, claims))
+}
+
+// fleetDomains is how many failure domains a fleet has unless they are what is varied.
+const fleetDomains = 3
+
+// storeCommand is the command that the series name.
+const storeCommand = "sailbench slopes store"
+
+// measureReads counts the reads and waiting watches of idle fleets, each with three instances a failure domain.
+func (cmd *storeSlopesCommand) measureReads() (slope.Series, error) {
+	sr := slope.Series{Name: slope.ConfigReads, Unit: "calls/s", Variable: "FailureDomains", Command: storeCommand}
+	for _, domains := range cmd.Domains {
+		fl, _, err := cmd.start(3*domains, domains, nil)
+		if err != nil {
+			return sr, err
+		}
+		rates, watching, err := cmd.during(fl, func() error { time.Sleep(cmd.Time); return nil })
+		fl.Close()
+		if err != nil {
+			return sr, err
+		}
+		fmt.Printf("%3d failure domains: idle a second %v, %d watches\n", domains, rounded(rates), watching)
+		sr.Samples = append(sr.Samples, slope.Sample{Size: float64(domains), Value: rates["Range"] + float64(watching)})
+	}
+	return sr, nil
 }
 
 func rounded(rates map[string]float64) map[string]string {
@@ -71,18 +100,15 @@
 	return text
 }
 
-func (cmd *storeSlopesCommand) series(runs []storeRun) []slope.Series {
-	const command = "sailbench slopes store"
-	reads := slope.Series{Name: slope.ConfigReads, Unit: "calls/s", Variable: "Instances", Command: command}
-	writes := slope.Series{Name: slope.ConfigWrites, Unit: "calls", Variable: "Instances", Command: command}
-	force := slope.Series{Name: "Config.InForce", Unit: "ns", Variable: "Instances", Command: command}
+func series(runs []storeRun) []slope.Series {
+	writes := slope.Series{Name: slope.ConfigWrites, Unit: "calls", Variable: "Instances", Command: storeCommand}
+	force := slope.Series{Name: "Config.InForce", Unit: "ns", Variable: "Instances", Command: storeCommand}
 	for _, run := range runs {
 		size := float64(run.Instances)
-		reads.Samples = append(reads.Samples, slope.Sample{Size: size, Value: run.Idle["Range"] + float64(run.Watching)})
 		writes.Samples = append(writes.Samples, slope.Sample{Size: size, Value: run.APatch["Txn"]})
 		force.Samples = append(force.Samples, slope.Sample{Size: size, Value: float64(run.Median)})
 	}
-	return []slope.Series{reads, writes, force}
+	return []slope.Series{writes, force}
 }
 
 // enforced collects from the instances' logs when each version came into force.
@@ -117,7 +143,7 @@
 func (cmd *storeSlopesCommand) measure(count int) (storeRun, error) {
 	run := storeRun{Instances: count}
 	ef := &enforced{last: map[int64]time.Time{}, seen: map[int64]int{}}
-	fl, _, err := cmd.start(count, ef)
+	fl, _, err := cmd.start(count, fleetDomains, ef)
 	if err != nil {
 		return run, err
 	}
@@ -162,9 +188,9 @@
 }
 
 // start runs a fleet with one plain service and one model service a failure domain.
-func (cmd *storeSlopesCommand) start(count int, logs io.Writer) (*fleet.Fleet, []*fleet.Process, error) {
+func (cmd *storeSlopesCommand) start(count, domains int, logs io.Writer) (*fleet.Fleet, []*fleet.Process, error) {
 	fl := &fleet.Fleet{Logs: logs}
-	entries, err := cmd.startAll(fl, count)
+	entries, err := startAll(fl, count, domains)
 	if err != nil {
 		fl.Close()
 		return nil, nil, err
@@ -172,14 +198,14 @@
 	return fl, entries, nil
 }
 
-func (cmd *storeSlopesCommand) startAll(fl *fleet.Fleet, count int) ([]*fleet.Process, error) {
+func startAll(fl *fleet.Fleet, count, domains int) ([]*fleet.Process, error) {
 	if err := fl.StartPlatform("--list-lag", "200ms"); err != nil {
 		return nil, err
 	}
 	if err := configureStore(fl); err != nil {
 		return nil, err
 	}
-	for i := range cmd.Domains {
+	for i := range domains {
 		if _, err := fl.StartService(fmt.Sprintf("board-%d", i), "board", fmt.Sprintf("domain-%d", i)); err != nil {
 			return nil, err
 		}
@@ -188,7 +214,7 @@
 	defer cancel()
 	var entries []*fleet.Process
 	for i := range count {
-		pr, err := fl.StartEntry(fmt.Sprintf("entry-%d", i), fmt.Sprintf("domain-%d", i%cmd.Domains))
+		pr, err := fl.StartEntry(fmt.Sprintf("entry-%d", i), fmt.Sprintf("domain-%d", i%domains))
 		if err != nil {
 			return nil, err
 		}
@@ -276,8 +302,8 @@
 
 // measureClaims sends keyed updates at rising rates to the smallest fleet and counts the writes.
 func (cmd *storeSlopesCommand) measureClaims() (slope.Series, error) {
-	sr := slope.Series{Name: slope.ClaimWrites, Unit: "calls/s", Variable: "ClaimsPerSecond", Command: "sailbench slopes store"}
-	fl, entries, err := cmd.start(slices.Min(cmd.Instances), nil)
+	sr := slope.Series{Name: slope.ClaimWrites, Unit: "calls/s", Variable: "ClaimsPerSecond", Command: storeCommand}
+	fl, entries, err := cmd.start(slices.Min(cmd.Instances), fleetDomains, nil)
 	if err != nil {
 		return sr, err
 	}
--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -90,7 +90,7 @@
 	return !slices.Contains(want.Tried, rep.Upstream.Name) && rep.serves(want.Model) && rep.fits(now, want)
 }
 
-// serves tells whether the replica has the model loaded; one that has reported none may have it.
+// serves tells whether the replica has the model loaded; one that reported nothing loaded nor loading may have it.
 func (rep *Replica) serves(model string) bool {
 	return model == "" || len(rep.Models)+len(rep.Loading) == 0 || upstr.Offers(rep.Models, model)
 }
--- a/internal/slope/items.go
+++ b/internal/slope/items.go
@@ -46,8 +46,8 @@
 		{roleCoordinator, Processor, "deciding permits", PermitTime, tg.PoolReplicas(), tg.PermitRate(), "rendezvous hashing over live members"},
 		{roleCoordinator, Network, "answering permits", PermitBytes, 1, tg.PermitRate(), "one answer an ask"},
 		{roleCoordinator, Memory, "reservations", PermitMemory, tg.PoolReplicas() * tg.PoolsPerInstance(), 1, "one record a permit"},
-		{roleStore, Writes, "patches", ConfigWrites, 1, tg.PatchRate(), "one create a patch, a snapshot now and then"},
-		{roleStore, Writes, "claims", ClaimWrites, 1, claimShare * tg.RequestsPerSecond, "many claims a write of their shard"},
+		{roleStore, Writes, "patches", ConfigWrites, tg.Instances, tg.PatchRate(), "one create a patch, a snapshot now and then"},
+		{roleStore, Writes, "claims", ClaimWrites, claimShare * tg.RequestsPerSecond, 1, "many claims a write of their shard"},
 		{roleStore, Writes, "leases of pools", LeaseWrites, tg.Models * tg.FailureDomains, 1, "one lease a pool"},
 		{roleStore, Reads, "followers of the configuration", ConfigReads, tg.FailureDomains, 1, "two watchers a failure domain"},
 	}
