Cut the claims of a shard into segments, of which only the newest takes claims

Cause: a write carried every record of the retention. At 100 claims a second for an hour a shard holds 5,600 records of 90 bytes, half a megabyte a write, up to 256 times a second. A segment is sealed at 64 KiB and the next one begun; the claims of a sealed one cannot change, so a key in none of them that is swapped into the last one is claimed once. Outcomes go into the segment of their claim. A claimant that was paused past its time no longer acts on a late answer.

--- a/internal/once/once.go
+++ b/internal/once/once.go
@@ -54,6 +54,8 @@
 	st      store.Store
 	name    string
 	workers [Shards]*worker
+	// sealAt is sealBytes but in tests.
+	sealAt int
 	// retained is how long a record is kept, in nanoseconds.
 	retained atomic.Int64
 	// failing is when the store began to fail, in nanoseconds since 1970, 0 while it answers.
@@ -62,7 +64,7 @@
 
 // New returns the claims of the named instance.
 func New(st store.Store, name string) *Claims {
-	cs := &Claims{st: st, name: name}
+	cs := &Claims{st: st, name: name, sealAt: sealBytes}
 	cs.retained.Store(int64(decl.DefaultMaxDeadline + ResendWindow))
 	for shard := range cs.workers {
 		cs.workers[shard] = newWorker(cs, shard)
@@ -148,7 +150,12 @@
 	cs.workers[shard].addClaim(op)
 	select {
 	case res := <-op.given:
-		return res
+		if ctx.Err() == nil {
+			return res
+		}
+		// A claimant that was paused must not act on an answer that came after its time: what it claimed may have been
+		// pruned since.
+		return claimed{result: event.ClaimUnavailable}
 	case <-ctx.Done():
 		cs.workers[shard].drop(op)
 		return claimed{result: event.ClaimUnavailable}
--- a/internal/once/once_test.go
+++ b/internal/once/once_test.go
@@ -28,6 +28,8 @@
 	random *rand.Rand
 	// late is the share of writes that land up to maxLate after their caller gave up.
 	late float64
+	// least is the shortest time that a late write takes.
+	least time.Duration
 	// cut ends every call without effect.
 	cut bool
 }
@@ -37,7 +39,7 @@
 func (fk *flaky) draw() (late, cut bool, after time.Duration) {
 	fk.mu.Lock()
 	defer fk.mu.Unlock()
-	return fk.random.Float64() < fk.late, fk.cut, time.Duration(fk.random.Int64N(int64(maxLate)))
+	return fk.random.Float64() < fk.late, fk.cut, fk.least + time.Duration(fk.random.Int64N(int64(maxLate)))
 }
 
 func (fk *flaky) set(late float64, cut bool) {
@@ -75,6 +77,8 @@
 	runs     map[string]int
 	problems []string
 	random   *rand.Rand
+	// sealAt is the length at which segments are sealed.
+	sealAt int
 	// silent loses messages between instances, before or after they were acted upon.
 	silent float64
 }
@@ -89,7 +93,11 @@
 }
 
 func newWorld(t *testing.T, count int, seed uint64) *world {
-	wd := &world{kv: stand.NewKV(stand.Rates{}), runs: map[string]int{}, random: rand.New(rand.NewPCG(seed, 1))}
+	return newWorldSealedAt(t, count, seed, 64<<10)
+}
+
+func newWorldSealedAt(t *testing.T, count int, seed uint64, sealAt int) *world {
+	wd := &world{sealAt: sealAt, kv: stand.NewKV(stand.Rates{}), runs: map[string]int{}, random: rand.New(rand.NewPCG(seed, 1))}
 	var stop context.CancelFunc
 	wd.ctx, stop = context.WithCancel(t.Context())
 	t.Cleanup(func() {
@@ -111,6 +119,7 @@
 	in.st = &flaky{Store: stand.NewMemory(in.wd.kv), random: rand.New(rand.NewPCG(seed, 2))}
 	in.claims = once.New(in.st, in.name)
 	in.claims.Transport = in.wd
+	in.claims.SealAt(in.wd.sealAt)
 	in.stop = stop
 	var members []event.Instance
 	for _, other := range in.wd.instances {
@@ -236,7 +245,8 @@
 		seed := rapid.Uint64().Draw(rt, "seed")
 		var problems []string
 		synctest.Test(t, func(t *testing.T) {
-			wd := newWorld(t, 3, seed)
+			// Every second or third claim begins a new segment.
+			wd := newWorldSealedAt(t, 3, seed, 200)
 			crashed := false
 			for _, st := range script {
 				wd.do(st)
@@ -270,20 +280,19 @@
 }
 
 func TestRefusedClaimFreesItsKey(t *testing.T) {
-	// The store takes the claim of a redemption and its answers are lost until the caller has been told "not run".
-	// The record stands in the store by then. When the store answers again the resend has to run, once, and a further
+	// The writes of a redemption's claim land only after its caller was told "not run", one after the other.
+	// None of them may leave a record behind: when the store answers again the resend has to run, once, and a further
 	// one gets the recorded outcome.
 	synctest.Test(t, func(t *testing.T) {
 		wd := newWorld(t, 1, 1)
 		in := wd.instances[0]
-		wd.kv.SetFaults(stand.Faults{LostAnswers: 1})
+		in.st.least = 15 * time.Second
 		in.st.set(1, false)
 		began := time.Now()
 		assert.Equal(t, in.send("k", false), event.ClaimUnavailable)
 		assert.Assert(t, time.Since(began) < 15*time.Second)
-		wd.kv.SetFaults(stand.Faults{})
 		in.st.set(0, false)
-		time.Sleep(maxLate + 5*time.Second)
+		time.Sleep(in.st.least + maxLate)
 		assert.Equal(t, in.send("k", false), event.ClaimWon)
 		time.Sleep(5 * time.Second)
 		assert.Equal(t, in.send("k", false), event.ClaimRepeated)
--- a/internal/once/shard_test.go
+++ b/internal/once/shard_test.go
@@ -1,6 +1,7 @@
 package once
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -10,32 +11,44 @@
 	"dandelionsail.example/dandelionsail/internal/store"
 )
 
-func TestShardStaysWithinOneValue(t *testing.T) {
-	// More claims come than a shard can hold, each with the longest nonce and answer. The value stays below what the
-	// platform takes, old answers go first, and claims are refused rather than old ones forgotten.
+func newShard() *shard {
+	sh := &shard{}
+	sh.open()
+	return sh
+}
+
+func TestSegmentsStayWithinOneValue(t *testing.T) {
+	// Many claims come while none of their requests ends, and then all end at once with the longest answers. Each write
+	// stays short while claims come, and no segment outgrows what the platform takes.
 	now := time.Unix(1_800_000_000, 0)
 	sh := newShard()
-	refused := 0
-	for i := range maxRecords + 500 {
-		op := &claimOp{hash: Hash{byte(i), byte(i >> 8), byte(i >> 16)}, nonce: "entry-100.abcdefghij-abcdef" + string(rune('a'+i%26)), ends: now.Add(time.Hour)}
-		if result, _ := sh.claim(op, now); result == event.ClaimUnavailable {
-			refused++
-			continue
+	var ops []*claimOp
+	for i := range 3000 {
+		op := &claimOp{hash: Hash{byte(i), byte(i >> 8)}, nonce: "entry-100.abcdefghij-abcdef" + strconv.Itoa(i), ends: now.Add(time.Hour)}
+		res, _ := sh.claim(op, now)
+		assert.Equal(t, res.result, event.ClaimWon)
+		ops = append(ops, op)
+		if i%10 == 9 {
+			raw, err := sh.parts[sh.last()].seg.encode()
+			assert.NilError(t, err)
+			assert.Assert(t, len(raw) < 2*sealBytes, "%d bytes", len(raw))
+			sh.seal(sealBytes)
+			sh.open()
 		}
-		out := event.Outcome{Known: true, Status: 200, ContentType: "application/json", Body: make([]byte, KeptBody)}
+	}
+	out := event.Outcome{Known: true, Status: 200, ContentType: "application/json", Body: make([]byte, KeptBody)}
+	for _, op := range ops {
 		sh.settle(&settleOp{hash: op.hash, nonce: op.nonce, out: out}, now)
-		if i%16 == 0 {
-			sh.prune(now, time.Hour)
-		}
-		now = now.Add(100 * time.Millisecond)
 	}
-	sh.prune(now, time.Hour)
-	raw, err := sh.encode()
-	assert.NilError(t, err)
-	assert.Equal(t, refused, 500)
-	assert.Assert(t, len(raw) < store.MaxValue, "%d bytes", len(raw))
-	sh.prune(now.Add(3*time.Hour), time.Hour)
-	assert.Equal(t, len(sh.Records), 0)
+	assert.Assert(t, len(sh.parts) > 3)
+	for _, pt := range sh.parts {
+		raw, err := pt.seg.encode()
+		assert.NilError(t, err)
+		assert.Assert(t, len(raw) < store.MaxValue, "%d bytes", len(raw))
+	}
+	segments := len(sh.parts)
+	assert.Equal(t, len(sh.prune(now.Add(time.Hour), time.Hour)), 0)
+	assert.Equal(t, len(sh.prune(now.Add(3*time.Hour), time.Hour)), segments-1)
 }
 
 func TestRecordWithoutOutcomeBecomesUnknown(t *testing.T) {
@@ -44,15 +57,15 @@
 	now := time.Unix(1_800_000_000, 0)
 	sh := newShard()
 	first := &claimOp{hash: Hash{1}, nonce: "a", ends: now.Add(30 * time.Second)}
-	result, _ := sh.claim(first, now)
-	assert.Equal(t, result, event.ClaimWon)
+	res, _ := sh.claim(first, now)
+	assert.Equal(t, res.result, event.ClaimWon)
 	resend := &claimOp{hash: Hash{1}, nonce: "b", ends: now.Add(90 * time.Second)}
-	result, out := sh.claim(resend, now.Add(10*time.Second))
-	assert.Equal(t, result, event.ClaimRepeated)
-	assert.Assert(t, out.Running)
-	result, out = sh.claim(resend, now.Add(time.Minute))
-	assert.Equal(t, result, event.ClaimRepeated)
-	assert.Assert(t, !out.Running && !out.Known)
+	res, _ = sh.claim(resend, now.Add(10*time.Second))
+	assert.Equal(t, res.result, event.ClaimRepeated)
+	assert.Assert(t, res.out.Running)
+	res, _ = sh.claim(resend, now.Add(time.Minute))
+	assert.Equal(t, res.result, event.ClaimRepeated)
+	assert.Assert(t, !res.out.Running && !res.out.Known)
 }
 
 func TestLateWriteOfAnAbandonedClaim(t *testing.T) {
@@ -62,28 +75,31 @@
 	sh := newShard()
 	late := &claimOp{hash: Hash{1}, nonce: "a", ends: now.Add(time.Minute)}
 	sh.settle(&settleOp{hash: late.hash, nonce: late.nonce, release: true}, now)
-	result, _ := sh.claim(late, now.Add(time.Second))
-	assert.Equal(t, result, event.ClaimUnavailable)
-	result, _ = sh.claim(&claimOp{hash: Hash{1}, nonce: "b", ends: now.Add(time.Minute)}, now.Add(2*time.Second))
-	assert.Equal(t, result, event.ClaimWon)
+	res, _ := sh.claim(late, now.Add(time.Second))
+	assert.Equal(t, res.result, event.ClaimUnavailable)
+	res, _ = sh.claim(&claimOp{hash: Hash{1}, nonce: "b", ends: now.Add(time.Minute)}, now.Add(2*time.Second))
+	assert.Equal(t, res.result, event.ClaimWon)
 }
 
-// FuzzShard feeds what the store may hold to the decoder.
-func FuzzShard(f *testing.F) {
-	sh := newShard()
-	sh.claim(&claimOp{hash: Hash{1}, nonce: "a", ends: time.Unix(1, 0)}, time.Unix(0, 0))
-	raw, _ := sh.encode()
+// FuzzSegment feeds what the store may hold to the decoder.
+func FuzzSegment(f *testing.F) {
+	seg := newSegment()
+	seg.Records[Hash{1}] = Record{Nonce: "a"}
+	raw, _ := seg.encode()
 	f.Add(raw)
 	f.Add([]byte{0xa0})
 	f.Fuzz(func(_ *testing.T, raw []byte) {
-		sh, err := decodeShard(raw)
+		seg, err := decodeSegment(raw)
 		if err != nil {
 			return
 		}
 		now := time.Unix(1_800_000_000, 0)
-		sh.prune(now, time.Hour)
+		sh := &shard{parts: []part{{seg: seg}}}
+		sh.open()
 		sh.claim(&claimOp{hash: Hash{1}, nonce: "b"}, now)
 		sh.settle(&settleOp{hash: Hash{1}, nonce: "b", release: true}, now)
-		_, _ = sh.encode()
+		sh.seal(sealBytes)
+		sh.prune(now, time.Hour)
+		_, _ = sh.parts[sh.last()].seg.encode()
 	})
 }
--- a/internal/once/worker.go
+++ b/internal/once/worker.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"math"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -59,14 +62,22 @@
 	claims  []*claimOp
 	settles []*settleOp
 
-	// The rest belongs to run. known is the value at the revision; nil if it has to be read.
-	known     *Shard
-	revision  int64
+	// The rest belongs to run. known is what was read or written last; the segments from stale on have to be read
+	// before they are relied upon.
+	known     *shard
+	stale     int64
 	lastWrite time.Time
 }
 
-func newWorker(cs *Claims, shard int) *worker {
-	return &worker{cs: cs, path: fmt.Sprintf("%s%03d", Prefix, shard), wake: make(chan struct{}, 1)}
+// nothingStale is above the number of every segment.
+const nothingStale = math.MaxInt64
+
+func newWorker(cs *Claims, number int) *worker {
+	return &worker{cs: cs, path: fmt.Sprintf("%s%03d/", Prefix, number), wake: make(chan struct{}, 1), known: &shard{}}
+}
+
+func (wk *worker) key(number int64) string {
+	return fmt.Sprintf("%s%012d", wk.path, number)
 }
 
 func (wk *worker) addClaim(op *claimOp) {
@@ -166,7 +177,6 @@
 	if err == nil {
 		return
 	}
-	wk.known = nil
 	wk.mu.Lock()
 	wk.claims = append(claims, wk.claims...)
 	wk.settles = append(settles, wk.settles...)
@@ -186,79 +196,130 @@
 	return kept
 }
 
-// swap applies the operations to the shard and writes it, unless nothing changes.
+// swap applies the operations to the shard and writes the segments that change. The last segment goes first: it has
+// the claims and the nonces of those given up, on which the rest relies.
 func (wk *worker) swap(ctx context.Context, claims []*claimOp, settles []*settleOp) error {
-	fresh := wk.known == nil
-	if fresh {
-		if err := wk.read(ctx); err != nil {
+	fresh := wk.stale == 0
+	if err := wk.refresh(ctx); err != nil {
+		return err
+	}
+	next, results, found := wk.apply(claims, settles)
+	if found < nothingStale && !fresh {
+		// The claim that stands may have been settled or released by another instance since it was read.
+		wk.stale = found
+		if err := wk.refresh(ctx); err != nil {
 			return err
 		}
+		next, results, _ = wk.apply(claims, settles)
 	}
-	next, results, changed := wk.apply(claims, settles)
-	if !fresh && repeated(results) {
-		// The claim that stands may have been settled or released by another instance since the value was read.
-		wk.known = nil
-		return wk.swap(ctx, claims, settles)
-	}
-	if changed {
-		raw, err := next.encode()
-		if err != nil {
-			return Corrupt.Wrap(err, "once: %s does not encode", wk.path)
-		}
-		pair, err := wk.cs.st.Swap(ctx, wk.path, raw, wk.revision, 0)
-		if err != nil {
+	gone := next.prune(time.Now(), wk.cs.retention())
+	next.seal(wk.cs.sealAt)
+	for i := next.last(); i >= 0; i-- {
+		if err := wk.writePart(ctx, &next.parts[i]); err != nil {
 			return err
 		}
-		wk.known, wk.revision, wk.lastWrite = next, pair.Revision, time.Now()
 	}
+	next.open()
+	wk.known = next
 	for i, op := range claims {
 		op.given <- results[i]
 	}
 	for _, op := range settles {
 		close(op.done)
 	}
+	wk.remove(ctx, gone)
 	return nil
 }
 
-func (wk *worker) apply(claims []*claimOp, settles []*settleOp) (next *Shard, results []claimed, changed bool) {
+// apply returns the shard with the operations applied, and the lowest segment in which a claim found another's.
+func (wk *worker) apply(claims []*claimOp, settles []*settleOp) (next *shard, results []claimed, found int64) {
 	now := time.Now()
 	next = wk.known.clone()
-	next.prune(now, wk.cs.retention())
-	changed = len(settles) > 0
+	found = nothingStale
 	// A resend right after its answer finds the outcome that shares its write.
 	for _, op := range settles {
 		next.settle(op, now)
 	}
 	for _, op := range claims {
-		result, out := next.claim(op, now)
-		changed = changed || result == event.ClaimWon
-		results = append(results, claimed{result, out})
-	}
-	return next, results, changed
-}
-
-func repeated(results []claimed) bool {
-	for _, res := range results {
-		if res.result == event.ClaimRepeated || res.result == event.ClaimConflict {
-			return true
+		res, segment := next.claim(op, now)
+		if segment >= 0 {
+			found = min(found, next.parts[segment].number)
 		}
+		results = append(results, res)
 	}
-	return false
+	return next, results, found
 }
 
-func (wk *worker) read(ctx context.Context) error {
-	pair, err := wk.cs.st.Get(ctx, wk.path)
-	if errorx.IsOfType(err, store.Missing) {
-		wk.known, wk.revision = newShard(), 0
+// writePart writes a segment if it changed. After a failure it is not known what the store holds.
+func (wk *worker) writePart(ctx context.Context, pt *part) error {
+	if !pt.dirty {
 		return nil
 	}
+	raw, err := pt.seg.encode()
 	if err != nil {
-		return err
+		return Corrupt.Wrap(err, "once: %s does not encode", wk.key(pt.number))
 	}
-	sh, err := decodeShard(pair.Value)
+	pair, err := wk.cs.st.Swap(ctx, wk.key(pt.number), raw, pt.revision, 0)
 	if err != nil {
+		wk.stale = 0
 		return err
 	}
-	wk.known, wk.revision = sh, pair.Revision
+	pt.revision, pt.dirty = pair.Revision, false
+	wk.lastWrite = time.Now()
+	return nil
+}
+
+// remove deletes expired segments. One that cannot be deleted now is met again by the next reader.
+func (wk *worker) remove(ctx context.Context, gone []part) {
+	for _, pt := range gone {
+		if pt.revision != 0 {
+			_ = wk.cs.st.Delete(ctx, wk.key(pt.number), pt.revision)
+		}
+	}
+}
+
+// listLimit keeps a list of segments within what the store's client reads of one answer.
+const listLimit = 32
+
+// refresh reads the segments from the stale one on.
+func (wk *worker) refresh(ctx context.Context) error {
+	if wk.stale == nothingStale {
+		return nil
+	}
+	next := &shard{}
+	for _, pt := range wk.known.parts {
+		if pt.number < wk.stale {
+			next.parts = append(next.parts, pt)
+		}
+	}
+	from := wk.key(wk.stale)
+	for {
+		pairs, err := wk.cs.st.List(ctx, wk.path, from, listLimit)
+		if err != nil {
+			return err
+		}
+		for _, pair := range pairs {
+			pt, err := wk.decode(pair)
+			if err != nil {
+				return err
+			}
+			next.parts = append(next.parts, pt)
+			from = wk.key(pt.number + 1)
+		}
+		if len(pairs) < listLimit {
+			break
+		}
+	}
+	next.open()
+	wk.known, wk.stale = next, nothingStale
 	return nil
 }
+
+func (wk *worker) decode(pair store.Pair) (part, error) {
+	number, err := strconv.ParseInt(strings.TrimPrefix(pair.Key, wk.path), 10, 64)
+	if err != nil || number < 0 {
+		return part{}, Corrupt.New("once: %s is no segment; find out who wrote it", pair.Key)
+	}
+	seg, err := decodeSegment(pair.Value)
+	return part{number: number, revision: pair.Revision, seg: seg}, err
+}
