Let outcomes rest while the store fails, and bound what a peer asks a home to keep

Every shard with something to record called the store ten times a second while it failed: 640 calls a second an instance with all shards pending. Outcomes and releases now wait 250 ms, doubling to 4 s; claims try four times a second within their patience. A home keeps a record no longer than the retention whatever its asker says.

--- a/internal/once/home.go
+++ b/internal/once/home.go
@@ -123,9 +123,10 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, min(msg.Wait, forwardTimeout))
 	defer cancel()
+	lasts := min(msg.Lasts, cs.retention())
 	// The one who asked gives the claim up and releases it if need be, since it alone knows whether the request runs.
 	res := cs.claimHere(ctx, msg.Shard, &claimOp{
-		hash: msg.Hash, digest: msg.Digest, nonce: msg.Nonce, ends: time.Now().Add(msg.Lasts), given: make(chan claimed, 1),
+		hash: msg.Hash, digest: msg.Digest, nonce: msg.Nonce, ends: time.Now().Add(lasts), given: make(chan claimed, 1),
 	})
 	return wire.ClaimAnswer{Result: int(res.result), Outcome: wire.ClaimOutcome(res.out)}
 }
@@ -136,6 +137,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, min(msg.Wait, forwardTimeout))
 	defer cancel()
+	if len(msg.Outcome.Body) > KeptBody {
+		msg.Outcome.Body, msg.Outcome.Truncated = nil, true
+	}
 	op := &settleOp{hash: msg.Hash, nonce: msg.Nonce, out: event.Outcome(msg.Outcome), release: msg.Release, done: make(chan struct{})}
 	if cs.settleHere(ctx, msg.Shard, op) != nil {
 		return wire.ClaimAnswer{Result: int(event.ClaimUnavailable)}
--- a/internal/once/worker.go
+++ b/internal/once/worker.go
@@ -21,8 +21,10 @@
 	writePause = 250 * time.Millisecond
 	// settlePause is how long outcomes wait for a claim to share a write with.
 	settlePause = time.Second
-	// retryPause is the wait after the store failed.
-	retryPause = 100 * time.Millisecond
+	// restPause is the wait of outcomes and releases after the store failed; it doubles up to maxRest. Without it every
+	// instance would call for each of its shards many times a second, and keep a store down that limps.
+	restPause = 250 * time.Millisecond
+	maxRest   = 4 * time.Second
 )
 
 // claimOp asks for a claim.
@@ -64,9 +66,12 @@
 
 	// The rest belongs to run. known is what was read or written last; the segments from stale on have to be read
 	// before they are relied upon.
-	known     *shard
-	stale     int64
+	known *shard
+	stale int64
+	// lastWrite is when a write ended, unless another instance came before it.
 	lastWrite time.Time
+	// rest is how long outcomes wait while the store fails, 0 while it does not.
+	rest time.Duration
 }
 
 // nothingStale is above the number of every segment.
@@ -123,7 +128,7 @@
 			pause(ctx, time.Until(wk.lastWrite.Add(writePause)))
 			wk.write(ctx)
 		case settles:
-			wk.gather(ctx)
+			wk.gather(ctx, max(settlePause, wk.rest))
 			wk.write(ctx)
 		default:
 			select {
@@ -144,8 +149,8 @@
 const lastWrites = 2 * time.Second
 
 // gather waits for a claim that the outcomes can share a write with.
-func (wk *worker) gather(ctx context.Context) {
-	timer := time.NewTimer(settlePause)
+func (wk *worker) gather(ctx context.Context, period time.Duration) {
+	timer := time.NewTimer(period)
 	defer timer.Stop()
 	for {
 		select {
@@ -175,6 +180,7 @@
 	err := wk.swap(ctx, claims, settles)
 	wk.cs.heard(err)
 	if err == nil {
+		wk.rest = 0
 		return
 	}
 	wk.mu.Lock()
@@ -182,7 +188,8 @@
 	wk.settles = append(settles, wk.settles...)
 	wk.mu.Unlock()
 	if !errorx.IsOfType(err, store.Conflict) {
-		pause(ctx, retryPause)
+		wk.rest = min(max(restPause, 2*wk.rest), maxRest)
+		wk.lastWrite = time.Now()
 	}
 }
 
