Let a resend wait for the end of the first request under its key

A resend that reached another instance before the first run's outcome was recorded got 409, right but of no use to a caller whose connection broke. It now looks again after 50 ms, doubling to a second, within three quarters of its own time, and gets the recorded outcome; 409 only if the first run takes longer.

--- a/internal/once/once.go
+++ b/internal/once/once.go
@@ -31,6 +31,9 @@
 	// outageAfter is how long the store must have failed until claims are refused after one short try.
 	outageAfter    = 10 * time.Second
 	outagePatience = 500 * time.Millisecond
+	// firstLook and maxLook are the waits between looks for the end of a request that is under way under the same key.
+	firstLook = 50 * time.Millisecond
+	maxLook   = time.Second
 	// forwardTimeout bounds one question to a shard's home.
 	forwardTimeout = 2 * time.Second
 )
@@ -124,25 +127,46 @@
 	if !ok {
 		ends = time.Now().Add(decl.DefaultMaxDeadline)
 	}
+	// A claim won in the last quarter of its request's time would only be a run that ends too late.
+	ctx, cancel := context.WithTimeout(ctx, time.Until(ends)*3/4)
+	defer cancel()
 	shard, hash := ky.place()
-	op := &claimOp{
-		hash:   hash,
-		digest: [digestBytes]byte(digest[:digestBytes]),
-		nonce:  cs.name + "/" + nonce,
-		ends:   ends,
-		given:  make(chan claimed, 1),
+	op := claimOp{hash: hash, digest: [digestBytes]byte(digest[:digestBytes]), nonce: cs.name + "/" + nonce, ends: ends}
+	res := cs.claimOnce(ctx, shard, op)
+	// A resend often meets the first request before its end is recorded; it waits for that end.
+	for look := firstLook; res.underWay(); look = min(2*look, maxLook) {
+		pause(ctx, look)
+		if ctx.Err() != nil {
+			break
+		}
+		again := cs.claimOnce(ctx, shard, op)
+		if again.result == event.ClaimUnavailable {
+			break
+		}
+		res = again
 	}
-	// A claim won in the last quarter of its request's time would only be a run that ends too late.
-	ctx, cancel := context.WithTimeout(ctx, min(cs.patience(), time.Until(ends)*3/4))
+	return res.result, res.out
+}
+
+// underWay tells that the key belongs to a request that may be running.
+func (res claimed) underWay() bool {
+	return res.result == event.ClaimRepeated && res.out.Running && !res.out.Known
+}
+
+// claimOnce records the claim through the shard's home or by this instance's own writes, and takes it back if it is
+// not clear that it is recorded.
+func (cs *Claims) claimOnce(ctx context.Context, shard int, op claimOp) claimed {
+	ctx, cancel := context.WithTimeout(ctx, cs.patience())
 	defer cancel()
-	if res, ok := cs.forwardClaim(ctx, shard, op); ok {
-		return res.result, res.out
+	op.given = make(chan claimed, 1)
+	if res, ok := cs.forwardClaim(ctx, shard, &op); ok {
+		return res
 	}
-	res := cs.claimHere(ctx, shard, op)
+	res := cs.claimHere(ctx, shard, &op)
 	if res.result == event.ClaimUnavailable {
-		cs.workers[shard].addSettle(&settleOp{hash: hash, nonce: op.nonce, release: true, done: make(chan struct{})})
+		cs.workers[shard].addSettle(&settleOp{hash: op.hash, nonce: op.nonce, release: true, done: make(chan struct{})})
 	}
-	return res.result, res.out
+	return res
 }
 
 // claimHere records the claim by this instance's own writes.
