Tell a lost grant again, and hear a holder that is not listed yet

A grant that got lost on the way left its holder waiting and renewing: the coordinator took the renewal for one of a request that runs, and the caller got no answer in 60 s. Renewals now name what waits apart from what is held. In the first moments after a start the coordinator dropped requests of holders that its list did not have yet, and a long prompt was refused as if no coordinator could be reached; an unlisted holder now counts as gone only when it has not renewed either, and an instance coordinates by its own address before it is listed.

--- a/internal/core/permit.go
+++ b/internal/core/permit.go
@@ -30,6 +30,7 @@
 	}
 	pm.coordinator.Engines = st.poolEngines
 	pm.coordinator.Gone = st.holderGone
+	pm.coordinator.Listed = st.holderListed
 	pm.coordinator.Upstream = func(name string) (event.Upstream, bool) {
 		rep, ok := st.Route.Replicas[name]
 		if !ok {
@@ -57,13 +58,28 @@
 	return engines
 }
 
-// holderGone tells that a run of an instance is over: it was declared dead or unlisted, or another run has its name.
+// holderGone tells that a run of an instance is over: it was declared dead, or another run has its name.
 func (st *State) holderGone(name string, incarnation uint64) bool {
 	if name == st.Options.Name {
 		return incarnation < st.Options.Incarnation
 	}
 	mb, ok := st.Member.Members[name]
-	return !ok || mb.State == event.WordDead || mb.After(incarnation)
+	return ok && (mb.State == event.WordDead || mb.After(incarnation))
+}
+
+func (st *State) holderListed(name string) bool {
+	_, ok := st.Member.Members[name]
+	return ok || name == st.Options.Name
+}
+
+// peerOpened takes the address at which this instance hears its peers. It coordinates and is answered by it before the
+// platform lists it.
+func (st *State) peerOpened(ev event.PeerOpened) {
+	if st.Member != nil && st.Member.Self.Peer == "" {
+		st.Member.Self.Peer = ev.Address
+		st.Member.Changed = true
+		st.followMembers(ev)
+	}
 }
 
 func (st *State) regroupPools() {
--- a/internal/core/state.go
+++ b/internal/core/state.go
@@ -189,6 +189,8 @@
 	case event.DrainStarted:
 		st.Draining = true
 		st.followMembers(ev)
+	case event.PeerOpened:
+		st.peerOpened(ev)
 	case event.Probed, event.ProbeAcked, event.Gossiped:
 		st.followMembers(ev)
 	case event.PermitAsked, event.PermitGranted, event.PermitReturned, event.PermitRenewed, event.PermitsKnown:
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -32,6 +33,9 @@
 	}
 	in.peers = transport
 	in.meterPeers()
+	if addr, err := netip.ParseAddrPort(transport.Address()); err == nil && !addr.Addr().IsUnspecified() {
+		in.loop.Submit(event.PeerOpened{Address: transport.Address()})
+	}
 	return transport.Address(), nil
 }
 
--- a/internal/event/member.go
+++ b/internal/event/member.go
@@ -55,6 +55,10 @@
 	Words []Word
 }
 
+// PeerOpened tells at which address this instance hears its peers.
+type PeerOpened struct{ Address string }
+
+func (PeerOpened) isEvent() {}
 func (Probed) isEvent()     {}
 func (ProbeAcked) isEvent() {}
 func (Gossiped) isEvent()   {}
--- a/internal/event/permit.go
+++ b/internal/event/permit.go
@@ -64,7 +64,9 @@
 	Peer          string
 	Service       string
 	FailureDomain string
-	Requests      []string
+	// Requests are those held, Waiting those for which no grant has come yet.
+	Requests []string
+	Waiting  []string
 }
 
 // PermitsKnown answers a PermitRenewed.
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -157,8 +157,7 @@
 	for _, inst := range ev.Instances {
 		named[inst.Name] = true
 		if inst.Name == st.Self.Name {
-			st.Changed = st.Changed || st.Self.Peer != inst.Peer
-			st.Self.Peer = inst.Peer
+			st.selfListed(inst)
 			continue
 		}
 		if inst.Peer != "" {
@@ -173,6 +172,14 @@
 	}
 }
 
+// selfListed takes the address under which the others know this instance.
+func (st *State) selfListed(inst event.Instance) {
+	if inst.Peer != "" && inst.Peer != st.Self.Peer {
+		st.Self.Peer = inst.Peer
+		st.Changed = true
+	}
+}
+
 func (st *State) take(inst event.Instance) {
 	mb, ok := st.Members[inst.Name]
 	if !ok || mb.Instance.Peer != inst.Peer {
--- a/internal/permit/holder.go
+++ b/internal/permit/holder.go
@@ -320,12 +320,13 @@
 // passOverSilent stops asking coordinators that do not answer, for some time.
 func (ho *Holder) passOverSilent() {
 	for _, hd := range ho.holds {
-		if hd.sent >= tries && ho.now.Sub(hd.sentAt) >= answerTime {
+		// This instance itself answers always, if late when the machine is busy.
+		if hd.to != ho.Self.Name && hd.sent >= tries && ho.now.Sub(hd.sentAt) >= answerTime {
 			ho.silent[hd.to] = ho.now.Add(distrust)
 		}
 	}
 	for name, since := range ho.unanswered {
-		if ho.now.Sub(since) >= RenewPeriod+answerTime {
+		if name != ho.Self.Name && ho.now.Sub(since) >= RenewPeriod+answerTime {
 			ho.silent[name] = ho.now.Add(distrust)
 			delete(ho.unanswered, name)
 		}
@@ -365,26 +366,38 @@
 
 // renew tells the witnesses of each hold that it goes on.
 func (ho *Holder) renew() {
-	requests := map[group][]string{}
+	holds := map[group][]*hold{}
 	var groups []group
 	for _, hd := range ho.sorted() {
 		for _, to := range ho.witnesses(hd) {
 			gr := group{to, hd.pool()}
-			if requests[gr] == nil {
+			if holds[gr] == nil {
 				groups = append(groups, gr)
 			}
-			requests[gr] = append(requests[gr], hd.Request)
+			holds[gr] = append(holds[gr], hd)
 		}
 	}
 	for _, gr := range groups {
 		if _, waits := ho.unanswered[gr.to.Name]; !waits {
 			ho.unanswered[gr.to.Name] = ho.now
 		}
-		for part := range slices.Chunk(requests[gr], maxRenewed) {
-			ho.tell(gr.to, wire.PermitRenew{
-				Holder: ho.Self.Name, Incarnation: ho.Incarnation, Peer: ho.Self.Peer,
-				Service: gr.key.Service, FailureDomain: gr.key.FailureDomain, Requests: part,
-			})
+		for part := range slices.Chunk(holds[gr], maxRenewed) {
+			ho.renewSome(gr, part)
 		}
 	}
 }
+
+func (ho *Holder) renewSome(gr group, holds []*hold) {
+	msg := wire.PermitRenew{
+		Holder: ho.Self.Name, Incarnation: ho.Incarnation, Peer: ho.Self.Peer,
+		Service: gr.key.Service, FailureDomain: gr.key.FailureDomain,
+	}
+	for _, hd := range holds {
+		if hd.granted {
+			msg.Requests = append(msg.Requests, hd.Request)
+		} else {
+			msg.Waiting = append(msg.Waiting, hd.Request)
+		}
+	}
+	ho.tell(gr.to, msg)
+}
--- a/internal/permit/permit.go
+++ b/internal/permit/permit.go
@@ -64,8 +64,10 @@
 	Engines func(pool Pool) []Engine
 	// Upstream finds a replica by name, leaving or gone ones as long as they are known.
 	Upstream func(name string) (event.Upstream, bool)
-	// Gone tells that the holder's run is over: declared dead, no longer listed, or followed by another.
+	// Gone tells that the holder's run is over: declared dead or followed by another.
 	Gone func(holder string, incarnation uint64) bool
+	// Listed tells that the platform's list has the holder. A new one is not there yet, a dead one no longer.
+	Listed func(holder string) bool
 
 	now     time.Time
 	effects []effect.Effect
@@ -222,6 +224,15 @@
 			rv.Until = co.now.Add(Lasts)
 			continue
 		}
+		unknown = append(unknown, request)
+	}
+	for _, request := range ev.Waiting {
+		if rv, ok := pl.reservations[request]; ok {
+			// The grant got lost. Unless it is told again, the holder would wait and renew for as long as it may.
+			rv.Until = co.now.Add(Lasts)
+			co.grant(rv)
+			continue
+		}
 		if pl.waits(request) == nil {
 			unknown = append(unknown, request)
 		}
@@ -253,7 +264,7 @@
 			continue
 		}
 		pl.free(rv)
-		if gone {
+		if gone || !co.Listed(rv.Holder) {
 			co.effects = append(co.effects, effect.Sweep{Request: rv.Request, Upstreams: co.upstreams(rv.Upstreams)})
 		}
 	}
--- a/internal/permit/permit_test.go
+++ b/internal/permit/permit_test.go
@@ -33,6 +33,7 @@
 	co.Engines = func(permit.Pool) []permit.Engine { return pool }
 	co.Upstream = func(name string) (event.Upstream, bool) { return event.Upstream{Name: name}, true }
 	co.Gone = func(string, uint64) bool { return false }
+	co.Listed = func(string) bool { return true }
 	return co
 }
 
@@ -184,6 +185,8 @@
 	holder *permit.Holder
 	cos    map[string]*permit.Coordinator
 	down   string
+	// lose makes the next grants get lost.
+	lose   int
 	told   []string
 	answer []event.PermitAnswered
 }
@@ -214,6 +217,10 @@
 		case wire.PermitReturn:
 			pr.carry(pr.cos[tell.Address].Reduce(pr.now, event.PermitReturned(msg)))
 		case wire.PermitGrant:
+			if msg.Granted && pr.lose > 0 {
+				pr.lose--
+				continue
+			}
 			pr.hear(event.PermitGranted(msg))
 		case wire.PermitState:
 			pr.hear(event.PermitsKnown(msg))
@@ -258,6 +265,19 @@
 	assert.Assert(t, pr.answer[1].Granted)
 }
 
+func TestLostGrantIsToldAgain(t *testing.T) {
+	// The coordinator has told the holder that its request waits, and then its grant gets lost on the way.
+	// The holder renews the request as one that waits, hears of the grant with the answer, and its caller gets an answer
+	// a second later instead of never.
+	pr := newPair()
+	pr.lose = 1
+	pr.carry(pr.holder.Ask(pr.now, 1, asks("r", 1_000_000), []string{"a"}))
+	pr.run(3 * time.Second)
+	assert.Equal(t, pr.lose, 0)
+	assert.Equal(t, len(pr.answer), 1)
+	assert.Assert(t, pr.answer[0].Granted)
+}
+
 func TestNoCoordinatorIsSaid(t *testing.T) {
 	// No coordinator answers, the instance itself is the last that is asked. The request hears that they are lost and
 	// goes on without a permit, within two seconds.
