Refuse sooner what cannot end in time

Each instance had longer prompts waiting for the same engine to get room, and each sent one on the report that showed it.

Now the wait is estimated from how fast each class was seen to leave the queue, and the time at the engine from how much longer than on an idle replica its level's attempts lately lasted. What cannot end in time is refused on arrival, or when its turn comes, always before it is sent. A longer prompt that has waited goes to a replica on a report only if this instance drew the claim for it, 1.5 instances on average. No prompt goes to an engine whose memory is full; one larger than any engine's memory is refused on arrival unless it goes by permit, where the engine refused it after up to 12 s.

TestLongPrefillIsNotSilence sent a million tokens to an engine of 400,000, which is now refused; its engine holds 1,200,000 now and all it asserts stays.

--- a/internal/admit/queue.go
+++ b/internal/admit/queue.go
@@ -39,7 +39,6 @@
 	// virtual is the start tag of the lane served last, under Weighted.
 	virtual float64
 	next    []*Item
-	drain   drain
 }
 
 // lane is a heap of items that are ordered among themselves by their organisations' fair shares.
@@ -58,6 +57,8 @@
 	// virtual is the start tag of the item taken last.
 	virtual float64
 	work    time.Duration
+	items   int
+	drain   drain
 	// weights adds up the weights of the organisations that wait.
 	weights float64
 }
@@ -151,6 +152,7 @@
 	}
 	cl.priority = it.Class.Priority
 	cl.work += it.Work
+	cl.items++
 	key := flowKey{it.Organisation, it.Class.Name}
 	fl, ok := qu.flows[key]
 	if !ok {
@@ -294,7 +296,7 @@
 		it.lane.tag += float64(it.Tokens) / it.lane.weight
 	}
 	qu.countTaken(it)
-	qu.drain.work += it.Work
+	cl.drain.work += it.Work
 }
 
 func (qu *queue) countTaken(it *Item) {
@@ -320,6 +322,7 @@
 	qu.tokens -= it.Tokens
 	cl := qu.classes[it.Class.Name]
 	cl.work -= it.Work
+	cl.items--
 	fl := qu.flows[flowKey{it.Organisation, it.Class.Name}]
 	fl.items--
 	fl.work -= it.Work
--- a/internal/admit/wait.go
+++ b/internal/admit/wait.go
@@ -29,7 +29,9 @@
 	if !ok {
 		return
 	}
-	qu.drain.look(now, len(qu.items) > 0)
+	for _, cl := range qu.classes {
+		cl.drain.look(now, cl.items > 0)
+	}
 }
 
 func (dr *drain) look(now time.Time, waiting bool) {
@@ -64,47 +66,45 @@
 	if !ok || len(qu.items) == 0 {
 		return 0
 	}
-	ahead := qu.ahead(organisation, cl, weight)
-	rate := qu.drain.rate
-	if rate <= 0 {
-		rate = capacity
-	}
-	// A queue that stood still for a moment is not taken to stand for ever.
-	rate = max(rate, capacity/minDrain)
-	if rate <= 0 {
+	if _, ok := qu.discipline.(FirstCome); ok {
 		return 0
 	}
-	return time.Duration(float64(ahead) / rate)
-}
-
-// minDrain is how much slower than its capacity a queue is believed to empty at worst.
-const minDrain = 20
-
-func (qu *queue) ahead(organisation string, cl decl.LengthClass, weight float64) time.Duration {
-	_, inOrder := qu.discipline.(FirstCome)
-	_, ranked := qu.discipline.(Priority)
-	var ahead time.Duration
+	var wait time.Duration
 	for name, other := range qu.classes {
 		switch {
-		case name == cl.Name && !inOrder:
-			ahead += qu.aheadInClass(flowKey{organisation, name}, other, weight)
-		case inOrder || (ranked && other.priority >= cl.Priority):
-			ahead += other.work
-		case !ranked:
-			// Weighted: a class of its own share does not wait for another's, but takes part of the replicas' time.
-			ahead += min(other.work, qu.classes[cl.Name].workOrZero())
+		case name == cl.Name:
+			wait += other.time(qu.aheadInClass(flowKey{organisation, name}, other, weight), capacity)
+		case qu.yields(cl, other):
+			wait += other.time(other.work, capacity)
 		}
 	}
-	return ahead
+	return wait
+}
+
+// yields tells whether an item of the class waits for all of the other class; under Weighted none does.
+func (qu *queue) yields(cl decl.LengthClass, other *class) bool {
+	_, ranked := qu.discipline.(Priority)
+	return ranked && other.priority >= cl.Priority
 }
 
-func (cl *class) workOrZero() time.Duration {
-	if cl == nil {
+// time is how long the class takes for the work, at the speed at which it was seen to empty. What classes above it
+// take of the replicas is in that speed already.
+func (cl *class) time(work time.Duration, capacity float64) time.Duration {
+	rate := cl.drain.rate
+	if rate <= 0 {
+		rate = capacity
+	}
+	// A queue that stood still for a moment is not taken to stand for ever.
+	rate = max(rate, capacity/minDrain)
+	if work <= 0 || rate <= 0 {
 		return 0
 	}
-	return cl.work
+	return time.Duration(float64(work) / rate)
 }
 
+// minDrain is how much slower than its capacity a class is believed to empty at worst.
+const minDrain = 20
+
 func (qu *queue) aheadInClass(key flowKey, cl *class, weight float64) time.Duration {
 	fl, ok := qu.flows[key]
 	if !ok || fl.items == 0 {
--- a/internal/core/arrive.go
+++ b/internal/core/arrive.go
@@ -50,6 +50,9 @@
 	if !ok {
 		return notRun(effect.ReasonTooLong, 0, "shorten the prompt to what the longest length class allows")
 	}
+	if st.tooLarge(ev, class) {
+		return notRun(effect.ReasonTooLong, 0, "shorten the prompt or the answer; together they are larger than one engine's memory")
+	}
 	if refusal := st.checkQuarantine(ev.Digest); refusal != nil {
 		return refusal
 	}
@@ -110,3 +113,10 @@
 	svc, ok := st.table.services[service]
 	return ok && class.Long && st.Options.Permits && !st.baseline() && svc.Kind == decl.KindModel
 }
+
+// tooLarge tells that no single engine can hold the request and that it would go to one. Engines refuse it too, but
+// only after all of it was sent to them.
+func (st *State) tooLarge(ev event.Arrived, class lengthClass) bool {
+	memory := st.table.services[ev.Service].MemoryTokens
+	return memory > 0 && ev.PromptTokens+ev.MaxTokens > memory && !st.permitted(class.LengthClass, ev.Service)
+}
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -158,3 +158,28 @@
 		})
 	}
 }
+
+func TestPromptLargerThanAnEngineIsRefusedAtOnce(t *testing.T) {
+	// A prompt that no engine of its service can hold arrives while prompts over several engines are not served.
+	// The caller hears so at once, and no engine is sent megabytes that it can only refuse.
+	in := newInstance(t)
+	finish := only[effect.Finish](t, in.arrive(event.Arrived{Service: "lyric", PromptTokens: 400_000, MaxTokens: 1, Idempotent: true}))
+	assert.Equal(t, finish.Refusal.Reason, effect.ReasonTooLong)
+	assert.Equal(t, finish.Refusal.Ran, effect.NotRun)
+}
+
+func TestWhatCannotEndInTimeIsRefusedAtOnce(t *testing.T) {
+	// All engines are full and a minute's work waits. Another request has half a minute.
+	// It hears at once that it was not run and when to come back, instead of waiting for its deadline.
+	in := newInstance(t)
+	var last []effect.Effect
+	for id := event.RequestID(1); id < 1000; id++ {
+		last = in.reduce(event.Arrived{
+			ID: id, Service: "lyric", PromptTokens: 4000, MaxTokens: 100, Idempotent: true, Deadline: in.now.Add(30 * time.Second),
+		})
+	}
+	finish := only[effect.Finish](t, last)
+	assert.Equal(t, finish.Refusal.Reason, effect.ReasonBusy)
+	assert.Equal(t, finish.Refusal.Ran, effect.NotRun)
+	assert.Assert(t, finish.Refusal.RetryAfter >= time.Second)
+}
--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -26,7 +26,12 @@
 func (st *State) sendNext(service string) bool {
 	for _, it := range st.Admit.Heads(st.now, service) {
 		req := st.Requests[it.ID]
+		if st.hopeless(req) {
+			st.finish(req, st.ended(req, effect.ReasonDeadline, "allow more time in the deadline header, or send it again later"))
+			return true
+		}
 		want := st.want(req)
+		want.Queued = st.now.Sub(req.At) > queuedAfter
 		rep := st.Route.Pick(st.now, &want)
 		if rep == nil {
 			continue
@@ -38,6 +43,9 @@
 	return false
 }
 
+// queuedAfter is how long a request must have waited for having found no replica at its arrival.
+const queuedAfter = 2 * event.TickPeriod
+
 func (st *State) want(req *Request) route.Want {
 	want := st.load(req)
 	want.Tried = req.Tried
--- a/internal/core/intime.go
+++ b/internal/core/intime.go
@@ -10,9 +10,8 @@
 
 // Refusal of what cannot end in time.
 const (
-	// leastTrust is how much of the shortest time to serve a request, which is learnt from answers of others, is held
-	// against it.
-	leastTrust = 0.7
+	// leastTrust is how much of the time to serve a request, which is learnt from answers of others, is held against it.
+	leastTrust = 0.8
 	// minRetryAfter and maxRetryAfter bound the advice.
 	minRetryAfter = time.Second
 	maxRetryAfter = time.Minute
@@ -29,7 +28,7 @@
 	if !st.permitted(class.LengthClass, ev.Service) {
 		wait = st.Admit.Wait(ev.Service, ev.Organisation, class.LengthClass, org.ShareWeight(), st.Route.Capacity(ev.Service))
 	}
-	late := wait + st.least(ev) - ev.Deadline.Sub(st.now)
+	late := wait + st.least(ev, class.level) - ev.Deadline.Sub(st.now)
 	if late <= 0 {
 		return nil
 	}
@@ -39,13 +38,13 @@
 	return notRun(effect.ReasonBusy, min(max(late, minRetryAfter), maxRetryAfter), "send it again later or allow it more time; the work ahead of it takes too long")
 }
 
-func (st *State) least(ev event.Arrived) time.Duration {
-	return time.Duration(leastTrust * float64(st.Route.Least(ev.Service, ev.PromptTokens, ev.MaxTokens)))
+func (st *State) least(ev event.Arrived, level int) time.Duration {
+	return time.Duration(leastTrust * float64(st.Route.Least(st.now, ev.Service, ev.PromptTokens, ev.MaxTokens, level)))
 }
 
 // watchStart sees to it that a waiting request hears of its end as soon as it can no longer be served in time.
 func (st *State) watchStart(req *Request) {
-	least := st.least(req.Arrived)
+	least := st.least(req.Arrived, req.level)
 	if least <= 0 || st.baseline() {
 		return
 	}
@@ -57,7 +56,7 @@
 
 // hopeless tells that a queued request can no longer be served in time.
 func (st *State) hopeless(req *Request) bool {
-	return req.Phase == PhaseQueued && !st.now.Before(req.Deadline.Add(-st.least(req.Arrived)))
+	return !st.baseline() && req.Phase == PhaseQueued && !st.now.Before(req.Deadline.Add(-st.least(req.Arrived, req.level)))
 }
 
 // ejectSlow takes replicas out that are far slower than their pool.
--- a/internal/core/retry_test.go
+++ b/internal/core/retry_test.go
@@ -8,6 +8,7 @@
 
 	"dandelionsail.example/dandelionsail/internal/effect"
 	"dandelionsail.example/dandelionsail/internal/event"
+	"dandelionsail.example/dandelionsail/pkg/decl"
 )
 
 // find returns the first effect of a kind.
@@ -180,6 +181,11 @@
 	// A prompt of a million tokens at 20,000 a second has its first token after 50 s; a ProgressTimeout of 5 s must not
 	// start it over. A short prompt's silence is still found in little more than 5 s.
 	in := newInstance(t)
+	in.reduce(event.ConfigAccepted{Config: &decl.Config{
+		Version: 2,
+		// An engine that holds such a prompt; a smaller one's would be refused on arrival.
+		Services: map[string]decl.Service{"lyric": {Kind: decl.KindModel, Models: []decl.Model{{Name: "lyric"}}, MemoryTokens: 1_200_000}},
+	}})
 	sent := only[effect.Send](t, in.reduce(event.Arrived{
 		ID: 1, Service: "lyric", PromptTokens: 1_000_000, Idempotent: true, Deadline: in.now.Add(time.Hour),
 	}))
--- a/internal/route/cost.go
+++ b/internal/route/cost.go
@@ -53,11 +53,11 @@
 	maxBacklog = 200 * time.Millisecond
 )
 
-// fits tells whether the replica may take the request now. Prompts of the highest priority always fit: the engine
-// takes them first. Others leave room for those above them, and wait here, in our order, while the engine has prefill to
-// do that goes before theirs; an idle replica takes any.
+// fits tells whether the replica may take the request now. An idle replica takes any that fits its memory. Prompts of
+// the highest priority need only that: the engine takes them first. Others leave room for those above them, and wait
+// here, in our order, while the engine has prefill to do that goes before theirs.
 func (rep *Replica) fits(now time.Time, want *Want) bool {
-	if want.Above == 0 || rep.pool.service.Kind == decl.KindPlain {
+	if rep.pool.service.Kind == decl.KindPlain {
 		return true
 	}
 	running := rep.running(now)
@@ -68,9 +68,27 @@
 	if memory := rep.memory(); memory > 0 && float64(rep.used(now)+want.Tokens()) > keep*float64(memory) {
 		return false
 	}
+	if want.Above == 0 {
+		return true
+	}
+	if want.Queued && !rep.claimed && rep.fresh(now) {
+		return false
+	}
 	if float64(running+1) > max(1, keep*float64(rep.pool.service.MaxRunning)) {
 		return false
 	}
 	before, _ := rep.ahead(now, want.Level)
 	return float64(before) <= maxBacklog.Seconds()*rep.PrefillRate
 }
+
+// claimFactor is how many of the instances, on average, may send what has waited to a replica on one report of it.
+const claimFactor = 1.5
+
+// claim decides by chance whether this instance may send a longer prompt that has waited to the replica before its next
+// report. Under overload every instance has such prompts waiting for the same replica to get room, and would send one
+// on the report that shows it; the replica would then have many times the work it had room for, and most of them would
+// end by their deadline there instead of waiting here.
+func (rep *Replica) claim() {
+	st := rep.pool.st
+	rep.claimed = st.live == 1 || st.random.Float64() < claimFactor/float64(st.live)
+}
--- a/internal/route/learn.go
+++ b/internal/route/learn.go
@@ -55,6 +55,12 @@
 	}
 }
 
+// learnStretch takes how long an attempt lasted until its answer was whole or its deadline ended it.
+func (rep *Replica) learnStretch(now time.Time, at attempt) {
+	idle := rep.pool.idleTime(at.prompt, at.answer) + overhead
+	rep.pool.stretches[at.level].add(now, float64(now.Sub(at.at))/float64(idle))
+}
+
 func (rep *Replica) learnSlowdown(passed time.Duration, at attempt, tokens int64) {
 	expected := overhead
 	if svc := rep.pool.service; svc.Kind != decl.KindPlain {
--- a/internal/route/pool.go
+++ b/internal/route/pool.go
@@ -30,6 +30,31 @@
 	// Attempt is how long an attempt lasts, 0 until learnt.
 	Attempt time.Duration
 	samples int
+	// stretches is, by level, how much longer than on an idle replica attempts lately lasted.
+	stretches [maxLevels]stretch
+}
+
+// stretch is an average that is forgotten with time.
+type stretch struct {
+	value float64
+	at    time.Time
+}
+
+// stretchLife is how long a stretch is remembered: without it, what was refused because of a high one would never show
+// that it has fallen.
+const stretchLife = 5 * time.Second
+
+func (sr *stretch) now(now time.Time) float64 {
+	if sr.at.IsZero() {
+		return 1
+	}
+	return 1 + (sr.value-1)*math.Exp(-now.Sub(sr.at).Seconds()/stretchLife.Seconds())
+}
+
+func (sr *stretch) add(now time.Time, value float64) {
+	value = max(1, value)
+	sr.value = sr.now(now) + stretchGain*(value-sr.now(now))
+	sr.at = now
 }
 
 // Learning.
@@ -40,6 +65,8 @@
 	minSamples = 20
 	// workKeep is how much of the remembered mix each new request leaves.
 	workKeep = 0.995
+	// stretchGain is the same as speedGain for the stretch, which has to follow an overload.
+	stretchGain = 0.2
 )
 
 func (st *State) poolOf(service string) *pool {
@@ -150,12 +177,17 @@
 	return pl.prefillTime(prompt) + pl.decodeTime(answer)/time.Duration(pl.service.MaxRunning)
 }
 
-// Least estimates the shortest time in which a request can be answered by an idle replica.
-func (st *State) Least(service string, prompt, answer int64) time.Duration {
+// Least estimates the time in which a request of the level is answered once it is sent, as things are now.
+func (st *State) Least(now time.Time, service string, prompt, answer int64, level int) time.Duration {
 	pl := st.poolOf(service)
 	if pl.service.Kind == decl.KindPlain || pl.samples < minSamples {
 		return 0
 	}
+	return time.Duration(float64(pl.idleTime(prompt, answer)) * pl.stretches[level].now(now))
+}
+
+// idleTime is how long an idle replica takes.
+func (pl *pool) idleTime(prompt, answer int64) time.Duration {
 	return pl.prefillTime(prompt) + pl.decodeTime(answer)
 }
 
--- a/internal/route/replica.go
+++ b/internal/route/replica.go
@@ -31,6 +31,8 @@
 	// Window bounds Running; it follows the engine's refusals and reports.
 	Window   float64
 	narrowed time.Time
+	// claimed tells that this instance may send it what has waited; see claim.
+	claimed bool
 	// Failures counts attempts that failed in a row.
 	Failures int
 	// Ejections counts how often in a row it was ejected; EjectedUntil is when the last one ends.
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -69,6 +69,8 @@
 	// Level ranks the request's class from 0, the lowest; Above counts the classes of higher priority.
 	Level int
 	Above int
+	// Queued tells that it found no replica when it arrived.
+	Queued bool
 	// Repeatable requests may be used to probe replicas that failed.
 	Repeatable bool
 	// Tried names replicas that failed this request already; they are taken only if nothing else is there.
@@ -190,6 +192,7 @@
 	if ev.At.After(rep.ReportAt) {
 		rep.report(ev)
 		rep.reported()
+		rep.claim()
 		st.settle(rep)
 	}
 }
@@ -222,6 +225,9 @@
 		level:  want.Level,
 		ahead:  before + prompt,
 	})
+	if want.Above > 0 && rep.pool.instances() > 1 {
+		rep.claimed = false
+	}
 	rep.pool.sent(want.Level, prompt)
 	st.prefixes.hint(now, rep, want.Prefixes)
 	st.settle(rep)
@@ -253,6 +259,9 @@
 		return false
 	}
 	at := rep.end(i)
+	if result == event.ResultDone || result == event.ResultExpired {
+		rep.learnStretch(now, at)
+	}
 	out := false
 	switch {
 	case result == event.ResultDone:
