Let a lost failure domain be ejected whole

Cause: at most 0.34 of a pool could be out, and one failure domain of two or three holds more; requests sent to the rest of it waited for the silence.

--- a/internal/route/eject.go
+++ b/internal/route/eject.go
@@ -15,7 +15,7 @@
 	ejection    = 2 * time.Second
 	maxEjection = time.Minute
 	// maxEjectedShare bounds the part of a service's replicas that may be out at once, so that a fault common to all
-	// never empties the pool.
+	// never empties the pool. One whole failure domain may be out, see domainAway.
 	maxEjectedShare = 0.34
 	// probesToReturn is how many requests, one at a time, must be answered before an upstream is back for good.
 	probesToReturn = 3
@@ -76,7 +76,7 @@
 			out++
 		}
 	}
-	if float64(out) > maxEjectedShare*float64(rep.pool.live) {
+	if float64(out) > maxEjectedShare*float64(rep.pool.live) && !st.domainAway(rep) {
 		return false
 	}
 	if !slices.Contains(st.out, rep) {
@@ -91,6 +91,23 @@
 	return true
 }
 
+// domainAway tells that all that would be out of the pool is in the replica's failure domain, while another one has
+// replicas in use. A failure domain that is lost is more than the share of a pool in three, and every request sent to
+// what is left of it would wait for a silence.
+func (st *State) domainAway(rep *Replica) bool {
+	for _, other := range st.out {
+		if other.pool == rep.pool && other.live() && other.Upstream.FailureDomain != rep.Upstream.FailureDomain {
+			return false
+		}
+	}
+	for _, other := range st.Services[rep.Upstream.Service] {
+		if other.live() && other.Upstream.FailureDomain != rep.Upstream.FailureDomain {
+			return true
+		}
+	}
+	return false
+}
+
 // Tick lets ejections end and compares the replicas' speeds; it returns the names of those newly ejected as slow.
 func (st *State) Tick(now time.Time) []string {
 	st.now = now
