--- a/internal/bench/rig.go
+++ b/internal/bench/rig.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"dandelionsail.example/dandelionsail/internal/conf"
+	"dandelionsail.example/dandelionsail/internal/entry"
 	"dandelionsail.example/dandelionsail/internal/fleet"
 	"dandelionsail.example/dandelionsail/internal/load"
 	"dandelionsail.example/dandelionsail/internal/stand"
@@ -26,6 +27,9 @@
 	settleTime = 10 * time.Second
 	// loadPeriod is the time between load reports at time scale 1.
 	loadPeriod = decl.Duration(time.Second)
+	// operatorName and operatorToken read the status of instances.
+	operatorName  = "sailbench"
+	operatorToken = "token-of-the-operator"
 )
 
 // rig is a deployment of real processes on loopback.
@@ -37,12 +41,17 @@
 	services []*fleet.Process
 	balancer load.Balancer
 	policy   string
-	replaced int
+	// loadPeriod is the time between load reports in the run.
+	loadPeriod time.Duration
+	replaced   int
 }
 
-// newRig starts the scenario's deployment under a policy.
-func newRig(ctx context.Context, sc *load.Scenario, policy string, logs io.Writer) (*rig, error) {
-	rg := &rig{sc: sc, fleet: &fleet.Fleet{Logs: logs}, policy: policy}
+// newRig starts the scenario's deployment under the variant's policy.
+func newRig(ctx context.Context, va variant, logs io.Writer) (*rig, error) {
+	rg := &rig{sc: va.scenario, fleet: &fleet.Fleet{Logs: logs}, policy: va.policy, loadPeriod: va.loadPeriod}
+	if rg.loadPeriod == 0 {
+		rg.loadPeriod = rg.sc.Scaled(loadPeriod)
+	}
 	ctx, cancel := context.WithTimeout(ctx, readyTime)
 	defer cancel()
 	if err := rg.start(ctx); err != nil {
@@ -120,7 +129,7 @@
 	number := len(rg.entries) + rg.replaced
 	pr, err := rg.fleet.StartEntry(fmt.Sprintf("entry-%d", number), rg.domain(number),
 		"--policy", rg.policy,
-		"--load-period", rg.sc.Scaled(loadPeriod).String(),
+		"--load-period", rg.loadPeriod.String(),
 		"--list-period", "200ms",
 		"--drain-notice", "200ms",
 		"--drain-time", "30s",
@@ -162,6 +171,7 @@
 	md, pp := rg.sc.Model, rg.sc.Plain
 	steps := rg.sc.Scale / md.Step.Std().Seconds()
 	cfg := &decl.Config{
+		Operators:     map[string]decl.Operator{operatorName: {TokenDigests: []string{decl.TokenDigest(operatorToken)}, ReadOnly: true}},
 		Organisations: map[string]decl.Organisation{},
 		Services: map[string]decl.Service{
 			md.Service: {
@@ -203,11 +213,25 @@
 	return st, err
 }
 
+// peerBytes is what the instances said to each other since their start, counted at both ends.
+func (rg *rig) peerBytes(ctx context.Context) (int64, error) {
+	var total int64
+	for _, pr := range rg.entries {
+		var status entry.Status
+		if err := getJSON(ctx, "http://"+pr.Address+"/operator/v1/status", &status); err != nil {
+			return 0, err
+		}
+		total += status.Peers.Sent + status.Peers.Received
+	}
+	return total, nil
+}
+
 func getJSON(ctx context.Context, url string, out any) error {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return err
 	}
+	req.Header.Set("Authorization", "Bearer "+operatorToken)
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return err
--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -9,6 +9,7 @@
 
 	"dandelionsail.example/dandelionsail/internal/core"
 	"dandelionsail.example/dandelionsail/internal/event"
+	"dandelionsail.example/dandelionsail/internal/peers"
 	"dandelionsail.example/dandelionsail/internal/route"
 )
 
@@ -28,6 +29,8 @@
 	// Pools names the coordinators as this instance knows them.
 	Pools      []core.Pool
 	Quarantine []QuarantineStatus
+	// Peers counts what was said with other instances since the start.
+	Peers peers.Traffic
 }
 
 // UpstreamStatus is one upstream as this instance sees it.
@@ -81,6 +84,9 @@
 		Draining:      in.draining.Load(),
 		Requests:      map[string]int{},
 	}
+	if in.peers != nil {
+		status.Peers = in.peers.Traffic()
+	}
 	if !in.loop.View(status.look) {
 		http.Error(w, "the instance is stopping", http.StatusServiceUnavailable)
 		return
