Tick only as often as something waits, and measure idle instances

An idle instance took 3.0% of a core, nearly all of it in waking up for 200 ticks a second; the budget for control is 1.6%.

--- a/internal/bench/slopes.go
+++ b/internal/bench/slopes.go
@@ -18,6 +18,7 @@
 	}
 	add(slopes, "state", "Measure the reducer and the configuration in this process", &stateSlopesCommand{})
 	add(slopes, "store", "Count the calls of a fleet of real processes to the key-value service", &storeSlopesCommand{})
+	add(slopes, "fleet", "Measure what an idle instance costs in fleets of real processes", &fleetSlopesCommand{})
 	add(slopes, "table", "Write docs/CAPACITY.md from the measurements", &tableCommand{})
 }
 
--- a/internal/core/deadline.go
+++ b/internal/core/deadline.go
@@ -43,3 +43,11 @@
 	}
 	return heap.Pop(&dh.list).(deadline).id, true
 }
+
+// next returns the first deadline, or false if there is none.
+func (dh *deadlineHeap) next() (time.Time, bool) {
+	if len(dh.list) == 0 {
+		return time.Time{}, false
+	}
+	return dh.list[0].at, true
+}
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -18,6 +18,8 @@
 	views   chan func(*State)
 	perform func(effect.Effect)
 	ended   chan struct{}
+	// ticks is when the next tick is due.
+	ticks time.Time
 }
 
 // NewLoop returns a loop that hands each effect to perform, which must not block.
@@ -60,8 +62,8 @@
 // Run reduces events until the context ends.
 func (lp *Loop) Run(ctx context.Context) error {
 	defer close(lp.ended)
-	ticker := time.NewTicker(event.TickPeriod)
-	defer ticker.Stop()
+	tick := time.NewTimer(event.TickPeriod)
+	defer tick.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -70,8 +72,17 @@
 			lp.reduce(ev)
 		case look := <-lp.views:
 			look(lp.state)
-		case <-ticker.C:
+			continue
+		case <-tick.C:
 			lp.reduce(event.Ticked{})
+			lp.ticks = time.Now().Add(lp.state.Rest())
+			tick.Reset(lp.state.Rest())
+			continue
+		}
+		// The event may have brought work that cannot wait for the tick that is due.
+		if next := time.Now().Add(lp.state.Rest()); next.Before(lp.ticks) {
+			lp.ticks = next
+			tick.Reset(lp.state.Rest())
 		}
 	}
 }
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -239,7 +239,7 @@
 // DrainStarted tells that this instance was asked to stop.
 type DrainStarted struct{}
 
-// Ticked lets time pass; the shell sends it every TickPeriod.
+// Ticked lets time pass. The shell sends it as often as the reducer asks for, TickPeriod apart at the least.
 type Ticked struct{}
 
 // TickPeriod is the resolution of every timeout that a reducer keeps.
--- a/internal/slope/items.go
+++ b/internal/slope/items.go
@@ -2,8 +2,9 @@
 
 // Series that other measurements give.
 const (
-	MemberBytes      = "Member.Bytes"
-	MemberProcessor  = "Member.Processor"
+	IdleBytes        = "Instance.IdleBytes"
+	IdleProcessor    = "Instance.IdleProcessor"
+	IdleMemory       = "Instance.IdleMemory"
 	PermitBytes      = "Permit.Bytes"
 	PermitTime       = "Permit.DecisionTime"
 	PermitMemory     = "Permit.Memory"
@@ -32,13 +33,13 @@
 func Items(tg Target) []Item {
 	return []Item{
 		{roleEntry, Processor, "applying patches", ConfigApplyTime, tg.Organisations, tg.PatchRate(), "numbered log; each patch applied once"},
-		{roleEntry, Processor, "ticks of the reducer", TickTime, tg.Replicas, 200, "one tick of 5 ms for all timeouts"},
-		{roleEntry, Processor, "membership", MemberProcessor, tg.Instances, 1, "a few random probes a second, whatever the size"},
+		{roleEntry, Processor, "an idle process: membership, ticks, list, reports of 6 upstreams", IdleProcessor, tg.Instances, 1, "a few random probes a second, whatever the size; one tick for all timeouts"},
 		{roleEntry, Memory, "replicas", ReplicaMemory, tg.Replicas, 1, "one record a listed replica"},
 		{roleEntry, Memory, "organisations in the configuration", OrganisationMemory, tg.Organisations, 1, "one configuration in force"},
 		{roleEntry, Memory, "objectives", ObjectiveMemory, 2 * tg.Models, 1, "rings of buckets"},
 		{roleEntry, Memory, "open requests", RequestMemory, 20 * tg.RequestRate(), 1, "one record until the one Finish"},
-		{roleEntry, Network, "membership", MemberBytes, tg.Instances, 1, "probes with news on their back"},
+		{roleEntry, Memory, "an idle process", IdleMemory, tg.Instances, 1, "resident memory of the process, the program itself included"},
+		{roleEntry, Network, "membership", IdleBytes, tg.Instances, 1, "probes with news on their back, over QUIC; sent and received"},
 		{roleEntry, Network, "patches from peers", RelayBytes, tg.Organisations, tg.PatchRate(), "the version on peer messages; patches from the teller"},
 		{roleEntry, Network, "usage of organisations", UsageBytes, tg.Organisations, 1, "the top users, told rarely"},
 		{roleEntry, Network, "permits asked for", PermitBytes, 1, tg.PermitRate(), "long prompts only"},
