--- a/internal/bench/storeslopes.go
+++ b/internal/bench/storeslopes.go
@@ -56,7 +56,7 @@
 			run.Instances, rounded(run.Idle), rounded(run.APatch), run.Watching, run.Median, run.Worst, run.Late)
 		runs = append(runs, run)
 	}
-	reads, err := cmd.measureReads()
+	idle, err := cmd.measureIdle()
 	if err != nil {
 		return err
 	}
@@ -64,7 +64,7 @@
 	if err != nil {
 		return err
 	}
-	return addSeries(cmd.Out, append(series(runs), reads, claims))
+	return addSeries(cmd.Out, append(append(series(runs), idle...), claims))
 }
 
 // fleetDomains is how many failure domains a fleet has unless they are what is varied.
@@ -73,23 +73,26 @@
 // storeCommand is the command that the series name.
 const storeCommand = "sailbench slopes store"
 
-// measureReads counts the reads and waiting watches of idle fleets, each with three instances a failure domain.
-func (cmd *storeSlopesCommand) measureReads() (slope.Series, error) {
-	sr := slope.Series{Name: slope.ConfigReads, Unit: "calls/s", Variable: "FailureDomains", Command: storeCommand}
+// measureIdle counts what idle fleets call, each with three instances and one pool of engines a failure domain.
+func (cmd *storeSlopesCommand) measureIdle() ([]slope.Series, error) {
+	reads := slope.Series{Name: slope.ConfigReads, Unit: "calls/s", Variable: "FailureDomains", Command: storeCommand}
+	leases := slope.Series{Name: slope.LeaseWrites, Unit: "calls/s", Variable: "Pools", Command: storeCommand}
 	for _, domains := range cmd.Domains {
 		fl, _, err := cmd.start(3*domains, domains, nil)
 		if err != nil {
-			return sr, err
+			return nil, err
 		}
 		rates, watching, err := cmd.during(fl, func() error { time.Sleep(cmd.Time); return nil })
 		fl.Close()
 		if err != nil {
-			return sr, err
+			return nil, err
 		}
 		fmt.Printf("%3d failure domains: idle a second %v, %d watches\n", domains, rounded(rates), watching)
-		sr.Samples = append(sr.Samples, slope.Sample{Size: float64(domains), Value: rates["Range"] + float64(watching)})
+		size := float64(domains)
+		reads.Samples = append(reads.Samples, slope.Sample{Size: size, Value: rates["Range"] + float64(watching)})
+		leases.Samples = append(leases.Samples, slope.Sample{Size: size, Value: rates["Renew"] + rates["Grant"]})
 	}
-	return sr, nil
+	return []slope.Series{reads, leases}, nil
 }
 
 func rounded(rates map[string]float64) map[string]string {
@@ -187,7 +190,7 @@
 	}
 }
 
-// start runs a fleet with one plain service and one model service a failure domain.
+// start runs a fleet with a replica of a plain service and one of a model service in each failure domain.
 func (cmd *storeSlopesCommand) start(count, domains int, logs io.Writer) (*fleet.Fleet, []*fleet.Process, error) {
 	fl := &fleet.Fleet{Logs: logs}
 	entries, err := startAll(fl, count, domains)
@@ -209,6 +212,9 @@
 		if _, err := fl.StartService(fmt.Sprintf("board-%d", i), "board", fmt.Sprintf("domain-%d", i)); err != nil {
 			return nil, err
 		}
+		if _, err := fl.StartEngine(fmt.Sprintf("lyric-%d", i), "lyric", fmt.Sprintf("domain-%d", i), "--load-time", "100ms"); err != nil {
+			return nil, err
+		}
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), readyTime)
 	defer cancel()
@@ -225,14 +231,17 @@
 			return nil, err
 		}
 	}
-	// Every instance knows the others and its part by then.
-	time.Sleep(5 * time.Second)
+	// Every instance knows the others and its part by then, and the engines have their version.
+	time.Sleep(8 * time.Second)
 	return entries, nil
 }
 
 func configureStore(fl *fleet.Fleet) error {
 	cfg := decl.Config{
-		Services:      map[string]decl.Service{"board": {Kind: decl.KindPlain, Path: "/board/", MaxRunning: 1000}},
+		Services: map[string]decl.Service{
+			"board": {Kind: decl.KindPlain, Path: "/board/", MaxRunning: 1000},
+			"lyric": {Kind: decl.KindModel, Models: []decl.Model{{Name: "lyric", Version: "v1"}}, MemoryTokens: 400_000, ChecksFencing: true},
+		},
 		Organisations: map[string]decl.Organisation{"parish": {TokenDigests: []string{decl.TokenDigest(token("parish"))}}},
 	}
 	document, err := json.Marshal(cfg)
