Look at the fleet for less in keepState

Every second each instance ranked all instances for 64 shards, whether anything had changed or not, and copied every replica. Members are now passed on when they change, and replicas copied only for services that state versions, adapters or roles, of the own failure domain unless roles are dealt over all.

--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"slices"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -10,6 +11,7 @@
 	"dandelionsail.example/dandelionsail/internal/core"
 	"dandelionsail.example/dandelionsail/internal/event"
 	"dandelionsail.example/dandelionsail/internal/order"
+	"dandelionsail.example/dandelionsail/pkg/decl"
 )
 
 // statePeriod is how often the parts that keep state look at the fleet.
@@ -69,7 +71,8 @@
 // context ends.
 func (in *Instance) keepState(ctx context.Context) error {
 	keeper := in.newKeeper()
-	failing := false
+	var failing bool
+	var known []event.Instance
 	ticker := time.NewTicker(statePeriod)
 	defer ticker.Stop()
 	for {
@@ -86,8 +89,12 @@
 		if !ok {
 			continue
 		}
-		in.follower.SetMembers(view.Instances)
-		in.claims.SetMembers(view.Instances)
+		// Ranking hundreds of instances for each shard every second would cost more than all else here.
+		if known == nil || !slices.Equal(known, view.Instances) {
+			known = view.Instances
+			in.follower.SetMembers(known)
+			in.claims.SetMembers(known)
+		}
 		if in.draining.Load() {
 			in.leases.Want(nil)
 			continue
@@ -96,17 +103,37 @@
 	}
 }
 
-// look copies what the reducer knows of the fleet.
+// look copies what the reducer knows of the fleet, of the replicas those whose pools may fall to this instance.
 func (in *Instance) look() (order.View, bool) {
-	var view order.View
+	view := order.View{Services: map[string]decl.Service{}, Instances: []event.Instance{}}
 	ok := in.loop.View(func(st *core.State) {
-		view.Services = st.Config.Services
 		view.Instances = append(view.Instances, st.Instances...)
-		for _, rep := range st.Route.Replicas {
-			view.Upstreams = append(view.Upstreams, order.Upstream{
-				Upstream: rep.Upstream, Reported: !rep.ReportAt.IsZero(), Models: rep.Models, Loading: rep.Loading, Role: rep.Role,
-			})
+		served := domains(view.Instances)
+		for name, svc := range st.Config.Services {
+			if !order.States(svc) {
+				continue
+			}
+			view.Services[name] = svc
+			for _, rep := range st.Route.Services[name] {
+				domain := rep.Upstream.FailureDomain
+				if len(svc.Roles) > 0 || domain == in.opts.FailureDomain || !served[domain] {
+					view.Upstreams = append(view.Upstreams, order.Upstream{
+						Upstream: rep.Upstream, Reported: !rep.ReportAt.IsZero(), Models: rep.Models, Loading: rep.Loading, Role: rep.Role,
+					})
+				}
+			}
 		}
 	})
 	return view, ok
 }
+
+// domains returns the failure domains that have a live instance.
+func domains(instances []event.Instance) map[string]bool {
+	served := map[string]bool{}
+	for _, inst := range instances {
+		if !inst.Leaving {
+			served[inst.FailureDomain] = true
+		}
+	}
+	return served
+}
--- a/internal/order/keeper.go
+++ b/internal/order/keeper.go
@@ -94,12 +94,17 @@
 	_ = group.Wait()
 }
 
+// States reports whether the service states what its replicas should be.
+func States(svc decl.Service) bool {
+	return svc.Kind == decl.KindModel && (len(svc.Roles) > 0 || len(Wanted(svc, nil)) > 0)
+}
+
 // gather puts the listed replicas of model services that state something into pools, in the order of names.
 func gather(view View) []*pool {
 	pools := map[string]*pool{}
 	for _, service := range sortedKeys(view.Services) {
 		svc := view.Services[service]
-		if svc.Kind != decl.KindModel || (len(Wanted(svc, nil)) == 0 && len(svc.Roles) == 0) {
+		if !States(svc) {
 			continue
 		}
 		roles := Roles(svc, domains(view, service))
