--- a/internal/event/member.go
+++ b/internal/event/member.go
@@ -9,10 +9,10 @@
 	WordAlive WordState = iota + 1
 	// WordSuspect tells that a member did not answer; it can refute that with a higher incarnation.
 	WordSuspect
-	// WordDead tells that a suspected member did not refute in time.
-	WordDead
 	// WordLeaving comes from a member that is on its way out.
 	WordLeaving
+	// WordDead tells that a suspected member did not refute in time, or that a leaving one answers no more.
+	WordDead
 	// WordUpstreamLeaving passes on that the platform lists an upstream as leaving.
 	WordUpstreamLeaving
 )
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -133,7 +133,8 @@
 
 func TestLeavingIsHeardWithinTwoSeconds(t *testing.T) {
 	// An instance drains, and an upstream leaves that only one instance has read of yet.
-	// All instances know of both within two seconds, so that neither gets new work.
+	// All instances know of both within two seconds, so that neither gets new work. When the instance has ended, or was
+	// killed while it drained, it is declared dead, and what it left can be swept.
 	fl := newFleet(60, 2)
 	fl.run(3 * time.Second)
 	fl.reduce(3, event.DrainStarted{})
@@ -143,6 +144,9 @@
 	for i, st := range fl.states {
 		assert.Equal(t, len(st.Left), 1, "%d", i)
 	}
+	fl.down[3] = true
+	fl.run(10 * time.Second)
+	assert.Equal(t, fl.views(3, event.WordDead), 59)
 }
 
 func TestNewsComesToAnEnd(t *testing.T) {
--- a/internal/member/probe.go
+++ b/internal/member/probe.go
@@ -113,8 +113,15 @@
 
 func (st *State) unanswered(pr *probe) {
 	mb, ok := st.Members[pr.target]
-	if ok && pr.relay == "" && mb.State == event.WordAlive {
+	if !ok || pr.relay != "" {
+		return
+	}
+	switch mb.State {
+	case event.WordAlive:
 		st.hear(event.Word{Name: pr.target, State: event.WordSuspect, Incarnation: mb.Incarnation})
+	case event.WordLeaving:
+		// It takes nothing new in any case; what it left behind can be swept.
+		st.hear(event.Word{Name: pr.target, State: event.WordDead, Incarnation: mb.Incarnation})
 	}
 }
 
--- a/internal/peers/quic_test.go
+++ b/internal/peers/quic_test.go
@@ -71,6 +71,7 @@
 }
 
 func TestMessagesBothWays(t *testing.T) {
+	t.Parallel()
 	authority := newAuthority(t)
 	one, gotOne := start(t, issue(t, authority, "entry-1"))
 	two, gotTwo := start(t, issue(t, authority, "entry-2"))
@@ -88,6 +89,7 @@
 }
 
 func TestPeerWithoutRightKeyGetsNothing(t *testing.T) {
+	t.Parallel()
 	// A process whose key another authority signed asks an instance for its configuration.
 	// The handshake fails at whichever end checks first, the handler never sees the message, and the asker hears that
 	// the peer cannot be reached.
@@ -104,6 +106,7 @@
 }
 
 func TestKeysReplacedWithoutRestart(t *testing.T) {
+	t.Parallel()
 	// Operators replace the authority: first the files of one instance, then those of the other.
 	// Between the two steps the instances cannot speak, also not over the connection that was open before; after the
 	// second they can, and neither was restarted.
@@ -156,6 +159,7 @@
 }
 
 func TestPeerReplacedAtSameAddress(t *testing.T) {
+	t.Parallel()
 	// An instance is killed and another starts at its address. The connection to the first one stays open and silent
 	// for good, since nothing closes it. It is given up after a message went unacknowledged, and the next message
 	// reaches the new instance over a connection of its own.
