--- a/internal/proof/check.go
+++ b/internal/proof/check.go
@@ -85,7 +85,9 @@
 		switch {
 		case sn.Outcome == load.OutcomeWrong:
 			ck.violated("wrong answer", detail)
-		case (sn.Outcome == load.OutcomeShort || sn.Outcome == load.OutcomeBroken) && !excused:
+		case sn.Outcome == load.OutcomeShort:
+			ck.violated("short answer", detail)
+		case (sn.Outcome == load.OutcomeCut || sn.Outcome == load.OutcomeBroken) && !excused:
 			ck.violated("request cut", detail)
 		}
 		if sn.Total > deadline+late && !excused {
