--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -73,6 +73,7 @@
 func (st *State) send(req *Request, upstreams []event.Upstream) {
 	req.Phase = PhaseRunning
 	req.Attempt++
+	req.SentAt = st.now
 	req.Upstreams = upstreams
 	req.Aborted = false
 	load := st.load(req)
@@ -124,6 +125,7 @@
 	req.Answered = true
 	for _, up := range req.Upstreams {
 		st.Route.Answering(st.now, up.Name, req.ID)
+		st.showedLife(up.Name, st.now)
 	}
 }
 
--- a/internal/core/poison.go
+++ b/internal/core/poison.go
@@ -23,10 +23,12 @@
 // request under a new id, so deaths are counted by content.
 type quarantine struct {
 	byDigest map[event.Digest]event.Quarantined
+	// deadSince holds the upstreams that died and have shown no life since.
+	deadSince map[string]time.Time
 }
 
 func newQuarantine() quarantine {
-	return quarantine{byDigest: map[event.Digest]event.Quarantined{}}
+	return quarantine{byDigest: map[event.Digest]event.Quarantined{}, deadSince: map[string]time.Time{}}
 }
 
 func (st *State) checkQuarantine(digest event.Digest) *effect.Refusal {
@@ -48,6 +50,9 @@
 	if ev.Alive || ev.Result != event.ResultFailed && ev.Result != event.ResultBroken {
 		return nil
 	}
+	if st.wasDead(req, ev.Upstream) {
+		return nil
+	}
 	req.Suspect = true
 	entry := st.poison.byDigest[req.Digest]
 	entry.Digest = req.Digest
@@ -69,6 +74,28 @@
 	}
 }
 
+// wasDead tells that the upstream had died before the attempt was sent and has shown no life since, so that the attempt
+// killed nothing. Where something in between accepts connections for a dead process, each request sent there looks like
+// a death, and two dead replicas put whatever was tried on both under quarantine. The first death is remembered here.
+func (st *State) wasDead(req *Request, upstream string) bool {
+	since, dead := st.poison.deadSince[upstream]
+	if dead {
+		return !req.SentAt.Before(since)
+	}
+	if len(st.poison.deadSince) >= maxQuarantine {
+		clear(st.poison.deadSince)
+	}
+	st.poison.deadSince[upstream] = st.now
+	return false
+}
+
+// showedLife notes that the upstream was alive at the time.
+func (st *State) showedLife(upstream string, at time.Time) {
+	if since, dead := st.poison.deadSince[upstream]; dead && at.After(since) {
+		delete(st.poison.deadSince, upstream)
+	}
+}
+
 // clear takes the blame off content that an upstream has run to its end. Everything in flight on a replica that dies is
 // under suspicion, and all but one of it is innocent.
 func (st *State) clear(req *Request) {
--- a/internal/core/retry_test.go
+++ b/internal/core/retry_test.go
@@ -95,6 +95,28 @@
 	assert.Assert(t, retried)
 }
 
+func TestDeadReplicasKillNobody(t *testing.T) {
+	// An engine has died, and something before it still accepts connections and ends them. A request that is sent there
+	// afterwards killed nothing, and its caller must not be told that it did; once the engine has reported again, the
+	// next death is one.
+	in := newInstance(t)
+	in.engines("lyric-0")
+	blamed := func(id event.RequestID) bool {
+		only[effect.Send](t, in.lyric(id, byte(id)))
+		in.now = in.now.Add(time.Second)
+		effects := in.reduce(event.AttemptEnded{ID: id, Attempt: 1, Upstream: "lyric-0", Result: event.ResultFailed})
+		in.reduce(event.CallerGone{ID: id})
+		in.reduce(event.AttemptEnded{ID: id, Attempt: 2, Upstream: "lyric-0", Result: event.ResultCancelled})
+		_, told := find[effect.TellQuarantine](effects)
+		return told
+	}
+	assert.Assert(t, blamed(1))
+	assert.Assert(t, !blamed(2))
+	in.now = in.now.Add(time.Second)
+	in.reduce(event.LoadReported{Upstream: "lyric-0", At: in.now})
+	assert.Assert(t, blamed(3))
+}
+
 func TestLongStreamOutlivesManyBreaks(t *testing.T) {
 	// A long translation's connection breaks every few tokens. Each attempt brings the answer forward, so the caller gets
 	// all of it; only attempts without progress are counted, and those end the request.
--- a/internal/core/state.go
+++ b/internal/core/state.go
@@ -110,6 +110,8 @@
 	NotBefore time.Time
 	// Fruitless counts the attempts in a row that brought the answer no further.
 	Fruitless int
+	// SentAt is when the attempt under way was sent.
+	SentAt time.Time
 	// Suspect tells that an upstream died while running this content.
 	Suspect bool
 }
@@ -168,6 +170,7 @@
 	case event.PermitAnswered:
 		st.permitAnswered(ev)
 	case event.LoadReported:
+		st.showedLife(ev.Upstream, ev.At)
 		st.Route.Report(st.now, ev)
 	case event.CacheChanged:
 		st.Route.CacheChanged(st.now, ev)
