Let classes of one priority go in the order of arrival

Cause: classes declared with one priority shared a heap ordered by fair shares, which are reckoned within each class and cannot be compared; the class that had served more would have waited until the other had caught up. Found by reading, when Long prompts were to get Large's priority. The new test has the later arrival first before the change (1001 before 1000) and the order of arrival after.

--- a/internal/admit/admit_test.go
+++ b/internal/admit/admit_test.go
@@ -93,6 +93,30 @@
 	assert.Equal(t, parish, 10, "two of three go to the organisation of weight 2")
 }
 
+func TestClassesOfOnePriorityTakeTurns(t *testing.T) {
+	// Two classes are declared with one priority. One has served a thousand prompts when the other's first ones come,
+	// whose share of nothing is still whole; both then go in the order of arrival.
+	st := admit.New()
+	medium, large := classes[1], classes[2]
+	large.Priority = medium.Priority
+	push := func(id int, class decl.LengthClass) {
+		it := item(id, "parish", 0, 1000)
+		it.Class = class
+		it.Arrived = start.Add(time.Duration(id) * time.Millisecond)
+		st.Push(it, 1, admit.Priority{})
+	}
+	for id := range 1000 {
+		push(id, medium)
+	}
+	drain(st, start)
+	for id := 1000; id < 1010; id++ {
+		push(id, []decl.LengthClass{medium, large}[id%2])
+	}
+	for i, it := range drain(st, start) {
+		assert.Equal(t, it.ID, event.RequestID(1000+i))
+	}
+}
+
 func TestNoClassStarves(t *testing.T) {
 	// Medium prompts come faster than they go, so that there is always one waiting, and a whole file waits behind them.
 	// When half of its time is gone it goes before them.
--- a/internal/admit/queue.go
+++ b/internal/admit/queue.go
@@ -212,7 +212,7 @@
 	want := lane{weight: 1}
 	switch disc := qu.discipline.(type) {
 	case Priority:
-		want.priority = it.Class.Priority
+		want.priority, want.class = it.Class.Priority, it.Class.Name
 	case Weighted:
 		want.class = it.Class.Name
 		if weight, ok := disc.Weights[it.Class.Name]; ok {
@@ -267,8 +267,15 @@
 			qu.next = append(qu.next, it)
 		}
 	}
-	if _, ok := qu.discipline.(Weighted); ok {
+	switch qu.discipline.(type) {
+	case Weighted:
 		slices.SortStableFunc(qu.next, func(one, two *Item) int { return cmp.Compare(one.lane.tag, two.lane.tag) })
+	case Priority:
+		// Classes of one priority go in the order of arrival: the shares within two classes cannot be compared, and the
+		// one that has served more would wait until the other has caught up.
+		slices.SortStableFunc(qu.next, func(one, two *Item) int {
+			return cmp.Or(cmp.Compare(two.Class.Priority, one.Class.Priority), one.Arrived.Compare(two.Arrived))
+		})
 	}
 	if it := qu.old.first(); it != nil {
 		qu.next = slices.Insert(qu.next, qu.oldPlace(it), it)
