Tests of claims and leases: no shared field without a lock

The race detector found the tests' own fields (which messages vanish, an instance that is replaced, how long a holder is frozen) read and written at once; the packages under test had no finding.

--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -16,11 +17,11 @@
 // paused is a store whose caller stops at its next call for as long as stop lasts, as a frozen process does.
 type paused struct {
 	store.Store
-	stop time.Duration
+	stop atomic.Int64
 }
 
 func (ps *paused) Renew(ctx context.Context, id store.LeaseID) error {
-	time.Sleep(ps.stop)
+	time.Sleep(time.Duration(ps.stop.Load()))
 	return ps.Store.Renew(ctx, id)
 }
 
@@ -69,7 +70,7 @@
 		time.Sleep(2 * time.Second)
 		_, ok := old.Check("pool")
 		assert.Assert(t, ok)
-		frozen.stop = 60 * time.Second
+		frozen.stop.Store(int64(60 * time.Second))
 		time.Sleep(3 * time.Second)
 		next := holder(t, stand.NewMemory(kv), "next")
 		for range 58 {
--- a/internal/once/once_test.go
+++ b/internal/once/once_test.go
@@ -84,12 +84,13 @@
 }
 
 type instance struct {
-	wd     *world
-	name   string
-	st     *flaky
-	claims *once.Claims
-	stop   context.CancelFunc
-	next   atomic.Int64
+	wd   *world
+	name string
+	st   *flaky
+	// current is replaced when the instance crashes.
+	current atomic.Pointer[once.Claims]
+	stop    context.CancelFunc
+	next    atomic.Int64
 }
 
 func newWorld(t *testing.T, count int, seed uint64) *world {
@@ -117,33 +118,40 @@
 func (in *instance) start(seed uint64) {
 	ctx, stop := context.WithCancel(in.wd.ctx)
 	in.st = &flaky{Store: stand.NewMemory(in.wd.kv), random: rand.New(rand.NewPCG(seed, 2))}
-	in.claims = once.New(in.st, in.name)
-	in.claims.Transport = in.wd
-	in.claims.SealAt(in.wd.sealAt)
+	claims := once.New(in.st, in.name)
+	claims.Transport = in.wd
+	claims.SealAt(in.wd.sealAt)
 	in.stop = stop
 	var members []event.Instance
 	for _, other := range in.wd.instances {
 		members = append(members, event.Instance{Name: other.name, Peer: other.name})
 	}
-	in.claims.SetMembers(members)
-	claims := in.claims
+	claims.SetMembers(members)
+	in.current.Store(claims)
 	go func() { _ = claims.Run(ctx) }()
 }
 
-func (wd *world) chance(share float64) bool {
+// lost draws whether a message vanishes.
+func (wd *world) lost() bool {
 	wd.mu.Lock()
 	defer wd.mu.Unlock()
-	return wd.random.Float64() < share
+	return wd.random.Float64() < wd.silent
+}
+
+func (wd *world) setSilent(share float64) {
+	wd.mu.Lock()
+	defer wd.mu.Unlock()
+	wd.silent = share
 }
 
 // Ask implements peers.Transport.
 func (wd *world) Ask(ctx context.Context, address string, msg wire.Message) (wire.Message, error) {
 	for _, in := range wd.instances {
-		if in.name != address || wd.chance(wd.silent) {
+		if in.name != address || wd.lost() {
 			continue
 		}
-		answer := in.claims.Handle(ctx, msg)
-		if wd.chance(wd.silent) {
+		answer := in.current.Load().Handle(ctx, msg)
+		if wd.lost() {
 			break
 		}
 		return answer, nil
@@ -157,10 +165,10 @@
 // send is one request under the key, as an instance takes it: claimed, then run and recorded, or given up.
 func (in *instance) send(key string, giveUp bool) event.ClaimResult {
 	ky := once.Key{Organisation: "o", Service: "s", Key: key}
-	nonce := fmt.Sprintf("%p-%d", in.claims, in.next.Add(1))
+	claims := in.current.Load()
+	nonce := fmt.Sprintf("%p-%d", claims, in.next.Add(1))
 	ctx, cancel := context.WithTimeout(in.wd.ctx, 30*time.Second)
 	defer cancel()
-	claims := in.claims
 	result, _ := claims.Claim(ctx, ky, event.Digest{1}, nonce)
 	if result != event.ClaimWon {
 		return result
@@ -226,10 +234,10 @@
 		in.stop()
 		in.start(uint64(st.Key))
 	case "silence":
-		wd.silent = 0.5
+		wd.setSilent(0.5)
 	case "sound":
 		wd.kv.SetFaults(stand.Faults{})
-		wd.silent = 0
+		wd.setSilent(0)
 		in.st.set(0, false)
 	}
 	time.Sleep(st.Pause)
@@ -342,15 +350,15 @@
 				ky := once.Key{Organisation: "o", Service: "s", Key: "k"}
 				long, cancel := context.WithTimeout(wd.ctx, 10*time.Minute)
 				defer cancel()
-				result, _ := wd.instances[0].claims.Claim(long, ky, event.Digest{1}, "first")
+				result, _ := wd.instances[0].current.Load().Claim(long, ky, event.Digest{1}, "first")
 				assert.Equal(t, result, event.ClaimWon)
 				time.AfterFunc(tc.lasts, func() {
-					_ = wd.instances[0].claims.Settle(wd.ctx, ky, "first", event.Outcome{Known: true, Status: 200}, false)
+					_ = wd.instances[0].current.Load().Settle(wd.ctx, ky, "first", event.Outcome{Known: true, Status: 200}, false)
 				})
 				before := wd.kv.Calls().Kinds["Range"]
 				short, cancel := context.WithTimeout(wd.ctx, 20*time.Second)
 				defer cancel()
-				result, out := wd.instances[1].claims.Claim(short, ky, event.Digest{1}, "resend")
+				result, out := wd.instances[1].current.Load().Claim(short, ky, event.Digest{1}, "resend")
 				assert.Equal(t, result, event.ClaimRepeated)
 				assert.Equal(t, out.Known, tc.known)
 				assert.Equal(t, out.Running, !tc.known)
@@ -365,9 +373,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		wd := newWorld(t, 2, 1)
 		ky := once.Key{Organisation: "o", Service: "s", Key: "k"}
-		result, _ := wd.instances[0].claims.Claim(t.Context(), ky, event.Digest{1}, "a")
+		result, _ := wd.instances[0].current.Load().Claim(t.Context(), ky, event.Digest{1}, "a")
 		assert.Equal(t, result, event.ClaimWon)
-		result, _ = wd.instances[1].claims.Claim(t.Context(), ky, event.Digest{2}, "b")
+		result, _ = wd.instances[1].current.Load().Claim(t.Context(), ky, event.Digest{2}, "b")
 		assert.Equal(t, result, event.ClaimConflict)
 	})
 }
