slopes fleet: measure after every pair of instances has met

At 30 instances 8.4 KB/s was measured and taken for a cost that grows with the fleet. It was the first round of probes, which opens a connection to every other instance at one handshake a second; the connections stay open for ten minutes, and later rounds use them. The measurement now waits for a whole round.

--- a/internal/bench/fleetslopes.go
+++ b/internal/bench/fleetslopes.go
@@ -8,6 +8,7 @@
 
 	"dandelionsail.example/dandelionsail/internal/conf"
 	"dandelionsail.example/dandelionsail/internal/fleet"
+	"dandelionsail.example/dandelionsail/internal/member"
 	"dandelionsail.example/dandelionsail/internal/oper"
 	"dandelionsail.example/dandelionsail/internal/slope"
 	"dandelionsail.example/dandelionsail/internal/store"
@@ -23,7 +24,8 @@
 	Time      time.Duration `long:"time" description:"time of each measurement" default:"15s"`
 }
 
-// fleetSettle is how long instances get to know each other before they are measured.
+// fleetSettle is how long instances take to start. After it each probes every other one once, which opens the connections
+// that later rounds use.
 const fleetSettle = 5 * time.Second
 
 // idleCost is what one instance of a fleet took on average.
@@ -62,7 +64,7 @@
 	if err != nil {
 		return idleCost{}, err
 	}
-	time.Sleep(fleetSettle)
+	time.Sleep(fleetSettle + time.Duration(count)*member.ProbePeriod)
 	before, err := readUse(entries)
 	if err != nil {
 		return idleCost{}, err
