--- a/internal/bench/rig.go
+++ b/internal/bench/rig.go
@@ -173,6 +173,7 @@
 	cfg := &decl.Config{
 		Operators:     map[string]decl.Operator{operatorName: {TokenDigests: []string{decl.TokenDigest(operatorToken)}, ReadOnly: true}},
 		Organisations: map[string]decl.Organisation{},
+		LengthClasses: rg.sc.LengthClasses,
 		Services: map[string]decl.Service{
 			md.Service: {
 				Kind:                   decl.KindModel,
--- a/internal/load/scenario.go
+++ b/internal/load/scenario.go
@@ -24,6 +24,8 @@
 	Plain         PlainPart
 	Mix           Mix
 	Organisations []OrganisationPart
+	// LengthClasses are declared in place of the default ones.
+	LengthClasses []decl.LengthClass
 }
 
 // ModelPart is the model service.
