--- a/internal/route/cost.go
+++ b/internal/route/cost.go
@@ -71,7 +71,7 @@
 	if want.Above == 0 {
 		return true
 	}
-	if want.Queued && !rep.claimed && rep.fresh(now) {
+	if want.Above >= carefulAbove && want.Queued && !rep.claimed && rep.fresh(now) {
 		return false
 	}
 	if float64(running+1) > max(1, keep*float64(rep.pool.service.MaxRunning)) {
