--- a/internal/bench/slopes.go
+++ b/internal/bench/slopes.go
@@ -19,6 +19,7 @@
 	add(slopes, "state", "Measure the reducer and the configuration in this process", &stateSlopesCommand{})
 	add(slopes, "store", "Count the calls of a fleet of real processes to the key-value service", &storeSlopesCommand{})
 	add(slopes, "fleet", "Measure what an idle instance costs in fleets of real processes", &fleetSlopesCommand{})
+	add(slopes, "permits", "Measure the decisions and messages of a pool's coordinator", &permitSlopesCommand{})
 	add(slopes, "table", "Write docs/CAPACITY.md from the measurements", &tableCommand{})
 }
 
@@ -31,6 +32,19 @@
 	return addSeries(cmd.Out, slope.MeasureState(tool.Progress()))
 }
 
+type permitSlopesCommand struct {
+	Out string `long:"out" description:"file of measurements to add to" default:"docs/capacity/measured.json"`
+}
+
+// Execute implements flags.Commander.
+func (cmd *permitSlopesCommand) Execute(_ []string) error {
+	series, err := slope.MeasurePermits()
+	if err != nil {
+		return err
+	}
+	return addSeries(cmd.Out, series)
+}
+
 // addSeries puts the series into a file of measurements, which is made if it is not there, and prints their lines.
 func addSeries(path string, series []slope.Series) error {
 	var ms slope.Measured
