--- a/internal/bench/fleetslopes.go
+++ b/internal/bench/fleetslopes.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"time"
 
@@ -11,7 +10,6 @@
 	"dandelionsail.example/dandelionsail/internal/member"
 	"dandelionsail.example/dandelionsail/internal/oper"
 	"dandelionsail.example/dandelionsail/internal/slope"
-	"dandelionsail.example/dandelionsail/internal/store"
 	"dandelionsail.example/dandelionsail/internal/tool"
 	"dandelionsail.example/dandelionsail/pkg/decl"
 )
@@ -118,15 +116,7 @@
 		Services:  map[string]decl.Service{"lyric": {Kind: decl.KindModel, Models: []decl.Model{{Name: "lyric"}}, MemoryTokens: 400_000}},
 		Operators: map[string]decl.Operator{"bench": {TokenDigests: []string{decl.TokenDigest(token("bench"))}}},
 	}
-	document, err := json.Marshal(cfg)
-	if err != nil {
-		return err
-	}
-	client := store.New(fl.Platform.Address)
-	defer client.Close()
-	operations := json.RawMessage(`[{"op":"replace","path":"","value":` + string(document) + `}]`)
-	_, err = conf.New(client).Submit(context.Background(), conf.Patch{ID: "first", Operations: operations})
-	return err
+	return conf.Seed(context.Background(), fl.Platform.Address, &cfg)
 }
 
 // use is what all instances have used so far.
--- a/internal/bench/overhead.go
+++ b/internal/bench/overhead.go
@@ -21,7 +21,6 @@
 	"dandelionsail.example/dandelionsail/internal/conf"
 	"dandelionsail.example/dandelionsail/internal/fleet"
 	"dandelionsail.example/dandelionsail/internal/plat"
-	"dandelionsail.example/dandelionsail/internal/store"
 	"dandelionsail.example/dandelionsail/internal/tool"
 	"dandelionsail.example/dandelionsail/internal/upstr"
 	"dandelionsail.example/dandelionsail/pkg/decl"
@@ -138,17 +137,10 @@
 		},
 		Organisations: map[string]decl.Organisation{"bench": {TokenDigests: []string{decl.TokenDigest(overheadToken)}}},
 	}
-	document, err := json.Marshal(cfg)
-	if err != nil {
-		return nil, err
-	}
-	client := store.New(fl.Platform.Address)
-	defer client.Close()
-	operations := json.RawMessage(`[{"op":"replace","path":"","value":` + string(document) + `}]`)
-	if _, err := conf.New(client).Submit(ctx, conf.Patch{ID: "overhead", Author: "sailbench", At: time.Now(), Operations: operations}); err != nil {
+	if err := conf.Seed(ctx, fl.Platform.Address, &cfg); err != nil {
 		return nil, err
 	}
-	err = plat.Put(fl.Platform.Address, plat.Entry{Name: "lyric-0", Service: "lyric", Address: engine, FailureDomain: "a", State: plat.StateLive})
+	err := plat.Put(fl.Platform.Address, plat.Entry{Name: "lyric-0", Service: "lyric", Address: engine, FailureDomain: "a", State: plat.StateLive})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/bench/rig.go
+++ b/internal/bench/rig.go
@@ -16,7 +16,6 @@
 	"dandelionsail.example/dandelionsail/internal/fleet"
 	"dandelionsail.example/dandelionsail/internal/load"
 	"dandelionsail.example/dandelionsail/internal/stand"
-	"dandelionsail.example/dandelionsail/internal/store"
 	"dandelionsail.example/dandelionsail/pkg/decl"
 )
 
@@ -156,15 +155,7 @@
 
 // configure submits the scenario's configuration.
 func (rg *rig) configure(ctx context.Context) error {
-	raw, err := json.Marshal(rg.config())
-	if err != nil {
-		return err
-	}
-	operations := json.RawMessage(`[{"op":"replace","path":"","value":` + string(raw) + `}]`)
-	client := store.New(rg.fleet.Platform.Address)
-	defer client.Close()
-	_, err = conf.New(client).Submit(ctx, conf.Patch{ID: "scenario", Author: "sailbench", At: time.Now(), Operations: operations})
-	return err
+	return conf.Seed(ctx, rg.fleet.Platform.Address, rg.config())
 }
 
 func (rg *rig) config() *decl.Config {
--- a/internal/bench/storeslopes.go
+++ b/internal/bench/storeslopes.go
@@ -244,15 +244,7 @@
 		},
 		Organisations: map[string]decl.Organisation{"parish": {TokenDigests: []string{decl.TokenDigest(token("parish"))}}},
 	}
-	document, err := json.Marshal(cfg)
-	if err != nil {
-		return err
-	}
-	client := store.New(fl.Platform.Address)
-	defer client.Close()
-	operations := json.RawMessage(`[{"op":"replace","path":"","value":` + string(document) + `}]`)
-	_, err = conf.New(client).Submit(context.Background(), conf.Patch{ID: "first", Operations: operations})
-	return err
+	return conf.Seed(context.Background(), fl.Platform.Address, &cfg)
 }
 
 // during returns the calls a second by kind while act runs, and the watches waiting after it.
--- /dev/null
+++ b/internal/cmds/client.go
@@ -0,0 +1,20 @@
+package cmds
+
+import (
+	"context"
+
+	"dandelionsail.example/dandelionsail/internal/oper"
+	"dandelionsail.example/dandelionsail/internal/tool"
+)
+
+// withClient runs a command that asks an instance, until it is done or a signal ends it.
+func withClient(opts oper.Options, run func(ctx context.Context, client *oper.Client) error) error {
+	client, err := oper.New(opts)
+	if err != nil {
+		return tool.Usage(err)
+	}
+	defer client.Close()
+	ctx, stop := tool.Context()
+	defer stop()
+	return run(ctx, client)
+}
--- a/internal/cmds/demo.go
+++ b/internal/cmds/demo.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -20,7 +19,6 @@
 	"dandelionsail.example/dandelionsail/internal/peers"
 	"dandelionsail.example/dandelionsail/internal/plat"
 	"dandelionsail.example/dandelionsail/internal/stand"
-	"dandelionsail.example/dandelionsail/internal/store"
 	"dandelionsail.example/dandelionsail/internal/tool"
 	"dandelionsail.example/dandelionsail/internal/upstr"
 	"dandelionsail.example/dandelionsail/pkg/decl"
@@ -211,29 +209,13 @@
 
 // configure submits the first version of the configuration.
 func (dm *demo) configure(ctx context.Context) error {
-	services := map[string]decl.Service{
-		"lyric": {Kind: decl.KindModel, Models: []decl.Model{{Name: "lyric"}}, MemoryTokens: 400_000, PrefillTokensPerSecond: 200_000, DecodeTokensPerSecond: 200},
-		"board": {Kind: decl.KindPlain, Path: "/board/"},
-	}
-	organisations := map[string]decl.Organisation{"demo": {TokenDigests: []string{decl.TokenDigest(demoToken)}}}
-	operations := []patchOperation{
-		{Op: "add", Path: "/Services", Value: services},
-		{Op: "add", Path: "/Organisations", Value: organisations},
-	}
-	raw, err := json.Marshal(operations)
-	if err != nil {
-		return err
-	}
-	client := store.New(dm.address)
-	defer client.Close()
-	_, err = conf.New(client).Submit(ctx, conf.Patch{ID: "demo", Author: "demo", At: time.Now(), Operations: raw})
-	return err
-}
-
-type patchOperation struct {
-	Op    string `json:"op"`
-	Path  string `json:"path"`
-	Value any    `json:"value"`
+	return conf.Seed(ctx, dm.address, &decl.Config{
+		Services: map[string]decl.Service{
+			"lyric": {Kind: decl.KindModel, Models: []decl.Model{{Name: "lyric"}}, MemoryTokens: 400_000, PrefillTokensPerSecond: 200_000, DecodeTokensPerSecond: 200},
+			"board": {Kind: decl.KindPlain, Path: "/board/"},
+		},
+		Organisations: map[string]decl.Organisation{"demo": {TokenDigests: []string{decl.TokenDigest(demoToken)}}},
+	})
 }
 
 // ready waits until every instance serves.
--- a/internal/cmds/get.go
+++ b/internal/cmds/get.go
@@ -1,13 +1,13 @@
 package cmds
 
 import (
+	"context"
 	"encoding/json"
 	"os"
 
 	"sigs.k8s.io/yaml"
 
 	"dandelionsail.example/dandelionsail/internal/oper"
-	"dandelionsail.example/dandelionsail/internal/tool"
 )
 
 type getCommand struct {
@@ -17,13 +17,10 @@
 
 // Execute implements flags.Commander.
 func (cmd *getCommand) Execute(_ []string) error {
-	client, err := oper.New(cmd.Options)
-	if err != nil {
-		return tool.Usage(err)
-	}
-	defer client.Close()
-	ctx, stop := tool.Context()
-	defer stop()
+	return withClient(cmd.Options, cmd.run)
+}
+
+func (cmd *getCommand) run(ctx context.Context, client *oper.Client) error {
 	cfg, err := client.Config(ctx)
 	if err != nil {
 		return err
--- a/internal/cmds/history.go
+++ b/internal/cmds/history.go
@@ -1,6 +1,7 @@
 package cmds
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -9,7 +10,6 @@
 
 	"dandelionsail.example/dandelionsail/internal/conf"
 	"dandelionsail.example/dandelionsail/internal/oper"
-	"dandelionsail.example/dandelionsail/internal/tool"
 	"dandelionsail.example/dandelionsail/pkg/decl"
 )
 
@@ -21,13 +21,10 @@
 
 // Execute implements flags.Commander.
 func (cmd *historyCommand) Execute(_ []string) error {
-	client, err := oper.New(cmd.Options)
-	if err != nil {
-		return tool.Usage(err)
-	}
-	defer client.Close()
-	ctx, stop := tool.Context()
-	defer stop()
+	return withClient(cmd.Options, cmd.run)
+}
+
+func (cmd *historyCommand) run(ctx context.Context, client *oper.Client) error {
 	patches, err := client.History(ctx, cmd.After)
 	if err != nil {
 		return err
--- a/internal/cmds/patch.go
+++ b/internal/cmds/patch.go
@@ -29,13 +29,10 @@
 
 // Execute implements flags.Commander.
 func (cmd *patchCommand) Execute(_ []string) error {
-	client, err := oper.New(cmd.Options)
-	if err != nil {
-		return tool.Usage(err)
-	}
-	defer client.Close()
-	ctx, stop := tool.Context()
-	defer stop()
+	return withClient(cmd.Options, cmd.run)
+}
+
+func (cmd *patchCommand) run(ctx context.Context, client *oper.Client) error {
 	patch, err := cmd.read(ctx, client)
 	if err != nil {
 		return err
--- a/internal/cmds/plan.go
+++ b/internal/cmds/plan.go
@@ -9,7 +9,6 @@
 
 	"dandelionsail.example/dandelionsail/internal/conf"
 	"dandelionsail.example/dandelionsail/internal/oper"
-	"dandelionsail.example/dandelionsail/internal/tool"
 	"dandelionsail.example/dandelionsail/pkg/decl"
 )
 
@@ -21,13 +20,10 @@
 
 // Execute implements flags.Commander.
 func (cmd *planCommand) Execute(_ []string) error {
-	client, err := oper.New(cmd.Options)
-	if err != nil {
-		return tool.Usage(err)
-	}
-	defer client.Close()
-	ctx, stop := tool.Context()
-	defer stop()
+	return withClient(cmd.Options, cmd.run)
+}
+
+func (cmd *planCommand) run(ctx context.Context, client *oper.Client) error {
 	patch, operations, err := plan(ctx, client, cmd.Args.Directory)
 	if err != nil {
 		return err
--- a/internal/cmds/report.go
+++ b/internal/cmds/report.go
@@ -1,6 +1,7 @@
 package cmds
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -20,13 +21,10 @@
 
 // Execute implements flags.Commander.
 func (cmd *reportCommand) Execute(_ []string) error {
-	client, err := oper.New(cmd.Options)
-	if err != nil {
-		return tool.Usage(err)
-	}
-	defer client.Close()
-	ctx, stop := tool.Context()
-	defer stop()
+	return withClient(cmd.Options, cmd.run)
+}
+
+func (cmd *reportCommand) run(ctx context.Context, client *oper.Client) error {
 	rp, err := client.FleetReport(ctx)
 	if err != nil {
 		return err
--- a/internal/cmds/status.go
+++ b/internal/cmds/status.go
@@ -16,7 +16,6 @@
 	"dandelionsail.example/dandelionsail/internal/entry"
 	"dandelionsail.example/dandelionsail/internal/oper"
 	"dandelionsail.example/dandelionsail/internal/permit"
-	"dandelionsail.example/dandelionsail/internal/tool"
 )
 
 type statusCommand struct {
@@ -34,13 +33,10 @@
 
 // Execute implements flags.Commander.
 func (cmd *statusCommand) Execute(_ []string) error {
-	client, err := oper.New(cmd.Options)
-	if err != nil {
-		return tool.Usage(err)
-	}
-	defer client.Close()
-	ctx, stop := tool.Context()
-	defer stop()
+	return withClient(cmd.Options, cmd.run)
+}
+
+func (cmd *statusCommand) run(ctx context.Context, client *oper.Client) error {
 	for {
 		if err := cmd.once(ctx, client, os.Stdout); err != nil {
 			return err
--- a/internal/entry/rig_test.go
+++ b/internal/entry/rig_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"encoding/json"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -20,7 +19,6 @@
 	"dandelionsail.example/dandelionsail/internal/load"
 	"dandelionsail.example/dandelionsail/internal/plat"
 	"dandelionsail.example/dandelionsail/internal/stand"
-	"dandelionsail.example/dandelionsail/internal/store"
 	"dandelionsail.example/dandelionsail/pkg/decl"
 )
 
@@ -139,13 +137,7 @@
 		},
 		Organisations: map[string]decl.Organisation{"parish": {TokenDigests: []string{decl.TokenDigest(token)}}},
 	}
-	document, err := json.Marshal(cfg)
-	assert.NilError(rg.t, err)
-	client := store.New(platform)
-	defer client.Close()
-	operations := json.RawMessage(`[{"op":"replace","path":"","value":` + string(document) + `}]`)
-	_, err = conf.New(client).Submit(rg.t.Context(), conf.Patch{ID: "first", Author: "rig", Operations: operations})
-	assert.NilError(rg.t, err)
+	assert.NilError(rg.t, conf.Seed(rg.t.Context(), platform, &cfg))
 }
 
 func (rg *rig) ready() {
--- a/internal/proof/permit_test.go
+++ b/internal/proof/permit_test.go
@@ -23,7 +23,6 @@
 	"dandelionsail.example/dandelionsail/internal/load"
 	"dandelionsail.example/dandelionsail/internal/permit"
 	"dandelionsail.example/dandelionsail/internal/stand"
-	"dandelionsail.example/dandelionsail/internal/store"
 	"dandelionsail.example/dandelionsail/pkg/decl"
 )
 
@@ -77,13 +76,7 @@
 			{Name: "Short", MaxTokens: 10_000, Priority: 1}, {Name: "Long", MaxTokens: 200_000, Long: true},
 		},
 	}
-	document, err := json.Marshal(cfg)
-	assert.NilError(lf.t, err)
-	client := store.New(lf.Platform.Address)
-	defer client.Close()
-	operations := json.RawMessage(`[{"op":"replace","path":"","value":` + string(document) + `}]`)
-	_, err = conf.New(client).Submit(lf.t.Context(), conf.Patch{ID: "first", Operations: operations})
-	assert.NilError(lf.t, err)
+	assert.NilError(lf.t, conf.Seed(lf.t.Context(), lf.Platform.Address, &cfg))
 }
 
 // long sends a prompt of 2.5 engines' memory through the numbered instance.
--- a/internal/proof/proof_test.go
+++ b/internal/proof/proof_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"os"
 	"testing"
@@ -15,7 +14,6 @@
 	"dandelionsail.example/dandelionsail/internal/conf"
 	"dandelionsail.example/dandelionsail/internal/fleet"
 	"dandelionsail.example/dandelionsail/internal/load"
-	"dandelionsail.example/dandelionsail/internal/store"
 	"dandelionsail.example/dandelionsail/pkg/decl"
 )
 
@@ -36,13 +34,7 @@
 		},
 		Organisations: map[string]decl.Organisation{"parish": {TokenDigests: []string{decl.TokenDigest(token)}}},
 	}
-	document, err := json.Marshal(cfg)
-	assert.NilError(t, err)
-	operations := json.RawMessage(`[{"op":"replace","path":"","value":` + string(document) + `}]`)
-	client := store.New(fl.Platform.Address)
-	defer client.Close()
-	_, err = conf.New(client).Submit(t.Context(), conf.Patch{ID: "first", Operations: operations})
-	assert.NilError(t, err)
+	assert.NilError(t, conf.Seed(t.Context(), fl.Platform.Address, &cfg))
 }
 
 func TestRequestThroughProcesses(t *testing.T) {
--- a/internal/proof/site.go
+++ b/internal/proof/site.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"sync"
 	"time"
@@ -189,13 +188,8 @@
 		Organisations: map[string]decl.Organisation{"parish": {TokenDigests: []string{decl.TokenDigest(callerToken)}}},
 		Operators:     map[string]decl.Operator{"keeper": {TokenDigests: []string{decl.TokenDigest(operatorToken)}}},
 	}
-	document, err := json.Marshal(cfg)
-	if err != nil {
-		return err
-	}
-	operations := json.RawMessage(`[{"op":"replace","path":"","value":` + string(document) + `}]`)
-	st.landed, err = st.config.Submit(ctx, conf.Patch{ID: "first", Author: "proof", At: time.Now(), Operations: operations})
-	return err
+	st.landed = 1
+	return conf.Seed(ctx, st.fleet.Platform.Address, &cfg)
 }
 
 // note keeps a line for the report.
