Proof: operators that race while answers are lost do land patches

In answers-lost + operators-racing no patch landed, so it showed nothing. The operators tried again after 300 ms, twice the period in which answers are lost and passed in turn: each try met the half without answers. They also gave a patch without a clear answer up instead of sending it again under its id.

--- a/internal/proof/inject.go
+++ b/internal/proof/inject.go
@@ -10,6 +10,8 @@
 	"strings"
 	"time"
 
+	"github.com/joomcode/errorx"
+
 	"dandelionsail.example/dandelionsail/internal/conf"
 	"dandelionsail.example/dandelionsail/internal/fault"
 	"dandelionsail.example/dandelionsail/internal/load"
@@ -147,7 +149,8 @@
 	return nil
 }
 
-// patch submits patches until the context ends and returns how many landed.
+// patch submits patches until the context ends and returns how many landed. A patch without a clear answer is sent again
+// under its id, as operators are told to.
 func (st *site) patch(ctx context.Context, operator int) int {
 	client := store.New(st.store.Address)
 	defer client.Close()
@@ -156,7 +159,7 @@
 	for number := 0; ctx.Err() == nil; number++ {
 		cfg, err := log.Load(ctx)
 		if err != nil {
-			_ = pause(ctx, resendPause)
+			_ = pause(ctx, patchPause)
 			continue
 		}
 		limit := fmt.Sprintf(`[{"op":"add","path":"/Services/lyric/Deadline","value":"%dms"}]`, deadline.Milliseconds())
@@ -164,15 +167,29 @@
 			ID: fmt.Sprintf("race-%d-%d", operator, number), Base: cfg.Version, Author: fmt.Sprint(operator),
 			At: time.Now(), Operations: []byte(limit),
 		}
-		if version, err := log.Submit(ctx, patch); err == nil {
+		if version, err := submitUntilClear(ctx, log, patch); err == nil {
 			landed++
 			st.accepted(version)
 		}
-		_ = pause(ctx, 20*time.Millisecond)
+		_ = pause(ctx, patchPause)
 	}
 	return landed
 }
 
+// patchPause is the time between two tries of an operator. It is far shorter than losePeriod, so that tries fall into
+// times with and without answers; at twice losePeriod each of them met the same half.
+const patchPause = 20 * time.Millisecond
+
+func submitUntilClear(ctx context.Context, log *conf.Log, patch conf.Patch) (int64, error) {
+	for {
+		version, err := log.Submit(ctx, patch)
+		if err == nil || ctx.Err() != nil || errorx.IsOfType(err, conf.Stale) {
+			return version, err
+		}
+		_ = pause(ctx, patchPause)
+	}
+}
+
 func (st *site) accepted(version int64) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
