--- a/internal/bench/slopes.go
+++ b/internal/bench/slopes.go
@@ -19,6 +19,7 @@
 	add(slopes, "state", "Measure the reducer and the configuration in this process", &stateSlopesCommand{})
 	add(slopes, "store", "Count the calls of a fleet of real processes to the key-value service", &storeSlopesCommand{})
 	add(slopes, "fleet", "Measure what an idle instance costs in fleets of real processes", &fleetSlopesCommand{})
+	add(slopes, "network", "Measure the bytes of load reports and of the instance list", &networkSlopesCommand{})
 	add(slopes, "permits", "Measure the decisions and messages of a pool's coordinator", &permitSlopesCommand{})
 	add(slopes, "table", "Write docs/CAPACITY.md from the measurements", &tableCommand{})
 }
@@ -32,6 +33,21 @@
 	return addSeries(cmd.Out, slope.MeasureState(tool.Progress()))
 }
 
+type networkSlopesCommand struct {
+	Out string `long:"out" description:"file of measurements to add to" default:"docs/capacity/measured.json"`
+}
+
+// Execute implements flags.Commander.
+func (cmd *networkSlopesCommand) Execute(_ []string) error {
+	ctx, stop := tool.Context()
+	defer stop()
+	series, err := slope.MeasureNetwork(ctx)
+	if err != nil {
+		return err
+	}
+	return addSeries(cmd.Out, series)
+}
+
 type permitSlopesCommand struct {
 	Out string `long:"out" description:"file of measurements to add to" default:"docs/capacity/measured.json"`
 }
--- a/internal/slope/items.go
+++ b/internal/slope/items.go
@@ -9,9 +9,9 @@
 	PermitTime       = "Permit.DecisionTime"
 	PermitMemory     = "Permit.Memory"
 	UsageBytes       = "Usage.Bytes"
-	DigestBytes      = "Digest.Bytes"
 	RelayBytes       = "Config.RelayBytes"
 	ListBytes        = "Platform.ListBytes"
+	ReportBytes      = "Engine.ReportBytes"
 	ConfigReads      = "Store.ConfigReads"
 	ConfigWrites     = "Store.ConfigWrites"
 	ClaimWrites      = "Store.ClaimWrites"
@@ -29,6 +29,15 @@
 // claimShare is the share of requests that are non-idempotent and carry a key; the letters give none, so one in fifty is assumed.
 const claimShare = 0.02
 
+// What the network items assume.
+const (
+	// watchedEngines is the most that one instance reads load reports of.
+	watchedEngines = 64
+	// restartsPerDay is the instances restarted or replaced on an ordinary day; each leaves the list and joins it.
+	restartsPerDay    = 4300
+	changesPerRestart = 2
+)
+
 // Items returns what each role costs at the size aimed at.
 func Items(tg Target) []Item {
 	return []Item{
@@ -43,7 +52,8 @@
 		{roleEntry, Network, "patches from peers", RelayBytes, tg.Organisations, tg.PatchRate(), "the version on peer messages; patches from the teller"},
 		{roleEntry, Network, "usage of organisations", UsageBytes, tg.Organisations, 1, "the top users, told rarely"},
 		{roleEntry, Network, "permits asked for", PermitBytes, 1, tg.PermitRate(), "long prompts only"},
-		{roleEntry, Network, "load digests of pools", DigestBytes, tg.PoolReplicas(), 1, "one byte a replica from the pool's coordinator"},
+		{roleEntry, Network, "load reports of the engines watched, two a second", ReportBytes, 1, 2 * watchedEngines, "at most 64 engines an instance; digests from the pools' coordinators are designed, not built"},
+		{roleEntry, Network, "the instance list, read again at each change", ListBytes, tg.Replicas, changesPerRestart * restartsPerDay / secondsPerDay, "read when its entity tag changes; differences relayed within a failure domain are designed, not built"},
 		{roleCoordinator, Processor, "deciding permits", PermitTime, tg.PoolReplicas(), tg.PermitRate(), "rendezvous hashing over live members"},
 		{roleCoordinator, Network, "answering permits", PermitBytes, 1, tg.PermitRate(), "one answer an ask"},
 		{roleCoordinator, Memory, "reservations", PermitMemory, tg.PoolReplicas() * tg.PoolsPerInstance(), 1, "one record a permit"},
