Strip the headers that only an instance may say to an engine

A caller's X-Cache-Imports, X-Segment, X-Reservation, X-Resume-Offset, X-Fencing-Number and X-Run-State went through to the engine: a caller could name another organisation's exported cache. Found on reading the data path; the test sends all eight and failed with six of them before.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -93,6 +94,13 @@
 	"Authorization", "Content-Length", "Expect", HeaderDeadline,
 }
 
+// ownHeaders are said by an instance to an engine and by nobody else. Passed on from a caller they would let it read
+// another organisation's exported cache, skip the start of its answer or go before all others.
+var ownHeaders = []string{
+	upstr.HeaderRequest, upstr.HeaderPriority, upstr.HeaderOffset, upstr.HeaderImports, upstr.HeaderSegment,
+	upstr.HeaderReservation, upstr.HeaderFence, upstr.HeaderRun,
+}
+
 func forwarded(header http.Header) http.Header {
 	kept := header.Clone()
 	for _, list := range header["Connection"] {
@@ -100,7 +108,7 @@
 			kept.Del(strings.TrimSpace(name))
 		}
 	}
-	for _, name := range hopHeaders {
+	for _, name := range slices.Concat(hopHeaders, ownHeaders) {
 		kept.Del(name)
 	}
 	return kept
