One way in for both kinds of request; faults that meet one process

Completions and plain calls each had the same steps around a reader of their own; handle has them once now. In prove, two faults that killed or restarted the same process ended the run: a signal to an ended process is no error, and the first to come restarts it.

--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -15,60 +15,78 @@
 // defaultMaxTokens bounds an answer for which the caller named no bound.
 const defaultMaxTokens = 256
 
-// completions serves both forms of the completions API.
-func (in *Instance) completions(w http.ResponseWriter, req *http.Request) {
-	arrived := time.Now()
+// reader turns a caller's request into the reducer's event, or says what is wrong with it.
+type reader func(cl *call, dir *directory) (event.Arrived, *apiError)
+
+// handle takes the request of an organisation through its reader to the reducer and on to its end.
+func (in *Instance) handle(w http.ResponseWriter, req *http.Request, read reader) {
+	cl := newCall(w, req, time.Now())
 	dir := in.config.Load()
 	org, ok := dir.organisation(req)
 	if !ok {
 		unauthorized().write(w)
 		return
 	}
-	raw, ae := in.readBody(w, req)
+	cl.organisation = org
+	ev, ae := read(cl, dir)
 	if ae != nil {
 		ae.write(w)
 		return
 	}
+	cl.service = ev.Service
+	ev.Organisation = org
+	ev.Key = req.Header.Get("Idempotency-Key")
+	ev.Digest = digest(req, cl.raw)
+	in.serve(cl, ev)
+}
+
+// completions serves both forms of the completions API.
+func (in *Instance) completions(w http.ResponseWriter, req *http.Request) {
+	in.handle(w, req, in.readCompletion)
+}
+
+func (in *Instance) readCompletion(cl *call, dir *directory) (event.Arrived, *apiError) {
+	raw, ae := in.readBody(cl.w, cl.req)
+	if ae != nil {
+		return event.Arrived{}, ae
+	}
 	bd, err := body.Scan(raw)
 	if err != nil {
-		badRequest(http.StatusBadRequest, "MalformedBody", err.Error()).write(w)
-		return
+		return event.Arrived{}, badRequest(http.StatusBadRequest, "MalformedBody", err.Error())
 	}
 	service, ok := dir.models[bd.Model]
-	if !ok || !dir.cfg.Organisations[org].MayUse(service) {
-		badRequest(http.StatusNotFound, "UnknownModel", fmt.Sprintf("no model %q is offered; GET /v1/models lists them", bd.Model)).write(w)
-		return
+	if !ok || !dir.cfg.Organisations[cl.organisation].MayUse(service) {
+		message := fmt.Sprintf("no model %q is offered; GET /v1/models lists them", bd.Model)
+		return event.Arrived{}, badRequest(http.StatusNotFound, "UnknownModel", message)
 	}
 	svc := dir.cfg.Services[service].WithDefaults()
-	deadline, ae := readDeadline(req, svc, arrived)
-	if ae != nil {
-		ae.write(w)
-		return
-	}
-	if bd.MaxTokens == 0 {
-		bd.MaxTokens = defaultMaxTokens
+	if ae := boundAnswer(bd, svc); ae != nil {
+		return event.Arrived{}, ae
 	}
-	if svc.MemoryTokens > 0 && bd.MaxTokens > svc.MemoryTokens {
-		badRequest(http.StatusBadRequest, "MaxTokensTooLarge", fmt.Sprintf("max_tokens is %d; give at most %d", bd.MaxTokens, svc.MemoryTokens)).write(w)
-		return
-	}
-	cl := newCall(w, req, arrived)
+	deadline, ae := readDeadline(cl.req, svc, cl.arrived)
 	cl.body = bd
 	cl.raw = raw
-	cl.organisation = org
-	cl.service = service
-	in.serve(cl, event.Arrived{
-		Organisation: org,
+	return event.Arrived{
 		Service:      service,
 		Model:        bd.Model,
 		PromptTokens: bd.PromptTokens(),
 		MaxTokens:    bd.MaxTokens,
 		Deadline:     deadline,
 		Idempotent:   true,
-		Key:          req.Header.Get("Idempotency-Key"),
-		Digest:       digest(req, raw),
 		Prefixes:     body.Prefixes(bd.PromptBytes()),
-	})
+	}, ae
+}
+
+// boundAnswer gives an answer without a bound the default one, and refuses one that no engine could hold.
+func boundAnswer(bd *body.Body, svc decl.Service) *apiError {
+	if bd.MaxTokens == 0 {
+		bd.MaxTokens = defaultMaxTokens
+	}
+	if svc.MemoryTokens > 0 && bd.MaxTokens > svc.MemoryTokens {
+		message := fmt.Sprintf("max_tokens is %d; give at most %d", bd.MaxTokens, svc.MemoryTokens)
+		return badRequest(http.StatusBadRequest, "MaxTokensTooLarge", message)
+	}
+	return nil
 }
 
 func digest(req *http.Request, raw []byte) event.Digest {
--- a/internal/entry/ends_test.go
+++ b/internal/entry/ends_test.go
@@ -77,7 +77,7 @@
 func TestCancelledRequestsLeaveNothing(t *testing.T) {
 	// Callers leave at every stage: while their request waits, connects, prefills, and between tokens. The engine drops
 	// each one at once, and neither memory, nor map entries, nor goroutines stay behind.
-	const requests, atOnce = 2000, 100
+	const requests, atOnce = 10_000, 100
 	en := engine(time.Millisecond)
 	rg := newRig(t, rigOptions{Engines: []*stand.Engine{en}, Plain: []http.Handler{stand.NewService(5 * time.Millisecond).Handler()}})
 	var group sync.WaitGroup
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -2,46 +2,26 @@
 
 import (
 	"net/http"
-	"time"
 
 	"dandelionsail.example/dandelionsail/internal/event"
 )
 
 // plainService passes a call on to the plain service whose path it names.
 func (in *Instance) plainService(w http.ResponseWriter, req *http.Request) {
-	arrived := time.Now()
-	dir := in.config.Load()
-	org, ok := dir.organisation(req)
-	if !ok {
-		unauthorized().write(w)
-		return
-	}
-	service, ok := dir.plain(req.URL.Path)
-	if !ok || !dir.cfg.Organisations[org].MayUse(service) {
-		badRequest(http.StatusNotFound, "UnknownPath", "no service is offered under this path; check its declaration").write(w)
-		return
+	in.handle(w, req, in.readPlain)
+}
+
+func (in *Instance) readPlain(cl *call, dir *directory) (event.Arrived, *apiError) {
+	service, ok := dir.plain(cl.req.URL.Path)
+	if !ok || !dir.cfg.Organisations[cl.organisation].MayUse(service) {
+		message := "no service is offered under this path; check its declaration"
+		return event.Arrived{}, badRequest(http.StatusNotFound, "UnknownPath", message)
 	}
 	svc := dir.cfg.Services[service].WithDefaults()
-	deadline, ae := readDeadline(req, svc, arrived)
-	if ae != nil {
-		ae.write(w)
-		return
-	}
-	raw, ae := in.readBody(w, req)
+	deadline, ae := readDeadline(cl.req, svc, cl.arrived)
 	if ae != nil {
-		ae.write(w)
-		return
+		return event.Arrived{}, ae
 	}
-	cl := newCall(w, req, arrived)
-	cl.raw = raw
-	cl.organisation = org
-	cl.service = service
-	in.serve(cl, event.Arrived{
-		Organisation: org,
-		Service:      service,
-		Deadline:     deadline,
-		Idempotent:   svc.Idempotent(req.Method),
-		Key:          req.Header.Get("Idempotency-Key"),
-		Digest:       digest(req, raw),
-	})
+	cl.raw, ae = in.readBody(cl.w, cl.req)
+	return event.Arrived{Service: service, Deadline: deadline, Idempotent: svc.Idempotent(cl.req.Method)}, ae
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -200,22 +200,31 @@
 
 // Kill ends the process at once.
 func (pr *Process) Kill() error {
-	return pr.cmd.Process.Kill()
+	return pr.signal(syscall.SIGKILL)
 }
 
 // Pause freezes the process until Resume.
 func (pr *Process) Pause() error {
-	return pr.cmd.Process.Signal(syscall.SIGSTOP)
+	return pr.signal(syscall.SIGSTOP)
 }
 
 // Resume lets a paused process go on.
 func (pr *Process) Resume() error {
-	return pr.cmd.Process.Signal(syscall.SIGCONT)
+	return pr.signal(syscall.SIGCONT)
 }
 
 // Terminate asks the process to stop gracefully.
 func (pr *Process) Terminate() error {
-	return pr.cmd.Process.Signal(syscall.SIGTERM)
+	return pr.signal(syscall.SIGTERM)
+}
+
+// signal leaves a process alone that has ended, as it does when two faults meet it.
+func (pr *Process) signal(sig syscall.Signal) error {
+	err := pr.cmd.Process.Signal(sig)
+	if errors.Is(err, os.ErrProcessDone) {
+		return nil
+	}
+	return err
 }
 
 // Wait returns when the process has ended, with its exit status as the error.
--- a/internal/proof/inject.go
+++ b/internal/proof/inject.go
@@ -69,13 +69,19 @@
 	return st.restart(up)
 }
 
-// restart runs a replica whose process has ended at its old address.
+// endTime is how long a killed process may take to end.
+const endTime = time.Second
+
+// restart runs a replica whose process has ended at its old address. Two faults may kill the same replica; the first to
+// come here restarts it, and for the other it runs again.
 func (st *site) restart(up *upstream) error {
-	ctx, cancel := context.WithTimeout(context.Background(), settleTime)
+	st.restarting.Lock()
+	defer st.restarting.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), endTime)
 	defer cancel()
 	// A killed process ends with an error, which is expected.
 	if err := up.process.Wait(ctx); errors.Is(err, context.DeadlineExceeded) {
-		return err
+		return nil
 	}
 	return st.startProcess(up, up.process.Address)
 }
--- a/internal/proof/site.go
+++ b/internal/proof/site.go
@@ -51,6 +51,9 @@
 	versions  *versions
 	config    *conf.Log
 
+	// restarting keeps two faults from restarting one replica twice.
+	restarting sync.Mutex
+
 	injectedAt, undoneAt time.Time
 
 	stop    context.CancelFunc
