Let new instances learn the quarantine before they are ready

The quarantine is in the instances' memory and was told only when it arose; with every instance replaced nobody knew it any more.

--- a/internal/core/poison.go
+++ b/internal/core/poison.go
@@ -159,3 +159,14 @@
 	}
 	return refused
 }
+
+// Deaths returns all that is under suspicion or quarantine now.
+func (st *State) Deaths() []event.Quarantined {
+	var known []event.Quarantined
+	for _, entry := range st.poison.byDigest {
+		if st.now.Before(entry.Until) {
+			known = append(known, entry)
+		}
+	}
+	return known
+}
--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -64,9 +64,12 @@
 	// listed tells that the platform named upstreams; draining that this instance is on its way out.
 	listed   atomic.Bool
 	draining atomic.Bool
-	mu       sync.Mutex
-	calls    map[event.RequestID]*call
-	pending  sync.WaitGroup
+	// asked tells that peers are asked for the quarantine, learned that they were or that there is none to ask.
+	asked   bool
+	learned atomic.Bool
+	mu      sync.Mutex
+	calls   map[event.RequestID]*call
+	pending sync.WaitGroup
 	// settling counts the claims and outcomes being recorded.
 	settling sync.WaitGroup
 	// heartbeats holds the addresses of engines that are known to send heartbeats.
@@ -189,6 +192,7 @@
 	in.log.Info().Str("Instance", in.opts.Name).Msg("draining")
 	pause(ctx, in.opts.DrainNotice)
 	in.loop.Submit(event.DrainStarted{})
+	in.leaveQuarantine()
 	deadline, cancel := context.WithTimeout(ctx, in.opts.DrainTime)
 	defer cancel()
 	err := server.Shutdown(deadline)
@@ -270,7 +274,7 @@
 
 // ready reports whether the balancer may send requests here.
 func (in *Instance) ready() bool {
-	return in.listed.Load() && !in.draining.Load() && in.config.Load().cfg.Version > 0
+	return in.listed.Load() && in.learned.Load() && !in.draining.Load() && in.config.Load().cfg.Version > 0
 }
 
 func (in *Instance) followPlatform(ctx context.Context) error {
@@ -286,6 +290,9 @@
 			in.loop.Submit(ups)
 			in.loop.Submit(insts)
 			in.knowPeers(insts)
+			if len(ups.Upstreams)+len(insts.Instances) > 0 {
+				in.learnQuarantine(*in.livePeers.Load())
+			}
 			in.followReports(ctx, ups)
 			in.listed.Store(in.listed.Load() || len(ups.Upstreams) > 0)
 		}
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -3,11 +3,9 @@
 import (
 	"context"
 	"net/netip"
-	"time"
 
 	"github.com/rcrowley/go-metrics"
 
-	"dandelionsail.example/dandelionsail/internal/effect"
 	"dandelionsail.example/dandelionsail/internal/event"
 	"dandelionsail.example/dandelionsail/internal/peers"
 	"dandelionsail.example/dandelionsail/internal/wire"
@@ -47,7 +45,9 @@
 	case wire.ClaimAsk, wire.ClaimSettle:
 		return in.claims.Handle(ctx, msg)
 	case wire.Quarantine:
-		in.loop.Submit(event.Quarantined{Digest: msg.Digest, Deaths: msg.Deaths, Until: time.Now().Add(msg.Lasts)})
+		in.hearQuarantine(msg)
+	case wire.QuarantineWant:
+		return in.quarantines()
 	case wire.Demand:
 		in.loop.Submit(event.DemandHeard{From: msg.From, Demands: msg.Demands})
 	case wire.Shares:
@@ -95,11 +95,6 @@
 	}
 }
 
-func (in *Instance) tellQuarantine(eff effect.TellQuarantine) {
-	qr := eff.Quarantined
-	in.tellAll(wire.Quarantine{Digest: qr.Digest, Deaths: qr.Deaths, Lasts: time.Until(qr.Until)})
-}
-
 // knowPeers takes the peers from the platform's list.
 func (in *Instance) knowPeers(listed event.InstancesListed) {
 	var addresses []string
--- a/internal/proof/balancer.go
+++ b/internal/proof/balancer.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"dandelionsail.example/dandelionsail/internal/fleet"
@@ -19,6 +20,8 @@
 
 // member is one entry instance as the balancer sees it.
 type member struct {
+	// killed tells that the run ended the process without notice.
+	killed  atomic.Bool
 	name    string
 	process *fleet.Process
 	// ready follows the instance's own word.
--- a/internal/proof/inject.go
+++ b/internal/proof/inject.go
@@ -62,6 +62,7 @@
 // engineKilled kills an engine in mid-work and starts it again at the end.
 func engineKilled(holding context.Context, st *site) error {
 	up := st.of("lyric")[0]
+	up.killed.Store(!up.ended())
 	if err := up.process.Kill(); err != nil {
 		return err
 	}
@@ -72,6 +73,13 @@
 // endTime is how long a killed process may take to end.
 const endTime = time.Second
 
+// ended tells that the replica's process is no longer there.
+func (up *upstream) ended() bool {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Millisecond)
+	defer cancel()
+	return !errors.Is(up.process.Wait(ctx), context.DeadlineExceeded)
+}
+
 // restart runs a replica whose process has ended at its old address. Two faults may kill the same replica; the first to
 // come here restarts it, and for the other it runs again.
 func (st *site) restart(up *upstream) error {
@@ -90,6 +98,7 @@
 func instanceKilled(holding context.Context, st *site) error {
 	mb := st.balancer.all()[0]
 	st.balancer.broken(mb)
+	mb.killed.Store(true)
 	if err := mb.process.Kill(); err != nil {
 		return err
 	}
@@ -230,13 +239,12 @@
 		_ = pause(holding, 100*time.Millisecond)
 	}
 	for _, up := range st.of("lyric") {
-		ended, cancel := context.WithTimeout(context.Background(), 10*time.Millisecond)
-		err := up.process.Wait(ended)
-		cancel()
-		if errors.Is(err, context.DeadlineExceeded) {
+		if !up.ended() {
 			continue
 		}
-		st.deaths++
+		if !up.killed.Load() {
+			st.deaths++
+		}
 		if err := st.restart(up); err != nil {
 			return err
 		}
@@ -291,7 +299,7 @@
 	defer cancel()
 	err := mb.process.Wait(limited)
 	st.balancer.remove(mb)
-	if err != nil {
+	if err != nil && !mb.killed.Load() {
 		return fmt.Errorf("instance %s did not stop well: %w", mb.name, err)
 	}
 	return plat.Remove(st.fleet.Platform.Address, mb.name)
--- a/internal/proof/readme_test.go
+++ b/internal/proof/readme_test.go
@@ -61,7 +61,7 @@
 	said := string(out)
 	assert.NilError(t, err, "%s", said)
 	wanted := []string{
-		"no problems", "accepted as version 1", "data: [DONE]", "+ /Organisations/cathedral", "accepted as version 2",
+		"no problems", "accepted as version 1", "data: [DONE]", "+ /Organisations/cathedral", "+ /Services/psalm", `"id":"psalm"`, "accepted as version 2",
 		`unknown field "Wight"`, "exit code 2", "exit code 3", "version 2 by on-call", "entry-0", "short-first-token",
 	}
 	for _, want := range wanted {
--- a/internal/proof/site.go
+++ b/internal/proof/site.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"dandelionsail.example/dandelionsail/internal/conf"
@@ -35,6 +36,8 @@
 
 // upstream is one replica behind its proxy.
 type upstream struct {
+	// killed tells that the run itself ended the process.
+	killed  atomic.Bool
 	name    string
 	service string
 	domain  string
--- a/internal/wire/fuzz_test.go
+++ b/internal/wire/fuzz_test.go
@@ -21,6 +21,8 @@
 		wire.PermitRenew{Holder: "entry-1", Requests: []string{"r~1"}},
 		wire.PermitState{From: "entry-0", Unknown: []string{"r~1"}},
 		wire.Quarantine{Deaths: 2, Lasts: time.Hour},
+		wire.QuarantineWant{},
+		wire.Quarantines{Entries: []wire.Quarantine{{Deaths: 1}}},
 		wire.ConfigWant{After: 3},
 		wire.ConfigPatches{First: 4, Patches: [][]byte{[]byte("[]")}},
 		wire.Probe{From: "entry-1", Peer: "10.0.0.1:8081", Seq: 9, Words: words},
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -16,6 +16,12 @@
 // Ack answers a message that wants nothing but to be heard.
 type Ack struct{}
 
+// QuarantineWant asks for all that is under suspicion or quarantine.
+type QuarantineWant struct{}
+
+// Quarantines answers a QuarantineWant.
+type Quarantines struct{ Entries []Quarantine }
+
 // Quarantine passes on that a content took upstreams down.
 type Quarantine struct {
 	Digest [32]byte
@@ -95,14 +101,16 @@
 	Wait    time.Duration
 }
 
-func (Ack) isMessage()           {}
-func (Quarantine) isMessage()    {}
-func (ConfigWant) isMessage()    {}
-func (ConfigPatches) isMessage() {}
-func (ConfigNews) isMessage()    {}
-func (ClaimAsk) isMessage()      {}
-func (ClaimAnswer) isMessage()   {}
-func (ClaimSettle) isMessage()   {}
+func (Ack) isMessage()            {}
+func (Quarantine) isMessage()     {}
+func (QuarantineWant) isMessage() {}
+func (Quarantines) isMessage()    {}
+func (ConfigWant) isMessage()     {}
+func (ConfigPatches) isMessage()  {}
+func (ConfigNews) isMessage()     {}
+func (ClaimAsk) isMessage()       {}
+func (ClaimAnswer) isMessage()    {}
+func (ClaimSettle) isMessage()    {}
 
 // MaxMessage bounds the encoded length of a message in bytes.
 const MaxMessage = 4 << 20
@@ -116,13 +124,15 @@
 
 // kinds gives every message type its number on the wire. A number is never used again for another type.
 var kinds = map[uint64]func(raw []byte) (Message, error){
-	1: decode[Ack],
-	2: decode[PermitAsk],
-	3: decode[PermitGrant],
-	4: decode[PermitReturn],
-	5: decode[Quarantine],
-	6: decode[ConfigWant],
-	7: decode[ConfigPatches],
+	1:  decode[Ack],
+	2:  decode[PermitAsk],
+	3:  decode[PermitGrant],
+	4:  decode[PermitReturn],
+	5:  decode[Quarantine],
+	10: decode[QuarantineWant],
+	11: decode[Quarantines],
+	6:  decode[ConfigWant],
+	7:  decode[ConfigPatches],
 
 	8: decode[PermitRenew],
 	9: decode[PermitState],
@@ -151,6 +161,10 @@
 		return 4
 	case Quarantine:
 		return 5
+	case QuarantineWant:
+		return 10
+	case Quarantines:
+		return 11
 	case ConfigWant:
 		return 6
 	case ConfigPatches:
