--- a/internal/slope/items.go
+++ b/internal/slope/items.go
@@ -34,7 +34,7 @@
 	// watchedEngines is the most that one instance reads load reports of.
 	watchedEngines = 64
 	// restartsPerDay is the instances restarted or replaced on an ordinary day; each leaves the list and joins it.
-	restartsPerDay    = 4300
+	restartsPerDay    = 4300.0
 	changesPerRestart = 2
 )
 
--- a/internal/slope/slope.go
+++ b/internal/slope/slope.go
@@ -41,12 +41,14 @@
 	Slope     float64
 }
 
-// At returns the line's value at a size, never below 0.
+// At returns the line's value at a size, never below 0, where a line may begin.
 func (ln Line) At(size float64) float64 {
 	return max(0, ln.Intercept+ln.Slope*size)
 }
 
-// Fit returns the line of least squares through the samples. One sample, or samples of one size, give a flat line.
+// Fit returns the line of least squares through the samples. One sample, or samples of one size, give a flat line, and so
+// do falling ones: no cost here falls with size, and noise carried to a size fourteen times as large would promise what
+// nobody measured.
 func (sr Series) Fit() Line {
 	var sumSize, sumValue float64
 	count := float64(len(sr.Samples))
@@ -67,6 +69,9 @@
 		return Line{Intercept: meanValue}
 	}
 	slope := cross / square
+	if slope < 0 {
+		return Line{Intercept: meanValue}
+	}
 	return Line{Intercept: meanValue - slope*meanSize, Slope: slope}
 }
 
