One wait that a context cuts short, one table of slopes

Six packages had the same ten lines to wait for a time or a context, and MeasureState repeated one shape eight times. delay.For serves all; the measurements are a table. No behaviour changed: all tests pass, and sailbench prove's stages end with the context's own error as before.

--- a/internal/conf/follow.go
+++ b/internal/conf/follow.go
@@ -13,6 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sync/errgroup"
 
+	"dandelionsail.example/dandelionsail/internal/delay"
 	"dandelionsail.example/dandelionsail/internal/event"
 	"dandelionsail.example/dandelionsail/internal/peers"
 	"dandelionsail.example/dandelionsail/internal/store"
@@ -158,7 +159,7 @@
 	}
 	if err != nil {
 		fl.askAny(ctx)
-		pause(ctx, retryPause)
+		delay.For(ctx, retryPause)
 		return
 	}
 	reread := time.NewTicker(rereadPeriod)
@@ -435,7 +436,7 @@
 // RunCompaction writes snapshots while this instance is the first of all in rank, until the context ends.
 func (fl *Follower) RunCompaction(ctx context.Context) error {
 	for ctx.Err() == nil {
-		pause(ctx, compactPeriod)
+		delay.For(ctx, compactPeriod)
 		if ctx.Err() == nil && fl.first() && fl.Version() > 0 {
 			// What fails here is tried again at the next look; nobody waits for it.
 			_ = fl.lg.Compact(ctx)
--- a/internal/conf/log.go
+++ b/internal/conf/log.go
@@ -8,6 +8,7 @@
 
 	"github.com/joomcode/errorx"
 
+	"dandelionsail.example/dandelionsail/internal/delay"
 	"dandelionsail.example/dandelionsail/internal/store"
 	"dandelionsail.example/dandelionsail/pkg/decl"
 )
@@ -156,7 +157,7 @@
 		if !again {
 			return version, err
 		}
-		pause(ctx, submitPause)
+		delay.For(ctx, submitPause)
 	}
 	return 0, store.Unavailable.New("conf: the store gave no clear answer; send the same patch with the same id again, it lands once")
 }
@@ -240,12 +241,3 @@
 		WithProperty(PropertyVersion, sn.version()).
 		WithProperty(PropertyChanges, changes)
 }
-
-func pause(ctx context.Context, period time.Duration) {
-	timer := time.NewTimer(period)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -18,6 +18,7 @@
 
 	"dandelionsail.example/dandelionsail/internal/conf"
 	"dandelionsail.example/dandelionsail/internal/core"
+	"dandelionsail.example/dandelionsail/internal/delay"
 	"dandelionsail.example/dandelionsail/internal/event"
 	"dandelionsail.example/dandelionsail/internal/lease"
 	"dandelionsail.example/dandelionsail/internal/meter"
@@ -190,7 +191,7 @@
 func (in *Instance) drain(ctx context.Context, server *http.Server) error {
 	in.draining.Store(true)
 	in.log.Info().Str("Instance", in.opts.Name).Msg("draining")
-	pause(ctx, in.opts.DrainNotice)
+	delay.For(ctx, in.opts.DrainNotice)
 	in.loop.Submit(event.DrainStarted{})
 	in.leaveQuarantine()
 	deadline, cancel := context.WithTimeout(ctx, in.opts.DrainTime)
@@ -205,7 +206,7 @@
 func (in *Instance) settle(ctx context.Context) {
 	// Requests whose caller left while its key was being claimed stay in the reducer until the claim is given back.
 	for ctx.Err() == nil && in.unsettled() > 0 {
-		pause(ctx, settlePause)
+		delay.For(ctx, settlePause)
 	}
 	settled := make(chan struct{})
 	go func() {
@@ -254,15 +255,6 @@
 	in.log.Info().Str("Instance", in.opts.Name).Msg("stopped")
 }
 
-func pause(ctx context.Context, period time.Duration) {
-	timer := time.NewTimer(period)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // acceptConfig brings a version into force; the follower calls it with rising versions, one at a time.
 func (in *Instance) acceptConfig(cfg *decl.Config) {
 	in.config.Store(newDirectory(cfg))
@@ -296,7 +288,7 @@
 			in.followReports(ctx, ups)
 			in.listed.Store(in.listed.Load() || len(ups.Upstreams) > 0)
 		}
-		pause(ctx, in.opts.ListPeriod)
+		delay.For(ctx, in.opts.ListPeriod)
 	}
 	in.stopReports()
 	return ctx.Err()
--- a/internal/entry/reports.go
+++ b/internal/entry/reports.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"dandelionsail.example/dandelionsail/internal/delay"
 	"dandelionsail.example/dandelionsail/internal/event"
 	"dandelionsail.example/dandelionsail/pkg/decl"
 )
@@ -99,7 +100,7 @@
 			// Kept connections go silent together; the reports notice it before a request has to wait for it.
 			in.upstream.CloseIdle(up.Address)
 		}
-		pause(ctx, in.opts.LoadPeriod)
+		delay.For(ctx, in.opts.LoadPeriod)
 	}
 }
 
@@ -122,7 +123,7 @@
 		batches, err := in.upstream.CacheEvents(limited, up.Address, after)
 		cancel()
 		if err != nil {
-			pause(ctx, cacheRetry)
+			delay.For(ctx, cacheRetry)
 			continue
 		}
 		for _, batch := range batches {
@@ -131,6 +132,6 @@
 			in.loop.Submit(batch)
 			after = batch.Last
 		}
-		pause(ctx, cachePause)
+		delay.For(ctx, cachePause)
 	}
 }
--- a/internal/entry/segments.go
+++ b/internal/entry/segments.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"dandelionsail.example/dandelionsail/internal/delay"
 	"dandelionsail.example/dandelionsail/internal/effect"
 	"dandelionsail.example/dandelionsail/internal/event"
 	"dandelionsail.example/dandelionsail/internal/upstr"
@@ -98,7 +99,7 @@
 			if err == nil || engineGone(err) {
 				return
 			}
-			pause(ctx, freePause)
+			delay.For(ctx, freePause)
 		}
 	})
 }
--- a/internal/once/once.go
+++ b/internal/once/once.go
@@ -12,6 +12,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"dandelionsail.example/dandelionsail/internal/delay"
 	"dandelionsail.example/dandelionsail/internal/event"
 	"dandelionsail.example/dandelionsail/internal/store"
 	"dandelionsail.example/dandelionsail/pkg/decl"
@@ -135,7 +136,7 @@
 	res := cs.claimOnce(ctx, shard, op)
 	// A resend often meets the first request before its end is recorded; it waits for that end.
 	for look := firstLook; res.underWay(); look = min(2*look, maxLook) {
-		pause(ctx, look)
+		delay.For(ctx, look)
 		if ctx.Err() != nil {
 			break
 		}
@@ -206,15 +207,3 @@
 		return ctx.Err()
 	}
 }
-
-func pause(ctx context.Context, period time.Duration) {
-	if period <= 0 {
-		return
-	}
-	timer := time.NewTimer(period)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/once/worker.go
+++ b/internal/once/worker.go
@@ -11,6 +11,7 @@
 
 	"github.com/joomcode/errorx"
 
+	"dandelionsail.example/dandelionsail/internal/delay"
 	"dandelionsail.example/dandelionsail/internal/event"
 	"dandelionsail.example/dandelionsail/internal/store"
 )
@@ -125,7 +126,7 @@
 		claims, settles := wk.waiting()
 		switch {
 		case claims:
-			pause(ctx, time.Until(wk.lastWrite.Add(writePause)))
+			delay.For(ctx, time.Until(wk.lastWrite.Add(writePause)))
 			wk.write(ctx)
 		case settles:
 			wk.gather(ctx, max(settlePause, wk.rest))
@@ -160,7 +161,7 @@
 			return
 		case <-wk.wake:
 			if claims, _ := wk.waiting(); claims {
-				pause(ctx, time.Until(wk.lastWrite.Add(writePause)))
+				delay.For(ctx, time.Until(wk.lastWrite.Add(writePause)))
 				return
 			}
 		}
--- a/internal/proof/balancer.go
+++ b/internal/proof/balancer.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"dandelionsail.example/dandelionsail/internal/delay"
 	"dandelionsail.example/dandelionsail/internal/fleet"
 )
 
@@ -90,7 +91,7 @@
 
 // run probes the instances until the context ends.
 func (bl *balancer) run(ctx context.Context) error {
-	for pause(ctx, probePeriod) == nil {
+	for delay.For(ctx, probePeriod) {
 		var probes sync.WaitGroup
 		for _, mb := range bl.all() {
 			probes.Go(func() { bl.probe(ctx, mb) })
--- a/internal/proof/callers.go
+++ b/internal/proof/callers.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"dandelionsail.example/dandelionsail/internal/delay"
 	"dandelionsail.example/dandelionsail/internal/entry"
 	"dandelionsail.example/dandelionsail/internal/load"
 )
@@ -84,7 +85,7 @@
 	began := time.Now()
 	for number := 0; ; number++ {
 		due := began.Add(time.Duration(float64(number) / cs.opts.Rate * float64(time.Second)))
-		if pause(ctx, time.Until(due)) != nil {
+		if !delay.For(ctx, time.Until(due)) {
 			return nil
 		}
 		knd, draw := cs.draw(), cs.random.Uint64()
@@ -160,7 +161,7 @@
 				return
 			}
 		}
-		_ = pause(ctx, resendPause)
+		delay.For(ctx, resendPause)
 	}
 }
 
--- a/internal/proof/check.go
+++ b/internal/proof/check.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"dandelionsail.example/dandelionsail/internal/delay"
 	"dandelionsail.example/dandelionsail/internal/load"
 	"dandelionsail.example/dandelionsail/internal/stand"
 )
@@ -147,8 +148,8 @@
 				ck.violated("engine memory left", fmt.Sprintf("%s holds %d tokens for %v", up.name, state.UsedTokens, state.Requests))
 				break
 			}
-			if err := pause(ctx, probePeriod); err != nil {
-				return err
+			if !delay.For(ctx, probePeriod) {
+				return ctx.Err()
 			}
 		}
 	}
--- a/internal/proof/inject.go
+++ b/internal/proof/inject.go
@@ -13,6 +13,7 @@
 	"github.com/joomcode/errorx"
 
 	"dandelionsail.example/dandelionsail/internal/conf"
+	"dandelionsail.example/dandelionsail/internal/delay"
 	"dandelionsail.example/dandelionsail/internal/fault"
 	"dandelionsail.example/dandelionsail/internal/load"
 	"dandelionsail.example/dandelionsail/internal/plat"
@@ -147,7 +148,7 @@
 		if err := st.store.Set(fault.Faults{LoseAnswer: lose}); err != nil {
 			return err
 		}
-		if pause(holding, losePeriod) != nil {
+		if !delay.For(holding, losePeriod) {
 			return st.store.Set(fault.Faults{})
 		}
 	}
@@ -174,7 +175,7 @@
 	for number := 0; ctx.Err() == nil; number++ {
 		cfg, err := log.Load(ctx)
 		if err != nil {
-			_ = pause(ctx, patchPause)
+			delay.For(ctx, patchPause)
 			continue
 		}
 		limit := fmt.Sprintf(`[{"op":"add","path":"/Services/lyric/Deadline","value":"%dms"}]`, deadline.Milliseconds())
@@ -186,7 +187,7 @@
 			landed++
 			st.accepted(version)
 		}
-		_ = pause(ctx, patchPause)
+		delay.For(ctx, patchPause)
 	}
 	return landed
 }
@@ -201,7 +202,7 @@
 		if err == nil || ctx.Err() != nil || errorx.IsOfType(err, conf.Stale) {
 			return version, err
 		}
-		_ = pause(ctx, patchPause)
+		delay.For(ctx, patchPause)
 	}
 }
 
@@ -236,7 +237,7 @@
 		if res.Status == 422 {
 			refused++
 		}
-		_ = pause(holding, 100*time.Millisecond)
+		delay.For(holding, 100*time.Millisecond)
 	}
 	for _, up := range st.of("lyric") {
 		if !up.ended() {
--- a/internal/proof/proof.go
+++ b/internal/proof/proof.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+
+	"dandelionsail.example/dandelionsail/internal/delay"
 )
 
 // Options are the settings of one run.
@@ -80,8 +82,8 @@
 
 // stage lets the run's parts follow each other in time.
 func (st *site) stage(ctx context.Context, opts Options, faults []faultFunc) error {
-	if err := pause(ctx, opts.Before); err != nil {
-		return err
+	if !delay.For(ctx, opts.Before) {
+		return ctx.Err()
 	}
 	st.injectedAt = time.Now()
 	holding, undo := context.WithTimeout(ctx, opts.Hold)
@@ -94,19 +96,8 @@
 		return fmt.Errorf("proof: a fault could not be injected: %w", err)
 	}
 	st.undoneAt = time.Now()
-	return pause(ctx, opts.After)
-}
-
-// pause waits for the period; the error is the context's.
-func pause(ctx context.Context, period time.Duration) error {
-	timer := time.NewTimer(period)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
+	delay.For(ctx, opts.After)
+	return ctx.Err()
 }
 
 // Seen returns the outcomes in one line.
--- a/internal/proof/versions.go
+++ b/internal/proof/versions.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"dandelionsail.example/dandelionsail/internal/delay"
 	"dandelionsail.example/dandelionsail/internal/entry"
 	"dandelionsail.example/dandelionsail/internal/load"
 )
@@ -25,7 +26,7 @@
 
 // run looks until the context ends.
 func (vs *versions) run(ctx context.Context) error {
-	for pause(ctx, versionPeriod) == nil {
+	for delay.For(ctx, versionPeriod) {
 		for _, mb := range vs.st.balancer.all() {
 			if version, ok := vs.version(ctx, mb); ok {
 				vs.saw(mb.name, version)
--- a/internal/slope/state.go
+++ b/internal/slope/state.go
@@ -57,55 +57,49 @@
 	return max(0, after-before)
 }
 
-func measure(name, unit, variable string, sizes []float64, value func(size int) float64) Series {
-	sr := Series{Name: name, Unit: unit, Variable: variable, Command: "sailbench slopes state"}
-	for _, size := range sizes {
-		sr.Samples = append(sr.Samples, Sample{Size: size, Value: value(int(size))})
-	}
-	return sr
-}
-
 // MeasureState measures the memory and time of the reducer and the configuration in this process.
 func MeasureState(progress func(done string)) []Series {
-	steps := []func() Series{
-		func() Series {
-			return measure(ReplicaMemory, "B", "Replicas", replicaSizes, func(size int) float64 {
-				return grown(func() any { return instance(size, 10) })
-			})
-		},
-		func() Series {
-			return measure(OrganisationMemory, "B", "Organisations", organisationSizes, func(size int) float64 {
-				return grown(func() any { return config(size) })
-			})
-		},
-		func() Series {
-			return measure(RequestMemory, "B", "OpenRequests", requestSizes, openRequests)
-		},
-		func() Series {
-			return measure(RequestTime, "ns", "Replicas", replicaSizes, requestTime)
-		},
-		func() Series {
-			return measure(ReportTime, "ns", "Replicas", replicaSizes, reportTime)
-		},
-		func() Series {
-			return measure(TickTime, "ns", "Replicas", replicaSizes, tickTime)
-		},
-		func() Series {
-			return measure(ConfigApplyTime, "ns", "Organisations", organisationSizes, applyTime)
-		},
-		func() Series {
-			return measure(ObjectiveMemory, "B", "Objectives", objectiveSizes, objectiveMemory)
-		},
+	steps := []measurement{
+		{ReplicaMemory, "B", "Replicas", replicaSizes, replicaMemory},
+		{OrganisationMemory, "B", "Organisations", organisationSizes, organisationMemory},
+		{RequestMemory, "B", "OpenRequests", requestSizes, openRequests},
+		{RequestTime, "ns", "Replicas", replicaSizes, requestTime},
+		{ReportTime, "ns", "Replicas", replicaSizes, reportTime},
+		{TickTime, "ns", "Replicas", replicaSizes, tickTime},
+		{ConfigApplyTime, "ns", "Organisations", organisationSizes, applyTime},
+		{ObjectiveMemory, "B", "Objectives", objectiveSizes, objectiveMemory},
 	}
 	series := make([]Series, 0, len(steps))
 	for _, step := range steps {
-		sr := step()
-		progress(sr.Name)
-		series = append(series, sr)
+		series = append(series, step.run())
+		progress(step.name)
 	}
 	return series
 }
 
+// measurement is a value to be measured at each of the sizes.
+type measurement struct {
+	name, unit, variable string
+	sizes                []float64
+	value                func(size int) float64
+}
+
+func (ms measurement) run() Series {
+	sr := Series{Name: ms.name, Unit: ms.unit, Variable: ms.variable, Command: "sailbench slopes state"}
+	for _, size := range ms.sizes {
+		sr.Samples = append(sr.Samples, Sample{Size: size, Value: ms.value(int(size))})
+	}
+	return sr
+}
+
+func replicaMemory(size int) float64 {
+	return grown(func() any { return instance(size, 10) })
+}
+
+func organisationMemory(size int) float64 {
+	return grown(func() any { return config(size) })
+}
+
 // config returns a configuration of the organisations and of as many services as there are models.
 func config(organisations int) *decl.Config {
 	cfg := &decl.Config{Version: 1, Organisations: map[string]decl.Organisation{}, Services: map[string]decl.Service{}}
--- a/internal/stand/engine_orders.go
+++ b/internal/stand/engine_orders.go
@@ -12,6 +12,7 @@
 	"strings"
 	"time"
 
+	"dandelionsail.example/dandelionsail/internal/delay"
 	"dandelionsail.example/dandelionsail/internal/upstr"
 )
 
@@ -124,7 +125,7 @@
 			}
 		}
 		if err := en.loadWeights(ctx, missing[0]); err != nil {
-			pause(ctx, weightsRetry)
+			delay.For(ctx, weightsRetry)
 			continue
 		}
 		en.loaded(missing[0])
@@ -144,7 +145,7 @@
 // loadWeights takes the load time, or as long as the weight store takes to hand the weights out.
 func (en *Engine) loadWeights(ctx context.Context, name string) error {
 	if en.opts.Weights == "" {
-		pause(ctx, en.opts.LoadTime)
+		delay.For(ctx, en.opts.LoadTime)
 		return ctx.Err()
 	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+en.opts.Weights+PathWeights+url.PathEscape(name), nil)
@@ -157,18 +158,9 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if resp.StatusCode != http.StatusOK {
-		pause(ctx, upstr.RetryAfter(resp.Header))
+		delay.For(ctx, upstr.RetryAfter(resp.Header))
 		return fmt.Errorf("stand: the weight store answered %s for %s; it may be busy", resp.Status, name)
 	}
 	_, err = io.Copy(io.Discard, resp.Body)
 	return err
 }
-
-func pause(ctx context.Context, period time.Duration) {
-	timer := time.NewTimer(period)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/stand/faults.go
+++ b/internal/stand/faults.go
@@ -6,10 +6,10 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
-	"time"
 
 	"golang.org/x/time/rate"
 
+	"dandelionsail.example/dandelionsail/internal/delay"
 	"dandelionsail.example/dandelionsail/internal/store"
 	"dandelionsail.example/dandelionsail/pkg/decl"
 )
@@ -137,7 +137,7 @@
 		return &store.Status{Code: codeResourceExhausted, Message: "rate limit exceeded"}, nil
 	}
 	if fs.Delay > 0 {
-		wait(ctx, fs.Delay.Std())
+		delay.For(ctx, fs.Delay.Std())
 	}
 	return nil, ctx.Err()
 }
@@ -178,12 +178,3 @@
 		_ = json.NewEncoder(w).Encode(gt.snapshot())
 	})
 }
-
-func wait(ctx context.Context, period time.Duration) {
-	timer := time.NewTimer(period)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/stand/weights.go
+++ b/internal/stand/weights.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"golang.org/x/time/rate"
+
+	"dandelionsail.example/dandelionsail/internal/delay"
 )
 
 // PathWeights is where the weight store serves weights, followed by "name@version" or "name@version:adapter".
@@ -66,7 +68,7 @@
 		http.Error(w, "over the rate of the weight store; load less often", http.StatusTooManyRequests)
 		return
 	}
-	wait(req.Context(), ws.Time)
+	delay.For(req.Context(), ws.Time)
 	_, _ = w.Write([]byte(name))
 }
 
