One translation of peers' messages, one timer of slopes; dead names out

The shell and the reducer's fuzz test each turned peers' messages into events by a switch of their own, and the test's lacked two: wire.Event serves both, so the fuzz covers demands and shares too. Five measurements repeated the loop of a benchmark. route.SpeedOf and one series name had no reader.

--- a/internal/core/peers_test.go
+++ b/internal/core/peers_test.go
@@ -71,25 +71,8 @@
 	if err != nil {
 		return nil
 	}
-	switch msg := msg.(type) {
-	case wire.Probe:
-		return event.Probed(msg)
-	case wire.ProbeAck:
-		return event.ProbeAcked(msg)
-	case wire.Gossip:
-		return event.Gossiped(msg)
-	case wire.PermitAsk:
-		return event.PermitAsked(msg)
-	case wire.PermitGrant:
-		return event.PermitGranted(msg)
-	case wire.PermitReturn:
-		return event.PermitReturned(msg)
-	case wire.PermitRenew:
-		return event.PermitRenewed(msg)
-	case wire.PermitState:
-		return event.PermitsKnown(msg)
-	}
-	return nil
+	ev, _ := wire.Event(msg)
+	return ev
 }
 
 func TestLostCoordinatorsLeaveShortWay(t *testing.T) {
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -48,26 +48,10 @@
 		in.hearQuarantine(msg)
 	case wire.QuarantineWant:
 		return in.quarantines()
-	case wire.Demand:
-		in.loop.Submit(event.DemandHeard{From: msg.From, Demands: msg.Demands})
-	case wire.Shares:
-		in.loop.Submit(event.SharesHeard{Shares: msg.Shares})
-	case wire.PermitAsk:
-		in.loop.Submit(event.PermitAsked(msg))
-	case wire.PermitGrant:
-		in.loop.Submit(event.PermitGranted(msg))
-	case wire.PermitReturn:
-		in.loop.Submit(event.PermitReturned(msg))
-	case wire.PermitRenew:
-		in.loop.Submit(event.PermitRenewed(msg))
-	case wire.PermitState:
-		in.loop.Submit(event.PermitsKnown(msg))
-	case wire.Probe:
-		in.loop.Submit(event.Probed(msg))
-	case wire.ProbeAck:
-		in.loop.Submit(event.ProbeAcked(msg))
-	case wire.Gossip:
-		in.loop.Submit(event.Gossiped(msg))
+	default:
+		if ev, ok := wire.Event(msg); ok {
+			in.loop.Submit(ev)
+		}
 	}
 	return nil
 }
--- a/internal/route/pool.go
+++ b/internal/route/pool.go
@@ -163,11 +163,6 @@
 	return float64(st.poolOf(service).live) / float64(st.live)
 }
 
-// SpeedOf returns what is known of the service's speed.
-func (st *State) SpeedOf(service string) Speed {
-	return st.poolOf(service).Speed
-}
-
 // Work estimates how long a request keeps a replica busy: its prefill, and its part of a full batch while it decodes.
 func (st *State) Work(service string, prompt, answer int64) time.Duration {
 	pl := st.poolOf(service)
--- a/internal/slope/items.go
+++ b/internal/slope/items.go
@@ -2,21 +2,20 @@
 
 // Series that other measurements give.
 const (
-	IdleBytes        = "Instance.IdleBytes"
-	IdleProcessor    = "Instance.IdleProcessor"
-	IdleMemory       = "Instance.IdleMemory"
-	PermitBytes      = "Permit.Bytes"
-	PermitTime       = "Permit.DecisionTime"
-	PermitMemory     = "Permit.Memory"
-	UsageBytes       = "Usage.Bytes"
-	RelayBytes       = "Config.RelayBytes"
-	ListBytes        = "Platform.ListBytes"
-	ReportBytes      = "Engine.ReportBytes"
-	ConfigReads      = "Store.ConfigReads"
-	ConfigWrites     = "Store.ConfigWrites"
-	ClaimWrites      = "Store.ClaimWrites"
-	LeaseWrites      = "Store.LeaseWrites"
-	EntryRequestCost = "Entry.RequestProcessor"
+	IdleBytes     = "Instance.IdleBytes"
+	IdleProcessor = "Instance.IdleProcessor"
+	IdleMemory    = "Instance.IdleMemory"
+	PermitBytes   = "Permit.Bytes"
+	PermitTime    = "Permit.DecisionTime"
+	PermitMemory  = "Permit.Memory"
+	UsageBytes    = "Usage.Bytes"
+	RelayBytes    = "Config.RelayBytes"
+	ListBytes     = "Platform.ListBytes"
+	ReportBytes   = "Engine.ReportBytes"
+	ConfigReads   = "Store.ConfigReads"
+	ConfigWrites  = "Store.ConfigWrites"
+	ClaimWrites   = "Store.ClaimWrites"
+	LeaseWrites   = "Store.LeaseWrites"
 )
 
 // Roles of the capacity tables.
--- a/internal/slope/permits.go
+++ b/internal/slope/permits.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"strconv"
-	"testing"
 	"time"
 
 	"dandelionsail.example/dandelionsail/internal/event"
@@ -74,13 +73,10 @@
 	for i := range permitWaiting {
 		co.Reduce(now, permitAsk("wait-"+strconv.Itoa(i), int64(replicas)*permitMemory*8/10))
 	}
-	result := testing.Benchmark(func(bm *testing.B) {
-		for range bm.N {
-			co.Reduce(now, permitAsk("request", permitMemory/2))
-			co.Reduce(now, event.PermitReturned{Request: "request", Service: "lyric", FailureDomain: "a"})
-		}
+	return timed(func(int) {
+		co.Reduce(now, permitAsk("request", permitMemory/2))
+		co.Reduce(now, event.PermitReturned{Request: "request", Service: "lyric", FailureDomain: "a"})
 	})
-	return perOperation(result)
 }
 
 func reservedMemory(permits int) float64 {
--- a/internal/slope/state.go
+++ b/internal/slope/state.go
@@ -171,61 +171,54 @@
 // requestTime is the reducer's whole time for one short request: arrival, first byte, end.
 func requestTime(replicas int) float64 {
 	st := instance(replicas, 1700)
-	number := 0
-	result := testing.Benchmark(func(bm *testing.B) {
-		for range bm.N {
-			number++
-			now := epoch.Add(time.Duration(number) * time.Millisecond)
-			id := event.RequestID(number)
-			ev := arrival(number)
-			ev.Deadline = now.Add(time.Minute)
-			st.Reduce(now, ev)
-			name := st.Requests[id].Upstreams[0].Name
-			st.Reduce(now, event.Answering{ID: id, Attempt: 1})
-			st.Reduce(now, event.AttemptEnded{ID: id, Attempt: 1, Upstream: name, Result: event.ResultDone})
-		}
+	return timed(func(number int) {
+		now := epoch.Add(time.Duration(number) * time.Millisecond)
+		id := event.RequestID(number)
+		ev := arrival(number)
+		ev.Deadline = now.Add(time.Minute)
+		st.Reduce(now, ev)
+		name := st.Requests[id].Upstreams[0].Name
+		st.Reduce(now, event.Answering{ID: id, Attempt: 1})
+		st.Reduce(now, event.AttemptEnded{ID: id, Attempt: 1, Upstream: name, Result: event.ResultDone})
 	})
-	return perOperation(result)
 }
 
 func perOperation(result testing.BenchmarkResult) float64 {
 	return float64(result.T.Nanoseconds()) / float64(result.N)
 }
 
-func reportTime(replicas int) float64 {
-	st := instance(replicas, 10)
+// timed returns the nanoseconds of one step; step is told its number, from 1.
+func timed(step func(number int)) float64 {
 	number := 0
-	result := testing.Benchmark(func(bm *testing.B) {
+	return perOperation(testing.Benchmark(func(bm *testing.B) {
 		for range bm.N {
 			number++
-			now := epoch.Add(time.Duration(number) * time.Millisecond)
-			st.Reduce(now, event.LoadReported{Upstream: "replica-" + strconv.Itoa(number%replicas), At: now, Load: event.Load{Running: 1}})
+			step(number)
 		}
+	}))
+}
+
+func reportTime(replicas int) float64 {
+	st := instance(replicas, 10)
+	return timed(func(number int) {
+		now := epoch.Add(time.Duration(number) * time.Millisecond)
+		st.Reduce(now, event.LoadReported{Upstream: "replica-" + strconv.Itoa(number%replicas), At: now, Load: event.Load{Running: 1}})
 	})
-	return perOperation(result)
 }
 
 // tickTime is the time of a tick with nothing to do.
 func tickTime(replicas int) float64 {
 	st := instance(replicas, 10)
-	number := 0
-	result := testing.Benchmark(func(bm *testing.B) {
-		for range bm.N {
-			number++
-			st.Reduce(epoch.Add(time.Duration(number)*event.TickPeriod), event.Ticked{})
-		}
+	return timed(func(number int) {
+		st.Reduce(epoch.Add(time.Duration(number)*event.TickPeriod), event.Ticked{})
 	})
-	return perOperation(result)
 }
 
 func applyTime(organisations int) float64 {
 	cfg := config(organisations)
-	result := testing.Benchmark(func(bm *testing.B) {
-		for range bm.N {
-			applyOne(cfg)
-		}
+	return timed(func(int) {
+		applyOne(cfg)
 	})
-	return perOperation(result)
 }
 
 func objectiveMemory(size int) float64 {
