--- a/internal/cmds/cmds.go
+++ b/internal/cmds/cmds.go
@@ -24,6 +24,7 @@
 		"Exit codes: 0 done, 1 failed, 2 wrong command line or setting, 3 another's change came first."
 	add(parser.Command, []command{
 		{"entry", "Run an entry instance", &entryCommand{}},
+		{"relay", "Run an instance that passes requests on as callers sent them", &relayCommand{}},
 		{"demo", "Run everything on loopback, send a few requests and report", &demoCommand{}},
 		{"status", "Show instances, upstreams, pools and what is out of service", &statusCommand{}},
 		{"report", "Show the service-level burn over all instances", &reportCommand{}},
--- /dev/null
+++ b/internal/relay/attempt.go
@@ -0,0 +1,239 @@
+package relay
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"dandelionsail.example/dandelionsail/internal/steer"
+)
+
+const (
+	// dialTimeout bounds a new connection; a live replica takes one in a few milliseconds.
+	dialTimeout = 600 * time.Millisecond
+	// idleReplica is how long a connection to a replica is kept, less than replicas keep theirs.
+	idleReplica = 3 * time.Second
+	// probeTimeout bounds the look whether a replica that broke off still takes connections.
+	probeTimeout = 250 * time.Millisecond
+	// maxAnswer is the longest plain answer; it is held until it is whole.
+	maxAnswer = 8 << 20
+	// leastLeft is the shortest time worth telling a replica.
+	leastLeft = time.Millisecond
+)
+
+func newTransport(fresh bool) *http.Transport {
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
+	return &http.Transport{
+		DialContext:         dialer.DialContext,
+		DisableCompression:  true,
+		DisableKeepAlives:   fresh,
+		MaxIdleConnsPerHost: 4,
+		IdleConnTimeout:     idleReplica,
+		ReadBufferSize:      4 << 10,
+		WriteBufferSize:     4 << 10,
+	}
+}
+
+// answer is a whole answer of a replica.
+type answer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+func (an *answer) write(cl *call) {
+	copyHeader(cl.w.Header(), an.header)
+	cl.w.Header().Set("Content-Length", strconv.Itoa(len(an.body)))
+	cl.headerOut = true
+	cl.w.WriteHeader(an.status)
+	_, _ = cl.w.Write(an.body)
+}
+
+// attempt sends the request to a replica, passes its answer on and returns how that ended.
+func (in *Instance) attempt(cl *call, eff steer.Send) steer.AttemptEnded {
+	ctx, cancel := context.WithDeadline(cl.req.Context(), eff.Deadline)
+	defer cancel()
+	cl.mu.Lock()
+	cl.attempt, cl.cancel = eff.Attempt, cancel
+	cl.mu.Unlock()
+	tr := &try{in: in, cl: cl, eff: eff, ended: steer.AttemptEnded{ID: cl.id, Attempt: eff.Attempt}}
+	tr.ended.Result = tr.run(ctx)
+	if tr.ended.Result == steer.ResultBroken && ctx.Err() == nil {
+		tr.ended.Died = died(ctx, eff.Replica.Address)
+	}
+	tr.ended.Events = cl.events
+	tr.ended.Begun = cl.headerOut
+	return tr.ended
+}
+
+// try is one attempt under way.
+type try struct {
+	in    *Instance
+	cl    *call
+	eff   steer.Send
+	ended steer.AttemptEnded
+	// wrote tells that the request may have left, silent that the replica made no progress in its time.
+	wrote  atomic.Bool
+	silent atomic.Bool
+	timer  *time.Timer
+	last   time.Time
+}
+
+func (tr *try) run(ctx context.Context) steer.Result {
+	watched, cancel := context.WithCancel(ctx)
+	defer cancel()
+	tr.timer = time.AfterFunc(tr.eff.FirstBy, func() {
+		tr.silent.Store(true)
+		cancel()
+	})
+	defer tr.timer.Stop()
+	transport := tr.in.kept
+	if tr.eff.Fresh {
+		transport = tr.in.fresh1
+	}
+	resp, err := transport.RoundTrip(tr.request(watched))
+	if err != nil {
+		return tr.failed(ctx)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return tr.receive(ctx, resp)
+}
+
+// failed classifies an attempt without a whole answer.
+func (tr *try) failed(ctx context.Context) steer.Result {
+	switch {
+	case !tr.wrote.Load():
+		return steer.ResultNotSent
+	case tr.silent.Load():
+		return steer.ResultSilent
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return steer.ResultExpired
+	case ctx.Err() != nil:
+		return steer.ResultCancelled
+	}
+	return steer.ResultBroken
+}
+
+func (tr *try) request(ctx context.Context) *http.Request {
+	cl := tr.cl
+	// A connection that was had may carry the request from here on, whatever error follows.
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { tr.wrote.Store(true) }})
+	req := (&http.Request{
+		Method: cl.req.Method, Host: cl.req.Host, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		URL:    target(cl.req, tr.eff.Replica.Address),
+		Header: forwarded(cl.req.Header),
+	}).WithContext(ctx)
+	if len(cl.body) > 0 {
+		req.Body = io.NopCloser(bytes.NewReader(cl.body))
+		req.ContentLength = int64(len(cl.body))
+	}
+	if _, ok := req.Header["User-Agent"]; !ok {
+		// Without it the library would add its own.
+		req.Header["User-Agent"] = []string{""}
+	}
+	dress := Dress{
+		Replica: tr.eff.Replica.Name, Organisation: cl.org, Left: max(leastLeft, time.Until(tr.eff.Deadline)),
+		Priority: tr.eff.Priority, After: cl.after,
+	}
+	for _, helper := range tr.eff.Helpers {
+		dress.Helpers = append(dress.Helpers, helper.Address)
+	}
+	tr.in.protocol.Dress(req.Header, dress)
+	return req
+}
+
+// target keeps the path as the caller wrote it.
+func target(req *http.Request, address string) *url.URL {
+	if strings.HasPrefix(req.RequestURI, "/") && !strings.HasPrefix(req.RequestURI, "//") {
+		return &url.URL{Scheme: "http", Host: address, Opaque: req.RequestURI}
+	}
+	return &url.URL{Scheme: "http", Host: address, Path: req.URL.Path, RawPath: req.URL.RawPath, RawQuery: req.URL.RawQuery}
+}
+
+// hopHeaders concern one connection only.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect",
+}
+
+func forwarded(header http.Header) http.Header {
+	kept := header.Clone()
+	for _, list := range header["Connection"] {
+		for name := range strings.SplitSeq(list, ",") {
+			kept.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		kept.Del(name)
+	}
+	return kept
+}
+
+func copyHeader(to, from http.Header) {
+	closing := to.Get("Connection")
+	for name, values := range forwarded(from) {
+		to[name] = values
+	}
+	if closing != "" {
+		to.Set("Connection", closing)
+	}
+	if from.Get("Content-Type") == "" {
+		// Without it the library would guess one.
+		to["Content-Type"] = nil
+	}
+}
+
+func (tr *try) receive(ctx context.Context, resp *http.Response) steer.Result {
+	reply := tr.in.protocol.Reply(resp)
+	tr.ended.Status = resp.StatusCode
+	tr.ended.At = reply.At
+	if reply.Name != tr.cl.ask.Name && reply.Name != "" {
+		// An answer to another request, which came late on a kept connection.
+		return steer.ResultBroken
+	}
+	switch {
+	case reply.Misdirected:
+		return steer.ResultMisdirected
+	case reply.NotRun:
+		return steer.ResultNotRun
+	case !reply.Sealed || resp.Header.Get("Content-Encoding") != "":
+		return steer.ResultBroken
+	case tr.cl.route.Stream && resp.StatusCode < http.StatusMultipleChoices:
+		return tr.stream(ctx, resp)
+	}
+	return tr.whole(ctx, resp)
+}
+
+// whole holds an answer until all of it is here, so that one that breaks off can be replaced.
+func (tr *try) whole(ctx context.Context, resp *http.Response) steer.Result {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	if err != nil {
+		return tr.failed(ctx)
+	}
+	an := &answer{status: resp.StatusCode, header: resp.Header, body: body}
+	if resp.StatusCode >= http.StatusMultipleChoices || tr.cl.headerOut {
+		tr.cl.failure = an
+		return steer.ResultAnswered
+	}
+	tr.in.apply(steer.Began{ID: tr.cl.id, Attempt: tr.eff.Attempt})
+	an.write(tr.cl)
+	return steer.ResultDone
+}
+
+// died tells that the replica takes no new connection.
+func died(ctx context.Context, address string) bool {
+	conn, err := (&net.Dialer{Timeout: probeTimeout}).DialContext(ctx, "tcp", address)
+	if err != nil {
+		return ctx.Err() == nil
+	}
+	_ = conn.Close()
+	return false
+}
--- /dev/null
+++ b/internal/relay/instance.go
@@ -0,0 +1,247 @@
+package relay
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/phuslu/log"
+	"golang.org/x/sync/errgroup"
+
+	"dandelionsail.example/dandelionsail/internal/delay"
+	"dandelionsail.example/dandelionsail/internal/steer"
+	"dandelionsail.example/dandelionsail/pkg/decl"
+)
+
+const (
+	// drainNotice is the time for a balancer that asks every second and believes two misses.
+	drainNotice = 2500 * time.Millisecond
+	// lastWords is what is left of the grace when the process ends by itself.
+	lastWords = 400 * time.Millisecond
+	// idleTimeout is how long a caller's connection may rest where the configuration does not say.
+	idleTimeout = 60 * time.Second
+	// headerTimeout and maxHeader bound a request's head.
+	headerTimeout = 8 * time.Second
+	maxHeader     = 64 << 10
+	// tickBusy and tickIdle are how often the reducer is told that time passes, with and without waiting requests.
+	tickBusy = 10 * time.Millisecond
+	tickIdle = 200 * time.Millisecond
+	// collectAt is the heap growth in percent after which garbage is collected: the heap is a few MB, and memory costs
+	// more than the little processor time.
+	collectAt = 40
+)
+
+// Instance is one running instance.
+type Instance struct {
+	opts      Options
+	self      Peer
+	directory Directory
+	protocol  Protocol
+	log       *log.Logger
+	kept      *http.Transport
+	fresh1    *http.Transport
+	notes     *notes
+
+	routing atomic.Pointer[decl.Routing]
+	// confirmed is the boot time at which the question was asked that last confirmed the configuration.
+	confirmed atomic.Int64
+	draining  atomic.Bool
+	nextID    atomic.Uint64
+
+	// mu guards the reducer and the calls.
+	mu    sync.Mutex
+	state *steer.State
+	calls map[steer.RequestID]*call
+}
+
+// New returns an instance that has not started.
+func New(opts Options, directory Directory, protocol Protocol, logger *log.Logger) *Instance {
+	seed := opts.Seed
+	if seed == 0 {
+		seed = xxhash.Sum64String(opts.Name)
+	}
+	in := &Instance{
+		opts:      opts,
+		self:      Peer{Name: opts.Name, Address: opts.PeerListen},
+		directory: directory,
+		protocol:  protocol,
+		log:       logger,
+		kept:      newTransport(false),
+		fresh1:    newTransport(true),
+		calls:     map[steer.RequestID]*call{},
+	}
+	in.state = steer.New(steer.Options{
+		Name: opts.Name, FailureDomain: opts.FailureDomain, Run: time.Now().UnixMicro(), Seed: seed, MissingTime: opts.MissingTime,
+		Budget: steer.Budget{Ratio: opts.BudgetRatio, Slack: opts.BudgetSlack, Window: opts.BudgetWindow},
+	})
+	return in
+}
+
+// Run serves until the context ends, then drains and returns.
+func (in *Instance) Run(ctx context.Context) error {
+	debug.SetGCPercent(collectAt)
+	callers, err := listen("listen", in.opts.Listen)
+	if err != nil {
+		return err
+	}
+	balancer, err := listen("ready-listen", in.opts.ReadyListen)
+	if err != nil {
+		return err
+	}
+	in.notes, err = openNotes(in)
+	if err != nil {
+		return err
+	}
+	parts, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	front := &http.Server{
+		Handler: http.HandlerFunc(in.serve), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
+	}
+	ready := &http.Server{Handler: http.HandlerFunc(in.readyz), ReadHeaderTimeout: headerTimeout}
+	group, parts := errgroup.WithContext(parts)
+	group.Go(func() error { return (&follower{in: in}).run(parts) })
+	group.Go(func() error { return in.announce(parts) })
+	group.Go(func() error { return in.tick(parts) })
+	group.Go(func() error { return in.notes.run(parts) })
+	group.Go(func() error { return unlessClosed(front.Serve(callers)) })
+	group.Go(func() error { return unlessClosed(ready.Serve(balancer)) })
+	group.Go(func() error {
+		select {
+		case <-ctx.Done():
+		case <-parts.Done():
+		}
+		defer stop()
+		in.drain(front)
+		return ready.Close()
+	})
+	in.log.Info().Str("Instance", in.opts.Name).Str("Address", in.opts.Listen).Msg("started")
+	err = group.Wait()
+	in.log.Info().Str("Instance", in.opts.Name).Msg("stopped")
+	if ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
+
+func listen(flag, address string) (net.Listener, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, Errors.NewType("listen").Wrap(err, "relay: --%s %s cannot be used; choose a free address", flag, address)
+	}
+	return listener, nil
+}
+
+func unlessClosed(err error) error {
+	if err == http.ErrServerClosed {
+		return nil
+	}
+	return err
+}
+
+// drain stops without cutting an answer: readiness goes off, the balancer gets time to see it while connections are
+// still taken, and what was begun finishes.
+func (in *Instance) drain(front *http.Server) {
+	ended := time.Now().Add(in.opts.Grace - lastWords)
+	in.draining.Store(true)
+	in.log.Info().Str("Instance", in.opts.Name).Int("Open", in.open()).Msg("draining")
+	delay.For(context.Background(), drainNotice)
+	limited, cancel := context.WithDeadline(context.Background(), ended)
+	defer cancel()
+	if err := front.Shutdown(limited); err != nil {
+		in.log.Warn().Int("Open", in.open()).Err(err).Msg("grace is over with requests open")
+		_ = front.Close()
+	}
+}
+
+func (in *Instance) open() int {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return in.state.Open()
+}
+
+// readyz tells the balancer whether to send callers here.
+func (in *Instance) readyz(w http.ResponseWriter, _ *http.Request) {
+	if !in.ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+func (in *Instance) ready() bool {
+	if in.draining.Load() || !in.configured() || !in.fresh(readyAge) {
+		return false
+	}
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return in.state.Usable()
+}
+
+func (in *Instance) configured() bool { return in.routing.Load() != nil }
+
+// install brings a version into force; an older one than that in force is left out.
+func (in *Instance) install(routing *decl.Routing) {
+	if routing == nil {
+		return
+	}
+	if now := in.routing.Load(); now != nil && routing.Version <= now.Version {
+		return
+	}
+	in.routing.Store(routing)
+	in.apply(steer.Configured{Routing: routing})
+	in.log.Info().Int64("Version", routing.Version).Int("Routes", len(routing.Routes)).Msg("configuration in force")
+}
+
+// tick tells the reducer that time passes.
+func (in *Instance) tick(ctx context.Context) error {
+	for ctx.Err() == nil {
+		pause := tickIdle
+		if in.waiting() > 0 {
+			pause = tickBusy
+		}
+		delay.For(ctx, pause)
+		in.apply(steer.Ticked{})
+	}
+	return ctx.Err()
+}
+
+func (in *Instance) waiting() int {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return in.state.Waiting()
+}
+
+// apply hands an event to the reducer and carries out what it decides; nothing of that blocks.
+func (in *Instance) apply(ev steer.Event) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	for _, eff := range in.state.Reduce(time.Now(), ev) {
+		in.perform(eff)
+	}
+}
+
+func (in *Instance) perform(eff steer.Effect) {
+	switch eff := eff.(type) {
+	case steer.Send:
+		in.mail(eff.ID, eff)
+	case steer.Finish:
+		in.mail(eff.ID, eff)
+	case steer.Abort:
+		if cl, ok := in.calls[eff.ID]; ok {
+			cl.abort(eff.Attempt)
+		}
+	case steer.Tell:
+		in.notes.tell(eff.Note)
+	case steer.Line:
+		in.logLine(eff)
+	}
+}
+
+func (in *Instance) mail(id steer.RequestID, eff steer.Effect) {
+	if cl, ok := in.calls[id]; ok {
+		cl.mail <- eff
+	}
+}
--- /dev/null
+++ b/internal/relay/options.go
@@ -0,0 +1,57 @@
+package relay
+
+import (
+	"net"
+	"time"
+)
+
+// Options are the settings of one instance.
+type Options struct {
+	Name          string        `long:"name" env:"DANDELIONSAIL_NAME" description:"name of this instance, unique in the fleet" required:"yes"`
+	FailureDomain string        `long:"failure-domain" env:"DANDELIONSAIL_FAILURE_DOMAIN" description:"failure domain of this instance" required:"yes"`
+	Listen        string        `long:"listen" env:"DANDELIONSAIL_LISTEN" description:"address for callers, host:port" required:"yes"`
+	ReadyListen   string        `long:"ready-listen" env:"DANDELIONSAIL_READY_LISTEN" description:"address that tells the balancer whether this instance is ready, host:port" required:"yes"`
+	PeerListen    string        `long:"peer-listen" env:"DANDELIONSAIL_PEER_LISTEN" description:"UDP address for the other instances' notes, host:port" required:"yes"`
+	MetricsListen string        `long:"metrics-listen" env:"DANDELIONSAIL_METRICS_LISTEN" description:"address for metrics, host:port; empty serves none"`
+	Store         string        `long:"store" env:"DANDELIONSAIL_STORE" description:"address of the platform's store, host:port" required:"yes"`
+	Grace         time.Duration `long:"grace" env:"DANDELIONSAIL_GRACE" description:"time from the order to stop until the process is killed" default:"8s"`
+	TokenLife     time.Duration `long:"token-life" env:"DANDELIONSAIL_TOKEN_LIFE" description:"how long a token may be used after the store last confirmed the configuration that holds it" default:"5s"`
+	ConfigLag     time.Duration `long:"config-lag" env:"DANDELIONSAIL_CONFIG_LAG" description:"time within which a change in the store must be in force here" default:"2s"`
+	MissingTime   time.Duration `long:"missing-time" env:"DANDELIONSAIL_MISSING_TIME" description:"how long a replica stays in use that the store left out after an outage" default:"2s"`
+	BudgetRatio   float64       `long:"budget-ratio" env:"DANDELIONSAIL_BUDGET_RATIO" description:"repeats that all instances together may send for each request" default:"0.2"`
+	BudgetSlack   float64       `long:"budget-slack" env:"DANDELIONSAIL_BUDGET_SLACK" description:"repeats that they may send beyond that in a window" default:"20"`
+	BudgetWindow  time.Duration `long:"budget-window" env:"DANDELIONSAIL_BUDGET_WINDOW" description:"window of the budget for repeats" default:"10s"`
+	MaxBody       int64         `long:"max-body" env:"DANDELIONSAIL_MAX_BODY" description:"longest request body in bytes where the configuration names none" default:"8388608"`
+	Seed          uint64        `long:"seed" env:"DANDELIONSAIL_SEED" description:"seed of random choices; 0 takes one from the name" default:"0"`
+}
+
+// Check returns a BadOption error that names the flag, its value and what is allowed.
+func (opts *Options) Check() error {
+	addresses := map[string]string{
+		"listen": opts.Listen, "ready-listen": opts.ReadyListen, "peer-listen": opts.PeerListen, "store": opts.Store,
+	}
+	if opts.MetricsListen != "" {
+		addresses["metrics-listen"] = opts.MetricsListen
+	}
+	for flag, address := range addresses {
+		host, _, err := net.SplitHostPort(address)
+		if err != nil || net.ParseIP(host) == nil {
+			return BadOption.New("relay: --%s is %q; give an IP number and a port, such as 127.0.0.1:8080", flag, address)
+		}
+	}
+	periods := map[string]time.Duration{
+		"grace": opts.Grace, "token-life": opts.TokenLife, "config-lag": opts.ConfigLag, "budget-window": opts.BudgetWindow,
+	}
+	for flag, period := range periods {
+		if period < 100*time.Millisecond {
+			return BadOption.New("relay: --%s is %s; give 100ms or more", flag, period)
+		}
+	}
+	if opts.BudgetRatio < 0 || opts.BudgetSlack < 0 {
+		return BadOption.New("relay: --budget-ratio is %v and --budget-slack %v; give 0 or more", opts.BudgetRatio, opts.BudgetSlack)
+	}
+	if opts.MaxBody < 1024 {
+		return BadOption.New("relay: --max-body is %d; give 1024 or more", opts.MaxBody)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/relay/ports.go
@@ -0,0 +1,101 @@
+// Package relay is the shell of an instance that passes requests on as callers sent them, in the upstreams' own
+// protocol: it reads and writes, package steer decides. What it speaks with callers, upstreams and the store lies behind
+// the ports of this file, which are implemented elsewhere.
+package relay
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"dandelionsail.example/dandelionsail/internal/steer"
+	"dandelionsail.example/dandelionsail/pkg/decl"
+)
+
+var (
+	// Errors groups what this package returns.
+	Errors = errorx.NewNamespace("relay")
+	// BadOption tells that a setting cannot be used.
+	BadOption = Errors.NewType("bad_option")
+)
+
+// Directory is the store that holds the configuration, the replicas and the other instances. All reads are
+// linearizable.
+type Directory interface {
+	// Revision returns a number that differs whenever Read would return something else than before.
+	Revision(ctx context.Context) (int64, error)
+	// Read returns all of it.
+	Read(ctx context.Context) (Snapshot, error)
+	// Announce registers this instance for as long as it announces itself again within the time.
+	Announce(ctx context.Context, peer Peer, ttl time.Duration) error
+}
+
+// Snapshot is what a Directory holds.
+type Snapshot struct {
+	Revision int64
+	// Routing is nil if there is no configuration that can be read.
+	Routing  *decl.Routing
+	Replicas []steer.Replica
+	Peers    []Peer
+}
+
+// Peer is another instance and where it hears notes.
+type Peer struct {
+	Name    string
+	Address string
+}
+
+// Protocol translates the headers of requests and answers.
+type Protocol interface {
+	// Ask reads what a caller's request says of itself.
+	Ask(req *http.Request) Ask
+	// Dress sets what a replica is told beside the caller's own headers, and takes away what it must not see.
+	Dress(header http.Header, dr Dress)
+	// Reply reads what a replica's answer says of itself.
+	Reply(resp *http.Response) Reply
+}
+
+// Ask is what a caller's request says of itself.
+type Ask struct {
+	// Name is the caller's name for the request.
+	Name string
+	// Token is the caller's, empty if it gave none.
+	Token string
+	// Patience is how long the caller waits, 0 if it did not say.
+	Patience time.Duration
+	// Prompt and Answer are in tokens.
+	Prompt, Answer int64
+	// After is the last event that the caller has of a stream that it resumes.
+	After string
+}
+
+// Dress is what a replica is told of a request.
+type Dress struct {
+	// Replica names the one that is meant.
+	Replica string
+	// Organisation is the caller's, empty on public routes.
+	Organisation string
+	// Left is the time until the deadline.
+	Left time.Duration
+	// Priority is 0 for the most urgent, negative if none is said.
+	Priority int
+	// Helpers are the addresses of the replicas that read parts of the prompt.
+	Helpers []string
+	// After is the last event that the caller has.
+	After string
+}
+
+// Reply is what a replica's answer says of itself.
+type Reply struct {
+	// Name is the request's as the replica heard it.
+	Name string
+	// Sealed tells that the answer bears its replica's signature.
+	Sealed bool
+	// NotRun is the replica's word that it ran nothing, Misdirected that it is another one than was meant.
+	NotRun, Misdirected bool
+	RetryAfter          time.Duration
+	// At names the replica at fault, empty if that is the one asked or unknown.
+	At string
+}
--- /dev/null
+++ b/internal/steer/effect.go
@@ -0,0 +1,81 @@
+package steer
+
+import "time"
+
+// Effect is one thing the shell is told to do.
+type Effect interface{ isEffect() }
+
+// Send starts an attempt. An AttemptEnded follows, always.
+type Send struct {
+	ID      RequestID
+	Attempt int
+	Replica Replica
+	// Helpers read parts of the prompt, none for most requests.
+	Helpers []Replica
+	// Priority is what the engine is told, 0 the most urgent.
+	Priority int
+	// Fresh asks for a connection of its own: a kept one may just have been closed by the replica, and the request
+	// could not be sent again because it may have run.
+	Fresh    bool
+	Deadline time.Time
+	// FirstBy is the longest time until the answer begins, GapBy between two parts of it.
+	FirstBy, GapBy time.Duration
+}
+
+// Abort ends the attempt under way.
+type Abort struct {
+	ID      RequestID
+	Attempt int
+}
+
+// Finish ends a request. Exactly one follows each Arrived.
+type Finish struct {
+	ID RequestID
+	// Refusal is nil when the caller has its whole answer, has left, or gets the answer of the last attempt as it came.
+	Refusal *Refusal
+	// Deliver hands the caller the failure that a replica answered.
+	Deliver bool
+}
+
+// Reason is why a request was refused or failed.
+type Reason string
+
+// The reasons.
+const (
+	ReasonNoReplica  Reason = "NoReplica"
+	ReasonBusy       Reason = "Overloaded"
+	ReasonDeadline   Reason = "DeadlineExceeded"
+	ReasonUpstream   Reason = "UpstreamFailed"
+	ReasonQuarantine Reason = "Quarantined"
+	ReasonTooLong    Reason = "PromptTooLong"
+)
+
+// Refusal is what the caller is told instead of an answer.
+type Refusal struct {
+	Reason Reason
+	// NotRun is a promise: no replica ran any of it, nor ever will.
+	NotRun bool
+	// RetryAfter tells when a new try makes sense; 0 gives no advice.
+	RetryAfter time.Duration
+}
+
+// Tell sends a note to all other instances. It may be lost.
+type Tell struct{ Note Note }
+
+// Line is a decision for the log.
+type Line struct {
+	Message string
+	Request string
+	Replica string
+	Reason  Reason
+	// Age is how long the request has been here, Estimate what was reckoned for the decision.
+	Age, Estimate time.Duration
+	Attempt       int
+	Helpers       int
+}
+
+func (Send) isEffect()   {}
+func (Abort) isEffect()  {}
+func (Finish) isEffect() {}
+func (Tell) isEffect()   {}
+func (Line) isEffect()   {}
--- /dev/null
+++ b/internal/steer/event.go
@@ -0,0 +1,132 @@
+// Package steer decides what becomes of requests that are passed on to upstreams as their callers sent them: which
+// replicas take a request, when it waits, when it is sent again and when it is refused. It is a reducer: events and the
+// time in, effects out; it reads no clock and does no I/O.
+package steer
+
+import (
+	"time"
+
+	"dandelionsail.example/dandelionsail/pkg/decl"
+)
+
+// Event is one input of the reducer.
+type Event interface{ isEvent() }
+
+// RequestID names a request within one run of one instance.
+type RequestID uint64
+
+// Digest tells requests of the same content apart from others: organisation, method, path and body.
+type Digest uint64
+
+// Arrived tells that a caller's request was read whole and may be served.
+type Arrived struct {
+	ID    RequestID
+	Route *decl.Route
+	// Name is the request's name towards its caller, for the log.
+	Name         string
+	Organisation string
+	// Priority is the organisation's or else the route's, 0 the most urgent.
+	Priority int
+	// Prompt and Answer are in tokens, the answer's at most; 0 for plain services.
+	Prompt, Answer int64
+	// Deadline is when the caller must have its end.
+	Deadline time.Time
+	// Patience is when the caller gives up if no answer has begun.
+	Patience time.Time
+	Digest   Digest
+}
+
+// CallerGone tells that the caller closed its connection.
+type CallerGone struct{ ID RequestID }
+
+// Began tells that the first byte of an answer came.
+type Began struct {
+	ID      RequestID
+	Attempt int
+}
+
+// Result is how an attempt ended.
+type Result int
+
+// The results of an attempt.
+const (
+	// ResultDone is a whole answer of success.
+	ResultDone Result = iota + 1
+	// ResultAnswered is a whole answer of failure by the replica itself, which may have run the request.
+	ResultAnswered
+	// ResultNotSent is a failure before any byte of the request could have left.
+	ResultNotSent
+	// ResultNotRun is a refusal by a replica that says it ran nothing.
+	ResultNotRun
+	// ResultMisdirected is such a refusal by another replica than the one meant, which has its address now.
+	ResultMisdirected
+	// ResultBroken is an answer that did not come or not whole.
+	ResultBroken
+	// ResultSilent is an answer that made no progress in its time.
+	ResultSilent
+	// ResultExpired is an attempt that the request's deadline ended.
+	ResultExpired
+	// ResultCancelled is an attempt that the caller's leaving ended.
+	ResultCancelled
+)
+
+// AttemptEnded tells how one attempt ended. Each effect.Send brings one, always.
+type AttemptEnded struct {
+	ID      RequestID
+	Attempt int
+	Result  Result
+	// Events is how many whole events of a stream the caller has, over all attempts.
+	Events int
+	// Begun tells that some of an answer is with the caller, so that nothing but its rest can follow.
+	Begun bool
+	// Died tells that the replica took no new connection after it broke off.
+	Died bool
+	// Pass is the shortest time between two events, 0 if there were no two.
+	Pass time.Duration
+	// Status is the replica's, 0 if none came.
+	Status int
+	// At names the replica at fault where another than the one asked was, empty if unknown.
+	At string
+}
+
+// Replica is one incarnation of an upstream.
+type Replica struct {
+	// Name is unique to the replica, Born tells its incarnations apart.
+	Name          string
+	Born          int64
+	Service       string
+	Address       string
+	FailureDomain string
+	Slots         int
+	// Leaving replicas get nothing new.
+	Leaving bool
+}
+
+// Listed brings the replicas that are registered now.
+type Listed struct {
+	Replicas []Replica
+	// Away tells that the list was out of reach until now, so that a live replica may be missing from it.
+	Away bool
+}
+
+// Configured brings the version in force.
+type Configured struct{ Routing *decl.Routing }
+
+// PeersCounted brings how many instances live, this one included.
+type PeersCounted struct{ Live int }
+
+// Heard brings another instance's note.
+type Heard struct{ Note Note }
+
+// Ticked lets time pass.
+type Ticked struct{}
+
+func (Arrived) isEvent()      {}
+func (CallerGone) isEvent()   {}
+func (Began) isEvent()        {}
+func (AttemptEnded) isEvent() {}
+func (Listed) isEvent()       {}
+func (Configured) isEvent()   {}
+func (PeersCounted) isEvent() {}
+func (Heard) isEvent()        {}
+func (Ticked) isEvent()       {}
--- /dev/null
+++ b/internal/steer/note.go
@@ -0,0 +1,55 @@
+package steer
+
+// Note is what one instance tells the others of its own work, so that each knows the load of every engine without
+// asking the engines. A lost note is made good by the next one with Whole set.
+type Note struct {
+	_ struct{} `cbor:",toarray"`
+	// From names the instance, Run its run.
+	From string
+	Run  int64
+	// Whole tells that Jobs are all the jobs of the instance.
+	Whole bool
+	Jobs  []Job
+	// Begun and Ended name jobs whose answer has begun and that are over.
+	Begun, Ended []RequestID
+	// Deaths counts the replicas that died while running a content.
+	Deaths []Death
+	// Down names replicas that failed to take a connection or fell silent.
+	Down []string
+}
+
+// Job is a request at one or several replicas.
+type Job struct {
+	_  struct{} `cbor:",toarray"`
+	ID RequestID
+	// Replicas has the one that answers first, then those that help it read.
+	Replicas []string
+	// Prompt and Answer are in tokens.
+	Prompt, Answer int64
+	// Goal is the time left in ms when the note was made for the answer to begin, Gap the longest pause in ms.
+	Goal, Gap int32
+	// Age is how long ago in ms it was sent.
+	Age   int32
+	Begun bool
+}
+
+// Death is a content that replicas died of.
+type Death struct {
+	_      struct{} `cbor:",toarray"`
+	Digest Digest
+	Count  int
+}
+
+// Valid tells that a note from the network can be used.
+func (nt *Note) Valid() bool {
+	for i := range nt.Jobs {
+		job := &nt.Jobs[i]
+		if len(job.Replicas) == 0 || job.Prompt < 0 || job.Answer < 0 || job.Prompt > maxTokens || job.Answer > maxTokens {
+			return false
+		}
+	}
+	return nt.From != ""
+}
+
+// maxTokens bounds what a note may claim, far above the longest prompt.
+const maxTokens = 1 << 30
--- /dev/null
+++ b/internal/steer/peer.go
@@ -0,0 +1,188 @@
+package steer
+
+import (
+	"slices"
+	"time"
+)
+
+// peer is another instance's work as it told of it.
+type peer struct {
+	run   int64
+	heard time.Time
+	jobs  map[RequestID][]*replica
+	ended map[RequestID]time.Time
+}
+
+const (
+	// peerSilence is how long the work of a silent instance counts: its engines drop it when its connections end.
+	peerSilence = 4 * time.Second
+	// endedMemory is how long an end is remembered against a start that arrives after it.
+	endedMemory = 3 * time.Second
+)
+
+func (st *State) note(nt Note) Note {
+	nt.From = st.Options.Name
+	nt.Run = st.Options.Run
+	return nt
+}
+
+// Summary is the note with all of this instance's jobs.
+func (st *State) Summary(now time.Time) Note {
+	nt := st.note(Note{Whole: true})
+	for id, req := range st.requests {
+		if !req.running {
+			continue
+		}
+		job := Job{
+			ID: id, Prompt: req.Prompt, Answer: req.Answer, Goal: millis(req.goal.Sub(now)), Gap: millis(req.gap),
+			Age: millis(now.Sub(req.sentAt)), Begun: req.begun,
+		}
+		for _, rep := range req.reps {
+			job.Replicas = append(job.Replicas, rep.Name)
+		}
+		nt.Jobs = append(nt.Jobs, job)
+	}
+	return nt
+}
+
+func (st *State) heard(nt Note) {
+	if nt.From == st.Options.Name {
+		return
+	}
+	pr := st.peerOf(nt)
+	if pr == nil {
+		return
+	}
+	pr.heard = st.now
+	if nt.Whole {
+		st.keepOnly(nt, pr)
+	}
+	for i := range nt.Jobs {
+		st.peerStarts(nt.From, pr, &nt.Jobs[i])
+	}
+	for _, id := range nt.Begun {
+		st.beginJob(jobKey{nt.From, id}, pr.jobs[id])
+	}
+	for _, id := range nt.Ended {
+		st.peerEnds(nt.From, pr, id)
+		pr.ended[id] = st.now
+	}
+	for _, death := range nt.Deaths {
+		st.rememberDeath(death.Digest, death.Count)
+	}
+	for _, name := range nt.Down {
+		if rep, ok := st.replicas[name]; ok {
+			rep.failed(st.now)
+		}
+	}
+	st.pump()
+}
+
+// peerOf returns the instance's entry for the run of the note, nil if the note is of an earlier run.
+func (st *State) peerOf(nt Note) *peer {
+	pr, ok := st.peers[nt.From]
+	if ok && pr.run > nt.Run {
+		return nil
+	}
+	if ok && pr.run < nt.Run {
+		st.dropPeer(nt.From, pr)
+		ok = false
+	}
+	if !ok {
+		pr = &peer{run: nt.Run, jobs: map[RequestID][]*replica{}, ended: map[RequestID]time.Time{}}
+		st.peers[nt.From] = pr
+	}
+	return pr
+}
+
+func (st *State) keepOnly(nt Note, pr *peer) {
+	for id := range pr.jobs {
+		if !slices.ContainsFunc(nt.Jobs, func(job Job) bool { return job.ID == id }) {
+			st.peerEnds(nt.From, pr, id)
+		}
+	}
+	for id, at := range pr.ended {
+		if st.now.Sub(at) > endedMemory {
+			delete(pr.ended, id)
+		}
+	}
+}
+
+func (st *State) peerStarts(from string, pr *peer, job *Job) {
+	if _, over := pr.ended[job.ID]; over {
+		return
+	}
+	key := jobKey{from, job.ID}
+	if known, ok := pr.jobs[job.ID]; ok {
+		if len(known) > 0 && known[0].Name == job.Replicas[0] {
+			if job.Begun {
+				st.beginJob(key, known)
+			}
+			return
+		}
+		st.endJob(key, known)
+	}
+	pr.jobs[job.ID] = st.startJob(key, job)
+}
+
+func (st *State) peerEnds(from string, pr *peer, id RequestID) {
+	if reps, ok := pr.jobs[id]; ok {
+		st.endJob(jobKey{from, id}, reps)
+		delete(pr.jobs, id)
+	}
+}
+
+func (st *State) dropPeer(from string, pr *peer) {
+	for id := range pr.jobs {
+		st.peerEnds(from, pr, id)
+	}
+	delete(st.peers, from)
+}
+
+func (st *State) forgetPeers() {
+	for from, pr := range st.peers {
+		if st.now.Sub(pr.heard) > peerSilence {
+			st.dropPeer(from, pr)
+		}
+	}
+}
+
+// startJob books a job at its replicas and returns those that are known.
+func (st *State) startJob(key jobKey, job *Job) []*replica {
+	reps := make([]*replica, 0, len(job.Replicas))
+	for i, name := range job.Replicas {
+		rep, ok := st.replicas[name]
+		if !ok {
+			continue
+		}
+		wk := work{
+			key: key, first: i == 0, begun: job.Begun,
+			goal: st.now.Add(time.Duration(job.Goal) * time.Millisecond), gap: time.Duration(job.Gap) * time.Millisecond,
+			value: value(job.Prompt), sent: st.now,
+		}
+		if eng := st.serviceOf(rep.Service).engine; eng != nil {
+			wk.context = job.Prompt / int64(len(job.Replicas))
+			if !job.Begun {
+				wk.read = max(0, readTime(eng, job.Prompt, len(job.Replicas))-float64(job.Age))
+			}
+			if wk.first {
+				wk.tokens = job.Prompt + job.Answer
+			}
+		}
+		rep.start(st.now, wk)
+		reps = append(reps, rep)
+	}
+	return reps
+}
+
+func (st *State) beginJob(key jobKey, reps []*replica) {
+	for _, rep := range reps {
+		rep.begin(st.now, key)
+	}
+}
+
+func (st *State) endJob(key jobKey, reps []*replica) {
+	for _, rep := range reps {
+		rep.end(st.now, key)
+	}
+}
--- /dev/null
+++ b/internal/steer/place.go
@@ -0,0 +1,221 @@
+package steer
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"dandelionsail.example/dandelionsail/pkg/decl"
+)
+
+// Placement. Each choice is priced in the worth of answers that it would make late: the request's own and those of the
+// callers whose streams would pause while an engine reads for it. Load pattern: short prompts whose streams may pause
+// a quarter of a second share the engines with prompts that an engine reads for seconds, in a mix that turns several
+// times a minute, so that no fixed part of the engines is right for either.
+
+const (
+	// safety is the part of a promise that an estimate may use up.
+	safety = 0.8
+	// lateShare is the part of an answer's worth that is lost if it is late.
+	lateShare = 0.75
+	// tokensPerValue and minValue give an answer's worth: long prompts are worth more, in proportion.
+	tokensPerValue = 7400
+	minValue       = 1.3
+	// timeCost is the worth of a second of engine time taken, which parts choices that make nothing late.
+	timeCost = 0.3
+	// spreadCost keeps a request that may not pause off engines that have none like it, which are thereby kept free for
+	// long reads: without it short streams are on all engines, and each long read makes some of them late.
+	spreadCost = 0.05
+	// farCost is the worth of staying in the own failure domain.
+	farCost = 0.005
+)
+
+// value is what an answer in time is worth.
+func value(prompt int64) float64 { return max(minValue, float64(prompt)/tokensPerValue) }
+
+// plan is where a request goes.
+type plan struct {
+	reps []*replica
+	// parts is the reading of each in ms.
+	part float64
+	// first is the estimated time to the first byte in ms, cost the worth lost.
+	first, cost float64
+}
+
+// engineCounts are the numbers of engines that may read one prompt.
+var engineCounts = []int{1, 2, 3, 4, 6, 8, 10, 12, 14, 16}
+
+// place finds the best plan, or false if no replica has room.
+func (st *State) place(req *request) (plan, bool) {
+	svc := st.services[req.service]
+	if svc == nil {
+		return plan{}, false
+	}
+	if svc.engine == nil {
+		return st.placePlain(svc, req)
+	}
+	return st.placePrompt(svc, req)
+}
+
+// placePlain takes the replica with the fewest requests, a near one of several.
+func (st *State) placePlain(svc *service, req *request) (plan, bool) {
+	var best *replica
+	var least float64
+	for _, rep := range svc.replicas {
+		if !rep.usable(st.now) || slices.Contains(req.tried, rep.Name) {
+			continue
+		}
+		if len(rep.works) >= rep.Slots+plainQueue {
+			continue
+		}
+		cost := float64(len(rep.works))*rep.slow + float64(rep.failures)
+		if rep.FailureDomain != st.Options.FailureDomain {
+			cost += 0.5
+		}
+		cost += 0.1 * st.random.Float64()
+		if best == nil || cost < least {
+			best, least = rep, cost
+		}
+	}
+	if best == nil {
+		return plan{}, false
+	}
+	return plan{reps: []*replica{best}}, true
+}
+
+// plainQueue is how many requests may wait at a plain replica beyond its slots; more wait here, in order of urgency.
+const plainQueue = 2
+
+// option is one engine as a candidate.
+type option struct {
+	rep *replica
+	// harm is the worth that others lose, wait the time in ms until the part would be read.
+	harm, wait float64
+	// writes tells that it has room to answer, and not only to help.
+	writes bool
+}
+
+func (st *State) placePrompt(svc *service, req *request) (plan, bool) {
+	eng := svc.engine
+	var best plan
+	found := false
+	for _, count := range engineCounts {
+		if count > 1 && (count > eng.Helpers+1 || readTime(eng, req.Prompt, 1) < minSplit*float64(count)) {
+			break
+		}
+		pl, ok := st.planFor(svc, req, count)
+		if !ok {
+			continue
+		}
+		if !found || pl.cost < best.cost {
+			best, found = pl, true
+		}
+	}
+	return best, found
+}
+
+// minSplit is the least reading in ms that is worth another engine.
+const minSplit = 60
+
+// planFor reckons the request read by so many engines.
+func (st *State) planFor(svc *service, req *request, count int) (plan, bool) {
+	eng := svc.engine
+	part := readTime(eng, req.Prompt, count)
+	options := st.options(svc, req, part)
+	slices.SortStableFunc(options, func(one, two option) int {
+		return cmp.Compare(one.harm+timeCost*one.wait/1000, two.harm+timeCost*two.wait/1000)
+	})
+	first := slices.IndexFunc(options, func(opt option) bool { return opt.writes })
+	if first < 0 || len(options) < count {
+		return plan{}, false
+	}
+	pl := plan{part: part, reps: []*replica{options[first].rep}}
+	pl.add(options[first])
+	for i := range options {
+		if len(pl.reps) == count {
+			break
+		}
+		if i != first && options[i].rep.helping() < options[i].rep.Slots {
+			pl.reps = append(pl.reps, options[i].rep)
+			pl.add(options[i])
+		}
+	}
+	if len(pl.reps) < count {
+		return plan{}, false
+	}
+	writers, contexts := pl.reps[0].writers()
+	pl.first += float64(eng.Stride) * stepTime(eng, writers+1, contexts+req.Prompt) * pl.reps[0].slow
+	left := ms(req.goal.Sub(st.now))
+	if pl.first > safety*left {
+		pl.cost += lateShare * value(req.Prompt) * (1 + min(1, max(0, pl.first-left)/5000))
+	}
+	pl.cost += timeCost * (float64(count)*part + pl.first) / 1000
+	return pl, true
+}
+
+func (pl *plan) add(opt option) {
+	pl.cost += opt.harm
+	pl.first = max(pl.first, opt.wait)
+}
+
+// options lists the engines that may take a part of the reading.
+func (st *State) options(svc *service, req *request, part float64) []option {
+	options := make([]option, 0, len(svc.replicas))
+	for _, rep := range svc.replicas {
+		if !rep.usable(st.now) || slices.Contains(req.tried, rep.Name) {
+			continue
+		}
+		backlog := rep.backlog(st.now)
+		opt := option{rep: rep, wait: backlog + part*rep.slow, writes: rep.fits(svc.engine, req)}
+		opt.harm = st.harm(svc.engine, rep, backlog, part*rep.slow) + st.spread(rep, req)
+		if rep.FailureDomain != st.Options.FailureDomain {
+			opt.harm += farCost
+		}
+		options = append(options, opt)
+	}
+	return options
+}
+
+// fits tells that the engine has a slot and the memory to answer the request.
+func (rep *replica) fits(eng *decl.Engine, req *request) bool {
+	return rep.running() < eng.Slots && rep.held()+req.Prompt+req.Answer <= eng.Memory
+}
+
+// harm is the worth that the callers with work at the replica lose if it reads so much more.
+func (st *State) harm(eng *decl.Engine, rep *replica, backlog, read float64) float64 {
+	writers, contexts := rep.writers()
+	pass := float64(eng.Stride) * stepTime(eng, writers+1, contexts) * rep.slow
+	var lost float64
+	for i := range rep.works {
+		wk := &rep.works[i]
+		if !wk.first {
+			continue
+		}
+		if !wk.begun {
+			left := ms(wk.goal.Sub(st.now))
+			before := backlog + pass
+			if after := before + read; after > safety*left && before <= safety*left {
+				lost += lateShare * wk.value
+			}
+			continue
+		}
+		gap := ms(wk.gap)
+		if gap == 0 {
+			continue
+		}
+		if before := backlog + pass; before+read > safety*gap && before <= safety*gap {
+			lost += lateShare * wk.value
+		}
+	}
+	return lost
+}
+
+// spread prices the first stream that may not pause on an engine without such streams.
+func (st *State) spread(rep *replica, req *request) float64 {
+	for i := range rep.works {
+		if rep.works[i].first && rep.works[i].gap > 0 && rep.works[i].gap <= req.gap {
+			return 0
+		}
+	}
+	return spreadCost * float64(time.Second) / float64(max(req.gap, 100*time.Millisecond))
+}
--- /dev/null
+++ b/internal/steer/replica.go
@@ -0,0 +1,156 @@
+package steer
+
+import (
+	"slices"
+	"time"
+)
+
+// jobKey names a job over all instances; From is empty for this instance's own.
+type jobKey struct {
+	from string
+	id   RequestID
+}
+
+// work is one job's part at one replica.
+type work struct {
+	key jobKey
+	// first tells that the replica answers; the others only read.
+	first bool
+	begun bool
+	// tokens is the memory held, context what each step costs, read the part's reading in ms.
+	tokens, context int64
+	read            float64
+	// goal is when the answer should begin, gap the longest pause that its caller was promised.
+	goal time.Time
+	gap  time.Duration
+	// value is what the answer is worth if it is in time.
+	value float64
+	sent  time.Time
+}
+
+// replica is what is known of one upstream.
+type replica struct {
+	Replica
+	// gone tells that it is registered no longer, since goneAt.
+	gone   bool
+	goneAt time.Time
+	works  []work
+	// readUntil is when its engine will have read all that was sent to it.
+	readUntil time.Time
+	// slow is how many times longer its passes take than its figures say, at least 1.
+	slow float64
+	// failures counts those in a row; downUntil ends the last pause that they brought.
+	failures  int
+	downUntil time.Time
+}
+
+// Pauses after failures: long enough for a restart to show, short enough to find a replica that is back.
+const (
+	firstPause = 700 * time.Millisecond
+	maxPause   = 5 * time.Second
+)
+
+func (rep *replica) usable(now time.Time) bool {
+	return !rep.gone && !rep.Leaving && !now.Before(rep.downUntil)
+}
+
+func (rep *replica) failed(now time.Time) {
+	rep.failures++
+	pause := min(firstPause<<min(rep.failures-1, 4), maxPause)
+	if until := now.Add(pause); until.After(rep.downUntil) {
+		rep.downUntil = until
+	}
+}
+
+func (rep *replica) succeeded() {
+	rep.failures = 0
+	rep.downUntil = time.Time{}
+}
+
+// running counts the requests that take a slot.
+func (rep *replica) running() int {
+	count := 0
+	for i := range rep.works {
+		if rep.works[i].first {
+			count++
+		}
+	}
+	return count
+}
+
+func (rep *replica) helping() int { return len(rep.works) - rep.running() }
+
+// held is the memory taken.
+func (rep *replica) held() int64 {
+	var tokens int64
+	for i := range rep.works {
+		tokens += rep.works[i].tokens
+	}
+	return tokens
+}
+
+// writers counts the requests that answer, begun or not, and their contexts.
+func (rep *replica) writers() (count int, contexts int64) {
+	for i := range rep.works {
+		if rep.works[i].first {
+			count++
+			contexts += rep.works[i].context
+		}
+	}
+	return count, contexts
+}
+
+// backlog is the reading still to be done, in ms.
+func (rep *replica) backlog(now time.Time) float64 {
+	return max(0, ms(rep.readUntil.Sub(now)))
+}
+
+func (rep *replica) start(now time.Time, wk work) {
+	rep.works = append(rep.works, wk)
+	if rep.readUntil.Before(now) {
+		rep.readUntil = now
+	}
+	rep.readUntil = rep.readUntil.Add(duration(wk.read * rep.slow))
+}
+
+// begin notes that the job's prompt is read.
+func (rep *replica) begin(now time.Time, key jobKey) {
+	i := rep.find(key)
+	if i < 0 || rep.works[i].begun {
+		return
+	}
+	rep.works[i].begun = true
+	rep.caughtUp(now)
+}
+
+// caughtUp keeps the reckoned backlog from outlasting what is unread: a prediction that was too long would keep work
+// away from an engine that has nothing to do.
+func (rep *replica) caughtUp(now time.Time) {
+	var unread float64
+	for i := range rep.works {
+		if !rep.works[i].begun {
+			unread += rep.works[i].read * rep.slow
+		}
+	}
+	if latest := now.Add(duration(unread)); rep.readUntil.After(latest) {
+		rep.readUntil = latest
+	}
+}
+
+func (rep *replica) end(now time.Time, key jobKey) {
+	i := rep.find(key)
+	if i < 0 {
+		return
+	}
+	rep.works = slices.Delete(rep.works, i, i+1)
+	rep.caughtUp(now)
+}
+
+func (rep *replica) find(key jobKey) int {
+	for i := range rep.works {
+		if rep.works[i].key == key {
+			return i
+		}
+	}
+	return -1
+}
--- /dev/null
+++ b/internal/steer/retry.go
@@ -0,0 +1,197 @@
+package steer
+
+import (
+	"slices"
+	"time"
+
+	"dandelionsail.example/dandelionsail/pkg/decl"
+)
+
+// maxSends bounds how often one request is sent at all, those that certainly did not run included.
+const maxSends = 4
+
+func (st *State) attemptEnded(ev AttemptEnded) {
+	req, ok := st.requests[ev.ID]
+	if !ok || !req.running || ev.Attempt != req.attempt {
+		return
+	}
+	req.running = false
+	req.events = max(req.events, ev.Events)
+	req.begun = req.begun || ev.Begun
+	st.endJob(jobKey{id: req.ID}, req.reps)
+	st.emit(Tell{Note: st.note(Note{Ended: []RequestID{req.ID}})})
+	st.judge(req, ev)
+	if ev.Result != ResultNotSent && ev.Result != ResultNotRun && ev.Result != ResultMisdirected {
+		req.runs++
+	}
+	switch {
+	case ev.Result == ResultDone:
+		st.finish(req, Finish{ID: req.ID}, "answered")
+	case req.gone || ev.Result == ResultCancelled:
+		st.finish(req, Finish{ID: req.ID}, "caller left")
+	default:
+		st.retry(req, ev)
+	}
+	st.pump()
+}
+
+// judge counts the end of an attempt for or against the replica.
+func (st *State) judge(req *request, ev AttemptEnded) {
+	rep := req.reps[0]
+	if other, ok := st.replicas[ev.At]; ok {
+		rep = other
+	}
+	switch ev.Result {
+	case ResultDone, ResultAnswered:
+		rep.succeeded()
+		st.learnPace(req, rep, ev)
+	case ResultNotSent, ResultSilent, ResultMisdirected:
+		rep.failed(st.now)
+		st.emit(Tell{Note: st.note(Note{Down: []string{rep.Name}})})
+	case ResultBroken:
+		if ev.Died {
+			rep.failed(st.now)
+			st.emit(Tell{Note: st.note(Note{Down: []string{rep.Name}})})
+			st.countDeath(req)
+		}
+	}
+}
+
+// learnPace compares the shortest pause of a stream, in which its engine read little, with the engine's figures.
+func (st *State) learnPace(req *request, rep *replica, ev AttemptEnded) {
+	eng := st.serviceOf(req.service).engine
+	if eng == nil || ev.Pass == 0 {
+		return
+	}
+	seen := ms(ev.Pass) / (float64(eng.Stride) * stepTime(eng, 1, req.Prompt))
+	if seen < slowFrom {
+		seen = 1
+	}
+	rep.slow += paceGain * (seen - rep.slow)
+}
+
+const (
+	// slowFrom is how many times its figures a pass must take to say anything: other writers make it longer too.
+	slowFrom = 2
+	paceGain = 0.3
+)
+
+// retry sends the request again if that is safe, allowed and in time.
+func (st *State) retry(req *request, ev AttemptEnded) {
+	st.emit(Line{Message: "attempt failed: " + ev.Result.String(), Request: req.Name, Replica: req.reps[0].Name, Age: st.now.Sub(req.at), Attempt: req.attempt})
+	req.answered = ev.Result == ResultAnswered || req.answered
+	if !st.now.Before(req.Deadline) {
+		st.refuse(req, ReasonDeadline, 0)
+		return
+	}
+	if st.quarantined(req.Digest) {
+		st.refuse(req, ReasonQuarantine, quarantineTime)
+		return
+	}
+	if !st.mayRepeat(req, ev) {
+		st.refuse(req, ReasonUpstream, busyPause)
+		return
+	}
+	if !slices.Contains(req.tried, req.reps[0].Name) {
+		req.tried = append(req.tried, req.reps[0].Name)
+	}
+	if ev.Result == ResultNotRun {
+		req.notBefore = st.now.Add(notRunPause)
+	}
+	st.waiting = append(st.waiting, req)
+}
+
+// mayRepeat allows a repeat of what certainly did not run, and of idempotent requests within the route's attempts and
+// the budget that all instances share.
+func (st *State) mayRepeat(req *request, ev AttemptEnded) bool {
+	if req.attempt >= maxSends || req.runs >= req.Route.Attempts {
+		return false
+	}
+	if req.runs > 0 && !repeatable(req, ev) {
+		return false
+	}
+	if ev.Result == ResultNotSent {
+		// Nothing arrived, so that it costs the replicas nothing.
+		return true
+	}
+	return st.ledgerOf(req.service).again(st.now, st.Options.Budget, st.live)
+}
+
+func repeatable(req *request, ev AttemptEnded) bool {
+	switch req.Route.Repeats {
+	case decl.RepeatsAny:
+		return !req.begun
+	case decl.RepeatsResumed:
+		return ev.Result != ResultAnswered || ev.Status >= 500
+	}
+	return false
+}
+
+// String names the result for the log.
+func (res Result) String() string {
+	names := [...]string{"", "done", "answered with a failure", "not sent", "not run", "misdirected", "broken", "silent", "expired", "cancelled"}
+	if int(res) >= len(names) {
+		return "unknown"
+	}
+	return names[res]
+}
+
+// Budget bounds the repeats over all instances: in any Window, Ratio of the requests and Slack more.
+type Budget struct {
+	Ratio  float64
+	Slack  float64
+	Window time.Duration
+}
+
+// ledger counts one service's requests and repeats of this instance by slices of the window.
+type ledger struct {
+	slots   [ledgerSlots]struct{ requests, repeats float64 }
+	current int64
+}
+
+// ledgerSlots divide the window; one more than the window holds keeps any span of that length within the bound.
+const ledgerSlots = 11
+
+func (st *State) ledgerOf(name string) *ledger {
+	led, ok := st.budgets[name]
+	if !ok {
+		led = &ledger{}
+		st.budgets[name] = led
+	}
+	return led
+}
+
+func (led *ledger) turn(now time.Time, window time.Duration) int {
+	slot := now.UnixNano() / max(1, int64(window)/(ledgerSlots-1))
+	for ; led.current < slot; led.current++ {
+		if slot-led.current > ledgerSlots {
+			led.current = slot - ledgerSlots
+		}
+		led.slots[(led.current+1)%ledgerSlots] = struct{ requests, repeats float64 }{}
+	}
+	return int(slot % ledgerSlots)
+}
+
+// requestWindow is the window by which requests are counted where the budget's is not at hand.
+const requestWindow = 10 * time.Second
+
+func (led *ledger) request(now time.Time) { led.slots[led.turn(now, requestWindow)].requests++ }
+
+// again takes one repeat from the budget. Each of the live instances has an equal part of the slack, and one of them
+// that is not known to this one is allowed for.
+func (led *ledger) again(now time.Time, bud Budget, live int) bool {
+	at := led.turn(now, requestWindow)
+	var requests, repeats float64
+	for _, slot := range led.slots {
+		requests += slot.requests
+		repeats += slot.repeats
+	}
+	if repeats+1 > budgetShare*(bud.Ratio*requests+bud.Slack/float64(live+1)) {
+		return false
+	}
+	led.slots[at].repeats++
+	return true
+}
+
+// budgetShare leaves room for requests that were counted here in one window and arrived in the next.
+const budgetShare = 0.9
--- /dev/null
+++ b/internal/steer/serve.go
@@ -0,0 +1,195 @@
+package steer
+
+import (
+	"slices"
+	"time"
+
+	"dandelionsail.example/dandelionsail/pkg/decl"
+)
+
+// The life of a request, from its arrival to its one Finish.
+
+const (
+	// busyPause is when a caller that was refused for want of room should come back.
+	busyPause = 500 * time.Millisecond
+	// notRunPause is the wait after a replica's refusal.
+	notRunPause = 20 * time.Millisecond
+)
+
+func (st *State) arrived(ev Arrived) {
+	req := &request{Arrived: ev, at: st.now, service: st.choose(ev.Route)}
+	req.goal = st.now.Add(ev.Route.Goal.Std())
+	req.gap = ev.Route.Gap.Std()
+	if st.quarantined(ev.Digest) {
+		st.emit(Line{Message: "request refused", Request: ev.Name, Reason: ReasonQuarantine})
+		st.emit(Finish{ID: ev.ID, Refusal: &Refusal{Reason: ReasonQuarantine, NotRun: true, RetryAfter: quarantineTime}})
+		return
+	}
+	st.requests[ev.ID] = req
+	st.ledgerOf(req.service).request(st.now)
+	st.waiting = append(st.waiting, req)
+	st.pump()
+}
+
+// choose takes one of the route's services by their weights.
+func (st *State) choose(route *decl.Route) string {
+	total := 0
+	for _, back := range route.Backends {
+		total += back.Weight
+	}
+	if total == 0 {
+		return route.Backends[0].Service
+	}
+	draw := st.random.IntN(total)
+	for _, back := range route.Backends {
+		if draw < back.Weight {
+			return back.Service
+		}
+		draw -= back.Weight
+	}
+	return route.Backends[0].Service
+}
+
+// pump sends what waits and has a replica by now, the most urgent first.
+func (st *State) pump() {
+	if len(st.waiting) == 0 {
+		return
+	}
+	slices.SortStableFunc(st.waiting, func(one, two *request) int { return one.goal.Compare(two.goal) })
+	kept := st.waiting[:0]
+	for _, req := range st.waiting {
+		if st.now.Before(req.notBefore) || !st.trySend(req) {
+			kept = append(kept, req)
+		}
+	}
+	clear(st.waiting[len(kept):])
+	st.waiting = kept
+}
+
+func (st *State) trySend(req *request) bool {
+	pl, ok := st.place(req)
+	if !ok {
+		return false
+	}
+	st.send(req, pl)
+	return true
+}
+
+func (st *State) send(req *request, pl plan) {
+	req.attempt++
+	req.running = true
+	req.aborted = false
+	req.reps = append(req.reps[:0], pl.reps...)
+	req.sentAt = st.now
+	job := Job{ID: req.ID, Prompt: req.Prompt, Answer: req.Answer, Goal: millis(req.goal.Sub(st.now)), Gap: millis(req.gap)}
+	for _, rep := range pl.reps {
+		job.Replicas = append(job.Replicas, rep.Name)
+	}
+	st.startJob(jobKey{id: req.ID}, &job)
+	st.emit(Tell{Note: st.note(Note{Jobs: []Job{job}})})
+	eff := Send{
+		ID: req.ID, Attempt: req.attempt, Replica: pl.reps[0].Replica, Priority: req.Priority,
+		Fresh: req.Route.Repeats == decl.RepeatsNone, Deadline: req.Deadline,
+	}
+	for _, rep := range pl.reps[1:] {
+		eff.Helpers = append(eff.Helpers, rep.Replica)
+	}
+	eff.FirstBy, eff.GapBy = st.patience(req, pl)
+	st.emit(eff)
+	st.emit(Line{
+		Message: "request sent", Request: req.Name, Replica: pl.reps[0].Name, Age: st.now.Sub(req.at),
+		Estimate: duration(pl.first), Attempt: req.attempt, Helpers: len(pl.reps) - 1,
+	})
+}
+
+func millis(dur time.Duration) int32 { return int32(dur / time.Millisecond) }
+
+// Silence. A stream's engine says nothing while it reads, so the time allowed follows the estimate.
+const (
+	// silenceFactor is how many times its estimate a first answer may take.
+	silenceFactor = 2.5
+	// leastSilence covers the stall of an engine that waits for a dead helper, and short freezes.
+	leastSilence = 900 * time.Millisecond
+	jointSilence = 1900 * time.Millisecond
+)
+
+// patience is how long the answer may take to begin, and to go on.
+func (st *State) patience(req *request, pl plan) (first, gap time.Duration) {
+	left := req.Deadline.Sub(st.now)
+	if !req.Route.Stream {
+		// How long a plain call takes is the service's affair.
+		return left, left
+	}
+	least := leastSilence
+	if len(pl.reps) > 1 {
+		least = jointSilence
+	}
+	first = max(least, duration(silenceFactor*pl.first))
+	return first, max(least, 4*req.gap)
+}
+
+func (st *State) began(ev Began) {
+	req, ok := st.requests[ev.ID]
+	if !ok || ev.Attempt != req.attempt {
+		return
+	}
+	req.begun = true
+	st.beginJob(jobKey{id: req.ID}, req.reps)
+	st.emit(Tell{Note: st.note(Note{Begun: []RequestID{req.ID}})})
+	st.emit(Line{Message: "answer began", Request: req.Name, Replica: req.reps[0].Name, Age: st.now.Sub(req.at), Attempt: req.attempt})
+	st.pump()
+}
+
+func (st *State) callerGone(ev CallerGone) {
+	req, ok := st.requests[ev.ID]
+	if !ok {
+		return
+	}
+	req.gone = true
+	if req.running {
+		st.abort(req)
+		return
+	}
+	st.finish(req, Finish{ID: req.ID}, "caller left")
+}
+
+func (st *State) abort(req *request) {
+	if !req.aborted {
+		req.aborted = true
+		st.emit(Abort{ID: req.ID, Attempt: req.attempt})
+	}
+}
+
+// refuse ends a request that no replica answered.
+func (st *State) refuse(req *request, reason Reason, after time.Duration) {
+	if req.answered {
+		st.finish(req, Finish{ID: req.ID, Deliver: true}, "failure delivered")
+		return
+	}
+	refusal := &Refusal{Reason: reason, NotRun: req.runs == 0, RetryAfter: after}
+	st.emit(Line{Message: "request refused", Request: req.Name, Reason: reason, Age: st.now.Sub(req.at), Attempt: req.attempt})
+	st.finish(req, Finish{ID: req.ID, Refusal: refusal}, "")
+}
+
+// finish ends a request. Every way out passes here.
+func (st *State) finish(req *request, fin Finish, message string) {
+	if message != "" {
+		st.emit(Line{Message: message, Request: req.Name, Age: st.now.Sub(req.at), Attempt: req.attempt})
+	}
+	delete(st.requests, req.ID)
+	st.waiting = slices.DeleteFunc(st.waiting, func(other *request) bool { return other == req })
+	st.emit(fin)
+}
+
+// expire ends what waited for too long: a caller that would leave before any answer hears now when to come back.
+func (st *State) expire() {
+	var late []*request
+	for _, req := range st.waiting {
+		if !st.now.Before(req.Deadline) || !req.begun && !st.now.Before(req.Patience) {
+			late = append(late, req)
+		}
+	}
+	for _, req := range late {
+		st.refuse(req, ReasonDeadline, busyPause)
+	}
+}
--- /dev/null
+++ b/internal/steer/state.go
@@ -0,0 +1,164 @@
+package steer
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"dandelionsail.example/dandelionsail/pkg/decl"
+)
+
+// Options fix what an instance is.
+type Options struct {
+	Name          string
+	FailureDomain string
+	// Run tells this run of the instance apart from earlier ones.
+	Run int64
+	// Seed makes random choices repeatable.
+	Seed uint64
+	// Budget bounds what is sent more than once.
+	Budget Budget
+	// MissingTime is how long a replica that is missing from the list may still be used where the list itself was out of
+	// reach.
+	MissingTime time.Duration
+}
+
+// State is everything an instance decides from. It belongs to one goroutine at a time.
+type State struct {
+	Options Options
+	// Routing is the version in force, nil before the first.
+	Routing *decl.Routing
+
+	now      time.Time
+	services map[string]*service
+	replicas map[string]*replica
+	requests map[RequestID]*request
+	// waiting holds what has no replica yet, in the order of arrival.
+	waiting []*request
+	peers   map[string]*peer
+	// live is how many instances share the budget, and the most that were seen of late.
+	live    int
+	budgets map[string]*ledger
+	poison  poison
+	// missing holds when the replicas are taken as gone that an incomplete list left out.
+	missing map[string]time.Time
+	random  *rand.Rand
+	effects []Effect
+}
+
+// service is one pool of replicas.
+type service struct {
+	name     string
+	engine   *decl.Engine
+	replicas []*replica
+}
+
+// request is one request's life.
+type request struct {
+	Arrived
+	service string
+	at      time.Time
+	goal    time.Time
+	gap     time.Duration
+	// attempt counts from 1, 0 before the first; running tells that one is under way on reps.
+	attempt int
+	running bool
+	reps    []*replica
+	sentAt  time.Time
+	// runs counts the attempts that may have run.
+	runs    int
+	tried   []string
+	events  int
+	begun   bool
+	gone    bool
+	aborted bool
+	// answered tells that a replica's failure is at hand to be delivered.
+	answered bool
+	// notBefore keeps it waiting after a refusal.
+	notBefore time.Time
+}
+
+// New returns the state of an instance that has seen nothing yet.
+func New(opts Options) *State {
+	return &State{
+		Options:  opts,
+		services: map[string]*service{},
+		replicas: map[string]*replica{},
+		requests: map[RequestID]*request{},
+		peers:    map[string]*peer{},
+		live:     1,
+		budgets:  map[string]*ledger{},
+		poison:   newPoison(),
+		missing:  map[string]time.Time{},
+		random:   rand.New(rand.NewPCG(opts.Seed, opts.Seed)),
+	}
+}
+
+// Reduce takes one event and returns what is to be done. The slice is valid until the next call.
+func (st *State) Reduce(now time.Time, ev Event) []Effect {
+	st.now = now
+	st.effects = st.effects[:0]
+	switch ev := ev.(type) {
+	case Arrived:
+		st.arrived(ev)
+	case CallerGone:
+		st.callerGone(ev)
+	case Began:
+		st.began(ev)
+	case AttemptEnded:
+		st.attemptEnded(ev)
+	case Listed:
+		st.listed(ev)
+	case Configured:
+		st.configured(ev)
+	case PeersCounted:
+		st.live = max(1, ev.Live)
+	case Heard:
+		st.heard(ev.Note)
+	case Ticked:
+		st.expire()
+		st.forget()
+		st.pump()
+	}
+	return st.effects
+}
+
+// Waiting reports how many requests wait for a replica.
+func (st *State) Waiting() int { return len(st.waiting) }
+
+// Open reports how many requests have had no Finish.
+func (st *State) Open() int { return len(st.requests) }
+
+// Usable reports whether any replica may get new work.
+func (st *State) Usable() bool {
+	for _, rep := range st.replicas {
+		if !rep.gone && !rep.Leaving {
+			return true
+		}
+	}
+	return false
+}
+
+func (st *State) emit(eff Effect) { st.effects = append(st.effects, eff) }
+
+func (st *State) configured(ev Configured) {
+	if st.Routing != nil && ev.Routing.Version <= st.Routing.Version {
+		return
+	}
+	st.Routing = ev.Routing
+	for name, pool := range ev.Routing.Services {
+		st.serviceOf(name).engine = pool.Engine
+	}
+	st.pump()
+}
+
+func (st *State) serviceOf(name string) *service {
+	svc, ok := st.services[name]
+	if !ok {
+		svc = &service{name: name}
+		if st.Routing != nil {
+			svc.engine = st.Routing.Services[name].Engine
+		}
+		st.services[name] = svc
+	}
+	return svc
+}
--- /dev/null
+++ b/pkg/decl/routing.go
@@ -0,0 +1,118 @@
+package decl
+
+import "strings"
+
+// Routing is one version of what requests are passed on by their host and path: the routes, the services behind them
+// and the organisations that may use them. It is the form of a configuration whose callers speak to the upstreams in
+// the upstreams' own protocol, where Config is that of the completions API.
+type Routing struct {
+	// Version rises with every change.
+	Version int64
+	// Routes holds every route; no two share host and prefix.
+	Routes []Route
+	// Services holds everything that routes lead to, by name.
+	Services map[string]Pool
+	// Tokens finds the organisation of a caller by the digest of its token, see TokenDigest.
+	Tokens map[string]string
+	// Priorities holds the priority of an organisation that has one of its own, by name; 0 is the most urgent.
+	Priorities map[string]int
+	// Limits bound what one caller may send.
+	Limits CallerLimits
+}
+
+// CallerLimits bound one caller's connection; a zero field is unlimited.
+type CallerLimits struct {
+	// BodyBytes is the longest body.
+	BodyBytes int64
+	// Idle is how long a kept connection may rest.
+	Idle Duration
+}
+
+// Repeats says what may be repeated of the requests on a route.
+type Repeats string
+
+// The kinds of route by what may be repeated.
+const (
+	// RepeatsAny is for idempotent requests.
+	RepeatsAny Repeats = "Any"
+	// RepeatsNone is for requests that may run at most once.
+	RepeatsNone Repeats = "None"
+	// RepeatsResumed is for streams that another replica can go on with after the last event that the caller has.
+	RepeatsResumed Repeats = "Resumed"
+)
+
+// Route says where requests go and what is owed to their callers.
+type Route struct {
+	Name string
+	Host string
+	// Prefix is the start of the path, with slashes at both ends. The longest prefix of a host wins.
+	Prefix string
+	// Backends share the requests by weight; never empty.
+	Backends []Backend
+	Repeats  Repeats
+	// Stream tells that answers are series of events.
+	Stream bool
+	// Timeout is the longest time from arrival to the end of the answer; above 0.
+	Timeout Duration
+	// Goal is the time to the first byte of the answer that callers are promised.
+	Goal Duration
+	// Gap is the longest pause between events that callers are promised; 0 if nothing is.
+	Gap Duration
+	// Attempts is how many replicas may run one request; at least 1.
+	Attempts int
+	// Priority ranks the route, 0 the most urgent.
+	Priority int
+	// Public routes need no token.
+	Public bool
+}
+
+// Backend is one service of a route with its share.
+type Backend struct {
+	Service string
+	// Weight is the share of the requests, at least 0.
+	Weight int
+}
+
+// Pool is a service as requests are passed on to it.
+type Pool struct {
+	// Connections is how many connections one replica takes from all instances together; 0 is unlimited.
+	Connections int
+	// Engine has the figures of a model engine, nil for plain services.
+	Engine *Engine
+}
+
+// Engine holds the declared figures by which a model engine works. It takes its requests in passes: with requests that
+// write, a pass is Stride steps, each of which writes one token for each of them and reads up to Chunk prompt tokens.
+type Engine struct {
+	// Slots is how many requests it runs at once.
+	Slots int
+	// Memory is how many tokens, prompts and answers together, it holds.
+	Memory int64
+	// Step is the time of one step in ms, PerWriter what each request that writes adds to it, and PerContext what each
+	// thousand tokens of their contexts add.
+	Step, PerWriter, PerContext float64
+	// ReadRate is in prompt tokens a ms, PairCost in ms a million pairs of a token and one before it.
+	ReadRate, PairCost float64
+	// Chunk is the longest part of a prompt that one step reads, in tokens.
+	Chunk int64
+	// Stride is how many tokens one event of a stream holds.
+	Stride int
+	// Hop is what a prompt in several engines adds to a step, in ms; Helpers is how many others may read one prompt.
+	Hop     float64
+	Helpers int
+}
+
+// Find returns the route of a request, nil if there is none.
+func (rt *Routing) Find(host, path string) *Route {
+	var best *Route
+	for i := range rt.Routes {
+		route := &rt.Routes[i]
+		if route.Host != host || !strings.HasPrefix(path, route.Prefix) {
+			continue
+		}
+		if best == nil || len(route.Prefix) > len(best.Prefix) {
+			best = route
+		}
+	}
+	return best
+}
