Price engine time by its backlog; judge silence by a new connection

Now a silent replica must also refuse a new connection, a waiting request takes a slot with the chance that leaves one taker for each, and a request is sent only if it is worth more than the engine time it takes at the price of the backlog. What would be late waits no longer than it can still be in time, and its caller hears when to come back.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -31,7 +31,9 @@
 )
 
 func newTransport(fresh bool) *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
+	// A connection that fell silent for good shows only by probes that are not answered.
+	probes := net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: probes}
 	return &http.Transport{
 		DialContext:         dialer.DialContext,
 		DisableCompression:  true,
@@ -85,16 +87,17 @@
 	wrote  atomic.Bool
 	silent atomic.Bool
 	timer  *time.Timer
+	// limit is the longest silence allowed now.
+	limit  atomic.Int64
+	checks atomic.Int32
 	last   time.Time
 }
 
 func (tr *try) run(ctx context.Context) steer.Result {
 	watched, cancel := context.WithCancel(ctx)
 	defer cancel()
-	tr.timer = time.AfterFunc(tr.eff.FirstBy, func() {
-		tr.silent.Store(true)
-		cancel()
-	})
+	tr.limit.Store(int64(tr.eff.FirstBy))
+	tr.timer = time.AfterFunc(tr.eff.FirstBy, func() { tr.check(watched, cancel) })
 	defer tr.timer.Stop()
 	transport := tr.in.kept
 	if tr.eff.Fresh {
@@ -108,6 +111,28 @@
 	return tr.receive(ctx, resp)
 }
 
+// check ends an attempt whose replica is silent. One that other requests heard lately, or that takes new connections, is
+// not: it has more to do than was reckoned, and to send the request elsewhere would waste what it has read of it. A
+// connection that only looks open shows by its probes.
+func (tr *try) check(ctx context.Context, cancel context.CancelFunc) {
+	limit := time.Duration(tr.limit.Load())
+	if at, ok := tr.in.heard.Load(tr.eff.Replica.Name); ok {
+		if since := time.Since(at.(time.Time)); since < limit {
+			tr.timer.Reset(limit - since)
+			return
+		}
+	}
+	if tr.checks.Add(1) <= maxChecks && !died(ctx, tr.eff.Replica.Address) {
+		tr.timer.Reset(limit)
+		return
+	}
+	tr.silent.Store(true)
+	cancel()
+}
+
+// maxChecks is how often a replica that takes connections is believed to be at work on a request that it is silent about.
+const maxChecks = 3
+
 // failed classifies an attempt without a whole answer.
 func (tr *try) failed(ctx context.Context) steer.Result {
 	switch {
--- a/internal/relay/follow.go
+++ b/internal/relay/follow.go
@@ -125,6 +125,9 @@
 	if line.Helpers > 0 {
 		entry.Int("Helpers", line.Helpers)
 	}
+	if line.Tokens > 0 {
+		entry.Int64("Tokens", line.Tokens)
+	}
 	if line.Age > 0 {
 		entry.Int64("AgeMs", line.Age.Milliseconds())
 	}
--- a/internal/relay/instance.go
+++ b/internal/relay/instance.go
@@ -53,6 +53,8 @@
 	draining  atomic.Bool
 	nextID    atomic.Uint64
 
+	// heard holds when each replica was last heard, by its name.
+	heard sync.Map
 	// mu guards the reducer and the calls.
 	mu    sync.Mutex
 	state *steer.State
--- a/internal/steer/effect.go
+++ b/internal/steer/effect.go
@@ -72,6 +72,8 @@
 	Age, Estimate time.Duration
 	Attempt       int
 	Helpers       int
+	// Tokens is the prompt's length.
+	Tokens int64
 }
 
 func (Send) isEffect()   {}
--- a/internal/steer/engine.go
+++ b/internal/steer/engine.go
@@ -13,7 +13,8 @@
 func readTime(eng *decl.Engine, prompt int64, engines int) float64 {
 	tokens := float64(prompt)
 	pairs := tokens * tokens / 2 / 1e6
-	return (tokens/eng.ReadRate + pairs*eng.PairCost) / float64(engines)
+	steps := tokens / float64(eng.Chunk)
+	return (tokens/eng.ReadRate + pairs*eng.PairCost + steps*eng.Step) / float64(engines)
 }
 
 // stepTime is how long one step takes with the writers and their contexts, in tokens.
--- a/internal/steer/peer.go
+++ b/internal/steer/peer.go
@@ -50,9 +50,6 @@
 		return
 	}
 	pr := st.peerOf(nt)
-	if pr == nil {
-		return
-	}
 	pr.heard = st.now
 	if nt.Whole {
 		st.keepOnly(nt, pr)
@@ -75,16 +72,13 @@
 			rep.failed(st.now)
 		}
 	}
-	st.pump()
 }
 
-// peerOf returns the instance's entry for the run of the note, nil if the note is of an earlier run.
+// peerOf returns the instance's entry for the run of the note. Runs are told apart only: a clock that was set back gives
+// a later run the lower number.
 func (st *State) peerOf(nt Note) *peer {
 	pr, ok := st.peers[nt.From]
-	if ok && pr.run > nt.Run {
-		return nil
-	}
-	if ok && pr.run < nt.Run {
+	if ok && pr.run != nt.Run {
 		st.dropPeer(nt.From, pr)
 		ok = false
 	}
--- a/internal/steer/place.go
+++ b/internal/steer/place.go
@@ -14,15 +14,25 @@
 // times a minute, so that no fixed part of the engines is right for either.
 
 const (
-	// safety is the part of a promise that an estimate may use up.
-	safety = 0.8
+	// safety is the part of the time to the first event that an estimate may use up, gapSafety that of a pause: a pass is
+	// known to a few ms, what is ahead of a new request is not.
+	safety    = 0.8
+	gapSafety = 0.93
 	// lateShare is the part of an answer's worth that is lost if it is late.
 	lateShare = 0.75
 	// tokensPerValue and minValue give an answer's worth: long prompts are worth more, in proportion.
 	tokensPerValue = 7400
 	minValue       = 1.3
-	// timeCost is the worth of a second of engine time taken, which parts choices that make nothing late.
+	// timeCost is the worth of a second of engine time that nobody waits for, which parts choices that make nothing late.
 	timeCost = 0.3
+	// backlogCost is what each second of reading that waits at the average engine adds to that, and slotCost what full
+	// slots add. Under overload only what is worth more than what it displaces is sent; the rest waits for a lull, since
+	// a long prompt takes engine time by the square of its length and is worth only in proportion to it.
+	backlogCost = 3.0
+	slotCost    = 4.0
+	slotsFrom   = 0.8
+	// longestBacklog bounds what one engine counts in the average, in seconds.
+	longestBacklog = 4.0
 	// spreadCost keeps a request that may not pause off engines that have none like it, which are thereby kept free for
 	// long reads: without it short streams are on all engines, and each long read makes some of them late.
 	spreadCost = 0.05
@@ -89,21 +99,29 @@
 // option is one engine as a candidate.
 type option struct {
 	rep *replica
-	// harm is the worth that others lose, wait the time in ms until the part would be read.
-	harm, wait float64
+	// harm is the worth that others lose, wait the time in ms until the part would be read, pass that of one pass.
+	harm, wait, pass float64
+	// late is the request's own worth lost if it is answered here.
+	late float64
 	// writes tells that it has room to answer, and not only to help.
 	writes bool
 }
 
+// asHelper and asFirst are what the engine costs in the one and the other part.
+func (opt *option) asHelper() float64 { return opt.harm + timeCost*opt.wait/1000 }
+
+func (opt *option) asFirst() float64 { return opt.asHelper() + opt.late + timeCost*opt.pass/1000 }
+
 func (st *State) placePrompt(svc *service, req *request) (plan, bool) {
 	eng := svc.engine
+	price := st.enginePrice(svc)
 	var best plan
 	found := false
 	for _, count := range engineCounts {
 		if count > 1 && (count > eng.Helpers+1 || readTime(eng, req.Prompt, 1) < minSplit*float64(count)) {
 			break
 		}
-		pl, ok := st.planFor(svc, req, count)
+		pl, ok := st.planFor(svc, req, count, price)
 		if !ok {
 			continue
 		}
@@ -111,21 +129,53 @@
 			best, found = pl, true
 		}
 	}
-	return best, found
+	return best, found && best.cost < value(req.Prompt)
+}
+
+// enginePrice is the worth of a second of engine time now.
+func (st *State) enginePrice(svc *service) float64 {
+	var used, slots float64
+	for _, rep := range svc.replicas {
+		if rep.usable(st.now) {
+			used += float64(min(rep.running(), rep.Slots))
+			slots += float64(rep.Slots)
+		}
+	}
+	full := 0.0
+	if slots > 0 {
+		full = max(0, (used/slots-slotsFrom)/(1-slotsFrom))
+	}
+	return timeCost + backlogCost*st.meanBacklog(svc) + slotCost*full
+}
+
+// meanBacklog is the reading that waits at the average engine, in seconds.
+func (st *State) meanBacklog(svc *service) float64 {
+	var total float64
+	count := 0
+	for _, rep := range svc.replicas {
+		if rep.usable(st.now) {
+			count++
+			total += min(rep.backlog(st.now)/1000, longestBacklog)
+		}
+	}
+	return total / float64(max(1, count))
 }
 
 // minSplit is the least reading in ms that is worth another engine.
 const minSplit = 60
 
 // planFor reckons the request read by so many engines.
-func (st *State) planFor(svc *service, req *request, count int) (plan, bool) {
+func (st *State) planFor(svc *service, req *request, count int, price float64) (plan, bool) {
 	eng := svc.engine
 	part := readTime(eng, req.Prompt, count)
 	options := st.options(svc, req, part)
-	slices.SortStableFunc(options, func(one, two option) int {
-		return cmp.Compare(one.harm+timeCost*one.wait/1000, two.harm+timeCost*two.wait/1000)
-	})
-	first := slices.IndexFunc(options, func(opt option) bool { return opt.writes })
+	slices.SortStableFunc(options, func(one, two option) int { return cmp.Compare(one.asHelper(), two.asHelper()) })
+	first := -1
+	for i := range options {
+		if options[i].writes && (first < 0 || options[i].asFirst() < options[first].asFirst()) {
+			first = i
+		}
+	}
 	if first < 0 || len(options) < count {
 		return plan{}, false
 	}
@@ -143,14 +193,24 @@
 	if len(pl.reps) < count {
 		return plan{}, false
 	}
-	writers, contexts := pl.reps[0].writers()
-	pl.first += float64(eng.Stride) * stepTime(eng, writers+1, contexts+req.Prompt) * pl.reps[0].slow
+	pl.first += options[first].pass
+	taken := float64(count)*part + st.slotTime(eng, req)
+	pl.cost += st.lateness(req, pl.first) + (price*taken+timeCost*pl.first)/1000
+	return pl, true
+}
+
+// slotTime is the engine time in ms that the request's answer takes up: its part of the passes in which it is written.
+func (st *State) slotTime(eng *decl.Engine, req *request) float64 {
+	return float64(req.Answer) * stepTime(eng, eng.Slots, 0) / float64(eng.Slots)
+}
+
+// lateness is the request's own worth lost if its answer begins in so many ms; later is worse even among late ones.
+func (st *State) lateness(req *request, first float64) float64 {
 	left := ms(req.goal.Sub(st.now))
-	if pl.first > safety*left {
-		pl.cost += lateShare * value(req.Prompt) * (1 + min(1, max(0, pl.first-left)/5000))
+	if first <= safety*left {
+		return 0
 	}
-	pl.cost += timeCost * (float64(count)*part + pl.first) / 1000
-	return pl, true
+	return lateShare * value(req.Prompt) * (1 + min(1, max(0, first-left)/5000))
 }
 
 func (pl *plan) add(opt option) {
@@ -166,7 +226,9 @@
 			continue
 		}
 		backlog := rep.backlog(st.now)
-		opt := option{rep: rep, wait: backlog + part*rep.slow, writes: rep.fits(svc.engine, req)}
+		opt := option{rep: rep, wait: backlog + part*rep.slow, writes: rep.fits(svc.engine, req) && st.myTurn(rep, req)}
+		opt.pass = st.firstPass(svc.engine, rep, req)
+		opt.late = st.lateness(req, opt.wait+opt.pass)
 		opt.harm = st.harm(svc.engine, rep, backlog, part*rep.slow) + st.spread(rep, req)
 		if rep.FailureDomain != st.Options.FailureDomain {
 			opt.harm += farCost
@@ -176,11 +238,35 @@
 	return options
 }
 
+// firstPass is the time in ms from the end of the reading to the first event: the pass that writes it and, where others
+// write, what is left on average of the pass that is under way when the request comes.
+func (st *State) firstPass(eng *decl.Engine, rep *replica, req *request) float64 {
+	writers, contexts := rep.writers()
+	pass := float64(eng.Stride) * stepTime(eng, writers+1, contexts+req.Prompt) * rep.slow
+	if writers == 0 {
+		return pass
+	}
+	return 1.5 * pass
+}
+
 // fits tells that the engine has a slot and the memory to answer the request.
 func (rep *replica) fits(eng *decl.Engine, req *request) bool {
 	return rep.running() < eng.Slots && rep.held()+req.Prompt+req.Answer <= eng.Memory
 }
 
+// myTurn keeps the instances from rushing to the one slot that became free, which they all hear of at once: a request
+// that waits takes one of few slots with the chance that leaves about one taker for each. The next tick tries again.
+func (st *State) myTurn(rep *replica, req *request) bool {
+	if st.now.Sub(req.at) < rushAfter {
+		return true
+	}
+	free := rep.Slots - rep.running()
+	return free >= st.live || st.random.IntN(st.live) < free
+}
+
+// rushAfter is how long a request must be here to count as one that waits.
+const rushAfter = 5 * time.Millisecond
+
 // harm is the worth that the callers with work at the replica lose if it reads so much more.
 func (st *State) harm(eng *decl.Engine, rep *replica, backlog, read float64) float64 {
 	writers, contexts := rep.writers()
@@ -203,7 +289,7 @@
 		if gap == 0 {
 			continue
 		}
-		if before := backlog + pass; before+read > safety*gap && before <= safety*gap {
+		if before := backlog + pass; before+read > gapSafety*gap && before <= gapSafety*gap {
 			lost += lateShare * wk.value
 		}
 	}
--- a/internal/steer/replica.go
+++ b/internal/steer/replica.go
@@ -100,9 +100,27 @@
 	return count, contexts
 }
 
-// backlog is the reading still to be done, in ms.
+// overdueShare is the part of its reading that a request which should have begun by now is taken to have left.
+const overdueShare = 0.3
+
+// backlog is the reading still to be done, in ms. An engine that is later than was reckoned is not idle.
 func (rep *replica) backlog(now time.Time) float64 {
-	return max(0, ms(rep.readUntil.Sub(now)))
+	left := ms(rep.readUntil.Sub(now))
+	if left > 0 {
+		return left
+	}
+	return overdueShare * rep.unread()
+}
+
+// unread is the reading of the requests that have not begun to answer, in ms.
+func (rep *replica) unread() float64 {
+	var total float64
+	for i := range rep.works {
+		if !rep.works[i].begun {
+			total += rep.works[i].read * rep.slow
+		}
+	}
+	return total
 }
 
 func (rep *replica) start(now time.Time, wk work) {
@@ -126,13 +144,7 @@
 // caughtUp keeps the reckoned backlog from outlasting what is unread: a prediction that was too long would keep work
 // away from an engine that has nothing to do.
 func (rep *replica) caughtUp(now time.Time) {
-	var unread float64
-	for i := range rep.works {
-		if !rep.works[i].begun {
-			unread += rep.works[i].read * rep.slow
-		}
-	}
-	if latest := now.Add(duration(unread)); rep.readUntil.After(latest) {
+	if latest := now.Add(duration(rep.unread())); rep.readUntil.After(latest) {
 		rep.readUntil = latest
 	}
 }
--- a/internal/steer/serve.go
+++ b/internal/steer/serve.go
@@ -55,7 +55,7 @@
 	if len(st.waiting) == 0 {
 		return
 	}
-	slices.SortStableFunc(st.waiting, func(one, two *request) int { return one.goal.Compare(two.goal) })
+	slices.SortStableFunc(st.waiting, st.order)
 	kept := st.waiting[:0]
 	for _, req := range st.waiting {
 		if st.now.Before(req.notBefore) || !st.trySend(req) {
@@ -66,6 +66,28 @@
 	st.waiting = kept
 }
 
+// order lets those that can still be in time go first, by their goals: under overload the others would make everything
+// late in turn.
+func (st *State) order(one, two *request) int {
+	lateOne, lateTwo := st.tooLate(one), st.tooLate(two)
+	if lateOne != lateTwo {
+		if lateOne {
+			return 1
+		}
+		return -1
+	}
+	return one.goal.Compare(two.goal)
+}
+
+// tooLate tells that the answer can hardly begin by the goal any more.
+func (st *State) tooLate(req *request) bool {
+	return ms(req.goal.Sub(st.now)) < lastCall*ms(req.Route.Goal.Std())
+}
+
+// lastCall is the part of the goal that is left when a waiting request is as good as late: an engine takes about two
+// fifths of a short prompt's goal to read it and to write the first event.
+const lastCall = 0.4
+
 func (st *State) trySend(req *request) bool {
 	pl, ok := st.place(req)
 	if !ok {
@@ -99,6 +121,7 @@
 	st.emit(Line{
 		Message: "request sent", Request: req.Name, Replica: pl.reps[0].Name, Age: st.now.Sub(req.at),
 		Estimate: duration(pl.first), Attempt: req.attempt, Helpers: len(pl.reps) - 1,
+		Tokens: req.Prompt,
 	})
 }
 
@@ -109,7 +132,7 @@
 	// silenceFactor is how many times its estimate a first answer may take.
 	silenceFactor = 2.5
 	// leastSilence covers the stall of an engine that waits for a dead helper, and short freezes.
-	leastSilence = 900 * time.Millisecond
+	leastSilence = 1100 * time.Millisecond
 	jointSilence = 1900 * time.Millisecond
 )
 
@@ -181,15 +204,46 @@
 	st.emit(fin)
 }
 
-// expire ends what waited for too long: a caller that would leave before any answer hears now when to come back.
+// expire ends what waited for too long: a caller that would leave before any answer hears now when to come back, and so
+// does one whose answer would be late and that can come back once more.
 func (st *State) expire() {
-	var late []*request
+	var over, busy []*request
 	for _, req := range st.waiting {
-		if !st.now.Before(req.Deadline) || !req.begun && !st.now.Before(req.Patience) {
-			late = append(late, req)
+		switch {
+		case !st.now.Before(req.Deadline) || !req.begun && !st.now.Before(req.Patience):
+			over = append(over, req)
+		case req.attempt == 0 && !req.returned() && st.tooLate(req):
+			busy = append(busy, req)
 		}
 	}
-	for _, req := range late {
+	for _, req := range over {
 		st.refuse(req, ReasonDeadline, busyPause)
 	}
+	for _, req := range busy {
+		st.refuse(req, ReasonBusy, st.comeBack(req))
+	}
 }
+
+// returned tells that the caller was refused before, since it has less time than its route gives: it may have no other
+// try, and stays as long as it can.
+func (req *request) returned() bool {
+	return req.Deadline.Sub(req.at) < time.Duration(returnedShare*float64(req.Route.Timeout.Std()))
+}
+
+const (
+	// returnedShare is the part of a route's time that a caller has at its first try, at the least.
+	returnedShare = 0.97
+	// patientShare is the part of the time left that callers wait when they are asked to.
+	patientShare = 1.0 / 3
+)
+
+// comeBack spreads the callers that were refused over the time in which the backlog falls, so that they do not return
+// together.
+func (st *State) comeBack(req *request) time.Duration {
+	after := busyPause + duration(st.meanBacklog(st.serviceOf(req.service))*1000) + time.Duration(st.random.Int64N(int64(spreadBack)))
+	longest := time.Duration(patientShare * float64(req.Deadline.Sub(st.now)))
+	return min(after, max(longest, time.Millisecond))
+}
+
+// spreadBack is over how long refused callers are spread.
+const spreadBack = 1500 * time.Millisecond
