--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -87,6 +87,10 @@
 	wrote  atomic.Bool
 	silent atomic.Bool
 	timer  *time.Timer
+	// tickets tells that helpers set memory aside; cancel ends the renewing of that, renewed tells that it has ended.
+	tickets bool
+	cancel  context.CancelFunc
+	renewed chan struct{}
 	// limit is the longest silence allowed now.
 	limit  atomic.Int64
 	checks atomic.Int32
@@ -96,9 +100,15 @@
 func (tr *try) run(ctx context.Context) steer.Result {
 	watched, cancel := context.WithCancel(ctx)
 	defer cancel()
+	tr.cancel = cancel
 	tr.limit.Store(int64(tr.eff.FirstBy))
 	tr.timer = time.AfterFunc(tr.eff.FirstBy, func() { tr.check(watched, cancel) })
 	defer tr.timer.Stop()
+	if fault, ok := tr.reserve(watched); !ok {
+		tr.ended.At = fault
+		return steer.ResultNotRun
+	}
+	defer tr.release()
 	transport := tr.in.kept
 	if tr.eff.Fresh {
 		transport = tr.in.fresh1
@@ -169,8 +179,8 @@
 		Replica: tr.eff.Replica.Name, Organisation: cl.org, Left: max(leastLeft, time.Until(tr.eff.Deadline)),
 		Priority: tr.eff.Priority, After: cl.after,
 	}
-	for _, helper := range tr.eff.Helpers {
-		dress.Helpers = append(dress.Helpers, helper.Address)
+	for i, helper := range tr.eff.Helpers {
+		dress.Helpers = append(dress.Helpers, DressHelper{Address: helper.Address, Ticket: tr.ticketID(i)})
 	}
 	tr.in.protocol.Dress(req.Header, dress)
 	return req
--- a/internal/relay/instance.go
+++ b/internal/relay/instance.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -38,7 +39,9 @@
 
 // Instance is one running instance.
 type Instance struct {
-	opts      Options
+	opts Options
+	// run names this run of the instance.
+	run       string
 	self      Peer
 	directory Directory
 	protocol  Protocol
@@ -51,7 +54,9 @@
 	// confirmed is the boot time at which the question was asked that last confirmed the configuration.
 	confirmed atomic.Int64
 	draining  atomic.Bool
-	nextID    atomic.Uint64
+	// releases counts the orders under way that give memory back.
+	releases sync.WaitGroup
+	nextID   atomic.Uint64
 
 	// heard holds when each replica was last heard, by its name.
 	heard sync.Map
@@ -67,8 +72,10 @@
 	if seed == 0 {
 		seed = xxhash.Sum64String(opts.Name)
 	}
+	run := time.Now().UnixMicro()
 	in := &Instance{
 		opts:      opts,
+		run:       opts.Name + "." + strconv.FormatInt(run, 36),
 		self:      Peer{Name: opts.Name, Address: opts.PeerListen},
 		directory: directory,
 		protocol:  protocol,
@@ -78,7 +85,7 @@
 		calls:     map[steer.RequestID]*call{},
 	}
 	in.state = steer.New(steer.Options{
-		Name: opts.Name, FailureDomain: opts.FailureDomain, Run: time.Now().UnixMicro(), Seed: seed, MissingTime: opts.MissingTime,
+		Name: opts.Name, FailureDomain: opts.FailureDomain, Run: run, Seed: seed, MissingTime: opts.MissingTime,
 		Budget: steer.Budget{Ratio: opts.BudgetRatio, Slack: opts.BudgetSlack, Window: opts.BudgetWindow},
 	})
 	return in
@@ -158,6 +165,7 @@
 		in.log.Warn().Int("Open", in.open()).Err(err).Msg("grace is over with requests open")
 		_ = front.Close()
 	}
+	in.releases.Wait()
 }
 
 func (in *Instance) open() int {
--- a/internal/relay/ports.go
+++ b/internal/relay/ports.go
@@ -19,6 +19,8 @@
 	Errors = errorx.NewNamespace("relay")
 	// BadOption tells that a setting cannot be used.
 	BadOption = Errors.NewType("bad_option")
+	// OrderFailed tells that a replica did not carry out an order.
+	OrderFailed = Errors.NewType("order_failed")
 )
 
 // Directory is the store that holds the configuration, the replicas and the other instances. All reads are
@@ -55,6 +57,19 @@
 	Dress(header http.Header, dr Dress)
 	// Reply reads what a replica's answer says of itself.
 	Reply(resp *http.Response) Reply
+	// Reserve returns the request that sets memory aside at a replica, or renews that.
+	Reserve(ctx context.Context, replica steer.Replica, tk Ticket) (*http.Request, error)
+	// Release returns the request that gives the memory back.
+	Release(ctx context.Context, replica steer.Replica, id string) (*http.Request, error)
+}
+
+// Ticket is memory set aside at a replica.
+type Ticket struct {
+	// ID names it, unique to one attempt at one replica.
+	ID     string
+	Tokens int64
+	// Hold is how long it lasts without being renewed.
+	Hold time.Duration
 }
 
 // Ask is what a caller's request says of itself.
@@ -81,12 +96,15 @@
 	Left time.Duration
 	// Priority is 0 for the most urgent, negative if none is said.
 	Priority int
-	// Helpers are the addresses of the replicas that read parts of the prompt.
-	Helpers []string
+	// Helpers are the replicas that read parts of the prompt.
+	Helpers []DressHelper
 	// After is the last event that the caller has.
 	After string
 }
 
+// DressHelper is a replica that reads a part of the prompt; Ticket names the memory that it set aside, if any.
+type DressHelper struct{ Address, Ticket string }
+
 // Reply is what a replica's answer says of itself.
 type Reply struct {
 	// Name is the request's as the replica heard it.
--- a/internal/steer/effect.go
+++ b/internal/steer/effect.go
@@ -11,7 +11,7 @@
 	Attempt int
 	Replica Replica
 	// Helpers read parts of the prompt, none for most requests.
-	Helpers []Replica
+	Helpers []Helper
 	// Priority is what the engine is told, 0 the most urgent.
 	Priority int
 	// Fresh asks for a connection of its own: a kept one may just have been closed by the replica, and the request
@@ -22,6 +22,13 @@
 	FirstBy, GapBy time.Duration
 }
 
+// Helper is a replica that reads part of a prompt.
+type Helper struct {
+	Replica
+	// Tokens is how much memory it sets aside for the request, 0 for none.
+	Tokens int64
+}
+
 // Abort ends the attempt under way.
 type Abort struct {
 	ID      RequestID
--- a/internal/steer/note.go
+++ b/internal/steer/note.go
@@ -24,6 +24,8 @@
 	ID RequestID
 	// Replicas has the one that answers first, then those that help it read.
 	Replicas []string
+	// Tickets holds the tokens that the helpers set aside, in their order.
+	Tickets []int64
 	// Prompt and Answer are in tokens.
 	Prompt, Answer int64
 	// Goal is the time left in ms when the note was made for the answer to begin, Gap the longest pause in ms.
@@ -47,6 +49,11 @@
 		if len(job.Replicas) == 0 || job.Prompt < 0 || job.Answer < 0 || job.Prompt > maxTokens || job.Answer > maxTokens {
 			return false
 		}
+		for _, tokens := range job.Tickets {
+			if tokens < 0 || tokens > maxTokens {
+				return false
+			}
+		}
 	}
 	return nt.From != ""
 }
--- a/internal/steer/peer.go
+++ b/internal/steer/peer.go
@@ -35,7 +35,7 @@
 		}
 		job := Job{
 			ID: id, Prompt: req.Prompt, Answer: req.Answer, Goal: millis(req.goal.Sub(now)), Gap: millis(req.gap),
-			Age: millis(now.Sub(req.sentAt)), Begun: req.begun,
+			Age: millis(now.Sub(req.sentAt)), Begun: req.begun, Tickets: req.tickets,
 		}
 		for _, rep := range req.reps {
 			job.Replicas = append(job.Replicas, rep.Name)
@@ -144,6 +144,10 @@
 // startJob books a job at its replicas and returns those that are known.
 func (st *State) startJob(key jobKey, job *Job) []*replica {
 	reps := make([]*replica, 0, len(job.Replicas))
+	first := job.Prompt + job.Answer
+	for _, tokens := range job.Tickets {
+		first -= tokens
+	}
 	for i, name := range job.Replicas {
 		rep, ok := st.replicas[name]
 		if !ok {
@@ -159,8 +163,11 @@
 			if !job.Begun {
 				wk.read = max(0, readTime(eng, job.Prompt, len(job.Replicas))-float64(job.Age))
 			}
-			if wk.first {
-				wk.tokens = job.Prompt + job.Answer
+			switch {
+			case wk.first:
+				wk.tokens = first
+			case i <= len(job.Tickets):
+				wk.tokens = job.Tickets[i-1]
 			}
 		}
 		rep.start(st.now, wk)
--- a/internal/steer/place.go
+++ b/internal/steer/place.go
@@ -46,7 +46,9 @@
 // plan is where a request goes.
 type plan struct {
 	reps []*replica
-	// parts is the reading of each in ms.
+	// tickets holds how many tokens each of the helpers sets aside, nil if the first replica holds all.
+	tickets []int64
+	// part is the reading of each in ms.
 	part float64
 	// first is the estimated time to the first byte in ms, cost the worth lost.
 	first, cost float64
@@ -103,8 +105,9 @@
 	harm, wait, pass float64
 	// late is the request's own worth lost if it is answered here.
 	late float64
-	// writes tells that it has room to answer, and not only to help.
-	writes bool
+	// slot tells that it has room to answer, and not only to help; free is its free memory in tokens.
+	slot bool
+	free int64
 }
 
 // asHelper and asFirst are what the engine costs in the one and the other part.
@@ -170,26 +173,31 @@
 	part := readTime(eng, req.Prompt, count)
 	options := st.options(svc, req, part)
 	slices.SortStableFunc(options, func(one, two option) int { return cmp.Compare(one.asHelper(), two.asHelper()) })
-	first := -1
-	for i := range options {
-		if options[i].writes && (first < 0 || options[i].asFirst() < options[first].asFirst()) {
-			first = i
-		}
-	}
+	first := firstOf(eng, req, options)
 	if first < 0 || len(options) < count {
 		return plan{}, false
 	}
 	pl := plan{part: part, reps: []*replica{options[first].rep}}
 	pl.add(options[first])
+	missing := req.tokens() - options[first].free
 	for i := range options {
 		if len(pl.reps) == count {
 			break
 		}
-		if i != first && options[i].rep.helping() < options[i].rep.Slots {
-			pl.reps = append(pl.reps, options[i].rep)
-			pl.add(options[i])
+		if i == first || options[i].rep.helping() >= options[i].rep.Slots {
+			continue
+		}
+		pl.reps = append(pl.reps, options[i].rep)
+		pl.add(options[i])
+		if missing > 0 {
+			ticket := min(missing, options[i].free)
+			pl.tickets = append(pl.tickets, ticket)
+			missing -= ticket
 		}
 	}
+	if missing > 0 {
+		return plan{}, false
+	}
 	if len(pl.reps) < count {
 		return plan{}, false
 	}
@@ -226,7 +234,8 @@
 			continue
 		}
 		backlog := rep.backlog(st.now)
-		opt := option{rep: rep, wait: backlog + part*rep.slow, writes: rep.fits(svc.engine, req) && st.myTurn(rep, req)}
+		opt := option{rep: rep, wait: backlog + part*rep.slow, free: rep.free(svc.engine)}
+		opt.slot = rep.running() < svc.engine.Slots && st.myTurn(rep, req)
 		opt.pass = st.firstPass(svc.engine, rep, req)
 		opt.late = st.lateness(req, opt.wait+opt.pass)
 		opt.harm = st.harm(svc.engine, rep, backlog, part*rep.slow) + st.spread(rep, req)
@@ -249,9 +258,31 @@
 	return 1.5 * pass
 }
 
-// fits tells that the engine has a slot and the memory to answer the request.
-func (rep *replica) fits(eng *decl.Engine, req *request) bool {
-	return rep.running() < eng.Slots && rep.held()+req.Prompt+req.Answer <= eng.Memory
+// memoryShare is the part of an engine's memory that is counted on: it is given out in blocks.
+const memoryShare = 0.97
+
+// free is the memory in tokens that nothing known here takes.
+func (rep *replica) free(eng *decl.Engine) int64 {
+	return max(0, int64(memoryShare*float64(eng.Memory))-rep.held())
+}
+
+// tokens is the memory that the request needs.
+func (req *request) tokens() int64 { return req.Prompt + req.Answer }
+
+// firstOf returns the place of the engine that should answer, -1 if none can. A request that fits into one engine waits
+// for one that has the memory; a larger one takes what there is, and its helpers set the rest aside.
+func firstOf(eng *decl.Engine, req *request, options []option) int {
+	first := -1
+	large := req.tokens() > int64(memoryShare*float64(eng.Memory))
+	for i := range options {
+		if !options[i].slot || !large && options[i].free < req.tokens() {
+			continue
+		}
+		if first < 0 || options[i].asFirst() < options[first].asFirst() {
+			first = i
+		}
+	}
+	return first
 }
 
 // myTurn keeps the instances from rushing to the one slot that became free, which they all hear of at once: a request
--- a/internal/steer/retry.go
+++ b/internal/steer/retry.go
@@ -37,11 +37,13 @@
 
 // judge counts the end of an attempt for or against the replica.
 func (st *State) judge(req *request, ev AttemptEnded) {
-	rep := req.reps[0]
-	if other, ok := st.replicas[ev.At]; ok {
-		rep = other
-	}
+	rep := st.atFault(req, ev.At)
 	switch ev.Result {
+	case ResultNotRun:
+		// A replica that refuses for another one's sake names it: a helper that leaves or is gone.
+		if rep != req.reps[0] {
+			rep.failed(st.now)
+		}
 	case ResultDone, ResultAnswered:
 		rep.succeeded()
 		st.learnPace(req, rep, ev)
@@ -57,6 +59,16 @@
 	}
 }
 
+// atFault is the replica that ended the attempt: the first, or the helper that the answer names.
+func (st *State) atFault(req *request, at string) *replica {
+	for _, rep := range req.reps {
+		if at == rep.Name || at == rep.Address {
+			return rep
+		}
+	}
+	return req.reps[0]
+}
+
 // learnPace compares the shortest pause of a stream, in which its engine read little, with the engine's figures.
 func (st *State) learnPace(req *request, rep *replica, ev AttemptEnded) {
 	eng := st.serviceOf(req.service).engine
--- a/internal/steer/serve.go
+++ b/internal/steer/serve.go
@@ -103,18 +103,24 @@
 	req.aborted = false
 	req.reps = append(req.reps[:0], pl.reps...)
 	req.sentAt = st.now
+	req.tickets = append(req.tickets[:0], pl.tickets...)
 	job := Job{ID: req.ID, Prompt: req.Prompt, Answer: req.Answer, Goal: millis(req.goal.Sub(st.now)), Gap: millis(req.gap)}
 	for _, rep := range pl.reps {
 		job.Replicas = append(job.Replicas, rep.Name)
 	}
+	job.Tickets = req.tickets
 	st.startJob(jobKey{id: req.ID}, &job)
 	st.emit(Tell{Note: st.note(Note{Jobs: []Job{job}})})
 	eff := Send{
 		ID: req.ID, Attempt: req.attempt, Replica: pl.reps[0].Replica, Priority: req.Priority,
 		Fresh: req.Route.Repeats == decl.RepeatsNone, Deadline: req.Deadline,
 	}
-	for _, rep := range pl.reps[1:] {
-		eff.Helpers = append(eff.Helpers, rep.Replica)
+	for i, rep := range pl.reps[1:] {
+		helper := Helper{Replica: rep.Replica}
+		if i < len(pl.tickets) {
+			helper.Tokens = pl.tickets[i]
+		}
+		eff.Helpers = append(eff.Helpers, helper)
 	}
 	eff.FirstBy, eff.GapBy = st.patience(req, pl)
 	st.emit(eff)
--- a/internal/steer/state.go
+++ b/internal/steer/state.go
@@ -63,6 +63,7 @@
 	attempt int
 	running bool
 	reps    []*replica
+	tickets []int64
 	sentAt  time.Time
 	// runs counts the attempts that may have run.
 	runs    int
