--- a/internal/relay/follow.go
+++ b/internal/relay/follow.go
@@ -122,8 +122,8 @@
 	if line.Attempt > 0 {
 		entry.Int("Attempt", line.Attempt)
 	}
-	if line.Helpers > 0 {
-		entry.Int("Helpers", line.Helpers)
+	if len(line.Helpers) > 0 {
+		entry.Strs("Helpers", line.Helpers)
 	}
 	if line.Tokens > 0 {
 		entry.Int64("Tokens", line.Tokens)
--- a/internal/steer/effect.go
+++ b/internal/steer/effect.go
@@ -78,7 +78,8 @@
 	// Age is how long the request has been here, Estimate what was reckoned for the decision.
 	Age, Estimate time.Duration
 	Attempt       int
-	Helpers       int
+	// Helpers names the replicas that read parts of the prompt.
+	Helpers []string
 	// Tokens is the prompt's length.
 	Tokens int64
 }
--- a/internal/steer/place.go
+++ b/internal/steer/place.go
@@ -98,11 +98,14 @@
 // plainQueue is how many requests may wait at a plain replica beyond its slots; more wait here, in order of urgency.
 const plainQueue = 2
 
-// option is one engine as a candidate.
+// option is one engine as a candidate to answer or to help.
 type option struct {
 	rep *replica
-	// harm is the worth that others lose, wait the time in ms until the part would be read, pass that of one pass.
-	harm, wait, pass float64
+	// harm is what the callers of streams that it writes lose in worth, delay what those lose whose prompts a helper's
+	// part goes before.
+	harm, delay float64
+	// wait is the time in ms until the part would be read if it answers, waitHelp if it helps, pass that of one pass.
+	wait, waitHelp, pass float64
 	// late is the request's own worth lost if it is answered here.
 	late float64
 	// slot tells that it has room to answer, and not only to help; free is its free memory in tokens.
@@ -111,9 +114,11 @@
 }
 
 // asHelper and asFirst are what the engine costs in the one and the other part.
-func (opt *option) asHelper() float64 { return opt.harm + timeCost*opt.wait/1000 }
+func (opt *option) asHelper() float64 { return opt.harm + opt.delay + timeCost*opt.waitHelp/1000 }
 
-func (opt *option) asFirst() float64 { return opt.asHelper() + opt.late + timeCost*opt.pass/1000 }
+func (opt *option) asFirst() float64 {
+	return opt.harm + opt.late + timeCost*(opt.wait+opt.pass)/1000
+}
 
 func (st *State) placePrompt(svc *service, req *request) (plan, bool) {
 	eng := svc.engine
@@ -178,7 +183,7 @@
 		return plan{}, false
 	}
 	pl := plan{part: part, reps: []*replica{options[first].rep}}
-	pl.add(options[first])
+	pl.cost, pl.first = options[first].harm, options[first].wait
 	missing := req.tokens() - options[first].free
 	for i := range options {
 		if len(pl.reps) == count {
@@ -188,7 +193,8 @@
 			continue
 		}
 		pl.reps = append(pl.reps, options[i].rep)
-		pl.add(options[i])
+		pl.cost += options[i].harm + options[i].delay
+		pl.first = max(pl.first, options[i].waitHelp)
 		if missing > 0 {
 			ticket := min(missing, options[i].free)
 			pl.tickets = append(pl.tickets, ticket)
@@ -212,19 +218,22 @@
 	return float64(req.Answer) * stepTime(eng, eng.Slots, 0) / float64(eng.Slots)
 }
 
-// lateness is the request's own worth lost if its answer begins in so many ms; later is worse even among late ones.
+// lateness is the request's own worth lost if its answer begins in so many ms.
 func (st *State) lateness(req *request, first float64) float64 {
-	left := ms(req.goal.Sub(st.now))
+	return lateness(value(req.Prompt), ms(req.goal.Sub(st.now)), first)
+}
+
+// lateness is the worth lost of an answer that begins in so many ms where it has so many left; later is worse even among
+// late ones, since callers give up.
+func lateness(value, left, first float64) float64 {
 	if first <= safety*left {
 		return 0
 	}
-	return lateShare * value(req.Prompt) * (1 + min(1, max(0, first-left)/5000))
+	return lateShare * value * (1 + min(1, max(0, first-left)/giveUp))
 }
 
-func (pl *plan) add(opt option) {
-	pl.cost += opt.harm
-	pl.first = max(pl.first, opt.wait)
-}
+// giveUp is how late in ms an answer is as good as none.
+const giveUp = 5000
 
 // options lists the engines that may take a part of the reading.
 func (st *State) options(svc *service, req *request, part float64) []option {
@@ -233,12 +242,17 @@
 		if !rep.usable(st.now) || slices.Contains(req.tried, rep.Name) {
 			continue
 		}
+		if part > longRead && rep.readsLong(st.now) {
+			continue
+		}
 		backlog := rep.backlog(st.now)
 		opt := option{rep: rep, wait: backlog + part*rep.slow, free: rep.free(svc.engine)}
+		opt.waitHelp = rep.helpBacklog(st.now) + part*rep.slow
 		opt.slot = rep.running() < svc.engine.Slots && st.myTurn(rep, req)
 		opt.pass = st.firstPass(svc.engine, rep, req)
 		opt.late = st.lateness(req, opt.wait+opt.pass)
 		opt.harm = st.harm(svc.engine, rep, backlog, part*rep.slow) + st.spread(rep, req)
+		opt.delay = st.delay(rep, backlog+opt.pass, part*rep.slow)
 		if rep.FailureDomain != st.Options.FailureDomain {
 			opt.harm += farCost
 		}
@@ -266,6 +280,29 @@
 	return max(0, int64(memoryShare*float64(eng.Memory))-rep.held())
 }
 
+// readsLong tells that the replica is reading a long prompt or a part of one and will not be done soon. An engine reads
+// the part that came last before all others, so that parts that keep coming hold back the earlier ones until the load
+// falls; what waits here keeps its order.
+func (rep *replica) readsLong(now time.Time) bool {
+	if ms(rep.readUntil.Sub(now)) < almostRead {
+		return false
+	}
+	for i := range rep.works {
+		if wk := &rep.works[i]; !wk.begun && wk.read > longRead {
+			return true
+		}
+	}
+	return false
+}
+
+const (
+	// longRead is the reading in ms from which a prompt has its engines to itself.
+	longRead = 60
+	// almostRead is the reading in ms that may be left when the next long prompt is sent, so that the engine does not
+	// idle until the end of the one before is heard of.
+	almostRead = 40
+)
+
 // tokens is the memory that the request needs.
 func (req *request) tokens() int64 { return req.Prompt + req.Answer }
 
@@ -298,35 +335,37 @@
 // rushAfter is how long a request must be here to count as one that waits.
 const rushAfter = 5 * time.Millisecond
 
-// harm is the worth that the callers with work at the replica lose if it reads so much more.
+// harm is the worth that the callers of the streams lose that the replica writes if it reads so much more: a stream
+// pauses while its engine reads.
 func (st *State) harm(eng *decl.Engine, rep *replica, backlog, read float64) float64 {
 	writers, contexts := rep.writers()
 	pass := float64(eng.Stride) * stepTime(eng, writers+1, contexts) * rep.slow
+	before := backlog + pass
 	var lost float64
 	for i := range rep.works {
 		wk := &rep.works[i]
-		if !wk.first {
-			continue
-		}
-		if !wk.begun {
-			left := ms(wk.goal.Sub(st.now))
-			before := backlog + pass
-			if after := before + read; after > safety*left && before <= safety*left {
-				lost += lateShare * wk.value
-			}
-			continue
-		}
 		gap := ms(wk.gap)
-		if gap == 0 {
-			continue
-		}
-		if before := backlog + pass; before+read > gapSafety*gap && before <= gapSafety*gap {
+		if wk.first && wk.begun && gap > 0 && before+read > gapSafety*gap && before <= gapSafety*gap {
 			lost += lateShare * wk.value
 		}
 	}
 	return lost
 }
 
+// delay is the worth that the requests lose which the replica has not begun to answer if it reads a part for another one
+// before them. Parts that keep coming would hold them back until their callers leave.
+func (st *State) delay(rep *replica, before, read float64) float64 {
+	var lost float64
+	for i := range rep.works {
+		wk := &rep.works[i]
+		if wk.first && !wk.begun {
+			left := ms(wk.goal.Sub(st.now))
+			lost += lateness(wk.value, left, before+read) - lateness(wk.value, left, before)
+		}
+	}
+	return lost
+}
+
 // spread prices the first stream that may not pause on an engine without such streams.
 func (st *State) spread(rep *replica, req *request) float64 {
 	for i := range rep.works {
--- a/internal/steer/replica.go
+++ b/internal/steer/replica.go
@@ -35,8 +35,9 @@
 	gone   bool
 	goneAt time.Time
 	works  []work
-	// readUntil is when its engine will have read all that was sent to it.
-	readUntil time.Time
+	// readUntil is when its engine will have read all that was sent to it, helpUntil when the parts for others' prompts,
+	// which it reads before everything else.
+	readUntil, helpUntil time.Time
 	// slow is how many times longer its passes take than its figures say, at least 1.
 	slow float64
 	// failures counts those in a row; downUntil ends the last pause that they brought.
@@ -105,18 +106,25 @@
 
 // backlog is the reading still to be done, in ms. An engine that is later than was reckoned is not idle.
 func (rep *replica) backlog(now time.Time) float64 {
-	left := ms(rep.readUntil.Sub(now))
-	if left > 0 {
+	if left := ms(rep.readUntil.Sub(now)); left > 0 {
 		return left
 	}
-	return overdueShare * rep.unread()
+	return overdueShare * rep.unread(false)
 }
 
-// unread is the reading of the requests that have not begun to answer, in ms.
-func (rep *replica) unread() float64 {
+// helpBacklog is the part of the backlog that is read for others' prompts.
+func (rep *replica) helpBacklog(now time.Time) float64 {
+	if left := ms(rep.helpUntil.Sub(now)); left > 0 {
+		return left
+	}
+	return overdueShare * rep.unread(true)
+}
+
+// unread is the reading in ms for requests that have not begun to answer, or only that for others' prompts.
+func (rep *replica) unread(helping bool) float64 {
 	var total float64
 	for i := range rep.works {
-		if !rep.works[i].begun {
+		if !rep.works[i].begun && !(helping && rep.works[i].first) {
 			total += rep.works[i].read * rep.slow
 		}
 	}
@@ -125,10 +133,18 @@
 
 func (rep *replica) start(now time.Time, wk work) {
 	rep.works = append(rep.works, wk)
-	if rep.readUntil.Before(now) {
-		rep.readUntil = now
+	read := duration(wk.read * rep.slow)
+	rep.readUntil = later(rep.readUntil, now).Add(read)
+	if !wk.first {
+		rep.helpUntil = later(rep.helpUntil, now).Add(read)
 	}
-	rep.readUntil = rep.readUntil.Add(duration(wk.read * rep.slow))
+}
+
+func later(one, two time.Time) time.Time {
+	if one.Before(two) {
+		return two
+	}
+	return one
 }
 
 // begin notes that the job's prompt is read.
@@ -144,9 +160,12 @@
 // caughtUp keeps the reckoned backlog from outlasting what is unread: a prediction that was too long would keep work
 // away from an engine that has nothing to do.
 func (rep *replica) caughtUp(now time.Time) {
-	if latest := now.Add(duration(rep.unread())); rep.readUntil.After(latest) {
+	if latest := now.Add(duration(rep.unread(false))); rep.readUntil.After(latest) {
 		rep.readUntil = latest
 	}
+	if latest := now.Add(duration(rep.unread(true))); rep.helpUntil.After(latest) {
+		rep.helpUntil = latest
+	}
 }
 
 func (rep *replica) end(now time.Time, key jobKey) {
--- a/internal/steer/serve.go
+++ b/internal/steer/serve.go
@@ -126,7 +126,7 @@
 	st.emit(eff)
 	st.emit(Line{
 		Message: "request sent", Request: req.Name, Replica: pl.reps[0].Name, Age: st.now.Sub(req.at),
-		Estimate: duration(pl.first), Attempt: req.attempt, Helpers: len(pl.reps) - 1,
+		Estimate: duration(pl.first), Attempt: req.attempt, Helpers: job.Replicas[1:],
 		Tokens: req.Prompt,
 	})
 }
