--- a/internal/steer/note.go
+++ b/internal/steer/note.go
@@ -33,6 +33,8 @@
 	// Age is how long ago in ms it was sent.
 	Age   int32
 	Begun bool
+	// Value is what the answer is worth in time.
+	Value float32
 }
 
 // Death is a content that replicas died of.
--- a/internal/steer/peer.go
+++ b/internal/steer/peer.go
@@ -35,7 +35,7 @@
 		}
 		job := Job{
 			ID: id, Prompt: req.Prompt, Answer: req.Answer, Goal: millis(req.goal.Sub(now)), Gap: millis(req.gap),
-			Age: millis(now.Sub(req.sentAt)), Begun: req.begun, Tickets: req.tickets,
+			Age: millis(now.Sub(req.sentAt)), Begun: req.begun, Tickets: req.tickets, Value: float32(req.value),
 		}
 		for _, rep := range req.reps {
 			job.Replicas = append(job.Replicas, rep.Name)
@@ -156,7 +156,7 @@
 		wk := work{
 			key: key, first: i == 0, begun: job.Begun,
 			goal: st.now.Add(time.Duration(job.Goal) * time.Millisecond), gap: time.Duration(job.Gap) * time.Millisecond,
-			value: value(job.Prompt), sent: st.now,
+			value: float64(job.Value), sent: st.now,
 		}
 		if eng := st.serviceOf(rep.Service).engine; eng != nil {
 			wk.context = job.Prompt / int64(len(job.Replicas))
--- a/internal/steer/place.go
+++ b/internal/steer/place.go
@@ -20,9 +20,6 @@
 	gapSafety = 0.93
 	// lateShare is the part of an answer's worth that is lost if it is late.
 	lateShare = 0.75
-	// tokensPerValue and minValue give an answer's worth: long prompts are worth more, in proportion.
-	tokensPerValue = 7400
-	minValue       = 1.3
 	// timeCost is the worth of a second of engine time that nobody waits for, which parts choices that make nothing late.
 	timeCost = 0.3
 	// backlogCost is what each second of reading that waits at the average engine adds to that, and slotCost what full
@@ -40,9 +37,6 @@
 	farCost = 0.005
 )
 
-// value is what an answer in time is worth.
-func value(prompt int64) float64 { return max(minValue, float64(prompt)/tokensPerValue) }
-
 // plan is where a request goes.
 type plan struct {
 	reps []*replica
@@ -137,7 +131,7 @@
 			best, found = pl, true
 		}
 	}
-	return best, found && best.cost < value(req.Prompt)
+	return best, found && best.cost < req.value
 }
 
 // enginePrice is the worth of a second of engine time now.
@@ -220,7 +214,7 @@
 
 // lateness is the request's own worth lost if its answer begins in so many ms.
 func (st *State) lateness(req *request, first float64) float64 {
-	return lateness(value(req.Prompt), ms(req.goal.Sub(st.now)), first)
+	return lateness(req.value, ms(req.goal.Sub(st.now)), first)
 }
 
 // lateness is the worth lost of an answer that begins in so many ms where it has so many left; later is worse even among
@@ -366,12 +360,19 @@
 	return lost
 }
 
-// spread prices the first stream that may not pause on an engine without such streams.
+// spread prices a stream that may not pause on an engine with few streams like it. It fills one engine after the other,
+// so that the others stay free for long reads.
 func (st *State) spread(rep *replica, req *request) float64 {
+	alike := 0
 	for i := range rep.works {
-		if rep.works[i].first && rep.works[i].gap > 0 && rep.works[i].gap <= req.gap {
-			return 0
+		if wk := &rep.works[i]; wk.first && wk.gap > 0 && wk.gap <= req.gap {
+			alike++
 		}
 	}
-	return spreadCost * float64(time.Second) / float64(max(req.gap, 100*time.Millisecond))
+	room := max(0, 1-float64(alike)/(fullShare*float64(rep.Slots)))
+	return room * spreadCost * float64(time.Second) / float64(max(req.gap, 100*time.Millisecond))
 }
+
+// fullShare is the part of its slots from which an engine counts as full of such streams. With more of them each pass is
+// longer and has less time left to read in.
+const fullShare = 0.25
--- a/internal/steer/serve.go
+++ b/internal/steer/serve.go
@@ -20,6 +20,7 @@
 	req := &request{Arrived: ev, at: st.now, service: st.choose(ev.Route)}
 	req.goal = st.now.Add(ev.Route.Goal.Std())
 	req.gap = ev.Route.Gap.Std()
+	req.value = st.valueOf(ev.Route.Name, ev.Prompt)
 	if st.quarantined(ev.Digest) {
 		st.emit(Line{Message: "request refused", Request: ev.Name, Reason: ReasonQuarantine})
 		st.emit(Finish{ID: ev.ID, Refusal: &Refusal{Reason: ReasonQuarantine, NotRun: true, RetryAfter: quarantineTime}})
@@ -104,7 +105,7 @@
 	req.reps = append(req.reps[:0], pl.reps...)
 	req.sentAt = st.now
 	req.tickets = append(req.tickets[:0], pl.tickets...)
-	job := Job{ID: req.ID, Prompt: req.Prompt, Answer: req.Answer, Goal: millis(req.goal.Sub(st.now)), Gap: millis(req.gap)}
+	job := Job{ID: req.ID, Prompt: req.Prompt, Answer: req.Answer, Goal: millis(req.goal.Sub(st.now)), Gap: millis(req.gap), Value: float32(req.value)}
 	for _, rep := range pl.reps {
 		job.Replicas = append(job.Replicas, rep.Name)
 	}
@@ -196,14 +197,14 @@
 		return
 	}
 	refusal := &Refusal{Reason: reason, NotRun: req.runs == 0, RetryAfter: after}
-	st.emit(Line{Message: "request refused", Request: req.Name, Reason: reason, Age: st.now.Sub(req.at), Attempt: req.attempt})
+	st.emit(Line{Message: "request refused", Request: req.Name, Reason: reason, Age: st.now.Sub(req.at), Attempt: req.attempt, Tokens: req.Prompt})
 	st.finish(req, Finish{ID: req.ID, Refusal: refusal}, "")
 }
 
 // finish ends a request. Every way out passes here.
 func (st *State) finish(req *request, fin Finish, message string) {
 	if message != "" {
-		st.emit(Line{Message: message, Request: req.Name, Age: st.now.Sub(req.at), Attempt: req.attempt})
+		st.emit(Line{Message: message, Request: req.Name, Age: st.now.Sub(req.at), Attempt: req.attempt, Tokens: req.Prompt})
 	}
 	delete(st.requests, req.ID)
 	st.waiting = slices.DeleteFunc(st.waiting, func(other *request) bool { return other == req })
--- a/internal/steer/state.go
+++ b/internal/steer/state.go
@@ -39,6 +39,8 @@
 	live    int
 	budgets map[string]*ledger
 	poison  poison
+	// means holds the mean prompt of each route.
+	means map[string]float64
 	// missing holds when the replicas are taken as gone that an incomplete list left out.
 	missing map[string]time.Time
 	random  *rand.Rand
@@ -59,6 +61,8 @@
 	at      time.Time
 	goal    time.Time
 	gap     time.Duration
+	// value is what the answer is worth if it is in time.
+	value float64
 	// attempt counts from 1, 0 before the first; running tells that one is under way on reps.
 	attempt int
 	running bool
@@ -90,6 +94,7 @@
 		budgets:  map[string]*ledger{},
 		poison:   newPoison(),
 		missing:  map[string]time.Time{},
+		means:    map[string]float64{},
 		random:   rand.New(rand.NewPCG(opts.Seed, opts.Seed)),
 	}
 }
