--- a/internal/relay/follow.go
+++ b/internal/relay/follow.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/phuslu/log"
-
 	"dandelionsail.example/dandelionsail/internal/delay"
 	"dandelionsail.example/dandelionsail/internal/steer"
 )
@@ -112,33 +110,3 @@
 	age := bootTime() - time.Duration(in.confirmed.Load())
 	return in.confirmed.Load() != 0 && age < time.Duration(part*float64(in.opts.TokenLife))
 }
-
-// logLine writes one decision.
-func (in *Instance) logLine(line steer.Line) {
-	entry := in.log.Info()
-	text(entry, "Request", line.Request)
-	text(entry, "Replica", line.Replica)
-	text(entry, "Reason", string(line.Reason))
-	if line.Attempt > 0 {
-		entry.Int("Attempt", line.Attempt)
-	}
-	if len(line.Helpers) > 0 {
-		entry.Strs("Helpers", line.Helpers)
-	}
-	if line.Tokens > 0 {
-		entry.Int64("Tokens", line.Tokens)
-	}
-	if line.Age > 0 {
-		entry.Int64("AgeMs", line.Age.Milliseconds())
-	}
-	if line.Estimate > 0 {
-		entry.Int64("EstimateMs", line.Estimate.Milliseconds())
-	}
-	entry.Msg(line.Message)
-}
-
-func text(entry *log.Entry, key, value string) {
-	if value != "" {
-		entry.Str(key, value)
-	}
-}
--- a/internal/relay/instance.go
+++ b/internal/relay/instance.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	stdlog "log"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -20,10 +21,10 @@
 )
 
 const (
-	// drainNotice is the time for a balancer that asks every second and believes two misses.
-	drainNotice = 2500 * time.Millisecond
 	// lastWords is what is left of the grace when the process ends by itself.
 	lastWords = 400 * time.Millisecond
+	// holdShare is the part of the grace for which requests may still wait for a replica.
+	holdShare = 0.25
 	// idleTimeout is how long a caller's connection may rest where the configuration does not say.
 	idleTimeout = 60 * time.Second
 	// headerTimeout and maxHeader bound a request's head.
@@ -108,10 +109,14 @@
 	}
 	parts, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
+	// The library writes what it finds odd about connections to the standard logger; here it goes the way of all lines.
+	oddities := stdlog.New(libraryLog{in.log}, "", 0)
+	stdlog.SetOutput(libraryLog{in.log})
+	stdlog.SetFlags(0)
 	front := &http.Server{
-		Handler: http.HandlerFunc(in.serve), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
+		Handler: http.HandlerFunc(in.serve), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader, ErrorLog: oddities,
 	}
-	ready := &http.Server{Handler: http.HandlerFunc(in.readyz), ReadHeaderTimeout: headerTimeout}
+	ready := &http.Server{Handler: http.HandlerFunc(in.readyz), ReadHeaderTimeout: headerTimeout, ErrorLog: oddities}
 	group, parts := errgroup.WithContext(parts)
 	group.Go(func() error { return (&follower{in: in}).run(parts) })
 	group.Go(func() error { return in.announce(parts) })
@@ -155,10 +160,12 @@
 // drain stops without cutting an answer: readiness goes off, the balancer gets time to see it while connections are
 // still taken, and what was begun finishes.
 func (in *Instance) drain(front *http.Server) {
-	ended := time.Now().Add(in.opts.Grace - lastWords)
+	now := time.Now()
+	ended := now.Add(in.opts.Grace - lastWords)
 	in.draining.Store(true)
+	in.apply(steer.Draining{Hold: now.Add(time.Duration(holdShare * float64(in.opts.Grace))), Stop: ended.Add(-lastWords)})
 	in.log.Info().Str("Instance", in.opts.Name).Int("Open", in.open()).Msg("draining")
-	delay.For(context.Background(), drainNotice)
+	delay.For(context.Background(), in.opts.DrainNotice)
 	limited, cancel := context.WithDeadline(context.Background(), ended)
 	defer cancel()
 	if err := front.Shutdown(limited); err != nil {
--- a/internal/relay/options.go
+++ b/internal/relay/options.go
@@ -15,6 +15,7 @@
 	MetricsListen string        `long:"metrics-listen" env:"DANDELIONSAIL_METRICS_LISTEN" description:"address for metrics, host:port; empty serves none"`
 	Store         string        `long:"store" env:"DANDELIONSAIL_STORE" description:"address of the platform's store, host:port" required:"yes"`
 	Grace         time.Duration `long:"grace" env:"DANDELIONSAIL_GRACE" description:"time from the order to stop until the process is killed" default:"8s"`
+	DrainNotice   time.Duration `long:"drain-notice" env:"DANDELIONSAIL_DRAIN_NOTICE" description:"time for the balancer to see that readiness is off; it asks every second and believes two misses" default:"2500ms"`
 	TokenLife     time.Duration `long:"token-life" env:"DANDELIONSAIL_TOKEN_LIFE" description:"how long a token may be used after the store last confirmed the configuration that holds it" default:"5s"`
 	ConfigLag     time.Duration `long:"config-lag" env:"DANDELIONSAIL_CONFIG_LAG" description:"time within which a change in the store must be in force here" default:"2s"`
 	MissingTime   time.Duration `long:"missing-time" env:"DANDELIONSAIL_MISSING_TIME" description:"how long a replica stays in use that the store left out after an outage" default:"2s"`
@@ -47,6 +48,9 @@
 			return BadOption.New("relay: --%s is %s; give 100ms or more", flag, period)
 		}
 	}
+	if opts.DrainNotice < 0 || opts.DrainNotice >= opts.Grace {
+		return BadOption.New("relay: --drain-notice is %s; give 0s or more, and less than --grace, which is %s", opts.DrainNotice, opts.Grace)
+	}
 	if opts.BudgetRatio < 0 || opts.BudgetSlack < 0 {
 		return BadOption.New("relay: --budget-ratio is %v and --budget-slack %v; give 0 or more", opts.BudgetRatio, opts.BudgetSlack)
 	}
--- a/internal/steer/effect.go
+++ b/internal/steer/effect.go
@@ -49,12 +49,11 @@
 
 // The reasons.
 const (
-	ReasonNoReplica  Reason = "NoReplica"
 	ReasonBusy       Reason = "Overloaded"
 	ReasonDeadline   Reason = "DeadlineExceeded"
 	ReasonUpstream   Reason = "UpstreamFailed"
 	ReasonQuarantine Reason = "Quarantined"
-	ReasonTooLong    Reason = "PromptTooLong"
+	ReasonDraining   Reason = "Draining"
 )
 
 // Refusal is what the caller is told instead of an answer.
--- a/internal/steer/event.go
+++ b/internal/steer/event.go
@@ -118,6 +118,10 @@
 // Heard brings another instance's note.
 type Heard struct{ Note Note }
 
+// Draining tells that the instance was asked to stop. From Hold on nothing waits here any longer, and at Stop what is
+// still under way ends.
+type Draining struct{ Hold, Stop time.Time }
+
 // Ticked lets time pass.
 type Ticked struct{}
 
@@ -129,4 +133,5 @@
 func (Configured) isEvent()   {}
 func (PeersCounted) isEvent() {}
 func (Heard) isEvent()        {}
+func (Draining) isEvent()     {}
 func (Ticked) isEvent()       {}
--- /dev/null
+++ b/internal/steer/place_test.go
@@ -0,0 +1,222 @@
+package steer_test
+
+import (
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"dandelionsail.example/dandelionsail/internal/steer"
+	"dandelionsail.example/dandelionsail/pkg/decl"
+)
+
+func TestLongPromptIsReadBySeveral(t *testing.T) {
+	// A prompt of 154,000 tokens takes one engine three seconds to read, as long as its caller was promised. Idle engines
+	// read it together.
+	in := newInstance(t, "one", 8)
+	sent := find[steer.Send](t, in.arrive(&long, 154_000))
+	assert.Assert(t, len(sent.Helpers) >= 2, len(sent.Helpers))
+	for _, helper := range sent.Helpers {
+		assert.Equal(t, helper.Tokens, int64(0))
+	}
+}
+
+func TestPromptLargerThanAnEngine(t *testing.T) {
+	// A prompt of 400,000 tokens does not fit into one engine's 315,000. Helpers set aside what the first one lacks.
+	in := newInstance(t, "one", 8)
+	sent := find[steer.Send](t, in.arrive(&long, 400_000))
+	var set int64
+	for _, helper := range sent.Helpers {
+		assert.Assert(t, helper.Tokens <= figures.Memory)
+		set += helper.Tokens
+	}
+	assert.Assert(t, set >= 401_000-figures.Memory, set)
+}
+
+func TestLongReadKeepsOffImpatientStreams(t *testing.T) {
+	// Two engines write short streams that may pause a quarter of a second. A long prompt arrives, whose reading takes
+	// each of its engines longer than that: it goes to the others, and no stream is late by it.
+	in := newInstance(t, "one", 6)
+	busy := map[string]bool{}
+	for range 12 {
+		sent := find[steer.Send](t, in.arrive(&short, 5000))
+		busy[sent.Replica.Name] = true
+		in.pass(150 * time.Millisecond)
+		in.reduce(steer.Began{ID: sent.ID, Attempt: 1})
+	}
+	assert.Assert(t, len(busy) < 6, busy)
+	sent := find[steer.Send](t, in.arrive(&long, 154_000))
+	assert.Assert(t, !busy[sent.Replica.Name])
+	for _, helper := range sent.Helpers {
+		assert.Assert(t, !busy[helper.Name], helper.Name)
+	}
+}
+
+func TestOneLongReadAtATime(t *testing.T) {
+	// An engine reads the part that came last before all others. Were the second long prompt sent to engines that still
+	// read the first, the first would begin after the second, or after all that follow; it waits instead.
+	in := newInstance(t, "one", 1)
+	first := find[steer.Send](t, in.arrive(&long, 100_000))
+	none[steer.Send](t, in.arrive(&long, 40_000))
+	none[steer.Send](t, in.pass(1400*time.Millisecond))
+	find[steer.Send](t, in.reduce(steer.Began{ID: first.ID, Attempt: 1}))
+}
+
+func TestOthersWorkCounts(t *testing.T) {
+	// Another instance has sent a long prompt to engine 0. This one has heard of it and takes the other engine.
+	in := newInstance(t, "one", 2)
+	in.reduce(steer.Heard{Note: steer.Note{From: "two", Run: 1, Jobs: []steer.Job{{
+		ID: 1, Replicas: []string{"lyric-0"}, Prompt: 154_000, Answer: 1000, Goal: 3000, Gap: 1000, Value: 20,
+	}}}})
+	sent := find[steer.Send](t, in.arrive(&long, 60_000))
+	assert.Equal(t, sent.Replica.Name, "lyric-1")
+	assert.Equal(t, len(sent.Helpers), 0)
+}
+
+func TestSilentInstancesWorkIsForgotten(t *testing.T) {
+	// An instance dies with work under way. Its engines drop that with its connections, and after a few seconds nobody
+	// counts it any longer.
+	in := newInstance(t, "one", 1)
+	in.reduce(steer.Heard{Note: steer.Note{From: "two", Run: 1, Jobs: []steer.Job{{
+		ID: 1, Replicas: []string{"lyric-0"}, Prompt: 300_000, Answer: 1000, Goal: 3000, Gap: 1000, Value: 20,
+	}}}})
+	none[steer.Send](t, in.arrive(&long, 100_000))
+	find[steer.Send](t, append(in.pass(4100*time.Millisecond), in.arrive(&long, 90_000)...))
+}
+
+func TestFewTakeTheOneSlotThatIsFree(t *testing.T) {
+	// Twelve instances have a request waiting while every slot of the only engine is taken, and hear of the one that
+	// becomes free at the same moment. If all took it, the engine would have twelve requests too many, whose callers wait
+	// behind each other; on average one does.
+	const instances = 12
+	takers := 0
+	for seed := range 20 {
+		for member := range instances {
+			takers += waiterTakes(t, uint64(seed*instances+member+1), instances)
+		}
+	}
+	assert.Assert(t, takers > 0 && takers < 20*instances/3, takers)
+}
+
+func waiterTakes(t *testing.T, seed uint64, instances int) int {
+	in := &instance{t: t, now: start, st: steer.New(steer.Options{Name: "one", FailureDomain: "a", Run: 1, Seed: seed})}
+	in.reduce(steer.Configured{Routing: &decl.Routing{Version: 1, Services: map[string]decl.Pool{"lyric": {Engine: &figures}}}})
+	in.reduce(steer.Listed{Replicas: replicas(1)})
+	in.reduce(steer.PeersCounted{Live: instances})
+	nt := steer.Note{From: "two", Run: 1}
+	for id := range figures.Slots {
+		nt.Jobs = append(nt.Jobs, steer.Job{ID: steer.RequestID(id), Replicas: []string{"lyric-0"}, Prompt: 1000, Goal: 300, Gap: 250, Begun: true})
+	}
+	in.reduce(steer.Heard{Note: nt})
+	none[steer.Send](t, in.arrive(&short, 2000))
+	in.now = in.now.Add(20 * time.Millisecond)
+	in.reduce(steer.Heard{Note: steer.Note{From: "two", Run: 1, Ended: []steer.RequestID{0}}})
+	for _, eff := range in.reduce(steer.Ticked{}) {
+		if _, ok := eff.(steer.Send); ok {
+			return 1
+		}
+	}
+	return 0
+}
+
+func TestWhatWouldBeLateIsRefusedInTime(t *testing.T) {
+	// No engine has room. A caller at its first try hears early when to come back, within the part of its time that it
+	// waits when asked to; one that came back has no other try and stays.
+	in := newInstance(t, "one", 0)
+	none[steer.Finish](t, in.arrive(&short, 5000))
+	fin := find[steer.Finish](t, in.pass(250*time.Millisecond))
+	assert.Equal(t, fin.Refusal.Reason, steer.ReasonBusy)
+	assert.Assert(t, fin.Refusal.NotRun)
+	assert.Assert(t, fin.Refusal.RetryAfter > 0 && fin.Refusal.RetryAfter <= short.Timeout.Std()/3, fin.Refusal.RetryAfter)
+
+	back := steer.Arrived{ID: 99, Route: &short, Prompt: 5000, Answer: 1000, Digest: 99, Deadline: in.now.Add(8 * time.Second), Patience: in.now.Add(2 * time.Second)}
+	in.reduce(back)
+	none[steer.Finish](t, in.pass(250*time.Millisecond))
+	find[steer.Finish](t, in.pass(1800*time.Millisecond))
+}
+
+func TestLateOnesLetThoseInTimeGoFirst(t *testing.T) {
+	// Requests pile up while the engine is away. When it is back, one that can still be in time goes before those that
+	// are late already: in the order of arrival every one of them would be late.
+	in := newInstance(t, "one", 0)
+	old := steer.Arrived{ID: 50, Route: &short, Prompt: 5000, Answer: 1000, Digest: 50, Deadline: in.now.Add(9 * time.Second), Patience: in.now.Add(2 * time.Second)}
+	in.reduce(old)
+	in.pass(400 * time.Millisecond)
+	in.arrive(&short, 5000)
+	one := replicas(1)
+	one[0].Slots = 1
+	var order []steer.RequestID
+	for _, eff := range in.reduce(steer.Listed{Replicas: one}) {
+		if sent, ok := eff.(steer.Send); ok {
+			order = append(order, sent.ID)
+		}
+	}
+	assert.Equal(t, order[0], steer.RequestID(1))
+}
+
+func TestAnyOrderOfEventsEndsEachRequestOnce(t *testing.T) {
+	// Whatever comes in whatever order, each request gets exactly one Finish, never a Send after it or beside another
+	// one, and the budget of runs holds.
+	rapid.Check(t, func(rt *rapid.T) {
+		in := newInstance(t, "one", rapid.IntRange(0, 3).Draw(rt, "engines"))
+		running := map[steer.RequestID]steer.Send{}
+		finished := map[steer.RequestID]int{}
+		runs := map[steer.RequestID]int{}
+		note := func(effects []steer.Effect) {
+			for _, eff := range effects {
+				switch eff := eff.(type) {
+				case steer.Send:
+					_, twice := running[eff.ID]
+					assert.Assert(rt, !twice && finished[eff.ID] == 0)
+					running[eff.ID] = eff
+				case steer.Finish:
+					finished[eff.ID]++
+				}
+			}
+		}
+		for range rapid.IntRange(1, 60).Draw(rt, "steps") {
+			switch rapid.IntRange(0, 5).Draw(rt, "step") {
+			case 0:
+				route := rapid.SampledFrom([]*decl.Route{&short, &long, &update, &lookup}).Draw(rt, "route")
+				note(in.arrive(route, int64(rapid.IntRange(1, 500_000).Draw(rt, "prompt"))*int64(len(route.Name)&1)))
+			case 1:
+				for _, id := range slices.Sorted(maps.Keys(running))[:min(1, len(running))] {
+					sent := running[id]
+					delete(running, id)
+					result := steer.Result(rapid.IntRange(1, 9).Draw(rt, "result"))
+					if result != steer.ResultNotSent && result != steer.ResultNotRun && result != steer.ResultMisdirected {
+						runs[id]++
+					}
+					note(in.reduce(steer.AttemptEnded{ID: id, Attempt: sent.Attempt, Result: result, Died: rapid.Bool().Draw(rt, "died")}))
+				}
+			case 2:
+				note(in.pass(time.Duration(rapid.IntRange(1, 3000).Draw(rt, "ms")) * time.Millisecond))
+			case 3:
+				note(in.reduce(steer.CallerGone{ID: steer.RequestID(rapid.IntRange(1, 20).Draw(rt, "gone"))}))
+			case 4:
+				note(in.reduce(steer.Listed{Replicas: replicas(rapid.IntRange(0, 4).Draw(rt, "listed")), Away: rapid.Bool().Draw(rt, "away")}))
+			case 5:
+				for _, id := range slices.Sorted(maps.Keys(running)) {
+					note(in.reduce(steer.Began{ID: id, Attempt: running[id].Attempt}))
+				}
+			}
+		}
+		note(in.pass(20 * time.Second))
+		for len(running) > 0 {
+			id := slices.Min(slices.Collect(maps.Keys(running)))
+			attempt := running[id].Attempt
+			delete(running, id)
+			note(in.reduce(steer.CallerGone{ID: id}))
+			note(in.reduce(steer.AttemptEnded{ID: id, Attempt: attempt, Result: steer.ResultCancelled}))
+		}
+		assert.Equal(rt, in.st.Open(), 0)
+		for id := steer.RequestID(1); id <= in.next; id++ {
+			assert.Equal(rt, finished[id], 1)
+			assert.Assert(rt, runs[id] <= 2)
+		}
+		assert.Equal(rt, len(in.st.Summary(in.now).Jobs), 0)
+	})
+}
--- a/internal/steer/retry.go
+++ b/internal/steer/retry.go
@@ -27,6 +27,8 @@
 	switch {
 	case ev.Result == ResultDone:
 		st.finish(req, Finish{ID: req.ID}, "answered")
+	case st.drain != nil && !st.now.Before(st.drain.Stop):
+		st.refuse(req, ReasonDraining, drainPause)
 	case req.gone || ev.Result == ResultCancelled:
 		st.finish(req, Finish{ID: req.ID}, "caller left")
 	default:
--- a/internal/steer/serve.go
+++ b/internal/steer/serve.go
@@ -12,6 +12,8 @@
 const (
 	// busyPause is when a caller that was refused for want of room should come back.
 	busyPause = 500 * time.Millisecond
+	// drainPause is when a caller should come back that waited at an instance that stops; another one takes it.
+	drainPause = 20 * time.Millisecond
 	// notRunPause is the wait after a replica's refusal.
 	notRunPause = 20 * time.Millisecond
 )
@@ -214,9 +216,11 @@
 // expire ends what waited for too long: a caller that would leave before any answer hears now when to come back, and so
 // does one whose answer would be late and that can come back once more.
 func (st *State) expire() {
-	var over, busy []*request
+	var over, busy, held []*request
 	for _, req := range st.waiting {
 		switch {
+		case st.drain != nil && !st.now.Before(st.drain.Hold):
+			held = append(held, req)
 		case !st.now.Before(req.Deadline) || !req.begun && !st.now.Before(req.Patience):
 			over = append(over, req)
 		case req.attempt == 0 && !req.returned() && st.tooLate(req):
@@ -229,6 +233,22 @@
 	for _, req := range busy {
 		st.refuse(req, ReasonBusy, st.comeBack(req))
 	}
+	for _, req := range held {
+		st.refuse(req, ReasonDraining, drainPause)
+	}
+}
+
+// stop ends what is under way when the process is about to be killed: a caller that gets an answer now need not find out
+// from a connection that is cut.
+func (st *State) stop() {
+	if st.drain == nil || st.now.Before(st.drain.Stop) {
+		return
+	}
+	for _, req := range st.requests {
+		if req.running {
+			st.abort(req)
+		}
+	}
 }
 
 // returned tells that the caller was refused before, since it has less time than its route gives: it may have no other
--- a/internal/steer/state.go
+++ b/internal/steer/state.go
@@ -43,6 +43,8 @@
 	means map[string]float64
 	// missing holds when the replicas are taken as gone that an incomplete list left out.
 	missing map[string]time.Time
+	// drain is nil until the instance is asked to stop.
+	drain   *Draining
 	random  *rand.Rand
 	effects []Effect
 }
@@ -120,8 +122,11 @@
 		st.live = max(1, ev.Live)
 	case Heard:
 		st.heard(ev.Note)
+	case Draining:
+		st.drain = &ev
 	case Ticked:
 		st.expire()
+		st.stop()
 		st.forget()
 		st.pump()
 	}
