--- a/internal/cmds/relay.go
+++ b/internal/cmds/relay.go
@@ -1,6 +1,10 @@
 package cmds
 
 import (
+	"errors"
+	"os"
+
+	"dandelionsail.example/dandelionsail/internal/lines"
 	"dandelionsail.example/dandelionsail/internal/relay"
 	"dandelionsail.example/dandelionsail/internal/tool"
 	"dandelionsail.example/dandelionsail/platform"
@@ -17,5 +21,9 @@
 	}
 	ctx, stop := tool.Context()
 	defer stop()
-	return relay.New(cmd.Options, platform.New(cmd.Store), platform.Protocol{}, tool.Logger()).Run(ctx)
+	writer := lines.New(os.Stdout, cmd.LogLines)
+	logger := tool.Logger()
+	logger.Writer = writer
+	err := relay.New(cmd.Options, platform.New(cmd.Store), platform.Protocol{}, logger, writer.Dropped).Run(ctx)
+	return errors.Join(err, writer.Close())
 }
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -2,34 +2,22 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"net/http/pprof"
 	"runtime"
 
 	"github.com/rcrowley/go-metrics"
-	"golang.org/x/sync/errgroup"
 
 	"dandelionsail.example/dandelionsail/internal/meter"
 )
 
 // serveMetrics serves counters, health and profiles on an address of their own, if one is set.
 func (in *Instance) serveMetrics(ctx context.Context) error {
-	if in.opts.MetricsListen == "" {
-		return nil
-	}
-	listener, err := net.Listen("tcp", in.opts.MetricsListen)
+	err := meter.Serve(ctx, in.opts.MetricsListen, in.metricsRoutes())
 	if err != nil {
 		return BadOption.Wrap(err, "entry: --metrics-listen %s cannot be used; choose a free address", in.opts.MetricsListen)
 	}
-	server := &http.Server{Handler: in.metricsRoutes(), ReadHeaderTimeout: readHeaderTimeout}
-	var group errgroup.Group
-	group.Go(func() error { return ignoreClosed(server.Serve(listener)) })
-	group.Go(func() error {
-		<-ctx.Done()
-		return server.Close()
-	})
-	return group.Wait()
+	return nil
 }
 
 func (in *Instance) metricsRoutes() http.Handler {
--- /dev/null
+++ b/internal/meter/serve.go
@@ -0,0 +1,37 @@
+package meter
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// headerTimeout bounds the head of a request for metrics.
+const headerTimeout = 10 * time.Second
+
+// Serve serves the handler at an address of its own until the context ends. An empty address serves nothing.
+func Serve(ctx context.Context, address string, handler http.Handler) error {
+	if address == "" {
+		return nil
+	}
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+	var group errgroup.Group
+	group.Go(func() error {
+		if err := server.Serve(listener); err != http.ErrServerClosed {
+			return err
+		}
+		return nil
+	})
+	group.Go(func() error {
+		<-ctx.Done()
+		return server.Close()
+	})
+	return group.Wait()
+}
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -45,6 +45,7 @@
 	events    int
 	// failure is a replica's answer of failure, kept until it is clear that no other answer follows.
 	failure *answer
+	arrived time.Time
 
 	mu      sync.Mutex
 	attempt int
@@ -73,7 +74,8 @@
 	}
 	cl.deadline = arrived.Add(min(patience, cl.route.Timeout.Std()))
 	_ = cl.control.SetWriteDeadline(cl.deadline.Add(writeGrace))
-	in.converse(cl, in.arrival(cl, arrived))
+	cl.arrived = arrived
+	in.converse(cl, in.arrival(cl))
 }
 
 // admit finds the request's route and organisation, or answers why there is none.
@@ -128,7 +130,7 @@
 	return false
 }
 
-func (in *Instance) arrival(cl *call, arrived time.Time) steer.Arrived {
+func (in *Instance) arrival(cl *call) steer.Arrived {
 	priority := cl.route.Priority
 	if own, ok := in.routing.Load().Priorities[cl.org]; ok {
 		priority = own
@@ -136,7 +138,7 @@
 	cl.id = steer.RequestID(in.nextID.Add(1))
 	return steer.Arrived{
 		ID: cl.id, Route: cl.route, Name: cl.ask.Name, Organisation: cl.org, Priority: priority,
-		Prompt: cl.ask.Prompt, Answer: cl.ask.Answer, Deadline: cl.deadline, Patience: leaves(cl.route, arrived, cl.deadline),
+		Prompt: cl.ask.Prompt, Answer: cl.ask.Answer, Deadline: cl.deadline, Patience: leaves(cl.route, cl.arrived, cl.deadline),
 		Digest: cl.digest(),
 	}
 }
@@ -179,6 +181,7 @@
 		delete(in.calls, cl.id)
 		in.mu.Unlock()
 	}()
+	defer func() { in.time("Requests.Whole."+kind(cl.route), time.Since(cl.arrived)) }()
 	in.apply(ev)
 	gone := cl.req.Context().Done()
 	for {
@@ -206,6 +209,14 @@
 	}
 }
 
+// kind names the two kinds of route in the metrics.
+func kind(route *decl.Route) string {
+	if route.Stream {
+		return "stream"
+	}
+	return "plain"
+}
+
 // finish gives the caller the end of its request.
 func (in *Instance) finish(cl *call, eff steer.Finish) {
 	switch {
@@ -234,7 +245,8 @@
 // reject answers a request that no replica answered.
 func (in *Instance) reject(cl *call, status int, reason string, after time.Duration) {
 	in.log.Info().Str("Request", cl.ask.Name).Int("Status", status).Str("Reason", reason).
-		Int64("ConfirmedMs", (bootTime() - time.Duration(in.confirmed.Load())).Milliseconds()).Msg("rejected")
+		Int64("ConfirmedMs", in.confirmedAge().Milliseconds()).Msg("rejected")
+	in.count("Rejected.Status." + strconv.Itoa(status))
 	if after > 0 {
 		cl.w.Header().Set("Retry-After", strconv.FormatFloat(math.Ceil(after.Seconds()*100)/100, 'f', -1, 64))
 	}
--- a/internal/relay/follow.go
+++ b/internal/relay/follow.go
@@ -52,6 +52,7 @@
 	defer cancel()
 	// The confirmation counts from before the question: a change that the store took after its answer is not in it.
 	asked := bootTime()
+	fl.in.count("Store.Questions")
 	revision, err := fl.in.directory.Revision(limited)
 	if err == nil && (!fl.read || revision != fl.revision) {
 		asked = bootTime()
@@ -70,6 +71,7 @@
 }
 
 func (fl *follower) take(ctx context.Context) error {
+	fl.in.count("Store.Reads")
 	snap, err := fl.in.directory.Read(ctx)
 	if err != nil {
 		return err
@@ -83,6 +85,7 @@
 }
 
 func (fl *follower) failed(ctx context.Context, err error) {
+	fl.in.count("Store.Failures")
 	if ctx.Err() != nil || fl.away {
 		return
 	}
@@ -107,6 +110,5 @@
 
 // fresh reports whether the store confirmed the configuration within the part of a token's life.
 func (in *Instance) fresh(part float64) bool {
-	age := bootTime() - time.Duration(in.confirmed.Load())
-	return in.confirmed.Load() != 0 && age < time.Duration(part*float64(in.opts.TokenLife))
+	return in.confirmed.Load() != 0 && in.confirmedAge() < time.Duration(part*float64(in.opts.TokenLife))
 }
--- a/internal/relay/instance.go
+++ b/internal/relay/instance.go
@@ -13,6 +13,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/phuslu/log"
+	"github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/errgroup"
 
 	"dandelionsail.example/dandelionsail/internal/delay"
@@ -47,9 +48,12 @@
 	directory Directory
 	protocol  Protocol
 	log       *log.Logger
-	kept      *http.Transport
-	fresh1    *http.Transport
-	notes     *notes
+	registry  metrics.Registry
+	// dropped returns how many lines of the log were dropped.
+	dropped func() int64
+	kept    *http.Transport
+	fresh1  *http.Transport
+	notes   *notes
 
 	routing atomic.Pointer[decl.Routing]
 	// confirmed is the boot time at which the question was asked that last confirmed the configuration.
@@ -67,8 +71,8 @@
 	calls map[steer.RequestID]*call
 }
 
-// New returns an instance that has not started.
-func New(opts Options, directory Directory, protocol Protocol, logger *log.Logger) *Instance {
+// New returns an instance that has not started; dropped returns how many lines the logger has dropped.
+func New(opts Options, directory Directory, protocol Protocol, logger *log.Logger, dropped func() int64) *Instance {
 	seed := opts.Seed
 	if seed == 0 {
 		seed = xxhash.Sum64String(opts.Name)
@@ -81,6 +85,8 @@
 		directory: directory,
 		protocol:  protocol,
 		log:       logger,
+		registry:  metrics.NewRegistry(),
+		dropped:   dropped,
 		kept:      newTransport(false),
 		fresh1:    newTransport(true),
 		calls:     map[steer.RequestID]*call{},
@@ -122,6 +128,7 @@
 	group.Go(func() error { return in.announce(parts) })
 	group.Go(func() error { return in.tick(parts) })
 	group.Go(func() error { return in.notes.run(parts) })
+	group.Go(func() error { return in.serveMetrics(parts) })
 	group.Go(func() error { return unlessClosed(front.Serve(callers)) })
 	group.Go(func() error { return unlessClosed(ready.Serve(balancer)) })
 	group.Go(func() error {
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -23,6 +23,7 @@
 
 // logLine writes one decision.
 func (in *Instance) logLine(line steer.Line) {
+	in.count("Decisions.Count." + line.Message)
 	entry := in.log.Info()
 	text(entry, "Request", line.Request)
 	text(entry, "Replica", line.Replica)
--- /dev/null
+++ b/internal/relay/metrics.go
@@ -0,0 +1,54 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"runtime"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"dandelionsail.example/dandelionsail/internal/meter"
+)
+
+// serveMetrics serves counters, gauges and histograms on an address of their own, if one is set.
+func (in *Instance) serveMetrics(ctx context.Context) error {
+	if err := meter.Serve(ctx, in.opts.MetricsListen, http.HandlerFunc(in.metrics)); err != nil {
+		return BadOption.Wrap(err, "relay: --metrics-listen %s cannot be used; choose a free address", in.opts.MetricsListen)
+	}
+	return nil
+}
+
+func (in *Instance) metrics(w http.ResponseWriter, _ *http.Request) {
+	in.gauge("Requests.Open", int64(in.open()))
+	in.gauge("Requests.Waiting", int64(in.waiting()))
+	if routing := in.routing.Load(); routing != nil {
+		in.gauge("Config.Version", routing.Version)
+	}
+	in.gauge("Config.ConfirmedAgeMs", in.confirmedAge().Milliseconds())
+	in.gauge("Peers.Known", int64(len(*in.notes.peers.Load())))
+	in.gauge("Log.Dropped", in.dropped())
+	in.gauge("Process.Goroutines", int64(runtime.NumGoroutine()))
+	var memory runtime.MemStats
+	runtime.ReadMemStats(&memory)
+	in.gauge("Process.HeapBytes", int64(memory.HeapInuse))
+	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+	_ = meter.WriteText(w, in.registry)
+}
+
+func (in *Instance) gauge(name string, value int64) {
+	metrics.GetOrRegisterGauge(name, in.registry).Update(value)
+}
+
+func (in *Instance) count(name string) {
+	metrics.GetOrRegisterCounter(name, in.registry).Inc(1)
+}
+
+func (in *Instance) time(name string, period time.Duration) {
+	metrics.GetOrRegisterTimer(name, in.registry).Update(period)
+}
+
+// confirmedAge is how long ago the store confirmed the configuration.
+func (in *Instance) confirmedAge() time.Duration {
+	return bootTime() - time.Duration(in.confirmed.Load())
+}
--- a/internal/relay/notes.go
+++ b/internal/relay/notes.go
@@ -65,6 +65,7 @@
 	select {
 	case ns.queue <- nt:
 	default:
+		ns.in.count("Notes.Dropped")
 	}
 }
 
@@ -86,6 +87,7 @@
 		return
 	}
 	for _, address := range *ns.peers.Load() {
+		ns.in.count("Notes.Sent")
 		// A datagram that cannot be sent is as good as lost, and the next summary makes it good.
 		_, _ = ns.conn.WriteToUDP(raw, address)
 	}
@@ -116,6 +118,7 @@
 			ns.in.log.Warn().Int("Bytes", count).Msg("note dropped: it cannot be read")
 			continue
 		}
+		ns.in.count("Notes.Heard")
 		ns.in.apply(steer.Heard{Note: nt})
 	}
 }
--- a/internal/relay/options.go
+++ b/internal/relay/options.go
@@ -23,6 +23,7 @@
 	BudgetSlack   float64       `long:"budget-slack" env:"DANDELIONSAIL_BUDGET_SLACK" description:"repeats that they may send beyond that in a window" default:"20"`
 	BudgetWindow  time.Duration `long:"budget-window" env:"DANDELIONSAIL_BUDGET_WINDOW" description:"window of the budget for repeats" default:"10s"`
 	MaxBody       int64         `long:"max-body" env:"DANDELIONSAIL_MAX_BODY" description:"longest request body in bytes where the configuration names none" default:"8388608"`
+	LogLines      int           `long:"log-lines" env:"DANDELIONSAIL_LOG_LINES" description:"most lines of the log a second; what is beyond is dropped and counted" default:"400"`
 	Seed          uint64        `long:"seed" env:"DANDELIONSAIL_SEED" description:"seed of random choices; 0 takes one from the name" default:"0"`
 }
 
@@ -54,6 +55,9 @@
 	if opts.BudgetRatio < 0 || opts.BudgetSlack < 0 {
 		return BadOption.New("relay: --budget-ratio is %v and --budget-slack %v; give 0 or more", opts.BudgetRatio, opts.BudgetSlack)
 	}
+	if opts.LogLines < 1 {
+		return BadOption.New("relay: --log-lines is %d; give 1 or more", opts.LogLines)
+	}
 	if opts.MaxBody < 1024 {
 		return BadOption.New("relay: --max-body is %d; give 1024 or more", opts.MaxBody)
 	}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -74,6 +74,7 @@
 	if tr.cl.headerOut {
 		return
 	}
+	tr.in.time("Requests.FirstByte.stream", time.Since(tr.cl.arrived))
 	copyHeader(tr.cl.w.Header(), resp.Header)
 	tr.cl.headerOut = true
 	tr.cl.w.WriteHeader(http.StatusOK)
