--- a/internal/steer/place.go
+++ b/internal/steer/place.go
@@ -131,9 +131,23 @@
 			best, found = pl, true
 		}
 	}
-	return best, found && best.cost < req.value
+	return best, found && best.cost < req.value*st.urgency(req, &best)
 }
 
+// urgency is the part of its worth that a request may cost now. One that can wait and still be in time takes only a cheap
+// place: engines that are busy or write for callers who may not wait are often free a moment later.
+func (st *State) urgency(req *request, pl *plan) float64 {
+	spare := safety*ms(req.Route.Goal.Std()) - pl.first
+	age := ms(st.now.Sub(req.at))
+	if spare <= 0 || age >= spare {
+		return 1
+	}
+	return calmShare + (1-calmShare)*age/spare
+}
+
+// calmShare is the part of its worth that a request may cost that has all its time left.
+const calmShare = 0.3
+
 // enginePrice is the worth of a second of engine time now.
 func (st *State) enginePrice(svc *service) float64 {
 	var used, slots float64
@@ -150,7 +164,8 @@
 	return timeCost + backlogCost*st.meanBacklog(svc) + slotCost*full
 }
 
-// meanBacklog is the reading that waits at the average engine, in seconds.
+// meanBacklog is the reading that waits at the average engine, in seconds. What waits at the instances does not count: the
+// longest prompts there would make engine time so dear that nothing was sent at all.
 func (st *State) meanBacklog(svc *service) float64 {
 	var total float64
 	count := 0
