--- a/internal/steer/place.go
+++ b/internal/steer/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -235,14 +236,29 @@
 // lateness is the worth lost of an answer that begins in so many ms where it has so many left; later is worse even among
 // late ones, since callers give up.
 func lateness(value, left, first float64) float64 {
-	if first <= safety*left {
+	return lateShare * value * (risk(first, left) + min(1, max(0, first-left)/giveUp))
+}
+
+// risk is the chance that what is reckoned to take so many ms takes longer than is left. Measured over some thousand
+// answers, the time to the first event was 1.1 times its estimate in the middle and 1.7 times in the worst tenth.
+func risk(estimate, left float64) float64 {
+	if estimate <= riskFrom*left {
 		return 0
 	}
-	return lateShare * value * (1 + min(1, max(0, first-left)/giveUp))
+	if estimate >= riskTo*left {
+		return 1
+	}
+	return math.Pow((estimate/left-riskFrom)/(riskTo-riskFrom), riskPower)
 }
 
-// giveUp is how late in ms an answer is as good as none.
-const giveUp = 5000
+const (
+	// riskFrom and riskTo are the parts of the time left at which an estimate is safe and at which it is hopeless.
+	riskFrom  = 0.4
+	riskTo    = 1.3
+	riskPower = 1.6
+	// giveUp is how late in ms an answer is as good as none.
+	giveUp = 5000
+)
 
 // options lists the engines that may take a part of the reading.
 func (st *State) options(svc *service, req *request, part float64) []option {
