--- a/internal/relay/follow.go
+++ b/internal/relay/follow.go
@@ -9,12 +9,15 @@
 )
 
 const (
-	// followShare is the part of the time in which a change must be in force that passes between two questions.
-	followShare = 0.5
+	// askShare and hearShare are the parts of the time in which a change must be in force that pass between two questions
+	// to the store, by the few that ask it, and between two questions to those, by all others.
+	askShare  = 0.3
+	hearShare = 0.35
 	// askTimeout bounds one question to the store, so that a connection that fell silent costs little more.
 	askTimeout = 600 * time.Millisecond
-	// askAgain is the wait after a question that was not answered.
-	askAgain = 150 * time.Millisecond
+	// askAgain is the wait after a question that was not answered, and emptyPause that while there is no configuration.
+	askAgain   = 150 * time.Millisecond
+	emptyPause = 400 * time.Millisecond
 	// announceTime is how long an announcement lasts, announceEvery when it is made again.
 	announceTime  = 40 * time.Second
 	announceEvery = 15 * time.Second
@@ -23,30 +26,64 @@
 	readyAge = 0.55
 )
 
-// follower keeps the configuration and the lists up to date. It asks the store for its revision, and reads only when
-// that has changed: a watch could be silent or cut without a sign, and would prove nothing about the tokens.
+// follower keeps the configuration and the lists up to date. A few instances ask the store for its revision, and the
+// others ask them; who hears of a newer one reads. There is no watch: it could be silent or cut without a sign, and would
+// prove nothing about the tokens.
 type follower struct {
 	in       *Instance
 	revision int64
-	// away tells that the last question was not answered.
-	away bool
-	// read tells that there was an answer at all.
-	read bool
+	// away tells that the last question was not answered, read that there was an answer at all.
+	away, read bool
 }
 
 func (fl *follower) run(ctx context.Context) error {
-	period := time.Duration(followShare * float64(fl.in.opts.ConfigLag))
 	for ctx.Err() == nil {
-		pause := period
-		if !fl.ask(ctx) || !fl.in.configured() {
-			pause = askAgain
+		pause := fl.follow(ctx)
+		timer := time.NewTimer(pause)
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		case <-fl.in.notes.news:
 		}
-		delay.For(ctx, pause)
+		timer.Stop()
 	}
 	return ctx.Err()
 }
 
-// ask brings the store's state here and reports whether it answered.
+// follow brings the store's state here once and returns when it should again.
+func (fl *follower) follow(ctx context.Context) time.Duration {
+	lag := float64(fl.in.opts.ConfigLag)
+	if fl.read && fl.in.configured() && !fl.in.notes.asksStore() && fl.hear(ctx) {
+		return time.Duration(hearShare * lag)
+	}
+	switch {
+	case !fl.ask(ctx):
+		return askAgain
+	case !fl.in.configured():
+		return emptyPause
+	}
+	return time.Duration(askShare * lag)
+}
+
+// hear lets another instance confirm the state and reports whether that was possible. The confirmation counts from the
+// question here less the age that the other one gave, so that neither a frozen process nor a late datagram can stretch a
+// token's life, and what one instance heard from another it never passes on as newer than it was.
+func (fl *follower) hear(ctx context.Context) bool {
+	asked := bootTime()
+	conf, ok := fl.in.notes.ask(ctx)
+	if !ok {
+		return false
+	}
+	limited, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	if err := fl.take(limited, conf.Revision); err != nil {
+		return false
+	}
+	fl.confirm(asked - time.Duration(conf.AgeMs)*time.Millisecond)
+	return true
+}
+
+// ask asks the store itself and reports whether it answered.
 func (fl *follower) ask(ctx context.Context) bool {
 	limited, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
@@ -54,9 +91,8 @@
 	asked := bootTime()
 	fl.in.count("Store.Questions")
 	revision, err := fl.in.directory.Revision(limited)
-	if err == nil && (!fl.read || revision != fl.revision) {
-		asked = bootTime()
-		err = fl.take(limited)
+	if err == nil {
+		err = fl.take(limited, revision)
 	}
 	if err != nil {
 		fl.failed(ctx, err)
@@ -66,21 +102,38 @@
 		fl.in.log.Info().Int64("Revision", fl.revision).Msg("store answers again")
 	}
 	fl.away = false
-	fl.in.confirmed.Store(int64(asked))
+	fl.confirm(asked)
 	return true
 }
 
-func (fl *follower) take(ctx context.Context) error {
-	fl.in.count("Store.Reads")
-	snap, err := fl.in.directory.Read(ctx)
+// confirm notes that the state here was the store's at the boot time.
+func (fl *follower) confirm(at time.Duration) {
+	if int64(at) > fl.in.confirmed.Load() {
+		fl.in.confirmed.Store(int64(at))
+	}
+}
+
+// take brings the state to the revision at least. A stale read is enough if it is new enough.
+func (fl *follower) take(ctx context.Context, revision int64) error {
+	if fl.read && revision <= fl.revision {
+		return nil
+	}
+	fl.in.count("Store.StaleReads")
+	snap, err := fl.in.directory.Read(ctx, true)
+	if err == nil && snap.Revision < revision {
+		fl.in.count("Store.Reads")
+		snap, err = fl.in.directory.Read(ctx, false)
+	}
 	if err != nil {
 		return err
 	}
 	fl.read = true
 	fl.revision = snap.Revision
+	fl.in.revision.Store(snap.Revision)
 	fl.in.install(snap.Routing)
 	fl.in.setPeers(snap.Peers)
 	fl.in.apply(steer.Listed{Replicas: snap.Replicas, Away: fl.away})
+	fl.in.notes.spread()
 	return nil
 }
 
--- a/internal/relay/instance.go
+++ b/internal/relay/instance.go
@@ -58,7 +58,9 @@
 	routing atomic.Pointer[decl.Routing]
 	// confirmed is the boot time at which the question was asked that last confirmed the configuration.
 	confirmed atomic.Int64
-	draining  atomic.Bool
+	// revision is the store's that is in use here.
+	revision atomic.Int64
+	draining atomic.Bool
 	// releases counts the orders under way that give memory back.
 	releases sync.WaitGroup
 	nextID   atomic.Uint64
--- a/internal/relay/notes.go
+++ b/internal/relay/notes.go
@@ -1,11 +1,15 @@
 package relay
 
 import (
+	"cmp"
 	"context"
+	"math/rand/v2"
 	"net"
+	"slices"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 	"golang.org/x/sync/errgroup"
 
@@ -29,8 +33,44 @@
 	conn  *net.UDPConn
 	peers atomic.Pointer[[]*net.UDPAddr]
 	queue chan steer.Note
+	// askers are the other instances that ask the store, mine tells that this one does.
+	askers atomic.Pointer[[]*net.UDPAddr]
+	mine   atomic.Bool
+	// answers brings the confirmations to the one question that is open, news tells that there is a newer revision.
+	answers chan confirmation
+	news    chan struct{}
 }
 
+// packet is one datagram: one of its fields is set.
+type packet struct {
+	_        struct{} `cbor:",toarray"`
+	Note     *steer.Note
+	Question *question
+	Answer   *confirmation
+}
+
+// question asks when the store last confirmed the other instance's state.
+type question struct {
+	_     struct{} `cbor:",toarray"`
+	Nonce uint64
+}
+
+// confirmation answers a question; one without a nonce is news of a revision and proves nothing.
+type confirmation struct {
+	_        struct{} `cbor:",toarray"`
+	Nonce    uint64
+	Revision int64
+	// AgeMs is how long before this answer the store was asked, rounded up.
+	AgeMs int64
+}
+
+const (
+	// storeAskers is how many instances ask the store. Two may be lost at the same time without the others noticing.
+	storeAskers = 3
+	// answerTime is how long a question to another instance waits.
+	answerTime = 120 * time.Millisecond
+)
+
 func openNotes(in *Instance) (*notes, error) {
 	address, err := net.ResolveUDPAddr("udp", in.opts.PeerListen)
 	if err != nil {
@@ -40,8 +80,13 @@
 	if err != nil {
 		return nil, Errors.NewType("listen").Wrap(err, "relay: --peer-listen %s cannot be used; choose a free address", in.opts.PeerListen)
 	}
-	ns := &notes{in: in, conn: conn, queue: make(chan steer.Note, noteBacklog)}
+	ns := &notes{
+		in: in, conn: conn, queue: make(chan steer.Note, noteBacklog),
+		answers: make(chan confirmation, 1), news: make(chan struct{}, 1),
+	}
 	ns.peers.Store(&[]*net.UDPAddr{})
+	ns.askers.Store(&[]*net.UDPAddr{})
+	ns.mine.Store(true)
 	return ns, nil
 }
 
@@ -81,15 +126,26 @@
 }
 
 func (ns *notes) write(nt steer.Note) {
-	raw, err := cbor.Marshal(nt)
-	if err != nil || len(raw) > maxNote {
-		ns.in.log.Warn().Err(err).Int("Bytes", len(raw)).Msg("note not sent: it does not encode or is too long")
-		return
-	}
+	raw := ns.encode(packet{Note: &nt})
 	for _, address := range *ns.peers.Load() {
 		ns.in.count("Notes.Sent")
-		// A datagram that cannot be sent is as good as lost, and the next summary makes it good.
-		_, _ = ns.conn.WriteToUDP(raw, address)
+		ns.post(raw, address)
+	}
+}
+
+func (ns *notes) encode(pk packet) []byte {
+	raw, err := cbor.Marshal(pk)
+	if err != nil || len(raw) > maxNote {
+		ns.in.log.Warn().Err(err).Int("Bytes", len(raw)).Msg("packet not sent: it does not encode or is too long")
+		return nil
+	}
+	return raw
+}
+
+// post sends a datagram. One that cannot be sent is as good as lost, which all that use it bear.
+func (ns *notes) post(raw []byte, to *net.UDPAddr) {
+	if len(raw) > 0 {
+		_, _ = ns.conn.WriteToUDP(raw, to)
 	}
 }
 
@@ -106,28 +162,123 @@
 func (ns *notes) receive(ctx context.Context) error {
 	buf := make([]byte, maxNote)
 	for {
-		count, _, err := ns.conn.ReadFromUDP(buf)
+		count, from, err := ns.conn.ReadFromUDP(buf)
 		if err != nil {
 			if ctx.Err() != nil {
 				return ctx.Err()
 			}
 			continue
 		}
-		var nt steer.Note
-		if err := cbor.Unmarshal(buf[:count], &nt); err != nil || !nt.Valid() {
-			ns.in.log.Warn().Int("Bytes", count).Msg("note dropped: it cannot be read")
-			continue
+		var pk packet
+		if err := cbor.Unmarshal(buf[:count], &pk); err != nil || !ns.take(pk, from) {
+			ns.in.log.Warn().Int("Bytes", count).Msg("packet dropped: it cannot be read")
+		}
+	}
+}
+
+// take acts on a packet and reports whether it made sense.
+func (ns *notes) take(pk packet, from *net.UDPAddr) bool {
+	switch {
+	case pk.Note != nil:
+		if !pk.Note.Valid() {
+			return false
 		}
 		ns.in.count("Notes.Heard")
-		ns.in.apply(steer.Heard{Note: nt})
+		ns.in.apply(steer.Heard{Note: *pk.Note})
+	case pk.Question != nil:
+		ns.answer(pk.Question.Nonce, from)
+	case pk.Answer != nil && pk.Answer.Nonce == 0:
+		if pk.Answer.Revision > ns.in.revision.Load() {
+			offer(ns.news, struct{}{})
+		}
+	case pk.Answer != nil:
+		offer(ns.answers, *pk.Answer)
+	default:
+		return false
+	}
+	return true
+}
+
+func offer[Value any](to chan Value, value Value) {
+	select {
+	case to <- value:
+	default:
+	}
+}
+
+// answer tells when the store last confirmed the state here. An instance that was not confirmed at all says nothing.
+func (ns *notes) answer(nonce uint64, to *net.UDPAddr) {
+	if nonce == 0 || ns.in.confirmed.Load() == 0 {
+		return
 	}
+	// The revision is read after the age: between the two it can only have become newer than what the age proves.
+	age := ns.in.confirmedAge()
+	conf := confirmation{Nonce: nonce, AgeMs: age.Milliseconds() + 1, Revision: ns.in.revision.Load()}
+	ns.post(ns.encode(packet{Answer: &conf}), to)
 }
 
-// setPeers takes the instances that are registered.
+// asksStore tells that this instance is one of those that ask the store, or knows none.
+func (ns *notes) asksStore() bool { return ns.mine.Load() || len(*ns.askers.Load()) == 0 }
+
+// ask asks the instances that ask the store, one after the other from a random one on, until one answers.
+func (ns *notes) ask(ctx context.Context) (confirmation, bool) {
+	askers := *ns.askers.Load()
+	first := rand.IntN(len(askers))
+	for i := range askers {
+		nonce := rand.Uint64() | 1
+		ns.post(ns.encode(packet{Question: &question{Nonce: nonce}}), askers[(first+i)%len(askers)])
+		if conf, ok := ns.awaitAnswer(ctx, nonce); ok {
+			return conf, true
+		}
+		ns.in.count("Peers.Unanswered")
+	}
+	return confirmation{}, false
+}
+
+func (ns *notes) awaitAnswer(ctx context.Context, nonce uint64) (confirmation, bool) {
+	timer := time.NewTimer(answerTime)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return confirmation{}, false
+		case <-timer.C:
+			return confirmation{}, false
+		case conf := <-ns.answers:
+			if conf.Nonce == nonce && conf.AgeMs >= 0 {
+				return conf, true
+			}
+		}
+	}
+}
+
+// spread tells all others of the revision that is new here; who does not hear it learns it with its next question.
+func (ns *notes) spread() {
+	if !ns.asksStore() {
+		return
+	}
+	raw := ns.encode(packet{Answer: &confirmation{Revision: ns.in.revision.Load()}})
+	for _, address := range *ns.peers.Load() {
+		ns.post(raw, address)
+	}
+}
+
+// setPeers takes the instances that are registered. Those that ask the store are the ones of the lowest hashes, so that
+// all instances that know the same others choose the same.
 func (in *Instance) setPeers(peers []Peer) {
-	addresses := make([]*net.UDPAddr, 0, len(peers))
-	for _, peer := range peers {
+	ranked := slices.Clone(peers)
+	if !slices.ContainsFunc(ranked, func(peer Peer) bool { return peer.Name == in.self.Name }) {
+		ranked = append(ranked, in.self)
+	}
+	slices.SortFunc(ranked, func(one, two Peer) int {
+		return cmp.Compare(xxhash.Sum64String(one.Name), xxhash.Sum64String(two.Name))
+	})
+	addresses := make([]*net.UDPAddr, 0, len(ranked))
+	var askers []*net.UDPAddr
+	mine := false
+	for place, peer := range ranked {
 		if peer.Name == in.self.Name {
+			mine = place < storeAskers
 			continue
 		}
 		address, err := net.ResolveUDPAddr("udp", peer.Address)
@@ -136,7 +287,12 @@
 			continue
 		}
 		addresses = append(addresses, address)
+		if place < storeAskers {
+			askers = append(askers, address)
+		}
 	}
 	in.notes.peers.Store(&addresses)
+	in.notes.askers.Store(&askers)
+	in.notes.mine.Store(mine)
 	in.apply(steer.PeersCounted{Live: len(addresses) + 1})
 }
--- a/internal/relay/ports.go
+++ b/internal/relay/ports.go
@@ -23,19 +23,19 @@
 	OrderFailed = Errors.NewType("order_failed")
 )
 
-// Directory is the store that holds the configuration, the replicas and the other instances. All reads are
-// linearizable.
+// Directory is the store that holds the configuration, the replicas and the other instances.
 type Directory interface {
-	// Revision returns a number that differs whenever Read would return something else than before.
+	// Revision returns, linearizably, the number of the last change to any of it.
 	Revision(ctx context.Context) (int64, error)
-	// Read returns all of it.
-	Read(ctx context.Context) (Snapshot, error)
+	// Read returns all of it; a stale one costs the store little and may be some seconds old.
+	Read(ctx context.Context, stale bool) (Snapshot, error)
 	// Announce registers this instance for as long as it announces itself again within the time.
 	Announce(ctx context.Context, peer Peer, ttl time.Duration) error
 }
 
 // Snapshot is what a Directory holds.
 type Snapshot struct {
+	// Revision is that of the last change that it is sure to hold.
 	Revision int64
 	// Routing is nil if there is no configuration that can be read.
 	Routing  *decl.Routing
--- a/internal/steer/place.go
+++ b/internal/steer/place.go
@@ -138,6 +138,10 @@
 // urgency is the part of its worth that a request may cost now. One that can wait and still be in time takes only a cheap
 // place: engines that are busy or write for callers who may not wait are often free a moment later.
 func (st *State) urgency(req *request, pl *plan) float64 {
+	if float64(len(pl.reps))*pl.part <= longRead {
+		// A short one has no time to wait for a better moment.
+		return 1
+	}
 	spare := safety*ms(req.Route.Goal.Std()) - pl.first
 	age := ms(st.now.Sub(req.at))
 	if spare <= 0 || age >= spare {
