--- a/internal/steer/place.go
+++ b/internal/steer/place.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
@@ -14,30 +13,6 @@
 // a quarter of a second share the engines with prompts that an engine reads for seconds, in a mix that turns several
 // times a minute, so that no fixed part of the engines is right for either.
 
-const (
-	// safety is the part of the time to the first event that an estimate may use up, gapSafety that of a pause: a pass is
-	// known to a few ms, what is ahead of a new request is not.
-	safety    = 0.8
-	gapSafety = 0.93
-	// lateShare is the part of an answer's worth that is lost if it is late.
-	lateShare = 0.75
-	// timeCost is the worth of a second of engine time that nobody waits for, which parts choices that make nothing late.
-	timeCost = 0.3
-	// backlogCost is what each second of reading that waits at the average engine adds to that, and slotCost what full
-	// slots add. Under overload only what is worth more than what it displaces is sent; the rest waits for a lull, since
-	// a long prompt takes engine time by the square of its length and is worth only in proportion to it.
-	backlogCost = 3.0
-	slotCost    = 4.0
-	slotsFrom   = 0.8
-	// longestBacklog bounds what one engine counts in the average, in seconds.
-	longestBacklog = 4.0
-	// spreadCost keeps a request that may not pause off engines that have none like it, which are thereby kept free for
-	// long reads: without it short streams are on all engines, and each long read makes some of them late.
-	spreadCost = 0.05
-	// farCost is the worth of staying in the own failure domain.
-	farCost = 0.005
-)
-
 // plan is where a request goes.
 type plan struct {
 	reps []*replica
@@ -45,8 +20,8 @@
 	tickets []int64
 	// part is the reading of each in ms.
 	part float64
-	// first is the estimated time to the first byte in ms, cost the worth lost.
-	first, cost float64
+	// first is the estimated time to the first byte in ms, cost the worth lost, bias what parts plans besides.
+	first, cost, bias float64
 }
 
 // engineCounts are the numbers of engines that may read one prompt.
@@ -99,6 +74,8 @@
 	// harm is what the callers of streams that it writes lose in worth, delay what those lose whose prompts a helper's
 	// part goes before.
 	harm, delay float64
+	// bias makes the engine less of a choice without costing any caller anything.
+	bias float64
 	// wait is the time in ms until the part would be read if it answers, waitHelp if it helps, pass that of one pass.
 	wait, waitHelp, pass float64
 	// late is the request's own worth lost if it is answered here.
@@ -109,15 +86,17 @@
 }
 
 // asHelper and asFirst are what the engine costs in the one and the other part.
-func (opt *option) asHelper() float64 { return opt.harm + opt.delay + timeCost*opt.waitHelp/1000 }
+func (opt *option) asHelper() float64 {
+	return opt.harm + opt.delay + opt.bias + timeCost*opt.waitHelp/1000
+}
 
 func (opt *option) asFirst() float64 {
-	return opt.harm + opt.late + timeCost*(opt.wait+opt.pass)/1000
+	return opt.harm + opt.late + opt.bias + timeCost*(opt.wait+opt.pass)/1000
 }
 
 func (st *State) placePrompt(svc *service, req *request) (plan, bool) {
 	eng := svc.engine
-	price := st.enginePrice(svc)
+	price := st.pricesOf(svc)
 	var best plan
 	found := false
 	for _, count := range engineCounts {
@@ -128,7 +107,7 @@
 		if !ok {
 			continue
 		}
-		if !found || pl.cost < best.cost {
+		if !found || pl.cost+pl.bias < best.cost+best.bias {
 			best, found = pl, true
 		}
 	}
@@ -153,41 +132,11 @@
 // calmShare is the part of its worth that a request may cost that has all its time left.
 const calmShare = 0.3
 
-// enginePrice is the worth of a second of engine time now.
-func (st *State) enginePrice(svc *service) float64 {
-	var used, slots float64
-	for _, rep := range svc.replicas {
-		if rep.usable(st.now) {
-			used += float64(min(rep.running(), rep.Slots))
-			slots += float64(rep.Slots)
-		}
-	}
-	full := 0.0
-	if slots > 0 {
-		full = max(0, (used/slots-slotsFrom)/(1-slotsFrom))
-	}
-	return timeCost + backlogCost*st.meanBacklog(svc) + slotCost*full
-}
-
-// meanBacklog is the reading that waits at the average engine, in seconds. What waits at the instances does not count: the
-// longest prompts there would make engine time so dear that nothing was sent at all.
-func (st *State) meanBacklog(svc *service) float64 {
-	var total float64
-	count := 0
-	for _, rep := range svc.replicas {
-		if rep.usable(st.now) {
-			count++
-			total += min(rep.backlog(st.now)/1000, longestBacklog)
-		}
-	}
-	return total / float64(max(1, count))
-}
-
 // minSplit is the least reading in ms that is worth another engine.
 const minSplit = 60
 
 // planFor reckons the request read by so many engines.
-func (st *State) planFor(svc *service, req *request, count int, price float64) (plan, bool) {
+func (st *State) planFor(svc *service, req *request, count int, price prices) (plan, bool) {
 	eng := svc.engine
 	part := readTime(eng, req.Prompt, count)
 	options := st.options(svc, req, part)
@@ -197,7 +146,7 @@
 		return plan{}, false
 	}
 	pl := plan{part: part, reps: []*replica{options[first].rep}}
-	pl.cost, pl.first = options[first].harm, options[first].wait
+	pl.cost, pl.bias, pl.first = options[first].harm, options[first].bias, options[first].wait
 	missing := req.tokens() - options[first].free
 	for i := range options {
 		if len(pl.reps) == count {
@@ -208,6 +157,7 @@
 		}
 		pl.reps = append(pl.reps, options[i].rep)
 		pl.cost += options[i].harm + options[i].delay
+		pl.bias += options[i].bias
 		pl.first = max(pl.first, options[i].waitHelp)
 		if missing > 0 {
 			ticket := min(missing, options[i].free)
@@ -222,48 +172,11 @@
 		return plan{}, false
 	}
 	pl.first += options[first].pass
-	taken := float64(count)*part + st.slotTime(eng, req)
-	pl.cost += st.lateness(req, pl.first) + (price*taken+timeCost*pl.first)/1000
+	pl.cost += st.lateness(req, pl.first)
+	pl.cost += (price.read*float64(count)*part + price.slot*slotTime(eng, req) + timeCost*pl.first) / 1000
 	return pl, true
 }
 
-// slotTime is the engine time in ms that the request's answer takes up: its part of the passes in which it is written.
-func (st *State) slotTime(eng *decl.Engine, req *request) float64 {
-	return float64(req.Answer) * stepTime(eng, eng.Slots, 0) / float64(eng.Slots)
-}
-
-// lateness is the request's own worth lost if its answer begins in so many ms.
-func (st *State) lateness(req *request, first float64) float64 {
-	return lateness(req.value, ms(req.goal.Sub(st.now)), first)
-}
-
-// lateness is the worth lost of an answer that begins in so many ms where it has so many left; later is worse even among
-// late ones, since callers give up.
-func lateness(value, left, first float64) float64 {
-	return lateShare * value * (risk(first, left) + min(1, max(0, first-left)/giveUp))
-}
-
-// risk is the chance that what is reckoned to take so many ms takes longer than is left. Measured over some thousand
-// answers, the time to the first event was 1.1 times its estimate in the middle and 1.7 times in the worst tenth.
-func risk(estimate, left float64) float64 {
-	if estimate <= riskFrom*left {
-		return 0
-	}
-	if estimate >= riskTo*left {
-		return 1
-	}
-	return math.Pow((estimate/left-riskFrom)/(riskTo-riskFrom), riskPower)
-}
-
-const (
-	// riskFrom and riskTo are the parts of the time left at which an estimate is safe and at which it is hopeless.
-	riskFrom  = 0.4
-	riskTo    = 1.3
-	riskPower = 1.6
-	// giveUp is how late in ms an answer is as good as none.
-	giveUp = 5000
-)
-
 // options lists the engines that may take a part of the reading.
 func (st *State) options(svc *service, req *request, part float64) []option {
 	options := make([]option, 0, len(svc.replicas))
@@ -280,10 +193,11 @@
 		opt.slot = rep.running() < svc.engine.Slots && st.myTurn(rep, req)
 		opt.pass = st.firstPass(svc.engine, rep, req)
 		opt.late = st.lateness(req, opt.wait+opt.pass)
-		opt.harm = st.harm(svc.engine, rep, backlog, part*rep.slow) + st.spread(rep, req)
+		opt.harm = st.harm(svc.engine, rep, backlog, part*rep.slow)
+		opt.bias = spread(rep, req)
 		opt.delay = st.delay(rep, backlog+opt.pass, part*rep.slow)
 		if rep.FailureDomain != st.Options.FailureDomain {
-			opt.harm += farCost
+			opt.bias += farCost
 		}
 		options = append(options, opt)
 	}
@@ -363,51 +277,3 @@
 
 // rushAfter is how long a request must be here to count as one that waits.
 const rushAfter = 5 * time.Millisecond
-
-// harm is the worth that the callers of the streams lose that the replica writes if it reads so much more: a stream
-// pauses while its engine reads.
-func (st *State) harm(eng *decl.Engine, rep *replica, backlog, read float64) float64 {
-	writers, contexts := rep.writers()
-	pass := float64(eng.Stride) * stepTime(eng, writers+1, contexts) * rep.slow
-	before := backlog + pass
-	var lost float64
-	for i := range rep.works {
-		wk := &rep.works[i]
-		gap := ms(wk.gap)
-		if wk.first && wk.begun && gap > 0 && before+read > gapSafety*gap && before <= gapSafety*gap {
-			lost += lateShare * wk.value
-		}
-	}
-	return lost
-}
-
-// delay is the worth that the requests lose which the replica has not begun to answer if it reads a part for another one
-// before them. Parts that keep coming would hold them back until their callers leave.
-func (st *State) delay(rep *replica, before, read float64) float64 {
-	var lost float64
-	for i := range rep.works {
-		wk := &rep.works[i]
-		if wk.first && !wk.begun {
-			left := ms(wk.goal.Sub(st.now))
-			lost += lateness(wk.value, left, before+read) - lateness(wk.value, left, before)
-		}
-	}
-	return lost
-}
-
-// spread prices a stream that may not pause on an engine with few streams like it. It fills one engine after the other,
-// so that the others stay free for long reads.
-func (st *State) spread(rep *replica, req *request) float64 {
-	alike := 0
-	for i := range rep.works {
-		if wk := &rep.works[i]; wk.first && wk.gap > 0 && wk.gap <= req.gap {
-			alike++
-		}
-	}
-	room := max(0, 1-float64(alike)/(fullShare*float64(rep.Slots)))
-	return room * spreadCost * float64(time.Second) / float64(max(req.gap, 100*time.Millisecond))
-}
-
-// fullShare is the part of its slots from which an engine counts as full of such streams. With more of them each pass is
-// longer and has less time left to read in.
-const fullShare = 0.25
