Confirmations have an age, and an outage ends with whichever way out of it

TestChangesPassInstancesThatTheStoreTurnsAway and TestLeavingIsHeardWhereTheStoreCannotBe failed before.

--- a/internal/relay/follow.go
+++ b/internal/relay/follow.go
@@ -13,6 +13,9 @@
 	// to the store, by the few that ask it, and between two questions to those, by all others.
 	askShare  = 0.3
 	hearShare = 0.35
+	// oldShare is the part of that time from which a confirmation is too old to go by: the instance that gave it is itself
+	// out of the store's reach, and would keep back every change that the store has taken since.
+	oldShare = 0.4
 	// askTimeout bounds one question to the store, so that a connection that fell silent costs little more.
 	askTimeout = 600 * time.Millisecond
 	// askAgain is the wait after a question that was not answered, and emptyPause that while there is no configuration.
@@ -50,19 +53,22 @@
 	return ctx.Err()
 }
 
-// follow brings the store's state here once and returns when it should again.
+// follow brings the store's state here once and returns when it should again. An instance that the store turns away, or
+// whose askers it turns away, takes the other way.
 func (fl *follower) follow(ctx context.Context) time.Duration {
 	lag := float64(fl.in.opts.ConfigLag)
-	if fl.read && fl.in.configured() && !fl.in.notes.asksStore() && fl.hear(ctx) {
+	hears := fl.read && fl.in.configured() && fl.in.notes.hasAskers()
+	if hears && !fl.in.notes.asksStore() && fl.hear(ctx) {
 		return time.Duration(hearShare * lag)
 	}
+	answered := fl.ask(ctx)
 	switch {
-	case !fl.ask(ctx):
-		return askAgain
-	case !fl.in.configured():
+	case answered && !fl.in.configured():
 		return emptyPause
+	case answered || hears && fl.in.notes.asksStore() && fl.hear(ctx):
+		return time.Duration(askShare * lag)
 	}
-	return time.Duration(askShare * lag)
+	return askAgain
 }
 
 // hear lets another instance confirm the state and reports whether that was possible. The confirmation counts from the
@@ -70,7 +76,7 @@
 // token's life, and what one instance heard from another it never passes on as newer than it was.
 func (fl *follower) hear(ctx context.Context) bool {
 	asked := bootTime()
-	conf, ok := fl.in.notes.ask(ctx)
+	conf, ok := fl.in.notes.ask(ctx, time.Duration(oldShare*float64(fl.in.opts.ConfigLag)))
 	if !ok {
 		return false
 	}
@@ -79,6 +85,7 @@
 	if err := fl.take(limited, conf.Revision); err != nil {
 		return false
 	}
+	fl.reached()
 	fl.confirm(asked - time.Duration(conf.AgeMs)*time.Millisecond)
 	return true
 }
@@ -98,12 +105,18 @@
 		fl.failed(ctx, err)
 		return false
 	}
+	fl.reached()
+	fl.confirm(asked)
+	return true
+}
+
+// reached notes that the state here is the store's again, by whichever way. Were the outage taken to last on, each replica
+// that leaves would be used for as long as one that an outage hides.
+func (fl *follower) reached() {
 	if fl.away {
-		fl.in.log.Info().Int64("Revision", fl.revision).Msg("store answers again")
+		fl.in.log.Info().Int64("Revision", fl.revision).Msg("store in reach again")
 	}
 	fl.away = false
-	fl.confirm(asked)
-	return true
 }
 
 // confirm notes that the state here was the store's at the boot time.
--- a/internal/relay/notes.go
+++ b/internal/relay/notes.go
@@ -218,19 +218,28 @@
 }
 
 // asksStore tells that this instance is one of those that ask the store, or knows none.
-func (ns *notes) asksStore() bool { return ns.mine.Load() || len(*ns.askers.Load()) == 0 }
+func (ns *notes) asksStore() bool { return ns.mine.Load() || !ns.hasAskers() }
 
-// ask asks the instances that ask the store, one after the other from a random one on, until one answers.
-func (ns *notes) ask(ctx context.Context) (confirmation, bool) {
+// hasAskers tells that another instance asks the store.
+func (ns *notes) hasAskers() bool { return len(*ns.askers.Load()) > 0 }
+
+// ask asks the instances that ask the store, one after the other from a random one on, until one has a confirmation that
+// is younger than the age.
+func (ns *notes) ask(ctx context.Context, oldest time.Duration) (confirmation, bool) {
 	askers := *ns.askers.Load()
 	first := rand.IntN(len(askers))
 	for i := range askers {
 		nonce := rand.Uint64() | 1
 		ns.post(ns.encode(packet{Question: &question{Nonce: nonce}}), askers[(first+i)%len(askers)])
-		if conf, ok := ns.awaitAnswer(ctx, nonce); ok {
+		conf, ok := ns.awaitAnswer(ctx, nonce)
+		switch {
+		case !ok:
+			ns.in.count("Peers.Unanswered")
+		case conf.AgeMs > oldest.Milliseconds():
+			ns.in.count("Peers.Old")
+		default:
 			return conf, true
 		}
-		ns.in.count("Peers.Unanswered")
 	}
 	return confirmation{}, false
 }
