--- a/internal/relay/notes.go
+++ b/internal/relay/notes.go
@@ -169,10 +169,15 @@
 			}
 			continue
 		}
-		var pk packet
-		if err := cbor.Unmarshal(buf[:count], &pk); err != nil || !ns.take(pk, from) {
-			ns.in.log.Warn().Int("Bytes", count).Msg("packet dropped: it cannot be read")
-		}
+		ns.hear(buf[:count], from)
+	}
+}
+
+func (ns *notes) hear(raw []byte, from *net.UDPAddr) {
+	var pk packet
+	if err := cbor.Unmarshal(raw, &pk); err != nil || !ns.take(pk, from) {
+		ns.in.count("Packets.Unreadable")
+		ns.in.log.Warn().Int("Bytes", len(raw)).Msg("packet dropped: it cannot be read")
 	}
 }
 
@@ -227,6 +232,9 @@
 // is younger than the age.
 func (ns *notes) ask(ctx context.Context, oldest time.Duration) (confirmation, bool) {
 	askers := *ns.askers.Load()
+	if len(askers) == 0 {
+		return confirmation{}, false
+	}
 	first := rand.IntN(len(askers))
 	for i := range askers {
 		nonce := rand.Uint64() | 1
