--- a/internal/steer/serve.go
+++ b/internal/steer/serve.go
@@ -222,7 +222,7 @@
 		switch {
 		case st.drain != nil && !st.now.Before(st.drain.Hold):
 			held = append(held, req)
-		case !st.now.Before(req.Deadline) || !req.begun && !st.now.Before(req.Patience):
+		case !st.now.Before(req.Deadline) || !req.begun && !st.now.Before(req.Patience) || st.inVain(req):
 			over = append(over, req)
 		case req.attempt == 0 && !req.returned && st.tooLate(req):
 			busy = append(busy, req)
@@ -239,6 +239,15 @@
 	}
 }
 
+// inVain tells that a caller that came back has waited for so much of its time that it had better know: what found no
+// place until then seldom finds one before its caller leaves.
+func (st *State) inVain(req *request) bool {
+	return req.returned && req.attempt == 0 && st.now.Sub(req.at) > time.Duration(vainShare*float64(req.Given))
+}
+
+// vainShare is the part of its time that a caller that came back may wait for a place.
+const vainShare = 0.2
+
 // stop ends what is under way when the process is about to be killed: a caller that gets an answer now need not find out
 // from a connection that is cut.
 func (st *State) stop() {
--- a/internal/steer/steer_test.go
+++ b/internal/steer/steer_test.go
@@ -288,7 +288,7 @@
 			case steer.Send:
 				sent = eff
 			case steer.Tell:
-				two.reduce(steer.Heard{Note: eff.Note})
+				two.reduce(steer.Heard(eff))
 			}
 		}
 	}
