--- a/internal/cmds/cmds.go
+++ b/internal/cmds/cmds.go
@@ -28,7 +28,7 @@
 		{"demo", "Run everything on loopback, send a few requests and report", &demoCommand{}},
 		{"status", "Show instances, upstreams, pools and what is out of service", &statusCommand{}},
 		{"report", "Show the service-level burn over all instances", &reportCommand{}},
-		{"settings", "Print the settings of an entry instance as a table", &settingsCommand{}},
+		{"settings", "Print the settings of entry and relay instances as tables", &settingsCommand{}},
 		{"completion", "Print the completion script of a shell", &completionCommand{}},
 	})
 	config := add(parser.Command, []command{{"config", "Check, compare and change the configuration", &struct{}{}}})
--- a/internal/cmds/relay.go
+++ b/internal/cmds/relay.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"dandelionsail.example/dandelionsail/internal/lines"
 	"dandelionsail.example/dandelionsail/internal/relay"
@@ -24,6 +26,9 @@
 	writer := lines.New(os.Stdout, cmd.LogLines)
 	logger := tool.Logger()
 	logger.Writer = writer
-	err := relay.New(cmd.Options, platform.New(cmd.Store), platform.Protocol{}, logger, writer.Dropped).Run(ctx)
-	return errors.Join(err, writer.Close())
+	in := relay.New(cmd.Options, platform.New(cmd.Store), platform.Protocol{}, logger, writer.Dropped)
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	return errors.Join(in.Run(ctx, hangups), writer.Close())
 }
--- a/internal/cmds/settings.go
+++ b/internal/cmds/settings.go
@@ -10,11 +10,22 @@
 	"dandelionsail.example/dandelionsail/internal/tool"
 )
 
-// Marks between which the table of settings stands in a page.
-const (
-	settingsBegin = "<!-- table of settings: written by dandelionsail settings --page docs/OPERATIONS.md -->\n"
-	settingsEnd   = "<!-- end of settings -->\n"
-)
+// table is one table of settings in a page, between its marks.
+type table struct {
+	begin, end string
+	command    any
+}
+
+var tables = []table{
+	{
+		"<!-- table of settings: written by dandelionsail settings --page docs/OPERATIONS.md -->\n", "<!-- end of settings -->\n",
+		&entryCommand{},
+	},
+	{
+		"<!-- table of relay settings: written by dandelionsail settings --page docs/OPERATIONS.md -->\n", "<!-- end of relay settings -->\n",
+		&relayCommand{},
+	},
+}
 
 type settingsCommand struct {
 	Page string `long:"page" description:"page whose table is written anew; empty prints the table"`
@@ -23,7 +34,9 @@
 // Execute implements flags.Commander.
 func (cmd *settingsCommand) Execute(_ []string) error {
 	if cmd.Page == "" {
-		fmt.Print(settingsTable())
+		for _, tb := range tables {
+			fmt.Println(tb.text())
+		}
 		return nil
 	}
 	raw, err := os.ReadFile(cmd.Page)
@@ -32,25 +45,31 @@
 	}
 	page, ok := withSettings(string(raw))
 	if !ok {
-		return tool.Usage(fmt.Errorf("settings: %s lacks the marks of the table; put them back", cmd.Page))
+		return tool.Usage(fmt.Errorf("settings: %s lacks the marks of a table; put them back", cmd.Page))
 	}
 	return os.WriteFile(cmd.Page, []byte(page), 0o644)
 }
 
-// withSettings returns the page with the table between its marks.
+// withSettings returns the page with the tables between their marks.
 func withSettings(page string) (string, bool) {
-	before, rest, found := strings.Cut(page, settingsBegin)
-	_, after, closed := strings.Cut(rest, settingsEnd)
-	return before + settingsBegin + settingsTable() + settingsEnd + after, found && closed
+	for _, tb := range tables {
+		before, rest, found := strings.Cut(page, tb.begin)
+		_, after, closed := strings.Cut(rest, tb.end)
+		if !found || !closed {
+			return page, false
+		}
+		page = before + tb.begin + tb.text() + tb.end + after
+	}
+	return page, true
 }
 
-// settingsTable lists the settings of an entry instance.
-func settingsTable() string {
-	parser := flags.NewParser(&entryCommand{}, flags.None)
-	var table strings.Builder
-	table.WriteString("| Flag | Variable | Default | Meaning |\n| --- | --- | --- | --- |\n")
-	writeSettings(&table, parser.Group)
-	return table.String()
+// text lists the settings of the table's command.
+func (tb *table) text() string {
+	parser := flags.NewParser(tb.command, flags.None)
+	var text strings.Builder
+	text.WriteString("| Flag | Variable | Default | Meaning |\n| --- | --- | --- | --- |\n")
+	writeSettings(&text, parser.Group)
+	return text.String()
 }
 
 func writeSettings(table *strings.Builder, group *flags.Group) {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -218,6 +218,11 @@
 	return pr.signal(syscall.SIGTERM)
 }
 
+// Hangup asks the process to read its settings again.
+func (pr *Process) Hangup() error {
+	return pr.signal(syscall.SIGHUP)
+}
+
 // signal leaves a process alone that has ended, as it does when two faults meet it.
 func (pr *Process) signal(sig syscall.Signal) error {
 	err := pr.cmd.Process.Signal(sig)
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -148,10 +148,10 @@
 	switch {
 	case !tr.wrote.Load():
 		return steer.ResultNotSent
-	case tr.silent.Load():
-		return steer.ResultSilent
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return steer.ResultExpired
+	case tr.silent.Load():
+		return steer.ResultSilent
 	case ctx.Err() != nil:
 		return steer.ResultCancelled
 	}
--- a/internal/relay/instance.go
+++ b/internal/relay/instance.go
@@ -5,6 +5,7 @@
 	stdlog "log"
 	"net"
 	"net/http"
+	"os"
 	"runtime/debug"
 	"strconv"
 	"sync"
@@ -100,8 +101,8 @@
 	return in
 }
 
-// Run serves until the context ends, then drains and returns.
-func (in *Instance) Run(ctx context.Context) error {
+// Run serves until the context ends, then drains and returns. A signal on hangups asks for new settings.
+func (in *Instance) Run(ctx context.Context, hangups <-chan os.Signal) error {
 	debug.SetGCPercent(collectAt)
 	callers, err := listen("listen", in.opts.Listen)
 	if err != nil {
@@ -131,6 +132,7 @@
 	group.Go(func() error { return in.tick(parts) })
 	group.Go(func() error { return in.notes.run(parts) })
 	group.Go(func() error { return in.serveMetrics(parts) })
+	group.Go(func() error { return in.hearHangups(parts, hangups) })
 	group.Go(func() error { return unlessClosed(front.Serve(callers)) })
 	group.Go(func() error { return unlessClosed(ready.Serve(balancer)) })
 	group.Go(func() error {
@@ -151,6 +153,19 @@
 	return err
 }
 
+// hearHangups notes that new settings were asked for. All of them are read at the start, from flags and environment, so
+// there is nothing to read again; left to its default, the signal would end the process with its requests.
+func (in *Instance) hearHangups(ctx context.Context, hangups <-chan os.Signal) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-hangups:
+			in.log.Info().Str("Instance", in.opts.Name).Msg("hangup: settings are read at the start only; restart to change them")
+		}
+	}
+}
+
 func listen(flag, address string) (net.Listener, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
--- a/internal/steer/serve.go
+++ b/internal/steer/serve.go
@@ -150,8 +150,8 @@
 func (st *State) patience(req *request, pl plan) (first, gap time.Duration) {
 	left := req.Deadline.Sub(st.now)
 	if !req.Route.Stream {
-		// How long a plain call takes is the service's affair.
-		return left, left
+		// How long a plain call takes is the service's affair, and the deadline's end is no silence.
+		return left + time.Second, left + time.Second
 	}
 	least := leastSilence
 	if len(pl.reps) > 1 {
--- a/internal/steer/steer_test.go
+++ b/internal/steer/steer_test.go
@@ -324,6 +324,14 @@
 	assert.Assert(t, !fin.Refusal.NotRun)
 }
 
+func TestDeadlineIsNoSilence(t *testing.T) {
+	// A plain call uses up its deadline. Its replica is not silent, only slow; taken for silent it would be left out for a
+	// while by every instance. The time allowed for the first byte ends after the deadline.
+	in := newInstance(t, "one", 1)
+	sent := find[steer.Send](t, in.arrive(&update, 0))
+	assert.Assert(t, in.now.Add(sent.FirstBy).After(sent.Deadline))
+}
+
 func TestCallerThatLeftHoldsNothing(t *testing.T) {
 	in := newInstance(t, "one", 1)
 	sent := find[steer.Send](t, in.arrive(&short, 5000))
