--- a/internal/steer/serve.go
+++ b/internal/steer/serve.go
@@ -38,20 +38,20 @@
 // choose takes one of the route's services by their weights.
 func (st *State) choose(route *decl.Route) string {
 	total := 0
-	for _, back := range route.Backends {
+	for _, back := range route.Shares {
 		total += back.Weight
 	}
 	if total == 0 {
-		return route.Backends[0].Service
+		return route.Shares[0].Service
 	}
 	draw := st.random.IntN(total)
-	for _, back := range route.Backends {
+	for _, back := range route.Shares {
 		if draw < back.Weight {
 			return back.Service
 		}
 		draw -= back.Weight
 	}
-	return route.Backends[0].Service
+	return route.Shares[0].Service
 }
 
 // pump sends what waits and has a replica by now, the most urgent first.
--- a/pkg/decl/routing.go
+++ b/pkg/decl/routing.go
@@ -47,9 +47,9 @@
 	Host string
 	// Prefix is the start of the path, with slashes at both ends. The longest prefix of a host wins.
 	Prefix string
-	// Backends share the requests by weight; never empty.
-	Backends []Backend
-	Repeats  Repeats
+	// Shares share the requests by weight; never empty.
+	Shares  []Share
+	Repeats Repeats
 	// Stream tells that answers are series of events.
 	Stream bool
 	// Timeout is the longest time from arrival to the end of the answer; above 0.
@@ -66,8 +66,8 @@
 	Public bool
 }
 
-// Backend is one service of a route with its share.
-type Backend struct {
+// Share is one service of a route with its share.
+type Share struct {
 	Service string
 	// Weight is the share of the requests, at least 0.
 	Weight int
