--- a/internal/relay/follow.go
+++ b/internal/relay/follow.go
@@ -18,8 +18,10 @@
 	oldShare = 0.4
 	// askTimeout bounds one question to the store, so that a connection that fell silent costs little more.
 	askTimeout = 600 * time.Millisecond
-	// askAgain is the wait after a question that was not answered, and emptyPause that while there is no configuration.
+	// askAgain is the wait after a question that was not answered, which doubles up to askSeldom: each question is paid
+	// for, refused ones too. emptyPause is the wait while there is no configuration.
 	askAgain   = 150 * time.Millisecond
+	askSeldom  = time.Second
 	emptyPause = 400 * time.Millisecond
 	// announceTime is how long an announcement lasts, announceEvery when it is made again.
 	announceTime  = 40 * time.Second
@@ -37,6 +39,8 @@
 	revision int64
 	// away tells that the last question was not answered, read that there was an answer at all.
 	away, read bool
+	// again is the wait after the next question that is not answered.
+	again time.Duration
 }
 
 func (fl *follower) run(ctx context.Context) error {
@@ -68,7 +72,9 @@
 	case answered || hears && fl.in.notes.asksStore() && fl.hear(ctx):
 		return time.Duration(askShare * lag)
 	}
-	return askAgain
+	pause := max(fl.again, askAgain)
+	fl.again = min(2*pause, askSeldom)
+	return pause
 }
 
 // hear lets another instance confirm the state and reports whether that was possible. The confirmation counts from the
@@ -117,6 +123,7 @@
 		fl.in.log.Info().Int64("Revision", fl.revision).Msg("store in reach again")
 	}
 	fl.away = false
+	fl.again = 0
 }
 
 // confirm notes that the state here was the store's at the boot time.
--- a/internal/steer/loss.go
+++ b/internal/steer/loss.go
@@ -29,6 +29,9 @@
 	// spreadCost keeps a request that may not pause off engines that have none like it, which are thereby kept free for
 	// long reads: without it short streams are on all engines, and each long read makes some of them late.
 	spreadCost = 0.05
+	// crowding parts equal choices by chance, so that instances that choose at the same moment, before they hear of each
+	// other, do not all take the same engine.
+	crowding = 0.1
 	// farCost is the worth of staying in the own failure domain.
 	farCost = 0.005
 )
--- a/internal/steer/place.go
+++ b/internal/steer/place.go
@@ -194,7 +194,7 @@
 		opt.pass = st.firstPass(svc.engine, rep, req)
 		opt.late = st.lateness(req, opt.wait+opt.pass)
 		opt.harm = st.harm(svc.engine, rep, backlog, part*rep.slow)
-		opt.bias = spread(rep, req)
+		opt.bias = spread(rep, req) + crowding*st.random.Float64()
 		opt.delay = st.delay(rep, backlog+opt.pass, part*rep.slow)
 		if rep.FailureDomain != st.Options.FailureDomain {
 			opt.bias += farCost
