--- a/internal/steer/loss.go
+++ b/internal/steer/loss.go
@@ -28,7 +28,7 @@
 	longestBacklog = 4.0
 	// spreadCost keeps a request that may not pause off engines that have none like it, which are thereby kept free for
 	// long reads: without it short streams are on all engines, and each long read makes some of them late.
-	spreadCost = 0.05
+	spreadCost = 0.02
 	// crowding parts equal choices by chance, so that instances that choose at the same moment, before they hear of each
 	// other, do not all take the same engine.
 	crowding = 0.1
