The first of those that start together asks the engines for their load

The first by name of the instances that start together, where none is heard that lived on, asks each engine once and tells the others; the load counts for four seconds. To ask where no note was heard at all was tried first: instances hear each other within the first moments, so that none asked.

TestLoadOfDeadInstancesIsKnown failed before.

--- a/internal/relay/instance.go
+++ b/internal/relay/instance.go
@@ -62,9 +62,9 @@
 	// revision is the store's that is in use here.
 	revision atomic.Int64
 	draining atomic.Bool
-	// releases counts the orders under way that give memory back.
-	releases sync.WaitGroup
-	nextID   atomic.Uint64
+	// background counts the questions and orders under way for which no caller waits.
+	background sync.WaitGroup
+	nextID     atomic.Uint64
 
 	// heard holds when each replica was last heard, by its name.
 	heard sync.Map
@@ -196,7 +196,7 @@
 		in.log.Warn().Int("Open", in.open()).Err(err).Msg("grace is over with requests open")
 		_ = front.Close()
 	}
-	in.releases.Wait()
+	in.background.Wait()
 }
 
 func (in *Instance) open() int {
@@ -276,6 +276,8 @@
 		}
 	case steer.Tell:
 		in.notes.tell(eff.Note)
+	case steer.Survey:
+		in.survey(eff)
 	case steer.Line:
 		in.logLine(eff)
 	}
--- a/internal/relay/ports.go
+++ b/internal/relay/ports.go
@@ -59,6 +59,9 @@
 	Reply(resp *http.Response) Reply
 	// Reserve returns the request that sets memory aside at a replica, or renews that.
 	Reserve(ctx context.Context, replica steer.Replica, tk Ticket) (*http.Request, error)
+	// Survey returns the request for a replica's report of its load, Load reads the answer.
+	Survey(ctx context.Context, replica steer.Replica) (*http.Request, error)
+	Load(body []byte) (running int, used int64, err error)
 	// Release returns the request that gives the memory back.
 	Release(ctx context.Context, replica steer.Replica, id string) (*http.Request, error)
 }
--- a/internal/relay/ticket.go
+++ b/internal/relay/ticket.go
@@ -94,7 +94,7 @@
 	}
 	tr.cancel()
 	in := tr.in
-	in.releases.Go(func() {
+	in.background.Go(func() {
 		if tr.renewed != nil {
 			<-tr.renewed
 		}
--- a/internal/steer/effect.go
+++ b/internal/steer/effect.go
@@ -68,6 +68,9 @@
 // Tell sends a note to all other instances. It may be lost.
 type Tell struct{ Note Note }
 
+// Survey asks engines for their load. A Surveyed follows for each that answers.
+type Survey struct{ Replicas []Replica }
+
 // Line is a decision for the log.
 type Line struct {
 	Message string
@@ -87,4 +90,5 @@
 func (Abort) isEffect()  {}
 func (Finish) isEffect() {}
 func (Tell) isEffect()   {}
+func (Survey) isEffect() {}
 func (Line) isEffect()   {}
--- a/internal/steer/event.go
+++ b/internal/steer/event.go
@@ -120,6 +120,14 @@
 // Heard brings another instance's note.
 type Heard struct{ Note Note }
 
+// Surveyed brings an engine's own report of its load.
+type Surveyed struct {
+	Replica string
+	// Running counts the requests that it runs or keeps waiting, Used is the memory in tokens that they take.
+	Running int
+	Used    int64
+}
+
 // Draining tells that the instance was asked to stop. From Hold on nothing waits here any longer, and at Stop what is
 // still under way ends.
 type Draining struct{ Hold, Stop time.Time }
@@ -135,5 +143,6 @@
 func (Configured) isEvent()   {}
 func (PeersCounted) isEvent() {}
 func (Heard) isEvent()        {}
+func (Surveyed) isEvent()     {}
 func (Draining) isEvent()     {}
 func (Ticked) isEvent()       {}
--- a/internal/steer/note.go
+++ b/internal/steer/note.go
@@ -7,6 +7,8 @@
 	// From names the instance, Run its run.
 	From string
 	Run  int64
+	// Up is for how many ms the run has lasted.
+	Up int64
 	// Whole tells that Jobs are all the jobs of the instance.
 	Whole bool
 	Jobs  []Job
--- a/internal/steer/peer.go
+++ b/internal/steer/peer.go
@@ -8,6 +8,7 @@
 // peer is another instance's work as it told of it.
 type peer struct {
 	run   int64
+	up    int64
 	heard time.Time
 	jobs  map[RequestID][]*replica
 	ended map[RequestID]time.Time
@@ -23,9 +24,18 @@
 func (st *State) note(nt Note) Note {
 	nt.From = st.Options.Name
 	nt.Run = st.Options.Run
+	nt.Up = st.up()
 	return nt
 }
 
+// up is for how many ms this run has lasted.
+func (st *State) up() int64 {
+	if st.startedAt.IsZero() {
+		return 0
+	}
+	return st.now.Sub(st.startedAt).Milliseconds()
+}
+
 // Summary is the note with all of this instance's jobs.
 func (st *State) Summary(now time.Time) Note {
 	nt := st.note(Note{Whole: true})
@@ -51,6 +61,7 @@
 	}
 	pr := st.peerOf(nt)
 	pr.heard = st.now
+	pr.up = nt.Up
 	if nt.Whole {
 		st.keepOnly(nt, pr)
 	}
--- a/internal/steer/state.go
+++ b/internal/steer/state.go
@@ -28,10 +28,12 @@
 	// Routing is the version in force, nil before the first.
 	Routing *decl.Routing
 
-	now      time.Time
-	services map[string]*service
-	replicas map[string]*replica
-	requests map[RequestID]*request
+	now time.Time
+	// startedAt is when the first event came.
+	startedAt time.Time
+	services  map[string]*service
+	replicas  map[string]*replica
+	requests  map[RequestID]*request
 	// waiting holds what has no replica yet, in the order of arrival.
 	waiting []*request
 	peers   map[string]*peer
@@ -45,6 +47,10 @@
 	given map[string]time.Duration
 	// missing holds when the replicas are taken as gone that an incomplete list left out.
 	missing map[string]time.Time
+	// surveyAt is when engines are asked for their load, zero before the first list; done tells that they were or need
+	// not be.
+	surveyAt   time.Time
+	surveyDone bool
 	// drain is nil until the instance is asked to stop.
 	drain   *Draining
 	random  *rand.Rand
@@ -109,6 +115,9 @@
 // Reduce takes one event and returns what is to be done. The slice is valid until the next call.
 func (st *State) Reduce(now time.Time, ev Event) []Effect {
 	st.now = now
+	if st.startedAt.IsZero() {
+		st.startedAt = now
+	}
 	st.effects = st.effects[:0]
 	switch ev := ev.(type) {
 	case Arrived:
@@ -127,9 +136,12 @@
 		st.live = max(1, ev.Live)
 	case Heard:
 		st.heard(ev.Note)
+	case Surveyed:
+		st.surveyed(ev)
 	case Draining:
 		st.drain = &ev
 	case Ticked:
+		st.survey()
 		st.expire()
 		st.stop()
 		st.forget()
--- a/internal/steer/steer_test.go
+++ b/internal/steer/steer_test.go
@@ -324,6 +324,32 @@
 	assert.Assert(t, !fin.Refusal.NotRun)
 }
 
+func TestLoadOfDeadInstancesIsKnown(t *testing.T) {
+	// All instances died and start again; the engines still write for the dead ones, one of them with all its slots taken.
+	// The first that starts hears of no other one and asks the engines once. It and the others that it tells take another
+	// engine, until what was written for the dead has ended.
+	one, two := newInstance(t, "one", 2), newInstance(t, "two", 2)
+	one.pass(time.Millisecond)
+	asked := find[steer.Survey](t, one.pass(200*time.Millisecond))
+	assert.Equal(t, len(asked.Replicas), 2)
+	none[steer.Survey](t, one.pass(time.Second))
+	told := find[steer.Tell](t, one.reduce(steer.Surveyed{Replica: "lyric-0", Running: 16, Used: 90_000}))
+	two.reduce(steer.Heard(told))
+	two.reduce(steer.Heard{Note: steer.Note{From: "one", Run: 1, Up: 100, Whole: true}})
+	two.pass(time.Millisecond)
+	none[steer.Survey](t, two.pass(200*time.Millisecond))
+	three := newInstance(t, "a-first-name", 2)
+	three.reduce(steer.Heard{Note: steer.Note{From: "one", Run: 1, Up: 60_000, Whole: true}})
+	three.pass(time.Millisecond)
+	none[steer.Survey](t, three.pass(200*time.Millisecond))
+	for _, in := range []*instance{one, two} {
+		for range 4 {
+			sent := find[steer.Send](t, in.arrive(&short, 5000))
+			assert.Equal(t, sent.Replica.Name, "lyric-1")
+		}
+	}
+}
+
 func TestDeadlineIsNoSilence(t *testing.T) {
 	// A plain call uses up its deadline. Its replica is not silent, only slow; taken for silent it would be left out for a
 	// while by every instance. The time allowed for the first byte ends after the deadline.
