--- a/internal/steer/retry.go
+++ b/internal/steer/retry.go
@@ -186,15 +186,14 @@
 	return int(slot % ledgerSlots)
 }
 
-// requestWindow is the window by which requests are counted where the budget's is not at hand.
-const requestWindow = 10 * time.Second
-
-func (led *ledger) request(now time.Time) { led.slots[led.turn(now, requestWindow)].requests++ }
+func (led *ledger) request(now time.Time, window time.Duration) {
+	led.slots[led.turn(now, window)].requests++
+}
 
 // again takes one repeat from the budget. Each of the live instances has an equal part of the slack, and one of them
 // that is not known to this one is allowed for.
 func (led *ledger) again(now time.Time, bud Budget, live int) bool {
-	at := led.turn(now, requestWindow)
+	at := led.turn(now, bud.Window)
 	var requests, repeats float64
 	for _, slot := range led.slots {
 		requests += slot.requests
--- a/internal/steer/serve.go
+++ b/internal/steer/serve.go
@@ -30,7 +30,7 @@
 		return
 	}
 	st.requests[ev.ID] = req
-	st.ledgerOf(req.service).request(st.now)
+	st.ledgerOf(req.service).request(st.now, st.Options.Budget.Window)
 	st.waiting = append(st.waiting, req)
 	st.pump()
 }
