Memory set aside ends if its request does not begin

An attempt with memory set aside has five seconds to begin now. TestMemoryForNobodyEnds failed before.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -101,8 +102,9 @@
 	watched, cancel := context.WithCancel(ctx)
 	defer cancel()
 	tr.cancel = cancel
-	tr.limit.Store(int64(tr.eff.FirstBy))
-	tr.timer = time.AfterFunc(tr.eff.FirstBy, func() { tr.check(watched, cancel) })
+	limit := firstLimit(&tr.eff)
+	tr.limit.Store(int64(limit))
+	tr.timer = time.AfterFunc(limit, func() { tr.check(watched, cancel) })
 	defer tr.timer.Stop()
 	if fault, ok := tr.reserve(watched); !ok {
 		tr.ended.At = fault
@@ -126,6 +128,11 @@
 // connection that only looks open shows by its probes.
 func (tr *try) check(ctx context.Context, cancel context.CancelFunc) {
 	limit := time.Duration(tr.limit.Load())
+	if setsAside(&tr.eff) && !tr.cl.headerOut {
+		tr.silent.Store(true)
+		cancel()
+		return
+	}
 	if at, ok := tr.in.heard.Load(tr.eff.Replica.Name); ok {
 		if since := time.Since(at.(time.Time)); since < limit {
 			tr.timer.Reset(limit - since)
@@ -140,6 +147,20 @@
 	cancel()
 }
 
+// setsAside tells that helpers set memory aside for the attempt.
+func setsAside(eff *steer.Send) bool {
+	return slices.ContainsFunc(eff.Helpers, func(helper steer.Helper) bool { return helper.Tokens > 0 })
+}
+
+// firstLimit is how long the answer may take to begin. Memory set aside that no request uses must not be renewed for as
+// long as a silent replica is believed to be at work.
+func firstLimit(eff *steer.Send) time.Duration {
+	if setsAside(eff) {
+		return min(eff.FirstBy, ticketIdle)
+	}
+	return eff.FirstBy
+}
+
 // maxChecks is how often a replica that takes connections is believed to be at work on a request that it is silent about.
 const maxChecks = 3
 
--- a/internal/relay/follow_test.go
+++ b/internal/relay/follow_test.go
@@ -137,3 +137,11 @@
 	in.apply(steer.Listed{Replicas: []steer.Replica{{Name: "a", Service: "s", Slots: 2}}})
 	f.Fuzz(func(_ *testing.T, raw []byte) { ns.hear(raw, &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1), Port: 9}) })
 }
+
+func TestMemoryForNobodyEnds(t *testing.T) {
+	// A prompt is sent to a replica that takes connections and never answers, while helpers hold memory for it. Believed to
+	// be at work for three times its estimate, the memory would be renewed for longer than it may lie idle.
+	eff := &steer.Send{FirstBy: 20 * time.Second, Helpers: []steer.Helper{{Tokens: 100_000}}}
+	assert.Assert(t, firstLimit(eff)+ticketHold < 9*time.Second)
+	assert.Equal(t, firstLimit(&steer.Send{FirstBy: 20 * time.Second}), 20*time.Second)
+}
--- a/internal/relay/ticket.go
+++ b/internal/relay/ticket.go
@@ -20,6 +20,9 @@
 	ticketHold = 3500 * time.Millisecond
 	// ticketRenew is how often it is renewed.
 	ticketRenew = 1200 * time.Millisecond
+	// ticketIdle is how long memory may be set aside before its request begins to answer: engines may hold memory that no
+	// request uses for nine seconds, and the last renewal lasts on.
+	ticketIdle = 5 * time.Second
 	// orderTimeout bounds one order.
 	orderTimeout = 500 * time.Millisecond
 	// releaseTries is how often a release is sent that was not answered.
