One place that strips the headers of one connection; no second word on set-aside memory

entry and relay each had the list and the loop; hops.Kept serves both. Whether an attempt sets memory aside follows from what it was told to send.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -7,13 +7,13 @@
 	"io"
 	"net/http"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/joomcode/errorx"
 
 	"dandelionsail.example/dandelionsail/internal/effect"
 	"dandelionsail.example/dandelionsail/internal/event"
+	"dandelionsail.example/dandelionsail/internal/hops"
 	"dandelionsail.example/dandelionsail/internal/upstr"
 )
 
@@ -88,11 +88,8 @@
 	}
 }
 
-// hopHeaders belong to one connection or are set anew for the upstream.
-var hopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
-	"Authorization", "Content-Length", "Expect", HeaderDeadline,
-}
+// setAnew are the headers that an instance does not pass on, beside those of one connection.
+var setAnew = []string{"Authorization", HeaderDeadline}
 
 // ownHeaders are said by an instance to an engine and by nobody else. Passed on from a caller they would let it read
 // another organisation's exported cache, skip the start of its answer or go before all others.
@@ -102,13 +99,8 @@
 }
 
 func forwarded(header http.Header) http.Header {
-	kept := header.Clone()
-	for _, list := range header["Connection"] {
-		for name := range strings.SplitSeq(list, ",") {
-			kept.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range slices.Concat(hopHeaders, ownHeaders) {
+	kept := hops.Kept(header)
+	for _, name := range slices.Concat(setAnew, ownHeaders) {
 		kept.Del(name)
 	}
 	return kept
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -15,6 +15,7 @@
 	"sync/atomic"
 	"time"
 
+	"dandelionsail.example/dandelionsail/internal/hops"
 	"dandelionsail.example/dandelionsail/internal/steer"
 )
 
@@ -88,8 +89,7 @@
 	wrote  atomic.Bool
 	silent atomic.Bool
 	timer  *time.Timer
-	// tickets tells that helpers set memory aside; cancel ends the renewing of that, renewed tells that it has ended.
-	tickets bool
+	// cancel ends the renewing of memory that helpers set aside, renewed tells that it has ended.
 	cancel  context.CancelFunc
 	renewed chan struct{}
 	// limit is the longest silence allowed now.
@@ -186,7 +186,7 @@
 	req := (&http.Request{
 		Method: cl.req.Method, Host: cl.req.Host, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 		URL:    target(cl.req, tr.eff.Replica.Address),
-		Header: forwarded(cl.req.Header),
+		Header: hops.Kept(cl.req.Header),
 	}).WithContext(ctx)
 	if len(cl.body) > 0 {
 		req.Body = io.NopCloser(bytes.NewReader(cl.body))
@@ -215,27 +215,9 @@
 	return &url.URL{Scheme: "http", Host: address, Path: req.URL.Path, RawPath: req.URL.RawPath, RawQuery: req.URL.RawQuery}
 }
 
-// hopHeaders concern one connection only.
-var hopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect",
-}
-
-func forwarded(header http.Header) http.Header {
-	kept := header.Clone()
-	for _, list := range header["Connection"] {
-		for name := range strings.SplitSeq(list, ",") {
-			kept.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range hopHeaders {
-		kept.Del(name)
-	}
-	return kept
-}
-
 func copyHeader(to, from http.Header) {
 	closing := to.Get("Connection")
-	for name, values := range forwarded(from) {
+	for name, values := range hops.Kept(from) {
 		to[name] = values
 	}
 	if closing != "" {
--- a/internal/relay/ticket.go
+++ b/internal/relay/ticket.go
@@ -48,7 +48,6 @@
 		if tr.eff.Helpers[i].Tokens == 0 {
 			continue
 		}
-		tr.tickets = true
 		group.Go(func() error {
 			err := tr.order(limited, i, true)
 			if err != nil {
@@ -57,7 +56,7 @@
 			return err
 		})
 	}
-	if !tr.tickets {
+	if !setsAside(&tr.eff) {
 		return "", true
 	}
 	if err := group.Wait(); err != nil {
@@ -92,7 +91,7 @@
 
 // release gives back what reserve set aside. It does not wait for that: the caller has its answer.
 func (tr *try) release() {
-	if !tr.tickets {
+	if !setsAside(&tr.eff) {
 		return
 	}
 	tr.cancel()
