Changes of the store's lists are passed on between instances

Cause: every instance read the store's whole state at each revision.

An instance that finds a newer revision asks for the changes alone. The others get the changes with the answer that confirms their state, and also those that ask the store take them from whoever told of the news.

--- a/internal/relay/follow_test.go
+++ b/internal/relay/follow_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"strconv"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -21,17 +22,45 @@
 	reads atomic.Int64
 	// staleBy is how many revisions stale reads are behind.
 	staleBy int64
+	// changes are told on request; wholes counts what was read whole, questions those for the revision.
+	changes   []Change
+	wholes    atomic.Int64
+	questions atomic.Int64
 }
 
 func (sh *shelf) Revision(context.Context) (int64, error) {
 	if sh.away.Load() {
 		return 0, OrderFailed.New("away")
 	}
+	sh.questions.Add(1)
 	return sh.snap.Revision, nil
 }
 
+func (sh *shelf) Changes(_ context.Context, after, upTo int64) ([]Change, int64, error) {
+	var changes []Change
+	for _, chg := range sh.changes {
+		if chg.Revision > after {
+			changes = append(changes, chg)
+		}
+	}
+	if int64(len(changes)) != sh.snap.Revision-after || sh.snap.Revision < upTo {
+		return nil, 0, OrderFailed.New("history is gone")
+	}
+	return changes, sh.snap.Revision, nil
+}
+
+func (sh *shelf) Routing(context.Context, int64) (*decl.Routing, error) { return sh.snap.Routing, nil }
+
+// change makes one change and remembers it.
+func (sh *shelf) change(chg Change) {
+	sh.snap.Revision++
+	chg.Revision = sh.snap.Revision
+	sh.changes = append(sh.changes, chg)
+}
+
 func (sh *shelf) Read(_ context.Context, stale bool) (Snapshot, error) {
 	snap := sh.snap
+	sh.wholes.Add(1)
 	if stale {
 		snap.Revision -= sh.staleBy
 	} else {
@@ -59,6 +88,14 @@
 	return in
 }
 
+func byName(list []Peer) map[string]Peer {
+	peers := map[string]Peer{}
+	for _, peer := range list {
+		peers[peer.Name] = peer
+	}
+	return peers
+}
+
 // know makes the instances know each other, now and by what lies on the shelf.
 func know(sh *shelf, ins ...*Instance) {
 	sh.snap.Peers = nil
@@ -66,7 +103,7 @@
 		sh.snap.Peers = append(sh.snap.Peers, Peer{Name: in.opts.Name, Address: in.notes.conn.LocalAddr().String()})
 	}
 	for _, in := range ins {
-		in.setPeers(sh.snap.Peers)
+		in.setPeers(byName(sh.snap.Peers))
 	}
 }
 
@@ -98,7 +135,7 @@
 	confirmed := two.confirmed.Load()
 	time.Sleep(50 * time.Millisecond)
 	hearer := &follower{in: one}
-	assert.NilError(t, hearer.take(t.Context(), 7))
+	assert.NilError(t, hearer.take(t.Context(), 7, time.Second))
 	assert.Assert(t, hearer.hear(t.Context()))
 	assert.Assert(t, one.confirmed.Load() > 0 && one.confirmed.Load() <= confirmed, "%d %d", one.confirmed.Load(), confirmed)
 }
@@ -120,7 +157,102 @@
 	in := quiet(t, "one", sh)
 	assert.Assert(t, (&follower{in: in}).ask(t.Context()))
 	assert.Equal(t, sh.reads.Load(), int64(1))
-	assert.Equal(t, in.revision.Load(), int64(7))
+	assert.Equal(t, in.view.revision(), int64(7))
+}
+
+func TestChangeIsReadOnceForAll(t *testing.T) {
+	// Replicas come and go every few seconds in a large fleet. If each instance read the whole list at each change, the
+	// reading would grow with the square of the fleet, and a change would be in force only after seconds. One instance asks
+	// for what has changed, and the others take it from that one's answers.
+	sh := newShelf()
+	ins := []*Instance{quiet(t, "one", sh), quiet(t, "two", sh), quiet(t, "three", sh), quiet(t, "four", sh)}
+	know(sh, ins...)
+	var followers []*follower
+	for _, in := range ins {
+		fl := &follower{in: in}
+		assert.Assert(t, fl.ask(t.Context()))
+		followers = append(followers, fl)
+	}
+	wholes, questions := sh.wholes.Load(), sh.questions.Load()
+	sh.change(Change{LeftReplica: "board-0"})
+	sh.snap.Replicas = nil
+	assert.Assert(t, followers[0].ask(t.Context()))
+	from := ins[0].notes.conn.LocalAddr().(*net.UDPAddr)
+	for _, fl := range followers[1:] {
+		assert.Assert(t, fl.hearFrom(t.Context(), from))
+		assert.Equal(t, fl.in.view.revision(), sh.snap.Revision)
+		assert.Assert(t, !fl.in.state.Usable())
+	}
+	assert.Equal(t, sh.wholes.Load(), wholes)
+	assert.Equal(t, sh.questions.Load(), questions+1)
+}
+
+func TestManyChangesTakeSeveralAnswers(t *testing.T) {
+	// A hundred instances start at the same time. What they register does not fit into one datagram; what was left out of
+	// it must come with the next, or the instance would never know of it.
+	sh := newShelf()
+	one, two := quiet(t, "one", sh), quiet(t, "two", sh)
+	know(sh, one, two)
+	asker, hearer := &follower{in: two}, &follower{in: one}
+	assert.Assert(t, asker.ask(t.Context()))
+	assert.Assert(t, hearer.ask(t.Context()))
+	for i := range 100 {
+		sh.change(Change{Replica: &steer.Replica{Name: "engine-" + strconv.Itoa(i), Service: "lyric", Address: "10.0.0.1:8080", Slots: 1}})
+	}
+	assert.Assert(t, asker.ask(t.Context()))
+	wholes := sh.wholes.Load()
+	assert.Assert(t, hearer.hear(t.Context()))
+	assert.Equal(t, one.view.revision(), sh.snap.Revision)
+	assert.Equal(t, sh.wholes.Load(), wholes)
+	for i := range 100 {
+		assert.Assert(t, one.state.Lists("engine-"+strconv.Itoa(i)), i)
+	}
+}
+
+func TestForgottenChangesAreReadWhole(t *testing.T) {
+	// The instance that confirms has started after the change, so that it cannot tell of it. Taken as confirmed without
+	// it, a replica that left would get work for good.
+	sh := newShelf()
+	one, two := quiet(t, "one", sh), quiet(t, "two", sh)
+	know(sh, one, two)
+	hearer := &follower{in: one}
+	assert.Assert(t, hearer.ask(t.Context()))
+	sh.change(Change{LeftReplica: "board-0"})
+	sh.snap.Replicas = nil
+	assert.Assert(t, (&follower{in: two}).ask(t.Context()))
+	assert.Assert(t, hearer.hear(t.Context()))
+	assert.Equal(t, one.view.revision(), sh.snap.Revision)
+	assert.Assert(t, !one.state.Usable())
+}
+
+func TestOlderWholeIsNotTaken(t *testing.T) {
+	// A stale read is older than what the instance has. Taken, it would bring back a replica that left.
+	sh := newShelf()
+	in := quiet(t, "one", sh)
+	fl := &follower{in: in}
+	assert.Assert(t, fl.ask(t.Context()))
+	sh.change(Change{LeftReplica: "board-0"})
+	assert.Assert(t, fl.ask(t.Context()))
+	sh.staleBy = 1
+	assert.NilError(t, fl.readAll(t.Context(), true))
+	assert.Equal(t, in.view.revision(), sh.snap.Revision)
+	assert.Assert(t, !in.state.Usable())
+}
+
+func TestChangesOfAnotherStateAreNotTaken(t *testing.T) {
+	cases := map[string]confirmation{
+		"none":              {Revision: 9, UpTo: 9},
+		"from before":       {Revision: 9, UpTo: 9, Changes: []Change{{Revision: 7}}},
+		"beyond their end":  {Revision: 9, UpTo: 8, Changes: []Change{{Revision: 9}}},
+		"end not confirmed": {Revision: 8, UpTo: 9, Changes: []Change{{Revision: 9}}},
+		"out of order":      {Revision: 9, UpTo: 9, Changes: []Change{{Revision: 9}, {Revision: 8}}},
+		"without a name":    {Revision: 9, UpTo: 9, Changes: []Change{{Revision: 9, Replica: &steer.Replica{}}}},
+	}
+	for name, conf := range cases {
+		t.Run(name, func(t *testing.T) { assert.Assert(t, !conf.follows(7)) })
+	}
+	good := confirmation{Revision: 9, UpTo: 9, Changes: []Change{{Revision: 8}, {Revision: 9}, {Revision: 9}}}
+	assert.Assert(t, good.follows(7))
 }
 
 func FuzzPacket(f *testing.F) {
@@ -134,6 +266,7 @@
 	f.Add(ns.encode(packet{Note: &steer.Note{From: "two", Jobs: []steer.Job{{ID: 1, Replicas: []string{"a", "b"}, Prompt: 5, Tickets: []int64{1}}}}}))
 	f.Add(ns.encode(packet{Question: &question{Nonce: 1}}))
 	f.Add(ns.encode(packet{Answer: &confirmation{Nonce: 1, Revision: 2, AgeMs: 3}}))
+	f.Add(ns.encode(packet{Answer: &confirmation{Nonce: 1, Revision: 2, UpTo: 2, Changes: []Change{{Revision: 2, Replica: &steer.Replica{Name: "a"}}}}}))
 	in.apply(steer.Listed{Replicas: []steer.Replica{{Name: "a", Service: "s", Slots: 2}}})
 	f.Fuzz(func(_ *testing.T, raw []byte) { ns.hear(raw, &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1), Port: 9}) })
 }
--- a/internal/relay/instance.go
+++ b/internal/relay/instance.go
@@ -59,8 +59,8 @@
 	routing atomic.Pointer[decl.Routing]
 	// confirmed is the boot time at which the question was asked that last confirmed the configuration.
 	confirmed atomic.Int64
-	// revision is the store's that is in use here.
-	revision atomic.Int64
+	// view is the state of the directory that is in use here.
+	view     view
 	draining atomic.Bool
 	// background counts the questions and orders under way for which no caller waits.
 	background sync.WaitGroup
--- a/internal/relay/notes.go
+++ b/internal/relay/notes.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -36,9 +37,9 @@
 	// askers are the other instances that ask the store, mine tells that this one does.
 	askers atomic.Pointer[[]*net.UDPAddr]
 	mine   atomic.Bool
-	// answers brings the confirmations to the one question that is open, news tells that there is a newer revision.
+	// answers brings the confirmations to the one question that is open, news tells who has a newer revision.
 	answers chan confirmation
-	news    chan struct{}
+	news    chan *net.UDPAddr
 }
 
 // packet is one datagram: one of its fields is set.
@@ -49,10 +50,11 @@
 	Answer   *confirmation
 }
 
-// question asks when the store last confirmed the other instance's state.
+// question asks when the store last confirmed the other instance's state, and what has changed since the revision here.
 type question struct {
 	_     struct{} `cbor:",toarray"`
 	Nonce uint64
+	Have  int64
 }
 
 // confirmation answers a question; one without a nonce is news of a revision and proves nothing.
@@ -62,6 +64,29 @@
 	Revision int64
 	// AgeMs is how long before this answer the store was asked, rounded up.
 	AgeMs int64
+	// Changes are all after the revision that was asked from up to UpTo, which is below Revision if there are more; none if
+	// the other instance does not know them.
+	Changes []Change
+	UpTo    int64
+}
+
+// follows tells that the changes can be taken by one that has reached the revision. They come from the network.
+func (conf *confirmation) follows(have int64) bool {
+	if len(conf.Changes) == 0 || conf.UpTo > conf.Revision {
+		return false
+	}
+	last := have + 1
+	for i := range conf.Changes {
+		chg := &conf.Changes[i]
+		if chg.Revision < last || chg.Revision > conf.UpTo {
+			return false
+		}
+		if chg.Replica != nil && chg.Replica.Name == "" || chg.Peer != nil && chg.Peer.Name == "" {
+			return false
+		}
+		last = chg.Revision
+	}
+	return true
 }
 
 const (
@@ -82,7 +107,7 @@
 	}
 	ns := &notes{
 		in: in, conn: conn, queue: make(chan steer.Note, noteBacklog),
-		answers: make(chan confirmation, 1), news: make(chan struct{}, 1),
+		answers: make(chan confirmation, 1), news: make(chan *net.UDPAddr, 1),
 	}
 	ns.peers.Store(&[]*net.UDPAddr{})
 	ns.askers.Store(&[]*net.UDPAddr{})
@@ -191,10 +216,10 @@
 		ns.in.count("Notes.Heard")
 		ns.in.apply(steer.Heard{Note: *pk.Note})
 	case pk.Question != nil:
-		ns.answer(pk.Question.Nonce, from)
+		ns.answer(*pk.Question, from)
 	case pk.Answer != nil && pk.Answer.Nonce == 0:
-		if pk.Answer.Revision > ns.in.revision.Load() {
-			offer(ns.news, struct{}{})
+		if pk.Answer.Revision > ns.in.view.revision() {
+			offer(ns.news, from)
 		}
 	case pk.Answer != nil:
 		offer(ns.answers, *pk.Answer)
@@ -211,14 +236,17 @@
 	}
 }
 
-// answer tells when the store last confirmed the state here. An instance that was not confirmed at all says nothing.
-func (ns *notes) answer(nonce uint64, to *net.UDPAddr) {
-	if nonce == 0 || ns.in.confirmed.Load() == 0 {
+// answer tells when the store last confirmed the state here and what has changed. An instance that was not confirmed at all
+// says nothing.
+func (ns *notes) answer(qst question, to *net.UDPAddr) {
+	if qst.Nonce == 0 || ns.in.confirmed.Load() == 0 {
 		return
 	}
 	// The revision is read after the age: between the two it can only have become newer than what the age proves.
 	age := ns.in.confirmedAge()
-	conf := confirmation{Nonce: nonce, AgeMs: age.Milliseconds() + 1, Revision: ns.in.revision.Load()}
+	conf := confirmation{Nonce: qst.Nonce, AgeMs: age.Milliseconds() + 1}
+	conf.Changes, conf.UpTo = ns.in.view.since(qst.Have)
+	conf.Revision = ns.in.view.revision()
 	ns.post(ns.encode(packet{Answer: &conf}), to)
 }
 
@@ -228,28 +256,18 @@
 // hasAskers tells that another instance asks the store.
 func (ns *notes) hasAskers() bool { return len(*ns.askers.Load()) > 0 }
 
-// ask asks the instances that ask the store, one after the other from a random one on, until one has a confirmation that
-// is younger than the age.
-func (ns *notes) ask(ctx context.Context, oldest time.Duration) (confirmation, bool) {
-	askers := *ns.askers.Load()
-	if len(askers) == 0 {
-		return confirmation{}, false
-	}
-	first := rand.IntN(len(askers))
-	for i := range askers {
-		nonce := rand.Uint64() | 1
-		ns.post(ns.encode(packet{Question: &question{Nonce: nonce}}), askers[(first+i)%len(askers)])
-		conf, ok := ns.awaitAnswer(ctx, nonce)
-		switch {
-		case !ok:
-			ns.in.count("Peers.Unanswered")
-		case conf.AgeMs > oldest.Milliseconds():
-			ns.in.count("Peers.Old")
-		default:
-			return conf, true
-		}
-	}
-	return confirmation{}, false
+// shuffledAskers are the other instances that ask the store, in random order, so that the questions spread over them.
+func (ns *notes) shuffledAskers() []*net.UDPAddr {
+	askers := slices.Clone(*ns.askers.Load())
+	rand.Shuffle(len(askers), func(one, two int) { askers[one], askers[two] = askers[two], askers[one] })
+	return askers
+}
+
+// ask asks another instance when the store last confirmed its state and what has changed since the revision.
+func (ns *notes) ask(ctx context.Context, to *net.UDPAddr, have int64) (confirmation, bool) {
+	nonce := rand.Uint64() | 1
+	ns.post(ns.encode(packet{Question: &question{Nonce: nonce, Have: have}}), to)
+	return ns.awaitAnswer(ctx, nonce)
 }
 
 func (ns *notes) awaitAnswer(ctx context.Context, nonce uint64) (confirmation, bool) {
@@ -274,7 +292,7 @@
 	if !ns.asksStore() {
 		return
 	}
-	raw := ns.encode(packet{Answer: &confirmation{Revision: ns.in.revision.Load()}})
+	raw := ns.encode(packet{Answer: &confirmation{Revision: ns.in.view.revision()}})
 	for _, address := range *ns.peers.Load() {
 		ns.post(raw, address)
 	}
@@ -282,9 +300,9 @@
 
 // setPeers takes the instances that are registered. Those that ask the store are the ones of the lowest hashes, so that
 // all instances that know the same others choose the same.
-func (in *Instance) setPeers(peers []Peer) {
-	ranked := slices.Clone(peers)
-	if !slices.ContainsFunc(ranked, func(peer Peer) bool { return peer.Name == in.self.Name }) {
+func (in *Instance) setPeers(peers map[string]Peer) {
+	ranked := slices.Collect(maps.Values(peers))
+	if _, ok := peers[in.self.Name]; !ok {
 		ranked = append(ranked, in.self)
 	}
 	slices.SortFunc(ranked, func(one, two Peer) int {
--- a/internal/relay/ports.go
+++ b/internal/relay/ports.go
@@ -29,6 +29,11 @@
 	Revision(ctx context.Context) (int64, error)
 	// Read returns all of it; a stale one costs the store little and may be some seconds old.
 	Read(ctx context.Context, stale bool) (Snapshot, error)
+	// Changes returns, in order, every change after the one revision up to the revision that it returns, which is not
+	// below the other. It returns an error where it cannot prove that none is missing.
+	Changes(ctx context.Context, after, upTo int64) ([]Change, int64, error)
+	// Routing returns the configuration as it was at the revision or later.
+	Routing(ctx context.Context, atLeast int64) (*decl.Routing, error)
 	// Announce registers this instance for as long as it announces itself again within the time.
 	Announce(ctx context.Context, peer Peer, ttl time.Duration) error
 }
@@ -45,10 +50,24 @@
 
 // Peer is another instance and where it hears notes.
 type Peer struct {
+	_       struct{} `cbor:",toarray"`
 	Name    string
 	Address string
 }
 
+// Change is one change in a Directory. One of the fields behind Revision is set, none if what changed concerns nobody.
+type Change struct {
+	_        struct{} `cbor:",toarray"`
+	Revision int64
+	// Replica and Peer were registered, or registered anew with other figures.
+	Replica *steer.Replica
+	Peer    *Peer
+	// LeftReplica and LeftPeer name what is registered no longer.
+	LeftReplica, LeftPeer string
+	// Routing tells that the configuration is another.
+	Routing bool
+}
+
 // Protocol translates the headers of requests and answers.
 type Protocol interface {
 	// Ask reads what a caller's request says of itself.
--- a/internal/steer/event.go
+++ b/internal/steer/event.go
@@ -93,6 +93,7 @@
 
 // Replica is one incarnation of an upstream.
 type Replica struct {
+	_ struct{} `cbor:",toarray"`
 	// Name is unique to the replica, Born tells its incarnations apart.
 	Name          string
 	Born          int64
@@ -111,6 +112,15 @@
 	Away bool
 }
 
+// Relisted brings what has changed of the list: replicas that came or are registered anew, and the names of those that are
+// registered no longer.
+type Relisted struct {
+	Replicas []Replica
+	Gone     []string
+	// Away tells that the list was out of reach until now, so that a live replica may be among those that are gone.
+	Away bool
+}
+
 // Configured brings the version in force.
 type Configured struct{ Routing *decl.Routing }
 
@@ -140,6 +150,7 @@
 func (Began) isEvent()        {}
 func (AttemptEnded) isEvent() {}
 func (Listed) isEvent()       {}
+func (Relisted) isEvent()     {}
 func (Configured) isEvent()   {}
 func (PeersCounted) isEvent() {}
 func (Heard) isEvent()        {}
--- a/internal/steer/list.go
+++ b/internal/steer/list.go
@@ -25,6 +25,20 @@
 	st.pump()
 }
 
+// relisted takes what has changed of the list. Its cost follows the changes, not the number of replicas.
+func (st *State) relisted(ev Relisted) {
+	for _, item := range ev.Replicas {
+		delete(st.missing, item.Name)
+		st.register(item)
+	}
+	for _, name := range ev.Gone {
+		if rep, ok := st.replicas[name]; ok && !rep.gone {
+			st.unlisted(name, rep, ev.Away)
+		}
+	}
+	st.pump()
+}
+
 func (st *State) register(item Replica) {
 	rep, ok := st.replicas[item.Name]
 	if ok && rep.Born == item.Born && rep.Address == item.Address && rep.Service == item.Service {
--- a/internal/steer/state.go
+++ b/internal/steer/state.go
@@ -130,6 +130,8 @@
 		st.attemptEnded(ev)
 	case Listed:
 		st.listed(ev)
+	case Relisted:
+		st.relisted(ev)
 	case Configured:
 		st.configured(ev)
 	case PeersCounted:
@@ -166,6 +168,12 @@
 	return false
 }
 
+// Lists reports whether the replica is registered.
+func (st *State) Lists(name string) bool {
+	rep, ok := st.replicas[name]
+	return ok && !rep.gone
+}
+
 func (st *State) emit(eff Effect) { st.effects = append(st.effects, eff) }
 
 func (st *State) configured(ev Configured) {
