Scarce slots are claimed before they are taken

Cause: under more streams than the engines can write, the slot that gets free is seen by all instances. Ruled out: the figures of the engines, which hold for sends that found a slot.

How many requests wait where is told along, so that the chance to take a slot follows those that want it and not the number of instances. Each attempt has a job of its own: a second one was taken for the end of the first for three seconds, so that its engine counted as free.

--- a/internal/relay/instance.go
+++ b/internal/relay/instance.go
@@ -276,6 +276,8 @@
 		}
 	case steer.Tell:
 		in.notes.tell(eff.Note)
+	case steer.Wake:
+		time.AfterFunc(eff.After, func() { in.apply(steer.Ticked{}) })
 	case steer.Survey:
 		in.survey(eff)
 	case steer.Line:
--- a/internal/steer/effect.go
+++ b/internal/steer/effect.go
@@ -71,6 +71,9 @@
 // Survey asks engines for their load. A Surveyed follows for each that answers.
 type Survey struct{ Replicas []Replica }
 
+// Wake asks for a Ticked after the time.
+type Wake struct{ After time.Duration }
+
 // Line is a decision for the log.
 type Line struct {
 	Message string
@@ -91,4 +94,5 @@
 func (Finish) isEffect() {}
 func (Tell) isEffect()   {}
 func (Survey) isEffect() {}
+func (Wake) isEffect()   {}
 func (Line) isEffect()   {}
--- a/internal/steer/note.go
+++ b/internal/steer/note.go
@@ -13,17 +13,22 @@
 	Whole bool
 	Jobs  []Job
 	// Begun and Ended name jobs whose answer has begun and that are over.
-	Begun, Ended []RequestID
+	Begun, Ended []JobID
 	// Deaths counts the replicas that died while running a content.
 	Deaths []Death
 	// Down names replicas that failed to take a connection or fell silent.
 	Down []string
+	// Waiting counts the requests that wait for a replica.
+	Waiting int
 }
 
+// JobID names one attempt of a request, or one claim, within one run of one instance.
+type JobID uint64
+
 // Job is a request at one or several replicas.
 type Job struct {
 	_  struct{} `cbor:",toarray"`
-	ID RequestID
+	ID JobID
 	// Replicas has the one that answers first, then those that help it read.
 	Replicas []string
 	// Tickets holds the tokens that the helpers set aside, in their order.
@@ -37,6 +42,8 @@
 	Begun bool
 	// Value is what the answer is worth in time.
 	Value float32
+	// Claim tells that it is not sent yet, and will not be if others claim the same slot with a better right.
+	Claim bool
 }
 
 // Death is a content that replicas died of.
--- a/internal/steer/peer.go
+++ b/internal/steer/peer.go
@@ -10,8 +10,10 @@
 	run   int64
 	up    int64
 	heard time.Time
-	jobs  map[RequestID][]*replica
-	ended map[RequestID]time.Time
+	jobs  map[JobID][]*replica
+	ended map[JobID]time.Time
+	// waiting counts the requests that wait there for a replica.
+	waiting int
 }
 
 const (
@@ -25,6 +27,7 @@
 	nt.From = st.Options.Name
 	nt.Run = st.Options.Run
 	nt.Up = st.up()
+	nt.Waiting = len(st.waiting)
 	return nt
 }
 
@@ -39,22 +42,30 @@
 // Summary is the note with all of this instance's jobs.
 func (st *State) Summary(now time.Time) Note {
 	nt := st.note(Note{Whole: true})
-	for id, req := range st.requests {
-		if !req.running {
+	for _, req := range st.requests {
+		if !req.running && !req.claims {
 			continue
 		}
-		job := Job{
-			ID: id, Prompt: req.Prompt, Answer: req.Answer, Goal: millis(req.goal.Sub(now)), Gap: millis(req.gap),
-			Age: millis(now.Sub(req.sentAt)), Begun: req.begun, Tickets: req.tickets, Value: float32(req.value),
-		}
-		for _, rep := range req.reps {
-			job.Replicas = append(job.Replicas, rep.Name)
-		}
+		job := req.booked(now)
+		job.Age = millis(now.Sub(req.sentAt))
+		job.Begun = req.begun
 		nt.Jobs = append(nt.Jobs, job)
 	}
 	return nt
 }
 
+// booked is the request as the job that it is booked as.
+func (req *request) booked(now time.Time) Job {
+	job := Job{
+		ID: req.job, Prompt: req.Prompt, Answer: req.Answer, Goal: millis(req.goal.Sub(now)), Gap: millis(req.gap),
+		Tickets: req.tickets, Value: float32(req.value), Claim: req.claims,
+	}
+	for _, rep := range req.reps {
+		job.Replicas = append(job.Replicas, rep.Name)
+	}
+	return job
+}
+
 func (st *State) heard(nt Note) {
 	if nt.From == st.Options.Name {
 		return
@@ -62,6 +73,7 @@
 	pr := st.peerOf(nt)
 	pr.heard = st.now
 	pr.up = nt.Up
+	pr.waiting = max(0, nt.Waiting)
 	if nt.Whole {
 		st.keepOnly(nt, pr)
 	}
@@ -94,7 +106,7 @@
 		ok = false
 	}
 	if !ok {
-		pr = &peer{run: nt.Run, jobs: map[RequestID][]*replica{}, ended: map[RequestID]time.Time{}}
+		pr = &peer{run: nt.Run, jobs: map[JobID][]*replica{}, ended: map[JobID]time.Time{}}
 		st.peers[nt.From] = pr
 	}
 	return pr
@@ -130,7 +142,7 @@
 	pr.jobs[job.ID] = st.startJob(key, job)
 }
 
-func (st *State) peerEnds(from string, pr *peer, id RequestID) {
+func (st *State) peerEnds(from string, pr *peer, id JobID) {
 	if reps, ok := pr.jobs[id]; ok {
 		st.endJob(jobKey{from, id}, reps)
 		delete(pr.jobs, id)
@@ -167,7 +179,7 @@
 		wk := work{
 			key: key, first: i == 0, begun: job.Begun,
 			goal: st.now.Add(time.Duration(job.Goal) * time.Millisecond), gap: time.Duration(job.Gap) * time.Millisecond,
-			value: float64(job.Value), sent: st.now,
+			value: float64(job.Value), sent: st.now, claim: job.Claim,
 		}
 		if eng := st.serviceOf(rep.Service).engine; eng != nil {
 			wk.context = job.Prompt / int64(len(job.Replicas))
--- a/internal/steer/place.go
+++ b/internal/steer/place.go
@@ -264,16 +264,3 @@
 	}
 	return first
 }
-
-// myTurn keeps the instances from rushing to the one slot that became free, which they all hear of at once: a request
-// that waits takes one of few slots with the chance that leaves about one taker for each. The next tick tries again.
-func (st *State) myTurn(rep *replica, req *request) bool {
-	if st.now.Sub(req.at) < rushAfter {
-		return true
-	}
-	free := rep.Slots - rep.running()
-	return free >= st.live || st.random.IntN(st.live) < free
-}
-
-// rushAfter is how long a request must be here to count as one that waits.
-const rushAfter = 5 * time.Millisecond
--- a/internal/steer/replica.go
+++ b/internal/steer/replica.go
@@ -8,7 +8,7 @@
 // jobKey names a job over all instances; From is empty for this instance's own.
 type jobKey struct {
 	from string
-	id   RequestID
+	id   JobID
 }
 
 // work is one job's part at one replica.
@@ -26,6 +26,8 @@
 	// value is what the answer is worth if it is in time.
 	value float64
 	sent  time.Time
+	// claim tells that it was not sent when it was heard of.
+	claim bool
 }
 
 // replica is what is known of one upstream.
--- a/internal/steer/retry.go
+++ b/internal/steer/retry.go
@@ -18,8 +18,7 @@
 	req.running = false
 	req.events = max(req.events, ev.Events)
 	req.begun = req.begun || ev.Begun
-	st.endJob(jobKey{id: req.ID}, req.reps)
-	st.emit(Tell{Note: st.note(Note{Ended: []RequestID{req.ID}})})
+	st.unbook(req)
 	st.judge(req, ev)
 	if ev.Result != ResultNotSent && ev.Result != ResultNotRun && ev.Result != ResultMisdirected {
 		req.runs++
--- a/internal/steer/serve.go
+++ b/internal/steer/serve.go
@@ -97,29 +97,53 @@
 	if !ok {
 		return false
 	}
-	st.send(req, pl)
+	req.claims = st.contested(&pl)
+	st.book(req, pl)
+	if req.claims {
+		st.claims = append(st.claims, req)
+		st.emit(Wake{After: claimTime})
+		return true
+	}
+	st.send(req)
 	return true
 }
 
-func (st *State) send(req *request, pl plan) {
-	req.attempt++
-	req.running = true
-	req.aborted = false
+// book counts the request at the replicas of the plan, here and at the other instances.
+func (st *State) book(req *request, pl plan) {
+	req.plan = pl
 	req.reps = append(req.reps[:0], pl.reps...)
-	req.sentAt = st.now
 	req.tickets = append(req.tickets[:0], pl.tickets...)
-	job := Job{ID: req.ID, Prompt: req.Prompt, Answer: req.Answer, Goal: millis(req.goal.Sub(st.now)), Gap: millis(req.gap), Value: float32(req.value)}
-	for _, rep := range pl.reps {
-		job.Replicas = append(job.Replicas, rep.Name)
-	}
-	job.Tickets = req.tickets
-	st.startJob(jobKey{id: req.ID}, &job)
+	req.sentAt = st.now
+	req.jobs++
+	req.job = JobID(req.ID)*jobsPerRequest + req.jobs%jobsPerRequest
+	job := req.booked(st.now)
+	st.startJob(jobKey{id: req.job}, &job)
 	st.emit(Tell{Note: st.note(Note{Jobs: []Job{job}})})
+}
+
+// jobsPerRequest is how many jobs of one request have different names; the others remember the end of one for less time
+// than as many take.
+const jobsPerRequest = 256
+
+// unbook takes the request's job from its replicas again.
+func (st *State) unbook(req *request) {
+	st.endJob(jobKey{id: req.job}, req.reps)
+	st.emit(Tell{Note: st.note(Note{Ended: []JobID{req.job}})})
+}
+
+// send sends a request that is booked.
+func (st *State) send(req *request) {
+	pl := &req.plan
+	req.attempt++
+	req.running = true
+	req.aborted = false
 	eff := Send{
 		ID: req.ID, Attempt: req.attempt, Replica: pl.reps[0].Replica, Priority: req.Priority,
 		Fresh: req.Route.Repeats == decl.RepeatsNone, Deadline: req.Deadline,
 	}
+	var helpers []string
 	for i, rep := range pl.reps[1:] {
+		helpers = append(helpers, rep.Name)
 		helper := Helper{Replica: rep.Replica}
 		if i < len(pl.tickets) {
 			helper.Tokens = pl.tickets[i]
@@ -130,7 +154,7 @@
 	st.emit(eff)
 	st.emit(Line{
 		Message: "request sent", Request: req.Name, Replica: pl.reps[0].Name, Age: st.now.Sub(req.at),
-		Estimate: duration(pl.first), Attempt: req.attempt, Helpers: job.Replicas[1:],
+		Estimate: duration(pl.first), Attempt: req.attempt, Helpers: helpers,
 		Tokens: req.Prompt,
 	})
 }
@@ -147,7 +171,7 @@
 )
 
 // patience is how long the answer may take to begin, and to go on.
-func (st *State) patience(req *request, pl plan) (first, gap time.Duration) {
+func (st *State) patience(req *request, pl *plan) (first, gap time.Duration) {
 	left := req.Deadline.Sub(st.now)
 	if !req.Route.Stream {
 		// How long a plain call takes is the service's affair, and the deadline's end is no silence.
@@ -167,8 +191,8 @@
 		return
 	}
 	req.begun = true
-	st.beginJob(jobKey{id: req.ID}, req.reps)
-	st.emit(Tell{Note: st.note(Note{Begun: []RequestID{req.ID}})})
+	st.beginJob(jobKey{id: req.job}, req.reps)
+	st.emit(Tell{Note: st.note(Note{Begun: []JobID{req.job}})})
 	st.emit(Line{Message: "answer began", Request: req.Name, Replica: req.reps[0].Name, Age: st.now.Sub(req.at), Attempt: req.attempt})
 	st.pump()
 }
@@ -183,6 +207,9 @@
 		st.abort(req)
 		return
 	}
+	if req.claims {
+		st.withdraw(req)
+	}
 	st.finish(req, Finish{ID: req.ID}, "caller left")
 }
 
--- a/internal/steer/state.go
+++ b/internal/steer/state.go
@@ -34,8 +34,9 @@
 	services  map[string]*service
 	replicas  map[string]*replica
 	requests  map[RequestID]*request
-	// waiting holds what has no replica yet, in the order of arrival.
+	// waiting holds what has no replica yet, in the order of arrival, claims what waits for others to object.
 	waiting []*request
+	claims  []*request
 	peers   map[string]*peer
 	// live is how many instances share the budget, and the most that were seen of late.
 	live    int
@@ -78,6 +79,12 @@
 	// attempt counts from 1, 0 before the first; running tells that one is under way on reps.
 	attempt int
 	running bool
+	// claims tells that it has a claim on reps and waits for others to object; job names the claim or the attempt, and
+	// jobs counts both.
+	claims  bool
+	job     JobID
+	jobs    JobID
+	plan    plan
 	reps    []*replica
 	tickets []int64
 	sentAt  time.Time
@@ -143,6 +150,7 @@
 	case Draining:
 		st.drain = &ev
 	case Ticked:
+		st.settle()
 		st.survey()
 		st.expire()
 		st.stop()
--- a/internal/steer/survey.go
+++ b/internal/steer/survey.go
@@ -72,7 +72,7 @@
 	}
 	nt := Note{From: surveyName + ev.Replica, Run: st.Options.Run, Up: st.up(), Whole: true}
 	for id := range unknown {
-		nt.Jobs = append(nt.Jobs, Job{ID: RequestID(id), Replicas: []string{ev.Replica}, Prompt: max(0, ev.Used) / int64(ev.Running), Begun: true})
+		nt.Jobs = append(nt.Jobs, Job{ID: JobID(id), Replicas: []string{ev.Replica}, Prompt: max(0, ev.Used) / int64(ev.Running), Begun: true})
 	}
 	st.heard(nt)
 	st.emit(Tell{Note: nt})
