Pages of the store's state are read again by themselves

All instances read the whole state at once, which takes the store's link for seconds; each read was bounded by 600 ms as a whole and began anew.

Pages have a bound of their own and are repeated by themselves, changes are taken in several answers, and more of them are kept for others.

--- a/internal/relay/follow.go
+++ b/internal/relay/follow.go
@@ -25,6 +25,10 @@
 	// it took. The store may keep changes back and then does not answer at all.
 	changesTimeout = 60 * time.Millisecond
 	changesFactor  = 3
+	// pageTimeout bounds the reading of a page of at most a megabyte, which takes half a second over the slowest link and
+	// more when many read. A page that fails is read again up to pageTries times over all pages.
+	pageTimeout = 2500 * time.Millisecond
+	pageTries   = 3
 	// askAgain is the wait after a question that was not answered, which doubles up to askSeldom: each question is paid
 	// for, refused ones too. emptyPause is the wait while there is no configuration.
 	askAgain   = 150 * time.Millisecond
@@ -112,7 +116,7 @@
 }
 
 // hearRounds bounds the answers that one confirmation takes where many changes do not fit into one.
-const hearRounds = 32
+const hearRounds = 256
 
 // hearFrom lets the instance at the address confirm the state here after it has told what has changed. The confirmation
 // counts from the question here less the age that the other one gave, so that neither a frozen process nor a late datagram
@@ -225,26 +229,32 @@
 
 // takeChanges brings the state to the revision by what has changed and reports whether that was possible.
 func (fl *follower) takeChanges(ctx context.Context, revision int64, limit time.Duration) bool {
+	for fl.in.view.revision() < revision {
+		if err := fl.takeSome(ctx, limit); err != nil {
+			fl.in.count("Store.ChangesMissed")
+			fl.in.log.Info().Err(err).Int64("Revision", revision).Msg("changes not told; everything is read")
+			return false
+		}
+	}
+	return true
+}
+
+// takeSome takes the next changes that the store tells.
+func (fl *follower) takeSome(ctx context.Context, limit time.Duration) error {
 	limited, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	fl.in.count("Store.Changes")
-	changes, upTo, err := fl.in.directory.Changes(limited, fl.in.view.revision(), revision)
-	if err == nil {
-		err = fl.change(ctx, changes, upTo)
-	}
+	changes, upTo, err := fl.in.directory.Changes(limited, fl.in.view.revision())
 	if err != nil {
-		fl.in.count("Store.ChangesMissed")
-		fl.in.log.Info().Err(err).Int64("Revision", revision).Msg("changes not told; everything is read")
+		return err
 	}
-	return err == nil
+	return fl.change(ctx, changes, upTo)
 }
 
 // readAll takes the store's whole state unless it is older than the one here. A stale read may be.
 func (fl *follower) readAll(ctx context.Context, stale bool) error {
 	fl.in.count("Store.Reads")
-	limited, cancel := context.WithTimeout(ctx, askTimeout)
-	defer cancel()
-	snap, err := fl.in.directory.Read(limited, stale)
+	snap, err := fl.pages(ctx, stale)
 	if err != nil {
 		return err
 	}
@@ -263,6 +273,42 @@
 	return nil
 }
 
+// pages reads all pages and puts them together. A page that fails is asked for again by itself: when all instances of a
+// large fleet start at once, their reading takes the store's link for seconds, and if each began anew after a failure none
+// would ever have all. What later pages miss of the first one's time comes with the changes after its revision.
+func (fl *follower) pages(ctx context.Context, stale bool) (Snapshot, error) {
+	var whole Snapshot
+	after, failures := "", 0
+	for {
+		page, next, err := fl.page(ctx, stale, after)
+		if err != nil {
+			failures++
+			if failures > pageTries || !delay.For(ctx, askAgain<<failures) {
+				return Snapshot{}, err
+			}
+			continue
+		}
+		if after == "" {
+			whole.Revision = page.Revision
+		}
+		if page.Routing != nil {
+			whole.Routing = page.Routing
+		}
+		whole.Replicas = append(whole.Replicas, page.Replicas...)
+		whole.Peers = append(whole.Peers, page.Peers...)
+		if next == "" {
+			return whole, nil
+		}
+		after = next
+	}
+}
+
+func (fl *follower) page(ctx context.Context, stale bool, after string) (Snapshot, string, error) {
+	limited, cancel := context.WithTimeout(ctx, pageTimeout)
+	defer cancel()
+	return fl.in.directory.Read(limited, stale, after)
+}
+
 // change takes all changes up to the revision, which a failure leaves undone: half of them would count as none missing.
 func (fl *follower) change(ctx context.Context, changes []Change, upTo int64) error {
 	relisted, peersChanged, routingAt := fl.sort(changes)
--- a/internal/relay/follow_test.go
+++ b/internal/relay/follow_test.go
@@ -23,7 +23,10 @@
 	// staleBy is how many revisions stale reads are behind.
 	staleBy int64
 	// changes are told on request; wholes counts what was read whole, questions those for the revision.
-	changes   []Change
+	changes []Change
+	// atOnce is how many changes are told at once, failures how many pages fail before one is handed out.
+	atOnce    int
+	failures  int
 	wholes    atomic.Int64
 	questions atomic.Int64
 }
@@ -36,17 +39,17 @@
 	return sh.snap.Revision, nil
 }
 
-func (sh *shelf) Changes(_ context.Context, after, upTo int64) ([]Change, int64, error) {
+func (sh *shelf) Changes(_ context.Context, after int64) ([]Change, int64, error) {
 	var changes []Change
 	for _, chg := range sh.changes {
-		if chg.Revision > after {
+		if chg.Revision > after && len(changes) < sh.atOnce {
 			changes = append(changes, chg)
 		}
 	}
-	if int64(len(changes)) != sh.snap.Revision-after || sh.snap.Revision < upTo {
+	if len(changes) == 0 || changes[0].Revision != after+1 {
 		return nil, 0, OrderFailed.New("history is gone")
 	}
-	return changes, sh.snap.Revision, nil
+	return changes, changes[len(changes)-1].Revision, nil
 }
 
 func (sh *shelf) Routing(context.Context, int64) (*decl.Routing, error) { return sh.snap.Routing, nil }
@@ -58,21 +61,29 @@
 	sh.changes = append(sh.changes, chg)
 }
 
-func (sh *shelf) Read(_ context.Context, stale bool) (Snapshot, error) {
-	snap := sh.snap
+// Read hands everything out in two pages, replicas and then the rest, the second of which is a revision newer.
+func (sh *shelf) Read(_ context.Context, stale bool, after string) (Snapshot, string, error) {
+	if sh.failures > 0 {
+		sh.failures--
+		return Snapshot{}, "", OrderFailed.New("away")
+	}
+	if after != "" {
+		return Snapshot{Revision: sh.snap.Revision + 1, Routing: sh.snap.Routing, Peers: sh.snap.Peers}, "", nil
+	}
+	page := Snapshot{Revision: sh.snap.Revision, Replicas: sh.snap.Replicas}
 	sh.wholes.Add(1)
 	if stale {
-		snap.Revision -= sh.staleBy
+		page.Revision -= sh.staleBy
 	} else {
 		sh.reads.Add(1)
 	}
-	return snap, nil
+	return page, "rest", nil
 }
 
 func (sh *shelf) Announce(context.Context, Peer, time.Duration) error { return nil }
 
 func newShelf() *shelf {
-	return &shelf{snap: Snapshot{Revision: 7, Routing: &decl.Routing{Version: 1}, Replicas: []steer.Replica{{Name: "board-0", Service: "board", Slots: 1}}}}
+	return &shelf{atOnce: 60, snap: Snapshot{Revision: 7, Routing: &decl.Routing{Version: 1}, Replicas: []steer.Replica{{Name: "board-0", Service: "board", Slots: 1}}}}
 }
 
 // quiet returns an instance whose notes run and nothing else.
@@ -209,6 +220,20 @@
 	}
 }
 
+func TestPageThatFailsIsReadAgain(t *testing.T) {
+	// All instances start at once, and the store's link is full for seconds. A page that failed is asked for again; a read
+	// that began anew would add to the load and never end.
+	sh := newShelf()
+	sh.failures = 2
+	in := quiet(t, "one", sh)
+	fl := &follower{in: in}
+	assert.NilError(t, fl.readAll(t.Context(), true))
+	assert.Equal(t, in.view.revision(), int64(7))
+	assert.Assert(t, in.configured() && in.state.Lists("board-0"))
+	sh.failures = pageTries + 1
+	assert.Assert(t, fl.readAll(t.Context(), true) != nil)
+}
+
 func TestForgottenChangesAreReadWhole(t *testing.T) {
 	// The instance that confirms has started after the change, so that it cannot tell of it. Taken as confirmed without
 	// it, a replica that left would get work for good.
--- a/internal/relay/ports.go
+++ b/internal/relay/ports.go
@@ -27,20 +27,21 @@
 type Directory interface {
 	// Revision returns, linearizably, the number of the last change to any of it.
 	Revision(ctx context.Context) (int64, error)
-	// Read returns all of it; a stale one costs the store little and may be some seconds old.
-	Read(ctx context.Context, stale bool) (Snapshot, error)
-	// Changes returns, in order, every change after the one revision up to the revision that it returns, which is not
-	// below the other. It returns an error where it cannot prove that none is missing.
-	Changes(ctx context.Context, after, upTo int64) ([]Change, int64, error)
+	// Read returns a page of it, the first after "" and each other one after the place that the one before returned, until
+	// that is "". A stale one costs the store little and may be some seconds old.
+	Read(ctx context.Context, stale bool, after string) (page Snapshot, next string, err error)
+	// Changes returns, in order, every change after the revision up to the one that it returns, of which it can prove that
+	// none is missing, and an error if there is none. There may be more.
+	Changes(ctx context.Context, after int64) ([]Change, int64, error)
 	// Routing returns the configuration as it was at the revision or later.
 	Routing(ctx context.Context, atLeast int64) (*decl.Routing, error)
 	// Announce registers this instance for as long as it announces itself again within the time.
 	Announce(ctx context.Context, peer Peer, ttl time.Duration) error
 }
 
-// Snapshot is what a Directory holds.
+// Snapshot is what a Directory holds, or a page of it.
 type Snapshot struct {
-	// Revision is that of the last change that it is sure to hold.
+	// Revision is that of the last change that it is sure to hold; over several pages that of the first.
 	Revision int64
 	// Routing is nil if there is no configuration that can be read.
 	Routing  *decl.Routing
--- a/internal/relay/view.go
+++ b/internal/relay/view.go
@@ -13,7 +13,7 @@
 
 const (
 	// keptChanges is how many changes are kept. An instance that has missed more reads everything.
-	keptChanges = 1024
+	keptChanges = 4096
 	// toldChanges is how many go into one answer, which a datagram must hold: a replica takes some 120 bytes.
 	toldChanges = 24
 	// moreChanges bounds those of one revision that may come on top, so that none is cut in two.
