Instances use cells of the replicas, and tell of a request who shares them

Cause: each instance weighed every replica for every request, ten times over, and told every other instance of it. Both grow with the fleet, the notes with its square: at 300 instances and 2,250 engines a choice weighed 22,500 places and a request cost 900 datagrams.

A summary names all jobs and tells them in parts: one of more than some 80 jobs did not fit into its datagram and was not sent at all.

--- a/internal/relay/instance.go
+++ b/internal/relay/instance.go
@@ -275,7 +275,7 @@
 			cl.abort(eff.Attempt)
 		}
 	case steer.Tell:
-		in.notes.tell(eff.Note)
+		in.notes.tell(eff)
 	case steer.Wake:
 		time.AfterFunc(eff.After, func() { in.apply(steer.Ticked{}) })
 	case steer.Survey:
--- a/internal/relay/notes.go
+++ b/internal/relay/notes.go
@@ -32,8 +32,8 @@
 type notes struct {
 	in    *Instance
 	conn  *net.UDPConn
-	peers atomic.Pointer[[]*net.UDPAddr]
-	queue chan steer.Note
+	peers atomic.Pointer[map[string]*net.UDPAddr]
+	queue chan steer.Tell
 	// askers are the other instances that ask the store, mine tells that this one does.
 	askers atomic.Pointer[[]*net.UDPAddr]
 	mine   atomic.Bool
@@ -106,10 +106,10 @@
 		return nil, Errors.NewType("listen").Wrap(err, "relay: --peer-listen %s cannot be used; choose a free address", in.opts.PeerListen)
 	}
 	ns := &notes{
-		in: in, conn: conn, queue: make(chan steer.Note, noteBacklog),
+		in: in, conn: conn, queue: make(chan steer.Tell, noteBacklog),
 		answers: make(chan confirmation, 1), news: make(chan *net.UDPAddr, 1),
 	}
-	ns.peers.Store(&[]*net.UDPAddr{})
+	ns.peers.Store(&map[string]*net.UDPAddr{})
 	ns.askers.Store(&[]*net.UDPAddr{})
 	ns.mine.Store(true)
 	return ns, nil
@@ -128,12 +128,12 @@
 }
 
 // tell queues a note without waiting; the next summary stands in for one that finds the queue full.
-func (ns *notes) tell(nt steer.Note) {
+func (ns *notes) tell(eff steer.Tell) {
 	if ns == nil || len(*ns.peers.Load()) == 0 {
 		return
 	}
 	select {
-	case ns.queue <- nt:
+	case ns.queue <- eff:
 	default:
 		ns.in.count("Notes.Dropped")
 	}
@@ -144,18 +144,31 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case nt := <-ns.queue:
-			ns.write(nt)
+		case eff := <-ns.queue:
+			ns.write(eff)
 		}
 	}
 }
 
-func (ns *notes) write(nt steer.Note) {
-	raw := ns.encode(packet{Note: &nt})
-	for _, address := range *ns.peers.Load() {
-		ns.in.count("Notes.Sent")
-		ns.post(raw, address)
+func (ns *notes) write(eff steer.Tell) {
+	raw := ns.encode(packet{Note: &eff.Note})
+	peers := *ns.peers.Load()
+	if eff.To == nil {
+		for _, address := range peers {
+			ns.writeTo(raw, address)
+		}
+		return
 	}
+	for _, name := range eff.To {
+		if address, ok := peers[name]; ok {
+			ns.writeTo(raw, address)
+		}
+	}
+}
+
+func (ns *notes) writeTo(raw []byte, address *net.UDPAddr) {
+	ns.in.count("Notes.Sent")
+	ns.post(raw, address)
 }
 
 func (ns *notes) encode(pk packet) []byte {
@@ -176,10 +189,7 @@
 
 func (ns *notes) summarize(ctx context.Context) error {
 	for delay.For(ctx, summaryPeriod) {
-		ns.in.mu.Lock()
-		nt := ns.in.state.Summary(time.Now())
-		ns.in.mu.Unlock()
-		ns.tell(nt)
+		ns.in.apply(steer.Summarized{})
 	}
 	return ctx.Err()
 }
@@ -308,7 +318,7 @@
 	slices.SortFunc(ranked, func(one, two Peer) int {
 		return cmp.Compare(xxhash.Sum64String(one.Name), xxhash.Sum64String(two.Name))
 	})
-	addresses := make([]*net.UDPAddr, 0, len(ranked))
+	addresses := make(map[string]*net.UDPAddr, len(ranked))
 	var askers []*net.UDPAddr
 	mine := false
 	for place, peer := range ranked {
@@ -321,7 +331,7 @@
 			in.log.Warn().Str("Instance", peer.Name).Str("Address", peer.Address).Msg("peer left out: its address cannot be read")
 			continue
 		}
-		addresses = append(addresses, address)
+		addresses[peer.Name] = address
 		if place < storeAskers {
 			askers = append(askers, address)
 		}
@@ -329,5 +339,5 @@
 	in.notes.peers.Store(&addresses)
 	in.notes.askers.Store(&askers)
 	in.notes.mine.Store(mine)
-	in.apply(steer.PeersCounted{Live: len(addresses) + 1})
+	in.apply(steer.Peered{Names: slices.Sorted(maps.Keys(addresses))})
 }
--- a/internal/steer/claim.go
+++ b/internal/steer/claim.go
@@ -112,15 +112,23 @@
 		return true
 	}
 	wanted := takers * (rep.Slots - rep.running())
-	rivals := st.rivals()
+	rivals := st.rivals(st.services[rep.Service])
 	return wanted >= rivals || st.random.IntN(rivals) < wanted
 }
 
-// rivals is how many requests wait at all instances. One that is not heard counts as having one.
-func (st *State) rivals() int {
-	rivals := max(0, st.live-1-len(st.peers)) + max(1, len(st.waiting))
-	for _, pr := range st.peers {
-		rivals += pr.waiting
+// rivals is how many requests wait at the instances that use the same replicas. One that is not heard counts as having one.
+func (st *State) rivals(svc *service) int {
+	names := st.neighbours(svc)
+	if names == nil {
+		names = st.names
+	}
+	rivals := max(1, len(st.waiting))
+	for _, name := range names {
+		if pr, ok := st.peers[name]; ok {
+			rivals += pr.waiting
+		} else {
+			rivals++
+		}
 	}
 	return rivals
 }
--- a/internal/steer/claim_test.go
+++ b/internal/steer/claim_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -35,11 +36,12 @@
 	list := replicas(1)
 	list[0].Slots = slots
 	for i := range count {
-		name := fmt.Sprintf("instance-%02d", i)
-		ch.names = append(ch.names, name)
+		ch.names = append(ch.names, fmt.Sprintf("instance-%02d", i))
+	}
+	for i, name := range ch.names {
 		ch.sts[name] = steer.New(steer.Options{Name: name, FailureDomain: "a", Run: 1, Seed: uint64(i) + 1})
 		ch.tell(name, steer.Configured{Routing: &decl.Routing{Version: 1, Services: map[string]decl.Pool{"lyric": {Engine: &figures}}}})
-		ch.tell(name, steer.PeersCounted{Live: count})
+		ch.tell(name, steer.Peered{Names: slices.DeleteFunc(slices.Clone(ch.names), func(other string) bool { return other == name })})
 		ch.tell(name, steer.Listed{Replicas: list})
 	}
 	return ch
@@ -51,8 +53,8 @@
 		switch eff := eff.(type) {
 		case steer.Tell:
 			for _, other := range ch.names {
-				if other != name {
-					ch.post = append(ch.post, letter{ch.now.Add(ch.delay), other, steer.Heard(eff)})
+				if other != name && (eff.To == nil || slices.Contains(eff.To, other)) {
+					ch.post = append(ch.post, letter{ch.now.Add(ch.delay), other, steer.Heard{Note: eff.Note}})
 				}
 			}
 		case steer.Wake:
--- a/internal/steer/effect.go
+++ b/internal/steer/effect.go
@@ -65,8 +65,12 @@
 	RetryAfter time.Duration
 }
 
-// Tell sends a note to all other instances. It may be lost.
-type Tell struct{ Note Note }
+// Tell sends a note to other instances. It may be lost.
+type Tell struct {
+	Note Note
+	// To names them, nil for all.
+	To []string
+}
 
 // Survey asks engines for their load. A Surveyed follows for each that answers.
 type Survey struct{ Replicas []Replica }
--- a/internal/steer/event.go
+++ b/internal/steer/event.go
@@ -124,8 +124,8 @@
 // Configured brings the version in force.
 type Configured struct{ Routing *decl.Routing }
 
-// PeersCounted brings how many instances live, this one included.
-type PeersCounted struct{ Live int }
+// Peered brings the names of the other instances that live.
+type Peered struct{ Names []string }
 
 // Heard brings another instance's note.
 type Heard struct{ Note Note }
@@ -145,6 +145,9 @@
 // Ticked lets time pass.
 type Ticked struct{}
 
+// Summarized asks for the notes by which the others make good what they did not hear.
+type Summarized struct{}
+
 func (Arrived) isEvent()      {}
 func (CallerGone) isEvent()   {}
 func (Began) isEvent()        {}
@@ -152,8 +155,9 @@
 func (Listed) isEvent()       {}
 func (Relisted) isEvent()     {}
 func (Configured) isEvent()   {}
-func (PeersCounted) isEvent() {}
+func (Peered) isEvent()       {}
 func (Heard) isEvent()        {}
 func (Surveyed) isEvent()     {}
 func (Draining) isEvent()     {}
 func (Ticked) isEvent()       {}
+func (Summarized) isEvent()   {}
--- a/internal/steer/list.go
+++ b/internal/steer/list.go
@@ -58,6 +58,7 @@
 	st.replicas[item.Name] = rep
 	svc := st.serviceOf(item.Service)
 	svc.replicas = append(svc.replicas, rep)
+	svc.candidates = nil
 	st.emit(Line{Message: "replica joins", Replica: item.Name})
 }
 
@@ -82,6 +83,7 @@
 	rep.goneAt = st.now
 	svc := st.serviceOf(rep.Service)
 	svc.replicas = slices.DeleteFunc(svc.replicas, func(other *replica) bool { return other == rep })
+	svc.candidates = nil
 }
 
 // forget drops what is over: missing replicas whose time has passed, gone ones without work, silent peers.
--- a/internal/steer/loss.go
+++ b/internal/steer/loss.go
@@ -42,7 +42,7 @@
 
 func (st *State) pricesOf(svc *service) prices {
 	var used, slots float64
-	for _, rep := range svc.replicas {
+	for _, rep := range st.candidates(svc) {
 		if rep.usable(st.now) {
 			used += float64(min(rep.running(), rep.Slots))
 			slots += float64(rep.Slots)
@@ -61,7 +61,7 @@
 func (st *State) meanBacklog(svc *service) float64 {
 	var total float64
 	count := 0
-	for _, rep := range svc.replicas {
+	for _, rep := range st.candidates(svc) {
 		if rep.usable(st.now) {
 			count++
 			total += min(rep.backlog(st.now)/1000, longestBacklog)
--- a/internal/steer/note.go
+++ b/internal/steer/note.go
@@ -9,8 +9,9 @@
 	Run  int64
 	// Up is for how many ms the run has lasted.
 	Up int64
-	// Whole tells that Jobs are all the jobs of the instance.
+	// Whole tells that Kept names all the jobs of the instance.
 	Whole bool
+	Kept  []JobID
 	Jobs  []Job
 	// Begun and Ended name jobs whose answer has begun and that are over.
 	Begun, Ended []JobID
--- a/internal/steer/peer.go
+++ b/internal/steer/peer.go
@@ -1,6 +1,7 @@
 package steer
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -39,19 +40,50 @@
 	return st.now.Sub(st.startedAt).Milliseconds()
 }
 
-// Summary is the note with all of this instance's jobs.
-func (st *State) Summary(now time.Time) Note {
-	nt := st.note(Note{Whole: true})
-	for _, req := range st.requests {
+// summaryJobs is how many jobs a note holds at the most, which a datagram must hold: a job takes some 100 bytes.
+const summaryJobs = 50
+
+// summarize tells all of this instance's jobs again, which makes good what was lost. It goes to those that use the same
+// replicas for any of them, and to those that share the engines.
+func (st *State) summarize() {
+	whole := Note{Whole: true}
+	var jobs []Job
+	to := map[string]bool{}
+	all := false
+	for _, svc := range st.services {
+		if svc.engine != nil {
+			all = st.addTo(to, svc) || all
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(st.requests)) {
+		req := st.requests[id]
 		if !req.running && !req.claims {
 			continue
 		}
-		job := req.booked(now)
-		job.Age = millis(now.Sub(req.sentAt))
+		all = st.addTo(to, st.serviceOf(req.service)) || all
+		job := req.booked(st.now)
+		job.Age = millis(st.now.Sub(req.sentAt))
 		job.Begun = req.begun
-		nt.Jobs = append(nt.Jobs, job)
+		whole.Kept = append(whole.Kept, job.ID)
+		jobs = append(jobs, job)
 	}
-	return nt
+	var names []string
+	if !all {
+		names = slices.Sorted(maps.Keys(to))
+	}
+	st.emit(Tell{Note: st.note(whole), To: names})
+	for part := range slices.Chunk(jobs, summaryJobs) {
+		st.emit(Tell{Note: st.note(Note{Jobs: part}), To: names})
+	}
+}
+
+// addTo adds the instances that must hear of the service and reports whether those are all.
+func (st *State) addTo(to map[string]bool, svc *service) bool {
+	names := st.neighbours(svc)
+	for _, name := range names {
+		to[name] = true
+	}
+	return names == nil
 }
 
 // booked is the request as the job that it is booked as.
@@ -114,7 +146,7 @@
 
 func (st *State) keepOnly(nt Note, pr *peer) {
 	for id := range pr.jobs {
-		if !slices.ContainsFunc(nt.Jobs, func(job Job) bool { return job.ID == id }) {
+		if !slices.Contains(nt.Kept, id) {
 			st.peerEnds(nt.From, pr, id)
 		}
 	}
--- a/internal/steer/place.go
+++ b/internal/steer/place.go
@@ -43,7 +43,7 @@
 func (st *State) placePlain(svc *service, req *request) (plan, bool) {
 	var best *replica
 	var least float64
-	for _, rep := range svc.replicas {
+	for _, rep := range st.candidates(svc) {
 		if !rep.usable(st.now) || slices.Contains(req.tried, rep.Name) {
 			continue
 		}
@@ -180,7 +180,7 @@
 // options lists the engines that may take a part of the reading.
 func (st *State) options(svc *service, req *request, part float64) []option {
 	options := make([]option, 0, len(svc.replicas))
-	for _, rep := range svc.replicas {
+	for _, rep := range st.candidates(svc) {
 		if !rep.usable(st.now) || slices.Contains(req.tried, rep.Name) {
 			continue
 		}
--- a/internal/steer/state.go
+++ b/internal/steer/state.go
@@ -38,8 +38,11 @@
 	waiting []*request
 	claims  []*request
 	peers   map[string]*peer
-	// live is how many instances share the budget, and the most that were seen of late.
+	// names are the other instances', live how many there are with this one; deals are how they are dealt into so many
+	// cells.
+	names   []string
 	live    int
+	deals   map[int]*deal
 	budgets map[string]*ledger
 	poison  poison
 	// means holds the mean prompt of each route.
@@ -63,6 +66,9 @@
 	name     string
 	engine   *decl.Engine
 	replicas []*replica
+	// candidates are those of this instance's cells where there are so many as dealt says, nil if they are to be found.
+	candidates []*replica
+	dealt      int
 }
 
 // request is one request's life.
@@ -113,6 +119,7 @@
 		budgets:  map[string]*ledger{},
 		poison:   newPoison(),
 		missing:  map[string]time.Time{},
+		deals:    map[int]*deal{},
 		means:    map[string]float64{},
 		given:    map[string]time.Duration{},
 		random:   rand.New(rand.NewPCG(opts.Seed, opts.Seed)),
@@ -141,14 +148,16 @@
 		st.relisted(ev)
 	case Configured:
 		st.configured(ev)
-	case PeersCounted:
-		st.live = max(1, ev.Live)
+	case Peered:
+		st.peered(ev)
 	case Heard:
 		st.heard(ev.Note)
 	case Surveyed:
 		st.surveyed(ev)
 	case Draining:
 		st.drain = &ev
+	case Summarized:
+		st.summarize()
 	case Ticked:
 		st.settle()
 		st.survey()
--- a/internal/steer/steer_test.go
+++ b/internal/steer/steer_test.go
@@ -99,6 +99,16 @@
 	return in.reduce(ev)
 }
 
+// summarized is how many jobs the instance tells the others of when it tells all of them.
+func (in *instance) summarized() int {
+	jobs := 0
+	for _, eff := range in.reduce(steer.Summarized{}) {
+		nt := eff.(steer.Tell).Note
+		jobs += len(nt.Jobs) + len(nt.Kept)
+	}
+	return jobs
+}
+
 // within returns the Send that the effects hold or that follows in the time.
 func (in *instance) within(period time.Duration, effects []steer.Effect) steer.Send {
 	in.t.Helper()
@@ -145,7 +155,7 @@
 	fin := find[steer.Finish](t, in.end(sent, steer.ResultDone))
 	assert.Assert(t, fin.Refusal == nil)
 	assert.Equal(t, in.st.Open(), 0)
-	assert.Equal(t, len(in.st.Summary(in.now).Jobs), 0)
+	assert.Equal(t, in.summarized(), 0)
 }
 
 func TestEndsOfAttempts(t *testing.T) {
@@ -220,7 +230,7 @@
 	// Every attempt breaks off, and each caller could be served by a second one. All instances together may repeat a
 	// fifth of the requests and twenty more in any ten seconds; an instance that knows one other takes a part of that.
 	in := newInstance(t, "one", 8)
-	in.reduce(steer.PeersCounted{Live: 2})
+	in.reduce(steer.Peered{Names: []string{"two"}})
 	repeats := 0
 	for range 200 {
 		sent := find[steer.Send](t, in.arrive(&lookup, 0))
@@ -288,7 +298,7 @@
 			case steer.Send:
 				sent = eff
 			case steer.Tell:
-				two.reduce(steer.Heard(eff))
+				two.reduce(steer.Heard{Note: eff.Note})
 			}
 		}
 	}
@@ -334,7 +344,7 @@
 	assert.Equal(t, len(asked.Replicas), 2)
 	none[steer.Survey](t, one.pass(time.Second))
 	told := find[steer.Tell](t, one.reduce(steer.Surveyed{Replica: "lyric-0", Running: 16, Used: 90_000}))
-	two.reduce(steer.Heard(told))
+	two.reduce(steer.Heard{Note: told.Note})
 	two.reduce(steer.Heard{Note: steer.Note{From: "one", Run: 1, Up: 100, Whole: true}})
 	two.pass(time.Millisecond)
 	none[steer.Survey](t, two.pass(200*time.Millisecond))
--- a/internal/steer/survey.go
+++ b/internal/steer/survey.go
@@ -32,7 +32,7 @@
 		return
 	}
 	st.surveyDone = true
-	if !st.surveys() {
+	if st.olderHeard() {
 		return
 	}
 	var engines []Replica
@@ -41,7 +41,9 @@
 			continue
 		}
 		for _, rep := range svc.replicas {
-			engines = append(engines, rep.Replica)
+			if st.surveyor(svc, rep) {
+				engines = append(engines, rep.Replica)
+			}
 		}
 	}
 	if len(engines) > 0 {
@@ -50,14 +52,14 @@
 	}
 }
 
-// surveys tells that this instance should ask: all that are heard have just started too, and have later names.
-func (st *State) surveys() bool {
-	for name, pr := range st.peers {
-		if name < st.Options.Name || pr.up > st.up()+together.Milliseconds() {
-			return false
+// olderHeard tells that an instance was heard that has lived for longer, and tells of what it has sent itself.
+func (st *State) olderHeard() bool {
+	for _, pr := range st.peers {
+		if pr.up > st.up()+together.Milliseconds() {
+			return true
 		}
 	}
-	return true
+	return false
 }
 
 // surveyed books an engine's load and tells the others of it.
@@ -72,8 +74,9 @@
 	}
 	nt := Note{From: surveyName + ev.Replica, Run: st.Options.Run, Up: st.up(), Whole: true}
 	for id := range unknown {
+		nt.Kept = append(nt.Kept, JobID(id))
 		nt.Jobs = append(nt.Jobs, Job{ID: JobID(id), Replicas: []string{ev.Replica}, Prompt: max(0, ev.Used) / int64(ev.Running), Begun: true})
 	}
 	st.heard(nt)
-	st.emit(Tell{Note: nt})
+	st.emit(Tell{Note: nt, To: st.neighbours(st.serviceOf(rep.Service))})
 }
