--- a/internal/relay/follow.go
+++ b/internal/relay/follow.go
@@ -23,7 +23,7 @@
 	askTimeout = 600 * time.Millisecond
 	// changesTimeout and changesFactor bound the question for changes: so long, and so many times what the question before
 	// it took. The store may keep changes back and then does not answer at all.
-	changesTimeout = 60 * time.Millisecond
+	changesTimeout = 150 * time.Millisecond
 	changesFactor  = 3
 	// pageTimeout bounds the reading of a page of at most a megabyte, which takes half a second over the slowest link and
 	// more when many read. A page that fails is read again up to pageTries times over all pages.
