A new instance hears of deaths before the list shows it

Deaths in between it did not know of, and let the resend take a third engine. Ruled out: the probe for life, mended before; the counting of deaths, which is the same at each instance that was told.

Who asks says where it can be told, and is told by its own word for half a minute. An ask that fails has a line in the log.

--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -66,8 +66,9 @@
 	listed   atomic.Bool
 	draining atomic.Bool
 	// asked tells that peers are asked for the quarantine, learned that they were or that there is none to ask.
-	asked   bool
-	learned atomic.Bool
+	asked     bool
+	learned   atomic.Bool
+	newcomers newcomers
 	mu      sync.Mutex
 	calls   map[event.RequestID]*call
 	pending sync.WaitGroup
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -47,6 +47,7 @@
 	case wire.Quarantine:
 		in.hearQuarantine(msg)
 	case wire.QuarantineWant:
+		in.newcomers.add(msg.From)
 		return in.quarantines()
 	default:
 		if ev, ok := wire.Event(msg); ok {
--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
+	"sync"
 	"time"
 
 	"dandelionsail.example/dandelionsail/internal/core"
@@ -19,7 +22,53 @@
 )
 
 func (in *Instance) tellQuarantine(eff effect.TellQuarantine) {
-	in.tellAll(quarantineMessage(eff.Quarantined))
+	in.tellOfQuarantine(quarantineMessage(eff.Quarantined))
+}
+
+// tellOfQuarantine tells every live peer and those that have just asked: the platform's list shows a new instance late, and
+// a resend that reaches it before would take another upstream down.
+func (in *Instance) tellOfQuarantine(msg wire.Quarantine) {
+	in.tellAll(msg)
+	if in.peers == nil {
+		return
+	}
+	for _, address := range in.newcomers.recent() {
+		if !slices.Contains(*in.livePeers.Load(), address) {
+			in.peers.Tell(address, msg)
+		}
+	}
+}
+
+// newcomers are the peers that asked for the quarantine of late. Its methods may be called from several goroutines.
+type newcomers struct {
+	mu    sync.Mutex
+	asked map[string]time.Time
+}
+
+const (
+	// newcomerTime is how long one is told by its own word: the platform's list shows it by then.
+	newcomerTime = 30 * time.Second
+	// maxNewcomers bounds them, far above the instances that start within that time.
+	maxNewcomers = 1000
+)
+
+func (nc *newcomers) add(address string) {
+	nc.mu.Lock()
+	defer nc.mu.Unlock()
+	if nc.asked == nil {
+		nc.asked = map[string]time.Time{}
+	}
+	if address != "" && len(nc.asked) < maxNewcomers {
+		nc.asked[address] = time.Now()
+	}
+}
+
+// recent returns those that asked within newcomerTime and forgets the others.
+func (nc *newcomers) recent() []string {
+	nc.mu.Lock()
+	defer nc.mu.Unlock()
+	maps.DeleteFunc(nc.asked, func(_ string, at time.Time) bool { return time.Since(at) > newcomerTime })
+	return slices.Collect(maps.Keys(nc.asked))
 }
 
 func quarantineMessage(qr event.Quarantined) wire.Quarantine {
@@ -56,28 +105,31 @@
 	in.pending.Go(func() {
 		defer in.learned.Store(true)
 		for _, address := range addresses[:min(len(addresses), learnPeers)] {
-			in.askQuarantine(address)
+			if err := in.askQuarantine(address); err != nil {
+				in.log.Warn().Str("Peer", address).Err(err).Msg("quarantine not learnt from this peer")
+			}
 		}
 	})
 }
 
-func (in *Instance) askQuarantine(address string) {
+func (in *Instance) askQuarantine(address string) error {
 	ctx, cancel := context.WithTimeout(context.Background(), learnTime)
 	defer cancel()
-	answer, err := in.peers.Ask(ctx, address, wire.QuarantineWant{})
+	answer, err := in.peers.Ask(ctx, address, wire.QuarantineWant{From: in.peers.Address()})
 	if err != nil {
-		return
+		return err
 	}
 	if msg, ok := answer.(wire.Quarantines); ok {
 		for _, entry := range msg.Entries {
 			in.hearQuarantine(entry)
 		}
 	}
+	return nil
 }
 
 // leaveQuarantine tells the peers once more before this instance ends, for those that were not there when it learnt.
 func (in *Instance) leaveQuarantine() {
 	for _, entry := range in.quarantines().Entries {
-		in.tellAll(entry)
+		in.tellOfQuarantine(entry)
 	}
 }
--- a/internal/wire/fuzz_test.go
+++ b/internal/wire/fuzz_test.go
@@ -21,7 +21,7 @@
 		wire.PermitRenew{Holder: "entry-1", Requests: []string{"r~1"}},
 		wire.PermitState{From: "entry-0", Unknown: []string{"r~1"}},
 		wire.Quarantine{Deaths: 2, Lasts: time.Hour},
-		wire.QuarantineWant{},
+		wire.QuarantineWant{From: "10.0.0.1:7400"},
 		wire.Quarantines{Entries: []wire.Quarantine{{Deaths: 1}}},
 		wire.ConfigWant{After: 3},
 		wire.ConfigPatches{First: 4, Patches: [][]byte{[]byte("[]")}},
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -16,8 +16,11 @@
 // Ack answers a message that wants nothing but to be heard.
 type Ack struct{}
 
-// QuarantineWant asks for all that is under suspicion or quarantine.
-type QuarantineWant struct{}
+// QuarantineWant asks for all that is under suspicion or quarantine, and to be told what follows.
+type QuarantineWant struct {
+	// From is the address of the peer that asks.
+	From string
+}
 
 // Quarantines answers a QuarantineWant.
 type Quarantines struct{ Entries []Quarantine }
