--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -69,9 +69,9 @@
 	asked     bool
 	learned   atomic.Bool
 	newcomers newcomers
-	mu      sync.Mutex
-	calls   map[event.RequestID]*call
-	pending sync.WaitGroup
+	mu        sync.Mutex
+	calls     map[event.RequestID]*call
+	pending   sync.WaitGroup
 	// settling counts the claims and outcomes being recorded.
 	settling sync.WaitGroup
 	// heartbeats holds the addresses of engines that are known to send heartbeats.
