An instance that the store turns away gets the configuration from the one that told of it

An instance that the store turns away heard of a new one, could not have it, could not be confirmed, asked again at once and after its keys' life refused all callers; each refusal of the store is paid for in full.

The instance that told of it hands it over, if it is of the revision or later. While the store turns one away the others are asked first.

--- a/internal/relay/follow.go
+++ b/internal/relay/follow.go
@@ -53,6 +53,8 @@
 	away, read bool
 	// again is the wait after the next question that is not answered.
 	again time.Duration
+	// refusedAt is when the store last refused the configuration.
+	refusedAt time.Time
 }
 
 func (fl *follower) run(ctx context.Context) error {
@@ -134,7 +136,7 @@
 			fl.in.count("Peers.Old")
 			return false
 		}
-		if err := fl.catchUp(ctx, &conf); err != nil {
+		if err := fl.catchUp(ctx, from, &conf); err != nil {
 			fl.in.count("Peers.NotFollowed")
 			return false
 		}
@@ -148,13 +150,13 @@
 }
 
 // catchUp takes the changes that another instance told. If it has forgotten them, everything is read.
-func (fl *follower) catchUp(ctx context.Context, conf *confirmation) error {
+func (fl *follower) catchUp(ctx context.Context, from *net.UDPAddr, conf *confirmation) error {
 	have := fl.in.view.revision()
 	if conf.Revision <= have {
 		return nil
 	}
 	if conf.follows(have) {
-		return fl.change(ctx, conf.Changes, conf.UpTo)
+		return fl.change(ctx, from, conf.Changes, conf.UpTo)
 	}
 	if err := fl.readAll(ctx, true); err != nil || fl.in.view.revision() > have {
 		return err
@@ -248,7 +250,7 @@
 	if err != nil {
 		return err
 	}
-	return fl.change(ctx, changes, upTo)
+	return fl.change(ctx, nil, changes, upTo)
 }
 
 // readAll takes the store's whole state unless it is older than the one here. A stale read may be.
@@ -309,13 +311,12 @@
 	return fl.in.directory.Read(limited, stale, after)
 }
 
-// change takes all changes up to the revision, which a failure leaves undone: half of them would count as none missing.
-func (fl *follower) change(ctx context.Context, changes []Change, upTo int64) error {
+// change takes all changes up to the revision, which a failure leaves undone: half of them would count as none missing. They
+// came from another instance, or from the store where from is nil.
+func (fl *follower) change(ctx context.Context, from *net.UDPAddr, changes []Change, upTo int64) error {
 	relisted, peersChanged, routingAt := fl.sort(changes)
 	if routingAt > 0 {
-		limited, cancel := context.WithTimeout(ctx, askTimeout)
-		defer cancel()
-		routing, err := fl.in.directory.Routing(limited, routingAt)
+		routing, err := fl.routingAt(ctx, from, routingAt)
 		if err != nil {
 			return err
 		}
--- a/internal/relay/instance.go
+++ b/internal/relay/instance.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	stdlog "log"
 	"net"
 	"net/http"
@@ -112,6 +113,10 @@
 	if err != nil {
 		return err
 	}
+	others, err := listen("peer-listen", in.opts.PeerListen)
+	if err != nil {
+		return err
+	}
 	in.notes, err = openNotes(in)
 	if err != nil {
 		return err
@@ -126,6 +131,9 @@
 		Handler: http.HandlerFunc(in.serve), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader, ErrorLog: oddities,
 	}
 	ready := &http.Server{Handler: http.HandlerFunc(in.readyz), ReadHeaderTimeout: headerTimeout, ErrorLog: oddities}
+	sharing := http.NewServeMux()
+	sharing.HandleFunc("GET "+sharePath, in.share)
+	share := &http.Server{Handler: sharing, ReadHeaderTimeout: headerTimeout, ErrorLog: oddities}
 	group, parts := errgroup.WithContext(parts)
 	group.Go(func() error { return (&follower{in: in}).run(parts) })
 	group.Go(func() error { return in.announce(parts) })
@@ -135,6 +143,7 @@
 	group.Go(func() error { return in.hearHangups(parts, hangups) })
 	group.Go(func() error { return unlessClosed(front.Serve(callers)) })
 	group.Go(func() error { return unlessClosed(ready.Serve(balancer)) })
+	group.Go(func() error { return unlessClosed(share.Serve(others)) })
 	group.Go(func() error {
 		select {
 		case <-ctx.Done():
@@ -142,7 +151,7 @@
 		}
 		defer stop()
 		in.drain(front)
-		return ready.Close()
+		return errors.Join(ready.Close(), share.Close())
 	})
 	in.log.Info().Str("Instance", in.opts.Name).Str("Address", in.opts.Listen).Msg("started")
 	err = group.Wait()
--- a/internal/relay/options.go
+++ b/internal/relay/options.go
@@ -11,7 +11,7 @@
 	FailureDomain string        `long:"failure-domain" env:"DANDELIONSAIL_FAILURE_DOMAIN" description:"failure domain of this instance" required:"yes"`
 	Listen        string        `long:"listen" env:"DANDELIONSAIL_LISTEN" description:"address for callers, host:port" required:"yes"`
 	ReadyListen   string        `long:"ready-listen" env:"DANDELIONSAIL_READY_LISTEN" description:"address that tells the balancer whether this instance is ready, host:port" required:"yes"`
-	PeerListen    string        `long:"peer-listen" env:"DANDELIONSAIL_PEER_LISTEN" description:"UDP address for the other instances' notes, host:port" required:"yes"`
+	PeerListen    string        `long:"peer-listen" env:"DANDELIONSAIL_PEER_LISTEN" description:"address for the other instances, UDP for notes and TCP for the configuration, host:port" required:"yes"`
 	MetricsListen string        `long:"metrics-listen" env:"DANDELIONSAIL_METRICS_LISTEN" description:"address for metrics, host:port; empty serves none"`
 	Store         string        `long:"store" env:"DANDELIONSAIL_STORE" description:"address of the platform's store, host:port" required:"yes"`
 	Grace         time.Duration `long:"grace" env:"DANDELIONSAIL_GRACE" description:"time from the order to stop until the process is killed" default:"8s"`
