--- a/internal/relay/follow.go
+++ b/internal/relay/follow.go
@@ -37,6 +37,10 @@
 	// announceTime is how long an announcement lasts, announceEvery when it is made again.
 	announceTime  = 40 * time.Second
 	announceEvery = 15 * time.Second
+	// announceAgain is the wait after one that failed, which doubles up to announceMost: it lasts on meanwhile, and each
+	// call is paid for, refused ones too.
+	announceAgain = time.Second
+	announceMost  = 8 * time.Second
 	// readyAge is the part of a token's life after which a store out of reach makes the instance unready, so that
 	// callers go where tokens are still good.
 	readyAge = 0.55
@@ -372,15 +376,18 @@
 
 // announce tells the other instances where this one is.
 func (in *Instance) announce(ctx context.Context) error {
+	again := announceAgain
 	for ctx.Err() == nil {
 		limited, cancel := context.WithTimeout(ctx, askTimeout)
 		err := in.directory.Announce(limited, in.self, announceTime)
 		cancel()
-		pause := announceEvery
-		if err != nil {
-			pause = time.Second
+		if err == nil {
+			again = announceAgain
+			delay.For(ctx, announceEvery)
+			continue
 		}
-		delay.For(ctx, pause)
+		delay.For(ctx, again)
+		again = min(2*again, announceMost)
 	}
 	return ctx.Err()
 }
