--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -74,7 +74,6 @@
 	if tr.ended.Result == steer.ResultBroken && ctx.Err() == nil {
 		tr.ended.Died = died(ctx, eff.Replica.Address)
 	}
-	tr.ended.Events = cl.events
 	tr.ended.Begun = cl.headerOut
 	return tr.ended
 }
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -39,10 +39,9 @@
 	mail     chan steer.Effect
 	control  *http.ResponseController
 
-	// headerOut tells that the caller has a status; after and events are the last event that it has and their number.
+	// headerOut tells that the caller has a status; after is the last event that it has.
 	headerOut bool
 	after     string
-	events    int
 	// failure is a replica's answer of failure, kept until it is clear that no other answer follows.
 	failure *answer
 	arrived time.Time
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -49,7 +49,6 @@
 		if id, found := eventID(buf[end : end+length]); found {
 			tr.cl.after = id
 		}
-		tr.cl.events++
 		end += length
 	}
 	if end == 0 {
--- a/internal/steer/event.go
+++ b/internal/steer/event.go
@@ -77,8 +77,6 @@
 	ID      RequestID
 	Attempt int
 	Result  Result
-	// Events is how many whole events of a stream the caller has, over all attempts.
-	Events int
 	// Begun tells that some of an answer is with the caller, so that nothing but its rest can follow.
 	Begun bool
 	// Died tells that the replica took no new connection after it broke off.
--- a/internal/steer/loss.go
+++ b/internal/steer/loss.go
@@ -110,9 +110,7 @@
 // harm is the worth that the callers of the streams lose that the replica writes if it reads so much more: a stream
 // pauses while its engine reads.
 func (st *State) harm(eng *decl.Engine, rep *replica, backlog, read float64) float64 {
-	writers, contexts := rep.writers()
-	pass := float64(eng.Stride) * stepTime(eng, writers+1, contexts) * rep.slow
-	before := backlog + pass
+	before := backlog + rep.pass(eng, 0)
 	var lost float64
 	for i := range rep.works {
 		wk := &rep.works[i]
--- a/internal/steer/place.go
+++ b/internal/steer/place.go
@@ -207,14 +207,19 @@
 // firstPass is the time in ms from the end of the reading to the first event: the pass that writes it and, where others
 // write, what is left on average of the pass that is under way when the request comes.
 func (st *State) firstPass(eng *decl.Engine, rep *replica, req *request) float64 {
-	writers, contexts := rep.writers()
-	pass := float64(eng.Stride) * stepTime(eng, writers+1, contexts+req.Prompt) * rep.slow
-	if writers == 0 {
+	pass := rep.pass(eng, req.Prompt)
+	if rep.running() == 0 {
 		return pass
 	}
 	return 1.5 * pass
 }
 
+// pass is the time in ms of one pass with one more request that has so much context.
+func (rep *replica) pass(eng *decl.Engine, context int64) float64 {
+	writers, contexts := rep.writers()
+	return float64(eng.Stride) * stepTime(eng, writers+1, contexts+context) * rep.slow
+}
+
 // memoryShare is the part of an engine's memory that is counted on: it is given out in blocks.
 const memoryShare = 0.97
 
--- a/internal/steer/retry.go
+++ b/internal/steer/retry.go
@@ -16,7 +16,6 @@
 		return
 	}
 	req.running = false
-	req.events = max(req.events, ev.Events)
 	req.begun = req.begun || ev.Begun
 	st.unbook(req)
 	st.judge(req, ev)
--- a/internal/steer/state.go
+++ b/internal/steer/state.go
@@ -97,7 +97,6 @@
 	// runs counts the attempts that may have run.
 	runs    int
 	tried   []string
-	events  int
 	begun   bool
 	gone    bool
 	aborted bool
--- a/internal/steer/steer_test.go
+++ b/internal/steer/steer_test.go
@@ -174,7 +174,7 @@
 		"update, silent":             {&update, steer.AttemptEnded{Result: steer.ResultSilent}, false, false},
 		"lookup, broken":             {&lookup, steer.AttemptEnded{Result: steer.ResultBroken}, true, false},
 		"lookup, failure":            {&lookup, steer.AttemptEnded{Result: steer.ResultAnswered, Status: 500}, true, false},
-		"stream, broken midway":      {&short, steer.AttemptEnded{Result: steer.ResultBroken, Events: 3, Begun: true}, true, false},
+		"stream, broken midway":      {&short, steer.AttemptEnded{Result: steer.ResultBroken, Begun: true}, true, false},
 		"stream, silent":             {&short, steer.AttemptEnded{Result: steer.ResultSilent}, true, false},
 	}
 	for name, tc := range cases {
