--- a/internal/steer/peer.go
+++ b/internal/steer/peer.go
@@ -71,8 +71,10 @@
 	if !all {
 		names = slices.Sorted(maps.Keys(to))
 	}
+	first := min(len(jobs), summaryJobs)
+	whole.Jobs = jobs[:first]
 	st.emit(Tell{Note: st.note(whole), To: names})
-	for part := range slices.Chunk(jobs, summaryJobs) {
+	for part := range slices.Chunk(jobs[first:], summaryJobs) {
 		st.emit(Tell{Note: st.note(Note{Jobs: part}), To: names})
 	}
 }
