Rivals are counted once a placement; what ends a replica's missing stands once

Found in reading: each option of each number of engines counted the waiting requests of all instances anew, some 450 times for one request that waits before 45 engines. The draws are the same.

--- a/internal/steer/claim.go
+++ b/internal/steer/claim.go
@@ -107,12 +107,11 @@
 
 // myTurn keeps the requests that wait from rushing to the one slot that became free, which all instances hear of at once:
 // a request that waits takes one of few slots with the chance that leaves few takers for each. The next tick tries again.
-func (st *State) myTurn(rep *replica, req *request) bool {
+func (st *State) myTurn(rep *replica, req *request, rivals int) bool {
 	if st.now.Sub(req.at) < rushAfter {
 		return true
 	}
 	wanted := takers * (rep.Slots - rep.running())
-	rivals := st.rivals(st.services[rep.Service])
 	return wanted >= rivals || st.random.IntN(rivals) < wanted
 }
 
--- a/internal/steer/list.go
+++ b/internal/steer/list.go
@@ -13,7 +13,6 @@
 	named := make(map[string]bool, len(ev.Replicas))
 	for _, item := range ev.Replicas {
 		named[item.Name] = true
-		delete(st.missing, item.Name)
 		st.register(item)
 	}
 	for name, rep := range st.replicas {
@@ -28,7 +27,6 @@
 // relisted takes what has changed of the list. Its cost follows the changes, not the number of replicas.
 func (st *State) relisted(ev Relisted) {
 	for _, item := range ev.Replicas {
-		delete(st.missing, item.Name)
 		st.register(item)
 	}
 	for _, name := range ev.Gone {
@@ -40,6 +38,7 @@
 }
 
 func (st *State) register(item Replica) {
+	delete(st.missing, item.Name)
 	rep, ok := st.replicas[item.Name]
 	if ok && rep.Born == item.Born && rep.Address == item.Address && rep.Service == item.Service {
 		// Leaving is final for an incarnation, whatever an older list says.
--- a/internal/steer/place.go
+++ b/internal/steer/place.go
@@ -97,13 +97,14 @@
 func (st *State) placePrompt(svc *service, req *request) (plan, bool) {
 	eng := svc.engine
 	price := st.pricesOf(svc)
+	rivals := st.rivals(svc)
 	var best plan
 	found := false
 	for _, count := range engineCounts {
 		if count > 1 && (count > eng.Helpers+1 || readTime(eng, req.Prompt, 1) < minSplit*float64(count)) {
 			break
 		}
-		pl, ok := st.planFor(svc, req, count, price)
+		pl, ok := st.planFor(svc, req, count, price, rivals)
 		if !ok {
 			continue
 		}
@@ -136,10 +137,10 @@
 const minSplit = 60
 
 // planFor reckons the request read by so many engines.
-func (st *State) planFor(svc *service, req *request, count int, price prices) (plan, bool) {
+func (st *State) planFor(svc *service, req *request, count int, price prices, rivals int) (plan, bool) {
 	eng := svc.engine
 	part := readTime(eng, req.Prompt, count)
-	options := st.options(svc, req, part)
+	options := st.options(svc, req, part, rivals)
 	slices.SortStableFunc(options, func(one, two option) int { return cmp.Compare(one.asHelper(), two.asHelper()) })
 	first := firstOf(eng, req, options)
 	if first < 0 || len(options) < count {
@@ -178,7 +179,7 @@
 }
 
 // options lists the engines that may take a part of the reading.
-func (st *State) options(svc *service, req *request, part float64) []option {
+func (st *State) options(svc *service, req *request, part float64, rivals int) []option {
 	options := make([]option, 0, len(svc.replicas))
 	for _, rep := range st.candidates(svc) {
 		if !rep.usable(st.now) || slices.Contains(req.tried, rep.Name) {
@@ -190,7 +191,7 @@
 		backlog := rep.backlog(st.now)
 		opt := option{rep: rep, wait: backlog + part*rep.slow, free: rep.free(svc.engine)}
 		opt.waitHelp = rep.helpBacklog(st.now) + part*rep.slow
-		opt.slot = rep.running() < svc.engine.Slots && st.myTurn(rep, req)
+		opt.slot = rep.running() < svc.engine.Slots && st.myTurn(rep, req, rivals)
 		opt.pass = st.firstPass(svc.engine, rep, req)
 		opt.late = st.lateness(req, opt.wait+opt.pass)
 		opt.harm = st.harm(svc.engine, rep, backlog, part*rep.slow)
