A replica that is back is used again

Cause, found in reading: a replica whose entry ended and is back as the same start of it counted as registered and was left out of its service, so that no instance that had seen the end sent it anything any more. The new test fails without the mend, for a change and for a whole list.

--- a/internal/steer/list.go
+++ b/internal/steer/list.go
@@ -47,7 +47,10 @@
 			st.emit(Line{Message: "replica leaves", Replica: item.Name})
 		}
 		rep.Replica = item
-		rep.gone = false
+		if rep.gone {
+			rep.gone = false
+			st.enlist(rep)
+		}
 		return
 	}
 	if ok {
@@ -55,10 +58,15 @@
 	}
 	rep = &replica{Replica: item, slow: 1}
 	st.replicas[item.Name] = rep
-	svc := st.serviceOf(item.Service)
+	st.enlist(rep)
+}
+
+// enlist adds the replica to those of its service, from which drop took it if it was there before.
+func (st *State) enlist(rep *replica) {
+	svc := st.serviceOf(rep.Service)
 	svc.replicas = append(svc.replicas, rep)
 	svc.candidates = nil
-	st.emit(Line{Message: "replica joins", Replica: item.Name})
+	st.emit(Line{Message: "replica joins", Replica: rep.Name})
 }
 
 // unlisted takes a replica out that the list leaves out. After an outage of the list's store, entries of live replicas
