--- a/internal/relay/instance.go
+++ b/internal/relay/instance.go
@@ -97,6 +97,7 @@
 	}
 	in.state = steer.New(steer.Options{
 		Name: opts.Name, FailureDomain: opts.FailureDomain, Run: run, Seed: seed, MissingTime: opts.MissingTime,
+		Tuning: opts.Tuning,
 		Budget: steer.Budget{Ratio: opts.BudgetRatio, Slack: opts.BudgetSlack, Window: opts.BudgetWindow},
 	})
 	return in
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"math"
 	"strings"
 
 	"github.com/phuslu/log"
@@ -43,9 +44,29 @@
 	if line.Estimate > 0 {
 		entry.Int64("EstimateMs", line.Estimate.Milliseconds())
 	}
+	if line.End != nil {
+		logEnd(entry, line.End)
+	}
 	entry.Msg(line.Message)
 }
 
+func logEnd(entry *log.Entry, end *steer.End) {
+	text(entry, "Route", end.Route)
+	entry.Float64("Value", math.Round(end.Value*100)/100).Int64("GoalMs", end.Goal.Milliseconds())
+	if end.Back {
+		entry.Bool("Back", true)
+	}
+	if end.First > 0 {
+		entry.Int64("FirstMs", end.First.Milliseconds())
+	}
+	if end.Gap > 0 {
+		entry.Int64("GapMs", end.Gap.Milliseconds())
+	}
+	if end.Pause > 0 {
+		entry.Int64("PauseMs", end.Pause.Milliseconds()).Int64("PauseAtMs", end.PauseAt.Milliseconds())
+	}
+}
+
 func text(entry *log.Entry, key, value string) {
 	if value != "" {
 		entry.Str(key, value)
--- a/internal/relay/options.go
+++ b/internal/relay/options.go
@@ -3,6 +3,8 @@
 import (
 	"net"
 	"time"
+
+	"dandelionsail.example/dandelionsail/internal/steer"
 )
 
 // Options are the settings of one instance.
@@ -24,6 +26,7 @@
 	BudgetWindow  time.Duration `long:"budget-window" env:"DANDELIONSAIL_BUDGET_WINDOW" description:"window of the budget for repeats" default:"10s"`
 	MaxBody       int64         `long:"max-body" env:"DANDELIONSAIL_MAX_BODY" description:"longest request body in bytes where the configuration names none" default:"8388608"`
 	LogLines      int           `long:"log-lines" env:"DANDELIONSAIL_LOG_LINES" description:"most lines of the log a second; what is beyond is dropped and counted" default:"400"`
+	Tuning        steer.Tuning  `long:"tuning" env:"DANDELIONSAIL_TUNING" description:"JSON object of policy figures that differ from their defaults, such as {\"MaxEngines\":4}"`
 	Seed          uint64        `long:"seed" env:"DANDELIONSAIL_SEED" description:"seed of random choices; 0 takes one from the name" default:"0"`
 }
 
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -83,9 +83,13 @@
 func (tr *try) progress() {
 	now := time.Now()
 	if !tr.last.IsZero() {
-		if pass := now.Sub(tr.last); tr.ended.Pass == 0 || pass < tr.ended.Pass {
+		pass := now.Sub(tr.last)
+		if tr.ended.Pass == 0 || pass < tr.ended.Pass {
 			tr.ended.Pass = pass
 		}
+		if pass > tr.ended.Pause {
+			tr.ended.Pause, tr.ended.PauseAt = pass, now
+		}
 	}
 	tr.last = now
 	tr.in.heard.Store(tr.eff.Replica.Name, now)
--- a/internal/steer/effect.go
+++ b/internal/steer/effect.go
@@ -91,6 +91,20 @@
 	Helpers []string
 	// Tokens is the prompt's length.
 	Tokens int64
+	// End is set on the line that ends a request.
+	End *End
+}
+
+// End is what a request came to, from which its worth and the cause of what was lost of it can be told.
+type End struct {
+	Route string
+	// Value is what an answer in time would have been worth, Back tells that the caller was here before.
+	Value float64
+	Back  bool
+	// Goal is the age at which the answer should have begun, First that at which it did, 0 if it did not.
+	Goal, First time.Duration
+	// Gap is the longest pause that the caller was promised, Pause the longest that there was, which ended at PauseAt.
+	Gap, Pause, PauseAt time.Duration
 }
 
 func (Send) isEffect()   {}
--- a/internal/steer/event.go
+++ b/internal/steer/event.go
@@ -83,6 +83,9 @@
 	Died bool
 	// Pass is the shortest time between two events, 0 if there were no two.
 	Pass time.Duration
+	// Pause is the longest time between two events, which ended at PauseAt.
+	Pause   time.Duration
+	PauseAt time.Time
 	// Status is the replica's, 0 if none came.
 	Status int
 	// At names the replica at fault where another than the one asked was, empty if unknown.
--- a/internal/steer/place.go
+++ b/internal/steer/place.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"time"
 
 	"dandelionsail.example/dandelionsail/pkg/decl"
 )
@@ -86,12 +85,12 @@
 }
 
 // asHelper and asFirst are what the engine costs in the one and the other part.
-func (opt *option) asHelper() float64 {
-	return opt.harm + opt.delay + opt.bias + timeCost*opt.waitHelp/1000
+func (opt *option) asHelper(tune *Tuning) float64 {
+	return opt.harm + opt.delay + opt.bias + tune.TimeCost*opt.waitHelp/1000
 }
 
-func (opt *option) asFirst() float64 {
-	return opt.harm + opt.late + opt.bias + timeCost*(opt.wait+opt.pass)/1000
+func (opt *option) asFirst(tune *Tuning) float64 {
+	return opt.harm + opt.late + opt.bias + tune.TimeCost*(opt.wait+opt.pass)/1000
 }
 
 func (st *State) placePrompt(svc *service, req *request) (plan, bool) {
@@ -101,7 +100,7 @@
 	var best plan
 	found := false
 	for _, count := range engineCounts {
-		if count > 1 && (count > eng.Helpers+1 || readTime(eng, req.Prompt, 1) < minSplit*float64(count)) {
+		if count > 1 && (count > min(eng.Helpers+1, st.tune.MaxEngines) || readTime(eng, req.Prompt, 1) < st.tune.MinSplit*float64(count)) {
 			break
 		}
 		pl, ok := st.planFor(svc, req, count, price, rivals)
@@ -118,31 +117,25 @@
 // urgency is the part of its worth that a request may cost now. One that can wait and still be in time takes only a cheap
 // place: engines that are busy or write for callers who may not wait are often free a moment later.
 func (st *State) urgency(req *request, pl *plan) float64 {
-	if float64(len(pl.reps))*pl.part <= longRead {
+	if float64(len(pl.reps))*pl.part <= st.tune.LongRead {
 		// A short one has no time to wait for a better moment.
 		return 1
 	}
-	spare := safety*ms(req.Route.Goal.Std()) - pl.first
+	spare := st.tune.Safety*ms(req.Route.Goal.Std()) - pl.first
 	age := ms(st.now.Sub(req.at))
 	if spare <= 0 || age >= spare {
 		return 1
 	}
-	return calmShare + (1-calmShare)*age/spare
+	return st.tune.CalmShare + (1-st.tune.CalmShare)*age/spare
 }
 
-// calmShare is the part of its worth that a request may cost that has all its time left.
-const calmShare = 0.3
-
-// minSplit is the least reading in ms that is worth another engine.
-const minSplit = 60
-
 // planFor reckons the request read by so many engines.
 func (st *State) planFor(svc *service, req *request, count int, price prices, rivals int) (plan, bool) {
 	eng := svc.engine
 	part := readTime(eng, req.Prompt, count)
 	options := st.options(svc, req, part, rivals)
-	slices.SortStableFunc(options, func(one, two option) int { return cmp.Compare(one.asHelper(), two.asHelper()) })
-	first := firstOf(eng, req, options)
+	slices.SortStableFunc(options, func(one, two option) int { return cmp.Compare(one.asHelper(&st.tune), two.asHelper(&st.tune)) })
+	first := st.firstOf(eng, req, options)
 	if first < 0 || len(options) < count {
 		return plan{}, false
 	}
@@ -174,7 +167,7 @@
 	}
 	pl.first += options[first].pass
 	pl.cost += st.lateness(req, pl.first)
-	pl.cost += (price.read*float64(count)*part + price.slot*slotTime(eng, req) + timeCost*pl.first) / 1000
+	pl.cost += (price.read*float64(count)*part + price.slot*slotTime(eng, req) + st.tune.TimeCost*pl.first) / 1000
 	return pl, true
 }
 
@@ -185,7 +178,7 @@
 		if !rep.usable(st.now) || slices.Contains(req.tried, rep.Name) {
 			continue
 		}
-		if part > longRead && rep.readsLong(st.now) {
+		if part > st.tune.LongRead && st.readsLong(rep) {
 			continue
 		}
 		backlog := rep.backlog(st.now)
@@ -195,10 +188,10 @@
 		opt.pass = st.firstPass(svc.engine, rep, req)
 		opt.late = st.lateness(req, opt.wait+opt.pass)
 		opt.harm = st.harm(svc.engine, rep, backlog, part*rep.slow)
-		opt.bias = spread(rep, req) + crowding*st.random.Float64()
+		opt.bias = st.tune.spread(rep, req) + st.tune.Crowding*st.random.Float64()
 		opt.delay = st.delay(rep, backlog+opt.pass, part*rep.slow)
 		if rep.FailureDomain != st.Options.FailureDomain {
-			opt.bias += farCost
+			opt.bias += st.tune.FarCost
 		}
 		options = append(options, opt)
 	}
@@ -232,39 +225,31 @@
 // readsLong tells that the replica is reading a long prompt or a part of one and will not be done soon. An engine reads
 // the part that came last before all others, so that parts that keep coming hold back the earlier ones until the load
 // falls; what waits here keeps its order.
-func (rep *replica) readsLong(now time.Time) bool {
-	if ms(rep.readUntil.Sub(now)) < almostRead {
+func (st *State) readsLong(rep *replica) bool {
+	if ms(rep.readUntil.Sub(st.now)) < st.tune.AlmostRead {
 		return false
 	}
 	for i := range rep.works {
-		if wk := &rep.works[i]; !wk.begun && wk.read > longRead {
+		if wk := &rep.works[i]; !wk.begun && wk.read > st.tune.LongRead {
 			return true
 		}
 	}
 	return false
 }
 
-const (
-	// longRead is the reading in ms from which a prompt has its engines to itself.
-	longRead = 60
-	// almostRead is the reading in ms that may be left when the next long prompt is sent, so that the engine does not
-	// idle until the end of the one before is heard of.
-	almostRead = 40
-)
-
 // tokens is the memory that the request needs.
 func (req *request) tokens() int64 { return req.Prompt + req.Answer }
 
 // firstOf returns the place of the engine that should answer, -1 if none can. A request that fits into one engine waits
 // for one that has the memory; a larger one takes what there is, and its helpers set the rest aside.
-func firstOf(eng *decl.Engine, req *request, options []option) int {
+func (st *State) firstOf(eng *decl.Engine, req *request, options []option) int {
 	first := -1
 	large := req.tokens() > int64(memoryShare*float64(eng.Memory))
 	for i := range options {
 		if !options[i].slot || !large && options[i].free < req.tokens() {
 			continue
 		}
-		if first < 0 || options[i].asFirst() < options[first].asFirst() {
+		if first < 0 || options[i].asFirst(&st.tune) < options[first].asFirst(&st.tune) {
 			first = i
 		}
 	}
--- a/internal/steer/retry.go
+++ b/internal/steer/retry.go
@@ -17,6 +17,9 @@
 	}
 	req.running = false
 	req.begun = req.begun || ev.Begun
+	if ev.Pause > req.pause {
+		req.pause, req.pauseAt = ev.Pause, ev.PauseAt
+	}
 	st.unbook(req)
 	st.judge(req, ev)
 	if ev.Result != ResultNotSent && ev.Result != ResultNotRun && ev.Result != ResultMisdirected {
--- a/internal/steer/serve.go
+++ b/internal/steer/serve.go
@@ -85,13 +85,9 @@
 
 // tooLate tells that the answer can hardly begin by the goal any more.
 func (st *State) tooLate(req *request) bool {
-	return ms(req.goal.Sub(st.now)) < lastCall*ms(req.Route.Goal.Std())
+	return ms(req.goal.Sub(st.now)) < st.tune.LastCall*ms(req.Route.Goal.Std())
 }
 
-// lastCall is the part of the goal that is left when a waiting request is as good as late: an engine takes about two
-// fifths of a short prompt's goal to read it and to write the first event.
-const lastCall = 0.4
-
 func (st *State) trySend(req *request) bool {
 	pl, ok := st.place(req)
 	if !ok {
@@ -195,6 +191,9 @@
 	if !ok || ev.Attempt != req.attempt {
 		return
 	}
+	if !req.begun {
+		req.firstAt = st.now
+	}
 	req.begun = true
 	st.beginJob(jobKey{id: req.job}, req.reps)
 	st.tell(req, Note{Begun: []JobID{req.job}})
@@ -232,14 +231,29 @@
 		return
 	}
 	refusal := &Refusal{Reason: reason, NotRun: req.runs == 0, RetryAfter: after}
-	st.emit(Line{Message: "request refused", Request: req.Name, Reason: reason, Age: st.now.Sub(req.at), Attempt: req.attempt, Tokens: req.Prompt})
+	st.emit(Line{Message: "request refused", Request: req.Name, Reason: reason, Age: st.now.Sub(req.at), Attempt: req.attempt, Tokens: req.Prompt, End: st.endOf(req)})
 	st.finish(req, Finish{ID: req.ID, Refusal: refusal}, "")
 }
 
+// endOf is what the request came to.
+func (st *State) endOf(req *request) *End {
+	end := &End{
+		Route: req.Route.Name, Value: req.value, Back: req.returned,
+		Goal: req.goal.Sub(req.at), Gap: req.gap, Pause: req.pause,
+	}
+	if !req.firstAt.IsZero() {
+		end.First = req.firstAt.Sub(req.at)
+	}
+	if req.pause > 0 {
+		end.PauseAt = req.pauseAt.Sub(req.at)
+	}
+	return end
+}
+
 // finish ends a request. Every way out passes here.
 func (st *State) finish(req *request, fin Finish, message string) {
 	if message != "" {
-		st.emit(Line{Message: message, Request: req.Name, Age: st.now.Sub(req.at), Attempt: req.attempt, Tokens: req.Prompt})
+		st.emit(Line{Message: message, Request: req.Name, Age: st.now.Sub(req.at), Attempt: req.attempt, Tokens: req.Prompt, End: st.endOf(req)})
 	}
 	delete(st.requests, req.ID)
 	st.waiting = slices.DeleteFunc(st.waiting, func(other *request) bool { return other == req })
@@ -274,12 +288,9 @@
 // inVain tells that a caller that came back has waited for so much of its time that it had better know: what found no
 // place until then seldom finds one before its caller leaves.
 func (st *State) inVain(req *request) bool {
-	return req.returned && req.attempt == 0 && st.now.Sub(req.at) > time.Duration(vainShare*float64(req.Given))
+	return req.returned && req.attempt == 0 && st.now.Sub(req.at) > time.Duration(st.tune.VainShare*float64(req.Given))
 }
 
-// vainShare is the part of its time that a caller that came back may wait for a place.
-const vainShare = 0.2
-
 // stop ends what is under way when the process is about to be killed: a caller that gets an answer now need not find out
 // from a connection that is cut.
 func (st *State) stop() {
@@ -299,7 +310,7 @@
 func (st *State) recognize(req *request) {
 	full := max(st.given[req.Route.Name], req.Given)
 	st.given[req.Route.Name] = full
-	least := time.Duration(firstTry * float64(full))
+	least := time.Duration(st.tune.FirstTry * float64(full))
 	if req.Given == 0 || req.Given >= least {
 		return
 	}
@@ -309,22 +320,14 @@
 		return
 	}
 	req.goal = req.Patience
-	req.value *= 1 - lateShare
+	req.value *= 1 - st.tune.LateShare
 }
 
-const (
-	// firstTry is the part of the longest time given that a caller has at its first try, at the least. Callers differ by
-	// fifteen parts in a hundred.
-	firstTry = 0.84
-	// patientShare is the part of the time left that callers wait when they are asked to.
-	patientShare = 1.0 / 3
-)
-
 // comeBack spreads the callers that were refused over the time in which the backlog falls, so that they do not return
 // together.
 func (st *State) comeBack(req *request) time.Duration {
 	after := busyPause + duration(st.meanBacklog(st.serviceOf(req.service))*1000) + time.Duration(st.random.Int64N(int64(spreadBack)))
-	longest := time.Duration(patientShare * float64(req.Deadline.Sub(st.now)))
+	longest := time.Duration(st.tune.PatientShare * float64(req.Deadline.Sub(st.now)))
 	return min(after, max(longest, time.Millisecond))
 }
 
--- a/internal/steer/state.go
+++ b/internal/steer/state.go
@@ -20,11 +20,14 @@
 	// MissingTime is how long a replica that is missing from the list may still be used where the list itself was out of
 	// reach.
 	MissingTime time.Duration
+	// Tuning weighs one choice against another; the zero value stands for DefaultTuning.
+	Tuning Tuning
 }
 
 // State is everything an instance decides from. It belongs to one goroutine at a time.
 type State struct {
 	Options Options
+	tune    Tuning
 	// Routing is the version in force, nil before the first.
 	Routing *decl.Routing
 
@@ -95,9 +98,13 @@
 	tickets []int64
 	sentAt  time.Time
 	// runs counts the attempts that may have run.
-	runs    int
-	tried   []string
-	begun   bool
+	runs  int
+	tried []string
+	begun bool
+	// firstAt is when the answer began, pause its longest pause, which ended at pauseAt.
+	firstAt time.Time
+	pause   time.Duration
+	pauseAt time.Time
 	gone    bool
 	aborted bool
 	// answered tells that a replica's failure is at hand to be delivered.
@@ -108,8 +115,12 @@
 
 // New returns the state of an instance that has seen nothing yet.
 func New(opts Options) *State {
+	if opts.Tuning == (Tuning{}) {
+		opts.Tuning = DefaultTuning()
+	}
 	return &State{
 		Options:  opts,
+		tune:     opts.Tuning,
 		services: map[string]*service{},
 		replicas: map[string]*replica{},
 		requests: map[RequestID]*request{},
--- a/internal/steer/value.go
+++ b/internal/steer/value.go
@@ -6,14 +6,8 @@
 // is asked: a kind of request is worth more the longer its prompts are, though less than in proportion, and within a
 // kind a longer one is worth more.
 const (
-	// baseTokens is the mean prompt of a kind that is worth baseValue, and kindPower how the worth of a kind grows with
-	// its mean.
+	// baseTokens is the mean prompt of a kind that is worth Tuning.BaseValue.
 	baseTokens = 5000
-	baseValue  = 1.3
-	kindPower  = 0.8
-	// fixedShare of the worth does not depend on the prompt's own length; mostTimes bounds the rest.
-	fixedShare = 0.3
-	mostTimes  = 4.0
 	// meanGain is how much of a new prompt's length is taken over into its route's mean.
 	meanGain = 0.1
 )
@@ -21,7 +15,7 @@
 // valueOf is what an answer in time is worth, and takes the prompt into its route's mean.
 func (st *State) valueOf(route string, prompt int64) float64 {
 	if prompt == 0 {
-		return baseValue
+		return st.tune.BaseValue
 	}
 	mean, ok := st.means[route]
 	if !ok {
@@ -29,6 +23,6 @@
 	}
 	mean += meanGain * (float64(prompt) - mean)
 	st.means[route] = mean
-	kind := baseValue * math.Pow(mean/baseTokens, kindPower)
-	return kind * min(mostTimes, fixedShare+(1-fixedShare)*float64(prompt)/mean)
+	kind := st.tune.BaseValue * math.Pow(mean/baseTokens, st.tune.KindPower)
+	return kind * min(st.tune.MostTimes, st.tune.FixedShare+(1-st.tune.FixedShare)*float64(prompt)/mean)
 }
