First events and pauses are reckoned by the passes of engines

Cause: an engine works in passes. What comes during one waits for its end, is read in the next, and all events leave at the end of that; the estimate added up reading alone. The end of a pass shows by the answers that begin and by the events of own streams.

--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -54,6 +54,9 @@
 	if end == 0 {
 		return buf, true
 	}
+	if !tr.last.IsZero() {
+		tr.in.apply(steer.Progressed{ID: tr.cl.id, Attempt: tr.eff.Attempt})
+	}
 	tr.start(resp)
 	tr.progress()
 	if _, err := tr.cl.w.Write(buf[:end]); err != nil {
--- a/internal/steer/event.go
+++ b/internal/steer/event.go
@@ -47,6 +47,12 @@
 	Attempt int
 }
 
+// Progressed tells that an event of a stream came that had begun before.
+type Progressed struct {
+	ID      RequestID
+	Attempt int
+}
+
 // Result is how an attempt ended.
 type Result int
 
@@ -152,6 +158,7 @@
 func (Arrived) isEvent()      {}
 func (CallerGone) isEvent()   {}
 func (Began) isEvent()        {}
+func (Progressed) isEvent()   {}
 func (AttemptEnded) isEvent() {}
 func (Listed) isEvent()       {}
 func (Relisted) isEvent()     {}
--- a/internal/steer/loss.go
+++ b/internal/steer/loss.go
@@ -35,12 +35,16 @@
 // meanBacklog is the reading that waits at the average engine, in seconds. What waits at the instances does not count: the
 // longest prompts there would make engine time so dear that nothing was sent at all.
 func (st *State) meanBacklog(svc *service) float64 {
+	if svc.engine == nil {
+		return 0
+	}
 	var total float64
 	count := 0
 	for _, rep := range st.candidates(svc) {
 		if rep.usable(st.now) {
 			count++
-			total += min(rep.backlog(st.now)/1000, longestBacklog)
+			out := rep.outlook(svc.engine, &st.tune, st.now)
+			total += min(out.backlog()/1000, longestBacklog)
 		}
 	}
 	return total / float64(max(1, count))
@@ -48,7 +52,7 @@
 
 // slotTime is the engine time in ms that the request's answer takes up: its part of the passes in which it is written.
 func slotTime(eng *decl.Engine, req *request) float64 {
-	return float64(req.Answer) * stepTime(eng, eng.Slots, 0) / float64(eng.Slots)
+	return float64(req.Answer) * eng.StepTime(eng.Slots, 0) / float64(eng.Slots)
 }
 
 // lateness is the request's own worth lost if its answer begins in so many ms.
@@ -73,30 +77,23 @@
 	return math.Pow((estimate/left-tune.RiskFrom)/(tune.RiskTo-tune.RiskFrom), tune.RiskPower)
 }
 
-// harm is the worth that the callers of the streams lose that the replica writes if it reads so much more: a stream
-// pauses while its engine reads.
-func (st *State) harm(eng *decl.Engine, rep *replica, backlog, read float64) float64 {
-	before := backlog + rep.pass(eng, 0)
-	var lost float64
-	for i := range rep.works {
-		wk := &rep.works[i]
-		gap := ms(wk.gap)
-		if wk.first && wk.begun && gap > 0 && before+read > st.tune.GapSafety*gap && before <= st.tune.GapSafety*gap {
-			lost += st.tune.LateShare * wk.value
-		}
-	}
-	return lost
-}
-
-// delay is the worth that the requests lose which the replica has not begun to answer if it reads a part for another one
-// before them. Parts that keep coming would hold them back until their callers leave.
-func (st *State) delay(rep *replica, before, read float64) float64 {
+// harm is the worth that the callers of the replica's other requests lose if it reads so much more: streams pause for as
+// long as a pass lasts, and what waits for the same pass begins at its end.
+func (st *State) harm(rep *replica, out *outlook, part decl.Reading) float64 {
+	before, after := out.pause(decl.Reading{}), out.pause(part)
+	first, later := out.first(decl.Reading{}), out.first(part)
 	var lost float64
 	for i := range rep.works {
 		wk := &rep.works[i]
-		if wk.first && !wk.begun {
+		switch {
+		case !wk.first:
+		case wk.begun || wk.stage != stageWaits:
+			if safe := st.tune.GapSafety * ms(wk.gap); safe > 0 && after > safe && before <= safe {
+				lost += st.tune.LateShare * wk.value
+			}
+		default:
 			left := ms(wk.goal.Sub(st.now))
-			lost += st.tune.lateness(wk.value, left, before+read) - st.tune.lateness(wk.value, left, before)
+			lost += st.tune.lateness(wk.value, left, later) - st.tune.lateness(wk.value, left, first)
 		}
 	}
 	return lost
--- a/internal/steer/peer.go
+++ b/internal/steer/peer.go
@@ -115,7 +115,7 @@
 		st.peerStarts(nt.From, pr, &nt.Jobs[i])
 	}
 	for _, id := range nt.Begun {
-		st.beginJob(jobKey{nt.From, id}, pr.jobs[id])
+		st.beginJob(jobKey{nt.From, id}, pr.jobs[id], true)
 	}
 	for _, id := range nt.Ended {
 		st.peerEnds(nt.From, pr, id)
@@ -167,7 +167,7 @@
 	if known, ok := pr.jobs[job.ID]; ok {
 		if len(known) > 0 && known[0].Name == job.Replicas[0] {
 			if job.Begun {
-				st.beginJob(key, known)
+				st.beginJob(key, known, false)
 			}
 			return
 		}
@@ -213,12 +213,16 @@
 		wk := work{
 			key: key, first: i == 0, begun: job.Begun,
 			goal: st.now.Add(time.Duration(job.Goal) * time.Millisecond), gap: time.Duration(job.Gap) * time.Millisecond,
-			value: float64(job.Value), sent: st.now, claim: job.Claim,
+			value: float64(job.Value), sent: st.now, claim: job.Claim, alone: len(job.Replicas) == 1,
 		}
-		if eng := st.serviceOf(rep.Service).engine; eng != nil {
+		eng := st.serviceOf(rep.Service).engine
+		if eng != nil {
 			wk.context = job.Prompt / int64(len(job.Replicas))
+			part := eng.Reading(job.Prompt, len(job.Replicas))
+			alone := part.Alone(eng)
+			wk.long = alone > st.tune.LongRead
 			if !job.Begun {
-				wk.read = max(0, readTime(eng, job.Prompt, len(job.Replicas))-float64(job.Age))
+				wk.left = part.Times(max(0, 1-float64(job.Age)/alone))
 			}
 			switch {
 			case wk.first:
@@ -227,15 +231,16 @@
 				wk.tokens = job.Tickets[i-1]
 			}
 		}
-		rep.start(st.now, wk)
+		rep.start(eng, &st.tune, st.now, wk)
 		reps = append(reps, rep)
 	}
 	return reps
 }
 
-func (st *State) beginJob(key jobKey, reps []*replica) {
+// beginJob notes that a job's prompt is read; live tells that its answer begins just now.
+func (st *State) beginJob(key jobKey, reps []*replica, live bool) {
 	for _, rep := range reps {
-		rep.begin(st.now, key)
+		rep.begin(st.serviceOf(rep.Service).engine, st.now, key, live)
 	}
 }
 
--- a/internal/steer/place.go
+++ b/internal/steer/place.go
@@ -70,13 +70,14 @@
 // option is one engine as a candidate to answer or to help.
 type option struct {
 	rep *replica
-	// harm is what the callers of streams that it writes lose in worth, delay what those lose whose prompts a helper's
-	// part goes before.
-	harm, delay float64
+	// harm is what the callers of its other requests lose in worth.
+	harm float64
 	// bias makes the engine less of a choice without costing any caller anything.
 	bias float64
-	// wait is the time in ms until the part would be read if it answers, waitHelp if it helps, pass that of one pass.
-	wait, waitHelp, pass float64
+	// spread is what it costs if it answers.
+	spread float64
+	// wait is the time in ms until the answer would begin or the part be read if it answers, waitHelp if it helps.
+	wait, waitHelp float64
 	// late is the request's own worth lost if it is answered here.
 	late float64
 	// slot tells that it has room to answer, and not only to help; free is its free memory in tokens.
@@ -86,11 +87,11 @@
 
 // asHelper and asFirst are what the engine costs in the one and the other part.
 func (opt *option) asHelper(tune *Tuning) float64 {
-	return opt.harm + opt.delay + opt.bias + tune.TimeCost*opt.waitHelp/1000
+	return opt.harm + opt.bias + tune.TimeCost*opt.waitHelp/1000
 }
 
 func (opt *option) asFirst(tune *Tuning) float64 {
-	return opt.harm + opt.late + opt.bias + tune.TimeCost*(opt.wait+opt.pass)/1000
+	return opt.harm + opt.late + opt.bias + opt.spread + tune.TimeCost*opt.wait/1000
 }
 
 func (st *State) placePrompt(svc *service, req *request) (plan, bool) {
@@ -100,7 +101,7 @@
 	var best plan
 	found := false
 	for _, count := range engineCounts {
-		if count > 1 && (count > min(eng.Helpers+1, st.tune.MaxEngines) || readTime(eng, req.Prompt, 1) < st.tune.MinSplit*float64(count)) {
+		if count > 1 && (count > min(eng.Helpers+1, st.tune.MaxEngines) || eng.Reading(req.Prompt, 1).Alone(eng) < st.tune.MinSplit*float64(count)) {
 			break
 		}
 		pl, ok := st.planFor(svc, req, count, price, rivals)
@@ -132,15 +133,16 @@
 // planFor reckons the request read by so many engines.
 func (st *State) planFor(svc *service, req *request, count int, price prices, rivals int) (plan, bool) {
 	eng := svc.engine
-	part := readTime(eng, req.Prompt, count)
+	part := eng.Reading(req.Prompt, count)
 	options := st.options(svc, req, part, rivals)
 	slices.SortStableFunc(options, func(one, two option) int { return cmp.Compare(one.asHelper(&st.tune), two.asHelper(&st.tune)) })
 	first := st.firstOf(eng, req, options)
 	if first < 0 || len(options) < count {
 		return plan{}, false
 	}
-	pl := plan{part: part, reps: []*replica{options[first].rep}}
-	pl.cost, pl.bias, pl.first = options[first].harm, options[first].bias, options[first].wait
+	pl := plan{part: part.Alone(eng), reps: []*replica{options[first].rep}}
+	pl.cost, pl.first = options[first].harm, options[first].wait
+	pl.bias = options[first].spread
 	missing := req.tokens() - options[first].free
 	for i := range options {
 		if len(pl.reps) == count {
@@ -150,8 +152,7 @@
 			continue
 		}
 		pl.reps = append(pl.reps, options[i].rep)
-		pl.cost += options[i].harm + options[i].delay
-		pl.bias += options[i].bias
+		pl.cost += options[i].harm
 		pl.first = max(pl.first, options[i].waitHelp)
 		if missing > 0 {
 			ticket := min(missing, options[i].free)
@@ -165,31 +166,29 @@
 	if len(pl.reps) < count {
 		return plan{}, false
 	}
-	pl.first += options[first].pass
 	pl.cost += st.lateness(req, pl.first)
-	pl.cost += (price.read*float64(count)*part + price.slot*slotTime(eng, req) + st.tune.TimeCost*pl.first) / 1000
+	pl.cost += (price.read*float64(count)*pl.part + price.slot*slotTime(eng, req) + st.tune.TimeCost*pl.first) / 1000
 	return pl, true
 }
 
 // options lists the engines that may take a part of the reading.
-func (st *State) options(svc *service, req *request, part float64, rivals int) []option {
+func (st *State) options(svc *service, req *request, part decl.Reading, rivals int) []option {
 	options := make([]option, 0, len(svc.replicas))
+	long := part.Alone(svc.engine) > st.tune.LongRead
 	for _, rep := range st.candidates(svc) {
 		if !rep.usable(st.now) || slices.Contains(req.tried, rep.Name) {
 			continue
 		}
-		if part > st.tune.LongRead && st.readsLong(rep) {
+		out := rep.outlook(svc.engine, &st.tune, st.now)
+		if long && st.readsLong(rep, &out) {
 			continue
 		}
-		backlog := rep.backlog(st.now)
-		opt := option{rep: rep, wait: backlog + part*rep.slow, free: rep.free(svc.engine)}
-		opt.waitHelp = rep.helpBacklog(st.now) + part*rep.slow
+		opt := option{rep: rep, wait: out.first(part), waitHelp: out.help(part), free: rep.free(svc.engine)}
 		opt.slot = rep.running() < svc.engine.Slots && st.myTurn(rep, req, rivals)
-		opt.pass = st.firstPass(svc.engine, rep, req)
-		opt.late = st.lateness(req, opt.wait+opt.pass)
-		opt.harm = st.harm(svc.engine, rep, backlog, part*rep.slow)
-		opt.bias = st.tune.spread(rep, req) + st.tune.Crowding*st.random.Float64()
-		opt.delay = st.delay(rep, backlog+opt.pass, part*rep.slow)
+		opt.late = st.lateness(req, opt.wait)
+		opt.harm = st.harm(rep, &out, part)
+		opt.spread = st.tune.spread(rep, req)
+		opt.bias = st.tune.Crowding * st.random.Float64()
 		if rep.FailureDomain != st.Options.FailureDomain {
 			opt.bias += st.tune.FarCost
 		}
@@ -198,22 +197,6 @@
 	return options
 }
 
-// firstPass is the time in ms from the end of the reading to the first event: the pass that writes it and, where others
-// write, what is left on average of the pass that is under way when the request comes.
-func (st *State) firstPass(eng *decl.Engine, rep *replica, req *request) float64 {
-	pass := rep.pass(eng, req.Prompt)
-	if rep.running() == 0 {
-		return pass
-	}
-	return 1.5 * pass
-}
-
-// pass is the time in ms of one pass with one more request that has so much context.
-func (rep *replica) pass(eng *decl.Engine, context int64) float64 {
-	writers, contexts := rep.writers()
-	return float64(eng.Stride) * stepTime(eng, writers+1, contexts+context) * rep.slow
-}
-
 // memoryShare is the part of an engine's memory that is counted on: it is given out in blocks.
 const memoryShare = 0.97
 
@@ -225,12 +208,13 @@
 // readsLong tells that the replica is reading a long prompt or a part of one and will not be done soon. An engine reads
 // the part that came last before all others, so that parts that keep coming hold back the earlier ones until the load
 // falls; what waits here keeps its order.
-func (st *State) readsLong(rep *replica) bool {
-	if ms(rep.readUntil.Sub(st.now)) < st.tune.AlmostRead {
-		return false
-	}
+func (st *State) readsLong(rep *replica, out *outlook) bool {
 	for i := range rep.works {
-		if wk := &rep.works[i]; !wk.begun && wk.read > st.tune.LongRead {
+		wk := &rep.works[i]
+		if !wk.long || wk.begun || !wk.first && wk.stage == stageRead {
+			continue
+		}
+		if wk.first || wk.stage == stageWaits || wk.taken < 1 || out.left >= st.tune.AlmostRead {
 			return true
 		}
 	}
--- a/internal/steer/replica.go
+++ b/internal/steer/replica.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"dandelionsail.example/dandelionsail/pkg/decl"
 )
 
 // jobKey names a job over all instances; From is empty for this instance's own.
@@ -17,9 +19,15 @@
 	// first tells that the replica answers; the others only read.
 	first bool
 	begun bool
-	// tokens is the memory held, context what each step costs, read the part's reading in ms.
+	// tokens is the memory held, context what each step costs.
 	tokens, context int64
-	read            float64
+	// left is what is still to be read, taken the part of it that the pass under way reads. long tells that it keeps other
+	// long reads off the engine, alone that no other engine reads for the same prompt.
+	left  decl.Reading
+	taken float64
+	stage stage
+	long  bool
+	alone bool
 	// goal is when the answer should begin, gap the longest pause that its caller was promised.
 	goal time.Time
 	gap  time.Duration
@@ -37,9 +45,7 @@
 	gone   bool
 	goneAt time.Time
 	works  []work
-	// readUntil is when its engine will have read all that was sent to it, helpUntil when the parts for others' prompts,
-	// which it reads before everything else.
-	readUntil, helpUntil time.Time
+	passes passes
 	// slow is how many times longer its passes take than its figures say, at least 1.
 	slow float64
 	// failures counts those in a row; downUntil ends the last pause that they brought.
@@ -92,91 +98,51 @@
 	return tokens
 }
 
-// writers counts the requests that answer, begun or not, and their contexts.
-func (rep *replica) writers() (count int, contexts int64) {
-	for i := range rep.works {
-		if rep.works[i].first {
-			count++
-			contexts += rep.works[i].context
-		}
-	}
-	return count, contexts
-}
-
-// overdueShare is the part of its reading that a request which should have begun by now is taken to have left.
-const overdueShare = 0.3
-
-// backlog is the reading still to be done, in ms. An engine that is later than was reckoned is not idle.
-func (rep *replica) backlog(now time.Time) float64 {
-	if left := ms(rep.readUntil.Sub(now)); left > 0 {
-		return left
-	}
-	return overdueShare * rep.unread(false)
-}
-
-// helpBacklog is the part of the backlog that is read for others' prompts.
-func (rep *replica) helpBacklog(now time.Time) float64 {
-	if left := ms(rep.helpUntil.Sub(now)); left > 0 {
-		return left
-	}
-	return overdueShare * rep.unread(true)
-}
-
-// unread is the reading in ms for requests that have not begun to answer, or only that for others' prompts.
-func (rep *replica) unread(helping bool) float64 {
-	var total float64
-	for i := range rep.works {
-		if !rep.works[i].begun && !(helping && rep.works[i].first) {
-			total += rep.works[i].read * rep.slow
-		}
+// start books a job. Plain services have no engine's figures.
+func (rep *replica) start(eng *decl.Engine, tune *Tuning, now time.Time, wk work) {
+	if eng == nil {
+		rep.works = append(rep.works, wk)
+		return
 	}
-	return total
-}
-
-func (rep *replica) start(now time.Time, wk work) {
+	rep.advance(eng, tune, now)
 	rep.works = append(rep.works, wk)
-	read := duration(wk.read * rep.slow)
-	rep.readUntil = later(rep.readUntil, now).Add(read)
-	if !wk.first {
-		rep.helpUntil = later(rep.helpUntil, now).Add(read)
-	}
-}
-
-func later(one, two time.Time) time.Time {
-	if one.Before(two) {
-		return two
+	if rep.passes.idle() {
+		rep.startPass(eng, now)
 	}
-	return one
 }
 
-// begin notes that the job's prompt is read.
-func (rep *replica) begin(now time.Time, key jobKey) {
+// begin notes that the job's prompt is read, and if its answer begins just now that a pass has ended.
+func (rep *replica) begin(eng *decl.Engine, now time.Time, key jobKey, live bool) {
 	i := rep.find(key)
 	if i < 0 || rep.works[i].begun {
 		return
 	}
-	rep.works[i].begun = true
-	rep.caughtUp(now)
-}
-
-// caughtUp keeps the reckoned backlog from outlasting what is unread: a prediction that was too long would keep work
-// away from an engine that has nothing to do.
-func (rep *replica) caughtUp(now time.Time) {
-	if latest := now.Add(duration(rep.unread(false))); rep.readUntil.After(latest) {
-		rep.readUntil = latest
-	}
-	if latest := now.Add(duration(rep.unread(true))); rep.helpUntil.After(latest) {
-		rep.helpUntil = latest
+	wk := &rep.works[i]
+	wk.begun = true
+	wk.stage = stageRead
+	if live && wk.first && eng != nil {
+		rep.boundary(eng, now)
 	}
 }
 
+// end takes a job out. What the pass under way was to read of it is not read.
 func (rep *replica) end(now time.Time, key jobKey) {
 	i := rep.find(key)
 	if i < 0 {
 		return
 	}
+	if wk := &rep.works[i]; wk.stage == stageReads && !wk.begun {
+		end := rep.passes.end.Add(-duration(wk.left.Time * wk.taken * rep.slow))
+		rep.passes.end = later(now, end)
+	}
 	rep.works = slices.Delete(rep.works, i, i+1)
-	rep.caughtUp(now)
+}
+
+func later(one, two time.Time) time.Time {
+	if one.Before(two) {
+		return two
+	}
+	return one
 }
 
 func (rep *replica) find(key jobKey) int {
--- a/internal/steer/retry.go
+++ b/internal/steer/retry.go
@@ -78,7 +78,7 @@
 	if eng == nil || ev.Pass == 0 {
 		return
 	}
-	seen := ms(ev.Pass) / (float64(eng.Stride) * stepTime(eng, 1, req.Prompt))
+	seen := ms(ev.Pass) / (float64(eng.Stride) * eng.StepTime(1, req.Prompt))
 	if seen < slowFrom {
 		seen = 1
 	}
--- a/internal/steer/serve.go
+++ b/internal/steer/serve.go
@@ -195,12 +195,24 @@
 		req.firstAt = st.now
 	}
 	req.begun = true
-	st.beginJob(jobKey{id: req.job}, req.reps)
+	st.beginJob(jobKey{id: req.job}, req.reps, true)
 	st.tell(req, Note{Begun: []JobID{req.job}})
 	st.emit(Line{Message: "answer began", Request: req.Name, Replica: req.reps[0].Name, Age: st.now.Sub(req.at), Attempt: req.attempt})
 	st.pump()
 }
 
+// progressed takes the end of a pass from an event of a stream: all events of an engine leave it together.
+func (st *State) progressed(ev Progressed) {
+	req, ok := st.requests[ev.ID]
+	if !ok || ev.Attempt != req.attempt || len(req.reps) == 0 {
+		return
+	}
+	rep := req.reps[0]
+	if eng := st.serviceOf(rep.Service).engine; eng != nil {
+		rep.boundary(eng, st.now)
+	}
+}
+
 func (st *State) callerGone(ev CallerGone) {
 	req, ok := st.requests[ev.ID]
 	if !ok {
--- a/internal/steer/state.go
+++ b/internal/steer/state.go
@@ -150,6 +150,8 @@
 		st.callerGone(ev)
 	case Began:
 		st.began(ev)
+	case Progressed:
+		st.progressed(ev)
 	case AttemptEnded:
 		st.attemptEnded(ev)
 	case Listed:
--- a/internal/steer/tuning.go
+++ b/internal/steer/tuning.go
@@ -22,7 +22,8 @@
 	GiveUp float64
 	// Safety is the part of the time to the first event that a request may wait for a cheaper place.
 	Safety float64
-	// GapSafety is the part of the longest pause of a stream that a pass of its engine may take.
+	// GapSafety is the part of the longest pause of a stream that a pass of its engine may be reckoned to take: what comes to
+	// the engine meanwhile is read in the same pass.
 	GapSafety float64
 	// CalmShare is the part of its worth that a request may cost that has all its time left; 1 lets it go at once.
 	CalmShare float64
@@ -71,9 +72,9 @@
 // DefaultTuning returns the figures that are in use where no others are set.
 func DefaultTuning() Tuning {
 	return Tuning{
-		RiskFrom: 0.4, RiskTo: 1.3, RiskPower: 1.6, LateShare: 0.75, GiveUp: 5000, Safety: 0.8, GapSafety: 0.93, CalmShare: 0.3,
-		TimeCost: 0.3, BacklogCost: 3, SlotCost: 4, SlotsFrom: 0.8, SpreadCost: 0.02, FullShare: 0.25, Crowding: 0.1, FarCost: 0.005,
-		MaxEngines: 16, MinSplit: 60, LongRead: 60, AlmostRead: 40, OverdueShare: 0.3,
+		RiskFrom: 0.4, RiskTo: 1.3, RiskPower: 1.6, LateShare: 0.75, GiveUp: 5000, Safety: 0.8, GapSafety: 0.8, CalmShare: 0.3,
+		TimeCost: 0.3, BacklogCost: 3, SlotCost: 4, SlotsFrom: 0.8, SpreadCost: 0.1, FullShare: 1, Crowding: 0.03, FarCost: 0.005,
+		MaxEngines: 16, MinSplit: 60, LongRead: 60, AlmostRead: 10, OverdueShare: 0.3,
 		KindPower: 0.8, BaseValue: 1.3, FixedShare: 0.3, MostTimes: 4,
 		LastCall: 0.4, VainShare: 0.2, FirstTry: 0.84, PatientShare: 1.0 / 3,
 	}
--- a/pkg/decl/routing.go
+++ b/pkg/decl/routing.go
@@ -87,27 +87,6 @@
 	Engine *Engine
 }
 
-// Engine holds the declared figures by which a model engine works. It takes its requests in passes: with requests that
-// write, a pass is Stride steps, each of which writes one token for each of them and reads up to Chunk prompt tokens.
-type Engine struct {
-	// Slots is how many requests it runs at once.
-	Slots int
-	// Memory is how many tokens, prompts and answers together, it holds.
-	Memory int64
-	// Step is the time of one step in ms, PerWriter what each request that writes adds to it, and PerContext what each
-	// thousand tokens of their contexts add.
-	Step, PerWriter, PerContext float64
-	// ReadRate is in prompt tokens a ms, PairCost in ms a million pairs of a token and one before it.
-	ReadRate, PairCost float64
-	// Chunk is the longest part of a prompt that one step reads, in tokens.
-	Chunk int64
-	// Stride is how many tokens one event of a stream holds.
-	Stride int
-	// Hop is what a prompt in several engines adds to a step, in ms; Helpers is how many others may read one prompt.
-	Hop     float64
-	Helpers int
-}
-
 // Index makes Find take a time that follows the depth of the path and not the number of routes, of which operators add
 // hundreds at once. It must be called again after Routes has changed, and not beside Find.
 func (rt *Routing) Index() {
