sailbench policy: the decisions in virtual time against a model of engines

Scenarios are files or drawn by chance; policies are figures (steer.Tuning) and are compared over the same arrivals.

--- /dev/null
+++ b/internal/bench/policy.go
@@ -0,0 +1,190 @@
+package bench
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"math"
+	"os"
+	"runtime"
+	"strings"
+
+	"golang.org/x/sync/errgroup"
+
+	"dandelionsail.example/dandelionsail/internal/model"
+	"dandelionsail.example/dandelionsail/internal/steer"
+	"dandelionsail.example/dandelionsail/internal/tool"
+)
+
+type policyCommand struct {
+	Scenarios []string `long:"scenario" description:"scenario file; give it once for each"`
+	Draw      int      `long:"draw" description:"so many deployments drawn by chance besides"`
+	From      uint64   `long:"from" description:"first seed of the drawn deployments" default:"1"`
+	Seeds     int      `long:"seeds" description:"runs of each scenario, with seeds from 1 on" default:"3"`
+	Tunings   []string `long:"tuning" description:"NAME={...}, a policy to compare with the first; give it once for each"`
+	Jobs      int      `long:"jobs" description:"runs at the same time; 0 takes half of the processors" default:"0"`
+	Classes   bool     `long:"classes" description:"show the classes of each scenario"`
+	JSON      string   `long:"json" description:"file for all results as JSON; empty writes none"`
+}
+
+// trial is one policy.
+type trial struct {
+	Name   string
+	Tuning steer.Tuning
+	// Results holds the runs by scenario and seed.
+	Results [][]*model.Result
+}
+
+// Execute implements flags.Commander.
+func (cmd *policyCommand) Execute(_ []string) error {
+	scenarios, trials, err := cmd.read()
+	if err != nil {
+		return tool.Usage(err)
+	}
+	jobs := cmd.Jobs
+	if jobs <= 0 {
+		jobs = max(1, runtime.NumCPU()/2)
+	}
+	var group errgroup.Group
+	group.SetLimit(jobs)
+	for _, tr := range trials {
+		tr.Results = make([][]*model.Result, len(scenarios))
+		for i, sc := range scenarios {
+			tr.Results[i] = make([]*model.Result, cmd.Seeds)
+			for seed := range cmd.Seeds {
+				group.Go(func() error {
+					tr.Results[i][seed] = model.Run(sc, tr.Tuning, uint64(seed)+1)
+					return nil
+				})
+			}
+		}
+	}
+	_ = group.Wait()
+	for i, sc := range scenarios {
+		writeScenario(os.Stdout, sc.Name, i, trials, cmd.Classes)
+	}
+	writeLeads(os.Stdout, trials, len(scenarios))
+	if cmd.JSON == "" {
+		return nil
+	}
+	raw, err := json.MarshalIndent(trials, "", "  ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(cmd.JSON, raw, 0o644)
+}
+
+func (cmd *policyCommand) read() ([]*model.Scenario, []*trial, error) {
+	if cmd.Seeds < 1 || cmd.Draw < 0 || len(cmd.Scenarios)+cmd.Draw == 0 {
+		return nil, nil, fmt.Errorf("bench: policy has %d seeds and nothing to play or less; give --seeds 1 or more, and a --scenario or --draw", cmd.Seeds)
+	}
+	var scenarios []*model.Scenario
+	for _, path := range cmd.Scenarios {
+		sc, err := model.Load(path)
+		if err != nil {
+			return nil, nil, err
+		}
+		scenarios = append(scenarios, sc)
+	}
+	for i := range cmd.Draw {
+		scenarios = append(scenarios, model.Draw(cmd.From+uint64(i)))
+	}
+	trials := []*trial{{Name: "default", Tuning: steer.DefaultTuning()}}
+	for _, text := range cmd.Tunings {
+		name, figures, ok := strings.Cut(text, "=")
+		if !ok {
+			return nil, nil, fmt.Errorf("bench: --tuning is %q; give a name, = and a JSON object", text)
+		}
+		tr := &trial{Name: name}
+		if err := tr.Tuning.UnmarshalFlag(figures); err != nil {
+			return nil, nil, err
+		}
+		trials = append(trials, tr)
+	}
+	return scenarios, trials, nil
+}
+
+// writeScenario shows what each policy earned on one scenario.
+func writeScenario(out io.Writer, name string, index int, trials []*trial, classes bool) {
+	fmt.Fprintf(out, "%-14s %-18s %6s %6s %6s %8s %6s %8s %7s\n", name, "policy", "mark", "error", "whole", "windows", "class", "refused", "again")
+	for _, tr := range trials {
+		var sum model.Result
+		var marks []float64
+		count := float64(len(tr.Results[index]))
+		for _, res := range tr.Results[index] {
+			marks = append(marks, res.Mark)
+			sum.Whole += res.Whole / count
+			sum.Windows += res.Windows / count
+			sum.Class += res.Class / count
+			sum.Refusals += res.Refusals
+			sum.Again += res.Again
+		}
+		mean, stderr := meanAndError(marks)
+		fmt.Fprintf(out, "%-14s %-18s %6.3f %6.3f %6.3f %8.3f %6.3f %8.1f %7.1f\n", "", tr.Name, mean, stderr, sum.Whole, sum.Windows, sum.Class,
+			float64(sum.Refusals)/count, sum.Again/count)
+		if classes {
+			writeClasses(out, tr.Results[index])
+		}
+	}
+}
+
+func writeClasses(out io.Writer, results []*model.Result) {
+	for i := range results[0].Classes {
+		var sum model.ClassResult
+		count := float64(len(results))
+		for _, res := range results {
+			cr := &res.Classes[i]
+			sum.Asked += cr.Asked
+			sum.InTime += cr.InTime
+			sum.Late += cr.Late
+			sum.Refused += cr.Refused
+			sum.Fail += cr.Fail
+			sum.Worth += cr.Worth / count
+			sum.P50 += cr.P50 / count
+			sum.P90 += cr.P90 / count
+		}
+		fmt.Fprintf(out, "  %-12s asked %5d in time %5d late %4d refused %4d failed %4d worth %.3f first event %.0f ms, %.0f ms in the worst tenth\n",
+			results[0].Classes[i].Name, sum.Asked, sum.InTime, sum.Late, sum.Refused, sum.Fail, sum.Worth, sum.P50, sum.P90)
+	}
+}
+
+// writeLeads shows what each policy earned more than the first, run by run over the same arrivals.
+func writeLeads(out io.Writer, trials []*trial, scenarios int) {
+	for _, tr := range trials[1:] {
+		var leads []float64
+		lost := 0
+		for i := range scenarios {
+			var own []float64
+			for seed, res := range tr.Results[i] {
+				own = append(own, res.Mark-trials[0].Results[i][seed].Mark)
+			}
+			lead, _ := meanAndError(own)
+			leads = append(leads, lead)
+			if lead < 0 {
+				lost++
+			}
+		}
+		mean, stderr := meanAndError(leads)
+		least, most := math.Inf(1), math.Inf(-1)
+		for _, lead := range leads {
+			least, most = min(least, lead), max(most, lead)
+		}
+		fmt.Fprintf(out, "%-18s leads %s by %+.4f (standard error %.4f), from %+.3f to %+.3f, behind on %d of %d\n", tr.Name, trials[0].Name, mean, stderr, least, most, lost, scenarios)
+	}
+}
+
+// meanAndError returns the mean and its standard error, 0 for a single figure.
+func meanAndError(figures []float64) (mean, stderr float64) {
+	count := float64(len(figures))
+	for _, figure := range figures {
+		mean += figure / count
+	}
+	if count < 2 {
+		return mean, 0
+	}
+	squares := 0.0
+	for _, figure := range figures {
+		squares += (figure - mean) * (figure - mean)
+	}
+	return mean, math.Sqrt(squares / (count - 1) / count)
+}
