What waits keeps the reducer awake

Cause: the shell told the reducer that time passes every 10 ms only if something waited when its last pause of 200 ms began. A request that found no engine was looked at again up to 200 ms later, unless something else happened at its instance; with 59 instances little does. The reducer asks to be woken while anything waits.

--- a/internal/model/instance.go
+++ b/internal/model/instance.go
@@ -8,8 +8,7 @@
 
 // The times of the relay's shell, by which a reducer is told that time passes.
 const (
-	tickBusy      = 10.0
-	tickIdle      = 200.0
+	tickPeriod    = 200.0
 	summaryPeriod = 1000.0
 )
 
@@ -209,11 +208,7 @@
 		return
 	}
 	in.reduce(steer.Ticked{})
-	pause := tickIdle
-	if in.state.Waiting() > 0 {
-		pause = tickBusy
-	}
-	in.wd.after(pause, in.tick)
+	in.wd.after(tickPeriod, in.tick)
 }
 
 func (in *instance) summarize() {
--- a/internal/relay/instance.go
+++ b/internal/relay/instance.go
@@ -33,9 +33,8 @@
 	// headerTimeout and maxHeader bound a request's head.
 	headerTimeout = 8 * time.Second
 	maxHeader     = 64 << 10
-	// tickBusy and tickIdle are how often the reducer is told that time passes, with and without waiting requests.
-	tickBusy = 10 * time.Millisecond
-	tickIdle = 200 * time.Millisecond
+	// tickPeriod is how often the reducer is told that time passes; while requests wait it asks for more.
+	tickPeriod = 200 * time.Millisecond
 	// collectAt is the heap growth in percent after which garbage is collected: the heap is a few MB, and memory costs
 	// more than the little processor time.
 	collectAt = 40
@@ -249,11 +248,7 @@
 // tick tells the reducer that time passes.
 func (in *Instance) tick(ctx context.Context) error {
 	for ctx.Err() == nil {
-		pause := tickIdle
-		if in.waiting() > 0 {
-			pause = tickBusy
-		}
-		delay.For(ctx, pause)
+		delay.For(ctx, tickPeriod)
 		in.apply(steer.Ticked{})
 	}
 	return ctx.Err()
--- /dev/null
+++ b/internal/steer/serve_test.go
@@ -0,0 +1,30 @@
+package steer_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"dandelionsail.example/dandelionsail/internal/steer"
+)
+
+func TestWaitingRequestKeepsTheReducerAwake(t *testing.T) {
+	// A request comes for which no engine has a slot, and nothing else happens at this instance. The engine has one 20 ms
+	// later, of which a note tells. The shell's own tick may be 200 ms away, most of the 300 ms that the caller was
+	// promised: the reducer asks to be woken for as long as the request waits, once at a time, and not any longer.
+	in := newInstance(t, "one", 1)
+	nt := steer.Note{From: "two", Run: 1}
+	for id := range figures.Slots {
+		nt.Jobs = append(nt.Jobs, steer.Job{ID: steer.JobID(id), Replicas: []string{"lyric-0"}, Prompt: 1000, Goal: 300, Gap: 250, Begun: true})
+	}
+	in.reduce(steer.Heard{Note: nt})
+	wake := find[steer.Wake](t, in.arrive(&short, 2000))
+	assert.Assert(t, wake.After <= 10*time.Millisecond)
+	none[steer.Wake](t, in.reduce(steer.Heard{Note: steer.Note{From: "two", Run: 1, Ended: []steer.JobID{0}}}))
+	effects := in.pass(wake.After)
+	sent := find[steer.Send](t, effects)
+	assert.Equal(t, sent.ID, steer.RequestID(1))
+	none[steer.Wake](t, effects)
+	none[steer.Wake](t, in.pass(time.Second))
+}
--- a/internal/steer/state.go
+++ b/internal/steer/state.go
@@ -54,6 +54,8 @@
 	given map[string]time.Duration
 	// missing holds when the replicas are taken as gone that an incomplete list left out.
 	missing map[string]time.Time
+	// wakeAt is when the shell was last asked to wake the reducer.
+	wakeAt time.Time
 	// surveyAt is when engines are asked for their load, zero before the first list; done tells that they were or need
 	// not be.
 	surveyAt   time.Time
@@ -178,9 +180,23 @@
 		st.forget()
 		st.pump()
 	}
+	st.stayAwake()
 	return st.effects
 }
 
+// stayAwake asks to be woken while anything waits: what a waiting request needs may come free at any moment, and the
+// shell's own ticks are far apart, since most of the time nothing waits.
+func (st *State) stayAwake() {
+	if len(st.waiting) == 0 || st.now.Before(st.wakeAt) {
+		return
+	}
+	st.wakeAt = st.now.Add(wakePeriod)
+	st.emit(Wake{After: wakePeriod})
+}
+
+// wakePeriod is how often what waits is looked at: a tenth of the time that the shortest prompts have to wait at the most.
+const wakePeriod = 10 * time.Millisecond
+
 // Waiting reports how many requests wait for a replica.
 func (st *State) Waiting() int { return len(st.waiting) }
 
