--- a/internal/bench/policy.go
+++ b/internal/bench/policy.go
@@ -137,14 +137,15 @@
 			sum.Asked += cr.Asked
 			sum.InTime += cr.InTime
 			sum.Late += cr.Late
+			sum.Paused += cr.Paused
 			sum.Refused += cr.Refused
 			sum.Fail += cr.Fail
 			sum.Worth += cr.Worth / count
 			sum.P50 += cr.P50 / count
 			sum.P90 += cr.P90 / count
 		}
-		fmt.Fprintf(out, "  %-12s asked %5d in time %5d late %4d refused %4d failed %4d worth %.3f first event %.0f ms, %.0f ms in the worst tenth\n",
-			results[0].Classes[i].Name, sum.Asked, sum.InTime, sum.Late, sum.Refused, sum.Fail, sum.Worth, sum.P50, sum.P90)
+		fmt.Fprintf(out, "  %-12s asked %5d in time %5d late %4d (%d by a pause) refused %4d failed %4d worth %.3f first event %.0f ms, %.0f ms in the worst tenth\n",
+			results[0].Classes[i].Name, sum.Asked, sum.InTime, sum.Late, sum.Paused, sum.Refused, sum.Fail, sum.Worth, sum.P50, sum.P90)
 	}
 }
 
--- a/internal/model/result.go
+++ b/internal/model/result.go
@@ -34,6 +34,8 @@
 type ClassResult struct {
 	Name                               string
 	Asked, InTime, Late, Refused, Fail int
+	// Paused counts the late ones whose answer began in time.
+	Paused int
 	// Worth is the worth earned of the worth owed; P50 and P90 are of the time to the first event in ms.
 	Worth, P50, P90 float64
 
@@ -70,6 +72,9 @@
 		earned = cl.worth
 	case endedLate:
 		cr.Late++
+		if cl.first.Sub(cl.at) <= millis(cl.class.Goal) {
+			cr.Paused++
+		}
 		earned = cl.worth * cl.class.LateWorth / cl.class.Worth
 	case endedRefused:
 		cr.Refused++
--- a/internal/steer/tuning.go
+++ b/internal/steer/tuning.go
@@ -72,10 +72,10 @@
 // DefaultTuning returns the figures that are in use where no others are set.
 func DefaultTuning() Tuning {
 	return Tuning{
-		RiskFrom: 0.4, RiskTo: 1.3, RiskPower: 1.6, LateShare: 0.75, GiveUp: 5000, Safety: 0.8, GapSafety: 0.8, CalmShare: 0.3,
+		RiskFrom: 0.4, RiskTo: 1.3, RiskPower: 1.6, LateShare: 0.75, GiveUp: 5000, Safety: 0.8, GapSafety: 0.87, CalmShare: 0.3,
 		TimeCost: 0.3, BacklogCost: 3, SlotCost: 4, SlotsFrom: 0.8, SpreadCost: 0.1, FullShare: 1, Crowding: 0.03, FarCost: 0.005,
 		MaxEngines: 16, MinSplit: 60, LongRead: 60, AlmostRead: 10, OverdueShare: 0.3,
-		KindPower: 0.8, BaseValue: 1.3, FixedShare: 0.3, MostTimes: 4,
+		KindPower: 0.7, BaseValue: 1.3, FixedShare: 0.3, MostTimes: 4,
 		LastCall: 0.4, VainShare: 0.2, FirstTry: 0.84, PatientShare: 1.0 / 3,
 	}
 }
