A newcomer's survey counts no longer where an instance lived on

An instance that has lived for longer than the one that asked, or has heard of one that has, takes no such note, and drops what it took when it hears of one.

--- a/internal/steer/peer.go
+++ b/internal/steer/peer.go
@@ -101,7 +101,7 @@
 }
 
 func (st *State) heard(nt Note) {
-	if nt.From == st.Options.Name {
+	if nt.From == st.Options.Name || st.needless(&nt) {
 		return
 	}
 	pr := st.peerOf(nt)
--- a/internal/steer/survey.go
+++ b/internal/steer/survey.go
@@ -1,6 +1,9 @@
 package steer
 
-import "time"
+import (
+	"strings"
+	"time"
+)
 
 // After a power failure of all instances the engines still write for those that died, and nobody knows how much: a fleet
 // that starts with the notion that its engines are idle sends them more than they can take, just when the callers of the
@@ -62,6 +65,28 @@
 	return false
 }
 
+// needless tells that the note is of an engine's own load where an instance has lived on. What engines report is then
+// known from notes as well: counted twice, engines half full look full, and callers are refused for peerSilence.
+func (st *State) needless(nt *Note) bool {
+	if isSurvey(nt.From) {
+		return st.up() > nt.Up+together.Milliseconds() || st.olderHeard()
+	}
+	if nt.Up > st.up()+together.Milliseconds() {
+		st.dropSurveys()
+	}
+	return false
+}
+
+func isSurvey(from string) bool { return strings.HasPrefix(from, surveyName) }
+
+func (st *State) dropSurveys() {
+	for from, pr := range st.peers {
+		if isSurvey(from) {
+			st.dropPeer(from, pr)
+		}
+	}
+}
+
 // surveyed books an engine's load and tells the others of it.
 func (st *State) surveyed(ev Surveyed) {
 	rep, ok := st.replicas[ev.Replica]
