--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -27,6 +27,7 @@
 	}
 	addSlopes(parser)
 	add(parser.Command, "overhead", "Measure what an entry instance adds to an engine's answers", &overheadCommand{})
+	add(parser.Command, "losses", "Tell from the logs of instances where worth was lost", &lossesCommand{})
 	add(parser.Command, "policy", "Play the policy against a model of engines in virtual time", &policyCommand{})
 	add(parser.Command, "prove", "Inject faults into a fleet under load and check what must always hold", &proveCommand{})
 	add(parser.Command, "proxy", "Run a fault-injecting proxy before another process", &proxyCommand{})
