What failed at a replica hears in time, dead connections show, and callers that leave count

Test failed before. - A stream whose connection fell silent midway was believed to be under way as long as others heard its replica.

--- a/internal/model/caller.go
+++ b/internal/model/caller.go
@@ -82,18 +82,24 @@
 		Patience: patience, Given: millis(left), Digest: cl.digest,
 	})
 	cl.wd.after(ms(tr.until.Sub(now)), func() { in.expire(tr) })
-	cl.wd.after(wait, func() { cl.lose(in, tr) })
+	if cl.route.Stream {
+		cl.watch(in, tr, now, wait)
+	}
 }
 
-// lose makes a caller leave that has had no event for too long.
-func (cl *call) lose(in *instance, tr *try) {
-	if cl.over || tr.over || !cl.route.Stream {
-		return
-	}
-	if !tr.begun {
-		cl.end(endedFailed)
-		in.reduce(steer.CallerGone{ID: tr.id})
-	}
+// watch makes a caller leave that has had no event for so many ms since a moment.
+func (cl *call) watch(in *instance, tr *try, since time.Time, wait float64) {
+	left := wait - ms(cl.wd.now.Sub(since))
+	cl.wd.after(left, func() {
+		switch {
+		case cl.over || tr.over:
+		case tr.last.After(since):
+			cl.watch(in, tr, tr.last, wait)
+		default:
+			cl.end(endedFailed)
+			in.reduce(steer.CallerGone{ID: tr.id})
+		}
+	})
 }
 
 // event notes an event that reached the caller.
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -95,6 +95,8 @@
 	limit  atomic.Int64
 	checks atomic.Int32
 	last   time.Time
+	// progressed is when the last event came, nil before the first. It keeps the steady clock, which the time of day is not.
+	progressed atomic.Pointer[time.Time]
 }
 
 func (tr *try) run(ctx context.Context) steer.Result {
@@ -132,20 +134,31 @@
 		cancel()
 		return
 	}
+	var heard time.Time
 	if at, ok := tr.in.heard.Load(tr.eff.Replica.Name); ok {
-		if since := time.Since(at.(time.Time)); since < limit {
+		heard = at.(time.Time)
+	}
+	if tr.checks.Add(1) <= maxChecks && !passedBy(tr.progressed.Load(), heard, limit) {
+		if since := time.Since(heard); since < limit {
 			tr.timer.Reset(limit - since)
 			return
 		}
-	}
-	if tr.checks.Add(1) <= maxChecks && !died(ctx, tr.eff.Replica.Address) {
-		tr.timer.Reset(limit)
-		return
+		if !died(ctx, tr.eff.Replica.Address) {
+			tr.timer.Reset(limit)
+			return
+		}
 	}
 	tr.silent.Store(true)
 	cancel()
 }
 
+// passedBy tells that other requests heard the replica long after this one's last event: the events of an engine leave it
+// together, so that the connection is dead on which none came, though the replica is alive. Without that a stream sat on
+// such a connection until its caller left, for as long as others heard the replica.
+func passedBy(last *time.Time, heard time.Time, limit time.Duration) bool {
+	return last != nil && heard.Sub(*last) > limit/2
+}
+
 // setsAside tells that helpers set memory aside for the attempt.
 func setsAside(eff *steer.Send) bool {
 	return slices.ContainsFunc(eff.Helpers, func(helper steer.Helper) bool { return helper.Tokens > 0 })
@@ -160,7 +173,7 @@
 	return eff.FirstBy
 }
 
-// maxChecks is how often a replica that takes connections is believed to be at work on a request that it is silent about.
+// maxChecks is how often a replica that takes connections or is heard by others is believed to be at work on a request that it is silent about.
 const maxChecks = 3
 
 // failed classifies an attempt without a whole answer.
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -95,6 +95,8 @@
 		}
 	}
 	tr.last = now
+	tr.progressed.Store(&now)
+	tr.checks.Store(0)
 	tr.in.heard.Store(tr.eff.Replica.Name, now)
 	tr.limit.Store(int64(tr.eff.GapBy))
 	tr.timer.Reset(tr.eff.GapBy)
--- a/internal/steer/loss.go
+++ b/internal/steer/loss.go
@@ -77,6 +77,17 @@
 	return math.Pow((estimate/left-tune.RiskFrom)/(tune.RiskTo-tune.RiskFrom), tune.RiskPower)
 }
 
+// pauseLoss is the worth that a stream loses by a pause of so many ms: it is late, or its caller leaves.
+func (tune *Tuning) pauseLoss(wk *work, pause float64) float64 {
+	switch {
+	case wk.gap <= 0 || pause <= tune.GapSafety*ms(wk.gap):
+		return 0
+	case wk.leaves <= 0 || pause <= tune.LeaveSafety*ms(wk.leaves):
+		return tune.LateShare * wk.value
+	}
+	return wk.value * tune.LeaveCost
+}
+
 // harm is the worth that the callers of the replica's other requests lose if it reads so much more: streams pause for as
 // long as a pass lasts, and what waits for the same pass begins at its end.
 func (st *State) harm(rep *replica, out *outlook, part decl.Reading) float64 {
@@ -88,9 +99,7 @@
 		switch {
 		case !wk.first:
 		case wk.begun || wk.stage != stageWaits:
-			if safe := st.tune.GapSafety * ms(wk.gap); safe > 0 && after > safe && before <= safe {
-				lost += st.tune.LateShare * wk.value
-			}
+			lost += st.tune.pauseLoss(wk, after) - st.tune.pauseLoss(wk, before)
 		default:
 			left := ms(wk.goal.Sub(st.now))
 			lost += st.tune.lateness(wk.value, left, later) - st.tune.lateness(wk.value, left, first)
--- a/internal/steer/note.go
+++ b/internal/steer/note.go
@@ -36,8 +36,9 @@
 	Tickets []int64
 	// Prompt and Answer are in tokens.
 	Prompt, Answer int64
-	// Goal is the time left in ms when the note was made for the answer to begin, Gap the longest pause in ms.
-	Goal, Gap int32
+	// Goal is the time left in ms when the note was made for the answer to begin, Gap the longest pause in ms that its caller
+	// was promised, Leaves the one after which it leaves.
+	Goal, Gap, Leaves int32
 	// Age is how long ago in ms it was sent.
 	Age   int32
 	Begun bool
--- a/internal/steer/peer.go
+++ b/internal/steer/peer.go
@@ -91,7 +91,7 @@
 // booked is the request as the job that it is booked as.
 func (req *request) booked(now time.Time) Job {
 	job := Job{
-		ID: req.job, Prompt: req.Prompt, Answer: req.Answer, Goal: millis(req.goal.Sub(now)), Gap: millis(req.gap),
+		ID: req.job, Prompt: req.Prompt, Answer: req.Answer, Goal: millis(req.goal.Sub(now)), Gap: millis(req.gap), Leaves: millis(req.Patience.Sub(req.at)),
 		Tickets: req.tickets, Value: float32(req.value), Claim: req.claims,
 	}
 	for _, rep := range req.reps {
@@ -212,7 +212,7 @@
 		}
 		wk := work{
 			key: key, first: i == 0, begun: job.Begun,
-			goal: st.now.Add(time.Duration(job.Goal) * time.Millisecond), gap: time.Duration(job.Gap) * time.Millisecond,
+			goal: st.now.Add(time.Duration(job.Goal) * time.Millisecond), gap: time.Duration(job.Gap) * time.Millisecond, leaves: time.Duration(job.Leaves) * time.Millisecond,
 			value: float64(job.Value), sent: st.now, claim: job.Claim, alone: len(job.Replicas) == 1,
 		}
 		eng := st.serviceOf(rep.Service).engine
--- a/internal/steer/replica.go
+++ b/internal/steer/replica.go
@@ -31,6 +31,8 @@
 	// goal is when the answer should begin, gap the longest pause that its caller was promised.
 	goal time.Time
 	gap  time.Duration
+	// leaves is the pause after which its caller leaves.
+	leaves time.Duration
 	// value is what the answer is worth if it is in time.
 	value float64
 	sent  time.Time
--- a/internal/steer/retry.go
+++ b/internal/steer/retry.go
@@ -113,6 +113,7 @@
 	if ev.Result == ResultNotRun {
 		req.notBefore = st.now.Add(notRunPause)
 	}
+	req.waitsFrom = st.now
 	st.waiting = append(st.waiting, req)
 }
 
--- a/internal/steer/serve.go
+++ b/internal/steer/serve.go
@@ -19,7 +19,7 @@
 )
 
 func (st *State) arrived(ev Arrived) {
-	req := &request{Arrived: ev, at: st.now, service: st.choose(ev.Route)}
+	req := &request{Arrived: ev, at: st.now, waitsFrom: st.now, service: st.choose(ev.Route)}
 	req.goal = st.now.Add(ev.Route.Goal.Std())
 	req.gap = ev.Route.Gap.Std()
 	req.value = st.valueOf(ev.Route.Name, ev.Prompt)
@@ -297,10 +297,17 @@
 	}
 }
 
-// inVain tells that a caller that came back has waited for so much of its time that it had better know: what found no
-// place until then seldom finds one before its caller leaves.
+// inVain tells that a request has waited for so much of its caller's time that the caller had better know: what came back
+// or failed at a replica and found no place until then seldom finds one before its caller leaves.
 func (st *State) inVain(req *request) bool {
-	return req.returned && req.attempt == 0 && st.now.Sub(req.at) > time.Duration(st.tune.VainShare*float64(req.Given))
+	if req.begun || req.attempt == 0 && !req.returned || req.attempt > 0 && st.serviceOf(req.service).engine == nil {
+		return false
+	}
+	given := req.Given
+	if given == 0 {
+		given = req.Deadline.Sub(req.at)
+	}
+	return st.now.Sub(req.waitsFrom) > time.Duration(st.tune.VainShare*float64(given))
 }
 
 // stop ends what is under way when the process is about to be killed: a caller that gets an answer now need not find out
--- a/internal/steer/serve_test.go
+++ b/internal/steer/serve_test.go
@@ -28,3 +28,22 @@
 	none[steer.Wake](t, effects)
 	none[steer.Wake](t, in.pass(time.Second))
 }
+
+func TestRequestWhoseAttemptFailedHearsInTime(t *testing.T) {
+	// The engine that was to answer a long prompt falls silent, and there is no other one. The request waited for a place
+	// until its caller left, ten seconds later and with nothing to show for it. It gets its final answer after a part of its
+	// time now, without the promise that it has not run, so that its caller can try elsewhere while there is time.
+	in := newInstance(t, "one", 1)
+	in.next++
+	ev := steer.Arrived{
+		ID: in.next, Route: &long, Name: "request", Prompt: 100_000, Answer: 1000, Digest: 1, Given: 15 * time.Second,
+		Deadline: in.now.Add(15 * time.Second), Patience: in.now.Add(12 * time.Second),
+	}
+	sent := find[steer.Send](t, in.reduce(ev))
+	in.pass(3 * time.Second)
+	none[steer.Finish](t, in.end(sent, steer.ResultSilent))
+	none[steer.Finish](t, in.pass(2*time.Second))
+	fin := find[steer.Finish](t, in.pass(1100*time.Millisecond))
+	assert.Assert(t, fin.Refusal != nil && !fin.Refusal.NotRun)
+	assert.Equal(t, fin.Refusal.Reason, steer.ReasonDeadline)
+}
--- a/internal/steer/state.go
+++ b/internal/steer/state.go
@@ -111,6 +111,8 @@
 	aborted bool
 	// answered tells that a replica's failure is at hand to be delivered.
 	answered bool
+	// waitsFrom is when it began to wait for a place, at first or after an attempt that failed.
+	waitsFrom time.Time
 	// notBefore keeps it waiting after a refusal.
 	notBefore time.Time
 }
--- a/internal/steer/tuning.go
+++ b/internal/steer/tuning.go
@@ -25,6 +25,9 @@
 	// GapSafety is the part of the longest pause of a stream that a pass of its engine may be reckoned to take: what comes to
 	// the engine meanwhile is read in the same pass.
 	GapSafety float64
+	// LeaveSafety is the part of the pause after which callers leave that a pass may be reckoned to take, LeaveCost what is
+	// lost then in parts of the answer's worth.
+	LeaveSafety, LeaveCost float64
 	// CalmShare is the part of its worth that a request may cost that has all its time left; 1 lets it go at once.
 	CalmShare float64
 
@@ -61,7 +64,7 @@
 
 	// LastCall is the part of the goal that is left when a waiting request is as good as late; 0 lets it wait to its goal.
 	LastCall float64
-	// VainShare is the part of its time that a caller that came back may wait for a place.
+	// VainShare is the part of its time that a caller may wait for a place that came back or whose attempt failed.
 	VainShare float64
 	// FirstTry is the part of the longest time given that a caller has at its first try, at the least.
 	FirstTry float64
@@ -72,7 +75,7 @@
 // DefaultTuning returns the figures that are in use where no others are set.
 func DefaultTuning() Tuning {
 	return Tuning{
-		RiskFrom: 0.4, RiskTo: 1.3, RiskPower: 1.6, LateShare: 0.75, GiveUp: 5000, Safety: 0.8, GapSafety: 0.87, CalmShare: 0.3,
+		RiskFrom: 0.4, RiskTo: 1.3, RiskPower: 1.6, LateShare: 0.75, GiveUp: 5000, Safety: 0.8, GapSafety: 0.87, LeaveSafety: 0.87, LeaveCost: 1, CalmShare: 0.3,
 		TimeCost: 0.3, BacklogCost: 3, SlotCost: 4, SlotsFrom: 0.8, SpreadCost: 0.1, FullShare: 1, Crowding: 0.03, FarCost: 0.005,
 		MaxEngines: 16, MinSplit: 60, LongRead: 60, AlmostRead: 10, OverdueShare: 0.3,
 		KindPower: 0.7, BaseValue: 1.3, FixedShare: 0.3, MostTimes: 4,
@@ -109,7 +112,7 @@
 		}
 	}
 	shares := map[string]float64{
-		"LateShare": tune.LateShare, "Safety": tune.Safety, "GapSafety": tune.GapSafety, "CalmShare": tune.CalmShare,
+		"LateShare": tune.LateShare, "Safety": tune.Safety, "GapSafety": tune.GapSafety, "LeaveSafety": tune.LeaveSafety, "CalmShare": tune.CalmShare,
 		"FixedShare": tune.FixedShare, "LastCall": tune.LastCall, "VainShare": tune.VainShare, "FirstTry": tune.FirstTry,
 		"PatientShare": tune.PatientShare, "OverdueShare": tune.OverdueShare,
 	}
@@ -119,7 +122,7 @@
 		}
 	}
 	costs := map[string]float64{
-		"TimeCost": tune.TimeCost, "BacklogCost": tune.BacklogCost, "SlotCost": tune.SlotCost, "SpreadCost": tune.SpreadCost,
+		"TimeCost": tune.TimeCost, "BacklogCost": tune.BacklogCost, "SlotCost": tune.SlotCost, "LeaveCost": tune.LeaveCost, "SpreadCost": tune.SpreadCost,
 		"Crowding": tune.Crowding, "FarCost": tune.FarCost, "LongRead": tune.LongRead, "AlmostRead": tune.AlmostRead, "KindPower": tune.KindPower,
 	}
 	for name, cost := range costs {
