--- a/internal/steer/serve.go
+++ b/internal/steer/serve.go
@@ -59,6 +59,9 @@
 	if len(st.waiting) == 0 {
 		return
 	}
+	for _, req := range st.waiting {
+		st.lapse(req)
+	}
 	slices.SortStableFunc(st.waiting, st.order)
 	kept := st.waiting[:0]
 	for _, req := range st.waiting {
@@ -253,6 +256,9 @@
 		Route: req.Route.Name, Value: req.value, Back: req.returned,
 		Goal: req.goal.Sub(req.at), Gap: req.gap, Pause: req.pause,
 	}
+	if req.lapsed {
+		end.Value, end.Goal = req.worth, req.aim.Sub(req.at)
+	}
 	if !req.firstAt.IsZero() {
 		end.First = req.firstAt.Sub(req.at)
 	}
@@ -324,8 +330,8 @@
 }
 
 // recognize finds out whether the caller was here before, since it has less time than any caller of its route has at
-// first. Its goal counts from its first try, which was at least as long ago as its time is short; where the goal is past,
-// what is left of the answer's worth is lost when it gives up. It may have no other try, and stays as long as it can.
+// first. Its goal counts from its first try, which was at least as long ago as its time is short. It may have no other try,
+// and stays as long as it can.
 func (st *State) recognize(req *request) {
 	full := max(st.given[req.Route.Name], req.Given)
 	st.given[req.Route.Name] = full
@@ -335,9 +341,17 @@
 	}
 	req.returned = true
 	req.goal = req.goal.Add(req.Given - least)
-	if req.goal.After(st.now) {
+	st.lapse(req)
+}
+
+// lapse weighs a request whose goal is past by what is left of its answer's worth, which is lost when its caller leaves. By
+// its old goal the lateness that nothing can mend would count against every place that it could have.
+func (st *State) lapse(req *request) {
+	if req.lapsed || req.goal.After(st.now) {
 		return
 	}
+	req.lapsed = true
+	req.aim, req.worth = req.goal, req.value
 	req.goal = req.Patience
 	req.value *= 1 - st.tune.LateShare
 }
--- a/internal/steer/serve_test.go
+++ b/internal/steer/serve_test.go
@@ -47,3 +47,20 @@
 	assert.Assert(t, fin.Refusal != nil && !fin.Refusal.NotRun)
 	assert.Equal(t, fin.Refusal.Reason, steer.ReasonDeadline)
 }
+
+func TestLateRequestStillGoesWhereThereIsRoom(t *testing.T) {
+	// The engine that was to answer a long prompt falls silent, which shows three seconds after the answer should have
+	// begun. Another engine is idle. The lateness that cannot be helped any more counted against the request like one
+	// that a choice would cause, more than its answer was worth, and it was never sent again.
+	in := newInstance(t, "one", 1)
+	in.next++
+	ev := steer.Arrived{
+		ID: in.next, Route: &long, Name: "request", Prompt: 100_000, Answer: 1000, Digest: 1, Given: 15 * time.Second,
+		Deadline: in.now.Add(15 * time.Second), Patience: in.now.Add(12 * time.Second),
+	}
+	sent := find[steer.Send](t, in.reduce(ev))
+	in.pass(6 * time.Second)
+	in.reduce(steer.Listed{Replicas: replicas(2)})
+	again := in.within(100*time.Millisecond, in.end(sent, steer.ResultSilent))
+	assert.Equal(t, again.Replica.Name, "lyric-1")
+}
--- a/internal/steer/state.go
+++ b/internal/steer/state.go
@@ -87,6 +87,10 @@
 	value float64
 	// returned tells that the caller was here before.
 	returned bool
+	// lapsed tells that its goal is past; aim and worth are the goal and the value that it had.
+	lapsed bool
+	aim    time.Time
+	worth  float64
 	// attempt counts from 1, 0 before the first; running tells that one is under way on reps.
 	attempt int
 	running bool
