--- a/internal/bench/policy.go
+++ b/internal/bench/policy.go
@@ -24,6 +24,7 @@
 	Tunings   []string `long:"tuning" description:"NAME={...}, a policy to compare with the first; give it once for each"`
 	Jobs      int      `long:"jobs" description:"runs at the same time; 0 takes half of the processors" default:"0"`
 	Classes   bool     `long:"classes" description:"show the classes of each scenario"`
+	Bound     bool     `long:"bound" description:"show what the same decisions earn where all is known at once, and what no policy earns more than"`
 	JSON      string   `long:"json" description:"file for all results as JSON; empty writes none"`
 }
 
@@ -64,6 +65,9 @@
 		writeScenario(os.Stdout, sc.Name, i, trials, cmd.Classes)
 	}
 	writeLeads(os.Stdout, trials, len(scenarios))
+	if cmd.Bound {
+		cmd.writeBounds(os.Stdout, scenarios, trials[0], jobs)
+	}
 	if cmd.JSON == "" {
 		return nil
 	}
@@ -104,6 +108,34 @@
 	return scenarios, trials, nil
 }
 
+// writeBounds shows the worth earned of the worth owed beside what all-knowing decisions earn and what none can.
+func (cmd *policyCommand) writeBounds(out io.Writer, scenarios []*model.Scenario, tr *trial, jobs int) {
+	type bounds struct{ earned, known, most float64 }
+	all := make([]bounds, len(scenarios)*cmd.Seeds)
+	var group errgroup.Group
+	group.SetLimit(jobs)
+	for i, sc := range scenarios {
+		for seed := range cmd.Seeds {
+			group.Go(func() error {
+				known := model.Run(model.AllKnowing(sc), tr.Tuning, uint64(seed)+1)
+				all[i*cmd.Seeds+seed] = bounds{tr.Results[i][seed].Whole, known.Whole, model.Bound(sc, uint64(seed)+1)}
+				return nil
+			})
+		}
+	}
+	_ = group.Wait()
+	fmt.Fprintf(out, "%-26s %7s %10s %6s\n", "worth earned of that owed", "earned", "all known", "bound")
+	for i, sc := range scenarios {
+		var sum bounds
+		for _, one := range all[i*cmd.Seeds : (i+1)*cmd.Seeds] {
+			sum.earned += one.earned / float64(cmd.Seeds)
+			sum.known += one.known / float64(cmd.Seeds)
+			sum.most += one.most / float64(cmd.Seeds)
+		}
+		fmt.Fprintf(out, "%-26s %7.3f %10.3f %6.3f\n", sc.Name, sum.earned, sum.known, sum.most)
+	}
+}
+
 // writeScenario shows what each policy earned on one scenario.
 func writeScenario(out io.Writer, name string, index int, trials []*trial, classes bool) {
 	fmt.Fprintf(out, "%-14s %-18s %6s %6s %6s %8s %6s %8s %7s\n", name, "policy", "mark", "error", "whole", "windows", "class", "refused", "again")
--- a/internal/model/model_test.go
+++ b/internal/model/model_test.go
@@ -104,3 +104,19 @@
 		})
 	}
 }
+
+func TestNoPolicyPassesTheBound(t *testing.T) {
+	// The bound leaves out all that binds but the engines' time. What is earned stays below it; where engines have time for
+	// everything it is all, and with half of the engines it is less.
+	for _, name := range []string{"calm", "swings"} {
+		sc := load(t, name)
+		bound := model.Bound(sc, 1)
+		assert.Assert(t, model.Run(sc, steer.DefaultTuning(), 1).Whole <= bound+0.002, name)
+		fewer := *sc
+		fewer.Engines = 2
+		assert.Assert(t, model.Bound(&fewer, 1) < bound-0.02, name)
+	}
+	idle := load(t, "calm")
+	idle.Engines = 200
+	assert.Assert(t, model.Bound(idle, 1) > 0.999)
+}
--- a/internal/model/world.go
+++ b/internal/model/world.go
@@ -80,6 +80,19 @@
 // Run plays the scenario once. The same scenario, tuning and seed give the same result; the arrivals depend on the
 // scenario and the seed alone.
 func Run(sc *Scenario, tune steer.Tuning, seed uint64) *Result {
+	wd := newWorld(sc, tune, seed)
+	wd.start()
+	wd.arrive(func(index int) { wd.draw(index).begin() })
+	for _, out := range sc.Outages {
+		wd.after(out.At*1000, wd.kill)
+		wd.after((out.At+out.For)*1000, wd.start)
+	}
+	wd.play()
+	wd.result.finish()
+	return wd.result
+}
+
+func newWorld(sc *Scenario, tune steer.Tuning, seed uint64) *world {
 	wd := &world{
 		sc: sc, tune: tune, seed: seed, now: epoch,
 		random: rand.New(rand.NewPCG(seed, 1)), arrivals: rand.New(rand.NewPCG(seed, 2)),
@@ -87,20 +100,17 @@
 		result: newResult(sc),
 	}
 	wd.build()
-	wd.start()
-	wd.plan()
-	for _, out := range sc.Outages {
-		wd.after(out.At*1000, wd.kill)
-		wd.after((out.At+out.For)*1000, wd.start)
-	}
-	end := epoch.Add(millis((sc.Seconds + settling) * 1000))
+	return wd
+}
+
+// play does all that is due until some time after the last arrival.
+func (wd *world) play() {
+	end := epoch.Add(millis((wd.sc.Seconds + settling) * 1000))
 	for len(wd.due) > 0 && wd.due[0].at.Before(end) {
 		next := heap.Pop(&wd.due).(item)
 		wd.now = next.at
 		next.do()
 	}
-	wd.result.finish()
-	return wd.result
 }
 
 // after does something in so many ms.
@@ -210,8 +220,8 @@
 	}
 }
 
-// plan lets each class arrive as a Poisson stream, thinned where its rate is below its highest.
-func (wd *world) plan() {
+// arrive lets each class arrive as a Poisson stream, thinned where its rate is below its highest.
+func (wd *world) arrive(arrived func(index int)) {
 	for i := range wd.sc.Classes {
 		cls := &wd.sc.Classes[i]
 		most := cls.PerSecond
@@ -228,10 +238,7 @@
 			if source.Float64()*most >= wd.sc.rate(cls, at) {
 				continue
 			}
-			wd.after(at*1000, func() {
-				cl := wd.draw(i)
-				cl.begin()
-			})
+			wd.after(at*1000, func() { arrived(i) })
 		}
 	}
 }
