--- a/internal/steer/loss.go
+++ b/internal/steer/loss.go
@@ -12,24 +12,9 @@
 // longestBacklog bounds what one engine counts in the average, in seconds.
 const longestBacklog = 4.0
 
-// prices are the worth of a second of engine time now: of reading, which grows with the reading that waits, and of a
-// slot's share of writing, which grows with the slots taken. An engine that has much to read still writes beside it.
-type prices struct{ read, slot float64 }
-
-func (st *State) pricesOf(svc *service) prices {
-	var used, slots float64
-	for _, rep := range st.candidates(svc) {
-		if rep.usable(st.now) {
-			used += float64(min(rep.running(), rep.Slots))
-			slots += float64(rep.Slots)
-		}
-	}
-	full := 0.0
-	if slots > 0 {
-		full = max(0, (used/slots-st.tune.SlotsFrom)/(1-st.tune.SlotsFrom))
-	}
-	scarce := st.tune.TimeCost + st.tune.SlotCost*full
-	return prices{read: scarce + st.tune.BacklogCost*st.meanBacklog(svc), slot: scarce}
+// readPrice is the worth of a second of reading now, which grows with the reading that waits.
+func (st *State) readPrice(svc *service) float64 {
+	return st.tune.TimeCost + st.tune.BacklogCost*st.meanBacklog(svc)
 }
 
 // meanBacklog is the reading that waits at the average engine, in seconds. What waits at the instances does not count: the
@@ -50,11 +35,6 @@
 	return total / float64(max(1, count))
 }
 
-// slotTime is the engine time in ms that the request's answer takes up: its part of the passes in which it is written.
-func slotTime(eng *decl.Engine, req *request) float64 {
-	return float64(req.Answer) * eng.StepTime(eng.Slots, 0) / float64(eng.Slots)
-}
-
 // lateness is the request's own worth lost if its answer begins in so many ms.
 func (st *State) lateness(req *request, first float64) float64 {
 	return st.tune.lateness(req.value, ms(req.goal.Sub(st.now)), first)
--- a/internal/steer/place.go
+++ b/internal/steer/place.go
@@ -96,7 +96,7 @@
 
 func (st *State) placePrompt(svc *service, req *request) (plan, bool) {
 	eng := svc.engine
-	price := st.pricesOf(svc)
+	price := st.readPrice(svc)
 	rivals := st.rivals(svc)
 	var best plan
 	found := false
@@ -131,7 +131,7 @@
 }
 
 // planFor reckons the request read by so many engines.
-func (st *State) planFor(svc *service, req *request, count int, price prices, rivals int) (plan, bool) {
+func (st *State) planFor(svc *service, req *request, count int, price float64, rivals int) (plan, bool) {
 	eng := svc.engine
 	part := eng.Reading(req.Prompt, count)
 	options := st.options(svc, req, part, rivals)
@@ -167,7 +167,7 @@
 		return plan{}, false
 	}
 	pl.cost += st.lateness(req, pl.first)
-	pl.cost += (price.read*float64(count)*pl.part + price.slot*slotTime(eng, req) + st.tune.TimeCost*pl.first) / 1000
+	pl.cost += (price*float64(count)*pl.part + st.tune.TimeCost*pl.first) / 1000
 	return pl, true
 }
 
@@ -214,7 +214,7 @@
 		if !wk.long || wk.begun || !wk.first && wk.stage == stageRead {
 			continue
 		}
-		if wk.first || wk.stage == stageWaits || wk.taken < 1 || out.left >= st.tune.AlmostRead {
+		if wk.first || wk.stage == stageWaits || wk.taken < 1 || out.left > 0 {
 			return true
 		}
 	}
--- a/internal/steer/tuning.go
+++ b/internal/steer/tuning.go
@@ -33,11 +33,10 @@
 
 	// TimeCost is the worth of a second of engine time that nobody waits for, which parts choices that make nothing late.
 	TimeCost float64
-	// BacklogCost is what each second of reading that waits at the average engine adds to that, SlotCost what slots add
-	// that are taken beyond the part SlotsFrom; 0 switches each off. Under overload only what is worth more than what it
-	// displaces is sent; the rest waits for a lull, since a long prompt takes engine time by the square of its length and
-	// is worth only in proportion to it.
-	BacklogCost, SlotCost, SlotsFrom float64
+	// BacklogCost is what each second of reading that waits at the average engine adds to that; 0 switches it off. Under
+	// overload only what is worth more than what it displaces is sent; the rest waits for a lull, since a long prompt takes
+	// engine time by the square of its length and is worth only in proportion to it.
+	BacklogCost float64
 	// SpreadCost keeps a stream that may not pause off engines that have none like it, which are thereby kept free for
 	// long reads; 0 switches it off. FullShare is the part of its slots from which an engine counts as full of such streams.
 	SpreadCost, FullShare float64
@@ -51,9 +50,8 @@
 	MaxEngines int
 	// MinSplit is the least reading in ms that is worth another engine.
 	MinSplit float64
-	// LongRead is the reading in ms from which a prompt has its engines to itself, AlmostRead what may be left of it when
-	// the next long one is sent, so that the engine does not idle until the end of the one before is heard of.
-	LongRead, AlmostRead float64
+	// LongRead is the reading in ms from which a prompt has its engines to itself.
+	LongRead float64
 	// OverdueShare is the part of its pass that an engine is taken to have left which is later than was reckoned.
 	OverdueShare float64
 
@@ -76,8 +74,8 @@
 func DefaultTuning() Tuning {
 	return Tuning{
 		RiskFrom: 0.4, RiskTo: 1.3, RiskPower: 1.6, LateShare: 0.75, GiveUp: 5000, Safety: 0.8, GapSafety: 0.87, LeaveSafety: 0.87, LeaveCost: 1, CalmShare: 0.3,
-		TimeCost: 0.3, BacklogCost: 3, SlotCost: 4, SlotsFrom: 0.8, SpreadCost: 0.1, FullShare: 1, Crowding: 0.03, FarCost: 0.005,
-		MaxEngines: 16, MinSplit: 60, LongRead: 60, AlmostRead: 10, OverdueShare: 0.3,
+		TimeCost: 0.3, BacklogCost: 3, SpreadCost: 0.1, FullShare: 1, Crowding: 0.03, FarCost: 0.005,
+		MaxEngines: 16, MinSplit: 60, LongRead: 60, OverdueShare: 0.3,
 		KindPower: 0.7, BaseValue: 1.3, FixedShare: 0.3, MostTimes: 4,
 		LastCall: 0.4, VainShare: 0.2, FirstTry: 0.84, PatientShare: 1.0 / 3,
 	}
@@ -122,17 +120,14 @@
 		}
 	}
 	costs := map[string]float64{
-		"TimeCost": tune.TimeCost, "BacklogCost": tune.BacklogCost, "SlotCost": tune.SlotCost, "LeaveCost": tune.LeaveCost, "SpreadCost": tune.SpreadCost,
-		"Crowding": tune.Crowding, "FarCost": tune.FarCost, "LongRead": tune.LongRead, "AlmostRead": tune.AlmostRead, "KindPower": tune.KindPower,
+		"TimeCost": tune.TimeCost, "BacklogCost": tune.BacklogCost, "LeaveCost": tune.LeaveCost, "SpreadCost": tune.SpreadCost,
+		"Crowding": tune.Crowding, "FarCost": tune.FarCost, "LongRead": tune.LongRead, "KindPower": tune.KindPower,
 	}
 	for name, cost := range costs {
 		if cost < 0 {
 			return BadTuning.New("steer: %s is %v; give 0 or more", name, cost)
 		}
 	}
-	if tune.SlotsFrom < 0 || tune.SlotsFrom >= 1 {
-		return BadTuning.New("steer: SlotsFrom is %v; give a part from 0 to below 1", tune.SlotsFrom)
-	}
 	if tune.RiskFrom < 0 || tune.RiskTo <= tune.RiskFrom {
 		return BadTuning.New("steer: RiskFrom is %v and RiskTo %v; give 0 or more, and RiskTo above RiskFrom", tune.RiskFrom, tune.RiskTo)
 	}
--- a/internal/steer/tuning_test.go
+++ b/internal/steer/tuning_test.go
@@ -14,16 +14,16 @@
 	cases := map[string]struct {
 		text, complaint string
 	}{
-		"nothing":        {"", ""},
-		"one figure":     {`{"MaxEngines":4}`, ""},
-		"unknown":        {`{"MaxEngine":4}`, "MaxEngine"},
-		"no JSON":        {"4", "JSON"},
-		"no part":        {`{"LastCall":1.5}`, "LastCall"},
-		"below nothing":  {`{"SlotCost":-1}`, "SlotCost"},
-		"zero divisor":   {`{"FullShare":0}`, "FullShare"},
-		"wrong order":    {`{"RiskTo":0.1}`, "RiskTo"},
-		"no engine":      {`{"MaxEngines":0}`, "MaxEngines"},
-		"all slots free": {`{"SlotsFrom":1}`, "SlotsFrom"},
+		"nothing":       {"", ""},
+		"one figure":    {`{"MaxEngines":4}`, ""},
+		"unknown":       {`{"MaxEngine":4}`, "MaxEngine"},
+		"no JSON":       {"4", "JSON"},
+		"no part":       {`{"LastCall":1.5}`, "LastCall"},
+		"below nothing": {`{"BacklogCost":-1}`, "BacklogCost"},
+		"zero divisor":  {`{"FullShare":0}`, "FullShare"},
+		"wrong order":   {`{"RiskTo":0.1}`, "RiskTo"},
+		"no engine":     {`{"MaxEngines":0}`, "MaxEngines"},
+		"a figure gone": {`{"SlotsFrom":0.8}`, "SlotsFrom"},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
