--- a/internal/steer/place.go
+++ b/internal/steer/place.go
@@ -67,22 +67,28 @@
 // plainQueue is how many requests may wait at a plain replica beyond its slots; more wait here, in order of urgency.
 const plainQueue = 2
 
-// option is one engine as a candidate to answer or to help.
-type option struct {
+// candidate is one engine as a request finds it, whatever part of the reading it would have.
+type candidate struct {
 	rep *replica
+	out outlook
+	// reads tells that it reads a long prompt and takes no part of another.
+	reads bool
+	// bias makes the engine less of a choice without costing any caller anything, spread does if it answers.
+	bias, spread float64
+	// slot tells that it has room to answer, and not only to help; free is its free memory in tokens.
+	slot bool
+	free int64
+}
+
+// option is a candidate with a part of the reading.
+type option struct {
+	*candidate
 	// harm is what the callers of its other requests lose in worth.
 	harm float64
-	// bias makes the engine less of a choice without costing any caller anything.
-	bias float64
-	// spread is what it costs if it answers.
-	spread float64
 	// wait is the time in ms until the answer would begin or the part be read if it answers, waitHelp if it helps.
 	wait, waitHelp float64
 	// late is the request's own worth lost if it is answered here.
 	late float64
-	// slot tells that it has room to answer, and not only to help; free is its free memory in tokens.
-	slot bool
-	free int64
 }
 
 // asHelper and asFirst are what the engine costs in the one and the other part.
@@ -97,14 +103,14 @@
 func (st *State) placePrompt(svc *service, req *request) (plan, bool) {
 	eng := svc.engine
 	price := st.readPrice(svc)
-	rivals := st.rivals(svc)
+	engines := st.engines(svc, req)
 	var best plan
 	found := false
 	for _, count := range engineCounts {
 		if count > 1 && (count > min(eng.Helpers+1, st.tune.MaxEngines) || eng.Reading(req.Prompt, 1).Alone(eng) < st.tune.MinSplit*float64(count)) {
 			break
 		}
-		pl, ok := st.planFor(svc, req, count, price, rivals)
+		pl, ok := st.planFor(eng, req, engines, count, price)
 		if !ok {
 			continue
 		}
@@ -131,10 +137,9 @@
 }
 
 // planFor reckons the request read by so many engines.
-func (st *State) planFor(svc *service, req *request, count int, price float64, rivals int) (plan, bool) {
-	eng := svc.engine
+func (st *State) planFor(eng *decl.Engine, req *request, engines []candidate, count int, price float64) (plan, bool) {
 	part := eng.Reading(req.Prompt, count)
-	options := st.options(svc, req, part, rivals)
+	options := st.options(eng, req, engines, part)
 	slices.SortStableFunc(options, func(one, two option) int { return cmp.Compare(one.asHelper(&st.tune), two.asHelper(&st.tune)) })
 	first := st.firstOf(eng, req, options)
 	if first < 0 || len(options) < count {
@@ -171,27 +176,39 @@
 	return pl, true
 }
 
-// options lists the engines that may take a part of the reading.
-func (st *State) options(svc *service, req *request, part decl.Reading, rivals int) []option {
-	options := make([]option, 0, len(svc.replicas))
-	long := part.Alone(svc.engine) > st.tune.LongRead
+// engines lists the engines that may take a part of the reading.
+func (st *State) engines(svc *service, req *request) []candidate {
+	engines := make([]candidate, 0, len(svc.replicas))
+	rivals := st.rivals(svc)
 	for _, rep := range st.candidates(svc) {
 		if !rep.usable(st.now) || slices.Contains(req.tried, rep.Name) {
 			continue
 		}
-		out := rep.outlook(svc.engine, &st.tune, st.now)
-		if long && st.readsLong(rep, &out) {
+		cand := candidate{rep: rep, out: rep.outlook(svc.engine, &st.tune, st.now), free: rep.free(svc.engine)}
+		cand.reads = st.readsLong(rep, &cand.out)
+		cand.slot = rep.running() < svc.engine.Slots && st.myTurn(rep, req, rivals)
+		cand.spread = st.tune.spread(rep, req)
+		cand.bias = st.tune.Crowding * st.random.Float64()
+		if rep.FailureDomain != st.Options.FailureDomain {
+			cand.bias += st.tune.FarCost
+		}
+		engines = append(engines, cand)
+	}
+	return engines
+}
+
+// options prices a part of so much reading at each engine.
+func (st *State) options(eng *decl.Engine, req *request, engines []candidate, part decl.Reading) []option {
+	options := make([]option, 0, len(engines))
+	long := part.Alone(eng) > st.tune.LongRead
+	for i := range engines {
+		cand := &engines[i]
+		if long && cand.reads {
 			continue
 		}
-		opt := option{rep: rep, wait: out.first(part), waitHelp: out.help(part), free: rep.free(svc.engine)}
-		opt.slot = rep.running() < svc.engine.Slots && st.myTurn(rep, req, rivals)
+		opt := option{candidate: cand, wait: cand.out.first(part), waitHelp: cand.out.help(part)}
 		opt.late = st.lateness(req, opt.wait)
-		opt.harm = st.harm(rep, &out, part)
-		opt.spread = st.tune.spread(rep, req)
-		opt.bias = st.tune.Crowding * st.random.Float64()
-		if rep.FailureDomain != st.Options.FailureDomain {
-			opt.bias += st.tune.FarCost
-		}
+		opt.harm = st.harm(cand.rep, &cand.out, part)
 		options = append(options, opt)
 	}
 	return options
