An engine that declares no time for its steps does not stop the reducer

Found in reading: with steps of no time a pass has no length, and the reducer went from one to the next until now without getting there, with the instance's lock held. A pass takes 0.1 ms at the least. The test runs into its time limit without.

--- a/internal/steer/pass.go
+++ b/internal/steer/pass.go
@@ -33,6 +33,8 @@
 	sameBoundary = 5 * time.Millisecond
 	// leastExtension keeps an overdue pass from being extended again and again by next to nothing.
 	leastExtension = 3 * time.Millisecond
+	// leastPass is a pass of an engine that declares no time for its steps: without it time would stand still.
+	leastPass = 100 * time.Microsecond
 	// finished is the part of a reading that counts as none.
 	finished = 1e-6
 )
@@ -111,10 +113,10 @@
 	}
 	taken := false
 	for _, helping := range []bool{true, false} {
-		for at := range rep.works {
-			wk := &rep.works[at]
+		for i := range rep.works {
+			wk := &rep.works[i]
 			if helping {
-				wk = &rep.works[len(rep.works)-1-at]
+				wk = &rep.works[len(rep.works)-1-i]
 			}
 			if wk.first == helping || wk.begun || wk.stage != stageWaits || budget <= 0 {
 				continue
--- a/internal/steer/pass_test.go
+++ b/internal/steer/pass_test.go
@@ -53,6 +53,19 @@
 	}
 }
 
+func TestEngineThatDeclaresNoTime(t *testing.T) {
+	// An operator declares an engine whose steps take no time. Its passes have no length, and the reducer, which goes from
+	// one to the next until now, went on for ever with the instance's lock held.
+	in := newInstance(t, "one", 1)
+	timeless := figures
+	timeless.Step, timeless.PerWriter, timeless.PerContext = 0, 0, 0
+	in.reduce(steer.Configured{Routing: &decl.Routing{Version: 2, Services: map[string]decl.Pool{"lyric": {Engine: &timeless}, "board": {}}}})
+	sent := find[steer.Send](t, in.arrive(&short, 5000))
+	in.reduce(steer.Began{ID: sent.ID, Attempt: 1})
+	in.pass(10 * time.Second)
+	find[steer.Send](t, in.arrive(&short, 5000))
+}
+
 func TestReadsThatMeetInOnePassCountTogether(t *testing.T) {
 	// The engine writes a stream that may pause a quarter of a second. Another instance has just sent it 120 ms of reading,
 	// which waits for the next pass. 90 ms more are harmless alone, but in the same pass the stream would pause for too
