--- a/internal/loss/loss.go
+++ b/internal/loss/loss.go
@@ -136,7 +136,6 @@
 // life is what the logs say of one request.
 type life struct {
 	sends []Line
-	last  time.Time
 }
 
 // Report gives each request that was not answered in time to one cause.
--- a/internal/steer/pass.go
+++ b/internal/steer/pass.go
@@ -138,7 +138,7 @@
 		rep.passes = passes{}
 		return
 	}
-	rep.passes = passes{from: at, end: at.Add(duration(length * rep.slow))}
+	rep.passes = passes{from: at, end: at.Add(max(leastPass, duration(length*rep.slow)))}
 }
 
 // endPass takes what the pass has read from what is to be read.
