--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -2,6 +2,9 @@
 package bench
 
 import (
+	"encoding/json"
+	"os"
+
 	"github.com/jessevdk/go-flags"
 
 	"dandelionsail.example/dandelionsail/internal/tool"
@@ -39,3 +42,15 @@
 		panic(err)
 	}
 }
+
+// writeJSON writes a command's results to the file, or nothing without one.
+func writeJSON(path string, results any) error {
+	if path == "" {
+		return nil
+	}
+	raw, err := json.MarshalIndent(results, "", "  ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(path, raw, 0o644)
+}
--- a/internal/bench/losses.go
+++ b/internal/bench/losses.go
@@ -1,7 +1,6 @@
 package bench
 
 import (
-	"encoding/json"
 	"os"
 	"path/filepath"
 	"strings"
@@ -32,14 +31,7 @@
 	}
 	rp := logs.Report()
 	rp.Write(os.Stdout, cmd.Span)
-	if cmd.JSON == "" {
-		return nil
-	}
-	raw, err := json.MarshalIndent(rp, "", "  ")
-	if err != nil {
-		return err
-	}
-	return os.WriteFile(cmd.JSON, raw, 0o644)
+	return writeJSON(cmd.JSON, rp)
 }
 
 func readLog(logs *loss.Logs, path string) error {
--- a/internal/bench/policy.go
+++ b/internal/bench/policy.go
@@ -1,7 +1,6 @@
 package bench
 
 import (
-	"encoding/json"
 	"fmt"
 	"io"
 	"math"
@@ -68,14 +67,7 @@
 	if cmd.Bound {
 		cmd.writeBounds(os.Stdout, scenarios, trials[0], jobs)
 	}
-	if cmd.JSON == "" {
-		return nil
-	}
-	raw, err := json.MarshalIndent(trials, "", "  ")
-	if err != nil {
-		return err
-	}
-	return os.WriteFile(cmd.JSON, raw, 0o644)
+	return writeJSON(cmd.JSON, trials)
 }
 
 func (cmd *policyCommand) read() ([]*model.Scenario, []*trial, error) {
--- a/internal/steer/serve_test.go
+++ b/internal/steer/serve_test.go
@@ -29,17 +29,21 @@
 	none[steer.Wake](t, in.pass(time.Second))
 }
 
+// arriveLong brings a long prompt whose caller says how much time it has.
+func (in *instance) arriveLong() []steer.Effect {
+	in.next++
+	return in.reduce(steer.Arrived{
+		ID: in.next, Route: &long, Name: "request", Prompt: 100_000, Answer: 1000, Digest: 1, Given: 15 * time.Second,
+		Deadline: in.now.Add(15 * time.Second), Patience: in.now.Add(12 * time.Second),
+	})
+}
+
 func TestRequestWhoseAttemptFailedHearsInTime(t *testing.T) {
 	// The engine that was to answer a long prompt falls silent, and there is no other one. The request waited for a place
 	// until its caller left, ten seconds later and with nothing to show for it. It gets its final answer after a part of its
 	// time now, without the promise that it has not run, so that its caller can try elsewhere while there is time.
 	in := newInstance(t, "one", 1)
-	in.next++
-	ev := steer.Arrived{
-		ID: in.next, Route: &long, Name: "request", Prompt: 100_000, Answer: 1000, Digest: 1, Given: 15 * time.Second,
-		Deadline: in.now.Add(15 * time.Second), Patience: in.now.Add(12 * time.Second),
-	}
-	sent := find[steer.Send](t, in.reduce(ev))
+	sent := find[steer.Send](t, in.arriveLong())
 	in.pass(3 * time.Second)
 	none[steer.Finish](t, in.end(sent, steer.ResultSilent))
 	none[steer.Finish](t, in.pass(2*time.Second))
@@ -53,12 +57,7 @@
 	// begun. Another engine is idle. The lateness that cannot be helped any more counted against the request like one
 	// that a choice would cause, more than its answer was worth, and it was never sent again.
 	in := newInstance(t, "one", 1)
-	in.next++
-	ev := steer.Arrived{
-		ID: in.next, Route: &long, Name: "request", Prompt: 100_000, Answer: 1000, Digest: 1, Given: 15 * time.Second,
-		Deadline: in.now.Add(15 * time.Second), Patience: in.now.Add(12 * time.Second),
-	}
-	sent := find[steer.Send](t, in.reduce(ev))
+	sent := find[steer.Send](t, in.arriveLong())
 	in.pass(6 * time.Second)
 	in.reduce(steer.Listed{Replicas: replicas(2)})
 	again := in.within(100*time.Millisecond, in.end(sent, steer.ResultSilent))
