--- a/internal/model/engine.go
+++ b/internal/model/engine.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"dandelionsail.example/dandelionsail/internal/steer"
+	"dandelionsail.example/dandelionsail/pkg/decl"
 )
 
 // engine works in passes: what waits when a pass begins is read in it, parts for others' prompts first and the newest of
@@ -52,11 +53,9 @@
 	eng  *engine
 	run  *run
 	help bool
-	left reading
+	left decl.Reading
 }
 
-type reading struct{ time, steps float64 }
-
 // arrive takes a request, which waits where no slot or memory is free.
 func (en *engine) arrive(rn *run) {
 	if rn.cut {
@@ -114,13 +113,12 @@
 			break
 		}
 		share := 1.0
-		if pt.left.steps > steps {
-			share = steps / pt.left.steps
+		if pt.left.Steps > steps {
+			share = steps / pt.left.Steps
 		}
-		length += pt.left.time * share
-		steps -= pt.left.steps * share
-		pt.left.time *= 1 - share
-		pt.left.steps *= 1 - share
+		length += pt.left.Time * share
+		steps -= pt.left.Steps * share
+		pt.left = pt.left.Times(1 - share)
 		if share == 1 {
 			done = append(done, pt)
 		}
--- a/internal/model/instance.go
+++ b/internal/model/instance.go
@@ -95,13 +95,13 @@
 	rn.context = tr.call.prompt / int64(count)
 	rn.unread = count
 	whole := in.wd.sc.Engine.Reading(tr.call.prompt, count)
-	rn.parts = append(rn.parts, &part{eng: en, run: rn, left: reading{whole.Time, whole.Steps}})
+	rn.parts = append(rn.parts, &part{eng: en, run: rn, left: whole})
 	for _, helper := range eff.Helpers {
 		rn.tokens -= helper.Tokens
 		if helper.Tokens > 0 {
 			rn.tickets = append(rn.tickets, ticket{in.wd.engines[helper.Name], helper.Tokens})
 		}
-		rn.parts = append(rn.parts, &part{eng: in.wd.engines[helper.Name], run: rn, help: true, left: reading{whole.Time, whole.Steps}})
+		rn.parts = append(rn.parts, &part{eng: in.wd.engines[helper.Name], run: rn, help: true, left: whole})
 	}
 	if len(rn.tickets) == 0 {
 		in.wd.after(in.wd.sc.NoteDelay, func() { en.arrive(rn) })
