Subsets within failure domains, and changes that go out together

Cause: at 112 replicas the service was two cells, and every instance used two: each request's start, first event and end went to 194 instances, 148,000 datagrams a second with the summaries. Now a service of 64 replicas or more is split into subsets of 16 to 31 within the failure domains, each instance uses one, and changes are kept for 0.5 ms (starts, begins) or 5 ms (ends) for each listener; claims and long reads go at once.

--- a/internal/model/world.go
+++ b/internal/model/world.go
@@ -121,14 +121,13 @@
 
 // build makes the replicas and the routes.
 func (wd *world) build() {
-	domain := func(index int) string { return fmt.Sprintf("domain-%d", index%wd.sc.FailureDomains) }
 	for i := range wd.sc.Engines {
-		rep := steer.Replica{Name: fmt.Sprintf("engine-%03d", i), Born: 1, Service: serviceModel, Address: fmt.Sprintf("e%d", i), FailureDomain: domain(i), Slots: wd.sc.Engine.Slots}
+		rep := steer.Replica{Name: fmt.Sprintf("engine-%03d", i), Born: 1, Service: serviceModel, Address: fmt.Sprintf("e%d", i), FailureDomain: wd.domainOf(i), Slots: wd.sc.Engine.Slots}
 		wd.replicas = append(wd.replicas, rep)
 		wd.engines[rep.Name] = &engine{wd: wd, replica: rep}
 	}
 	for i := range wd.sc.Plain {
-		rep := steer.Replica{Name: fmt.Sprintf("plain-%03d", i), Born: 1, Service: servicePlain, Address: fmt.Sprintf("p%d", i), FailureDomain: domain(i), Slots: wd.sc.PlainSlots}
+		rep := steer.Replica{Name: fmt.Sprintf("plain-%03d", i), Born: 1, Service: servicePlain, Address: fmt.Sprintf("p%d", i), FailureDomain: wd.domainOf(i), Slots: wd.sc.PlainSlots}
 		wd.replicas = append(wd.replicas, rep)
 		wd.plains[rep.Name] = &plain{wd: wd, replica: rep}
 	}
@@ -159,24 +158,28 @@
 func (wd *world) launch(index int, run int64) {
 	in := &instance{wd: wd, name: wd.nameOf(index), calls: map[steer.RequestID]*try{}}
 	in.state = steer.New(steer.Options{
-		Name: in.name, FailureDomain: fmt.Sprintf("domain-%d", index%wd.sc.FailureDomains), Run: run, Seed: wd.seed*1000 + uint64(index) + uint64(run)*100,
+		Name: in.name, FailureDomain: wd.domainOf(index), Run: run, Seed: wd.seed*1000 + uint64(index) + uint64(run)*100,
 		MissingTime: 2 * time.Second, Tuning: wd.tune,
 		Budget: steer.Budget{Ratio: budgetRatio, Slack: budgetSlack, Window: budgetWindow},
 	})
 	wd.instances[index] = in
 	in.reduce(steer.Configured{Routing: wd.routing})
 	in.reduce(steer.Listed{Replicas: wd.replicas})
-	var others []string
+	var others []steer.Instance
 	for i := range wd.instances {
 		if i != index {
-			others = append(others, wd.nameOf(i))
+			others = append(others, steer.Instance{Name: wd.nameOf(i), FailureDomain: wd.domainOf(i)})
 		}
 	}
-	in.reduce(steer.Peered{Names: others})
+	in.reduce(steer.Peered{Instances: others})
 	in.tick()
 	wd.after(summaryPeriod*wd.random.Float64(), in.summarize)
 }
 
+func (wd *world) domainOf(index int) string {
+	return fmt.Sprintf("domain-%d", index%wd.sc.FailureDomains)
+}
+
 func (wd *world) nameOf(index int) string { return fmt.Sprintf("instance-%03d", index) }
 
 // kill takes all instances away with everything that they know.
--- a/internal/relay/instance.go
+++ b/internal/relay/instance.go
@@ -84,7 +84,7 @@
 	in := &Instance{
 		opts:      opts,
 		run:       opts.Name + "." + strconv.FormatInt(run, 36),
-		self:      Peer{Name: opts.Name, Address: opts.PeerListen},
+		self:      Peer{Name: opts.Name, Address: opts.PeerListen, FailureDomain: opts.FailureDomain},
 		directory: directory,
 		protocol:  protocol,
 		log:       logger,
--- a/internal/relay/notes.go
+++ b/internal/relay/notes.go
@@ -320,6 +320,7 @@
 	})
 	addresses := make(map[string]*net.UDPAddr, len(ranked))
 	var askers []*net.UDPAddr
+	var others []steer.Instance
 	mine := false
 	for place, peer := range ranked {
 		if peer.Name == in.self.Name {
@@ -332,6 +333,7 @@
 			continue
 		}
 		addresses[peer.Name] = address
+		others = append(others, steer.Instance{Name: peer.Name, FailureDomain: peer.FailureDomain})
 		if place < storeAskers {
 			askers = append(askers, address)
 		}
@@ -339,5 +341,5 @@
 	in.notes.peers.Store(&addresses)
 	in.notes.askers.Store(&askers)
 	in.notes.mine.Store(mine)
-	in.apply(steer.Peered{Names: slices.Sorted(maps.Keys(addresses))})
+	in.apply(steer.Peered{Instances: others})
 }
--- a/internal/relay/ports.go
+++ b/internal/relay/ports.go
@@ -54,6 +54,8 @@
 	_       struct{} `cbor:",toarray"`
 	Name    string
 	Address string
+	// FailureDomain is where it runs.
+	FailureDomain string
 }
 
 // Change is one change in a Directory. One of the fields behind Revision is set, none if what changed concerns nobody.
--- a/internal/steer/bench_test.go
+++ b/internal/steer/bench_test.go
@@ -11,7 +11,7 @@
 // crowd returns an instance before so many engines, each of which writes eight streams of another instance.
 func crowd(engines int) *instance {
 	in := newInstance(nil, "one", engines)
-	in.reduce(steer.Peered{Names: []string{"two"}})
+	in.reduce(steer.Peered{Instances: []steer.Instance{{Name: "two"}}})
 	nt := steer.Note{From: "two", Run: 1}
 	for engine := range engines {
 		for range 8 {
--- a/internal/steer/claim.go
+++ b/internal/steer/claim.go
@@ -59,9 +59,9 @@
 
 // withdraw gives a claim up.
 func (st *State) withdraw(req *request) {
-	req.claims = false
 	st.claims = slices.DeleteFunc(st.claims, func(other *request) bool { return other == req })
 	st.unbook(req)
+	req.claims = false
 }
 
 // prevails tells that the request's replica has a slot for it after all claims of a better right.
@@ -117,7 +117,7 @@
 
 // rivals is how many requests wait at the instances that use the same replicas. One that is not heard counts as having one.
 func (st *State) rivals(svc *service) int {
-	names := st.neighbours(svc)
+	names := st.users(st.ownSubset(svc))
 	if names == nil {
 		names = st.names
 	}
--- a/internal/steer/claim_test.go
+++ b/internal/steer/claim_test.go
@@ -41,7 +41,13 @@
 	for i, name := range ch.names {
 		ch.sts[name] = steer.New(steer.Options{Name: name, FailureDomain: "a", Run: 1, Seed: uint64(i) + 1})
 		ch.tell(name, steer.Configured{Routing: &decl.Routing{Version: 1, Services: map[string]decl.Pool{"lyric": {Engine: &figures}}}})
-		ch.tell(name, steer.Peered{Names: slices.DeleteFunc(slices.Clone(ch.names), func(other string) bool { return other == name })})
+		var others []steer.Instance
+		for _, other := range ch.names {
+			if other != name {
+				others = append(others, steer.Instance{Name: other, FailureDomain: "a"})
+			}
+		}
+		ch.tell(name, steer.Peered{Instances: others})
 		ch.tell(name, steer.Listed{Replicas: list})
 	}
 	return ch
--- a/internal/steer/event.go
+++ b/internal/steer/event.go
@@ -131,8 +131,8 @@
 // Configured brings the version in force.
 type Configured struct{ Routing *decl.Routing }
 
-// Peered brings the names of the other instances that live.
-type Peered struct{ Names []string }
+// Peered brings the other instances that live.
+type Peered struct{ Instances []Instance }
 
 // Heard brings another instance's note.
 type Heard struct{ Note Note }
--- /dev/null
+++ b/internal/steer/gather_test.go
@@ -0,0 +1,110 @@
+package steer
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"dandelionsail.example/dandelionsail/pkg/decl"
+)
+
+var gatherRoute = decl.Route{
+	Name: "short", Shares: []decl.Share{{Service: "lyric", Weight: 1}}, Stream: true, Repeats: decl.RepeatsResumed,
+	Timeout: decl.Duration(10 * time.Second), Goal: decl.Duration(400 * time.Millisecond), Gap: decl.Duration(300 * time.Millisecond), Attempts: 2,
+}
+
+// arrival is a request of the number with a prompt of so many tokens.
+func arrival(now time.Time, id RequestID, prompt int64) Arrived {
+	return Arrived{ID: id, Route: &gatherRoute, Prompt: prompt, Answer: 100, Digest: Digest(id), Deadline: now.Add(10 * time.Second), Patience: now.Add(2 * time.Second)}
+}
+
+// tells returns the messages to other instances among the effects of the event.
+func tells(st *State, now time.Time, ev Event) []Tell {
+	var found []Tell
+	for _, eff := range st.Reduce(now, ev) {
+		if eff, ok := eff.(Tell); ok {
+			found = append(found, eff)
+		}
+	}
+	return found
+}
+
+func TestMessagesOfARequestDoNotGrowWithTheFleet(t *testing.T) {
+	// Each of 195 instances told all others of each request's start, first event and end: 580 datagrams a request, of which
+	// the whole fleet's processors had more work than of the requests. A request is told to those that use its replica's
+	// subset, three times at the most.
+	st := fleet{195, 112, 5}.instance(3)
+	now := fleetStart
+	datagrams := 0
+	count := func(list []Tell) {
+		for _, tell := range list {
+			assert.Assert(t, tell.To != nil)
+			datagrams += len(tell.To)
+		}
+	}
+	count(tells(st, now, arrival(now, 1, 5000)))
+	now = now.Add(150 * time.Millisecond)
+	count(tells(st, now, Ticked{}))
+	count(tells(st, now, Began{ID: 1, Attempt: 1}))
+	now = now.Add(time.Second)
+	count(tells(st, now, Ticked{}))
+	count(tells(st, now, AttemptEnded{ID: 1, Attempt: 1, Result: ResultDone, Begun: true}))
+	count(tells(st, now.Add(time.Second), Ticked{}))
+	assert.Assert(t, datagrams >= 3*30 && datagrams <= 3*38, datagrams)
+}
+
+func TestChangesGoOutTogether(t *testing.T) {
+	// A busy instance has several changes within the time that others can do without. They go out as one message, with the
+	// times as they are by then.
+	st := fleet{195, 112, 5}.instance(3)
+	now := fleetStart
+	for id := range RequestID(5) {
+		assert.Equal(t, len(tells(st, now, arrival(now, id+1, 5000))), 0)
+		now = now.Add(time.Millisecond)
+	}
+	now = fleetStart.Add(gatherMost)
+	told := tells(st, now, Ticked{})
+	assert.Equal(t, len(told), 1)
+	assert.Equal(t, len(told[0].Note.Jobs), 5)
+	assert.Equal(t, told[0].Note.Jobs[0].Goal, int32(300))
+	assert.Equal(t, told[0].Note.Jobs[0].Age, int32(100))
+}
+
+func TestWhatOthersNeedAtOnceIsNotKept(t *testing.T) {
+	// A long read keeps its engine from all others, and a claim must be heard before the slot is taken. Kept for a moment,
+	// both would come too late: two long reads meet at one engine, and a slot is taken twice.
+	cases := map[string]struct {
+		engines int
+		prompt  int64
+		claim   bool
+	}{
+		"a long read":             {112, 220_000, false},
+		"a claim on a scarce one": {1, 5000, true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			st := fleet{195, tc.engines, 5}.instance(3)
+			for id := range RequestID(14) {
+				if tc.claim {
+					st.Reduce(fleetStart, arrival(fleetStart, 100+id, 100))
+				}
+			}
+			told := tells(st, fleetStart, arrival(fleetStart, 1, tc.prompt))
+			assert.Assert(t, len(told) == 1 && len(told[0].Note.Jobs) > 0, told)
+		})
+	}
+}
+
+func TestLateNewsOfABeginMovesNoPass(t *testing.T) {
+	// An answer's begin tells where its engine is in its passes, if it is heard at once. Heard later it would let a pass
+	// begin that began long ago, and the next request be sent to an engine that is not free.
+	st := fleet{2, 1, 1}.instance(0)
+	job := Job{ID: 1, Replicas: []string{"engine-0"}, Prompt: 5000, Goal: 400, Gap: 300}
+	st.Reduce(fleetStart, Heard{Note: Note{From: "instance-1", Run: 1, Jobs: []Job{job}}})
+	before := st.replicas["engine-0"].passes
+	now := fleetStart.Add(20 * time.Millisecond)
+	st.Reduce(now, Heard{Note: Note{From: "instance-1", Run: 1, Begun: []JobID{1}, BegunAge: 15}})
+	assert.Equal(t, st.replicas["engine-0"].passes, before)
+	assert.Assert(t, st.replicas["engine-0"].works[0].begun)
+}
--- a/internal/steer/list.go
+++ b/internal/steer/list.go
@@ -65,7 +65,7 @@
 func (st *State) enlist(rep *replica) {
 	svc := st.serviceOf(rep.Service)
 	svc.replicas = append(svc.replicas, rep)
-	svc.candidates = nil
+	svc.relayout()
 	st.emit(Line{Message: "replica joins", Replica: rep.Name})
 }
 
@@ -90,7 +90,7 @@
 	rep.goneAt = st.now
 	svc := st.serviceOf(rep.Service)
 	svc.replicas = slices.DeleteFunc(svc.replicas, func(other *replica) bool { return other == rep })
-	svc.candidates = nil
+	svc.relayout()
 }
 
 // forget drops what is over: missing replicas whose time has passed, gone ones without work, silent peers.
--- a/internal/steer/note.go
+++ b/internal/steer/note.go
@@ -15,6 +15,8 @@
 	Jobs  []Job
 	// Begun and Ended name jobs whose answer has begun and that are over.
 	Begun, Ended []JobID
+	// BegunAge is how long ago in ms the first of the answers began.
+	BegunAge int32
 	// Deaths counts the replicas that died while running a content.
 	Deaths []Death
 	// Down names replicas that failed to take a connection or fell silent.
--- a/internal/steer/peer.go
+++ b/internal/steer/peer.go
@@ -40,52 +40,53 @@
 	return st.now.Sub(st.startedAt).Milliseconds()
 }
 
+// idleSummaries is every which summary an instance sends that has nothing under way: often enough not to count as silent
+// with one of them lost.
+const idleSummaries = 2
+
 // summaryJobs is how many jobs a note holds at the most, which a datagram must hold: a job takes some 100 bytes.
 const summaryJobs = 50
 
-// summarize tells all of this instance's jobs again, which makes good what was lost. It goes to those that use the same
-// replicas for any of them, and to those that share the engines.
+// summarize tells all of this instance's jobs again, which makes good what was lost. Those that use the same replicas hear
+// of the jobs there, those that share its engines that it lives.
 func (st *State) summarize() {
-	whole := Note{Whole: true}
-	var jobs []Job
-	to := map[string]bool{}
-	all := false
+	jobs := map[subset][]Job{}
 	for _, svc := range st.services {
 		if svc.engine != nil {
-			all = st.addTo(to, svc) || all
+			jobs[st.ownSubset(svc)] = nil
 		}
 	}
+	var kept []JobID
 	for _, id := range slices.Sorted(maps.Keys(st.requests)) {
 		req := st.requests[id]
 		if !req.running && !req.claims {
 			continue
 		}
-		all = st.addTo(to, st.serviceOf(req.service)) || all
 		job := req.booked(st.now)
 		job.Age = millis(st.now.Sub(req.sentAt))
 		job.Begun = req.begun
-		whole.Kept = append(whole.Kept, job.ID)
-		jobs = append(jobs, job)
+		kept = append(kept, job.ID)
+		for _, sub := range st.audiences(req.reps) {
+			jobs[sub] = append(jobs[sub], job)
+		}
 	}
-	var names []string
-	if !all {
-		names = slices.Sorted(maps.Keys(to))
+	st.summaries++
+	if len(kept) == 0 && st.summaries%idleSummaries != 0 {
+		return
 	}
-	first := min(len(jobs), summaryJobs)
-	whole.Jobs = jobs[:first]
-	st.emit(Tell{Note: st.note(whole), To: names})
-	for part := range slices.Chunk(jobs[first:], summaryJobs) {
-		st.emit(Tell{Note: st.note(Note{Jobs: part}), To: names})
+	for sub, told := range jobs {
+		st.summarizeTo(sub, kept, told)
 	}
 }
 
-// addTo adds the instances that must hear of the service and reports whether those are all.
-func (st *State) addTo(to map[string]bool, svc *service) bool {
-	names := st.neighbours(svc)
-	for _, name := range names {
-		to[name] = true
+// summarizeTo tells the users of the subset of the jobs, in as many notes as they take.
+func (st *State) summarizeTo(sub subset, kept []JobID, jobs []Job) {
+	to := st.users(sub)
+	first := min(len(jobs), summaryJobs)
+	st.emit(Tell{Note: st.note(Note{Whole: true, Kept: kept, Jobs: jobs[:first]}), To: to})
+	for part := range slices.Chunk(jobs[first:], summaryJobs) {
+		st.emit(Tell{Note: st.note(Note{Jobs: part}), To: to})
 	}
-	return names == nil
 }
 
 // booked is the request as the job that it is booked as.
@@ -115,7 +116,7 @@
 		st.peerStarts(nt.From, pr, &nt.Jobs[i])
 	}
 	for _, id := range nt.Begun {
-		st.beginJob(jobKey{nt.From, id}, pr.jobs[id], true)
+		st.beginJob(jobKey{nt.From, id}, pr.jobs[id], nt.BegunAge <= millis(liveBegin))
 	}
 	for _, id := range nt.Ended {
 		st.peerEnds(nt.From, pr, id)
--- a/internal/steer/place.go
+++ b/internal/steer/place.go
@@ -178,9 +178,10 @@
 
 // engines lists the engines that may take a part of the reading.
 func (st *State) engines(svc *service, req *request) []candidate {
-	engines := make([]candidate, 0, len(svc.replicas))
+	replicas := st.candidates(svc)
+	engines := make([]candidate, 0, len(replicas))
 	rivals := st.rivals(svc)
-	for _, rep := range st.candidates(svc) {
+	for _, rep := range replicas {
 		if !rep.usable(st.now) || slices.Contains(req.tried, rep.Name) {
 			continue
 		}
--- a/internal/steer/place_test.go
+++ b/internal/steer/place_test.go
@@ -102,20 +102,20 @@
 	assert.Assert(t, takers > 0 && takers < 20*instances/3, takers)
 }
 
-// others are the names of so many other instances, the first of which is two.
-func others(count int) []string {
-	names := []string{"two"}
+// others are so many other instances, the first of which is two.
+func others(count int) []steer.Instance {
+	list := []steer.Instance{{Name: "two"}}
 	for i := 1; i < count; i++ {
-		names = append(names, "other-"+strconv.Itoa(i))
+		list = append(list, steer.Instance{Name: "other-" + strconv.Itoa(i)})
 	}
-	return names[:count]
+	return list[:count]
 }
 
 func waiterTakes(t *testing.T, seed uint64, instances int) int {
 	in := &instance{t: t, now: start, st: steer.New(steer.Options{Name: "one", FailureDomain: "a", Run: 1, Seed: seed})}
 	in.reduce(steer.Configured{Routing: &decl.Routing{Version: 1, Services: map[string]decl.Pool{"lyric": {Engine: &figures}}}})
 	in.reduce(steer.Listed{Replicas: replicas(1)})
-	in.reduce(steer.Peered{Names: others(instances - 1)})
+	in.reduce(steer.Peered{Instances: others(instances - 1)})
 	nt := steer.Note{From: "two", Run: 1}
 	for id := range figures.Slots {
 		nt.Jobs = append(nt.Jobs, steer.Job{ID: steer.JobID(id), Replicas: []string{"lyric-0"}, Prompt: 1000, Goal: 300, Gap: 250, Begun: true})
--- a/internal/steer/serve.go
+++ b/internal/steer/serve.go
@@ -64,12 +64,7 @@
 	req.job = JobID(req.ID)*jobsPerRequest + req.jobs%jobsPerRequest
 	job := req.booked(st.now)
 	st.startJob(jobKey{id: req.job}, &job)
-	st.tell(req, Note{Jobs: []Job{job}})
-}
-
-// tell tells what concerns the request to those that use the same replicas.
-func (st *State) tell(req *request, nt Note) {
-	st.emit(Tell{Note: st.note(nt), To: st.neighbours(st.serviceOf(req.service))})
+	st.tellStart(req, job)
 }
 
 // jobsPerRequest is how many jobs of one request have different names; the others remember the end of one for less time
@@ -79,7 +74,7 @@
 // unbook takes the request's job from its replicas again.
 func (st *State) unbook(req *request) {
 	st.endJob(jobKey{id: req.job}, req.reps)
-	st.tell(req, Note{Ended: []JobID{req.job}})
+	st.tellEnded(req)
 }
 
 // send sends a request that is booked.
@@ -146,7 +141,7 @@
 	}
 	req.begun = true
 	st.beginJob(jobKey{id: req.job}, req.reps, true)
-	st.tell(req, Note{Begun: []JobID{req.job}})
+	st.tellBegun(req)
 	st.emit(Line{Message: "answer began", Request: req.Name, Replica: req.reps[0].Name, Age: st.now.Sub(req.at), Attempt: req.attempt})
 	st.pump()
 }
--- a/internal/steer/state.go
+++ b/internal/steer/state.go
@@ -41,13 +41,20 @@
 	waiting []*request
 	claims  []*request
 	peers   map[string]*peer
-	// names are the other instances', live how many there are with this one; deals are how they are dealt into so many
-	// cells.
+	// others are the other instances by name, names only those, live is how many there are with this one. usersOf holds the
+	// names of those that use a subset.
+	others  []Instance
 	names   []string
 	live    int
-	deals   map[int]*deal
-	budgets map[string]*ledger
-	poison  poison
+	usersOf map[subset][]string
+	// outbox holds what is gathered for the users of a subset; postAt is when the shell was last asked to wake the reducer for
+	// it.
+	outbox map[subset]*pending
+	postAt time.Time
+	// summaries counts the summaries that were asked for.
+	summaries int
+	budgets   map[string]*ledger
+	poison    poison
 	// means holds the mean prompt of each route.
 	means map[string]float64
 	// given holds the longest time that callers of each route said they have.
@@ -71,9 +78,9 @@
 	name     string
 	engine   *decl.Engine
 	replicas []*replica
-	// candidates are those of this instance's cells where there are so many as dealt says, nil if they are to be found.
+	// layout is how the replicas are split into subsets, candidates are those of this instance's; nil if they are to be found.
+	layout     *layout
 	candidates []*replica
-	dealt      int
 }
 
 // request is one request's life.
@@ -137,7 +144,8 @@
 		budgets:  map[string]*ledger{},
 		poison:   newPoison(),
 		missing:  map[string]time.Time{},
-		deals:    map[int]*deal{},
+		usersOf:  map[subset][]string{},
+		outbox:   map[subset]*pending{},
 		means:    map[string]float64{},
 		given:    map[string]time.Duration{},
 		random:   rand.New(rand.NewPCG(opts.Seed, opts.Seed)),
@@ -187,6 +195,7 @@
 		st.pump()
 	}
 	st.stayAwake()
+	st.post()
 	return st.effects
 }
 
@@ -233,7 +242,9 @@
 	}
 	st.Routing = ev.Routing
 	for name, pool := range ev.Routing.Services {
-		st.serviceOf(name).engine = pool.Engine
+		svc := st.serviceOf(name)
+		svc.engine = pool.Engine
+		svc.relayout()
 	}
 	st.pump()
 }
--- a/internal/steer/steer_test.go
+++ b/internal/steer/steer_test.go
@@ -230,7 +230,7 @@
 	// Every attempt breaks off, and each caller could be served by a second one. All instances together may repeat a
 	// fifth of the requests and twenty more in any ten seconds; an instance that knows one other takes a part of that.
 	in := newInstance(t, "one", 8)
-	in.reduce(steer.Peered{Names: []string{"two"}})
+	in.reduce(steer.Peered{Instances: []steer.Instance{{Name: "two"}}})
 	repeats := 0
 	for range 200 {
 		sent := find[steer.Send](t, in.arrive(&lookup, 0))
--- a/internal/steer/survey.go
+++ b/internal/steer/survey.go
@@ -103,5 +103,5 @@
 		nt.Jobs = append(nt.Jobs, Job{ID: JobID(id), Replicas: []string{ev.Replica}, Prompt: max(0, ev.Used) / int64(ev.Running), Begun: true})
 	}
 	st.heard(nt)
-	st.emit(Tell{Note: nt, To: st.neighbours(st.serviceOf(rep.Service))})
+	st.emit(Tell{Note: nt, To: st.users(st.audience(rep))})
 }
