Start from the store's stale copy, take over the earlier entry, and let few ask while the store is away

An instance now reads the stale copy until there is a configuration and is confirmed by those that ask the store; one that starts again keeps its entry by its old lease; while nobody can confirm anything 6, 12, then 24 instances ask instead of all, and any other once in three seconds.

Tests: TestStartAsksTheStoreLittle, TestStoreThatIsAwayIsAskedByFew, TestRestartTakesOverItsEntry.

--- a/internal/relay/follow.go
+++ b/internal/relay/follow.go
@@ -19,10 +19,14 @@
 	// askTimeout bounds one call of the store, so that a connection that fell silent costs little more.
 	askTimeout = 600 * time.Millisecond
 	// askAgain is the wait after a question that was not answered, which doubles up to askSeldom: each question is paid
-	// for, refused ones too. emptyPause is the wait while there is no configuration.
-	askAgain   = 150 * time.Millisecond
-	askSeldom  = time.Second
-	emptyPause = 400 * time.Millisecond
+	// for, refused ones too. lonelyAgain is the wait between those of an instance in the place of others.
+	askAgain    = 150 * time.Millisecond
+	askSeldom   = time.Second
+	lonelyAgain = 3 * time.Second
+	// emptyPause is the wait while there is no configuration, which the store's stale copy is read for so many times before
+	// the store itself is asked: stale reads cost a tenth, and all instances start at once.
+	emptyPause  = 400 * time.Millisecond
+	staleBegins = 10
 	// announceTime is how long an announcement lasts, announceEvery when it is made again.
 	announceTime  = 40 * time.Second
 	announceEvery = 15 * time.Second
@@ -46,18 +50,24 @@
 	away, read bool
 	// again is the wait after the next question that is not answered.
 	again time.Duration
+	// begins counts the stale reads before there was a configuration.
+	begins int
+	// askers is how many instances are taken to ask the store: more while none of the first can confirm anything.
+	askers int
+	// lonelyUntil is until when this instance does not ask the store in their place.
+	lonelyUntil time.Time
 	// refusedAt is when the store last refused the configuration.
 	refusedAt time.Time
 }
 
 func (fl *follower) run(ctx context.Context) error {
-	pause := fl.follow(ctx)
+	pause := fl.begin(ctx)
 	for ctx.Err() == nil {
 		timer := time.NewTimer(pause)
 		select {
 		case <-ctx.Done():
 		case <-timer.C:
-			pause = fl.follow(ctx)
+			pause = fl.begin(ctx)
 		case from := <-fl.in.notes.news:
 			pause = fl.followNews(ctx, from)
 		}
@@ -66,26 +76,67 @@
 	return ctx.Err()
 }
 
+// begin reads the store's stale copy until that holds a configuration, and follows from then on. Load pattern: all instances
+// of a large fleet start at once, and each question of each to the store itself counts against its rate.
+func (fl *follower) begin(ctx context.Context) time.Duration {
+	if !fl.in.configured() && fl.begins < staleBegins {
+		fl.begins++
+		if err := fl.readAll(ctx, true); err != nil {
+			fl.failed(ctx, err)
+		}
+		if !fl.in.configured() {
+			return emptyPause
+		}
+	}
+	return fl.follow(ctx)
+}
+
 // follow brings the store's state here once and returns when it should again. An instance that the store turns away, or
 // whose askers it turns away, takes the other way.
 func (fl *follower) follow(ctx context.Context) time.Duration {
 	lag := float64(fl.in.opts.ConfigLag)
 	hears := fl.hears()
-	if hears && !fl.in.notes.asksStore() && fl.hear(ctx) {
+	asks := !hears || fl.in.notes.asksStore(fl.asking())
+	if !asks && fl.hear(ctx) {
 		return time.Duration(hearShare * lag)
 	}
+	if !asks && !fl.lonely() {
+		return askAgain
+	}
 	answered := fl.ask(ctx)
 	switch {
 	case answered && !fl.in.configured():
 		return emptyPause
-	case answered || hears && fl.in.notes.asksStore() && fl.hear(ctx):
+	case answered || hears && asks && fl.hear(ctx):
 		return time.Duration(askShare * lag)
 	}
+	fl.widen()
 	pause := max(fl.again, askAgain)
 	fl.again = min(2*pause, askSeldom)
 	return pause
 }
 
+// lonely tells that an instance that is none of those that ask the store should ask it all the same, since none of them
+// answers or is in the store's reach itself. At first others take their place: while the store is away from all, hundreds
+// of instances would ask it in vain each second, and each call is paid for.
+func (fl *follower) lonely() bool {
+	if fl.widen() || time.Now().Before(fl.lonelyUntil) {
+		return false
+	}
+	fl.lonelyUntil = time.Now().Add(lonelyAgain)
+	return true
+}
+
+// widen takes more instances to ask the store and reports whether there were more to take.
+func (fl *follower) widen() bool {
+	before := fl.asking()
+	fl.askers = min(2*before, mostAskers)
+	return fl.askers > before
+}
+
+// asking is how many instances ask the store. It falls back step by step once they can confirm again.
+func (fl *follower) asking() int { return max(fl.askers, storeAskers) }
+
 // followNews asks the instance that told of a newer revision what has changed. Instances that ask the store do so too:
 // each change would cost as many questions to the store as there are of them.
 func (fl *follower) followNews(ctx context.Context, from *net.UDPAddr) time.Duration {
@@ -97,13 +148,14 @@
 
 // hears tells that other instances can be asked: who knows nothing yet reads the store itself.
 func (fl *follower) hears() bool {
-	return fl.read && fl.in.configured() && fl.in.notes.hasAskers()
+	return fl.read && fl.in.configured() && fl.in.notes.knowsOthers()
 }
 
 // hear lets another instance confirm the state and reports whether that was possible.
 func (fl *follower) hear(ctx context.Context) bool {
-	for _, from := range fl.in.notes.shuffledAskers() {
+	for _, from := range fl.in.notes.someAskers(fl.asking()) {
 		if fl.hearFrom(ctx, from) {
+			fl.askers = fl.asking() / 2
 			return true
 		}
 	}
@@ -188,12 +240,20 @@
 	fl.in.log.Warn().Err(err).Int64("Revision", fl.in.view.revision()).Msg("store out of reach; the last state stays in use")
 }
 
-// announce tells the other instances where this one is.
+// announce tells the other instances where this one is. An instance that starts again takes over the entry that it had:
+// when all start at once, as after a power failure, a new one for each is most of what they ask of the store.
 func (in *Instance) announce(ctx context.Context) error {
+	self := in.self
+	select {
+	case <-ctx.Done():
+	case self = <-in.entry:
+	case <-time.After(announceAgain):
+	}
 	again := announceAgain
 	for ctx.Err() == nil {
 		limited, cancel := context.WithTimeout(ctx, askTimeout)
-		err := in.directory.Announce(limited, in.self, announceTime)
+		in.count("Store.Announcements")
+		err := in.directory.Announce(limited, self, announceTime)
 		cancel()
 		if err == nil {
 			again = announceAgain
--- a/internal/relay/follow_test.go
+++ b/internal/relay/follow_test.go
@@ -32,10 +32,10 @@
 }
 
 func (sh *shelf) Revision(context.Context) (int64, error) {
+	sh.questions.Add(1)
 	if sh.away.Load() {
 		return 0, OrderFailed.New("away")
 	}
-	sh.questions.Add(1)
 	return sh.snap.Revision, nil
 }
 
@@ -303,3 +303,62 @@
 	assert.Assert(t, firstLimit(eff)+ticketHold < 9*time.Second)
 	assert.Equal(t, firstLimit(&steer.Send{FirstBy: 20 * time.Second}), 20*time.Second)
 }
+
+func TestStartAsksTheStoreLittle(t *testing.T) {
+	// All instances of a large fleet start at once, and there is no configuration yet. Each asked the store itself until there
+	// was one, and for what had changed since: six calls of each at the same moment. The stale copy is enough to begin with,
+	// and those that ask the store anyway confirm the rest.
+	sh := newShelf()
+	ins := make([]*Instance, 5)
+	for i := range ins {
+		ins[i] = quiet(t, "instance-"+strconv.Itoa(i), sh)
+	}
+	know(sh, ins...)
+	routing := sh.snap.Routing
+	sh.snap.Routing = nil
+	var followers []*follower
+	for _, in := range ins {
+		fl := &follower{in: in}
+		followers = append(followers, fl)
+		assert.Equal(t, fl.begin(t.Context()), emptyPause)
+	}
+	assert.Equal(t, sh.questions.Load(), int64(0))
+	sh.snap.Routing = routing
+	sh.change(Change{Routing: true})
+	for _, askers := range []bool{true, false} {
+		for _, fl := range followers {
+			if fl.in.notes.asksStore(storeAskers) == askers {
+				fl.begin(t.Context())
+			}
+		}
+	}
+	assert.Equal(t, sh.questions.Load(), int64(storeAskers))
+	for _, fl := range followers {
+		assert.Assert(t, fl.in.fresh(1))
+	}
+}
+
+func TestStoreThatIsAwayIsAskedByFew(t *testing.T) {
+	// The store is down for all of a large fleet, and none of those that ask it can confirm anything. Each other instance took
+	// that for a reason to ask the store itself, once a second, and each call is paid for. First others take the place of those
+	// that ask, and an instance that is none of these asks seldom.
+	sh := newShelf()
+	in := quiet(t, "one", sh)
+	know(sh, in)
+	fl := &follower{in: in}
+	assert.Assert(t, fl.ask(t.Context()))
+	self, peers := sh.snap.Peers[0], map[string]Peer{}
+	for i := 0; in.notes.asksStore(mostAskers); i++ {
+		name := "dead-" + strconv.Itoa(i)
+		peers[name] = Peer{Name: name, Address: "127.0.0.1:1"}
+		peers[self.Name] = self
+		in.setPeers(peers)
+	}
+	sh.away.Store(true)
+	before := sh.questions.Load()
+	for range 8 {
+		fl.follow(t.Context())
+	}
+	assert.Equal(t, sh.questions.Load(), before+1)
+	assert.Equal(t, fl.asking(), mostAskers)
+}
--- a/internal/relay/instance.go
+++ b/internal/relay/instance.go
@@ -59,6 +59,8 @@
 	routing atomic.Pointer[decl.Routing]
 	// confirmed is the boot time at which the question was asked that last confirmed the configuration.
 	confirmed atomic.Int64
+	// entry brings, after the first read of the directory, the entry that this instance keeps or makes.
+	entry chan Peer
 	// view is the state of the directory that is in use here.
 	view     view
 	draining atomic.Bool
@@ -93,6 +95,7 @@
 		kept:      newTransport(false),
 		fresh1:    newTransport(true),
 		calls:     map[steer.RequestID]*call{},
+		entry:     make(chan Peer, 1),
 	}
 	in.state = steer.New(steer.Options{
 		Name: opts.Name, FailureDomain: opts.FailureDomain, Run: run, Seed: seed, MissingTime: opts.MissingTime,
--- a/internal/relay/notes.go
+++ b/internal/relay/notes.go
@@ -34,9 +34,8 @@
 	conn  *net.UDPConn
 	peers atomic.Pointer[map[string]*net.UDPAddr]
 	queue chan steer.Tell
-	// askers are the other instances that ask the store, mine tells that this one does.
-	askers atomic.Pointer[[]*net.UDPAddr]
-	mine   atomic.Bool
+	// ranked holds all instances in the order in which they ask the store, nil for this one.
+	ranked atomic.Pointer[[]*net.UDPAddr]
 	// answers brings the confirmations to the one question that is open, news tells who has a newer revision.
 	answers chan confirmation
 	news    chan *net.UDPAddr
@@ -92,6 +91,10 @@
 const (
 	// storeAskers is how many instances ask the store. Two may be lost at the same time without the others noticing.
 	storeAskers = 3
+	// mostAskers is how many do while none of the first can confirm anything.
+	mostAskers = 8 * storeAskers
+	// askersTried is how many of them are asked one after the other.
+	askersTried = 3
 	// answerTime is how long a question to another instance waits.
 	answerTime = 120 * time.Millisecond
 )
@@ -110,8 +113,7 @@
 		answers: make(chan confirmation, 1), news: make(chan *net.UDPAddr, 1),
 	}
 	ns.peers.Store(&map[string]*net.UDPAddr{})
-	ns.askers.Store(&[]*net.UDPAddr{})
-	ns.mine.Store(true)
+	ns.ranked.Store(&[]*net.UDPAddr{nil})
 	return ns, nil
 }
 
@@ -260,17 +262,22 @@
 	ns.post(ns.encode(packet{Answer: &conf}), to)
 }
 
-// asksStore tells that this instance is one of those that ask the store, or knows none.
-func (ns *notes) asksStore() bool { return ns.mine.Load() || !ns.hasAskers() }
+// asksStore tells that this instance is one of so many that ask the store.
+func (ns *notes) asksStore(askers int) bool {
+	ranked := *ns.ranked.Load()
+	return slices.Contains(ranked[:min(askers, len(ranked))], nil)
+}
 
-// hasAskers tells that another instance asks the store.
-func (ns *notes) hasAskers() bool { return len(*ns.askers.Load()) > 0 }
+// knowsOthers tells that there is another instance.
+func (ns *notes) knowsOthers() bool { return len(*ns.ranked.Load()) > 1 }
 
-// shuffledAskers are the other instances that ask the store, in random order, so that the questions spread over them.
-func (ns *notes) shuffledAskers() []*net.UDPAddr {
-	askers := slices.Clone(*ns.askers.Load())
-	rand.Shuffle(len(askers), func(one, two int) { askers[one], askers[two] = askers[two], askers[one] })
-	return askers
+// someAskers are some of the other instances among so many that ask the store, in random order, so that the questions
+// spread over them.
+func (ns *notes) someAskers(askers int) []*net.UDPAddr {
+	ranked := *ns.ranked.Load()
+	others := slices.DeleteFunc(slices.Clone(ranked[:min(askers, len(ranked))]), func(address *net.UDPAddr) bool { return address == nil })
+	rand.Shuffle(len(others), func(one, two int) { others[one], others[two] = others[two], others[one] })
+	return others[:min(askersTried, len(others))]
 }
 
 // ask asks another instance when the store last confirmed its state and what has changed since the revision.
@@ -299,9 +306,6 @@
 
 // spread tells all others of the revision that is new here; who does not hear it learns it with its next question.
 func (ns *notes) spread() {
-	if !ns.asksStore() {
-		return
-	}
 	raw := ns.encode(packet{Answer: &confirmation{Revision: ns.in.view.revision()}})
 	for _, address := range *ns.peers.Load() {
 		ns.post(raw, address)
@@ -319,12 +323,11 @@
 		return cmp.Compare(xxhash.Sum64String(one.Name), xxhash.Sum64String(two.Name))
 	})
 	addresses := make(map[string]*net.UDPAddr, len(ranked))
-	var askers []*net.UDPAddr
+	var order []*net.UDPAddr
 	var others []steer.Instance
-	mine := false
-	for place, peer := range ranked {
+	for _, peer := range ranked {
 		if peer.Name == in.self.Name {
-			mine = place < storeAskers
+			order = append(order, nil)
 			continue
 		}
 		address, err := net.ResolveUDPAddr("udp", peer.Address)
@@ -334,12 +337,9 @@
 		}
 		addresses[peer.Name] = address
 		others = append(others, steer.Instance{Name: peer.Name, FailureDomain: peer.FailureDomain})
-		if place < storeAskers {
-			askers = append(askers, address)
-		}
+		order = append(order, address)
 	}
 	in.notes.peers.Store(&addresses)
-	in.notes.askers.Store(&askers)
-	in.notes.mine.Store(mine)
+	in.notes.ranked.Store(&order)
 	in.apply(steer.Peered{Instances: others})
 }
--- a/internal/relay/ports.go
+++ b/internal/relay/ports.go
@@ -35,7 +35,8 @@
 	Changes(ctx context.Context, after int64) ([]Change, int64, error)
 	// Routing returns the configuration as it was at the revision or later.
 	Routing(ctx context.Context, atLeast int64) (*decl.Routing, error)
-	// Announce registers this instance for as long as it announces itself again within the time.
+	// Announce registers this instance for as long as it announces itself again within the time. The peer's lease, if there
+	// is one, is of an entry that says the same.
 	Announce(ctx context.Context, peer Peer, ttl time.Duration) error
 }
 
@@ -56,6 +57,8 @@
 	Address string
 	// FailureDomain is where it runs.
 	FailureDomain string
+	// Lease is by what the Directory keeps the entry, 0 if that is not known.
+	Lease int64
 }
 
 // Change is one change in a Directory. One of the fields behind Revision is set, none if what changed concerns nobody.
--- a/internal/relay/share.go
+++ b/internal/relay/share.go
@@ -88,6 +88,7 @@
 	}
 	limited, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
+	fl.in.count("Store.Configurations")
 	routing, err := fl.in.directory.Routing(limited, revision)
 	if err == nil || from == nil {
 		return routing, err
--- a/internal/relay/take.go
+++ b/internal/relay/take.go
@@ -33,7 +33,9 @@
 	if err := fl.bring(ctx, revision, limit); err != nil {
 		return err
 	}
-	fl.in.notes.spread()
+	if fl.in.notes.asksStore(fl.asking()) {
+		fl.in.notes.spread()
+	}
 	return nil
 }
 
@@ -90,7 +92,7 @@
 	for _, peer := range snap.Peers {
 		fl.peers[peer.Name] = peer
 	}
-	fl.read = true
+	fl.readOnce()
 	fl.in.view.reset(snap.Revision)
 	fl.in.install(snap.Routing)
 	fl.in.setPeers(fl.peers)
@@ -98,6 +100,19 @@
 	return nil
 }
 
+// readOnce notes that there was an answer, and what the directory still says of an earlier run of this instance.
+func (fl *follower) readOnce() {
+	if fl.read {
+		return
+	}
+	fl.read = true
+	self := fl.in.self
+	if earlier, ok := fl.peers[self.Name]; ok && earlier.Address == self.Address && earlier.FailureDomain == self.FailureDomain {
+		self = earlier
+	}
+	offer(fl.in.entry, self)
+}
+
 // pages reads all pages and puts them together. A page that fails is asked for again by itself: when all instances of a
 // large fleet start at once, their reading takes the store's link for seconds, and if each began anew after a failure none
 // would ever have all. What later pages miss of the first one's time comes with the changes after its revision.
