A newcomer whose peers are silent reads the store for its configuration

Peers that are just being replaced answer nothing. It now reads the store at once, and again every half second until it has a version. TestNewcomerWhosePeersAreSilentReadsTheStore: version 0 after 4 s before, 5 now.

--- a/internal/conf/follow.go
+++ b/internal/conf/follow.go
@@ -139,6 +139,11 @@
 			// A peer answers also while the store is down.
 			fl.askAny(ctx)
 		}
+		if fl.Version() == 0 {
+			// Peers that are being replaced themselves answer nothing or have nothing, and news comes only with the next
+			// version: without a reading of the store callers would wait here for seconds.
+			_ = fl.advance(ctx)
+		}
 		if fl.Watches() {
 			fl.watch(ctx)
 		} else {
@@ -198,7 +203,7 @@
 // listen hears from peers until this instance is a watcher.
 func (fl *Follower) listen(ctx context.Context) {
 	for ctx.Err() == nil && !fl.Watches() {
-		timer := time.NewTimer(rereadPeriod/2 + rand.N(rereadPeriod))
+		timer := time.NewTimer(fl.listenPause())
 		select {
 		case <-ctx.Done():
 		case <-fl.changed:
@@ -212,6 +217,14 @@
 	}
 }
 
+// listenPause is how long to wait for news before asking: not long where there is no version at all.
+func (fl *Follower) listenPause() time.Duration {
+	if fl.Version() == 0 {
+		return retryPause
+	}
+	return rereadPeriod/2 + rand.N(rereadPeriod)
+}
+
 // advance reads what is new in the store.
 func (fl *Follower) advance(ctx context.Context) error {
 	for {
--- a/internal/conf/follow_test.go
+++ b/internal/conf/follow_test.go
@@ -25,10 +25,16 @@
 	followers map[string]*conf.Follower
 	// deaf loses every message that is told.
 	deaf     atomic.Bool
+	// silent answers nobody who asks.
+	silent   atomic.Bool
 	messages atomic.Int64
 }
 
-func (nt *network) Ask(_ context.Context, address string, msg wire.Message) (wire.Message, error) {
+func (nt *network) Ask(ctx context.Context, address string, msg wire.Message) (wire.Message, error) {
+	if nt.silent.Load() {
+		<-ctx.Done()
+		return nil, peers.Unreachable.New("no answer of %s", address)
+	}
 	nt.messages.Add(1)
 	nt.mu.Lock()
 	fl := nt.followers[address]
@@ -163,3 +169,22 @@
 		assert.Equal(t, only.Version(), int64(60))
 	})
 }
+
+func TestNewcomerWhosePeersAreSilentReadsTheStore(t *testing.T) {
+	// Instances are replaced one after the other while an engine dies. A newcomer knows the others before it has a
+	// configuration, those that it asks are just being stopped and answer nothing, and it is none of the watchers. It waited
+	// for news for up to seven seconds, asked again, and its callers had no answer for fifteen. The store has it all along.
+	synctest.Test(t, func(t *testing.T) {
+		_, kv := submitted(t, 5)
+		ft := newFleet(t, kv)
+		for i := range 12 {
+			ft.members = append(ft.members, event.Instance{Name: fmt.Sprintf("leaving-%d", i), FailureDomain: "a", Peer: "gone"})
+		}
+		ft.net.silent.Store(true)
+		ft.net.deaf.Store(true)
+		late := ft.start("entry-3", "a")
+		time.Sleep(4 * time.Second)
+		assert.Assert(t, !late.Watches())
+		assert.Equal(t, late.Version(), int64(5))
+	})
+}
