Who refuses with room to spare is avoided, and requests wait for an instance that starts

A replica that refuses with a slot and the memory free by all that is known is avoided like one that fails, and the first that finds out tells the others, once.

--- a/internal/conf/follow_test.go
+++ b/internal/conf/follow_test.go
@@ -24,7 +24,7 @@
 	mu        sync.Mutex
 	followers map[string]*conf.Follower
 	// deaf loses every message that is told.
-	deaf     atomic.Bool
+	deaf atomic.Bool
 	// silent answers nobody who asks.
 	silent   atomic.Bool
 	messages atomic.Int64
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -61,6 +61,7 @@
 		mail: make(chan steer.Effect, mailbox), control: http.NewResponseController(w),
 	}
 	arrived := time.Now()
+	in.awaitStart(req.Context())
 	if !in.admit(cl) {
 		return
 	}
--- a/internal/relay/follow.go
+++ b/internal/relay/follow.go
@@ -229,6 +229,9 @@
 	if int64(at) > fl.in.confirmed.Load() {
 		fl.in.confirmed.Store(int64(at))
 	}
+	if fl.in.configured() {
+		fl.in.beginOnce.Do(func() { close(fl.in.begun) })
+	}
 }
 
 func (fl *follower) failed(ctx context.Context, err error) {
--- a/internal/relay/instance.go
+++ b/internal/relay/instance.go
@@ -59,6 +59,10 @@
 	routing atomic.Pointer[decl.Routing]
 	// confirmed is the boot time at which the question was asked that last confirmed the configuration.
 	confirmed atomic.Int64
+	// startedAt is when the instance began to run; begun is closed once there is a configuration that the store confirmed.
+	startedAt time.Time
+	begun     chan struct{}
+	beginOnce sync.Once
 	// entry brings, after the first read of the directory, the entry that this instance keeps or makes.
 	entry chan Peer
 	// view is the state of the directory that is in use here.
@@ -95,6 +99,7 @@
 		kept:      newTransport(false),
 		fresh1:    newTransport(true),
 		calls:     map[steer.RequestID]*call{},
+		begun:     make(chan struct{}),
 		entry:     make(chan Peer, 1),
 	}
 	in.state = steer.New(steer.Options{
@@ -108,6 +113,7 @@
 // Run serves until the context ends, then drains and returns. A signal on hangups asks for new settings.
 func (in *Instance) Run(ctx context.Context, hangups <-chan os.Signal) error {
 	debug.SetGCPercent(collectAt)
+	in.startedAt = time.Now()
 	callers, err := listen("listen", in.opts.Listen)
 	if err != nil {
 		return err
--- a/internal/steer/retry.go
+++ b/internal/steer/retry.go
@@ -44,24 +44,42 @@
 	switch ev.Result {
 	case ResultNotRun:
 		// A replica that refuses for another one's sake names it: a helper that leaves or is gone.
-		if rep != req.reps[0] {
-			rep.failed(st.now)
+		if rep != req.reps[0] || st.hadRoom(rep, req) {
+			st.avoid(rep)
 		}
 	case ResultDone, ResultAnswered:
 		rep.succeeded()
 		st.learnPace(req, rep, ev)
 	case ResultNotSent, ResultSilent, ResultMisdirected:
-		rep.failed(st.now)
-		st.emit(Tell{Note: st.note(Note{Down: []string{rep.Name}})})
+		st.avoid(rep)
 	case ResultBroken:
 		if ev.Died {
-			rep.failed(st.now)
-			st.emit(Tell{Note: st.note(Note{Down: []string{rep.Name}})})
+			st.avoid(rep)
 			st.countDeath(req)
 		}
 	}
 }
 
+// avoid keeps everybody from the replica for a while. The others hear of it from the first that finds out.
+func (st *State) avoid(rep *replica) {
+	known := !rep.usable(st.now)
+	rep.failed(st.now)
+	if !known {
+		st.emit(Tell{Note: st.note(Note{Down: []string{rep.Name}})})
+	}
+}
+
+// hadRoom tells that the replica refused the request though it had a slot and the memory for it, by all that is known here.
+// Load pattern: replicas are emptied while the store is away, so that nobody is told that they leave. They refuse all that
+// is new, at once, and with nothing to do they look like the best choice: each request tried four of them and failed.
+func (st *State) hadRoom(rep *replica, req *request) bool {
+	if rep.running() >= rep.Slots {
+		return false
+	}
+	eng := st.serviceOf(rep.Service).engine
+	return eng == nil || rep.free(eng) >= req.tokens()
+}
+
 // atFault is the replica that ended the attempt: the first, or the helper that the answer names.
 func (st *State) atFault(req *request, at string) *replica {
 	for _, rep := range req.reps {
--- a/internal/steer/serve_test.go
+++ b/internal/steer/serve_test.go
@@ -63,3 +63,47 @@
 	again := in.within(100*time.Millisecond, in.end(sent, steer.ResultSilent))
 	assert.Equal(t, again.Replica.Name, "lyric-1")
 }
+
+func TestReplicaThatRefusesWithRoomIsLeftAlone(t *testing.T) {
+	// Replicas are emptied while the store is away, so that nobody hears that they leave. They refuse at once whatever is new,
+	// and having nothing to do they look like the best choice: every request tried four of them and failed. After the first
+	// refusal nobody sends there for a while, here and at the others, who are told once.
+	in := newInstance(t, "one", 2)
+	first := in.within(time.Millisecond, in.arrive(&short, 2000))
+	effects := in.end(first, steer.ResultNotRun)
+	assert.DeepEqual(t, toldDown(effects), []string{first.Replica.Name})
+	second := in.within(100*time.Millisecond, effects)
+	assert.Assert(t, second.Replica.Name != first.Replica.Name)
+	in.end(second, steer.ResultDone)
+	for range 5 {
+		sent := in.within(time.Millisecond, in.arrive(&short, 2000))
+		assert.Equal(t, sent.Replica.Name, second.Replica.Name)
+		in.end(sent, steer.ResultDone)
+	}
+}
+
+func TestReplicaThatIsFullIsNotLeftAlone(t *testing.T) {
+	// A replica refuses since all of its slots are taken, by requests of which the refused one is the last. It is as good as
+	// before once one of them ends.
+	in := newInstance(t, "one", 1)
+	nt := steer.Note{From: "two", Run: 1}
+	for id := range figures.Slots - 1 {
+		nt.Jobs = append(nt.Jobs, steer.Job{ID: steer.JobID(id), Replicas: []string{"lyric-0"}, Prompt: 1000, Goal: 300, Gap: 250, Begun: true})
+	}
+	in.reduce(steer.Heard{Note: nt})
+	sent := in.within(20*time.Millisecond, in.arrive(&short, 2000))
+	nt.Jobs = []steer.Job{{ID: 99, Replicas: []string{"lyric-0"}, Prompt: 1000, Goal: 300, Gap: 250, Begun: true}}
+	in.reduce(steer.Heard{Note: nt})
+	assert.Equal(t, len(toldDown(in.end(sent, steer.ResultNotRun))), 0)
+}
+
+// toldDown names the replicas of which the effects tell others that they cannot be used.
+func toldDown(effects []steer.Effect) []string {
+	var names []string
+	for _, eff := range effects {
+		if tell, ok := eff.(steer.Tell); ok {
+			names = append(names, tell.Note.Down...)
+		}
+	}
+	return names
+}
