--- a/internal/relay/follow.go
+++ b/internal/relay/follow.go
@@ -131,7 +131,11 @@
 func (fl *follower) widen() bool {
 	before := fl.asking()
 	fl.askers = min(2*before, mostAskers)
-	return fl.askers > before
+	if fl.askers == before {
+		return false
+	}
+	fl.in.log.Info().Int("Askers", fl.askers).Int64("Revision", fl.in.view.revision()).Msg("no confirmation; more instances ask the store")
+	return true
 }
 
 // asking is how many instances ask the store. It falls back step by step once they can confirm again.
--- a/internal/steer/retry.go
+++ b/internal/steer/retry.go
@@ -65,6 +65,7 @@
 	known := !rep.usable(st.now)
 	rep.failed(st.now)
 	if !known {
+		st.emit(Line{Message: "replica avoided", Replica: rep.Name, Attempt: rep.failures})
 		st.emit(Tell{Note: st.note(Note{Down: []string{rep.Name}})})
 	}
 }
