An engine's pace is learnt from each event of a stream and told to those that use it

Cause: an engine that turned four times slower without going down was known as slow only by the shortest pause of streams that had ended, seconds later, by each instance for itself; its own pauses did not count against a place there. Each event now compares a pass in which nothing was read with what the engine declares; a change of 30% is told with other news; what nobody hears for 3 s is half forgotten. A request counts the worth that it would lose by pauses of the place itself.

--- a/internal/model/engine.go
+++ b/internal/model/engine.go
@@ -14,6 +14,8 @@
 type engine struct {
 	wd      *world
 	replica steer.Replica
+	// index counts the engines from 0.
+	index int
 	// queue holds what has no slot or no memory yet, parts what is to be read, writers what is written.
 	queue   []*run
 	parts   []*part
@@ -123,7 +125,19 @@
 			done = append(done, pt)
 		}
 	}
-	en.wd.after(length, func() { en.passed(done) })
+	en.wd.after(length*en.slowness(), func() { en.passed(done) })
+}
+
+// slowness is how many times longer than declared the engine takes now.
+func (en *engine) slowness() float64 {
+	times := 1.0
+	at := en.wd.now.Sub(epoch).Seconds()
+	for _, slow := range en.wd.sc.Slowdowns {
+		if at >= slow.At && at < slow.At+slow.For && float64(en.index) < slow.Share*float64(en.wd.sc.Engines) {
+			times = max(times, slow.Times)
+		}
+	}
+	return times
 }
 
 // inOrder lists the parts as they are read.
--- a/internal/model/instance.go
+++ b/internal/model/instance.go
@@ -31,7 +31,6 @@
 	begun bool
 	last  time.Time
 	pause time.Duration
-	pass  time.Duration
 	until time.Time
 	over  bool
 }
@@ -82,7 +81,7 @@
 	tr := in.calls[eff.ID]
 	rn := &run{instance: in, send: eff, call: tr.call}
 	tr.run = rn
-	tr.last, tr.pause, tr.pass = time.Time{}, 0, 0
+	tr.last, tr.pause = time.Time{}, 0
 	if pl, ok := in.wd.plains[eff.Replica.Name]; ok {
 		in.wd.after(in.wd.sc.NoteDelay, func() { pl.arrive(rn) })
 		return
@@ -148,16 +147,13 @@
 	} else {
 		pass := now.Sub(tr.last)
 		tr.pause = max(tr.pause, pass)
-		if tr.pass == 0 || pass < tr.pass {
-			tr.pass = pass
-		}
-		in.reduce(steer.Progressed{ID: tr.id, Attempt: rn.send.Attempt})
+		in.reduce(steer.Progressed{ID: tr.id, Attempt: rn.send.Attempt, Pause: pass})
 	}
 	tr.last = now
 	tr.begun = true
 	tr.call.event()
 	if last {
-		in.reduce(steer.AttemptEnded{ID: tr.id, Attempt: rn.send.Attempt, Result: steer.ResultDone, Begun: true, Pass: tr.pass, Pause: tr.pause, PauseAt: now})
+		in.reduce(steer.AttemptEnded{ID: tr.id, Attempt: rn.send.Attempt, Result: steer.ResultDone, Begun: true, Pause: tr.pause, PauseAt: now})
 	}
 }
 
--- a/internal/model/scenario.go
+++ b/internal/model/scenario.go
@@ -32,6 +32,7 @@
 	Classes             []Class
 	Bursts              []Burst
 	Outages             []Outage
+	Slowdowns           []Slowdown
 }
 
 // Class is one kind of request.
@@ -64,6 +65,9 @@
 // for those who died.
 type Outage struct{ At, For float64 }
 
+// Slowdown makes the first Share of the engines take so many times as long for everything from At on for For seconds.
+type Slowdown struct{ At, For, Share, Times float64 }
+
 // BadScenario is a scenario that cannot be run.
 var BadScenario = errorx.NewNamespace("model").NewType("bad_scenario")
 
@@ -108,6 +112,11 @@
 		}
 		names[cls.Name] = true
 	}
+	for _, slow := range sc.Slowdowns {
+		if slow.Share < 0 || slow.Share > 1 || slow.Times < 1 {
+			return BadScenario.New("model: a slowdown of %s has a share of %v and %v times; give a share from 0 to 1, and 1 or more times", sc.Name, slow.Share, slow.Times)
+		}
+	}
 	for _, burst := range sc.Bursts {
 		if !names[burst.Class] || burst.Times < 0 {
 			return BadScenario.New("model: a burst of %s names class %q; name one that there is, with 0 or more times its rate", sc.Name, burst.Class)
--- a/internal/model/world.go
+++ b/internal/model/world.go
@@ -124,7 +124,7 @@
 	for i := range wd.sc.Engines {
 		rep := steer.Replica{Name: fmt.Sprintf("engine-%03d", i), Born: 1, Service: serviceModel, Address: fmt.Sprintf("e%d", i), FailureDomain: wd.domainOf(i), Slots: wd.sc.Engine.Slots}
 		wd.replicas = append(wd.replicas, rep)
-		wd.engines[rep.Name] = &engine{wd: wd, replica: rep}
+		wd.engines[rep.Name] = &engine{wd: wd, replica: rep, index: i}
 	}
 	for i := range wd.sc.Plain {
 		rep := steer.Replica{Name: fmt.Sprintf("plain-%03d", i), Born: 1, Service: servicePlain, Address: fmt.Sprintf("p%d", i), FailureDomain: wd.domainOf(i), Slots: wd.sc.PlainSlots}
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -44,6 +44,9 @@
 	if line.Estimate > 0 {
 		entry.Int64("EstimateMs", line.Estimate.Milliseconds())
 	}
+	if line.Times > 0 {
+		entry.Float64("Times", math.Round(line.Times*100)/100)
+	}
 	if line.End != nil {
 		logEnd(entry, line.End)
 	}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -55,7 +55,7 @@
 		return buf, true
 	}
 	if !tr.last.IsZero() {
-		tr.in.apply(steer.Progressed{ID: tr.cl.id, Attempt: tr.eff.Attempt})
+		tr.in.apply(steer.Progressed{ID: tr.cl.id, Attempt: tr.eff.Attempt, Pause: time.Since(tr.last)})
 	}
 	tr.start(resp)
 	tr.progress()
@@ -87,9 +87,6 @@
 	now := time.Now()
 	if !tr.last.IsZero() {
 		pass := now.Sub(tr.last)
-		if tr.ended.Pass == 0 || pass < tr.ended.Pass {
-			tr.ended.Pass = pass
-		}
 		if pass > tr.ended.Pause {
 			tr.ended.Pause, tr.ended.PauseAt = pass, now
 		}
--- a/internal/steer/effect.go
+++ b/internal/steer/effect.go
@@ -91,6 +91,8 @@
 	Helpers []string
 	// Tokens is the prompt's length.
 	Tokens int64
+	// Times is how many times longer than declared a replica takes.
+	Times float64
 	// End is set on the line that ends a request.
 	End *End
 }
--- a/internal/steer/event.go
+++ b/internal/steer/event.go
@@ -51,6 +51,8 @@
 type Progressed struct {
 	ID      RequestID
 	Attempt int
+	// Pause is the time since the event before.
+	Pause time.Duration
 }
 
 // Result is how an attempt ended.
@@ -87,8 +89,6 @@
 	Begun bool
 	// Died tells that the replica took no new connection after it broke off.
 	Died bool
-	// Pass is the shortest time between two events, 0 if there were no two.
-	Pass time.Duration
 	// Pause is the longest time between two events, which ended at PauseAt.
 	Pause   time.Duration
 	PauseAt time.Time
--- a/internal/steer/list.go
+++ b/internal/steer/list.go
@@ -56,7 +56,7 @@
 	if ok {
 		st.drop(rep)
 	}
-	rep = &replica{Replica: item, slow: 1}
+	rep = &replica{Replica: item, slow: 1, slowTold: 1}
 	st.replicas[item.Name] = rep
 	st.enlist(rep)
 }
--- a/internal/steer/loss.go
+++ b/internal/steer/loss.go
@@ -68,6 +68,13 @@
 	return wk.value * tune.LeaveCost
 }
 
+// ownPauses is the worth that the request loses itself on an engine whose every pass is longer than its caller may wait.
+// Load pattern: an engine turns several times slower than it declares and goes on answering.
+func (st *State) ownPauses(eng *decl.Engine, req *request, out *outlook) float64 {
+	wk := work{gap: req.gap, leaves: req.Patience.Sub(req.at), value: req.value}
+	return st.tune.pauseLoss(&wk, out.slow*float64(eng.Stride)*out.step)
+}
+
 // harm is the worth that the callers of the replica's other requests lose if it reads so much more: streams pause for as
 // long as a pass lasts, and what waits for the same pass begins at its end.
 func (st *State) harm(rep *replica, out *outlook, part decl.Reading) float64 {
--- a/internal/steer/note.go
+++ b/internal/steer/note.go
@@ -21,6 +21,8 @@
 	Deaths []Death
 	// Down names replicas that failed to take a connection or fell silent.
 	Down []string
+	// Paces are of engines that turned slow or are slow no longer.
+	Paces []Pace
 	// Waiting counts the requests that wait for a replica.
 	Waiting int
 }
--- a/internal/steer/pass.go
+++ b/internal/steer/pass.go
@@ -43,6 +43,8 @@
 type passes struct {
 	// from and end are when the pass began and when it should end.
 	from, end time.Time
+	// readUntil is the end of the last pass in which anything was read.
+	readUntil time.Time
 }
 
 func (ps *passes) idle() bool { return ps.end.IsZero() }
@@ -66,6 +68,7 @@
 		if rep.overdue() {
 			length := rep.passes.end.Sub(rep.passes.from)
 			rep.passes.end = now.Add(max(leastExtension, time.Duration(tune.OverdueShare*float64(length))))
+			rep.passes.readUntil = rep.passes.end
 			return
 		}
 		rep.endPass()
@@ -135,10 +138,13 @@
 		}
 	}
 	if !taken && writers == 0 {
-		rep.passes = passes{}
+		rep.passes = passes{readUntil: rep.passes.readUntil}
 		return
 	}
-	rep.passes = passes{from: at, end: at.Add(max(leastPass, duration(length*rep.slow)))}
+	rep.passes.from, rep.passes.end = at, at.Add(max(leastPass, duration(length*rep.slow)))
+	if taken {
+		rep.passes.readUntil = rep.passes.end
+	}
 }
 
 // endPass takes what the pass has read from what is to be read.
@@ -179,6 +185,7 @@
 
 // outlook reckons what comes after the pass under way.
 func (rep *replica) outlook(eng *decl.Engine, tune *Tuning, now time.Time) outlook {
+	rep.forgetPace(now)
 	rep.advance(eng, tune, now)
 	out := outlook{slow: rep.slow}
 	if !rep.passes.idle() {
--- a/internal/steer/peer.go
+++ b/internal/steer/peer.go
@@ -125,6 +125,9 @@
 	for _, death := range nt.Deaths {
 		st.rememberDeath(death.Digest, death.Count)
 	}
+	for _, pace := range nt.Paces {
+		st.takePace(pace)
+	}
 	for _, name := range nt.Down {
 		if rep, ok := st.replicas[name]; ok {
 			rep.failed(st.now)
--- a/internal/steer/place.go
+++ b/internal/steer/place.go
@@ -87,8 +87,8 @@
 	harm float64
 	// wait is the time in ms until the answer would begin or the part be read if it answers, waitHelp if it helps.
 	wait, waitHelp float64
-	// late is the request's own worth lost if it is answered here.
-	late float64
+	// late is the request's own worth lost if it is answered here and begins late, pauses that lost by its pauses.
+	late, pauses float64
 }
 
 // asHelper and asFirst are what the engine costs in the one and the other part.
@@ -97,7 +97,7 @@
 }
 
 func (opt *option) asFirst(tune *Tuning) float64 {
-	return opt.harm + opt.late + opt.bias + opt.spread + tune.TimeCost*opt.wait/1000
+	return opt.harm + opt.late + opt.pauses + opt.bias + opt.spread + tune.TimeCost*opt.wait/1000
 }
 
 func (st *State) placePrompt(svc *service, req *request) (plan, bool) {
@@ -146,7 +146,7 @@
 		return plan{}, false
 	}
 	pl := plan{part: part.Alone(eng), reps: []*replica{options[first].rep}}
-	pl.cost, pl.first = options[first].harm, options[first].wait
+	pl.cost, pl.first = options[first].harm+options[first].pauses, options[first].wait
 	pl.bias = options[first].spread
 	missing := req.tokens() - options[first].free
 	for i := range options {
@@ -209,6 +209,7 @@
 		}
 		opt := option{candidate: cand, wait: cand.out.first(part), waitHelp: cand.out.help(part)}
 		opt.late = st.lateness(req, opt.wait)
+		opt.pauses = st.ownPauses(eng, req, &cand.out)
 		opt.harm = st.harm(cand.rep, &cand.out, part)
 		options = append(options, opt)
 	}
--- a/internal/steer/replica.go
+++ b/internal/steer/replica.go
@@ -50,6 +50,9 @@
 	passes passes
 	// slow is how many times longer its passes take than its figures say, at least 1.
 	slow float64
+	// slowTold is what the others know of that, pacedAt when it was last seen.
+	slowTold float64
+	pacedAt  time.Time
 	// failures counts those in a row; downUntil ends the last pause that they brought.
 	failures  int
 	downUntil time.Time
--- a/internal/steer/retry.go
+++ b/internal/steer/retry.go
@@ -49,7 +49,6 @@
 		}
 	case ResultDone, ResultAnswered:
 		rep.succeeded()
-		st.learnPace(req, rep, ev)
 	case ResultNotSent, ResultSilent, ResultMisdirected:
 		st.avoid(rep)
 	case ResultBroken:
@@ -91,25 +90,6 @@
 	return req.reps[0]
 }
 
-// learnPace compares the shortest pause of a stream, in which its engine read little, with the engine's figures.
-func (st *State) learnPace(req *request, rep *replica, ev AttemptEnded) {
-	eng := st.serviceOf(req.service).engine
-	if eng == nil || ev.Pass == 0 {
-		return
-	}
-	seen := ms(ev.Pass) / (float64(eng.Stride) * eng.StepTime(1, req.Prompt))
-	if seen < slowFrom {
-		seen = 1
-	}
-	rep.slow += paceGain * (seen - rep.slow)
-}
-
-const (
-	// slowFrom is how many times its figures a pass must take to say anything: other writers make it longer too.
-	slowFrom = 2
-	paceGain = 0.3
-)
-
 // retry sends the request again if that is safe, allowed and in time.
 func (st *State) retry(req *request, ev AttemptEnded) {
 	st.emit(Line{Message: "attempt failed: " + ev.Result.String(), Request: req.Name, Replica: req.reps[0].Name, Age: st.now.Sub(req.at), Attempt: req.attempt})
--- a/internal/steer/serve.go
+++ b/internal/steer/serve.go
@@ -154,6 +154,7 @@
 	}
 	rep := req.reps[0]
 	if eng := st.serviceOf(rep.Service).engine; eng != nil {
+		st.learnPace(eng, rep, ev.Pause)
 		rep.boundary(eng, st.now)
 	}
 }
