--- a/internal/steer/gather.go
+++ b/internal/steer/gather.go
@@ -6,15 +6,20 @@
 )
 
 // Gathering. What an instance tells others must not grow with the fleet: a message for each change and each listener is
-// quadratic in instances and soon takes more time than the requests themselves. So changes are kept for a moment that grows
-// with the number of listeners and go out together. What others would decide wrongly without goes at once: a claim, a long
-// read, which keeps its engines for longer than any gathering, a content that replicas die of.
+// quadratic in instances and soon takes more time than the requests themselves. Each instance may send so many messages a
+// second. Within that a change goes out at once; beyond it changes wait for a moment and go out together. What others would
+// decide wrongly without never waits: a claim, and a long read, which keeps its engines for longer than any gathering.
 
 const (
-	// gatherMost bounds how long a change is kept: a tenth of a second is less than a pass of a busy engine.
+	// messageRate is how many messages a second an instance may send to others on its requests: some two hundredths of the
+	// time of a small instance's processor.
+	messageRate = 1000.0
+	// messageBurst is for how long that rate may have been saved up.
+	messageBurst = 100 * time.Millisecond
+	// gatherMost bounds how long a start or a begin is kept: a tenth of a second is less than a pass of a busy engine.
 	gatherMost = 100 * time.Millisecond
-	// gatherRestMost bounds it for answers that begin and for ends of requests at engines with slots to spare.
-	gatherRestMost = 500 * time.Millisecond
+	// gatherEndMost bounds it for ends of requests at engines with slots to spare.
+	gatherEndMost = 250 * time.Millisecond
 	// liveBegin is for how long a begin tells where its engine is in its passes.
 	liveBegin = sameBoundary
 	// gatheredItems is how many changes one note holds at the most, which a datagram must hold.
@@ -29,24 +34,46 @@
 	due             time.Time
 }
 
-// gatherTime is how long a change may be kept for so many listeners at so long for each.
-func gatherTime(listeners int, each float64, most time.Duration) time.Duration {
-	return min(most, duration(each*float64(listeners)))
+// allowance is how many messages may be sent at once, as of a moment; below zero while urgent ones have used it up.
+type allowance struct {
+	messages float64
+	at       time.Time
 }
 
-// within is how long a change of the request may be kept for the users of the subset.
-func (st *State) within(sub subset, each float64, most time.Duration) time.Duration {
-	listeners := st.live - 1
+// refill brings the allowance up to now, to what is saved up at the most or to one message for each listener.
+func (al *allowance) refill(now time.Time, listeners int) {
+	most := max(messageRate*messageBurst.Seconds(), float64(listeners))
+	if al.at.IsZero() {
+		al.messages = most
+	} else {
+		al.messages = min(most, al.messages+messageRate*now.Sub(al.at).Seconds())
+	}
+	al.at = now
+}
+
+// within is how long a change must wait for the allowance to tell the users of the subset, within bounds.
+func (st *State) within(sub subset, most time.Duration) time.Duration {
+	listeners := st.listeners(sub)
+	st.allowance.refill(st.now, listeners)
+	missing := float64(listeners) - st.allowance.messages
+	if missing <= 0 {
+		return 0
+	}
+	return min(most, duration(1000*missing/messageRate))
+}
+
+// listeners counts the other instances that use the subset.
+func (st *State) listeners(sub subset) int {
 	if names := st.users(sub); names != nil {
-		listeners = len(names)
+		return len(names)
 	}
-	return gatherTime(listeners, each, most)
+	return st.live - 1
 }
 
 // tellStart tells of the request's new job.
 func (st *State) tellStart(req *request, job Job) {
 	for _, sub := range st.audiences(req.reps) {
-		wait := st.within(sub, st.tune.GatherStart, gatherMost)
+		wait := st.within(sub, gatherMost)
 		if req.claims || st.keepsEngines(req) {
 			wait = 0
 		}
@@ -64,7 +91,7 @@
 // tellBegun tells that the request's answer began.
 func (st *State) tellBegun(req *request) {
 	for _, sub := range st.audiences(req.reps) {
-		pend := st.pendingFor(sub, st.within(sub, st.tune.GatherBegun, gatherRestMost))
+		pend := st.pendingFor(sub, st.within(sub, gatherMost))
 		pend.note.Begun = append(pend.note.Begun, req.job)
 		pend.begunAt = append(pend.begunAt, st.now)
 	}
@@ -73,12 +100,12 @@
 // tellEnded tells that the request's job is over. Where slots are scarce, others wait for it.
 func (st *State) tellEnded(req *request) {
 	for _, sub := range st.audiences(req.reps) {
-		wait := st.within(sub, st.tune.GatherEnd, gatherRestMost)
+		wait := st.within(sub, gatherEndMost)
 		switch {
 		case req.claims:
 			wait = 0
 		case st.scarce(req.reps):
-			wait = min(wait, st.within(sub, st.tune.GatherStart, gatherMost))
+			wait = min(wait, st.within(sub, gatherMost))
 		}
 		pend := st.pendingFor(sub, wait)
 		pend.note.Ended = append(pend.note.Ended, req.job)
@@ -129,6 +156,7 @@
 	for sub, pend := range st.outbox {
 		if !pend.due.After(st.now) {
 			delete(st.outbox, sub)
+			st.allowance.messages -= float64(st.listeners(sub))
 			st.emit(Tell{Note: st.note(st.aged(pend)), To: st.users(sub)})
 			continue
 		}
--- a/internal/steer/gather_test.go
+++ b/internal/steer/gather_test.go
@@ -1,6 +1,7 @@
 package steer
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -55,20 +56,28 @@
 }
 
 func TestChangesGoOutTogether(t *testing.T) {
-	// A busy instance has several changes within the time that others can do without. They go out as one message, with the
-	// times as they are by then.
+	// An instance takes hundreds of requests a second, each of which dozens of others must hear. The first changes go out at
+	// once; beyond what it may send, several go out as one message, with the times as they are by then. Over a second it sends
+	// no more messages than it may, however many changes there are, but for the claims, which cannot wait.
 	st := fleet{195, 112, 5}.instance(3)
-	now := fleetStart
-	for id := range RequestID(5) {
-		assert.Equal(t, len(tells(st, now, arrival(now, id+1, 5000))), 0)
-		now = now.Add(time.Millisecond)
+	messages, jobs, together := 0, 0, 0
+	assert.Equal(t, len(tells(st, fleetStart, arrival(fleetStart, 1, 1000))), 1)
+	for id := range RequestID(500) {
+		now := fleetStart.Add(time.Duration(id+1) * 2 * time.Millisecond)
+		for _, tell := range append(tells(st, now, Ticked{}), tells(st, now, arrival(now, id+2, 1000))...) {
+			if !slices.ContainsFunc(tell.Note.Jobs, func(job Job) bool { return job.Claim }) {
+				messages += len(tell.To)
+			}
+			jobs += len(tell.Note.Jobs)
+			together = max(together, len(tell.Note.Jobs))
+			if len(tell.Note.Jobs) > 1 {
+				oldest := tell.Note.Jobs[0]
+				assert.Assert(t, oldest.Age > 0 && oldest.Goal+oldest.Age == 400, oldest)
+			}
+		}
 	}
-	now = fleetStart.Add(gatherMost)
-	told := tells(st, now, Ticked{})
-	assert.Equal(t, len(told), 1)
-	assert.Equal(t, len(told[0].Note.Jobs), 5)
-	assert.Equal(t, told[0].Note.Jobs[0].Goal, int32(300))
-	assert.Equal(t, told[0].Note.Jobs[0].Age, int32(100))
+	assert.Assert(t, together > 5 && jobs > 300, "%d together, %d in all", together, jobs)
+	assert.Assert(t, messages <= 1.2*messageRate, messages)
 }
 
 func TestWhatOthersNeedAtOnceIsNotKept(t *testing.T) {
--- a/internal/steer/pace.go
+++ b/internal/steer/pace.go
@@ -57,7 +57,7 @@
 func (st *State) tellPace(rep *replica) {
 	st.emit(Line{Message: "pace changed", Replica: rep.Name, Times: rep.slow})
 	sub := st.audience(rep)
-	pend := st.pendingFor(sub, st.within(sub, st.tune.GatherStart, gatherMost))
+	pend := st.pendingFor(sub, st.within(sub, gatherMost))
 	pend.note.Paces = append(pend.note.Paces, Pace{Replica: rep.Name, Times: float32(rep.slow)})
 }
 
--- a/internal/steer/state.go
+++ b/internal/steer/state.go
@@ -51,6 +51,8 @@
 	// it.
 	outbox map[subset]*pending
 	postAt time.Time
+	// allowance is how many messages may go out at once.
+	allowance allowance
 	// summaries counts the summaries that were asked for.
 	summaries int
 	budgets   map[string]*ledger
--- a/internal/steer/tuning.go
+++ b/internal/steer/tuning.go
@@ -46,10 +46,6 @@
 	// FarCost is the worth of staying in the own failure domain.
 	FarCost float64
 
-	// GatherStart, GatherBegun and GatherEnd are for how long in ms a start, a begun answer and an end are kept for each
-	// instance that must hear of it, so that several go out together.
-	GatherStart, GatherBegun, GatherEnd float64
-
 	// MaxEngines is how many engines may read one prompt at the most.
 	MaxEngines int
 	// MinSplit is the least reading in ms that is worth another engine.
@@ -79,7 +75,6 @@
 	return Tuning{
 		RiskFrom: 0.4, RiskTo: 1.3, RiskPower: 1.6, LateShare: 0.75, GiveUp: 5000, Safety: 0.8, GapSafety: 0.87, LeaveSafety: 0.87, LeaveCost: 1, CalmShare: 0.3,
 		TimeCost: 0.3, BacklogCost: 3, SpreadCost: 0.1, FullShare: 1, Crowding: 0.03, FarCost: 0.005,
-		GatherStart: 0.5, GatherBegun: 0.5, GatherEnd: 5,
 		MaxEngines: 16, MinSplit: 60, LongRead: 60, OverdueShare: 0.3,
 		KindPower: 0.7, BaseValue: 1.3, FixedShare: 0.3, MostTimes: 4,
 		LastCall: 0.4, VainShare: 0.2, FirstTry: 0.84, PatientShare: 1.0 / 3,
@@ -126,7 +121,6 @@
 	}
 	costs := map[string]float64{
 		"TimeCost": tune.TimeCost, "BacklogCost": tune.BacklogCost, "LeaveCost": tune.LeaveCost, "SpreadCost": tune.SpreadCost,
-		"GatherStart": tune.GatherStart, "GatherBegun": tune.GatherBegun, "GatherEnd": tune.GatherEnd,
 		"Crowding": tune.Crowding, "FarCost": tune.FarCost, "LongRead": tune.LongRead, "KindPower": tune.KindPower,
 	}
 	for name, cost := range costs {
