--- a/internal/relay/take.go
+++ b/internal/relay/take.go
@@ -92,7 +92,7 @@
 	for _, peer := range snap.Peers {
 		fl.peers[peer.Name] = peer
 	}
-	fl.readOnce()
+	fl.noteFirstRead()
 	fl.in.view.reset(snap.Revision)
 	fl.in.install(snap.Routing)
 	fl.in.setPeers(fl.peers)
@@ -100,8 +100,8 @@
 	return nil
 }
 
-// readOnce notes that there was an answer, and what the directory still says of an earlier run of this instance.
-func (fl *follower) readOnce() {
+// noteFirstRead notes that there was an answer, and what the directory still says of an earlier run of this instance.
+func (fl *follower) noteFirstRead() {
 	if fl.read {
 		return
 	}
--- a/internal/steer/gather.go
+++ b/internal/steer/gather.go
@@ -11,8 +11,7 @@
 // decide wrongly without never waits: a claim, and a long read, which keeps its engines for longer than any gathering.
 
 const (
-	// messageRate is how many messages a second an instance may send to others on its requests: some two hundredths of the
-	// time of a small instance's processor.
+	// messageRate is how many messages a second an instance may send to others on its requests.
 	messageRate = 1000.0
 	// messageBurst is for how long that rate may have been saved up.
 	messageBurst = 100 * time.Millisecond
@@ -153,7 +152,8 @@
 // post sends what is due and asks to be woken for what is due next.
 func (st *State) post() {
 	next := time.Time{}
-	for sub, pend := range st.outbox {
+	for _, sub := range inOrder(st.outbox) {
+		pend := st.outbox[sub]
 		if !pend.due.After(st.now) {
 			delete(st.outbox, sub)
 			st.allowance.messages -= float64(st.listeners(sub))
--- a/internal/steer/peer.go
+++ b/internal/steer/peer.go
@@ -74,8 +74,8 @@
 	if len(kept) == 0 && st.summaries%idleSummaries != 0 {
 		return
 	}
-	for sub, told := range jobs {
-		st.summarizeTo(sub, kept, told)
+	for _, sub := range inOrder(jobs) {
+		st.summarizeTo(sub, kept, jobs[sub])
 	}
 }
 
--- a/internal/steer/subset.go
+++ b/internal/steer/subset.go
@@ -45,6 +45,13 @@
 	part, parts int
 }
 
+// inOrder lists the subsets that are keys, in an order of their own: what an instance does follows from its events alone.
+func inOrder[Value any](bySubset map[subset]Value) []subset {
+	return slices.SortedFunc(maps.Keys(bySubset), func(one, two subset) int {
+		return cmp.Or(cmp.Compare(one.domain, two.domain), cmp.Compare(one.part, two.part), cmp.Compare(one.parts, two.parts))
+	})
+}
+
 // layout is how a service's replicas and the instances are split. The zero value is a whole that is not split.
 type layout struct {
 	byDomain bool
