A refusal by a plain replica says nothing where its calls are partly told; pollers have their usual name

Found in reading: above 128 instances a plain replica's calls are told within failure domains, so that a full one looks as if it had room; avoided for its refusal, one after the other would be out of use in a burst. The test fails without the condition.

--- a/internal/relay/follow.go
+++ b/internal/relay/follow.go
@@ -52,8 +52,8 @@
 	again time.Duration
 	// begins counts the stale reads before there was a configuration.
 	begins int
-	// askers is how many instances are taken to ask the store: more while none of the first can confirm anything.
-	askers int
+	// pollers is how many instances are taken to ask the store: more while none of the first can confirm anything.
+	pollers int
 	// lonelyUntil is until when this instance does not ask the store in their place.
 	lonelyUntil time.Time
 	// refusedAt is when the store last refused the configuration.
@@ -92,11 +92,11 @@
 }
 
 // follow brings the store's state here once and returns when it should again. An instance that the store turns away, or
-// whose askers it turns away, takes the other way.
+// whose pollers it turns away, takes the other way.
 func (fl *follower) follow(ctx context.Context) time.Duration {
 	lag := float64(fl.in.opts.ConfigLag)
 	hears := fl.hears()
-	asks := !hears || fl.in.notes.asksStore(fl.asking())
+	asks := !hears || fl.in.notes.pollsStore(fl.polling())
 	if !asks && fl.hear(ctx) {
 		return time.Duration(hearShare * lag)
 	}
@@ -129,17 +129,17 @@
 
 // widen takes more instances to ask the store and reports whether there were more to take.
 func (fl *follower) widen() bool {
-	before := fl.asking()
-	fl.askers = min(2*before, mostAskers)
-	if fl.askers == before {
+	before := fl.polling()
+	fl.pollers = min(2*before, mostPollers)
+	if fl.pollers == before {
 		return false
 	}
-	fl.in.log.Info().Int("Askers", fl.askers).Int64("Revision", fl.in.view.revision()).Msg("no confirmation; more instances ask the store")
+	fl.in.log.Info().Int("Pollers", fl.pollers).Int64("Revision", fl.in.view.revision()).Msg("no confirmation; more instances ask the store")
 	return true
 }
 
-// asking is how many instances ask the store. It falls back step by step once they can confirm again.
-func (fl *follower) asking() int { return max(fl.askers, storeAskers) }
+// polling is how many instances ask the store. It falls back step by step once they can confirm again.
+func (fl *follower) polling() int { return max(fl.pollers, storePollers) }
 
 // followNews asks the instance that told of a newer revision what has changed. Instances that ask the store do so too:
 // each change would cost as many questions to the store as there are of them.
@@ -157,9 +157,9 @@
 
 // hear lets another instance confirm the state and reports whether that was possible.
 func (fl *follower) hear(ctx context.Context) bool {
-	for _, from := range fl.in.notes.someAskers(fl.asking()) {
+	for _, from := range fl.in.notes.somePollers(fl.polling()) {
 		if fl.hearFrom(ctx, from) {
-			fl.askers = fl.asking() / 2
+			fl.pollers = fl.polling() / 2
 			return true
 		}
 	}
--- a/internal/relay/follow_test.go
+++ b/internal/relay/follow_test.go
@@ -125,13 +125,13 @@
 	sh := newShelf()
 	one, two := quiet(t, "one", sh), quiet(t, "two", sh)
 	know(sh, one, two)
-	asker, hearer := &follower{in: two}, &follower{in: one}
-	assert.Assert(t, asker.ask(t.Context()))
+	poller, hearer := &follower{in: two}, &follower{in: one}
+	assert.Assert(t, poller.ask(t.Context()))
 	assert.Assert(t, hearer.ask(t.Context()))
 	hearer.away = true
 	assert.Assert(t, hearer.hear(t.Context()))
 	sh.snap.Revision, sh.snap.Replicas = 8, nil
-	assert.Assert(t, asker.ask(t.Context()))
+	assert.Assert(t, poller.ask(t.Context()))
 	assert.Assert(t, hearer.hear(t.Context()))
 	assert.Assert(t, !one.state.Usable())
 }
@@ -204,13 +204,13 @@
 	sh := newShelf()
 	one, two := quiet(t, "one", sh), quiet(t, "two", sh)
 	know(sh, one, two)
-	asker, hearer := &follower{in: two}, &follower{in: one}
-	assert.Assert(t, asker.ask(t.Context()))
+	poller, hearer := &follower{in: two}, &follower{in: one}
+	assert.Assert(t, poller.ask(t.Context()))
 	assert.Assert(t, hearer.ask(t.Context()))
 	for i := range 100 {
 		sh.change(Change{Replica: &steer.Replica{Name: "engine-" + strconv.Itoa(i), Service: "lyric", Address: "10.0.0.1:8080", Slots: 1}})
 	}
-	assert.Assert(t, asker.ask(t.Context()))
+	assert.Assert(t, poller.ask(t.Context()))
 	wholes := sh.wholes.Load()
 	assert.Assert(t, hearer.hear(t.Context()))
 	assert.Equal(t, one.view.revision(), sh.snap.Revision)
@@ -325,14 +325,14 @@
 	assert.Equal(t, sh.questions.Load(), int64(0))
 	sh.snap.Routing = routing
 	sh.change(Change{Routing: true})
-	for _, askers := range []bool{true, false} {
+	for _, pollers := range []bool{true, false} {
 		for _, fl := range followers {
-			if fl.in.notes.asksStore(storeAskers) == askers {
+			if fl.in.notes.pollsStore(storePollers) == pollers {
 				fl.begin(t.Context())
 			}
 		}
 	}
-	assert.Equal(t, sh.questions.Load(), int64(storeAskers))
+	assert.Equal(t, sh.questions.Load(), int64(storePollers))
 	for _, fl := range followers {
 		assert.Assert(t, fl.in.fresh(1))
 	}
@@ -348,7 +348,7 @@
 	fl := &follower{in: in}
 	assert.Assert(t, fl.ask(t.Context()))
 	self, peers := sh.snap.Peers[0], map[string]Peer{}
-	for i := 0; in.notes.asksStore(mostAskers); i++ {
+	for i := 0; in.notes.pollsStore(mostPollers); i++ {
 		name := "dead-" + strconv.Itoa(i)
 		peers[name] = Peer{Name: name, Address: "127.0.0.1:1"}
 		peers[self.Name] = self
@@ -360,5 +360,5 @@
 		fl.follow(t.Context())
 	}
 	assert.Equal(t, sh.questions.Load(), before+1)
-	assert.Equal(t, fl.asking(), mostAskers)
+	assert.Equal(t, fl.polling(), mostPollers)
 }
--- a/internal/relay/notes.go
+++ b/internal/relay/notes.go
@@ -89,12 +89,12 @@
 }
 
 const (
-	// storeAskers is how many instances ask the store. Two may be lost at the same time without the others noticing.
-	storeAskers = 3
-	// mostAskers is how many do while none of the first can confirm anything.
-	mostAskers = 8 * storeAskers
-	// askersTried is how many of them are asked one after the other.
-	askersTried = 3
+	// storePollers is how many instances ask the store. Two may be lost at the same time without the others noticing.
+	storePollers = 3
+	// mostPollers is how many do while none of the first can confirm anything.
+	mostPollers = 8 * storePollers
+	// pollersTried is how many of them are asked one after the other.
+	pollersTried = 3
 	// answerTime is how long a question to another instance waits.
 	answerTime = 120 * time.Millisecond
 )
@@ -262,22 +262,22 @@
 	ns.post(ns.encode(packet{Answer: &conf}), to)
 }
 
-// asksStore tells that this instance is one of so many that ask the store.
-func (ns *notes) asksStore(askers int) bool {
+// pollsStore tells that this instance is one of so many that ask the store.
+func (ns *notes) pollsStore(pollers int) bool {
 	ranked := *ns.ranked.Load()
-	return slices.Contains(ranked[:min(askers, len(ranked))], nil)
+	return slices.Contains(ranked[:min(pollers, len(ranked))], nil)
 }
 
 // knowsOthers tells that there is another instance.
 func (ns *notes) knowsOthers() bool { return len(*ns.ranked.Load()) > 1 }
 
-// someAskers are some of the other instances among so many that ask the store, in random order, so that the questions
+// somePollers are some of the other instances among so many that ask the store, in random order, so that the questions
 // spread over them.
-func (ns *notes) someAskers(askers int) []*net.UDPAddr {
+func (ns *notes) somePollers(pollers int) []*net.UDPAddr {
 	ranked := *ns.ranked.Load()
-	others := slices.DeleteFunc(slices.Clone(ranked[:min(askers, len(ranked))]), func(address *net.UDPAddr) bool { return address == nil })
+	others := slices.DeleteFunc(slices.Clone(ranked[:min(pollers, len(ranked))]), func(address *net.UDPAddr) bool { return address == nil })
 	rand.Shuffle(len(others), func(one, two int) { others[one], others[two] = others[two], others[one] })
-	return others[:min(askersTried, len(others))]
+	return others[:min(pollersTried, len(others))]
 }
 
 // ask asks another instance when the store last confirmed its state and what has changed since the revision.
--- a/internal/relay/take.go
+++ b/internal/relay/take.go
@@ -33,7 +33,7 @@
 	if err := fl.bring(ctx, revision, limit); err != nil {
 		return err
 	}
-	if fl.in.notes.asksStore(fl.asking()) {
+	if fl.in.notes.pollsStore(fl.polling()) {
 		fl.in.notes.spread()
 	}
 	return nil
--- a/internal/steer/retry.go
+++ b/internal/steer/retry.go
@@ -72,12 +72,17 @@
 // hadRoom tells that the replica refused the request though it had a slot and the memory for it, by all that is known here.
 // Load pattern: replicas are emptied while the store is away, so that nobody is told that they leave. They refuse all that
 // is new, at once, and with nothing to do they look like the best choice: each request tried four of them and failed.
+// Where only some of a replica's calls are told of, a refusal says nothing: it may be full, and to avoid one after the other
+// would leave none.
 func (st *State) hadRoom(rep *replica, req *request) bool {
 	if rep.running() >= rep.Slots {
 		return false
 	}
 	eng := st.serviceOf(rep.Service).engine
-	return eng == nil || rep.free(eng) >= req.tokens()
+	if eng == nil {
+		return !st.partlyTold()
+	}
+	return rep.free(eng) >= req.tokens()
 }
 
 // atFault is the replica that ended the attempt: the first, or the helper that the answer names.
--- a/internal/steer/subset.go
+++ b/internal/steer/subset.go
@@ -198,12 +198,15 @@
 // audience returns the subset whose users must hear of work at the replica.
 func (st *State) audience(rep *replica) subset {
 	svc := st.serviceOf(rep.Service)
-	if svc.engine == nil && st.live > toldOfPlain {
+	if svc.engine == nil && st.partlyTold() {
 		return subset{domain: st.Options.FailureDomain, parts: 1}
 	}
 	return st.layoutOf(svc).ofReplica(rep)
 }
 
+// partlyTold tells that calls of plain services are told within failure domains only.
+func (st *State) partlyTold() bool { return st.live > toldOfPlain }
+
 // users returns the names of the other instances that use the subset, nil for all of them. They are kept until the
 // instances change.
 func (st *State) users(sub subset) []string {
--- a/internal/steer/subset_test.go
+++ b/internal/steer/subset_test.go
@@ -150,3 +150,20 @@
 	two.Reduce(fleetStart, Heard{Note: one.Reduce(fleetStart, Summarized{})[0].(Tell).Note})
 	assert.Equal(t, len(two.peers["instance-0"].jobs), 129)
 }
+
+func TestRefusalOfWhatIsPartlyKnownSaysNothing(t *testing.T) {
+	// In a large fleet calls of a plain service are told within failure domains only. A replica that is full refuses, and looks
+	// as if it had room. Avoided for that, one after the other would be out of use, just when there is most to do.
+	for name, tc := range map[string]struct {
+		instances int
+		avoided   bool
+	}{"large": {195, false}, "small": {6, true}} {
+		t.Run(name, func(t *testing.T) {
+			st := fleet{tc.instances, 20, 5}.instance(0)
+			route := decl.Route{Name: "read", Shares: []decl.Share{{Service: "board", Weight: 1}}, Repeats: decl.RepeatsAny, Timeout: decl.Duration(time.Second), Goal: decl.Duration(time.Second), Attempts: 2}
+			st.Reduce(fleetStart, Arrived{ID: 1, Route: &route, Deadline: fleetStart.Add(time.Second), Patience: fleetStart.Add(time.Second)})
+			st.Reduce(fleetStart, AttemptEnded{ID: 1, Attempt: 1, Result: ResultNotRun})
+			assert.Equal(t, !st.replicas["board-0"].usable(fleetStart), tc.avoided)
+		})
+	}
+}
