--- a/internal/steer/subset_test.go
+++ b/internal/steer/subset_test.go
@@ -123,7 +123,12 @@
 	}
 	assert.Equal(t, len(st.candidates(svc)), 2250)
 	far := st.replicas["engine-1"]
-	assert.Assert(t, slices.Contains(st.users(st.audience(far)), "instance-1") || len(st.users(st.audience(far))) > 0)
+	told := st.users(st.audience(far))
+	assert.Assert(t, len(told) >= subsetUsers)
+	for _, name := range told {
+		at := slices.IndexFunc(st.others, func(inst Instance) bool { return inst.Name == name })
+		assert.Equal(t, st.others[at].FailureDomain, far.FailureDomain)
+	}
 	st.now = fleetStart.Add(2 * time.Second)
 	assert.Assert(t, len(st.candidates(svc)) < 300)
 }
