How long a change may wait is settled once, before it is known to whom it goes

tellStart and tellEnded each reckoned the wait by the allowance and then replaced it or reckoned it again, tellEnded twice in the loop and whether slots are scarce for each subset. Same waits: within() is bounded by what it is given, and 0 goes out at once.

--- a/internal/steer/gather.go
+++ b/internal/steer/gather.go
@@ -71,12 +71,12 @@
 
 // tellStart tells of the request's new job.
 func (st *State) tellStart(req *request, job Job) {
+	most := gatherMost
+	if req.claims || st.keepsEngines(req) {
+		most = 0
+	}
 	for _, sub := range st.audiences(req.reps) {
-		wait := st.within(sub, gatherMost)
-		if req.claims || st.keepsEngines(req) {
-			wait = 0
-		}
-		pend := st.pendingFor(sub, wait)
+		pend := st.pendingFor(sub, st.within(sub, most))
 		pend.note.Jobs = append(pend.note.Jobs, job)
 		pend.jobsAt = append(pend.jobsAt, st.now)
 	}
@@ -98,15 +98,15 @@
 
 // tellEnded tells that the request's job is over. Where slots are scarce, others wait for it.
 func (st *State) tellEnded(req *request) {
+	most := gatherEndMost
+	switch {
+	case req.claims:
+		most = 0
+	case st.scarce(req.reps):
+		most = gatherMost
+	}
 	for _, sub := range st.audiences(req.reps) {
-		wait := st.within(sub, gatherEndMost)
-		switch {
-		case req.claims:
-			wait = 0
-		case st.scarce(req.reps):
-			wait = min(wait, st.within(sub, gatherMost))
-		}
-		pend := st.pendingFor(sub, wait)
+		pend := st.pendingFor(sub, st.within(sub, most))
 		pend.note.Ended = append(pend.note.Ended, req.job)
 	}
 }
