--- a/internal/steer/list.go
+++ b/internal/steer/list.go
@@ -21,7 +21,7 @@
 		}
 		st.unlisted(name, rep, ev.Away)
 	}
-	st.pump()
+	st.dispatch()
 }
 
 // relisted takes what has changed of the list. Its cost follows the changes, not the number of replicas.
@@ -34,7 +34,7 @@
 			st.unlisted(name, rep, ev.Away)
 		}
 	}
-	st.pump()
+	st.dispatch()
 }
 
 func (st *State) register(item Replica) {
--- a/internal/steer/retry.go
+++ b/internal/steer/retry.go
@@ -35,7 +35,7 @@
 	default:
 		st.retry(req, ev)
 	}
-	st.pump()
+	st.dispatch()
 }
 
 // judge counts the end of an attempt for or against the replica.
--- a/internal/steer/serve.go
+++ b/internal/steer/serve.go
@@ -32,7 +32,7 @@
 	st.requests[ev.ID] = req
 	st.ledgerOf(req.service).request(st.now, st.Options.Budget.Window)
 	st.waiting = append(st.waiting, req)
-	st.pump()
+	st.dispatch()
 }
 
 // choose takes one of the route's services by their weights.
@@ -143,7 +143,7 @@
 	st.beginJob(jobKey{id: req.job}, req.reps, true)
 	st.tellBegun(req)
 	st.emit(Line{Message: "answer began", Request: req.Name, Replica: req.reps[0].Name, Age: st.now.Sub(req.at), Attempt: req.attempt})
-	st.pump()
+	st.dispatch()
 }
 
 // progressed takes the end of a pass from an event of a stream: all events of an engine leave it together.
@@ -199,7 +199,7 @@
 		Route: req.Route.Name, Value: req.value, Back: req.returned,
 		Goal: req.goal.Sub(req.at), Gap: req.gap, Pause: req.pause,
 	}
-	if req.lapsed {
+	if req.late {
 		end.Value, end.Goal = req.worth, req.aim.Sub(req.at)
 	}
 	if !req.firstAt.IsZero() {
--- a/internal/steer/state.go
+++ b/internal/steer/state.go
@@ -96,10 +96,10 @@
 	value float64
 	// returned tells that the caller was here before.
 	returned bool
-	// lapsed tells that its goal is past; aim and worth are the goal and the value that it had.
-	lapsed bool
-	aim    time.Time
-	worth  float64
+	// late tells that its goal is past; aim and worth are the goal and the value that it had.
+	late  bool
+	aim   time.Time
+	worth float64
 	// attempt counts from 1, 0 before the first; running tells that one is under way on reps.
 	attempt int
 	running bool
@@ -194,7 +194,7 @@
 		st.expire()
 		st.stop()
 		st.forget()
-		st.pump()
+		st.dispatch()
 	}
 	st.stayAwake()
 	st.post()
@@ -248,7 +248,7 @@
 		svc.engine = pool.Engine
 		svc.relayout()
 	}
-	st.pump()
+	st.dispatch()
 }
 
 func (st *State) serviceOf(name string) *service {
--- a/internal/steer/steer_test.go
+++ b/internal/steer/steer_test.go
@@ -261,7 +261,7 @@
 }
 
 func TestReplicaMissingAfterAnOutage(t *testing.T) {
-	// The store was away and its entries lapsed. A replica that lives writes its entry again within two seconds, and
+	// The store was away and its entries late. A replica that lives writes its entry again within two seconds, and
 	// is used all the while; one whose entry stays away is gone.
 	cases := map[string]struct {
 		away   bool
--- a/internal/steer/wait.go
+++ b/internal/steer/wait.go
@@ -8,13 +8,13 @@
 // Waiting: in which order requests go that have no replica yet, which of them are given up on, and when their callers
 // should come back.
 
-// pump sends what waits and has a replica by now, the most urgent first.
-func (st *State) pump() {
+// dispatch sends what waits and has a replica by now, the most urgent first.
+func (st *State) dispatch() {
 	if len(st.waiting) == 0 {
 		return
 	}
 	for _, req := range st.waiting {
-		st.lapse(req)
+		st.markLate(req)
 	}
 	slices.SortStableFunc(st.waiting, st.order)
 	kept := st.waiting[:0]
@@ -69,7 +69,7 @@
 		switch {
 		case st.drain != nil && !st.now.Before(st.drain.Hold):
 			held = append(held, req)
-		case !st.now.Before(req.Deadline) || !req.begun && !st.now.Before(req.Patience) || st.inVain(req):
+		case !st.now.Before(req.Deadline) || !req.begun && !st.now.Before(req.Patience) || st.waitedTooLong(req):
 			over = append(over, req)
 		case req.attempt == 0 && !req.returned && st.tooLate(req):
 			busy = append(busy, req)
@@ -86,9 +86,9 @@
 	}
 }
 
-// inVain tells that a request has waited for so much of its caller's time that the caller had better know: what came back
+// waitedTooLong tells that a request has waited for so much of its caller's time that the caller had better know: what came back
 // or failed at a replica and found no place until then seldom finds one before its caller leaves.
-func (st *State) inVain(req *request) bool {
+func (st *State) waitedTooLong(req *request) bool {
 	if req.begun || req.attempt == 0 && !req.returned || req.attempt > 0 && st.serviceOf(req.service).engine == nil {
 		return false
 	}
@@ -111,16 +111,16 @@
 	}
 	req.returned = true
 	req.goal = req.goal.Add(req.Given - least)
-	st.lapse(req)
+	st.markLate(req)
 }
 
-// lapse weighs a request whose goal is past by what is left of its answer's worth, which is lost when its caller leaves. By
+// markLate weighs a request whose goal is past by what is left of its answer's worth, which is lost when its caller leaves. By
 // its old goal the lateness that nothing can mend would count against every place that it could have.
-func (st *State) lapse(req *request) {
-	if req.lapsed || req.goal.After(st.now) {
+func (st *State) markLate(req *request) {
+	if req.late || req.goal.After(st.now) {
 		return
 	}
-	req.lapsed = true
+	req.late = true
 	req.aim, req.worth = req.goal, req.value
 	req.goal = req.Patience
 	req.value *= 1 - st.tune.LateShare
