--- a/internal/steer/loss.go
+++ b/internal/steer/loss.go
@@ -12,11 +12,6 @@
 // longestBacklog bounds what one engine counts in the average, in seconds.
 const longestBacklog = 4.0
 
-// readPrice is the worth of a second of reading now, which grows with the reading that waits.
-func (st *State) readPrice(svc *service) float64 {
-	return st.tune.TimeCost + st.tune.BacklogCost*st.meanBacklog(svc)
-}
-
 // meanBacklog is the reading that waits at the average engine, in seconds. What waits at the instances does not count: the
 // longest prompts there would make engine time so dear that nothing was sent at all.
 func (st *State) meanBacklog(svc *service) float64 {
--- a/internal/steer/note.go
+++ b/internal/steer/note.go
@@ -25,6 +25,8 @@
 	Paces []Pace
 	// Waiting counts the requests that wait for a replica.
 	Waiting int
+	// Demand is what callers asked of the engines at the instance, on notes with Whole set.
+	Demand Demand
 }
 
 // JobID names one attempt of a request, or one claim, within one run of one instance.
--- a/internal/steer/peer.go
+++ b/internal/steer/peer.go
@@ -15,6 +15,8 @@
 	ended map[JobID]time.Time
 	// waiting counts the requests that wait there for a replica.
 	waiting int
+	// demand is what callers asked of the engines there.
+	demand Demand
 }
 
 const (
@@ -70,6 +72,7 @@
 			jobs[sub] = append(jobs[sub], job)
 		}
 	}
+	st.sumDemand()
 	st.summaries++
 	if len(kept) == 0 && st.summaries%idleSummaries != 0 {
 		return
@@ -83,7 +86,7 @@
 func (st *State) summarizeTo(sub subset, kept []JobID, jobs []Job) {
 	to := st.users(sub)
 	first := min(len(jobs), summaryJobs)
-	st.emit(Tell{Note: st.note(Note{Whole: true, Kept: kept, Jobs: jobs[:first]}), To: to})
+	st.emit(Tell{Note: st.note(Note{Whole: true, Kept: kept, Jobs: jobs[:first], Demand: st.demand.asked(st.now)}), To: to})
 	for part := range slices.Chunk(jobs[first:], summaryJobs) {
 		st.emit(Tell{Note: st.note(Note{Jobs: part}), To: to})
 	}
@@ -111,6 +114,10 @@
 	pr.waiting = max(0, nt.Waiting)
 	if nt.Whole {
 		st.keepOnly(nt, pr)
+		pr.demand = Demand{}
+		if nt.Demand.valid() {
+			pr.demand = nt.Demand
+		}
 	}
 	for i := range nt.Jobs {
 		st.peerStarts(nt.From, pr, &nt.Jobs[i])
--- a/internal/steer/place.go
+++ b/internal/steer/place.go
@@ -92,22 +92,22 @@
 }
 
 // asHelper and asFirst are what the engine costs in the one and the other part.
-func (opt *option) asHelper(tune *Tuning) float64 {
-	return opt.harm + opt.bias + tune.TimeCost*opt.waitHelp/1000
+func (opt *option) asHelper(idle float64) float64 {
+	return opt.harm + opt.bias + idle*opt.waitHelp/1000
 }
 
-func (opt *option) asFirst(tune *Tuning) float64 {
-	return opt.harm + opt.late + opt.pauses + opt.bias + opt.spread + tune.TimeCost*opt.wait/1000
+func (opt *option) asFirst(idle float64) float64 {
+	return opt.harm + opt.late + opt.pauses + opt.bias + opt.spread + idle*opt.wait/1000
 }
 
 func (st *State) placePrompt(svc *service, req *request) (plan, bool) {
 	eng := svc.engine
-	price := st.readPrice(svc)
+	price := st.pricesOf(svc)
 	engines := st.engines(svc, req)
 	var best plan
 	found := false
 	for _, count := range engineCounts {
-		if count > 1 && (count > min(eng.Helpers+1, st.tune.MaxEngines) || eng.Reading(req.Prompt, 1).Alone(eng) < st.tune.MinSplit*float64(count)) {
+		if count > 1 && (count > st.mostEngines(eng) || eng.Reading(req.Prompt, 1).Alone(eng) < st.tune.MinSplit*float64(count)) {
 			break
 		}
 		pl, ok := st.planFor(eng, req, engines, count, price)
@@ -121,6 +121,9 @@
 	return best, found && best.cost < req.value*st.urgency(req, &best)
 }
 
+// mostEngines is how many engines may read one prompt together.
+func (st *State) mostEngines(eng *decl.Engine) int { return min(eng.Helpers+1, st.tune.MaxEngines) }
+
 // urgency is the part of its worth that a request may cost now. One that can wait and still be in time takes only a cheap
 // place: engines that are busy or write for callers who may not wait are often free a moment later.
 func (st *State) urgency(req *request, pl *plan) float64 {
@@ -137,11 +140,11 @@
 }
 
 // planFor reckons the request read by so many engines.
-func (st *State) planFor(eng *decl.Engine, req *request, engines []candidate, count int, price float64) (plan, bool) {
+func (st *State) planFor(eng *decl.Engine, req *request, engines []candidate, count int, price prices) (plan, bool) {
 	part := eng.Reading(req.Prompt, count)
 	options := st.options(eng, req, engines, part)
-	slices.SortStableFunc(options, func(one, two option) int { return cmp.Compare(one.asHelper(&st.tune), two.asHelper(&st.tune)) })
-	first := st.firstOf(eng, req, options)
+	slices.SortStableFunc(options, func(one, two option) int { return cmp.Compare(one.asHelper(price.idle), two.asHelper(price.idle)) })
+	first := firstOf(eng, req, options, price.idle)
 	if first < 0 || len(options) < count {
 		return plan{}, false
 	}
@@ -172,7 +175,7 @@
 		return plan{}, false
 	}
 	pl.cost += st.lateness(req, pl.first)
-	pl.cost += (price*float64(count)*pl.part + st.tune.TimeCost*pl.first) / 1000
+	pl.cost += (price.reading*float64(count)*pl.part + price.idle*pl.first) / 1000
 	return pl, true
 }
 
@@ -245,14 +248,14 @@
 
 // firstOf returns the place of the engine that should answer, -1 if none can. A request that fits into one engine waits
 // for one that has the memory; a larger one takes what there is, and its helpers set the rest aside.
-func (st *State) firstOf(eng *decl.Engine, req *request, options []option) int {
+func firstOf(eng *decl.Engine, req *request, options []option, idle float64) int {
 	first := -1
 	large := req.tokens() > int64(memoryShare*float64(eng.Memory))
 	for i := range options {
 		if !options[i].slot || !large && options[i].free < req.tokens() {
 			continue
 		}
-		if first < 0 || options[i].asFirst(&st.tune) < options[first].asFirst(&st.tune) {
+		if first < 0 || options[i].asFirst(idle) < options[first].asFirst(idle) {
 			first = i
 		}
 	}
--- a/internal/steer/serve.go
+++ b/internal/steer/serve.go
@@ -29,6 +29,9 @@
 		st.emit(Finish{ID: ev.ID, Refusal: &Refusal{Reason: ReasonQuarantine, NotRun: true, RetryAfter: quarantineTime}})
 		return
 	}
+	if eng := st.serviceOf(req.service).engine; eng != nil && !req.returned {
+		st.ask(eng, req)
+	}
 	st.requests[ev.ID] = req
 	st.ledgerOf(req.service).request(st.now, st.Options.Budget.Window)
 	st.waiting = append(st.waiting, req)
--- a/internal/steer/state.go
+++ b/internal/steer/state.go
@@ -70,9 +70,13 @@
 	surveyAt   time.Time
 	surveyDone bool
 	// drain is nil until the instance is asked to stop.
-	drain   *Draining
-	random  *rand.Rand
-	effects []Effect
+	drain *Draining
+	// demand is what callers asked of the engines here, othersDemand what they asked of the other instances as of the last
+	// summary.
+	demand       demandMeter
+	othersDemand Demand
+	random       *rand.Rand
+	effects      []Effect
 }
 
 // service is one pool of replicas.
@@ -96,7 +100,7 @@
 	value float64
 	// returned tells that the caller was here before.
 	returned bool
-	// late tells that its goal is past; aim and worth are the goal and the value that it had.
+	// late tells that its goal is past or out of reach; aim and worth are the goal and the value that it had.
 	late  bool
 	aim   time.Time
 	worth float64
--- a/internal/steer/tuning.go
+++ b/internal/steer/tuning.go
@@ -31,12 +31,12 @@
 	// CalmShare is the part of its worth that a request may cost that has all its time left; 1 lets it go at once.
 	CalmShare float64
 
-	// TimeCost is the worth of a second of engine time that nobody waits for, which parts choices that make nothing late.
-	TimeCost float64
-	// BacklogCost is what each second of reading that waits at the average engine adds to that; 0 switches it off. Under
-	// overload only what is worth more than what it displaces is sent; the rest waits for a lull, since a long prompt takes
-	// engine time by the square of its length and is worth only in proportion to it.
-	BacklogCost float64
+	// TimeShare is the part of the worth that comes with each second of reading that a second of engine time costs which
+	// nobody waits for; it parts choices that make nothing late.
+	TimeShare float64
+	// BacklogShare is the part of it that is added when as much reading waits at the average engine as there is time until
+	// the goals; 0 switches it off.
+	BacklogShare float64
 	// SpreadCost keeps a stream that may not pause off engines that have none like it, which are thereby kept free for
 	// long reads; 0 switches it off. FullShare is the part of its slots from which an engine counts as full of such streams.
 	SpreadCost, FullShare float64
@@ -74,7 +74,7 @@
 func DefaultTuning() Tuning {
 	return Tuning{
 		RiskFrom: 0.4, RiskTo: 1.3, RiskPower: 1.6, LateShare: 0.75, GiveUp: 5000, Safety: 0.8, GapSafety: 0.87, LeaveSafety: 0.87, LeaveCost: 1, CalmShare: 0.3,
-		TimeCost: 0.3, BacklogCost: 3, SpreadCost: 0.1, FullShare: 1, Crowding: 0.03, FarCost: 0.005,
+		TimeShare: 0.025, BacklogShare: 0.7, SpreadCost: 0.1, FullShare: 1, Crowding: 0.03, FarCost: 0.005,
 		MaxEngines: 16, MinSplit: 60, LongRead: 60, OverdueShare: 0.3,
 		KindPower: 0.7, BaseValue: 1.3, FixedShare: 0.3, MostTimes: 4,
 		LastCall: 0.4, VainShare: 0.2, FirstTry: 0.84, PatientShare: 1.0 / 3,
@@ -120,7 +120,7 @@
 		}
 	}
 	costs := map[string]float64{
-		"TimeCost": tune.TimeCost, "BacklogCost": tune.BacklogCost, "LeaveCost": tune.LeaveCost, "SpreadCost": tune.SpreadCost,
+		"TimeShare": tune.TimeShare, "BacklogShare": tune.BacklogShare, "LeaveCost": tune.LeaveCost, "SpreadCost": tune.SpreadCost,
 		"Crowding": tune.Crowding, "FarCost": tune.FarCost, "LongRead": tune.LongRead, "KindPower": tune.KindPower,
 	}
 	for name, cost := range costs {
--- a/internal/steer/tuning_test.go
+++ b/internal/steer/tuning_test.go
@@ -19,7 +19,7 @@
 		"unknown":       {`{"MaxEngine":4}`, "MaxEngine"},
 		"no JSON":       {"4", "JSON"},
 		"no part":       {`{"LastCall":1.5}`, "LastCall"},
-		"below nothing": {`{"BacklogCost":-1}`, "BacklogCost"},
+		"below nothing": {`{"BacklogShare":-1}`, "BacklogShare"},
 		"zero divisor":  {`{"FullShare":0}`, "FullShare"},
 		"wrong order":   {`{"RiskTo":0.1}`, "RiskTo"},
 		"no engine":     {`{"MaxEngines":0}`, "MaxEngines"},
