A prompt that cannot be in time is weighed as late at once

Now it is weighed by what a late answer is worth from the moment when that is known, with a line in the log; a first try is still turned away by the goal that it came with.

--- a/internal/steer/wait.go
+++ b/internal/steer/wait.go
@@ -41,8 +41,10 @@
 }
 
 // tooLate tells that the answer can hardly begin by the goal any more.
-func (st *State) tooLate(req *request) bool {
-	return ms(req.goal.Sub(st.now)) < st.tune.LastCall*ms(req.Route.Goal.Std())
+func (st *State) tooLate(req *request) bool { return st.missed(req, req.goal) }
+
+func (st *State) missed(req *request, goal time.Time) bool {
+	return ms(goal.Sub(st.now)) < st.tune.LastCall*ms(req.Route.Goal.Std())
 }
 
 func (st *State) trySend(req *request) bool {
@@ -71,7 +73,7 @@
 			held = append(held, req)
 		case !st.now.Before(req.Deadline) || !req.begun && !st.now.Before(req.Patience) || st.waitedTooLong(req):
 			over = append(over, req)
-		case req.attempt == 0 && !req.returned && st.tooLate(req):
+		case req.attempt == 0 && !req.returned && st.unplaceable(req):
 			busy = append(busy, req)
 		}
 	}
@@ -86,6 +88,14 @@
 	}
 }
 
+// unplaceable tells that a first try has waited until its answer could hardly begin by the goal that it came with.
+func (st *State) unplaceable(req *request) bool {
+	if req.late {
+		return st.missed(req, req.aim)
+	}
+	return st.tooLate(req)
+}
+
 // waitedTooLong tells that a request has waited for so much of its caller's time that the caller had better know: what came back
 // or failed at a replica and found no place until then seldom finds one before its caller leaves.
 func (st *State) waitedTooLong(req *request) bool {
@@ -114,18 +124,33 @@
 	st.markLate(req)
 }
 
-// markLate weighs a request whose goal is past by what is left of its answer's worth, which is lost when its caller leaves. By
-// its old goal the lateness that nothing can mend would count against every place that it could have.
+// markLate weighs a request that cannot be in time any more by what is left of its answer's worth, which is lost when its
+// caller leaves. By its old goal the lateness that nothing can mend would count against every place that it could have.
+// Load pattern: the longest prompts of a burst, which all the engines that may read them together would not read in time.
 func (st *State) markLate(req *request) {
-	if req.late || req.goal.After(st.now) {
+	least := st.leastReading(req)
+	if req.late || st.now.Add(least).Before(req.goal) {
 		return
 	}
+	if req.goal.After(st.now) {
+		st.emit(Line{Message: "goal out of reach", Request: req.Name, Age: st.now.Sub(req.at), Estimate: least, Tokens: req.Prompt})
+	}
 	req.late = true
 	req.aim, req.worth = req.goal, req.value
 	req.goal = req.Patience
 	req.value *= 1 - st.tune.LateShare
 }
 
+// leastReading is how long as many engines as may read the prompt together would take for it if they had nothing else to do.
+func (st *State) leastReading(req *request) time.Duration {
+	svc := st.serviceOf(req.service)
+	if svc.engine == nil {
+		return 0
+	}
+	engines := max(1, min(st.mostEngines(svc.engine), len(st.candidates(svc))))
+	return duration(svc.engine.Reading(req.Prompt, engines).Alone(svc.engine))
+}
+
 // comeBack spreads the callers that were refused over the time in which the backlog falls, so that they do not return
 // together.
 func (st *State) comeBack(req *request) time.Duration {
