Starts at engines with few free slots are told ahead of the allowance

A message to 87 listeners uses up the allowance of 100 messages, so that the next start was kept for up to 87 ms.

--- a/internal/steer/gather.go
+++ b/internal/steer/gather.go
@@ -23,6 +23,9 @@
 	liveBegin = sameBoundary
 	// gatheredItems is how many changes one note holds at the most, which a datagram must hold.
 	gatheredItems = 40
+	// contendedSlots is how many slots of an engine may be free for a start there to be told ahead of the allowance: as many
+	// as other instances may take while it would be kept.
+	contendedSlots = 5
 )
 
 // pending is what the users of one subset are to be told, at due.
@@ -75,13 +78,28 @@
 	if req.claims || st.keepsEngines(req) {
 		most = 0
 	}
+	few := fewSlots(req.reps[0])
 	for _, sub := range st.audiences(req.reps) {
+		if few && st.mayBorrow(sub) {
+			most = 0
+		}
 		pend := st.pendingFor(sub, st.within(sub, most))
 		pend.note.Jobs = append(pend.note.Jobs, job)
 		pend.jobsAt = append(pend.jobsAt, st.now)
 	}
 }
 
+// fewSlots tells that others might take the engine's last slots if they did not hear of those that are taken. Load pattern:
+// streams gather on few engines, and many instances fill the same one at once; what is over its slots waits there until an
+// answer ends.
+func fewSlots(rep *replica) bool { return rep.Slots-rep.running() <= contendedSlots }
+
+// mayBorrow tells that the users of the subset may be told of one change ahead of the allowance.
+func (st *State) mayBorrow(sub subset) bool {
+	st.allowance.refill(st.now, st.listeners(sub))
+	return st.allowance.messages >= 0
+}
+
 // keepsEngines tells that the request's reading keeps other long reads off its engines.
 func (st *State) keepsEngines(req *request) bool {
 	return req.plan.part > st.tune.LongRead
--- a/internal/steer/gather_test.go
+++ b/internal/steer/gather_test.go
@@ -117,3 +117,25 @@
 	assert.Equal(t, st.replicas["engine-0"].passes, before)
 	assert.Assert(t, st.replicas["engine-0"].works[0].begun)
 }
+
+func TestLastSlotsAreToldAheadOfTheAllowance(t *testing.T) {
+	// Guards against starts that are kept while an engine's last slots are taken: instances that had not heard of each other
+	// filled the same engine beyond its slots, and what came last waited there until an answer ended.
+	st := fleet{88, 54, 3}.instance(3)
+	now := fleetStart
+	note := Note{From: "instance-4", Run: 1}
+	for _, rep := range st.services["lyric"].replicas {
+		for range rep.Slots - contendedSlots + 1 {
+			note.Jobs = append(note.Jobs, Job{
+				ID: JobID(len(note.Jobs)), Replicas: []string{rep.Name}, Prompt: 1000, Answer: 100, Goal: 400, Gap: 300, Value: 1, Begun: true,
+			})
+		}
+	}
+	st.Reduce(now, Heard{Note: note})
+	for id := range RequestID(2) {
+		now = now.Add(5 * time.Millisecond)
+		sent := tells(st, now, arrival(now, id+1, 1000))
+		assert.Equal(t, len(sent), 1, "start %d", id)
+		assert.Equal(t, len(sent[0].Note.Jobs), 1)
+	}
+}
