--- a/internal/steer/pass.go
+++ b/internal/steer/pass.go
@@ -12,9 +12,8 @@
 // gets Stride tokens, and all events leave at its end. So a request that comes during a pass waits for its end, is read in
 // the next one together with all else that came meanwhile, and has its first event at the end of that; a stream pauses for
 // as long as the pass lasts in which others are read. The answers that begin tell when a pass has ended, at whichever
-// instance they begin; in between, passes are reckoned from what is known to be there. Reckoned as reading alone, without
-// the passes, the first event of a short prompt took 0.8 to 1.5 times its estimate (tenth to ninetieth part of some 3,700),
-// with them 1 to 1.45 times (some 2,200): it is never earlier, and later by what comes to the engine meanwhile.
+// instance they begin; in between, passes are reckoned from what is known to be there. A first event is never earlier than
+// reckoned, and later by what comes to the engine meanwhile.
 
 // stage is how far an engine is with a job's part.
 type stage int
--- a/internal/steer/tuning.go
+++ b/internal/steer/tuning.go
@@ -13,8 +13,7 @@
 type Tuning struct {
 	// RiskFrom and RiskTo are the parts of the time left at which the estimate of a first event counts as safe and as
 	// hopeless, RiskPower bends the chance of lateness between them. Later answers than reckoned are what they stand for:
-	// over some two thousand answers the time to the first event was 1.05 times its estimate in the middle and 1.45 times in
-	// the worst tenth, since what comes to an engine after the request is read in the same pass.
+	// what comes to an engine after the request is read in the same pass.
 	RiskFrom, RiskTo, RiskPower float64
 	// LateShare is the part of an answer's worth that is lost if it is late.
 	LateShare float64
