Proof: a restart follows the process that ended, not the time

Cause: restart took a killed process that had not ended within a second for one that another fault had restarted, and poison took an engine that had not ended within 10 ms for one that lives; the last poisoned request was cut off by the end of the fault, and could take an engine down after the look. Now the process that was killed is waited for, a replica counts as gone when it takes no connection, and the last request is waited for.

--- a/internal/proof/inject.go
+++ b/internal/proof/inject.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"maps"
 	"math/rand/v2"
+	"net"
 	"slices"
 	"strings"
 	"time"
@@ -15,6 +16,7 @@
 	"dandelionsail.example/dandelionsail/internal/conf"
 	"dandelionsail.example/dandelionsail/internal/delay"
 	"dandelionsail.example/dandelionsail/internal/fault"
+	"dandelionsail.example/dandelionsail/internal/fleet"
 	"dandelionsail.example/dandelionsail/internal/load"
 	"dandelionsail.example/dandelionsail/internal/plat"
 	"dandelionsail.example/dandelionsail/internal/stand"
@@ -64,15 +66,16 @@
 func engineKilled(holding context.Context, st *site) error {
 	up := st.of("lyric")[0]
 	up.killed.Store(!up.ended())
-	if err := up.process.Kill(); err != nil {
+	killed := st.processOf(up)
+	if err := killed.Kill(); err != nil {
 		return err
 	}
 	<-holding.Done()
-	return st.restart(up)
+	return st.restart(up, killed)
 }
 
-// endTime is how long a killed process may take to end.
-const endTime = time.Second
+// endTime is how long a process that was killed or broke off its connections may take to end on a busy machine.
+const endTime = 30 * time.Second
 
 // ended tells that the replica's process is no longer there.
 func (up *upstream) ended() bool {
@@ -81,18 +84,39 @@
 	return !errors.Is(up.process.Wait(ctx), context.DeadlineExceeded)
 }
 
-// restart runs a replica whose process has ended at its old address. Two faults may kill the same replica; the first to
-// come here restarts it, and for the other it runs again.
-func (st *site) restart(up *upstream) error {
+// answers tells that the replica takes connections. One whose process is about to end does not any more, while the end of
+// the process itself may show much later.
+func (up *upstream) answers(ctx context.Context) bool {
+	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", up.process.Address)
+	if err != nil {
+		return false
+	}
+	_ = conn.Close()
+	return true
+}
+
+// processOf returns the process that runs the replica now.
+func (st *site) processOf(up *upstream) *fleet.Process {
+	st.restarting.Lock()
+	defer st.restarting.Unlock()
+	return up.process
+}
+
+// restart runs a replica at its old address once the process has ended that it had. Two faults may end the same process;
+// the first to come here restarts the replica, and the other finds another process.
+func (st *site) restart(up *upstream, ended *fleet.Process) error {
 	st.restarting.Lock()
 	defer st.restarting.Unlock()
+	if up.process != ended {
+		return nil
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), endTime)
 	defer cancel()
 	// A killed process ends with an error, which is expected.
-	if err := up.process.Wait(ctx); errors.Is(err, context.DeadlineExceeded) {
-		return nil
+	if err := ended.Wait(ctx); errors.Is(err, context.DeadlineExceeded) {
+		return fmt.Errorf("proof: the process of %s did not end in %v; look at what holds it", up.name, endTime)
 	}
-	return st.startProcess(up, up.process.Address)
+	return st.startProcess(up, ended.Address)
 }
 
 // instanceKilled kills an instance; another one takes its place at the end.
@@ -233,20 +257,24 @@
 	for holding.Err() == nil {
 		mb := st.balancer.any(random)
 		caller := &load.Caller{Address: mb.process.Address, Token: callerToken, HTTP: client}
-		res := caller.Complete(holding, "lyric", stand.PoisonMarker+" "+load.Prompt(500, 1), 10)
+		// The last one is waited for too: an engine that it takes down later would not be restarted.
+		waiting, cancel := context.WithTimeout(context.WithoutCancel(holding), settleTime)
+		res := caller.Complete(waiting, "lyric", stand.PoisonMarker+" "+load.Prompt(500, 1), 10)
+		cancel()
 		if res.Status == 422 {
 			refused++
 		}
 		delay.For(holding, 100*time.Millisecond)
 	}
 	for _, up := range st.of("lyric") {
-		if !up.ended() {
+		process := st.processOf(up)
+		if up.answers(context.Background()) {
 			continue
 		}
 		if !up.killed.Load() {
 			st.deaths++
 		}
-		if err := st.restart(up); err != nil {
+		if err := st.restart(up, process); err != nil {
 			return err
 		}
 	}
