Borrowing is settled for each subset by itself; what Demand counts is said as it is

Read again: a start told ahead of the allowance to one subset's users was told so to the others' too, which only deployments of 64 engines and more have.

--- a/internal/steer/gather.go
+++ b/internal/steer/gather.go
@@ -78,12 +78,12 @@
 	if req.claims || st.keepsEngines(req) {
 		most = 0
 	}
-	few := fewSlots(req.reps[0])
 	for _, sub := range st.audiences(req.reps) {
-		if few && st.mayBorrow(sub) {
-			most = 0
+		wait := st.within(sub, most)
+		if fewSlots(req.reps[0]) && st.mayBorrow() {
+			wait = 0
 		}
-		pend := st.pendingFor(sub, st.within(sub, most))
+		pend := st.pendingFor(sub, wait)
 		pend.note.Jobs = append(pend.note.Jobs, job)
 		pend.jobsAt = append(pend.jobsAt, st.now)
 	}
@@ -94,11 +94,8 @@
 // answer ends.
 func fewSlots(rep *replica) bool { return rep.Slots-rep.running() <= contendedSlots }
 
-// mayBorrow tells that the users of the subset may be told of one change ahead of the allowance.
-func (st *State) mayBorrow(sub subset) bool {
-	st.allowance.refill(st.now, st.listeners(sub))
-	return st.allowance.messages >= 0
-}
+// mayBorrow tells that one change may be told ahead of the allowance, as long as the one before is made good.
+func (st *State) mayBorrow() bool { return st.allowance.messages >= 0 }
 
 // keepsEngines tells that the request's reading keeps other long reads off its engines.
 func (st *State) keepsEngines(req *request) bool {
--- a/internal/steer/price.go
+++ b/internal/steer/price.go
@@ -15,7 +15,7 @@
 // reading may wait before goals are missed. Both are learnt, so that neither the number of engines nor their pace nor the
 // unit of worth is set.
 
-// Demand is what callers asked of the engines of one service lately, weighted by its age. Requests that were refused count
+// Demand is what callers asked of the engines of all services lately, weighted by its age. Requests that were refused count
 // too: otherwise what is refused would make engine time dear, and be refused the more.
 type Demand struct {
 	_ struct{} `cbor:",toarray"`
@@ -68,7 +68,8 @@
 
 // asked returns the demand as of now.
 func (mt *demandMeter) asked(now time.Time) Demand {
-	if keep := float32(math.Exp(-now.Sub(mt.at).Seconds() / demandMemory.Seconds())); !mt.at.IsZero() {
+	if !mt.at.IsZero() {
+		keep := float32(math.Exp(-now.Sub(mt.at).Seconds() / demandMemory.Seconds()))
 		mt.Value *= keep
 		mt.Reading *= keep
 		mt.Room *= keep
@@ -103,7 +104,7 @@
 	idle, reading float64
 }
 
-// pricesOf takes the demand on all models for that on each.
+// pricesOf weighs the backlog of the one service against what is asked of all.
 func (st *State) pricesOf(svc *service) prices {
 	dm := st.demand.asked(st.now).plus(st.othersDemand)
 	density := dm.density()
