Read once more: free slots, a stream's pause and a replica that is gone are each told in one place

- The slots that nobody takes were reckoned in six places; now replica.freeSlots.
- The pause between two events of a stream was taken twice, by two readings of the clock; now once, in progress.
- The proof asked in two ways whether a replica is gone; the wait of 10 ms for its process is out, the connection stays.
An engine that was ending when a fault killed it now counts as a death of its own, which is the stricter way.
- A request that is known to be late no longer has its least reading reckoned at each look at what waits.

No decision changes.

--- a/internal/proof/inject.go
+++ b/internal/proof/inject.go
@@ -65,7 +65,7 @@
 // engineKilled kills an engine in mid-work and starts it again at the end.
 func engineKilled(holding context.Context, st *site) error {
 	up := st.of("lyric")[0]
-	up.killed.Store(!up.ended())
+	up.killed.Store(up.answers(holding))
 	killed := st.processOf(up)
 	if err := killed.Kill(); err != nil {
 		return err
@@ -77,13 +77,6 @@
 // endTime is how long a process that was killed or broke off its connections may take to end on a busy machine.
 const endTime = 30 * time.Second
 
-// ended tells that the replica's process is no longer there.
-func (up *upstream) ended() bool {
-	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Millisecond)
-	defer cancel()
-	return !errors.Is(up.process.Wait(ctx), context.DeadlineExceeded)
-}
-
 // answers tells that the replica takes connections. One whose process is about to end does not any more, while the end of
 // the process itself may show much later.
 func (up *upstream) answers(ctx context.Context) bool {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -54,9 +54,6 @@
 	if end == 0 {
 		return buf, true
 	}
-	if !tr.last.IsZero() {
-		tr.in.apply(steer.Progressed{ID: tr.cl.id, Attempt: tr.eff.Attempt, Pause: time.Since(tr.last)})
-	}
 	tr.start(resp)
 	tr.progress()
 	if _, err := tr.cl.w.Write(buf[:end]); err != nil {
@@ -86,9 +83,10 @@
 func (tr *try) progress() {
 	now := time.Now()
 	if !tr.last.IsZero() {
-		pass := now.Sub(tr.last)
-		if pass > tr.ended.Pause {
-			tr.ended.Pause, tr.ended.PauseAt = pass, now
+		pause := now.Sub(tr.last)
+		tr.in.apply(steer.Progressed{ID: tr.cl.id, Attempt: tr.eff.Attempt, Pause: pause})
+		if pause > tr.ended.Pause {
+			tr.ended.Pause, tr.ended.PauseAt = pause, now
 		}
 	}
 	tr.last = now
--- a/internal/steer/claim.go
+++ b/internal/steer/claim.go
@@ -31,7 +31,7 @@
 // contested tells that others may take the slot at the same moment.
 func (st *State) contested(pl *plan) bool {
 	first := pl.reps[0]
-	return st.live > 1 && st.services[first.Service].engine != nil && first.Slots-first.running() <= scarceSlots
+	return st.live > 1 && st.services[first.Service].engine != nil && first.freeSlots() <= scarceSlots
 }
 
 // settle sends what was claimed long enough ago, and withdraws what others have a better right to.
@@ -70,7 +70,7 @@
 	if !rep.usable(st.now) {
 		return false
 	}
-	over := rep.running() - rep.Slots
+	over := -rep.freeSlots()
 	if over <= 0 {
 		return true
 	}
@@ -111,7 +111,7 @@
 	if st.now.Sub(req.at) < rushAfter {
 		return true
 	}
-	wanted := takers * (rep.Slots - rep.running())
+	wanted := takers * rep.freeSlots()
 	return wanted >= rivals || st.random.IntN(rivals) < wanted
 }
 
--- a/internal/steer/gather.go
+++ b/internal/steer/gather.go
@@ -78,9 +78,10 @@
 	if req.claims || st.keepsEngines(req) {
 		most = 0
 	}
+	few := fewSlots(req.reps[0])
 	for _, sub := range st.audiences(req.reps) {
 		wait := st.within(sub, most)
-		if fewSlots(req.reps[0]) && st.mayBorrow() {
+		if few && st.mayBorrow() {
 			wait = 0
 		}
 		pend := st.pendingFor(sub, wait)
@@ -92,7 +93,7 @@
 // fewSlots tells that others might take the engine's last slots if they did not hear of those that are taken. Load pattern:
 // streams gather on few engines, and many instances fill the same one at once; what is over its slots waits there until an
 // answer ends.
-func fewSlots(rep *replica) bool { return rep.Slots-rep.running() <= contendedSlots }
+func fewSlots(rep *replica) bool { return rep.freeSlots() <= contendedSlots }
 
 // mayBorrow tells that one change may be told ahead of the allowance, as long as the one before is made good.
 func (st *State) mayBorrow() bool { return st.allowance.messages >= 0 }
@@ -129,7 +130,7 @@
 // scarce tells that one of the replicas has few slots left.
 func (st *State) scarce(reps []*replica) bool {
 	for _, rep := range reps {
-		if rep.Slots-rep.running() <= scarceSlots {
+		if rep.freeSlots() <= scarceSlots {
 			return true
 		}
 	}
--- a/internal/steer/replica.go
+++ b/internal/steer/replica.go
@@ -92,6 +92,9 @@
 	return count
 }
 
+// freeSlots counts the slots that nobody known here takes, below zero where more requests were sent than there are.
+func (rep *replica) freeSlots() int { return rep.Slots - rep.running() }
+
 func (rep *replica) helping() int { return len(rep.works) - rep.running() }
 
 // held is the memory taken.
--- a/internal/steer/retry.go
+++ b/internal/steer/retry.go
@@ -75,7 +75,7 @@
 // Where only some of a replica's calls are told of, a refusal says nothing: it may be full, and to avoid one after the other
 // would leave none.
 func (st *State) hadRoom(rep *replica, req *request) bool {
-	if rep.running() >= rep.Slots {
+	if rep.freeSlots() <= 0 {
 		return false
 	}
 	eng := st.serviceOf(rep.Service).engine
--- a/internal/steer/wait.go
+++ b/internal/steer/wait.go
@@ -128,8 +128,11 @@
 // caller leaves. By its old goal the lateness that nothing can mend would count against every place that it could have.
 // Load pattern: the longest prompts of a burst, which all the engines that may read them together would not read in time.
 func (st *State) markLate(req *request) {
+	if req.late {
+		return
+	}
 	least := st.leastReading(req)
-	if req.late || st.now.Add(least).Before(req.goal) {
+	if st.now.Add(least).Before(req.goal) {
 		return
 	}
 	if req.goal.After(st.now) {
