Log and gauge the rate limit that a replica names

Each limit that is named, changed or ended is a line with the replica, the request whose answer bore it and the rate, and a gauge Limits.MilliPerS.<replica>. Nothing is decided by it yet.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -243,6 +243,7 @@
 
 func (tr *try) receive(ctx context.Context, resp *http.Response) steer.Result {
 	reply := tr.in.protocol.Reply(resp)
+	tr.in.noteLimit(tr.eff.Replica.Name, tr.cl.ask.Name, reply)
 	tr.ended.Status = resp.StatusCode
 	tr.ended.At = reply.At
 	if reply.Name != tr.cl.ask.Name && reply.Name != "" {
--- a/internal/relay/ports.go
+++ b/internal/relay/ports.go
@@ -144,4 +144,7 @@
 	RetryAfter          time.Duration
 	// At names the replica at fault, empty if that is the one asked or unknown.
 	At string
+	// Limited tells that the replica names a rate limit, Limit is that in requests a second from all instances together.
+	Limited bool
+	Limit   float64
 }
