Keep the rate limit that a replica names over all instances

Cause: nobody read the limit.

Now each answer tells the reducer what its replica says. What is news goes to all that use the replica in one note, and the instance that grants repeats it once a second. One instance grants the sends to a limited replica, the first by rendezvous hashing; a request asks it, and is told when it may go or when there is room. Sends of the last 4 s count, those before the limit was heard too. An instance that does not answer three times is passed over for a second; one that hears few of the others grants only their share. A later answer without a limit, to a request sent after the last one with it, ends the limit for all. Limited engines read no parts for others, whose orders would count. Where all replicas are limited, what cannot be in time is refused at once with its turn to come back.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -116,12 +116,15 @@
 	if tr.eff.Fresh {
 		transport = tr.in.fresh1
 	}
+	sent := time.Now()
 	resp, err := transport.RoundTrip(tr.request(watched))
 	if err != nil {
 		return tr.failed(ctx)
 	}
+	reply := tr.in.protocol.Reply(resp)
+	tr.in.answered(tr.eff.Replica.Name, sent, reply)
 	defer func() { _ = resp.Body.Close() }()
-	return tr.receive(ctx, resp)
+	return tr.receive(ctx, resp, reply)
 }
 
 // check ends an attempt whose replica is silent. One that other requests heard lately, or that takes new connections, is
@@ -241,9 +244,7 @@
 	}
 }
 
-func (tr *try) receive(ctx context.Context, resp *http.Response) steer.Result {
-	reply := tr.in.protocol.Reply(resp)
-	tr.in.noteLimit(tr.eff.Replica.Name, tr.cl.ask.Name, reply)
+func (tr *try) receive(ctx context.Context, resp *http.Response, reply Reply) steer.Result {
 	tr.ended.Status = resp.StatusCode
 	tr.ended.At = reply.At
 	if reply.Name != tr.cl.ask.Name && reply.Name != "" {
--- a/internal/relay/instance.go
+++ b/internal/relay/instance.go
@@ -74,8 +74,6 @@
 
 	// heard holds when each replica was last heard, by its name.
 	heard sync.Map
-	// limits holds the rate limits that replicas named in answers to this instance, by replica.
-	limits sync.Map
 	// mu guards the reducer and the calls.
 	mu    sync.Mutex
 	state *steer.State
--- a/internal/relay/limit.go
+++ b/internal/relay/limit.go
@@ -1,22 +1,36 @@
 package relay
 
-import "math"
+import (
+	"math"
+	"strings"
+	"time"
 
-// noteLimit logs a rate limit that a replica names, changes or names no longer.
-func (in *Instance) noteLimit(replica, request string, reply Reply) {
-	before, limited := in.limits.Load(replica)
-	if !reply.Limited {
-		if limited {
-			in.limits.Delete(replica)
-			in.gauge("Limits.MilliPerS."+replica, 0)
-			in.log.Info().Str("Replica", replica).Str("Request", request).Msg("rate limit ended")
+	"dandelionsail.example/dandelionsail/internal/steer"
+)
+
+// answered tells the reducer what a replica's answer says of its rate limit; sent is when the request left.
+func (in *Instance) answered(replica string, sent time.Time, reply Reply) {
+	in.apply(steer.Answered{Replica: replica, Sent: sent, Limited: reply.Limited, PerS: reply.Limit})
+}
+
+// limitPrefix begins the names of the gauges of rate limits in force.
+const limitPrefix = "Limits."
+
+// limitMetrics shows the rate limits in force: the limit, what all instances sent under it that is known here, and what this
+// one sent.
+func (in *Instance) limitMetrics() {
+	in.mu.Lock()
+	limits := in.state.Limits(time.Now())
+	in.mu.Unlock()
+	in.registry.Each(func(name string, _ any) {
+		if strings.HasPrefix(name, limitPrefix) {
+			in.registry.Unregister(name)
 		}
-		return
-	}
-	if limited && before.(float64) == reply.Limit {
-		return
+	})
+	in.gauge(limitPrefix+"InForce", int64(len(limits)))
+	for _, limit := range limits {
+		in.gauge(limitPrefix+"MilliPerS."+limit.Replica, int64(math.Round(1000*limit.PerS)))
+		in.gauge(limitPrefix+"Recent."+limit.Replica, int64(limit.Recent))
+		in.gauge(limitPrefix+"Used."+limit.Replica, limit.Used)
 	}
-	in.limits.Store(replica, reply.Limit)
-	in.gauge("Limits.MilliPerS."+replica, int64(math.Round(1000*reply.Limit)))
-	in.log.Info().Str("Replica", replica).Str("Request", request).Float64("PerS", reply.Limit).Msg("rate limit named")
 }
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -47,6 +47,9 @@
 	if line.Times > 0 {
 		entry.Float64("Times", math.Round(line.Times*100)/100)
 	}
+	if line.PerS > 0 {
+		entry.Float64("PerS", line.PerS)
+	}
 	if line.End != nil {
 		logEnd(entry, line.End)
 	}
--- a/internal/relay/ticket.go
+++ b/internal/relay/ticket.go
@@ -128,10 +128,12 @@
 	if err != nil {
 		return err
 	}
+	sent := time.Now()
 	resp, err := tr.in.kept.RoundTrip(req)
 	if err != nil {
 		return OrderFailed.Wrap(err, "relay: %s did not answer an order; another replica is taken", to.Name)
 	}
+	tr.in.answered(to.Name, sent, tr.in.protocol.Reply(resp))
 	defer func() { _ = resp.Body.Close() }()
 	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxOrderReply))
 	if resp.StatusCode != http.StatusOK {
--- a/internal/steer/claim.go
+++ b/internal/steer/claim.go
@@ -67,7 +67,7 @@
 // prevails tells that the request's replica has a slot for it after all claims of a better right.
 func (st *State) prevails(req *request) bool {
 	rep := req.reps[0]
-	if !rep.usable(st.now) {
+	if !rep.usable(st.now) || rep.limit != nil {
 		return false
 	}
 	over := -rep.freeSlots()
--- a/internal/steer/effect.go
+++ b/internal/steer/effect.go
@@ -54,6 +54,7 @@
 	ReasonUpstream   Reason = "UpstreamFailed"
 	ReasonQuarantine Reason = "Quarantined"
 	ReasonDraining   Reason = "Draining"
+	ReasonLimited    Reason = "RateLimited"
 )
 
 // Refusal is what the caller is told instead of an answer.
@@ -93,6 +94,8 @@
 	Tokens int64
 	// Times is how many times longer than declared a replica takes.
 	Times float64
+	// PerS is a rate limit in requests a second.
+	PerS float64
 	// End is set on the line that ends a request.
 	End *End
 }
--- a/internal/steer/event.go
+++ b/internal/steer/event.go
@@ -145,6 +145,16 @@
 	Used    int64
 }
 
+// Answered tells of an answer of a replica to anything that it was sent, as its header came.
+type Answered struct {
+	Replica string
+	// Sent is when the request left to which it is the answer.
+	Sent time.Time
+	// Limited tells that the replica names a rate limit, PerS is that in requests a second from all instances together.
+	Limited bool
+	PerS    float64
+}
+
 // Draining tells that the instance was asked to stop. From Hold on nothing waits here any longer, and at Stop what is
 // still under way ends.
 type Draining struct{ Hold, Stop time.Time }
@@ -166,6 +176,7 @@
 func (Peered) isEvent()       {}
 func (Heard) isEvent()        {}
 func (Surveyed) isEvent()     {}
+func (Answered) isEvent()     {}
 func (Draining) isEvent()     {}
 func (Ticked) isEvent()       {}
 func (Summarized) isEvent()   {}
--- /dev/null
+++ b/internal/steer/limit_test.go
@@ -0,0 +1,165 @@
+package steer_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"dandelionsail.example/dandelionsail/internal/steer"
+)
+
+func TestLimitHoldsHoweverManyInstances(t *testing.T) {
+	// Each of many instances sends a little, so that a replica that takes two requests a second gets one from each.
+	for _, instances := range []int{1, 6, 9, 59, 88, 195, 300} {
+		t.Run(fmt.Sprint(instances, " instances"), func(t *testing.T) {
+			t.Parallel()
+			lw := newLimitWorld(1, instances, replicas(4))
+			lw.load(40, 16*time.Second, &short, 5000)
+			lw.pass(2 * time.Second)
+			for _, name := range []string{"lyric-0", "lyric-1"} {
+				lw.name(name, 2.1)
+			}
+			lw.pass(14 * time.Second)
+			for _, name := range []string{"lyric-0", "lyric-1"} {
+				assert.Assert(t, lw.worst(name, 2.1) <= 0, "%s got %d more than allowed", name, lw.worst(name, 2.1))
+			}
+			assert.Equal(t, len(lw.refusals), 0)
+		})
+	}
+}
+
+func TestLimitIsUsedWhereNothingElseIsLeft(t *testing.T) {
+	// All replicas of a plain service name limits. To hold to far less would turn callers away that could be served.
+	for _, instances := range []int{2, 9, 88} {
+		t.Run(fmt.Sprint(instances, " instances"), func(t *testing.T) {
+			t.Parallel()
+			lw := newLimitWorld(2, instances, replicas(1))
+			lw.load(12, 22*time.Second, &update, 0)
+			lw.pass(2 * time.Second)
+			for _, name := range []string{"board-0", "board-1"} {
+				lw.name(name, 3)
+			}
+			lw.pass(20 * time.Second)
+			for _, name := range []string{"board-0", "board-1"} {
+				assert.Assert(t, lw.worst(name, 3) <= 0, "%s got %d more than allowed", name, lw.worst(name, 3))
+				used := lw.recent(name, 12*time.Second)
+				assert.Assert(t, used >= 30, "%s got %d of the 36 that it takes", name, used)
+			}
+			for _, ref := range lw.refusals {
+				assert.Assert(t, ref.NotRun && ref.RetryAfter > 0, "%+v", ref)
+			}
+		})
+	}
+}
+
+func TestLimitEndsForAll(t *testing.T) {
+	// A replica names its limit no longer while little is sent to it: all instances use it again.
+	lw := newLimitWorld(3, 9, replicas(1))
+	lw.load(12, 30*time.Second, &update, 0)
+	lw.pass(2 * time.Second)
+	lw.name("board-0", 0)
+	lw.pass(8 * time.Second)
+	assert.Assert(t, lw.recent("board-0", 4*time.Second) <= 5)
+	lw.end("board-0")
+	lw.pass(6 * time.Second)
+	for _, node := range lw.nodes {
+		assert.Equal(t, len(node.st.Limits(lw.now)), 0, node.name)
+	}
+	assert.Assert(t, lw.recent("board-0", time.Second) >= 3)
+}
+
+func TestLaterAnswerDecidesTheLimit(t *testing.T) {
+	// Answers overtake each other: one that names no limit, to a request sent before the limit was heard, does not end it.
+	in := newInstance(t, "one", 2)
+	in.reduce(steer.Answered{Replica: "lyric-0", Sent: in.now, Limited: true, PerS: 2})
+	in.reduce(steer.Answered{Replica: "lyric-0", Sent: in.now.Add(-time.Millisecond)})
+	assert.Equal(t, len(in.st.Limits(in.now)), 1)
+	in.now = in.now.Add(time.Millisecond)
+	in.reduce(steer.Answered{Replica: "lyric-0", Sent: in.now})
+	assert.Equal(t, len(in.st.Limits(in.now)), 0)
+}
+
+func TestAnotherIncarnationHasNoLimit(t *testing.T) {
+	in := newInstance(t, "one", 1)
+	in.reduce(steer.Answered{Replica: "lyric-0", Sent: in.now, Limited: true, PerS: 2})
+	list := replicas(1)
+	list[0].Born = 2
+	in.reduce(steer.Listed{Replicas: list})
+	assert.Equal(t, len(in.st.Limits(in.now)), 0)
+	in.reduce(steer.Heard{Note: steer.Note{From: "two", Run: 1, Limits: []steer.Limit{{Replica: "lyric-0", Born: 1, PerS: 2}}}})
+	assert.Equal(t, len(in.st.Limits(in.now)), 0)
+}
+
+func TestLimitIsHeardFromOthers(t *testing.T) {
+	// An instance that hears of a limit by a note alone asks before it sends.
+	in := newInstance(t, "one", 1)
+	in.reduce(steer.Peered{Instances: []steer.Instance{{Name: "two", FailureDomain: "a"}}})
+	in.reduce(steer.Heard{Note: steer.Note{From: "two", Run: 1, Limits: []steer.Limit{{Replica: "lyric-0", Born: 1, PerS: 1}}}})
+	sent, asked := 0, 0
+	for range 6 {
+		for _, eff := range in.arrive(&short, 5000) {
+			switch eff := eff.(type) {
+			case steer.Send:
+				sent++
+			case steer.Tell:
+				asked += len(eff.Note.Asks)
+			}
+		}
+	}
+	assert.Assert(t, sent <= 2 && sent+asked > 0, "%d sent, %d asked", sent, asked)
+}
+
+func TestLimitKeptInModel(t *testing.T) {
+	// Instances stop, freeze, are cut off and come back, notes are late or lost, limits change and end: in no span does a replica
+	// get more than the rule allows.
+	rapid.Check(t, func(rt *rapid.T) {
+		instances := rapid.IntRange(1, 12).Draw(rt, "instances")
+		lw := newLimitWorld(rapid.Uint64().Draw(rt, "seed"), instances, replicas(rapid.IntRange(1, 4).Draw(rt, "engines")))
+		lw.delay = time.Duration(rapid.IntRange(1, 8).Draw(rt, "delay")) * time.Millisecond
+		lw.loss = rapid.SampledFrom([]float64{0, 0.03, 0.2}).Draw(rt, "loss")
+		const lasts = 12 * time.Second
+		lw.load(float64(rapid.IntRange(2, 40).Draw(rt, "streams")), lasts, &short, 5000)
+		lw.load(float64(rapid.IntRange(1, 30).Draw(rt, "updates")), lasts, &update, 0)
+		lw.load(0.5, lasts, &long, 150_000)
+		lw.pass(2 * time.Second)
+		limits := map[string]float64{}
+		for _, rep := range lw.replicas {
+			if rapid.Bool().Draw(rt, "limited") {
+				limits[rep.Name] = rapid.Float64Range(0, 6).Draw(rt, "limit")
+				lw.name(rep.Name, limits[rep.Name])
+			}
+		}
+		for range rapid.IntRange(0, 5).Draw(rt, "faults") {
+			lw.pass(time.Duration(rapid.IntRange(0, 2500).Draw(rt, "calm")) * time.Millisecond)
+			lw.disturb(rt)
+		}
+		lw.pass(lasts - lw.now.Sub(start))
+		for name, perS := range limits {
+			if over := lw.worst(name, perS); over > 0 {
+				rt.Fatalf("%s with a limit of %.2f got %d more than allowed", name, perS, over)
+			}
+		}
+	})
+}
+
+// disturb lets something happen to one instance, or lets a limit fall or end.
+func (lw *limitWorld) disturb(rt *rapid.T) {
+	node := rapid.SampledFrom(lw.nodes).Draw(rt, "instance")
+	period := time.Duration(rapid.IntRange(100, 5000).Draw(rt, "period")) * time.Millisecond
+	switch rapid.SampledFrom([]string{"restart", "freeze", "cut", "end"}).Draw(rt, "fault") {
+	case "restart":
+		node.odd = lw.now
+		lw.boot(node)
+	case "freeze":
+		node.frozen = lw.now.Add(period)
+		node.odd = node.frozen
+	case "cut":
+		node.cut = lw.now.Add(period)
+		node.odd = node.cut
+	case "end":
+		lw.end(rapid.SampledFrom(lw.replicas).Draw(rt, "replica").Name)
+	}
+}
--- /dev/null
+++ b/internal/steer/limit_world_test.go
@@ -0,0 +1,305 @@
+package steer_test
+
+import (
+	"cmp"
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"dandelionsail.example/dandelionsail/internal/steer"
+	"dandelionsail.example/dandelionsail/pkg/decl"
+)
+
+// limitWorld is several reducers before replicas that name rate limits. Notes take some time and may be lost.
+type limitWorld struct {
+	now      time.Time
+	random   *rand.Rand
+	delay    time.Duration
+	loss     float64
+	steps    stepHeap
+	count    int
+	nodes    []*limitNode
+	replicas []steer.Replica
+	// limits are the rates that replicas name, by name; named is since when, ended until when.
+	limits   map[string]float64
+	named    map[string]time.Time
+	ended    map[string]time.Time
+	gets     []get
+	refusals []steer.Refusal
+	nextID   steer.RequestID
+}
+
+// limitNode is one instance.
+type limitNode struct {
+	name string
+	st   *steer.State
+	run  int64
+	// frozen is until when it stands still, cut until when its notes are lost, odd when either or a restart last ended.
+	frozen, cut, odd time.Time
+	// told holds when it first passed on an answer of a replica that named its limit.
+	told map[string]time.Time
+}
+
+// get is one request that reached a replica.
+type get struct {
+	at      time.Time
+	replica string
+	node    *limitNode
+}
+
+type step struct {
+	at    time.Time
+	order int
+	do    func()
+}
+
+type stepHeap []step
+
+func (sh stepHeap) Len() int { return len(sh) }
+
+func (sh stepHeap) Less(i, j int) bool {
+	return cmp.Or(sh[i].at.Compare(sh[j].at), cmp.Compare(sh[i].order, sh[j].order)) < 0
+}
+
+func (sh stepHeap) Swap(i, j int) { sh[i], sh[j] = sh[j], sh[i] }
+
+func (sh *stepHeap) Push(value any) { *sh = append(*sh, value.(step)) }
+
+func (sh *stepHeap) Pop() any {
+	last := (*sh)[len(*sh)-1]
+	*sh = (*sh)[:len(*sh)-1]
+	return last
+}
+
+func newLimitWorld(seed uint64, instances int, list []steer.Replica) *limitWorld {
+	lw := &limitWorld{
+		now: start, random: rand.New(rand.NewPCG(seed, 1)), delay: 2 * time.Millisecond,
+		replicas: list, limits: map[string]float64{}, named: map[string]time.Time{}, ended: map[string]time.Time{},
+	}
+	for i := range instances {
+		lw.nodes = append(lw.nodes, &limitNode{name: fmt.Sprintf("instance-%03d", i), told: map[string]time.Time{}})
+	}
+	for _, node := range lw.nodes {
+		lw.boot(node)
+		lw.every(node, 200*time.Millisecond, steer.Ticked{})
+		lw.every(node, time.Second, steer.Summarized{})
+	}
+	return lw
+}
+
+// boot starts a run of the instance, which knows nothing of before.
+func (lw *limitWorld) boot(node *limitNode) {
+	node.run++
+	node.st = steer.New(steer.Options{
+		Name: node.name, FailureDomain: "a", Run: node.run, Seed: lw.random.Uint64(), MissingTime: 2 * time.Second,
+		Budget: steer.Budget{Ratio: 0.2, Slack: 20, Window: 10 * time.Second},
+	})
+	lw.reduce(node, steer.Configured{Routing: &decl.Routing{Version: 1, Services: map[string]decl.Pool{"lyric": {Engine: &figures}, "board": {}}}})
+	var others []steer.Instance
+	for _, other := range lw.nodes {
+		if other != node {
+			others = append(others, steer.Instance{Name: other.name, FailureDomain: "a"})
+		}
+	}
+	lw.reduce(node, steer.Peered{Instances: others})
+	lw.reduce(node, steer.Listed{Replicas: lw.replicas})
+}
+
+func (lw *limitWorld) after(period time.Duration, do func()) {
+	lw.count++
+	heap.Push(&lw.steps, step{lw.now.Add(period), lw.count, do})
+}
+
+func (lw *limitWorld) every(node *limitNode, period time.Duration, ev steer.Event) {
+	lw.after(time.Duration(lw.random.Int64N(int64(period))), func() {
+		var again func()
+		again = func() {
+			lw.reduce(node, ev)
+			lw.after(period, again)
+		}
+		again()
+	})
+}
+
+func (lw *limitWorld) pass(period time.Duration) {
+	until := lw.now.Add(period)
+	for len(lw.steps) > 0 && !lw.steps[0].at.After(until) {
+		next := heap.Pop(&lw.steps).(step)
+		lw.now = next.at
+		next.do()
+	}
+	lw.now = until
+}
+
+// reduce hands the event to the instance, or does once that goes on.
+func (lw *limitWorld) reduce(node *limitNode, ev steer.Event) {
+	if lw.now.Before(node.frozen) {
+		st := node.st
+		lw.after(node.frozen.Sub(lw.now), func() {
+			if node.st == st {
+				lw.reduce(node, ev)
+			}
+		})
+		return
+	}
+	for _, eff := range slices.Clone(node.st.Reduce(lw.now, ev)) {
+		switch eff := eff.(type) {
+		case steer.Tell:
+			lw.tell(node, eff)
+		case steer.Wake:
+			st := node.st
+			lw.after(eff.After, func() {
+				if node.st == st {
+					lw.reduce(node, steer.Ticked{})
+				}
+			})
+		case steer.Send:
+			lw.send(node, eff)
+		case steer.Finish:
+			if eff.Refusal != nil {
+				lw.refusals = append(lw.refusals, *eff.Refusal)
+			}
+		}
+	}
+}
+
+func (lw *limitWorld) tell(from *limitNode, eff steer.Tell) {
+	for _, node := range lw.nodes {
+		if node == from || eff.To != nil && !slices.Contains(eff.To, node.name) {
+			continue
+		}
+		if lw.now.Before(node.cut) || lw.now.Before(from.cut) || lw.random.Float64() < lw.loss {
+			continue
+		}
+		lw.after(lw.delay+time.Duration(lw.random.Int64N(int64(lw.delay))), func() { lw.reduce(node, steer.Heard{Note: eff.Note}) })
+	}
+}
+
+// answerTime is how long a replica takes to begin its answer, lastTime until it ends.
+const (
+	answerTime = 80 * time.Millisecond
+	lastTime   = 400 * time.Millisecond
+)
+
+func (lw *limitWorld) send(node *limitNode, eff steer.Send) {
+	st, sent := node.st, lw.now
+	lw.gets = append(lw.gets, get{lw.now, eff.Replica.Name, node})
+	for _, helper := range eff.Helpers {
+		lw.gets = append(lw.gets, get{lw.now, helper.Name, node})
+	}
+	at := func(period time.Duration, do func()) {
+		lw.after(period, func() {
+			if node.st == st {
+				do()
+			}
+		})
+	}
+	perS, limited := 0.0, false
+	at(answerTime, func() {
+		if perS, limited = lw.limits[eff.Replica.Name]; limited {
+			if _, ok := node.told[eff.Replica.Name]; !ok {
+				node.told[eff.Replica.Name] = lw.now
+			}
+		}
+		lw.reduce(node, steer.Answered{Replica: eff.Replica.Name, Sent: sent, Limited: limited, PerS: perS})
+		lw.reduce(node, steer.Began{ID: eff.ID, Attempt: eff.Attempt})
+	})
+	at(lastTime, func() {
+		lw.reduce(node, steer.AttemptEnded{ID: eff.ID, Attempt: eff.Attempt, Result: steer.ResultDone})
+	})
+}
+
+// name lets the replica name a limit from now on.
+func (lw *limitWorld) name(replica string, perS float64) {
+	lw.limits[replica] = perS
+	if _, ok := lw.named[replica]; !ok {
+		lw.named[replica] = lw.now
+	}
+}
+
+// end lets the replica name a limit no longer.
+func (lw *limitWorld) end(replica string) {
+	if _, ok := lw.limits[replica]; ok {
+		delete(lw.limits, replica)
+		lw.ended[replica] = lw.now
+	}
+}
+
+// arrive brings a request to one of the instances.
+func (lw *limitWorld) arrive(node *limitNode, route *decl.Route, prompt int64) {
+	lw.nextID++
+	ev := steer.Arrived{
+		ID: lw.nextID, Route: route, Name: "request", Organisation: "parish", Prompt: prompt, Digest: steer.Digest(lw.nextID),
+		Deadline: lw.now.Add(route.Timeout.Std()), Patience: lw.now.Add(max(2*time.Second, 4*route.Goal.Std())),
+	}
+	if prompt > 0 {
+		ev.Answer = 1000
+	}
+	lw.reduce(node, ev)
+}
+
+// load lets requests arrive at random instances at a rate.
+func (lw *limitWorld) load(perS float64, period time.Duration, route *decl.Route, prompt int64) {
+	until := lw.now.Add(period)
+	var next func()
+	next = func() {
+		if lw.now.After(until) {
+			return
+		}
+		lw.arrive(lw.nodes[lw.random.IntN(len(lw.nodes))], route, prompt)
+		lw.after(time.Duration(lw.random.ExpFloat64()*float64(time.Second)/perS), next)
+	}
+	lw.after(0, next)
+}
+
+// The bound that the operators' rule sets.
+const (
+	limitSettle = 3 * time.Second
+	limitWindow = 4 * time.Second
+	limitTold   = 500 * time.Millisecond
+)
+
+// worst is by how much the replica got more than the rule allows, in the window where that is most: from the settling time
+// after the limit was first named, summed over instances that had passed on an answer that named it.
+func (lw *limitWorld) worst(replica string, perS float64) int {
+	named, ok := lw.named[replica]
+	if !ok {
+		return 0
+	}
+	var got []get
+	for _, gt := range lw.gets {
+		if gt.replica == replica {
+			got = append(got, gt)
+		}
+	}
+	allowed := int(1.5*perS*limitWindow.Seconds() + 5)
+	most := -allowed
+	for i, last := range got {
+		if ended, ok := lw.ended[replica]; last.at.Sub(named) < limitSettle || ok && !last.at.Before(ended) {
+			continue
+		}
+		count := 0
+		for _, gt := range got[:i+1] {
+			told, ok := gt.node.told[replica]
+			excused := gt.node.odd.After(last.at.Add(-limitWindow - limitSettle))
+			if last.at.Sub(gt.at) < limitWindow && ok && last.at.Sub(told) >= limitTold && !excused {
+				count++
+			}
+		}
+		most = max(most, count-allowed)
+	}
+	return most
+}
+
+// recent counts what the replica got in the period before now.
+func (lw *limitWorld) recent(replica string, period time.Duration) int {
+	count := 0
+	for _, gt := range lw.gets {
+		if gt.replica == replica && lw.now.Sub(gt.at) < period {
+			count++
+		}
+	}
+	return count
+}
--- a/internal/steer/list.go
+++ b/internal/steer/list.go
@@ -106,4 +106,5 @@
 		}
 	}
 	st.forgetPeers()
+	st.forgetGrants()
 }
--- a/internal/steer/note.go
+++ b/internal/steer/note.go
@@ -27,6 +27,10 @@
 	Waiting int
 	// Demand is what callers asked of the engines at the instance, on notes with Whole set.
 	Demand Demand
+	// Limits are rate limits that replicas named, Asks and Grants are about sends to such replicas.
+	Limits []Limit
+	Asks   []Ask
+	Grants []Grant
 }
 
 // JobID names one attempt of a request, or one claim, within one run of one instance.
@@ -74,6 +78,21 @@
 			}
 		}
 	}
+	for i := range nt.Limits {
+		if !nt.Limits[i].valid() {
+			return false
+		}
+	}
+	for i := range nt.Asks {
+		if !nt.Asks[i].valid() {
+			return false
+		}
+	}
+	for i := range nt.Grants {
+		if !nt.Grants[i].valid() {
+			return false
+		}
+	}
 	return nt.From != ""
 }
 
--- a/internal/steer/peer.go
+++ b/internal/steer/peer.go
@@ -73,6 +73,7 @@
 		}
 	}
 	st.sumDemand()
+	st.summarizeLimits()
 	st.summaries++
 	if len(kept) == 0 && st.summaries%idleSummaries != 0 {
 		return
@@ -132,6 +133,11 @@
 	for _, death := range nt.Deaths {
 		st.rememberDeath(death.Digest, death.Count)
 	}
+	for i := range nt.Limits {
+		st.heardLimit(&nt.Limits[i])
+	}
+	st.asked(nt.From, nt.Asks)
+	st.granted(nt.Grants)
 	for _, pace := range nt.Paces {
 		st.takePace(pace)
 	}
@@ -226,6 +232,9 @@
 			goal: st.now.Add(time.Duration(job.Goal) * time.Millisecond), gap: time.Duration(job.Gap) * time.Millisecond, leaves: time.Duration(job.Leaves) * time.Millisecond,
 			value: float64(job.Value), sent: st.now, claim: job.Claim, alone: len(job.Replicas) == 1,
 		}
+		if key.from != "" {
+			st.countJob(rep, key, job, i)
+		}
 		eng := st.serviceOf(rep.Service).engine
 		if eng != nil {
 			wk.context = job.Prompt / int64(len(job.Replicas))
--- a/internal/steer/place.go
+++ b/internal/steer/place.go
@@ -23,6 +23,17 @@
 	first, cost, bias float64
 }
 
+// placeAt places the request at one replica alone, or returns false if that has no room.
+func (st *State) placeAt(req *request, rep *replica) (plan, bool) {
+	svc := st.serviceOf(rep.Service)
+	if svc.engine == nil {
+		return plan{reps: []*replica{rep}}, len(rep.works) < rep.Slots+plainQueue
+	}
+	cand := st.candidateOf(svc, req, rep)
+	cand.slot = rep.freeSlots() > 0
+	return st.planFor(svc.engine, req, []candidate{cand}, 1, st.pricesOf(svc))
+}
+
 // engineCounts are the numbers of engines that may read one prompt.
 var engineCounts = []int{1, 2, 3, 4, 6, 8, 10, 12, 14, 16}
 
@@ -46,10 +57,11 @@
 		if !rep.usable(st.now) || slices.Contains(req.tried, rep.Name) {
 			continue
 		}
-		if len(rep.works) >= rep.Slots+plainQueue {
+		wait, ok := st.gate(rep, req)
+		if !ok || len(rep.works) >= rep.Slots+plainQueue {
 			continue
 		}
-		cost := float64(len(rep.works))*rep.slow + float64(rep.failures)
+		cost := float64(len(rep.works))*rep.slow + float64(rep.failures) + wait.Seconds()*waitCost
 		if rep.FailureDomain != st.Options.FailureDomain {
 			cost += 0.5
 		}
@@ -67,6 +79,9 @@
 // plainQueue is how many requests may wait at a plain replica beyond its slots; more wait here, in order of urgency.
 const plainQueue = 2
 
+// waitCost is how many calls under way at a plain replica count for as much as a wait of a second for its rate limit.
+const waitCost = 20
+
 // candidate is one engine as a request finds it, whatever part of the reading it would have.
 type candidate struct {
 	rep *replica
@@ -78,6 +93,9 @@
 	// slot tells that it has room to answer, and not only to help; free is its free memory in tokens.
 	slot bool
 	free int64
+	// limited tells that it names a rate limit. Each part of a prompt and each order for its memory would count, so that it
+	// helps with no prompt.
+	limited bool
 }
 
 // option is a candidate with a part of the reading.
@@ -142,7 +160,7 @@
 // planFor reckons the request read by so many engines.
 func (st *State) planFor(eng *decl.Engine, req *request, engines []candidate, count int, price prices) (plan, bool) {
 	part := eng.Reading(req.Prompt, count)
-	options := st.options(eng, req, engines, part)
+	options := st.options(eng, req, engines, part, count)
 	slices.SortStableFunc(options, func(one, two option) int { return cmp.Compare(one.asHelper(price.idle), two.asHelper(price.idle)) })
 	first := firstOf(eng, req, options, price.idle)
 	if first < 0 || len(options) < count {
@@ -188,26 +206,40 @@
 		if !rep.usable(st.now) || slices.Contains(req.tried, rep.Name) {
 			continue
 		}
-		cand := candidate{rep: rep, out: rep.outlook(svc.engine, &st.tune, st.now), free: rep.free(svc.engine)}
-		cand.reads = st.readsLong(rep, &cand.out)
-		cand.slot = rep.running() < svc.engine.Slots && st.myTurn(rep, req, rivals)
-		cand.spread = st.tune.spread(rep, req)
-		cand.bias = st.tune.Crowding * st.random.Float64()
-		if rep.FailureDomain != st.Options.FailureDomain {
-			cand.bias += st.tune.FarCost
+		wait, ok := st.gate(rep, req)
+		if !ok {
+			continue
 		}
+		cand := st.candidateOf(svc, req, rep)
+		cand.out.left += ms(wait)
+		cand.slot = rep.running() < svc.engine.Slots && st.myTurn(rep, req, rivals)
 		engines = append(engines, cand)
 	}
 	return engines
 }
 
+// candidateOf is the replica as the request finds it, without its slots.
+func (st *State) candidateOf(svc *service, req *request, rep *replica) candidate {
+	cand := candidate{rep: rep, limited: rep.limit != nil, out: rep.outlook(svc.engine, &st.tune, st.now), free: rep.free(svc.engine)}
+	cand.reads = st.readsLong(rep, &cand.out)
+	cand.spread = st.tune.spread(rep, req)
+	cand.bias = st.tune.Crowding * st.random.Float64()
+	if rep.FailureDomain != st.Options.FailureDomain {
+		cand.bias += st.tune.FarCost
+	}
+	if cand.limited && st.now.Sub(rep.limit.heard) > limitStale {
+		cand.bias -= probeGain
+	}
+	return cand
+}
+
 // options prices a part of so much reading at each engine.
-func (st *State) options(eng *decl.Engine, req *request, engines []candidate, part decl.Reading) []option {
+func (st *State) options(eng *decl.Engine, req *request, engines []candidate, part decl.Reading, count int) []option {
 	options := make([]option, 0, len(engines))
 	long := part.Alone(eng) > st.tune.LongRead
 	for i := range engines {
 		cand := &engines[i]
-		if long && cand.reads {
+		if long && cand.reads || cand.limited && count > 1 {
 			continue
 		}
 		opt := option{candidate: cand, wait: cand.out.first(part), waitHelp: cand.out.help(part)}
--- a/internal/steer/replica.go
+++ b/internal/steer/replica.go
@@ -56,6 +56,11 @@
 	// failures counts those in a row; downUntil ends the last pause that they brought.
 	failures  int
 	downUntil time.Time
+	// limit is nil while the replica names no rate limit; limitEnded is when one was last known to be over.
+	limit      *rateLimit
+	limitEnded time.Time
+	// sends holds when requests of all instances reached the replica in the last limitSpan, as far as known here.
+	sends []time.Time
 }
 
 // Pauses after failures: long enough for a restart to show, short enough to find a replica that is back.
--- a/internal/steer/serve.go
+++ b/internal/steer/serve.go
@@ -59,12 +59,22 @@
 
 // book counts the request at the replicas of the plan, here and at the other instances.
 func (st *State) book(req *request, pl plan) {
+	st.nextJob(req)
+	st.bookGranted(req, pl)
+}
+
+// nextJob names the request's next job.
+func (st *State) nextJob(req *request) {
+	req.jobs++
+	req.job = JobID(req.ID)*jobsPerRequest + req.jobs%jobsPerRequest
+}
+
+// bookGranted books the job that was named when it asked for a send.
+func (st *State) bookGranted(req *request, pl plan) {
 	req.plan = pl
 	req.reps = append(req.reps[:0], pl.reps...)
 	req.tickets = append(req.tickets[:0], pl.tickets...)
 	req.sentAt = st.now
-	req.jobs++
-	req.job = JobID(req.ID)*jobsPerRequest + req.jobs%jobsPerRequest
 	job := req.booked(st.now)
 	st.startJob(jobKey{id: req.job}, &job)
 	st.tellStart(req, job)
@@ -100,6 +110,7 @@
 		eff.Helpers = append(eff.Helpers, helper)
 	}
 	eff.FirstBy, eff.GapBy = st.patience(req, pl)
+	st.countSends(req)
 	st.emit(eff)
 	st.emit(Line{
 		Message: "request sent", Request: req.Name, Replica: pl.reps[0].Name, Age: st.now.Sub(req.at),
--- a/internal/steer/state.go
+++ b/internal/steer/state.go
@@ -63,6 +63,8 @@
 	given map[string]time.Duration
 	// missing holds when the replicas are taken as gone that an incomplete list left out.
 	missing map[string]time.Time
+	// silent holds when an instance last failed to answer an ask.
+	silent map[string]time.Time
 	// wakeAt is when the shell was last asked to wake the reducer.
 	wakeAt time.Time
 	// surveyAt is when engines are asked for their load, zero before the first list; done tells that they were or need
@@ -87,6 +89,8 @@
 	// layout is how the replicas are split into subsets, candidates are those of this instance's; nil if they are to be found.
 	layout     *layout
 	candidates []*replica
+	// backAt is the turn of the last caller that was asked to come back for the sake of the replicas' rate limits.
+	backAt time.Time
 }
 
 // request is one request's life.
@@ -132,6 +136,9 @@
 	waitsFrom time.Time
 	// notBefore keeps it waiting after a refusal.
 	notBefore time.Time
+	// ask is its wish for a send to a limited replica, barred holds until when it leaves some of them alone.
+	ask    ask
+	barred map[string]time.Time
 }
 
 // New returns the state of an instance that has seen nothing yet.
@@ -150,6 +157,7 @@
 		budgets:  map[string]*ledger{},
 		poison:   newPoison(),
 		missing:  map[string]time.Time{},
+		silent:   map[string]time.Time{},
 		usersOf:  map[subset][]string{},
 		outbox:   map[subset]*pending{},
 		means:    map[string]float64{},
@@ -188,6 +196,8 @@
 		st.heard(ev.Note)
 	case Surveyed:
 		st.surveyed(ev)
+	case Answered:
+		st.answered(ev)
 	case Draining:
 		st.drain = &ev
 	case Summarized:
--- a/internal/steer/survey.go
+++ b/internal/steer/survey.go
@@ -44,7 +44,7 @@
 			continue
 		}
 		for _, rep := range svc.replicas {
-			if st.surveyor(svc, rep) {
+			if rep.limit == nil && st.surveyor(svc, rep) {
 				engines = append(engines, rep.Replica)
 			}
 		}
--- a/internal/steer/wait.go
+++ b/internal/steer/wait.go
@@ -48,10 +48,16 @@
 }
 
 func (st *State) trySend(req *request) bool {
+	if req.ask.rep != nil {
+		return st.followAsk(req)
+	}
 	pl, ok := st.place(req)
 	if !ok {
 		return false
 	}
+	if pl.reps[0].limit != nil {
+		return st.askToSend(req, pl.reps[0])
+	}
 	req.claims = st.contested(&pl)
 	st.book(req, pl)
 	if req.claims {
@@ -66,15 +72,18 @@
 // expire ends what waited for too long: a caller that would leave before any answer hears now when to come back, and so
 // does one whose answer would be late and that can come back once more.
 func (st *State) expire() {
-	var over, busy, held []*request
+	var over, busy, held, limited []*request
 	for _, req := range st.waiting {
 		switch {
 		case st.drain != nil && !st.now.Before(st.drain.Hold):
 			held = append(held, req)
 		case !st.now.Before(req.Deadline) || !req.begun && !st.now.Before(req.Patience) || st.waitedTooLong(req):
 			over = append(over, req)
+		case req.hasSlot():
 		case req.attempt == 0 && !req.returned && st.unplaceable(req):
 			busy = append(busy, req)
+		case st.keptOut(req):
+			limited = append(limited, req)
 		}
 	}
 	for _, req := range over {
@@ -83,6 +92,10 @@
 	for _, req := range busy {
 		st.refuse(req, ReasonBusy, st.comeBack(req))
 	}
+	for _, req := range limited {
+		first, _ := st.heldByLimits(req)
+		st.refuse(req, ReasonLimited, st.comeBackAt(req, first))
+	}
 	for _, req := range held {
 		st.refuse(req, ReasonDraining, drainPause)
 	}
