--- a/internal/relay/limit.go
+++ b/internal/relay/limit.go
@@ -1,10 +1,11 @@
 package relay
 
 import (
-	"math"
 	"strings"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"dandelionsail.example/dandelionsail/internal/steer"
 )
 
@@ -29,7 +30,7 @@
 	})
 	in.gauge(limitPrefix+"InForce", int64(len(limits)))
 	for _, limit := range limits {
-		in.gauge(limitPrefix+"MilliPerS."+limit.Replica, int64(math.Round(1000*limit.PerS)))
+		metrics.GetOrRegisterGaugeFloat64(limitPrefix+"PerS."+limit.Replica, in.registry).Update(limit.PerS)
 		in.gauge(limitPrefix+"Recent."+limit.Replica, int64(limit.Recent))
 		in.gauge(limitPrefix+"Used."+limit.Replica, limit.Used)
 	}
--- a/internal/steer/grant.go
+++ b/internal/steer/grant.go
@@ -25,6 +25,9 @@
 	askSlack = 50 * time.Millisecond
 	// grantLife is how long after its time a grant may still be used: an instance that froze must not send by an old one.
 	grantLife = 100 * time.Millisecond
+	// askersPerSend is how many of those that are refused come back for each send that gets free: with all of them, the
+	// asks would grow with the instances.
+	askersPerSend = 4
 	// barTime is how long a request leaves a replica alone whose room is for requests of more worth.
 	barTime = 100 * time.Millisecond
 	// longestQueue bounds how far ahead sends are granted.
@@ -163,8 +166,10 @@
 	value := float64(wish.Value)
 	if after > min(time.Duration(wish.WaitMs)*time.Millisecond, rl.queueFor(st.now, value)) {
 		reserved.CancelAt(st.now)
-		return after, false
+		rl.refused++
+		return after + min(limitSpan, duration(1000*float64(rl.refused)/(askersPerSend*perS))), false
 	}
+	rl.refused = 0
 	rl.lesser++
 	if value < rl.top {
 		rl.lesser = 0
--- a/internal/steer/limit.go
+++ b/internal/steer/limit.go
@@ -48,6 +48,8 @@
 	top    float64
 	topAt  time.Time
 	lesser int
+	// refused counts the asks since the last grant that came to nothing.
+	refused int
 	// used counts the sends of this instance under the limit.
 	used int64
 }
