--- a/internal/steer/limit.go
+++ b/internal/steer/limit.go
@@ -133,11 +133,19 @@
 // limitOf is what is known of the replica's limit, for others.
 func (st *State) limitOf(rep *replica) Limit {
 	if rep.limit == nil {
-		return Limit{Replica: rep.Name, Born: rep.Born, Ended: true, AgeMs: millis(st.now.Sub(rep.limitEnded))}
+		return Limit{Replica: rep.Name, Born: rep.Born, Ended: true, AgeMs: st.ageMs(rep.limitEnded)}
 	}
-	return Limit{Replica: rep.Name, Born: rep.Born, PerS: rep.limit.perS, AgeMs: millis(st.now.Sub(rep.limit.heard))}
+	return Limit{Replica: rep.Name, Born: rep.Born, PerS: rep.limit.perS, AgeMs: st.ageMs(rep.limit.heard)}
 }
 
+// ageMs is how long ago that was, as notes tell it.
+func (st *State) ageMs(at time.Time) int32 {
+	return millis(min(max(0, st.now.Sub(at)), maxLimitAge))
+}
+
+// maxLimitAge is the highest age of a limit in a note: who hears it has heard nothing older.
+const maxLimitAge = time.Hour
+
 // tellLimits tells all that may use the replica, or only the one that grants sends to it.
 func (st *State) tellLimits(rep *replica, lim Limit, all bool) {
 	to := st.users(st.granters(rep))
--- a/internal/steer/limit_test.go
+++ b/internal/steer/limit_test.go
@@ -55,6 +55,29 @@
 	}
 }
 
+func TestWorthGoesFirstUnderALimit(t *testing.T) {
+	// One engine takes three requests a second, of ten with short prompts and two that are worth many times as much, all of which
+	// can wait. By arrival alone each would be served as often; those of less worth must not starve either.
+	patient := long
+	patient.Name = "patient"
+	cases := map[string]struct{ long, leastLong, leastShort float64 }{
+		"room for all of more worth": {2, 0.75, 0.05},
+		"more of more worth":         {8, 0.25, 0.03},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			lw := newLimitWorld(1, 9, replicas(1))
+			lw.name("lyric-0", 3)
+			lw.load(10, 30*time.Second, &patient, 5000)
+			lw.load(tc.long, 30*time.Second, &long, 45_000)
+			lw.pass(32 * time.Second)
+			part := func(route string) float64 { return float64(lw.served[route]) / float64(lw.arrived[route]) }
+			t.Logf("%.2f of the long prompts served, %.2f of the short ones", part("long"), part("patient"))
+			assert.Assert(t, part("long") >= tc.leastLong && part("patient") >= tc.leastShort)
+		})
+	}
+}
+
 func TestLimitEndsForAll(t *testing.T) {
 	// A replica names its limit no longer while little is sent to it: all instances use it again.
 	lw := newLimitWorld(3, 9, replicas(1))
--- a/internal/steer/limit_world_test.go
+++ b/internal/steer/limit_world_test.go
@@ -29,6 +29,9 @@
 	gets     []get
 	refusals []steer.Refusal
 	nextID   steer.RequestID
+	// routes holds the route of each request, arrived and served count requests by it.
+	routes          map[steer.RequestID]string
+	arrived, served map[string]int
 }
 
 // limitNode is one instance.
@@ -77,6 +80,7 @@
 	lw := &limitWorld{
 		now: start, random: rand.New(rand.NewPCG(seed, 1)), delay: 2 * time.Millisecond,
 		replicas: list, limits: map[string]float64{}, named: map[string]time.Time{}, ended: map[string]time.Time{},
+		routes: map[steer.RequestID]string{}, arrived: map[string]int{}, served: map[string]int{},
 	}
 	for i := range instances {
 		lw.nodes = append(lw.nodes, &limitNode{name: fmt.Sprintf("instance-%03d", i), told: map[string]time.Time{}})
@@ -160,7 +164,9 @@
 		case steer.Finish:
 			if eff.Refusal != nil {
 				lw.refusals = append(lw.refusals, *eff.Refusal)
+				continue
 			}
+			lw.served[lw.routes[eff.ID]]++
 		}
 	}
 }
@@ -230,6 +236,8 @@
 // arrive brings a request to one of the instances.
 func (lw *limitWorld) arrive(node *limitNode, route *decl.Route, prompt int64) {
 	lw.nextID++
+	lw.routes[lw.nextID] = route.Name
+	lw.arrived[route.Name]++
 	ev := steer.Arrived{
 		ID: lw.nextID, Route: route, Name: "request", Organisation: "parish", Prompt: prompt, Digest: steer.Digest(lw.nextID),
 		Deadline: lw.now.Add(route.Timeout.Std()), Patience: lw.now.Add(max(2*time.Second, 4*route.Goal.Std())),
