Proof: a failed run shows its processes' last lines, and what an instance said that never became ready

WaitReady names the last answer; TestFaults keeps 256 KB of the processes' lines and prints them if the run fails.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -176,28 +176,34 @@
 	return fl.authority.Write(fl.keys, name)
 }
 
-// WaitReady waits until the entry instance at the address is ready.
+// WaitReady waits until the entry instance at the address is ready. The error has what it said last.
 func WaitReady(ctx context.Context, address string) error {
+	last := "no answer"
 	for {
 		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/readyz", nil)
 		if err != nil {
 			return err
 		}
 		resp, err := http.DefaultClient.Do(req)
+		if err == nil && resp.StatusCode == http.StatusOK {
+			return resp.Body.Close()
+		}
 		if err == nil {
+			body, _ := io.ReadAll(io.LimitReader(resp.Body, maxReadyBody))
 			_ = resp.Body.Close()
-		}
-		if err == nil && resp.StatusCode == http.StatusOK {
-			return nil
+			last = fmt.Sprintf("%s: %s", resp.Status, strings.TrimSpace(string(body)))
 		}
 		select {
 		case <-ctx.Done():
-			return fmt.Errorf("fleet: %s did not become ready: %w", address, ctx.Err())
+			return fmt.Errorf("fleet: %s did not become ready, it said last %q: %w", address, last, ctx.Err())
 		case <-time.After(20 * time.Millisecond):
 		}
 	}
 }
 
+// maxReadyBody bounds what is quoted of an instance that is not ready.
+const maxReadyBody = 1 << 10
+
 // Kill ends the process at once.
 func (pr *Process) Kill() error {
 	return pr.signal(syscall.SIGKILL)
--- a/internal/proof/faults_test.go
+++ b/internal/proof/faults_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"os"
+	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -30,8 +32,14 @@
 	for name, faults := range runs {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
+			logs := &processLogs{}
+			t.Cleanup(func() {
+				if t.Failed() {
+					t.Logf("the processes' last lines:\n%s", logs.tail())
+				}
+			})
 			rp, err := proof.Run(t.Context(), proof.Options{
-				Faults: faults, Seed: 1, Rate: 40, Before: 500 * time.Millisecond, Hold: time.Second, After: time.Second,
+				Faults: faults, Seed: 1, Rate: 40, Before: 500 * time.Millisecond, Hold: time.Second, After: time.Second, Logs: logs,
 			})
 			assert.NilError(t, err)
 			t.Log(rp.Seen(), rp.Notes)
@@ -39,3 +47,29 @@
 		})
 	}
 }
+
+// logsKept is how much of the processes' lines is kept for a run that fails.
+const logsKept = 256 << 10
+
+// processLogs keeps the last lines that the processes of a run wrote.
+type processLogs struct {
+	mu   sync.Mutex
+	last []byte
+}
+
+// Write implements io.Writer.
+func (pl *processLogs) Write(lines []byte) (int, error) {
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	pl.last = append(pl.last, lines...)
+	if len(pl.last) > 2*logsKept {
+		pl.last = slices.Clone(pl.last[len(pl.last)-logsKept:])
+	}
+	return len(lines), nil
+}
+
+func (pl *processLogs) tail() string {
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	return string(pl.last[max(0, len(pl.last)-logsKept):])
+}
