Model of requests' lives over several reducers

Drawn runs of one to five instances that restart, freeze and are cut off, with notes lost, late and doubled, replicas that fail, leave, come back and name limits, and callers that leave.

--- a/internal/steer/limit_test.go
+++ b/internal/steer/limit_test.go
@@ -16,7 +16,7 @@
 	for _, instances := range []int{1, 6, 9, 59, 88, 195, 300} {
 		t.Run(fmt.Sprint(instances, " instances"), func(t *testing.T) {
 			t.Parallel()
-			lw := newLimitWorld(1, instances, replicas(4))
+			lw := newLimitWorld(1, instances, replicas(4), usualBudget)
 			lw.load(40, 16*time.Second, &short, 5000)
 			lw.pass(2 * time.Second)
 			for _, name := range []string{"lyric-0", "lyric-1"} {
@@ -36,7 +36,7 @@
 	for _, instances := range []int{2, 9, 88} {
 		t.Run(fmt.Sprint(instances, " instances"), func(t *testing.T) {
 			t.Parallel()
-			lw := newLimitWorld(2, instances, replicas(1))
+			lw := newLimitWorld(2, instances, replicas(1), usualBudget)
 			lw.load(12, 22*time.Second, &update, 0)
 			lw.pass(2 * time.Second)
 			for _, name := range []string{"board-0", "board-1"} {
@@ -66,7 +66,7 @@
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
-			lw := newLimitWorld(1, 9, replicas(1))
+			lw := newLimitWorld(1, 9, replicas(1), usualBudget)
 			lw.name("lyric-0", 3)
 			lw.load(10, 30*time.Second, &patient, 5000)
 			lw.load(tc.long, 30*time.Second, &long, 45_000)
@@ -80,7 +80,7 @@
 
 func TestLimitEndsForAll(t *testing.T) {
 	// A replica names its limit no longer while little is sent to it: all instances use it again.
-	lw := newLimitWorld(3, 9, replicas(1))
+	lw := newLimitWorld(3, 9, replicas(1), usualBudget)
 	lw.load(12, 30*time.Second, &update, 0)
 	lw.pass(2 * time.Second)
 	lw.name("board-0", 0)
@@ -140,7 +140,7 @@
 	// get more than the rule allows.
 	rapid.Check(t, func(rt *rapid.T) {
 		instances := rapid.IntRange(1, 12).Draw(rt, "instances")
-		lw := newLimitWorld(rapid.Uint64().Draw(rt, "seed"), instances, replicas(rapid.IntRange(1, 4).Draw(rt, "engines")))
+		lw := newLimitWorld(rapid.Uint64().Draw(rt, "seed"), instances, replicas(rapid.IntRange(1, 4).Draw(rt, "engines")), usualBudget)
 		lw.delay = time.Duration(rapid.IntRange(1, 8).Draw(rt, "delay")) * time.Millisecond
 		lw.loss = rapid.SampledFrom([]float64{0, 0.03, 0.2}).Draw(rt, "loss")
 		const lasts = 12 * time.Second
--- a/internal/steer/limit_world_test.go
+++ b/internal/steer/limit_world_test.go
@@ -21,14 +21,20 @@
 	steps    stepHeap
 	count    int
 	nodes    []*limitNode
+	budget   steer.Budget
 	replicas []steer.Replica
-	// limits are the rates that replicas name, by name; named is since when, ended until when.
+	// limits are the rates that replicas name, by name; named is since when, over until when.
 	limits   map[string]float64
 	named    map[string]time.Time
-	ended    map[string]time.Time
+	over     map[string]time.Time
 	gets     []get
 	refusals []steer.Refusal
-	nextID   steer.RequestID
+	// doubled is the part of the notes that come twice, slow that of those that come much later.
+	doubled, slow float64
+	// outcome draws how an attempt ends and after what time, nil lets all succeed; ended hears of each end of a request.
+	outcome func(eff steer.Send) (steer.AttemptEnded, time.Duration)
+	ended   func(fin steer.Finish)
+	nextID  steer.RequestID
 	// routes holds the route of each request, arrived and served count requests by it.
 	routes          map[steer.RequestID]string
 	arrived, served map[string]int
@@ -76,10 +82,13 @@
 	return last
 }
 
-func newLimitWorld(seed uint64, instances int, list []steer.Replica) *limitWorld {
+// usualBudget is that of worlds whose requests seldom fail.
+var usualBudget = steer.Budget{Ratio: 0.2, Slack: 20, Window: 10 * time.Second}
+
+func newLimitWorld(seed uint64, instances int, list []steer.Replica, budget steer.Budget) *limitWorld {
 	lw := &limitWorld{
 		now: start, random: rand.New(rand.NewPCG(seed, 1)), delay: 2 * time.Millisecond,
-		replicas: list, limits: map[string]float64{}, named: map[string]time.Time{}, ended: map[string]time.Time{},
+		budget: budget, replicas: list, limits: map[string]float64{}, named: map[string]time.Time{}, over: map[string]time.Time{},
 		routes: map[steer.RequestID]string{}, arrived: map[string]int{}, served: map[string]int{},
 	}
 	for i := range instances {
@@ -98,7 +107,7 @@
 	node.run++
 	node.st = steer.New(steer.Options{
 		Name: node.name, FailureDomain: "a", Run: node.run, Seed: lw.random.Uint64(), MissingTime: 2 * time.Second,
-		Budget: steer.Budget{Ratio: 0.2, Slack: 20, Window: 10 * time.Second},
+		Budget: lw.budget,
 	})
 	lw.reduce(node, steer.Configured{Routing: &decl.Routing{Version: 1, Services: map[string]decl.Pool{"lyric": {Engine: &figures}, "board": {}}}})
 	var others []steer.Instance
@@ -161,7 +170,17 @@
 			})
 		case steer.Send:
 			lw.send(node, eff)
+		case steer.Abort:
+			st := node.st
+			lw.after(time.Millisecond, func() {
+				if node.st == st {
+					lw.reduce(node, steer.AttemptEnded{ID: eff.ID, Attempt: eff.Attempt, Result: steer.ResultCancelled})
+				}
+			})
 		case steer.Finish:
+			if lw.ended != nil {
+				lw.ended(eff)
+			}
 			if eff.Refusal != nil {
 				lw.refusals = append(lw.refusals, *eff.Refusal)
 				continue
@@ -179,10 +198,24 @@
 		if lw.now.Before(node.cut) || lw.now.Before(from.cut) || lw.random.Float64() < lw.loss {
 			continue
 		}
-		lw.after(lw.delay+time.Duration(lw.random.Int64N(int64(lw.delay))), func() { lw.reduce(node, steer.Heard{Note: eff.Note}) })
+		for range 1 + lw.chance(lw.doubled) {
+			late := time.Duration(lw.chance(lw.slow)) * time.Duration(lw.random.Int64N(int64(slowNote)))
+			lw.after(lw.delay+late+time.Duration(lw.random.Int64N(int64(lw.delay))), func() { lw.reduce(node, steer.Heard{Note: eff.Note}) })
+		}
 	}
 }
 
+// slowNote bounds how late a slow note is.
+const slowNote = 1500 * time.Millisecond
+
+// chance is 1 with the probability, else 0.
+func (lw *limitWorld) chance(probability float64) int {
+	if probability > 0 && lw.random.Float64() < probability {
+		return 1
+	}
+	return 0
+}
+
 // answerTime is how long a replica takes to begin its answer, lastTime until it ends.
 const (
 	answerTime = 80 * time.Millisecond
@@ -203,6 +236,15 @@
 		})
 	}
 	perS, limited := 0.0, false
+	if lw.outcome != nil {
+		end, lasts := lw.outcome(eff)
+		at(lasts, func() {
+			perS, limited = lw.limits[eff.Replica.Name]
+			lw.reduce(node, steer.Answered{Replica: eff.Replica.Name, Sent: sent, Limited: limited, PerS: perS})
+			lw.reduce(node, end)
+		})
+		return
+	}
 	at(answerTime, func() {
 		if perS, limited = lw.limits[eff.Replica.Name]; limited {
 			if _, ok := node.told[eff.Replica.Name]; !ok {
@@ -229,7 +271,7 @@
 func (lw *limitWorld) end(replica string) {
 	if _, ok := lw.limits[replica]; ok {
 		delete(lw.limits, replica)
-		lw.ended[replica] = lw.now
+		lw.over[replica] = lw.now
 	}
 }
 
@@ -286,7 +328,7 @@
 	allowed := int(1.5*perS*limitWindow.Seconds() + 5)
 	most := -allowed
 	for i, last := range got {
-		if ended, ok := lw.ended[replica]; last.at.Sub(named) < limitSettle || ok && !last.at.Before(ended) {
+		if over, ok := lw.over[replica]; last.at.Sub(named) < limitSettle || ok && !last.at.Before(over) {
 			continue
 		}
 		if !last.node.counts(replica, last.at) {
