A limit is of the incarnation that answered; one word each for the turn of a send and the time of room

An answer of a replica's former incarnation that came after the list showed the next one gave its limit to that: found in reading, not seen. The answer bears the incarnation now, with a case in TestAnotherIncarnationHasNoLimit. In asks and grants "slot" and "free" meant times beside the slots of engines and their free memory; they are "turn" and "roomAt".

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -122,7 +122,7 @@
 		return tr.failed(ctx)
 	}
 	reply := tr.in.protocol.Reply(resp)
-	tr.in.answered(tr.eff.Replica.Name, sent, reply)
+	tr.in.answered(tr.eff.Replica, sent, reply)
 	defer func() { _ = resp.Body.Close() }()
 	return tr.receive(ctx, resp, reply)
 }
--- a/internal/relay/limit.go
+++ b/internal/relay/limit.go
@@ -10,8 +10,8 @@
 )
 
 // answered tells the reducer what a replica's answer says of its rate limit; sent is when the request left.
-func (in *Instance) answered(replica string, sent time.Time, reply Reply) {
-	in.apply(steer.Answered{Replica: replica, Sent: sent, Limited: reply.Limited, PerS: reply.Limit})
+func (in *Instance) answered(replica steer.Replica, sent time.Time, reply Reply) {
+	in.apply(steer.Answered{Replica: replica.Name, Born: replica.Born, Sent: sent, Limited: reply.Limited, PerS: reply.Limit})
 }
 
 // limitPrefix begins the names of the gauges of rate limits in force.
--- a/internal/relay/survey.go
+++ b/internal/relay/survey.go
@@ -43,7 +43,7 @@
 		return 0, 0, OrderFailed.Wrap(err, "relay: %s did not answer; its load is taken for none", replica.Name)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	in.answered(replica.Name, sent, in.protocol.Reply(resp))
+	in.answered(replica, sent, in.protocol.Reply(resp))
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReport))
 	if err != nil || resp.StatusCode != http.StatusOK {
 		return 0, 0, OrderFailed.New("relay: %s answered %d; its load is taken for none", replica.Name, resp.StatusCode)
--- a/internal/relay/ticket.go
+++ b/internal/relay/ticket.go
@@ -133,7 +133,7 @@
 	if err != nil {
 		return OrderFailed.Wrap(err, "relay: %s did not answer an order; another replica is taken", to.Name)
 	}
-	tr.in.answered(to.Name, sent, tr.in.protocol.Reply(resp))
+	tr.in.answered(to.Replica, sent, tr.in.protocol.Reply(resp))
 	defer func() { _ = resp.Body.Close() }()
 	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxOrderReply))
 	if resp.StatusCode != http.StatusOK {
--- a/internal/steer/ask.go
+++ b/internal/steer/ask.go
@@ -31,8 +31,8 @@
 	// wait is the longest wait that it accepts.
 	wait    time.Duration
 	granted bool
-	// slot is when the request may be sent.
-	slot time.Time
+	// turn is when the request may be sent.
+	turn time.Time
 }
 
 // mayWait is how long a request may wait for a limited replica and still be in time, or, if it is late, be answered.
@@ -43,20 +43,20 @@
 	return max(0, req.goal.Sub(st.now)-time.Duration(st.tune.LastCall*float64(req.Route.Goal.Std())))
 }
 
-// hasSlot tells that the request was granted a send that its caller will still wait for.
-func (req *request) hasSlot() bool {
-	return req.ask.granted && req.ask.slot.Before(req.Patience) && req.ask.slot.Before(req.Deadline)
+// hasTurn tells that the request was granted a send for which its caller will still wait.
+func (req *request) hasTurn() bool {
+	return req.ask.granted && req.ask.turn.Before(req.Patience) && req.ask.turn.Before(req.Deadline)
 }
 
-// gate is how long a request is likely to wait for a send to the replica; false if that is longer than it may.
-func (st *State) gate(rep *replica, req *request) (time.Duration, bool) {
+// limitWait is how long a request is likely to wait for a send to the replica; false if that is longer than it may.
+func (st *State) limitWait(rep *replica, req *request) (time.Duration, bool) {
 	if rep.limit == nil {
 		return 0, true
 	}
 	if st.now.Before(req.barred[rep.Name]) {
 		return 0, false
 	}
-	wait := max(0, rep.limit.free.Sub(st.now))
+	wait := max(0, rep.limit.roomAt.Sub(st.now))
 	return wait, wait == 0 || wait <= st.mayWait(req)
 }
 
@@ -64,7 +64,7 @@
 func (st *State) askToSend(req *request, rep *replica) bool {
 	st.nextJob(req)
 	req.ask = ask{rep: rep, job: req.job, granter: st.granter(rep), at: st.now, tries: 1}
-	req.ask.wait = min(st.mayWait(req), max(0, rep.limit.free.Sub(st.now))+askSlack)
+	req.ask.wait = min(st.mayWait(req), max(0, rep.limit.roomAt.Sub(st.now))+askSlack)
 	if req.ask.granter != st.Options.Name {
 		st.tellAsk(req)
 		return false
@@ -91,14 +91,14 @@
 func (st *State) askAnswered(req *request, after time.Duration, granted bool) {
 	an := &req.ask
 	if granted {
-		an.granted, an.slot = true, st.now.Add(after)
+		an.granted, an.turn = true, st.now.Add(after)
 		if after > 0 {
 			st.emit(Wake{After: after})
 		}
 		return
 	}
 	if an.rep.limit != nil {
-		an.rep.limit.free = st.now.Add(after)
+		an.rep.limit.roomAt = st.now.Add(after)
 	}
 	if after <= an.wait {
 		// There is room, but for requests of more worth.
@@ -114,9 +114,9 @@
 	an := &req.ask
 	switch {
 	case an.rep.limit == nil || !an.rep.usable(st.now):
-	case an.granted && st.now.Before(an.slot):
+	case an.granted && st.now.Before(an.turn):
 		return false
-	case an.granted && st.now.Sub(an.slot) <= grantLife:
+	case an.granted && st.now.Sub(an.turn) <= grantLife:
 		if pl, ok := st.placeAt(req, an.rep); ok {
 			st.bookGranted(req, pl)
 			st.send(req)
@@ -184,7 +184,7 @@
 		if rep.limit == nil {
 			return time.Time{}, false
 		}
-		room := later(rep.limit.free, req.barred[rep.Name])
+		room := later(rep.limit.roomAt, req.barred[rep.Name])
 		if room.Sub(st.now) <= st.mayWait(req) {
 			return time.Time{}, false
 		}
--- a/internal/steer/event.go
+++ b/internal/steer/event.go
@@ -148,6 +148,8 @@
 // Answered tells of an answer of a replica to anything that it was sent, as its header came.
 type Answered struct {
 	Replica string
+	// Born is the incarnation that answered.
+	Born int64
 	// Sent is when the request left to which it is the answer.
 	Sent time.Time
 	// Limited tells that the replica names a rate limit, PerS is that in requests a second from all instances together.
--- a/internal/steer/grant.go
+++ b/internal/steer/grant.go
@@ -127,9 +127,9 @@
 // grant books a send if there is room within the wait; after is when it may go, or when there is room.
 func (st *State) grant(rep *replica, key jobKey, wish *Ask) (after time.Duration, ok bool) {
 	rl := rep.limit
-	if slot, known := rl.granted[key]; known {
+	if turn, known := rl.granted[key]; known {
 		// The answer was lost.
-		return max(0, slot.Sub(st.now)), true
+		return max(0, turn.Sub(st.now)), true
 	}
 	perS := st.grantRate(rep)
 	rl.bucket.SetLimitAt(st.now, rate.Limit(perS))
@@ -188,8 +188,8 @@
 		if rep.limit == nil {
 			continue
 		}
-		for key, slot := range rep.limit.granted {
-			if st.now.Sub(slot) > grantMemory {
+		for key, turn := range rep.limit.granted {
+			if st.now.Sub(turn) > grantMemory {
 				delete(rep.limit.granted, key)
 			}
 		}
--- a/internal/steer/limit.go
+++ b/internal/steer/limit.go
@@ -39,8 +39,8 @@
 	perS float64
 	// heard is when the newest answer that named it came to any instance, told when this instance last told all others.
 	heard, told time.Time
-	// free is when the next send is likely to be granted, as this instance was told last.
-	free time.Time
+	// roomAt is when the next send is likely to be granted, as this instance was told last.
+	roomAt time.Time
 	// bucket and granted are used where this instance grants. granted holds when the jobs may be sent whose sends are counted already.
 	bucket  *rate.Limiter
 	granted map[jobKey]time.Time
@@ -74,7 +74,7 @@
 // answered takes what an answer says of its replica's limit.
 func (st *State) answered(ev Answered) {
 	rep, ok := st.replicas[ev.Replica]
-	if !ok {
+	if !ok || rep.Born != ev.Born {
 		return
 	}
 	if !ev.Limited {
--- a/internal/steer/limit_test.go
+++ b/internal/steer/limit_test.go
@@ -104,21 +104,23 @@
 func TestLaterAnswerDecidesTheLimit(t *testing.T) {
 	// Answers overtake each other: one that names no limit, to a request sent before the limit was heard, does not end it.
 	in := newInstance(t, "one", 2)
-	in.reduce(steer.Answered{Replica: "lyric-0", Sent: in.now, Limited: true, PerS: 2})
-	in.reduce(steer.Answered{Replica: "lyric-0", Sent: in.now.Add(-time.Millisecond)})
+	in.reduce(steer.Answered{Replica: "lyric-0", Born: 1, Sent: in.now, Limited: true, PerS: 2})
+	in.reduce(steer.Answered{Replica: "lyric-0", Born: 1, Sent: in.now.Add(-time.Millisecond)})
 	assert.Equal(t, len(in.st.Limits(in.now)), 1)
 	in.now = in.now.Add(time.Millisecond)
-	in.reduce(steer.Answered{Replica: "lyric-0", Sent: in.now})
+	in.reduce(steer.Answered{Replica: "lyric-0", Born: 1, Sent: in.now})
 	assert.Equal(t, len(in.st.Limits(in.now)), 0)
 }
 
 func TestAnotherIncarnationHasNoLimit(t *testing.T) {
 	in := newInstance(t, "one", 1)
-	in.reduce(steer.Answered{Replica: "lyric-0", Sent: in.now, Limited: true, PerS: 2})
+	in.reduce(steer.Answered{Replica: "lyric-0", Born: 1, Sent: in.now, Limited: true, PerS: 2})
 	list := replicas(1)
 	list[0].Born = 2
 	in.reduce(steer.Listed{Replicas: list})
 	assert.Equal(t, len(in.st.Limits(in.now)), 0)
+	in.reduce(steer.Answered{Replica: "lyric-0", Born: 1, Sent: in.now, Limited: true, PerS: 2})
+	assert.Equal(t, len(in.st.Limits(in.now)), 0)
 	in.reduce(steer.Heard{Note: steer.Note{From: "two", Run: 1, Limits: []steer.Limit{{Replica: "lyric-0", Born: 1, PerS: 2}}}})
 	assert.Equal(t, len(in.st.Limits(in.now)), 0)
 }
--- a/internal/steer/limit_world_test.go
+++ b/internal/steer/limit_world_test.go
@@ -240,7 +240,7 @@
 		end, lasts := lw.outcome(eff)
 		at(lasts, func() {
 			perS, limited = lw.limits[eff.Replica.Name]
-			lw.reduce(node, steer.Answered{Replica: eff.Replica.Name, Sent: sent, Limited: limited, PerS: perS})
+			lw.reduce(node, steer.Answered{Replica: eff.Replica.Name, Born: eff.Replica.Born, Sent: sent, Limited: limited, PerS: perS})
 			lw.reduce(node, end)
 		})
 		return
@@ -251,7 +251,7 @@
 				node.told[eff.Replica.Name] = lw.now
 			}
 		}
-		lw.reduce(node, steer.Answered{Replica: eff.Replica.Name, Sent: sent, Limited: limited, PerS: perS})
+		lw.reduce(node, steer.Answered{Replica: eff.Replica.Name, Born: eff.Replica.Born, Sent: sent, Limited: limited, PerS: perS})
 		lw.reduce(node, steer.Began{ID: eff.ID, Attempt: eff.Attempt})
 	})
 	at(lastTime, func() {
--- a/internal/steer/place.go
+++ b/internal/steer/place.go
@@ -57,7 +57,7 @@
 		if !rep.usable(st.now) || slices.Contains(req.tried, rep.Name) {
 			continue
 		}
-		wait, ok := st.gate(rep, req)
+		wait, ok := st.limitWait(rep, req)
 		if !ok || len(rep.works) >= rep.Slots+plainQueue {
 			continue
 		}
@@ -206,7 +206,7 @@
 		if !rep.usable(st.now) || slices.Contains(req.tried, rep.Name) {
 			continue
 		}
-		wait, ok := st.gate(rep, req)
+		wait, ok := st.limitWait(rep, req)
 		if !ok {
 			continue
 		}
--- a/internal/steer/wait.go
+++ b/internal/steer/wait.go
@@ -79,7 +79,7 @@
 			held = append(held, req)
 		case !st.now.Before(req.Deadline) || !req.begun && !st.now.Before(req.Patience) || st.waitedTooLong(req):
 			over = append(over, req)
-		case req.hasSlot():
+		case req.hasTurn():
 		case req.attempt == 0 && !req.returned && st.unplaceable(req):
 			busy = append(busy, req)
 		case st.keptOut(req):
