Notes between instances have numbered fields

Whoever added a field to a note made instances of both versions deaf to each other during a release, as the limits' fields would have again. Fields are encoded by number now, those that are empty are left out, unknown ones are passed over (TestPacketsOfOtherVersions).

--- a/internal/relay/confirm.go
+++ b/internal/relay/confirm.go
@@ -12,22 +12,20 @@
 
 // question asks when the store last confirmed the other instance's state, and what has changed since the revision here.
 type question struct {
-	_     struct{} `cbor:",toarray"`
-	Nonce uint64
-	Have  int64
+	Nonce uint64 `cbor:"1,keyasint,omitempty"`
+	Have  int64  `cbor:"2,keyasint,omitempty"`
 }
 
 // confirmation answers a question; one without a nonce is news of a revision and proves nothing.
 type confirmation struct {
-	_        struct{} `cbor:",toarray"`
-	Nonce    uint64
-	Revision int64
+	Nonce    uint64 `cbor:"1,keyasint,omitempty"`
+	Revision int64  `cbor:"2,keyasint,omitempty"`
 	// AgeMs is how long before this answer the store was asked, rounded up.
-	AgeMs int64
+	AgeMs int64 `cbor:"3,keyasint,omitempty"`
 	// Changes are all after the revision that was asked from up to UpTo, which is below Revision if there are more; none if
 	// the other instance does not know them.
-	Changes []Change
-	UpTo    int64
+	Changes []Change `cbor:"4,keyasint,omitempty"`
+	UpTo    int64    `cbor:"5,keyasint,omitempty"`
 }
 
 // follows tells that the changes can be taken by one that has reached the revision. They come from the network.
--- a/internal/relay/notes.go
+++ b/internal/relay/notes.go
@@ -40,12 +40,13 @@
 	news    chan *net.UDPAddr
 }
 
-// packet is one datagram: one of its fields is set.
+// packet is one datagram: one of its fields is set. All that it holds is encoded by numbered fields, so that instances of two
+// versions understand each other during a release: unknown numbers are passed over and missing ones are zero. A number is
+// never given to another field.
 type packet struct {
-	_        struct{} `cbor:",toarray"`
-	Note     *steer.Note
-	Question *question
-	Answer   *confirmation
+	Note     *steer.Note   `cbor:"1,keyasint,omitempty"`
+	Question *question     `cbor:"2,keyasint,omitempty"`
+	Answer   *confirmation `cbor:"3,keyasint,omitempty"`
 }
 
 func openNotes(in *Instance) (*notes, error) {
--- a/internal/relay/ports.go
+++ b/internal/relay/ports.go
@@ -52,26 +52,25 @@
 
 // Peer is another instance and where it hears notes.
 type Peer struct {
-	_       struct{} `cbor:",toarray"`
-	Name    string
-	Address string
+	Name    string `cbor:"1,keyasint,omitempty"`
+	Address string `cbor:"2,keyasint,omitempty"`
 	// FailureDomain is where it runs.
-	FailureDomain string
+	FailureDomain string `cbor:"3,keyasint,omitempty"`
 	// Lease is by what the Directory keeps the entry, 0 if that is not known.
-	Lease int64
+	Lease int64 `cbor:"4,keyasint,omitempty"`
 }
 
 // Change is one change in a Directory. One of the fields behind Revision is set, none if what changed concerns nobody.
 type Change struct {
-	_        struct{} `cbor:",toarray"`
-	Revision int64
+	Revision int64 `cbor:"1,keyasint,omitempty"`
 	// Replica and Peer were registered, or registered anew with other figures.
-	Replica *steer.Replica
-	Peer    *Peer
+	Replica *steer.Replica `cbor:"2,keyasint,omitempty"`
+	Peer    *Peer          `cbor:"3,keyasint,omitempty"`
 	// LeftReplica and LeftPeer name what is registered no longer.
-	LeftReplica, LeftPeer string
+	LeftReplica string `cbor:"4,keyasint,omitempty"`
+	LeftPeer    string `cbor:"5,keyasint,omitempty"`
 	// Routing tells that the configuration is another.
-	Routing bool
+	Routing bool `cbor:"6,keyasint,omitempty"`
 }
 
 // Protocol translates the headers of requests and answers.
--- a/internal/relay/share.go
+++ b/internal/relay/share.go
@@ -18,9 +18,8 @@
 
 // shared is what an instance hands out: the configuration as it was at the revision or later.
 type shared struct {
-	_        struct{} `cbor:",toarray"`
-	Revision int64
-	Routing  *decl.Routing
+	Revision int64         `cbor:"1,keyasint,omitempty"`
+	Routing  *decl.Routing `cbor:"2,keyasint,omitempty"`
 }
 
 const (
--- a/internal/steer/event.go
+++ b/internal/steer/event.go
@@ -100,16 +100,15 @@
 
 // Replica is one incarnation of an upstream.
 type Replica struct {
-	_ struct{} `cbor:",toarray"`
 	// Name is unique to the replica, Born tells its incarnations apart.
-	Name          string
-	Born          int64
-	Service       string
-	Address       string
-	FailureDomain string
-	Slots         int
+	Name          string `cbor:"1,keyasint,omitempty"`
+	Born          int64  `cbor:"2,keyasint,omitempty"`
+	Service       string `cbor:"3,keyasint,omitempty"`
+	Address       string `cbor:"4,keyasint,omitempty"`
+	FailureDomain string `cbor:"5,keyasint,omitempty"`
+	Slots         int    `cbor:"6,keyasint,omitempty"`
 	// Leaving replicas get nothing new.
-	Leaving bool
+	Leaving bool `cbor:"7,keyasint,omitempty"`
 }
 
 // Listed brings the replicas that are registered now.
--- a/internal/steer/grant.go
+++ b/internal/steer/grant.go
@@ -32,16 +32,16 @@
 
 // Ask asks for a send to a limited replica.
 type Ask struct {
-	_       struct{} `cbor:",toarray"`
-	Job     JobID
-	Replica string
+	Job     JobID  `cbor:"1,keyasint,omitempty"`
+	Replica string `cbor:"2,keyasint,omitempty"`
 	// WaitMs is the longest wait that is accepted, little more than was reckoned when the replica was chosen, MostMs the longest
 	// that makes sense. Value is the request's worth.
-	WaitMs, MostMs int32
-	Value          float32
+	WaitMs int32   `cbor:"3,keyasint,omitempty"`
+	MostMs int32   `cbor:"4,keyasint,omitempty"`
+	Value  float32 `cbor:"5,keyasint,omitempty"`
 	// Recent counts the sends of all instances in limitSpan that the one that asks knows of: an instance that takes over the
 	// granting, or one whose notes are lost, may know of fewer.
-	Recent int
+	Recent int `cbor:"6,keyasint,omitempty"`
 }
 
 // maxValue bounds what an ask may claim to be worth, far above the longest prompt.
@@ -49,12 +49,11 @@
 
 // Grant answers an Ask.
 type Grant struct {
-	_       struct{} `cbor:",toarray"`
-	Job     JobID
-	Replica string
+	Job     JobID  `cbor:"1,keyasint,omitempty"`
+	Replica string `cbor:"2,keyasint,omitempty"`
 	// AfterMs is when the request may be sent, or if it was refused when there will be room.
-	AfterMs int32
-	Refused bool
+	AfterMs int32 `cbor:"3,keyasint,omitempty"`
+	Refused bool  `cbor:"4,keyasint,omitempty"`
 }
 
 func (an *Ask) valid() bool {
--- a/internal/steer/limit.go
+++ b/internal/steer/limit.go
@@ -56,15 +56,14 @@
 
 // Limit is a replica's rate limit in a note.
 type Limit struct {
-	_       struct{} `cbor:",toarray"`
-	Replica string
+	Replica string `cbor:"1,keyasint,omitempty"`
 	// Born is the incarnation that named it.
-	Born int64
+	Born int64 `cbor:"2,keyasint,omitempty"`
 	// PerS is in requests a second, AgeMs how long ago the answer came that named it.
-	PerS  float64
-	AgeMs int32
+	PerS  float64 `cbor:"3,keyasint,omitempty"`
+	AgeMs int32   `cbor:"4,keyasint,omitempty"`
 	// Ended tells that an answer to a request sent so long ago named none any more.
-	Ended bool
+	Ended bool `cbor:"5,keyasint,omitempty"`
 }
 
 func (lim *Limit) valid() bool {
--- a/internal/steer/pace.go
+++ b/internal/steer/pace.go
@@ -27,9 +27,8 @@
 
 // Pace is how many times longer than declared an engine takes.
 type Pace struct {
-	_       struct{} `cbor:",toarray"`
-	Replica string
-	Times   float32
+	Replica string  `cbor:"1,keyasint,omitempty"`
+	Times   float32 `cbor:"2,keyasint,omitempty"`
 }
 
 // learnPace compares the pass that has just ended with the engine's figures.
--- a/internal/steer/price.go
+++ b/internal/steer/price.go
@@ -18,10 +18,11 @@
 // Demand is what callers asked of the engines of all services lately, weighted by its age. Requests that were refused count
 // too: otherwise what is refused would make engine time dear, and be refused the more.
 type Demand struct {
-	_ struct{} `cbor:",toarray"`
 	// Value is the worth of the answers, Reading the time in s that one engine would take to read the prompts, Room the sum
 	// over the prompts of that time times the time in s until the goal.
-	Value, Reading, Room float32
+	Value   float32 `cbor:"1,keyasint,omitempty"`
+	Reading float32 `cbor:"2,keyasint,omitempty"`
+	Room    float32 `cbor:"3,keyasint,omitempty"`
 }
 
 const (
