An instance that grants in the place of another grants a quarter until that is known to be silent

Found by a test: six instances in three parts that do not hear each other sent 22 requests in 4 s to a replica that had named 2.1 a second, 17 allowed. In each part the first by rank was silent, the next granted the whole limit, and that others were silent counted only after the four seconds in which a peer's notes are waited for. Now a substitute grants a quarter of the limit while the one in whose place it grants was heard lately, and the part of the instances that it hears of after that. The price is three quarters of the limit for four seconds after a granter's death.

--- a/internal/steer/grant.go
+++ b/internal/steer/grant.go
@@ -20,6 +20,9 @@
 	// askersPerSend is how many of those that are refused come back for each send that gets free: with all of them, the
 	// asks would grow with the instances.
 	askersPerSend = 4
+	// substituteShare is the part of a limit that is granted until it shows that the instance that should grant is gone: where
+	// instances were cut off from each other instead, it grants the whole to its part.
+	substituteShare = 0.25
 	// longestQueue bounds how far ahead sends are granted.
 	longestQueue = 4 * time.Second
 	// topMemory is for how long the highest worth that was asked for holds others back.
@@ -72,7 +75,10 @@
 }
 
 // granter is the instance that grants sends to the replica, by all that is known here.
-func (st *State) granter(rep *replica) string {
+func (st *State) granter(rep *replica) string { return st.firstGranter(rep, true) }
+
+// firstGranter is the first by rank of those that may grant sends to the replica; passing leaves out those that were silent.
+func (st *State) firstGranter(rep *replica, passing bool) string {
 	sub := st.granters(rep)
 	names := st.users(sub)
 	if names == nil {
@@ -88,13 +94,21 @@
 		consider(st.Options.Name)
 	}
 	for _, name := range names {
-		if st.now.Sub(st.silent[name]) >= silentTime {
+		if !passing || st.now.Sub(st.silent[name]) >= silentTime {
 			consider(name)
 		}
 	}
 	return cmp.Or(best, st.Options.Name)
 }
 
+// substitutes tells that this instance grants in the place of one that was heard lately: that may be gone, or grant to others
+// from whom this one was just cut off.
+func (st *State) substitutes(rep *replica) bool {
+	first := st.firstGranter(rep, false)
+	_, heard := st.peers[first]
+	return first != st.Options.Name && heard
+}
+
 // heardShare is the part of the instances that are heard of those that are registered and tell this one of their work. Cut
 // off from the others, an instance cannot know what they send.
 func (st *State) heardShare() float64 {
@@ -120,6 +134,9 @@
 // grantRate is how many sends a second this instance grants.
 func (st *State) grantRate(rep *replica) float64 {
 	perS := rep.limit.perS - ticketRate*float64(rep.tickets())
+	if st.substitutes(rep) {
+		perS *= substituteShare
+	}
 	return max(leastRate, perS) * st.heardShare()
 }
 
--- a/internal/steer/limit_world_test.go
+++ b/internal/steer/limit_world_test.go
@@ -29,6 +29,8 @@
 	over     map[string]time.Time
 	gets     []get
 	refusals []steer.Refusal
+	// parted tells that two instances do not hear each other, nil that all do.
+	parted func(one, two *limitNode) bool
 	// doubled is the part of the notes that come twice, slow that of those that come much later.
 	doubled, slow float64
 	// outcome draws how an attempt ends and after what time, nil lets all succeed; ended hears of each end of a request.
@@ -42,9 +44,10 @@
 
 // limitNode is one instance.
 type limitNode struct {
-	name string
-	st   *steer.State
-	run  int64
+	name   string
+	domain string
+	st     *steer.State
+	run    int64
 	// frozen is until when it stands still, cut until when its notes are lost, odd when either or a restart last ended.
 	frozen, cut, odd time.Time
 	// told holds when it first passed on an answer of a replica that named its limit.
@@ -92,7 +95,7 @@
 		routes: map[steer.RequestID]string{}, arrived: map[string]int{}, served: map[string]int{},
 	}
 	for i := range instances {
-		lw.nodes = append(lw.nodes, &limitNode{name: fmt.Sprintf("instance-%03d", i), told: map[string]time.Time{}})
+		lw.nodes = append(lw.nodes, &limitNode{name: fmt.Sprintf("instance-%03d", i), domain: domainOf(i, list), told: map[string]time.Time{}})
 	}
 	for _, node := range lw.nodes {
 		lw.boot(node)
@@ -102,18 +105,23 @@
 	return lw
 }
 
+// domainOf spreads instances over the failure domains of the replicas.
+func domainOf(number int, list []steer.Replica) string {
+	return list[number%len(list)].FailureDomain
+}
+
 // boot starts a run of the instance, which knows nothing of before.
 func (lw *limitWorld) boot(node *limitNode) {
 	node.run++
 	node.st = steer.New(steer.Options{
-		Name: node.name, FailureDomain: "a", Run: node.run, Seed: lw.random.Uint64(), MissingTime: 2 * time.Second,
+		Name: node.name, FailureDomain: node.domain, Run: node.run, Seed: lw.random.Uint64(), MissingTime: 2 * time.Second,
 		Budget: lw.budget,
 	})
 	lw.reduce(node, steer.Configured{Routing: &decl.Routing{Version: 1, Services: map[string]decl.Pool{"lyric": {Engine: &figures}, "board": {}}}})
 	var others []steer.Instance
 	for _, other := range lw.nodes {
 		if other != node {
-			others = append(others, steer.Instance{Name: other.name, FailureDomain: "a"})
+			others = append(others, steer.Instance{Name: other.name, FailureDomain: other.domain})
 		}
 	}
 	lw.reduce(node, steer.Peered{Instances: others})
@@ -195,7 +203,7 @@
 		if node == from || eff.To != nil && !slices.Contains(eff.To, node.name) {
 			continue
 		}
-		if lw.now.Before(node.cut) || lw.now.Before(from.cut) || lw.random.Float64() < lw.loss {
+		if lw.parted != nil && lw.parted(from, node) || lw.now.Before(node.cut) || lw.now.Before(from.cut) || lw.random.Float64() < lw.loss {
 			continue
 		}
 		for range 1 + lw.chance(lw.doubled) {
