Two locks taken in turn stopped the transport between instances for good

Callers see answers that come after their time, or none, from one instance until it is killed.

Evidence: the stacks of the instance that did not stop, which the proof asks for now (Process.Dump): 42 goroutines wait for the lock of the transport in Traffic, as the operator's status does. Cause: a link that is pushed to, or watched, takes its own lock and then the transport's, to start a goroutine; recheck, which forgets links that are out of use, takes the transport's and then the link's. Whoever meets halfway holds both for ever, and with them every byte that is counted. Class: two locks without an order.

The group and the counts have locks of their own, under which no other is taken; a link's lock may be taken under the transport's. Looked for elsewhere in internal/peers: the locks of the keys take no other.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -224,6 +224,11 @@
 	return pr.signal(syscall.SIGTERM)
 }
 
+// Dump asks the process to write the stacks of all its goroutines to its log, and to end.
+func (pr *Process) Dump() error {
+	return pr.signal(syscall.SIGQUIT)
+}
+
 // Hangup asks the process to read its settings again.
 func (pr *Process) Hangup() error {
 	return pr.signal(syscall.SIGHUP)
--- a/internal/peers/link.go
+++ b/internal/peers/link.go
@@ -104,8 +104,8 @@
 }
 
 func (qu *QUIC) dialled() {
-	qu.mu.Lock()
-	defer qu.mu.Unlock()
+	qu.counts.Lock()
+	defer qu.counts.Unlock()
 	qu.traffic.Dialled++
 }
 
--- a/internal/peers/quic.go
+++ b/internal/peers/quic.go
@@ -49,10 +49,15 @@
 	quic    *quic.Transport
 	slots   chan struct{}
 
-	mu      sync.Mutex
-	links   map[string]*link
+	// mu guards the links; a link's own lock may be taken under it.
+	mu    sync.Mutex
+	links map[string]*link
+	// running guards the group and its context, counts the traffic. Links take both under their own lock, so that no other lock
+	// is taken under these.
+	running sync.Mutex
 	group   *errgroup.Group
 	ctx     context.Context
+	counts  sync.Mutex
 	traffic Traffic
 }
 
@@ -89,8 +94,8 @@
 
 // Traffic returns the counts so far.
 func (qu *QUIC) Traffic() Traffic {
-	qu.mu.Lock()
-	defer qu.mu.Unlock()
+	qu.counts.Lock()
+	defer qu.counts.Unlock()
 	return qu.traffic
 }
 
@@ -113,18 +118,18 @@
 // ReadFrom implements net.PacketConn.
 func (mt *meter) ReadFrom(buf []byte) (int, net.Addr, error) {
 	n, from, err := mt.PacketConn.ReadFrom(buf)
-	mt.qu.mu.Lock()
+	mt.qu.counts.Lock()
 	mt.qu.traffic.Received += int64(n)
-	mt.qu.mu.Unlock()
+	mt.qu.counts.Unlock()
 	return n, from, err
 }
 
 // WriteTo implements net.PacketConn.
 func (mt *meter) WriteTo(buf []byte, to net.Addr) (int, error) {
 	n, err := mt.PacketConn.WriteTo(buf, to)
-	mt.qu.mu.Lock()
+	mt.qu.counts.Lock()
 	mt.qu.traffic.Sent += int64(n)
-	mt.qu.mu.Unlock()
+	mt.qu.counts.Unlock()
 	return n, err
 }
 
@@ -147,16 +152,16 @@
 		return err
 	}
 	group, ctx := errgroup.WithContext(ctx)
-	qu.mu.Lock()
+	qu.running.Lock()
 	qu.group = group
 	qu.ctx = ctx
-	qu.mu.Unlock()
+	qu.running.Unlock()
 	group.Go(func() error { return qu.accept(ctx, listener) })
 	group.Go(func() error { return qu.recheck(ctx) })
 	<-ctx.Done()
-	qu.mu.Lock()
+	qu.running.Lock()
 	qu.group = nil
-	qu.mu.Unlock()
+	qu.running.Unlock()
 	qu.each(func(lk *link) { lk.close(codeStopped, "stopped") })
 	_ = listener.Close()
 	_ = qu.quic.Close()
@@ -166,8 +171,8 @@
 
 // spawn runs work in the transport's group and reports false if the transport does not run.
 func (qu *QUIC) spawn(work func(ctx context.Context)) bool {
-	qu.mu.Lock()
-	defer qu.mu.Unlock()
+	qu.running.Lock()
+	defer qu.running.Unlock()
 	if qu.group == nil {
 		return false
 	}
@@ -268,7 +273,7 @@
 }
 
 func (qu *QUIC) dropped() {
-	qu.mu.Lock()
-	defer qu.mu.Unlock()
+	qu.counts.Lock()
+	defer qu.counts.Unlock()
 	qu.traffic.Dropped++
 }
--- a/internal/proof/inject.go
+++ b/internal/proof/inject.go
@@ -312,6 +312,9 @@
 	return nil
 }
 
+// dumpTime is what a process that does not stop gets to write its stacks.
+const dumpTime = 2 * time.Second
+
 // stopInstance stops an instance as the platform does: listed as leaving, terminated, and waited for.
 func (st *site) stopInstance(ctx context.Context, mb *member) error {
 	if err := mb.process.Terminate(); err != nil {
@@ -321,6 +324,11 @@
 	defer cancel()
 	err := mb.process.Wait(limited)
 	st.balancer.remove(mb)
+	if limited.Err() != nil {
+		// What it waits for is in its stacks, which its log then holds.
+		err = errors.Join(err, mb.process.Dump())
+		delay.For(ctx, dumpTime)
+	}
 	if err != nil && !mb.killed.Load() {
 		return fmt.Errorf("instance %s did not stop well: %w", mb.name, err)
 	}
