Read once more: who shares a subset, how often memory is renewed and what outlives a run are each told in one place

- The names of the other instances that use a subset, or all of them, were looked up by the same four lines in the rank of claims, the rank of those that grant and the part that is heard; now othersUsing.
- The renewal of memory set aside stood as 1,200 ms in the shell and as 1.2 in the rate that it takes of a limit; now TicketRenew.
- LimitStatus told an age and a granter that nobody read, for a rank over all instances at each look at the metrics.
- The model's world asked in four places whether an instance is still in the run that something belongs to; now inRun.

No decision changes; the tests keep their assertions.

--- a/internal/relay/ticket.go
+++ b/internal/relay/ticket.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"dandelionsail.example/dandelionsail/internal/delay"
+	"dandelionsail.example/dandelionsail/internal/steer"
 )
 
 // Memory set aside at helpers for a prompt that is larger than one engine's memory. It lasts for a short time and is
@@ -18,8 +19,6 @@
 const (
 	// ticketHold is how long a ticket lasts, less than an engine may hold memory for nobody.
 	ticketHold = 3500 * time.Millisecond
-	// ticketRenew is how often it is renewed.
-	ticketRenew = 1200 * time.Millisecond
 	// ticketIdle is how long memory may be set aside before its request begins to answer: engines may hold memory that no
 	// request uses for nine seconds, and the last renewal lasts on.
 	ticketIdle = 5 * time.Second
@@ -77,7 +76,7 @@
 // renew ends with the attempt's context; release waits for it, so that no renewal follows a release.
 func (tr *try) renew(ctx context.Context) {
 	defer close(tr.renewed)
-	for delay.For(ctx, ticketRenew) {
+	for delay.For(ctx, steer.TicketRenew) {
 		for i := range tr.eff.Helpers {
 			if tr.eff.Helpers[i].Tokens == 0 {
 				continue
--- a/internal/steer/claim.go
+++ b/internal/steer/claim.go
@@ -117,12 +117,8 @@
 
 // rivals is how many requests wait at the instances that use the same replicas. One that is not heard counts as having one.
 func (st *State) rivals(svc *service) int {
-	names := st.users(st.ownSubset(svc))
-	if names == nil {
-		names = st.names
-	}
 	rivals := max(1, len(st.waiting))
-	for _, name := range names {
+	for _, name := range st.othersUsing(st.ownSubset(svc)) {
 		if pr, ok := st.peers[name]; ok {
 			rivals += pr.waiting
 		} else {
--- a/internal/steer/grant.go
+++ b/internal/steer/grant.go
@@ -80,10 +80,6 @@
 // firstGranter is the first by rank of those that may grant sends to the replica; passing leaves out those that were silent.
 func (st *State) firstGranter(rep *replica, passing bool) string {
 	sub := st.granters(rep)
-	names := st.users(sub)
-	if names == nil {
-		names = st.names
-	}
 	best, highest := "", uint64(0)
 	consider := func(name string) {
 		if hash := xxhash.Sum64String(name + "/" + rep.Name); best == "" || hash > highest {
@@ -93,7 +89,7 @@
 	if svc := st.serviceOf(rep.Service); svc.engine == nil || sub == st.ownSubset(svc) {
 		consider(st.Options.Name)
 	}
-	for _, name := range names {
+	for _, name := range st.othersUsing(sub) {
 		if !passing || st.now.Sub(st.silent[name]) >= silentTime {
 			consider(name)
 		}
@@ -117,11 +113,7 @@
 		if svc.engine == nil {
 			continue
 		}
-		names := st.users(st.ownSubset(svc))
-		if names == nil {
-			names = st.names
-		}
-		for _, name := range names {
+		for _, name := range st.othersUsing(st.ownSubset(svc)) {
 			registered++
 			if _, ok := st.peers[name]; ok {
 				heard++
--- a/internal/steer/limit.go
+++ b/internal/steer/limit.go
@@ -22,8 +22,9 @@
 	limitBurst = 2
 	// leastRate stands for a lower limit in requests a second: a replica that nobody asks cannot say that its limit has ended.
 	leastRate = 0.25
-	// ticketRate is how many orders a second keep memory set aside at a replica.
-	ticketRate = 1 / 1.2
+	// TicketRenew is how often memory that is set aside at a replica is renewed, ticketRate the orders a second that it takes.
+	TicketRenew = 1200 * time.Millisecond
+	ticketRate  = float64(time.Second) / float64(TicketRenew)
 	// limitStale is the age of a limit from which a request is welcome to find out whether it still holds.
 	limitStale = 2 * time.Second
 	// probeGain is the worth of finding that out.
@@ -44,7 +45,7 @@
 	// bucket and granted are used where this instance grants. granted holds when the jobs may be sent whose sends are counted already.
 	bucket  *rate.Limiter
 	granted map[jobKey]time.Time
-	// top is the highest worth that was asked for lately, topAt when; lesser counts the grants since one of much less worth.
+	// top is the highest worth that was asked for lately, topAt when; lesser counts the grants since one of less worth.
 	top    float64
 	topAt  time.Time
 	lesser int
@@ -276,22 +277,16 @@
 type LimitStatus struct {
 	Replica string
 	PerS    float64
-	// Age is since the newest answer that named it.
-	Age time.Duration
 	// Recent counts the sends of all instances that are known here, in limitSpan; Used those of this instance so far.
 	Recent int
 	Used   int64
-	// Granter is the instance that grants sends.
-	Granter string
 }
 
 // Limits lists the limits in force.
 func (st *State) Limits(now time.Time) []LimitStatus {
 	var list []LimitStatus
 	for _, rep := range st.limited() {
-		list = append(list, LimitStatus{
-			Replica: rep.Name, PerS: rep.limit.perS, Age: now.Sub(rep.limit.heard), Recent: rep.recent(now), Used: rep.limit.used, Granter: st.granter(rep),
-		})
+		list = append(list, LimitStatus{Replica: rep.Name, PerS: rep.limit.perS, Recent: rep.recent(now), Used: rep.limit.used})
 	}
 	return list
 }
--- a/internal/steer/limit_world_test.go
+++ b/internal/steer/limit_world_test.go
@@ -154,15 +154,20 @@
 	lw.now = until
 }
 
+// inRun does something after a while if the instance is still in the same run.
+func (lw *limitWorld) inRun(node *limitNode, period time.Duration, do func()) {
+	st := node.st
+	lw.after(period, func() {
+		if node.st == st {
+			do()
+		}
+	})
+}
+
 // reduce hands the event to the instance, or does once that goes on.
 func (lw *limitWorld) reduce(node *limitNode, ev steer.Event) {
 	if lw.now.Before(node.frozen) {
-		st := node.st
-		lw.after(node.frozen.Sub(lw.now), func() {
-			if node.st == st {
-				lw.reduce(node, ev)
-			}
-		})
+		lw.inRun(node, node.frozen.Sub(lw.now), func() { lw.reduce(node, ev) })
 		return
 	}
 	for _, eff := range slices.Clone(node.st.Reduce(lw.now, ev)) {
@@ -170,20 +175,12 @@
 		case steer.Tell:
 			lw.tell(node, eff)
 		case steer.Wake:
-			st := node.st
-			lw.after(eff.After, func() {
-				if node.st == st {
-					lw.reduce(node, steer.Ticked{})
-				}
-			})
+			lw.inRun(node, eff.After, func() { lw.reduce(node, steer.Ticked{}) })
 		case steer.Send:
 			lw.send(node, eff)
 		case steer.Abort:
-			st := node.st
-			lw.after(time.Millisecond, func() {
-				if node.st == st {
-					lw.reduce(node, steer.AttemptEnded{ID: eff.ID, Attempt: eff.Attempt, Result: steer.ResultCancelled})
-				}
+			lw.inRun(node, time.Millisecond, func() {
+				lw.reduce(node, steer.AttemptEnded{ID: eff.ID, Attempt: eff.Attempt, Result: steer.ResultCancelled})
 			})
 		case steer.Finish:
 			if lw.ended != nil {
@@ -231,18 +228,12 @@
 )
 
 func (lw *limitWorld) send(node *limitNode, eff steer.Send) {
-	st, sent := node.st, lw.now
+	sent := lw.now
 	lw.gets = append(lw.gets, get{lw.now, eff.Replica.Name, node})
 	for _, helper := range eff.Helpers {
 		lw.gets = append(lw.gets, get{lw.now, helper.Name, node})
 	}
-	at := func(period time.Duration, do func()) {
-		lw.after(period, func() {
-			if node.st == st {
-				do()
-			}
-		})
-	}
+	at := func(period time.Duration, do func()) { lw.inRun(node, period, do) }
 	perS, limited := 0.0, false
 	if lw.outcome != nil {
 		end, lasts := lw.outcome(eff)
--- a/internal/steer/subset.go
+++ b/internal/steer/subset.go
@@ -227,6 +227,14 @@
 	return names
 }
 
+// othersUsing returns the names of the other instances that use the subset, of all of them for the whole.
+func (st *State) othersUsing(sub subset) []string {
+	if names := st.users(sub); names != nil {
+		return names
+	}
+	return st.names
+}
+
 // peered takes the other instances.
 func (st *State) peered(ev Peered) {
 	st.others = slices.SortedFunc(slices.Values(ev.Instances), func(one, two Instance) int { return cmp.Compare(one.Name, two.Name) })
