Log what replicas announce about themselves in answers

Each answer that says that its replica leaves (Server-Leaving) and each 503 with a time of rest (Retry-After) now gives a line with replica, kind, source and time; an unusable value gives one line and changes nothing. A failed attempt's line has the status. No decision changes: the values are logged only.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -132,7 +132,7 @@
 		return att.failureResult(ctx)
 	}
 	ri := att.in.protocol.ParseResponse(resp)
-	att.in.recordRateLimit(att.eff.Replica, sentAt, ri)
+	att.in.recordAnnounced(att.eff.Replica, sentAt, ri)
 	defer func() { _ = resp.Body.Close() }()
 	return att.receive(ctx, resp, ri)
 }
--- a/internal/relay/limit.go
+++ b/internal/relay/limit.go
@@ -9,9 +9,9 @@
 	"dandelionsail.example/dandelionsail/internal/steer"
 )
 
-// recordRateLimit passes the rate limit in a replica's response to the reducer. sent is when the request was sent.
-func (in *Instance) recordRateLimit(replica steer.Replica, sent time.Time, ri ResponseInfo) {
-	in.apply(steer.ResponseReceived{Replica: replica.Name, Born: replica.Born, Sent: sent, Limited: ri.Limited, PerS: ri.Limit})
+// recordAnnounced passes what a replica announces in its response to the reducer. sent is when the request was sent.
+func (in *Instance) recordAnnounced(replica steer.Replica, sent time.Time, ri ResponseInfo) {
+	in.apply(steer.ResponseReceived{Replica: replica.Name, Born: replica.Born, Sent: sent, Announced: ri.Announced})
 }
 
 // limitPrefix is the name prefix of the gauges of the rate limits in force.
--- a/internal/relay/loadpoll.go
+++ b/internal/relay/loadpoll.go
@@ -43,7 +43,7 @@
 		return 0, 0, OrderFailed.Wrap(err, "relay: %s did not answer the load poll; its load counts as zero", replica.Name)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	in.recordRateLimit(replica, sent, in.protocol.ParseResponse(resp))
+	in.recordAnnounced(replica, sent, in.protocol.ParseResponse(resp))
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxLoadBytes))
 	if err != nil || resp.StatusCode != http.StatusOK {
 		return 0, 0, OrderFailed.New("relay: %s answered the load poll with status %d; its load counts as zero", replica.Name, resp.StatusCode)
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -50,6 +50,15 @@
 	if line.PerS > 0 {
 		entry.Float64("PerS", line.PerS)
 	}
+	addString(entry, "Announcement", line.Announcement)
+	addString(entry, "Source", line.Source)
+	addString(entry, "Invalid", line.Invalid)
+	if line.Rest > 0 {
+		entry.Int64("RestMs", line.Rest.Milliseconds())
+	}
+	if line.Status > 0 {
+		entry.Int("Status", line.Status)
+	}
 	if line.End != nil {
 		logOutcome(entry, line.End)
 	}
--- a/internal/relay/ports.go
+++ b/internal/relay/ports.go
@@ -153,12 +153,8 @@
 	NotRun bool
 	// Misdirected reports that the response came from another replica than the one that the request was meant for.
 	Misdirected bool
-	// RetryAfter is how long the replica asks callers to wait before they try again, 0 if it states no time.
-	RetryAfter time.Duration
 	// FaultyReplica names the replica at fault, empty if it is unknown or the one that was sent the request.
 	FaultyReplica string
-	// Limited reports whether the response states a rate limit.
-	Limited bool
-	// Limit is that rate limit in requests per second, summed over all Instances.
-	Limit float64
+	// Announced is what the replica that responds announces about itself.
+	Announced steer.Announced
 }
--- a/internal/relay/reservation.go
+++ b/internal/relay/reservation.go
@@ -135,7 +135,7 @@
 	if err != nil {
 		return OrderFailed.Wrap(err, "relay: %s did not answer a reservation order; another replica is used", to.Name)
 	}
-	att.in.recordRateLimit(to.Replica, sent, att.in.protocol.ParseResponse(resp))
+	att.in.recordAnnounced(to.Replica, sent, att.in.protocol.ParseResponse(resp))
 	defer func() { _ = resp.Body.Close() }()
 	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxOrderResponse))
 	if resp.StatusCode != http.StatusOK {
--- a/internal/steer/effect.go
+++ b/internal/steer/effect.go
@@ -108,6 +108,16 @@
 	Times float64
 	// PerS is a rate limit in requests per second.
 	PerS float64
+	// Announcement is the kind of a replica's announcement.
+	Announcement string
+	// Source is how the announcement was learned: from an answer, from the list, or from a note of another instance.
+	Source string
+	// Rest is how long the replica asked for rest.
+	Rest time.Duration
+	// Status is the HTTP status of the replica's answer.
+	Status int
+	// Invalid quotes an announcement whose value cannot be used.
+	Invalid string
 	// End is set on the last line of a request that was admitted.
 	End *Outcome
 }
--- a/internal/steer/limit.go
+++ b/internal/steer/limit.go
@@ -89,6 +89,7 @@
 	if !ok || rep.Born != ev.Born {
 		return
 	}
+	st.logAnnounced(rep, &ev.Announced)
 	if !ev.Limited {
 		if st.endLimit(rep, ev.Sent) {
 			st.sendLimit(rep, st.limitOf(rep), true)
--- a/internal/steer/limit_world_test.go
+++ b/internal/steer/limit_world_test.go
@@ -252,7 +252,7 @@
 		end, lasts := lw.outcome(eff)
 		at(lasts, func() {
 			perS, limited = lw.limits[eff.Replica.Name]
-			lw.reduce(node, steer.ResponseReceived{Replica: eff.Replica.Name, Born: eff.Replica.Born, Sent: sent, Limited: limited, PerS: perS})
+			lw.reduce(node, steer.ResponseReceived{Replica: eff.Replica.Name, Born: eff.Replica.Born, Sent: sent, Announced: steer.Announced{Limited: limited, PerS: perS}})
 			lw.reduce(node, end)
 		})
 		return
@@ -263,7 +263,7 @@
 				node.passedOnAt[eff.Replica.Name] = lw.now
 			}
 		}
-		lw.reduce(node, steer.ResponseReceived{Replica: eff.Replica.Name, Born: eff.Replica.Born, Sent: sent, Limited: limited, PerS: perS})
+		lw.reduce(node, steer.ResponseReceived{Replica: eff.Replica.Name, Born: eff.Replica.Born, Sent: sent, Announced: steer.Announced{Limited: limited, PerS: perS}})
 		lw.reduce(node, steer.Began{ID: eff.ID, Attempt: eff.Attempt})
 	})
 	at(finishTime, func() {
--- a/internal/steer/replica.go
+++ b/internal/steer/replica.go
@@ -70,6 +70,10 @@
 	limit *rateLimit
 	// limitEnded is when the last limit was known to be over.
 	limitEnded time.Time
+	// announcedLeaving reports whether an answer of the replica said that it leaves.
+	announcedLeaving bool
+	// invalidAnnouncement is the last announcement whose value could not be used.
+	invalidAnnouncement string
 	// sends holds when requests of all instances reached the replica in the last limitSpan, as far as this instance
 	// knows.
 	sends []time.Time
--- a/internal/steer/retry.go
+++ b/internal/steer/retry.go
@@ -99,7 +99,7 @@
 // retry queues the request for another attempt after a failed one if mayRepeat allows it, the deadline has not passed and
 // the request is not in quarantine. Otherwise it refuses the request.
 func (st *State) retry(req *request, ev AttemptEnded) {
-	st.emit(LogLine{Message: "attempt failed: " + ev.Result.String(), Request: req.Name, Replica: req.reps[0].Name, Age: st.now.Sub(req.at), Attempt: req.attempt})
+	st.emit(LogLine{Message: "attempt failed: " + ev.Result.String(), Request: req.Name, Replica: req.reps[0].Name, Age: st.now.Sub(req.at), Attempt: req.attempt, Status: ev.Status})
 	req.failureHeld = ev.Result == ResultAnswered || req.failureHeld
 	if !st.now.Before(req.Deadline) {
 		st.refuse(req, ReasonDeadline, 0)
