Heed replicas that say in their answers that they leave: one table of announcements, one gate for all sends

The operators saw requests reach a replica 2.1 s and 2.9 s after an instance had passed on an answer with Server-Leaving (allowed 2 s), and requests that reach such a replica are cut when it exits.

Cause: whether a replica leaves was read from the store's list alone. The store was down, so the list went on showing the replica as ready, and no code read the header. The class is that of the rate limits: what a replica says of itself in an answer goes unread.

Mend of the class: announcementRules (internal/steer/announce.go) has a row for each kind of announcement, with whom it binds, when it is in force, when it ends and what it means for each kind of message. Every message to a replica asks the reducer just before it is sent (Sending, Verdict), and again when a connection was opened for it; relay.exchange is the only code that sends to replicas and reads all their answers: requests, memory orders, renewals, load queries. A kind of message without an entry is held back, and a test fails for it.

Leaving: the mark belongs to the incarnation and outlives every list; answers of any status and to any message set it, but not those of another replica (421) or to an earlier request. One note tells the others. An attempt that is held back is no try and no run. If all replicas leave, requests are refused at once as not run, with a time to return, spread. Decisions older than 1 s are made anew. Grants of limited replicas that go unused are given back, which was open since the rate limits.

--- /dev/null
+++ b/internal/relay/announce.go
@@ -0,0 +1,35 @@
+package relay
+
+import (
+	"strings"
+	"time"
+
+	"dandelionsail.example/dandelionsail/internal/steer"
+)
+
+// announcedPrefix is the name prefix of the gauges of what replicas have announced.
+const announcedPrefix = "Announced."
+
+// updateAnnouncementMetrics replaces the gauges of what replicas have announced: the number of replicas for each kind of
+// announcement in force, and for each whose end is known the time left in ms.
+func (in *Instance) updateAnnouncementMetrics() {
+	now := time.Now()
+	in.mu.Lock()
+	list := in.state.InForce(now)
+	in.mu.Unlock()
+	in.registry.Each(func(name string, _ any) {
+		if strings.HasPrefix(name, announcedPrefix) {
+			in.registry.Unregister(name)
+		}
+	})
+	var counts [steer.Announcements]int64
+	for _, status := range list {
+		counts[status.Announcement]++
+		if !status.EndsAt.IsZero() {
+			in.gauge(announcedPrefix+"LeftMs."+status.Replica, status.EndsAt.Sub(now).Milliseconds())
+		}
+	}
+	for ann := steer.Unlisted + 1; ann < steer.Announcements; ann++ {
+		in.gauge(announcedPrefix+"Count."+ann.String(), counts[ann])
+	}
+}
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -40,7 +40,7 @@
 	probes := net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: probes}
 	return &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         dialChecked(dialer.DialContext),
 		DisableCompression:  true,
 		DisableKeepAlives:   disableKeepAlives,
 		MaxIdleConnsPerHost: 4,
@@ -75,7 +75,7 @@
 	att := &attempt{in: in, cl: cl, eff: eff, ended: steer.AttemptEnded{ID: cl.id, Attempt: eff.Attempt}}
 	att.ended.Result = att.run(ctx)
 	if att.ended.Result == steer.ResultBroken && ctx.Err() == nil {
-		att.ended.Died = refusesConnections(ctx, eff.Replica.Address)
+		att.ended.Died = in.refusesConnections(ctx, eff.Replica)
 	}
 	att.ended.Begun = cl.headerSent
 	return att.ended
@@ -95,6 +95,8 @@
 	timer *time.Timer
 	// cancel cancels the attempt and the renewal of its reservations.
 	cancel context.CancelFunc
+	// reservedAt is when the last of the attempt's reservations was made.
+	reservedAt time.Time
 	// renewalDone is closed when the renewal has ended; nil if it was not started.
 	renewalDone chan struct{}
 	// limit is how long in nanoseconds the replica may currently be silent.
@@ -117,26 +119,39 @@
 	att.limit.Store(int64(limit))
 	att.timer = time.AfterFunc(limit, func() { att.checkSilence(attemptCtx, cancel) })
 	defer att.timer.Stop()
-	if refusedBy, ok := att.reserve(attemptCtx); !ok {
-		att.ended.FaultyReplica = refusedBy
-		return steer.ResultNotRun
+	if result := att.reserve(attemptCtx); result != 0 {
+		return result
 	}
 	defer att.release()
 	transport := att.in.pooled
 	if att.eff.NewConnection {
 		transport = att.in.unpooled
 	}
-	sentAt := time.Now()
-	resp, err := transport.RoundTrip(att.newRequest(attemptCtx))
+	resp, ri, err := att.in.exchange(transport, att.message(), att.newRequest(attemptCtx))
+	if isHeldBack(err) {
+		return steer.ResultHeld
+	}
 	if err != nil {
 		return att.failureResult(ctx)
 	}
-	ri := att.in.protocol.ParseResponse(resp)
-	att.in.recordAnnounced(att.eff.Replica, sentAt, ri)
 	defer func() { _ = resp.Body.Close() }()
 	return att.receive(ctx, resp, ri)
 }
 
+// message returns the attempt's request as exchange takes it.
+func (att *attempt) message() message {
+	name := att.cl.info.Name
+	msg := message{request: name, name: name, to: steer.Target{Replica: att.eff.Replica, Kind: att.eff.Kind, Granted: att.eff.Granted}, decidedAt: att.eff.DecidedAt}
+	if hasReservations(&att.eff) {
+		// The reservations were made on the same decision.
+		msg.decidedAt = att.reservedAt
+	}
+	for _, helper := range att.eff.Helpers {
+		msg.parts = append(msg.parts, steer.Target{Replica: helper.Replica, Kind: steer.SendPart})
+	}
+	return msg
+}
+
 // checkSilence ends the attempt if its replica is silent. Up to maxChecks times in a row, a replica does not count as
 // silent if other requests recently received events from it or if it accepts a new connection: it then has more work
 // than estimated, and a retry elsewhere would waste the part of the prompt that it has processed. TCP keep-alive probes
@@ -158,7 +173,7 @@
 			att.timer.Reset(limit - since)
 			return
 		}
-		if !refusesConnections(ctx, att.eff.Replica.Address) {
+		if !att.in.refusesConnections(ctx, att.eff.Replica) {
 			att.timer.Reset(limit)
 			return
 		}
@@ -297,14 +312,3 @@
 	rsp.write(att.cl)
 	return steer.ResultDone
 }
-
-// refusesConnections reports whether the replica fails to accept a new connection within probeTimeout. It returns false
-// if ctx ends first.
-func refusesConnections(ctx context.Context, address string) bool {
-	conn, err := (&net.Dialer{Timeout: probeTimeout}).DialContext(ctx, "tcp", address)
-	if err != nil {
-		return ctx.Err() == nil
-	}
-	_ = conn.Close()
-	return false
-}
--- /dev/null
+++ b/internal/relay/exchange.go
@@ -0,0 +1,111 @@
+package relay
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"dandelionsail.example/dandelionsail/internal/steer"
+)
+
+// HeldBack reports that a message was not sent, since its replica has announced something that rules it out.
+var HeldBack = Errors.NewType("held_back")
+
+// message is a request from this Instance to a replica.
+type message struct {
+	// request is the ID of the caller's request to which the message belongs, empty if there is none.
+	request string
+	// name is the request ID that the replica is sent, empty if it is sent none.
+	name string
+	to   steer.Target
+	// parts are the helpers that receive parts of the prompt as a consequence.
+	parts []steer.Target
+	// decidedAt is when the reducer decided on the message, zero if it did not.
+	decidedAt time.Time
+}
+
+// exchange sends the message to its replica and returns the response, unless an announcement holds the message back. All
+// messages to replicas pass through exchange, and all that replicas announce in their answers is read here.
+func (in *Instance) exchange(transport *http.Transport, msg message, req *http.Request) (*http.Response, ResponseInfo, error) {
+	if err := in.checkMessage(msg); err != nil {
+		return nil, ResponseInfo{}, err
+	}
+	msg.decidedAt = time.Time{}
+	recheck := func() error { return in.checkMessage(msg) }
+	sent := time.Now()
+	resp, err := transport.RoundTrip(req.WithContext(context.WithValue(req.Context(), recheckKey{}, recheck)))
+	if err != nil {
+		return nil, ResponseInfo{}, err
+	}
+	ri := in.protocol.ParseResponse(resp)
+	if !ri.Misdirected && (ri.Name == "" || ri.Name == msg.name) {
+		// Another answer would be one of another replica, or one to an earlier request on the connection.
+		in.apply(steer.ResponseReceived{Replica: msg.to.Replica.Name, Born: msg.to.Replica.Born, Sent: sent, Announced: ri.Announced})
+	}
+	return resp, ri, nil
+}
+
+// checkMessage asks the reducer whether the message may be sent, and returns HeldBack if not.
+func (in *Instance) checkMessage(msg message) error {
+	verdict := in.verdict(steer.Sending{Request: msg.request, Targets: append([]steer.Target{msg.to}, msg.parts...), DecidedAt: msg.decidedAt})
+	if verdict.Held() {
+		return HeldBack.New("relay: a message to %s was held back (%s); the request goes to another replica", msg.to.Replica.Name, verdict.HeldBy)
+	}
+	return nil
+}
+
+// verdict passes the event to the reducer and returns its Verdict.
+func (in *Instance) verdict(ev steer.Sending) steer.Verdict {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	var verdict steer.Verdict
+	for _, eff := range in.state.Reduce(time.Now(), ev) {
+		if vd, ok := eff.(steer.Verdict); ok {
+			verdict = vd
+			continue
+		}
+		in.perform(eff)
+	}
+	return verdict
+}
+
+// isHeldBack reports whether the error of exchange is HeldBack, so that nothing was sent.
+func isHeldBack(err error) bool { return errorx.IsOfType(err, HeldBack) }
+
+// recheckKey is the context key of the check that dialChecked repeats.
+type recheckKey struct{}
+
+// dialChecked opens a connection. If the message for which it is opened is held back by then, it closes the connection:
+// opening one may take so long that the replica has announced something meanwhile.
+func dialChecked(dial func(ctx context.Context, network, address string) (net.Conn, error)) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		if recheck, ok := ctx.Value(recheckKey{}).(func() error); ok {
+			if err := recheck(); err != nil {
+				_ = conn.Close()
+				return nil, err
+			}
+		}
+		return conn, nil
+	}
+}
+
+// refusesConnections reports whether the replica fails to accept a new connection within probeTimeout. It returns false
+// if ctx ends first or if the probe is held back.
+func (in *Instance) refusesConnections(ctx context.Context, replica steer.Replica) bool {
+	if in.checkMessage(message{to: steer.Target{Replica: replica, Kind: steer.SendProbe}}) != nil {
+		return false
+	}
+	conn, err := (&net.Dialer{Timeout: probeTimeout}).DialContext(ctx, "tcp", replica.Address)
+	if err != nil {
+		return ctx.Err() == nil
+	}
+	_ = conn.Close()
+	return false
+}
--- a/internal/relay/limit.go
+++ b/internal/relay/limit.go
@@ -5,15 +5,8 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
-
-	"dandelionsail.example/dandelionsail/internal/steer"
 )
 
-// recordAnnounced passes what a replica announces in its response to the reducer. sent is when the request was sent.
-func (in *Instance) recordAnnounced(replica steer.Replica, sent time.Time, ri ResponseInfo) {
-	in.apply(steer.ResponseReceived{Replica: replica.Name, Born: replica.Born, Sent: sent, Announced: ri.Announced})
-}
-
 // limitPrefix is the name prefix of the gauges of the rate limits in force.
 const limitPrefix = "Limits."
 
--- a/internal/relay/loadpoll.go
+++ b/internal/relay/loadpoll.go
@@ -37,13 +37,15 @@
 	if err != nil {
 		return 0, 0, err
 	}
-	sent := time.Now()
-	resp, err := in.pooled.RoundTrip(req)
+	msg := message{to: steer.Target{Replica: replica, Kind: steer.SendLoadQuery}}
+	resp, _, err := in.exchange(in.pooled, msg, req)
+	if isHeldBack(err) {
+		return 0, 0, err
+	}
 	if err != nil {
 		return 0, 0, OrderFailed.Wrap(err, "relay: %s did not answer the load poll; its load counts as zero", replica.Name)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	in.recordAnnounced(replica, sent, in.protocol.ParseResponse(resp))
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxLoadBytes))
 	if err != nil || resp.StatusCode != http.StatusOK {
 		return 0, 0, OrderFailed.New("relay: %s answered the load poll with status %d; its load counts as zero", replica.Name, resp.StatusCode)
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -53,6 +53,10 @@
 	addString(entry, "Announcement", line.Announcement)
 	addString(entry, "Source", line.Source)
 	addString(entry, "Invalid", line.Invalid)
+	addString(entry, "Send", line.Send)
+	if len(line.PassedOver) > 0 {
+		entry.Strs("PassedOver", line.PassedOver)
+	}
 	if line.Rest > 0 {
 		entry.Int64("RestMs", line.Rest.Milliseconds())
 	}
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -28,6 +28,7 @@
 	in.gauge("Config.ConfirmedAgeMs", in.confirmedAge().Milliseconds())
 	in.gauge("Peers.Known", int64(len(*in.gossip.peers.Load())))
 	in.updateLimitMetrics()
+	in.updateAnnouncementMetrics()
 	in.gauge("Log.Dropped", in.dropped())
 	in.gauge("Process.Goroutines", int64(runtime.NumGoroutine()))
 	var memory runtime.MemStats
--- a/internal/relay/reservation.go
+++ b/internal/relay/reservation.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -39,10 +40,10 @@
 	return att.in.run + "." + strconv.FormatUint(uint64(att.cl.id), 36) + "." + strconv.Itoa(att.eff.Attempt) + "." + strconv.Itoa(helper)
 }
 
-// reserve reserves the memory at all helpers concurrently and renews it until the context ends. If an order fails,
-// reserve releases the reservations and returns the name of the first helper, in the order of Helpers, whose order
-// failed.
-func (att *attempt) reserve(ctx context.Context) (refusedBy string, ok bool) {
+// reserve reserves the memory at all helpers concurrently and renews it until the context ends. It returns 0 if that
+// succeeds. If an order fails, it releases the reservations and returns the result of the attempt. The replica at fault is
+// the first helper, in the order of Helpers, whose order failed.
+func (att *attempt) reserve(ctx context.Context) steer.Result {
 	group, limited := errgroup.WithContext(ctx)
 	refusals := make([]string, len(att.eff.Helpers))
 	for i := range att.eff.Helpers {
@@ -50,29 +51,32 @@
 			continue
 		}
 		group.Go(func() error {
-			err := att.order(limited, i, true)
-			if err != nil {
+			err := att.order(limited, i, steer.SendReservation)
+			if err != nil && !isHeldBack(err) {
 				refusals[i] = att.eff.Helpers[i].Name
 			}
 			return err
 		})
 	}
 	if !hasReservations(&att.eff) {
-		return "", true
+		return 0
 	}
-	if err := group.Wait(); err != nil {
+	err := group.Wait()
+	if err != nil {
 		att.in.log.Info().Str("Request", att.cl.info.Name).Err(err).Msg("memory reservation failed")
 		att.release()
-		for _, name := range refusals {
-			if name != "" {
-				return name, false
-			}
-		}
-		return "", false
 	}
+	switch {
+	case isHeldBack(err):
+		return steer.ResultHeld
+	case err != nil:
+		att.ended.FaultyReplica = cmp.Or(refusals...)
+		return steer.ResultNotRun
+	}
+	att.reservedAt = time.Now()
 	att.renewalDone = make(chan struct{})
 	go att.renew(ctx)
-	return "", true
+	return 0
 }
 
 // renew renews the reservations until the attempt's context ends. release waits for it to return, so that no renewal
@@ -84,7 +88,7 @@
 			if att.eff.Helpers[i].Tokens == 0 {
 				continue
 			}
-			if err := att.order(ctx, i, true); err != nil && ctx.Err() == nil {
+			if err := att.order(ctx, i, steer.SendRenewal); err != nil && ctx.Err() == nil {
 				att.in.log.Warn().Str("Request", att.cl.info.Name).Str("Replica", att.eff.Helpers[i].Name).Err(err).Msg("memory reservation not renewed")
 			}
 		}
@@ -107,7 +111,7 @@
 				continue
 			}
 			for range releaseAttempts {
-				if att.order(context.Background(), i, false) == nil {
+				if err := att.order(context.Background(), i, steer.SendRelease); err == nil || isHeldBack(err) {
 					break
 				}
 			}
@@ -115,27 +119,27 @@
 	})
 }
 
-// order sends one reserve or release order and returns an error unless the replica carried it out.
-func (att *attempt) order(ctx context.Context, helper int, reserve bool) error {
+// order sends an order of the kind, which is SendReservation, SendRenewal or SendRelease, and returns an error unless the
+// replica carried it out.
+func (att *attempt) order(ctx context.Context, helper int, kind steer.SendKind) error {
 	limited, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	to := att.eff.Helpers[helper]
-	var req *http.Request
-	var err error
-	if reserve {
-		req, err = att.in.protocol.Reserve(limited, to.Replica, Reservation{ID: att.reservationID(helper), Tokens: to.Tokens, TTL: reservationTTL})
-	} else {
-		req, err = att.in.protocol.Release(limited, to.Replica, att.reservationID(helper))
-	}
+	req, err := att.orderRequest(limited, helper, kind)
 	if err != nil {
 		return err
 	}
-	sent := time.Now()
-	resp, err := att.in.pooled.RoundTrip(req)
+	msg := message{request: att.cl.info.Name, to: steer.Target{Replica: to.Replica, Kind: kind}}
+	if kind == steer.SendReservation {
+		msg.decidedAt = att.eff.DecidedAt
+	}
+	resp, _, err := att.in.exchange(att.in.pooled, msg, req)
+	if isHeldBack(err) {
+		return err
+	}
 	if err != nil {
 		return OrderFailed.Wrap(err, "relay: %s did not answer a reservation order; another replica is used", to.Name)
 	}
-	att.in.recordAnnounced(to.Replica, sent, att.in.protocol.ParseResponse(resp))
 	defer func() { _ = resp.Body.Close() }()
 	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxOrderResponse))
 	if resp.StatusCode != http.StatusOK {
@@ -143,3 +147,11 @@
 	}
 	return nil
 }
+
+func (att *attempt) orderRequest(ctx context.Context, helper int, kind steer.SendKind) (*http.Request, error) {
+	to := att.eff.Helpers[helper]
+	if kind == steer.SendRelease {
+		return att.in.protocol.Release(ctx, to.Replica, att.reservationID(helper))
+	}
+	return att.in.protocol.Reserve(ctx, to.Replica, Reservation{ID: att.reservationID(helper), Tokens: to.Tokens, TTL: reservationTTL})
+}
--- a/internal/steer/claim.go
+++ b/internal/steer/claim.go
@@ -71,7 +71,7 @@
 // winsClaim reports whether the replica has a slot left for the request once all claims of higher rank have theirs.
 func (st *State) winsClaim(req *request) bool {
 	rep := req.reps[0]
-	if !rep.usable(st.now) || rep.limit != nil {
+	if rep.limit != nil || st.planBlocked(req) {
 		return false
 	}
 	excess := -rep.freeSlots()
@@ -93,6 +93,20 @@
 	return outranked >= excess
 }
 
+// planBlocked reports whether an announcement holds the request, or a part of its prompt, back from a replica of its plan.
+func (st *State) planBlocked(req *request) bool {
+	for i, rep := range req.reps {
+		kind := SendPart
+		if i == 0 {
+			kind = req.sendKind()
+		}
+		if rep.blockedBy(kind, st.now) != NotAnnounced {
+			return true
+		}
+	}
+	return false
+}
+
 // outranks reports whether claim a ranks higher than claim b. The order, by value and then by instance and job, is the same
 // at all instances. Values are compared as float32, since notes carry them so.
 func (st *State) outranks(a, b *work) bool {
--- a/internal/steer/effect.go
+++ b/internal/steer/effect.go
@@ -18,6 +18,12 @@
 	// request that breaks on it could not be retried because it may have run.
 	NewConnection bool
 	Deadline      time.Time
+	// DecidedAt is when the attempt was decided on.
+	DecidedAt time.Time
+	// Kind is SendFirst, SendRetry or SendResumption.
+	Kind SendKind
+	// Granted reports whether the attempt has a grant for a rate-limited replica.
+	Granted bool
 	// FirstTimeout is the timeout for the first byte of the answer.
 	FirstTimeout time.Duration
 	// GapTimeout is the timeout between two parts of the answer.
@@ -63,6 +69,10 @@
 	ReasonDraining Reason = "Draining"
 	// ReasonLimited means that the rate limits of the replicas leave no capacity in time.
 	ReasonLimited Reason = "RateLimited"
+	// ReasonLeaving means that all replicas of the service leave.
+	ReasonLeaving Reason = "ReplicasLeaving"
+	// ReasonOutdated means that a decision to send is too old to be carried out. No caller sees it.
+	ReasonOutdated Reason = "Outdated"
 )
 
 // Refusal is the error that the caller gets instead of an answer.
@@ -116,6 +126,10 @@
 	Rest time.Duration
 	// Status is the HTTP status of the replica's answer.
 	Status int
+	// Send is the kind of a message that was held back.
+	Send string
+	// PassedOver lists why replicas were passed over, with the number of replicas.
+	PassedOver []string
 	// Invalid quotes an announcement whose value cannot be used.
 	Invalid string
 	// End is set on the last line of a request that was admitted.
@@ -147,4 +161,5 @@
 func (SendNote) isEffect()  {}
 func (QueryLoad) isEffect() {}
 func (Wake) isEffect()      {}
+func (Verdict) isEffect()   {}
 func (LogLine) isEffect()   {}
--- a/internal/steer/event.go
+++ b/internal/steer/event.go
@@ -80,6 +80,8 @@
 	ResultExpired
 	// ResultCancelled is an attempt that was cancelled: the caller disconnected or an Abort ended it.
 	ResultCancelled
+	// ResultHeld is an attempt of which nothing was sent, since a Verdict held it back.
+	ResultHeld
 )
 
 // AttemptEnded reports how an attempt ended. Exactly one follows each Send.
@@ -202,6 +204,7 @@
 func (NoteReceived) isEvent()     {}
 func (LoadReported) isEvent()     {}
 func (ResponseReceived) isEvent() {}
+func (Sending) isEvent()          {}
 func (Draining) isEvent()         {}
 func (Ticked) isEvent()           {}
 func (Summarized) isEvent()       {}
--- a/internal/steer/grant.go
+++ b/internal/steer/grant.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -145,9 +146,9 @@
 // time until the send or, if ok is false, the time after which the request should ask again.
 func (st *State) grant(rep *replica, key jobKey, gq *GrantRequest) (after time.Duration, ok bool) {
 	rl := rep.limit
-	if sendAt, known := rl.grants[key]; known {
+	if granted, known := rl.grants[key]; known {
 		// The answer was lost, so the request asked again.
-		return max(0, sendAt.Sub(st.now)), true
+		return max(0, granted.at.Sub(st.now)), true
 	}
 	perS := st.grantRate(rep)
 	rl.bucket.SetLimitAt(st.now, rate.Limit(perS))
@@ -180,12 +181,49 @@
 		rl.topGrants = 0
 	}
 	rep.recordSend(st.now, st.now.Add(after))
-	if key.from != "" {
-		rl.grants[key] = st.now.Add(after)
-	}
+	rl.grants[key] = grantedSend{at: st.now.Add(after), reserved: reserved}
 	return after, true
 }
 
+// grantedSend is a send that was granted.
+type grantedSend struct {
+	// at is when it may be sent.
+	at time.Time
+	// reserved is its place in the bucket.
+	reserved *rate.Reservation
+}
+
+// takeBack makes a granted send that will not be used available to others.
+func (st *State) takeBack(rep *replica, key jobKey) {
+	if rep.limit == nil {
+		return
+	}
+	granted, ok := rep.limit.grants[key]
+	if !ok {
+		return
+	}
+	delete(rep.limit.grants, key)
+	granted.reserved.CancelAt(st.now)
+	if i := slices.Index(rep.sends, granted.at); i >= 0 {
+		rep.sends = slices.Delete(rep.sends, i, i+1)
+	}
+}
+
+// GrantReturn gives a grant back that will not be used.
+type GrantReturn struct {
+	Job     JobID  `cbor:"1,keyasint,omitempty"`
+	Replica string `cbor:"2,keyasint,omitempty"`
+}
+
+// receiveGrantReturns applies the grants that another instance gives back.
+func (st *State) receiveGrantReturns(from string, returns []GrantReturn) {
+	for _, ret := range returns {
+		if rep, ok := st.replicas[ret.Replica]; ok {
+			st.takeBack(rep, jobKey{from, ret.Job})
+		}
+	}
+}
+
 // maxDelayFor returns how far ahead a send for a request of the value may be granted, and records the value if it is the
 // highest of the last topValueTTL. The far end of the queue is reserved for the highest values: if sends were granted in
 // order of arrival alone, many short requests would crowd out the few of higher value.
@@ -211,8 +249,8 @@
 		if rep.limit == nil {
 			continue
 		}
-		for key, sendAt := range rep.limit.grants {
-			if st.now.Sub(sendAt) > grantRetention {
+		for key, granted := range rep.limit.grants {
+			if st.now.Sub(granted.at) > grantRetention {
 				delete(rep.limit.grants, key)
 			}
 		}
--- a/internal/steer/grantrequest.go
+++ b/internal/steer/grantrequest.go
@@ -16,8 +16,8 @@
 	// grantValidity is how long after the granted time the send may still go out. Without it, an instance that was frozen
 	// would send by an old grant.
 	grantValidity = 100 * time.Millisecond
-	// avoidTime is how long a request avoids a replica at which the sends within its accepted wait are reserved for requests
-	// of higher value.
+	// avoidTime is how long a request avoids a limited replica that had no room when its turn came, or at which the sends within
+	// its accepted wait are reserved for requests of higher value.
 	avoidTime = 100 * time.Millisecond
 	// maxRetryAfter is the longest time after which callers refused because of rate limits are asked to retry. Limits seldom
 	// stay the same for longer.
@@ -134,6 +134,8 @@
 			req.grant = pendingGrant{}
 			return true
 		}
+		// Without a pause the request would be granted the returned send again, and so on.
+		req.avoid(pg.rep, st.now.Add(avoidTime))
 	case pg.granted:
 	case st.now.Sub(pg.at) < grantTimeout:
 		return false
@@ -146,10 +148,25 @@
 		st.lastUnanswered[pg.granter] = st.now
 		st.emit(LogLine{Message: "instance grants nothing: silent", Request: req.Name, Replica: pg.rep.Name, Age: st.now.Sub(req.at)})
 	}
-	req.grant = pendingGrant{}
+	st.dropGrant(req)
 	return st.trySend(req)
 }
 
+// dropGrant forgets the send that the request has asked for. If it was granted, or may have been, it is given back, so that
+// another request can have it.
+func (st *State) dropGrant(req *request) {
+	pg := req.grant
+	req.grant = pendingGrant{}
+	if pg.rep == nil || pg.rep.limit == nil {
+		return
+	}
+	if pg.granter == st.Options.Name {
+		st.takeBack(pg.rep, jobKey{id: pg.job})
+		return
+	}
+	st.emit(SendNote{Note: st.note(Note{GrantReturns: []GrantReturn{{Job: pg.job, Replica: pg.rep.Name}}}), To: []string{pg.granter}})
+}
+
 // avoid prevents the request from asking for a send to the replica until the given time.
 func (req *request) avoid(rep *replica, until time.Time) {
 	if req.avoidUntil == nil {
@@ -177,36 +194,67 @@
 	}
 }
 
-// blockedByLimits reports whether the rate limits of the replicas hold the request back for longer than it may wait.
-func (st *State) blockedByLimits(req *request) bool {
-	_, held := st.blockedUntil(req)
-	return held
+// block is why a request cannot be placed.
+type block struct {
+	// reason is the reason of the refusal.
+	reason Reason
+	// until is when the first of the replicas is likely to accept the request, zero if that is not known.
+	until time.Time
 }
 
-// blockedUntil returns when the first of the service's replicas is likely to accept the request. It reports the request as
-// held, and returns a time, only if all usable replicas are limited and none is likely to accept it within its maxWait.
-func (st *State) blockedUntil(req *request) (first time.Time, held bool) {
+// blocked reports whether what the service's replicas have announced holds the request back for longer than it may wait: all
+// of them leave, or those that remain accept nothing in time. A replica that failed may accept the request again at any time,
+// so the request waits while only failures hold it back. So does one whose answer has begun if all replicas leave.
+func (st *State) blocked(req *request) (block, bool) {
 	if req.grant.rep != nil {
-		return time.Time{}, false
+		return block{}, false
 	}
+	first, leaving, others := block{}, 0, 0
 	for _, rep := range st.candidates(st.serviceOf(req.service)) {
-		if !rep.usable(st.now) {
+		if rep.Leaving {
+			leaving++
 			continue
 		}
-		if rep.limit == nil {
-			return time.Time{}, false
-		}
-		available := later(rep.limit.availableAt, req.avoidUntil[rep.Name])
-		if available.Sub(st.now) <= st.maxWait(req) {
-			return time.Time{}, false
+		others++
+		reason, until := st.availableAt(rep, req)
+		if until.Sub(st.now) <= st.maxWait(req) {
+			return block{}, false
 		}
-		if first.IsZero() || available.Before(first) {
-			first = available
+		if reason != "" && (first.until.IsZero() || until.Before(first.until)) {
+			first = block{reason, until}
 		}
 	}
-	return first, !first.IsZero()
+	if leaving > 0 && others == 0 && !req.begun {
+		return block{reason: ReasonLeaving}, true
+	}
+	return first, first.reason != ""
+}
+
+// availableAt returns when the replica, which does not leave, is likely to accept the request, and for which announcement it
+// does not now. The reason is empty if that is a failure.
+func (st *State) availableAt(rep *replica, req *request) (Reason, time.Time) {
+	if ann := rep.blockedBy(SendFirst, st.now); ann != NotAnnounced {
+		return "", announcementRules[ann].endsAt(rep)
+	}
+	if rep.limit == nil {
+		return "", time.Time{}
+	}
+	return ReasonLimited, later(rep.limit.availableAt, req.avoidUntil[rep.Name])
 }
 
+// retryAfterBlock returns the time after which a caller that was refused because of the block should retry.
+func (st *State) retryAfterBlock(req *request, bl block) time.Duration {
+	if bl.reason == ReasonLimited {
+		return st.retryAfterLimit(req, bl.until)
+	}
+	// A replica that takes the place of the leaving ones has to start and to be listed first.
+	return replacementTime + time.Duration(st.random.Int64N(int64(retrySpread)))
+}
+
+// replacementTime is the time after which callers are asked to retry if all replicas of a service leave: that in which a new
+// replica that has started is listed everywhere.
+const replacementTime = time.Second
+
 // retryAfterLimit returns the time after which a caller that was refused because of rate limits should retry: not before
 // first, but at the latest after maxRetryAfter. It spaces the retries evenly, at this instance's share of the sum of the
 // limits, so that the replicas can accept the requests when the callers return.
--- a/internal/steer/limit.go
+++ b/internal/steer/limit.go
@@ -51,9 +51,9 @@
 	availableAt time.Time
 	// bucket paces the sends that this instance grants. Only the granting instance uses it.
 	bucket *rate.Limiter
-	// grants holds the time at which each granted job of another instance may be sent. These sends are already counted. Only
-	// the granting instance uses it.
-	grants map[jobKey]time.Time
+	// grants holds the granted sends that no job is known to have used. They are already counted. Only the granting instance
+	// uses it.
+	grants map[jobKey]grantedSend
 	// topValue is the highest value among the recent grant requests.
 	topValue float64
 	// topValueAt is when topValue was set.
@@ -89,7 +89,7 @@
 	if !ok || rep.Born != ev.Born {
 		return
 	}
-	st.logAnnounced(rep, &ev.Announced)
+	st.receiveAnnounced(rep, &ev.Announced)
 	if !ev.Limited {
 		if st.endLimit(rep, ev.Sent) {
 			st.sendLimit(rep, st.limitOf(rep), true)
@@ -118,7 +118,7 @@
 		return false
 	}
 	if rep.limit == nil {
-		rep.limit = &rateLimit{perS: perS, reportedAt: reportedAt, bucket: rate.NewLimiter(rate.Limit(perS), limitBurst), grants: map[jobKey]time.Time{}}
+		rep.limit = &rateLimit{perS: perS, reportedAt: reportedAt, bucket: rate.NewLimiter(rate.Limit(perS), limitBurst), grants: map[jobKey]grantedSend{}}
 		st.emit(LogLine{Message: "rate limit named", Replica: rep.Name, PerS: perS, Age: st.now.Sub(reportedAt)})
 		return true
 	}
@@ -267,6 +267,9 @@
 		}
 		if i == 0 && req.grant.granter == st.Options.Name && req.grant.rep == rep {
 			// The send was counted when it was granted.
+			if rep.limit != nil {
+				delete(rep.limit.grants, jobKey{id: req.job})
+			}
 			continue
 		}
 		rep.recordSend(st.now, st.now)
--- a/internal/steer/list.go
+++ b/internal/steer/list.go
@@ -41,12 +41,13 @@
 func (st *State) register(item Replica) {
 	delete(st.missing, item.Name)
 	rep, ok := st.replicas[item.Name]
-	if ok && rep.Born == item.Born && rep.Address == item.Address && rep.Service == item.Service {
-		// Leaving is final for an incarnation, even if an older list says otherwise.
-		item.Leaving = item.Leaving || rep.Leaving
-		if item.Leaving && !rep.Leaving {
-			st.emit(LogLine{Message: "replica leaves", Replica: item.Name})
+	if ok && item.Born <= rep.Born && rep.Address == item.Address && rep.Service == item.Service {
+		// An entry with an earlier start is older than the known incarnation.
+		item.Born = rep.Born
+		if item.Leaving {
+			st.markLeaving(rep, sourceList)
 		}
+		item.Leaving = rep.Leaving
 		rep.Replica = item
 		if rep.gone {
 			rep.gone = false
--- a/internal/steer/note.go
+++ b/internal/steer/note.go
@@ -38,6 +38,10 @@
 	GrantRequests []GrantRequest `cbor:"16,keyasint,omitempty"`
 	// Grants answers the recipient's GrantRequests.
 	Grants []Grant `cbor:"17,keyasint,omitempty"`
+	// Departures reports replicas that have said that they leave.
+	Departures []Departure `cbor:"18,keyasint,omitempty"`
+	// GrantReturns gives grants of the recipient back.
+	GrantReturns []GrantReturn `cbor:"19,keyasint,omitempty"`
 }
 
 // JobID identifies one attempt of a request, or one claim, within one run of one instance.
--- a/internal/steer/peer.go
+++ b/internal/steer/peer.go
@@ -147,12 +147,14 @@
 	}
 	st.receiveGrantRequests(nt.From, nt.GrantRequests)
 	st.receiveGrants(nt.Grants)
+	st.receiveGrantReturns(nt.From, nt.GrantReturns)
+	st.receiveDepartures(nt.Departures)
 	for _, pace := range nt.Paces {
 		st.applyPace(pace)
 	}
 	for _, name := range nt.Down {
 		if rep, ok := st.replicas[name]; ok {
-			rep.failed(st.now)
+			rep.failed(st.now, Failing)
 		}
 	}
 }
--- a/internal/steer/queue.go
+++ b/internal/steer/queue.go
@@ -75,10 +75,11 @@
 }
 
 // expire refuses requests that have waited for too long. expired are those whose caller would leave before any answer.
-// outOfTime are first tries that would be late: their callers can retry once more, and so learn now when to do so. limited
-// are those that rate limits keep waiting for too long. From Draining.RefuseWaitingAt on, all that wait are refused.
+// outOfTime are first tries that would be late: their callers can retry once more, and so learn now when to do so. Others are
+// refused because what the replicas have announced keeps them waiting for too long. From Draining.RefuseWaitingAt on, all that wait are refused.
 func (st *State) expire() {
-	var expired, outOfTime, draining, limited []*request
+	var expired, outOfTime, draining []*request
+	blocked := map[*request]block{}
 	for _, req := range st.waiting {
 		switch {
 		case st.drain != nil && !st.now.Before(st.drain.RefuseWaitingAt):
@@ -87,10 +88,12 @@
 			expired = append(expired, req)
 		case req.hasTimelyGrant():
 			// It keeps waiting, since it was granted a send in time.
-		case req.attempt == 0 && !req.triedBefore && st.outOfTime(req):
+		case req.tries() == 0 && !req.triedBefore && st.outOfTime(req):
 			outOfTime = append(outOfTime, req)
-		case st.blockedByLimits(req):
-			limited = append(limited, req)
+		default:
+			if bl, ok := st.blocked(req); ok {
+				blocked[req] = bl
+			}
 		}
 	}
 	for _, req := range expired {
@@ -99,9 +102,10 @@
 	for _, req := range outOfTime {
 		st.refuse(req, ReasonBusy, st.retryAfter(req))
 	}
-	for _, req := range limited {
-		availableAt, _ := st.blockedUntil(req)
-		st.refuse(req, ReasonLimited, st.retryAfterLimit(req, availableAt))
+	for _, req := range slices.Clone(st.waiting) {
+		if bl, ok := blocked[req]; ok {
+			st.refuse(req, bl.reason, st.retryAfterBlock(req, bl))
+		}
 	}
 	for _, req := range draining {
 		st.refuse(req, ReasonDraining, drainRetryAfter)
@@ -120,7 +124,7 @@
 // arrived as a caller's retry or since its last attempt failed at an engine. If it has found no replica by then, it seldom
 // finds one before its caller leaves, and the caller is better off with a refusal. Requests whose answer has begun wait on.
 func (st *State) waitedTooLong(req *request) bool {
-	if req.begun || req.attempt == 0 && !req.triedBefore || req.attempt > 0 && st.serviceOf(req.service).engine == nil {
+	if req.begun || req.tries() == 0 && !req.triedBefore || req.tries() > 0 && st.serviceOf(req.service).engine == nil {
 		return false
 	}
 	timeout := req.StatedTimeout
--- a/internal/steer/replica.go
+++ b/internal/steer/replica.go
@@ -66,14 +66,14 @@
 	failures int
 	// downUntil is the end of the last pause that failures caused.
 	downUntil time.Time
+	// downCause is the kind of the failure that caused that pause.
+	downCause Announcement
 	// limit is nil while the replica states no rate limit.
 	limit *rateLimit
 	// limitEnded is when the last limit was known to be over.
 	limitEnded time.Time
-	// announcedLeaving reports whether an answer of the replica said that it leaves.
-	announcedLeaving bool
-	// invalidAnnouncement is the last announcement whose value could not be used.
-	invalidAnnouncement string
+	// invalidAnnouncements holds the announcements of unusable value that were logged.
+	invalidAnnouncements []string
 	// sends holds when requests of all instances reached the replica in the last limitSpan, as far as this instance
 	// knows.
 	sends []time.Time
@@ -87,12 +87,9 @@
 	maxFailurePause = 5 * time.Second
 )
 
-func (rep *replica) usable(now time.Time) bool {
-	return !rep.gone && !rep.Leaving && !now.Before(rep.downUntil)
-}
-
-func (rep *replica) failed(now time.Time) {
+func (rep *replica) failed(now time.Time, cause Announcement) {
 	rep.failures++
+	rep.downCause = cause
 	pause := min(minFailurePause<<min(rep.failures-1, 4), maxFailurePause)
 	if until := now.Add(pause); until.After(rep.downUntil) {
 		rep.downUntil = until
--- a/internal/steer/retry.go
+++ b/internal/steer/retry.go
@@ -7,8 +7,15 @@
 	"dandelionsail.example/dandelionsail/pkg/decl"
 )
 
-// maxSends bounds the attempts of one request, including those in which it certainly did not run.
-const maxSends = 4
+const (
+	// maxSends bounds the attempts of one request, including those in which it certainly did not run.
+	maxSends = 4
+	// heldBackoff is how long a request waits after a Verdict held it back.
+	heldBackoff = 5 * time.Millisecond
+)
+
+// tries counts the attempts that were sent, with a running one.
+func (req *request) tries() int { return req.attempt - req.heldBack }
 
 func (st *State) attemptEnded(ev AttemptEnded) {
 	req, ok := st.requests[ev.ID]
@@ -22,7 +29,7 @@
 	}
 	st.unbook(req)
 	st.recordOutcome(req, ev)
-	if ev.Result != ResultNotSent && ev.Result != ResultNotRun && ev.Result != ResultMisdirected {
+	if ev.Result != ResultNotSent && ev.Result != ResultNotRun && ev.Result != ResultMisdirected && ev.Result != ResultHeld {
 		req.runs++
 	}
 	switch {
@@ -45,24 +52,26 @@
 	case ResultNotRun:
 		// If another replica caused the refusal, rep is that one: a helper that is leaving or gone.
 		if rep != req.reps[0] || st.hadRoom(rep, req) {
-			st.markDown(rep)
+			st.markDown(rep, Refusing)
 		}
 	case ResultDone, ResultAnswered:
 		rep.succeeded()
-	case ResultNotSent, ResultSilent, ResultMisdirected:
-		st.markDown(rep)
+	case ResultNotSent, ResultSilent:
+		st.markDown(rep, Failing)
+	case ResultMisdirected:
+		st.markDown(rep, Misdirecting)
 	case ResultBroken:
 		if ev.Died {
-			st.markDown(rep)
+			st.markDown(rep, Failing)
 			st.countDeath(req)
 		}
 	}
 }
 
 // markDown makes the replica unusable for a while. If it was usable here, the other instances are informed.
-func (st *State) markDown(rep *replica) {
+func (st *State) markDown(rep *replica, cause Announcement) {
 	wasUnusable := !rep.usable(st.now)
-	rep.failed(st.now)
+	rep.failed(st.now, cause)
 	if !wasUnusable {
 		st.emit(LogLine{Message: "replica avoided", Replica: rep.Name, Attempt: rep.failures})
 		st.emit(SendNote{Note: st.note(Note{Down: []string{rep.Name}})})
@@ -109,6 +118,12 @@
 		st.refuse(req, ReasonQuarantine, quarantineTime)
 		return
 	}
+	if ev.Result == ResultHeld {
+		req.heldBack++
+		req.notBefore = st.now.Add(heldBackoff)
+		st.waiting = append(st.waiting, req)
+		return
+	}
 	if !st.mayRepeat(req, ev) {
 		st.refuse(req, ReasonUpstream, busyRetryAfter)
 		return
@@ -126,7 +141,7 @@
 // mayRepeat reports whether the request may be sent again: either it certainly did not run, or its route declares that
 // requests may run again. Repeats are bounded by maxSends, the route's attempts and the budget that all instances share.
 func (st *State) mayRepeat(req *request, ev AttemptEnded) bool {
-	if req.attempt >= maxSends || req.runs >= req.Route.Attempts {
+	if req.tries() >= maxSends || req.runs >= req.Route.Attempts {
 		return false
 	}
 	if req.runs > 0 && !repeatable(req, ev) {
@@ -152,7 +167,7 @@
 
 // String returns the name of the result for the log.
 func (res Result) String() string {
-	names := [...]string{"", "done", "answered with a failure", "not sent", "not run", "misdirected", "broken", "silent", "expired", "cancelled"}
+	names := [...]string{"", "done", "answered with a failure", "not sent", "not run", "misdirected", "broken", "silent", "expired", "cancelled", "held back"}
 	if int(res) >= len(names) {
 		return "unknown"
 	}
--- a/internal/steer/serve.go
+++ b/internal/steer/serve.go
@@ -94,13 +94,15 @@
 // send starts the next attempt of a booked request.
 func (st *State) send(req *request) {
 	pl := &req.plan
+	eff := Send{
+		ID: req.ID, Replica: pl.reps[0].Replica, Priority: req.Priority,
+		NewConnection: req.Route.Repeats == decl.RetryNone, Deadline: req.Deadline, DecidedAt: st.now, Kind: req.sendKind(),
+		Granted: req.grant.granted && req.grant.rep == pl.reps[0],
+	}
 	req.attempt++
 	req.running = true
 	req.aborted = false
-	eff := Send{
-		ID: req.ID, Attempt: req.attempt, Replica: pl.reps[0].Replica, Priority: req.Priority,
-		NewConnection: req.Route.Repeats == decl.RetryNone, Deadline: req.Deadline,
-	}
+	eff.Attempt = req.attempt
 	var helpers []string
 	for i, rep := range pl.reps[1:] {
 		helpers = append(helpers, rep.Name)
@@ -116,10 +118,21 @@
 	st.emit(LogLine{
 		Message: "request sent", Request: req.Name, Replica: pl.reps[0].Name, Age: st.now.Sub(req.at),
 		Estimate: duration(pl.first), Attempt: req.attempt, Helpers: helpers,
-		Tokens: req.Prompt,
+		Tokens: req.Prompt, PassedOver: st.passedOver(req.service),
 	})
 }
 
+// sendKind returns the kind of the request's next attempt.
+func (req *request) sendKind() SendKind {
+	switch {
+	case req.begun:
+		return SendResumption
+	case req.tries() > 0:
+		return SendRetry
+	}
+	return SendFirst
+}
+
 func millis(dur time.Duration) int32 { return int32(dur / time.Millisecond) }
 
 // Progress timeouts. An engine sends nothing while it reads a prompt, so the timeout of a stream follows the estimate.
@@ -209,7 +222,7 @@
 		return
 	}
 	refusal := &Refusal{Reason: reason, NotRun: req.runs == 0, RetryAfter: retryAfter}
-	st.emit(LogLine{Message: "request refused", Request: req.Name, Reason: reason, Age: st.now.Sub(req.at), Attempt: req.attempt, Tokens: req.Prompt, End: st.outcomeOf(req)})
+	st.emit(LogLine{Message: "request refused", Request: req.Name, Reason: reason, Age: st.now.Sub(req.at), Attempt: req.attempt, Tokens: req.Prompt, PassedOver: st.passedOver(req.service), End: st.outcomeOf(req)})
 	st.finish(req, Finish{ID: req.ID, Refusal: refusal}, "")
 }
 
@@ -237,6 +250,7 @@
 	if message != "" {
 		st.emit(LogLine{Message: message, Request: req.Name, Age: st.now.Sub(req.at), Attempt: req.attempt, Tokens: req.Prompt, End: st.outcomeOf(req)})
 	}
+	st.dropGrant(req)
 	delete(st.requests, req.ID)
 	st.waiting = slices.DeleteFunc(st.waiting, func(other *request) bool { return other == req })
 	st.emit(fin)
--- a/internal/steer/state.go
+++ b/internal/steer/state.go
@@ -124,6 +124,8 @@
 	originalValue float64
 	// attempt is the number of the current or last attempt, 0 before the first.
 	attempt int
+	// heldBack counts the attempts of which nothing was sent, since a Verdict held them back.
+	heldBack int
 	// running reports whether an attempt is in progress on reps.
 	running bool
 	// claiming reports whether the request holds a claim on reps that other instances may still contest.
@@ -225,6 +227,8 @@
 		st.loadReported(ev)
 	case ResponseReceived:
 		st.responseReceived(ev)
+	case Sending:
+		st.sending(ev)
 	case Draining:
 		st.drain = &ev
 	case Summarized:
--- a/internal/steer/subset_test.go
+++ b/internal/steer/subset_test.go
@@ -119,7 +119,7 @@
 	st := fleet{300, 2250, 3}.instance(0)
 	svc := st.services["lyric"]
 	for _, rep := range st.candidates(svc) {
-		rep.downUntil = fleetStart.Add(time.Second)
+		rep.failed(fleetStart, Failing)
 	}
 	assert.Equal(t, len(st.candidates(svc)), 2250)
 	far := st.replicas["engine-1"]
