Give replicas the rest that they ask for

Cause: the adapter decoded Retry-After of a replica's 503 and nothing used it. The replica was kept back by the pause after a failure alone, 0.7 s and doubling, and each success of its other requests ended that pause.

Resting and Returning are two more rows of the table. A rest binds the instance that was refused, lasts to the latest end that any 503 named, and is ended by nothing else; instances add up to a quarter of it, at most 0.5 s, at random, so that they do not return together, and each sends one request first and the others when it was answered (or after 1 s). Renewals are held back but for one, at the last moment, without which a running request would lose its memory; releases are held back, since reservations end by themselves within 3.5 s. It is no failure: nobody else is told to avoid the replica. If all replicas rest, what cannot wait is refused at once as not run, with the end of the first rest as time to return, spread over 1.5 s.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -72,7 +72,7 @@
 	cl.mu.Lock()
 	cl.attempt, cl.cancel = eff.Attempt, cancel
 	cl.mu.Unlock()
-	att := &attempt{in: in, cl: cl, eff: eff, ended: steer.AttemptEnded{ID: cl.id, Attempt: eff.Attempt}}
+	att := &attempt{in: in, cl: cl, eff: eff, expiresAt: make([]time.Time, len(eff.Helpers)), ended: steer.AttemptEnded{ID: cl.id, Attempt: eff.Attempt}}
 	att.ended.Result = att.run(ctx)
 	if att.ended.Result == steer.ResultBroken && ctx.Err() == nil {
 		att.ended.Died = in.refusesConnections(ctx, eff.Replica)
@@ -97,6 +97,8 @@
 	cancel context.CancelFunc
 	// reservedAt is when the last of the attempt's reservations was made.
 	reservedAt time.Time
+	// expiresAt holds when the reservation at each helper expires unless it is renewed.
+	expiresAt []time.Time
 	// renewalDone is closed when the renewal has ended; nil if it was not started.
 	renewalDone chan struct{}
 	// limit is how long in nanoseconds the replica may currently be silent.
@@ -141,7 +143,7 @@
 // message returns the attempt's request as exchange takes it.
 func (att *attempt) message() message {
 	name := att.cl.info.Name
-	msg := message{request: name, name: name, to: steer.Target{Replica: att.eff.Replica, Kind: att.eff.Kind, Granted: att.eff.Granted}, decidedAt: att.eff.DecidedAt}
+	msg := message{id: att.cl.id, request: name, name: name, to: steer.Target{Replica: att.eff.Replica, Kind: att.eff.Kind, Granted: att.eff.Granted}, decidedAt: att.eff.DecidedAt}
 	if hasReservations(&att.eff) {
 		// The reservations were made on the same decision.
 		msg.decidedAt = att.reservedAt
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -16,7 +16,9 @@
 
 // message is a request from this Instance to a replica.
 type message struct {
-	// request is the ID of the caller's request to which the message belongs, empty if there is none.
+	// id is the request that the message belongs to, 0 if there is none.
+	id steer.RequestID
+	// request is the ID that the caller gave that request.
 	request string
 	// name is the request ID that the replica is sent, empty if it is sent none.
 	name string
@@ -50,7 +52,7 @@
 
 // checkMessage asks the reducer whether the message may be sent, and returns HeldBack if not.
 func (in *Instance) checkMessage(msg message) error {
-	verdict := in.verdict(steer.Sending{Request: msg.request, Targets: append([]steer.Target{msg.to}, msg.parts...), DecidedAt: msg.decidedAt})
+	verdict := in.verdict(steer.Sending{ID: msg.id, Request: msg.request, Targets: append([]steer.Target{msg.to}, msg.parts...), DecidedAt: msg.decidedAt})
 	if verdict.Held() {
 		return HeldBack.New("relay: a message to %s was held back (%s); the request goes to another replica", msg.to.Replica.Name, verdict.HeldBy)
 	}
--- a/internal/relay/reservation.go
+++ b/internal/relay/reservation.go
@@ -129,10 +129,11 @@
 	if err != nil {
 		return err
 	}
-	msg := message{request: att.cl.info.Name, to: steer.Target{Replica: to.Replica, Kind: kind}}
+	msg := message{id: att.cl.id, request: att.cl.info.Name, to: steer.Target{Replica: to.Replica, Kind: kind, ExpiresAt: att.expiresAt[helper]}}
 	if kind == steer.SendReservation {
 		msg.decidedAt = att.eff.DecidedAt
 	}
+	sent := time.Now()
 	resp, _, err := att.in.exchange(att.in.pooled, msg, req)
 	if isHeldBack(err) {
 		return err
@@ -142,6 +143,9 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxOrderResponse))
+	if resp.StatusCode == http.StatusOK && kind != steer.SendRelease {
+		att.expiresAt[helper] = sent.Add(reservationTTL)
+	}
 	if resp.StatusCode != http.StatusOK {
 		return OrderFailed.New("relay: %s answered a reservation order with status %d; another replica is used", to.Name, resp.StatusCode)
 	}
--- a/internal/steer/announce.go
+++ b/internal/steer/announce.go
@@ -8,8 +8,8 @@
 )
 
 // What replicas announce about themselves, and the gate that every message to a replica passes. A replica states in its
-// answers that it leaves or how many requests a second it accepts. Load pattern: a replica that is emptied or overloaded
-// while the list of replicas cannot say so, since its store is unavailable or knows nothing of load. Each kind of announcement is a row of announcementRules, which states which kinds of messages it holds back. Placement
+// answers that it leaves, for how long it wants rest, or how many requests a second it accepts. Load pattern: a replica that is
+// emptied or overloaded while the list of replicas cannot say so, since its store is unavailable or knows nothing of load. Each kind of announcement is a row of announcementRules, which states which kinds of messages it holds back. Placement
 // considers the same rows earlier, so that the gate seldom holds anything back.
 
 // SendKind is a kind of message from an instance to a replica.
@@ -50,6 +50,10 @@
 	Unlisted
 	// Leaving is a replica that is about to shut down.
 	Leaving
+	// Resting is a replica that refused a request of this instance and stated for how long it wants no others.
+	Resting
+	// Returning is a replica whose rest is over and that has not answered the first request after it yet.
+	Returning
 	// RateLimited is a replica that stated how many requests a second it accepts from all instances together.
 	RateLimited
 	// Failing is a replica that broke off, fell silent or refused a connection.
@@ -74,8 +78,15 @@
 	held
 	// needsGrant holds the message back unless it has a grant.
 	needsGrant
+	// trialOnly holds the message back unless it belongs to the first request after a rest.
+	trialOnly
+	// lastMoment lets one renewal pass, shortly before its reservation would expire.
+	lastMoment
 )
 
+// excludes reports whether the treatment keeps new requests from a replica.
+func (tr treatment) excludes() bool { return tr == held || tr == trialOnly }
+
 // announcementRule is what an announcement means.
 type announcementRule struct {
 	// name is the kind in the log and in metrics.
@@ -86,6 +97,8 @@
 	endsAt func(rep *replica) time.Time
 	// toAll reports whether the announcement applies to all instances, which are therefore told of it.
 	toAll bool
+	// reason is the reason of a refusal if the announcement keeps a request from all replicas. It is empty if the request waits.
+	reason Reason
 	// treatments holds what happens to each kind of message.
 	treatments [SendKinds]treatment
 }
@@ -102,15 +115,33 @@
 		},
 	},
 	Leaving: {
-		name: "Leaving", toAll: true,
+		name: "Leaving", toAll: true, reason: ReasonLeaving,
 		inForce: func(rep *replica, _ time.Time) bool { return rep.Leaving },
 		treatments: [SendKinds]treatment{
 			SendFirst: held, SendRetry: held, SendResumption: held, SendPart: held, SendReservation: held, SendRenewal: allowed,
 			SendRelease: allowed, SendLoadQuery: held, SendProbe: allowed,
 		},
 	},
+	Resting: {
+		name: "Resting", reason: ReasonResting,
+		inForce: func(rep *replica, now time.Time) bool { return rep.rest.inForce(now) },
+		endsAt:  func(rep *replica) time.Time { return rep.rest.until },
+		treatments: [SendKinds]treatment{
+			SendFirst: held, SendRetry: held, SendResumption: held, SendPart: held, SendReservation: held, SendRenewal: lastMoment,
+			SendRelease: held, SendLoadQuery: held, SendProbe: allowed,
+		},
+	},
+	Returning: {
+		name: "Returning", reason: ReasonResting,
+		inForce: func(rep *replica, now time.Time) bool { return rep.rest.onTrial(now) },
+		endsAt:  func(rep *replica) time.Time { return rep.rest.trialAt.Add(trialTimeout) },
+		treatments: [SendKinds]treatment{
+			SendFirst: trialOnly, SendRetry: trialOnly, SendResumption: trialOnly, SendPart: trialOnly, SendReservation: trialOnly,
+			SendRenewal: allowed, SendRelease: allowed, SendLoadQuery: allowed, SendProbe: allowed,
+		},
+	},
 	RateLimited: {
-		name: "RateLimited", toAll: true,
+		name: "RateLimited", toAll: true, reason: ReasonLimited,
 		inForce: func(rep *replica, _ time.Time) bool { return rep.limit != nil },
 		treatments: [SendKinds]treatment{
 			SendFirst: needsGrant, SendRetry: needsGrant, SendResumption: needsGrant, SendPart: held, SendReservation: held,
@@ -154,6 +185,8 @@
 
 // Sending reports that a message is about to be sent to its targets. Exactly one Verdict follows.
 type Sending struct {
+	// ID is the request that the message belongs to, 0 if there is none.
+	ID RequestID
 	// Request is the caller's ID of the request, for the log.
 	Request string
 	Targets []Target
@@ -167,6 +200,8 @@
 	Kind    SendKind
 	// Granted reports whether the message has a grant for a rate-limited replica.
 	Granted bool
+	// ExpiresAt is when the reservation expires that a SendRenewal renews.
+	ExpiresAt time.Time
 }
 
 // Verdict answers a Sending.
@@ -193,17 +228,23 @@
 	}
 	for i := range ev.Targets {
 		target := &ev.Targets[i]
-		if ann := st.heldBy(target); ann != NotAnnounced {
+		if ann := st.heldBy(ev.ID, target); ann != NotAnnounced {
 			st.emit(LogLine{Message: "send held back", Request: ev.Request, Replica: target.Replica.Name, Send: target.Kind.String(), Announcement: ann.String()})
 			st.emit(Verdict{HeldBy: ann})
 			return
 		}
 	}
+	for i := range ev.Targets {
+		if rep, ok := st.replicas[ev.Targets[i].Replica.Name]; ok {
+			rep.recordPassed(st.now, ev.ID, ev.Targets[i].Kind)
+		}
+	}
 	st.emit(Verdict{})
 }
 
-// heldBy returns the announcement that holds the message back from the target, or NotAnnounced.
-func (st *State) heldBy(target *Target) Announcement {
+// heldBy returns the announcement that holds the message, which belongs to the request with the ID, back from the target, or
+// NotAnnounced.
+func (st *State) heldBy(id RequestID, target *Target) Announcement {
 	rep, ok := st.replicas[target.Replica.Name]
 	if !ok || rep.Born != target.Replica.Born {
 		// An incarnation that is not known any more: only what ends its work may still be sent to its address.
@@ -223,6 +264,14 @@
 			if !target.Granted {
 				return ann
 			}
+		case trialOnly:
+			if id != rep.rest.trial {
+				return ann
+			}
+		case lastMoment:
+			if !rep.rest.mayRenew(st.now, target.ExpiresAt) {
+				return ann
+			}
 		default:
 			return ann
 		}
@@ -234,11 +283,11 @@
 // grants.
 func (rep *replica) usable(now time.Time) bool { return rep.blockedBy(SendFirst, now) == NotAnnounced }
 
-// blockedBy returns an announcement in force that holds messages of the kind back from the replica, whether they have a grant
-// or not, or NotAnnounced.
+// blockedBy returns an announcement in force that holds new messages of the kind back from the replica, whether they have a
+// grant or not, or NotAnnounced.
 func (rep *replica) blockedBy(kind SendKind, now time.Time) Announcement {
 	for ann := Announcement(1); ann < Announcements; ann++ {
-		if rule := &announcementRules[ann]; rule.treatments[kind] == held && rule.inForce(rep, now) {
+		if rule := &announcementRules[ann]; rule.treatments[kind].excludes() && rule.inForce(rep, now) {
 			return ann
 		}
 	}
@@ -267,7 +316,7 @@
 		st.emit(SendNote{Note: st.note(Note{Departures: []Departure{{Replica: rep.Name, Born: rep.Born}}}), To: st.usersUnlessAll(st.audience(rep))})
 	}
 	if ann.Rest > 0 {
-		st.emit(LogLine{Message: "announcement received", Replica: rep.Name, Announcement: "Rest", Source: sourceAnswer, Rest: ann.Rest})
+		st.startRest(rep, ann.Rest)
 	}
 	for _, text := range ann.Invalid {
 		text = text[:min(len(text), maxInvalidText)]
@@ -316,8 +365,10 @@
 		counts[rep.blockedBy(SendFirst, st.now)]++
 	}
 	var list []string
-	if count := counts[Leaving]; count > 0 {
-		list = append(list, fmt.Sprint(Leaving, " ", count))
+	for _, ann := range []Announcement{Leaving, Resting, Returning} {
+		if counts[ann] > 0 {
+			list = append(list, fmt.Sprint(ann, " ", counts[ann]))
+		}
 	}
 	return list
 }
--- a/internal/steer/announce_test.go
+++ b/internal/steer/announce_test.go
@@ -21,13 +21,20 @@
 func (in *instance) verdict(replica string, kind steer.SendKind, granted bool) steer.Verdict {
 	in.t.Helper()
 	target := steer.Target{Replica: steer.Replica{Name: replica, Born: 1}, Kind: kind, Granted: granted}
-	return find[steer.Verdict](in.t, in.reduce(steer.Sending{Targets: []steer.Target{target}}))
+	in.next++
+	return find[steer.Verdict](in.t, in.reduce(steer.Sending{ID: in.next, Targets: []steer.Target{target}}))
 }
 
 // announcers put each kind of announcement in force at lyric-0.
 var announcers = map[steer.Announcement]func(in *instance){
 	steer.Unlisted: func(in *instance) { in.reduce(steer.ListChanged{Gone: []string{"lyric-0"}}) },
 	steer.Leaving:  func(in *instance) { in.announce("lyric-0", steer.Announced{Leaving: true}) },
+	steer.Resting:  func(in *instance) { in.announce("lyric-0", steer.Announced{Rest: time.Second}) },
+	steer.Returning: func(in *instance) {
+		in.announce("lyric-0", steer.Announced{Rest: time.Second})
+		in.now = in.now.Add(time.Second)
+		assert.Assert(in.t, !in.verdict("lyric-0", steer.SendFirst, false).Held(), "no trial")
+	},
 	steer.RateLimited: func(in *instance) {
 		in.announce("lyric-0", steer.Announced{Limited: true, PerS: 2})
 	},
@@ -46,6 +53,8 @@
 var passing = map[steer.Announcement][]steer.SendKind{
 	steer.Unlisted:     {steer.SendRenewal, steer.SendRelease, steer.SendProbe},
 	steer.Leaving:      {steer.SendRenewal, steer.SendRelease, steer.SendProbe},
+	steer.Resting:      {steer.SendProbe},
+	steer.Returning:    {steer.SendRenewal, steer.SendRelease, steer.SendLoadQuery, steer.SendProbe},
 	steer.RateLimited:  {steer.SendRenewal, steer.SendRelease, steer.SendProbe},
 	steer.Failing:      {steer.SendRenewal, steer.SendRelease, steer.SendLoadQuery, steer.SendProbe},
 	steer.Misdirecting: {steer.SendRenewal, steer.SendRelease, steer.SendLoadQuery, steer.SendProbe},
--- a/internal/steer/effect.go
+++ b/internal/steer/effect.go
@@ -71,6 +71,8 @@
 	ReasonLimited Reason = "RateLimited"
 	// ReasonLeaving means that all replicas of the service leave.
 	ReasonLeaving Reason = "ReplicasLeaving"
+	// ReasonResting means that all replicas of the service have asked this instance for rest.
+	ReasonResting Reason = "ReplicasResting"
 	// ReasonOutdated means that a decision to send is too old to be carried out. No caller sees it.
 	ReasonOutdated Reason = "Outdated"
 )
--- a/internal/steer/grantrequest.go
+++ b/internal/steer/grantrequest.go
@@ -234,7 +234,7 @@
 // does not now. The reason is empty if that is a failure.
 func (st *State) availableAt(rep *replica, req *request) (Reason, time.Time) {
 	if ann := rep.blockedBy(SendFirst, st.now); ann != NotAnnounced {
-		return "", announcementRules[ann].endsAt(rep)
+		return announcementRules[ann].reason, announcementRules[ann].endsAt(rep)
 	}
 	if rep.limit == nil {
 		return "", time.Time{}
@@ -244,11 +244,15 @@
 
 // retryAfterBlock returns the time after which a caller that was refused because of the block should retry.
 func (st *State) retryAfterBlock(req *request, bl block) time.Duration {
-	if bl.reason == ReasonLimited {
+	spread := time.Duration(st.random.Int64N(int64(retrySpread)))
+	switch bl.reason {
+	case ReasonLimited:
 		return st.retryAfterLimit(req, bl.until)
+	case ReasonResting:
+		return bl.until.Sub(st.now) + spread
 	}
 	// A replica that takes the place of the leaving ones has to start and to be listed first.
-	return replacementTime + time.Duration(st.random.Int64N(int64(retrySpread)))
+	return replacementTime + spread
 }
 
 // replacementTime is the time after which callers are asked to retry if all replicas of a service leave: that in which a new
--- a/internal/steer/limit_world_test.go
+++ b/internal/steer/limit_world_test.go
@@ -37,6 +37,11 @@
 	duplicated float64
 	// slow is the share of notes that arrive up to slowNote later.
 	slow float64
+	// announced returns what the replica's answer to a request announces besides its limit, and whether the replica refuses the
+	// request. If it is nil, no replica announces anything else.
+	announced func(replica string) (ann steer.Announced, refused bool)
+	// told is called when the instance receives that answer.
+	told func(node *limitNode, replica string, ann steer.Announced)
 	// outcome draws the end of an attempt and the time until then. If it is nil, all attempts succeed.
 	outcome func(eff steer.Send) (steer.AttemptEnded, time.Duration)
 	// ended is called at each end of a request.
@@ -240,7 +245,27 @@
 	finishTime = 400 * time.Millisecond
 )
 
+// mayPass asks the instance whether the attempt may be sent, as the shell does just before it sends it.
+func (lw *limitWorld) mayPass(node *limitNode, eff steer.Send) bool {
+	ev := steer.Sending{ID: eff.ID, Targets: []steer.Target{{Replica: eff.Replica, Kind: eff.Kind, Granted: eff.Granted}}, DecidedAt: eff.DecidedAt}
+	for _, helper := range eff.Helpers {
+		ev.Targets = append(ev.Targets, steer.Target{Replica: helper.Replica, Kind: steer.SendPart})
+	}
+	for _, sent := range node.st.Reduce(lw.now, ev) {
+		if vd, ok := sent.(steer.Verdict); ok {
+			return !vd.Held()
+		}
+	}
+	return false
+}
+
 func (lw *limitWorld) send(node *limitNode, eff steer.Send) {
+	if !lw.mayPass(node, eff) {
+		lw.inRun(node, time.Millisecond, func() {
+			lw.reduce(node, steer.AttemptEnded{ID: eff.ID, Attempt: eff.Attempt, Result: steer.ResultHeld})
+		})
+		return
+	}
 	sent := lw.now
 	lw.received = append(lw.received, replicaRequest{lw.now, eff.Replica.Name, node})
 	for _, helper := range eff.Helpers {
@@ -257,6 +282,24 @@
 		})
 		return
 	}
+	if lw.announced != nil {
+		ann, refused := lw.announced(eff.Replica.Name)
+		at(answerTime, func() {
+			lw.told(node, eff.Replica.Name, ann)
+			lw.reduce(node, steer.ResponseReceived{Replica: eff.Replica.Name, Born: eff.Replica.Born, Sent: sent, Announced: ann})
+			if refused {
+				lw.reduce(node, steer.AttemptEnded{ID: eff.ID, Attempt: eff.Attempt, Result: steer.ResultNotRun, Status: 503})
+				return
+			}
+			lw.reduce(node, steer.Began{ID: eff.ID, Attempt: eff.Attempt})
+		})
+		if !refused {
+			at(finishTime, func() {
+				lw.reduce(node, steer.AttemptEnded{ID: eff.ID, Attempt: eff.Attempt, Result: steer.ResultDone})
+			})
+		}
+		return
+	}
 	at(answerTime, func() {
 		if perS, limited = lw.limits[eff.Replica.Name]; limited {
 			if _, ok := node.passedOnAt[eff.Replica.Name]; !ok {
--- a/internal/steer/list.go
+++ b/internal/steer/list.go
@@ -104,11 +104,16 @@
 			st.removeMissing(name, rep, false)
 		}
 	}
+	var rested []*replica
 	for name, rep := range st.replicas {
+		if rep.rest.open && !rep.rest.endLogged && !rep.rest.inForce(st.now) {
+			rested = append(rested, rep)
+		}
 		if rep.gone && len(rep.works) == 0 && st.now.Sub(rep.goneAt) > goneRetention {
 			delete(st.replicas, name)
 		}
 	}
+	st.logEndsOfRest(rested)
 	st.dropExpiredPeers()
 	st.dropExpiredGrants()
 }
--- a/internal/steer/loadquery.go
+++ b/internal/steer/loadquery.go
@@ -24,7 +24,7 @@
 )
 
 // queryLoad queries the engines for their load, once, if no longer-running instance is known after loadQueryDelay. Engines
-// with a rate limit are left out.
+// are left out whose announcements hold load queries back.
 func (st *State) queryLoad() {
 	if st.loadQueryDone || len(st.replicas) == 0 {
 		return
@@ -45,7 +45,7 @@
 			continue
 		}
 		for _, rep := range svc.replicas {
-			if rep.limit == nil && st.queriesLoad(svc, rep) {
+			if rep.blockedBy(SendLoadQuery, st.now) == NotAnnounced && st.queriesLoad(svc, rep) {
 				engines = append(engines, rep.Replica)
 			}
 		}
--- a/internal/steer/replica.go
+++ b/internal/steer/replica.go
@@ -68,6 +68,8 @@
 	downUntil time.Time
 	// downCause is the kind of the failure that caused that pause.
 	downCause Announcement
+	// rest is the time in which the replica wants no requests from this instance.
+	rest rest
 	// limit is nil while the replica states no rate limit.
 	limit *rateLimit
 	// limitEnded is when the last limit was known to be over.
--- a/internal/steer/retry.go
+++ b/internal/steer/retry.go
@@ -28,6 +28,9 @@
 		req.pause, req.pauseAt = ev.Pause, ev.PauseAt
 	}
 	st.unbook(req)
+	for _, rep := range req.reps {
+		rep.endTrial(req.ID, ev.Result == ResultDone)
+	}
 	st.recordOutcome(req, ev)
 	if ev.Result != ResultNotSent && ev.Result != ResultNotRun && ev.Result != ResultMisdirected && ev.Result != ResultHeld {
 		req.runs++
@@ -50,8 +53,9 @@
 	rep := st.atFault(req, ev.FaultyReplica)
 	switch ev.Result {
 	case ResultNotRun:
-		// If another replica caused the refusal, rep is that one: a helper that is leaving or gone.
-		if rep != req.reps[0] || st.hadRoom(rep, req) {
+		// If another replica caused the refusal, rep is that one: a helper that is leaving or gone. One that has said when it wants
+		// requests again is no failure, and the others may go on sending to it.
+		if !rep.Leaving && !rep.rest.inForce(st.now) && (rep != req.reps[0] || st.hadRoom(rep, req)) {
 			st.markDown(rep, Refusing)
 		}
 	case ResultDone, ResultAnswered:
--- a/internal/steer/serve.go
+++ b/internal/steer/serve.go
@@ -171,6 +171,9 @@
 		req.firstAt = st.now
 	}
 	req.begun = true
+	for _, rep := range req.reps {
+		rep.endTrial(req.ID, true)
+	}
 	st.beginJob(jobKey{id: req.job}, req.reps, true)
 	st.announceBegun(req)
 	st.emit(LogLine{Message: "answer began", Request: req.Name, Replica: req.reps[0].Name, Age: st.now.Sub(req.at), Attempt: req.attempt})
