--- a/internal/steer/bench_test.go
+++ b/internal/steer/bench_test.go
@@ -64,3 +64,12 @@
 		in.reduce(steer.Progressed{ID: id, Attempt: 1})
 	}
 }
+
+func BenchmarkGate(b *testing.B) {
+	in := newBusyInstance(64)
+	in.t = nil
+	target := steer.Target{Replica: steer.Replica{Name: "lyric-7", Born: 1}, Kind: steer.SendFirst}
+	for b.Loop() {
+		in.st.Reduce(in.now, steer.Sending{ID: 1, Targets: []steer.Target{target}, DecidedAt: in.now})
+	}
+}
