--- a/internal/bench/engine.go
+++ b/internal/bench/engine.go
@@ -43,6 +43,7 @@
 		return tool.Usage(fmt.Errorf("bench: --cache-gap is %g; give a share from 0 to 1", cmd.CacheGap))
 	}
 	engine := stand.NewEngine(cmd.options())
+	engine.Announce(cmd.announcements())
 	return serve(cmd.Listen, engine.Handler(), cmd.register, engine.Run)
 }
 
--- a/internal/bench/service.go
+++ b/internal/bench/service.go
@@ -23,6 +23,7 @@
 		return tool.Usage(fmt.Errorf("bench: --delay is %s; give 0s or more", cmd.Delay))
 	}
 	service := stand.NewService(cmd.Delay)
+	service.Announce(cmd.announcements())
 	return serve(cmd.Listen, service.Handler(), cmd.register, func(ctx context.Context) error {
 		<-ctx.Done()
 		return ctx.Err()
--- a/internal/bench/standin.go
+++ b/internal/bench/standin.go
@@ -10,7 +10,9 @@
 	"golang.org/x/sync/errgroup"
 
 	"dandelionsail.example/dandelionsail/internal/plat"
+	"dandelionsail.example/dandelionsail/internal/stand"
 	"dandelionsail.example/dandelionsail/internal/tool"
+	"dandelionsail.example/dandelionsail/pkg/decl"
 )
 
 // standinOptions are the settings common to the stand-ins that the platform's instance list contains.
@@ -20,10 +22,22 @@
 	FailureDomain string `long:"failure-domain" env:"SAILBENCH_FAILURE_DOMAIN" description:"failure domain" default:"a"`
 	Listen        string `long:"listen" env:"SAILBENCH_LISTEN" description:"address, host:port; port 0 picks a free one" default:"127.0.0.1:0"`
 	Platform      string `long:"platform" env:"SAILBENCH_PLATFORM" description:"address of the platform at which to register; empty registers nowhere"`
+
+	Leaving      bool          `long:"leaving" description:"say in all answers that the upstream leaves"`
+	RefusedShare float64       `long:"refused-share" description:"share of calls, 0 to 1, that are refused with a time of rest" default:"0"`
+	Rest         time.Duration `long:"rest" description:"time of rest that a refused caller is asked for" default:"3s"`
+}
+
+// announcements returns what the stand-in announces.
+func (opts *standinOptions) announcements() stand.Announcements {
+	return stand.Announcements{Leaving: opts.Leaving, RefusedShare: opts.RefusedShare, Rest: decl.Duration(opts.Rest)}
 }
 
 // check validates the addresses. The error names the flag, its value and what is allowed.
 func (opts *standinOptions) check() error {
+	if opts.RefusedShare < 0 || opts.RefusedShare > 1 || opts.Rest < 0 {
+		return tool.Usage(fmt.Errorf("bench: --refused-share is %g and --rest %s; give a share from 0 to 1 and 0s or more", opts.RefusedShare, opts.Rest))
+	}
 	for flag, address := range map[string]string{"listen": opts.Listen, "platform": opts.Platform} {
 		if address == "" && flag == "platform" {
 			continue
--- a/internal/cmds/demo.go
+++ b/internal/cmds/demo.go
@@ -41,6 +41,9 @@
 type demoCommand struct {
 	Keep    bool `long:"keep" description:"leave everything running and print the addresses"`
 	Verbose bool `long:"verbose" description:"log to standard error"`
+
+	EngineLeaves bool          `long:"engine-leaves" description:"the first engine says in its answers that it leaves"`
+	EngineRest   time.Duration `long:"engine-rest" description:"the first engine refuses half of its calls and asks for this time of rest" default:"0s"`
 }
 
 // Execute implements flags.Commander.
@@ -56,7 +59,14 @@
 	if !cmd.Verbose {
 		logger.SetLevel(log.ErrorLevel)
 	}
+	if cmd.EngineRest < 0 {
+		return tool.Usage(fmt.Errorf("cmds: --engine-rest is %s; give 0s or more", cmd.EngineRest))
+	}
 	dm := &demo{logger: logger, platform: stand.NewPlatform(demoListLag)}
+	dm.announced.Leaving = cmd.EngineLeaves
+	if cmd.EngineRest > 0 {
+		dm.announced.RefusedShare, dm.announced.Rest = 0.5, decl.Duration(cmd.EngineRest)
+	}
 	return dm.run(ctx, cmd.Keep, os.Stdout)
 }
 
@@ -69,6 +79,8 @@
 	instances []string
 	engines   []*stand.Engine
 	service   *stand.Service
+	// announced is what the first engine announces.
+	announced stand.Announcements
 	authority *certs.Authority
 }
 
@@ -128,6 +140,9 @@
 	opts.Step = 5 * time.Millisecond
 	opts.PrefillChunk = 1000
 	engine := stand.NewEngine(opts)
+	if number == 0 {
+		engine.Announce(dm.announced)
+	}
 	address, err := serveOn(ctx, group, engine.Handler())
 	if err != nil {
 		return err
--- a/internal/core/arrive.go
+++ b/internal/core/arrive.go
@@ -57,8 +57,8 @@
 	if refusal := st.checkQuarantine(ev.Digest); refusal != nil {
 		return refusal
 	}
-	if !st.Route.Serves(ev.Service) {
-		return notRunRefusal(effect.ReasonNoUpstream, time.Second, "try again; no replica of the service is live")
+	if refusal := st.unserved(ev, class.level); refusal != nil {
+		return refusal
 	}
 	org := st.Config.Organisations[ev.Organisation]
 	if refusal := st.checkDeadline(ev, class, org); refusal != nil {
--- a/internal/core/retry.go
+++ b/internal/core/retry.go
@@ -30,7 +30,7 @@
 		return
 	}
 	st.settleUpstreams(req, ev)
-	if ev.Result != event.ResultNotSent && ev.Result != event.ResultNotRun {
+	if ev.Result != event.ResultNotSent && ev.Result != event.ResultNotRun && ev.Result != event.ResultHeld {
 		req.MayHaveRun = true
 	}
 	switch {
@@ -81,6 +81,12 @@
 
 // retry queues the request for another attempt if that is safe and allowed, and otherwise ends it.
 func (st *State) retry(req *Request, ev event.AttemptEnded) {
+	if ev.Result == event.ResultHeld {
+		st.releasePermit(req)
+		req.NotBefore = st.now.Add(heldBackoff)
+		st.enqueueAgain(req)
+		return
+	}
 	req.Tried = append(req.Tried, ev.Upstream)
 	progressed := ev.Offset > req.Offset
 	req.Offset = ev.Offset
@@ -110,6 +116,15 @@
 		// A refusal for lack of room is no failure; the same replica may have room after the pause.
 		req.Tried = slices.DeleteFunc(req.Tried, func(name string) bool { return name == ev.Upstream })
 	}
+	st.enqueueAgain(req)
+}
+
+// enqueueAgain queues the request for another attempt, or refuses it if no replica will accept it in time.
+func (st *State) enqueueAgain(req *Request) {
+	if failure := st.unservedFailure(req); failure != nil {
+		st.finish(req, failure)
+		return
+	}
 	st.enqueue(req)
 }
 
--- a/internal/core/state.go
+++ b/internal/core/state.go
@@ -184,6 +184,8 @@
 		st.regroupPools()
 		st.reduceMembership(ev)
 		st.dispatchAll()
+	case event.UpstreamAnnounced:
+		st.handleUpstreamAnnounced(ev)
 	case event.InstancesListed:
 		st.handleInstancesListed(ev)
 	case event.ConfigAccepted:
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -14,6 +14,7 @@
 	"dandelionsail.example/dandelionsail/internal/effect"
 	"dandelionsail.example/dandelionsail/internal/event"
 	"dandelionsail.example/dandelionsail/internal/hops"
+	"dandelionsail.example/dandelionsail/internal/notice"
 	"dandelionsail.example/dandelionsail/internal/upstr"
 )
 
@@ -80,6 +81,8 @@
 func (cl *call) upstreamCall(eff effect.Send) upstr.Call {
 	return upstr.Call{
 		Address:       eff.Upstreams[len(eff.Upstreams)-1].Address,
+		Kind:          cl.kindOf(eff),
+		ID:            cl.id,
 		Request:       cl.name,
 		Method:        cl.req.Method,
 		Path:          cl.req.URL.RequestURI(),
@@ -91,6 +94,17 @@
 	}
 }
 
+// kindOf returns the kind of the attempt's call to the upstream that answers.
+func (cl *call) kindOf(eff effect.Send) notice.Kind {
+	switch {
+	case eff.Offset > 0:
+		return notice.Resumption
+	case eff.Attempt > 1:
+		return notice.Retry
+	}
+	return notice.First
+}
+
 // strippedHeaders are the end-to-end headers that an instance does not forward. Hop-by-hop headers are removed as well.
 var strippedHeaders = []string{"Authorization", HeaderDeadline}
 
@@ -98,7 +112,7 @@
 // could read another organisation's exported cache, skip the start of its answer or get a higher priority than all others.
 var internalHeaders = []string{
 	upstr.HeaderRequest, upstr.HeaderPriority, upstr.HeaderOffset, upstr.HeaderImports, upstr.HeaderSegment,
-	upstr.HeaderReservation, upstr.HeaderFence, upstr.HeaderRunState,
+	upstr.HeaderReservation, upstr.HeaderFence, upstr.HeaderRunState, upstr.HeaderLeaving,
 }
 
 // forwardedHeader returns a copy of the header without the fields that are not forwarded.
@@ -302,6 +316,8 @@
 	switch {
 	case err == nil:
 		return event.ResultDone
+	case errorx.IsOfType(err, upstr.Held):
+		return event.ResultHeld
 	case errorx.IsOfType(err, upstr.NotSent):
 		return event.ResultNotSent
 	case errorx.IsOfType(err, upstr.NotRun):
--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -46,13 +46,15 @@
 	run      string
 	loop     *core.Loop
 	upstream *upstr.Client
-	store    *store.Client
-	platform *plat.Client
-	conf     *conf.Log
-	follower *conf.Follower
-	claims   *once.Claims
-	leases   *lease.Holder
-	log      *log.Logger
+	// announcements holds what upstreams have announced about themselves.
+	announcements *announcements
+	store         *store.Client
+	platform      *plat.Client
+	conf          *conf.Log
+	follower      *conf.Follower
+	claims        *once.Claims
+	leases        *lease.Holder
+	log           *log.Logger
 	// Meter holds the instance's counters, timers and service-level burn.
 	Meter *meter.Meter
 	// peers is the transport to the other instances, nil in an instance without peer keys.
@@ -99,6 +101,9 @@
 		calls:    map[event.RequestID]*call{},
 		readers:  map[string]context.CancelFunc{},
 	}
+	in.announcements = newAnnouncements(seed(opts))
+	in.upstream.Check = in.checkCall
+	in.upstream.Announced = in.readAnnounced
 	in.conf = conf.New(in.store)
 	in.follower = conf.NewFollower(in.conf, event.Instance{Name: opts.Name, FailureDomain: opts.FailureDomain}, in.acceptConfig)
 	in.claims = once.New(in.store, opts.Name)
@@ -290,6 +295,7 @@
 		}
 		if err == nil {
 			ups, insts := listing.Events()
+			in.announcements.list(time.Now(), ups.Upstreams)
 			in.loop.Submit(ups)
 			in.loop.Submit(insts)
 			in.updatePeers(insts)
--- a/internal/entry/segments.go
+++ b/internal/entry/segments.go
@@ -9,6 +9,8 @@
 	"syscall"
 	"time"
 
+	"github.com/joomcode/errorx"
+
 	"dandelionsail.example/dandelionsail/internal/delay"
 	"dandelionsail.example/dandelionsail/internal/effect"
 	"dandelionsail.example/dandelionsail/internal/event"
@@ -91,21 +93,29 @@
 }
 
 // free asks an engine to free a request, and retries in the background until the engine confirms it, the engine is gone or
-// freeTimeout has passed.
+// freeTimeout has passed. The time in which the engine rests does not count, unless this instance drains: otherwise the engine
+// would lose the memory for good. What a stopped instance leaves behind is swept by the others.
 func (in *Instance) free(up event.Upstream, request string) {
 	in.pending.Go(func() {
-		ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
-		defer cancel()
-		for ctx.Err() == nil {
-			err := in.upstream.Drop(ctx, up.Address, request)
+		for giveUpAt := time.Now().Add(freeTimeout); time.Now().Before(giveUpAt); {
+			err := in.drop(up, request)
 			if err == nil || engineGone(err) {
 				return
 			}
-			delay.For(ctx, freeRetryDelay)
+			if errorx.IsOfType(err, upstr.Held) && !in.draining.Load() {
+				giveUpAt = time.Now().Add(freeTimeout)
+			}
+			delay.For(context.Background(), freeRetryDelay)
 		}
 	})
 }
 
+func (in *Instance) drop(up event.Upstream, request string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
+	defer cancel()
+	return in.upstream.Drop(ctx, up.Address, request)
+}
+
 // engineGone reports whether the error means that nothing listens at the engine's address. Its process has then ended and
 // its memory is free.
 func engineGone(err error) bool {
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -86,8 +86,22 @@
 	ResultExpired
 	// ResultCancelled is an attempt that was ended because the caller disconnected or by an effect.Abort.
 	ResultCancelled
+	// ResultHeld is an attempt of which nothing was sent, since its upstream had announced something that rules it out.
+	ResultHeld
 )
 
+// UpstreamAnnounced reports what an upstream announces about itself in an answer.
+type UpstreamAnnounced struct {
+	Upstream string
+	Address  string
+	// Leaving reports that the upstream is about to shut down.
+	Leaving bool
+	// RestUntil is until when the upstream wants no requests from this instance, zero if it does not say.
+	RestUntil time.Time
+	// Invalid quotes an announcement whose value cannot be used, for the log.
+	Invalid string
+}
+
 // Load is the load that an upstream reports for itself.
 type Load struct {
 	// Running is the number of requests that the upstream runs.
@@ -262,6 +276,7 @@
 func (AnswerStarted) isEvent()      {}
 func (AttemptEnded) isEvent()       {}
 func (LoadReported) isEvent()       {}
+func (UpstreamAnnounced) isEvent()  {}
 func (CacheChanged) isEvent()       {}
 func (UpstreamsListed) isEvent()    {}
 func (InstancesListed) isEvent()    {}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -117,6 +117,10 @@
 		st.handleInstancesListed(ev)
 	case event.UpstreamsListed:
 		st.handleUpstreamsListed(ev)
+	case event.UpstreamAnnounced:
+		if ev.Leaving {
+			st.apply(event.StatusUpdate{Name: ev.Upstream, State: event.StatusUpstreamLeaving, Incarnation: AddressHash(ev.Address)})
+		}
 	case event.ProbeReceived:
 		st.handleProbeReceived(ev)
 	case event.ProbeAcked:
--- a/internal/relay/announce.go
+++ b/internal/relay/announce.go
@@ -4,7 +4,7 @@
 	"strings"
 	"time"
 
-	"dandelionsail.example/dandelionsail/internal/steer"
+	"dandelionsail.example/dandelionsail/internal/notice"
 )
 
 // announcedPrefix is the name prefix of the gauges of what replicas have announced.
@@ -22,14 +22,14 @@
 			in.registry.Unregister(name)
 		}
 	})
-	var counts [steer.Announcements]int64
+	var counts [notice.Announcements]int64
 	for _, status := range list {
 		counts[status.Announcement]++
 		if !status.EndsAt.IsZero() {
 			in.gauge(announcedPrefix+"LeftMs."+status.Replica, status.EndsAt.Sub(now).Milliseconds())
 		}
 	}
-	for ann := steer.Unlisted + 1; ann < steer.Announcements; ann++ {
+	for ann := notice.Unlisted + 1; ann < notice.Announcements; ann++ {
 		in.gauge(announcedPrefix+"Count."+ann.String(), counts[ann])
 	}
 }
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"dandelionsail.example/dandelionsail/internal/hops"
+	"dandelionsail.example/dandelionsail/internal/notice"
 	"dandelionsail.example/dandelionsail/internal/steer"
 )
 
@@ -149,7 +150,7 @@
 		msg.decidedAt = att.reservedAt
 	}
 	for _, helper := range att.eff.Helpers {
-		msg.parts = append(msg.parts, steer.Target{Replica: helper.Replica, Kind: steer.SendPart})
+		msg.parts = append(msg.parts, steer.Target{Replica: helper.Replica, Kind: notice.Part})
 	}
 	return msg
 }
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -8,6 +8,7 @@
 
 	"github.com/joomcode/errorx"
 
+	"dandelionsail.example/dandelionsail/internal/notice"
 	"dandelionsail.example/dandelionsail/internal/steer"
 )
 
@@ -101,7 +102,7 @@
 // refusesConnections reports whether the replica fails to accept a new connection within probeTimeout. It returns false
 // if ctx ends first or if the probe is held back.
 func (in *Instance) refusesConnections(ctx context.Context, replica steer.Replica) bool {
-	if in.checkMessage(message{to: steer.Target{Replica: replica, Kind: steer.SendProbe}}) != nil {
+	if in.checkMessage(message{to: steer.Target{Replica: replica, Kind: notice.Probe}}) != nil {
 		return false
 	}
 	conn, err := (&net.Dialer{Timeout: probeTimeout}).DialContext(ctx, "tcp", replica.Address)
--- a/internal/relay/exchange_test.go
+++ b/internal/relay/exchange_test.go
@@ -17,6 +17,7 @@
 	"github.com/phuslu/log"
 	"gotest.tools/v3/assert"
 
+	"dandelionsail.example/dandelionsail/internal/notice"
 	"dandelionsail.example/dandelionsail/internal/steer"
 	"dandelionsail.example/dandelionsail/pkg/decl"
 )
@@ -28,7 +29,7 @@
 func (headerProtocol) ParseResponse(resp *http.Response) ResponseInfo {
 	return ResponseInfo{
 		Name: resp.Header.Get("Name"), Misdirected: resp.StatusCode == http.StatusMisdirectedRequest,
-		Announced: steer.Announced{Leaving: resp.Header.Get("Leaving") != ""},
+		Announced: notice.Announced{Leaving: resp.Header.Get("Leaving") != ""},
 	}
 }
 
@@ -45,7 +46,7 @@
 }
 
 // send sends a message of the kind for the request named request.
-func (in *Instance) send(t *testing.T, transport *http.Transport, replica steer.Replica, kind steer.SendKind) error {
+func (in *Instance) send(t *testing.T, transport *http.Transport, replica steer.Replica, kind notice.Kind) error {
 	t.Helper()
 	req, err := http.NewRequest(http.MethodGet, "http://"+replica.Address+"/", nil)
 	assert.NilError(t, err)
@@ -75,8 +76,8 @@
 		"nothing announced":             {"request", "", 200, false, false},
 	}
 	for name, tc := range cases {
-		for kind := range steer.SendKinds {
-			if kind == steer.SendProbe {
+		for kind := range notice.Kinds {
+			if kind == notice.Probe {
 				continue
 			}
 			t.Run(name+" "+kind.String(), func(t *testing.T) {
@@ -91,7 +92,7 @@
 					_, _ = w.Write([]byte(tc.body))
 				})
 				assert.NilError(t, in.send(t, in.pooled, replica, kind))
-				err := in.send(t, in.pooled, replica, steer.SendFirst)
+				err := in.send(t, in.pooled, replica, notice.First)
 				assert.Equal(t, isHeldBack(err), tc.leaves, "%v", err)
 			})
 		}
@@ -110,9 +111,9 @@
 		return (&net.Dialer{}).DialContext(ctx, network, address)
 	})
 	ended := make(chan error, 1)
-	go func() { ended <- in.send(t, slow, replica, steer.SendFirst) }()
+	go func() { ended <- in.send(t, slow, replica, notice.First) }()
 	<-dialing
-	in.apply(steer.ResponseReceived{Replica: replica.Name, Born: replica.Born, Sent: time.Now(), Announced: steer.Announced{Leaving: true}})
+	in.apply(steer.ResponseReceived{Replica: replica.Name, Born: replica.Born, Sent: time.Now(), Announced: notice.Announced{Leaving: true}})
 	close(proceed)
 	err := <-ended
 	assert.Assert(t, isHeldBack(err), "%v", err)
--- a/internal/relay/loadpoll.go
+++ b/internal/relay/loadpoll.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"dandelionsail.example/dandelionsail/internal/notice"
 	"dandelionsail.example/dandelionsail/internal/steer"
 )
 
@@ -37,7 +38,7 @@
 	if err != nil {
 		return 0, 0, err
 	}
-	msg := message{to: steer.Target{Replica: replica, Kind: steer.SendLoadQuery}}
+	msg := message{to: steer.Target{Replica: replica, Kind: notice.LoadQuery}}
 	resp, _, err := in.exchange(in.pooled, msg, req)
 	if isHeldBack(err) {
 		return 0, 0, err
--- a/internal/relay/ports.go
+++ b/internal/relay/ports.go
@@ -10,6 +10,7 @@
 
 	"github.com/joomcode/errorx"
 
+	"dandelionsail.example/dandelionsail/internal/notice"
 	"dandelionsail.example/dandelionsail/internal/steer"
 	"dandelionsail.example/dandelionsail/pkg/decl"
 )
@@ -156,5 +157,5 @@
 	// FaultyReplica names the replica at fault, empty if it is unknown or the one that was sent the request.
 	FaultyReplica string
 	// Announced is what the replica that responds announces about itself.
-	Announced steer.Announced
+	Announced notice.Announced
 }
--- a/internal/relay/reservation.go
+++ b/internal/relay/reservation.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"dandelionsail.example/dandelionsail/internal/delay"
+	"dandelionsail.example/dandelionsail/internal/notice"
 	"dandelionsail.example/dandelionsail/internal/steer"
 )
 
@@ -51,7 +52,7 @@
 			continue
 		}
 		group.Go(func() error {
-			err := att.order(limited, i, steer.SendReservation)
+			err := att.order(limited, i, notice.Reservation)
 			if err != nil && !isHeldBack(err) {
 				refusals[i] = att.eff.Helpers[i].Name
 			}
@@ -88,7 +89,7 @@
 			if att.eff.Helpers[i].Tokens == 0 {
 				continue
 			}
-			if err := att.order(ctx, i, steer.SendRenewal); err != nil && ctx.Err() == nil {
+			if err := att.order(ctx, i, notice.Renewal); err != nil && ctx.Err() == nil {
 				att.in.log.Warn().Str("Request", att.cl.info.Name).Str("Replica", att.eff.Helpers[i].Name).Err(err).Msg("memory reservation not renewed")
 			}
 		}
@@ -111,7 +112,7 @@
 				continue
 			}
 			for range releaseAttempts {
-				if err := att.order(context.Background(), i, steer.SendRelease); err == nil || isHeldBack(err) {
+				if err := att.order(context.Background(), i, notice.Release); err == nil || isHeldBack(err) {
 					break
 				}
 			}
@@ -121,7 +122,7 @@
 
 // order sends an order of the kind, which is SendReservation, SendRenewal or SendRelease, and returns an error unless the
 // replica carried it out.
-func (att *attempt) order(ctx context.Context, helper int, kind steer.SendKind) error {
+func (att *attempt) order(ctx context.Context, helper int, kind notice.Kind) error {
 	limited, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	to := att.eff.Helpers[helper]
@@ -130,7 +131,7 @@
 		return err
 	}
 	msg := message{id: att.cl.id, request: att.cl.info.Name, to: steer.Target{Replica: to.Replica, Kind: kind, ExpiresAt: att.expiresAt[helper]}}
-	if kind == steer.SendReservation {
+	if kind == notice.Reservation {
 		msg.decidedAt = att.eff.DecidedAt
 	}
 	sent := time.Now()
@@ -143,7 +144,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxOrderResponse))
-	if resp.StatusCode == http.StatusOK && kind != steer.SendRelease {
+	if resp.StatusCode == http.StatusOK && kind != notice.Release {
 		att.expiresAt[helper] = sent.Add(reservationTTL)
 	}
 	if resp.StatusCode != http.StatusOK {
@@ -152,9 +153,9 @@
 	return nil
 }
 
-func (att *attempt) orderRequest(ctx context.Context, helper int, kind steer.SendKind) (*http.Request, error) {
+func (att *attempt) orderRequest(ctx context.Context, helper int, kind notice.Kind) (*http.Request, error) {
 	to := att.eff.Helpers[helper]
-	if kind == steer.SendRelease {
+	if kind == notice.Release {
 		return att.in.protocol.Release(ctx, to.Replica, att.reservationID(helper))
 	}
 	return att.in.protocol.Reserve(ctx, to.Replica, Reservation{ID: att.reservationID(helper), Tokens: to.Tokens, TTL: reservationTTL})
--- a/internal/route/eject.go
+++ b/internal/route/eject.go
@@ -118,6 +118,7 @@
 	for _, rep := range st.unhealthy {
 		st.updateOpenSet(rep)
 	}
+	st.updateRested()
 	if now.Before(st.nextSlowCheck) {
 		return nil
 	}
--- a/internal/route/pool.go
+++ b/internal/route/pool.go
@@ -244,7 +244,7 @@
 // updateOpenSet adds the replica to its open set or removes it. A replica is open if it is live, not ejected and has fewer
 // attempts in flight than its limit.
 func (st *State) updateOpenSet(rep *Replica) {
-	open := rep.live() && !st.ejected(rep) && rep.Running < st.limit(rep)
+	open := rep.live() && !st.ejected(rep) && !rep.rest.InForce(st.now) && !rep.rest.OnTrial(st.now) && rep.Running < st.limit(rep)
 	if open == (rep.openIndex >= 0) {
 		return
 	}
--- a/internal/route/replica.go
+++ b/internal/route/replica.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"dandelionsail.example/dandelionsail/internal/event"
+	"dandelionsail.example/dandelionsail/internal/notice"
 )
 
 // maxLevels is the maximum number of priority levels by which work is counted.
@@ -58,6 +59,8 @@
 	Samples int
 
 	pool *pool
+	// rest is the time in which the replica wants no requests from this instance.
+	rest notice.Rest
 	// attempts holds the attempts in flight in the order of sending.
 	attempts []attempt
 	// pendingPrefill holds the prompt tokens of this instance's attempts that are not yet prefilled, by level.
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"dandelionsail.example/dandelionsail/internal/event"
+	"dandelionsail.example/dandelionsail/internal/notice"
 )
 
 // unlistedRetention is how long a replica that the platform no longer lists is kept, so that a stale list cannot restore one
@@ -36,6 +37,8 @@
 	instances int64
 	// unhealthy holds the replicas that are ejected or on probation.
 	unhealthy []*Replica
+	// rested holds the replicas that rest, or whose first request after it has not been answered.
+	rested []*Replica
 	// nextSlowCheck is when Tick compares the speeds of the replicas next.
 	nextSlowCheck time.Time
 	// slowdowns is the buffer of one such comparison.
@@ -141,12 +144,50 @@
 	st.updateOpenSet(rep)
 }
 
-// MarkLeaving marks the replica as leaving after a peer has reported it, before the platform's list shows it.
+// MarkLeaving marks the replica as leaving after it, or a peer, has said so, before the platform's list shows it.
 func (st *State) MarkLeaving(rep *Replica) {
+	if rep.live() {
+		rep.pool.liveReplicas--
+	}
 	rep.Upstream.Leaving = true
 	st.updateOpenSet(rep)
 }
 
+// Rest applies a rest that the replica has asked this instance for.
+func (st *State) Rest(now time.Time, rep *Replica, until time.Time) {
+	st.now = now
+	rep.rest.Start(now, until)
+	if !slices.Contains(st.rested, rep) {
+		st.rested = append(st.rested, rep)
+	}
+	st.updateOpenSet(rep)
+}
+
+// RestingUntil returns when the first live replica of the service ends its rest. It reports false if there is none, or if one
+// does not rest.
+func (st *State) RestingUntil(now time.Time, service string) (first time.Time, resting bool) {
+	for _, rep := range st.Services[service] {
+		if !rep.live() {
+			continue
+		}
+		if !rep.rest.InForce(now) {
+			return time.Time{}, false
+		}
+		if first.IsZero() || rep.rest.Until.Before(first) {
+			first = rep.rest.Until
+		}
+	}
+	return first, !first.IsZero()
+}
+
+// updateRested reopens the replicas whose rest has ended, and forgets those that are back.
+func (st *State) updateRested() {
+	st.rested = slices.DeleteFunc(st.rested, func(rep *Replica) bool {
+		st.updateOpenSet(rep)
+		return !rep.rest.Open
+	})
+}
+
 // dropUnlisted retires the replicas that are not listed and reports whether there were any. It removes those that were
 // retired longer than unlistedRetention ago and have no attempts in flight.
 func (st *State) dropUnlisted(listed event.UpstreamsListed) bool {
@@ -217,6 +258,9 @@
 	return ok && pl.liveReplicas > 0
 }
 
+// Listed reports whether any replica of the service is listed, live or leaving.
+func (st *State) Listed(service string) bool { return len(st.Services[service]) > 0 }
+
 // RecordSent records an attempt that is sent to the replica.
 func (st *State) RecordSent(now time.Time, name string, pc *PickCriteria) {
 	st.now = now
@@ -244,6 +288,7 @@
 	}
 	rep.pool.recordSent(pc.Level, prompt)
 	st.prefixes.addHint(now, rep, pc.Prefixes)
+	rep.rest.Pass(now, uint64(pc.ID), notice.First)
 	st.updateOpenSet(rep)
 }
 
@@ -259,6 +304,8 @@
 	}
 	rep.recordFirstToken(now, i)
 	rep.learnPrefillRate(rep.attempts[i])
+	rep.rest.EndTrial(uint64(id), true)
+	st.updateOpenSet(rep)
 }
 
 // RecordEnd records the end of an attempt whose answer has the given number of tokens. It reports whether the upstream was
@@ -274,6 +321,7 @@
 		return false
 	}
 	at := rep.removeAttempt(i)
+	rep.rest.EndTrial(uint64(id), result == event.ResultDone)
 	if result == event.ResultDone || result == event.ResultExpired {
 		rep.learnStretch(now, at)
 	}
--- a/internal/stand/engine.go
+++ b/internal/stand/engine.go
@@ -97,6 +97,7 @@
 	log            cacheLog
 	orders         orders
 	faults         EngineFaults
+	announcer      *announcer
 	random         *rand.Rand
 	// runCounts has the number of times that each request was accepted, by request ID.
 	runCounts map[string]int
@@ -119,6 +120,7 @@
 		exports:   exports{},
 		log:       newCacheLog(),
 		orders:    newOrders(opts.Model),
+		announcer: newAnnouncer(opts.Seed),
 		random:    rand.New(rand.NewPCG(opts.Seed, opts.Seed)),
 		runCounts: map[string]int{},
 	}
@@ -203,7 +205,7 @@
 	mux.HandleFunc("POST /v1/orders", en.order)
 	mux.HandleFunc("GET "+PathState, en.state)
 	mux.HandleFunc("POST "+PathFaults, en.setFaults)
-	return mux
+	return en.announcer.wrap(mux)
 }
 
 // refuse answers that the request was not run.
--- a/internal/stand/service.go
+++ b/internal/stand/service.go
@@ -34,14 +34,15 @@
 // Service is a plain service. It runs every call that it receives and records it.
 type Service struct {
 	// Delay is the duration of a call.
-	Delay time.Duration
-	mu    sync.Mutex
-	runs  []Run
+	Delay     time.Duration
+	announcer *announcer
+	mu        sync.Mutex
+	runs      []Run
 }
 
 // NewService returns a service whose calls take the given time.
 func NewService(delay time.Duration) *Service {
-	return &Service{Delay: delay}
+	return &Service{Delay: delay, announcer: newAnnouncer(1)}
 }
 
 // Runs returns the calls run so far.
@@ -61,7 +62,7 @@
 		_ = json.NewEncoder(w).Encode(sv.Runs())
 	})
 	mux.HandleFunc("/", sv.run)
-	return mux
+	return sv.announcer.wrap(mux)
 }
 
 func (sv *Service) run(w http.ResponseWriter, req *http.Request) {
--- a/internal/steer/announce_test.go
+++ b/internal/steer/announce_test.go
@@ -8,17 +8,18 @@
 
 	"gotest.tools/v3/assert"
 
+	"dandelionsail.example/dandelionsail/internal/notice"
 	"dandelionsail.example/dandelionsail/internal/steer"
 	"dandelionsail.example/dandelionsail/pkg/decl"
 )
 
 // announce passes an answer of the replica that announces something to the reducer.
-func (in *instance) announce(replica string, ann steer.Announced) []steer.Effect {
+func (in *instance) announce(replica string, ann notice.Announced) []steer.Effect {
 	return in.reduce(steer.ResponseReceived{Replica: replica, Born: 1, Sent: in.now, Announced: ann})
 }
 
 // verdict asks whether a message of the kind may be sent to the replica.
-func (in *instance) verdict(replica string, kind steer.SendKind, granted bool) steer.Verdict {
+func (in *instance) verdict(replica string, kind notice.Kind, granted bool) steer.Verdict {
 	in.t.Helper()
 	target := steer.Target{Replica: steer.Replica{Name: replica, Born: 1}, Kind: kind, Granted: granted}
 	in.next++
@@ -26,46 +27,46 @@
 }
 
 // announcers put each kind of announcement in force at lyric-0.
-var announcers = map[steer.Announcement]func(in *instance){
-	steer.Unlisted: func(in *instance) { in.reduce(steer.ListChanged{Gone: []string{"lyric-0"}}) },
-	steer.Leaving:  func(in *instance) { in.announce("lyric-0", steer.Announced{Leaving: true}) },
-	steer.Resting:  func(in *instance) { in.announce("lyric-0", steer.Announced{Rest: time.Second}) },
-	steer.Returning: func(in *instance) {
-		in.announce("lyric-0", steer.Announced{Rest: time.Second})
+var announcers = map[notice.Announcement]func(in *instance){
+	notice.Unlisted: func(in *instance) { in.reduce(steer.ListChanged{Gone: []string{"lyric-0"}}) },
+	notice.Leaving:  func(in *instance) { in.announce("lyric-0", notice.Announced{Leaving: true}) },
+	notice.Resting:  func(in *instance) { in.announce("lyric-0", notice.Announced{Rest: time.Second}) },
+	notice.Returning: func(in *instance) {
+		in.announce("lyric-0", notice.Announced{Rest: time.Second})
 		in.now = in.now.Add(time.Second)
-		assert.Assert(in.t, !in.verdict("lyric-0", steer.SendFirst, false).Held(), "no trial")
+		assert.Assert(in.t, !in.verdict("lyric-0", notice.First, false).Held(), "no trial")
 	},
-	steer.RateLimited: func(in *instance) {
-		in.announce("lyric-0", steer.Announced{Limited: true, PerS: 2})
+	notice.RateLimited: func(in *instance) {
+		in.announce("lyric-0", notice.Announced{Limited: true, PerS: 2})
 	},
-	steer.Failing: func(in *instance) {
+	notice.Failing: func(in *instance) {
 		in.reduce(steer.NoteReceived{Note: steer.Note{From: "two", Run: 1, Down: []string{"lyric-0"}}})
 	},
-	steer.Misdirecting: func(in *instance) {
+	notice.Misdirecting: func(in *instance) {
 		in.end(find[steer.Send](in.t, in.arrive(&short, 5000)), steer.ResultMisdirected)
 	},
-	steer.Refusing: func(in *instance) {
+	notice.Refusing: func(in *instance) {
 		in.end(find[steer.Send](in.t, in.arrive(&short, 5000)), steer.ResultNotRun)
 	},
 }
 
 // passing lists, for each kind of announcement, the kinds of messages that it lets pass to the replica.
-var passing = map[steer.Announcement][]steer.SendKind{
-	steer.Unlisted:     {steer.SendRenewal, steer.SendRelease, steer.SendProbe},
-	steer.Leaving:      {steer.SendRenewal, steer.SendRelease, steer.SendProbe},
-	steer.Resting:      {steer.SendProbe},
-	steer.Returning:    {steer.SendRenewal, steer.SendRelease, steer.SendLoadQuery, steer.SendProbe},
-	steer.RateLimited:  {steer.SendRenewal, steer.SendRelease, steer.SendProbe},
-	steer.Failing:      {steer.SendRenewal, steer.SendRelease, steer.SendLoadQuery, steer.SendProbe},
-	steer.Misdirecting: {steer.SendRenewal, steer.SendRelease, steer.SendLoadQuery, steer.SendProbe},
-	steer.Refusing:     {steer.SendRenewal, steer.SendRelease, steer.SendLoadQuery, steer.SendProbe},
+var passing = map[notice.Announcement][]notice.Kind{
+	notice.Unlisted:     {notice.Renewal, notice.Release, notice.Probe},
+	notice.Leaving:      {notice.Renewal, notice.Release, notice.Probe},
+	notice.Resting:      {notice.Probe},
+	notice.Returning:    {notice.Renewal, notice.Release, notice.LoadQuery, notice.Order, notice.Probe},
+	notice.RateLimited:  {notice.Renewal, notice.Release, notice.Probe},
+	notice.Failing:      {notice.Renewal, notice.Release, notice.LoadQuery, notice.Order, notice.Probe},
+	notice.Misdirecting: {notice.Renewal, notice.Release, notice.LoadQuery, notice.Order, notice.Probe},
+	notice.Refusing:     {notice.Renewal, notice.Release, notice.LoadQuery, notice.Order, notice.Probe},
 }
 
 func TestEachKindOfMessageHeedsEachAnnouncement(t *testing.T) {
 	// Guards against a way to a replica that some announcement does not close: one that is added later, too, since a kind of
 	// message without an entry is held back.
-	for ann := steer.NotAnnounced + 1; ann < steer.Announcements; ann++ {
-		for kind := range steer.SendKinds {
+	for ann := notice.None + 1; ann < notice.Announcements; ann++ {
+		for kind := range notice.Kinds {
 			t.Run(fmt.Sprint(ann, " ", kind), func(t *testing.T) {
 				in := newInstance(t, "one", 1)
 				announcer, ok := announcers[ann]
@@ -84,17 +85,17 @@
 
 func TestGrantedAttemptPassesLimit(t *testing.T) {
 	in := newInstance(t, "one", 1)
-	in.announce("lyric-0", steer.Announced{Limited: true, PerS: 2})
-	assert.Assert(t, !in.verdict("lyric-0", steer.SendFirst, true).Held())
-	in.announce("lyric-0", steer.Announced{Limited: true, PerS: 2, Leaving: true})
-	assert.Equal(t, in.verdict("lyric-0", steer.SendFirst, true).HeldBy, steer.Leaving)
+	in.announce("lyric-0", notice.Announced{Limited: true, PerS: 2})
+	assert.Assert(t, !in.verdict("lyric-0", notice.First, true).Held())
+	in.announce("lyric-0", notice.Announced{Limited: true, PerS: 2, Leaving: true})
+	assert.Equal(t, in.verdict("lyric-0", notice.First, true).HeldBy, notice.Leaving)
 }
 
 func TestLeavingOutlivesLists(t *testing.T) {
 	// A replica says in an answer that it leaves, while the store shows older states. No list may bring it back: not one that
 	// says that it is ready, nor one without it followed by one with it, nor one with an earlier incarnation.
 	in := newInstance(t, "one", 1)
-	in.announce("lyric-0", steer.Announced{Leaving: true})
+	in.announce("lyric-0", notice.Announced{Leaving: true})
 	ready := replicas(1)
 	earlier := replicas(1)
 	earlier[0].Born = 0
@@ -124,7 +125,7 @@
 	in.reduce(steer.Peered{Instances: []steer.Instance{{Name: "two", FailureDomain: "a"}}})
 	told := 0
 	for range 50 {
-		told += departures(in.announce("lyric-0", steer.Announced{Leaving: true}))
+		told += departures(in.announce("lyric-0", notice.Announced{Leaving: true}))
 		told += departures(in.advance(100 * time.Millisecond))
 		told += departures(in.reduce(steer.Summarized{}))
 	}
@@ -132,11 +133,11 @@
 	in = newInstance(t, "one", 2)
 	leaves := steer.Note{From: "two", Run: 1, Departures: []steer.Departure{{Replica: "lyric-0", Born: 1}}}
 	assert.Equal(t, departures(in.reduce(steer.NoteReceived{Note: leaves})), 0)
-	assert.Equal(t, departures(in.announce("lyric-0", steer.Announced{Leaving: true})), 0)
-	assert.Assert(t, in.verdict("lyric-0", steer.SendFirst, false).Held())
+	assert.Equal(t, departures(in.announce("lyric-0", notice.Announced{Leaving: true})), 0)
+	assert.Assert(t, in.verdict("lyric-0", notice.First, false).Held())
 	stale := steer.Note{From: "two", Run: 1, Departures: []steer.Departure{{Replica: "lyric-1", Born: 0}, {Replica: "nobody", Born: 1}}}
 	in.reduce(steer.NoteReceived{Note: stale})
-	assert.Assert(t, !in.verdict("lyric-1", steer.SendFirst, false).Held())
+	assert.Assert(t, !in.verdict("lyric-1", notice.First, false).Held())
 }
 
 func TestRequestsPlacedAtLeavingReplicaAreMoved(t *testing.T) {
@@ -150,7 +151,7 @@
 		in.reduce(steer.Listed{Replicas: list})
 		none[steer.Send](t, in.arrive(&short, 5000))
 		claimed := in.claimedReplicas()[0]
-		in.announce(claimed, steer.Announced{Leaving: true})
+		in.announce(claimed, notice.Announced{Leaving: true})
 		sent := in.waitForSend(time.Second, nil)
 		assert.Assert(t, sent.Replica.Name != claimed)
 	})
@@ -165,7 +166,7 @@
 		none[steer.Send](t, in.arrive(&long, 200_000))
 		placed := in.claimedReplicas()
 		assert.Assert(t, len(placed) > 1, "no helper")
-		in.announce(placed[1], steer.Announced{Leaving: true})
+		in.announce(placed[1], notice.Announced{Leaving: true})
 		sent := in.waitForSend(3*time.Second, nil)
 		assert.Assert(t, sent.Replica.Name != placed[1])
 		for _, helper := range sent.Helpers {
@@ -175,11 +176,11 @@
 	t.Run("held back before it was sent", func(t *testing.T) {
 		in := newInstance(t, "one", 2)
 		sent := find[steer.Send](t, in.arrive(&update, 0))
-		in.announce(sent.Replica.Name, steer.Announced{Leaving: true})
-		assert.Equal(t, in.verdict(sent.Replica.Name, sent.Kind, false).HeldBy, steer.Leaving)
+		in.announce(sent.Replica.Name, notice.Announced{Leaving: true})
+		assert.Equal(t, in.verdict(sent.Replica.Name, sent.Kind, false).HeldBy, notice.Leaving)
 		again := in.waitForSend(time.Second, in.end(sent, steer.ResultHeld))
 		assert.Assert(t, again.Replica.Name != sent.Replica.Name)
-		assert.Equal(t, again.Kind, steer.SendFirst)
+		assert.Equal(t, again.Kind, notice.First)
 	})
 }
 
@@ -239,7 +240,7 @@
 	// their requests did not run, and when to come back, not all at the same moment.
 	in := newInstance(t, "one", 2)
 	for _, name := range []string{"lyric-0", "lyric-1", "board-0", "board-1"} {
-		in.announce(name, steer.Announced{Leaving: true})
+		in.announce(name, notice.Announced{Leaving: true})
 	}
 	for name, route := range map[string]*decl.Route{"stream": &short, "update": &update, "long prompt": &long} {
 		t.Run(name, func(t *testing.T) {
@@ -263,16 +264,16 @@
 	in := newInstance(t, "one", 1)
 	lines := 0
 	for range 100 {
-		for _, eff := range in.st.Reduce(in.now, steer.ResponseReceived{Replica: "lyric-0", Born: 1, Sent: in.now, Announced: steer.Announced{Invalid: []string{"Leaving: soon"}}}) {
+		for _, eff := range in.st.Reduce(in.now, steer.ResponseReceived{Replica: "lyric-0", Born: 1, Sent: in.now, Announced: notice.Announced{Invalid: []string{"Leaving: soon"}}}) {
 			if _, ok := eff.(steer.LogLine); ok {
 				lines++
 			}
 		}
 	}
 	assert.Equal(t, lines, 1)
-	assert.Assert(t, !in.verdict("lyric-0", steer.SendFirst, false).Held())
+	assert.Assert(t, !in.verdict("lyric-0", notice.First, false).Held())
 	for i := range 100 {
-		for _, eff := range in.st.Reduce(in.now, steer.ResponseReceived{Replica: "lyric-0", Born: 1, Sent: in.now, Announced: steer.Announced{Invalid: []string{fmt.Sprint("Leaving: ", i)}}}) {
+		for _, eff := range in.st.Reduce(in.now, steer.ResponseReceived{Replica: "lyric-0", Born: 1, Sent: in.now, Announced: notice.Announced{Invalid: []string{fmt.Sprint("Leaving: ", i)}}}) {
 			if _, ok := eff.(steer.LogLine); ok {
 				lines++
 			}
@@ -286,7 +287,7 @@
 	// The send must be available to others again.
 	in := newInstance(t, "one", 1)
 	in.reduce(steer.Peered{Instances: []steer.Instance{{Name: "two", FailureDomain: "a"}}})
-	limited := steer.Announced{Limited: true, PerS: 1}
+	limited := notice.Announced{Limited: true, PerS: 1}
 	in.announce("lyric-0", limited)
 	granted := func(job steer.JobID) time.Duration {
 		request := steer.GrantRequest{Job: job, Replica: "lyric-0", AcceptedWaitMs: 4000, MaxWaitMs: 4000, Value: 1}
--- a/internal/steer/announce_world_test.go
+++ b/internal/steer/announce_world_test.go
@@ -7,6 +7,7 @@
 
 	"pgregory.net/rapid"
 
+	"dandelionsail.example/dandelionsail/internal/notice"
 	"dandelionsail.example/dandelionsail/internal/steer"
 )
 
@@ -59,7 +60,7 @@
 }
 
 // answer returns what the replica announces, and whether it refuses the request.
-func (aw *announceWorld) answer(replica string) (ann steer.Announced, refused bool) {
+func (aw *announceWorld) answer(replica string) (ann notice.Announced, refused bool) {
 	ann.Leaving = aw.leaving[replica]
 	if shed, ok := aw.shedding[replica]; ok && aw.random.Float64() < shed.share {
 		ann.Rest = shed.rest
@@ -68,7 +69,7 @@
 }
 
 // record records what the instance has just been told.
-func (aw *announceWorld) record(node *limitNode, replica string, ann steer.Announced) {
+func (aw *announceWorld) record(node *limitNode, replica string, ann notice.Announced) {
 	key := pair{node, replica}
 	if _, ok := aw.toldAt[key]; ann.Leaving && !ok {
 		aw.toldAt[key] = aw.now
--- a/internal/steer/bench_test.go
+++ b/internal/steer/bench_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"dandelionsail.example/dandelionsail/internal/notice"
 	"dandelionsail.example/dandelionsail/internal/steer"
 )
 
@@ -68,7 +69,7 @@
 func BenchmarkGate(b *testing.B) {
 	in := newBusyInstance(64)
 	in.t = nil
-	target := steer.Target{Replica: steer.Replica{Name: "lyric-7", Born: 1}, Kind: steer.SendFirst}
+	target := steer.Target{Replica: steer.Replica{Name: "lyric-7", Born: 1}, Kind: notice.First}
 	for b.Loop() {
 		in.st.Reduce(in.now, steer.Sending{ID: 1, Targets: []steer.Target{target}, DecidedAt: in.now})
 	}
--- a/internal/steer/claim.go
+++ b/internal/steer/claim.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"dandelionsail.example/dandelionsail/internal/notice"
 )
 
 // Claims on scarce slots. Load pattern: callers request more streams than all engines have slots, so all instances see each
@@ -96,11 +98,11 @@
 // planBlocked reports whether an announcement holds the request, or a part of its prompt, back from a replica of its plan.
 func (st *State) planBlocked(req *request) bool {
 	for i, rep := range req.reps {
-		kind := SendPart
+		kind := notice.Part
 		if i == 0 {
 			kind = req.sendKind()
 		}
-		if rep.blockedBy(kind, st.now) != NotAnnounced {
+		if rep.blockedBy(kind, st.now) != notice.None {
 			return true
 		}
 	}
--- a/internal/steer/effect.go
+++ b/internal/steer/effect.go
@@ -1,6 +1,10 @@
 package steer
 
-import "time"
+import (
+	"time"
+
+	"dandelionsail.example/dandelionsail/internal/notice"
+)
 
 // Effect is an action for the shell to carry out.
 type Effect interface{ isEffect() }
@@ -20,8 +24,8 @@
 	Deadline      time.Time
 	// DecidedAt is when the attempt was decided on.
 	DecidedAt time.Time
-	// Kind is SendFirst, SendRetry or SendResumption.
-	Kind SendKind
+	// Kind is notice.First, notice.Retry or notice.Resumption.
+	Kind notice.Kind
 	// Granted reports whether the attempt has a grant for a rate-limited replica.
 	Granted bool
 	// FirstTimeout is the timeout for the first byte of the answer.
--- a/internal/steer/event.go
+++ b/internal/steer/event.go
@@ -6,6 +6,7 @@
 import (
 	"time"
 
+	"dandelionsail.example/dandelionsail/internal/notice"
 	"dandelionsail.example/dandelionsail/pkg/decl"
 )
 
@@ -161,21 +162,7 @@
 	Born int64
 	// Sent is when the request was sent.
 	Sent time.Time
-	Announced
-}
-
-// Announced is what a replica announces about itself in the header of an answer.
-type Announced struct {
-	// Limited reports whether the answer states a rate limit.
-	Limited bool
-	// PerS is the stated limit in requests per second, for all instances together.
-	PerS float64
-	// Leaving reports that the replica is about to shut down and wants no new requests.
-	Leaving bool
-	// Rest is how long the replica, which refused the request, wants no requests from this instance; 0 if it states no time.
-	Rest time.Duration
-	// Invalid quotes the announcements whose value cannot be used.
-	Invalid []string
+	notice.Announced
 }
 
 // Draining reports that the instance was asked to shut down.
--- a/internal/steer/grantrequest.go
+++ b/internal/steer/grantrequest.go
@@ -1,6 +1,10 @@
 package steer
 
-import "time"
+import (
+	"time"
+
+	"dandelionsail.example/dandelionsail/internal/notice"
+)
 
 // Requests for sends to rate-limited replicas. A request that is placed at a limited replica asks the granting instance for
 // a send. If one is granted, it waits for the granted time. If it is refused, it looks for another replica.
@@ -233,7 +237,7 @@
 // availableAt returns when the replica, which does not leave, is likely to accept the request, and for which announcement it
 // does not now. The reason is empty if that is a failure.
 func (st *State) availableAt(rep *replica, req *request) (Reason, time.Time) {
-	if ann := rep.blockedBy(SendFirst, st.now); ann != NotAnnounced {
+	if ann := rep.blockedBy(notice.First, st.now); ann != notice.None {
 		return announcementRules[ann].reason, announcementRules[ann].endsAt(rep)
 	}
 	if rep.limit == nil {
--- a/internal/steer/limit.go
+++ b/internal/steer/limit.go
@@ -89,9 +89,7 @@
 	if !ok || rep.Born != ev.Born {
 		return
 	}
-	if rep.rest.trial != 0 && !ev.Sent.Before(rep.rest.trialAt) {
-		rep.endTrial(rep.rest.trial, true)
-	}
+	rep.rest.AnsweredSince(ev.Sent)
 	st.receiveAnnounced(rep, &ev.Announced)
 	if !ev.Limited {
 		if st.endLimit(rep, ev.Sent) {
--- a/internal/steer/limit_test.go
+++ b/internal/steer/limit_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"dandelionsail.example/dandelionsail/internal/notice"
 	"dandelionsail.example/dandelionsail/internal/steer"
 )
 
@@ -109,7 +110,7 @@
 	// Answers can overtake each other. An answer without a limit to a request that was sent before the limit arrived must
 	// not end the limit.
 	in := newInstance(t, "one", 2)
-	in.reduce(steer.ResponseReceived{Replica: "lyric-0", Born: 1, Sent: in.now, Announced: steer.Announced{Limited: true, PerS: 2}})
+	in.reduce(steer.ResponseReceived{Replica: "lyric-0", Born: 1, Sent: in.now, Announced: notice.Announced{Limited: true, PerS: 2}})
 	in.reduce(steer.ResponseReceived{Replica: "lyric-0", Born: 1, Sent: in.now.Add(-time.Millisecond)})
 	assert.Equal(t, len(in.st.Limits(in.now)), 1)
 	in.now = in.now.Add(time.Millisecond)
@@ -119,12 +120,12 @@
 
 func TestNewIncarnationHasNoLimit(t *testing.T) {
 	in := newInstance(t, "one", 1)
-	in.reduce(steer.ResponseReceived{Replica: "lyric-0", Born: 1, Sent: in.now, Announced: steer.Announced{Limited: true, PerS: 2}})
+	in.reduce(steer.ResponseReceived{Replica: "lyric-0", Born: 1, Sent: in.now, Announced: notice.Announced{Limited: true, PerS: 2}})
 	list := replicas(1)
 	list[0].Born = 2
 	in.reduce(steer.Listed{Replicas: list})
 	assert.Equal(t, len(in.st.Limits(in.now)), 0)
-	in.reduce(steer.ResponseReceived{Replica: "lyric-0", Born: 1, Sent: in.now, Announced: steer.Announced{Limited: true, PerS: 2}})
+	in.reduce(steer.ResponseReceived{Replica: "lyric-0", Born: 1, Sent: in.now, Announced: notice.Announced{Limited: true, PerS: 2}})
 	assert.Equal(t, len(in.st.Limits(in.now)), 0)
 	in.reduce(steer.NoteReceived{Note: steer.Note{From: "two", Run: 1, Limits: []steer.Limit{{Replica: "lyric-0", Born: 1, PerS: 2}}}})
 	assert.Equal(t, len(in.st.Limits(in.now)), 0)
--- a/internal/steer/limit_world_test.go
+++ b/internal/steer/limit_world_test.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"dandelionsail.example/dandelionsail/internal/notice"
 	"dandelionsail.example/dandelionsail/internal/steer"
 	"dandelionsail.example/dandelionsail/pkg/decl"
 )
@@ -39,9 +40,9 @@
 	slow float64
 	// announced returns what the replica's answer to a request announces besides its limit, and whether the replica refuses the
 	// request. If it is nil, no replica announces anything else.
-	announced func(replica string) (ann steer.Announced, refused bool)
+	announced func(replica string) (ann notice.Announced, refused bool)
 	// told is called when the instance receives that answer.
-	told func(node *limitNode, replica string, ann steer.Announced)
+	told func(node *limitNode, replica string, ann notice.Announced)
 	// outcome draws the end of an attempt and the time until then. If it is nil, all attempts succeed.
 	outcome func(eff steer.Send) (steer.AttemptEnded, time.Duration)
 	// ended is called at each end of a request.
@@ -249,7 +250,7 @@
 func (lw *limitWorld) mayPass(node *limitNode, eff steer.Send) bool {
 	ev := steer.Sending{ID: eff.ID, Targets: []steer.Target{{Replica: eff.Replica, Kind: eff.Kind, Granted: eff.Granted}}, DecidedAt: eff.DecidedAt}
 	for _, helper := range eff.Helpers {
-		ev.Targets = append(ev.Targets, steer.Target{Replica: helper.Replica, Kind: steer.SendPart})
+		ev.Targets = append(ev.Targets, steer.Target{Replica: helper.Replica, Kind: notice.Part})
 	}
 	for _, sent := range node.st.Reduce(lw.now, ev) {
 		if vd, ok := sent.(steer.Verdict); ok {
@@ -277,7 +278,7 @@
 		end, lasts := lw.outcome(eff)
 		at(lasts, func() {
 			perS, limited = lw.limits[eff.Replica.Name]
-			lw.reduce(node, steer.ResponseReceived{Replica: eff.Replica.Name, Born: eff.Replica.Born, Sent: sent, Announced: steer.Announced{Limited: limited, PerS: perS}})
+			lw.reduce(node, steer.ResponseReceived{Replica: eff.Replica.Name, Born: eff.Replica.Born, Sent: sent, Announced: notice.Announced{Limited: limited, PerS: perS}})
 			lw.reduce(node, end)
 		})
 		return
@@ -306,7 +307,7 @@
 				node.passedOnAt[eff.Replica.Name] = lw.now
 			}
 		}
-		lw.reduce(node, steer.ResponseReceived{Replica: eff.Replica.Name, Born: eff.Replica.Born, Sent: sent, Announced: steer.Announced{Limited: limited, PerS: perS}})
+		lw.reduce(node, steer.ResponseReceived{Replica: eff.Replica.Name, Born: eff.Replica.Born, Sent: sent, Announced: notice.Announced{Limited: limited, PerS: perS}})
 		lw.reduce(node, steer.Began{ID: eff.ID, Attempt: eff.Attempt})
 	})
 	at(finishTime, func() {
--- a/internal/steer/list.go
+++ b/internal/steer/list.go
@@ -106,7 +106,7 @@
 	}
 	var rested []*replica
 	for name, rep := range st.replicas {
-		if rep.rest.open && !rep.rest.endLogged && !rep.rest.inForce(st.now) {
+		if rep.rest.Open && !rep.rest.Logged && !rep.rest.InForce(st.now) {
 			rested = append(rested, rep)
 		}
 		if rep.gone && len(rep.works) == 0 && st.now.Sub(rep.goneAt) > goneRetention {
--- a/internal/steer/loadquery.go
+++ b/internal/steer/loadquery.go
@@ -3,6 +3,8 @@
 import (
 	"strings"
 	"time"
+
+	"dandelionsail.example/dandelionsail/internal/notice"
 )
 
 // Load queries after a restart of all instances. If all instances fail at once, the engines go on generating answers for
@@ -45,7 +47,7 @@
 			continue
 		}
 		for _, rep := range svc.replicas {
-			if rep.blockedBy(SendLoadQuery, st.now) == NotAnnounced && st.queriesLoad(svc, rep) {
+			if rep.blockedBy(notice.LoadQuery, st.now) == notice.None && st.queriesLoad(svc, rep) {
 				engines = append(engines, rep.Replica)
 			}
 		}
--- a/internal/steer/peer.go
+++ b/internal/steer/peer.go
@@ -4,6 +4,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"dandelionsail.example/dandelionsail/internal/notice"
 )
 
 // peer is another instance and its work, as its notes reported it.
@@ -154,7 +156,7 @@
 	}
 	for _, name := range nt.Down {
 		if rep, ok := st.replicas[name]; ok {
-			rep.failed(st.now, Failing)
+			rep.failed(st.now, notice.Failing)
 		}
 	}
 }
--- a/internal/steer/replica.go
+++ b/internal/steer/replica.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"dandelionsail.example/dandelionsail/internal/notice"
 	"dandelionsail.example/dandelionsail/pkg/decl"
 )
 
@@ -67,9 +68,9 @@
 	// downUntil is the end of the last pause that failures caused.
 	downUntil time.Time
 	// downCause is the kind of the failure that caused that pause.
-	downCause Announcement
+	downCause notice.Announcement
 	// rest is the time in which the replica wants no requests from this instance.
-	rest rest
+	rest notice.Rest
 	// limit is nil while the replica states no rate limit.
 	limit *rateLimit
 	// limitEnded is when the last limit was known to be over.
@@ -89,7 +90,7 @@
 	maxFailurePause = 5 * time.Second
 )
 
-func (rep *replica) failed(now time.Time, cause Announcement) {
+func (rep *replica) failed(now time.Time, cause notice.Announcement) {
 	rep.failures++
 	rep.downCause = cause
 	pause := min(minFailurePause<<min(rep.failures-1, 4), maxFailurePause)
--- a/internal/steer/rest_test.go
+++ b/internal/steer/rest_test.go
@@ -6,13 +6,14 @@
 
 	"gotest.tools/v3/assert"
 
+	"dandelionsail.example/dandelionsail/internal/notice"
 	"dandelionsail.example/dandelionsail/internal/steer"
 	"dandelionsail.example/dandelionsail/pkg/decl"
 )
 
 // refuse makes the replica refuse the attempt and ask for rest.
 func (in *instance) refuse(sent steer.Send, rest time.Duration) []steer.Effect {
-	in.announce(sent.Replica.Name, steer.Announced{Rest: rest})
+	in.announce(sent.Replica.Name, notice.Announced{Rest: rest})
 	return in.end(sent, steer.ResultNotRun)
 }
 
@@ -24,16 +25,16 @@
 	refused := in.waitForSend(time.Second, in.arrive(&short, 5000))
 	in.refuse(refused, 3*time.Second)
 	in.advance(500 * time.Millisecond)
-	in.announce("lyric-0", steer.Announced{})
+	in.announce("lyric-0", notice.Announced{})
 	in.end(running, steer.ResultDone)
-	in.announce("lyric-0", steer.Announced{Rest: 100 * time.Millisecond})
+	in.announce("lyric-0", notice.Announced{Rest: 100 * time.Millisecond})
 	for range 24 {
 		none[steer.Send](t, in.advance(100*time.Millisecond))
 		none[steer.Send](t, in.arrive(&short, 5000))
-		assert.Equal(t, in.verdict("lyric-0", steer.SendFirst, false).HeldBy, steer.Resting)
+		assert.Equal(t, in.verdict("lyric-0", notice.First, false).HeldBy, notice.Resting)
 	}
 	in.advance(100 * time.Millisecond)
-	assert.Assert(t, !in.verdict("lyric-0", steer.SendFirst, false).Held())
+	assert.Assert(t, !in.verdict("lyric-0", notice.First, false).Held())
 }
 
 func TestRestBindsOnlyTheInstanceThatWasRefused(t *testing.T) {
@@ -41,7 +42,7 @@
 	in := newInstance(t, "one", 2)
 	in.reduce(steer.Peered{Instances: []steer.Instance{{Name: "two", FailureDomain: "a"}}})
 	sent := in.waitForSend(time.Second, in.arrive(&short, 5000))
-	effects := append(in.announce(sent.Replica.Name, steer.Announced{Rest: 2 * time.Second}), in.end(sent, steer.ResultNotRun)...)
+	effects := append(in.announce(sent.Replica.Name, notice.Announced{Rest: 2 * time.Second}), in.end(sent, steer.ResultNotRun)...)
 	for _, eff := range effects {
 		if note, ok := eff.(steer.SendNote); ok {
 			assert.Assert(t, len(note.Note.Down) == 0 && len(note.Note.Departures) == 0, "%+v", note.Note)
@@ -83,10 +84,10 @@
 				vd := find[steer.Verdict](t, in.reduce(steer.Sending{ID: trial.ID, Targets: []steer.Target{target}}))
 				assert.Assert(t, !vd.Held())
 			}
-			assert.Equal(t, in.verdict("lyric-0", steer.SendFirst, false).HeldBy, steer.Returning)
+			assert.Equal(t, in.verdict("lyric-0", notice.First, false).HeldBy, notice.Returning)
 			since := in.now
 			tc.answer(in, trial)
-			for in.verdict("lyric-0", steer.SendFirst, false).Held() {
+			for in.verdict("lyric-0", notice.First, false).Held() {
 				in.advance(10 * time.Millisecond)
 				assert.Assert(t, in.now.Sub(since) <= tc.follow, "held back for longer")
 			}
@@ -105,8 +106,8 @@
 		in.reduce(steer.Configured{Routing: &decl.Routing{Version: 1, Services: map[string]decl.Pool{"lyric": {Engine: &figures}}}})
 		in.reduce(steer.Peered{Instances: []steer.Instance{{Name: "two", FailureDomain: "a"}}})
 		in.reduce(steer.Listed{Replicas: replicas(1)})
-		in.announce("lyric-0", steer.Announced{Rest: rest})
-		for in.verdict("lyric-0", steer.SendFirst, false).Held() {
+		in.announce("lyric-0", notice.Announced{Rest: rest})
+		for in.verdict("lyric-0", notice.First, false).Held() {
 			in.advance(time.Millisecond)
 		}
 		assert.Assert(t, in.now.Sub(start) >= rest && in.now.Sub(start) <= rest*5/4)
@@ -120,17 +121,17 @@
 	// otherwise, so that the request is not cut off, but no more often: renewals reach the replica like requests.
 	in := newInstance(t, "one", 1)
 	renewal := func(expires time.Duration) bool {
-		target := steer.Target{Replica: steer.Replica{Name: "lyric-0", Born: 1}, Kind: steer.SendRenewal, ExpiresAt: in.now.Add(expires)}
+		target := steer.Target{Replica: steer.Replica{Name: "lyric-0", Born: 1}, Kind: notice.Renewal, ExpiresAt: in.now.Add(expires)}
 		return !find[steer.Verdict](t, in.reduce(steer.Sending{ID: 7, Targets: []steer.Target{target}})).Held()
 	}
 	assert.Assert(t, renewal(3500*time.Millisecond))
-	in.announce("lyric-0", steer.Announced{Rest: 6 * time.Second})
+	in.announce("lyric-0", notice.Announced{Rest: 6 * time.Second})
 	assert.Assert(t, !renewal(2300*time.Millisecond), "renewed too early")
 	in.advance(time.Second)
 	assert.Assert(t, renewal(1300*time.Millisecond), "not renewed in time")
-	in.announce("lyric-0", steer.Announced{Rest: 6 * time.Second})
+	in.announce("lyric-0", notice.Announced{Rest: 6 * time.Second})
 	assert.Assert(t, !renewal(time.Second), "renewed twice")
-	in.announce("lyric-0", steer.Announced{Rest: time.Second})
+	in.announce("lyric-0", notice.Announced{Rest: time.Second})
 	in.advance(5500 * time.Millisecond)
 	assert.Assert(t, !renewal(1400*time.Millisecond), "renewed although the rest ends first")
 	in.advance(time.Second)
@@ -142,7 +143,7 @@
 	// end of the first rest as the time to return. One that can wait for it is not refused.
 	in := newInstance(t, "one", 2)
 	for name, rest := range map[string]time.Duration{"lyric-0": 3 * time.Second, "lyric-1": 4 * time.Second, "board-0": 2 * time.Second, "board-1": time.Hour} {
-		in.announce(name, steer.Announced{Rest: rest})
+		in.announce(name, notice.Announced{Rest: rest})
 	}
 	times := map[time.Duration]bool{}
 	for range 20 {
@@ -165,7 +166,7 @@
 
 func TestRestOfOneReplicaLeavesTheOthersInUse(t *testing.T) {
 	in := newInstance(t, "one", 3)
-	in.announce("lyric-0", steer.Announced{Rest: time.Hour})
+	in.announce("lyric-0", notice.Announced{Rest: time.Hour})
 	for range 20 {
 		sent := in.waitForSend(time.Second, in.arrive(&short, 5000))
 		assert.Assert(t, sent.Replica.Name != "lyric-0")
@@ -174,7 +175,7 @@
 	list := replicas(3)
 	list[0].Born = 2
 	in.reduce(steer.Listed{Replicas: list})
-	target := steer.Target{Replica: list[0], Kind: steer.SendFirst}
+	target := steer.Target{Replica: list[0], Kind: notice.First}
 	assert.Assert(t, !find[steer.Verdict](t, in.reduce(steer.Sending{ID: 99, Targets: []steer.Target{target}})).Held(), "a new incarnation has not asked for rest")
 }
 
@@ -184,7 +185,7 @@
 	in := newInstance(t, "one", 6)
 	in.reduce(steer.Peered{Instances: []steer.Instance{{Name: "two", FailureDomain: "a"}}})
 	for _, rep := range replicas(6)[:6] {
-		in.announce(rep.Name, steer.Announced{Limited: true, PerS: 1})
+		in.announce(rep.Name, notice.Announced{Limited: true, PerS: 1})
 	}
 	var asked *steer.GrantRequest
 	for range 20 {
@@ -199,7 +200,7 @@
 	}
 	assert.Assert(t, asked != nil, "no grant was requested")
 	in.reduce(steer.NoteReceived{Note: steer.Note{From: "two", Run: 1, Grants: []steer.Grant{{Job: asked.Job, Replica: asked.Replica, AfterMs: 500}}}})
-	in.announce(asked.Replica, steer.Announced{Limited: true, PerS: 1, Rest: 2 * time.Second})
+	in.announce(asked.Replica, notice.Announced{Limited: true, PerS: 1, Rest: 2 * time.Second})
 	for range 20 {
 		for _, eff := range in.advance(10 * time.Millisecond) {
 			if note, ok := eff.(steer.SendNote); ok && len(note.Note.GrantReturns) > 0 {
--- a/internal/steer/retry.go
+++ b/internal/steer/retry.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"dandelionsail.example/dandelionsail/internal/notice"
 	"dandelionsail.example/dandelionsail/pkg/decl"
 )
 
@@ -29,7 +30,7 @@
 	}
 	st.unbook(req)
 	for _, rep := range req.reps {
-		rep.endTrial(req.ID, ev.Result == ResultDone)
+		rep.rest.EndTrial(uint64(req.ID), ev.Result == ResultDone)
 	}
 	st.recordOutcome(req, ev)
 	if ev.Result != ResultNotSent && ev.Result != ResultNotRun && ev.Result != ResultMisdirected && ev.Result != ResultHeld {
@@ -55,30 +56,30 @@
 	case ResultNotRun:
 		// If another replica caused the refusal, rep is that one: a helper that is leaving or gone. One that has said when it wants
 		// requests again is no failure, and the others may go on sending to it.
-		if !rep.Leaving && !rep.rest.inForce(st.now) && (rep != req.reps[0] || st.hadRoom(rep, req)) {
-			st.markDown(rep, Refusing)
+		if !rep.Leaving && !rep.rest.InForce(st.now) && (rep != req.reps[0] || st.hadRoom(rep, req)) {
+			st.markDown(rep, notice.Refusing)
 		}
 	case ResultDone, ResultAnswered:
 		rep.succeeded()
 	case ResultNotSent, ResultSilent:
-		st.markDown(rep, Failing)
+		st.markDown(rep, notice.Failing)
 	case ResultMisdirected:
-		st.markDown(rep, Misdirecting)
+		st.markDown(rep, notice.Misdirecting)
 	case ResultBroken:
 		if ev.Died {
-			st.markDown(rep, Failing)
+			st.markDown(rep, notice.Failing)
 			st.countDeath(req)
 		}
 	}
 }
 
 // markDown makes the replica unusable for a while. If it was usable here, the other instances are informed.
-func (st *State) markDown(rep *replica, cause Announcement) {
+func (st *State) markDown(rep *replica, cause notice.Announcement) {
 	wasUnusable := !rep.usable(st.now)
 	rep.failed(st.now, cause)
 	if !wasUnusable {
 		st.emit(LogLine{Message: "replica avoided", Replica: rep.Name, Attempt: rep.failures})
-		st.emit(SendNote{Note: st.note(Note{Down: []string{rep.Name}})})
+		st.tellOthers(rep, cause)
 	}
 }
 
--- a/internal/steer/serve.go
+++ b/internal/steer/serve.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"dandelionsail.example/dandelionsail/internal/notice"
 	"dandelionsail.example/dandelionsail/pkg/decl"
 )
 
@@ -123,14 +124,14 @@
 }
 
 // sendKind returns the kind of the request's next attempt.
-func (req *request) sendKind() SendKind {
+func (req *request) sendKind() notice.Kind {
 	switch {
 	case req.begun:
-		return SendResumption
+		return notice.Resumption
 	case req.tries() > 0:
-		return SendRetry
+		return notice.Retry
 	}
-	return SendFirst
+	return notice.First
 }
 
 func millis(dur time.Duration) int32 { return int32(dur / time.Millisecond) }
@@ -172,7 +173,7 @@
 	}
 	req.begun = true
 	for _, rep := range req.reps {
-		rep.endTrial(req.ID, true)
+		rep.rest.EndTrial(uint64(req.ID), true)
 	}
 	st.beginJob(jobKey{id: req.job}, req.reps, true)
 	st.announceBegun(req)
--- a/internal/upstr/client.go
+++ b/internal/upstr/client.go
@@ -18,7 +18,10 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/joomcode/errorx"
+
 	"dandelionsail.example/dandelionsail/internal/event"
+	"dandelionsail.example/dandelionsail/internal/notice"
 )
 
 const (
@@ -40,7 +43,12 @@
 
 // Client implements Engine and Plain over net/http.
 type Client struct {
-	mu sync.Mutex
+	// Check, unless nil, is called just before each call is sent and again once a connection was opened for it. The call is not
+	// sent if it returns an error.
+	Check func(call Call) error
+	// Announced, unless nil, is called with what each answer announces. sent is when the call was sent.
+	Announced func(call Call, sent time.Time, ann notice.Announced)
+	mu        sync.Mutex
 	// pools holds one transport per address, so that the idle connections to one unresponsive upstream can be closed
 	// alone.
 	pools map[string]*http.Transport
@@ -56,7 +64,7 @@
 func newTransport(disableKeepAlives bool) *http.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         dialChecked(dialer),
 		DisableKeepAlives:   disableKeepAlives,
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: idlePerUpstream,
@@ -66,6 +74,35 @@
 	}
 }
 
+// checkKey is the context key of the check that dialChecked repeats.
+type checkKey struct{}
+
+// dialChecked opens connections. If the call for which one is opened is held back by then, it closes the connection: opening
+// one may take so long that the upstream has announced something meanwhile.
+func dialChecked(dialer *net.Dialer) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dialer.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		if check, ok := ctx.Value(checkKey{}).(func() error); ok {
+			if err := check(); err != nil {
+				_ = conn.Close()
+				return nil, err
+			}
+		}
+		return conn, nil
+	}
+}
+
+// check returns the error of Check if the call must not be sent.
+func (cl *Client) check(call Call) error {
+	if cl.Check == nil {
+		return nil
+	}
+	return cl.Check(call)
+}
+
 func (cl *Client) transport(call Call) *http.Transport {
 	// http.Transport retries a request on its own when a reused connection breaks and the request has no body or
 	// carries an idempotency key. The request would then run twice. It never retries on a connection that was not used
@@ -86,9 +123,12 @@
 // Died reports whether the upstream's process is gone: it refuses a new connection or closes it without a response. An
 // upstream that only closed an earlier connection answers on the new one. An accepted connection alone proves nothing,
 // since a proxy in between may accept it for a process that is gone; so Died sends a request that every server answers
-// and that has no effect. A timeout does not count as a death: a process that crashes does not leave its connections
+// and that has no effect. An upstream that the probe must not reach counts as alive. A timeout does not count as a death: a process that crashes does not leave its connections
 // open.
 func (cl *Client) Died(ctx context.Context, address string) bool {
+	if cl.check(Call{Address: address, Kind: notice.Probe}) != nil {
+		return false
+	}
 	limited, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	conn, err := (&net.Dialer{}).DialContext(limited, "tcp", address)
@@ -132,8 +172,16 @@
 	cl.unpooled.CloseIdleConnections()
 }
 
-// Do implements Plain.
+// announcedNames are the names of the headers in which upstreams announce.
+var announcedNames = notice.Names{Leaving: HeaderLeaving}
+
+// Do implements Plain. All calls to upstreams but the probe of Died pass through it.
 func (cl *Client) Do(ctx context.Context, call Call) (*http.Response, error) {
+	if err := cl.check(call); err != nil {
+		return nil, err
+	}
+	sent := time.Now()
+	ctx = context.WithValue(ctx, checkKey{}, func() error { return cl.check(call) })
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		connected.Store(true)
@@ -147,8 +195,12 @@
 	}
 	resp, err := cl.transport(call).RoundTrip(req)
 	if err == nil {
+		cl.readAnnounced(call, sent, resp)
 		return resp, nil
 	}
+	if errorx.IsOfType(err, Held) {
+		return nil, err
+	}
 	// Before there is a connection no byte can have been sent; after that some may have been.
 	if !connected.Load() {
 		return nil, NotSent.Wrap(err, "upstr: connecting to %s failed; check that it runs and that the address is right", call.Address)
@@ -156,6 +208,14 @@
 	return nil, Failed.Wrap(err, "upstr: no answer from %s; the request may have run", call.Address)
 }
 
+// readAnnounced reports what the answer announces. An answer that names another request is a late one to an earlier call.
+func (cl *Client) readAnnounced(call Call, sent time.Time, resp *http.Response) {
+	name := resp.Header.Get(HeaderRequest)
+	if cl.Announced != nil && (name == "" || name == call.Request) {
+		cl.Announced(call, sent, notice.Parse(announcedNames, resp.StatusCode, resp.Header))
+	}
+}
+
 func newRequest(ctx context.Context, call Call) (*http.Request, error) {
 	target, err := url.Parse("http://" + call.Address + call.Path)
 	if err != nil {
@@ -239,6 +299,7 @@
 
 // Prefill implements Engine.
 func (cl *Client) Prefill(ctx context.Context, call Call, from, to int64) (string, error) {
+	call.Kind = notice.Part
 	call.Method = http.MethodPost
 	call.Path = "/v1/prefill"
 	call.Header = engineHeader(call)
@@ -261,13 +322,13 @@
 // Drop implements Engine.
 func (cl *Client) Drop(ctx context.Context, address, request string) error {
 	path := "/v1/requests/" + url.PathEscape(request)
-	return cl.exchange(ctx, Call{Address: address, Method: http.MethodDelete, Path: path, NewConnection: true}, 0, nil)
+	return cl.exchange(ctx, Call{Address: address, Kind: notice.Release, Method: http.MethodDelete, Path: path, NewConnection: true}, 0, nil)
 }
 
 // Load implements Engine.
 func (cl *Client) Load(ctx context.Context, address string) (Report, error) {
 	var report Report
-	err := cl.exchange(ctx, Call{Address: address, Method: http.MethodGet, Path: "/v1/load"}, maxReportBytes, &report)
+	err := cl.exchange(ctx, Call{Address: address, Kind: notice.LoadQuery, Method: http.MethodGet, Path: "/v1/load"}, maxReportBytes, &report)
 	return report, err
 }
 
@@ -275,7 +336,7 @@
 func (cl *Client) CacheEvents(ctx context.Context, address string, after int64) ([]event.CacheChanged, error) {
 	path := "/v1/cache/events?after=" + strconv.FormatInt(after, 10)
 	var batches []event.CacheChanged
-	err := cl.exchange(ctx, Call{Address: address, Method: http.MethodGet, Path: path}, maxCacheEventsBytes, &batches)
+	err := cl.exchange(ctx, Call{Address: address, Kind: notice.LoadQuery, Method: http.MethodGet, Path: path}, maxCacheEventsBytes, &batches)
 	return batches, err
 }
 
@@ -287,6 +348,7 @@
 	}
 	call := Call{
 		Address: address,
+		Kind:    notice.Order,
 		Method:  http.MethodPost,
 		Path:    "/v1/orders",
 		Header:  http.Header{HeaderFence: {strconv.FormatInt(order.Fence, 10)}},
--- a/internal/upstr/upstr.go
+++ b/internal/upstr/upstr.go
@@ -11,6 +11,7 @@
 	"github.com/joomcode/errorx"
 
 	"dandelionsail.example/dandelionsail/internal/event"
+	"dandelionsail.example/dandelionsail/internal/notice"
 )
 
 // Headers between an entry instance and its upstreams.
@@ -33,6 +34,8 @@
 	HeaderKey = "Idempotency-Key"
 	// HeaderFence is the fencing number of an order.
 	HeaderFence = "X-Fencing-Number"
+	// HeaderLeaving is "1" in all answers of an upstream that is about to shut down.
+	HeaderLeaving = "X-Leaving"
 	// RunStateNotRun is the value of HeaderRunState for a request that was not run.
 	RunStateNotRun = "NotRun"
 )
@@ -65,6 +68,10 @@
 // Call is one attempt of a request at an upstream.
 type Call struct {
 	Address string
+	// Kind is the kind of the call. The methods of Client other than Do set it.
+	Kind notice.Kind
+	// ID is the request of the call at this instance, 0 if there is none.
+	ID event.RequestID
 	// Request identifies the request across all its attempts.
 	Request string
 	// Method is the HTTP method of the call.
@@ -143,6 +150,8 @@
 	NotRun = Errors.NewType("not_run", errorx.Temporary())
 	// Failed means that the request may have run and its outcome is unknown.
 	Failed = Errors.NewType("failed")
+	// Held means that the call was not sent, since its upstream has announced something that rules it out.
+	Held = Errors.NewType("held", errorx.Temporary())
 	// Fenced means that the upstream rejected an order because its fencing number is outdated.
 	Fenced = Errors.NewType("fenced")
 	// PropertyStatus holds the HTTP status of a rejected request.
