Quarantine: the caller's answer waits until the peers know of the deaths

What callers saw: nothing; the operators saw a third engine crash. A request took two engines down through one instance, its caller got 422 and sent it again through another one, which had not received the announcement yet and ran it once more (TestQuarantineReachesUnlistedInstance, known red).

Cause: the announcement left as a message that nobody acknowledges, at the moment of the caller's answer, and the resend was faster. Now the announcement is a request to each peer, and the answer that says that the content took upstreams down waits for the acknowledgements, at most 0.5 s.

--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -40,6 +40,8 @@
 	// line is the buffer in which each chunk is framed as a server-sent event.
 	line []byte
 
+	// digest identifies the request's content.
+	digest event.Digest
 	// headerSent means that the status and header were sent to the caller.
 	headerSent bool
 	// offset is the number of answer tokens forwarded so far, over all attempts.
@@ -74,6 +76,7 @@
 	cl.id = event.RequestID(in.nextID.Add(1))
 	cl.name = in.requestName(cl.id)
 	cl.deadline = ev.Deadline
+	cl.digest = ev.Digest
 	ev.ID = cl.id
 	cl.w.Header().Set(HeaderRequestID, cl.name)
 	in.register(cl)
@@ -169,6 +172,9 @@
 	case eff.Replay != nil:
 		replay(cl.w, eff.Replay)
 	case eff.Refusal != nil:
+		if eff.Refusal.Reason == effect.ReasonQuarantine && eff.Refusal.RunState != effect.NotRun {
+			in.awaitQuarantineTold(cl)
+		}
 		cl.writeError(fromRefusal(eff.Refusal))
 	case cl.body != nil && !cl.body.Stream:
 		cl.answer.write(cl)
--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -72,6 +72,8 @@
 	quarantineRequested bool
 	// quarantineReady means that this request has ended, or that there are no peers.
 	quarantineReady atomic.Bool
+	// quarantineTold holds, by digest, the channel that is closed when the peers were told of the content's last death.
+	quarantineTold sync.Map
 	// quarantineRequesters are the peers that recently requested the list from this instance.
 	quarantineRequesters requesters
 	// mu guards calls.
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -70,16 +70,6 @@
 	in.peers.Send(address, msg)
 }
 
-// broadcast sends a message to all listed peers.
-func (in *Instance) broadcast(msg wire.Message) {
-	if in.peers == nil {
-		return
-	}
-	for _, address := range *in.listedPeers.Load() {
-		in.peers.Send(address, msg)
-	}
-}
-
 // updatePeers takes the addresses of the peers from the platform's instance list.
 func (in *Instance) updatePeers(listed event.InstancesListed) {
 	var addresses []string
--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"dandelionsail.example/dandelionsail/internal/core"
 	"dandelionsail.example/dandelionsail/internal/effect"
 	"dandelionsail.example/dandelionsail/internal/event"
@@ -21,23 +23,71 @@
 	quarantineTimeout = time.Second
 )
 
-// announceQuarantine sends the peers a death that this instance observed.
+const (
+	// quarantineAckTimeout is how long the peers have to acknowledge a death before the caller of the request gets its answer.
+	// A peer that stands still delays that answer, and no other.
+	quarantineAckTimeout = 500 * time.Millisecond
+	// quarantineSenders is the maximum number of peers that are told of a death at the same time.
+	quarantineSenders = 64
+)
+
+// announceQuarantine tells the peers of a death that this instance observed. The caller of the request waits for their
+// acknowledgements in awaitQuarantineTold: it may send the request again, through any of them.
 func (in *Instance) announceQuarantine(eff effect.AnnounceQuarantine) {
-	in.broadcastQuarantine(quarantineMessage(eff.Quarantined))
+	if in.peers == nil {
+		return
+	}
+	told := make(chan struct{})
+	digest := eff.Quarantined.Digest
+	in.quarantineTold.Store(digest, told)
+	in.pending.Go(func() {
+		defer close(told)
+		defer in.quarantineTold.CompareAndDelete(digest, told)
+		in.tellQuarantine(quarantineMessage(eff.Quarantined))
+	})
 }
 
-// broadcastQuarantine sends the entry to all listed peers and to those that have just requested the list. The platform's
-// list shows a new instance late; without the entry, a resend of the request to that instance would kill another upstream.
-func (in *Instance) broadcastQuarantine(msg wire.Quarantine) {
-	in.broadcast(msg)
-	if in.peers == nil {
+// tellQuarantine sends the entry to the peers and waits until all have acknowledged it, at most quarantineAckTimeout.
+func (in *Instance) tellQuarantine(msg wire.Quarantine) {
+	ctx, cancel := context.WithTimeout(context.Background(), quarantineAckTimeout)
+	defer cancel()
+	var group errgroup.Group
+	group.SetLimit(quarantineSenders)
+	for _, address := range in.quarantineRecipients() {
+		group.Go(func() error {
+			if _, err := in.peers.Request(ctx, address, msg); err != nil {
+				in.incCounter("Quarantine.NotAcknowledged")
+				in.peers.Send(address, msg)
+			}
+			return nil
+		})
+	}
+	_ = group.Wait()
+}
+
+// awaitQuarantineTold waits, before the caller gets the answer to a request that took upstreams down, until the peers have
+// acknowledged that. Otherwise its next try could reach a peer before the announcement and take a further upstream down.
+func (in *Instance) awaitQuarantineTold(cl *call) {
+	told, ok := in.quarantineTold.Load(cl.digest)
+	if !ok {
 		return
 	}
+	select {
+	case <-told.(chan struct{}):
+	case <-cl.req.Context().Done():
+	}
+}
+
+// quarantineRecipients returns the listed peers and those that have just requested the list. The platform's list shows a new
+// instance late; without the entry, a resend of the request to that instance would kill another upstream.
+func (in *Instance) quarantineRecipients() []string {
+	recipients := slices.Clone(*in.listedPeers.Load())
 	for _, address := range in.quarantineRequesters.recent() {
-		if !slices.Contains(*in.listedPeers.Load(), address) {
-			in.peers.Send(address, msg)
+		if !slices.Contains(recipients, address) {
+			recipients = append(recipients, address)
 		}
 	}
+	return recipients
 }
 
 // requesters holds the addresses of the peers that requested the quarantine list recently. It is safe for concurrent use.
@@ -133,7 +183,12 @@
 // rebroadcastQuarantine sends the peers all entries again before this instance ends, for peers that were not running when it
 // received them.
 func (in *Instance) rebroadcastQuarantine() {
+	if in.peers == nil {
+		return
+	}
 	for _, entry := range in.quarantineSnapshot().Entries {
-		in.broadcastQuarantine(entry)
+		for _, address := range in.quarantineRecipients() {
+			in.peers.Send(address, entry)
+		}
 	}
 }
