Relay: plain answers over 8 MiB arrive whole

What callers saw: an answer of a plain service longer than 8 MiB ended there, with a Content-Length that fitted, so that it looked whole.

Cause: the response was read through a LimitReader, whose end looks like that of the body. Evidence: TestLongPlainAnswersAreWhole fails before at 8 MiB + 1 (8 MiB arrive). Now what is longer than can be buffered is passed on while it arrives, and can then not be repeated elsewhere; one that breaks off cuts the caller's connection. An error answer too long to be kept counts as broken, with a line. Sizes around the limit, 64 MiB and fifty at once pass.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -29,9 +29,6 @@
 	// probeTimeout is the timeout of refusesConnections, which checks whether a replica still accepts connections after
 	// an attempt broke or its replica fell silent.
 	probeTimeout = 250 * time.Millisecond
-	// maxPlainResponse is the maximum size in bytes of a response that is not streamed; it is buffered until it is
-	// complete.
-	maxPlainResponse = 8 << 20
 	// minTimeLeft is the minimum time left that a replica is told, even if less is left until the deadline.
 	minTimeLeft = time.Millisecond
 )
@@ -299,19 +296,65 @@
 }
 
 // receiveWhole buffers the response until it is complete, so that another attempt can replace one whose response is cut
-// off. A successful response is written to the caller. An error response, or any response if the caller was sent a
-// header before, is kept in errorResponse instead.
+// off. A successful response is written to the caller; one that is too long to be buffered is passed on while it arrives. An
+// error response, or any response if the caller was sent a header before, is kept in errorResponse instead.
 func (att *attempt) receiveWhole(ctx context.Context, resp *http.Response) steer.Result {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxPlainResponse))
+	body, whole, err := att.in.buffers.read(resp.Body)
+	att.cl.buffered += cap(body)
 	if err != nil {
 		return att.failureResult(ctx)
 	}
 	rsp := &response{status: resp.StatusCode, header: resp.Header, body: body}
 	if resp.StatusCode >= http.StatusMultipleChoices || att.cl.headerSent {
+		if !whole {
+			att.in.log.Warn().Str("Request", att.cl.info.Name).Str("Replica", att.eff.Replica.Name).Int("Status", resp.StatusCode).Msg("error response too long to be kept")
+			return steer.ResultBroken
+		}
 		att.cl.errorResponse = rsp
 		return steer.ResultAnswered
 	}
 	att.in.apply(steer.Began{ID: att.cl.id, Attempt: att.eff.Attempt})
-	rsp.write(att.cl)
+	if whole {
+		rsp.write(att.cl)
+		return steer.ResultDone
+	}
+	return att.passOn(ctx, resp, body)
+}
+
+// passOn writes the response to the caller while it arrives. begun is the part of it that has arrived already.
+func (att *attempt) passOn(ctx context.Context, resp *http.Response, begun []byte) steer.Result {
+	att.in.count("Responses.PassedOn")
+	copyHeader(att.cl.w.Header(), resp.Header)
+	if resp.ContentLength >= 0 {
+		att.cl.w.Header().Set("Content-Length", strconv.FormatInt(resp.ContentLength, 10))
+	}
+	att.cl.headerSent = true
+	att.cl.w.WriteHeader(resp.StatusCode)
+	if _, err := att.cl.w.Write(begun); err != nil {
+		return steer.ResultCancelled
+	}
+	rest := &bodyReader{body: resp.Body}
+	if _, err := io.Copy(att.cl.w, rest); err != nil && rest.err == nil {
+		return steer.ResultCancelled
+	}
+	if rest.err != nil {
+		return att.failureResult(ctx)
+	}
 	return steer.ResultDone
 }
+
+// bodyReader remembers the error of a response's body, so that it can be told from one of the caller's connection.
+type bodyReader struct {
+	body io.Reader
+	// err is the error that ended the body, nil if it ended as a whole.
+	err error
+}
+
+// Read implements io.Reader.
+func (br *bodyReader) Read(buf []byte) (int, error) {
+	count, err := br.body.Read(buf)
+	if err != nil && err != io.EOF {
+		br.err = err
+	}
+	return count, err
+}
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -48,6 +48,8 @@
 	errorResponse *response
 	// arrived is when the request arrived.
 	arrived time.Time
+	// buffered is the size in bytes of the responses that are buffered for the call.
+	buffered int
 
 	// mu guards attempt and cancel.
 	mu sync.Mutex
@@ -192,6 +194,7 @@
 		delete(in.calls, cl.id)
 		in.mu.Unlock()
 	}()
+	defer func() { in.buffers.release(cl.buffered) }()
 	defer func() { in.recordTime("Requests.Whole."+routeKind(cl.route), time.Since(cl.arrived)) }()
 	in.apply(ev)
 	callerGone := cl.req.Context().Done()
--- a/internal/relay/instance.go
+++ b/internal/relay/instance.go
@@ -58,6 +58,8 @@
 	// unpooled opens a new connection for each request.
 	unpooled *http.Transport
 	gossip   *gossip
+	// buffers holds how much memory the responses take that are buffered until they are complete.
+	buffers buffers
 
 	routing atomic.Pointer[decl.Routing]
 	// confirmed is the boot time at which the request was sent whose response last confirmed the configuration; 0 if
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -29,6 +29,7 @@
 	in.gauge("Peers.Known", int64(len(*in.gossip.peers.Load())))
 	in.updateLimitMetrics()
 	in.updateAnnouncementMetrics()
+	in.gauge("Responses.BufferedBytes", in.buffers.bytes.Load())
 	in.gauge("Log.Dropped", in.dropped())
 	in.gauge("Process.Goroutines", int64(runtime.NumGoroutine()))
 	var memory runtime.MemStats
