--- a/internal/order/limiter.go
+++ b/internal/order/limiter.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -37,7 +38,8 @@
 	// PerMinute is how many loads the weight store serves per minute.
 	PerMinute int
 	name      string
-	nextNonce int
+	// nonces counts the orders; Take is called by one goroutine for each pool.
+	nonces atomic.Int64
 }
 
 // NewLoadLimiter returns the limiter of one instance. The name must be unique to this run of the instance, since the nonces
@@ -53,8 +55,7 @@
 	if loads == 0 {
 		return true, nil
 	}
-	ll.nextNonce++
-	nonce := ll.name + "/" + strconv.Itoa(ll.nextNonce)
+	nonce := ll.name + "/" + strconv.FormatInt(ll.nonces.Add(1), 10)
 	for range maxAttempts {
 		ok, err := ll.take(ctx, min(loads, ll.PerMinute), nonce)
 		if !errorx.IsOfType(err, store.Conflict) {
--- a/internal/order/order_test.go
+++ b/internal/order/order_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"slices"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -186,3 +188,22 @@
 		}
 	})
 }
+
+func TestConcurrentOrdersTakeTheirOwnLoads(t *testing.T) {
+	// The keeper sends the orders of several pools at the same time. If two of them had the same nonce, one would take the
+	// other's loads for its own, and more loads would be started than the weight store serves.
+	const perMinute, orders = 20, 60
+	kv := stand.NewKV(stand.Rates{})
+	limiter := order.NewLoadLimiter(stand.NewMemoryStore(kv), "entry-0", perMinute)
+	var taken atomic.Int64
+	var group sync.WaitGroup
+	for range orders {
+		group.Go(func() {
+			if ok, err := limiter.Take(t.Context(), 1); err == nil && ok {
+				taken.Add(1)
+			}
+		})
+	}
+	group.Wait()
+	assert.Assert(t, taken.Load() > 0 && taken.Load() <= perMinute, "%d loads taken, allowed %d", taken.Load(), perMinute)
+}
