Admission: a new limit counts from its being in force

What callers saw: an organisation that sent a lot without a limit and then got one was refused for as long as its earlier requests would have taken under the limit.

Cause: the buckets were charged also while no limit was declared, and fell without bound. A rate that was not limited before starts with a full bucket.

--- a/internal/admit/account.go
+++ b/internal/admit/account.go
@@ -23,7 +23,9 @@
 	// tokenBucket is the level of the token bucket that limits the rate of prompt and answer tokens.
 	tokenBucket float64
 	// refilledAt is when both buckets were last refilled.
-	refilledAt       time.Time
+	refilledAt time.Time
+	// limited is the limits that were in force then.
+	limited          decl.Limits
 	requestsInFlight int64
 	tokensInFlight   int64
 	// retries is what is left of the retry budget.
@@ -81,10 +83,14 @@
 		st.orgs[name] = acc
 	}
 	share = st.share(now, acc)
-	if !ok {
+	// A rate that was not limited before starts with a full bucket: what was admitted without a limit does not count.
+	if acc.limited.RequestsPerSecond == 0 {
 		acc.requestBucket = requestBurst(lim, share)
+	}
+	if acc.limited.TokensPerSecond == 0 {
 		acc.tokenBucket = burst(lim.TokensPerSecond, share)
 	}
+	acc.limited = lim
 	passed := now.Sub(acc.refilledAt)
 	acc.requestBucket = min(acc.requestBucket+passed.Seconds()*lim.RequestsPerSecond*share, requestBurst(lim, share))
 	acc.tokenBucket = min(acc.tokenBucket+passed.Seconds()*lim.TokensPerSecond*share, burst(lim.TokensPerSecond, share))
--- a/internal/admit/admit_test.go
+++ b/internal/admit/admit_test.go
@@ -269,3 +269,28 @@
 		assert.Equal(t, st.Wait("lyric", "a", classes[0], 1, 1), time.Duration(0))
 	})
 }
+
+func TestNewLimitCountsForward(t *testing.T) {
+	// An organisation without limits sends a lot. When it gets a limit, it must be served at the limited rate from then on, and
+	// not be refused for as long as its earlier requests would have taken under the limit. The same holds for a limit that is
+	// lifted and declared again.
+	st := admit.New()
+	now := start
+	limits := map[string]decl.Limits{"requests": {RequestsPerSecond: 10}, "tokens": {TokensPerSecond: 10_000}}
+	for name, lim := range limits {
+		for range 2 {
+			for range 1000 {
+				assert.Assert(t, st.Admit(now, name, decl.Organisation{}, 1000) == nil)
+				now = now.Add(time.Millisecond)
+			}
+			served := 0
+			for range 200 {
+				if st.Admit(now, name, decl.Organisation{Limits: lim}, 1000) == nil {
+					served++
+				}
+				now = now.Add(10 * time.Millisecond)
+			}
+			assert.Assert(t, served >= 20 && served <= 30, "%s: %d served in two seconds at ten a second", name, served)
+		}
+	}
+}
