Notes: an invalid part of a note loses that part alone

What operators saw: while a replica stated a rate limit above a million a second, all that the instance that heard it told of limits was dropped by the others, jobs in the same note included.

Cause: the answer's limit was taken as it came, and receivers dropped a whole note for one value out of bounds. A higher limit counts as a million now, and of a note only the parts that are invalid are dropped, with a line and a counter.

--- a/internal/relay/gossip.go
+++ b/internal/relay/gossip.go
@@ -175,9 +175,14 @@
 func (gs *gossip) handlePacket(pk packet, from *net.UDPAddr) bool {
 	switch {
 	case pk.Note != nil:
-		if !pk.Note.Valid() {
+		dropped, usable := pk.Note.DropInvalid()
+		if !usable {
 			return false
 		}
+		if dropped > 0 {
+			gs.in.count("Notes.PartsDropped")
+			gs.in.log.Warn().Str("From", pk.Note.From).Int("Parts", dropped).Msg("invalid parts of a note dropped")
+		}
 		gs.in.count("Notes.Heard")
 		gs.in.apply(steer.NoteReceived{Note: *pk.Note})
 	case pk.Request != nil:
--- a/internal/steer/limit.go
+++ b/internal/steer/limit.go
@@ -35,7 +35,8 @@
 	// limitAnnounceInterval is the minimum time between two notes to all users of a replica about changes of its limit.
 	// Grant requests carry the changes in between to the granting instance, and its periodic summaries to the others.
 	limitAnnounceInterval = 200 * time.Millisecond
-	// maxPerS is the highest rate, in requests a second, that is accepted in a note from the network.
+	// maxPerS is the highest rate, in requests a second, that is accepted in a note from the network. A replica's higher limit
+	// counts as this one, which no replica can reach.
 	maxPerS = 1e6
 )
 
@@ -118,6 +119,7 @@
 	if math.IsNaN(perS) || perS < 0 || !reportedAt.After(rep.limitEnded) {
 		return false
 	}
+	perS = min(perS, maxPerS)
 	if rep.limit == nil {
 		rep.limit = &rateLimit{perS: perS, reportedAt: reportedAt, bucket: rate.NewLimiter(rate.Limit(perS), limitBurst), grants: map[jobKey]grantedSend{}}
 		st.emit(LogLine{Message: "rate limit named", Replica: rep.Name, PerS: perS, Age: st.now.Sub(reportedAt)})
--- a/internal/steer/note.go
+++ b/internal/steer/note.go
@@ -1,5 +1,7 @@
 package steer
 
+import "slices"
+
 // Note is a message in which one instance reports its own work to the others, so that each knows the load of every engine
 // without polling the engines. The next note with Full set repairs what a lost note would have reported.
 type Note struct {
@@ -80,35 +82,30 @@
 	Count  int    `cbor:"2,keyasint,omitempty"`
 }
 
-// Valid reports whether a note from the network can be used.
-func (nt *Note) Valid() bool {
-	for i := range nt.Jobs {
-		job := &nt.Jobs[i]
-		if len(job.Replicas) == 0 || job.Prompt < 0 || job.Answer < 0 || job.Prompt > maxTokens || job.Answer > maxTokens {
-			return false
-		}
-		for _, tokens := range job.Reservations {
-			if tokens < 0 || tokens > maxTokens {
-				return false
-			}
-		}
-	}
-	for i := range nt.Limits {
-		if !nt.Limits[i].valid() {
-			return false
-		}
-	}
-	for i := range nt.GrantRequests {
-		if !nt.GrantRequests[i].valid() {
-			return false
-		}
-	}
-	for i := range nt.Grants {
-		if !nt.Grants[i].valid() {
-			return false
-		}
+// DropInvalid removes the parts of a note from the network that cannot be used, and returns how many there were. It reports
+// false if nothing of the note can be used, since its sender is unknown.
+func (nt *Note) DropInvalid() (dropped int, usable bool) {
+	dropped += dropInvalid(&nt.Jobs, (*Job).valid)
+	dropped += dropInvalid(&nt.Limits, (*Limit).valid)
+	dropped += dropInvalid(&nt.GrantRequests, (*GrantRequest).valid)
+	dropped += dropInvalid(&nt.Grants, (*Grant).valid)
+	dropped += dropInvalid(&nt.Departures, func(dep *Departure) bool { return dep.Replica != "" })
+	dropped += dropInvalid(&nt.GrantReturns, func(ret *GrantReturn) bool { return ret.Replica != "" })
+	return dropped, nt.From != ""
+}
+
+// dropInvalid removes the items that are not valid, and returns how many there were.
+func dropInvalid[Item any](list *[]Item, valid func(item *Item) bool) int {
+	before := len(*list)
+	*list = slices.DeleteFunc(*list, func(item Item) bool { return !valid(&item) })
+	return before - len(*list)
+}
+
+func (job *Job) valid() bool {
+	if len(job.Replicas) == 0 || job.Prompt < 0 || job.Answer < 0 || job.Prompt > maxTokens || job.Answer > maxTokens {
+		return false
 	}
-	return nt.From != ""
+	return !slices.ContainsFunc(job.Reservations, func(tokens int64) bool { return tokens < 0 || tokens > maxTokens })
 }
 
 // maxTokens is the highest number of tokens accepted in a note, far above the longest prompt.
