Steer: effects follow from the events alone

What operators saw: nothing; a run could not be repeated where an instance asked many engines for their load, ended what runs at a stop, lost replicas from its list, or forgot silent instances, since these walked over maps.

All loops over maps in internal/steer were looked at; those left only count, collect and sort, or reset.

--- a/internal/steer/list.go
+++ b/internal/steer/list.go
@@ -1,6 +1,7 @@
 package steer
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -16,11 +17,15 @@
 		named[item.Name] = true
 		st.register(item)
 	}
+	var missing []string
 	for name, rep := range st.replicas {
-		if named[name] || rep.gone {
-			continue
+		if !named[name] && !rep.gone {
+			missing = append(missing, name)
 		}
-		st.removeMissing(name, rep, ev.AfterOutage)
+	}
+	slices.Sort(missing)
+	for _, name := range missing {
+		st.removeMissing(name, st.replicas[name], ev.AfterOutage)
 	}
 	st.dispatch()
 }
@@ -99,8 +104,8 @@
 // dropExpired drops what has expired: missing replicas whose time has passed, removed ones without work, timed-out peers
 // and old grants.
 func (st *State) dropExpired() {
-	for name, until := range st.missing {
-		if rep, ok := st.replicas[name]; ok && !st.now.Before(until) {
+	for _, name := range slices.Sorted(maps.Keys(st.missing)) {
+		if rep, ok := st.replicas[name]; ok && !st.now.Before(st.missing[name]) {
 			st.removeMissing(name, rep, false)
 		}
 	}
--- a/internal/steer/loadquery.go
+++ b/internal/steer/loadquery.go
@@ -1,6 +1,8 @@
 package steer
 
 import (
+	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -42,7 +44,8 @@
 		return
 	}
 	var engines []Replica
-	for _, svc := range st.services {
+	for _, name := range slices.Sorted(maps.Keys(st.services)) {
+		svc := st.services[name]
 		if svc.engine == nil {
 			continue
 		}
@@ -86,9 +89,9 @@
 
 // dropLoadReports removes the load booked from all load reports.
 func (st *State) dropLoadReports() {
-	for from, pr := range st.peers {
+	for _, from := range slices.Sorted(maps.Keys(st.peers)) {
 		if isLoadReport(from) {
-			st.dropPeer(from, pr)
+			st.dropPeer(from, st.peers[from])
 		}
 	}
 }
--- a/internal/steer/peer.go
+++ b/internal/steer/peer.go
@@ -178,7 +178,7 @@
 
 // endUnkeptJobs ends the jobs of the instance that its summary does not list, and drops expired ends.
 func (st *State) endUnkeptJobs(nt Note, pr *peer) {
-	for id := range pr.jobs {
+	for _, id := range slices.Sorted(maps.Keys(pr.jobs)) {
 		if !slices.Contains(nt.OpenJobs, id) {
 			st.endPeerJob(nt.From, pr, id)
 		}
@@ -218,7 +218,7 @@
 
 // dropPeer ends all jobs of the instance and forgets it.
 func (st *State) dropPeer(from string, pr *peer) {
-	for id := range pr.jobs {
+	for _, id := range slices.Sorted(maps.Keys(pr.jobs)) {
 		st.endPeerJob(from, pr, id)
 	}
 	delete(st.peers, from)
@@ -226,8 +226,8 @@
 
 // dropExpiredPeers drops the instances from which no note arrived for peerTimeout.
 func (st *State) dropExpiredPeers() {
-	for from, pr := range st.peers {
-		if st.now.Sub(pr.lastNoteAt) > peerTimeout {
+	for _, from := range slices.Sorted(maps.Keys(st.peers)) {
+		if pr := st.peers[from]; st.now.Sub(pr.lastNoteAt) > peerTimeout {
 			st.dropPeer(from, pr)
 		}
 	}
--- a/internal/steer/serve.go
+++ b/internal/steer/serve.go
@@ -1,6 +1,7 @@
 package steer
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -266,8 +267,8 @@
 	if st.drain == nil || st.now.Before(st.drain.AbortAt) {
 		return
 	}
-	for _, req := range st.requests {
-		if req.running {
+	for _, id := range slices.Sorted(maps.Keys(st.requests)) {
+		if req := st.requests[id]; req.running {
 			st.abort(req)
 		}
 	}
