Announcements: a message that waited for its connection is not counted twice

A renewal that was let through in the last moment of a rest and needed a new connection was counted, checked again after the dial, and then held back as a second one.

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -33,11 +33,10 @@
 // exchange sends the message to its replica and returns the response, unless an announcement holds the message back. All
 // messages to replicas pass through exchange, and all that replicas announce in their answers is read here.
 func (in *Instance) exchange(transport *http.Transport, msg message, req *http.Request) (*http.Response, ResponseInfo, error) {
-	if err := in.checkMessage(msg); err != nil {
+	if err := in.checkMessage(msg, false); err != nil {
 		return nil, ResponseInfo{}, err
 	}
-	msg.decidedAt = time.Time{}
-	recheck := func() error { return in.checkMessage(msg) }
+	recheck := func() error { return in.checkMessage(msg, true) }
 	sent := time.Now()
 	resp, err := transport.RoundTrip(req.WithContext(context.WithValue(req.Context(), recheckKey{}, recheck)))
 	if err != nil {
@@ -51,9 +50,14 @@
 	return resp, ri, nil
 }
 
-// checkMessage asks the reducer whether the message may be sent, and returns HeldBack if not.
-func (in *Instance) checkMessage(msg message) error {
-	verdict := in.verdict(steer.Sending{ID: msg.id, Request: msg.request, Targets: append([]steer.Target{msg.to}, msg.parts...), DecidedAt: msg.decidedAt})
+// checkMessage asks the reducer whether the message may be sent, and returns HeldBack if not. repeated reports whether the
+// message has passed before and waited for its connection since.
+func (in *Instance) checkMessage(msg message, repeated bool) error {
+	ev := steer.Sending{ID: msg.id, Request: msg.request, Targets: append([]steer.Target{msg.to}, msg.parts...), Repeated: repeated}
+	if !repeated {
+		ev.DecidedAt = msg.decidedAt
+	}
+	verdict := in.verdict(ev)
 	if verdict.Held() {
 		return HeldBack.New("relay: a message to %s was held back (%s); the request goes to another replica", msg.to.Replica.Name, verdict.HeldBy)
 	}
@@ -102,7 +106,7 @@
 // refusesConnections reports whether the replica fails to accept a new connection within probeTimeout. It returns false
 // if ctx ends first or if the probe is held back.
 func (in *Instance) refusesConnections(ctx context.Context, replica steer.Replica) bool {
-	if in.checkMessage(message{to: steer.Target{Replica: replica, Kind: notice.Probe}}) != nil {
+	if in.checkMessage(message{to: steer.Target{Replica: replica, Kind: notice.Probe}}, false) != nil {
 		return false
 	}
 	conn, err := (&net.Dialer{Timeout: probeTimeout}).DialContext(ctx, "tcp", replica.Address)
--- a/internal/steer/announce.go
+++ b/internal/steer/announce.go
@@ -76,6 +76,8 @@
 	Targets []Target
 	// DecidedAt is when the reducer decided on the message, zero if it did not.
 	DecidedAt time.Time
+	// Repeated reports whether the message has passed before and waited for its connection since.
+	Repeated bool
 }
 
 // Target is a replica that a message reaches.
@@ -112,23 +114,22 @@
 	}
 	for i := range ev.Targets {
 		target := &ev.Targets[i]
-		if ann := st.heldBy(ev.ID, target); ann != notice.None {
+		if ann := st.heldBy(&ev, target); ann != notice.None {
 			st.emit(LogLine{Message: "send held back", Request: ev.Request, Replica: target.Replica.Name, Send: target.Kind.String(), Announcement: ann.String()})
 			st.emit(Verdict{HeldBy: ann})
 			return
 		}
 	}
 	for i := range ev.Targets {
-		if rep, ok := st.replicas[ev.Targets[i].Replica.Name]; ok {
+		if rep, ok := st.replicas[ev.Targets[i].Replica.Name]; ok && !ev.Repeated {
 			rep.rest.Pass(st.now, uint64(ev.ID), ev.Targets[i].Kind)
 		}
 	}
 	st.emit(Verdict{})
 }
 
-// heldBy returns the announcement that holds the message, which belongs to the request with the ID, back from the target, or
-// notice.None.
-func (st *State) heldBy(id RequestID, target *Target) notice.Announcement {
+// heldBy returns the announcement that holds the message back from the target, or notice.None.
+func (st *State) heldBy(ev *Sending, target *Target) notice.Announcement {
 	rep, ok := st.replicas[target.Replica.Name]
 	if !ok || rep.Born != target.Replica.Born {
 		// An incarnation that is not known any more: only what ends its work may still be sent to its address.
@@ -149,11 +150,11 @@
 				return ann
 			}
 		case notice.TrialOnly:
-			if uint64(id) != rep.rest.Trial {
+			if uint64(ev.ID) != rep.rest.Trial {
 				return ann
 			}
 		case notice.LastMoment:
-			if !rep.rest.MayRenew(st.now, target.ExpiresAt, lastRenewalTime) {
+			if !ev.Repeated && !rep.rest.MayRenew(st.now, target.ExpiresAt, lastRenewalTime) {
 				return ann
 			}
 		default:
--- a/internal/steer/rest_test.go
+++ b/internal/steer/rest_test.go
@@ -129,6 +129,9 @@
 	assert.Assert(t, !renewal(2300*time.Millisecond), "renewed too early")
 	in.advance(time.Second)
 	assert.Assert(t, renewal(1300*time.Millisecond), "not renewed in time")
+	target := steer.Target{Replica: steer.Replica{Name: "lyric-0", Born: 1}, Kind: notice.Renewal, ExpiresAt: in.now.Add(1300 * time.Millisecond)}
+	again := find[steer.Verdict](t, in.reduce(steer.Sending{ID: 7, Targets: []steer.Target{target}, Repeated: true}))
+	assert.Assert(t, !again.Held(), "held back after its connection was opened")
 	in.announce("lyric-0", notice.Announced{Rest: 6 * time.Second})
 	assert.Assert(t, !renewal(time.Second), "renewed twice")
 	in.announce("lyric-0", notice.Announced{Rest: time.Second})
