--- a/internal/relay/follow_test.go
+++ b/internal/relay/follow_test.go
@@ -372,3 +372,29 @@
 	assert.Equal(t, dir.revisionCalls.Load(), before+1)
 	assert.Equal(t, fl.pollerCount(), maxStorePollers)
 }
+
+func TestExtraPollerStopsPollingAfterOutage(t *testing.T) {
+	// An outage of the store has made many instances pollers. When it is over and the regular pollers confirm the state again, an
+	// Instance must not remain a poller just because its own polls succeed; while they cannot, it must.
+	dir := newFakeDirectory()
+	var ins []*Instance
+	for i := range 6 {
+		ins = append(ins, newTestInstance(t, "poller-"+strconv.Itoa(i), dir))
+	}
+	registerAll(dir, ins...)
+	extra := &follower{in: ins[0], loaded: true, pollers: maxStorePollers}
+	assert.Assert(t, extra.pollStore(t.Context()))
+	extra.sync(t.Context())
+	assert.Equal(t, extra.pollerCount(), maxStorePollers, "no other one has confirmed the state")
+	for _, in := range ins[1:] {
+		assert.Assert(t, (&follower{in: in}).pollStore(t.Context()))
+	}
+	for range 5 {
+		extra.nextReduction = time.Time{}
+		extra.sync(t.Context())
+		for _, in := range ins[1:] {
+			assert.Assert(t, (&follower{in: in}).pollStore(t.Context()))
+		}
+	}
+	assert.Equal(t, extra.pollerCount(), storePollers)
+}
