--- a/internal/once/once_test.go
+++ b/internal/once/once_test.go
@@ -30,7 +30,7 @@
 	late float64
 	// minDelay is the minimum delay of a late write.
 	minDelay time.Duration
-	// cut makes all Get and Swap calls fail without effect.
+	// cut makes all calls that claims use fail without effect.
 	cut bool
 }
 
@@ -48,11 +48,23 @@
 	fk.late, fk.cut = late, cut
 }
 
-func (fk *flakyStore) Get(ctx context.Context, key string) (store.Pair, error) {
+func (fk *flakyStore) List(ctx context.Context, prefix, from string, limit int) ([]store.Pair, error) {
 	if _, cut, _ := fk.draw(); cut {
-		return store.Pair{}, store.Unavailable.New("cut off")
+		return nil, store.Unavailable.New("cut off")
+	}
+	return fk.Store.List(ctx, prefix, from, limit)
+}
+
+func (fk *flakyStore) Delete(ctx context.Context, key string, revision int64) error {
+	late, cut, after := fk.draw()
+	if cut {
+		return store.Unavailable.New("cut off")
+	}
+	if late {
+		time.AfterFunc(after, func() { _ = fk.Store.Delete(context.Background(), key, revision) })
+		return store.Unavailable.New("no answer yet")
 	}
-	return fk.Store.Get(ctx, key)
+	return fk.Store.Delete(ctx, key, revision)
 }
 
 func (fk *flakyStore) Swap(ctx context.Context, key string, value []byte, revision int64, lease store.LeaseID) (store.Pair, error) {
--- a/internal/permit/permit_test.go
+++ b/internal/permit/permit_test.go
@@ -64,14 +64,15 @@
 		count := rapid.IntRange(1, 6).Draw(t, "engines")
 		co := newCoordinator(count)
 		now := start
-		asked := 0
+		// asked holds the requests for which a permit was requested.
+		asked := map[string]bool{}
 		key := permit.Pool{Service: "lyric", FailureDomain: "a"}
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			request := fmt.Sprint(rapid.IntRange(0, 20).Draw(t, "request"))
 			var effects []effect.Effect
 			switch rapid.IntRange(0, 3).Draw(t, "step") {
 			case 0:
-				asked++
+				asked[request] = true
 				effects = co.Reduce(now, newRequest(request, rapid.Int64Range(1, 3*memory).Draw(t, "tokens")))
 			case 1:
 				effects = co.Reduce(now, event.PermitReturned{Request: request, Service: "lyric", FailureDomain: "a"})
@@ -83,6 +84,7 @@
 			}
 			for request, names := range grantedUpstreams(effects) {
 				assert.Assert(t, len(names) > 0 && len(names) <= count, "%s: %v", request, names)
+				assert.Assert(t, asked[request], "%s was granted a permit that it did not request", request)
 			}
 			for name, tokens := range co.Reserved(key) {
 				assert.Assert(t, float64(tokens) <= memory*(1-permit.Headroom), "%s has %d reserved", name, tokens)
--- a/internal/proof/permit_test.go
+++ b/internal/proof/permit_test.go
@@ -102,9 +102,14 @@
 	return st, json.NewDecoder(resp.Body).Decode(&st) == nil
 }
 
+// statesTimeout is how long waitForStates waits, far longer than any reservation lasts.
+const statesTimeout = 2 * time.Minute
+
 // waitForStates waits until wanted reports true for the states of the engines that are alive, in the order of the engines.
 func (lf *longFleet) waitForStates(wanted func(states []stand.State) bool) {
 	lf.t.Helper()
+	limited, cancel := context.WithTimeout(lf.t.Context(), statesTimeout)
+	defer cancel()
 	for {
 		var states []stand.State
 		for _, engine := range lf.engines {
@@ -115,7 +120,7 @@
 		if wanted(states) {
 			return
 		}
-		if lf.t.Context().Err() != nil {
+		if limited.Err() != nil {
 			lf.t.Fatalf("the engines did not reach the wanted state: %+v", states)
 		}
 		time.Sleep(20 * time.Millisecond)
--- a/internal/wire/fuzz_test.go
+++ b/internal/wire/fuzz_test.go
@@ -10,7 +10,7 @@
 	"dandelionsail.example/dandelionsail/internal/wire"
 )
 
-// messages returns one message of each type except ConfigAnnouncement, ClaimRequest, ClaimResponse and ClaimSettle.
+// messages returns one message of each type.
 func messages() []wire.Message {
 	updates := []event.StatusUpdate{{Name: "entry-1", State: event.StatusSuspect, Incarnation: 7}}
 	return []wire.Message{
@@ -30,17 +30,24 @@
 		wire.Gossip{From: "entry-1", Words: updates},
 		wire.Demand{From: "entry-1", Demands: []event.Demand{{Organisation: "parish", Fraction: 0.5}}},
 		wire.Shares{Shares: []event.Share{{Organisation: "parish", Fraction: 0.5}}},
+		wire.ConfigAnnouncement{Version: 4, Announcer: "10.0.0.1:8081"},
+		wire.ClaimRequest{Shard: 7, Hash: [16]byte{1}, Digest: [16]byte{2}, Nonce: "entry-1/4", TimeLeft: time.Minute, Wait: time.Second},
+		wire.ClaimResponse{Result: 2, Outcome: wire.ClaimOutcome{Known: true, Status: 200, Body: []byte("{}"), ContentType: "application/json"}},
+		wire.ClaimSettle{Shard: 7, Hash: [16]byte{1}, Nonce: "entry-1/4", Outcome: wire.ClaimOutcome{Truncated: true, Running: true}, Release: true, Wait: time.Second},
 	}
 }
 
 func TestMessagesRoundTrip(t *testing.T) {
+	missing := wire.Numbers()
 	for _, msg := range messages() {
+		delete(missing, wire.NumberOf(msg))
 		raw, err := wire.Encode(msg)
 		assert.NilError(t, err)
 		got, err := wire.Decode(raw)
 		assert.NilError(t, err, "%T", msg)
 		assert.DeepEqual(t, got, msg)
 	}
+	assert.Equal(t, len(missing), 0, "no message of the types numbered %v", missing)
 }
 
 func FuzzDecode(f *testing.F) {
