--- a/internal/relay/follow.go
+++ b/internal/relay/follow.go
@@ -66,8 +66,6 @@
 	// pollers is the number of instances that this one takes to be pollers, raised while no poller can confirm anything.
 	// It may be below storePollers, so it is read through pollerCount.
 	pollers int
-	// nextReduction is the earliest time at which the number of pollers is reduced after a successful poll.
-	nextReduction time.Time
 	// nextFallback is the earliest time at which this Instance polls the store itself although it is not a poller.
 	nextFallback time.Time
 	// routingFailedAt is when a read of the configuration from the store last failed and a peer was asked for it instead.
@@ -120,9 +118,6 @@
 		return minPollBackoff
 	}
 	polled := fl.pollStore(ctx)
-	if polled {
-		fl.reducePollers(ctx)
-	}
 	switch {
 	case polled && !fl.in.configured():
 		return noConfigPause
@@ -157,25 +152,8 @@
 	return true
 }
 
-// reducePollers halves the number of pollers, at most once in fallbackInterval, if one of the fewer pollers confirms the state.
-// Otherwise an Instance that an outage made a poller would remain one for as long as its own polls succeed, and the store
-// charges for every call.
-func (fl *follower) reducePollers(ctx context.Context) {
-	if fl.pollerCount() == storePollers || time.Now().Before(fl.nextReduction) {
-		return
-	}
-	fl.nextReduction = time.Now().Add(fallbackInterval)
-	fewer := max(fl.pollerCount()/2, storePollers)
-	for _, from := range fl.in.gossip.pickPollers(fewer) {
-		if fl.confirmByPeer(ctx, from) {
-			fl.pollers = fewer
-			return
-		}
-	}
-}
-
 // pollerCount returns the number of instances that are taken to poll the store. confirmByPeers halves it after each
-// success until it is back at storePollers, and reducePollers does at an Instance that polls the store itself.
+// success until it is back at storePollers.
 func (fl *follower) pollerCount() int { return max(fl.pollers, storePollers) }
 
 // syncFromPeer requests the changes from the Instance that announced a newer revision, calls sync if that fails, and
--- a/internal/relay/follow_test.go
+++ b/internal/relay/follow_test.go
@@ -390,7 +390,6 @@
 		assert.Assert(t, (&follower{in: in}).pollStore(t.Context()))
 	}
 	for range 5 {
-		extra.nextReduction = time.Time{}
 		extra.sync(t.Context())
 		for _, in := range ins[1:] {
 			assert.Assert(t, (&follower{in: in}).pollStore(t.Context()))
