--- a/internal/relay/reservation.go
+++ b/internal/relay/reservation.go
@@ -120,8 +120,8 @@
 	})
 }
 
-// order sends an order of the kind, which is SendReservation, SendRenewal or SendRelease, and returns an error unless the
-// replica carried it out.
+// order sends an order of the kind, which is notice.Reservation, notice.Renewal or notice.Release, and returns an error unless
+// the replica carried it out.
 func (att *attempt) order(ctx context.Context, helper int, kind notice.Kind) error {
 	limited, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
--- a/internal/steer/announce.go
+++ b/internal/steer/announce.go
@@ -86,7 +86,7 @@
 	Kind    notice.Kind
 	// Granted reports whether the message has a grant for a rate-limited replica.
 	Granted bool
-	// ExpiresAt is when the reservation expires that a SendRenewal renews.
+	// ExpiresAt is when the reservation expires that a notice.Renewal renews.
 	ExpiresAt time.Time
 }
 
--- a/internal/steer/queue.go
+++ b/internal/steer/queue.go
@@ -75,8 +75,8 @@
 }
 
 // expire refuses requests that have waited for too long. expired are those whose caller would leave before any answer.
-// outOfTime are first tries that would be late: their callers can retry once more, and so learn now when to do so. Others are
-// refused because what the replicas have announced keeps them waiting for too long. From Draining.RefuseWaitingAt on, all that wait are refused.
+// outOfTime are first tries that would be late: their callers can retry once more, and so learn now when to do so. blocked are
+// those that the replicas' announcements keep waiting for too long. From Draining.RefuseWaitingAt on, all that wait are refused.
 func (st *State) expire() {
 	var expired, outOfTime, draining []*request
 	blocked := map[*request]block{}
