One dial check for both fronts, and less work where announcements are applied

The check of a message after its connection was opened stood in relay and in upstr: notice.CheckedDialer serves both. The removal of gauges by prefix stood twice. The refusals of blocked requests went through a map and a copy of the queue at each tick; they are a list now, in the same order. An announcement sorted all requests of the completions front also when none could be unserved. The metrics page sorted the replicas once for each kind of announcement. Names and comments without told, tells, nobody.

--- a/internal/core/announce.go
+++ b/internal/core/announce.go
@@ -12,8 +12,8 @@
 // heldBackoff is how long a request waits after an attempt was held back.
 const heldBackoff = 5 * time.Millisecond
 
-// handleUpstreamAnnounced applies what an upstream announces: that it leaves, which the other instances are told, or that it
-// wants rest from this one. Requests that no other replica can answer in time are refused at once.
+// handleUpstreamAnnounced applies what an upstream announces: that it leaves, which the membership passes on to the other
+// instances, or that it wants rest from this one. Requests that no other replica can answer in time are refused at once.
 func (st *State) handleUpstreamAnnounced(ev event.UpstreamAnnounced) {
 	rep, ok := st.Route.Replicas[ev.Upstream]
 	if !ok || rep.Upstream.Address != ev.Address {
@@ -32,6 +32,9 @@
 
 // refuseUnserved refuses the waiting requests of the service that no replica will accept in time.
 func (st *State) refuseUnserved(service string) {
+	if _, resting := st.Route.RestingUntil(st.now, service); st.Route.Serves(service) && !resting {
+		return
+	}
 	for _, id := range slices.Sorted(maps.Keys(st.Requests)) {
 		req := st.Requests[id]
 		if req.Service != service || req.Phase != PhaseQueued {
--- a/internal/core/announce_test.go
+++ b/internal/core/announce_test.go
@@ -83,6 +83,6 @@
 	in := newInstance(t)
 	in.listEngines("lyric-0")
 	in.reduce(event.UpstreamAnnounced{Upstream: "lyric-0", Address: "elsewhere:1", Leaving: true})
-	in.reduce(event.UpstreamAnnounced{Upstream: "nobody", Address: "lyric-0:1", Leaving: true})
+	in.reduce(event.UpstreamAnnounced{Upstream: "unlisted", Address: "lyric-0:1", Leaving: true})
 	only[effect.Send](t, in.arriveLyric(1, 1))
 }
--- a/internal/entry/announce.go
+++ b/internal/entry/announce.go
@@ -10,7 +10,7 @@
 	"dandelionsail.example/dandelionsail/internal/upstr"
 )
 
-// announcements holds what upstreams have announced, for the check of each call just before it is sent. The reducer is told the
+// announcements holds what upstreams have announced, for the check of each call just before it is sent. The reducer receives the
 // same and places no requests there, so that the check seldom holds a call back. It is safe for concurrent use.
 type announcements struct {
 	mu sync.Mutex
--- a/internal/entry/announce_test.go
+++ b/internal/entry/announce_test.go
@@ -45,11 +45,11 @@
 	rg := newRig(t, rigOptions{Engines: []*stand.Engine{one, two}})
 	rg.completeFor(300 * time.Millisecond)
 	one.Announce(stand.Announcements{Leaving: true})
-	told := time.Now()
+	announcedAt := time.Now()
 	rg.completeFor(3 * time.Second)
 	// The first answer that says so comes within two load reports.
-	assert.Equal(t, arrivedAfter(one.Arrivals(), told, 2*time.Second, time.Hour), 0, "calls of any kind to the leaving engine")
-	assert.Assert(t, arrivedAfter(two.Arrivals(), told, 2*time.Second, time.Hour) > 0)
+	assert.Equal(t, arrivedAfter(one.Arrivals(), announcedAt, 2*time.Second, time.Hour), 0, "calls of any kind to the leaving engine")
+	assert.Assert(t, arrivedAfter(two.Arrivals(), announcedAt, 2*time.Second, time.Hour) > 0)
 }
 
 func TestEngineThatAskedForRestGetsIt(t *testing.T) {
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -173,7 +173,7 @@
 		replay(cl.w, eff.Replay)
 	case eff.Refusal != nil:
 		if eff.Refusal.Reason == effect.ReasonQuarantine && eff.Refusal.RunState != effect.NotRun {
-			in.awaitQuarantineTold(cl)
+			in.awaitQuarantineAcks(cl)
 		}
 		cl.writeError(fromRefusal(eff.Refusal))
 	case cl.body != nil && !cl.body.Stream:
--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -72,8 +72,9 @@
 	quarantineRequested bool
 	// quarantineReady means that this request has ended, or that there are no peers.
 	quarantineReady atomic.Bool
-	// quarantineTold holds, by digest, the channel that is closed when the peers were told of the content's last death.
-	quarantineTold sync.Map
+	// quarantineAcks holds, by digest, the channel that is closed when the peers have acknowledged the content's last death, or
+	// have had the time to.
+	quarantineAcks sync.Map
 	// quarantineRequesters are the peers that recently requested the list from this instance.
 	quarantineRequesters requesters
 	// mu guards calls.
--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -27,28 +27,28 @@
 	// quarantineAckTimeout is how long the peers have to acknowledge a death before the caller of the request gets its answer.
 	// A peer that stands still delays that answer, and no other.
 	quarantineAckTimeout = 500 * time.Millisecond
-	// quarantineSenders is the maximum number of peers that are told of a death at the same time.
+	// quarantineSenders is the maximum number of peers that are sent a death at the same time.
 	quarantineSenders = 64
 )
 
-// announceQuarantine tells the peers of a death that this instance observed. The caller of the request waits for their
-// acknowledgements in awaitQuarantineTold: it may send the request again, through any of them.
+// announceQuarantine sends the peers a death that this instance observed. The caller of the request waits for their
+// acknowledgements in awaitQuarantineAcks: it may send the request again, through any of them.
 func (in *Instance) announceQuarantine(eff effect.AnnounceQuarantine) {
 	if in.peers == nil {
 		return
 	}
-	told := make(chan struct{})
+	acked := make(chan struct{})
 	digest := eff.Quarantined.Digest
-	in.quarantineTold.Store(digest, told)
+	in.quarantineAcks.Store(digest, acked)
 	in.pending.Go(func() {
-		defer close(told)
-		defer in.quarantineTold.CompareAndDelete(digest, told)
-		in.tellQuarantine(quarantineMessage(eff.Quarantined))
+		defer close(acked)
+		defer in.quarantineAcks.CompareAndDelete(digest, acked)
+		in.sendQuarantine(quarantineMessage(eff.Quarantined))
 	})
 }
 
-// tellQuarantine sends the entry to the peers and waits until all have acknowledged it, at most quarantineAckTimeout.
-func (in *Instance) tellQuarantine(msg wire.Quarantine) {
+// sendQuarantine sends the entry to the peers and waits until all have acknowledged it, at most quarantineAckTimeout.
+func (in *Instance) sendQuarantine(msg wire.Quarantine) {
 	ctx, cancel := context.WithTimeout(context.Background(), quarantineAckTimeout)
 	defer cancel()
 	var group errgroup.Group
@@ -65,15 +65,15 @@
 	_ = group.Wait()
 }
 
-// awaitQuarantineTold waits, before the caller gets the answer to a request that took upstreams down, until the peers have
+// awaitQuarantineAcks waits, before the caller gets the answer to a request that took upstreams down, until the peers have
 // acknowledged that. Otherwise its next try could reach a peer before the announcement and take a further upstream down.
-func (in *Instance) awaitQuarantineTold(cl *call) {
-	told, ok := in.quarantineTold.Load(cl.digest)
+func (in *Instance) awaitQuarantineAcks(cl *call) {
+	acked, ok := in.quarantineAcks.Load(cl.digest)
 	if !ok {
 		return
 	}
 	select {
-	case <-told.(chan struct{}):
+	case <-acked.(chan struct{}):
 	case <-cl.req.Context().Done():
 	}
 }
--- a/internal/notice/parse.go
+++ b/internal/notice/parse.go
@@ -37,9 +37,8 @@
 // Parse parses what the header of an answer with the status announces.
 func Parse(names Names, status int, header http.Header) Announced {
 	ann := Announced{}
-	valid := true
 	if text := get(header, names.Limit); text != "" {
-		if ann.PerS, ann.Limited = parseLimit(text); !ann.Limited {
+		if ann.PerS, ann.Limited = parseNumber(text); !ann.Limited {
 			ann.Invalid = append(ann.Invalid, names.Limit+": "+text)
 		}
 	}
@@ -49,6 +48,7 @@
 		}
 	}
 	if text := get(header, headerRetryAfter); text != "" && status == http.StatusServiceUnavailable {
+		var valid bool
 		if ann.Rest, valid = parseSeconds(text); !valid {
 			ann.Invalid = append(ann.Invalid, headerRetryAfter+": "+text)
 		}
@@ -76,9 +76,7 @@
 	return time.Duration(min(seconds, MaxRest.Seconds()) * float64(time.Second)), valid
 }
 
-// parseLimit parses a rate limit in requests per second. It reports false if the text is not a finite number of at least 0.
-func parseLimit(text string) (perSecond float64, valid bool) { return parseNumber(text) }
-
+// parseNumber parses a number. It reports false if the text is not a finite number of at least 0.
 func parseNumber(text string) (number float64, valid bool) {
 	number, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
 	if err != nil || math.IsNaN(number) || math.IsInf(number, 0) || number < 0 {
--- a/internal/relay/announce.go
+++ b/internal/relay/announce.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"strings"
 	"time"
 
 	"dandelionsail.example/dandelionsail/internal/notice"
@@ -17,11 +16,7 @@
 	in.mu.Lock()
 	list := in.state.InForce(now)
 	in.mu.Unlock()
-	in.registry.Each(func(name string, _ any) {
-		if strings.HasPrefix(name, announcedPrefix) {
-			in.registry.Unregister(name)
-		}
-	})
+	in.unregister(announcedPrefix)
 	var counts [notice.Announcements]int64
 	for _, status := range list {
 		counts[status.Announcement]++
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -38,7 +38,7 @@
 	probes := net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: probes}
 	return &http.Transport{
-		DialContext:         dialChecked(dialer.DialContext),
+		DialContext:         notice.CheckedDialer(dialer.DialContext),
 		DisableCompression:  true,
 		DisableKeepAlives:   disableKeepAlives,
 		MaxIdleConnsPerHost: 4,
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -38,7 +38,7 @@
 	}
 	recheck := func() error { return in.checkMessage(msg, true) }
 	sent := time.Now()
-	resp, err := transport.RoundTrip(req.WithContext(context.WithValue(req.Context(), recheckKey{}, recheck)))
+	resp, err := transport.RoundTrip(req.WithContext(notice.WithCheck(req.Context(), recheck)))
 	if err != nil {
 		return nil, ResponseInfo{}, err
 	}
@@ -82,27 +82,6 @@
 // isHeldBack reports whether the error of exchange is HeldBack, so that nothing was sent.
 func isHeldBack(err error) bool { return errorx.IsOfType(err, HeldBack) }
 
-// recheckKey is the context key of the check that dialChecked repeats.
-type recheckKey struct{}
-
-// dialChecked opens a connection. If the message for which it is opened is held back by then, it closes the connection:
-// opening one may take so long that the replica has announced something meanwhile.
-func dialChecked(dial func(ctx context.Context, network, address string) (net.Conn, error)) func(ctx context.Context, network, address string) (net.Conn, error) {
-	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		conn, err := dial(ctx, network, address)
-		if err != nil {
-			return nil, err
-		}
-		if recheck, ok := ctx.Value(recheckKey{}).(func() error); ok {
-			if err := recheck(); err != nil {
-				_ = conn.Close()
-				return nil, err
-			}
-		}
-		return conn, nil
-	}
-}
-
 // refusesConnections reports whether the replica fails to accept a new connection within probeTimeout. It returns false
 // if ctx ends first or if the probe is held back.
 func (in *Instance) refusesConnections(ctx context.Context, replica steer.Replica) bool {
--- a/internal/relay/exchange_test.go
+++ b/internal/relay/exchange_test.go
@@ -105,7 +105,7 @@
 	in, replica := newExchangeTest(t, func(http.ResponseWriter, *http.Request) { arrived++ })
 	dialing, proceed := make(chan struct{}), make(chan struct{})
 	slow := newTransport(true)
-	slow.DialContext = dialChecked(func(ctx context.Context, network, address string) (net.Conn, error) {
+	slow.DialContext = notice.CheckedDialer(func(ctx context.Context, network, address string) (net.Conn, error) {
 		close(dialing)
 		<-proceed
 		return (&net.Dialer{}).DialContext(ctx, network, address)
--- a/internal/relay/limit.go
+++ b/internal/relay/limit.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"strings"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -16,11 +15,7 @@
 	in.mu.Lock()
 	limits := in.state.Limits(time.Now())
 	in.mu.Unlock()
-	in.registry.Each(func(name string, _ any) {
-		if strings.HasPrefix(name, limitPrefix) {
-			in.registry.Unregister(name)
-		}
-	})
+	in.unregister(limitPrefix)
 	in.gauge(limitPrefix+"InForce", int64(len(limits)))
 	for _, limit := range limits {
 		metrics.GetOrRegisterGaugeFloat64(limitPrefix+"PerS."+limit.Replica, in.registry).Update(limit.PerS)
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"runtime"
+	"strings"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -43,6 +44,15 @@
 	metrics.GetOrRegisterGauge(name, in.registry).Update(value)
 }
 
+// unregister removes the metrics whose names have the prefix.
+func (in *Instance) unregister(prefix string) {
+	in.registry.Each(func(name string, _ any) {
+		if strings.HasPrefix(name, prefix) {
+			in.registry.Unregister(name)
+		}
+	})
+}
+
 func (in *Instance) count(name string) {
 	metrics.GetOrRegisterCounter(name, in.registry).Inc(1)
 }
--- a/internal/steer/announce.go
+++ b/internal/steer/announce.go
@@ -198,9 +198,9 @@
 // receiveAnnounced applies what an answer of the replica announces, but for its rate limit.
 func (st *State) receiveAnnounced(rep *replica, ann *notice.Announced) {
 	if ann.Leaving && st.markLeaving(rep, sourceAnswer) {
-		// The others spare their callers a failed attempt if they are told. Each tells once, and what they are told they do not
-		// repeat.
-		st.tellOthers(rep, notice.Leaving)
+		// The others spare their callers a failed attempt if they are notified. Only an instance that received the announcement
+		// itself notifies, once.
+		st.notifyOthers(rep, notice.Leaving)
 	}
 	if ann.Rest > 0 {
 		st.startRest(rep, ann.Rest)
@@ -221,9 +221,9 @@
 	maxInvalidLines = 8
 )
 
-// tellOthers informs the other instances of the announcement, if it applies to them, too. A rate limit and its end are told in
-// sendLimit.
-func (st *State) tellOthers(rep *replica, ann notice.Announcement) {
+// notifyOthers informs the other instances of the announcement, if it applies to them, too. sendLimit does so for a rate
+// limit and its end.
+func (st *State) notifyOthers(rep *replica, ann notice.Announcement) {
 	switch {
 	case !announcementRules[ann].ToAll:
 	case ann == notice.Leaving:
@@ -283,9 +283,10 @@
 // InForce returns the announcements in force at the listed replicas, sorted by kind and by the name of the replica.
 func (st *State) InForce(now time.Time) []AnnouncementStatus {
 	var list []AnnouncementStatus
+	names := slices.Sorted(maps.Keys(st.replicas))
 	for ann := notice.Unlisted + 1; ann < notice.Announcements; ann++ {
 		rule := &announcementRules[ann]
-		for _, name := range slices.Sorted(maps.Keys(st.replicas)) {
+		for _, name := range names {
 			rep := st.replicas[name]
 			if rep.gone || !rule.inForce(rep, now) {
 				continue
--- a/internal/steer/grantrequest.go
+++ b/internal/steer/grantrequest.go
@@ -206,6 +206,12 @@
 	until time.Time
 }
 
+// blockedRequest is a waiting request that cannot be placed.
+type blockedRequest struct {
+	*request
+	block
+}
+
 // blocked reports whether what the service's replicas have announced holds the request back for longer than it may wait: all
 // of them leave, or those that remain accept nothing in time. A replica that failed may accept the request again at any time,
 // so the request waits while only failures hold it back. So does one whose answer has begun if all replicas leave.
--- a/internal/steer/queue.go
+++ b/internal/steer/queue.go
@@ -79,7 +79,7 @@
 // those that the replicas' announcements keep waiting for too long. From Draining.RefuseWaitingAt on, all that wait are refused.
 func (st *State) expire() {
 	var expired, outOfTime, draining []*request
-	blocked := map[*request]block{}
+	var blocked []blockedRequest
 	for _, req := range st.waiting {
 		switch {
 		case st.drain != nil && !st.now.Before(st.drain.RefuseWaitingAt):
@@ -92,7 +92,7 @@
 			outOfTime = append(outOfTime, req)
 		default:
 			if bl, ok := st.blocked(req); ok {
-				blocked[req] = bl
+				blocked = append(blocked, blockedRequest{req, bl})
 			}
 		}
 	}
@@ -102,10 +102,8 @@
 	for _, req := range outOfTime {
 		st.refuse(req, ReasonBusy, st.retryAfter(req))
 	}
-	for _, req := range slices.Clone(st.waiting) {
-		if bl, ok := blocked[req]; ok {
-			st.refuse(req, bl.reason, st.retryAfterBlock(req, bl))
-		}
+	for _, held := range blocked {
+		st.refuse(held.request, held.reason, st.retryAfterBlock(held.request, held.block))
 	}
 	for _, req := range draining {
 		st.refuse(req, ReasonDraining, drainRetryAfter)
--- a/internal/steer/retry.go
+++ b/internal/steer/retry.go
@@ -79,7 +79,7 @@
 	rep.failed(st.now, cause)
 	if !wasUnusable {
 		st.emit(LogLine{Message: "replica avoided", Replica: rep.Name, Attempt: rep.failures})
-		st.tellOthers(rep, cause)
+		st.notifyOthers(rep, cause)
 	}
 }
 
--- a/internal/upstr/client.go
+++ b/internal/upstr/client.go
@@ -64,7 +64,7 @@
 func newTransport(disableKeepAlives bool) *http.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Transport{
-		DialContext:         dialChecked(dialer),
+		DialContext:         notice.CheckedDialer(dialer.DialContext),
 		DisableKeepAlives:   disableKeepAlives,
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: idlePerUpstream,
@@ -74,27 +74,6 @@
 	}
 }
 
-// checkKey is the context key of the check that dialChecked repeats.
-type checkKey struct{}
-
-// dialChecked opens connections. If the call for which one is opened is held back by then, it closes the connection: opening
-// one may take so long that the upstream has announced something meanwhile.
-func dialChecked(dialer *net.Dialer) func(ctx context.Context, network, address string) (net.Conn, error) {
-	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		conn, err := dialer.DialContext(ctx, network, address)
-		if err != nil {
-			return nil, err
-		}
-		if check, ok := ctx.Value(checkKey{}).(func() error); ok {
-			if err := check(); err != nil {
-				_ = conn.Close()
-				return nil, err
-			}
-		}
-		return conn, nil
-	}
-}
-
 // check returns the error of Check if the call must not be sent.
 func (cl *Client) check(call Call) error {
 	if cl.Check == nil {
@@ -181,7 +160,7 @@
 		return nil, err
 	}
 	sent := time.Now()
-	ctx = context.WithValue(ctx, checkKey{}, func() error { return cl.check(call) })
+	ctx = notice.WithCheck(ctx, func() error { return cl.check(call) })
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		connected.Store(true)
