Quarantine: one copy of suspect content runs at a time, waiting ones are refused

Copies of a request that crashes replicas were sent from the queue after its content had been quarantined, and copies in flight at the first crash were retried at once on a replica each, which each took down.

--- a/internal/core/arrive.go
+++ b/internal/core/arrive.go
@@ -82,6 +82,13 @@
 // queueForReplica queues the request until a replica has room for it.
 func (st *State) queueForReplica(req *Request) {
 	req.Phase = PhaseQueued
+	st.pushToQueue(req)
+	st.scheduleLatestStart(req)
+	st.dispatch(req.Service)
+}
+
+// pushToQueue puts the request into its service's queue.
+func (st *State) pushToQueue(req *Request) {
 	org := st.Config.Organisations[req.Organisation]
 	st.Admit.Push(admit.Item{
 		ID:           req.ID,
@@ -94,8 +101,6 @@
 		Deadline:     req.Deadline,
 		NotBefore:    req.NotBefore,
 	}, org.ShareWeight(), st.discipline(req))
-	st.scheduleLatestStart(req)
-	st.dispatch(req.Service)
 }
 
 func (st *State) discipline(req *Request) admit.Discipline {
--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -23,9 +23,9 @@
 	st.Admit.MarkBlocked(st.now, service)
 }
 
-// dispatchNext goes through the heads of the service's queue in the order of preference, up to the first one that it can end
-// or send: it ends one that can no longer meet its deadline, and sends one that finds a replica with room. It reports whether
-// there was one.
+// dispatchNext goes through the heads of the service's queue in the order of preference, up to the first one that it can end,
+// send or put off: it ends one that can no longer meet its deadline, ends or puts off one because of deaths under its content,
+// and sends one that finds a replica with room. It reports whether there was one.
 func (st *State) dispatchNext(service string) bool {
 	for _, it := range st.Admit.Heads(st.now, service) {
 		req := st.Requests[it.ID]
@@ -33,6 +33,9 @@
 			st.finish(req, st.failureRefusal(req, effect.ReasonDeadline, "allow more time in the deadline header, or send it again later"))
 			return true
 		}
+		if st.heldByDeaths(req) {
+			return true
+		}
 		pc := st.pickCriteria(req)
 		pc.Queued = st.now.Sub(req.At) > queuedAfter
 		rep := st.Route.Pick(st.now, &pc)
--- a/internal/core/permit.go
+++ b/internal/core/permit.go
@@ -230,6 +230,11 @@
 		st.finish(req, st.failureRefusal(req, effect.ReasonNoUpstream, "send it again; a granted engine has left"))
 		return
 	}
+	if refusal := st.quarantineRefusal(req); refusal != nil {
+		st.releasePermit(req)
+		st.finish(req, refusal)
+		return
+	}
 	st.send(req, upstreams)
 }
 
--- a/internal/core/quarantine.go
+++ b/internal/core/quarantine.go
@@ -128,6 +128,45 @@
 	return st.quarantine.deaths.Judge(st.now, req.Digest).Crashes > 0
 }
 
+// quarantineRefusal returns the refusal of a request that was admitted and has been quarantined since, or nil.
+func (st *State) quarantineRefusal(req *Request) *effect.Refusal {
+	refusal := st.checkQuarantine(req.Digest)
+	if refusal != nil && req.MayHaveRun {
+		refusal.RunState = effect.HasRun
+	}
+	return refusal
+}
+
+// suspectPause is the pause after which a request is tried again that was put off while another one with its content runs.
+const suspectPause = 50 * time.Millisecond
+
+// heldByDeaths ends the queued request if its content is in quarantine, or puts it off if the content is suspect and runs
+// already. It reports whether it did either. Of suspect content, one request runs at a time and shows whether it crashes what
+// runs it: of several copies each would otherwise take an upstream down before the first crash is seen.
+func (st *State) heldByDeaths(req *Request) bool {
+	if refusal := st.quarantineRefusal(req); refusal != nil {
+		st.finish(req, refusal)
+		return true
+	}
+	if !st.isSuspect(req) || !st.runsElsewhere(req) {
+		return false
+	}
+	st.Admit.Remove(req.Service, req.ID)
+	req.NotBefore = st.now.Add(suspectPause)
+	st.pushToQueue(req)
+	return true
+}
+
+// runsElsewhere reports whether another request with the same content is running.
+func (st *State) runsElsewhere(req *Request) bool {
+	for _, other := range st.Requests {
+		if other != req && other.Phase == PhaseRunning && other.Digest == req.Digest {
+			return true
+		}
+	}
+	return false
+}
+
 // suspectReplicas returns the names of the replicas that run suspect requests of the service. Another suspect goes to a
 // different replica if there is one: with two on one replica, one crash would quarantine both, although one is innocent.
 func (st *State) suspectReplicas(req *Request) []string {
--- a/internal/core/quarantine_test.go
+++ b/internal/core/quarantine_test.go
@@ -1,6 +1,7 @@
 package core_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -44,3 +45,58 @@
 	in.crashes(2, 7)
 	assert.Assert(t, !in.isQuarantined(3, 7))
 }
+
+func TestQueuedRequestIsRefusedOnceQuarantined(t *testing.T) {
+	// A request waits for an engine while its content is quarantined because of crashes at a peer. It must be refused, not sent
+	// to the first engine that has room.
+	in := newInstance(t)
+	in.listEngines("lyric-0")
+	arrive := func(id event.RequestID, content byte) []effect.Effect {
+		return in.reduce(event.Arrived{
+			ID: id, Service: "lyric", PromptTokens: 300_000, Idempotent: true, Digest: event.Digest{content}, Deadline: in.now.Add(10 * time.Second),
+		})
+	}
+	only[effect.Send](t, arrive(1, 1))
+	_, sent := find[effect.Send](arrive(2, 7))
+	assert.Assert(t, !sent, "the engine's memory is full")
+	in.reduce(event.QuarantineReported{Digest: event.Digest{7}, Deaths: 2, Until: in.now.Add(30 * time.Minute)})
+	effects := in.reduce(event.AttemptEnded{ID: 1, Attempt: 1, Upstream: "lyric-0", Result: event.ResultDone})
+	_, sent = find[effect.Send](effects)
+	assert.Assert(t, !sent)
+	fin, ok := find[effect.Finish](slices.DeleteFunc(effects, func(eff effect.Effect) bool {
+		end, ok := eff.(effect.Finish)
+		return ok && end.ID == 1
+	}))
+	assert.Assert(t, ok)
+	assert.Equal(t, fin.Refusal.Reason, effect.ReasonQuarantine)
+	assert.Equal(t, fin.Refusal.RunState, effect.NotRun)
+}
+
+func TestCopiesOfSuspectContentRunOneAtATime(t *testing.T) {
+	// A caller sends three copies of a request that crashes engines, and the engine with all of them crashes. If all were retried
+	// at once on other engines, each would take one more down. One of them shows what the content does.
+	in := newInstance(t)
+	in.listEngines("lyric-0")
+	for id := range event.RequestID(3) {
+		only[effect.Send](t, in.arriveLyric(id+1, 7))
+	}
+	in.listEngines("lyric-0", "lyric-1", "lyric-2", "lyric-3")
+	var retried []effect.Send
+	for id := range event.RequestID(3) {
+		effects := in.reduce(event.AttemptEnded{ID: id + 1, Attempt: 1, Upstream: "lyric-0", Result: event.ResultFailed})
+		if again, ok := find[effect.Send](effects); ok {
+			retried = append(retried, again)
+		}
+	}
+	assert.Equal(t, len(retried), 1)
+	in.now = in.now.Add(3 * time.Second)
+	in.reduce(event.Ticked{})
+	refused := in.reduce(event.AttemptEnded{ID: retried[0].ID, Attempt: 2, Upstream: retried[0].Upstreams[0].Name, Result: event.ResultFailed})
+	for range 10 {
+		in.now = in.now.Add(100 * time.Millisecond)
+		refused = append(refused, in.reduce(event.Ticked{})...)
+	}
+	_, sent := find[effect.Send](refused)
+	assert.Assert(t, !sent)
+	assert.Equal(t, len(in.st.Requests), 0)
+}
--- a/internal/steer/quarantine.go
+++ b/internal/steer/quarantine.go
@@ -32,6 +32,22 @@
 
 func (st *State) quarantined(digest Digest) bool { return st.deaths.Judge(st.now, digest).Quarantined }
 
+// heldByDeaths reports whether the request may not be sent now because of deaths under its content. Content in quarantine is
+// refused by expire. Of suspect content, one request runs at a time and shows whether it crashes what runs it: of several
+// copies each would otherwise take a replica down before the first crash is seen.
+func (st *State) heldByDeaths(req *request) bool {
+	vd := st.deaths.Judge(st.now, req.Digest)
+	if !vd.Suspect() {
+		return vd.Quarantined
+	}
+	for _, other := range st.requests {
+		if other != req && other.Digest == req.Digest && (other.running || other.claiming) {
+			return true
+		}
+	}
+	return false
+}
+
 // countDeath counts the replica that died while running the request, and announces the death.
 func (st *State) countDeath(req *request) {
 	rep := req.reps[0]
--- a/internal/steer/quarantine_test.go
+++ b/internal/steer/quarantine_test.go
@@ -1,12 +1,14 @@
 package steer_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"dandelionsail.example/dandelionsail/internal/steer"
+	"dandelionsail.example/dandelionsail/pkg/decl"
 )
 
 // crash ends the attempt as one whose replica crashed, and returns the effects.
@@ -14,6 +16,15 @@
 	return in.reduce(steer.AttemptEnded{ID: sent.ID, Attempt: sent.Attempt, Result: steer.ResultBroken, Died: true})
 }
 
+// arriveCopy submits a request on the route with the same content as the others submitted so.
+func (in *instance) arriveCopy(route *decl.Route, prompt int64) []steer.Effect {
+	in.next++
+	return in.reduce(steer.Arrived{
+		ID: in.next, Route: route, Name: "copy", Organisation: "parish", Prompt: prompt, Answer: 1000, Digest: 1000,
+		Deadline: in.now.Add(route.Timeout.Std()), LeavesAt: in.now.Add(max(2*time.Second, 4*route.Goal.Std())),
+	})
+}
+
 // noteTo passes all notes among the effects on to the other instance.
 func noteTo(other *instance, effects []steer.Effect) {
 	for _, eff := range effects {
@@ -76,3 +87,61 @@
 	in.next = 0
 	assert.Assert(t, !isRefused(in.arrive(&update, 0)))
 }
+
+func TestWaitingCopiesOfQuarantinedContentAreRefused(t *testing.T) {
+	// A request waits for a replica while its content is quarantined because of crashes at another instance. It must be refused
+	// at once, not sent as soon as a replica has room.
+	in := newInstance(t, "one", 0)
+	none[steer.Send](t, in.arrive(&short, 5000))
+	in.reduce(steer.NoteReceived{Note: steer.Note{From: "two", Run: 1, Deaths: []steer.Death{
+		{Digest: 1, Count: 1, ID: 1, Upstream: 1}, {Digest: 1, Count: 2, ID: 2, Upstream: 2},
+	}}})
+	effects := slices.Clone(in.reduce(steer.Listed{Replicas: replicas(4)}))
+	for range 3 {
+		effects = append(effects, in.advance(10*time.Millisecond)...)
+	}
+	none[steer.Send](t, effects)
+	assert.Assert(t, isRefused(effects))
+}
+
+func TestCopiesOfSuspectContentRunOneAtATime(t *testing.T) {
+	// A caller sends five copies of a request that crashes replicas, and the replica with all of them crashes. If all were
+	// retried at once on other replicas, each would take one more replica down. One of them shows what the content does.
+	in := newInstance(t, "one", 1)
+	var sent []steer.Send
+	for range 5 {
+		sent = append(sent, find[steer.Send](t, in.arriveCopy(&short, 5000)))
+	}
+	in.reduce(steer.Listed{Replicas: replicas(6)})
+	retried := 0
+	var trial steer.Send
+	for _, first := range sent {
+		for _, eff := range in.crash(first) {
+			if again, ok := eff.(steer.Send); ok {
+				retried++
+				trial = again
+			}
+		}
+	}
+	assert.Equal(t, retried, 1)
+	none[steer.Send](t, in.advance(10*time.Millisecond))
+	in.advance(3 * time.Second)
+	none[steer.Send](t, in.crash(trial))
+	none[steer.Send](t, in.advance(10*time.Millisecond))
+	assert.Equal(t, in.st.Open(), 0)
+}
+
+func TestSuspicionEndsWhenContentIsAnswered(t *testing.T) {
+	// Many callers of one organisation ask for the same. A replica crashes with some of these requests in flight, for another
+	// reason. Once one of them is answered, the others must not wait for each other any more, and the next crash must not
+	// refuse them all for ten minutes.
+	in := newInstance(t, "one", 4)
+	first := find[steer.Send](t, in.arriveCopy(&short, 5000))
+	again := in.waitForSend(time.Second, in.crash(first))
+	none[steer.Send](t, in.arriveCopy(&short, 5000))
+	second := find[steer.Send](t, in.end(again, steer.ResultDone))
+	third := find[steer.Send](t, in.arriveCopy(&short, 5000))
+	in.end(second, steer.ResultDone)
+	in.advance(3 * time.Second)
+	in.waitForSend(time.Second, in.crash(third))
+}
--- a/internal/steer/queue.go
+++ b/internal/steer/queue.go
@@ -51,8 +51,11 @@
 }
 
 // trySend places the request, and sends it, books a claim for it or asks for a grant. The result is false if the request has
-// to stay in the queue: if it cannot be placed now or waits for a grant.
+// to stay in the queue: if it cannot be placed now, waits for a grant, or is held because of deaths under its content.
 func (st *State) trySend(req *request) bool {
+	if st.heldByDeaths(req) {
+		return false
+	}
 	if req.grant.rep != nil {
 		return st.followGrant(req)
 	}
@@ -76,14 +79,17 @@
 
 // expire refuses requests that have waited for too long. expired are those whose caller would leave before any answer.
 // outOfTime are first tries that would be late: their callers can retry once more, and so learn now when to do so. blocked are
-// those that the replicas' announcements keep waiting for too long. From Draining.RefuseWaitingAt on, all that wait are refused.
+// those that the replicas' announcements keep waiting for too long. quarantined are those whose content was quarantined while they
+// waited. From Draining.RefuseWaitingAt on, all that wait are refused.
 func (st *State) expire() {
-	var expired, outOfTime, draining []*request
+	var expired, outOfTime, draining, quarantined []*request
 	var blocked []blockedRequest
 	for _, req := range st.waiting {
 		switch {
 		case st.drain != nil && !st.now.Before(st.drain.RefuseWaitingAt):
 			draining = append(draining, req)
+		case st.quarantined(req.Digest):
+			quarantined = append(quarantined, req)
 		case !st.now.Before(req.Deadline) || !req.begun && !st.now.Before(req.LeavesAt) || st.waitedTooLong(req):
 			expired = append(expired, req)
 		case req.hasTimelyGrant():
@@ -99,6 +105,9 @@
 	for _, req := range expired {
 		st.refuse(req, ReasonDeadline, busyRetryAfter)
 	}
+	for _, req := range quarantined {
+		st.refuse(req, ReasonQuarantine, quarantineTime)
+	}
 	for _, req := range outOfTime {
 		st.refuse(req, ReasonBusy, st.retryAfter(req))
 	}
