Relay: deaths of replicas are repeated until acknowledged, and asked for at start

A request that had crashed two replicas, sent again at once through another instance, took a third one down: the relayed front sent each death once, in a datagram that nobody acknowledged, to the instances in its list. It did not reach an instance whose datagram was lost, that stood still, was cut off, was not listed yet, or started later.

Ruled out: deaths in the store (a priced write each, and outages).

--- a/internal/core/quarantine.go
+++ b/internal/core/quarantine.go
@@ -73,7 +73,8 @@
 	death := st.observeDeath(ev.Upstream)
 	st.quarantine.deaths.Add(st.now, req.Digest, death)
 	vd := st.quarantine.deaths.Judge(st.now, req.Digest)
-	st.emit(effect.AnnounceQuarantine{Quarantined: quarantineReport(req.Digest, vd, []deaths.Death{death})})
+	// A peer may have missed the earlier deaths of this content.
+	st.emit(effect.AnnounceQuarantine{Quarantined: quarantineReport(req.Digest, vd, st.quarantine.deaths.Deaths(req.Digest))})
 	if !vd.Quarantined {
 		return nil
 	}
--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -18,6 +18,7 @@
 
 	"dandelionsail.example/dandelionsail/internal/conf"
 	"dandelionsail.example/dandelionsail/internal/core"
+	"dandelionsail.example/dandelionsail/internal/deaths"
 	"dandelionsail.example/dandelionsail/internal/delay"
 	"dandelionsail.example/dandelionsail/internal/event"
 	"dandelionsail.example/dandelionsail/internal/lease"
@@ -76,7 +77,7 @@
 	// have had the time to.
 	quarantineAcks sync.Map
 	// quarantineRequesters are the peers that recently requested the list from this instance.
-	quarantineRequesters requesters
+	quarantineRequesters deaths.Requesters
 	// mu guards calls.
 	mu    sync.Mutex
 	calls map[event.RequestID]*call
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -47,7 +47,7 @@
 	case wire.Quarantine:
 		in.applyQuarantine(msg)
 	case wire.QuarantineRequest:
-		in.quarantineRequesters.add(msg.From)
+		in.quarantineRequesters.Add(msg.From)
 		return in.quarantineSnapshot()
 	default:
 		if ev, ok := wire.Event(msg); ok {
--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"maps"
 	"slices"
-	"sync"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -83,7 +81,7 @@
 // instance late; without the entry, a resend of the request to that instance would kill another upstream.
 func (in *Instance) quarantineRecipients() []string {
 	recipients := slices.Clone(*in.listedPeers.Load())
-	for _, address := range in.quarantineRequesters.recent() {
+	for _, address := range in.quarantineRequesters.Recent() {
 		if !slices.Contains(recipients, address) {
 			recipients = append(recipients, address)
 		}
@@ -91,40 +89,6 @@
 	return recipients
 }
 
-// requesters holds the addresses of the peers that requested the quarantine list recently. It is safe for concurrent use.
-type requesters struct {
-	mu          sync.Mutex
-	requestedAt map[string]time.Time
-}
-
-const (
-	// requesterTTL is how long a requester gets announcements without being in the platform's list. By then the list shows
-	// it.
-	requesterTTL = 30 * time.Second
-	// maxRequesters is the maximum number of requesters held, far above the number of instances that start within
-	// requesterTTL.
-	maxRequesters = 1000
-)
-
-func (rq *requesters) add(address string) {
-	rq.mu.Lock()
-	defer rq.mu.Unlock()
-	if rq.requestedAt == nil {
-		rq.requestedAt = map[string]time.Time{}
-	}
-	if address != "" && len(rq.requestedAt) < maxRequesters {
-		rq.requestedAt[address] = time.Now()
-	}
-}
-
-// recent returns the peers that made a request within requesterTTL and removes the others.
-func (rq *requesters) recent() []string {
-	rq.mu.Lock()
-	defer rq.mu.Unlock()
-	maps.DeleteFunc(rq.requestedAt, func(_ string, at time.Time) bool { return time.Since(at) > requesterTTL })
-	return slices.Collect(maps.Keys(rq.requestedAt))
-}
-
 func quarantineMessage(qr event.QuarantineReported) wire.Quarantine {
 	msg := wire.Quarantine{Digest: qr.Digest, Deaths: qr.Deaths, TTL: time.Until(qr.Until)}
 	for _, death := range qr.Observed {
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -29,16 +29,18 @@
 
 // call is one caller's request.
 type call struct {
-	id       steer.RequestID
-	w        http.ResponseWriter
-	req      *http.Request
-	info     RequestInfo
-	route    *decl.Route
-	org      string
-	body     []byte
-	deadline time.Time
-	effects  chan steer.Effect
-	control  *http.ResponseController
+	id    steer.RequestID
+	w     http.ResponseWriter
+	req   *http.Request
+	info  RequestInfo
+	route *decl.Route
+	org   string
+	body  []byte
+	// contentDigest identifies the request's content.
+	contentDigest steer.Digest
+	deadline      time.Time
+	effects       chan steer.Effect
+	control       *http.ResponseController
 
 	// headerSent reports whether the caller was sent a replica's status and header.
 	headerSent bool
@@ -145,10 +147,11 @@
 		priority = orgPriority
 	}
 	cl.id = steer.RequestID(in.nextID.Add(1))
+	cl.contentDigest = cl.digest()
 	return steer.Arrived{
 		ID: cl.id, Route: cl.route, Name: cl.info.Name, Organisation: cl.org, Priority: priority,
 		Prompt: cl.info.Prompt, Answer: cl.info.Answer, Deadline: cl.deadline, LeavesAt: callerLeavesAt(cl.route, cl.arrived, cl.deadline),
-		Digest: cl.digest(), StatedTimeout: cl.info.StatedTimeout,
+		Digest: cl.contentDigest, StatedTimeout: cl.info.StatedTimeout,
 	}
 }
 
@@ -235,6 +238,9 @@
 // finish ends the caller's request: if it failed, with the replica's error response or a refusal, or by cutting the
 // connection if a response has begun.
 func (in *Instance) finish(cl *call, eff steer.Finish) {
+	if eff.DeliverFailure || eff.Refusal != nil && !eff.Refusal.NotRun {
+		in.gossip.awaitDeathAcks(cl.req.Context(), cl.contentDigest)
+	}
 	switch {
 	case eff.DeliverFailure && !cl.headerSent && cl.errorResponse != nil:
 		cl.errorResponse.write(cl)
--- a/internal/relay/gossip.go
+++ b/internal/relay/gossip.go
@@ -6,6 +6,7 @@
 	"maps"
 	"net"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -13,6 +14,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"golang.org/x/sync/errgroup"
 
+	"dandelionsail.example/dandelionsail/internal/deaths"
 	"dandelionsail.example/dandelionsail/internal/delay"
 	"dandelionsail.example/dandelionsail/internal/steer"
 )
@@ -24,6 +26,10 @@
 	maxDatagram = 8 << 10
 	// noteQueueSize is how many notes wait to be sent before new ones are dropped.
 	noteQueueSize = 256
+	// unackedQueueSize is how many packets wait for repeatUnacked. A replica that crashes has at most its slots in flight.
+	unackedQueueSize = 128
+	// ackQueueSize is how many acknowledgements wait for repeatUnacked. A lost one is made up for by the next repetition.
+	ackQueueSize = 1024
 )
 
 // gossip exchanges notes and confirmations with other instances over UDP. A note is small, soon out of date and made up
@@ -41,15 +47,29 @@
 	confirmations chan confirmation
 	// newRevisions receives the address of an Instance that announced a newer revision.
 	newRevisions chan *net.UDPAddr
+	// unacked receives the packets to be repeated until they are acknowledged.
+	unacked chan *unacked
+	// acks receives the acknowledgements of these packets.
+	acks chan ack
+	// deathAcks holds, by the digest of the content, the channel that is closed when the last death under it is acknowledged.
+	deathAcks sync.Map
+	// deathRequesters are the instances that have just started and requested the deaths.
+	deathRequesters deaths.Requesters
 }
 
-// packet is one datagram; one of its fields is set. All contents are encoded with numbered fields so that instances of
+// packet is one datagram. Of its fields, one is set, or several as they say. All contents are encoded with numbered fields so that instances of
 // two versions understand each other during a rolling update: unknown numbers are ignored and missing ones are zero. A
 // number is never reassigned to another field.
 type packet struct {
 	Note         *steer.Note     `cbor:"1,keyasint,omitempty"`
 	Request      *confirmRequest `cbor:"2,keyasint,omitempty"`
 	Confirmation *confirmation   `cbor:"3,keyasint,omitempty"`
+	// AckID asks for an acknowledgement of the Note or DeathsRequested beside it.
+	AckID uint64 `cbor:"4,keyasint,omitempty"`
+	// Ack acknowledges the packet with that AckID. A Note beside it answers DeathsRequested.
+	Ack uint64 `cbor:"5,keyasint,omitempty"`
+	// DeathsRequested requests the deaths of replicas that the recipient knows.
+	DeathsRequested bool `cbor:"6,keyasint,omitempty"`
 }
 
 func openGossip(in *Instance) (*gossip, error) {
@@ -64,6 +84,7 @@
 	gs := &gossip{
 		in: in, conn: conn, queue: make(chan steer.SendNote, noteQueueSize),
 		confirmations: make(chan confirmation, 1), newRevisions: make(chan *net.UDPAddr, 1),
+		unacked: make(chan *unacked, unackedQueueSize), acks: make(chan ack, ackQueueSize),
 	}
 	gs.peers.Store(&map[string]*net.UDPAddr{})
 	gs.ranked.Store(&[]*net.UDPAddr{nil})
@@ -75,6 +96,7 @@
 	group.Go(func() error { return gs.send(ctx) })
 	group.Go(func() error { return gs.summarize(ctx) })
 	group.Go(func() error { return gs.receive(ctx) })
+	group.Go(func() error { return gs.repeatUnacked(ctx) })
 	group.Go(func() error {
 		<-ctx.Done()
 		return gs.conn.Close()
@@ -175,16 +197,19 @@
 func (gs *gossip) handlePacket(pk packet, from *net.UDPAddr) bool {
 	switch {
 	case pk.Note != nil:
-		dropped, usable := pk.Note.DropInvalid()
-		if !usable {
+		if !gs.handleNote(pk.Note) {
 			return false
 		}
-		if dropped > 0 {
-			gs.in.count("Notes.PartsDropped")
-			gs.in.log.Warn().Str("From", pk.Note.From).Int("Parts", dropped).Msg("invalid parts of a note dropped")
+		if pk.AckID != 0 {
+			gs.writeDatagram(gs.encode(packet{Ack: pk.AckID}), from)
 		}
-		gs.in.count("Notes.Heard")
-		gs.in.apply(steer.NoteReceived{Note: *pk.Note})
+		if pk.Ack != 0 {
+			trySend(gs.acks, ack{id: pk.Ack, from: from.String()})
+		}
+	case pk.Ack != 0:
+		trySend(gs.acks, ack{id: pk.Ack, from: from.String()})
+	case pk.DeathsRequested:
+		gs.answerDeathsRequest(pk.AckID, from)
 	case pk.Request != nil:
 		gs.handleConfirmRequest(*pk.Request, from)
 	case pk.Confirmation != nil && pk.Confirmation.Nonce == 0:
@@ -199,6 +224,21 @@
 	return true
 }
 
+// handleNote applies a note of another Instance and reports whether it was valid.
+func (gs *gossip) handleNote(note *steer.Note) bool {
+	dropped, usable := note.DropInvalid()
+	if !usable {
+		return false
+	}
+	if dropped > 0 {
+		gs.in.count("Notes.PartsDropped")
+		gs.in.log.Warn().Str("From", note.From).Int("Parts", dropped).Msg("invalid parts of a note dropped")
+	}
+	gs.in.count("Notes.Heard")
+	gs.in.apply(steer.NoteReceived{Note: *note})
+	return true
+}
+
 func trySend[Value any](to chan Value, value Value) {
 	select {
 	case to <- value:
@@ -235,5 +275,6 @@
 	}
 	in.gossip.peers.Store(&addresses)
 	in.gossip.ranked.Store(&order)
+	in.peersListedOnce.Do(func() { close(in.peersListed) })
 	in.apply(steer.Peered{Instances: others})
 }
--- a/internal/relay/instance.go
+++ b/internal/relay/instance.go
@@ -70,6 +70,11 @@
 	// firstConfirmed is closed once there is a configuration that the store has confirmed.
 	firstConfirmed     chan struct{}
 	firstConfirmedOnce sync.Once
+	// peersListed is closed once the other instances are known.
+	peersListed     chan struct{}
+	peersListedOnce sync.Once
+	// deathsKnown reports whether the others were asked for the deaths that they know.
+	deathsKnown atomic.Bool
 	// ownEntry receives, after the first read of the Directory, the entry that this Instance renews or creates.
 	ownEntry chan Peer
 	// changes holds the revision of the Directory that is in use and the last changes up to it.
@@ -107,6 +112,7 @@
 		unpooled:       newTransport(true),
 		calls:          map[steer.RequestID]*call{},
 		firstConfirmed: make(chan struct{}),
+		peersListed:    make(chan struct{}),
 		ownEntry:       make(chan Peer, 1),
 	}
 	in.state = steer.New(steer.Options{
@@ -155,6 +161,7 @@
 	group.Go(func() error { return in.announce(serveCtx) })
 	group.Go(func() error { return in.tick(serveCtx) })
 	group.Go(func() error { return in.gossip.run(serveCtx) })
+	group.Go(func() error { return in.awaitDeaths(serveCtx) })
 	group.Go(func() error { return in.serveMetrics(serveCtx) })
 	group.Go(func() error { return in.handleHangups(serveCtx, hangups) })
 	group.Go(func() error { return ignoreServerClosed(callerServer.Serve(callerListener)) })
@@ -254,7 +261,7 @@
 			cl.abort(eff.Attempt)
 		}
 	case steer.SendNote:
-		in.gossip.enqueue(eff)
+		in.sendNote(eff)
 	case steer.Wake:
 		time.AfterFunc(eff.After, func() { in.apply(steer.Ticked{}) })
 	case steer.QueryLoad:
@@ -264,6 +271,14 @@
 	}
 }
 
+func (in *Instance) sendNote(eff steer.SendNote) {
+	if eff.Acked {
+		in.gossip.announceDeaths(eff)
+		return
+	}
+	in.gossip.enqueue(eff)
+}
+
 func (in *Instance) deliver(id steer.RequestID, eff steer.Effect) {
 	if cl, ok := in.calls[id]; ok {
 		cl.effects <- eff
--- a/internal/relay/ready.go
+++ b/internal/relay/ready.go
@@ -44,7 +44,7 @@
 }
 
 func (in *Instance) ready() bool {
-	if in.draining.Load() || !in.configured() || !in.fresh(readyTokenShare) {
+	if in.draining.Load() || !in.configured() || !in.deathsKnown.Load() || !in.fresh(readyTokenShare) {
 		return false
 	}
 	in.mu.Lock()
--- a/internal/steer/effect.go
+++ b/internal/steer/effect.go
@@ -90,11 +90,15 @@
 	RetryAfter time.Duration
 }
 
-// SendNote sends a note to other instances. The note may be lost.
+// SendNote sends a note to other instances. The note may be lost unless it is Acked.
 type SendNote struct {
 	Note Note
 	// To names the recipients, nil for all other instances.
 	To []string
+	// Acked asks for the note to be repeated until its recipients, which are all other instances, acknowledge it.
+	Acked bool
+	// AckDigest is the content of the request whose failure is answered only then.
+	AckDigest Digest
 }
 
 // QueryLoad queries engines for their load. A LoadReported follows for each engine that answers.
--- a/internal/steer/note.go
+++ b/internal/steer/note.go
@@ -1,6 +1,9 @@
 package steer
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // Note is a message in which one instance reports its own work to the others, so that each knows the load of every engine
 // without polling the engines. The next note with Full set repairs what a lost note would have reported.
@@ -90,9 +93,12 @@
 }
 
 func (death *Death) valid() bool {
-	return death.AgeMs >= 0 && death.AgeMs <= quarantineTime.Milliseconds()
+	return death.AgeMs >= 0 && death.AgeMs <= maxDeathAge.Milliseconds()
 }
 
+// maxDeathAge is the highest age of a death accepted in a note, above that of any that can still count.
+const maxDeathAge = 24 * time.Hour
+
 // DropInvalid removes the parts of a note from the network that cannot be used, and returns how many there were. It reports
 // false if nothing of the note can be used, since its sender is unknown.
 func (nt *Note) DropInvalid() (dropped int, usable bool) {
--- a/internal/steer/quarantine.go
+++ b/internal/steer/quarantine.go
@@ -1,6 +1,7 @@
 package steer
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -59,7 +60,8 @@
 	}
 	st.deaths.Add(st.now, req.Digest, death)
 	crashes := st.deaths.Judge(st.now, req.Digest).Crashes
-	st.emit(SendNote{Note: st.note(Note{Deaths: []Death{{Digest: req.Digest, Count: crashes, ID: death.ID, Upstream: death.Upstream}}})})
+	// Another instance may have missed the earlier deaths of this content.
+	st.emit(SendNote{Note: st.note(Note{Deaths: st.deathsOf(st.now, req.Digest, crashes)}), Acked: true, AckDigest: req.Digest})
 	st.emit(LogLine{Message: "replica died under request", Request: req.Name, Replica: rep.Name, Attempt: crashes})
 }
 
@@ -83,3 +85,28 @@
 		st.deaths.Add(st.now, death.Digest, deaths.Death{ID: id, Upstream: id, At: st.now})
 	}
 }
+
+// maxNoteDeaths is the maximum number of deaths in a note, which must fit into a datagram. A death takes some 40 bytes.
+const maxNoteDeaths = 100
+
+// DeathNotes returns notes with all deaths that count, for an instance that has just started.
+func (st *State) DeathNotes(now time.Time) []Note {
+	var all []Death
+	for digest, vd := range st.deaths.Verdicts(now) {
+		all = append(all, st.deathsOf(now, digest, vd.Crashes)...)
+	}
+	var notes []Note
+	for part := range slices.Chunk(all, maxNoteDeaths) {
+		notes = append(notes, Note{From: st.Options.Name, Run: st.Options.Run, UptimeMs: st.uptimeMs(), Waiting: len(st.waiting), Deaths: part})
+	}
+	return notes
+}
+
+// deathsOf returns the deaths under the content, which amount to this number of crashes.
+func (st *State) deathsOf(now time.Time, digest Digest, crashes int) []Death {
+	var list []Death
+	for _, death := range st.deaths.Deaths(digest) {
+		list = append(list, Death{Digest: digest, Count: crashes, ID: death.ID, Upstream: death.Upstream, AgeMs: max(0, now.Sub(death.At).Milliseconds())})
+	}
+	return list
+}
