An instance that stood still asks its peers for deaths before it sends anything

A request that had taken two upstreams down through a peer, and was waiting at an instance that stood still, could be taken before the peer's announcement when that one went on: a third upstream went down. Nothing orders what piles up for a process that stands still.

--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -16,8 +16,12 @@
 	}
 }
 
-// dispatch sends waiting requests of the service until none of the heads of its queue finds a replica with room.
+// dispatch sends waiting requests of the service until none of the heads of its queue finds a replica with room. It sends none
+// while the instance catches up after it has stood still.
 func (st *State) dispatch(service string) {
+	if st.catchingUp() {
+		return
+	}
 	for st.dispatchNext(service) {
 	}
 	st.Admit.MarkBlocked(st.now, service)
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -20,6 +20,8 @@
 	ended   chan struct{}
 	// nextTick is the time at which the next tick is due.
 	nextTick time.Time
+	// reducedAt is when the last event was passed to the reducer.
+	reducedAt time.Time
 }
 
 // NewLoop returns a loop that hands each effect to perform, which must not block.
@@ -88,7 +90,23 @@
 	}
 }
 
+// maxEventGap is the time between two events from which on the process has stood still: ticks are closer together. It is no
+// longer than an instance that announces a death waits for this one to acknowledge it.
+const maxEventGap = 500 * time.Millisecond
+
+// reduce passes the event to the reducer, after a StoodStill if the process has stood still since the last event.
 func (lp *Loop) reduce(ev event.Event) {
+	now := time.Now()
+	// now.Round(0) has no reading of the monotonic clock, which does not count time in suspension.
+	gap := max(now.Sub(lp.reducedAt), now.Round(0).Sub(lp.reducedAt.Round(0)))
+	if gap > maxEventGap && !lp.reducedAt.IsZero() {
+		lp.reduceOne(event.StoodStill{Gap: gap})
+	}
+	lp.reducedAt = now
+	lp.reduceOne(ev)
+}
+
+func (lp *Loop) reduceOne(ev event.Event) {
 	for _, eff := range lp.state.Reduce(time.Now(), ev) {
 		lp.perform(eff)
 	}
--- a/internal/core/quarantine.go
+++ b/internal/core/quarantine.go
@@ -41,6 +41,8 @@
 	observed uint64
 	// deadSince holds the upstreams that crashed and have shown no sign of life since, with the time of the crash.
 	deadSince map[string]time.Time
+	// catchUpUntil is until when requests wait for what the peers know, after the instance has stood still.
+	catchUpUntil time.Time
 }
 
 func newQuarantine() quarantine {
@@ -180,6 +182,23 @@
 	return names
 }
 
+// maxCatchUp is how long requests wait at most for what the peers know after the instance has stood still.
+const maxCatchUp = 500 * time.Millisecond
+
+// handleStoodStill requests the quarantine entries of the peers. Their announcements may be waiting behind a caller's request,
+// which would then be sent although its content is in quarantine.
+func (st *State) handleStoodStill(ev event.StoodStill) {
+	st.emit(effect.CountAndLog{Counter: "Instance.StoodStill", LogMessage: "instance stood still", Subject: ev.Gap.String()})
+	if len(st.Instances) < 2 {
+		return
+	}
+	st.quarantine.catchUpUntil = st.now.Add(maxCatchUp)
+	st.emit(effect.RequestQuarantine{})
+}
+
+// catchingUp reports whether requests wait for what the peers know.
+func (st *State) catchingUp() bool { return st.now.Before(st.quarantine.catchUpUntil) }
+
 // handleQuarantineReported adds the deaths that a peer reports.
 func (st *State) handleQuarantineReported(ev event.QuarantineReported) {
 	observed := ev.Observed
--- a/internal/core/state.go
+++ b/internal/core/state.go
@@ -192,6 +192,11 @@
 		st.handleConfigAccepted(ev)
 	case event.QuarantineReported:
 		st.handleQuarantineReported(ev)
+	case event.StoodStill:
+		st.handleStoodStill(ev)
+	case event.QuarantineReceived:
+		st.quarantine.catchUpUntil = time.Time{}
+		st.dispatchAll()
 	case event.DemandReceived:
 		st.handleDemandReceived(ev)
 	case event.SharesReceived:
--- a/internal/effect/effect.go
+++ b/internal/effect/effect.go
@@ -153,6 +153,9 @@
 	Permit        string
 }
 
+// RequestQuarantine requests all quarantine entries of some peers. An event.QuarantineReceived follows.
+type RequestQuarantine struct{}
+
 // AnnounceQuarantine sends a quarantine entry to all peers.
 type AnnounceQuarantine struct{ Quarantined event.QuarantineReported }
 
@@ -210,6 +213,7 @@
 func (RequestPermit) isEffect()      {}
 func (ReleasePermit) isEffect()      {}
 func (AnnounceQuarantine) isEffect() {}
+func (RequestQuarantine) isEffect()  {}
 func (SendDemand) isEffect()         {}
 func (SendShares) isEffect()         {}
 func (Sweep) isEffect()              {}
--- a/internal/entry/perform.go
+++ b/internal/entry/perform.go
@@ -34,6 +34,8 @@
 		in.sendToPeer(eff.To.Peer, wire.Shares{Shares: eff.Shares})
 	case effect.AnnounceQuarantine:
 		in.announceQuarantine(eff)
+	case effect.RequestQuarantine:
+		in.pending.Go(in.catchUpQuarantine)
 	case effect.CloseIdle:
 		in.upstream.CloseIdle(eff.Address)
 	case effect.CountAndLog:
--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -139,6 +139,26 @@
 	})
 }
 
+// catchUpQuarantine requests the quarantine entries of some peers at the same time, after this instance has stood still, and
+// reports the first answer to the reducer. One is enough: a peer that is not standing still has received all announcements.
+func (in *Instance) catchUpQuarantine() {
+	defer in.loop.Submit(event.QuarantineReceived{})
+	if in.peers == nil {
+		return
+	}
+	addresses := *in.listedPeers.Load()
+	addresses = addresses[:min(len(addresses), quarantinePeers)]
+	answered := make(chan error, len(addresses))
+	for _, address := range addresses {
+		in.pending.Go(func() { answered <- in.requestQuarantine(address) })
+	}
+	for range addresses {
+		if <-answered == nil {
+			return
+		}
+	}
+}
+
 func (in *Instance) requestQuarantine(address string) error {
 	ctx, cancel := context.WithTimeout(context.Background(), quarantineTimeout)
 	defer cancel()
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -238,6 +238,12 @@
 	Observed []deaths.Death
 }
 
+// StoodStill reports that the process stood still before the events that follow.
+type StoodStill struct{ Gap time.Duration }
+
+// QuarantineReceived reports that a peer has answered a RequestQuarantine, or that none did in time.
+type QuarantineReceived struct{}
+
 // Demand is an organisation's demand at one instance, as a fraction of its limits for the whole fleet.
 type Demand struct {
 	_            struct{} `cbor:",toarray"`
@@ -287,6 +293,8 @@
 func (PermitAnswered) isEvent()     {}
 func (ClaimSettled) isEvent()       {}
 func (QuarantineReported) isEvent() {}
+func (StoodStill) isEvent()         {}
+func (QuarantineReceived) isEvent() {}
 func (DemandReceived) isEvent()     {}
 func (SharesReceived) isEvent()     {}
 func (DrainStarted) isEvent()       {}
--- a/internal/proof/quarantine_test.go
+++ b/internal/proof/quarantine_test.go
@@ -84,3 +84,40 @@
 	assert.Equal(t, again.Status, http.StatusUnprocessableEntity, again.Detail)
 	assert.Equal(t, again.Ran, "NotRun")
 }
+
+func TestInstanceThatStoodStillRefusesQuarantinedContent(t *testing.T) {
+	// An instance stands still while a request crashes two engines through its peer. The caller gives up on the peer, whose
+	// answer waits for the one that stands still, and has already sent the request there, too. When that one goes on, the
+	// request and the announcement are waiting for it. If it took the request first, the third engine would crash.
+	fl := &fleet.Fleet{}
+	t.Cleanup(fl.Close)
+	assert.NilError(t, fl.StartPlatform("--list-lag", "0s"))
+	configure(t, fl)
+	for _, name := range []string{"lyric-0", "lyric-1", "lyric-2"} {
+		_, err := fl.StartEngine(name, "lyric", "a", "--step", "10ms")
+		assert.NilError(t, err)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	var ins []*fleet.Process
+	for _, name := range []string{"entry-0", "entry-1"} {
+		in, err := fl.StartEntry(name, "a", "--list-period", "100ms")
+		assert.NilError(t, err)
+		assert.NilError(t, fleet.WaitReady(ctx, in.Address))
+		ins = append(ins, in)
+	}
+	time.Sleep(300 * time.Millisecond)
+	send := func(address string) load.Result {
+		caller := &load.Caller{Address: address, Token: token, HTTP: http.DefaultClient}
+		return caller.Complete(ctx, "lyric", stand.PoisonMarker+" "+load.Prompt(500, 1), 10)
+	}
+	assert.NilError(t, ins[1].Pause())
+	again := make(chan load.Result, 1)
+	go func() { again <- send(ins[1].Address) }()
+	first := send(ins[0].Address)
+	assert.Equal(t, first.Status, http.StatusUnprocessableEntity, first.Detail)
+	assert.NilError(t, ins[1].Resume())
+	resent := <-again
+	assert.Equal(t, resent.Status, http.StatusUnprocessableEntity, resent.Detail)
+	assert.Equal(t, resent.Ran, "NotRun")
+}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -69,7 +69,7 @@
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	var verdict steer.Verdict
-	for _, eff := range in.state.Reduce(time.Now(), ev) {
+	for _, eff := range in.reduce(ev) {
 		if vd, ok := eff.(steer.Verdict); ok {
 			verdict = vd
 			continue
--- a/internal/relay/instance.go
+++ b/internal/relay/instance.go
@@ -36,6 +36,9 @@
 	maxHeader = 64 << 10
 	// tickPeriod is the interval of Ticked events; while requests wait, the reducer asks for additional ones.
 	tickPeriod = 200 * time.Millisecond
+	// maxEventGap is the time between two events from which on the process has stood still: ticks are closer together. It is no
+	// longer than an Instance that announces a death waits for this one to acknowledge it.
+	maxEventGap = deathAckTimeout
 	// gcPercent is the heap growth in percent that starts a garbage collection. The heap is a few MB, and memory costs
 	// more than the little processor time that collecting early takes.
 	gcPercent = 40
@@ -86,10 +89,12 @@
 
 	// lastEvents holds the time of the last stream event received from each replica, by replica name.
 	lastEvents sync.Map
-	// mu guards the reducer state and calls.
+	// mu guards the fields below.
 	mu    sync.Mutex
 	state *steer.State
 	calls map[steer.RequestID]*call
+	// lastEventAt is when the last event was passed to the reducer.
+	lastEventAt time.Time
 }
 
 // New returns an Instance that has not started. dropped returns how many lines the logger has dropped.
@@ -245,11 +250,26 @@
 func (in *Instance) apply(ev steer.Event) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
-	for _, eff := range in.state.Reduce(time.Now(), ev) {
+	for _, eff := range in.reduce(ev) {
 		in.perform(eff)
 	}
 }
 
+// reduce passes an event to the reducer, after a StoodStill if the process has stood still since the last event, and returns
+// its effects. in.mu is held.
+func (in *Instance) reduce(ev steer.Event) []steer.Effect {
+	now := time.Now()
+	// now.Round(0) has no reading of the monotonic clock, which does not count time in suspension.
+	gap := max(now.Sub(in.lastEventAt), now.Round(0).Sub(in.lastEventAt.Round(0)))
+	if gap > maxEventGap && !in.lastEventAt.IsZero() {
+		for _, eff := range in.state.Reduce(now, steer.StoodStill{Gap: gap}) {
+			in.perform(eff)
+		}
+	}
+	in.lastEventAt = now
+	return in.state.Reduce(now, ev)
+}
+
 func (in *Instance) perform(eff steer.Effect) {
 	switch eff := eff.(type) {
 	case steer.Send:
@@ -264,6 +284,12 @@
 		in.sendNote(eff)
 	case steer.Wake:
 		time.AfterFunc(eff.After, func() { in.apply(steer.Ticked{}) })
+	case steer.RequestDeaths:
+		known := in.gossip.requestDeaths()
+		in.background.Go(func() {
+			<-known
+			in.apply(steer.DeathsReceived{})
+		})
 	case steer.QueryLoad:
 		in.pollLoads(eff)
 	case steer.LogLine:
--- a/internal/steer/announce.go
+++ b/internal/steer/announce.go
@@ -112,6 +112,10 @@
 		st.emit(Verdict{Outdated: true})
 		return
 	}
+	if ev.ID != 0 && !ev.DecidedAt.IsZero() && st.catchingUp() {
+		st.emit(Verdict{Outdated: true})
+		return
+	}
 	for i := range ev.Targets {
 		target := &ev.Targets[i]
 		if ann := st.heldBy(&ev, target); ann != notice.None {
--- a/internal/steer/effect.go
+++ b/internal/steer/effect.go
@@ -104,6 +104,9 @@
 // QueryLoad queries engines for their load. A LoadReported follows for each engine that answers.
 type QueryLoad struct{ Replicas []Replica }
 
+// RequestDeaths requests the deaths that other instances know. A DeathsReceived follows.
+type RequestDeaths struct{}
+
 // Wake requests a Ticked after the given time.
 type Wake struct{ After time.Duration }
 
@@ -165,11 +168,12 @@
 	PauseAt time.Duration
 }
 
-func (Send) isEffect()      {}
-func (Abort) isEffect()     {}
-func (Finish) isEffect()    {}
-func (SendNote) isEffect()  {}
-func (QueryLoad) isEffect() {}
-func (Wake) isEffect()      {}
-func (Verdict) isEffect()   {}
-func (LogLine) isEffect()   {}
+func (Send) isEffect()          {}
+func (Abort) isEffect()         {}
+func (Finish) isEffect()        {}
+func (SendNote) isEffect()      {}
+func (QueryLoad) isEffect()     {}
+func (RequestDeaths) isEffect() {}
+func (Wake) isEffect()          {}
+func (Verdict) isEffect()       {}
+func (LogLine) isEffect()       {}
--- a/internal/steer/event.go
+++ b/internal/steer/event.go
@@ -165,6 +165,12 @@
 	notice.Announced
 }
 
+// StoodStill reports that the process stood still before the events that follow.
+type StoodStill struct{ Gap time.Duration }
+
+// DeathsReceived reports that another instance has answered a RequestDeaths, or that none did in time.
+type DeathsReceived struct{}
+
 // Draining reports that the instance was asked to shut down.
 type Draining struct {
 	// RefuseWaitingAt is when the requests that still wait for a replica are refused.
@@ -192,6 +198,8 @@
 func (LoadReported) isEvent()     {}
 func (ResponseReceived) isEvent() {}
 func (Sending) isEvent()          {}
+func (StoodStill) isEvent()       {}
+func (DeathsReceived) isEvent()   {}
 func (Draining) isEvent()         {}
 func (Ticked) isEvent()           {}
 func (Summarized) isEvent()       {}
--- a/internal/steer/quarantine.go
+++ b/internal/steer/quarantine.go
@@ -33,10 +33,30 @@
 
 func (st *State) quarantined(digest Digest) bool { return st.deaths.Judge(st.now, digest).Quarantined }
 
+// maxCatchUp is how long requests wait at most for what the others know after the instance has stood still.
+const maxCatchUp = 300 * time.Millisecond
+
+// stoodStill requests the deaths that others know. Their announcements may be waiting behind a caller's request, which would
+// then be sent although its content is in quarantine.
+func (st *State) stoodStill(ev StoodStill) {
+	st.emit(LogLine{Message: "instance stood still", Age: ev.Gap})
+	if len(st.others) == 0 {
+		return
+	}
+	st.catchUpUntil = st.now.Add(maxCatchUp)
+	st.emit(RequestDeaths{})
+}
+
+// catchingUp reports whether requests wait for what the others know.
+func (st *State) catchingUp() bool { return st.now.Before(st.catchUpUntil) }
+
 // heldByDeaths reports whether the request may not be sent now because of deaths under its content. Content in quarantine is
 // refused by expire. Of suspect content, one request runs at a time and shows whether it crashes what runs it: of several
-// copies each would otherwise take a replica down before the first crash is seen.
+// copies each would otherwise take a replica down before the first crash is seen. All are held while the instance catches up.
 func (st *State) heldByDeaths(req *request) bool {
+	if st.catchingUp() {
+		return true
+	}
 	vd := st.deaths.Judge(st.now, req.Digest)
 	if !vd.Suspect() {
 		return vd.Quarantined
--- a/internal/steer/quarantine_test.go
+++ b/internal/steer/quarantine_test.go
@@ -145,3 +145,23 @@
 	in.advance(3 * time.Second)
 	in.waitForSend(time.Second, in.crash(third))
 }
+
+func TestInstanceThatStoodStillCatchesUpBeforeItSends(t *testing.T) {
+	// The process stands still while its peers learn that a content crashes replicas. A caller's request with the content is
+	// waiting for it beside their announcements when it goes on. It must ask a peer before it sends anything, or the request
+	// crashes one more replica. If no peer answers, it goes on after a short while.
+	for name, answer := range map[string]bool{"peer answers": true, "no peer answers": false} {
+		t.Run(name, func(t *testing.T) {
+			in := newInstance(t, "one", 4)
+			in.reduce(steer.Peered{Instances: []steer.Instance{{Name: "two", FailureDomain: "a"}}})
+			find[steer.RequestDeaths](t, in.reduce(steer.StoodStill{Gap: time.Second}))
+			none[steer.Send](t, in.arrive(&long, 5000))
+			if answer {
+				find[steer.Send](t, in.reduce(steer.DeathsReceived{}))
+				return
+			}
+			none[steer.Send](t, in.advance(200*time.Millisecond))
+			find[steer.Send](t, in.advance(150*time.Millisecond))
+		})
+	}
+}
--- a/internal/steer/state.go
+++ b/internal/steer/state.go
@@ -67,6 +67,8 @@
 	deaths *deaths.Table[Digest]
 	// deathsSeen is the number of deaths that this instance has observed.
 	deathsSeen int
+	// catchUpUntil is until when requests wait for the deaths that others know, after the instance has stood still.
+	catchUpUntil time.Time
 	// meanPrompts holds the moving average of the prompt length in tokens, by route.
 	meanPrompts map[string]float64
 	// longestTimeouts holds the longest timeout that any caller has stated, by route.
@@ -232,6 +234,11 @@
 		st.responseReceived(ev)
 	case Sending:
 		st.sending(ev)
+	case StoodStill:
+		st.stoodStill(ev)
+	case DeathsReceived:
+		st.catchUpUntil = time.Time{}
+		st.dispatch()
 	case Draining:
 		st.drain = &ev
 	case Summarized:
