Relay: counters for each way in which a state is confirmed

Own poll, confirmation by a peer, its age and the time spent waiting for it could not be told apart; and whether an instance polls was in no metric.

--- a/internal/relay/follow.go
+++ b/internal/relay/follow.go
@@ -111,6 +111,7 @@
 	lag := float64(fl.in.opts.ConfigLag)
 	canAskPeers := fl.canAskPeers()
 	isPoller := !canAskPeers || fl.in.gossip.pollsStore(fl.pollerCount())
+	fl.in.polls.Store(isPoller)
 	if !isPoller && fl.confirmByPeers(ctx) {
 		return time.Duration(confirmShare * lag)
 	}
@@ -196,6 +197,7 @@
 	for range maxConfirmRounds {
 		requestedAt := bootTime()
 		conf, ok := fl.in.gossip.requestConfirmation(ctx, from, fl.in.changes.revision())
+		fl.in.recordTime("Peers.Wait", bootTime()-requestedAt)
 		if !ok {
 			fl.in.count("Peers.Unanswered")
 			return false
@@ -209,6 +211,8 @@
 			return false
 		}
 		if fl.in.changes.revision() >= conf.Revision {
+			fl.in.count("Confirmed.ByPeer")
+			fl.in.recordTime("Peers.Age", time.Duration(conf.AgeMs)*time.Millisecond)
 			fl.markReachable()
 			fl.confirm(requestedAt - time.Duration(conf.AgeMs)*time.Millisecond)
 			return true
@@ -233,6 +237,7 @@
 		fl.markUnreachable(ctx, err)
 		return false
 	}
+	fl.in.count("Confirmed.ByStore")
 	fl.markReachable()
 	fl.confirm(requestedAt)
 	return true
--- a/internal/relay/instance.go
+++ b/internal/relay/instance.go
@@ -68,6 +68,8 @@
 	// confirmed is the boot time at which the request was sent whose response last confirmed the configuration; 0 if
 	// none did.
 	confirmed atomic.Int64
+	// polls reports whether this Instance takes itself to be one of those that poll the store.
+	polls atomic.Bool
 	// startedAt is when Run was called.
 	startedAt time.Time
 	// firstConfirmed is closed once there is a configuration that the store has confirmed.
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -27,6 +27,11 @@
 		in.gauge("Config.Version", routing.Version)
 	}
 	in.gauge("Config.ConfirmedAgeMs", in.confirmedAge().Milliseconds())
+	polls := int64(0)
+	if in.polls.Load() {
+		polls = 1
+	}
+	in.gauge("Store.Polls", polls)
 	in.gauge("Peers.Known", int64(len(*in.gossip.peers.Load())))
 	in.updateLimitMetrics()
 	in.updateAnnouncementMetrics()
