--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -58,7 +58,7 @@
 func (rsp *response) write(cl *call) {
 	copyHeader(cl.w.Header(), rsp.header)
 	cl.w.Header().Set("Content-Length", strconv.Itoa(len(rsp.body)))
-	cl.headerSent = true
+	cl.headerSent.Store(true)
 	cl.w.WriteHeader(rsp.status)
 	_, _ = cl.w.Write(rsp.body)
 }
@@ -75,7 +75,7 @@
 	if att.ended.Result == steer.ResultBroken && ctx.Err() == nil {
 		att.ended.Died = in.refusesConnections(ctx, eff.Replica)
 	}
-	att.ended.Begun = cl.headerSent
+	att.ended.Begun = cl.headerSent.Load()
 	return att.ended
 }
 
@@ -159,7 +159,7 @@
 // reservations is ended without these checks if no response to the caller has begun.
 func (att *attempt) checkSilence(ctx context.Context, cancel context.CancelFunc) {
 	limit := time.Duration(att.limit.Load())
-	if hasReservations(&att.eff) && !att.cl.headerSent {
+	if hasReservations(&att.eff) && !att.cl.headerSent.Load() {
 		att.silent.Store(true)
 		cancel()
 		return
@@ -305,7 +305,7 @@
 		return att.failureResult(ctx)
 	}
 	rsp := &response{status: resp.StatusCode, header: resp.Header, body: body}
-	if resp.StatusCode >= http.StatusMultipleChoices || att.cl.headerSent {
+	if resp.StatusCode >= http.StatusMultipleChoices || att.cl.headerSent.Load() {
 		if !whole {
 			att.in.log.Warn().Str("Request", att.cl.info.Name).Str("Replica", att.eff.Replica.Name).Int("Status", resp.StatusCode).Msg("error response too long to be kept")
 			return steer.ResultBroken
@@ -328,7 +328,7 @@
 	if resp.ContentLength >= 0 {
 		att.cl.w.Header().Set("Content-Length", strconv.FormatInt(resp.ContentLength, 10))
 	}
-	att.cl.headerSent = true
+	att.cl.headerSent.Store(true)
 	att.cl.w.WriteHeader(resp.StatusCode)
 	if _, err := att.cl.w.Write(begun); err != nil {
 		return steer.ResultCancelled
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -43,7 +44,7 @@
 	control       *http.ResponseController
 
 	// headerSent reports whether the caller was sent a replica's status and header.
-	headerSent bool
+	headerSent atomic.Bool
 	// lastEventID is the ID of the last event that was forwarded to the caller, empty if there was none.
 	lastEventID string
 	// errorResponse is a replica's error response, held until it is clear that no other response follows.
@@ -242,10 +243,10 @@
 		in.gossip.awaitDeathAcks(cl.req.Context(), cl.contentDigest)
 	}
 	switch {
-	case eff.DeliverFailure && !cl.headerSent && cl.errorResponse != nil:
+	case eff.DeliverFailure && !cl.headerSent.Load() && cl.errorResponse != nil:
 		cl.errorResponse.write(cl)
 	case eff.Refusal == nil && !eff.DeliverFailure:
-	case cl.headerSent:
+	case cl.headerSent.Load():
 		// Part of the response is sent; only a cut connection shows the caller that the rest is missing.
 		panic(http.ErrAbortHandler)
 	case eff.Refusal != nil:
--- a/internal/relay/reservation.go
+++ b/internal/relay/reservation.go
@@ -43,7 +43,7 @@
 
 // reserve reserves the memory at all helpers concurrently and renews it until the context ends. It returns 0 if that
 // succeeds. If an order fails, it releases the reservations and returns the result of the attempt. The replica at fault is
-// the first helper, in the order of Helpers, whose order failed.
+// the helper whose order failed first.
 func (att *attempt) reserve(ctx context.Context) steer.Result {
 	group, limited := errgroup.WithContext(ctx)
 	refusals := make([]string, len(att.eff.Helpers))
@@ -53,7 +53,8 @@
 		}
 		group.Go(func() error {
 			err := att.order(limited, i, notice.Reservation)
-			if err != nil && !isHeldBack(err) {
+			if err != nil && !isHeldBack(err) && limited.Err() == nil {
+				// Once one order has failed the others are cancelled, which is no fault of their helpers.
 				refusals[i] = att.eff.Helpers[i].Name
 			}
 			return err
@@ -68,7 +69,8 @@
 		att.release()
 	}
 	switch {
-	case isHeldBack(err):
+	case isHeldBack(err), err != nil && ctx.Err() != nil:
+		// In the second case the caller has left or its time is up, which is no fault of a replica.
 		return steer.ResultHeld
 	case err != nil:
 		att.ended.FaultyReplica = cmp.Or(refusals...)
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -72,12 +72,12 @@
 	if att.lastEvent.IsZero() {
 		att.in.apply(steer.Began{ID: att.cl.id, Attempt: att.eff.Attempt})
 	}
-	if att.cl.headerSent {
+	if att.cl.headerSent.Load() {
 		return
 	}
 	att.in.recordTime("Requests.FirstByte.stream", time.Since(att.cl.arrived))
 	copyHeader(att.cl.w.Header(), resp.Header)
-	att.cl.headerSent = true
+	att.cl.headerSent.Store(true)
 	att.cl.w.WriteHeader(http.StatusOK)
 }
 
