Relay: the wait for deaths ends although the gossip has ended

An instance that stops because a listener failed ends its gossip first; a request for deaths under way then never completed, and the stop waited for it. From reading the diff; the test of it would be of the order of goroutines at a failed stop and was not written.

--- a/internal/relay/instance.go
+++ b/internal/relay/instance.go
@@ -289,7 +289,11 @@
 	case steer.RequestDeaths:
 		known := in.gossip.requestDeaths()
 		in.background.Go(func() {
-			<-known
+			select {
+			case <-known:
+			case <-time.After(2 * deathAckTimeout):
+				// The gossip has ended, since this Instance stops.
+			}
 			in.apply(steer.DeathsReceived{})
 		})
 	case steer.QueryLoad:
