Relay: an instance that an outage made a poller asks the regular ones before it polls

After an outage of the store, up to 24 instances polled it for as long as they lived, 3 wanted; each call is priced. An instance that polls itself asked nobody while its polls succeeded.

Instances taken as further pollers now ask the three regular ones at the same time, and poll only if none confirms. TestExtraPollerStopsPollingAfterOutage failed before (24 of 3), 300 runs pass; TestPollersAfterOutage failed in three of four kinds of outage (6 to 12 pollers after 20 s), passes, 3 pollers at most 1.5 s after the end with up to 300 instances.

--- a/internal/relay/confirm.go
+++ b/internal/relay/confirm.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"iter"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -30,6 +31,12 @@
 	UpTo int64 `cbor:"5,keyasint,omitempty"`
 }
 
+// receivedConfirmation is a confirmation with its sender.
+type receivedConfirmation struct {
+	confirmation
+	from *net.UDPAddr
+}
+
 // appliesTo reports whether the changes can be applied by an Instance that has reached the revision. It validates them
 // since they come from the network.
 func (conf *confirmation) appliesTo(revision int64) bool {
@@ -85,10 +92,15 @@
 // hasPeers reports whether there is another Instance.
 func (gs *gossip) hasPeers() bool { return len(*gs.ranked.Load()) > 1 }
 
+// pollerAddresses returns the addresses of the other instances among the given number of pollers.
+func (gs *gossip) pollerAddresses(pollers int) []*net.UDPAddr {
+	ranked := *gs.ranked.Load()
+	return slices.DeleteFunc(slices.Clone(ranked[:min(pollers, len(ranked))]), func(address *net.UDPAddr) bool { return address == nil })
+}
+
 // pickPollers returns up to pollersPerRound of the other pollers, in random order so that the load spreads over them.
 func (gs *gossip) pickPollers(pollers int) []*net.UDPAddr {
-	ranked := *gs.ranked.Load()
-	others := slices.DeleteFunc(slices.Clone(ranked[:min(pollers, len(ranked))]), func(address *net.UDPAddr) bool { return address == nil })
+	others := gs.pollerAddresses(pollers)
 	rand.Shuffle(len(others), func(a, b int) { others[a], others[b] = others[b], others[a] })
 	return others[:min(pollersPerRound, len(others))]
 }
@@ -96,23 +108,37 @@
 // requestConfirmation asks another Instance when the store last confirmed its state and what has changed after the
 // revision.
 func (gs *gossip) requestConfirmation(ctx context.Context, to *net.UDPAddr, since int64) (confirmation, bool) {
-	nonce := rand.Uint64() | 1
-	gs.writeDatagram(gs.encode(packet{Request: &confirmRequest{Nonce: nonce, Since: since}}), to)
-	return gs.awaitConfirmation(ctx, nonce)
+	for _, conf := range gs.requestConfirmations(ctx, []*net.UDPAddr{to}, since) {
+		return conf, true
+	}
+	return confirmation{}, false
 }
 
-func (gs *gossip) awaitConfirmation(ctx context.Context, nonce uint64) (confirmation, bool) {
-	timer := time.NewTimer(confirmTimeout)
-	defer timer.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return confirmation{}, false
-		case <-timer.C:
-			return confirmation{}, false
-		case conf := <-gs.confirmations:
-			if conf.Nonce == nonce && conf.AgeMs >= 0 {
-				return conf, true
+// requestConfirmations asks several instances at the same time and returns their confirmations as they arrive within
+// confirmTimeout.
+func (gs *gossip) requestConfirmations(ctx context.Context, recipients []*net.UDPAddr, since int64) iter.Seq2[*net.UDPAddr, confirmation] {
+	nonce := rand.Uint64() | 1
+	raw := gs.encode(packet{Request: &confirmRequest{Nonce: nonce, Since: since}})
+	for _, to := range recipients {
+		gs.writeDatagram(raw, to)
+	}
+	return func(yield func(*net.UDPAddr, confirmation) bool) {
+		timer := time.NewTimer(confirmTimeout)
+		defer timer.Stop()
+		for answered := 0; answered < len(recipients); {
+			select {
+			case <-ctx.Done():
+				return
+			case <-timer.C:
+				return
+			case rc := <-gs.confirmations:
+				if rc.Nonce != nonce || rc.AgeMs < 0 {
+					continue
+				}
+				answered++
+				if !yield(rc.from, rc.confirmation) {
+					return
+				}
 			}
 		}
 	}
--- a/internal/relay/follow.go
+++ b/internal/relay/follow.go
@@ -106,10 +106,17 @@
 }
 
 // sync updates the state once and returns the pause until the next call. A poller whose poll fails asks the other
-// pollers, and an Instance whose state no poller confirms may poll the store itself.
+// pollers, and an Instance whose state no poller confirms may poll the store itself. While further instances are taken as
+// pollers, these ask the regular ones before they poll: an Instance that polled as long as its own polls succeed would go on
+// after the outage for as long as it lives, and the store charges for every call.
 func (fl *follower) sync(ctx context.Context) time.Duration {
 	lag := float64(fl.in.opts.ConfigLag)
 	canAskPeers := fl.canAskPeers()
+	isRegular := fl.in.gossip.pollsStore(storePollers)
+	if canAskPeers && !isRegular && fl.confirmByRegularPollers(ctx) {
+		fl.in.polls.Store(false)
+		return time.Duration(confirmShare * lag)
+	}
 	isPoller := !canAskPeers || fl.in.gossip.pollsStore(fl.pollerCount())
 	fl.in.polls.Store(isPoller)
 	if !isPoller && fl.confirmByPeers(ctx) {
@@ -119,6 +126,9 @@
 		return minPollBackoff
 	}
 	polled := fl.pollStore(ctx)
+	if polled && canAskPeers && isRegular {
+		fl.confirmByRegularPollers(ctx)
+	}
 	switch {
 	case polled && !fl.in.configured():
 		return noConfigPause
@@ -154,7 +164,7 @@
 }
 
 // pollerCount returns the number of instances that are taken to poll the store. confirmByPeers halves it after each
-// success until it is back at storePollers.
+// success until it is back at storePollers, and confirmByRegularPollers puts it back there.
 func (fl *follower) pollerCount() int { return max(fl.pollers, storePollers) }
 
 // syncFromPeer requests the changes from the Instance that announced a newer revision, calls sync if that fails, and
@@ -184,6 +194,26 @@
 	return false
 }
 
+// confirmByRegularPollers asks the regular pollers at the same time to confirm the state, if further instances are taken as
+// pollers, and reports whether one did. If so, these are not needed any more.
+func (fl *follower) confirmByRegularPollers(ctx context.Context) bool {
+	if fl.pollerCount() == storePollers {
+		return false
+	}
+	requestedAt := bootTime()
+	for from, conf := range fl.in.gossip.requestConfirmations(ctx, fl.in.gossip.pollerAddresses(storePollers), fl.in.changes.revision()) {
+		if fl.isOld(&conf) || fl.catchUp(ctx, from, &conf) != nil {
+			continue
+		}
+		if fl.acceptConfirmation(requestedAt, &conf) || fl.confirmByPeer(ctx, from) {
+			fl.in.log.Info().Int("Pollers", storePollers).Int64("Revision", fl.in.changes.revision()).Msg("state confirmed by a regular poller; no more instances are taken as pollers")
+			fl.pollers = storePollers
+			return true
+		}
+	}
+	return false
+}
+
 // maxConfirmRounds is the maximum number of requests for one confirmation. Several are sent if the changes do not fit
 // into one response.
 const maxConfirmRounds = 256
@@ -193,7 +223,6 @@
 // the age stated in the response. So neither a suspended process nor a late datagram can extend a token's lifetime, and
 // a confirmation never becomes younger when it is passed on.
 func (fl *follower) confirmByPeer(ctx context.Context, from *net.UDPAddr) bool {
-	maxAge := time.Duration(maxAgeShare * float64(fl.in.opts.ConfigLag))
 	for range maxConfirmRounds {
 		requestedAt := bootTime()
 		conf, ok := fl.in.gossip.requestConfirmation(ctx, from, fl.in.changes.revision())
@@ -202,25 +231,41 @@
 			fl.in.count("Peers.Unanswered")
 			return false
 		}
-		if conf.AgeMs > maxAge.Milliseconds() {
-			fl.in.count("Peers.Old")
+		if fl.isOld(&conf) {
 			return false
 		}
 		if err := fl.catchUp(ctx, from, &conf); err != nil {
 			fl.in.count("Peers.NotFollowed")
 			return false
 		}
-		if fl.in.changes.revision() >= conf.Revision {
-			fl.in.count("Confirmed.ByPeer")
-			fl.in.recordTime("Peers.Age", time.Duration(conf.AgeMs)*time.Millisecond)
-			fl.markReachable()
-			fl.confirm(requestedAt - time.Duration(conf.AgeMs)*time.Millisecond)
+		if fl.acceptConfirmation(requestedAt, &conf) {
 			return true
 		}
 	}
 	return false
 }
 
+// isOld reports whether the confirmation is too old to be used, and counts it if so.
+func (fl *follower) isOld(conf *confirmation) bool {
+	if time.Duration(conf.AgeMs)*time.Millisecond <= time.Duration(maxAgeShare*float64(fl.in.opts.ConfigLag)) {
+		return false
+	}
+	fl.in.count("Peers.Old")
+	return true
+}
+
+// acceptConfirmation records the confirmation if the state here has reached its revision, and reports whether it has.
+func (fl *follower) acceptConfirmation(requestedAt time.Duration, conf *confirmation) bool {
+	if fl.in.changes.revision() < conf.Revision {
+		return false
+	}
+	fl.in.count("Confirmed.ByPeer")
+	fl.in.recordTime("Peers.Age", time.Duration(conf.AgeMs)*time.Millisecond)
+	fl.markReachable()
+	fl.confirm(requestedAt - time.Duration(conf.AgeMs)*time.Millisecond)
+	return true
+}
+
 // pollStore polls the store, applies any changes and reports whether the store responded and the state is up to date.
 func (fl *follower) pollStore(ctx context.Context) bool {
 	limited, cancel := context.WithTimeout(ctx, storeTimeout)
--- a/internal/relay/gossip.go
+++ b/internal/relay/gossip.go
@@ -43,8 +43,8 @@
 	// ranked holds the addresses of all instances in the order in which they are chosen as pollers, nil for this
 	// Instance.
 	ranked atomic.Pointer[[]*net.UDPAddr]
-	// confirmations receives the confirmation for the one request that is open.
-	confirmations chan confirmation
+	// confirmations receives the confirmations for the one request that is open, of at most storePollers instances.
+	confirmations chan receivedConfirmation
 	// newRevisions receives the address of an Instance that announced a newer revision.
 	newRevisions chan *net.UDPAddr
 	// unacked receives the packets to be repeated until they are acknowledged.
@@ -83,7 +83,7 @@
 	}
 	gs := &gossip{
 		in: in, conn: conn, queue: make(chan steer.SendNote, noteQueueSize),
-		confirmations: make(chan confirmation, 1), newRevisions: make(chan *net.UDPAddr, 1),
+		confirmations: make(chan receivedConfirmation, storePollers), newRevisions: make(chan *net.UDPAddr, 1),
 		unacked: make(chan *unacked, unackedQueueSize), acks: make(chan ack, ackQueueSize),
 	}
 	gs.peers.Store(&map[string]*net.UDPAddr{})
@@ -217,7 +217,7 @@
 			trySend(gs.newRevisions, from)
 		}
 	case pk.Confirmation != nil:
-		trySend(gs.confirmations, *pk.Confirmation)
+		trySend(gs.confirmations, receivedConfirmation{*pk.Confirmation, from})
 	default:
 		return false
 	}
