Relay: callers' idle connections live as long as the configuration says

IdleTimeoutMs was decoded and read nowhere: connections were closed after 60 s, also where callers may reuse them for longer, which breaks the request that is just sent.

--- a/internal/relay/instance.go
+++ b/internal/relay/instance.go
@@ -28,8 +28,6 @@
 	shutdownMargin = 400 * time.Millisecond
 	// drainQueueShare is the share of the grace period during which requests may still wait for a replica.
 	drainQueueShare = 0.25
-	// idleTimeout is how long a caller's keep-alive connection may stay idle.
-	idleTimeout = 60 * time.Second
 	// headerTimeout is the maximum time to read a request's header.
 	headerTimeout = 8 * time.Second
 	// maxHeader is the maximum size of a request's header in bytes.
@@ -156,9 +154,7 @@
 	errorLog := stdlog.New(libraryLog{in.log}, "", 0)
 	stdlog.SetOutput(libraryLog{in.log})
 	stdlog.SetFlags(0)
-	callerServer := &http.Server{
-		Handler: http.HandlerFunc(in.serve), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader, ErrorLog: errorLog,
-	}
+	callerServer := in.newCallerServer(http.HandlerFunc(in.serve), errorLog)
 	readyServer := &http.Server{Handler: http.HandlerFunc(in.readyz), ReadHeaderTimeout: headerTimeout, ErrorLog: errorLog}
 	peerMux := http.NewServeMux()
 	peerMux.HandleFunc("GET "+sharedConfigPath, in.serveConfig)
@@ -192,6 +188,10 @@
 	return err
 }
 
+func (in *Instance) newCallerServer(handler http.Handler, errorLog *stdlog.Logger) *http.Server {
+	return &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeader, ErrorLog: errorLog, ConnState: newIdleConns(in.idleLimit).track}
+}
+
 // handleHangups logs that SIGHUP has no effect: all settings come from flags and the environment and are read only at
 // startup. Without a handler the signal would end the process and its open requests.
 func (in *Instance) handleHangups(ctx context.Context, hangups <-chan os.Signal) error {
