Lease: a release that the store rejected is repeated, and the other leases stay

An instance that gave one pool up while the store was at its rate limit lost the leases of all its pools: any error of the deletion was taken for a write of unknown outcome, for which the service's lease is revoked. TestRejectedReleaseKeepsOtherLeases failed before.

--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -65,8 +65,10 @@
 	renewAt time.Time
 	// triedAt is the time of the last attempt to acquire each name.
 	triedAt map[string]time.Time
-	// uncertain contains the names for which the outcome of the last write is unknown.
+	// uncertain contains the names for which the outcome of the last write to acquire them is unknown.
 	uncertain map[string]bool
+	// releasing holds, by name, the fencing number of the released leases whose deletion the service has not confirmed.
+	releasing map[string]int64
 }
 
 // New returns a holder without leases. The nonce must be unique to this run of the instance.
@@ -79,6 +81,7 @@
 		dropped:   map[string]bool{},
 		triedAt:   map[string]time.Time{},
 		uncertain: map[string]bool{},
+		releasing: map[string]int64{},
 	}
 }
 
@@ -150,9 +153,10 @@
 		hd.renew(ctx)
 	}
 	for _, name := range hd.namesToRelease() {
-		hd.release(ctx, name)
+		hd.release(name)
 	}
 	wanted, held := hd.wantedAndHeld()
+	hd.deleteReleased(ctx)
 	for name := range hd.uncertain {
 		if !slices.Contains(wanted, name) {
 			// This instance may own the name without knowing it. Renewals would then keep the name alive and block all
@@ -239,6 +243,7 @@
 	hd.until = time.Time{}
 	hd.lease = 0
 	clear(hd.uncertain)
+	clear(hd.releasing)
 	clear(hd.triedAt)
 }
 
@@ -251,15 +256,25 @@
 	}
 }
 
-func (hd *Holder) release(ctx context.Context, name string) {
+// release stops the use of a lease. deleteReleased makes its name free.
+func (hd *Holder) release(name string) {
 	hd.mu.Lock()
-	held := hd.held[name]
+	defer hd.mu.Unlock()
+	hd.releasing[name] = hd.held[name].Fence
 	delete(hd.held, name)
 	delete(hd.dropped, name)
 	delete(hd.triedAt, name)
-	hd.mu.Unlock()
-	if hd.st.Delete(ctx, Prefix+name, held.Fence) != nil {
-		hd.uncertain[name] = true
+}
+
+// deleteReleased deletes the names that were released and tries again at the next step where the service did not confirm it.
+// A repeated deletion does no harm, since it applies to the revision of this run's lease only. Revoking the service's lease
+// instead would free the name at once, and with it all others.
+func (hd *Holder) deleteReleased(ctx context.Context) {
+	for name, fence := range hd.releasing {
+		err := hd.st.Delete(ctx, Prefix+name, fence)
+		if err == nil || errorx.IsOfType(err, store.Conflict) || errorx.IsOfType(err, store.Missing) {
+			delete(hd.releasing, name)
+		}
 	}
 }
 
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -154,3 +154,47 @@
 		assert.Assert(t, ok)
 	})
 }
+
+// limitedStore rejects deletions, with nothing done, as long as limited is set.
+type limitedStore struct {
+	store.Store
+	limited atomic.Bool
+}
+
+func (ls *limitedStore) Delete(ctx context.Context, key string, revision int64) error {
+	if ls.limited.Load() {
+		return store.Limited.New("rate limit exceeded")
+	}
+	return ls.Store.Delete(ctx, key, revision)
+}
+
+func TestRejectedReleaseKeepsOtherLeases(t *testing.T) {
+	// An instance holds the leases of two pools and no longer wants one of them. The store is at its rate limit and rejects the
+	// release. The other pool must keep its holder all the time: without one, its orders and permits would stop for seconds. The
+	// released pool must become free once the store accepts it.
+	synctest.Test(t, func(t *testing.T) {
+		kv := stand.NewKV(stand.Rates{})
+		st := &limitedStore{Store: stand.NewMemoryStore(kv)}
+		hd := startHolder(t, st, "one")
+		hd.SetWanted([]string{"kept", "released"})
+		time.Sleep(5 * time.Second)
+		next := startHolder(t, stand.NewMemoryStore(kv), "next")
+		next.SetWanted([]string{"released"})
+		st.limited.Store(true)
+		hd.SetWanted([]string{"kept"})
+		for range 50 {
+			_, ok := hd.Check("kept")
+			assert.Assert(t, ok)
+			_, ok = hd.Check("released")
+			_, taken := next.Check("released")
+			assert.Assert(t, !ok || !taken)
+			time.Sleep(100 * time.Millisecond)
+		}
+		st.limited.Store(false)
+		time.Sleep(10 * time.Second)
+		_, ok := next.Check("released")
+		assert.Assert(t, ok)
+		_, ok = hd.Check("kept")
+		assert.Assert(t, ok)
+	})
+}
