Permits: the age of an unanswered renewal ends with the last hold

An instance with its first long prompt in minutes asked the coordinator's substitute for a permit, while the others asked the coordinator: both granted the same memory for 5 s. TestCoordinatorIsNotSkippedForAnOldRenewal failed before.

--- a/internal/permit/holder.go
+++ b/internal/permit/holder.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -292,6 +293,8 @@
 
 func (ho *Holder) tick() []event.PermitAnswered {
 	if len(ho.holds) == 0 {
+		// Without holds there are no renewals, and the age of one that was not answered says nothing about the coordinator.
+		clear(ho.unanswered)
 		return nil
 	}
 	ho.skipUnresponsive()
@@ -325,6 +328,7 @@
 
 // skipUnresponsive excludes coordinators that do not answer for the duration of skipTime.
 func (ho *Holder) skipUnresponsive() {
+	maps.DeleteFunc(ho.skipUntil, func(_ string, until time.Time) bool { return !ho.now.Before(until) })
 	for _, hd := range ho.holds {
 		// This instance always answers itself, though late when the machine is busy, so it is never excluded.
 		if hd.sentTo != ho.Self.Name && hd.attempts >= maxAttempts && ho.now.Sub(hd.sentAt) >= answerTimeout {
--- a/internal/permit/permit_test.go
+++ b/internal/permit/permit_test.go
@@ -341,3 +341,26 @@
 		})
 	}
 }
+
+func TestCoordinatorIsNotSkippedForAnOldRenewal(t *testing.T) {
+	// A coordinator does not answer a renewal, and the holder's only prompt ends just then. Minutes later, another long prompt
+	// comes. The coordinator, which has been well since, must get its request: skipped, it would go on granting to the other
+	// holders while this one is granted the same memory by its substitute.
+	cl := newCluster()
+	cl.deliver(cl.holder.Request(cl.now, 1, newRequest("first", 1_000_000), []string{"a"}))
+	cl.run(500 * time.Millisecond)
+	coordinator := cl.recipients[0]
+	cl.down = coordinator
+	cl.run(700 * time.Millisecond)
+	cl.down = ""
+	cl.deliver(cl.holder.Release(cl.now, "first"))
+	cl.run(time.Minute)
+	cl.recipients = nil
+	cl.deliver(cl.holder.Request(cl.now, 2, newRequest("second", 300_000), []string{"a"}))
+	cl.run(500 * time.Millisecond)
+	for _, name := range cl.recipients {
+		if _, ok := cl.cos[name]; ok {
+			assert.Equal(t, name, coordinator)
+		}
+	}
+}
