Steer: job IDs of a request do not come round while peers remember their end

A request that waits for a slot gets a new job each 5 ms; after 256 of them (1.28 s) its IDs came round, while peers ignore an ID for 3 s after its end. They then did not know of its work. TestJobIDsDoNotComeRoundWhilePeersRememberTheirEnd failed before (1.28 s of 3 s).

Also tried, and no fault: prefixes that are inserted first are evicted first. Each send puts back what was evicted, so a prompt in use is found at each of its sends (TestPromptInUseStaysInIndex, passes before).

--- a/internal/steer/serve.go
+++ b/internal/steer/serve.go
@@ -84,8 +84,9 @@
 }
 
 // jobsPerRequest is how many jobs of one request have distinct IDs. After that many jobs an ID is used again. By then, peers
-// have forgotten that it had ended, so they do not ignore the new job.
-const jobsPerRequest = 256
+// have forgotten that it had ended, so they do not ignore the new job: a request gets a new job each claimBackoff at the
+// earliest, and its IDs last for longer than endedRetention.
+const jobsPerRequest = 4096
 
 // unbook removes the request's job from its replicas and announces its end.
 func (st *State) unbook(req *request) {
