Completions front: an instance that returns to the list is sent the deaths it missed

A peer that was cut off while two engines crashed under one content never heard of it, and ran the content again: two more engines. Announcements are repeated for 0.5 s only, and the list of quarantined content was fetched at start alone. TestPeerThatReturnsIsSentTheDeaths failed before (no such message).

--- a/internal/core/member.go
+++ b/internal/core/member.go
@@ -40,6 +40,7 @@
 }
 
 func (st *State) setInstances(instances []event.Instance) {
+	st.sendQuarantineToNew(instances)
 	st.Instances = instances
 	live := 0
 	for _, inst := range instances {
--- a/internal/core/quarantine.go
+++ b/internal/core/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/hex"
+	"slices"
 	"strconv"
 	"time"
 
@@ -182,6 +183,24 @@
 	return names
 }
 
+// sendQuarantineToNew sends the entries to the instances that are not in the present list: they have just started, or were cut
+// off and missed announcements.
+func (st *State) sendQuarantineToNew(instances []event.Instance) {
+	var entries []event.QuarantineReported
+	for _, inst := range instances {
+		isKnown := slices.ContainsFunc(st.Instances, func(known event.Instance) bool { return known.Name == inst.Name })
+		if isKnown || inst.Name == st.Options.Name || inst.Peer == "" {
+			continue
+		}
+		if entries == nil {
+			entries = st.SuspectDigests()
+		}
+		if len(entries) > 0 {
+			st.emit(effect.SendQuarantine{To: inst.Peer, Entries: entries})
+		}
+	}
+}
+
 // maxCatchUp is how long requests wait at most for what the peers know after the instance has stood still.
 const maxCatchUp = 500 * time.Millisecond
 
--- a/internal/core/quarantine_test.go
+++ b/internal/core/quarantine_test.go
@@ -100,3 +100,22 @@
 	assert.Assert(t, !sent)
 	assert.Equal(t, len(in.st.Requests), 0)
 }
+
+func TestPeerThatReturnsIsSentTheDeaths(t *testing.T) {
+	// A peer is cut off while two engines crash under one content. When it is in the list of instances again, it must be sent
+	// the deaths: it would run the content, and crash one more engine for each of its own.
+	in := newInstance(t)
+	in.listEngines("lyric-0", "lyric-1", "lyric-2")
+	self := event.Instance{Name: "entry-0", Peer: "127.0.0.1:10", FailureDomain: "a"}
+	peer := event.Instance{Name: "entry-1", Peer: "127.0.0.1:11", FailureDomain: "a"}
+	in.reduce(event.InstancesListed{Instances: []event.Instance{self, peer}})
+	in.reduce(event.InstancesListed{Instances: []event.Instance{self}})
+	in.crashes(1, 7)
+	effects := in.reduce(event.InstancesListed{Instances: []event.Instance{self, peer}})
+	sent, ok := find[effect.SendQuarantine](effects)
+	assert.Assert(t, ok)
+	assert.Equal(t, sent.To, peer.Peer)
+	assert.Equal(t, len(sent.Entries), 1)
+	_, ok = find[effect.SendQuarantine](in.reduce(event.InstancesListed{Instances: []event.Instance{self, peer}}))
+	assert.Assert(t, !ok, "it is sent once")
+}
--- a/internal/effect/effect.go
+++ b/internal/effect/effect.go
@@ -153,6 +153,12 @@
 	Permit        string
 }
 
+// SendQuarantine sends quarantine entries to one peer, by its peer address.
+type SendQuarantine struct {
+	To      string
+	Entries []event.QuarantineReported
+}
+
 // RequestQuarantine requests all quarantine entries of some peers. An event.QuarantineReceived follows.
 type RequestQuarantine struct{}
 
@@ -213,6 +219,7 @@
 func (RequestPermit) isEffect()      {}
 func (ReleasePermit) isEffect()      {}
 func (AnnounceQuarantine) isEffect() {}
+func (SendQuarantine) isEffect()     {}
 func (RequestQuarantine) isEffect()  {}
 func (SendDemand) isEffect()         {}
 func (SendShares) isEffect()         {}
