Meter: counts are merged while an objective's target changes

While a new target was rolled out, the report of all instances dropped the counts of those with the old one: an objective that burned looked well. The counts do not depend on the target. TestMergeWhileTargetChanges failed before (1 of 2). Definitions that count different requests as bad still replace each other: their counts cannot be added.

--- a/internal/meter/meter_test.go
+++ b/internal/meter/meter_test.go
@@ -88,6 +88,22 @@
 	assert.DeepEqual(t, all.Missing, []string{"entry-2"})
 }
 
+func TestMergeWhileTargetChanges(t *testing.T) {
+	// A new target for an objective has reached one of two Instances. Both have counted failures, in the same way. If the counts
+	// of one were dropped, an objective that burns would look well until the configuration is in force everywhere.
+	var reports []meter.Report
+	for i, name := range []string{"entry-0", "entry-1"} {
+		mt := newMeter()
+		mt.Record(meter.Observation{At: start, Service: "board", Failed: true})
+		rp := mt.Report(start, name)
+		for j := range rp.Objectives {
+			rp.Objectives[j].Objective.Target -= 0.001 * float64(i)
+		}
+		reports = append(reports, rp)
+	}
+	assert.Equal(t, lastHour(t, meter.Merge(reports), "board"), burn.Count{Bad: 2})
+}
+
 func TestWriteText(t *testing.T) {
 	registry := metrics.NewRegistry()
 	metrics.GetOrRegisterCounter("Requests.Refused.Overloaded", registry).Inc(3)
--- a/internal/meter/report.go
+++ b/internal/meter/report.go
@@ -84,7 +84,8 @@
 }
 
 // Merge combines the reports of several Instances. While a configuration is rolled out, an objective can differ between
-// Instances; the definition in the last such report replaces the others, with its counts.
+// Instances; the definition in the last such report holds. Counts are added unless the definitions count different requests as
+// bad: then only those of the last definition remain.
 func Merge(reports []Report) Report {
 	var all Report
 	objectives := map[string]ObjectiveReport{}
@@ -114,14 +115,20 @@
 }
 
 func mergeObjective(a, b ObjectiveReport) ObjectiveReport {
-	if a.Name == "" || a.Objective != b.Objective {
+	if a.Name == "" || !countsAlike(a.Objective, b.Objective) {
 		return b
 	}
 	counts := burn.Counts{}
 	for _, wr := range append(slices.Clone(a.Windows), b.Windows...) {
 		counts[wr.Window.Std()] = counts[wr.Window.Std()].Add(wr.Count)
 	}
-	return objectiveReport(a.Name, a.Objective, counts, mergeSeries(a.Series, b.Series))
+	return objectiveReport(b.Name, b.Objective, counts, mergeSeries(a.Series, b.Series))
+}
+
+// countsAlike reports whether both definitions count the same requests as bad. The target plays no part in that.
+func countsAlike(a, b decl.Objective) bool {
+	a.Target, b.Target = 0, 0
+	return a == b
 }
 
 func mergeSeries(a, b []burn.Bucket) []burn.Bucket {
