Instances that asked for the deaths long ago make room for new ones

After 1000 starts without a death in between, an instance that started later was not sent announcements before the list showed it: expired addresses were removed only when a death was announced. TestOldRequestersMakeRoom failed before. Beside it: what is held back after a standstill is logged like other outdated decisions.

--- a/internal/deaths/requesters.go
+++ b/internal/deaths/requesters.go
@@ -29,15 +29,20 @@
 	if rq.requestedAt == nil {
 		rq.requestedAt = map[string]time.Time{}
 	}
+	rq.dropExpired()
 	if address != "" && len(rq.requestedAt) < maxRequesters {
 		rq.requestedAt[address] = time.Now()
 	}
 }
 
+func (rq *Requesters) dropExpired() {
+	maps.DeleteFunc(rq.requestedAt, func(_ string, at time.Time) bool { return time.Since(at) > requesterTTL })
+}
+
 // Recent returns the addresses that were added within requesterTTL and removes the others.
 func (rq *Requesters) Recent() []string {
 	rq.mu.Lock()
 	defer rq.mu.Unlock()
-	maps.DeleteFunc(rq.requestedAt, func(_ string, at time.Time) bool { return time.Since(at) > requesterTTL })
+	rq.dropExpired()
 	return slices.Collect(maps.Keys(rq.requestedAt))
 }
--- a/internal/steer/announce.go
+++ b/internal/steer/announce.go
@@ -107,15 +107,12 @@
 
 // sending decides whether a message may be sent.
 func (st *State) sending(ev Sending) {
-	if !ev.DecidedAt.IsZero() && st.now.Sub(ev.DecidedAt) > maxDecisionAge {
+	// What was decided before the instance stood still may be wrong by what it has not received yet.
+	if !ev.DecidedAt.IsZero() && (st.now.Sub(ev.DecidedAt) > maxDecisionAge || st.catchingUp()) {
 		st.emit(LogLine{Message: "send held back", Request: ev.Request, Replica: ev.Targets[0].Replica.Name, Send: ev.Targets[0].Kind.String(), Age: st.now.Sub(ev.DecidedAt), Reason: ReasonOutdated})
 		st.emit(Verdict{Outdated: true})
 		return
 	}
-	if ev.ID != 0 && !ev.DecidedAt.IsZero() && st.catchingUp() {
-		st.emit(Verdict{Outdated: true})
-		return
-	}
 	for i := range ev.Targets {
 		target := &ev.Targets[i]
 		if ann := st.heldBy(&ev, target); ann != notice.None {
