Standstill: pauses as long as the wait for acknowledgements are noticed; tests pause for sure

Two causes, told apart by a log line for each announcement and application: the process under test had not stopped yet when the test sent its request (SIGSTOP takes effect in milliseconds on a busy machine), so the copy ran at two instances at the same moment, which is allowed; and a pause of just the 0.5 s for which the peer waits was at the limit of what counts as a standstill.

--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -90,9 +90,9 @@
 	}
 }
 
-// maxEventGap is the time between two events from which on the process has stood still: ticks are closer together. It is no
-// longer than an instance that announces a death waits for this one to acknowledge it.
-const maxEventGap = 500 * time.Millisecond
+// maxEventGap is the time between two events from which on the process has stood still: ticks are closer together. It is
+// shorter than an instance that announces a death waits for this one to acknowledge it.
+const maxEventGap = 400 * time.Millisecond
 
 // reduce passes the event to the reducer, after a StoodStill if the process has stood still since the last event.
 func (lp *Loop) reduce(ev event.Event) {
--- a/internal/core/quarantine.go
+++ b/internal/core/quarantine.go
@@ -208,9 +208,6 @@
 // which would then be sent although its content is in quarantine.
 func (st *State) handleStoodStill(ev event.StoodStill) {
 	st.emit(effect.CountAndLog{Counter: "Instance.StoodStill", LogMessage: "instance stood still", Subject: ev.Gap.String()})
-	if len(st.Instances) < 2 {
-		return
-	}
 	st.quarantine.catchUpUntil = st.now.Add(maxCatchUp)
 	st.emit(effect.RequestQuarantine{})
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"strings"
 	"sync"
 	"syscall"
@@ -210,9 +211,30 @@
 	return pr.signal(syscall.SIGKILL)
 }
 
-// Pause stops the process until Resume.
+// Pause stops the process until Resume, and returns when all its threads stand still. On a busy machine some go on for
+// milliseconds after the signal was sent, and could still take a request that a test sends next.
 func (pr *Process) Pause() error {
-	return pr.signal(syscall.SIGSTOP)
+	if err := pr.signal(syscall.SIGSTOP); err != nil {
+		return err
+	}
+	for pr.isRunning() {
+		time.Sleep(time.Millisecond)
+	}
+	return nil
+}
+
+// isRunning reports whether any thread of the process is neither stopped nor ended.
+func (pr *Process) isRunning() bool {
+	paths, _ := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", pr.cmd.Process.Pid))
+	for _, path := range paths {
+		text, err := os.ReadFile(path)
+		// The state follows the name of the program in parentheses.
+		_, after, found := strings.Cut(string(text), ") ")
+		if err == nil && found && !strings.ContainsRune("TtZXx", rune(after[0])) {
+			return true
+		}
+	}
+	return false
 }
 
 // Resume continues a paused process.
--- a/internal/relay/deaths.go
+++ b/internal/relay/deaths.go
@@ -19,7 +19,7 @@
 const (
 	// deathAckTimeout is how long the answer to a failed request waits for the acknowledgements of the deaths under it. An
 	// Instance that stands still delays that answer, and no other.
-	deathAckTimeout = 300 * time.Millisecond
+	deathAckTimeout = 350 * time.Millisecond
 	// deathRepeat is the interval at which a note is repeated within deathAckTimeout.
 	deathRepeat = 60 * time.Millisecond
 	// minDeathBackoff is the interval at which a note is repeated afterwards, to instances that are cut off or stand still. It
--- a/internal/relay/instance.go
+++ b/internal/relay/instance.go
@@ -34,9 +34,9 @@
 	maxHeader = 64 << 10
 	// tickPeriod is the interval of Ticked events; while requests wait, the reducer asks for additional ones.
 	tickPeriod = 200 * time.Millisecond
-	// maxEventGap is the time between two events from which on the process has stood still: ticks are closer together. It is no
-	// longer than an Instance that announces a death waits for this one to acknowledge it.
-	maxEventGap = deathAckTimeout
+	// maxEventGap is the time between two events from which on the process has stood still: ticks are closer together. It is
+	// shorter than deathAckTimeout, for which an Instance that announces a death waits for this one.
+	maxEventGap = 300 * time.Millisecond
 	// gcPercent is the heap growth in percent that starts a garbage collection. The heap is a few MB, and memory costs
 	// more than the little processor time that collecting early takes.
 	gcPercent = 40
