--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -26,6 +26,8 @@
 	// quarantineAckTimeout is how long the peers have to acknowledge a death before the caller of the request gets its answer.
 	// A peer that stands still delays that answer, and no other.
 	quarantineAckTimeout = 500 * time.Millisecond
+	// catchUpPause is the pause between two requests for the quarantine list after a standstill.
+	catchUpPause = 20 * time.Millisecond
 	// quarantineSenders is the maximum number of peers that are sent a death at the same time.
 	quarantineSenders = 64
 )
@@ -139,24 +141,37 @@
 	})
 }
 
-// catchUpQuarantine requests the quarantine entries of some peers at the same time, after this instance has stood still, and
-// reports the first answer to the reducer. One is enough: a peer that is not standing still has received all announcements.
+// catchUpQuarantine requests the quarantine entries of some peers, after this instance has stood still, and reports the first
+// answer to the reducer. One is enough: a peer that is not standing still has received all announcements. The connections to
+// the peers may have ended meanwhile, and the first request on them fails, so requests are repeated until one is answered.
 func (in *Instance) catchUpQuarantine() {
 	defer in.loop.Submit(event.QuarantineReceived{})
-	if in.peers == nil {
-		return
-	}
 	addresses := *in.listedPeers.Load()
 	addresses = addresses[:min(len(addresses), quarantinePeers)]
+	if in.peers == nil || len(addresses) == 0 {
+		return
+	}
+	for until := time.Now().Add(quarantineAckTimeout); time.Now().Before(until); time.Sleep(catchUpPause) {
+		if in.requestFromAny(addresses) {
+			return
+		}
+	}
+}
+
+// requestFromAny requests the entries of the peers at the same time and reports whether one has answered.
+func (in *Instance) requestFromAny(addresses []string) bool {
 	answered := make(chan error, len(addresses))
 	for _, address := range addresses {
 		in.pending.Go(func() { answered <- in.requestQuarantine(address) })
 	}
 	for range addresses {
-		if <-answered == nil {
-			return
+		err := <-answered
+		if err == nil {
+			return true
 		}
+		in.log.Warn().Err(err).Msg("cannot get the quarantine list from a peer after a standstill")
 	}
+	return false
 }
 
 func (in *Instance) requestQuarantine(address string) error {
