Standstill: the answer to a request from before it does not end the wait after it

Beside heavy load (29 on five processors) an instance that had stood still twice sent a request that its peer had quarantined during the second time: the answer to what it had asked after the first time ended the wait. Answers bear the number of their standstill now, on both fronts. TestAnswerFromBeforeAStandstillDoesNotEndTheWaitAfterIt failed before in its form without numbers (the wait ended).

--- a/internal/core/quarantine.go
+++ b/internal/core/quarantine.go
@@ -42,6 +42,8 @@
 	observed uint64
 	// deadSince holds the upstreams that crashed and have shown no sign of life since, with the time of the crash.
 	deadSince map[string]time.Time
+	// standstills counts how often the instance has stood still.
+	standstills int
 	// catchUpUntil is until when requests wait for what the peers know, after the instance has stood still.
 	catchUpUntil time.Time
 }
@@ -208,8 +210,18 @@
 // which would then be sent although its content is in quarantine.
 func (st *State) handleStoodStill(ev event.StoodStill) {
 	st.emit(effect.CountAndLog{Counter: "Instance.StoodStill", LogMessage: "instance stood still", Subject: ev.Gap.String()})
+	st.quarantine.standstills++
 	st.quarantine.catchUpUntil = st.now.Add(maxCatchUp)
-	st.emit(effect.RequestQuarantine{})
+	st.emit(effect.RequestQuarantine{Standstill: st.quarantine.standstills})
+}
+
+// handleQuarantineReceived ends the wait after a standstill. The answer to a request from before a further standstill does not:
+// deaths may have been announced since.
+func (st *State) handleQuarantineReceived(ev event.QuarantineReceived) {
+	if ev.Standstill == st.quarantine.standstills {
+		st.quarantine.catchUpUntil = time.Time{}
+		st.dispatchAll()
+	}
 }
 
 // catchingUp reports whether requests wait for what the peers know.
--- a/internal/core/quarantine_test.go
+++ b/internal/core/quarantine_test.go
@@ -119,3 +119,17 @@
 	_, ok = find[effect.SendQuarantine](in.reduce(event.InstancesListed{Instances: []event.Instance{self, peer}}))
 	assert.Assert(t, !ok, "it is sent once")
 }
+
+func TestAnswerFromBeforeAStandstillDoesNotEndTheWaitAfterIt(t *testing.T) {
+	// On a machine that is too busy, the process stands still, asks a peer, and stands still again. The answer to the first
+	// request, which tells nothing of what happened during the second standstill, must not end the wait after that.
+	in := newInstance(t)
+	first := only[effect.RequestQuarantine](t, in.reduce(event.StoodStill{Gap: time.Second}))
+	second := only[effect.RequestQuarantine](t, in.reduce(event.StoodStill{Gap: time.Second}))
+	_, sent := find[effect.Send](in.arriveLyric(1, 7))
+	assert.Assert(t, !sent)
+	_, sent = find[effect.Send](in.reduce(event.QuarantineReceived{Standstill: first.Standstill}))
+	assert.Assert(t, !sent)
+	_, sent = find[effect.Send](in.reduce(event.QuarantineReceived{Standstill: second.Standstill}))
+	assert.Assert(t, sent)
+}
--- a/internal/core/state.go
+++ b/internal/core/state.go
@@ -195,8 +195,7 @@
 	case event.StoodStill:
 		st.handleStoodStill(ev)
 	case event.QuarantineReceived:
-		st.quarantine.catchUpUntil = time.Time{}
-		st.dispatchAll()
+		st.handleQuarantineReceived(ev)
 	case event.DemandReceived:
 		st.handleDemandReceived(ev)
 	case event.SharesReceived:
--- a/internal/effect/effect.go
+++ b/internal/effect/effect.go
@@ -159,8 +159,8 @@
 	Entries []event.QuarantineReported
 }
 
-// RequestQuarantine requests all quarantine entries of some peers. An event.QuarantineReceived follows.
-type RequestQuarantine struct{}
+// RequestQuarantine requests all quarantine entries of some peers. An event.QuarantineReceived with the same Standstill follows.
+type RequestQuarantine struct{ Standstill int }
 
 // AnnounceQuarantine sends a quarantine entry to all peers.
 type AnnounceQuarantine struct{ Quarantined event.QuarantineReported }
--- a/internal/entry/perform.go
+++ b/internal/entry/perform.go
@@ -39,7 +39,7 @@
 			in.sendToPeer(eff.To, quarantineMessage(entry))
 		}
 	case effect.RequestQuarantine:
-		in.pending.Go(in.catchUpQuarantine)
+		in.pending.Go(func() { in.catchUpQuarantine(eff.Standstill) })
 	case effect.CloseIdle:
 		in.upstream.CloseIdle(eff.Address)
 	case effect.CountAndLog:
--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -144,8 +144,8 @@
 // catchUpQuarantine requests the quarantine entries of some peers, after this instance has stood still, and reports the first
 // answer to the reducer. One is enough: a peer that is not standing still has received all announcements. The connections to
 // the peers may have ended meanwhile, and the first request on them fails, so requests are repeated until one is answered.
-func (in *Instance) catchUpQuarantine() {
-	defer in.loop.Submit(event.QuarantineReceived{})
+func (in *Instance) catchUpQuarantine(standstill int) {
+	defer in.loop.Submit(event.QuarantineReceived{Standstill: standstill})
 	addresses := *in.listedPeers.Load()
 	addresses = addresses[:min(len(addresses), quarantinePeers)]
 	if in.peers == nil || len(addresses) == 0 {
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -242,7 +242,7 @@
 type StoodStill struct{ Gap time.Duration }
 
 // QuarantineReceived reports that a peer has answered a RequestQuarantine, or that none did in time.
-type QuarantineReceived struct{}
+type QuarantineReceived struct{ Standstill int }
 
 // Demand is an organisation's demand at one instance, as a fraction of its limits for the whole fleet.
 type Demand struct {
--- a/internal/relay/instance.go
+++ b/internal/relay/instance.go
@@ -294,7 +294,7 @@
 			case <-time.After(2 * deathAckTimeout):
 				// The gossip has ended, since this Instance stops.
 			}
-			in.apply(steer.DeathsReceived{})
+			in.apply(steer.DeathsReceived{Standstill: eff.Standstill})
 		})
 	case steer.QueryLoad:
 		in.pollLoads(eff)
--- a/internal/steer/effect.go
+++ b/internal/steer/effect.go
@@ -104,8 +104,8 @@
 // QueryLoad queries engines for their load. A LoadReported follows for each engine that answers.
 type QueryLoad struct{ Replicas []Replica }
 
-// RequestDeaths requests the deaths that other instances know. A DeathsReceived follows.
-type RequestDeaths struct{}
+// RequestDeaths requests the deaths that other instances know. A DeathsReceived with the same Standstill follows.
+type RequestDeaths struct{ Standstill int }
 
 // Wake requests a Ticked after the given time.
 type Wake struct{ After time.Duration }
--- a/internal/steer/event.go
+++ b/internal/steer/event.go
@@ -169,7 +169,7 @@
 type StoodStill struct{ Gap time.Duration }
 
 // DeathsReceived reports that another instance has answered a RequestDeaths, or that none did in time.
-type DeathsReceived struct{}
+type DeathsReceived struct{ Standstill int }
 
 // Draining reports that the instance was asked to shut down.
 type Draining struct {
--- a/internal/steer/quarantine.go
+++ b/internal/steer/quarantine.go
@@ -43,8 +43,18 @@
 	if len(st.others) == 0 {
 		return
 	}
+	st.standstills++
 	st.catchUpUntil = st.now.Add(maxCatchUp)
-	st.emit(RequestDeaths{})
+	st.emit(RequestDeaths{Standstill: st.standstills})
+}
+
+// deathsReceived ends the wait after a standstill. The answer to a request from before a further standstill does not: deaths
+// may have been announced since.
+func (st *State) deathsReceived(ev DeathsReceived) {
+	if ev.Standstill == st.standstills {
+		st.catchUpUntil = time.Time{}
+		st.dispatch()
+	}
 }
 
 // catchingUp reports whether requests wait for what the others know.
--- a/internal/steer/quarantine_test.go
+++ b/internal/steer/quarantine_test.go
@@ -157,7 +157,7 @@
 			find[steer.RequestDeaths](t, in.reduce(steer.StoodStill{Gap: time.Second}))
 			none[steer.Send](t, in.arrive(&long, 5000))
 			if answer {
-				find[steer.Send](t, in.reduce(steer.DeathsReceived{}))
+				find[steer.Send](t, in.reduce(steer.DeathsReceived{Standstill: 1}))
 				return
 			}
 			none[steer.Send](t, in.advance(200*time.Millisecond))
@@ -165,3 +165,15 @@
 		})
 	}
 }
+
+func TestAnswerFromBeforeAStandstillDoesNotEndTheWaitAfterIt(t *testing.T) {
+	// On a machine that is too busy, the process stands still, asks a peer, and stands still again. The answer to the first
+	// request, which tells nothing of what happened during the second standstill, must not end the wait after that.
+	in := newInstance(t, "one", 4)
+	in.reduce(steer.Peered{Instances: []steer.Instance{{Name: "two", FailureDomain: "a"}}})
+	first := find[steer.RequestDeaths](t, in.reduce(steer.StoodStill{Gap: time.Second}))
+	second := find[steer.RequestDeaths](t, in.reduce(steer.StoodStill{Gap: time.Second}))
+	none[steer.Send](t, in.arrive(&long, 5000))
+	none[steer.Send](t, in.reduce(steer.DeathsReceived{Standstill: first.Standstill}))
+	find[steer.Send](t, in.reduce(steer.DeathsReceived{Standstill: second.Standstill}))
+}
--- a/internal/steer/state.go
+++ b/internal/steer/state.go
@@ -67,6 +67,8 @@
 	deaths *deaths.Table[Digest]
 	// deathsSeen is the number of deaths that this instance has observed.
 	deathsSeen int
+	// standstills counts how often the instance has stood still.
+	standstills int
 	// catchUpUntil is until when requests wait for the deaths that others know, after the instance has stood still.
 	catchUpUntil time.Time
 	// meanPrompts holds the moving average of the prompt length in tokens, by route.
@@ -237,8 +239,7 @@
 	case StoodStill:
 		st.stoodStill(ev)
 	case DeathsReceived:
-		st.catchUpUntil = time.Time{}
-		st.dispatch()
+		st.deathsReceived(ev)
 	case Draining:
 		st.drain = &ev
 	case Summarized:
