--- a/internal/steer/quarantine_test.go
+++ b/internal/steer/quarantine_test.go
@@ -174,6 +174,6 @@
 	first := find[steer.RequestDeaths](t, in.reduce(steer.StoodStill{Gap: time.Second}))
 	second := find[steer.RequestDeaths](t, in.reduce(steer.StoodStill{Gap: time.Second}))
 	none[steer.Send](t, in.arrive(&long, 5000))
-	none[steer.Send](t, in.reduce(steer.DeathsReceived{Standstill: first.Standstill}))
-	find[steer.Send](t, in.reduce(steer.DeathsReceived{Standstill: second.Standstill}))
+	none[steer.Send](t, in.reduce(steer.DeathsReceived(first)))
+	find[steer.Send](t, in.reduce(steer.DeathsReceived(second)))
 }
