--- a/internal/relay/instance.go
+++ b/internal/relay/instance.go
@@ -294,7 +294,7 @@
 			case <-time.After(2 * deathAckTimeout):
 				// The gossip has ended, since this Instance stops.
 			}
-			in.apply(steer.DeathsReceived{Standstill: eff.Standstill})
+			in.apply(steer.DeathsReceived(eff))
 		})
 	case steer.QueryLoad:
 		in.pollLoads(eff)
