Completions front: a configuration reaches the reducer before it admits requests

A request just after a start, or for a model that was just added, could be refused with 404 UnknownModel, after which callers do not try again: the configuration was in force for readiness, tokens and models before the reducer had it. TestConfigurationReachesTheReducerFirst makes the order certain and failed before.

--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -276,10 +276,11 @@
 
 // acceptConfig applies a version of the configuration. The follower calls it sequentially, with increasing versions.
 func (in *Instance) acceptConfig(cfg *decl.Config) {
-	in.config.Store(newDirectory(cfg))
 	in.Meter.Configure(cfg)
 	in.claims.Configure(cfg)
+	// Events are reduced in order. What is admitted by the new configuration comes after this one.
 	in.loop.Submit(event.ConfigAccepted{Config: cfg})
+	in.config.Store(newDirectory(cfg))
 	in.log.Info().Str("Instance", in.opts.Name).Int64("Version", cfg.Version).Msg("configuration in force")
 }
 
