Relay: only further pollers ask the regular ones

All instances with a raised number of pollers asked the three regular ones at the same time, and again after each failure, and these answered nobody in time.

--- a/internal/relay/follow.go
+++ b/internal/relay/follow.go
@@ -107,17 +107,17 @@
 
 // sync updates the state once and returns the pause until the next call. A poller whose poll fails asks the other
 // pollers, and an Instance whose state no poller confirms may poll the store itself. While further instances are taken as
-// pollers, these ask the regular ones before they poll: an Instance that polled as long as its own polls succeed would go on
+// pollers, these, and no others, ask the regular ones before they poll: an Instance that polled as long as its own polls succeed would go on
 // after the outage for as long as it lives, and the store charges for every call.
 func (fl *follower) sync(ctx context.Context) time.Duration {
 	lag := float64(fl.in.opts.ConfigLag)
 	canAskPeers := fl.canAskPeers()
 	isRegular := fl.in.gossip.pollsStore(storePollers)
-	if canAskPeers && !isRegular && fl.confirmByRegularPollers(ctx) {
+	isPoller := !canAskPeers || fl.in.gossip.pollsStore(fl.pollerCount())
+	if canAskPeers && isPoller && !isRegular && fl.confirmByRegularPollers(ctx) {
 		fl.in.polls.Store(false)
 		return time.Duration(confirmShare * lag)
 	}
-	isPoller := !canAskPeers || fl.in.gossip.pollsStore(fl.pollerCount())
 	fl.in.polls.Store(isPoller)
 	if !isPoller && fl.confirmByPeers(ctx) {
 		return time.Duration(confirmShare * lag)
--- a/internal/relay/outage_test.go
+++ b/internal/relay/outage_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"os"
 	"strconv"
 	"sync/atomic"
@@ -196,3 +197,31 @@
 	}
 	assert.Assert(t, of.watch(time.Minute, func() bool { return of.pollers() > 0 }))
 }
+
+func TestInstancesThatDoNotPollDoNotAskAllRegularPollers(t *testing.T) {
+	// All instances of a large fleet start again at once, and more pollers are taken until the first confirmations come. If all
+	// of them, and not only the further pollers, asked the three regular pollers at the same time and again after each
+	// failure, these would answer nobody in time, and the fleet would serve nothing for half a minute.
+	dir := newFakeDirectory()
+	in := newTestInstance(t, "one", dir)
+	registerAll(dir, in)
+	fl := &follower{in: in}
+	assert.Assert(t, fl.pollStore(t.Context()))
+	silent, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	assert.NilError(t, err)
+	self, peers := dir.snap.Peers[0], map[string]Peer{}
+	for i := 0; in.gossip.pollsStore(maxStorePollers); i++ {
+		name := "silent-" + strconv.Itoa(i)
+		peers[name] = Peer{Name: name, Address: silent.LocalAddr().String()}
+		peers[self.Name] = self
+		in.setPeers(peers)
+	}
+	fl.pollers = maxStorePollers
+	fl.sync(t.Context())
+	assert.NilError(t, silent.SetReadDeadline(time.Now().Add(100*time.Millisecond)))
+	requests := 0
+	for buf := make([]byte, maxDatagram); err == nil; requests++ {
+		_, _, err = silent.ReadFromUDP(buf)
+	}
+	assert.Assert(t, requests-1 <= pollersPerRound, requests-1)
+}
