Standstill: a busy reducer does not stand still, and 3 s pass between two waits

The time that the reducer spent on an event counted as a standstill, and each standstill holds all sends: a machine that is too busy to tick in time could hold its requests again and again.

--- a/internal/relay/instance.go
+++ b/internal/relay/instance.go
@@ -37,6 +37,9 @@
 	// maxEventGap is the time between two events from which on the process has stood still: ticks are closer together. It is
 	// shorter than deathAckTimeout, for which an Instance that announces a death waits for this one.
 	maxEventGap = 300 * time.Millisecond
+	// minStandstillInterval is the time between two StoodStill events. Requests are held after each, and a machine that is too busy
+	// to tick in time would otherwise hold them all the time.
+	minStandstillInterval = 3 * time.Second
 	// gcPercent is the heap growth in percent that starts a garbage collection. The heap is a few MB, and memory costs
 	// more than the little processor time that collecting early takes.
 	gcPercent = 40
@@ -93,8 +96,10 @@
 	mu    sync.Mutex
 	state *steer.State
 	calls map[steer.RequestID]*call
-	// lastEventAt is when the last event was passed to the reducer.
+	// lastEventAt is when the reducer was done with the last event. A process that was busy with one did not stand still.
 	lastEventAt time.Time
+	// stoodStillAt is when the last StoodStill was passed to the reducer.
+	stoodStillAt time.Time
 }
 
 // New returns an Instance that has not started. dropped returns how many lines the logger has dropped.
@@ -263,13 +268,15 @@
 	now := time.Now()
 	// now.Round(0) has no reading of the monotonic clock, which does not count time in suspension.
 	gap := max(now.Sub(in.lastEventAt), now.Round(0).Sub(in.lastEventAt.Round(0)))
-	if gap > maxEventGap && !in.lastEventAt.IsZero() {
+	if gap > maxEventGap && !in.lastEventAt.IsZero() && now.Sub(in.stoodStillAt) > minStandstillInterval {
+		in.stoodStillAt = now
 		for _, eff := range in.state.Reduce(now, steer.StoodStill{Gap: gap}) {
 			in.perform(eff)
 		}
 	}
-	in.lastEventAt = now
-	return in.state.Reduce(now, ev)
+	effects := in.state.Reduce(now, ev)
+	in.lastEventAt = time.Now()
+	return effects
 }
 
 func (in *Instance) perform(eff steer.Effect) {
