One detector of pauses for both fronts, and less written twice in tests

Deaths for an instance that starts use note() like other notes. Comments reworded. No behaviour changes; assertions as they were.

--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -6,6 +6,7 @@
 
 	"dandelionsail.example/dandelionsail/internal/effect"
 	"dandelionsail.example/dandelionsail/internal/event"
+	"dandelionsail.example/dandelionsail/internal/pause"
 )
 
 // eventBacklog is the number of events that can wait for the reducer before Submit blocks.
@@ -20,10 +21,8 @@
 	ended   chan struct{}
 	// nextTick is the time at which the next tick is due.
 	nextTick time.Time
-	// reducedAt is when the reducer was done with the last event. A process that was busy with one did not stand still.
-	reducedAt time.Time
-	// stoodStillAt is when the last StoodStill was passed to the reducer.
-	stoodStillAt time.Time
+	// pauses notices that the process has stood still.
+	pauses pause.Detector
 }
 
 // NewLoop returns a loop that hands each effect to perform, which must not block.
@@ -34,6 +33,7 @@
 		views:   make(chan func(*State)),
 		perform: perform,
 		ended:   make(chan struct{}),
+		pauses:  pause.Detector{MaxGap: maxEventGap},
 	}
 }
 
@@ -92,25 +92,17 @@
 	}
 }
 
-// maxEventGap is the time between two events from which on the process has stood still: ticks are closer together. It is
-// shorter than an instance that announces a death waits for this one to acknowledge it.
+// maxEventGap is the time between two events from which on the process has stood still. It is shorter than an instance that
+// announces a death waits for this one to acknowledge it.
 const maxEventGap = 400 * time.Millisecond
 
-// minStandstillInterval is the time between two StoodStill events. Requests are held after each, and a machine that is too busy
-// to tick in time would otherwise hold them all the time.
-const minStandstillInterval = 3 * time.Second
-
 // reduce passes the event to the reducer, after a StoodStill if the process has stood still since the last event.
 func (lp *Loop) reduce(ev event.Event) {
-	now := time.Now()
-	// now.Round(0) has no reading of the monotonic clock, which does not count time in suspension.
-	gap := max(now.Sub(lp.reducedAt), now.Round(0).Sub(lp.reducedAt.Round(0)))
-	if gap > maxEventGap && !lp.reducedAt.IsZero() && now.Sub(lp.stoodStillAt) > minStandstillInterval {
-		lp.stoodStillAt = now
+	if gap := lp.pauses.Before(time.Now()); gap > 0 {
 		lp.reduceOne(event.StoodStill{Gap: gap})
 	}
 	lp.reduceOne(ev)
-	lp.reducedAt = time.Now()
+	lp.pauses.After(time.Now())
 }
 
 func (lp *Loop) reduceOne(ev event.Event) {
--- a/internal/deaths/deaths.go
+++ b/internal/deaths/deaths.go
@@ -54,7 +54,7 @@
 // Suspect reports whether an upstream has crashed while running the content, too few for a quarantine.
 func (vd Verdict) Suspect() bool { return vd.Crashes > 0 && !vd.Quarantined }
 
-// Table holds the deaths of all contents by the time of the last call. It is not safe for concurrent use.
+// Table holds the deaths of all contents. It is not safe for concurrent use.
 type Table[Content comparable] struct {
 	rules    Rules
 	contents map[Content]map[uint64]Death
--- a/internal/deaths/requesters_test.go
+++ b/internal/deaths/requesters_test.go
@@ -12,7 +12,7 @@
 )
 
 func TestOldRequestersMakeRoom(t *testing.T) {
-	// Instances start and end for weeks, and nobody dies under a request meanwhile. If those that asked long ago kept their
+	// Instances start and end for weeks, and no upstream dies meanwhile. If those that asked long ago kept their
 	// places, one that starts now would not be sent the next death, and the caller's resend to it would take one more upstream down.
 	synctest.Test(t, func(t *testing.T) {
 		var rq deaths.Requesters
--- a/internal/entry/config_test.go
+++ b/internal/entry/config_test.go
@@ -13,7 +13,7 @@
 
 func TestConfigurationReachesTheReducerFirst(t *testing.T) {
 	// An instance is ready, and callers' tokens and models are known to it, as soon as it holds a configuration. If the reducer
-	// got that later, a request that arrives in between would be refused with 404, as one for a model that nobody declared, and
+	// got that later, a request that arrives in between would be refused with 404, as one for an undeclared model, and
 	// its caller would not try again. Here the reducer has more to do than its queue holds, and takes nothing yet.
 	synctest.Test(t, func(t *testing.T) {
 		in := New(Options{Name: "entry-0"}, &log.Logger{Level: log.PanicLevel})
--- a/internal/notice/notice.go
+++ b/internal/notice/notice.go
@@ -101,7 +101,7 @@
 type Rule struct {
 	// Name is the kind in the log and in metrics.
 	Name string
-	// ToAll reports whether the announcement applies to all instances, which are therefore told of it.
+	// ToAll reports whether the announcement applies to all instances, which are therefore informed of it.
 	ToAll bool
 	// Treatments holds what happens to each kind of message.
 	Treatments [Kinds]Treatment
--- a/internal/proof/quarantine_test.go
+++ b/internal/proof/quarantine_test.go
@@ -54,10 +54,8 @@
 	assert.Equal(t, alive, 1)
 }
 
-func TestQuarantineReachesUnlistedInstance(t *testing.T) {
-	// A new instance fetches the quarantine from its peer while it is still empty, and the peer's list does not show the new
-	// instance yet. Then a request crashes two engines through the peer, and the caller retries it through the new instance.
-	// If the peer announced the quarantine only to the instances on its list, the retry would crash the third engine.
+// threeEngines returns a fleet with a platform and three engines, and no instance yet.
+func threeEngines(t *testing.T) *fleet.Fleet {
 	fl := &fleet.Fleet{}
 	t.Cleanup(fl.Close)
 	assert.NilError(t, fl.StartPlatform("--list-lag", "0s"))
@@ -66,6 +64,20 @@
 		_, err := fl.StartEngine(name, "lyric", "a", "--step", "10ms")
 		assert.NilError(t, err)
 	}
+	return fl
+}
+
+// sendPoison sends a request that crashes the engine that runs it.
+func sendPoison(ctx context.Context, address string) load.Result {
+	caller := &load.Caller{Address: address, Token: token, HTTP: http.DefaultClient}
+	return caller.Complete(ctx, "lyric", stand.PoisonMarker+" "+load.Prompt(500, 1), 10)
+}
+
+func TestQuarantineReachesUnlistedInstance(t *testing.T) {
+	// A new instance fetches the quarantine from its peer while it is still empty, and the peer's list does not show the new
+	// instance yet. Then a request crashes two engines through the peer, and the caller retries it through the new instance.
+	// If the peer announced the quarantine only to the instances on its list, the retry would crash the third engine.
+	fl := threeEngines(t)
 	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 	defer cancel()
 	old, err := fl.StartEntry("entry-0", "a", "--list-period", "1h")
@@ -74,13 +86,9 @@
 	unlisted, err := fl.StartEntry("entry-1", "a", "--list-period", "100ms")
 	assert.NilError(t, err)
 	assert.NilError(t, fleet.WaitReady(ctx, unlisted.Address))
-	send := func(address string) load.Result {
-		caller := &load.Caller{Address: address, Token: token, HTTP: http.DefaultClient}
-		return caller.Complete(ctx, "lyric", stand.PoisonMarker+" "+load.Prompt(500, 1), 10)
-	}
-	first := send(old.Address)
+	first := sendPoison(ctx, old.Address)
 	assert.Equal(t, first.Status, http.StatusUnprocessableEntity, first.Detail)
-	again := send(unlisted.Address)
+	again := sendPoison(ctx, unlisted.Address)
 	assert.Equal(t, again.Status, http.StatusUnprocessableEntity, again.Detail)
 	assert.Equal(t, again.Ran, "NotRun")
 }
@@ -89,14 +97,7 @@
 	// An instance stands still while a request crashes two engines through its peer. The caller gives up on the peer, whose
 	// answer waits for the one that stands still, and has already sent the request there, too. When that one goes on, the
 	// request and the announcement are waiting for it. If it took the request first, the third engine would crash.
-	fl := &fleet.Fleet{}
-	t.Cleanup(fl.Close)
-	assert.NilError(t, fl.StartPlatform("--list-lag", "0s"))
-	configure(t, fl)
-	for _, name := range []string{"lyric-0", "lyric-1", "lyric-2"} {
-		_, err := fl.StartEngine(name, "lyric", "a", "--step", "10ms")
-		assert.NilError(t, err)
-	}
+	fl := threeEngines(t)
 	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 	defer cancel()
 	var ins []*fleet.Process
@@ -107,14 +108,10 @@
 		ins = append(ins, in)
 	}
 	time.Sleep(300 * time.Millisecond)
-	send := func(address string) load.Result {
-		caller := &load.Caller{Address: address, Token: token, HTTP: http.DefaultClient}
-		return caller.Complete(ctx, "lyric", stand.PoisonMarker+" "+load.Prompt(500, 1), 10)
-	}
 	assert.NilError(t, ins[1].Pause())
 	again := make(chan load.Result, 1)
-	go func() { again <- send(ins[1].Address) }()
-	first := send(ins[0].Address)
+	go func() { again <- sendPoison(ctx, ins[1].Address) }()
+	first := sendPoison(ctx, ins[0].Address)
 	assert.Equal(t, first.Status, http.StatusUnprocessableEntity, first.Detail)
 	assert.NilError(t, ins[1].Resume())
 	resent := <-again
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -343,7 +343,7 @@
 	return steer.ResultDone
 }
 
-// bodyReader remembers the error of a response's body, so that it can be told from one of the caller's connection.
+// bodyReader remembers the error of a response's body, so that it can be distinguished from one of the caller's connection.
 type bodyReader struct {
 	body io.Reader
 	// err is the error that ended the body, nil if it ended as a whole.
--- a/internal/relay/instance.go
+++ b/internal/relay/instance.go
@@ -19,6 +19,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"dandelionsail.example/dandelionsail/internal/delay"
+	"dandelionsail.example/dandelionsail/internal/pause"
 	"dandelionsail.example/dandelionsail/internal/steer"
 	"dandelionsail.example/dandelionsail/pkg/decl"
 )
@@ -34,12 +35,9 @@
 	maxHeader = 64 << 10
 	// tickPeriod is the interval of Ticked events; while requests wait, the reducer asks for additional ones.
 	tickPeriod = 200 * time.Millisecond
-	// maxEventGap is the time between two events from which on the process has stood still: ticks are closer together. It is
-	// shorter than deathAckTimeout, for which an Instance that announces a death waits for this one.
+	// maxEventGap is the time between two events from which on the process has stood still. It is shorter than
+	// deathAckTimeout, for which an Instance that announces a death waits for this one.
 	maxEventGap = 300 * time.Millisecond
-	// minStandstillInterval is the time between two StoodStill events. Requests are held after each, and a machine that is too busy
-	// to tick in time would otherwise hold them all the time.
-	minStandstillInterval = 3 * time.Second
 	// gcPercent is the heap growth in percent that starts a garbage collection. The heap is a few MB, and memory costs
 	// more than the little processor time that collecting early takes.
 	gcPercent = 40
@@ -96,10 +94,8 @@
 	mu    sync.Mutex
 	state *steer.State
 	calls map[steer.RequestID]*call
-	// lastEventAt is when the reducer was done with the last event. A process that was busy with one did not stand still.
-	lastEventAt time.Time
-	// stoodStillAt is when the last StoodStill was passed to the reducer.
-	stoodStillAt time.Time
+	// pauses notices that the process has stood still.
+	pauses pause.Detector
 }
 
 // New returns an Instance that has not started. dropped returns how many lines the logger has dropped.
@@ -124,6 +120,7 @@
 		firstConfirmed: make(chan struct{}),
 		peersListed:    make(chan struct{}),
 		ownEntry:       make(chan Peer, 1),
+		pauses:         pause.Detector{MaxGap: maxEventGap},
 	}
 	in.state = steer.New(steer.Options{
 		Name: opts.Name, FailureDomain: opts.FailureDomain, Run: run, Seed: seed, MissingTime: opts.MissingTime,
@@ -266,16 +263,13 @@
 // its effects. in.mu is held.
 func (in *Instance) reduce(ev steer.Event) []steer.Effect {
 	now := time.Now()
-	// now.Round(0) has no reading of the monotonic clock, which does not count time in suspension.
-	gap := max(now.Sub(in.lastEventAt), now.Round(0).Sub(in.lastEventAt.Round(0)))
-	if gap > maxEventGap && !in.lastEventAt.IsZero() && now.Sub(in.stoodStillAt) > minStandstillInterval {
-		in.stoodStillAt = now
+	if gap := in.pauses.Before(now); gap > 0 {
 		for _, eff := range in.state.Reduce(now, steer.StoodStill{Gap: gap}) {
 			in.perform(eff)
 		}
 	}
 	effects := in.state.Reduce(now, ev)
-	in.lastEventAt = time.Now()
+	in.pauses.After(time.Now())
 	return effects
 }
 
--- a/internal/relay/outage_test.go
+++ b/internal/relay/outage_test.go
@@ -201,7 +201,7 @@
 func TestInstancesThatDoNotPollDoNotAskAllRegularPollers(t *testing.T) {
 	// All instances of a large fleet start again at once, and more pollers are taken until the first confirmations come. If all
 	// of them, and not only the further pollers, asked the three regular pollers at the same time and again after each
-	// failure, these would answer nobody in time, and the fleet would serve nothing for half a minute.
+	// failure, none would get an answer in time, and the fleet would serve nothing for half a minute.
 	dir := newFakeDirectory()
 	in := newTestInstance(t, "one", dir)
 	registerAll(dir, in)
--- a/internal/steer/announce_test.go
+++ b/internal/steer/announce_test.go
@@ -111,7 +111,7 @@
 }
 
 func TestDepartureIsToldOnce(t *testing.T) {
-	// Many answers say that a replica leaves. The others are told once, by an instance that heard it itself, so that the cost
+	// Many answers say that a replica leaves. The others are notified once, by an instance that received such an answer itself, so that the cost
 	// does not grow with the requests.
 	departures := func(effects []steer.Effect) (count int) {
 		for _, eff := range effects {
--- a/internal/steer/quarantine.go
+++ b/internal/steer/quarantine.go
@@ -127,7 +127,7 @@
 	}
 	var notes []Note
 	for part := range slices.Chunk(all, maxNoteDeaths) {
-		notes = append(notes, Note{From: st.Options.Name, Run: st.Options.Run, UptimeMs: st.uptimeMs(), Waiting: len(st.waiting), Deaths: part})
+		notes = append(notes, st.note(Note{Deaths: part}))
 	}
 	return notes
 }
