Repeat budget: lines with the counts that decided a repeat, and for requests written again

The hypotheses of the incident differ in what the budget counted, among how many instances it divided the slack, and whether more left an instance than it had decided. None of that was in a line or a metric.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -87,6 +87,8 @@
 	ended steer.AttemptEnded
 	// maybeSent reports whether the request may have left this Instance.
 	maybeSent atomic.Bool
+	// writes counts how often the request was written to a connection.
+	writes atomic.Int32
 	// silent reports whether checkSilence ended the attempt because the replica made no progress in time.
 	silent atomic.Bool
 	// timer calls checkSilence.
@@ -228,7 +230,7 @@
 func (att *attempt) newRequest(ctx context.Context) *http.Request {
 	cl := att.cl
 	// From the moment a connection is assigned, the request may have left on it, whatever error follows.
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { att.maybeSent.Store(true) }})
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { att.maybeSent.Store(true) }, WroteHeaders: att.headersWritten})
 	req := (&http.Request{
 		Method: cl.req.Method, Host: cl.req.Host, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 		URL:    targetURL(cl.req, att.eff.Replica.Address),
@@ -253,6 +255,15 @@
 	return req
 }
 
+// headersWritten counts how often the HTTP client has written the attempt's request to a connection.
+func (att *attempt) headersWritten() {
+	if att.writes.Add(1) > 1 {
+		att.in.count("Attempts.WrittenAgain")
+		att.in.log.Info().Str("Request", att.cl.info.Name).Str("Replica", att.eff.Replica.Name).Int("Attempt", att.eff.Attempt).
+			Int("Writes", int(att.writes.Load())).Msg("request written again by the HTTP client")
+	}
+}
+
 // targetURL returns the URL at the replica with the path and query exactly as the caller sent them, if possible.
 func targetURL(req *http.Request, address string) *url.URL {
 	if strings.HasPrefix(req.RequestURI, "/") && !strings.HasPrefix(req.RequestURI, "//") {
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -69,6 +69,10 @@
 	if line.Status > 0 {
 		entry.Int("Status", line.Status)
 	}
+	if line.Budget != nil {
+		entry.Float64("Requests", line.Budget.Requests).Float64("Repeats", line.Budget.Repeats).
+			Float64("Allowed", math.Round(line.Budget.Allowed*10)/10).Int("Instances", line.Budget.Instances)
+	}
 	if line.End != nil {
 		logOutcome(entry, line.End)
 	}
--- a/internal/steer/retry.go
+++ b/internal/steer/retry.go
@@ -157,7 +157,13 @@
 		// Nothing was sent, so the repeat adds no load and is not charged to the budget.
 		return true
 	}
-	return st.ledgerOf(req.service).takeRepeat(st.now, st.Options.Budget, st.live)
+	use, taken := st.ledgerOf(req.service).takeRepeat(st.now, st.Options.Budget, st.live)
+	message := "repeat charged"
+	if !taken {
+		message = "repeat refused: budget used up"
+	}
+	st.emit(LogLine{Message: message, Request: req.Name, Attempt: req.attempt, Budget: &use})
+	return taken
 }
 
 // repeatable reports whether the route allows a request that may have run to run again after this result.
@@ -224,20 +230,21 @@
 	led.slots[led.advance(now, window)].requests++
 }
 
-// takeRepeat charges one repeat to the budget and reports whether the budget allowed it. The slack is divided equally among
-// the live instances and one more, in case this instance does not know of one of them.
-func (led *ledger) takeRepeat(now time.Time, bud Budget, live int) bool {
+// takeRepeat charges one repeat to the budget and reports whether the budget allowed it, and on which counts. The slack is
+// divided equally among the live instances and one more, in case this instance does not know of one of them.
+func (led *ledger) takeRepeat(now time.Time, bud Budget, live int) (use BudgetUse, taken bool) {
 	currentIndex := led.advance(now, bud.Window)
-	var requests, repeats float64
+	use.Instances = live + 1
 	for _, slot := range led.slots {
-		requests += slot.requests
-		repeats += slot.repeats
+		use.Requests += slot.requests
+		use.Repeats += slot.repeats
 	}
-	if repeats+1 > budgetShare*(bud.Ratio*requests+bud.Slack/float64(live+1)) {
-		return false
+	use.Allowed = budgetShare * (bud.Ratio*use.Requests + bud.Slack/float64(use.Instances))
+	if use.Repeats+1 > use.Allowed {
+		return use, false
 	}
 	led.slots[currentIndex].repeats++
-	return true
+	return use, true
 }
 
 // budgetShare is the usable part of the budget. The rest covers requests that count here in one window and arrive in the
