Repeat budget: it outlasts the process, is divided by all that may use it, and timed by the monotonic clock

Cause: the ledger lives and ends with its process, its slack was divided by the number of instances listed at the moment, its slots were numbered by the time of day, and a repeat was charged when it was decided, not when it went. Class: what may be used in a stretch of time is kept by a process that ends sooner, divided by a count that may shrink, and timed by a clock that may jump.

Mend: one type for an allowance over a window, budget.Allowance, and one for the part of the slack, budget.Division. A new process has no part until what an earlier one can have used is out of the window and all others count it; a part shrinks at once and grows late; an instance whose list is old uses half, one without a list none; a use counts from its decision until a window after it has certainly arrived; it is checked again just before it goes. The requests that count for a window are those around its beginning, the same stretch at every instance: if each took its best, the sum would exceed what all had in any.

TestRepeatsStayWithinBudget gets traffic before the failures, since the ratio of a stretch without requests is nothing; its bounds are the rule's for the window.

--- a/internal/model/instance.go
+++ b/internal/model/instance.go
@@ -203,11 +203,12 @@
 	in.reduce(steer.AttemptEnded{ID: req.id, Attempt: req.attempt.send.Attempt, Result: steer.ResultExpired, Begun: req.begun})
 }
 
-// tick passes steer.Ticked to the reducer at every tickPeriod, as the relay does.
+// tick passes steer.ListConfirmed and steer.Ticked to the reducer at every tickPeriod, as the relay does.
 func (in *instance) tick() {
 	if in.stopped {
 		return
 	}
+	in.reduce(steer.ListConfirmed{})
 	in.reduce(steer.Ticked{})
 	in.wd.after(tickPeriod, in.tick)
 }
--- a/internal/model/world.go
+++ b/internal/model/world.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"dandelionsail.example/dandelionsail/internal/budget"
 	"dandelionsail.example/dandelionsail/internal/steer"
 	"dandelionsail.example/dandelionsail/pkg/decl"
 )
@@ -166,7 +167,7 @@
 	in.state = steer.New(steer.Options{
 		Name: in.name, FailureDomain: wd.failureDomain(index), Run: run, Seed: wd.seed*1000 + uint64(index) + uint64(run)*100,
 		MissingTime: 2 * time.Second, Tuning: wd.tune,
-		Budget: steer.Budget{Ratio: budgetRatio, Slack: budgetSlack, Window: budgetWindow},
+		Budget: budget.Rule{Ratio: budgetRatio, Slack: budgetSlack, Window: budgetWindow},
 	})
 	wd.instances[index] = in
 	in.reduce(steer.Configured{Routing: wd.routing})
@@ -177,7 +178,7 @@
 			others = append(others, steer.Instance{Name: wd.instanceName(i), FailureDomain: wd.failureDomain(i)})
 		}
 	}
-	in.reduce(steer.Peered{Instances: others})
+	in.reduce(steer.Peered{Instances: others, Listed: true})
 	in.tick()
 	wd.after(summaryPeriod*wd.random.Float64(), in.summarize)
 }
--- a/internal/notice/notice.go
+++ b/internal/notice/notice.go
@@ -41,6 +41,9 @@
 	return names[kind]
 }
 
+// IsAttempt reports whether the message is an attempt of a request.
+func (kind Kind) IsAttempt() bool { return kind == First || kind == Retry || kind == Resumption }
+
 // Announcement is a kind of statement of an upstream about itself.
 type Announcement int
 
--- a/internal/relay/gossip.go
+++ b/internal/relay/gossip.go
@@ -276,5 +276,6 @@
 	in.gossip.peers.Store(&addresses)
 	in.gossip.ranked.Store(&order)
 	in.peersListedOnce.Do(func() { close(in.peersListed) })
-	in.apply(steer.Peered{Instances: others})
+	_, listed := peers[in.self.Name]
+	in.apply(steer.Peered{Instances: others, Listed: listed})
 }
--- a/internal/relay/instance.go
+++ b/internal/relay/instance.go
@@ -18,6 +18,7 @@
 	"github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/errgroup"
 
+	"dandelionsail.example/dandelionsail/internal/budget"
 	"dandelionsail.example/dandelionsail/internal/delay"
 	"dandelionsail.example/dandelionsail/internal/pause"
 	"dandelionsail.example/dandelionsail/internal/steer"
@@ -126,8 +127,9 @@
 	}
 	in.state = steer.New(steer.Options{
 		Name: opts.Name, FailureDomain: opts.FailureDomain, Run: run, Seed: seed, MissingTime: opts.MissingTime,
-		Tuning: opts.Tuning,
-		Budget: steer.Budget{Ratio: opts.BudgetRatio, Slack: opts.BudgetSlack, Window: opts.BudgetWindow},
+		Tuning:  opts.Tuning,
+		Budget:  budget.Rule{Ratio: opts.BudgetRatio, Slack: opts.BudgetSlack, Window: opts.BudgetWindow},
+		ListLag: opts.ConfigLag,
 	})
 	return in
 }
@@ -242,6 +244,9 @@
 func (in *Instance) tick(ctx context.Context) error {
 	for ctx.Err() == nil {
 		delay.For(ctx, tickPeriod)
+		if in.confirmed.Load() != 0 {
+			in.apply(steer.ListConfirmed{Age: in.confirmedAge()})
+		}
 		in.apply(steer.Ticked{})
 	}
 	return ctx.Err()
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -70,8 +70,9 @@
 		entry.Int("Status", line.Status)
 	}
 	if line.Budget != nil {
-		entry.Float64("Requests", line.Budget.Requests).Float64("Repeats", line.Budget.Repeats).
-			Float64("Allowed", math.Round(line.Budget.Allowed*10)/10).Int("Instances", line.Budget.Instances)
+		entry.Float64("Requests", line.Budget.Requests).Float64("Used", line.Budget.Used).
+			Float64("Allowed", math.Round(line.Budget.Allowed*10)/10).Int("Instances", line.Budget.Part.Instances)
+		addString(entry, "PartReduced", string(line.Budget.Part.Reason))
 	}
 	if line.End != nil {
 		logOutcome(entry, line.End)
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -36,6 +36,7 @@
 	in.gauge("Peers.Known", int64(len(*in.gossip.peers.Load())))
 	in.updateLimitMetrics()
 	in.updateAnnouncementMetrics()
+	in.updateRepeatMetrics()
 	in.gauge("Responses.BufferedBytes", in.buffers.bytes.Load())
 	in.gauge("Log.Dropped", in.dropped())
 	in.gauge("Process.Goroutines", int64(runtime.NumGoroutine()))
@@ -46,6 +47,20 @@
 	_ = meter.WriteText(w, in.registry)
 }
 
+// updateRepeatMetrics sets the gauges of the repeat budget: this instance's part of the slack in millionths and the number of instances
+// that it was divided by, and how many repeats were charged, have arrived, were never sent, and were refused.
+func (in *Instance) updateRepeatMetrics() {
+	in.mu.Lock()
+	part, totals := in.state.RepeatStatus(time.Now())
+	in.mu.Unlock()
+	in.gauge("Repeats.PartMillionths", int64(1e6*part.Share))
+	in.gauge("Repeats.Instances", int64(part.Instances))
+	in.gauge("Repeats.Charged", totals.Taken)
+	in.gauge("Repeats.Arrived", totals.Settled)
+	in.gauge("Repeats.NeverSent", totals.Released)
+	in.gauge("Repeats.Refused", totals.Refused)
+}
+
 func (in *Instance) gauge(name string, value int64) {
 	metrics.GetOrRegisterGauge(name, in.registry).Update(value)
 }
--- a/internal/steer/announce.go
+++ b/internal/steer/announce.go
@@ -96,10 +96,12 @@
 	HeldBy notice.Announcement
 	// Outdated reports that the decision is too old to be carried out.
 	Outdated bool
+	// OverBudget reports that the message is a repeat that the budget does not allow any more.
+	OverBudget bool
 }
 
 // Held reports whether the message must not be sent.
-func (vd Verdict) Held() bool { return vd.HeldBy != notice.None || vd.Outdated }
+func (vd Verdict) Held() bool { return vd.HeldBy != notice.None || vd.Outdated || vd.OverBudget }
 
 // maxDecisionAge is the age up to which a decision to send is carried out. An instance that stood still for longer has not
 // received what replicas have announced since.
@@ -121,6 +123,10 @@
 			return
 		}
 	}
+	if !st.mayGo(&ev) {
+		st.emit(Verdict{OverBudget: true})
+		return
+	}
 	for i := range ev.Targets {
 		if rep, ok := st.replicas[ev.Targets[i].Replica.Name]; ok && !ev.Repeated {
 			rep.rest.Pass(st.now, uint64(ev.ID), ev.Targets[i].Kind)
--- a/internal/steer/announce_test.go
+++ b/internal/steer/announce_test.go
@@ -122,7 +122,7 @@
 		return count
 	}
 	in := newInstance(t, "one", 2)
-	in.reduce(steer.Peered{Instances: []steer.Instance{{Name: "two", FailureDomain: "a"}}})
+	in.reduce(steer.Peered{Instances: []steer.Instance{{Name: "two", FailureDomain: "a"}}, Listed: true})
 	sent := 0
 	for range 50 {
 		sent += departures(in.announce("lyric-0", notice.Announced{Leaving: true}))
@@ -145,7 +145,7 @@
 	// leaves. They go elsewhere.
 	t.Run("claim", func(t *testing.T) {
 		in := newInstance(t, "one", 2)
-		in.reduce(steer.Peered{Instances: []steer.Instance{{Name: "two", FailureDomain: "a"}}})
+		in.reduce(steer.Peered{Instances: []steer.Instance{{Name: "two", FailureDomain: "a"}}, Listed: true})
 		list := replicas(2)
 		list[0].Slots, list[1].Slots = 1, 1
 		in.reduce(steer.Listed{Replicas: list})
@@ -157,7 +157,7 @@
 	})
 	t.Run("helper of a claim", func(t *testing.T) {
 		in := newInstance(t, "one", 3)
-		in.reduce(steer.Peered{Instances: []steer.Instance{{Name: "two", FailureDomain: "a"}}})
+		in.reduce(steer.Peered{Instances: []steer.Instance{{Name: "two", FailureDomain: "a"}}, Listed: true})
 		list := replicas(3)
 		for i := range 3 {
 			list[i].Slots = 1
@@ -286,7 +286,7 @@
 	// A limited replica says that it leaves, or the caller of a request with a grant leaves, before the granted send is made.
 	// The send must be available to others again.
 	in := newInstance(t, "one", 1)
-	in.reduce(steer.Peered{Instances: []steer.Instance{{Name: "two", FailureDomain: "a"}}})
+	in.reduce(steer.Peered{Instances: []steer.Instance{{Name: "two", FailureDomain: "a"}}, Listed: true})
 	limited := notice.Announced{Limited: true, PerS: 1}
 	in.announce("lyric-0", limited)
 	granted := func(job steer.JobID) time.Duration {
--- a/internal/steer/bench_test.go
+++ b/internal/steer/bench_test.go
@@ -12,7 +12,7 @@
 // newBusyInstance returns an instance whose engines each serve eight streams of another instance.
 func newBusyInstance(engines int) *instance {
 	in := newInstance(nil, "one", engines)
-	in.reduce(steer.Peered{Instances: []steer.Instance{{Name: "two"}}})
+	in.reduce(steer.Peered{Instances: []steer.Instance{{Name: "two"}}, Listed: true})
 	nt := steer.Note{From: "two", Run: 1}
 	for engine := range engines {
 		for range 8 {
--- a/internal/steer/budget_test.go
+++ b/internal/steer/budget_test.go
@@ -7,11 +7,12 @@
 
 	"gotest.tools/v3/assert"
 
+	"dandelionsail.example/dandelionsail/internal/budget"
 	"dandelionsail.example/dandelionsail/internal/steer"
 )
 
 // fleetBudget is the repeat budget of the tests of whole fleets.
-var fleetBudget = steer.Budget{Ratio: 0.2, Slack: 100, Window: 10 * time.Second}
+var fleetBudget = budget.Rule{Ratio: 0.2, Slack: 100, Window: 10 * time.Second}
 
 // failingFleet is a simulated fleet whose replicas fail all requests, with a record of all that arrives at the replicas.
 type failingFleet struct {
--- a/internal/steer/claim_test.go
+++ b/internal/steer/claim_test.go
@@ -47,7 +47,7 @@
 				others = append(others, steer.Instance{Name: other, FailureDomain: "a"})
 			}
 		}
-		cc.reduce(name, steer.Peered{Instances: others})
+		cc.reduce(name, steer.Peered{Instances: others, Listed: true})
 		cc.reduce(name, steer.Listed{Replicas: list})
 	}
 	return cc
--- a/internal/steer/effect.go
+++ b/internal/steer/effect.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"dandelionsail.example/dandelionsail/internal/budget"
 	"dandelionsail.example/dandelionsail/internal/notice"
 )
 
@@ -67,6 +68,8 @@
 	ReasonDeadline Reason = "DeadlineExceeded"
 	// ReasonUpstream means that an attempt failed and must not be repeated.
 	ReasonUpstream Reason = "UpstreamFailed"
+	// ReasonBudget means that an attempt failed and that the budget of repeats allows no other.
+	ReasonBudget Reason = "RetryBudgetUsed"
 	// ReasonQuarantine means that replicas died while running the same content.
 	ReasonQuarantine Reason = "Quarantined"
 	// ReasonDraining means that the instance is shutting down.
@@ -146,23 +149,11 @@
 	// Invalid quotes an announcement whose value cannot be used.
 	Invalid string
 	// Budget is what a decision about a repeat was based on.
-	Budget *BudgetUse
+	Budget *budget.Use
 	// End is set on the last line of a request that was admitted.
 	End *Outcome
 }
 
-// BudgetUse is this instance's use of the repeat budget of a service, as counted in the budget's window.
-type BudgetUse struct {
-	// Requests is the number of requests for the service.
-	Requests float64
-	// Repeats is the number of repeats, without the one that is decided.
-	Repeats float64
-	// Allowed is the number of repeats that this instance may send.
-	Allowed float64
-	// Instances is the number of instances among which the slack is divided.
-	Instances int
-}
-
 // Outcome is the outcome of a request, from which the utility that it lost and the cause of the loss can be derived.
 type Outcome struct {
 	Route string
--- a/internal/steer/event.go
+++ b/internal/steer/event.go
@@ -144,7 +144,14 @@
 type Configured struct{ Routing *decl.Routing }
 
 // Peered carries the other live instances.
-type Peered struct{ Instances []Instance }
+type Peered struct {
+	Instances []Instance
+	// Listed reports whether this instance is listed, too.
+	Listed bool
+}
+
+// ListConfirmed reports that the list of instances was current the given time ago.
+type ListConfirmed struct{ Age time.Duration }
 
 // NoteReceived carries a note received from another instance.
 type NoteReceived struct{ Note Note }
@@ -204,5 +211,6 @@
 func (StoodStill) isEvent()       {}
 func (DeathsReceived) isEvent()   {}
 func (Draining) isEvent()         {}
+func (ListConfirmed) isEvent()    {}
 func (Ticked) isEvent()           {}
 func (Summarized) isEvent()       {}
--- a/internal/steer/life_test.go
+++ b/internal/steer/life_test.go
@@ -6,6 +6,7 @@
 
 	"pgregory.net/rapid"
 
+	"dandelionsail.example/dandelionsail/internal/budget"
 	"dandelionsail.example/dandelionsail/internal/steer"
 	"dandelionsail.example/dandelionsail/pkg/decl"
 )
@@ -33,7 +34,7 @@
 }
 
 // tightBudget is low enough to be exhausted in the test.
-var tightBudget = steer.Budget{Ratio: 0.2, Slack: 6, Window: 10 * time.Second}
+var tightBudget = budget.Rule{Ratio: 0.2, Slack: 6, Window: 10 * time.Second}
 
 // outcomes are the results from which an attempt's is drawn. Success is the most frequent.
 var outcomes = []steer.Result{
--- a/internal/steer/limit_test.go
+++ b/internal/steer/limit_test.go
@@ -134,7 +134,7 @@
 func TestLimitIsLearnedFromNotes(t *testing.T) {
 	// An instance that knows of a limit only from a note must ask before it sends.
 	in := newInstance(t, "one", 1)
-	in.reduce(steer.Peered{Instances: []steer.Instance{{Name: "two", FailureDomain: "a"}}})
+	in.reduce(steer.Peered{Instances: []steer.Instance{{Name: "two", FailureDomain: "a"}}, Listed: true})
 	in.reduce(steer.NoteReceived{Note: steer.Note{From: "two", Run: 1, Limits: []steer.Limit{{Replica: "lyric-0", Born: 1, PerS: 1}}}})
 	sent, asked := 0, 0
 	for range 6 {
--- a/internal/steer/limit_world_test.go
+++ b/internal/steer/limit_world_test.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"dandelionsail.example/dandelionsail/internal/budget"
 	"dandelionsail.example/dandelionsail/internal/notice"
 	"dandelionsail.example/dandelionsail/internal/steer"
 	"dandelionsail.example/dandelionsail/pkg/decl"
@@ -22,7 +23,7 @@
 	steps    stepHeap
 	count    int
 	nodes    []*limitNode
-	budget   steer.Budget
+	budget   budget.Rule
 	replicas []steer.Replica
 	// limits holds the rate that each limited replica states, by name, in requests a second.
 	limits map[string]float64
@@ -104,11 +105,11 @@
 }
 
 // usualBudget is the retry budget of simulations whose requests seldom fail.
-var usualBudget = steer.Budget{Ratio: 0.2, Slack: 20, Window: 10 * time.Second}
+var usualBudget = budget.Rule{Ratio: 0.2, Slack: 20, Window: 10 * time.Second}
 
-func newLimitWorld(seed uint64, instances int, list []steer.Replica, budget steer.Budget) *limitWorld {
+func newLimitWorld(seed uint64, instances int, list []steer.Replica, budget budget.Rule) *limitWorld {
 	lw := &limitWorld{
-		now: start, random: rand.New(rand.NewPCG(seed, 1)), delay: 2 * time.Millisecond,
+		now: start.Add(-warmUp), random: rand.New(rand.NewPCG(seed, 1)), delay: 2 * time.Millisecond,
 		budget: budget, replicas: list, limits: map[string]float64{}, limitedSince: map[string]time.Time{}, limitedUntil: map[string]time.Time{},
 		routes: map[steer.RequestID]string{}, arrived: map[string]int{}, served: map[string]int{},
 	}
@@ -119,7 +120,9 @@
 		lw.boot(node)
 		lw.every(node, 200*time.Millisecond, steer.Ticked{})
 		lw.every(node, time.Second, steer.Summarized{})
+		lw.every(node, 200*time.Millisecond, steer.ListConfirmed{})
 	}
+	lw.advance(warmUp)
 	return lw
 }
 
@@ -142,7 +145,7 @@
 			others = append(others, steer.Instance{Name: other.name, FailureDomain: other.domain})
 		}
 	}
-	lw.reduce(node, steer.Peered{Instances: others})
+	lw.reduce(node, steer.Peered{Instances: others, Listed: true})
 	lw.reduce(node, steer.Listed{Replicas: lw.replicas})
 }
 
--- a/internal/steer/note_test.go
+++ b/internal/steer/note_test.go
@@ -13,7 +13,7 @@
 func TestHugeLimitDoesNotInvalidateNotes(t *testing.T) {
 	// A replica states a limit that is far above what notes may carry. The note about it must stay usable for its recipients.
 	in := newInstance(t, "one", 1)
-	in.reduce(steer.Peered{Instances: []steer.Instance{{Name: "two", FailureDomain: "a"}}})
+	in.reduce(steer.Peered{Instances: []steer.Instance{{Name: "two", FailureDomain: "a"}}, Listed: true})
 	told := 0
 	for _, eff := range in.announce("lyric-0", notice.Announced{Limited: true, PerS: math.MaxFloat64}) {
 		note, ok := eff.(steer.SendNote)
--- a/internal/steer/place_test.go
+++ b/internal/steer/place_test.go
@@ -119,7 +119,7 @@
 	in := &instance{t: t, now: start, st: steer.New(steer.Options{Name: "one", FailureDomain: "a", Run: 1, Seed: seed})}
 	in.reduce(steer.Configured{Routing: &decl.Routing{Version: 1, Services: map[string]decl.Pool{"lyric": {Engine: &figures}}}})
 	in.reduce(steer.Listed{Replicas: replicas(1)})
-	in.reduce(steer.Peered{Instances: others(instances - 1)})
+	in.reduce(steer.Peered{Instances: others(instances - 1), Listed: true})
 	nt := steer.Note{From: "two", Run: 1}
 	for id := range figures.Slots {
 		nt.Jobs = append(nt.Jobs, steer.Job{ID: steer.JobID(id), Replicas: []string{"lyric-0"}, Prompt: 1000, Goal: 300, Gap: 250, Begun: true})
--- a/internal/steer/quarantine_test.go
+++ b/internal/steer/quarantine_test.go
@@ -153,7 +153,7 @@
 	for name, answer := range map[string]bool{"peer answers": true, "no peer answers": false} {
 		t.Run(name, func(t *testing.T) {
 			in := newInstance(t, "one", 4)
-			in.reduce(steer.Peered{Instances: []steer.Instance{{Name: "two", FailureDomain: "a"}}})
+			in.reduce(steer.Peered{Instances: []steer.Instance{{Name: "two", FailureDomain: "a"}}, Listed: true})
 			find[steer.RequestDeaths](t, in.reduce(steer.StoodStill{Gap: time.Second}))
 			none[steer.Send](t, in.arrive(&long, 5000))
 			if answer {
@@ -170,7 +170,7 @@
 	// On a machine that is too busy, the process stands still, asks a peer, and stands still again. The answer to the first
 	// request, which tells nothing of what happened during the second standstill, must not end the wait after that.
 	in := newInstance(t, "one", 4)
-	in.reduce(steer.Peered{Instances: []steer.Instance{{Name: "two", FailureDomain: "a"}}})
+	in.reduce(steer.Peered{Instances: []steer.Instance{{Name: "two", FailureDomain: "a"}}, Listed: true})
 	first := find[steer.RequestDeaths](t, in.reduce(steer.StoodStill{Gap: time.Second}))
 	second := find[steer.RequestDeaths](t, in.reduce(steer.StoodStill{Gap: time.Second}))
 	none[steer.Send](t, in.arrive(&long, 5000))
--- a/internal/steer/rest_test.go
+++ b/internal/steer/rest_test.go
@@ -40,7 +40,7 @@
 func TestRestBindsOnlyTheInstanceThatWasRefused(t *testing.T) {
 	// The others may have room at the replica: they are told neither of the rest nor of a failure.
 	in := newInstance(t, "one", 2)
-	in.reduce(steer.Peered{Instances: []steer.Instance{{Name: "two", FailureDomain: "a"}}})
+	in.reduce(steer.Peered{Instances: []steer.Instance{{Name: "two", FailureDomain: "a"}}, Listed: true})
 	sent := in.waitForSend(time.Second, in.arrive(&short, 5000))
 	effects := append(in.announce(sent.Replica.Name, notice.Announced{Rest: 2 * time.Second}), in.end(sent, steer.ResultNotRun)...)
 	for _, eff := range effects {
@@ -104,7 +104,7 @@
 		in := newInstance(t, "one", 1)
 		in.st = steer.New(steer.Options{Name: "one", FailureDomain: "a", Run: 1, Seed: seed + 1})
 		in.reduce(steer.Configured{Routing: &decl.Routing{Version: 1, Services: map[string]decl.Pool{"lyric": {Engine: &figures}}}})
-		in.reduce(steer.Peered{Instances: []steer.Instance{{Name: "two", FailureDomain: "a"}}})
+		in.reduce(steer.Peered{Instances: []steer.Instance{{Name: "two", FailureDomain: "a"}}, Listed: true})
 		in.reduce(steer.Listed{Replicas: replicas(1)})
 		in.announce("lyric-0", notice.Announced{Rest: rest})
 		for in.verdict("lyric-0", notice.First, false).Held() {
@@ -186,7 +186,7 @@
 	// A request has a grant for a limited replica, which then asks this instance for rest. The request goes elsewhere, and the
 	// granting instance learns that the send is free. That instance may rest itself and still grant.
 	in := newInstance(t, "one", 6)
-	in.reduce(steer.Peered{Instances: []steer.Instance{{Name: "two", FailureDomain: "a"}}})
+	in.reduce(steer.Peered{Instances: []steer.Instance{{Name: "two", FailureDomain: "a"}}, Listed: true})
 	for _, rep := range replicas(6)[:6] {
 		in.announce(rep.Name, notice.Announced{Limited: true, PerS: 1})
 	}
--- a/internal/steer/retry.go
+++ b/internal/steer/retry.go
@@ -33,6 +33,9 @@
 		rep.rest.EndTrial(uint64(req.ID), ev.Result == ResultDone)
 	}
 	st.recordOutcome(req, ev)
+	if ev.Result != ResultNotSent && ev.Result != ResultHeld {
+		st.recordArrival(req)
+	}
 	if ev.Result != ResultNotSent && ev.Result != ResultNotRun && ev.Result != ResultMisdirected && ev.Result != ResultHeld {
 		req.runs++
 	}
@@ -125,6 +128,10 @@
 		return
 	}
 	if ev.Result == ResultHeld {
+		if req.overBudget {
+			st.refuse(req, ReasonBudget, busyRetryAfter)
+			return
+		}
 		req.heldBack++
 		req.notBefore = st.now.Add(heldBackoff)
 		st.waiting = append(st.waiting, req)
@@ -134,6 +141,10 @@
 		st.refuse(req, ReasonUpstream, busyRetryAfter)
 		return
 	}
+	if !st.chargeRepeat(req) {
+		st.refuse(req, ReasonBudget, busyRetryAfter)
+		return
+	}
 	if !slices.Contains(req.tried, req.reps[0].Name) {
 		req.tried = append(req.tried, req.reps[0].Name)
 	}
@@ -150,20 +161,7 @@
 	if req.tries() >= maxSends || req.runs >= req.Route.Attempts {
 		return false
 	}
-	if req.runs > 0 && !repeatable(req, ev) {
-		return false
-	}
-	if ev.Result == ResultNotSent {
-		// Nothing was sent, so the repeat adds no load and is not charged to the budget.
-		return true
-	}
-	use, taken := st.ledgerOf(req.service).takeRepeat(st.now, st.Options.Budget, st.live)
-	message := "repeat charged"
-	if !taken {
-		message = "repeat refused: budget used up"
-	}
-	st.emit(LogLine{Message: message, Request: req.Name, Attempt: req.attempt, Budget: &use})
-	return taken
+	return req.runs == 0 || repeatable(req, ev)
 }
 
 // repeatable reports whether the route allows a request that may have run to run again after this result.
@@ -185,68 +183,3 @@
 	}
 	return names[res]
 }
-
-// Budget bounds the repeats of all instances together: in any Window, at most Ratio times the requests plus Slack.
-type Budget struct {
-	Ratio float64
-	// Slack is a number of repeats.
-	Slack  float64
-	Window time.Duration
-}
-
-// ledger counts this instance's requests and repeats for one service in a ring of time slots.
-type ledger struct {
-	slots [ledgerSlots]struct{ requests, repeats float64 }
-	// current is the number of the newest slot, counted from the Unix epoch.
-	current int64
-}
-
-// ledgerSlots is the number of time slots, one more than fit into the window: otherwise a window that begins within a slot
-// could hold more repeats than the budget.
-const ledgerSlots = 11
-
-func (st *State) ledgerOf(name string) *ledger {
-	led, ok := st.budgets[name]
-	if !ok {
-		led = &ledger{}
-		st.budgets[name] = led
-	}
-	return led
-}
-
-// advance clears the slots that are out of date, makes that of now the current one and returns the index of the latter.
-func (led *ledger) advance(now time.Time, window time.Duration) int {
-	slot := now.UnixNano() / max(1, int64(window)/(ledgerSlots-1))
-	for ; led.current < slot; led.current++ {
-		if slot-led.current > ledgerSlots {
-			led.current = slot - ledgerSlots
-		}
-		led.slots[(led.current+1)%ledgerSlots] = struct{ requests, repeats float64 }{}
-	}
-	return int(slot % ledgerSlots)
-}
-
-func (led *ledger) countRequest(now time.Time, window time.Duration) {
-	led.slots[led.advance(now, window)].requests++
-}
-
-// takeRepeat charges one repeat to the budget and reports whether the budget allowed it, and on which counts. The slack is
-// divided equally among the live instances and one more, in case this instance does not know of one of them.
-func (led *ledger) takeRepeat(now time.Time, bud Budget, live int) (use BudgetUse, taken bool) {
-	currentIndex := led.advance(now, bud.Window)
-	use.Instances = live + 1
-	for _, slot := range led.slots {
-		use.Requests += slot.requests
-		use.Repeats += slot.repeats
-	}
-	use.Allowed = budgetShare * (bud.Ratio*use.Requests + bud.Slack/float64(use.Instances))
-	if use.Repeats+1 > use.Allowed {
-		return use, false
-	}
-	led.slots[currentIndex].repeats++
-	return use, true
-}
-
-// budgetShare is the usable part of the budget. The rest covers requests that count here in one window and arrive in the
-// next.
-const budgetShare = 0.9
--- a/internal/steer/serve.go
+++ b/internal/steer/serve.go
@@ -36,7 +36,7 @@
 		st.recordDemand(eng, req)
 	}
 	st.requests[ev.ID] = req
-	st.ledgerOf(req.service).countRequest(st.now, st.Options.Budget.Window)
+	st.allowanceOf(req.service).CountRequest(st.now)
 	st.waiting = append(st.waiting, req)
 	st.dispatch()
 }
@@ -174,6 +174,7 @@
 		req.firstAt = st.now
 	}
 	req.begun = true
+	st.recordArrival(req)
 	for _, rep := range req.reps {
 		rep.rest.EndTrial(uint64(req.ID), true)
 	}
@@ -257,6 +258,7 @@
 		st.emit(LogLine{Message: message, Request: req.Name, Age: st.now.Sub(req.at), Attempt: req.attempt, Tokens: req.Prompt, End: st.outcomeOf(req)})
 	}
 	st.dropGrant(req)
+	st.releaseCharge(req)
 	delete(st.requests, req.ID)
 	st.waiting = slices.DeleteFunc(st.waiting, func(other *request) bool { return other == req })
 	st.emit(fin)
--- a/internal/steer/state.go
+++ b/internal/steer/state.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"dandelionsail.example/dandelionsail/internal/budget"
 	"dandelionsail.example/dandelionsail/internal/deaths"
 	"dandelionsail.example/dandelionsail/pkg/decl"
 )
@@ -18,7 +19,10 @@
 	// Seed seeds the random choices, so that a run can be reproduced.
 	Seed uint64
 	// Budget bounds the repeated attempts of all instances together.
-	Budget Budget
+	Budget budget.Rule
+	// ListLag is the time within which a change of the list of instances reaches an instance that can reach the list's store; zero
+	// stands for defaultListLag.
+	ListLag time.Duration
 	// MissingTime is how long a replica stays in use if it is missing from a list that was obtained after an outage of
 	// the list's store.
 	MissingTime time.Duration
@@ -61,8 +65,10 @@
 	allowance allowance
 	// summaries counts the Summarized events.
 	summaries int
-	// budgets counts requests and repeats against the repeat budget, by service.
-	budgets map[string]*ledger
+	// allowances holds what this instance may use of the repeat budget, by service.
+	allowances map[string]*budget.Allowance
+	// division determines this instance's part of the slack of the repeat budgets.
+	division budget.Division
 	// deaths counts replica deaths by request content.
 	deaths *deaths.Table[Digest]
 	// deathsSeen is the number of deaths that this instance has observed.
@@ -152,6 +158,12 @@
 	sentAt time.Time
 	// runs counts the attempts that may have run.
 	runs int
+	// arrived reports whether an attempt may have arrived at a replica, so that the next one is a repeat.
+	arrived bool
+	// charged reports whether the budget was charged for an attempt that has not certainly arrived yet.
+	charged bool
+	// overBudget reports whether the running attempt was held back since the budget does not allow it any more.
+	overBudget bool
 	// tried names the replicas at which an attempt failed.
 	tried []string
 	// begun reports whether the answer has begun in any attempt.
@@ -184,6 +196,9 @@
 	if opts.Tuning == (Tuning{}) {
 		opts.Tuning = DefaultTuning()
 	}
+	if opts.ListLag == 0 {
+		opts.ListLag = defaultListLag
+	}
 	return &State{
 		Options:         opts,
 		tune:            opts.Tuning,
@@ -192,7 +207,8 @@
 		requests:        map[RequestID]*request{},
 		peers:           map[string]*peer{},
 		live:            1,
-		budgets:         map[string]*ledger{},
+		allowances:      map[string]*budget.Allowance{},
+		division:        budget.Division{Window: opts.Budget.Window, Lag: opts.ListLag},
 		deaths:          newDeaths(),
 		missing:         map[string]time.Time{},
 		heldBack:        map[string]heldEntry{},
@@ -231,6 +247,8 @@
 		st.configured(ev)
 	case Peered:
 		st.updateOthers(ev)
+	case ListConfirmed:
+		st.division.Confirm(st.now, ev.Age)
 	case NoteReceived:
 		st.receiveNote(ev.Note)
 	case LoadReported:
--- a/internal/steer/steer_test.go
+++ b/internal/steer/steer_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"dandelionsail.example/dandelionsail/internal/budget"
 	"dandelionsail.example/dandelionsail/internal/steer"
 	"dandelionsail.example/dandelionsail/pkg/decl"
 )
@@ -49,15 +50,22 @@
 }
 
 func newInstance(t *testing.T, name string, engines int) *instance {
-	in := &instance{t: t, now: start, st: steer.New(steer.Options{
+	in := &instance{t: t, now: start.Add(-warmUp), st: steer.New(steer.Options{
 		Name: name, FailureDomain: "a", Run: 1, Seed: 1, MissingTime: 2 * time.Second,
-		Budget: steer.Budget{Ratio: 0.2, Slack: 20, Window: 10 * time.Second},
+		Budget: budget.Rule{Ratio: 0.2, Slack: 20, Window: 10 * time.Second},
 	})}
+	in.reduce(steer.Peered{Listed: true})
+	in.reduce(steer.ListConfirmed{})
+	in.now = start
+	in.reduce(steer.ListConfirmed{})
 	in.reduce(steer.Configured{Routing: &decl.Routing{Version: 1, Services: map[string]decl.Pool{"lyric": {Engine: &figures}, "board": {}}}})
 	in.reduce(steer.Listed{Replicas: replicas(engines)})
 	return in
 }
 
+// warmUp is how long a new instance has no part of the budget of repeats.
+const warmUp = 12 * time.Second
+
 // replicas returns the given number of engines and two plain replicas.
 func replicas(engines int) []steer.Replica {
 	var list []steer.Replica
@@ -84,6 +92,7 @@
 // advance advances the clock and returns the effects of the tick.
 func (in *instance) advance(period time.Duration) []steer.Effect {
 	in.now = in.now.Add(period)
+	in.reduce(steer.ListConfirmed{})
 	return in.reduce(steer.Ticked{})
 }
 
@@ -231,10 +240,15 @@
 func TestRepeatsStayWithinBudget(t *testing.T) {
 	// Every first attempt breaks off and a second one would succeed. All instances together may repeat a fifth of the requests
 	// plus twenty in any ten seconds; an instance that knows one other may use only its share of the twenty.
+	const perS, failingTime = 50, 4 * time.Second
 	in := newInstance(t, "one", 8)
-	in.reduce(steer.Peered{Instances: []steer.Instance{{Name: "two"}}})
+	in.reduce(steer.Peered{Instances: []steer.Instance{{Name: "two"}}, Listed: true})
+	for range 15 * perS {
+		in.end(find[steer.Send](t, in.arrive(&lookup, 0)), steer.ResultDone)
+		in.advance(time.Second / perS)
+	}
 	repeats := 0
-	for range 200 {
+	for range int(failingTime.Seconds()) * perS {
 		sent := find[steer.Send](t, in.arrive(&lookup, 0))
 		for _, eff := range in.end(sent, steer.ResultBroken) {
 			if again, ok := eff.(steer.Send); ok {
@@ -242,9 +256,9 @@
 				in.end(again, steer.ResultDone)
 			}
 		}
-		in.advance(20 * time.Millisecond)
+		in.advance(time.Second / perS)
 	}
-	assert.Assert(t, repeats > 20 && repeats <= 200/5+20/2, repeats)
+	assert.Assert(t, repeats > 10*perS/10 && repeats <= 10*perS/5+20/2, repeats)
 }
 
 func TestLeavingReplicaGetsNoNewRequests(t *testing.T) {
--- a/internal/steer/subset.go
+++ b/internal/steer/subset.go
@@ -263,6 +263,7 @@
 		st.otherNames = append(st.otherNames, inst.Name)
 	}
 	st.live = len(st.others) + 1
+	st.division.ListRead(st.now, st.otherNames, ev.Listed)
 	clear(st.usersOf)
 	for _, svc := range st.services {
 		svc.resetLayout()
--- a/internal/steer/subset_test.go
+++ b/internal/steer/subset_test.go
@@ -31,7 +31,7 @@
 			others = append(others, Instance{Name: fmt.Sprint("instance-", i), FailureDomain: fl.domainOf(i)})
 		}
 	}
-	st.Reduce(fleetStart, Peered{Instances: others})
+	st.Reduce(fleetStart, Peered{Instances: others, Listed: true})
 	list := []Replica{{Name: "board-0", Service: "board", FailureDomain: fl.domainOf(0), Slots: 6}}
 	for i := range fl.engines {
 		list = append(list, Replica{Name: fmt.Sprint("engine-", i), Service: "lyric", FailureDomain: fl.domainOf(i), Slots: 16})
