HTTP client: a request is written once, on both fronts

Cause: Go's HTTP client writes a request without a body to another connection by itself if a kept one breaks and the method, or a caller's Idempotency-Key, says that it may be repeated. The reducer knew nothing of it, so that neither the route's attempts nor the budget counted it. The completions front did the same.

Mend: trip.Do, through which both fronts send everything to replicas, makes the client take every request for one that cannot be sent again, and reports whether anything was written, from the counts of the connection. What was counted as sent once a connection was assigned is now exact: a kept connection that was closed meanwhile is replaced without a repeat. A test over the sources fails for the next send that goes round it.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
 	"slices"
 	"strconv"
@@ -15,9 +14,12 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/joomcode/errorx"
+
 	"dandelionsail.example/dandelionsail/internal/hops"
 	"dandelionsail.example/dandelionsail/internal/notice"
 	"dandelionsail.example/dandelionsail/internal/steer"
+	"dandelionsail.example/dandelionsail/internal/trip"
 )
 
 const (
@@ -38,7 +40,7 @@
 	probes := net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: probes}
 	return &http.Transport{
-		DialContext:         notice.CheckedDialer(dialer.DialContext),
+		DialContext:         trip.CountingDialer(notice.CheckedDialer(dialer.DialContext)),
 		DisableCompression:  true,
 		DisableKeepAlives:   disableKeepAlives,
 		MaxIdleConnsPerHost: 4,
@@ -85,10 +87,6 @@
 	cl    *call
 	eff   steer.Send
 	ended steer.AttemptEnded
-	// maybeSent reports whether the request may have left this Instance.
-	maybeSent atomic.Bool
-	// writes counts how often the request was written to a connection.
-	writes atomic.Int32
 	// silent reports whether checkSilence ended the attempt because the replica made no progress in time.
 	silent atomic.Bool
 	// timer calls checkSilence.
@@ -133,6 +131,9 @@
 	if isHeldBack(err) {
 		return steer.ResultHeld
 	}
+	if errorx.IsOfType(err, NotWritten) {
+		return steer.ResultNotSent
+	}
 	if err != nil {
 		return att.failureResult(ctx)
 	}
@@ -211,12 +212,10 @@
 // request because it accepts connections or sends events to other requests.
 const maxChecks = 3
 
-// failureResult classifies an attempt that ended without a complete response. ctx is the one that silence does not
+// failureResult classifies an attempt that may have arrived and ended without a complete response. ctx is the one that silence does not
 // cancel.
 func (att *attempt) failureResult(ctx context.Context) steer.Result {
 	switch {
-	case !att.maybeSent.Load():
-		return steer.ResultNotSent
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return steer.ResultExpired
 	case att.silent.Load():
@@ -229,15 +228,13 @@
 
 func (att *attempt) newRequest(ctx context.Context) *http.Request {
 	cl := att.cl
-	// From the moment a connection is assigned, the request may have left on it, whatever error follows.
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { att.maybeSent.Store(true) }, WroteHeaders: att.headersWritten})
 	req := (&http.Request{
 		Method: cl.req.Method, Host: cl.req.Host, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 		URL:    targetURL(cl.req, att.eff.Replica.Address),
 		Header: hops.EndToEnd(cl.req.Header),
 	}).WithContext(ctx)
 	if len(cl.body) > 0 {
-		req.Body = io.NopCloser(bytes.NewReader(cl.body))
+		req.GetBody = func() (io.ReadCloser, error) { return io.NopCloser(bytes.NewReader(cl.body)), nil }
 		req.ContentLength = int64(len(cl.body))
 	}
 	if _, ok := req.Header["User-Agent"]; !ok {
@@ -255,15 +252,6 @@
 	return req
 }
 
-// headersWritten counts how often the HTTP client has written the attempt's request to a connection.
-func (att *attempt) headersWritten() {
-	if att.writes.Add(1) > 1 {
-		att.in.count("Attempts.WrittenAgain")
-		att.in.log.Info().Str("Request", att.cl.info.Name).Str("Replica", att.eff.Replica.Name).Int("Attempt", att.eff.Attempt).
-			Int("Writes", int(att.writes.Load())).Msg("request written again by the HTTP client")
-	}
-}
-
 // targetURL returns the URL at the replica with the path and query exactly as the caller sent them, if possible.
 func targetURL(req *http.Request, address string) *url.URL {
 	if strings.HasPrefix(req.RequestURI, "/") && !strings.HasPrefix(req.RequestURI, "//") {
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -10,11 +10,15 @@
 
 	"dandelionsail.example/dandelionsail/internal/notice"
 	"dandelionsail.example/dandelionsail/internal/steer"
+	"dandelionsail.example/dandelionsail/internal/trip"
 )
 
 // HeldBack reports that a message was not sent, since its replica has announced something that rules it out.
 var HeldBack = Errors.NewType("held_back")
 
+// NotWritten reports that nothing of a message has left this Instance, so that it cannot arrive.
+var NotWritten = Errors.NewType("not_written")
+
 // message is a request from this Instance to a replica.
 type message struct {
 	// id is the request that the message belongs to, 0 if there is none.
@@ -38,7 +42,7 @@
 	}
 	recheck := func() error { return in.checkMessage(msg, true) }
 	sent := time.Now()
-	resp, err := transport.RoundTrip(req.WithContext(notice.WithCheck(req.Context(), recheck)))
+	resp, err := in.sendOnce(transport, msg, req.WithContext(notice.WithCheck(req.Context(), recheck)))
 	if err != nil {
 		return nil, ResponseInfo{}, err
 	}
@@ -50,6 +54,38 @@
 	return resp, ri, nil
 }
 
+// maxStaleConns is how many kept connections in a row may turn out to be closed before a message counts as not sent.
+const maxStaleConns = 8
+
+// sendOnce sends the request. It chooses another connection as long as nothing was written because the kept one that was chosen had
+// been closed by the replica. The error is NotWritten if nothing of the request has left this Instance.
+func (in *Instance) sendOnce(transport *http.Transport, msg message, req *http.Request) (*http.Response, error) {
+	for stale := 0; ; stale++ {
+		try := *req
+		if req.GetBody != nil {
+			body, err := req.GetBody()
+			if err != nil {
+				return nil, NotWritten.Wrap(err, "relay: the body of a message to %s cannot be read again", msg.to.Replica.Name)
+			}
+			try.Body = body
+		}
+		res, err := trip.Do(transport, &try, nil)
+		if res.Writes > 1 {
+			in.count("Messages.WrittenAgain")
+			in.log.Error().Str("Request", msg.request).Str("Replica", msg.to.Replica.Name).Int("Writes", res.Writes).Msg("request written again by the HTTP client")
+		}
+		switch {
+		case err == nil:
+			return res.Response, nil
+		case res.Written, isHeldBack(err):
+			return nil, err
+		case !res.StaleConn, stale == maxStaleConns, req.Context().Err() != nil:
+			return nil, NotWritten.Wrap(err, "relay: nothing was sent to %s; the request goes to another replica", msg.to.Replica.Name)
+		}
+		in.count("Messages.StaleConnections")
+	}
+}
+
 // checkMessage asks the reducer whether the message may be sent, and returns HeldBack if not. repeated reports whether the
 // message has passed before and waited for its connection since.
 func (in *Instance) checkMessage(msg message, repeated bool) error {
--- a/internal/relay/exchange_test.go
+++ b/internal/relay/exchange_test.go
@@ -121,12 +121,15 @@
 }
 
 func TestOnlyExchangeReachesReplicas(t *testing.T) {
-	// Guards against a message that is sent to a replica past the gate: only exchange.go may send on the transports or open a
-	// connection to a replica. share.go fetches the configuration from another Instance.
-	allowed := map[string]bool{"exchange.go": true, "share.go": true}
-	calls := map[string]bool{"RoundTrip": true, "Dial": true, "DialContext": true, "DialTimeout": true}
+	// Guards against a message that is sent to a replica past the gate, or more often than it was decided: only exchange.go may send on
+	// the transports or open a connection to a replica, and on the completions front client.go; both send through trip.Do alone. share.go
+	// fetches the configuration from another Instance.
+	toReplicas := map[string]bool{"exchange.go": true, "client.go": true}
+	allowed := map[string]map[string]bool{
+		"RoundTrip": {"share.go": true}, "Do": toReplicas, "Dial": toReplicas, "DialContext": toReplicas, "DialTimeout": toReplicas,
+	}
 	found := 0
-	for _, dir := range []string{".", "../../platform", "../cmds"} {
+	for _, dir := range []string{".", "../../platform", "../cmds", "../upstr"} {
 		err := filepath.WalkDir(dir, func(path string, _ fs.DirEntry, err error) error {
 			if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
 				return err
@@ -140,9 +143,11 @@
 				if !ok {
 					return true
 				}
-				if sel, ok := call.Fun.(*ast.SelectorExpr); ok && calls[sel.Sel.Name] {
-					found++
-					assert.Check(t, allowed[filepath.Base(path)], "%s calls %s", path, sel.Sel.Name)
+				if sel, ok := call.Fun.(*ast.SelectorExpr); ok && allowed[sel.Sel.Name] != nil {
+					if of, ok := sel.X.(*ast.Ident); sel.Sel.Name != "Do" || ok && of.Name == "trip" {
+						found++
+						assert.Check(t, allowed[sel.Sel.Name][filepath.Base(path)], "%s calls %s", path, sel.Sel.Name)
+					}
 				}
 				for _, arg := range call.Args {
 					if sel, ok := arg.(*ast.SelectorExpr); ok && (sel.Sel.Name == "pooled" || sel.Sel.Name == "unpooled") {
--- a/internal/upstr/client.go
+++ b/internal/upstr/client.go
@@ -9,19 +9,18 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
 	"os"
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/joomcode/errorx"
 
 	"dandelionsail.example/dandelionsail/internal/event"
 	"dandelionsail.example/dandelionsail/internal/notice"
+	"dandelionsail.example/dandelionsail/internal/trip"
 )
 
 const (
@@ -64,7 +63,7 @@
 func newTransport(disableKeepAlives bool) *http.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Transport{
-		DialContext:         notice.CheckedDialer(dialer.DialContext),
+		DialContext:         trip.CountingDialer(notice.CheckedDialer(dialer.DialContext)),
 		DisableKeepAlives:   disableKeepAlives,
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: idlePerUpstream,
@@ -83,9 +82,8 @@
 }
 
 func (cl *Client) transport(call Call) *http.Transport {
-	// http.Transport retries a request on its own when a reused connection breaks and the request has no body or
-	// carries an idempotency key. The request would then run twice. It never retries on a connection that was not used
-	// before, so calls that must not be repeated ask for a new one.
+	// A kept connection that the upstream closes as a call is written to it leaves open whether the call arrived. Calls that must not
+	// be repeated ask for a new one.
 	if call.NewConnection {
 		return cl.unpooled
 	}
@@ -161,28 +159,20 @@
 	}
 	sent := time.Now()
 	ctx = notice.WithCheck(ctx, func() error { return cl.check(call) })
-	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		connected.Store(true)
-		if call.Connected != nil {
-			call.Connected(info.Reused)
-		}
-	}}
-	req, err := newRequest(httptrace.WithClientTrace(ctx, trace), call)
+	req, err := newRequest(ctx, call)
 	if err != nil {
 		return nil, err
 	}
-	resp, err := cl.transport(call).RoundTrip(req)
+	res, err := trip.Do(cl.transport(call), req, call.Connected)
 	if err == nil {
-		cl.readAnnounced(call, sent, resp)
-		return resp, nil
+		cl.readAnnounced(call, sent, res.Response)
+		return res.Response, nil
 	}
 	if errorx.IsOfType(err, Held) {
 		return nil, err
 	}
-	// Before there is a connection no byte can have been sent; after that some may have been.
-	if !connected.Load() {
-		return nil, NotSent.Wrap(err, "upstr: connecting to %s failed; check that it runs and that the address is right", call.Address)
+	if !res.Written {
+		return nil, NotSent.Wrap(err, "upstr: nothing was sent to %s; check that it runs and that the address is right", call.Address)
 	}
 	return nil, Failed.Wrap(err, "upstr: no answer from %s; the request may have run", call.Address)
 }
@@ -333,7 +323,7 @@
 		Header:  http.Header{HeaderFence: {strconv.FormatInt(order.Fence, 10)}},
 		Body:    bytes.NewReader(raw),
 		Length:  int64(len(raw)),
-		// A repeat by the transport would deliver the order late.
+		// A kept connection may have gone silent, and the order would be delivered late.
 		NewConnection: true,
 	}
 	return cl.exchange(ctx, call, 0, nil)
