--- a/internal/budget/division.go
+++ b/internal/budget/division.go
@@ -127,10 +127,8 @@
 	if dv.listed {
 		dv.listedAt = dv.confirmedAt
 	}
-	current := !dv.confirmedAt.IsZero() && now.Sub(dv.confirmedAt) <= maxListAge
-	member := current && !dv.listedAt.IsZero() && now.Sub(dv.listedAt) <= maxListAge
 	switch {
-	case !member:
+	case dv.listedAt.IsZero() || now.Sub(dv.listedAt) > maxListAge:
 		dv.memberSince = time.Time{}
 	case dv.memberSince.IsZero():
 		dv.memberSince = now
