Completions front: an organisation's retry budget is one of all instances, and outlasts them

Callers of an organisation whose engines fail got as many retries as its instances had restarts: 264 of 480 requests beyond the free ones, over six instances that restart three times within 6 s (a test of the reducer). No bound held over all instances.

The budget was a bucket of ten in each process, full at each start, and was charged when a retry was decided.

Mend: the same types, budget.Allowance for each organisation and budget.Division by the platform's list: a tenth of its requests and sixty in any 10 s over all instances, about the ten that six instances each had. A refusal has a reason of its own, RetryBudgetUsed, with the counts in the log. The first two retries of a request stay free: they are bounded for each request, not over time.

--- a/internal/admit/account.go
+++ b/internal/admit/account.go
@@ -4,17 +4,16 @@
 	"math"
 	"time"
 
+	"dandelionsail.example/dandelionsail/internal/budget"
 	"dandelionsail.example/dandelionsail/internal/effect"
 	"dandelionsail.example/dandelionsail/pkg/decl"
 )
 
-// Retry budget of one organisation.
-const (
-	// retriesPerRequest is the number of retries that each admitted request adds to the budget.
-	retriesPerRequest = 0.1
-	// retryBurst is the initial and the maximum number of retries in the budget.
-	retryBurst = 10
-)
+// retryBudget bounds the retries of one organisation at all instances together.
+var retryBudget = budget.Rule{Ratio: 0.1, Slack: 60, Window: 10 * time.Second}
+
+// listLag is the time within which a change of the platform's list of instances reaches an instance.
+const listLag = 5 * time.Second
 
 // account tracks the use of one organisation's limits on this instance.
 type account struct {
@@ -28,8 +27,8 @@
 	limited          decl.Limits
 	requestsInFlight int64
 	tokensInFlight   int64
-	// retries is what is left of the retry budget.
-	retries float64
+	// retries is what this instance may use of the organisation's retry budget.
+	retries *budget.Allowance
 	// offeredRequests counts the requests offered, refused ones included, with exponential decay.
 	offeredRequests float64
 	// offeredTokens counts the tokens offered, refused ones included, with exponential decay.
@@ -61,7 +60,7 @@
 	acc.tokenBucket -= float64(tokens)
 	acc.requestsInFlight++
 	acc.tokensInFlight += tokens
-	acc.retries = min(acc.retries+retriesPerRequest, retryBurst)
+	acc.retries.CountRequest(now)
 	return nil
 }
 
@@ -79,7 +78,7 @@
 func (st *State) account(now time.Time, name string, lim decl.Limits) (acc *account, share float64) {
 	acc, ok := st.orgs[name]
 	if !ok {
-		acc = &account{refilledAt: now, retries: retryBurst}
+		acc = &account{refilledAt: now, retries: budget.NewAllowance(retryBudget)}
 		st.orgs[name] = acc
 	}
 	share = st.share(now, acc)
@@ -152,12 +151,36 @@
 	return acc.requestsInFlight, acc.tokensInFlight
 }
 
-// Retry takes one retry from the organisation's retry budget and reports whether there was one.
-func (st *State) Retry(name string) bool {
+// Retry charges one retry to the organisation's retry budget and returns on what counts it was decided, and whether the budget
+// allowed it. Each retry that was charged needs one SettleRetry or ReleaseRetry.
+func (st *State) Retry(now time.Time, name string) (use budget.Use, allowed bool) {
+	acc, ok := st.orgs[name]
+	if !ok {
+		return budget.Use{}, false
+	}
+	return acc.retries.Take(now, st.Division.Part(now))
+}
+
+// RetryStillAllowed returns whether a charged retry that has waited may go ahead now.
+func (st *State) RetryStillAllowed(now time.Time, name string) bool {
 	acc, ok := st.orgs[name]
-	if !ok || acc.retries < 1 {
+	if !ok {
 		return false
 	}
-	acc.retries--
-	return true
+	_, allowed := acc.retries.StillAllowed(now, st.Division.Part(now))
+	return allowed
+}
+
+// SettleRetry ends a charged retry that has certainly arrived by now, if it ever does.
+func (st *State) SettleRetry(now time.Time, name string) {
+	if acc, ok := st.orgs[name]; ok {
+		acc.retries.Settle(now)
+	}
+}
+
+// ReleaseRetry ends a charged retry that was never sent.
+func (st *State) ReleaseRetry(name string) {
+	if acc, ok := st.orgs[name]; ok {
+		acc.retries.Release()
+	}
 }
--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"dandelionsail.example/dandelionsail/internal/budget"
 	"dandelionsail.example/dandelionsail/internal/event"
 	"dandelionsail.example/dandelionsail/pkg/decl"
 )
@@ -13,6 +14,8 @@
 type State struct {
 	// Instances is the number of instances that share the limits, at least 1.
 	Instances int
+	// Division determines this instance's part of the slack of the organisations' retry budgets.
+	Division budget.Division
 	// orgs holds the accounts by organisation name.
 	orgs map[string]*account
 	// queues holds the queues by service name.
@@ -28,7 +31,9 @@
 
 // New returns an empty state.
 func New() *State {
-	return &State{Instances: 1, orgs: map[string]*account{}, queues: map[string]*queue{}, demands: map[string]map[string]demand{}}
+	return &State{
+		Instances: 1, Division: budget.Division{Window: retryBudget.Window, Lag: listLag}, orgs: map[string]*account{}, queues: map[string]*queue{}, demands: map[string]map[string]demand{},
+	}
 }
 
 // Discipline is the queueing discipline of a service: the order in which its waiting requests are sent.
--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"dandelionsail.example/dandelionsail/internal/budget"
+	"dandelionsail.example/dandelionsail/internal/clock/steps"
 )
 
 var fleetRule = budget.Rule{Ratio: 0.2, Slack: 100, Window: window}
@@ -48,9 +49,9 @@
 	al, part := budget.NewAllowance(fleetRule), budget.Part{Share: 0.2}
 	assert.Equal(t, takeAll(al, start, part), 18)
 	for _, step := range []int{11, -30, 60, 3600} {
-		assert.Equal(t, takeAll(al, stepped(start.Add(time.Second), step), part), 0, "clock stepped by %d s", step)
+		assert.Equal(t, takeAll(al, steps.Stepped(start.Add(time.Second), step), part), 0, "clock stepped by %d s", step)
 	}
-	assert.Equal(t, takeAll(al, stepped(start.Add(window+time.Second), -30), part), 18)
+	assert.Equal(t, takeAll(al, steps.Stepped(start.Add(window+time.Second), -30), part), 18)
 }
 
 func TestWholeBudgetIsUsableAfterAWindow(t *testing.T) {
--- a/internal/budget/model_test.go
+++ b/internal/budget/model_test.go
@@ -6,12 +6,11 @@
 	"slices"
 	"testing"
 	"time"
-	"unsafe"
 
-	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
 	"dandelionsail.example/dandelionsail/internal/budget"
+	"dandelionsail.example/dandelionsail/internal/clock/steps"
 )
 
 const (
@@ -22,21 +21,6 @@
 // start is a time with a monotonic clock reading.
 var start = time.Now()
 
-// stepped returns the time with its time of day moved and its monotonic clock reading unchanged, as after a step of the clock.
-func stepped(at time.Time, seconds int) time.Time {
-	// The first word of a time.Time with a monotonic reading holds the seconds of the time of day above 30 bits of nanoseconds.
-	*(*uint64)(unsafe.Pointer(&at)) += uint64(seconds) << 30
-	return at
-}
-
-func TestSteppedMovesTheTimeOfDayAlone(t *testing.T) {
-	for _, step := range []int{-7, 0, 30} {
-		moved := stepped(start, step)
-		assert.Equal(t, moved.Sub(start), time.Duration(0))
-		assert.Equal(t, moved.Unix()-start.Unix(), int64(step))
-	}
-}
-
 // openUse is a use that is decided.
 type openUse struct {
 	// sentAt is when it is sent, and arrivesAt when it arrives after that.
@@ -60,7 +44,7 @@
 	writesAt time.Duration
 }
 
-func (pr *process) clock(at time.Duration) time.Time { return stepped(start.Add(at), pr.clockStep) }
+func (pr *process) clock(at time.Duration) time.Time { return steps.Stepped(start.Add(at), pr.clockStep) }
 
 // flight is a use on its way.
 type flight struct {
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -21,8 +21,20 @@
 	now time.Time
 }
 
+// newInstance returns an instance that has been listed alone for long.
 func newInstance(t *testing.T) *instance {
-	in := &instance{t: t, st: core.New(core.Options{Name: "entry-0", FailureDomain: "a", Seed: 1}), now: start}
+	in := newNamedInstance(t, "entry-0")
+	in.now = start.Add(-time.Minute)
+	for in.now.Before(start) {
+		in.now = in.now.Add(time.Second)
+		in.reduce(event.InstancesListed{Instances: []event.Instance{{Name: "entry-0"}}})
+	}
+	return in
+}
+
+// newNamedInstance returns an instance that has just started.
+func newNamedInstance(t *testing.T, name string) *instance {
+	in := &instance{t: t, st: core.New(core.Options{Name: name, FailureDomain: "a", Seed: 1}), now: start}
 	in.reduce(event.ConfigAccepted{Config: &decl.Config{
 		Version: 1,
 		Services: map[string]decl.Service{
--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -40,6 +40,10 @@
 		if st.heldByDeaths(req) {
 			return true
 		}
+		if req.charged && !st.Admit.RetryStillAllowed(st.now, req.Organisation) {
+			st.finish(req, st.failureRefusal(req, effect.ReasonBudget, "send it again later"))
+			return true
+		}
 		pc := st.pickCriteria(req)
 		pc.Queued = st.now.Sub(req.At) > queuedAfter
 		rep := st.Route.Pick(st.now, &pc)
@@ -137,6 +141,7 @@
 		return
 	}
 	req.Answered = true
+	st.settleRetry(req)
 	for _, up := range req.Upstreams {
 		st.Route.RecordFirstToken(st.now, up.Name, req.ID)
 		st.markAlive(up.Name, st.now)
--- a/internal/core/finish.go
+++ b/internal/core/finish.go
@@ -61,6 +61,7 @@
 	st.Admit.Release(req.Organisation, req.Tokens())
 	st.Admit.Remove(req.Service, req.ID)
 	st.releasePermit(req)
+	st.releaseRetry(req)
 	if req.Phase == PhaseClaiming {
 		// The claim may still be recorded after this and then has to be released.
 		req.Phase = PhaseAbandoned
--- a/internal/core/member.go
+++ b/internal/core/member.go
@@ -32,6 +32,7 @@
 }
 
 func (st *State) handleInstancesListed(ev event.InstancesListed) {
+	st.divideRetryBudgets(ev.Instances)
 	if st.Member == nil {
 		st.setInstances(ev.Instances)
 		return
@@ -39,6 +40,21 @@
 	st.reduceMembership(ev)
 }
 
+// divideRetryBudgets divides the organisations' retry budgets among the instances of the platform's list, which was just read.
+func (st *State) divideRetryBudgets(instances []event.Instance) {
+	var others []string
+	listed := false
+	for _, inst := range instances {
+		if inst.Name == st.Options.Name {
+			listed = true
+			continue
+		}
+		others = append(others, inst.Name)
+	}
+	st.Admit.Division.ListRead(st.now, others, listed)
+	st.Admit.Division.Confirm(st.now, 0)
+}
+
 func (st *State) setInstances(instances []event.Instance) {
 	st.sendQuarantineToNew(instances)
 	st.Instances = instances
--- a/internal/core/retry.go
+++ b/internal/core/retry.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"fmt"
 	"net/http"
 	"slices"
 	"strconv"
@@ -30,6 +31,9 @@
 		return
 	}
 	st.settleUpstreams(req, ev)
+	if ev.Result != event.ResultNotSent && ev.Result != event.ResultHeld {
+		st.settleRetry(req)
+	}
 	if ev.Result != event.ResultNotSent && ev.Result != event.ResultNotRun && ev.Result != event.ResultHeld {
 		req.MayHaveRun = true
 	}
@@ -108,6 +112,10 @@
 		st.finish(req, st.failureRefusal(req, effect.ReasonUpstream, "send it again later"))
 		return
 	}
+	if !st.chargeRetry(req) {
+		st.finish(req, st.failureRefusal(req, effect.ReasonBudget, "send it again later"))
+		return
+	}
 	st.count("Requests.Retried")
 	st.releasePermit(req)
 	if ev.Result == event.ResultNotRun {
@@ -135,18 +143,48 @@
 }
 
 // mayRetry reports whether the request may be retried, and counts the attempt. Attempts that made progress in the answer
-// don't count, so that a long stream survives any number of broken connections. The first retries are free, since a crashed
-// replica breaks all its streams at once and the budget is meant for retries that add to an overload.
+// don't count, so that a long stream survives any number of broken connections.
 func (st *State) mayRetry(req *Request, progressed bool) bool {
 	if progressed {
 		req.AttemptsWithoutProgress = 0
 		return true
 	}
 	req.AttemptsWithoutProgress++
-	if req.AttemptsWithoutProgress >= maxAttemptsWithoutProgress {
-		return false
+	return req.AttemptsWithoutProgress < maxAttemptsWithoutProgress
+}
+
+// chargeRetry charges the next attempt to the organisation's retry budget and reports whether the budget allowed it. The first
+// retries are free, since a crashed replica breaks all its streams at once and the budget is meant for retries that add to an
+// overload. An attempt that was charged and not sent stays charged for the next one.
+func (st *State) chargeRetry(req *Request) bool {
+	if req.AttemptsWithoutProgress <= freeRetries || req.charged {
+		return true
+	}
+	use, allowed := st.Admit.Retry(st.now, req.Organisation)
+	req.charged = allowed
+	if !allowed {
+		st.emit(effect.CountAndLog{
+			Counter: "Requests.RetryBudgetUsed", Subject: req.Organisation,
+			LogMessage: fmt.Sprintf("retry refused: %v of %.1f used of %v requests, divided by %d instances %s", use.Used, use.Allowed, use.Requests, use.Part.Instances, use.Part.Reason),
+		})
+	}
+	return allowed
+}
+
+// settleRetry ends the charge of an attempt that has certainly arrived by now, if it ever does.
+func (st *State) settleRetry(req *Request) {
+	if req.charged {
+		req.charged = false
+		st.Admit.SettleRetry(st.now, req.Organisation)
+	}
+}
+
+// releaseRetry gives back what the request was charged for an attempt that was never sent.
+func (st *State) releaseRetry(req *Request) {
+	if req.charged {
+		req.charged = false
+		st.Admit.ReleaseRetry(req.Organisation)
 	}
-	return req.AttemptsWithoutProgress <= freeRetries || st.Admit.Retry(req.Organisation)
 }
 
 // safeToRetry reports whether the request certainly did not run, or is repeatable and its answer has not begun or can be
--- a/internal/core/state.go
+++ b/internal/core/state.go
@@ -114,6 +114,8 @@
 	NotBefore time.Time
 	// AttemptsWithoutProgress is the number of consecutive attempts without progress in the answer.
 	AttemptsWithoutProgress int
+	// charged reports whether the organisation's retry budget was charged for an attempt that has not certainly arrived yet.
+	charged bool
 	// SentAt is the time at which the attempt under way was sent.
 	SentAt time.Time
 	// Suspect reports whether an upstream crashed while running this content.
--- a/internal/effect/effect.go
+++ b/internal/effect/effect.go
@@ -79,6 +79,8 @@
 	ReasonNoUpstream Reason = "NoUpstream"
 	// ReasonUpstream means that an attempt failed and that the request is not retried.
 	ReasonUpstream Reason = "UpstreamFailed"
+	// ReasonBudget means that an attempt failed and that the organisation's retry budget allows no other.
+	ReasonBudget Reason = "RetryBudgetUsed"
 	// ReasonQuarantine means that requests of the same content have crashed upstreams.
 	ReasonQuarantine Reason = "Quarantined"
 	// ReasonKeyReused means that the idempotency key was used before with different content.
--- a/internal/entry/errors.go
+++ b/internal/entry/errors.go
@@ -45,6 +45,7 @@
 	effect.ReasonPromptTooLong: http.StatusRequestEntityTooLarge,
 	effect.ReasonNoUpstream:    http.StatusServiceUnavailable,
 	effect.ReasonUpstream:      http.StatusBadGateway,
+	effect.ReasonBudget:        http.StatusBadGateway,
 	effect.ReasonQuarantine:    http.StatusUnprocessableEntity,
 	effect.ReasonKeyReused:     http.StatusUnprocessableEntity,
 	effect.ReasonKeyRunning:    http.StatusConflict,
