Clock: windows and timeouts of both fronts are timed by the monotonic clock

After a step of the time of day, burn rates dropped what they had counted (or kept it for as long as the step), the limit of the weight store counted loads of others as older than they are, and the completions front took a store that had just begun to fail for one in an outage, or an outage for nothing.

A time that is turned into a number loses its monotonic clock reading.

Mend: clock.Steady for times that have to become numbers, time.Time where they need not. A test over the sources names the places that are left and why a step does no harm there, and fails for the next. The other two have no test of their own that steps time.Now.

--- a/internal/budget/model_test.go
+++ b/internal/budget/model_test.go
@@ -44,7 +44,9 @@
 	writesAt time.Duration
 }
 
-func (pr *process) clock(at time.Duration) time.Time { return steps.Stepped(start.Add(at), pr.clockStep) }
+func (pr *process) clock(at time.Duration) time.Time {
+	return steps.Stepped(start.Add(at), pr.clockStep)
+}
 
 // flight is a use on its way.
 type flight struct {
--- /dev/null
+++ b/internal/clock/sources_test.go
@@ -0,0 +1,62 @@
+package clock_test
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// numbersOfTimes names the files that turn times into numbers or numbers into times, and why a step of the time of day does no harm
+// there.
+var numbersOfTimes = map[string]string{
+	"internal/bench/storeslopes.go": "a key that nothing else has",
+	"internal/certs/certs.go":       "a serial number",
+	"internal/entry/instance.go":    "names of a run; a later run with a lower number refutes what the others say of it",
+	"internal/relay/instance.go":    "a name of a run, compared for equality alone",
+	"internal/once/segment.go":      "deadlines of claims in the store, which other instances read; a resend is accepted for minutes after them",
+	"internal/once/shard.go":        "the same",
+	"internal/store/era.go":         "a record in the store, which other instances read; it tells copies of minutes apart",
+	"internal/order/limiter.go":     "entries in the store, which other instances read; the own times are steady",
+	"pkg/burn/burn.go":              "the times are steady",
+}
+
+func TestTimesAreTurnedIntoNumbersInKnownPlaces(t *testing.T) {
+	// Guards against a window, an age or a timeout that is kept as a number: unlike a time.Time it has no monotonic clock reading, so that
+	// a step of the time of day ends it at once or never.
+	conversions := map[string]bool{"Unix": true, "UnixNano": true, "UnixMilli": true, "UnixMicro": true}
+	found := map[string]bool{}
+	for _, dir := range []string{"internal", "pkg", "platform", "cmd"} {
+		root := filepath.Join("..", "..", dir)
+		err := filepath.WalkDir(root, func(path string, _ fs.DirEntry, err error) error {
+			if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+				return err
+			}
+			file, err := parser.ParseFile(token.NewFileSet(), path, nil, 0)
+			if err != nil {
+				return err
+			}
+			ast.Inspect(file, func(node ast.Node) bool {
+				if call, ok := node.(*ast.CallExpr); ok {
+					if sel, ok := call.Fun.(*ast.SelectorExpr); ok && conversions[sel.Sel.Name] {
+						found[strings.TrimPrefix(filepath.ToSlash(path), "../../")] = true
+					}
+				}
+				return true
+			})
+			return nil
+		})
+		assert.NilError(t, err)
+	}
+	for name := range found {
+		assert.Check(t, numbersOfTimes[name] != "", "%s turns times into numbers; keep a time.Time, use clock.Steady, or say here why a step does no harm", name)
+	}
+	for name := range numbersOfTimes {
+		assert.Check(t, found[name], "%s turns no times into numbers any more", name)
+	}
+}
--- a/internal/once/once.go
+++ b/internal/once/once.go
@@ -67,8 +67,9 @@
 	sealAt int
 	// retentionNanos is how long a record is kept, in nanoseconds.
 	retentionNanos atomic.Int64
-	// failingSince is when the store began to fail, in nanoseconds since 1970, 0 while it answers.
-	failingSince atomic.Int64
+	// failingSince is when the store began to fail, nil while it answers. It points to a time.Time, which keeps the monotonic clock
+	// reading.
+	failingSince atomic.Pointer[time.Time]
 }
 
 // New returns the Claims of the named instance.
@@ -106,20 +107,21 @@
 // recordStoreResult updates failingSince. Any error but store.Unavailable counts as a response of the store.
 func (cs *Claims) recordStoreResult(err error) {
 	if err == nil || !isUnavailable(err) {
-		cs.failingSince.Store(0)
+		cs.failingSince.Store(nil)
 		return
 	}
-	cs.failingSince.CompareAndSwap(0, time.Now().UnixNano())
+	now := time.Now()
+	cs.failingSince.CompareAndSwap(nil, &now)
 }
 
 // Failing reports whether the store did not answer the last write or read of claims.
 func (cs *Claims) Failing() bool {
-	return cs.failingSince.Load() != 0
+	return cs.failingSince.Load() != nil
 }
 
 func (cs *Claims) claimWait() time.Duration {
 	since := cs.failingSince.Load()
-	if since != 0 && time.Since(time.Unix(0, since)) > outageThreshold {
+	if since != nil && time.Since(*since) > outageThreshold {
 		return outageClaimWait
 	}
 	return claimWait
--- a/internal/order/limiter.go
+++ b/internal/order/limiter.go
@@ -11,6 +11,7 @@
 
 	"github.com/joomcode/errorx"
 
+	"dandelionsail.example/dandelionsail/internal/clock"
 	"dandelionsail.example/dandelionsail/internal/posit"
 	"dandelionsail.example/dandelionsail/internal/store"
 )
@@ -41,6 +42,8 @@
 	// PerMinute is how many loads the weight store serves per minute.
 	PerMinute int
 	name      string
+	// began is when this limiter was made. Times are taken as steady from then on.
+	began time.Time
 	// nonces counts the orders; Take is called by one goroutine for each pool.
 	nonces atomic.Int64
 
@@ -52,7 +55,7 @@
 // NewLoadLimiter returns the limiter of one instance. The name must be unique to this run of the instance, since the nonces
 // contain it.
 func NewLoadLimiter(st store.Store, name string, perMinute int) *LoadLimiter {
-	return &LoadLimiter{st: st, name: name, PerMinute: perMinute}
+	return &LoadLimiter{st: st, name: name, PerMinute: perMinute, began: time.Now()}
 }
 
 // Take takes the loads of one order from the limit, or returns false if they have to wait. An order with more loads than
@@ -73,7 +76,7 @@
 }
 
 func (ll *LoadLimiter) take(ctx context.Context, loads int, nonce string) (bool, error) {
-	now := time.Now()
+	now := clock.Steady(ll.began, time.Now())
 	list, have, err := ll.read(ctx)
 	if err != nil {
 		return false, err
--- a/pkg/burn/burn.go
+++ b/pkg/burn/burn.go
@@ -3,7 +3,11 @@
 // Google's Site Reliability Workbook, chapter 5.
 package burn
 
-import "time"
+import (
+	"time"
+
+	"dandelionsail.example/dandelionsail/internal/clock"
+)
 
 // Resolution and retention of the counts.
 const (
@@ -63,8 +67,11 @@
 	return ring{span: span, buckets: make([]Bucket, kept)}
 }
 
+// numberOf returns the number of the bucket of a time.
+func numberOf(at time.Time, span time.Duration) int64 { return at.UnixNano() / int64(span) }
+
 func (rg *ring) add(at time.Time, count Count) {
-	number := at.UnixNano() / int64(rg.span)
+	number := numberOf(at, rg.span)
 	bucket := &rg.buckets[number%int64(len(rg.buckets))]
 	if bucket.Start != number {
 		*bucket = Bucket{Start: number}
@@ -74,7 +81,7 @@
 
 // within returns the sum of the buckets of the window that ends with the bucket of now.
 func (rg *ring) within(now time.Time, window time.Duration) Count {
-	last := now.UnixNano() / int64(rg.span)
+	last := numberOf(now, rg.span)
 	first := last - int64(window/rg.span) + 1
 	var sum Count
 	for _, bucket := range rg.buckets {
@@ -89,6 +96,9 @@
 type Tracker struct {
 	fine   ring
 	coarse ring
+	// epoch is the time of the first event or question. Later times are taken as steady from then on: a step of the time of day would
+	// drop what was counted, or count it for longer.
+	epoch time.Time
 }
 
 // New returns an empty tracker, which takes about 30 KB of memory.
@@ -96,8 +106,17 @@
 	return &Tracker{fine: newRing(FineSpan, fineBuckets), coarse: newRing(CoarseSpan, coarseBuckets)}
 }
 
+// steady returns the time as it would be without steps of the time of day.
+func (tr *Tracker) steady(at time.Time) time.Time {
+	if tr.epoch.IsZero() {
+		tr.epoch = at
+	}
+	return clock.Steady(tr.epoch, at)
+}
+
 // Record counts one event.
 func (tr *Tracker) Record(at time.Time, good bool) {
+	at = tr.steady(at)
 	count := Count{Bad: 1}
 	if good {
 		count = Count{Good: 1}
@@ -109,6 +128,7 @@
 // Within returns the count of the window that ends now, rounded to whole buckets. Windows of up to an hour use fine buckets,
 // longer ones coarse buckets.
 func (tr *Tracker) Within(now time.Time, window time.Duration) Count {
+	now = tr.steady(now)
 	if window <= FineSpan*fineBuckets {
 		return tr.fine.within(now, window)
 	}
@@ -117,7 +137,7 @@
 
 // Series returns the fine buckets of the last hour in order, including empty ones.
 func (tr *Tracker) Series(now time.Time) []Bucket {
-	last := now.UnixNano() / int64(FineSpan)
+	last := numberOf(tr.steady(now), FineSpan)
 	series := make([]Bucket, 0, fineBuckets)
 	for number := last - fineBuckets + 1; number <= last; number++ {
 		bucket := tr.fine.buckets[number%fineBuckets]
--- a/pkg/burn/burn_test.go
+++ b/pkg/burn/burn_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"dandelionsail.example/dandelionsail/internal/clock/steps"
 	"dandelionsail.example/dandelionsail/pkg/burn"
 )
 
@@ -73,3 +74,18 @@
 	}
 	assert.Equal(t, series[len(series)-4].Count.Good, int64(1))
 }
+
+func TestStepOfTheClockDropsNoCounts(t *testing.T) {
+	// The time of day jumps by hours, ahead and back. What was counted must stay in its window, neither dropped nor kept for longer.
+	start := time.Now()
+	for _, seconds := range []int{-7200, -90, 90, 7200} {
+		tr := burn.New()
+		for range 10 {
+			tr.Record(start, false)
+		}
+		assert.Equal(t, tr.Within(steps.Stepped(start.Add(time.Minute), seconds), 5*time.Minute).Bad, int64(10))
+		tr.Record(steps.Stepped(start.Add(time.Minute), seconds), false)
+		assert.Equal(t, tr.Within(steps.Stepped(start.Add(2*time.Minute), seconds), 5*time.Minute).Bad, int64(11))
+		assert.Equal(t, tr.Within(steps.Stepped(start.Add(20*time.Minute), seconds), 5*time.Minute).Bad, int64(0))
+	}
+}
