Quarantine: a death is announced again if its connection ends while the peer stands still

Cause: a connection on which nothing arrives for a second after a message was sent is closed as silent. The message may be a probe that was sent before the announcement: the announcement then waits on a connection that ends well before its own 0.5 s, fails at once, and counted as over.

Evidence: TestDeathIsRepeatedIfTheConnectionEnds closes the connection while the peer stands still; before, 5 of 5 returned without the peer's being told, now 0 of 30.

Mend: the announcement is repeated on a new connection until the peer answers or the time of the wait is over. Entries can be received several times (the model of merges). The relayed front repeats its announcements already.

--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -10,6 +10,7 @@
 
 	"dandelionsail.example/dandelionsail/internal/core"
 	"dandelionsail.example/dandelionsail/internal/deaths"
+	"dandelionsail.example/dandelionsail/internal/delay"
 	"dandelionsail.example/dandelionsail/internal/effect"
 	"dandelionsail.example/dandelionsail/internal/event"
 	"dandelionsail.example/dandelionsail/internal/wire"
@@ -27,7 +28,8 @@
 	// quarantineAckTimeout is how long the peers have to acknowledge a death before the caller of the request gets its answer.
 	// A peer that stands still delays that answer, and no other.
 	quarantineAckTimeout = 500 * time.Millisecond
-	// catchUpPause is the pause between two requests for the quarantine list after a standstill.
+	// catchUpPause is the pause between two requests for the quarantine list after a standstill, and between two announcements of a
+	// death to one peer.
 	catchUpPause = 20 * time.Millisecond
 	// quarantineSenders is the maximum number of peers that are sent a death at the same time.
 	quarantineSenders = 64
@@ -59,7 +61,7 @@
 	started, recipients := time.Now(), in.quarantineRecipients()
 	for _, address := range recipients {
 		group.Go(func() error {
-			if _, err := in.peers.Request(ctx, address, msg); err != nil {
+			if err := in.requestUntilAnswered(ctx, address, msg); err != nil {
 				in.incCounter("Quarantine.NotAcknowledged")
 				in.peers.Send(address, msg)
 				return nil
@@ -73,6 +75,19 @@
 		Int64("WaitedMs", time.Since(started).Milliseconds()).Msg("death announced")
 }
 
+// requestUntilAnswered repeats the request until the peer answers or the context ends. The connection to a peer that stands still is
+// closed as silent for whatever was sent first, and a request that waits on it fails long before its own time is over. The peer must be able
+// to receive the message several times.
+func (in *Instance) requestUntilAnswered(ctx context.Context, address string, msg wire.Message) error {
+	for {
+		_, err := in.peers.Request(ctx, address, msg)
+		if err == nil || !delay.For(ctx, catchUpPause) {
+			return err
+		}
+		in.log.Info().Str("Peer", address).Err(err).Msg("a death was not acknowledged; it is announced again")
+	}
+}
+
 // digestLogged is how many bytes of a content's digest are logged.
 const digestLogged = 8
 
