Standstills: a second one that follows soon is waited for, too

The lines show the same in both: the instance stood still twice, 0.5 s apart, or once more right after it went on. The first time the machine had no time for it (700 ms, 6.5 s), the second time the test had stopped it.

Cause: a standstill within 3 s of another was not reported, so that nothing was waited for after it; and one that came during the wait used the wait up.

Mend: 3 s pass between two only if the wait after the first ran its course without an answer. TestPausesAreReported is unchanged.

--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -33,7 +33,7 @@
 		views:   make(chan func(*State)),
 		perform: perform,
 		ended:   make(chan struct{}),
-		pauses:  pause.Detector{MaxGap: maxEventGap},
+		pauses:  pause.Detector{MaxGap: maxEventGap, MaxWait: maxCatchUp},
 	}
 }
 
@@ -102,6 +102,9 @@
 		lp.reduceOne(event.StoodStill{Gap: gap})
 	}
 	lp.reduceOne(ev)
+	if _, ok := ev.(event.QuarantineReceived); ok {
+		lp.pauses.Received(time.Now())
+	}
 	lp.pauses.After(time.Now())
 }
 
--- a/internal/relay/instance.go
+++ b/internal/relay/instance.go
@@ -123,7 +123,7 @@
 		firstConfirmed: make(chan struct{}),
 		peersListed:    make(chan struct{}),
 		ownEntry:       make(chan Peer, 1),
-		pauses:         pause.Detector{MaxGap: maxEventGap},
+		pauses:         pause.Detector{MaxGap: maxEventGap, MaxWait: steer.MaxCatchUp},
 	}
 	in.state = steer.New(steer.Options{
 		Name: opts.Name, FailureDomain: opts.FailureDomain, Run: run, Seed: seed, MissingTime: opts.MissingTime,
@@ -277,6 +277,9 @@
 		}
 	}
 	effects := in.state.Reduce(now, ev)
+	if _, ok := ev.(steer.DeathsReceived); ok {
+		in.pauses.Received(now)
+	}
 	in.pauses.After(time.Now())
 	return effects
 }
--- a/internal/steer/quarantine.go
+++ b/internal/steer/quarantine.go
@@ -33,8 +33,8 @@
 
 func (st *State) quarantined(digest Digest) bool { return st.deaths.Judge(st.now, digest).Quarantined }
 
-// maxCatchUp is how long requests wait at most for what the others know after the instance has stood still.
-const maxCatchUp = 300 * time.Millisecond
+// MaxCatchUp is how long requests wait at most for what the others know after the instance has stood still.
+const MaxCatchUp = 300 * time.Millisecond
 
 // stoodStill requests the deaths that others know. Their announcements may be waiting behind a caller's request, which would
 // then be sent although its content is in quarantine.
@@ -44,7 +44,7 @@
 		return
 	}
 	st.standstills++
-	st.catchUpUntil = st.now.Add(maxCatchUp)
+	st.catchUpUntil = st.now.Add(MaxCatchUp)
 	st.emit(RequestDeaths{Standstill: st.standstills})
 }
 
