--- a/internal/trip/trip_test.go
+++ b/internal/trip/trip_test.go
@@ -40,7 +40,7 @@
 
 func newServer(t *testing.T) *server {
 	srv := &server{}
-	srv.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+	srv.Server = httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, req *http.Request) {
 		body, _ := io.ReadAll(req.Body)
 		srv.header, srv.body = req.Header, string(body)
 		srv.arrived.Add(1)
