--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -114,9 +114,6 @@
 	al.Totals.Released++
 }
 
-// Open returns the number of uses that are neither settled nor released.
-func (al *Allowance) Open() int { return int(al.open) }
-
 // use returns the counts of the stretch up to now, no longer than a window, that leaves the least room. The requests for the uses of a
 // stretch are those within half a window of its beginning. They are the same stretch at every instance: if each took the one in
 // which it had most requests, the sum would exceed what all had in any.
--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -171,7 +171,7 @@
 		al.Settle(start.Add(6 * time.Second))
 	}
 	assert.Equal(t, sent, 9)
-	assert.Equal(t, al.Open(), 0)
+	assert.DeepEqual(t, al.Totals, budget.Totals{Taken: 18, Settled: 9, Released: 9})
 }
 
 func TestOpenUsesCountUntilTheyHaveArrived(t *testing.T) {
--- a/internal/budget/division.go
+++ b/internal/budget/division.go
@@ -103,9 +103,7 @@
 	part := Part{Instances: dv.count()}
 	full := 1 / float64(part.Instances)
 	switch {
-	case dv.listedAt.IsZero():
-		part.Reason = ReasonUnlisted
-	case dv.memberSince.IsZero() && !dv.listed:
+	case dv.listedAt.IsZero(), dv.memberSince.IsZero() && !dv.listed:
 		part.Reason = ReasonUnlisted
 	case dv.memberSince.IsZero():
 		part.Reason = ReasonNoList
--- a/internal/steer/retry.go
+++ b/internal/steer/retry.go
@@ -156,7 +156,7 @@
 }
 
 // mayRepeat reports whether the request may be sent again: either it certainly did not run, or its route declares that
-// requests may run again. Repeats are bounded by maxSends, the route's attempts and the budget that all instances share.
+// requests may run again. Repeats are bounded by maxSends, the route's attempts and, in chargeRepeat, the budget that all instances share.
 func (st *State) mayRepeat(req *request, ev AttemptEnded) bool {
 	if req.tries() >= maxSends || req.runs >= req.Route.Attempts {
 		return false
