--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -101,7 +101,7 @@
 }
 
 func TestPartShrinksAtOnceAndGrowsLate(t *testing.T) {
-	// Entries lapse while their instances live. The others must not take over their parts before those have stopped using them, and must
+	// Entries expire while their instances live. The others must not take over their parts before those have stopped using them, and must
 	// divide by new instances at once.
 	dv := member(names(5)...)
 	assert.Equal(t, dv.Part(start).Instances, 7)
--- a/internal/budget/division.go
+++ b/internal/budget/division.go
@@ -5,7 +5,7 @@
 // Division determines this instance's part of the slack of the budgets that all instances share. The part is one divided by the
 // number of instances that may use one, and none for an instance that the others may not count.
 //
-// The instances differ in what they know: lists are late, entries lapse while their instances live, and some instances are cut
+// The instances differ in what they know: lists are late, entries expire while their instances live, and some instances are cut
 // off. The parts add up to one all the same, because
 //
 //   - an instance uses a part only after its entry has been listed for so long that every other one which still reads the list has divided
--- a/internal/budget/model_test.go
+++ b/internal/budget/model_test.go
@@ -176,12 +176,12 @@
 			some = append(some, at)
 		}
 	}
-	kind := rapid.SampledFrom([]string{"kill", "replace", "cut", "pause", "clock", "lapse", "add"}).Draw(md.rt, "disturbance")
+	kind := rapid.SampledFrom([]string{"kill", "replace", "cut", "pause", "clock", "expire", "add"}).Draw(md.rt, "disturbance")
 	period := time.Duration(rapid.IntRange(1, 15).Draw(md.rt, "period")) * 4 * time.Second
 	clockStep := rapid.IntRange(-30, 30).Draw(md.rt, "step")
 	switch kind {
-	case "lapse":
-		// Entries lapse while the store is away. Their processes write them again when they notice.
+	case "expire":
+		// Entries expire while the store is away. Their processes write them again when they notice.
 		md.listed = map[string]time.Duration{}
 		for _, pr := range md.processes {
 			pr.writesAt = md.now + time.Duration(md.random.IntN(4000))*time.Millisecond
@@ -237,7 +237,7 @@
 }
 
 func TestAllowancesAddUpToTheBudget(t *testing.T) {
-	// Instances start, are killed and replaced, are cut off from the list, pause and have their clocks stepped, entries lapse, and uses
+	// Instances start, are killed and replaced, are cut off from the list, pause and have their clocks stepped, entries expire, and uses
 	// wait for seconds. In every window, the uses of all together must stay within the budget.
 	rapid.Check(t, func(rt *rapid.T) {
 		md := &model{rt: rt, random: rand.New(rand.NewPCG(rapid.Uint64().Draw(rt, "seed"), 1)), listed: map[string]time.Duration{}, rule: budget.Rule{
--- a/internal/entry/quarantine_test.go
+++ b/internal/entry/quarantine_test.go
@@ -34,7 +34,7 @@
 func TestDeathIsRepeatedIfTheConnectionEnds(t *testing.T) {
 	// A peer stands still while a death is announced to it, and the connection is closed as silent for an earlier message. The
 	// announcement must be repeated on a new one for as long as its caller waits. Otherwise the caller gets its answer before the
-	// peer has been told, sends the request there, and a third upstream goes down.
+	// peer is informed, sends the request there, and a third upstream goes down.
 	authority, err := certs.New()
 	assert.NilError(t, err)
 	in := New(Options{Name: "entry-0", FailureDomain: "a", Store: "127.0.0.1:1", Platform: "127.0.0.1:1"}, &log.Logger{Level: log.PanicLevel})
@@ -56,12 +56,12 @@
 	}()
 	<-reached
 	stopStill()
-	told := make(chan struct{}, 8)
+	informed := make(chan struct{}, 8)
 	_, stopAgain := startPeer(t, authority, "entry-1", address, func(context.Context, string, wire.Message) wire.Message {
-		told <- struct{}{}
+		informed <- struct{}{}
 		return nil
 	})
 	defer stopAgain()
 	<-announced
-	assert.Equal(t, len(told), 1)
+	assert.Equal(t, len(informed), 1)
 }
