Tests over the sources: one walk for two of them

The test of times and the test of sends each walked and parsed the sources on their own. No assertion changes; a planted RoundTrip and a planted Unix turn them red as before.

--- a/internal/clock/sources_test.go
+++ b/internal/clock/sources_test.go
@@ -2,14 +2,13 @@
 
 import (
 	"go/ast"
-	"go/parser"
-	"go/token"
-	"io/fs"
 	"path/filepath"
 	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"dandelionsail.example/dandelionsail/internal/source"
 )
 
 // numbersOfTimes names the files that turn times into numbers or numbers into times, and why a step of the time of day does no harm
@@ -32,24 +31,14 @@
 	conversions := map[string]bool{"Unix": true, "UnixNano": true, "UnixMilli": true, "UnixMicro": true}
 	found := map[string]bool{}
 	for _, dir := range []string{"internal", "pkg", "platform", "cmd"} {
-		root := filepath.Join("..", "..", dir)
-		err := filepath.WalkDir(root, func(path string, _ fs.DirEntry, err error) error {
-			if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
-				return err
+		err := source.Walk(filepath.Join("..", "..", dir), func(path string, node ast.Node) {
+			call, ok := node.(*ast.CallExpr)
+			if !ok {
+				return
 			}
-			file, err := parser.ParseFile(token.NewFileSet(), path, nil, 0)
-			if err != nil {
-				return err
+			if sel, ok := call.Fun.(*ast.SelectorExpr); ok && conversions[sel.Sel.Name] {
+				found[strings.TrimPrefix(filepath.ToSlash(path), "../../")] = true
 			}
-			ast.Inspect(file, func(node ast.Node) bool {
-				if call, ok := node.(*ast.CallExpr); ok {
-					if sel, ok := call.Fun.(*ast.SelectorExpr); ok && conversions[sel.Sel.Name] {
-						found[strings.TrimPrefix(filepath.ToSlash(path), "../../")] = true
-					}
-				}
-				return true
-			})
-			return nil
 		})
 		assert.NilError(t, err)
 	}
--- a/internal/relay/exchange_test.go
+++ b/internal/relay/exchange_test.go
@@ -3,14 +3,10 @@
 import (
 	"context"
 	"go/ast"
-	"go/parser"
-	"go/token"
-	"io/fs"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"path/filepath"
-	"strings"
 	"testing"
 	"time"
 
@@ -18,6 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	"dandelionsail.example/dandelionsail/internal/notice"
+	"dandelionsail.example/dandelionsail/internal/source"
 	"dandelionsail.example/dandelionsail/internal/steer"
 	"dandelionsail.example/dandelionsail/pkg/decl"
 )
@@ -130,37 +127,26 @@
 	}
 	found := 0
 	for _, dir := range []string{".", "../../platform", "../cmds", "../upstr"} {
-		err := filepath.WalkDir(dir, func(path string, _ fs.DirEntry, err error) error {
-			if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
-				return err
+		err := source.Walk(dir, func(path string, node ast.Node) {
+			call, ok := node.(*ast.CallExpr)
+			if !ok {
+				return
 			}
-			file, err := parser.ParseFile(token.NewFileSet(), path, nil, 0)
-			if err != nil {
-				return err
-			}
-			ast.Inspect(file, func(node ast.Node) bool {
-				call, ok := node.(*ast.CallExpr)
-				if !ok {
-					return true
-				}
-				if sel, ok := call.Fun.(*ast.SelectorExpr); ok && allowed[sel.Sel.Name] != nil {
-					if of, ok := sel.X.(*ast.Ident); sel.Sel.Name != "Do" || ok && of.Name == "trip" {
-						found++
-						assert.Check(t, allowed[sel.Sel.Name][filepath.Base(path)], "%s calls %s", path, sel.Sel.Name)
-					}
+			if sel, ok := call.Fun.(*ast.SelectorExpr); ok && allowed[sel.Sel.Name] != nil {
+				if of, ok := sel.X.(*ast.Ident); sel.Sel.Name != "Do" || ok && of.Name == "trip" {
+					found++
+					assert.Check(t, allowed[sel.Sel.Name][filepath.Base(path)], "%s calls %s", path, sel.Sel.Name)
 				}
-				for _, arg := range call.Args {
-					if sel, ok := arg.(*ast.SelectorExpr); ok && (sel.Sel.Name == "pooled" || sel.Sel.Name == "unpooled") {
-						name := ""
-						if fun, ok := call.Fun.(*ast.SelectorExpr); ok {
-							name = fun.Sel.Name
-						}
-						assert.Check(t, name == "exchange", "%s passes a transport to %s", path, name)
+			}
+			for _, arg := range call.Args {
+				if sel, ok := arg.(*ast.SelectorExpr); ok && (sel.Sel.Name == "pooled" || sel.Sel.Name == "unpooled") {
+					name := ""
+					if fun, ok := call.Fun.(*ast.SelectorExpr); ok {
+						name = fun.Sel.Name
 					}
+					assert.Check(t, name == "exchange", "%s passes a transport to %s", path, name)
 				}
-				return true
-			})
-			return nil
+			}
 		})
 		assert.NilError(t, err)
 	}
