Log: who reported a failure

A replica that is avoided, and the replicas that a request was passed over for, now show whether an attempt failed here or another instance reported it.

--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -58,6 +58,7 @@
 	}
 	addString(entry, "Announcement", line.Announcement)
 	addString(entry, "Source", line.Source)
+	addString(entry, "Reporter", line.Reporter)
 	addString(entry, "Invalid", line.Invalid)
 	addString(entry, "Send", line.Send)
 	if len(line.PassedOver) > 0 {
--- a/internal/steer/announce.go
+++ b/internal/steer/announce.go
@@ -21,6 +21,8 @@
 	inForce func(rep *replica, now time.Time) bool
 	// endsAt returns when an announcement in force ends. It is nil if that is not known in advance.
 	endsAt func(rep *replica) time.Time
+	// failure reports whether the announcement is a failure, which another instance may have reported.
+	failure bool
 	// reason is the reason of a refusal if the announcement keeps a request from all replicas. It is empty if the request waits.
 	reason Reason
 }
@@ -62,6 +64,7 @@
 func failureRule(cause notice.Announcement) announcementRule {
 	return announcementRule{
 		Rule:    notice.Rules[cause],
+		failure: true,
 		inForce: func(rep *replica, now time.Time) bool { return rep.downCause == cause && now.Before(rep.downUntil) },
 		endsAt:  func(rep *replica) time.Time { return rep.downUntil },
 	}
@@ -190,9 +193,10 @@
 
 // Sources of an announcement in the log.
 const (
-	sourceAnswer = "answer"
-	sourceList   = "list"
-	sourceNote   = "note"
+	sourceAnswer  = "answer"
+	sourceAttempt = "attempt"
+	sourceList    = "list"
+	sourceNote    = "note"
 )
 
 // Departure reports in a note that a replica leaves.
@@ -264,17 +268,25 @@
 }
 
 // passedOver lists the announcements for which replicas that the request could use are passed over now, each with the number
-// of replicas, for the log.
+// of replicas, for the log. Failures that another instance reported are counted apart.
 func (st *State) passedOver(service string) []string {
-	var counts [notice.Announcements]int
+	var counts, reported [notice.Announcements]int
 	for _, rep := range st.candidates(st.serviceOf(service)) {
-		counts[rep.blockedBy(notice.First, st.now)]++
+		ann := rep.blockedBy(notice.First, st.now)
+		if announcementRules[ann].failure && rep.downReporter != "" {
+			reported[ann]++
+			continue
+		}
+		counts[ann]++
 	}
 	var list []string
-	for _, ann := range []notice.Announcement{notice.Leaving, notice.Resting, notice.Returning} {
+	for ann := notice.Leaving; ann < notice.Announcements; ann++ {
 		if counts[ann] > 0 {
 			list = append(list, fmt.Sprint(ann, " ", counts[ann]))
 		}
+		if reported[ann] > 0 {
+			list = append(list, fmt.Sprint(ann, "Reported ", reported[ann]))
+		}
 	}
 	return list
 }
--- a/internal/steer/effect.go
+++ b/internal/steer/effect.go
@@ -138,6 +138,8 @@
 	Announcement string
 	// Source is how the announcement was learned: from an answer, from the list, or from a note of another instance.
 	Source string
+	// Reporter names the instance whose note it was.
+	Reporter string
 	// Rest is how long the replica asked for rest.
 	Rest time.Duration
 	// Status is the HTTP status of the replica's answer.
--- a/internal/steer/peer.go
+++ b/internal/steer/peer.go
@@ -4,8 +4,6 @@
 	"maps"
 	"slices"
 	"time"
-
-	"dandelionsail.example/dandelionsail/internal/notice"
 )
 
 // peer is another instance and its work, as its notes reported it.
@@ -154,7 +152,7 @@
 	}
 	for _, name := range nt.Down {
 		if rep, ok := st.replicas[name]; ok {
-			rep.failed(st.now, notice.Failing)
+			st.markDownByReport(rep, nt.From)
 		}
 	}
 }
--- a/internal/steer/replica.go
+++ b/internal/steer/replica.go
@@ -69,6 +69,8 @@
 	downUntil time.Time
 	// downCause is the kind of the failure that caused that pause.
 	downCause notice.Announcement
+	// downReporter names the instance that reported that failure, empty if it occurred here.
+	downReporter string
 	// rest is the time in which the replica wants no requests from this instance.
 	rest notice.Rest
 	// limit is nil while the replica states no rate limit.
@@ -90,9 +92,11 @@
 	maxFailurePause = 5 * time.Second
 )
 
-func (rep *replica) failed(now time.Time, cause notice.Announcement) {
+// failed records a failure that the named instance reported, or one that occurred here if the name is empty.
+func (rep *replica) failed(now time.Time, cause notice.Announcement, reporter string) {
 	rep.failures++
 	rep.downCause = cause
+	rep.downReporter = reporter
 	pause := min(minFailurePause<<min(rep.failures-1, 4), maxFailurePause)
 	if until := now.Add(pause); until.After(rep.downUntil) {
 		rep.downUntil = until
--- a/internal/steer/retry.go
+++ b/internal/steer/retry.go
@@ -80,13 +80,22 @@
 // markDown makes the replica unusable for a while. If it was usable here, the other instances are informed.
 func (st *State) markDown(rep *replica, cause notice.Announcement) {
 	wasUnusable := !rep.usable(st.now)
-	rep.failed(st.now, cause)
+	rep.failed(st.now, cause, "")
 	if !wasUnusable {
-		st.emit(LogLine{Message: "replica avoided", Replica: rep.Name, Attempt: rep.failures})
+		st.emit(LogLine{Message: "replica avoided", Replica: rep.Name, Attempt: rep.failures, Source: sourceAttempt})
 		st.notifyOthers(rep, cause)
 	}
 }
 
+// markDownByReport makes the replica unusable for a while because the named instance reported that it fails.
+func (st *State) markDownByReport(rep *replica, reporter string) {
+	wasUsable := rep.usable(st.now)
+	rep.failed(st.now, notice.Failing, reporter)
+	if wasUsable {
+		st.emit(LogLine{Message: "replica avoided", Replica: rep.Name, Attempt: rep.failures, Source: sourceNote, Reporter: reporter})
+	}
+}
+
 // hadRoom reports whether, as far as known here, the replica had a free slot and enough memory for the request that it
 // refused. Such a replica has to be marked down: if replicas are drained while the store is unavailable, the instances do
 // not learn that they are leaving. They refuse new requests at once, look idle and therefore best, and each request would
--- a/internal/steer/subset_test.go
+++ b/internal/steer/subset_test.go
@@ -120,7 +120,7 @@
 	st := fleet{300, 2250, 3}.instance(0)
 	svc := st.services["lyric"]
 	for _, rep := range st.candidates(svc) {
-		rep.failed(fleetStart, notice.Failing)
+		rep.failed(fleetStart, notice.Failing, "")
 	}
 	assert.Equal(t, len(st.candidates(svc)), 2250)
 	far := st.replicas["engine-1"]
