--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -35,12 +35,23 @@
 	minTimeLeft = time.Millisecond
 )
 
-func newTransport(disableKeepAlives bool) *http.Transport {
-	// Only unanswered TCP keep-alive probes show that a connection has died silently.
-	probes := net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
-	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: probes}
+// newDialer returns the function that opens connections within the timeout: dial, or that of the system if it is nil.
+func newDialer(dial notice.Dialer, timeout time.Duration) notice.Dialer {
+	if dial == nil {
+		// Only unanswered TCP keep-alive probes show that a connection has died silently.
+		probes := net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
+		return (&net.Dialer{Timeout: timeout, KeepAliveConfig: probes}).DialContext
+	}
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		limited, cancel := context.WithTimeout(ctx, timeout)
+		defer cancel()
+		return dial(limited, network, address)
+	}
+}
+
+func newTransport(dial notice.Dialer, disableKeepAlives bool) *http.Transport {
 	return &http.Transport{
-		DialContext:         trip.CountingDialer(notice.CheckedDialer(dialer.DialContext)),
+		DialContext:         trip.CountingDialer(notice.CheckedDialer(newDialer(dial, dialTimeout))),
 		DisableCompression:  true,
 		DisableKeepAlives:   disableKeepAlives,
 		MaxIdleConnsPerHost: 4,
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"time"
 
@@ -124,7 +123,7 @@
 	if in.checkMessage(message{to: steer.Target{Replica: replica, Kind: notice.Probe}}, false) != nil {
 		return false
 	}
-	conn, err := (&net.Dialer{Timeout: probeTimeout}).DialContext(ctx, "tcp", replica.Address)
+	conn, err := newDialer(in.opts.Dial, probeTimeout)(ctx, "tcp", replica.Address)
 	if err != nil {
 		return ctx.Err() == nil
 	}
--- a/internal/relay/instance.go
+++ b/internal/relay/instance.go
@@ -60,7 +60,9 @@
 	pooled *http.Transport
 	// unpooled opens a new connection for each request.
 	unpooled *http.Transport
-	gossip   *gossip
+	// unpooledPeer opens a new connection to another Instance for each request.
+	unpooledPeer *http.Transport
+	gossip       *gossip
 	// buffers holds how much memory the responses take that are buffered until they are complete.
 	buffers buffers
 
@@ -117,8 +119,9 @@
 		log:            logger,
 		registry:       metrics.NewRegistry(),
 		dropped:        dropped,
-		pooled:         newTransport(false),
-		unpooled:       newTransport(true),
+		pooled:         newTransport(opts.Dial, false),
+		unpooled:       newTransport(opts.Dial, true),
+		unpooledPeer:   newTransport(nil, true),
 		calls:          map[steer.RequestID]*call{},
 		firstConfirmed: make(chan struct{}),
 		peersListed:    make(chan struct{}),
--- a/internal/relay/options.go
+++ b/internal/relay/options.go
@@ -4,6 +4,7 @@
 	"net"
 	"time"
 
+	"dandelionsail.example/dandelionsail/internal/notice"
 	"dandelionsail.example/dandelionsail/internal/steer"
 )
 
@@ -27,7 +28,9 @@
 	MaxBody       int64         `long:"max-body" env:"DANDELIONSAIL_MAX_BODY" description:"maximum size of a request body in bytes unless the configuration sets one" default:"8388608"`
 	LogLines      int           `long:"log-lines" env:"DANDELIONSAIL_LOG_LINES" description:"maximum number of log lines per second; further lines are dropped and counted" default:"400"`
 	Tuning        steer.Tuning  `long:"tuning" env:"DANDELIONSAIL_TUNING" description:"JSON object of policy parameters that differ from their defaults, such as {\"MaxEngines\":4}"`
-	Seed          uint64        `long:"seed" env:"DANDELIONSAIL_SEED" description:"seed of random choices; 0 derives it from the name" default:"0"`
+	// Dial opens connections to replicas. It is nil outside tests, which cut the instance off from its replicas with it.
+	Dial notice.Dialer `no-flag:"true" json:"-"`
+	Seed uint64        `long:"seed" env:"DANDELIONSAIL_SEED" description:"seed of random choices; 0 derives it from the name" default:"0"`
 }
 
 // Check validates the settings. It returns a BadOption error that names the flag, its value and the allowed values.
--- a/internal/relay/share.go
+++ b/internal/relay/share.go
@@ -109,7 +109,7 @@
 	if err != nil {
 		return shared, BadOption.Wrap(err, "relay: cannot build a request to the instance at %s; check its registered address", from)
 	}
-	resp, err := in.unpooled.RoundTrip(req)
+	resp, err := in.unpooledPeer.RoundTrip(req)
 	if err != nil {
 		return shared, OrderFailed.Wrap(err, "relay: the instance at %s did not respond to %s; it is tried again later", from, path)
 	}
