Lost paths: an instance that reaches no replica sends through another instance

What callers saw: an instance that had lost its links to all replicas refused nearly every request, or let it hang, while the others served the same requests. Cause: nothing in the product stood for 'I cannot reach what others reach'. Each failure was put down to a replica, each request found them all anew, and there was no other way. Fix: internal/paths decides, for each service, from new connections that fail in a row; while the path is lost the gate names another instance for each message, which sends it, heeds what the replica announces, and states how the response ended. Few probes find the end of the cut. An instance that shut down while its paths were lost never ended, since its probes overlapped; it probes nothing then.

--- /dev/null
+++ b/internal/paths/paths.go
@@ -0,0 +1,153 @@
+// Package paths decides whether an instance has lost its own path to the upstreams of a service, which looks like a failure of
+// every one of them. The evidence is that new connections to several upstreams fail in a row while none succeeds. What is
+// concluded from it holds for one service and one instance, until connections succeed again. Both fronts use it.
+package paths
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+const (
+	// minFailures is the number of upstreams that must fail in a row before the path counts as lost.
+	minFailures = 2
+	// maxAge is the age from which a failure is no evidence any more.
+	maxAge = 5 * time.Second
+	// relapseTime is the time after a path was regained in which one failure suffices, since links that failed often fail again.
+	relapseTime = 10 * time.Second
+	// probeInterval is the interval of the probes while a path is lost.
+	probeInterval = 400 * time.Millisecond
+	// firstProbes is the number of upstreams that are probed at once when a path is lost: if one answers, several upstreams
+	// failed at the same moment.
+	firstProbes = 3
+	// hopelessTime is how long a path does not count as lost after it was found that no other instance has one.
+	hopelessTime = time.Second
+)
+
+// Path is what an instance knows of its path to the upstreams of one service.
+type Path struct {
+	// LostAt is when the path was lost, zero while it is not.
+	LostAt time.Time
+	// RegainedAt is when it was last regained.
+	RegainedAt time.Time
+	// failed holds when a new connection to an upstream failed, for those that failed since one succeeded.
+	failed map[string]time.Time
+	// reached names the upstreams to which a connection succeeded since the path was lost.
+	reached map[string]bool
+	// dead names the upstreams that another instance did not reach either since the path was lost.
+	dead map[string]bool
+	// probeAt is when the next probe is due.
+	probeAt time.Time
+	// probeAll reports whether that one is of all upstreams, since one was reached.
+	probeAll bool
+	// hopelessUntil is until when the path does not count as lost, because nobody has one.
+	hopelessUntil time.Time
+}
+
+// Lost reports whether the path is lost.
+func (pa *Path) Lost() bool { return !pa.LostAt.IsZero() }
+
+// InDoubt reports whether a connection that succeeds would change anything.
+func (pa *Path) InDoubt() bool { return pa.Lost() || len(pa.failed) > 0 }
+
+// Direct reports whether messages to the upstream should be sent without a detour.
+func (pa *Path) Direct(upstream string) bool { return !pa.Lost() || pa.reached[upstream] }
+
+// Failures returns the number of upstreams that failed since a connection succeeded.
+func (pa *Path) Failures() int { return len(pa.failed) }
+
+// Failed records that a new connection to the upstream failed, of which the service has the given number in all. doubtful reports whether
+// one failure suffices since the path to another service is lost. The result reports whether this path is lost by that, and was not
+// before.
+func (pa *Path) Failed(now time.Time, upstream string, upstreams int, doubtful bool) bool {
+	delete(pa.reached, upstream)
+	if pa.failed == nil {
+		pa.failed = map[string]time.Time{}
+	}
+	maps.DeleteFunc(pa.failed, func(_ string, at time.Time) bool { return now.Sub(at) > maxAge })
+	pa.failed[upstream] = now
+	needed := min(minFailures, upstreams)
+	if doubtful || !pa.RegainedAt.IsZero() && now.Sub(pa.RegainedAt) < relapseTime {
+		needed = 1
+	}
+	if pa.Lost() || len(pa.failed) < needed || now.Before(pa.hopelessUntil) {
+		return false
+	}
+	pa.LostAt, pa.probeAt, pa.probeAll = now, now, false
+	pa.reached, pa.dead = map[string]bool{}, map[string]bool{}
+	return true
+}
+
+// Reached records that a new connection to the upstream succeeded. The path is regained once all of the service's upstreams are reached,
+// but for those that no other instance reaches either. It reports whether it is regained by that.
+func (pa *Path) Reached(now time.Time, upstream string, upstreams []string) bool {
+	if !pa.Lost() {
+		clear(pa.failed)
+		return false
+	}
+	delete(pa.failed, upstream)
+	delete(pa.dead, upstream)
+	if !pa.reached[upstream] && !pa.probeAll {
+		pa.probeAll = true
+		pa.probeAt = minTime(pa.probeAt, now.Add(probeInterval/10))
+	}
+	pa.reached[upstream] = true
+	return pa.endIfWhole(now, upstreams)
+}
+
+// Dead records that another instance did not reach the upstream either. It reports whether the path is regained by that.
+func (pa *Path) Dead(now time.Time, upstream string, upstreams []string) bool {
+	if !pa.Lost() || pa.reached[upstream] {
+		return false
+	}
+	pa.dead[upstream] = true
+	return len(pa.reached) > 0 && pa.endIfWhole(now, upstreams)
+}
+
+// endIfWhole ends the loss if no upstream is left that others may reach and this instance does not.
+func (pa *Path) endIfWhole(now time.Time, upstreams []string) bool {
+	if slices.ContainsFunc(upstreams, func(name string) bool { return !pa.reached[name] && !pa.dead[name] }) {
+		return false
+	}
+	pa.LostAt, pa.reached, pa.dead = time.Time{}, nil, nil
+	clear(pa.failed)
+	pa.RegainedAt = now
+	return true
+}
+
+// GiveUp records that no other instance has a path either. The failures still count.
+func (pa *Path) GiveUp(now time.Time) {
+	pa.LostAt, pa.reached, pa.dead = time.Time{}, nil, nil
+	pa.hopelessUntil = now.Add(hopelessTime)
+}
+
+// Probes returns which of the upstreams to probe now, none if no probe is due. While none is reached that is one at a time.
+func (pa *Path) Probes(now time.Time, upstreams []string) []string {
+	if !pa.Lost() || now.Before(pa.probeAt) {
+		return nil
+	}
+	count := 1
+	switch {
+	case pa.probeAll:
+		count = len(upstreams)
+	case now.Equal(pa.LostAt):
+		count = firstProbes
+	}
+	pa.probeAt, pa.probeAll = now.Add(probeInterval), false
+	left := slices.DeleteFunc(slices.Clone(upstreams), func(name string) bool { return pa.reached[name] })
+	// Those that have not failed come first, and then those that failed longest ago.
+	slices.SortStableFunc(left, func(a, b string) int { return pa.failed[a].Compare(pa.failed[b]) })
+	left = left[:min(count, len(left))]
+	for _, name := range left {
+		pa.failed[name] = now
+	}
+	return left
+}
+
+func minTime(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -14,8 +14,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/joomcode/errorx"
-
 	"dandelionsail.example/dandelionsail/internal/hops"
 	"dandelionsail.example/dandelionsail/internal/notice"
 	"dandelionsail.example/dandelionsail/internal/steer"
@@ -61,6 +59,13 @@
 	}
 }
 
+// newPeerTransport returns a transport to other instances.
+func newPeerTransport(disableKeepAlives bool) *http.Transport {
+	transport := newTransport(nil, disableKeepAlives)
+	transport.DialContext = trip.CountingDialer(notice.CheckedDialer(newDialer(nil, detourDialTimeout)))
+	return transport
+}
+
 // response is a complete response of a replica.
 type response struct {
 	status int
@@ -85,8 +90,12 @@
 	cl.mu.Unlock()
 	att := &attempt{in: in, cl: cl, eff: eff, expiresAt: make([]time.Time, len(eff.Helpers)), ended: steer.AttemptEnded{ID: cl.id, Attempt: eff.Attempt}}
 	att.ended.Result = att.run(ctx)
-	if att.ended.Result == steer.ResultBroken && ctx.Err() == nil {
-		att.ended.Died = in.refusesConnections(ctx, eff.Replica)
+	att.ended.Unreachable = att.unreachable.Load()
+	if via := att.via.Load(); via != nil {
+		att.ended.Via = *via
+	}
+	if att.ended.Result == steer.ResultBroken && ctx.Err() == nil && att.ended.Via == "" {
+		att.ended.Unreachable, att.ended.Died = in.examineFailure(ctx, eff.Replica)
 	}
 	att.ended.Begun = cl.headerSent.Load()
 	return att.ended
@@ -100,6 +109,10 @@
 	ended steer.AttemptEnded
 	// silent reports whether checkSilence ended the attempt because the replica made no progress in time.
 	silent atomic.Bool
+	// unreachable reports whether checkSilence found that the replica accepts no connection.
+	unreachable atomic.Bool
+	// via names the Instance through which the attempt is sent, nil if it is sent directly.
+	via atomic.Pointer[string]
 	// timer calls checkSilence.
 	timer *time.Timer
 	// cancel cancels the attempt and the renewal of its reservations.
@@ -134,19 +147,15 @@
 		return result
 	}
 	defer att.release()
-	transport := att.in.pooled
-	if att.eff.NewConnection {
-		transport = att.in.unpooled
-	}
-	resp, ri, err := att.in.exchange(transport, att.message(), att.newRequest(attemptCtx))
+	resp, ri, err := att.in.exchange(att.eff.NewConnection, att.message(), att.newRequest(attemptCtx))
 	if isHeldBack(err) {
 		return steer.ResultHeld
 	}
-	if errorx.IsOfType(err, NotWritten) {
+	if isNotWritten(err) {
 		return steer.ResultNotSent
 	}
 	if err != nil {
-		return att.failureResult(ctx)
+		return att.failureResult(ctx, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
 	return att.receive(ctx, resp, ri)
@@ -155,7 +164,7 @@
 // message returns the attempt's request as exchange takes it.
 func (att *attempt) message() message {
 	name := att.cl.info.Name
-	msg := message{id: att.cl.id, request: name, name: name, to: steer.Target{Replica: att.eff.Replica, Kind: att.eff.Kind, Granted: att.eff.Granted}, decidedAt: att.eff.DecidedAt}
+	msg := message{id: att.cl.id, request: name, name: name, to: steer.Target{Replica: att.eff.Replica, Kind: att.eff.Kind, Granted: att.eff.Granted}, decidedAt: att.eff.DecidedAt, via: &att.via}
 	if hasReservations(&att.eff) {
 		// The reservations were made on the same decision.
 		msg.decidedAt = att.reservedAt
@@ -187,7 +196,7 @@
 			att.timer.Reset(limit - since)
 			return
 		}
-		if !att.in.refusesConnections(ctx, att.eff.Replica) {
+		if !att.unreachableNow(ctx) {
 			att.timer.Reset(limit)
 			return
 		}
@@ -196,6 +205,17 @@
 	cancel()
 }
 
+// unreachableNow reports whether the next hop of the attempt accepts no new connection: the replica, or the Instance through which the
+// attempt goes.
+func (att *attempt) unreachableNow(ctx context.Context) bool {
+	if via := att.via.Load(); via != nil {
+		return !att.in.acceptsConnections(ctx, *via)
+	}
+	refused := att.in.refusesConnections(ctx, att.eff.Replica)
+	att.unreachable.Store(refused)
+	return refused
+}
+
 // connectionStalled reports whether other requests received events from the replica more than half the limit after this
 // request's last event, which is nil if it received none. An engine sends the events of all its streams together, so a
 // connection that receives none while others do is dead although the replica is alive. Without this check such a stream
@@ -223,9 +243,10 @@
 // request because it accepts connections or sends events to other requests.
 const maxChecks = 3
 
-// failureResult classifies an attempt that may have arrived and ended without a complete response. ctx is the one that silence does not
-// cancel.
-func (att *attempt) failureResult(ctx context.Context) steer.Result {
+// failureResult classifies an attempt that may have arrived and ended with the error, without a complete response. ctx is the one that
+// silence does not cancel.
+func (att *attempt) failureResult(ctx context.Context, err error) steer.Result {
+	att.ended.Died = diedBehindDetour(err)
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return steer.ResultExpired
@@ -312,7 +333,7 @@
 	body, whole, err := att.in.buffers.read(resp.Body)
 	att.cl.buffered += cap(body)
 	if err != nil {
-		return att.failureResult(ctx)
+		return att.failureResult(ctx, err)
 	}
 	rsp := &response{status: resp.StatusCode, header: resp.Header, body: body}
 	if resp.StatusCode >= http.StatusMultipleChoices || att.cl.headerSent.Load() {
@@ -348,7 +369,7 @@
 		return steer.ResultCancelled
 	}
 	if rest.err != nil {
-		return att.failureResult(ctx)
+		return att.failureResult(ctx, rest.err)
 	}
 	return steer.ResultDone
 }
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -15,6 +16,9 @@
 // HeldBack reports that a message was not sent, since its replica has announced something that rules it out.
 var HeldBack = Errors.NewType("held_back")
 
+// NoPath reports that a message was not sent, since this Instance has lost its path to the replica's service.
+var NoPath = HeldBack.NewSubtype("no_path")
+
 // NotWritten reports that nothing of a message has left this Instance, so that it cannot arrive.
 var NotWritten = Errors.NewType("not_written")
 
@@ -31,17 +35,36 @@
 	parts []steer.Target
 	// decidedAt is when the reducer decided on the message, zero if it did not.
 	decidedAt time.Time
+	// forPeer reports whether the message is passed on for another Instance, and so must not be sent through a further one.
+	forPeer bool
+	// via receives the name of the Instance through which the message is sent, unless it is nil. It stays empty if the message is sent
+	// directly.
+	via *atomic.Pointer[string]
 }
 
 // exchange sends the message to its replica and returns the response, unless an announcement holds the message back. All
-// messages to replicas pass through exchange, and all that replicas announce in their answers is read here.
-func (in *Instance) exchange(transport *http.Transport, msg message, req *http.Request) (*http.Response, ResponseInfo, error) {
-	if err := in.checkMessage(msg, false); err != nil {
+// messages to replicas pass through exchange, and all that replicas announce in their answers is read here. newConnection prevents
+// the use of a kept connection. If the path to the replica is lost, the message goes through another Instance.
+func (in *Instance) exchange(newConnection bool, msg message, req *http.Request) (*http.Response, ResponseInfo, error) {
+	verdict, err := in.checkMessage(msg, false)
+	if err != nil {
 		return nil, ResponseInfo{}, err
 	}
-	recheck := func() error { return in.checkMessage(msg, true) }
+	recheck := func() error {
+		_, err := in.checkMessage(msg, true)
+		return err
+	}
 	sent := time.Now()
-	resp, err := in.sendOnce(transport, msg, req.WithContext(notice.WithCheck(req.Context(), recheck)))
+	req = req.WithContext(notice.WithCheck(req.Context(), recheck))
+	var resp *http.Response
+	if verdict.Via != "" {
+		if msg.via != nil {
+			msg.via.Store(&verdict.Via)
+		}
+		resp, err = in.exchangeVia(verdict.Via, newConnection, msg, req)
+	} else {
+		resp, err = in.sendOnce(in.transport(newConnection), msg, req)
+	}
 	if err != nil {
 		return nil, ResponseInfo{}, err
 	}
@@ -53,6 +76,14 @@
 	return resp, ri, nil
 }
 
+// transport returns the transport to replicas with or without kept connections.
+func (in *Instance) transport(newConnection bool) *http.Transport {
+	if newConnection {
+		return in.unpooled
+	}
+	return in.pooled
+}
+
 // maxStaleConns is how many kept connections in a row may turn out to be closed before a message counts as not sent.
 const maxStaleConns = 8
 
@@ -68,7 +99,7 @@
 			}
 			try.Body = body
 		}
-		res, err := trip.Do(transport, &try, nil)
+		res, err := trip.Do(transport, &try, func(reused bool) { in.connected(msg.to.Replica, reused) })
 		if res.Writes > 1 {
 			in.count("Messages.WrittenAgain")
 			in.log.Error().Str("Request", msg.request).Str("Replica", msg.to.Replica.Name).Int("Writes", res.Writes).Msg("request written again by the HTTP client")
@@ -87,16 +118,19 @@
 
 // checkMessage asks the reducer whether the message may be sent, and returns HeldBack if not. repeated reports whether the
 // message has passed before and waited for its connection since.
-func (in *Instance) checkMessage(msg message, repeated bool) error {
-	ev := steer.Sending{ID: msg.id, Request: msg.request, Targets: append([]steer.Target{msg.to}, msg.parts...), Repeated: repeated}
+func (in *Instance) checkMessage(msg message, repeated bool) (steer.Verdict, error) {
+	ev := steer.Sending{ID: msg.id, Request: msg.request, Targets: append([]steer.Target{msg.to}, msg.parts...), Repeated: repeated, ForPeer: msg.forPeer}
 	if !repeated {
 		ev.DecidedAt = msg.decidedAt
 	}
 	verdict := in.verdict(ev)
+	if verdict.NoPath {
+		return verdict, NoPath.New("relay: a message to %s was held back, since the path to its service is lost; another instance is asked", msg.to.Replica.Name)
+	}
 	if verdict.Held() {
-		return HeldBack.New("relay: a message to %s was held back (%s); the request goes to another replica", msg.to.Replica.Name, verdict.HeldBy)
+		return verdict, HeldBack.New("relay: a message to %s was held back (%s); the request goes to another replica", msg.to.Replica.Name, verdict.HeldBy)
 	}
-	return nil
+	return verdict, nil
 }
 
 // verdict passes the event to the reducer and returns its Verdict.
@@ -117,10 +151,40 @@
 // isHeldBack reports whether the error of exchange is HeldBack, so that nothing was sent.
 func isHeldBack(err error) bool { return errorx.IsOfType(err, HeldBack) }
 
+// isNotWritten reports whether the error of exchange is NotWritten.
+func isNotWritten(err error) bool { return errorx.IsOfType(err, NotWritten) }
+
+// connected reports a connection to a replica to the reducer, if it is a new one and there are doubts about the path.
+func (in *Instance) connected(replica steer.Replica, reused bool) {
+	if !reused && in.pathsInDoubt.Load() {
+		in.apply(steer.PathObserved{Replica: replica.Name, Reached: true})
+	}
+}
+
+// examineFailure finds out why a replica has broken off an answer. unreachable reports that it accepts no new connection, and died that
+// the replica is at fault: another one does. If neither does, it is more likely that this Instance has lost its path.
+func (in *Instance) examineFailure(ctx context.Context, replica steer.Replica) (unreachable, died bool) {
+	if ctx.Err() != nil || !in.refusesConnections(ctx, replica) {
+		return false, false
+	}
+	return true, true
+}
+
+// probePaths opens a connection to each of the replicas and closes it again.
+func (in *Instance) probePaths(eff steer.ProbePaths) {
+	for _, replica := range eff.Replicas {
+		in.background.Go(func() {
+			reached := !in.refusesConnections(context.Background(), replica)
+			in.count("Paths.Probes")
+			in.apply(steer.PathObserved{Replica: replica.Name, Reached: reached})
+		})
+	}
+}
+
 // refusesConnections reports whether the replica fails to accept a new connection within probeTimeout. It returns false
 // if ctx ends first or if the probe is held back.
 func (in *Instance) refusesConnections(ctx context.Context, replica steer.Replica) bool {
-	if in.checkMessage(message{to: steer.Target{Replica: replica, Kind: notice.Probe}}, false) != nil {
+	if _, err := in.checkMessage(message{to: steer.Target{Replica: replica, Kind: notice.Probe}}, false); err != nil {
 		return false
 	}
 	conn, err := newDialer(in.opts.Dial, probeTimeout)(ctx, "tcp", replica.Address)
--- /dev/null
+++ b/internal/relay/helper.go
@@ -0,0 +1,195 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/joomcode/errorx"
+
+	"dandelionsail.example/dandelionsail/internal/steer"
+)
+
+const (
+	// maxDetours is the maximum number of messages that this Instance passes on for others at the same time. Their responses
+	// are not buffered, so that it bounds connections rather than memory.
+	maxDetours = 128
+	// maxDetourMeta is the maximum size in bytes of a detourRequest beyond the body of the caller's request.
+	maxDetourMeta = 256 << 10
+	// detourBuffer is the size in bytes of the buffer through which a response is passed on.
+	detourBuffer = 8 << 10
+)
+
+// serveDetour passes a message of another Instance on to a replica. It refuses at once if it may not or cannot: the other Instance
+// then asks the next one.
+func (in *Instance) serveDetour(w http.ResponseWriter, req *http.Request) {
+	if reason := in.refusesDetours(req); reason != "" {
+		in.count("Detours.Refused")
+		refuseDetour(w, detourRefused, reason)
+		return
+	}
+	defer in.detours.Add(-1)
+	receivedAt := time.Now()
+	var dr detourRequest
+	raw, err := io.ReadAll(http.MaxBytesReader(w, req.Body, in.opts.MaxBody+maxDetourMeta))
+	if err != nil || cbor.Unmarshal(raw, &dr) != nil {
+		refuseDetour(w, detourRefused, "malformed")
+		return
+	}
+	in.mu.Lock()
+	replica, known := in.state.Lookup(dr.Replica, dr.Born)
+	in.mu.Unlock()
+	if !known {
+		refuseDetour(w, detourHeldBack, "unknown replica")
+		return
+	}
+	ctx := req.Context()
+	if dr.TimeLeftMs > 0 {
+		limited, cancel := context.WithTimeout(ctx, time.Duration(dr.TimeLeftMs)*time.Millisecond)
+		defer cancel()
+		ctx = limited
+	}
+	hp := &helping{in: in, w: w, dr: &dr, replica: replica}
+	hp.passOn(ctx, receivedAt)
+	in.count("Detours.PassedOn")
+	in.log.Info().Str("Request", dr.Request).Str("Replica", dr.Replica).Str("For", dr.From).Int("Status", hp.status).Str("Result", hp.result).
+		Int64("AgeMs", time.Since(receivedAt).Milliseconds()).Msg("passed on for another instance")
+}
+
+// refusesDetours returns why this Instance passes nothing on for the sender of the request, empty if it does. In that case the
+// message counts against maxDetours.
+func (in *Instance) refusesDetours(req *http.Request) string {
+	switch {
+	case in.draining.Load():
+		return "draining"
+	case !in.isPeerAddress(req.RemoteAddr):
+		return "not an instance"
+	}
+	if in.detours.Add(1) > maxDetours {
+		in.detours.Add(-1)
+		return "too many"
+	}
+	return ""
+}
+
+// isPeerAddress reports whether a registered Instance has the IP address.
+func (in *Instance) isPeerAddress(address string) bool {
+	host, _, err := net.SplitHostPort(address)
+	ip := net.ParseIP(host)
+	if err != nil || ip == nil {
+		return false
+	}
+	for _, peer := range *in.gossip.peers.Load() {
+		if peer.IP.Equal(ip) {
+			return true
+		}
+	}
+	return false
+}
+
+// refuseDetour states that nothing was sent.
+func refuseDetour(w http.ResponseWriter, result, reason string) {
+	w.Header().Set(detourResultHeader, result)
+	w.WriteHeader(http.StatusServiceUnavailable)
+	_, _ = io.WriteString(w, reason+"\n")
+}
+
+// helping is a message that is passed on.
+type helping struct {
+	in      *Instance
+	w       http.ResponseWriter
+	dr      *detourRequest
+	replica steer.Replica
+	// status is the replica's, 0 without a response.
+	status int
+	// result is what the other Instance is told.
+	result string
+}
+
+// passOn sends the message and passes the response on.
+func (hp *helping) passOn(ctx context.Context, receivedAt time.Time) {
+	msg := message{
+		// The ID distinguishes the message from this Instance's own requests; the reducer knows no request of that ID.
+		id: steer.RequestID(hp.in.nextID.Add(1)), request: hp.dr.Request, name: hp.dr.Name, decidedAt: receivedAt, forPeer: true,
+		to: steer.Target{Replica: hp.replica, Kind: hp.dr.Kind, Granted: hp.dr.Granted},
+	}
+	if hp.dr.ExpiresInMs > 0 {
+		msg.to.ExpiresAt = receivedAt.Add(time.Duration(hp.dr.ExpiresInMs) * time.Millisecond)
+	}
+	resp, _, err := hp.in.exchange(hp.dr.NewConnection, msg, hp.dr.replicaRequest(ctx, hp.replica.Address))
+	switch {
+	case errorx.IsOfType(err, NoPath):
+		hp.refuse(detourRefused)
+		return
+	case isHeldBack(err):
+		hp.refuse(detourHeldBack)
+		return
+	case isNotWritten(err):
+		if ctx.Err() == nil {
+			hp.in.apply(steer.PathObserved{Replica: hp.replica.Name})
+		}
+		hp.refuse(detourNotWritten)
+		return
+	case err != nil:
+		hp.refuse(hp.failure(ctx))
+		return
+	}
+	defer func() { _ = resp.Body.Close() }()
+	hp.writeHeader(resp)
+	hp.result = hp.copyBody(ctx, resp.Body)
+	hp.w.Header().Set(detourResultHeader, hp.result)
+}
+
+func (hp *helping) refuse(result string) {
+	hp.result = result
+	refuseDetour(hp.w, result, result)
+}
+
+// failure returns the result for a message that was sent and whose response is missing or incomplete.
+func (hp *helping) failure(ctx context.Context) string {
+	if _, died := hp.in.examineFailure(ctx, hp.replica); died {
+		return detourDied
+	}
+	return detourBroken
+}
+
+// writeHeader passes on the status and the header of the response.
+func (hp *helping) writeHeader(resp *http.Response) {
+	hp.status = resp.StatusCode
+	header := hp.w.Header()
+	copyHeader(header, resp.Header)
+	header.Set(detourStatusHeader, strconv.Itoa(resp.StatusCode))
+	if resp.ContentLength >= 0 {
+		header.Set(detourLengthHeader, strconv.FormatInt(resp.ContentLength, 10))
+	}
+	header.Set("Trailer", detourResultHeader)
+	hp.w.WriteHeader(http.StatusOK)
+	_ = http.NewResponseController(hp.w).Flush()
+}
+
+// copyBody passes the body on as it arrives and returns the result.
+func (hp *helping) copyBody(ctx context.Context, body io.Reader) string {
+	control := http.NewResponseController(hp.w)
+	buf := make([]byte, detourBuffer)
+	for {
+		count, err := body.Read(buf)
+		if count > 0 {
+			if _, err := hp.w.Write(buf[:count]); err != nil {
+				return detourBroken
+			}
+			if err := control.Flush(); err != nil {
+				return detourBroken
+			}
+		}
+		if err == io.EOF {
+			return detourComplete
+		}
+		if err != nil {
+			return hp.failure(ctx)
+		}
+	}
+}
--- a/internal/relay/instance.go
+++ b/internal/relay/instance.go
@@ -60,6 +60,8 @@
 	pooled *http.Transport
 	// unpooled opens a new connection for each request.
 	unpooled *http.Transport
+	// pooledPeer reuses connections to other instances.
+	pooledPeer *http.Transport
 	// unpooledPeer opens a new connection to another Instance for each request.
 	unpooledPeer *http.Transport
 	gossip       *gossip
@@ -89,6 +91,10 @@
 	// entries holds the entries of the Directory in use.
 	entries  entries
 	draining atomic.Bool
+	// detours is the number of messages that are being passed on for other instances.
+	detours atomic.Int64
+	// pathsInDoubt reports whether a new connection to a replica is news for the reducer.
+	pathsInDoubt atomic.Bool
 	// background counts the load polls and reservation requests under way that no caller waits for.
 	background sync.WaitGroup
 	nextID     atomic.Uint64
@@ -121,7 +127,8 @@
 		dropped:        dropped,
 		pooled:         newTransport(opts.Dial, false),
 		unpooled:       newTransport(opts.Dial, true),
-		unpooledPeer:   newTransport(nil, true),
+		pooledPeer:     newPeerTransport(false),
+		unpooledPeer:   newPeerTransport(true),
 		calls:          map[steer.RequestID]*call{},
 		firstConfirmed: make(chan struct{}),
 		peersListed:    make(chan struct{}),
@@ -168,6 +175,7 @@
 	peerMux := http.NewServeMux()
 	peerMux.HandleFunc("GET "+sharedConfigPath, in.serveConfig)
 	peerMux.HandleFunc("GET "+sharedDirectoryPath, in.serveDirectory)
+	peerMux.HandleFunc("POST "+detourPath, in.serveDetour)
 	peerServer := &http.Server{Handler: peerMux, ReadHeaderTimeout: headerTimeout, ErrorLog: errorLog}
 	group, serveCtx := errgroup.WithContext(serveCtx)
 	group.Go(func() error { return (&follower{in: in}).run(serveCtx) })
@@ -284,6 +292,7 @@
 		in.pauses.Received(now)
 	}
 	in.pauses.After(time.Now())
+	in.pathsInDoubt.Store(in.state.PathsInDoubt())
 	return effects
 }
 
@@ -311,6 +320,8 @@
 			}
 			in.apply(steer.DeathsReceived(eff))
 		})
+	case steer.ProbePaths:
+		in.probePaths(eff)
 	case steer.QueryLoad:
 		in.pollLoads(eff)
 	case steer.LogLine:
--- a/internal/relay/loadpoll.go
+++ b/internal/relay/loadpoll.go
@@ -39,7 +39,7 @@
 		return 0, 0, err
 	}
 	msg := message{to: steer.Target{Replica: replica, Kind: notice.LoadQuery}}
-	resp, _, err := in.exchange(in.pooled, msg, req)
+	resp, _, err := in.exchange(false, msg, req)
 	if isHeldBack(err) {
 		return 0, 0, err
 	}
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -59,6 +59,8 @@
 	addString(entry, "Announcement", line.Announcement)
 	addString(entry, "Source", line.Source)
 	addString(entry, "Reporter", line.Reporter)
+	addString(entry, "Service", line.Service)
+	addString(entry, "Via", line.Via)
 	addString(entry, "Invalid", line.Invalid)
 	addString(entry, "Send", line.Send)
 	if len(line.PassedOver) > 0 {
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -37,6 +37,7 @@
 	in.updateLimitMetrics()
 	in.updateAnnouncementMetrics()
 	in.updateRepeatMetrics()
+	in.updatePathMetrics()
 	in.gauge("Responses.BufferedBytes", in.buffers.bytes.Load())
 	in.gauge("Log.Dropped", in.dropped())
 	in.gauge("Process.Goroutines", int64(runtime.NumGoroutine()))
@@ -61,6 +62,19 @@
 	in.gauge("Repeats.Refused", totals.Refused)
 }
 
+// updatePathMetrics sets the gauges of lost paths: how long in ms each service has been reached through other instances only.
+func (in *Instance) updatePathMetrics() {
+	in.unregister("Paths.LostMs.")
+	in.mu.Lock()
+	lost := in.state.LostPaths(time.Now())
+	in.mu.Unlock()
+	in.gauge("Paths.Lost", int64(len(lost)))
+	for service, age := range lost {
+		in.gauge("Paths.LostMs."+service, age.Milliseconds())
+	}
+	in.gauge("Detours.Open", in.detours.Load())
+}
+
 func (in *Instance) gauge(name string, value int64) {
 	metrics.GetOrRegisterGauge(name, in.registry).Update(value)
 }
--- a/internal/relay/reservation.go
+++ b/internal/relay/reservation.go
@@ -137,7 +137,7 @@
 		msg.decidedAt = att.eff.DecidedAt
 	}
 	sent := time.Now()
-	resp, _, err := att.in.exchange(att.in.pooled, msg, req)
+	resp, _, err := att.in.exchange(false, msg, req)
 	if isHeldBack(err) {
 		return err
 	}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -33,7 +33,7 @@
 			return steer.ResultDone
 		}
 		if err != nil {
-			return att.failureResult(ctx)
+			return att.failureResult(ctx, err)
 		}
 	}
 }
--- a/internal/steer/announce.go
+++ b/internal/steer/announce.go
@@ -81,6 +81,8 @@
 	DecidedAt time.Time
 	// Repeated reports whether the message has passed before and waited for its connection since.
 	Repeated bool
+	// ForPeer reports whether the message is passed on for another instance, which has lost its path to the replica.
+	ForPeer bool
 }
 
 // Target is a replica that a message reaches.
@@ -101,10 +103,16 @@
 	Outdated bool
 	// OverBudget reports that the message is a repeat that the budget does not allow any more.
 	OverBudget bool
+	// NoPath reports that the path to the replica is lost and that no other instance can pass the message on.
+	NoPath bool
+	// Via is the instance through which the message goes, empty if it is sent directly.
+	Via string
 }
 
 // Held reports whether the message must not be sent.
-func (vd Verdict) Held() bool { return vd.HeldBy != notice.None || vd.Outdated || vd.OverBudget }
+func (vd Verdict) Held() bool {
+	return vd.HeldBy != notice.None || vd.Outdated || vd.OverBudget || vd.NoPath
+}
 
 // maxDecisionAge is the age up to which a decision to send is carried out. An instance that stood still for longer has not
 // received what replicas have announced since.
@@ -130,12 +138,20 @@
 		st.emit(Verdict{OverBudget: true})
 		return
 	}
+	via, ok := st.via(&ev.Targets[0].Replica, ev.ForPeer)
+	if !ok {
+		st.emit(Verdict{NoPath: true})
+		return
+	}
+	if via != "" && !ev.Repeated {
+		st.emit(LogLine{Message: "sent through another instance", Request: ev.Request, Replica: ev.Targets[0].Replica.Name, Service: ev.Targets[0].Replica.Service, Send: ev.Targets[0].Kind.String(), Via: via})
+	}
 	for i := range ev.Targets {
 		if rep, ok := st.replicas[ev.Targets[i].Replica.Name]; ok && !ev.Repeated {
 			rep.rest.Pass(st.now, uint64(ev.ID), ev.Targets[i].Kind)
 		}
 	}
-	st.emit(Verdict{})
+	st.emit(Verdict{Via: via})
 }
 
 // heldBy returns the announcement that holds the message back from the target, or notice.None.
@@ -153,6 +169,10 @@
 		if !rule.inForce(rep, st.now) {
 			continue
 		}
+		if rule.failure && ev.ForPeer && rep.downReporter != "" {
+			// The report may come from the very instance that has lost its path.
+			continue
+		}
 		switch rule.Treatments[target.Kind] {
 		case notice.Allowed:
 		case notice.NeedsGrant:
--- a/internal/steer/effect.go
+++ b/internal/steer/effect.go
@@ -140,6 +140,10 @@
 	Source string
 	// Reporter names the instance whose note it was.
 	Reporter string
+	// Service is the service that the decision is about.
+	Service string
+	// Via names the instance through which a message goes.
+	Via string
 	// Rest is how long the replica asked for rest.
 	Rest time.Duration
 	// Status is the HTTP status of the replica's answer.
--- a/internal/steer/event.go
+++ b/internal/steer/event.go
@@ -92,8 +92,12 @@
 	Result  Result
 	// Begun reports whether the caller already has the start of an answer, so that only the rest of it can follow.
 	Begun bool
-	// Died reports whether the replica refused a new connection after it broke off the answer.
+	// Unreachable reports whether the replica accepted no new connection after it broke off the answer or fell silent.
+	Unreachable bool
+	// Died reports whether the replica broke off the answer and accepts no connection, although another replica does.
 	Died bool
+	// Via is the instance that passed the attempt on, empty if it was sent directly.
+	Via string
 	// Pause is the longest time between two events of the stream.
 	Pause time.Duration
 	// PauseAt is when the longest pause ended.
--- a/internal/steer/limit.go
+++ b/internal/steer/limit.go
@@ -90,6 +90,7 @@
 	if !ok || rep.Born != ev.Born {
 		return
 	}
+	rep.heardAt = st.now
 	rep.rest.AnsweredSince(ev.Sent)
 	st.receiveAnnounced(rep, &ev.Announced)
 	if !ev.Limited {
--- a/internal/steer/list.go
+++ b/internal/steer/list.go
@@ -154,5 +154,6 @@
 	}
 	st.logEndsOfRest(rested)
 	st.dropExpiredPeers()
+	st.dropHelperPauses()
 	st.dropExpiredGrants()
 }
--- a/internal/steer/replica.go
+++ b/internal/steer/replica.go
@@ -71,6 +71,10 @@
 	downCause notice.Announcement
 	// downReporter names the instance that reported that failure, empty if it occurred here.
 	downReporter string
+	// heardAt is when the replica last answered this instance.
+	heardAt time.Time
+	// diedAt is when it last died while it ran a request of this instance.
+	diedAt time.Time
 	// rest is the time in which the replica wants no requests from this instance.
 	rest notice.Rest
 	// limit is nil while the replica states no rate limit.
--- a/internal/steer/retry.go
+++ b/internal/steer/retry.go
@@ -66,17 +66,38 @@
 	case ResultDone, ResultAnswered:
 		rep.succeeded()
 	case ResultNotSent, ResultSilent:
-		st.markDown(rep, notice.Failing)
+		st.attemptFailed(rep, &ev)
 	case ResultMisdirected:
 		st.markDown(rep, notice.Misdirecting)
 	case ResultBroken:
 		if ev.Died {
+			rep.diedAt = st.now
 			st.markDown(rep, notice.Failing)
 			st.countDeath(req)
+			return
+		}
+		if ev.Unreachable {
+			st.attemptFailed(rep, &ev)
 		}
 	}
 }
 
+// attemptFailed records an attempt that did not reach the replica, or whose replica fell silent and accepts no connection.
+func (st *State) attemptFailed(rep *replica, ev *AttemptEnded) {
+	if ev.Via != "" {
+		// Whoever passed it on has informed the others.
+		if ev.Result == ResultSilent {
+			st.pauseHelper(ev.Via, rep.Service)
+		}
+		st.unreachedByOthers(rep)
+		return
+	}
+	if (ev.Result == ResultNotSent || ev.Unreachable) && st.unreached(rep) {
+		return
+	}
+	st.markDown(rep, notice.Failing)
+}
+
 // markDown makes the replica unusable for a while. If it was usable here, the other instances are informed.
 func (st *State) markDown(rep *replica, cause notice.Announcement) {
 	wasUnusable := !rep.usable(st.now)
@@ -154,7 +175,7 @@
 		st.refuse(req, ReasonBudget, busyRetryAfter)
 		return
 	}
-	if !slices.Contains(req.tried, req.reps[0].Name) {
+	if lostPath := ev.Via == "" && st.pathOf(req.reps[0]).Lost(); !lostPath && !slices.Contains(req.tried, req.reps[0].Name) {
 		req.tried = append(req.tried, req.reps[0].Name)
 	}
 	if ev.Result == ResultNotRun {
--- a/internal/steer/serve.go
+++ b/internal/steer/serve.go
@@ -192,6 +192,7 @@
 		return
 	}
 	rep := req.reps[0]
+	rep.heardAt = st.now
 	if eng := st.serviceOf(rep.Service).engine; eng != nil {
 		st.learnPace(eng, rep, ev.Pause)
 		rep.observePassEnd(eng, st.now)
--- a/internal/steer/state.go
+++ b/internal/steer/state.go
@@ -6,6 +6,7 @@
 
 	"dandelionsail.example/dandelionsail/internal/budget"
 	"dandelionsail.example/dandelionsail/internal/deaths"
+	"dandelionsail.example/dandelionsail/internal/paths"
 	"dandelionsail.example/dandelionsail/pkg/decl"
 )
 
@@ -49,6 +50,8 @@
 	claims []*request
 	// peers holds, by name, what the notes of each other instance have reported.
 	peers map[string]*peer
+	// helperPauses holds until when instances are not asked to pass messages on.
+	helperPauses map[helperKey]time.Time
 	// others lists the other live instances, sorted by name.
 	others []Instance
 	// otherNames lists the names of others, in the same order.
@@ -113,6 +116,8 @@
 	layout *layout
 	// candidates caches the replicas of the subset that this instance uses, nil until they are computed.
 	candidates []*replica
+	// path is this instance's path to the replicas.
+	path paths.Path
 	// nextRetryAt is the earliest retry time for the next caller that is refused because of the replicas' rate limits.
 	nextRetryAt time.Time
 }
@@ -206,6 +211,7 @@
 		replicas:        map[string]*replica{},
 		requests:        map[RequestID]*request{},
 		peers:           map[string]*peer{},
+		helperPauses:    map[helperKey]time.Time{},
 		live:            1,
 		allowances:      map[string]*budget.Allowance{},
 		division:        budget.Division{Window: opts.Budget.Window, Lag: opts.ListLag},
@@ -257,6 +263,10 @@
 		st.responseReceived(ev)
 	case Sending:
 		st.sending(ev)
+	case PathObserved:
+		st.pathObserved(ev)
+	case DetourFailed:
+		st.detourFailed(ev)
 	case StoodStill:
 		st.stoodStill(ev)
 	case DeathsReceived:
@@ -271,6 +281,7 @@
 		st.expire()
 		st.abortAtStop()
 		st.dropExpired()
+		st.probeLostPaths()
 		st.dispatch()
 	}
 	st.scheduleWake()
