Quarantine: a lost path is not taken for the death of a replica

What callers saw: a content was refused as quarantined for minutes, at all instances, although its replicas live. Cause: a replica counted as dead if it broke off an answer and accepted no new connection. An instance that is cut off sees the same. Fix: another replica that was heard lately, and has not died since, is the witness: only if it accepts a connection the first one has died. The examination costs one more connection, and only after an answer was broken off and the replica accepts none.

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -167,7 +167,18 @@
 	if ctx.Err() != nil || !in.refusesConnections(ctx, replica) {
 		return false, false
 	}
-	return true, true
+	in.mu.Lock()
+	witness, ok := in.state.Witness(replica.Name)
+	in.mu.Unlock()
+	if !ok {
+		return true, true
+	}
+	reached := !in.refusesConnections(ctx, witness)
+	if ctx.Err() != nil {
+		return true, false
+	}
+	in.apply(steer.PathObserved{Replica: witness.Name, Reached: reached})
+	return true, reached
 }
 
 // probePaths opens a connection to each of the replicas and closes it again.
