Reports of failing replicas: not from an instance that may be cut off

What callers saw: instances whose links work refused requests while another one was cut off. Cause: an instance reported each replica that it did not reach, and each report made it unusable everywhere, for longer each time. Fix: only the first failure in a row is reported. A replica that really died breaks the streams of every instance that uses it, so that these see it themselves.

--- a/internal/steer/peer.go
+++ b/internal/steer/peer.go
@@ -15,6 +15,8 @@
 	lastNoteAt time.Time
 	// jobs holds the known replicas of each job that has not ended.
 	jobs map[JobID][]*replica
+	// reports holds when the instance last reported each replica as failing.
+	reports map[string]time.Time
 	// ended holds when the end of each recent job was reported.
 	ended map[JobID]time.Time
 	// waiting is the number of requests that wait for a replica at that instance.
@@ -152,7 +154,7 @@
 	}
 	for _, name := range nt.Down {
 		if rep, ok := st.replicas[name]; ok {
-			st.markDownByReport(rep, nt.From)
+			st.reported(pr, nt.From, rep)
 		}
 	}
 }
--- a/internal/steer/retry.go
+++ b/internal/steer/retry.go
@@ -104,10 +104,16 @@
 	rep.failed(st.now, cause, "")
 	if !wasUnusable {
 		st.emit(LogLine{Message: "replica avoided", Replica: rep.Name, Attempt: rep.failures, Source: sourceAttempt})
-		st.notifyOthers(rep, cause)
+		if cause != notice.Failing || st.pathOf(rep).Failures() < minDoubtfulFailures {
+			st.notifyOthers(rep, cause)
+		}
 	}
 }
 
+// minDoubtfulFailures is the number of replicas in a row that this instance has not reached from which the others are not told that
+// one more fails: it may be this instance's path.
+const minDoubtfulFailures = 2
+
 // markDownByReport makes the replica unusable for a while because the named instance reported that it fails.
 func (st *State) markDownByReport(rep *replica, reporter string) {
 	wasUsable := rep.usable(st.now)
