--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -152,6 +152,7 @@
 		return steer.ResultHeld
 	}
 	if isNotWritten(err) {
+		att.ended.GivenUp = ctx.Err() != nil
 		return steer.ResultNotSent
 	}
 	if err != nil {
--- a/internal/relay/helper.go
+++ b/internal/relay/helper.go
@@ -18,6 +18,8 @@
 	// maxDetours is the maximum number of messages that this Instance passes on for others at the same time. Their responses
 	// are not buffered, so that it bounds connections rather than memory.
 	maxDetours = 128
+	// maxDetourBytes is the maximum size in bytes of the messages that are held for others at the same time.
+	maxDetourBytes = 32 << 20
 	// maxDetourMeta is the maximum size in bytes of a detourRequest beyond the body of the caller's request.
 	maxDetourMeta = 256 << 10
 	// detourBuffer is the size in bytes of the buffer through which a response is passed on.
@@ -33,6 +35,7 @@
 		return
 	}
 	defer in.detours.Add(-1)
+	defer in.detourBytes.Add(-max(0, req.ContentLength))
 	receivedAt := time.Now()
 	var dr detourRequest
 	raw, err := io.ReadAll(http.MaxBytesReader(w, req.Body, in.opts.MaxBody+maxDetourMeta))
@@ -61,7 +64,7 @@
 }
 
 // refusesDetours returns why this Instance passes nothing on for the sender of the request, empty if it does. In that case the
-// message counts against maxDetours.
+// message counts against maxDetours and maxDetourBytes.
 func (in *Instance) refusesDetours(req *http.Request) string {
 	switch {
 	case in.draining.Load():
@@ -69,8 +72,11 @@
 	case !in.isPeerAddress(req.RemoteAddr):
 		return "not an instance"
 	}
-	if in.detours.Add(1) > maxDetours {
+	size := max(0, req.ContentLength)
+	open, bytes := in.detours.Add(1), in.detourBytes.Add(size)
+	if open > maxDetours || bytes > maxDetourBytes {
 		in.detours.Add(-1)
+		in.detourBytes.Add(-size)
 		return "too many"
 	}
 	return ""
--- a/internal/relay/instance.go
+++ b/internal/relay/instance.go
@@ -93,6 +93,8 @@
 	draining atomic.Bool
 	// detours is the number of messages that are being passed on for other instances.
 	detours atomic.Int64
+	// detourBytes is the size in bytes of these messages.
+	detourBytes atomic.Int64
 	// pathsInDoubt reports whether a new connection to a replica is news for the reducer.
 	pathsInDoubt atomic.Bool
 	// background counts the load polls and reservation requests under way that no caller waits for.
--- a/internal/steer/event.go
+++ b/internal/steer/event.go
@@ -98,6 +98,8 @@
 	Died bool
 	// Via is the instance that passed the attempt on, empty if it was sent directly.
 	Via string
+	// GivenUp reports whether the caller left, or its time ended, before anything was sent, so that the result says nothing of the replica.
+	GivenUp bool
 	// Pause is the longest time between two events of the stream.
 	Pause time.Duration
 	// PauseAt is when the longest pause ended.
--- a/internal/steer/retry.go
+++ b/internal/steer/retry.go
@@ -84,6 +84,9 @@
 
 // attemptFailed records an attempt that did not reach the replica, or whose replica fell silent and accepts no connection.
 func (st *State) attemptFailed(rep *replica, ev *AttemptEnded) {
+	if ev.GivenUp {
+		return
+	}
 	if ev.Via != "" {
 		// Whoever passed it on has informed the others.
 		if ev.Result == ResultSilent {
