--- a/internal/cmds/relay.go
+++ b/internal/cmds/relay.go
@@ -7,11 +7,15 @@
 	"syscall"
 
 	"dandelionsail.example/dandelionsail/internal/lines"
+	"dandelionsail.example/dandelionsail/internal/notice"
 	"dandelionsail.example/dandelionsail/internal/relay"
 	"dandelionsail.example/dandelionsail/internal/tool"
 	"dandelionsail.example/dandelionsail/platform"
 )
 
+// RelayDialer opens the connections to replicas in processes of tests that cut an instance off from them. It is nil elsewhere.
+var RelayDialer notice.Dialer
+
 type relayCommand struct {
 	relay.Options
 }
@@ -26,6 +30,7 @@
 	writer := lines.New(os.Stdout, cmd.LogLines)
 	logger := tool.Logger()
 	logger.Writer = writer
+	cmd.Dial = RelayDialer
 	in := relay.New(cmd.Options, platform.New(cmd.Store), platform.Protocol{}, logger, writer.Dropped)
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
