Completions front: a lost path is not taken for the death of an upstream

What callers saw: contents refused as quarantined, at all instances, although their engines live. Cause: an upstream counted as dead if it broke off and refused a new connection; an instance that has lost its links sees the same at every one. Evidence: TestLostPathToUpstreamsIsNotTakenForDeath, red without the witness (422 Quarantined after the fourth cut). Fix: as on the relay front, another upstream of the service is the witness: only if it accepts a connection has the first one died.

--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -111,6 +111,7 @@
 		ProgressTimeout: st.service(req).ProgressTimeout.Std(),
 
 		FirstProgressTimeout: st.firstProgressTimeout(req, upstreams),
+		Witness:              st.witness(req.Service, upstreams),
 	})
 }
 
--- a/internal/effect/effect.go
+++ b/internal/effect/effect.go
@@ -33,6 +33,9 @@
 	ProgressTimeout time.Duration
 	// FirstProgressTimeout is the maximum time without progress before the first byte of the answer; 0 means ProgressTimeout.
 	FirstProgressTimeout time.Duration
+	// Witness is the address of another upstream of the service, empty if there is none. If it accepts no connection either, the path
+	// to them has been lost, and none has died.
+	Witness string
 }
 
 // Abort ends an attempt. Its event.AttemptEnded carries ResultCancelled unless the attempt has already ended otherwise.
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -43,7 +43,7 @@
 		ended.Status = refused
 		ended.Alive = true
 	}
-	in.handleUpstreamFailure(ctx, cl, upstreamOf(eff, ended.Upstream), &ended)
+	in.handleUpstreamFailure(ctx, cl, eff, &ended)
 	return ended
 }
 
@@ -59,12 +59,13 @@
 
 // handleUpstreamFailure checks whether an upstream that failed or broke off is still alive, and asks a silent engine to free
 // the request.
-func (in *Instance) handleUpstreamFailure(ctx context.Context, cl *call, up event.Upstream, ended *event.AttemptEnded) {
+func (in *Instance) handleUpstreamFailure(ctx context.Context, cl *call, eff effect.Send, ended *event.AttemptEnded) {
+	up := upstreamOf(eff, ended.Upstream)
 	switch ended.Result {
 	case event.ResultFailed, event.ResultBroken:
 		// Idle timeouts and restarts of something on the path close connections too. Only the death of the upstream's
 		// process counts towards a quarantine of the request.
-		ended.Alive = ended.Alive || !in.upstream.Died(ctx, up.Address)
+		ended.Alive = ended.Alive || !in.upstream.Died(ctx, up.Address) || in.lostPath(ctx, eff.Witness)
 	case event.ResultSilent:
 		if cl.body == nil {
 			return
--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -105,6 +105,9 @@
 		calls:    map[event.RequestID]*call{},
 		readers:  map[string]context.CancelFunc{},
 	}
+	if opts.Dial != nil {
+		in.upstream = upstr.NewWithDialer(opts.Dial)
+	}
 	in.announcements = newAnnouncements(seed(opts))
 	in.upstream.Check = in.checkCall
 	in.upstream.Announced = in.readAnnounced
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -7,6 +7,7 @@
 
 	"github.com/joomcode/errorx"
 
+	"dandelionsail.example/dandelionsail/internal/notice"
 	"dandelionsail.example/dandelionsail/internal/peers"
 	"dandelionsail.example/dandelionsail/internal/route"
 )
@@ -45,6 +46,8 @@
 	PeerKey       string        `long:"peer-key" env:"DANDELIONSAIL_PEER_KEY" description:"file with the certificate's private key"`
 	// PeerKeys take precedence over the files. The demonstration and tests generate them in memory.
 	PeerKeys *peers.Keys `no-flag:"true"`
+	// Dial opens connections to upstreams. It is nil outside tests, which cut the instance off from its upstreams with it.
+	Dial notice.Dialer `no-flag:"true"`
 }
 
 // Check validates the settings. It returns a BadOption error that names the flag, its value and what is allowed.
--- a/internal/upstr/client.go
+++ b/internal/upstr/client.go
@@ -30,6 +30,8 @@
 	// with 300 ms, 4 of 42 parallel runs missed a death and let a request that crashes engines kill a third one; with 2 s, 1 of
 	// 42 did.
 	probeTimeout = 2 * time.Second
+	// reachTimeout is the timeout of Reaches; a live upstream accepts a connection within a few milliseconds.
+	reachTimeout = 300 * time.Millisecond
 	// idleTimeout is how long an idle connection is kept.
 	idleTimeout = 30 * time.Second
 	// idlePerUpstream is how many idle connections are kept per upstream.
@@ -47,6 +49,9 @@
 	Check func(call Call) error
 	// Announced, unless nil, is called with what each answer announces. sent is when the call was sent.
 	Announced func(call Call, sent time.Time, ann notice.Announced)
+	// Connected, unless nil, is called with the address of each new connection.
+	Connected func(address string)
+	dial      notice.Dialer
 	mu        sync.Mutex
 	// pools holds one transport per address, so that the idle connections to one unresponsive upstream can be closed
 	// alone.
@@ -56,14 +61,27 @@
 }
 
 // New returns a client with no connections.
-func New() *Client {
-	return &Client{pools: map[string]*http.Transport{}, unpooled: newTransport(true)}
+func New() *Client { return NewWithDialer((&net.Dialer{}).DialContext) }
+
+// NewWithDialer returns a client that opens its connections by dial. Tests cut a client off from its upstreams with it.
+func NewWithDialer(dial notice.Dialer) *Client {
+	cl := &Client{dial: dial, pools: map[string]*http.Transport{}}
+	cl.unpooled = cl.newTransport(true)
+	return cl
 }
 
-func newTransport(disableKeepAlives bool) *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+func (cl *Client) newTransport(disableKeepAlives bool) *http.Transport {
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		limited, cancel := context.WithTimeout(ctx, dialTimeout)
+		defer cancel()
+		conn, err := cl.dial(limited, network, address)
+		if err == nil && cl.Connected != nil {
+			cl.Connected(address)
+		}
+		return conn, err
+	}
 	return &http.Transport{
-		DialContext:         trip.CountingDialer(notice.CheckedDialer(dialer.DialContext)),
+		DialContext:         trip.CountingDialer(notice.CheckedDialer(dial)),
 		DisableKeepAlives:   disableKeepAlives,
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: idlePerUpstream,
@@ -91,7 +109,7 @@
 	defer cl.mu.Unlock()
 	pool, ok := cl.pools[call.Address]
 	if !ok {
-		pool = newTransport(false)
+		pool = cl.newTransport(false)
 		cl.pools[call.Address] = pool
 	}
 	return pool
@@ -108,7 +126,7 @@
 	}
 	limited, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	conn, err := (&net.Dialer{}).DialContext(limited, "tcp", address)
+	conn, err := cl.dial(limited, "tcp", address)
 	if err == nil {
 		defer func() { _ = conn.Close() }()
 		err = probe(limited, conn, address)
@@ -116,6 +134,22 @@
 	return err != nil && limited.Err() == nil && !errors.Is(err, os.ErrDeadlineExceeded)
 }
 
+// Reaches reports whether a new connection to the upstream opens within reachTimeout. It returns true if ctx ends first, or if the probe must
+// not be sent.
+func (cl *Client) Reaches(ctx context.Context, address string) bool {
+	if cl.check(Call{Address: address, Kind: notice.Probe}) != nil {
+		return true
+	}
+	limited, cancel := context.WithTimeout(ctx, reachTimeout)
+	defer cancel()
+	conn, err := cl.dial(limited, "tcp", address)
+	if err != nil {
+		return ctx.Err() != nil
+	}
+	_ = conn.Close()
+	return true
+}
+
 // probe sends an OPTIONS request and waits for the first byte of the response.
 func probe(ctx context.Context, conn net.Conn, address string) error {
 	if until, ok := ctx.Deadline(); ok {
