Completions front: requests go through another instance while a path is lost

What callers saw: 502 RetryBudgetUsed or NoUpstream at an instance that had lost its links to all upstreams, while other instances served the same. Evidence: TestInstanceCutOffFromUpstreamsServesItsCallers, red without the forwarding (502 for the first update after the cut). Fix: internal/paths decides here, too; a request of which nothing was sent is passed on, as it came, to another instance, which admits, limits and claims it; one hop. Not passed on: what may have run, what holds a claim, and requests of callers over TLS.

--- a/internal/core/arrive.go
+++ b/internal/core/arrive.go
@@ -10,6 +10,9 @@
 )
 
 func (st *State) handleArrived(ev event.Arrived) {
+	if st.forwardArrived(ev) {
+		return
+	}
 	if refusal := st.tryAdmit(ev); refusal != nil {
 		st.countReason("Requests.Refused.", refusal.Reason)
 		st.emit(effect.Finish{ID: ev.ID, Refusal: refusal})
--- a/internal/core/path.go
+++ b/internal/core/path.go
@@ -1,6 +1,43 @@
 package core
 
-import "dandelionsail.example/dandelionsail/internal/event"
+import (
+	"strconv"
+	"time"
+
+	"dandelionsail.example/dandelionsail/internal/effect"
+	"dandelionsail.example/dandelionsail/internal/event"
+	"dandelionsail.example/dandelionsail/internal/paths"
+)
+
+// Lost paths. Load pattern: some instances lose their links to all upstreams of a service for seconds, while callers and the
+// other instances reach them. Package paths decides when a path is lost. Meanwhile requests of which nothing was sent are passed on,
+// as they came, to another instance, which admits, limits and claims them itself.
+
+// forwardPause is how long an instance that did not take a request is not asked again for the same service.
+const forwardPause = time.Second
+
+// forwardKey identifies an instance as one that takes requests for a service.
+type forwardKey struct{ instance, service string }
+
+func (st *State) pathOf(service string) *paths.Path {
+	pa, ok := st.paths[service]
+	if !ok {
+		pa = &paths.Path{}
+		st.paths[service] = pa
+	}
+	return pa
+}
+
+// upstreamNames returns the names of the service's listed upstreams.
+func (st *State) upstreamNames(service string) []string {
+	var names []string
+	for _, rep := range st.Route.Services[service] {
+		if !rep.Upstream.Leaving {
+			names = append(names, rep.Upstream.Name)
+		}
+	}
+	return names
+}
 
 // witness returns the address of an upstream of the service that is not among those of the attempt and not known to be dead, empty if
 // there is none.
@@ -13,3 +50,156 @@
 	}
 	return ""
 }
+
+// lostPath records an attempt that did not reach its upstream and reports whether that is put down to this instance's own path.
+func (st *State) lostPath(req *Request, ev event.AttemptEnded) bool {
+	return ev.Result == event.ResultNotSent && st.unreached(req.Service, ev.Upstream)
+}
+
+// unreached records that a new connection to the upstream failed, and reports whether the path to the service is lost.
+func (st *State) unreached(service, upstream string) bool {
+	pa := st.pathOf(service)
+	if !pa.Failed(st.now, upstream, len(st.upstreamNames(service)), false) {
+		return pa.Lost()
+	}
+	if _, ok := st.forwardTarget(service); !ok {
+		pa.GiveUp(st.now)
+		return false
+	}
+	st.emit(effect.CountAndLog{Counter: "Paths.Lost", LogMessage: "path lost: requests go through other instances", Subject: service})
+	st.probe(service, pa)
+	return true
+}
+
+func (st *State) handlePathObserved(ev event.PathObserved) {
+	for service, reps := range st.Route.Services {
+		for _, rep := range reps {
+			if rep.Upstream.Address != ev.Address {
+				continue
+			}
+			if !ev.Reached {
+				st.unreached(service, rep.Upstream.Name)
+				return
+			}
+			pa := st.pathOf(service)
+			if pa.Reached(st.now, rep.Upstream.Name, st.upstreamNames(service)) {
+				st.emit(effect.CountAndLog{Counter: "Paths.Regained", LogMessage: "path regained", Subject: service})
+			}
+			st.probe(service, pa)
+			return
+		}
+	}
+}
+
+// probeLostPaths probes the upstreams of the services whose paths are lost, where a probe is due. An instance that shuts down probes nothing.
+func (st *State) probeLostPaths() {
+	for service, pa := range st.paths {
+		st.probe(service, pa)
+	}
+}
+
+func (st *State) probe(service string, pa *paths.Path) {
+	if !pa.Lost() || st.Draining {
+		return
+	}
+	var addresses []string
+	for _, name := range pa.Probes(st.now, st.upstreamNames(service)) {
+		addresses = append(addresses, st.Route.Replicas[name].Upstream.Address)
+	}
+	if len(addresses) > 0 {
+		st.emit(effect.ProbePaths{Addresses: addresses})
+	}
+}
+
+// forwardTarget returns an instance that may take a request for the service. One of the own failure domain is preferred; among those the
+// requests are spread.
+func (st *State) forwardTarget(service string) (event.Instance, bool) {
+	var near, far []event.Instance
+	if !st.Options.Forward {
+		return event.Instance{}, false
+	}
+	for _, inst := range st.Instances {
+		if inst.Name == st.Options.Name || inst.Leaving || inst.Address == "" || st.now.Before(st.forwardPauses[forwardKey{inst.Name, service}]) {
+			continue
+		}
+		if inst.FailureDomain == st.Options.FailureDomain {
+			near = append(near, inst)
+			continue
+		}
+		far = append(far, inst)
+	}
+	if len(near) == 0 {
+		near = far
+	}
+	if len(near) == 0 {
+		return event.Instance{}, false
+	}
+	st.forwards++
+	return near[st.forwards%uint64(len(near))], true
+}
+
+// forwardArrived passes an arriving request on if the path to its service is lost, or refuses it if it was passed on already. It reports
+// whether it did either.
+func (st *State) forwardArrived(ev event.Arrived) bool {
+	pa, ok := st.paths[ev.Service]
+	if !ok || !pa.Lost() {
+		return false
+	}
+	if ev.Forwarded {
+		refusal := notRunRefusal(effect.ReasonNoPath, time.Second, "send it again; another instance will take it")
+		st.countReason("Requests.Refused.", refusal.Reason)
+		st.emit(effect.Finish{ID: ev.ID, Refusal: refusal})
+		return true
+	}
+	to, ok := st.forwardTarget(ev.Service)
+	if !ok {
+		st.giveUpPath(ev.Service, pa)
+		return false
+	}
+	st.forward(ev.ID, to)
+	return true
+}
+
+// forwardUnsent passes a request on of which certainly nothing was sent, if its attempt has failed because the path is lost.
+func (st *State) forwardUnsent(req *Request, ev event.AttemptEnded) bool {
+	pa, ok := st.paths[req.Service]
+	if !ok || !pa.Lost() || ev.Result != event.ResultNotSent || req.MayHaveRun || req.Claimed || req.Forwarded || req.Gone {
+		return false
+	}
+	to, ok := st.forwardTarget(req.Service)
+	if !ok {
+		st.giveUpPath(req.Service, pa)
+		return false
+	}
+	st.release(req)
+	st.forward(req.ID, to)
+	return true
+}
+
+func (st *State) forward(id event.RequestID, to event.Instance) {
+	st.emit(effect.CountAndLog{Counter: "Requests.Forwarded"})
+	st.emit(effect.Forward{ID: id, To: to})
+}
+
+func (st *State) giveUpPath(service string, pa *paths.Path) {
+	pa.GiveUp(st.now)
+	st.emit(effect.CountAndLog{Counter: "Paths.GivenUp", LogMessage: "path lost by all instances", Subject: service})
+}
+
+// handleForwardFailed passes the instance over for a while.
+func (st *State) handleForwardFailed(ev event.ForwardFailed) {
+	st.forwardPauses[forwardKey{ev.Instance, ev.Service}] = st.now.Add(forwardPause)
+	st.emit(effect.CountAndLog{Counter: "Forwards.Failed", LogMessage: "another instance did not take a request for " + strconv.Quote(ev.Service), Subject: ev.Instance})
+}
+
+// reportDoubt states whether new connections matter, if that has changed.
+func (st *State) reportDoubt() {
+	doubt := false
+	for _, pa := range st.paths {
+		doubt = doubt || pa.InDoubt()
+	}
+	if doubt != st.pathsInDoubt {
+		st.pathsInDoubt = doubt
+		st.emit(effect.PathsInDoubt{InDoubt: doubt})
+	}
+}
--- /dev/null
+++ b/internal/core/path_test.go
@@ -0,0 +1,101 @@
+package core_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"dandelionsail.example/dandelionsail/internal/core"
+	"dandelionsail.example/dandelionsail/internal/effect"
+	"dandelionsail.example/dandelionsail/internal/event"
+	"dandelionsail.example/dandelionsail/pkg/decl"
+)
+
+// newForwarding returns an instance that may pass requests on to another one, before two model engines.
+func newForwarding(t *testing.T) *instance {
+	in := &instance{t: t, st: core.New(core.Options{Name: "entry-0", FailureDomain: "a", Seed: 1, Forward: true}), now: start}
+	in.reduce(event.ConfigAccepted{Config: &decl.Config{
+		Version:  1,
+		Services: map[string]decl.Service{"lyric": {Kind: decl.KindModel, Models: []decl.Model{{Name: "lyric"}}, MemoryTokens: 400_000}},
+	}})
+	in.reduce(event.UpstreamsListed{Upstreams: []event.Upstream{
+		{Name: "lyric-0", Service: "lyric", Address: "127.0.0.1:1", FailureDomain: "a"},
+		{Name: "lyric-1", Service: "lyric", Address: "127.0.0.1:2", FailureDomain: "a"},
+	}})
+	in.reduce(event.InstancesListed{Instances: []event.Instance{
+		{Name: "entry-0", Address: "127.0.0.1:8", FailureDomain: "a"}, {Name: "entry-1", Address: "127.0.0.1:9", FailureDomain: "a"},
+	}})
+	return in
+}
+
+// one returns the only effect of the type.
+func one[Effect effect.Effect](t *testing.T, effects []effect.Effect) Effect {
+	t.Helper()
+	var found []Effect
+	for _, eff := range effects {
+		if eff, ok := eff.(Effect); ok {
+			found = append(found, eff)
+		}
+	}
+	assert.Equal(t, len(found), 1, "%#v", effects)
+	return found[0]
+}
+
+// losePath makes the attempts of a request fail until it is passed on, and returns the effects of the last failure.
+func (in *instance) losePath() []effect.Effect {
+	in.t.Helper()
+	sent := one[effect.Send](in.t, in.arrive(event.Arrived{Service: "lyric", PromptTokens: 1000, Idempotent: true}))
+	again := one[effect.Send](in.t, in.reduce(event.AttemptEnded{ID: 1, Attempt: 1, Upstream: sent.Upstreams[0].Name, Result: event.ResultNotSent}))
+	return in.reduce(event.AttemptEnded{ID: 1, Attempt: 2, Upstream: again.Upstreams[0].Name, Result: event.ResultNotSent})
+}
+
+func TestRequestIsForwardedOnceThePathIsLost(t *testing.T) {
+	in := newForwarding(t)
+	effects := in.losePath()
+	assert.Equal(t, one[effect.Forward](t, effects).To.Name, "entry-1")
+	assert.Equal(t, len(in.st.Requests), 0)
+	assert.Assert(t, len(one[effect.ProbePaths](t, effects).Addresses) > 0)
+	assert.Equal(t, one[effect.Forward](t, in.arrive(event.Arrived{Service: "lyric", PromptTokens: 1000, Idempotent: true})).ID, event.RequestID(1))
+}
+
+func TestPathIsGivenUpIfNoInstanceTakesRequests(t *testing.T) {
+	in := newForwarding(t)
+	in.losePath()
+	in.reduce(event.ForwardFailed{Instance: "entry-1", Service: "lyric"})
+	one[effect.Send](t, in.arrive(event.Arrived{Service: "lyric", PromptTokens: 1000, Idempotent: true}))
+}
+
+func TestPathIsRegainedByProbes(t *testing.T) {
+	in := newForwarding(t)
+	in.losePath()
+	in.now = in.now.Add(500 * time.Millisecond)
+	in.reduce(event.PathObserved{Address: "127.0.0.1:1", Reached: true})
+	in.reduce(event.PathObserved{Address: "127.0.0.1:2", Reached: true})
+	one[effect.Send](t, in.arrive(event.Arrived{Service: "lyric", PromptTokens: 1000, Idempotent: true}))
+}
+
+func TestRequestThatMayHaveRunIsNotForwarded(t *testing.T) {
+	// The first attempt may have run. The other instance would answer "not run" for it if it can't serve it.
+	in := newForwarding(t)
+	sent := one[effect.Send](t, in.arrive(event.Arrived{Service: "lyric", PromptTokens: 1000, Idempotent: true}))
+	effects := in.reduce(event.AttemptEnded{ID: 1, Attempt: 1, Upstream: sent.Upstreams[0].Name, Result: event.ResultFailed, Alive: true})
+	for attempt := 2; attempt < 5; attempt++ {
+		for _, eff := range effects {
+			_, forwarded := eff.(effect.Forward)
+			assert.Assert(t, !forwarded)
+		}
+		var again *effect.Send
+		for _, eff := range effects {
+			if eff, ok := eff.(effect.Send); ok {
+				again = &eff
+			}
+		}
+		if again == nil {
+			break
+		}
+		effects = in.reduce(event.AttemptEnded{ID: 1, Attempt: attempt, Upstream: again.Upstreams[0].Name, Result: event.ResultNotSent})
+	}
+	finish := one[effect.Finish](t, effects)
+	assert.Equal(t, finish.Refusal.RunState, effect.Unknown)
+}
--- a/internal/core/retry.go
+++ b/internal/core/retry.go
@@ -55,7 +55,7 @@
 func (st *State) settleUpstreams(req *Request, ev event.AttemptEnded) {
 	for _, up := range req.Upstreams {
 		result := event.ResultCancelled
-		if up.Name == ev.Upstream && !st.connectAbandoned(req, ev) {
+		if up.Name == ev.Upstream && !st.connectAbandoned(req, ev) && !st.lostPath(req, ev) {
 			result = ev.Result
 		}
 		if st.Route.RecordEnd(st.now, up.Name, req.ID, ev.Offset-req.Offset, result) {
@@ -91,6 +91,9 @@
 		st.enqueueAgain(req)
 		return
 	}
+	if st.forwardUnsent(req, ev) {
+		return
+	}
 	req.Tried = append(req.Tried, ev.Upstream)
 	progressed := ev.Offset > req.Offset
 	req.Offset = ev.Offset
--- a/internal/core/state.go
+++ b/internal/core/state.go
@@ -9,6 +9,7 @@
 	"dandelionsail.example/dandelionsail/internal/effect"
 	"dandelionsail.example/dandelionsail/internal/event"
 	"dandelionsail.example/dandelionsail/internal/member"
+	"dandelionsail.example/dandelionsail/internal/paths"
 	"dandelionsail.example/dandelionsail/internal/route"
 	"dandelionsail.example/dandelionsail/pkg/decl"
 )
@@ -27,6 +28,8 @@
 	NameRequest func(id event.RequestID) string
 	// Permits makes long prompts wait for a permit from their pool's coordinator.
 	Permits bool
+	// Forward makes the instance pass requests on to others while its path to a service is lost.
+	Forward bool
 	// Policy chooses the replicas; nil is route.LowestCost. The other policies are baselines, under which requests are also
 	// served in order of arrival, without permits and without priorities at the engines.
 	Policy route.Policy
@@ -43,6 +46,14 @@
 	Requests map[event.RequestID]*Request
 	// Member is the membership, nil in an instance without peers.
 	Member *member.State
+	// paths holds this instance's path to each service.
+	paths map[string]*paths.Path
+	// pathsInDoubt is what the last effect.PathsInDoubt stated.
+	pathsInDoubt bool
+	// forwards counts the requests that were passed on, which spreads them over the instances.
+	forwards uint64
+	// forwardPauses holds until when instances are not asked to take requests.
+	forwardPauses map[forwardKey]time.Time
 	// Instances are the live instances of the membership, or the platform's list in an instance without peers.
 	Instances []event.Instance
 	// Draining reports whether new requests are refused because the instance is shutting down.
@@ -135,6 +146,8 @@
 		Admit:          admit.New(),
 		Route:          route.New(opts.FailureDomain, opts.Seed),
 		Requests:       map[event.RequestID]*Request{},
+		paths:          map[string]*paths.Path{},
+		forwardPauses:  map[forwardKey]time.Time{},
 		quarantine:     newQuarantine(),
 		table:          newTable(&decl.Config{}),
 		reasonCounters: map[reasonKey]string{},
@@ -172,6 +185,10 @@
 		st.handleAnswerStarted(ev)
 	case event.AttemptEnded:
 		st.handleAttemptEnded(ev)
+	case event.PathObserved:
+		st.handlePathObserved(ev)
+	case event.ForwardFailed:
+		st.handleForwardFailed(ev)
 	case event.ClaimSettled:
 		st.handleClaimSettled(ev)
 	case event.PermitAnswered:
@@ -217,9 +234,11 @@
 		st.requestDelayedPermits()
 		st.expire()
 		st.ejectSlow()
+		st.probeLostPaths()
 		st.sendDemands()
 		st.dispatchAll()
 	}
+	st.reportDoubt()
 	return st.effects
 }
 
--- a/internal/effect/effect.go
+++ b/internal/effect/effect.go
@@ -38,6 +38,19 @@
 	Witness string
 }
 
+// Forward passes a request of which nothing was sent on to another instance, since the path to its service is lost. An
+// event.ForwardFailed and the event.Arrived again follow if that instance does not take it.
+type Forward struct {
+	ID event.RequestID
+	To event.Instance
+}
+
+// ProbePaths requests new connections to upstreams, by address. An event.PathObserved follows for each.
+type ProbePaths struct{ Addresses []string }
+
+// PathsInDoubt states whether new connections that succeed are to be reported by an event.PathObserved.
+type PathsInDoubt struct{ InDoubt bool }
+
 // Abort ends an attempt. Its event.AttemptEnded carries ResultCancelled unless the attempt has already ended otherwise.
 type Abort struct {
 	ID      event.RequestID
@@ -94,6 +107,8 @@
 	ReasonClaim Reason = "ClaimUnavailable"
 	// ReasonDraining means that the instance is shutting down.
 	ReasonDraining Reason = "Draining"
+	// ReasonNoPath means that this instance has lost its path to the service's upstreams.
+	ReasonNoPath Reason = "NoPath"
 	// ReasonUnknownModel means that no service is declared under the requested name.
 	ReasonUnknownModel Reason = "UnknownModel"
 	// ReasonOutcome means that the request may have run and that its outcome is not known.
@@ -232,3 +247,6 @@
 func (SendToPeer) isEffect()         {}
 func (CloseIdle) isEffect()          {}
 func (CountAndLog) isEffect()        {}
+func (Forward) isEffect()            {}
+func (ProbePaths) isEffect()         {}
+func (PathsInDoubt) isEffect()       {}
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -65,7 +65,7 @@
 	case event.ResultFailed, event.ResultBroken:
 		// Idle timeouts and restarts of something on the path close connections too. Only the death of the upstream's
 		// process counts towards a quarantine of the request.
-		ended.Alive = ended.Alive || !in.upstream.Died(ctx, up.Address) || in.lostPath(ctx, eff.Witness)
+		ended.Alive = ended.Alive || !in.upstream.Died(ctx, up.Address) || in.lostPath(ctx, up.Address, eff.Witness)
 	case event.ResultSilent:
 		if cl.body == nil {
 			return
@@ -107,7 +107,7 @@
 }
 
 // strippedHeaders are the end-to-end headers that an instance does not forward. Hop-by-hop headers are removed as well.
-var strippedHeaders = []string{"Authorization", HeaderDeadline}
+var strippedHeaders = []string{"Authorization", HeaderDeadline, HeaderForwardedBy}
 
 // internalHeaders are headers that only an instance may send to an engine. If they were forwarded from a caller, the caller
 // could read another organisation's exported cache, skip the start of its answer or get a higher priority than all others.
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -42,6 +42,8 @@
 
 	// digest identifies the request's content.
 	digest event.Digest
+	// arrival is the event of its arrival.
+	arrival event.Arrived
 	// headerSent means that the status and header were sent to the caller.
 	headerSent bool
 	// offset is the number of answer tokens forwarded so far, over all attempts.
@@ -78,6 +80,7 @@
 	cl.deadline = ev.Deadline
 	cl.digest = ev.Digest
 	ev.ID = cl.id
+	cl.arrival = ev
 	cl.w.Header().Set(HeaderRequestID, cl.name)
 	in.register(cl)
 	defer in.unregister(cl)
@@ -106,6 +109,10 @@
 			switch eff := eff.(type) {
 			case effect.Send:
 				in.loop.Submit(in.attempt(cl, eff))
+			case effect.Forward:
+				if in.forward(cl, eff) {
+					return
+				}
 			case effect.Finish:
 				in.finish(cl, eff)
 				return
@@ -172,6 +179,9 @@
 	case eff.Replay != nil:
 		replay(cl.w, eff.Replay)
 	case eff.Refusal != nil:
+		if cl.arrival.Forwarded && (eff.Refusal.Reason == effect.ReasonNoPath || eff.Refusal.Reason == effect.ReasonDraining) && !cl.headerSent {
+			cl.w.Header().Set(HeaderForwardRefused, string(eff.Refusal.Reason))
+		}
 		if eff.Refusal.Reason == effect.ReasonQuarantine && eff.Refusal.RunState != effect.NotRun {
 			in.awaitQuarantineAcks(cl)
 		}
--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -36,6 +36,7 @@
 	cl.service = ev.Service
 	ev.Organisation = org
 	ev.Key = req.Header.Get("Idempotency-Key")
+	ev.Forwarded = req.Header.Get(HeaderForwardedBy) != ""
 	ev.Digest = digest(req, cl.raw)
 	in.serve(cl, ev)
 }
--- a/internal/entry/errors.go
+++ b/internal/entry/errors.go
@@ -16,6 +16,10 @@
 	HeaderRunState = "Dandelionsail-Run"
 	// HeaderDeadline is the caller's deadline, as a duration such as "30s" or as an RFC 3339 time.
 	HeaderDeadline = "X-Request-Deadline"
+	// HeaderForwardedBy names the instance that has passed a request on. Its only effect is that the request is not passed on again.
+	HeaderForwardedBy = "X-Forwarded-By-Instance"
+	// HeaderForwardRefused is set in the refusal of a request that was passed on and that another instance may take.
+	HeaderForwardRefused = "X-Forward-Refused"
 	// HeaderRequestID carries the request's id in the answer, for support.
 	HeaderRequestID = "X-Request-Id"
 )
@@ -51,6 +55,7 @@
 	effect.ReasonKeyRunning:    http.StatusConflict,
 	effect.ReasonClaim:         http.StatusServiceUnavailable,
 	effect.ReasonDraining:      http.StatusServiceUnavailable,
+	effect.ReasonNoPath:        http.StatusServiceUnavailable,
 	effect.ReasonUnknownModel:  http.StatusNotFound,
 	effect.ReasonOutcome:       http.StatusBadGateway,
 	effect.ReasonAnswerNotKept: http.StatusConflict,
--- a/internal/entry/forward_test.go
+++ b/internal/entry/forward_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -16,6 +18,7 @@
 	"dandelionsail.example/dandelionsail/internal/entry"
 	"dandelionsail.example/dandelionsail/internal/load"
 	"dandelionsail.example/dandelionsail/internal/plat"
+	"dandelionsail.example/dandelionsail/internal/stand"
 )
 
 // cutLinks are the connections of one instance to its upstreams.
@@ -72,6 +75,79 @@
 	return second
 }
 
+// engines returns the engines of a rig.
+func engines() []*stand.Engine {
+	return []*stand.Engine{stand.NewEngine(stand.DefaultEngineOptions()), stand.NewEngine(stand.DefaultEngineOptions())}
+}
+
+// post sends an update to the plain service and returns the status and the body of the answer.
+func (rg *rig) post(header http.Header) (int, string) {
+	rg.t.Helper()
+	resp, err := rg.caller.Do(rg.t.Context(), http.MethodPost, "/board/1", []byte("hymn 101"), header)
+	assert.NilError(rg.t, err)
+	defer func() { _ = resp.Body.Close() }()
+	text, err := io.ReadAll(resp.Body)
+	assert.NilError(rg.t, err)
+	return resp.StatusCode, string(text)
+}
+
+func TestInstanceCutOffFromUpstreamsServesItsCallers(t *testing.T) {
+	// An instance loses its links to all upstreams, while callers and another instance reach it. Its callers must be served, each request
+	// once, and directly again soon after the links work.
+	var runs atomic.Int64
+	board := http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		if req.Method == http.MethodOptions {
+			return
+		}
+		runs.Add(1)
+		raw, _ := io.ReadAll(req.Body)
+		_, _ = w.Write([]byte("set " + string(raw)))
+	})
+	rg := newRig(t, rigOptions{Engines: engines(), Plain: []http.Handler{board, board}})
+	ln := &cutLinks{}
+	second := rg.startSecond(ln)
+	status, _ := second.post(nil)
+	assert.Equal(t, status, http.StatusOK)
+	ln.cutOff()
+	runs.Store(0)
+	for range 20 {
+		status, text := second.post(nil)
+		assert.Equal(t, status, http.StatusOK, text)
+		assert.Equal(t, text, "set hymn 101")
+	}
+	assert.Equal(t, runs.Load(), int64(20))
+	for i := range 10 {
+		got := second.caller.Complete(t.Context(), "lyric", load.Prompt(500, uint64(i)), 8)
+		assert.Equal(t, got.Outcome, load.OutcomeWhole, "%+v", got)
+	}
+	ln.cut.Store(false)
+	healed := time.Now()
+	for ; ; time.Sleep(20 * time.Millisecond) {
+		ln.mu.Lock()
+		direct := len(ln.conns)
+		ln.mu.Unlock()
+		status, _ := second.post(nil)
+		assert.Equal(t, status, http.StatusOK)
+		if direct > 4 {
+			break
+		}
+		assert.Assert(t, time.Since(healed) < 2*time.Second)
+	}
+}
+
+func TestForwardedRequestIsNotForwardedAgain(t *testing.T) {
+	// Two instances have lost their paths. A request must be refused as not run after one hop, and not go back and forth.
+	rg := newRig(t, rigOptions{Plain: []http.Handler{http.NotFoundHandler(), http.NotFoundHandler()}})
+	ln := &cutLinks{}
+	second := rg.startSecond(ln)
+	ln.cutOff()
+	status, text := second.post(http.Header{entry.HeaderForwardedBy: {"entry-0"}})
+	assert.Assert(t, status == http.StatusServiceUnavailable || status == http.StatusBadGateway, text)
+	status, text = second.post(http.Header{entry.HeaderForwardedBy: {"entry-0"}})
+	assert.Equal(t, status, http.StatusServiceUnavailable, text)
+	assert.Assert(t, strings.Contains(text, "NoPath"), text)
+}
+
 func TestLostPathToUpstreamsIsNotTakenForDeath(t *testing.T) {
 	// The connections of an instance to all engines are reset, and new ones refused, while it runs a stream. The engines live: the content must
 	// not count as having crashed one.
--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -47,6 +47,10 @@
 	run      string
 	loop     *core.Loop
 	upstream *upstr.Client
+	// forwarder sends requests to other instances while a path is lost.
+	forwarder *http.Transport
+	// pathsInDoubt means that new connections to upstreams are news for the reducer.
+	pathsInDoubt atomic.Bool
 	// announcements holds what upstreams have announced about themselves.
 	announcements *announcements
 	store         *store.Client
@@ -95,19 +99,21 @@
 // New returns an instance that is not running yet.
 func New(opts Options, logger *log.Logger) *Instance {
 	in := &Instance{
-		opts:     opts,
-		run:      opts.Name + "." + strconv.FormatInt(time.Now().UnixMicro(), 36),
-		upstream: upstr.New(),
-		store:    store.New(opts.Store),
-		platform: plat.New(opts.Platform),
-		log:      logger,
-		Meter:    meter.New(),
-		calls:    map[event.RequestID]*call{},
-		readers:  map[string]context.CancelFunc{},
+		opts:      opts,
+		run:       opts.Name + "." + strconv.FormatInt(time.Now().UnixMicro(), 36),
+		upstream:  upstr.New(),
+		forwarder: newForwarder(),
+		store:     store.New(opts.Store),
+		platform:  plat.New(opts.Platform),
+		log:       logger,
+		Meter:     meter.New(),
+		calls:     map[event.RequestID]*call{},
+		readers:   map[string]context.CancelFunc{},
 	}
 	if opts.Dial != nil {
 		in.upstream = upstr.NewWithDialer(opts.Dial)
 	}
+	in.upstream.Connected = in.connected
 	in.announcements = newAnnouncements(seed(opts))
 	in.upstream.Check = in.checkCall
 	in.upstream.Announced = in.readAnnounced
@@ -127,7 +133,9 @@
 		Permits:       opts.PeerCert != "" || opts.PeerKeys != nil,
 		Incarnation:   uint64(time.Now().UnixMicro()),
 		NameRequest:   in.requestName,
-		Policy:        policy,
+		// The addresses of instances that serve callers over TLS are names of certificates that this one cannot check.
+		Forward: opts.TLSCert == "",
+		Policy:  policy,
 	}), in.perform)
 	return in
 }
--- a/internal/entry/perform.go
+++ b/internal/entry/perform.go
@@ -15,6 +15,12 @@
 		in.deliver(eff.ID, eff)
 	case effect.Finish:
 		in.deliver(eff.ID, eff)
+	case effect.Forward:
+		in.deliver(eff.ID, eff)
+	case effect.ProbePaths:
+		in.probePaths(eff)
+	case effect.PathsInDoubt:
+		in.pathsInDoubt.Store(eff.InDoubt)
 	case effect.Abort:
 		in.abort(eff)
 	case effect.Claim:
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -39,8 +39,19 @@
 	Digest Digest
 	// Prefixes are hashes of the prompt's leading blocks, shortest first, for prefix affinity.
 	Prefixes []uint64
+	// Forwarded reports whether another instance, which has lost its path to the service, has passed the request on.
+	Forwarded bool
 }
 
+// PathObserved reports whether a new connection of this instance to the upstream at the address succeeded.
+type PathObserved struct {
+	Address string
+	Reached bool
+}
+
+// ForwardFailed reports that another instance did not take a request for the service.
+type ForwardFailed struct{ Instance, Service string }
+
 // CallerGone reports that the caller closed its connection.
 type CallerGone struct{ ID RequestID }
 
@@ -299,3 +310,5 @@
 func (SharesReceived) isEvent()     {}
 func (DrainStarted) isEvent()       {}
 func (Ticked) isEvent()             {}
+func (PathObserved) isEvent()       {}
+func (ForwardFailed) isEvent()      {}
