Detours: an instance that is stopped completes what it passes on

What callers saw, or would have: a request that goes through an instance which is stopped is cut off, although it may have run. Cause: the server for other instances was closed at the end of the drain, whatever it was passing on. Evidence: TestHelperThatEndsCompletesWhatItPassesOn fails without the mend. Fix: it is shut down like the one for callers, within the same grace.

--- a/internal/relay/instance.go
+++ b/internal/relay/instance.go
@@ -196,7 +196,7 @@
 		case <-serveCtx.Done():
 		}
 		defer stop()
-		in.drain(callerServer)
+		in.drain(callerServer, peerServer)
 		return errors.Join(readyServer.Close(), peerServer.Close())
 	})
 	in.log.Info().Str("Instance", in.opts.Name).Str("Address", in.opts.Listen).Msg("started")
--- a/internal/relay/ready.go
+++ b/internal/relay/ready.go
@@ -14,7 +14,7 @@
 // drain stops the server without cutting responses. Readiness goes off first; the server continues to accept
 // connections for DrainNotice, so that the load balancer can notice, and open requests then finish within the grace
 // period.
-func (in *Instance) drain(callerServer *http.Server) {
+func (in *Instance) drain(callerServer, peerServer *http.Server) {
 	now := time.Now()
 	ended := now.Add(in.opts.Grace - shutdownMargin)
 	in.draining.Store(true)
@@ -27,6 +27,10 @@
 		in.log.Warn().Int("Open", in.open()).Err(err).Msg("grace period expired with open requests")
 		_ = callerServer.Close()
 	}
+	// What is being passed on for other instances ends like the requests of callers.
+	if err := peerServer.Shutdown(limited); err != nil {
+		in.log.Warn().Int64("Detours", in.detours.Load()).Err(err).Msg("grace period expired with open detours")
+	}
 	in.background.Wait()
 }
 
--- a/internal/steer/path.go
+++ b/internal/steer/path.go
@@ -13,16 +13,8 @@
 // through another instance, and does not tell the others to avoid replicas that they reach. Package paths decides when a
 // path is lost.
 
-const (
-	// helperPause is how long an instance that did not pass a message on is not asked again for the same service.
-	helperPause = time.Second
-	// lifeFreshness is how long an answer of a replica counts for more than another instance's report that it fails.
-	lifeFreshness = 500 * time.Millisecond
-	// reportWindow is the time in which the reports of one instance are counted.
-	reportWindow = 5 * time.Second
-	// minDoubtfulReports is the number of replicas from which the reports of an instance may be due to its own path.
-	minDoubtfulReports = 3
-)
+// helperPause is how long an instance that did not pass a message on is not asked again for the same service.
+const helperPause = time.Second
 
 // PathObserved reports whether a new connection of this instance to a replica succeeded.
 type PathObserved struct {
@@ -227,41 +219,6 @@
 	}
 }
 
-// reported applies another instance's report that the replica fails, unless this instance has just heard from the replica or the
-// reporter seems to have lost its path.
-func (st *State) reported(pr *peer, reporter string, rep *replica) {
-	if pr.reports == nil {
-		pr.reports = map[string]time.Time{}
-	}
-	pr.reports[rep.Name] = st.now
-	svc := st.serviceOf(rep.Service)
-	count := 0
-	for _, other := range st.candidates(svc) {
-		if at, ok := pr.reports[other.Name]; ok && st.now.Sub(at) < reportWindow {
-			count++
-		}
-	}
-	if count >= minDoubtfulReports && 2*count >= len(st.candidates(svc)) {
-		st.distrust(svc, reporter)
-		return
-	}
-	if st.now.Sub(rep.heardAt) < lifeFreshness {
-		return
-	}
-	st.markDownByReport(rep, reporter)
-}
-
-// distrust makes the replicas usable again that are avoided only because the instance reported them.
-func (st *State) distrust(svc *service, reporter string) {
-	for _, rep := range svc.replicas {
-		if rep.downReporter == reporter && rep.downCause == notice.Failing && st.now.Before(rep.downUntil) {
-			rep.succeeded()
-			st.emit(LogLine{Message: "report ignored: its sender seems cut off", Replica: rep.Name, Reporter: reporter})
-		}
-	}
-	st.dispatch()
-}
-
 // PathsInDoubt reports whether a new connection that succeeds would change anything.
 func (st *State) PathsInDoubt() bool {
 	for _, svc := range st.services {
