--- a/internal/relay/detour.go
+++ b/internal/relay/detour.go
@@ -19,8 +19,8 @@
 	"dandelionsail.example/dandelionsail/internal/trip"
 )
 
-// A detour is the way of one message to a replica through another Instance, the helper, while this Instance has lost its own path.
-// The helper asks its own gate, sends the message itself, and passes the response on. There is one hop: a helper never uses a detour.
+// A detour is the way of one message to a replica through another Instance, the peer, while this Instance has lost its own path.
+// The peer asks its own gate, sends the message itself, and passes the response on. There is one hop: a peer never uses a detour.
 
 const (
 	// detourPath is the path under which instances pass on messages for their peers.
@@ -31,7 +31,7 @@
 	detourLengthHeader = "Detour-Length"
 	// detourResultHeader carries what became of a message. It is a trailer once the response has begun.
 	detourResultHeader = "Detour-Result"
-	// detourDialTimeout is the timeout for opening a connection to a helper, which is a live Instance and near.
+	// detourDialTimeout is the timeout for opening a connection to a peer, which is a live Instance and near.
 	detourDialTimeout = 300 * time.Millisecond
 )
 
@@ -39,11 +39,11 @@
 const (
 	// detourComplete means that the response was passed on to its end.
 	detourComplete = "Complete"
-	// detourRefused means that the helper has not sent the message and sends none for now.
+	// detourRefused means that the peer has not sent the message and sends none for now.
 	detourRefused = "Refused"
-	// detourHeldBack means that the helper has not sent the message because of what the replica has announced.
+	// detourHeldBack means that the peer has not sent the message because of what the replica has announced.
 	detourHeldBack = "HeldBack"
-	// detourNotWritten means that the helper did not reach the replica either, so that nothing was sent.
+	// detourNotWritten means that the peer did not reach the replica either, so that nothing was sent.
 	detourNotWritten = "NotWritten"
 	// detourBroken means that the message was sent and that its response is missing or incomplete.
 	detourBroken = "Broken"
@@ -51,7 +51,7 @@
 	detourDied = "Died"
 )
 
-// detourRequest is what a helper is sent: the message and the request as the replica is to receive it. The number of a field is never
+// detourRequest is what a peer is sent: the message and the request as the replica is to receive it. The number of a field is never
 // given to another one.
 type detourRequest struct {
 	// From names the sending Instance.
@@ -75,8 +75,8 @@
 	ExpiresInMs int64 `cbor:"15,keyasint,omitempty"`
 }
 
-// exchangeVia sends the message through the helper and returns the replica's response. It returns HeldBack if the helper has not sent
-// it, and NotWritten if the helper did not reach the replica either.
+// exchangeVia sends the message through the peer and returns the replica's response. It returns HeldBack if the peer has not sent
+// it, and NotWritten if the peer did not reach the replica either.
 func (in *Instance) exchangeVia(via string, newConnection bool, msg message, req *http.Request) (*http.Response, error) {
 	address, ok := (*in.gossip.peers.Load())[via]
 	if !ok {
@@ -119,7 +119,7 @@
 	}
 }
 
-// newDetour returns the request to the helper at the address.
+// newDetour returns the request to the peer at the address.
 func (in *Instance) newDetour(address string, newConnection bool, msg message, req *http.Request) (*http.Request, error) {
 	dr := detourRequest{
 		From: in.opts.Name, Replica: msg.to.Replica.Name, Born: msg.to.Replica.Born, Kind: msg.to.Kind, Granted: msg.to.Granted,
@@ -156,7 +156,7 @@
 	return hop, nil
 }
 
-// detourFailed reports that the helper has not sent the message, and returns HeldBack.
+// detourFailed reports that the peer has not sent the message, and returns HeldBack.
 func (in *Instance) detourFailed(via string, msg message, reason string) error {
 	ev := steer.DetourFailed{Instance: via, Service: msg.to.Replica.Service, Reason: reason}
 	if reason == detourHeldBack {
@@ -166,7 +166,7 @@
 	return HeldBack.New("relay: the instance %s has not passed a message to %s on (%s); another way is tried", via, msg.to.Replica.Name, reason)
 }
 
-// detourResponse turns the helper's response into the replica's.
+// detourResponse turns the peer's response into the replica's.
 func (in *Instance) detourResponse(via string, msg message, resp *http.Response) (*http.Response, error) {
 	status, err := strconv.Atoi(resp.Header.Get(detourStatusHeader))
 	if err != nil {
@@ -203,7 +203,7 @@
 	}
 }
 
-// detourBreak reports that the helper has sent the message and that its response is missing or incomplete.
+// detourBreak reports that the peer has sent the message and that its response is missing or incomplete.
 type detourBreak struct{ died bool }
 
 // Error implements error.
@@ -214,7 +214,7 @@
 	return "relay: the replica broke off its answer to an instance that passed the message on"
 }
 
-// detourBody is the body of a response that a helper passes on. It ends with io.EOF only if the helper states that it is complete.
+// detourBody is the body of a response that a peer passes on. It ends with io.EOF only if the peer states that it is complete.
 type detourBody struct {
 	resp *http.Response
 	body io.ReadCloser
@@ -238,7 +238,7 @@
 // Close implements io.Closer.
 func (dtb *detourBody) Close() error { return dtb.body.Close() }
 
-// diedBehindDetour reports whether the helper has stated that the replica died.
+// diedBehindDetour reports whether the peer has stated that the replica died.
 func diedBehindDetour(err error) bool {
 	var broken *detourBreak
 	return errors.As(err, &broken) && broken.died
@@ -258,7 +258,7 @@
 	return true
 }
 
-// replicaRequest returns the request that a detourRequest asks the helper to send to the replica at the address.
+// replicaRequest returns the request that a detourRequest asks the peer to send to the replica at the address.
 func (dr *detourRequest) replicaRequest(ctx context.Context, address string) *http.Request {
 	target := &url.URL{Scheme: "http", Host: address, Opaque: dr.Target}
 	if !strings.HasPrefix(dr.Target, "/") || strings.HasPrefix(dr.Target, "//") {
--- a/internal/relay/helper.go
+++ b/internal/relay/passon.go
@@ -56,10 +56,10 @@
 		defer cancel()
 		ctx = limited
 	}
-	hp := &helping{in: in, w: w, dr: &dr, replica: replica}
-	hp.passOn(ctx, receivedAt)
+	pg := &passage{in: in, w: w, dr: &dr, replica: replica}
+	pg.passOn(ctx, receivedAt)
 	in.count("Detours.PassedOn")
-	in.log.Info().Str("Request", dr.Request).Str("Replica", dr.Replica).Str("For", dr.From).Int("Status", hp.status).Str("Result", hp.result).
+	in.log.Info().Str("Request", dr.Request).Str("Replica", dr.Replica).Str("For", dr.From).Int("Status", pg.status).Str("Result", pg.result).
 		Int64("AgeMs", time.Since(receivedAt).Milliseconds()).Msg("passed on for another instance")
 }
 
@@ -104,8 +104,8 @@
 	_, _ = io.WriteString(w, reason+"\n")
 }
 
-// helping is a message that is passed on.
-type helping struct {
+// passage is one message that is passed on.
+type passage struct {
 	in      *Instance
 	w       http.ResponseWriter
 	dr      *detourRequest
@@ -117,74 +117,74 @@
 }
 
 // passOn sends the message and passes the response on.
-func (hp *helping) passOn(ctx context.Context, receivedAt time.Time) {
+func (pg *passage) passOn(ctx context.Context, receivedAt time.Time) {
 	msg := message{
 		// The ID distinguishes the message from this Instance's own requests; the reducer knows no request of that ID.
-		id: steer.RequestID(hp.in.nextID.Add(1)), request: hp.dr.Request, name: hp.dr.Name, decidedAt: receivedAt, forPeer: true,
-		to: steer.Target{Replica: hp.replica, Kind: hp.dr.Kind, Granted: hp.dr.Granted},
+		id: steer.RequestID(pg.in.nextID.Add(1)), request: pg.dr.Request, name: pg.dr.Name, decidedAt: receivedAt, forPeer: true,
+		to: steer.Target{Replica: pg.replica, Kind: pg.dr.Kind, Granted: pg.dr.Granted},
 	}
-	if hp.dr.ExpiresInMs > 0 {
-		msg.to.ExpiresAt = receivedAt.Add(time.Duration(hp.dr.ExpiresInMs) * time.Millisecond)
+	if pg.dr.ExpiresInMs > 0 {
+		msg.to.ExpiresAt = receivedAt.Add(time.Duration(pg.dr.ExpiresInMs) * time.Millisecond)
 	}
-	resp, _, err := hp.in.exchange(hp.dr.NewConnection, msg, hp.dr.replicaRequest(ctx, hp.replica.Address))
+	resp, _, err := pg.in.exchange(pg.dr.NewConnection, msg, pg.dr.replicaRequest(ctx, pg.replica.Address))
 	switch {
 	case errorx.IsOfType(err, NoPath):
-		hp.refuse(detourRefused)
+		pg.refuse(detourRefused)
 		return
 	case isHeldBack(err):
-		hp.refuse(detourHeldBack)
+		pg.refuse(detourHeldBack)
 		return
 	case isNotWritten(err):
 		if ctx.Err() == nil {
-			hp.in.apply(steer.PathObserved{Replica: hp.replica.Name})
+			pg.in.apply(steer.PathObserved{Replica: pg.replica.Name})
 		}
-		hp.refuse(detourNotWritten)
+		pg.refuse(detourNotWritten)
 		return
 	case err != nil:
-		hp.refuse(hp.failure(ctx))
+		pg.refuse(pg.failure(ctx))
 		return
 	}
 	defer func() { _ = resp.Body.Close() }()
-	hp.writeHeader(resp)
-	hp.result = hp.copyBody(ctx, resp.Body)
-	hp.w.Header().Set(detourResultHeader, hp.result)
+	pg.writeHeader(resp)
+	pg.result = pg.copyBody(ctx, resp.Body)
+	pg.w.Header().Set(detourResultHeader, pg.result)
 }
 
-func (hp *helping) refuse(result string) {
-	hp.result = result
-	refuseDetour(hp.w, result, result)
+func (pg *passage) refuse(result string) {
+	pg.result = result
+	refuseDetour(pg.w, result, result)
 }
 
 // failure returns the result for a message that was sent and whose response is missing or incomplete.
-func (hp *helping) failure(ctx context.Context) string {
-	if _, died := hp.in.examineFailure(ctx, hp.replica); died {
+func (pg *passage) failure(ctx context.Context) string {
+	if _, died := pg.in.examineFailure(ctx, pg.replica); died {
 		return detourDied
 	}
 	return detourBroken
 }
 
 // writeHeader passes on the status and the header of the response.
-func (hp *helping) writeHeader(resp *http.Response) {
-	hp.status = resp.StatusCode
-	header := hp.w.Header()
+func (pg *passage) writeHeader(resp *http.Response) {
+	pg.status = resp.StatusCode
+	header := pg.w.Header()
 	copyHeader(header, resp.Header)
 	header.Set(detourStatusHeader, strconv.Itoa(resp.StatusCode))
 	if resp.ContentLength >= 0 {
 		header.Set(detourLengthHeader, strconv.FormatInt(resp.ContentLength, 10))
 	}
 	header.Set("Trailer", detourResultHeader)
-	hp.w.WriteHeader(http.StatusOK)
-	_ = http.NewResponseController(hp.w).Flush()
+	pg.w.WriteHeader(http.StatusOK)
+	_ = http.NewResponseController(pg.w).Flush()
 }
 
 // copyBody passes the body on as it arrives and returns the result.
-func (hp *helping) copyBody(ctx context.Context, body io.Reader) string {
-	control := http.NewResponseController(hp.w)
+func (pg *passage) copyBody(ctx context.Context, body io.Reader) string {
+	control := http.NewResponseController(pg.w)
 	buf := make([]byte, detourBuffer)
 	for {
 		count, err := body.Read(buf)
 		if count > 0 {
-			if _, err := hp.w.Write(buf[:count]); err != nil {
+			if _, err := pg.w.Write(buf[:count]); err != nil {
 				return detourBroken
 			}
 			if err := control.Flush(); err != nil {
@@ -195,7 +195,7 @@
 			return detourComplete
 		}
 		if err != nil {
-			return hp.failure(ctx)
+			return pg.failure(ctx)
 		}
 	}
 }
--- a/internal/steer/list.go
+++ b/internal/steer/list.go
@@ -154,6 +154,6 @@
 	}
 	st.logEndsOfRest(rested)
 	st.dropExpiredPeers()
-	st.dropHelperPauses()
+	st.dropDetourPauses()
 	st.dropExpiredGrants()
 }
--- a/internal/steer/path.go
+++ b/internal/steer/path.go
@@ -13,8 +13,8 @@
 // through another instance, and does not tell the others to avoid replicas that they reach. Package paths decides when a
 // path is lost.
 
-// helperPause is how long an instance that did not pass a message on is not asked again for the same service.
-const helperPause = time.Second
+// detourPause is how long an instance that did not pass a message on is not asked again for the same service.
+const detourPause = time.Second
 
 // PathObserved reports whether a new connection of this instance to a replica succeeded.
 type PathObserved struct {
@@ -39,8 +39,8 @@
 func (DetourFailed) isEvent() {}
 func (ProbePaths) isEffect()  {}
 
-// helperKey identifies an instance as a helper for a service.
-type helperKey struct{ instance, service string }
+// detourKey identifies an instance through which messages to a service go.
+type detourKey struct{ instance, service string }
 
 // pathObserved applies what a new connection shows of the path to the replica's service.
 func (st *State) pathObserved(ev PathObserved) {
@@ -82,7 +82,7 @@
 	if !svc.path.Failed(st.now, rep.Name, len(st.candidates(svc)), st.otherPathLost(svc)) {
 		return svc.path.Lost()
 	}
-	if st.helper(svc) == "" {
+	if st.detourPeer(svc) == "" {
 		svc.path.GiveUp(st.now)
 		return false
 	}
@@ -152,7 +152,7 @@
 	if forPeer {
 		return "", false
 	}
-	if name = st.helper(svc); name != "" {
+	if name = st.detourPeer(svc); name != "" {
 		return name, true
 	}
 	st.giveUpPath(svc)
@@ -170,15 +170,15 @@
 	svc.path.GiveUp(st.now)
 }
 
-// helper returns an instance that may pass messages on to the replicas of the service, empty if there is none. One of the own failure
+// detourPeer returns an instance that may pass messages on to the replicas of the service, empty if there is none. One of the own failure
 // domain is preferred, and otherwise the choice is random, which spreads the messages.
-func (st *State) helper(svc *service) string {
+func (st *State) detourPeer(svc *service) string {
 	var near, far []string
 	for _, other := range st.others {
 		if _, heard := st.peers[other.Name]; !heard && len(st.peers) > 0 {
 			continue
 		}
-		if st.now.Before(st.helperPauses[helperKey{other.Name, svc.name}]) {
+		if st.now.Before(st.detourPauses[detourKey{other.Name, svc.name}]) {
 			continue
 		}
 		if other.FailureDomain == st.Options.FailureDomain {
@@ -201,20 +201,20 @@
 	if rep, ok := st.replicas[ev.Replica]; ok {
 		rep.failed(st.now, notice.Failing, ev.Instance)
 	} else {
-		st.pauseHelper(ev.Instance, ev.Service)
+		st.pauseDetours(ev.Instance, ev.Service)
 	}
 	st.emit(LogLine{Message: "detour failed", Replica: ev.Replica, Service: ev.Service, Via: ev.Instance, Invalid: ev.Reason})
 }
 
-func (st *State) pauseHelper(instance, service string) {
-	st.helperPauses[helperKey{instance, service}] = st.now.Add(helperPause)
+func (st *State) pauseDetours(instance, service string) {
+	st.detourPauses[detourKey{instance, service}] = st.now.Add(detourPause)
 }
 
-// dropHelperPauses drops the pauses that are over.
-func (st *State) dropHelperPauses() {
-	for key, until := range st.helperPauses {
+// dropDetourPauses drops the pauses that are over.
+func (st *State) dropDetourPauses() {
+	for key, until := range st.detourPauses {
 		if !st.now.Before(until) {
-			delete(st.helperPauses, key)
+			delete(st.detourPauses, key)
 		}
 	}
 }
--- a/internal/steer/path_test.go
+++ b/internal/steer/path_test.go
@@ -59,7 +59,7 @@
 }
 
 func TestMessagesGoThroughAnInstanceOfTheOwnDomain(t *testing.T) {
-	// Bytes between failure domains have a price. Of several helpers none may get most of the messages.
+	// Bytes between failure domains have a price. Of several instances none may get most of the messages.
 	in := newInstance(t, "one", 8)
 	in.withPeers(3, 4)
 	assert.Equal(t, in.gate(replicaOf("lyric-0"), false).Via, "")
@@ -99,7 +99,7 @@
 	assert.Equal(t, len(in.st.LostPaths(in.now)), 1)
 }
 
-func TestHelperIgnoresReportsOfTheInstanceThatAsks(t *testing.T) {
+func TestPeerIgnoresReportsOfTheInstanceThatAsks(t *testing.T) {
 	// The instance that has lost its path reported the first replica that it did not reach. It asks now for a detour to that one.
 	in := newInstance(t, "one", 8)
 	in.withPeers(2, 0)
@@ -127,7 +127,7 @@
 }
 
 func TestReplicaThatNobodyReachesIsAvoided(t *testing.T) {
-	// A replica has died while the path is lost: the helper does not reach it either. Only that one is avoided.
+	// A replica has died while the path is lost: the other instance does not reach it either. Only that one is avoided.
 	in := newInstance(t, "one", 8)
 	in.withPeers(1, 0)
 	_, effects := in.losePath()
--- a/internal/steer/retry.go
+++ b/internal/steer/retry.go
@@ -90,7 +90,7 @@
 	if ev.Via != "" {
 		// Whoever passed it on has informed the others.
 		if ev.Result == ResultSilent {
-			st.pauseHelper(ev.Via, rep.Service)
+			st.pauseDetours(ev.Via, rep.Service)
 		}
 		st.unreachedByOthers(rep)
 		return
--- a/internal/steer/state.go
+++ b/internal/steer/state.go
@@ -50,8 +50,8 @@
 	claims []*request
 	// peers holds, by name, what the notes of each other instance have reported.
 	peers map[string]*peer
-	// helperPauses holds until when instances are not asked to pass messages on.
-	helperPauses map[helperKey]time.Time
+	// detourPauses holds until when instances are not asked to pass messages on.
+	detourPauses map[detourKey]time.Time
 	// others lists the other live instances, sorted by name.
 	others []Instance
 	// otherNames lists the names of others, in the same order.
@@ -211,7 +211,7 @@
 		replicas:        map[string]*replica{},
 		requests:        map[RequestID]*request{},
 		peers:           map[string]*peer{},
-		helperPauses:    map[helperKey]time.Time{},
+		detourPauses:    map[detourKey]time.Time{},
 		live:            1,
 		allowances:      map[string]*budget.Allowance{},
 		division:        budget.Division{Window: opts.Budget.Window, Lag: opts.ListLag},
