Detours: probes take none

What callers would have seen: an instance whose path is lost by all stops looking for it, since a probe that no instance could pass on counted as one that was answered. Cause: the gate chose a way for every message, also for the probe of a connection. Evidence: TestProbesTakeNoDetour fails without the mend. Fix: a probe is always direct.

--- a/internal/steer/announce.go
+++ b/internal/steer/announce.go
@@ -138,7 +138,7 @@
 		st.emit(Verdict{OverBudget: true})
 		return
 	}
-	via, ok := st.via(&ev.Targets[0].Replica, ev.ForPeer)
+	via, ok := st.via(&ev.Targets[0], ev.ForPeer)
 	if !ok {
 		st.emit(Verdict{NoPath: true})
 		return
--- a/internal/steer/path.go
+++ b/internal/steer/path.go
@@ -143,10 +143,11 @@
 }
 
 // via returns the instance through which a message to the replica goes, empty if it is sent directly. ok is false if the path is
-// lost and no other instance can pass the message on, or may, since it is passed on for another instance already.
-func (st *State) via(replica *Replica, forPeer bool) (name string, ok bool) {
-	svc, known := st.services[replica.Service]
-	if !known || svc.path.Direct(replica.Name) {
+// lost and no other instance can pass the message on, or may, since it is passed on for another instance already. A probe shows
+// whether this instance reaches the replica, and so takes no detour.
+func (st *State) via(target *Target, forPeer bool) (name string, ok bool) {
+	svc, known := st.services[target.Replica.Service]
+	if !known || target.Kind == notice.Probe || svc.path.Direct(target.Replica.Name) {
 		return "", true
 	}
 	if forPeer {
--- a/internal/steer/path_test.go
+++ b/internal/steer/path_test.go
@@ -108,6 +108,19 @@
 	assert.Assert(t, !in.gate(replicaOf("lyric-0"), true).Held())
 }
 
+func TestProbesTakeNoDetour(t *testing.T) {
+	// A probe shows whether this instance reaches the replica. It must not go through another instance, nor count as answered if there is
+	// none.
+	in := newInstance(t, "one", 8)
+	in.withPeers(1, 0)
+	in.losePath()
+	probe := steer.Sending{Targets: []steer.Target{{Replica: replicaOf("lyric-0"), Kind: notice.Probe}}}
+	assert.Equal(t, find[steer.Verdict](t, in.reduce(probe)), steer.Verdict{})
+	in.reduce(steer.DetourFailed{Instance: "near-0", Service: "lyric", Reason: "Refused"})
+	assert.Equal(t, find[steer.Verdict](t, in.reduce(probe)), steer.Verdict{})
+	assert.Equal(t, len(in.st.LostPaths(in.now)), 1)
+}
+
 func TestReportOfReplicaThatJustAnsweredIsIgnored(t *testing.T) {
 	in := newInstance(t, "one", 8)
 	in.withPeers(2, 0)
