Configuration log: a slow read applies no patch twice

What operators saw, or would have: an instance ahead of all others with patches applied a second time under later numbers, which it announces, and writes into the log when the store has lost patches; an operator's patch is refused as stale. Cause: the patches of an answer were numbered from the version in force after the answer, to which a peer had raised it meanwhile. Fix: they are numbered from what was asked for.

--- a/internal/conf/follow.go
+++ b/internal/conf/follow.go
@@ -248,14 +248,17 @@
 // catchUp applies everything in the store that is newer than the version in force.
 func (fl *Follower) catchUp(ctx context.Context) error {
 	for {
-		base, raws, err := fl.lg.readAfter(ctx, fl.Version())
+		// Peers may hand over later versions while the store is read. The patches are numbered from what was asked for.
+		after := fl.Version()
+		base, raws, err := fl.lg.readAfter(ctx, after)
 		if err != nil {
 			return err
 		}
 		if base != nil {
 			fl.applySnapshot(base.Config)
+			after = base.version()
 		}
-		if err := fl.applyAll(fl.Version()+1, raws); err != nil {
+		if err := fl.applyAll(after+1, raws); err != nil {
 			return err
 		}
 		if len(raws) < listLimit {
--- a/internal/conf/follow_test.go
+++ b/internal/conf/follow_test.go
@@ -15,6 +15,7 @@
 	"dandelionsail.example/dandelionsail/internal/event"
 	"dandelionsail.example/dandelionsail/internal/peers"
 	"dandelionsail.example/dandelionsail/internal/stand"
+	"dandelionsail.example/dandelionsail/internal/store"
 	"dandelionsail.example/dandelionsail/internal/wire"
 	"dandelionsail.example/dandelionsail/pkg/decl"
 )
@@ -70,8 +71,13 @@
 
 // start runs a follower and updates the member list of all followers.
 func (ft *fleet) start(name, domain string) *conf.Follower {
+	return ft.startWith(name, domain, stand.NewMemoryStore(ft.kv))
+}
+
+// startWith does so with a follower that uses the store.
+func (ft *fleet) startWith(name, domain string, st store.Store) *conf.Follower {
 	inst := event.Instance{Name: name, FailureDomain: domain, Peer: name}
-	fl := conf.NewFollower(conf.New(stand.NewMemoryStore(ft.kv)), inst, func(cfg *decl.Config) {
+	fl := conf.NewFollower(conf.New(st), inst, func(cfg *decl.Config) {
 		ft.mu.Lock()
 		defer ft.mu.Unlock()
 		assert.Check(ft.t, cfg.Version > ft.last[name], "%s went from %d to %d", name, ft.last[name], cfg.Version)
@@ -193,3 +199,29 @@
 		assert.Equal(t, late.Version(), int64(5))
 	})
 }
+
+func TestSlowReadAppliesNoPatchTwice(t *testing.T) {
+	// The store's answer to an instance takes a second. Meanwhile a peer hands over the patches that are in the answer. They must not be applied
+	// a second time, as if they were the versions after: the instance would be ahead of all others with a configuration that nobody
+	// submitted, and would write it into the log when the store has lost patches.
+	synctest.Test(t, func(t *testing.T) {
+		kv := stand.NewKV(stand.Rates{})
+		ft := newFleet(t, kv)
+		slow := &slowStore{Store: stand.NewMemoryStore(kv)}
+		one := ft.startWith("one", "domain-0", slow)
+		ft.start("two", "domain-0")
+		operator := conf.New(stand.NewMemoryStore(kv))
+		_, err := operator.Submit(t.Context(), patch("a", 0))
+		assert.NilError(t, err)
+		time.Sleep(10 * time.Second)
+		slow.slow.Store(true)
+		for i, id := range []string{"b", "c", "d"} {
+			_, err = operator.Submit(t.Context(), patch(id, int64(i)+1))
+			assert.NilError(t, err)
+		}
+		time.Sleep(10 * time.Second)
+		slow.slow.Store(false)
+		time.Sleep(10 * time.Second)
+		assert.Equal(t, one.Version(), int64(4))
+	})
+}
