--- a/internal/paths/paths.go
+++ b/internal/paths/paths.go
@@ -18,6 +18,9 @@
 	relapseTime = 10 * time.Second
 	// probeInterval is the interval of the probes while a path is lost.
 	probeInterval = 400 * time.Millisecond
+	// probeAllDelay is how soon after an upstream was reached all others are probed, so that several that are reached at once cause one round
+	// of probes.
+	probeAllDelay = 40 * time.Millisecond
 	// firstProbes is the number of upstreams that are probed at once when a path is lost: if one answers, several upstreams
 	// failed at the same moment.
 	firstProbes = 3
@@ -41,7 +44,7 @@
 	probeAt time.Time
 	// probeAll reports whether that one is of all upstreams, since one was reached.
 	probeAll bool
-	// hopelessUntil is until when the path does not count as lost, because nobody has one.
+	// hopelessUntil is until when the path does not count as lost, since no instance has one.
 	hopelessUntil time.Time
 }
 
@@ -90,7 +93,9 @@
 	delete(pa.dead, upstream)
 	if !pa.reached[upstream] && !pa.probeAll {
 		pa.probeAll = true
-		pa.probeAt = minTime(pa.probeAt, now.Add(probeInterval/10))
+		if soon := now.Add(probeAllDelay); soon.Before(pa.probeAt) {
+			pa.probeAt = soon
+		}
 	}
 	pa.reached[upstream] = true
 	return pa.endIfWhole(now, upstreams)
@@ -110,15 +115,17 @@
 	if slices.ContainsFunc(upstreams, func(name string) bool { return !pa.reached[name] && !pa.dead[name] }) {
 		return false
 	}
-	pa.LostAt, pa.reached, pa.dead = time.Time{}, nil, nil
+	pa.end()
 	clear(pa.failed)
 	pa.RegainedAt = now
 	return true
 }
 
+func (pa *Path) end() { pa.LostAt, pa.reached, pa.dead = time.Time{}, nil, nil }
+
 // GiveUp records that no other instance has a path either. The failures still count.
 func (pa *Path) GiveUp(now time.Time) {
-	pa.LostAt, pa.reached, pa.dead = time.Time{}, nil, nil
+	pa.end()
 	pa.hopelessUntil = now.Add(hopelessTime)
 }
 
@@ -144,10 +151,3 @@
 	}
 	return left
 }
-
-func minTime(a, b time.Time) time.Time {
-	if b.Before(a) {
-		return b
-	}
-	return a
-}
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -47,9 +47,10 @@
 	}
 }
 
+// newTransport returns a transport that opens its connections by dial.
 func newTransport(dial notice.Dialer, disableKeepAlives bool) *http.Transport {
 	return &http.Transport{
-		DialContext:         trip.CountingDialer(notice.CheckedDialer(newDialer(dial, dialTimeout))),
+		DialContext:         trip.CountingDialer(notice.CheckedDialer(dial)),
 		DisableCompression:  true,
 		DisableKeepAlives:   disableKeepAlives,
 		MaxIdleConnsPerHost: 4,
@@ -59,13 +60,6 @@
 	}
 }
 
-// newPeerTransport returns a transport to other instances.
-func newPeerTransport(disableKeepAlives bool) *http.Transport {
-	transport := newTransport(nil, disableKeepAlives)
-	transport.DialContext = trip.CountingDialer(notice.CheckedDialer(newDialer(nil, detourDialTimeout)))
-	return transport
-}
-
 // response is a complete response of a replica.
 type response struct {
 	status int
--- a/internal/relay/passon.go
+++ b/internal/relay/passon.go
@@ -112,7 +112,7 @@
 	replica steer.Replica
 	// status is the replica's, 0 without a response.
 	status int
-	// result is what the other Instance is told.
+	// result is the detourResultHeader that is sent.
 	result string
 }
 
