--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -152,7 +152,7 @@
 	return steer.Arrived{
 		ID: cl.id, Route: cl.route, Name: cl.info.Name, Organisation: cl.org, Priority: priority,
 		Prompt: cl.info.Prompt, Answer: cl.info.Answer, Deadline: cl.deadline, LeavesAt: callerLeavesAt(cl.route, cl.arrived, cl.deadline),
-		Digest: cl.contentDigest, StatedTimeout: cl.info.StatedTimeout,
+		Digest: cl.contentDigest, Parts: cl.info.Parts, StatedTimeout: cl.info.StatedTimeout,
 	}
 }
 
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"strconv"
 	"strings"
 
 	"github.com/phuslu/log"
@@ -66,6 +67,15 @@
 	if len(line.PassedOver) > 0 {
 		entry.Strs("PassedOver", line.PassedOver)
 	}
+	if line.Content != 0 {
+		entry.Str("Content", strconv.FormatUint(uint64(line.Content), 16))
+	}
+	if len(line.Parts) > 0 {
+		entry.Strs("Parts", partNames(line.Parts))
+	}
+	if line.Wrote > 0 {
+		entry.Int64("WroteMs", line.Wrote.Milliseconds())
+	}
 	if line.Rest > 0 {
 		entry.Int64("RestMs", line.Rest.Milliseconds())
 	}
@@ -100,6 +110,18 @@
 	}
 }
 
+// maxPartsLogged is the maximum number of parts that a line names.
+const maxPartsLogged = 16
+
+// partNames returns the parts as lines name them.
+func partNames(parts []steer.Part) []string {
+	names := make([]string, 0, min(len(parts), maxPartsLogged))
+	for _, part := range parts[:min(len(parts), maxPartsLogged)] {
+		names = append(names, strconv.FormatUint(uint64(part), 16))
+	}
+	return names
+}
+
 func addString(entry *log.Entry, key, value string) {
 	if value != "" {
 		entry.Str(key, value)
--- a/internal/relay/ports.go
+++ b/internal/relay/ports.go
@@ -124,6 +124,8 @@
 	Prompt int64
 	// Answer is the maximum length of the response in tokens.
 	Answer int64
+	// Parts identifies the parts of the prompt that other prompts may share, sorted and without repetitions.
+	Parts []steer.Part
 	// After is the ID of the last event that the caller received of a stream that it resumes.
 	After string
 }
--- a/internal/steer/effect.go
+++ b/internal/steer/effect.go
@@ -152,6 +152,12 @@
 	Send string
 	// PassedOver lists why replicas were passed over, with the number of replicas.
 	PassedOver []string
+	// Content identifies the content that a death is counted under.
+	Content Digest
+	// Parts are the parts of the prompt that other prompts may share.
+	Parts []Part
+	// Wrote is how long the answer had been going on.
+	Wrote time.Duration
 	// Invalid quotes an announcement whose value cannot be used.
 	Invalid string
 	// Budget is what a decision about a repeat was based on.
--- a/internal/steer/event.go
+++ b/internal/steer/event.go
@@ -19,6 +19,9 @@
 // Digest is a hash of a request's content: organisation, method, path and body.
 type Digest uint64
 
+// Part is a hash of a part of a prompt and of the model that is asked for. Prompts that differ may share parts.
+type Part uint64
+
 // Arrived reports that a caller's request was read completely and may be served.
 type Arrived struct {
 	ID    RequestID
@@ -39,6 +42,8 @@
 	// StatedTimeout is the remaining time that the caller stated, 0 if it stated none.
 	StatedTimeout time.Duration
 	Digest        Digest
+	// Parts are the parts of the prompt that other prompts may share, sorted and without repetitions.
+	Parts []Part
 }
 
 // CallerGone reports that the caller closed its connection.
--- a/internal/steer/quarantine.go
+++ b/internal/steer/quarantine.go
@@ -92,7 +92,7 @@
 	crashes := st.deaths.Judge(st.now, req.Digest).Crashes
 	// Another instance may have missed the earlier deaths of this content.
 	st.emit(SendNote{Note: st.note(Note{Deaths: st.deathsOf(st.now, req.Digest, crashes)}), Acked: true, AckDigest: req.Digest})
-	st.emit(LogLine{Message: "replica died under request", Request: req.Name, Replica: rep.Name, Attempt: crashes})
+	st.emit(LogLine{Message: "replica died under request", Request: req.Name, Replica: rep.Name, Attempt: crashes, Content: req.Digest, Parts: req.Parts, Wrote: req.wrote()})
 }
 
 // receiveDeaths adds the deaths that another instance observed.
--- a/internal/steer/serve.go
+++ b/internal/steer/serve.go
@@ -105,6 +105,7 @@
 	req.attempt++
 	req.running = true
 	req.aborted = false
+	req.attemptBeganAt, req.progressedAt = time.Time{}, time.Time{}
 	eff.Attempt = req.attempt
 	var helpers []string
 	for i, rep := range pl.reps[1:] {
@@ -174,6 +175,7 @@
 		req.firstAt = st.now
 	}
 	req.begun = true
+	req.attemptBeganAt, req.progressedAt = st.now, st.now
 	st.recordArrival(req)
 	for _, rep := range req.reps {
 		rep.rest.EndTrial(uint64(req.ID), true)
@@ -191,6 +193,7 @@
 	if !ok || ev.Attempt != req.attempt || len(req.reps) == 0 {
 		return
 	}
+	req.progressedAt = st.now
 	rep := req.reps[0]
 	rep.heardAt = st.now
 	if eng := st.serviceOf(rep.Service).engine; eng != nil {
@@ -199,6 +202,9 @@
 	}
 }
 
+// wrote returns the time between the first and the last event of the current attempt's answer.
+func (req *request) wrote() time.Duration { return req.progressedAt.Sub(req.attemptBeganAt) }
+
 func (st *State) callerGone(ev CallerGone) {
 	req, ok := st.requests[ev.ID]
 	if !ok {
--- a/internal/steer/state.go
+++ b/internal/steer/state.go
@@ -175,6 +175,10 @@
 	begun bool
 	// firstAt is when the answer began.
 	firstAt time.Time
+	// attemptBeganAt is when the current attempt's answer began, zero before.
+	attemptBeganAt time.Time
+	// progressedAt is when the current attempt's last event arrived, zero before the first.
+	progressedAt time.Time
 	// pause is the longest pause of the answer so far.
 	pause time.Duration
 	// pauseAt is when the longest pause ended.
