Parts of prompts that crash replicas are found and refused

Cause: deaths were counted under whole contents, of which none came twice. The class: evidence is filed under one key and the cause lies under another that many contents share. And whatever died in a crash was blamed alike: two thirds of the contents that were quarantined were sound.

The mend: package cause holds the deaths with the features of each request and what answers clear. The feature that explains most crashes, together with those that always came with it, is refused from three crashes of three contents on, only where all of them stand together; what it explains counts against nothing else. Answers under way protect their parts. One request with a suspect part runs at a time, and one whose replica has just died waits a second for others to clear its parts. Deaths and answers go to the other instances in the notes that are repeated until acknowledged; a cause is recorded in the store, with the directory that each instance reads anyway, for when all of them end at once.

Ruled out: a count for each part, one request at a time (docs/design/crashing-parts.md).

--- a/internal/clock/sources_test.go
+++ b/internal/clock/sources_test.go
@@ -18,6 +18,7 @@
 	"internal/certs/certs.go":       "a serial number",
 	"internal/entry/instance.go":    "names of a run; a later run with a lower number refutes what the others say of it",
 	"internal/relay/instance.go":    "a name of a run, compared for equality alone",
+	"internal/relay/quarantine.go":  "a record in the store, which other instances read; the own times are steady, and a clock that is off moves the end of a quarantine",
 	"internal/once/segment.go":      "deadlines of claims in the store, which other instances read; claims are kept for half an hour after them",
 	"internal/once/shard.go":        "the same",
 	"internal/store/era.go":         "a record in the store, which other instances read; a clock that is off by over RestoreTime cuts that short",
--- a/internal/deaths/deaths.go
+++ b/internal/deaths/deaths.go
@@ -56,6 +56,9 @@
 
 // Table holds the deaths of all contents. It is not safe for concurrent use.
 type Table[Content comparable] struct {
+	// Excused reports whether the upstream's crash is known to have another cause than the content, so that the death does not count.
+	// Nil excuses none.
+	Excused  func(death Death) bool
 	rules    Rules
 	contents map[Content]map[uint64]Death
 }
@@ -99,7 +102,7 @@
 		return true
 	}
 	maps.DeleteFunc(tb.contents, func(_ Content, known map[uint64]Death) bool {
-		return tb.rules.judge(now, known).Crashes == 0
+		return tb.judge(now, known).Crashes == 0
 	})
 	return len(tb.contents) < tb.rules.MaxContents
 }
@@ -110,17 +113,21 @@
 	if !ok {
 		return Verdict{}
 	}
-	return tb.rules.judge(now, known)
+	return tb.judge(now, known)
 }
 
 // judge goes through the deaths up to now in order. A death that comes after the earlier ones have ceased to count starts anew.
-func (ru *Rules) judge(now time.Time, known map[uint64]Death) Verdict {
+func (tb *Table[Content]) judge(now time.Time, known map[uint64]Death) Verdict {
+	ru := &tb.rules
 	var vd Verdict
 	crashedAt := map[uint64]time.Time{}
 	for _, death := range inOrder(known) {
 		if death.At.After(now) {
 			break
 		}
+		if tb.Excused != nil && tb.Excused(death) {
+			continue
+		}
 		if vd.Crashes > 0 && !death.At.Before(vd.Until) {
 			vd = Verdict{}
 			clear(crashedAt)
@@ -156,7 +163,7 @@
 // Clear forgets the deaths of the content unless it is in quarantine. An upstream has run it to its end, so its crashes had
 // another cause: all that an upstream runs when it crashes becomes suspect.
 func (tb *Table[Content]) Clear(now time.Time, content Content) {
-	if known, ok := tb.contents[content]; ok && !tb.rules.judge(now, known).Quarantined {
+	if known, ok := tb.contents[content]; ok && !tb.judge(now, known).Quarantined {
 		delete(tb.contents, content)
 	}
 }
@@ -168,7 +175,7 @@
 func (tb *Table[Content]) Verdicts(now time.Time) iter.Seq2[Content, Verdict] {
 	return func(yield func(Content, Verdict) bool) {
 		for content, known := range tb.contents {
-			if vd := tb.rules.judge(now, known); vd.Crashes > 0 && !yield(content, vd) {
+			if vd := tb.judge(now, known); vd.Crashes > 0 && !yield(content, vd) {
 				return
 			}
 		}
--- a/internal/relay/deaths.go
+++ b/internal/relay/deaths.go
@@ -210,10 +210,7 @@
 		return packet{AckID: ua.id, DeathsRequested: true}
 	}
 	note := *ua.note
-	note.Deaths = slices.Clone(note.Deaths)
-	for i := range note.Deaths {
-		note.Deaths[i].AgeMs += age.Milliseconds()
-	}
+	note.Age(age)
 	return packet{AckID: ua.id, Note: &note}
 }
 
--- a/internal/relay/follow_test.go
+++ b/internal/relay/follow_test.go
@@ -411,3 +411,5 @@
 	}
 	assert.Equal(t, extra.pollerCount(), storePollers)
 }
+
+func (*fakeDirectory) RecordQuarantine(context.Context, Quarantine, time.Duration) error { return nil }
--- a/internal/relay/instance.go
+++ b/internal/relay/instance.go
@@ -324,6 +324,8 @@
 		})
 	case steer.ProbePaths:
 		in.probePaths(eff)
+	case steer.RecordCause:
+		in.recordQuarantine(eff.Cause)
 	case steer.QueryLoad:
 		in.pollLoads(eff)
 	case steer.LogLine:
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -73,6 +73,9 @@
 	if len(line.Parts) > 0 {
 		entry.Strs("Parts", partNames(line.Parts))
 	}
+	if line.Crashes > 0 {
+		entry.Int("Crashes", line.Crashes)
+	}
 	if line.Wrote > 0 {
 		entry.Int64("WroteMs", line.Wrote.Milliseconds())
 	}
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -38,6 +38,7 @@
 	in.updateAnnouncementMetrics()
 	in.updateRepeatMetrics()
 	in.updatePathMetrics()
+	in.updateQuarantineMetrics()
 	in.gauge("Responses.BufferedBytes", in.buffers.bytes.Load())
 	in.gauge("Log.Dropped", in.dropped())
 	in.gauge("Process.Goroutines", int64(runtime.NumGoroutine()))
@@ -75,6 +76,14 @@
 	in.gauge("Detours.Open", in.detours.Load())
 }
 
+// updateQuarantineMetrics sets the gauge of the causes of crashes, such as parts of prompts, for which requests are refused.
+func (in *Instance) updateQuarantineMetrics() {
+	in.mu.Lock()
+	parts := in.state.QuarantinedParts()
+	in.mu.Unlock()
+	in.gauge("Quarantine.Parts", int64(parts))
+}
+
 func (in *Instance) gauge(name string, value int64) {
 	metrics.GetOrRegisterGauge(name, in.registry).Update(value)
 }
--- a/internal/relay/ports.go
+++ b/internal/relay/ports.go
@@ -42,6 +42,22 @@
 	// Announce registers this Instance until the TTL expires; announcing again renews it. A nonzero peer.Lease.ID is the
 	// lease of an existing entry with the same contents, which is renewed instead of being written again.
 	Announce(ctx context.Context, peer Peer, ttl time.Duration) error
+	// RecordQuarantine keeps the entry for the TTL. An entry for the same parts is replaced.
+	RecordQuarantine(ctx context.Context, qua Quarantine, ttl time.Duration) error
+}
+
+// Quarantine is an entry of the Directory about parts of prompts that crash replicas.
+type Quarantine struct {
+	// Parts are those that came together in all crashes.
+	Parts []steer.Part `cbor:"1,keyasint,omitempty"`
+	// Crashes is the number of replicas that had crashed.
+	Crashes int `cbor:"2,keyasint,omitempty"`
+	// LastCrashMs is when the last of them crashed, in Unix ms.
+	LastCrashMs int64 `cbor:"3,keyasint,omitempty"`
+	// Callers identifies those whose requests crashed replicas.
+	Callers []uint64 `cbor:"4,keyasint,omitempty"`
+	// Ended reports that an operator has ended the quarantine.
+	Ended bool `cbor:"5,keyasint,omitempty"`
 }
 
 // Snapshot is the contents of a Directory, or one page of them.
@@ -53,6 +69,8 @@
 	Routing  *decl.Routing
 	Replicas []steer.Replica
 	Peers    []Peer
+	// Quarantines are the entries about parts of prompts.
+	Quarantines []Quarantine
 }
 
 // Peer is another Instance and the address at which it receives notes.
@@ -81,6 +99,8 @@
 	RemovedPeer string `cbor:"5,keyasint,omitempty"`
 	// Routing reports whether the configuration changed.
 	Routing bool `cbor:"6,keyasint,omitempty"`
+	// Quarantine was recorded.
+	Quarantine *Quarantine `cbor:"7,keyasint,omitempty"`
 }
 
 // Protocol translates the headers of requests and responses.
--- /dev/null
+++ b/internal/relay/quarantine.go
@@ -0,0 +1,50 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"dandelionsail.example/dandelionsail/internal/cause"
+	"dandelionsail.example/dandelionsail/internal/clock"
+	"dandelionsail.example/dandelionsail/internal/steer"
+)
+
+// Parts of prompts that crash replicas are recorded in the Directory, which all instances follow anyway: if all of them end at the same
+// moment, nobody is left who could be asked.
+
+const (
+	// quarantineTTL is how long a record is kept, the longest time for which the store grants a lease.
+	quarantineTTL = 10 * time.Minute
+	// quarantineWrites is how often the record is written at most. Each failed call is charged.
+	quarantineWrites = 3
+)
+
+// recordQuarantine writes the cause to the Directory. It does not block.
+func (in *Instance) recordQuarantine(ca cause.Cause) {
+	wall := clock.Steady(in.startedAt, time.Now())
+	qua := Quarantine{Parts: ca.Features, Crashes: ca.Crashes, LastCrashMs: wall.Add(-time.Since(ca.Last)).UnixMilli(), Callers: ca.Callers}
+	in.background.Go(func() {
+		for backoff := minAnnounceBackoff; ; backoff *= 2 {
+			ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+			in.count("Store.Quarantines")
+			err := in.directory.RecordQuarantine(ctx, qua, quarantineTTL)
+			cancel()
+			if err == nil {
+				return
+			}
+			in.log.Warn().Err(err).Strs("Parts", partNames(qua.Parts)).Msg("quarantine of a part not recorded in the store")
+			if backoff >= minAnnounceBackoff<<(quarantineWrites-1) || in.draining.Load() {
+				return
+			}
+			time.Sleep(backoff)
+		}
+	})
+}
+
+// applyQuarantine passes a record on to the reducer. Its age is that of the crash, however late the record is read.
+func (in *Instance) applyQuarantine(qua *Quarantine) {
+	now := time.Now()
+	age := max(0, clock.Steady(in.startedAt, now).Sub(time.UnixMilli(qua.LastCrashMs)))
+	last := now.Add(-age)
+	in.apply(steer.CauseRead{Ended: qua.Ended, Cause: cause.Cause{Features: qua.Parts, Crashes: qua.Crashes, First: last, Last: last, Callers: qua.Callers}})
+}
--- a/internal/relay/update.go
+++ b/internal/relay/update.go
@@ -132,6 +132,9 @@
 	if snap.Position != have {
 		fl.in.changes.reset(snap.Position)
 	}
+	for i := range snap.Quarantines {
+		fl.in.applyQuarantine(&snap.Quarantines[i])
+	}
 	fl.in.install(snap.Routing)
 	fl.in.setPeers(fl.knownPeers())
 	fl.in.apply(steer.Listed{Replicas: snap.Replicas, AfterOutage: fl.storeDown || returned, FromCopy: returned})
@@ -179,6 +182,7 @@
 		}
 		all.Replicas = append(all.Replicas, page.Replicas...)
 		all.Peers = append(all.Peers, page.Peers...)
+		all.Quarantines = append(all.Quarantines, page.Quarantines...)
 		if next == "" {
 			return all, nil
 		}
@@ -207,6 +211,11 @@
 	if peersChanged {
 		fl.in.setPeers(fl.knownPeers())
 	}
+	for i := range changes {
+		if qua := changes[i].Quarantine; qua != nil {
+			fl.in.applyQuarantine(qua)
+		}
+	}
 	fl.in.entries.apply(changes)
 	fl.in.changes.add(changes, upTo)
 	fl.in.apply(listChanged)
--- a/internal/steer/effect.go
+++ b/internal/steer/effect.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"dandelionsail.example/dandelionsail/internal/budget"
+	"dandelionsail.example/dandelionsail/internal/cause"
 	"dandelionsail.example/dandelionsail/internal/notice"
 )
 
@@ -110,6 +111,9 @@
 // RequestDeaths requests the deaths that other instances know. A DeathsReceived with the same Standstill follows.
 type RequestDeaths struct{ Standstill int }
 
+// RecordCause records a cause of crashes in the store, for instances that start when no other one knows of it.
+type RecordCause struct{ Cause cause.Cause }
+
 // Wake requests a Ticked after the given time.
 type Wake struct{ After time.Duration }
 
@@ -154,8 +158,10 @@
 	PassedOver []string
 	// Content identifies the content that a death is counted under.
 	Content Digest
-	// Parts are the parts of the prompt that other prompts may share.
+	// Parts are the parts of the prompt that other prompts may share, or those of a cause of crashes.
 	Parts []Part
+	// Crashes is the number of crashes that the cause explains.
+	Crashes int
 	// Wrote is how long the answer had been going on.
 	Wrote time.Duration
 	// Invalid quotes an announcement whose value cannot be used.
@@ -191,6 +197,7 @@
 func (SendNote) isEffect()      {}
 func (QueryLoad) isEffect()     {}
 func (RequestDeaths) isEffect() {}
+func (RecordCause) isEffect()   {}
 func (Wake) isEffect()          {}
 func (Verdict) isEffect()       {}
 func (LogLine) isEffect()       {}
--- a/internal/steer/event.go
+++ b/internal/steer/event.go
@@ -6,6 +6,7 @@
 import (
 	"time"
 
+	"dandelionsail.example/dandelionsail/internal/cause"
 	"dandelionsail.example/dandelionsail/internal/notice"
 	"dandelionsail.example/dandelionsail/pkg/decl"
 )
@@ -19,8 +20,8 @@
 // Digest is a hash of a request's content: organisation, method, path and body.
 type Digest uint64
 
-// Part is a hash of a part of a prompt and of the model that is asked for. Prompts that differ may share parts.
-type Part uint64
+// Part identifies a part of a prompt for the model that is asked for. Prompts that differ may share parts.
+type Part = cause.Feature
 
 // Arrived reports that a caller's request was read completely and may be served.
 type Arrived struct {
@@ -192,6 +193,13 @@
 // DeathsReceived reports that another instance has answered a RequestDeaths, or that none did in time.
 type DeathsReceived struct{ Standstill int }
 
+// CauseRead carries a cause of crashes that an instance recorded in the store.
+type CauseRead struct {
+	Cause cause.Cause
+	// Ended reports that an operator has ended it.
+	Ended bool
+}
+
 // Draining reports that the instance was asked to shut down.
 type Draining struct {
 	// RefuseWaitingAt is when the requests that still wait for a replica are refused.
@@ -221,6 +229,7 @@
 func (Sending) isEvent()          {}
 func (StoodStill) isEvent()       {}
 func (DeathsReceived) isEvent()   {}
+func (CauseRead) isEvent()        {}
 func (Draining) isEvent()         {}
 func (ListConfirmed) isEvent()    {}
 func (Ticked) isEvent()           {}
--- a/internal/steer/note.go
+++ b/internal/steer/note.go
@@ -47,6 +47,55 @@
 	Departures []Departure `cbor:"18,keyasint,omitempty"`
 	// GrantReturns gives grants of the recipient back.
 	GrantReturns []GrantReturn `cbor:"19,keyasint,omitempty"`
+	// Suspicions reports, for the Deaths of prompts, the parts that may have caused them.
+	Suspicions []Suspicion `cbor:"20,keyasint,omitempty"`
+	// Cleared reports parts of prompts that a replica has answered since others crashed under them.
+	Cleared []ClearedPart `cbor:"21,keyasint,omitempty"`
+}
+
+// Suspicion reports the parts of a prompt that was sent to a replica that crashed.
+type Suspicion struct {
+	// ID is that of the death.
+	ID uint64 `cbor:"1,keyasint,omitempty"`
+	// Upstream identifies the incarnation of the replica.
+	Upstream uint64 `cbor:"2,keyasint,omitempty"`
+	// Content identifies the request as a whole.
+	Content uint64 `cbor:"3,keyasint,omitempty"`
+	// Caller identifies its organisation.
+	Caller uint64 `cbor:"4,keyasint,omitempty"`
+	// AgeMs is how long ago in ms the replica crashed.
+	AgeMs int64 `cbor:"5,keyasint,omitempty"`
+	// Parts are some or all of the prompt's parts; several Suspicions with one ID add up.
+	Parts []Part `cbor:"6,keyasint,omitempty"`
+}
+
+func (sus *Suspicion) valid() bool {
+	return sus.ID != 0 && sus.AgeMs >= 0 && sus.AgeMs <= maxDeathAge.Milliseconds() && len(sus.Parts) > 0
+}
+
+// ClearedPart reports that a replica has answered a prompt with the part.
+type ClearedPart struct {
+	Part Part `cbor:"1,keyasint,omitempty"`
+	// AgeMs is how long ago in ms that was.
+	AgeMs int64 `cbor:"2,keyasint,omitempty"`
+}
+
+func (cp *ClearedPart) valid() bool {
+	return cp.AgeMs >= 0 && cp.AgeMs <= maxDeathAge.Milliseconds()
+}
+
+// Age adds the time that has passed since the note was made to what it reports of deaths.
+func (nt *Note) Age(by time.Duration) {
+	nt.Deaths, nt.Suspicions, nt.Cleared = slices.Clone(nt.Deaths), slices.Clone(nt.Suspicions), slices.Clone(nt.Cleared)
+	for i := range nt.Deaths {
+		nt.Deaths[i].AgeMs += by.Milliseconds()
+	}
+	for i := range nt.Suspicions {
+		nt.Suspicions[i].AgeMs += by.Milliseconds()
+	}
+	for i := range nt.Cleared {
+		nt.Cleared[i].AgeMs += by.Milliseconds()
+	}
 }
 
 // JobID identifies one attempt of a request, or one claim, within one run of one instance.
@@ -104,6 +153,8 @@
 func (nt *Note) DropInvalid() (dropped int, usable bool) {
 	dropped += dropInvalid(&nt.Jobs, (*Job).valid)
 	dropped += dropInvalid(&nt.Deaths, (*Death).valid)
+	dropped += dropInvalid(&nt.Suspicions, (*Suspicion).valid)
+	dropped += dropInvalid(&nt.Cleared, (*ClearedPart).valid)
 	dropped += dropInvalid(&nt.Limits, (*Limit).valid)
 	dropped += dropInvalid(&nt.GrantRequests, (*GrantRequest).valid)
 	dropped += dropInvalid(&nt.Grants, (*Grant).valid)
--- a/internal/steer/peer.go
+++ b/internal/steer/peer.go
@@ -142,6 +142,7 @@
 		pr.ended[id] = st.now
 	}
 	st.receiveDeaths(nt.From, nt.Deaths)
+	st.receiveSuspicions(&nt)
 	for i := range nt.Limits {
 		st.receiveLimit(&nt.Limits[i])
 	}
--- a/internal/steer/quarantine.go
+++ b/internal/steer/quarantine.go
@@ -31,7 +31,10 @@
 	})
 }
 
-func (st *State) quarantined(digest Digest) bool { return st.deaths.Judge(st.now, digest).Quarantined }
+// quarantined reports whether the request is to be refused because of the deaths under its content or under what it shares with others.
+func (st *State) quarantined(req *request) bool {
+	return st.deaths.Judge(st.now, req.Digest).Quarantined || st.judgeParts(req).Refused
+}
 
 // MaxCatchUp is how long requests wait at most for what the others know after the instance has stood still.
 const MaxCatchUp = 300 * time.Millisecond
@@ -67,6 +70,9 @@
 	if st.catchingUp() {
 		return true
 	}
+	if st.heldByCause(req) {
+		return true
+	}
 	vd := st.deaths.Judge(st.now, req.Digest)
 	if !vd.Suspect() {
 		return vd.Quarantined
@@ -89,9 +95,10 @@
 		At:       st.now,
 	}
 	st.deaths.Add(st.now, req.Digest, death)
+	suspicions := st.suspectParts(req, death)
 	crashes := st.deaths.Judge(st.now, req.Digest).Crashes
 	// Another instance may have missed the earlier deaths of this content.
-	st.emit(SendNote{Note: st.note(Note{Deaths: st.deathsOf(st.now, req.Digest, crashes)}), Acked: true, AckDigest: req.Digest})
+	st.emit(SendNote{Note: st.note(Note{Deaths: st.deathsOf(st.now, req.Digest, crashes), Suspicions: suspicions}), Acked: true, AckDigest: req.Digest})
 	st.emit(LogLine{Message: "replica died under request", Request: req.Name, Replica: rep.Name, Attempt: crashes, Content: req.Digest, Parts: req.Parts, Wrote: req.wrote()})
 }
 
@@ -129,7 +136,7 @@
 	for part := range slices.Chunk(all, maxNoteDeaths) {
 		notes = append(notes, st.note(Note{Deaths: part}))
 	}
-	return notes
+	return append(notes, st.suspicionNotes(now)...)
 }
 
 // deathsOf returns the deaths under the content, which amount to this number of crashes.
--- a/internal/steer/queue.go
+++ b/internal/steer/queue.go
@@ -88,7 +88,7 @@
 		switch {
 		case st.drain != nil && !st.now.Before(st.drain.RefuseWaitingAt):
 			draining = append(draining, req)
-		case st.quarantined(req.Digest):
+		case st.quarantined(req):
 			quarantined = append(quarantined, req)
 		case !st.now.Before(req.Deadline) || !req.begun && !st.now.Before(req.LeavesAt) || st.waitedTooLong(req):
 			expired = append(expired, req)
@@ -106,7 +106,7 @@
 		st.refuse(req, ReasonDeadline, busyRetryAfter)
 	}
 	for _, req := range quarantined {
-		st.refuse(req, ReasonQuarantine, quarantineTime)
+		st.refuseQuarantined(req)
 	}
 	for _, req := range outOfTime {
 		st.refuse(req, ReasonBusy, st.retryAfter(req))
--- a/internal/steer/retry.go
+++ b/internal/steer/retry.go
@@ -42,6 +42,7 @@
 	switch {
 	case ev.Result == ResultDone:
 		st.deaths.Clear(st.now, req.Digest)
+		st.clearParts(req)
 		st.finish(req, Finish{ID: req.ID}, "answered")
 	case st.drain != nil && !st.now.Before(st.drain.AbortAt):
 		st.refuse(req, ReasonDraining, drainRetryAfter)
@@ -162,8 +163,8 @@
 		st.refuse(req, ReasonDeadline, 0)
 		return
 	}
-	if st.quarantined(req.Digest) {
-		st.refuse(req, ReasonQuarantine, quarantineTime)
+	if st.quarantined(req) {
+		st.refuseQuarantined(req)
 		return
 	}
 	if ev.Result == ResultHeld {
--- a/internal/steer/serve.go
+++ b/internal/steer/serve.go
@@ -27,9 +27,9 @@
 	req.gap = ev.Route.Gap.Std()
 	req.value = st.valueOf(ev.Route.Name, ev.Prompt)
 	st.detectRetry(req)
-	if st.quarantined(ev.Digest) {
-		st.emit(LogLine{Message: "request refused", Request: ev.Name, Reason: ReasonQuarantine})
-		st.emit(Finish{ID: ev.ID, Refusal: &Refusal{Reason: ReasonQuarantine, NotRun: true, RetryAfter: quarantineTime}})
+	st.allowTrial(req)
+	if st.quarantined(req) {
+		st.refuseQuarantined(req)
 		return
 	}
 	if eng := st.serviceOf(req.service).engine; eng != nil && !req.triedBefore {
@@ -106,6 +106,7 @@
 	req.running = true
 	req.aborted = false
 	req.attemptBeganAt, req.progressedAt = time.Time{}, time.Time{}
+	req.events, req.proven = 0, false
 	eff.Attempt = req.attempt
 	var helpers []string
 	for i, rep := range pl.reps[1:] {
@@ -176,6 +177,7 @@
 	}
 	req.begun = true
 	req.attemptBeganAt, req.progressedAt = st.now, st.now
+	req.events++
 	st.recordArrival(req)
 	for _, rep := range req.reps {
 		rep.rest.EndTrial(uint64(req.ID), true)
@@ -194,6 +196,8 @@
 		return
 	}
 	req.progressedAt = st.now
+	req.events++
+	st.proveParts(req)
 	rep := req.reps[0]
 	rep.heardAt = st.now
 	if eng := st.serviceOf(rep.Service).engine; eng != nil {
@@ -258,8 +262,7 @@
 	return end
 }
 
-// finish ends a request. Every request passes through it exactly once, except those that are refused on arrival because of
-// quarantine.
+// finish ends a request. Every request passes through it exactly once.
 func (st *State) finish(req *request, fin Finish, message string) {
 	if message != "" {
 		st.emit(LogLine{Message: message, Request: req.Name, Age: st.now.Sub(req.at), Attempt: req.attempt, Tokens: req.Prompt, End: st.outcomeOf(req)})
--- a/internal/steer/state.go
+++ b/internal/steer/state.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"dandelionsail.example/dandelionsail/internal/budget"
+	"dandelionsail.example/dandelionsail/internal/cause"
 	"dandelionsail.example/dandelionsail/internal/deaths"
 	"dandelionsail.example/dandelionsail/internal/paths"
 	"dandelionsail.example/dandelionsail/pkg/decl"
@@ -74,6 +75,12 @@
 	division budget.Division
 	// deaths counts replica deaths by request content.
 	deaths *deaths.Table[Digest]
+	// causes finds what requests that crash replicas have in common.
+	causes *cause.Table
+	// heldCauses holds the causes for which requests are refused, by key, as they were logged.
+	heldCauses map[uint64]*heldCause
+	// ownDeaths holds the IDs of the deaths in causes that this instance observed.
+	ownDeaths map[uint64]bool
 	// deathsSeen is the number of deaths that this instance has observed.
 	deathsSeen int
 	// standstills counts how often the instance has stood still.
@@ -177,6 +184,14 @@
 	firstAt time.Time
 	// attemptBeganAt is when the current attempt's answer began, zero before.
 	attemptBeganAt time.Time
+	// events counts the events of the current attempt's answer.
+	events int
+	// proven reports whether that answer has gone on for so long that it does not crash the replica, see proves.
+	proven bool
+	// diedAt is when an attempt last died with its replica, zero if none has.
+	diedAt time.Time
+	// trial reports whether the request is sent although a cause of crashes is held against it, to find out whether that is wrong.
+	trial bool
 	// progressedAt is when the current attempt's last event arrived, zero before the first.
 	progressedAt time.Time
 	// pause is the longest pause of the answer so far.
@@ -208,7 +223,7 @@
 	if opts.ListLag == 0 {
 		opts.ListLag = defaultListLag
 	}
-	return &State{
+	st := &State{
 		Options:         opts,
 		tune:            opts.Tuning,
 		services:        map[string]*service{},
@@ -220,6 +235,9 @@
 		allowances:      map[string]*budget.Allowance{},
 		division:        budget.Division{Window: opts.Budget.Window, Lag: opts.ListLag},
 		deaths:          newDeaths(),
+		causes:          cause.New(causeRules),
+		heldCauses:      map[uint64]*heldCause{},
+		ownDeaths:       map[uint64]bool{},
 		missing:         map[string]time.Time{},
 		heldBack:        map[string]heldEntry{},
 		lastUnanswered:  map[string]time.Time{},
@@ -229,6 +247,8 @@
 		longestTimeouts: map[string]time.Duration{},
 		random:          rand.New(rand.NewPCG(opts.Seed, opts.Seed)),
 	}
+	st.deaths.Excused = func(death deaths.Death) bool { return st.causes.Explains(st.now, death.Upstream, death.At) }
+	return st
 }
 
 // Reduce applies one event and returns the effects to carry out. The slice is valid until the next call.
@@ -275,6 +295,8 @@
 		st.stoodStill(ev)
 	case DeathsReceived:
 		st.deathsReceived(ev)
+	case CauseRead:
+		st.causeRead(ev)
 	case Draining:
 		st.drain = &ev
 	case Summarized:
@@ -288,6 +310,7 @@
 		st.probeLostPaths()
 		st.dispatch()
 	}
+	st.reviewCauses()
 	st.scheduleWake()
 	st.flushOutbox()
 	return st.effects
