Completions front: what prompts share is found when it crashes engines

What callers would have seen: as on the relayed front, a message that several conversations share, or a beginning that several prompts share, crashes engine after engine, since contents are counted whole there, too.

Cause: the same class. Here a part is a message of a conversation, all but the last, or one of some prefixes of a prompt. A text in the middle of a plain prompt has no boundary by which two prompts could be seen to share it; their contents are still counted.

The mend: the same package, with the same rules; deaths with features and answers travel with the announcements of deaths, which are repeated until acknowledged, and with the list that an instance gets when it starts. There is no record in the store: if all instances end within a second, they learn anew.

--- a/internal/body/body.go
+++ b/internal/body/body.go
@@ -31,6 +31,8 @@
 	Model string
 	// Prompt is the raw JSON value of the prompt or the messages, quotes and brackets included.
 	Prompt Span
+	// Messages are the positions of the messages, if the prompt was sent as such.
+	Messages []Span
 	// Chat is true if the prompt was sent as messages.
 	Chat bool
 	// Stream is true if the caller asked for a streamed answer.
@@ -120,6 +122,7 @@
 		case "messages":
 			bd.Prompt = value
 			bd.Chat = true
+			return bd.findMessages(value)
 		case "stream":
 			bd.streamValue = value
 			return bd.readStream(text)
@@ -130,6 +133,15 @@
 	}
 }
 
+// findMessages records the positions of the messages. Their value is valid JSON; if it is no array, the engine refuses it.
+func (bd *Body) findMessages(value Span) error {
+	if bd.Raw[value.Start] != '[' {
+		return nil
+	}
+	sc := scanner{raw: bd.Raw, pos: value.Start}
+	return sc.array(func(message Span) { bd.Messages = append(bd.Messages, message) })
+}
+
 // canonicalKeys maps each key that routing needs to a canonical name; a request may hold only one key per canonical
 // name.
 var canonicalKeys = map[string]string{
--- a/internal/body/scan.go
+++ b/internal/body/scan.go
@@ -115,7 +115,7 @@
 	case '{':
 		return sc.nested(func() error { return sc.object(nil) })
 	case '[':
-		return sc.nested(sc.array)
+		return sc.nested(func() error { return sc.array(nil) })
 	case 't':
 		return sc.literal("true")
 	case 'f':
@@ -137,16 +137,21 @@
 	return err
 }
 
-func (sc *scanner) array() error {
+// array walks over an array and calls visit, unless it is nil, with the position of each element.
+func (sc *scanner) array(visit func(value Span)) error {
 	sc.pos++
 	if sc.peek() == ']' {
 		sc.pos++
 		return nil
 	}
 	for {
-		if _, err := sc.value(); err != nil {
+		value, err := sc.value()
+		if err != nil {
 			return err
 		}
+		if visit != nil {
+			visit(value)
+		}
 		switch sc.peek() {
 		case ',':
 			sc.pos++
--- a/internal/cause/cause_test.go
+++ b/internal/cause/cause_test.go
@@ -9,11 +9,7 @@
 	"dandelionsail.example/dandelionsail/internal/cause"
 )
 
-var rules = cause.Rules{
-	Threshold: 3, MinSuspect: 2, MinContents: 2, MinSpan: 200 * time.Millisecond, Duration: 10 * time.Minute, SameCrash: 2 * time.Second,
-	TrialDelays: []time.Duration{time.Minute, 5 * time.Minute}, MaxFeatures: 1000,
-	AnsweredTime: 3 * time.Second, SuspectTime: 10 * time.Second, TellPeriod: time.Second,
-}
+var rules = cause.DefaultRules(10*time.Minute, 2*time.Second)
 
 const (
 	system cause.Feature = 1 + iota
@@ -183,18 +179,18 @@
 }
 
 func TestVerdictEndsAndIsTried(t *testing.T) {
-	// A verdict may be wrong: one request is tried a minute after the last crash and one five minutes after the crash of that one, and no
+	// A verdict may be wrong: one request is tried a while after the last crash and one later after the crash of that one, and no
 	// more. It is held while requests with the part come, and forgotten when none has come for the time of the rules.
 	sy := newStory()
 	for range 3 {
 		sy.crash(of(bad))
 	}
 	last := sy.now.Add(-time.Second)
-	assert.Equal(t, sy.tb.Judge(sy.now, 0, of(bad)).TrialAt, last.Add(time.Minute))
-	sy.pass(time.Minute)
+	assert.Equal(t, sy.tb.Judge(sy.now, 0, of(bad)).TrialAt, last.Add(rules.TrialDelays[0]))
+	sy.pass(rules.TrialDelays[0])
 	sy.crash(of(bad))
-	assert.Equal(t, sy.tb.Judge(sy.now, 0, of(bad)).TrialAt, last.Add(time.Second+time.Minute+5*time.Minute))
-	sy.pass(5 * time.Minute)
+	assert.Equal(t, sy.tb.Judge(sy.now, 0, of(bad)).TrialAt, last.Add(time.Second+rules.TrialDelays[0]+rules.TrialDelays[1]))
+	sy.pass(rules.TrialDelays[1])
 	sy.crash(of(bad))
 	found := sy.tb.Judge(sy.now, 0, of(bad))
 	assert.Assert(t, found.Refused && found.TrialAt.IsZero())
--- a/internal/core/arrive.go
+++ b/internal/core/arrive.go
@@ -57,7 +57,7 @@
 	if st.exceedsEngineMemory(ev, class) {
 		return notRunRefusal(effect.ReasonPromptTooLong, 0, "shorten the prompt or the answer; together they are larger than one engine's memory")
 	}
-	if refusal := st.checkQuarantine(ev.Digest); refusal != nil {
+	if refusal := st.checkQuarantine(&ev); refusal != nil {
 		return refusal
 	}
 	if refusal := st.unserved(ev, class.level); refusal != nil {
--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -93,6 +93,7 @@
 	req.SentAt = st.now
 	req.Upstreams = upstreams
 	req.Aborted = false
+	req.answerStartedAt, req.sentOffset = time.Time{}, req.Offset
 	load := st.requestLoad(req)
 	// If there are several upstreams, each prefills an equal part of the prompt.
 	load.Prompt = (load.Prompt + int64(len(upstreams)) - 1) / int64(len(upstreams))
@@ -142,6 +143,7 @@
 		return
 	}
 	req.Answered = true
+	req.answerStartedAt = st.now
 	st.settleRetry(req)
 	for _, up := range req.Upstreams {
 		st.Route.RecordFirstToken(st.now, up.Name, req.ID)
--- a/internal/core/quarantine.go
+++ b/internal/core/quarantine.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"dandelionsail.example/dandelionsail/internal/cause"
 	"dandelionsail.example/dandelionsail/internal/deaths"
 	"dandelionsail.example/dandelionsail/internal/effect"
 	"dandelionsail.example/dandelionsail/internal/event"
@@ -38,6 +39,10 @@
 type quarantine struct {
 	// deaths holds the deaths that this instance and its peers observed.
 	deaths *deaths.Table[event.Digest]
+	// causes finds what requests that crash upstreams have in common.
+	causes *cause.Table
+	// held holds the causes for which requests are refused, by key, as they were logged.
+	held map[uint64]bool
 	// observed is the number of deaths that this instance observed.
 	observed uint64
 	// deadSince holds the upstreams that crashed and have shown no sign of life since, with the time of the crash.
@@ -49,11 +54,17 @@
 }
 
 func newQuarantine() quarantine {
-	return quarantine{deaths: deaths.New[event.Digest](deathRules), deadSince: map[string]time.Time{}}
+	return quarantine{
+		deaths: deaths.New[event.Digest](deathRules), causes: cause.New(causeRules), held: map[uint64]bool{}, deadSince: map[string]time.Time{},
+	}
 }
 
-func (st *State) checkQuarantine(digest event.Digest) *effect.Refusal {
-	vd := st.quarantine.deaths.Judge(st.now, digest)
+// checkQuarantine returns the refusal of a request whose content, or something that it shares with others, has crashed upstreams, or nil.
+func (st *State) checkQuarantine(ev *event.Arrived) *effect.Refusal {
+	if refusal := st.checkFeatures(ev); refusal != nil {
+		return refusal
+	}
+	vd := st.quarantine.deaths.Judge(st.now, ev.Digest)
 	if !vd.Quarantined {
 		return nil
 	}
@@ -77,10 +88,13 @@
 	req.Suspect = true
 	death := st.observeDeath(ev.Upstream)
 	st.quarantine.deaths.Add(st.now, req.Digest, death)
+	suspicions := st.suspectFeatures(req, ev, death)
 	vd := st.quarantine.deaths.Judge(st.now, req.Digest)
 	// A peer may have missed the earlier deaths of this content.
-	st.emit(effect.AnnounceQuarantine{Quarantined: quarantineReport(req.Digest, vd, st.quarantine.deaths.Deaths(req.Digest))})
-	if !vd.Quarantined {
+	report := quarantineReport(req.Digest, vd, st.quarantine.deaths.Deaths(req.Digest))
+	report.Suspicions = suspicions
+	st.emit(effect.AnnounceQuarantine{Quarantined: report})
+	if !vd.Quarantined && st.checkFeatures(&req.Arrived) == nil {
 		return nil
 	}
 	st.emit(effect.CountAndLog{Counter: "Requests.Quarantined", LogMessage: "request quarantined: upstreams broke off while running it", Subject: req.Organisation})
@@ -127,7 +141,10 @@
 
 // clearSuspicion clears suspect content that an upstream has run to its end. Quarantined content stays quarantined.
 // Everything in flight on a replica that crashes becomes suspect, although at most one of these requests crashed it.
-func (st *State) clearSuspicion(req *Request) { st.quarantine.deaths.Clear(st.now, req.Digest) }
+func (st *State) clearSuspicion(req *Request) {
+	st.quarantine.deaths.Clear(st.now, req.Digest)
+	st.clearFeatures(req)
+}
 
 // isSuspect reports whether an upstream has crashed while running the request's content.
 func (st *State) isSuspect(req *Request) bool {
@@ -136,7 +153,7 @@
 
 // quarantineRefusal returns the refusal of a request that was admitted and has been quarantined since, or nil.
 func (st *State) quarantineRefusal(req *Request) *effect.Refusal {
-	refusal := st.checkQuarantine(req.Digest)
+	refusal := st.checkQuarantine(&req.Arrived)
 	if refusal != nil && req.MayHaveRun {
 		refusal.RunState = effect.HasRun
 	}
@@ -154,7 +171,7 @@
 		st.finish(req, refusal)
 		return true
 	}
-	if !st.isSuspect(req) || !st.runsElsewhere(req) {
+	if !st.heldByCause(req) && (!st.isSuspect(req) || !st.runsElsewhere(req)) {
 		return false
 	}
 	st.Admit.Remove(req.Service, req.ID)
@@ -229,8 +246,9 @@
 
 // handleQuarantineReported adds the deaths that a peer reports.
 func (st *State) handleQuarantineReported(ev event.QuarantineReported) {
+	st.receiveSuspicions(ev)
 	observed := ev.Observed
-	if len(observed) == 0 {
+	if len(observed) == 0 && ev.Deaths > 0 {
 		observed = countedDeaths(ev)
 	}
 	for _, death := range observed {
@@ -258,9 +276,13 @@
 	return st.quarantineReports(func(vd deaths.Verdict) bool { return vd.Quarantined })
 }
 
-// SuspectDigests returns the entries of the digests that are suspect or quarantined now.
+// SuspectDigests returns the entries of the digests that are suspect or quarantined now, and one with what is known of features.
 func (st *State) SuspectDigests() []event.QuarantineReported {
-	return st.quarantineReports(func(deaths.Verdict) bool { return true })
+	reports := st.quarantineReports(func(deaths.Verdict) bool { return true })
+	if !st.quarantine.causes.Empty() {
+		reports = append(reports, event.QuarantineReported{Suspicions: st.quarantine.causes.Deaths()})
+	}
+	return reports
 }
 
 func (st *State) quarantineReports(selected func(vd deaths.Verdict) bool) []event.QuarantineReported {
--- a/internal/core/state.go
+++ b/internal/core/state.go
@@ -125,6 +125,12 @@
 	NotBefore time.Time
 	// AttemptsWithoutProgress is the number of consecutive attempts without progress in the answer.
 	AttemptsWithoutProgress int
+	// answerStartedAt is when the answer of the attempt under way started, zero before.
+	answerStartedAt time.Time
+	// diedAt is when an upstream last crashed while running the request, zero if none has.
+	diedAt time.Time
+	// sentOffset is Offset when the attempt under way was sent.
+	sentOffset int64
 	// charged reports whether the organisation's retry budget was charged for an attempt that has not certainly arrived yet.
 	charged bool
 	// SentAt is the time at which the attempt under way was sent.
@@ -152,6 +158,7 @@
 		table:          newTable(&decl.Config{}),
 		reasonCounters: map[reasonKey]string{},
 	}
+	st.excuseExplained()
 	if opts.Peers {
 		self := event.Instance{Name: opts.Name, FailureDomain: opts.FailureDomain}
 		st.Member = member.New(self, opts.Incarnation, opts.Seed)
@@ -238,6 +245,7 @@
 		st.sendDemands()
 		st.dispatchAll()
 	}
+	st.reviewCauses()
 	st.reportDoubt()
 	return st.effects
 }
--- a/internal/effect/effect.go
+++ b/internal/effect/effect.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"dandelionsail.example/dandelionsail/internal/cause"
 	"dandelionsail.example/dandelionsail/internal/event"
 	"dandelionsail.example/dandelionsail/internal/wire"
 )
@@ -182,6 +183,9 @@
 // RequestQuarantine requests all quarantine entries of some peers. An event.QuarantineReceived with the same Standstill follows.
 type RequestQuarantine struct{ Standstill int }
 
+// AnnounceAnswered sends all peers the features that an upstream has answered since others crashed under them.
+type AnnounceAnswered struct{ Features []cause.Feature }
+
 // AnnounceQuarantine sends a quarantine entry to all peers.
 type AnnounceQuarantine struct{ Quarantined event.QuarantineReported }
 
@@ -238,6 +242,7 @@
 func (RecordOutcome) isEffect()      {}
 func (RequestPermit) isEffect()      {}
 func (ReleasePermit) isEffect()      {}
+func (AnnounceAnswered) isEffect()   {}
 func (AnnounceQuarantine) isEffect() {}
 func (SendQuarantine) isEffect()     {}
 func (RequestQuarantine) isEffect()  {}
--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -5,9 +5,13 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"dandelionsail.example/dandelionsail/internal/body"
+	"dandelionsail.example/dandelionsail/internal/cause"
 	"dandelionsail.example/dandelionsail/internal/event"
 	"dandelionsail.example/dandelionsail/pkg/decl"
 )
@@ -65,6 +69,7 @@
 		return event.Arrived{}, ae
 	}
 	deadline, ae := readDeadline(cl.req, svc, cl.arrived)
+	prefixes := body.Prefixes(bd.PromptBytes())
 	cl.body = bd
 	cl.raw = raw
 	return event.Arrived{
@@ -74,10 +79,22 @@
 		MaxTokens:    bd.MaxTokens,
 		Deadline:     deadline,
 		Idempotent:   true,
-		Prefixes:     body.Prefixes(bd.PromptBytes()),
+		Prefixes:     prefixes,
+		Features:     modelFeatures(bd.Model, bd.Features(prefixes)),
 	}, ae
 }
 
+// modelFeatures returns the features for the model: what crashes one model's engines may be sound for another's.
+func modelFeatures(model string, hashes []uint64) []cause.Feature {
+	salt := xxhash.Sum64String(model)
+	features := make([]cause.Feature, 0, len(hashes))
+	for _, hash := range hashes {
+		features = append(features, cause.Feature(hash^salt))
+	}
+	slices.Sort(features)
+	return slices.Compact(features)
+}
+
 // boundMaxTokens sets max_tokens to the default if the caller gave none, and refuses a value that exceeds the memory of any
 // engine of the service.
 func boundMaxTokens(bd *body.Body, svc decl.Service) *apiError {
--- a/internal/entry/perform.go
+++ b/internal/entry/perform.go
@@ -40,6 +40,8 @@
 		in.sendToPeer(eff.To.Peer, wire.Shares{Shares: eff.Shares})
 	case effect.AnnounceQuarantine:
 		in.announceQuarantine(eff)
+	case effect.AnnounceAnswered:
+		in.announceAnswered(eff)
 	case effect.SendQuarantine:
 		for _, entry := range eff.Entries {
 			in.sendToPeer(eff.To, quarantineMessage(entry))
--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -8,6 +8,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"dandelionsail.example/dandelionsail/internal/cause"
 	"dandelionsail.example/dandelionsail/internal/core"
 	"dandelionsail.example/dandelionsail/internal/deaths"
 	"dandelionsail.example/dandelionsail/internal/delay"
@@ -51,6 +52,17 @@
 	})
 }
 
+// announceAnswered sends the peers the features once. What is lost is announced again with the next answer.
+func (in *Instance) announceAnswered(eff effect.AnnounceAnswered) {
+	if in.peers == nil {
+		return
+	}
+	msg := quarantineMessage(event.QuarantineReported{Answered: eff.Features})
+	for _, address := range *in.listedPeers.Load() {
+		in.peers.Send(address, msg)
+	}
+}
+
 // sendQuarantine sends the entry to the peers and waits until all have acknowledged it, at most quarantineAckTimeout.
 func (in *Instance) sendQuarantine(msg wire.Quarantine) {
 	ctx, cancel := context.WithTimeout(context.Background(), quarantineAckTimeout)
@@ -121,15 +133,42 @@
 	for _, death := range qr.Observed {
 		msg.Observed = append(msg.Observed, wire.Death{ID: death.ID, Upstream: death.Upstream, Age: time.Since(death.At)})
 	}
+	for i := range qr.Suspicions {
+		msg.Suspicions = append(msg.Suspicions, suspicionMessage(&qr.Suspicions[i]))
+	}
+	for _, feature := range qr.Answered {
+		msg.Answered = append(msg.Answered, uint64(feature))
+	}
 	return msg
 }
 
+func suspicionMessage(death *cause.Death) wire.Suspicion {
+	sus := wire.Suspicion{ID: death.ID, Upstream: death.Upstream, Content: death.Content, Caller: death.Caller, Age: time.Since(death.At)}
+	for _, feature := range death.Features {
+		sus.Features = append(sus.Features, uint64(feature))
+	}
+	return sus
+}
+
 func (in *Instance) applyQuarantine(msg wire.Quarantine) {
 	now := time.Now()
 	ev := event.QuarantineReported{Digest: msg.Digest, Deaths: msg.Deaths, Until: now.Add(msg.TTL)}
 	for _, death := range msg.Observed {
 		ev.Observed = append(ev.Observed, deaths.Death{ID: death.ID, Upstream: death.Upstream, At: now.Add(-max(0, death.Age))})
 	}
+	for i := range msg.Suspicions {
+		sus := &msg.Suspicions[i]
+		death := cause.Death{ID: sus.ID, Upstream: sus.Upstream, Content: sus.Content, Caller: sus.Caller, At: now.Add(-max(0, sus.Age))}
+		for _, feature := range sus.Features {
+			death.Features = append(death.Features, cause.Feature(feature))
+		}
+		slices.Sort(death.Features)
+		death.Features = slices.Compact(death.Features)
+		ev.Suspicions = append(ev.Suspicions, death)
+	}
+	for _, feature := range msg.Answered {
+		ev.Answered = append(ev.Answered, cause.Feature(feature))
+	}
 	in.loop.Submit(ev)
 }
 
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"dandelionsail.example/dandelionsail/internal/cause"
 	"dandelionsail.example/dandelionsail/internal/deaths"
 	"dandelionsail.example/dandelionsail/pkg/decl"
 )
@@ -39,6 +40,8 @@
 	Digest Digest
 	// Prefixes are hashes of the prompt's leading blocks, shortest first, for prefix affinity.
 	Prefixes []uint64
+	// Features are hashes of what other prompts may share with this one, sorted and without repetitions.
+	Features []cause.Feature
 	// Forwarded reports whether another instance, which has lost its path to the service, has passed the request on.
 	Forwarded bool
 }
@@ -247,6 +250,10 @@
 	Until time.Time
 	// Observed holds the deaths themselves, all or the new ones. A peer of an earlier release reports none.
 	Observed []deaths.Death
+	// Suspicions are deaths with the features of their requests.
+	Suspicions []cause.Death
+	// Answered are features that an upstream has answered since others crashed under them.
+	Answered []cause.Feature
 }
 
 // StoodStill reports that the process stood still before the events that follow.
--- a/internal/steer/parts.go
+++ b/internal/steer/parts.go
@@ -3,7 +3,6 @@
 import (
 	"maps"
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -17,23 +16,9 @@
 // such requests come through all instances, beside sound ones that share all other parts with them.
 
 // causeRules are the rules by which parts are held against prompts.
-var causeRules = cause.Rules{
-	// A second crash may be chance: ten requests die in each. Four more may follow before instances have to know the part.
-	Threshold: 3, MinSuspect: 2, MinContents: 2,
-	MinSpan: 200 * time.Millisecond, Duration: quarantineTime, SameCrash: sameCrash,
-	TrialDelays:  []time.Duration{10 * time.Second, 2 * time.Minute},
-	AnsweredTime: 3 * time.Second, SuspectTime: 10 * time.Second, TellPeriod: time.Second,
-	MaxFeatures: 1 << 14,
-}
+var causeRules = cause.DefaultRules(quarantineTime, sameCrash)
 
 const (
-	// provenTime is how long an answer has to go on, from its first event, to show that the prompt does not crash the replica that begins to
-	// answer it.
-	provenTime = time.Second
-	// provenEvents is how many events it must have. After a pause of this process, two that came together would seem far apart.
-	provenEvents = 5
-	// doubtTime is how long a request whose replica has crashed waits at most for others with the same parts to be answered.
-	doubtTime = time.Second
 	// clearAnnouncers is how many instances announce an answered part, on average. All that answer prompts with it could.
 	clearAnnouncers = 8
 	// maxSuspicionParts is the maximum number of parts in one Suspicion, which must fit into a datagram.
@@ -80,7 +65,7 @@
 // cause, the same one at all that list the same instances.
 func (st *State) allowTrial(req *request) {
 	found := st.judgeParts(req)
-	if !found.Refused || found.TrialAt.IsZero() || st.now.Before(found.TrialAt) || !st.triesCause(found.Cause) {
+	if !found.Refused || found.TrialAt.IsZero() || st.now.Before(found.TrialAt) || !found.Cause.Tries(st.Options.Name, st.otherNames) {
 		return
 	}
 	for _, other := range st.requests {
@@ -92,13 +77,6 @@
 	st.emit(LogLine{Message: "part of prompts tried", Request: req.Name, Parts: found.Cause.Features, Crashes: found.Cause.Crashes, Age: st.now.Sub(found.Cause.Last)})
 }
 
-// triesCause reports whether this instance makes the trials of the cause.
-func (st *State) triesCause(ca *cause.Cause) bool {
-	key := "/" + strconv.FormatUint(ca.Key(), 16)
-	own := xxhash.Sum64String(st.Options.Name + key)
-	return !slices.ContainsFunc(st.otherNames, func(name string) bool { return xxhash.Sum64String(name+key) < own })
-}
-
 // heldByCause reports whether the request may not be sent now because of parts that may crash replicas. Of the requests with such parts one
 // runs at a time, and shows whether it does. One whose replica has crashed waits until that is known of others first: if it is the cause, it
 // would take the next replica down.
@@ -110,7 +88,7 @@
 	if found.Refused {
 		return true
 	}
-	if st.now.Sub(req.diedAt) < doubtTime && found.Cause.Holds(req.Parts) {
+	if st.now.Sub(req.diedAt) < cause.DoubtTime && found.Cause.Holds(req.Parts) {
 		return true
 	}
 	if st.now.Sub(found.Cause.First) < causeRules.MinSpan {
@@ -126,7 +104,7 @@
 
 // proveParts clears the parts of a prompt whose answer has gone on for long enough.
 func (st *State) proveParts(req *request) {
-	if !req.proven && req.wrote() >= provenTime && req.events >= provenEvents {
+	if !req.proven && req.wrote() >= cause.ProvenTime && req.events >= cause.ProvenEvents {
 		req.proven = true
 		st.clearParts(req)
 	}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -35,6 +35,27 @@
 	TTL time.Duration `cbor:"Lasts"`
 	// Observed holds the deaths themselves, all or the new ones. Instances of earlier releases neither send nor read it.
 	Observed []Death
+	// Suspicions are deaths with the features of their requests. Instances of earlier releases neither send nor read them, nor Answered.
+	Suspicions []Suspicion `cbor:",omitempty"`
+	// Answered are features that an upstream has answered since others crashed under them.
+	Answered []uint64 `cbor:",omitempty"`
+}
+
+// Suspicion is a death with the features of the request, as one instance observed it.
+type Suspicion struct {
+	_ struct{} `cbor:",toarray"`
+	// ID identifies the observation among those of all instances.
+	ID uint64
+	// Upstream identifies the upstream that died.
+	Upstream uint64
+	// Content identifies what the request asked for.
+	Content uint64
+	// Caller identifies the organisation.
+	Caller uint64
+	// Age is how long ago it died.
+	Age time.Duration
+	// Features are those of the request.
+	Features []uint64
 }
 
 // Death is one death as one instance observed it.
