Streams without a length that end before the first event are broken off

What callers would have seen: a replica answers a stream with neither a length nor chunks and ends, with a clean end of its connection, before the first event; the caller gets an empty stream that looks complete. A crash at the first event of a prompt could look so, and would have cleared the part that caused it.

Cause: the end of such an answer's connection is taken for the end of the answer. That is all there is to go by between two events; before the first one it cannot be, but for a stream that a caller resumes.

The mend: no event at all is a broken answer.

Evidence: TestAnswersWithoutLength, nine cases directly and through another instance; 'stream, ends before the first' failed before in both (200, empty), the others passed before: lookups, updates and streams that are reset or end inside an event.

--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -28,8 +28,9 @@
 			return steer.ResultCancelled
 		}
 		buf = append(buf[:0], rest...)
-		if err == io.EOF && len(bytes.TrimSpace(buf)) == 0 {
+		if err == io.EOF && len(bytes.TrimSpace(buf)) == 0 && !att.endedUnbegun() {
 			att.startResponse(resp)
+			att.ended.OpenEnded = isOpenEnded(resp)
 			return steer.ResultDone
 		}
 		if err != nil {
@@ -38,6 +39,19 @@
 	}
 }
 
+// endedUnbegun reports whether the whole answer has no event, over all attempts. One without a length looks complete although its replica ended before
+// the first event. Only a stream that the caller resumes may have none left.
+func (att *attempt) endedUnbegun() bool {
+	return att.lastEvent.IsZero() && att.cl.lastEventID == "" && att.cl.info.After == "" && !att.cl.headerSent.Load()
+}
+
+// isOpenEnded reports whether nothing but the end of its connection ends the response. Behind a detour that cannot be told for a response without
+// a length.
+func isOpenEnded(resp *http.Response) bool {
+	_, isDetour := resp.Body.(*detourBody)
+	return resp.ContentLength < 0 && (isDetour || len(resp.TransferEncoding) == 0)
+}
+
 // forward writes the complete events at the start of buf to the caller and returns the remaining bytes. ok reports
 // whether the caller could be written to.
 func (att *attempt) forward(resp *http.Response, buf []byte) (rest []byte, ok bool) {
--- a/internal/steer/event.go
+++ b/internal/steer/event.go
@@ -102,6 +102,8 @@
 	Unreachable bool
 	// Died reports whether the replica broke off the answer and accepts no connection, although another replica does.
 	Died bool
+	// OpenEnded reports that nothing but the end of its connection ended the answer, so that it may have ended with its replica.
+	OpenEnded bool
 	// Via is the instance that passed the attempt on, empty if it was sent directly.
 	Via string
 	// GivenUp reports whether the caller left, or its time ended, before anything was sent, so that the result says nothing of the replica.
--- a/internal/steer/retry.go
+++ b/internal/steer/retry.go
@@ -42,7 +42,9 @@
 	switch {
 	case ev.Result == ResultDone:
 		st.deaths.Clear(st.now, req.Digest)
-		st.clearParts(req)
+		if !ev.OpenEnded || req.proven {
+			st.clearParts(req)
+		}
 		st.finish(req, Finish{ID: req.ID}, "answered")
 	case st.drain != nil && !st.now.Before(st.drain.AbortAt):
 		st.refuse(req, ReasonDraining, drainRetryAfter)
