--- a/internal/cause/cause.go
+++ b/internal/cause/cause.go
@@ -139,6 +139,8 @@
 	explained map[uint64][]time.Time
 	// changed reports whether causes is out of date.
 	changed bool
+	// foundAt is when causes was determined.
+	foundAt time.Time
 	// expiresAt is when the first death or cause expires.
 	expiresAt time.Time
 }
@@ -264,14 +266,24 @@
 
 // Causes returns the causes that are held now, those that explain most first.
 func (tb *Table) Causes(now time.Time) []Cause {
-	if tb.changed || !tb.expiresAt.IsZero() && !now.Before(tb.expiresAt) {
-		tb.changed = false
-		tb.expire(now)
-		tb.find()
+	isDue := tb.changed || !tb.expiresAt.IsZero() && !now.Before(tb.expiresAt)
+	if !isDue || tb.size > freeSize && now.Sub(tb.foundAt) < time.Duration(tb.size)*findPause {
+		return tb.causes
 	}
+	tb.changed, tb.foundAt = false, now
+	tb.expire(now)
+	tb.find()
 	return tb.causes
 }
 
+const (
+	// freeSize is the number of features up to which the causes are determined after each change. With prompts of hundreds of parts that would
+	// take all of the processor while replicas crash.
+	freeSize = 1 << 12
+	// findPause is the pause between two determinations in a larger table, for each feature in it. It is some twenty times what one takes.
+	findPause = 5 * time.Microsecond
+)
+
 // expire removes what is too old to be held.
 func (tb *Table) expire(now time.Time) {
 	tb.expiresAt = time.Time{}
@@ -286,7 +298,11 @@
 	}
 	for _, death := range tb.deaths {
 		tb.expireAt(now, latest(death.At, lastOf[death.ID]), func() { tb.remove(death) })
-		if len(tb.remaining(death)) == 0 {
+		// A feature that is cleared for a death stays so.
+		remaining := tb.remaining(death)
+		tb.size -= len(death.Features) - len(remaining)
+		death.Features = remaining
+		if len(remaining) == 0 {
 			tb.remove(death)
 		}
 	}
--- a/internal/cause/cause_test.go
+++ b/internal/cause/cause_test.go
@@ -216,3 +216,28 @@
 	sy.answer(bad)
 	assert.Assert(t, !sy.refused(bad))
 }
+
+func TestPromptsOfHundredsOfParts(t *testing.T) {
+	// Ten prompts die in each crash, each with 600 parts, of which they share the first two. One of the ten has the bad one besides. The table must hold
+	// enough of them to find it.
+	sy := newStory()
+	next := cause.Feature(1000)
+	for range 5 {
+		var requests [][]cause.Feature
+		for i := range 10 {
+			features := of(system, companion)
+			if i == 0 {
+				features = append(features, bad)
+			}
+			for len(features) < 600 {
+				next++
+				features = append(features, next)
+			}
+			requests = append(requests, features)
+		}
+		sy.crash(requests...)
+		sy.answer(system, companion)
+	}
+	assert.Assert(t, sy.refused(system, companion, bad))
+	assert.Assert(t, !sy.refused(system, companion))
+}
--- a/internal/cause/find.go
+++ b/internal/cause/find.go
@@ -10,7 +10,7 @@
 	upstream uint64
 	at       time.Time
 	deaths   []*Death
-	// features holds, for each death, those that are not cleared.
+	// features holds those of each death that are not cleared.
 	features [][]Feature
 }
 
@@ -45,10 +45,6 @@
 	var list []*crash
 	last := map[uint64]*crash{}
 	for _, death := range tb.inOrder() {
-		features := tb.remaining(death)
-		if len(features) == 0 {
-			continue
-		}
 		cr := last[death.Upstream]
 		if cr == nil || death.At.Sub(cr.at) >= tb.rules.SameCrash {
 			cr = &crash{upstream: death.Upstream, at: death.At}
@@ -56,7 +52,7 @@
 			list = append(list, cr)
 		}
 		cr.deaths = append(cr.deaths, death)
-		cr.features = append(cr.features, features)
+		cr.features = append(cr.features, death.Features)
 	}
 	return list
 }
--- a/internal/cause/rules.go
+++ b/internal/cause/rules.go
@@ -26,7 +26,7 @@
 		MinSpan: 200 * time.Millisecond, Duration: duration, SameCrash: sameCrash,
 		TrialDelays:  []time.Duration{10 * time.Second, 2 * time.Minute},
 		AnsweredTime: 3 * time.Second, SuspectTime: 10 * time.Second, TellPeriod: time.Second,
-		MaxFeatures: 1 << 14,
+		MaxFeatures: 1 << 16,
 	}
 }
 
--- a/internal/steer/parts_test.go
+++ b/internal/steer/parts_test.go
@@ -165,3 +165,36 @@
 	}
 	return count
 }
+
+func TestLongListsOfPartsFitIntoDatagrams(t *testing.T) {
+	// A prompt of a thousand parts crashes a replica. The notes must not be too long to be sent, and tell all of the parts.
+	in := newInstance(t, "one", 4)
+	parts := make([]steer.Part, 1000)
+	for i := range parts {
+		parts[i] = steer.Part(i + 1)
+	}
+	told := 0
+	for _, notes := range [][]steer.Note{notesIn(in.crashWith("parish", parts...)), in.st.DeathNotes(in.now)} {
+		told = 0
+		for i := range notes {
+			count := 0
+			for _, sus := range notes[i].Suspicions {
+				count += len(sus.Parts)
+			}
+			assert.Assert(t, count <= 400, count)
+			told += count
+		}
+		assert.Equal(t, told, len(parts))
+	}
+}
+
+// notesIn returns the notes among the effects.
+func notesIn(effects []steer.Effect) []steer.Note {
+	var notes []steer.Note
+	for _, eff := range effects {
+		if nt, ok := eff.(steer.SendNote); ok {
+			notes = append(notes, nt.Note)
+		}
+	}
+	return notes
+}
--- a/internal/steer/quarantine.go
+++ b/internal/steer/quarantine.go
@@ -98,7 +98,10 @@
 	suspicions := st.suspectParts(req, death)
 	crashes := st.deaths.Judge(st.now, req.Digest).Crashes
 	// Another instance may have missed the earlier deaths of this content.
-	st.emit(SendNote{Note: st.note(Note{Deaths: st.deathsOf(st.now, req.Digest, crashes), Suspicions: suspicions}), Acked: true, AckDigest: req.Digest})
+	st.emit(SendNote{Note: st.note(Note{Deaths: st.deathsOf(st.now, req.Digest, crashes), Suspicions: suspicions[:min(1, len(suspicions))]}), Acked: true, AckDigest: req.Digest})
+	for i := 1; i < len(suspicions); i++ {
+		st.emit(SendNote{Note: st.note(Note{Suspicions: suspicions[i : i+1]}), Acked: true, AckDigest: req.Digest})
+	}
 	st.emit(LogLine{Message: "replica died under request", Request: req.Name, Replica: rep.Name, Attempt: crashes, Content: req.Digest, Parts: req.Parts, Wrote: req.wrote()})
 }
 
