Parts of prompts: no verdict while deaths are on their way; answers before the first crash count

Cause: the deaths of one crash come from several instances. In the moment in which that of the guilty prompt was still on its way, a sound part was in all three crashes that were known; it was refused, recorded in the store by the instance that saw the last death, and read back by all, who had cleared it by then. Lines: 'part of prompts quarantined' for three parts within 5 ms.

The mend: a crash counts 0.2 s after it; the first one must be 1.5 s ago unless there are five; a cause is recorded after half a second, and taken over by instances that have just started alone. Answers of the last seconds count, and are told again each second. Features of an imposed cause are not changed in place.

--- a/internal/cause/cause.go
+++ b/internal/cause/cause.go
@@ -50,6 +50,13 @@
 	MinContents int
 	// MinSpan is the time over which the crashes must have come.
 	MinSpan time.Duration
+	// MinAge is how long ago the first of them must be, so that answers under way can end and clear what they share, unless there are SureCrashes.
+	MinAge time.Duration
+	// SureCrashes is the number of crashes from which on that is not waited for.
+	SureCrashes int
+	// SettleTime is how long a crash does not count towards a refusal. Its deaths are observed by several instances, and while some are not known
+	// yet, those that are known may look like the cause.
+	SettleTime time.Duration
 	// Duration is how long a cause is held after its last crash, and after the last request that was refused for it.
 	Duration time.Duration
 	// AnsweredTime is how long an answer protects the features of its request from being held for crashes that come after it.
@@ -81,6 +88,8 @@
 	Refused bool
 	// LastDeath is the ID of the last death in them, 0 if it is not known.
 	LastDeath uint64
+	// settled is the number of crashes that count towards a refusal.
+	settled int
 	// Trials is the number of crashes that came after a trial.
 	Trials int
 }
@@ -126,6 +135,8 @@
 	suspected map[Feature]time.Time
 	// cleared holds when an upstream last answered a request with the feature. Only suspected features are in it.
 	cleared map[Feature]time.Time
+	// recent holds what was answered a short while ago, suspected or not.
+	recent recentAnswers
 	// told holds when Clear last returned the feature.
 	told map[Feature]time.Time
 	// size is the number of features over all deaths.
@@ -141,7 +152,7 @@
 	changed bool
 	// foundAt is when causes was determined.
 	foundAt time.Time
-	// expiresAt is when the first death or cause expires.
+	// expiresAt is when the first death or cause expires, or a crash is settled.
 	expiresAt time.Time
 }
 
@@ -156,10 +167,11 @@
 // Idle reports whether answers are of no interest, since nothing has crashed lately.
 func (tb *Table) Idle() bool { return len(tb.suspected) == 0 }
 
-// Add adds a death. One that is known gets the features that were missing: a long list comes in several messages.
-func (tb *Table) Add(death Death) {
+// Add adds a death, and returns features of it that were answered here a short while ago, as Clear does. A death that is known gets the features that were
+// missing: a long list comes in several messages.
+func (tb *Table) Add(death Death) (answered []Feature) {
 	if len(death.Features) == 0 {
-		return
+		return nil
 	}
 	known, ok := tb.deaths[death.ID]
 	if ok {
@@ -167,7 +179,7 @@
 		slices.Sort(merged)
 		merged = slices.Compact(merged)
 		if len(merged) == len(known.Features) {
-			return
+			return nil
 		}
 		tb.size += len(merged) - len(known.Features)
 		known.Features = merged
@@ -178,9 +190,16 @@
 	}
 	for _, feature := range death.Features {
 		tb.suspected[feature] = latest(tb.suspected[feature], death.At)
+		if at := tb.recent.at(feature); at.After(tb.cleared[feature]) {
+			tb.cleared[feature] = at
+			if tb.isNews(death.At, feature) {
+				answered = append(answered, feature)
+			}
+		}
 	}
 	tb.changed = true
 	tb.makeRoom()
+	return answered
 }
 
 // makeRoom removes the oldest deaths from a table that is too large, those first that no cause explains.
@@ -214,8 +233,12 @@
 }
 
 // Clear records that an upstream has answered a request with the features, and returns those that the other instances are to be told of:
-// they are in recent deaths and were not returned a short while ago. Features that nothing has crashed under are not kept.
+// they are in recent deaths and were not returned a short while ago.
 func (tb *Table) Clear(now time.Time, features []Feature) []Feature {
+	tb.recent.add(now, features, tb.rules.AnsweredTime)
+	if tb.Idle() {
+		return nil
+	}
 	var news []Feature
 	for _, feature := range features {
 		if at, ok := tb.suspected[feature]; !ok || now.Sub(at) >= tb.rules.SuspectTime && !tb.isCause(now, feature) {
@@ -223,14 +246,22 @@
 		}
 		tb.cleared[feature] = latest(tb.cleared[feature], now)
 		tb.changed = true
-		if told, ok := tb.told[feature]; !ok || now.Sub(told) >= tb.rules.TellPeriod {
-			tb.told[feature] = now
+		if tb.isNews(now, feature) {
 			news = append(news, feature)
 		}
 	}
 	return news
 }
 
+// isNews reports whether the others are to be told that the feature is answered, and records that they are.
+func (tb *Table) isNews(now time.Time, feature Feature) bool {
+	if told, ok := tb.told[feature]; ok && now.Sub(told) < tb.rules.TellPeriod {
+		return false
+	}
+	tb.told[feature] = now
+	return true
+}
+
 // isCause reports whether the feature is part of a cause.
 func (tb *Table) isCause(now time.Time, feature Feature) bool {
 	return slices.ContainsFunc(tb.Causes(now), func(ca Cause) bool { return slices.Contains(ca.Features, feature) })
@@ -272,7 +303,7 @@
 	}
 	tb.changed, tb.foundAt = false, now
 	tb.expire(now)
-	tb.find()
+	tb.find(now)
 	return tb.causes
 }
 
@@ -307,10 +338,7 @@
 		}
 	}
 	for key, ca := range tb.imposed {
-		ca.Features = slices.DeleteFunc(ca.Features, func(feature Feature) bool {
-			at, ok := tb.cleared[feature]
-			return ok && !at.Before(ca.Last)
-		})
+		ca.Features = tb.unclearedSince(ca.Last, ca.Features)
 		if len(ca.Features) == 0 {
 			delete(tb.imposed, key)
 			continue
@@ -325,6 +353,17 @@
 	tb.changed = false
 }
 
+// unclearedSince returns the features that no answer has cleared since the time.
+func (tb *Table) unclearedSince(since time.Time, features []Feature) []Feature {
+	var list []Feature
+	for _, feature := range features {
+		if at, ok := tb.cleared[feature]; !ok || at.Before(since) {
+			list = append(list, feature)
+		}
+	}
+	return list
+}
+
 // expireAt calls remove if Duration has passed since the time given, and otherwise remembers when that will be.
 func (tb *Table) expireAt(now, since time.Time, remove func()) {
 	at := since.Add(tb.rules.Duration)
@@ -332,6 +371,11 @@
 		remove()
 		return
 	}
+	tb.determineAt(at)
+}
+
+// determineAt makes the causes be determined again at the time, if not before.
+func (tb *Table) determineAt(at time.Time) {
 	if tb.expiresAt.IsZero() || at.Before(tb.expiresAt) {
 		tb.expiresAt = at
 	}
@@ -433,5 +477,16 @@
 	return list
 }
 
+// RecentlyCleared returns the features that were cleared within SuspectTime, with the times, for the others that may have missed that.
+func (tb *Table) RecentlyCleared(now time.Time) map[Feature]time.Time {
+	recent := map[Feature]time.Time{}
+	for feature, at := range tb.cleared {
+		if now.Sub(at) < tb.rules.SuspectTime {
+			recent[feature] = at
+		}
+	}
+	return recent
+}
+
 // Cleared returns when each feature was last cleared.
 func (tb *Table) Cleared() map[Feature]time.Time { return tb.cleared }
--- a/internal/cause/cause_test.go
+++ b/internal/cause/cause_test.go
@@ -241,3 +241,31 @@
 	assert.Assert(t, sy.refused(system, companion, bad))
 	assert.Assert(t, !sy.refused(system, companion))
 }
+
+func TestDeathsThatAreNotYetKnownCondemnNothing(t *testing.T) {
+	// A sound prompt's part died in three crashes, each time beside the bad one. Of the third crash only the sound death is known so far, since the other
+	// one is on its way from another instance. The sound part must not be refused for that moment, nor after it.
+	sy := newStory()
+	sy.crash(of(other), of(bad))
+	sy.crash(of(other), of(bad))
+	third := sy.now
+	for id := range uint64(2) {
+		sy.tb.Add(cause.Death{ID: 1000 + id, Upstream: 1000, Content: 1000 + id, Caller: 1000 + id, At: third, Features: of(other)})
+	}
+	assert.Assert(t, !sy.refused(other))
+	sy.pass(50 * time.Millisecond)
+	assert.Assert(t, !sy.refused(other))
+	sy.tb.Add(cause.Death{ID: 1002, Upstream: 1000, Content: 1002, Caller: 1002, At: third, Features: of(bad)})
+	sy.pass(rules.SettleTime)
+	assert.Assert(t, !sy.refused(other))
+	assert.Assert(t, sy.refused(bad))
+}
+
+// BenchmarkAnswerOnCalmDay measures what an answer costs while nothing crashes: three parts, two of them shared by all prompts.
+func BenchmarkAnswerOnCalmDay(b *testing.B) {
+	tb := cause.New(rules)
+	now := time.Unix(1_000_000, 0)
+	for number := range b.N {
+		tb.Clear(now.Add(time.Duration(number)*time.Millisecond), of(system, companion, cause.Feature(1000+number%5000)))
+	}
+}
--- a/internal/cause/find.go
+++ b/internal/cause/find.go
@@ -9,15 +9,24 @@
 type crash struct {
 	upstream uint64
 	at       time.Time
-	deaths   []*Death
+	// isSettled reports whether all deaths are known by now.
+	isSettled bool
+	deaths    []*Death
 	// features holds those of each death that are not cleared.
 	features [][]Feature
 }
 
 // find determines the causes: the one that explains most crashes first, then the one that explains most of the rest, and so on.
-func (tb *Table) find() {
+func (tb *Table) find(now time.Time) {
 	tb.causes, tb.explained = nil, map[uint64][]time.Time{}
 	crashes := tb.crashes()
+	for _, cr := range crashes {
+		if at := cr.at.Add(tb.rules.SettleTime); now.Before(at) {
+			tb.determineAt(at)
+		} else {
+			cr.isSettled = true
+		}
+	}
 	for _, imposed := range tb.imposed {
 		ca := *imposed
 		ca.Callers = slices.Clone(ca.Callers)
@@ -34,12 +43,24 @@
 			return
 		}
 		ca := tb.causeOf(feature, crashes)
-		ca.Refused = ca.Crashes >= tb.rules.Threshold && ca.Contents >= tb.rules.Threshold && ca.Last.Sub(ca.First) >= tb.rules.MinSpan
+		ca.Refused = tb.isSure(now, &ca)
 		tb.causes = append(tb.causes, ca)
 		crashes = tb.explain(&ca, crashes)
 	}
 }
 
+// isSure reports whether requests are refused for the cause.
+func (tb *Table) isSure(now time.Time, ca *Cause) bool {
+	if ca.settled < tb.rules.Threshold || ca.Contents < tb.rules.Threshold || ca.Last.Sub(ca.First) < tb.rules.MinSpan {
+		return false
+	}
+	if at := ca.First.Add(tb.rules.MinAge); ca.settled < tb.rules.SureCrashes && now.Before(at) {
+		tb.determineAt(at)
+		return false
+	}
+	return true
+}
+
 // crashes returns the crashes in which requests with uncleared features died.
 func (tb *Table) crashes() []*crash {
 	var list []*crash
@@ -150,7 +171,7 @@
 			ca.LastDeath = cr.deaths[i].ID
 		}
 		if died {
-			tb.count(&ca, cr.at)
+			tb.count(&ca, cr)
 		}
 	}
 	ca.Contents = len(contents)
@@ -163,8 +184,12 @@
 	}
 }
 
-// count adds a crash at the time to the cause.
-func (tb *Table) count(ca *Cause, at time.Time) {
+// count adds a crash to the cause.
+func (tb *Table) count(ca *Cause, cr *crash) {
+	at := cr.at
+	if cr.isSettled {
+		ca.settled++
+	}
 	if ca.Crashes == 0 {
 		ca.First = at
 	}
@@ -187,7 +212,7 @@
 			}
 		}
 		if died {
-			tb.count(ca, cr.at)
+			tb.count(ca, cr)
 		}
 	}
 }
--- a/internal/cause/rules.go
+++ b/internal/cause/rules.go
@@ -23,7 +23,7 @@
 	return Rules{
 		// A second crash may be chance: ten requests die in each. Two more may follow before instances have to know the cause.
 		Threshold: 3, MinSuspect: 2, MinContents: 2,
-		MinSpan: 200 * time.Millisecond, Duration: duration, SameCrash: sameCrash,
+		MinSpan: 200 * time.Millisecond, MinAge: 1500 * time.Millisecond, SureCrashes: 5, SettleTime: 200 * time.Millisecond, Duration: duration, SameCrash: sameCrash,
 		TrialDelays:  []time.Duration{10 * time.Second, 2 * time.Minute},
 		AnsweredTime: 3 * time.Second, SuspectTime: 10 * time.Second, TellPeriod: time.Second,
 		MaxFeatures: 1 << 16,
--- a/internal/core/parts.go
+++ b/internal/core/parts.go
@@ -100,10 +100,13 @@
 
 // clearFeatures records that an upstream has answered the request, and informs the peers if that is news.
 func (st *State) clearFeatures(req *Request) {
-	if len(req.Features) == 0 || st.quarantine.causes.Idle() {
-		return
+	if len(req.Features) > 0 {
+		st.announceAnswered(st.quarantine.causes.Clear(st.now, req.Features))
 	}
-	if news := st.quarantine.causes.Clear(st.now, req.Features); len(news) > 0 {
+}
+
+func (st *State) announceAnswered(news []cause.Feature) {
+	if len(news) > 0 {
 		st.emit(effect.AnnounceAnswered{Features: news})
 	}
 }
@@ -128,7 +131,7 @@
 	cd := cause.Death{
 		ID: death.ID, Upstream: death.Upstream, Content: xxhash.Sum64(req.Digest[:]), Caller: callerOf(&req.Arrived), At: death.At, Features: req.Features,
 	}
-	st.quarantine.causes.Add(cd)
+	st.announceAnswered(st.quarantine.causes.Add(cd))
 	st.clearProven()
 	return []cause.Death{cd}
 }
@@ -136,7 +139,7 @@
 // receiveSuspicions adds what a peer reports of features.
 func (st *State) receiveSuspicions(ev event.QuarantineReported) {
 	for _, death := range ev.Suspicions {
-		st.quarantine.causes.Add(death)
+		st.announceAnswered(st.quarantine.causes.Add(death))
 	}
 	for _, feature := range ev.Answered {
 		st.quarantine.causes.ClearAt(feature, st.now)
--- a/internal/relay/quarantine.go
+++ b/internal/relay/quarantine.go
@@ -15,6 +15,8 @@
 const (
 	// quarantineTTL is how long a record is kept, the longest time for which the store grants a lease.
 	quarantineTTL = 10 * time.Minute
+	// quarantineReadTime is how long after the start records are taken over. The first read may be some seconds old.
+	quarantineReadTime = 30 * time.Second
 	// quarantineWrites is how often the record is written at most. Each failed call is charged.
 	quarantineWrites = 3
 )
@@ -41,9 +43,13 @@
 	})
 }
 
-// applyQuarantine passes a record on to the reducer. Its age is that of the crash, however late the record is read.
+// applyQuarantine passes a record on to the reducer. Its age is that of the crash, however late the record is read. Later than at the start, the other
+// instances tell more: all the deaths, and what has been answered since.
 func (in *Instance) applyQuarantine(qua *Quarantine) {
 	now := time.Now()
+	if !qua.Ended && now.Sub(in.startedAt) >= quarantineReadTime {
+		return
+	}
 	age := max(0, clock.Steady(in.startedAt, now).Sub(time.UnixMilli(qua.LastCrashMs)))
 	last := now.Add(-age)
 	in.apply(steer.CauseRead{Ended: qua.Ended, Cause: cause.Cause{Features: qua.Parts, Crashes: qua.Crashes, First: last, Last: last, Callers: qua.Callers}})
--- a/internal/steer/parts.go
+++ b/internal/steer/parts.go
@@ -23,6 +23,8 @@
 	clearAnnouncers = 8
 	// maxSuspicionParts is the maximum number of parts in one Suspicion, which must fit into a datagram.
 	maxSuspicionParts = 400
+	// recordDelay is how long a cause is held before it is recorded, in which answers may end it.
+	recordDelay = 500 * time.Millisecond
 	// recordPeriod is the minimum time between two records of one cause.
 	recordPeriod = time.Minute
 )
@@ -30,6 +32,8 @@
 // heldCause is a cause for which requests are refused.
 type heldCause struct {
 	cause.Cause
+	// since is when it began to be held.
+	since time.Time
 	// recordedAt is when this instance recorded it, zero if it has not.
 	recordedAt time.Time
 }
@@ -112,10 +116,13 @@
 
 // clearParts records that a replica has answered a prompt with the parts, and informs the others if that is news.
 func (st *State) clearParts(req *request) {
-	if len(req.Parts) == 0 || st.causes.Idle() {
-		return
+	if len(req.Parts) > 0 {
+		st.announceCleared(st.causes.Clear(st.now, req.Parts))
 	}
-	news := st.causes.Clear(st.now, req.Parts)
+}
+
+// announceCleared informs the others that replicas answer prompts with the parts.
+func (st *State) announceCleared(news []Part) {
 	if len(news) == 0 || st.random.IntN(st.live) >= clearAnnouncers {
 		return
 	}
@@ -126,6 +133,26 @@
 	st.emit(SendNote{Note: st.note(Note{Cleared: cleared})})
 }
 
+// repeatCleared tells the others again which parts were answered a short while ago. Without one such note an instance would go on holding a part
+// against callers, and then see no answer with it any more.
+func (st *State) repeatCleared() {
+	if st.causes.Idle() || st.random.IntN(st.live) >= clearAnnouncers {
+		return
+	}
+	if cleared := clearedParts(st.now, st.causes.RecentlyCleared(st.now)); len(cleared) > 0 {
+		st.emit(SendNote{Note: st.note(Note{Cleared: cleared[:min(len(cleared), maxSuspicionParts)]})})
+	}
+}
+
+// clearedParts returns the notes' form of the parts, sorted.
+func clearedParts(now time.Time, cleared map[Part]time.Time) []ClearedPart {
+	var list []ClearedPart
+	for _, part := range slices.Sorted(maps.Keys(cleared)) {
+		list = append(list, ClearedPart{Part: part, AgeMs: max(0, now.Sub(cleared[part]).Milliseconds())})
+	}
+	return list
+}
+
 // suspectParts holds the parts of the prompt for the death of its replica, and returns what the others are told. An answer that has gone on for
 // long enough did not crash its replica.
 func (st *State) suspectParts(req *request, death deaths.Death) []Suspicion {
@@ -135,7 +162,7 @@
 	}
 	st.ownDeaths[death.ID] = true
 	cd := cause.Death{ID: death.ID, Upstream: death.Upstream, Content: uint64(req.Digest), Caller: st.callerOf(req), At: death.At, Features: req.Parts}
-	st.causes.Add(cd)
+	st.announceCleared(st.causes.Add(cd))
 	st.clearProven()
 	return suspicionsOf(st.now, &cd)
 }
@@ -164,15 +191,17 @@
 
 // receiveSuspicions adds what another instance reports of parts.
 func (st *State) receiveSuspicions(note *Note) {
+	var answered []Part
 	for i := range note.Suspicions {
 		sus := &note.Suspicions[i]
 		slices.Sort(sus.Parts)
-		st.causes.Add(cause.Death{
+		answered = append(answered, st.causes.Add(cause.Death{
 			ID: sus.ID, Upstream: sus.Upstream, Content: sus.Content, Caller: sus.Caller,
 			At: st.now.Add(-time.Duration(sus.AgeMs) * time.Millisecond), Features: slices.Compact(sus.Parts),
-		})
+		})...)
 	}
 	if len(note.Suspicions) > 0 {
+		st.announceCleared(answered)
 		st.clearProven()
 	}
 	for _, cp := range note.Cleared {
@@ -201,11 +230,7 @@
 		}
 	}
 	flush()
-	var cleared []ClearedPart
-	for part, at := range st.causes.Cleared() {
-		cleared = append(cleared, ClearedPart{Part: part, AgeMs: max(0, now.Sub(at).Milliseconds())})
-	}
-	for some := range slices.Chunk(cleared, maxSuspicionParts) {
+	for some := range slices.Chunk(clearedParts(now, st.causes.Cleared()), maxSuspicionParts) {
 		notes = append(notes, st.note(Note{Cleared: some}))
 	}
 	return notes
@@ -252,12 +277,12 @@
 		key := ca.Key()
 		hc, ok := st.heldCauses[key]
 		if !ok {
-			hc = &heldCause{}
+			hc = &heldCause{since: st.now}
 			st.emit(LogLine{Message: "part of prompts quarantined", Parts: ca.Features, Crashes: ca.Crashes, Age: st.now.Sub(ca.Last)})
 		}
 		hc.Cause = *ca
 		held[key] = hc
-		if st.ownDeaths[ca.LastDeath] && (hc.recordedAt.IsZero() || st.now.Sub(hc.recordedAt) >= recordPeriod) {
+		if st.ownDeaths[ca.LastDeath] && st.now.Sub(hc.since) >= recordDelay && (hc.recordedAt.IsZero() || st.now.Sub(hc.recordedAt) >= recordPeriod) {
 			hc.recordedAt = st.now
 			st.emit(RecordCause{Cause: hc.Cause})
 		}
--- a/internal/steer/state.go
+++ b/internal/steer/state.go
@@ -301,6 +301,7 @@
 		st.drain = &ev
 	case Summarized:
 		st.summarize()
+		st.repeatCleared()
 	case Ticked:
 		st.resolveClaims()
 		st.queryLoad()
