--- a/internal/cause/cause.go
+++ b/internal/cause/cause.go
@@ -3,7 +3,7 @@
 // died in one crash after the other, and in none that an upstream has answered. Each instance keeps a Table and sends the others the deaths
 // that it observes and the features that it sees cleared, so instances that have received the same decide the same.
 //
-// A Table promises, for what it has been told:
+// A Table promises, for the deaths and answers that it has received:
 //   - A feature, or several that always came together, under which Rules.Threshold upstreams have crashed, each time under another content, is held against requests that have
 //     all of them. After that, requests with it are refused but for Rules.MaxTrials trials.
 //   - A feature that an upstream has answered since a crash, or shortly before, is not held for that crash, whoever else died in it. So upstreams
@@ -63,8 +63,8 @@
 	AnsweredTime time.Duration
 	// SuspectTime is how long after a death the answers with its features are of interest.
 	SuspectTime time.Duration
-	// TellPeriod is the interval at which the others are told that a feature is answered.
-	TellPeriod time.Duration
+	// AnnouncePeriod is the interval at which an answered feature is announced to the others.
+	AnnouncePeriod time.Duration
 	// SameCrash is the time within which deaths at one upstream are the same crash.
 	SameCrash time.Duration
 	// TrialDelays are the times after the last crash at which one request is let through, to find causes that are held wrongly. The length
@@ -137,8 +137,8 @@
 	cleared map[Feature]time.Time
 	// recent holds what was answered a short while ago, suspected or not.
 	recent recentAnswers
-	// told holds when Clear last returned the feature.
-	told map[Feature]time.Time
+	// announced holds when the feature was last announced as answered.
+	announced map[Feature]time.Time
 	// size is the number of features over all deaths.
 	size int
 	// imposed holds the causes that were found before this instance started, by key.
@@ -158,7 +158,7 @@
 
 // New returns an empty table.
 func New(rules Rules) *Table {
-	return &Table{rules: rules, deaths: map[uint64]*Death{}, suspected: map[Feature]time.Time{}, cleared: map[Feature]time.Time{}, told: map[Feature]time.Time{}, imposed: map[uint64]*Cause{}, refusedAt: map[uint64]time.Time{}}
+	return &Table{rules: rules, deaths: map[uint64]*Death{}, suspected: map[Feature]time.Time{}, cleared: map[Feature]time.Time{}, announced: map[Feature]time.Time{}, imposed: map[uint64]*Cause{}, refusedAt: map[uint64]time.Time{}}
 }
 
 // Empty reports whether nothing is held against any feature.
@@ -232,8 +232,8 @@
 	tb.changed = true
 }
 
-// Clear records that an upstream has answered a request with the features, and returns those that the other instances are to be told of:
-// they are in recent deaths and were not returned a short while ago.
+// Clear records that an upstream has answered a request with the features, and returns those that are to be announced to the other instances:
+// they are in recent deaths and were not announced a short while ago.
 func (tb *Table) Clear(now time.Time, features []Feature) []Feature {
 	tb.recent.add(now, features, tb.rules.AnsweredTime)
 	if tb.Idle() {
@@ -241,7 +241,7 @@
 	}
 	var news []Feature
 	for _, feature := range features {
-		if at, ok := tb.suspected[feature]; !ok || now.Sub(at) >= tb.rules.SuspectTime && !tb.isCause(now, feature) {
+		if at, ok := tb.suspected[feature]; !ok || now.Sub(at) >= tb.rules.SuspectTime && !tb.isPart(feature) {
 			continue
 		}
 		tb.cleared[feature] = latest(tb.cleared[feature], now)
@@ -253,18 +253,23 @@
 	return news
 }
 
-// isNews reports whether the others are to be told that the feature is answered, and records that they are.
+// isNews reports whether the feature is to be announced as answered, and records that it is.
 func (tb *Table) isNews(now time.Time, feature Feature) bool {
-	if told, ok := tb.told[feature]; ok && now.Sub(told) < tb.rules.TellPeriod {
+	if at, ok := tb.announced[feature]; ok && now.Sub(at) < tb.rules.AnnouncePeriod {
 		return false
 	}
-	tb.told[feature] = now
+	tb.announced[feature] = now
 	return true
 }
 
-// isCause reports whether the feature is part of a cause.
-func (tb *Table) isCause(now time.Time, feature Feature) bool {
-	return slices.ContainsFunc(tb.Causes(now), func(ca Cause) bool { return slices.Contains(ca.Features, feature) })
+// isPart reports whether the feature is part of a cause, as they were last determined, or of one that was imposed since.
+func (tb *Table) isPart(feature Feature) bool {
+	for _, ca := range tb.imposed {
+		if slices.Contains(ca.Features, feature) {
+			return true
+		}
+	}
+	return slices.ContainsFunc(tb.causes, func(ca Cause) bool { return slices.Contains(ca.Features, feature) })
 }
 
 // ClearAt records that another instance has seen the feature cleared.
@@ -308,6 +313,8 @@
 }
 
 const (
+	// answerMemory is how long answers and deaths are remembered of features that are part of no cause.
+	answerMemory = time.Minute
 	// freeSize is the number of features up to which the causes are determined after each change. With prompts of hundreds of parts that would
 	// take all of the processor while replicas crash.
 	freeSize = 1 << 12
@@ -345,11 +352,12 @@
 		}
 		tb.expireAt(now, latest(ca.Last, tb.refusedAt[ca.Key()]), func() { delete(tb.imposed, key) })
 	}
-	isOld := func(at time.Time) bool { return tb.Empty() || now.Sub(at) >= tb.rules.Duration }
-	maps.DeleteFunc(tb.suspected, func(_ Feature, at time.Time) bool { return isOld(at) })
-	maps.DeleteFunc(tb.told, func(_ Feature, at time.Time) bool { return isOld(at) })
-	maps.DeleteFunc(tb.cleared, func(_ Feature, at time.Time) bool { return isOld(at) })
-	maps.DeleteFunc(tb.refusedAt, func(_ uint64, at time.Time) bool { return isOld(at) })
+	for _, times := range []map[Feature]time.Time{tb.suspected, tb.announced, tb.cleared} {
+		maps.DeleteFunc(times, func(feature Feature, at time.Time) bool {
+			return tb.Empty() || now.Sub(at) >= answerMemory && !tb.isPart(feature)
+		})
+	}
+	maps.DeleteFunc(tb.refusedAt, func(_ uint64, at time.Time) bool { return tb.Empty() || now.Sub(at) >= tb.rules.Duration })
 	tb.changed = false
 }
 
--- a/internal/cause/rules.go
+++ b/internal/cause/rules.go
@@ -25,7 +25,7 @@
 		Threshold: 3, MinSuspect: 2, MinContents: 2,
 		MinSpan: 200 * time.Millisecond, MinAge: 1500 * time.Millisecond, SureCrashes: 5, SettleTime: 200 * time.Millisecond, Duration: duration, SameCrash: sameCrash,
 		TrialDelays:  []time.Duration{10 * time.Second, 2 * time.Minute},
-		AnsweredTime: 3 * time.Second, SuspectTime: 10 * time.Second, TellPeriod: time.Second,
+		AnsweredTime: 3 * time.Second, SuspectTime: 10 * time.Second, AnnouncePeriod: time.Second,
 		MaxFeatures: 1 << 16,
 	}
 }
--- a/internal/cause/world_test.go
+++ b/internal/cause/world_test.go
@@ -175,13 +175,13 @@
 		if note.clears {
 			wd.tables[note.to].ClearAt(note.part, note.at)
 		} else {
-			wd.told(note.to, wd.tables[note.to].Add(note.death))
+			wd.announceAnswered(note.to, wd.tables[note.to].Add(note.death))
 		}
 	}
 }
 
-// tell sends a note to all other instances. One that is lost is repeated.
-func (wd *world) tell(from int, note simNote) {
+// announce sends a note to all other instances. One that is lost is repeated.
+func (wd *world) announce(from int, note simNote) {
 	for to := range wd.tables {
 		if to == from {
 			continue
@@ -227,8 +227,8 @@
 		if wd.now-req.sentAt-beginAfter < time.Second {
 			wd.nextID++
 			death := cause.Death{ID: wd.nextID, Upstream: upstream, Content: req.id, Caller: req.id, At: wd.clock(), Features: req.parts}
-			wd.told(req.instance, wd.tables[req.instance].Add(death))
-			wd.tell(req.instance, simNote{death: death})
+			wd.announceAnswered(req.instance, wd.tables[req.instance].Add(death))
+			wd.announce(req.instance, simNote{death: death})
 		}
 		if !req.died {
 			req.died = true
@@ -249,13 +249,13 @@
 }
 
 func (wd *world) clear(req *simRequest) {
-	wd.told(req.instance, wd.tables[req.instance].Clear(wd.clock(), req.parts))
+	wd.announceAnswered(req.instance, wd.tables[req.instance].Clear(wd.clock(), req.parts))
 }
 
-// told announces that the parts are answered at the instance.
-func (wd *world) told(instance int, parts []cause.Feature) {
+// announceAnswered announces that the parts are answered at the instance.
+func (wd *world) announceAnswered(instance int, parts []cause.Feature) {
 	for _, part := range parts {
-		wd.tell(instance, simNote{part: part, clears: true, at: wd.clock()})
+		wd.announce(instance, simNote{part: part, clears: true, at: wd.clock()})
 	}
 }
 
--- a/internal/core/parts.go
+++ b/internal/core/parts.go
@@ -120,7 +120,7 @@
 	}
 }
 
-// suspectFeatures holds the features of the request for the crash of its upstream, and returns what the peers are told. An answer that has
+// suspectFeatures holds the features of the request for the crash of its upstream, and returns what is announced to the peers. An answer that has
 // gone on for long enough did not crash its upstream.
 func (st *State) suspectFeatures(req *Request, ev event.AttemptEnded, death deaths.Death) []cause.Death {
 	req.diedAt = st.now
--- a/internal/relay/quarantine.go
+++ b/internal/relay/quarantine.go
@@ -44,7 +44,7 @@
 }
 
 // applyQuarantine passes a record on to the reducer. Its age is that of the crash, however late the record is read. Later than at the start, the other
-// instances tell more: all the deaths, and what has been answered since.
+// instances know more: all the deaths, and what has been answered since.
 func (in *Instance) applyQuarantine(qua *Quarantine) {
 	now := time.Now()
 	if !qua.Ended && now.Sub(in.startedAt) >= quarantineReadTime {
--- a/internal/steer/parts.go
+++ b/internal/steer/parts.go
@@ -133,7 +133,7 @@
 	st.emit(SendNote{Note: st.note(Note{Cleared: cleared})})
 }
 
-// repeatCleared tells the others again which parts were answered a short while ago. Without one such note an instance would go on holding a part
+// repeatCleared announces again which parts were answered a short while ago. Without one such note an instance would go on holding a part
 // against callers, and then see no answer with it any more.
 func (st *State) repeatCleared() {
 	if st.causes.Idle() || st.random.IntN(st.live) >= clearAnnouncers {
@@ -153,7 +153,7 @@
 	return list
 }
 
-// suspectParts holds the parts of the prompt for the death of its replica, and returns what the others are told. An answer that has gone on for
+// suspectParts holds the parts of the prompt for the death of its replica, and returns what is announced to the others. An answer that has gone on for
 // long enough did not crash its replica.
 func (st *State) suspectParts(req *request, death deaths.Death) []Suspicion {
 	req.diedAt, req.trial = st.now, false
@@ -167,7 +167,7 @@
 	return suspicionsOf(st.now, &cd)
 }
 
-// clearProven clears the parts of the answers under way that have gone on for long enough: they tell, at the first crash, what most prompts
+// clearProven clears the parts of the answers under way that have gone on for long enough: they show, at the first crash, what most prompts
 // have and what replicas answer.
 func (st *State) clearProven() {
 	for _, id := range slices.Sorted(maps.Keys(st.requests)) {
--- a/internal/steer/parts_test.go
+++ b/internal/steer/parts_test.go
@@ -167,24 +167,24 @@
 }
 
 func TestLongListsOfPartsFitIntoDatagrams(t *testing.T) {
-	// A prompt of a thousand parts crashes a replica. The notes must not be too long to be sent, and tell all of the parts.
+	// A prompt of a thousand parts crashes a replica. The notes must not be too long to be sent, and report all of the parts.
 	in := newInstance(t, "one", 4)
 	parts := make([]steer.Part, 1000)
 	for i := range parts {
 		parts[i] = steer.Part(i + 1)
 	}
-	told := 0
+	reported := 0
 	for _, notes := range [][]steer.Note{notesIn(in.crashWith("parish", parts...)), in.st.DeathNotes(in.now)} {
-		told = 0
+		reported = 0
 		for i := range notes {
 			count := 0
 			for _, sus := range notes[i].Suspicions {
 				count += len(sus.Parts)
 			}
 			assert.Assert(t, count <= 400, count)
-			told += count
+			reported += count
 		}
-		assert.Equal(t, told, len(parts))
+		assert.Equal(t, reported, len(parts))
 	}
 }
 
