Cause table: the size is counted once for a death that expires

A death was taken off the size when it expired, and the features of it that had been cleared were taken off a second time, so that the size fell below what the table holds and its bound was reached late. What is cleared goes first, then the death. A comment named a function that is called otherwise.

--- a/internal/cause/cause.go
+++ b/internal/cause/cause.go
@@ -335,14 +335,15 @@
 		}
 	}
 	for _, death := range tb.deaths {
-		tb.expireAt(now, latest(death.At, lastOf[death.ID]), func() { tb.remove(death) })
 		// A feature that is cleared for a death stays so.
 		remaining := tb.remaining(death)
 		tb.size -= len(death.Features) - len(remaining)
 		death.Features = remaining
 		if len(remaining) == 0 {
 			tb.remove(death)
+			continue
 		}
+		tb.expireAt(now, latest(death.At, lastOf[death.ID]), func() { tb.remove(death) })
 	}
 	for key, ca := range tb.imposed {
 		ca.Features = tb.unclearedSince(ca.Last, ca.Features)
--- a/internal/steer/state.go
+++ b/internal/steer/state.go
@@ -186,7 +186,7 @@
 	attemptBeganAt time.Time
 	// events counts the events of the current attempt's answer.
 	events int
-	// proven reports whether that answer has gone on for so long that it does not crash the replica, see proves.
+	// proven reports whether that answer has gone on for so long that it does not crash the replica, see proveParts.
 	proven bool
 	// diedAt is when an attempt last died with its replica, zero if none has.
 	diedAt time.Time
