--- a/internal/relay/detour.go
+++ b/internal/relay/detour.go
@@ -31,6 +31,8 @@
 	detourLengthHeader = "Detour-Length"
 	// detourResultHeader carries what became of a message. It is a trailer once the response has begun.
 	detourResultHeader = "Detour-Result"
+	// detourReasonHeader says for the log why a message was not passed on.
+	detourReasonHeader = "Detour-Reason"
 	// detourDialTimeout is the timeout for opening a connection to a peer, which is a live Instance and near.
 	detourDialTimeout = 300 * time.Millisecond
 )
@@ -80,7 +82,7 @@
 func (in *Instance) exchangeVia(via string, newConnection bool, msg message, req *http.Request) (*http.Response, error) {
 	address, ok := (*in.gossip.peers.Load())[via]
 	if !ok {
-		return nil, in.detourFailed(via, msg, "not registered any more")
+		return nil, in.detourFailed(via, msg, detourRefused, "not registered any more")
 	}
 	hop, err := in.newDetour(address.String(), newConnection, msg, req)
 	if err != nil {
@@ -96,7 +98,7 @@
 		if req.Context().Err() != nil {
 			return nil, NotWritten.Wrap(err, "relay: a message to %s was given up before it was sent", msg.to.Replica.Name)
 		}
-		return nil, in.detourFailed(via, msg, "not reached")
+		return nil, in.detourFailed(via, msg, detourRefused, "not reached")
 	}
 	if err != nil {
 		if req.Context().Err() == nil {
@@ -157,9 +159,9 @@
 }
 
 // detourFailed reports that the peer has not sent the message, and returns HeldBack.
-func (in *Instance) detourFailed(via string, msg message, reason string) error {
-	ev := steer.DetourFailed{Instance: via, Service: msg.to.Replica.Service, Reason: reason}
-	if reason == detourHeldBack {
+func (in *Instance) detourFailed(via string, msg message, result, reason string) error {
+	ev := steer.DetourFailed{Instance: via, Service: msg.to.Replica.Service, Reason: result + ": " + reason}
+	if result == detourHeldBack {
 		ev.Replica = msg.to.Replica.Name
 	}
 	in.apply(ev)
@@ -199,7 +201,7 @@
 		if result == "" {
 			result = resp.Status
 		}
-		return in.detourFailed(via, msg, result)
+		return in.detourFailed(via, msg, result, resp.Header.Get(detourReasonHeader))
 	}
 }
 
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -19,6 +19,17 @@
 // NoPath reports that a message was not sent, since this Instance has lost its path to the replica's service.
 var NoPath = HeldBack.NewSubtype("no_path")
 
+// heldByProperty holds the announcement that a HeldBack error is due to.
+var heldByProperty = errorx.RegisterProperty("held_by")
+
+// heldBackBy returns the name of the announcement that a HeldBack error is due to.
+func heldBackBy(err error) string {
+	if ann, ok := errorx.ExtractProperty(err, heldByProperty); ok {
+		return ann.(notice.Announcement).String()
+	}
+	return ""
+}
+
 // NotWritten reports that nothing of a message has left this Instance, so that it cannot arrive.
 var NotWritten = Errors.NewType("not_written")
 
@@ -128,7 +139,8 @@
 		return verdict, NoPath.New("relay: a message to %s was held back, since the path to its service is lost; another instance is asked", msg.to.Replica.Name)
 	}
 	if verdict.Held() {
-		return verdict, HeldBack.New("relay: a message to %s was held back (%s); the request goes to another replica", msg.to.Replica.Name, verdict.HeldBy)
+		return verdict, HeldBack.New("relay: a message to %s was held back (%s); the request goes to another replica", msg.to.Replica.Name, verdict.HeldBy).
+			WithProperty(heldByProperty, verdict.HeldBy)
 	}
 	return verdict, nil
 }
--- a/internal/relay/passon.go
+++ b/internal/relay/passon.go
@@ -59,7 +59,7 @@
 	pg := &passage{in: in, w: w, dr: &dr, replica: replica}
 	pg.passOn(ctx, receivedAt)
 	in.count("Detours.PassedOn")
-	in.log.Info().Str("Request", dr.Request).Str("Replica", dr.Replica).Str("For", dr.From).Int("Status", pg.status).Str("Result", pg.result).
+	in.log.Info().Str("Request", dr.Request).Str("Replica", dr.Replica).Str("For", dr.From).Int("Status", pg.status).Str("Result", pg.result).Str("Reason", pg.reason).
 		Int64("AgeMs", time.Since(receivedAt).Milliseconds()).Msg("passed on for another instance")
 }
 
@@ -100,6 +100,7 @@
 // refuseDetour states that nothing was sent.
 func refuseDetour(w http.ResponseWriter, result, reason string) {
 	w.Header().Set(detourResultHeader, result)
+	w.Header().Set(detourReasonHeader, reason)
 	w.WriteHeader(http.StatusServiceUnavailable)
 	_, _ = io.WriteString(w, reason+"\n")
 }
@@ -114,6 +115,8 @@
 	status int
 	// result is the detourResultHeader that is sent.
 	result string
+	// reason is the detourReasonHeader that is sent, empty if the response was passed on.
+	reason string
 }
 
 // passOn sends the message and passes the response on.
@@ -129,19 +132,19 @@
 	resp, _, err := pg.in.exchange(pg.dr.NewConnection, msg, pg.dr.replicaRequest(ctx, pg.replica.Address))
 	switch {
 	case errorx.IsOfType(err, NoPath):
-		pg.refuse(detourRefused)
+		pg.refuse(detourRefused, "no path")
 		return
 	case isHeldBack(err):
-		pg.refuse(detourHeldBack)
+		pg.refuse(detourHeldBack, heldBackBy(err))
 		return
 	case isNotWritten(err):
 		if ctx.Err() == nil {
 			pg.in.apply(steer.PathObserved{Replica: pg.replica.Name})
 		}
-		pg.refuse(detourNotWritten)
+		pg.refuse(detourNotWritten, "not reached")
 		return
 	case err != nil:
-		pg.refuse(pg.failure(ctx))
+		pg.refuse(pg.failure(ctx), "broken")
 		return
 	}
 	defer func() { _ = resp.Body.Close() }()
@@ -150,9 +153,9 @@
 	pg.w.Header().Set(detourResultHeader, pg.result)
 }
 
-func (pg *passage) refuse(result string) {
-	pg.result = result
-	refuseDetour(pg.w, result, result)
+func (pg *passage) refuse(result, reason string) {
+	pg.result, pg.reason = result, reason
+	refuseDetour(pg.w, result, reason)
 }
 
 // failure returns the result for a message that was sent and whose response is missing or incomplete.
--- a/internal/steer/announce.go
+++ b/internal/steer/announce.go
@@ -215,6 +215,7 @@
 const (
 	sourceAnswer  = "answer"
 	sourceAttempt = "attempt"
+	sourceDetour  = "detour"
 	sourceList    = "list"
 	sourceNote    = "note"
 )
--- a/internal/steer/effect.go
+++ b/internal/steer/effect.go
@@ -140,9 +140,10 @@
 	PerS float64
 	// Announcement is the kind of a replica's announcement.
 	Announcement string
-	// Source is how the announcement was learned: from an answer, from the list, or from a note of another instance.
+	// Source is how the announcement was learned: from an answer, from the list, from a note of another instance, or from a message that
+	// another instance was to pass on.
 	Source string
-	// Reporter names the instance whose note it was.
+	// Reporter names the instance whose note it was, or that was to pass the message on.
 	Reporter string
 	// Service is the service that the decision is about.
 	Service string
--- a/internal/steer/path.go
+++ b/internal/steer/path.go
@@ -66,8 +66,8 @@
 }
 
 // unreachedByOthers records that another instance did not reach the replica either.
-func (st *State) unreachedByOthers(rep *replica) {
-	rep.failed(st.now, notice.Failing, "")
+func (st *State) unreachedByOthers(rep *replica, via string) {
+	st.failedBehindDetour(rep, "", via)
 	svc := st.serviceOf(rep.Service)
 	lostAt := svc.path.LostAt
 	if svc.path.Dead(st.now, rep.Name, st.candidateNames(svc)) {
@@ -200,13 +200,22 @@
 // detourFailed passes the instance, or the replica, over for a while.
 func (st *State) detourFailed(ev DetourFailed) {
 	if rep, ok := st.replicas[ev.Replica]; ok {
-		rep.failed(st.now, notice.Failing, ev.Instance)
+		st.failedBehindDetour(rep, ev.Instance, ev.Instance)
 	} else {
 		st.pauseDetours(ev.Instance, ev.Service)
 	}
 	st.emit(LogLine{Message: "detour failed", Replica: ev.Replica, Service: ev.Service, Via: ev.Instance, Invalid: ev.Reason})
 }
 
+// failedBehindDetour makes the replica unusable for a while because of what became of a message through the named instance.
+func (st *State) failedBehindDetour(rep *replica, reporter, via string) {
+	wasUsable := rep.usable(st.now)
+	rep.failed(st.now, notice.Failing, reporter)
+	if wasUsable {
+		st.emit(LogLine{Message: "replica avoided", Replica: rep.Name, Attempt: rep.failures, Source: sourceDetour, Reporter: via})
+	}
+}
+
 func (st *State) pauseDetours(instance, service string) {
 	st.detourPauses[detourKey{instance, service}] = st.now.Add(detourPause)
 }
--- a/internal/steer/retry.go
+++ b/internal/steer/retry.go
@@ -95,7 +95,7 @@
 		if ev.Result == ResultSilent {
 			st.pauseDetours(ev.Via, rep.Service)
 		}
-		st.unreachedByOthers(rep)
+		st.unreachedByOthers(rep, ev.Via)
 		return
 	}
 	if (ev.Result == ResultNotSent || ev.Unreachable) && st.unreached(rep) {
