--- /dev/null
+++ b/internal/steer/fleet_test.go
@@ -0,0 +1,475 @@
+package steer_test
+
+import (
+	"container/heap"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"dandelionsail.example/dandelionsail/internal/steer"
+	"dandelionsail.example/dandelionsail/pkg/decl"
+)
+
+// fleet simulates the reducers of many instances, some of which lose their links to all replicas of a service. What the shell of an instance
+// does is reduced to its times: a hop, a connection that hangs, an answer.
+type fleet struct {
+	now    time.Time
+	random *rand.Rand
+	steps  stepHeap
+	count  int
+	nodes  []*fleetNode
+	// silent reports whether connections over a cut link hang. Otherwise they are refused.
+	silent bool
+	// noteLoss is the share of notes that are lost.
+	noteLoss float64
+	nextID   steer.RequestID
+	requests map[steer.RequestID]*fleetRequest
+}
+
+// fleetNode is one instance.
+type fleetNode struct {
+	name   string
+	domain string
+	st     *steer.State
+	// cut holds the services whose replicas the instance does not reach.
+	cut map[string]bool
+	// stopped reports whether the process is gone.
+	stopped bool
+	// passedOn counts the messages that the instance passed on for others.
+	passedOn int
+	// avoidedByReport counts the replicas that the instance came to avoid because another one reported them.
+	avoidedByReport int
+	// lostByAll counts the times that the instance concluded that nobody has a path.
+	lostByAll int
+}
+
+// fleetRequest is one request of a caller.
+type fleetRequest struct {
+	node  *fleetNode
+	at    time.Time
+	endAt time.Time
+	// service is the name of the service.
+	service string
+	// vain counts the instances that did not pass the request on.
+	vain    int
+	refusal *steer.Refusal
+	// beganAt is when the answer began, zero if it did not.
+	beganAt time.Time
+	// done reports whether the instance has finished the request, and left whether the caller left before.
+	done, left bool
+}
+
+const (
+	// hopTime is the time that a message takes from one instance to another and is decided on.
+	hopTime = 3 * time.Millisecond
+	// hangTime is the timeout of a connection for a message, and probeHangTime that of a probe.
+	hangTime      = 600 * time.Millisecond
+	probeHangTime = 250 * time.Millisecond
+)
+
+// fleetReplicas returns engines and plain replicas in the failure domains.
+func fleetReplicas(engines int, domains []string) []steer.Replica {
+	var list []steer.Replica
+	for i := range engines {
+		list = append(list, steer.Replica{Name: fmt.Sprint("lyric-", i), Born: 1, Service: "lyric", Address: fmt.Sprint("a", i), FailureDomain: domains[i%len(domains)], Slots: 16})
+	}
+	for i := range 6 {
+		list = append(list, steer.Replica{Name: fmt.Sprint("board-", i), Born: 1, Service: "board", Address: fmt.Sprint("b", i), FailureDomain: domains[i%len(domains)], Slots: 6})
+	}
+	return list
+}
+
+var fleetDomains = []string{"a", "b", "c"}
+
+// newFleet starts the instances, with three engines for every four of them.
+func newFleet(seed uint64, instances int) *fleet {
+	fl := &fleet{now: start.Add(-warmUp), random: rand.New(rand.NewPCG(seed, 1)), requests: map[steer.RequestID]*fleetRequest{}}
+	list := fleetReplicas(max(3, instances*3/4), fleetDomains)
+	for i := range instances {
+		fl.nodes = append(fl.nodes, &fleetNode{name: fmt.Sprintf("instance-%03d", i), domain: fleetDomains[i%len(fleetDomains)], cut: map[string]bool{}})
+	}
+	for _, node := range fl.nodes {
+		fl.boot(node, list)
+	}
+	fl.advance(warmUp)
+	return fl
+}
+
+func (fl *fleet) boot(node *fleetNode, list []steer.Replica) {
+	node.st = steer.New(steer.Options{Name: node.name, FailureDomain: node.domain, Run: 1, Seed: fl.random.Uint64(), MissingTime: 2 * time.Second, Budget: usualBudget})
+	fl.reduce(node, steer.Configured{Routing: &decl.Routing{Version: 1, Services: map[string]decl.Pool{"lyric": {Engine: &figures}, "board": {}}}})
+	var others []steer.Instance
+	for _, other := range fl.nodes {
+		if other != node {
+			others = append(others, steer.Instance{Name: other.name, FailureDomain: other.domain})
+		}
+	}
+	fl.reduce(node, steer.Peered{Instances: others, Listed: true})
+	fl.reduce(node, steer.Listed{Replicas: list})
+	fl.every(node, 200*time.Millisecond, steer.Ticked{})
+	fl.every(node, time.Second, steer.Summarized{})
+	fl.every(node, 200*time.Millisecond, steer.ListConfirmed{})
+}
+
+func (fl *fleet) after(period time.Duration, do func()) {
+	fl.count++
+	heap.Push(&fl.steps, step{fl.now.Add(period), fl.count, do})
+}
+
+func (fl *fleet) every(node *fleetNode, period time.Duration, ev steer.Event) {
+	var repeat func()
+	repeat = func() {
+		fl.reduce(node, ev)
+		fl.after(period, repeat)
+	}
+	fl.after(time.Duration(fl.random.Int64N(int64(period))), repeat)
+}
+
+func (fl *fleet) advance(period time.Duration) {
+	until := fl.now.Add(period)
+	for len(fl.steps) > 0 && !fl.steps[0].at.After(until) {
+		next := heap.Pop(&fl.steps).(step)
+		fl.now = next.at
+		next.do()
+	}
+	fl.now = until
+}
+
+// reduce passes the event to the instance and returns the Verdict among its effects, if there is one.
+func (fl *fleet) reduce(node *fleetNode, ev steer.Event) (verdict steer.Verdict) {
+	if node.stopped {
+		return steer.Verdict{NoPath: true}
+	}
+	for _, eff := range slices.Clone(node.st.Reduce(fl.now, ev)) {
+		switch eff := eff.(type) {
+		case steer.Verdict:
+			verdict = eff
+		case steer.SendNote:
+			fl.sendNote(node, eff)
+		case steer.Wake:
+			fl.after(eff.After, func() { fl.reduce(node, steer.Ticked{}) })
+		case steer.Send:
+			fl.send(node, eff)
+		case steer.ProbePaths:
+			for _, replica := range eff.Replicas {
+				fl.dial(node, replica, probeHangTime, func(reached bool) {
+					fl.reduce(node, steer.PathObserved{Replica: replica.Name, Reached: reached})
+				})
+			}
+		case steer.Abort:
+			fl.end(node, steer.AttemptEnded{ID: eff.ID, Attempt: eff.Attempt, Result: steer.ResultCancelled})
+		case steer.Finish:
+			fl.finish(eff)
+		case steer.LogLine:
+			fl.countLine(node, eff)
+		}
+	}
+	return verdict
+}
+
+func (fl *fleet) countLine(node *fleetNode, line steer.LogLine) {
+	switch {
+	case line.Message == "replica avoided" && line.Source == "note":
+		node.avoidedByReport++
+	case line.Message == "path lost by all instances":
+		node.lostByAll++
+	}
+}
+
+func (fl *fleet) sendNote(from *fleetNode, eff steer.SendNote) {
+	for _, node := range fl.nodes {
+		if node == from || eff.To != nil && !slices.Contains(eff.To, node.name) || fl.random.Float64() < fl.noteLoss {
+			continue
+		}
+		fl.after(time.Millisecond+time.Duration(fl.random.Int64N(int64(3*time.Millisecond))), func() { fl.reduce(node, steer.NoteReceived{Note: eff.Note}) })
+	}
+}
+
+// dial calls done with whether a new connection of the instance to the replica succeeds. One that hangs fails at the timeout.
+func (fl *fleet) dial(node *fleetNode, replica steer.Replica, timeout time.Duration, done func(reached bool)) {
+	switch {
+	case !node.cut[replica.Service]:
+		fl.after(time.Millisecond, func() { done(true) })
+	case fl.silent:
+		fl.after(timeout, func() { done(false) })
+	default:
+		fl.after(time.Millisecond, func() { done(false) })
+	}
+}
+
+// end reports the end of an attempt to its instance.
+func (fl *fleet) end(node *fleetNode, ended steer.AttemptEnded) {
+	fl.after(time.Millisecond, func() { fl.reduce(node, ended) })
+}
+
+// send carries out an attempt as relay.Instance does.
+func (fl *fleet) send(node *fleetNode, eff steer.Send) {
+	target := steer.Target{Replica: eff.Replica, Kind: eff.Kind, Granted: eff.Granted}
+	verdict := fl.reduce(node, steer.Sending{ID: eff.ID, Targets: []steer.Target{target}, DecidedAt: eff.DecidedAt})
+	ended := steer.AttemptEnded{ID: eff.ID, Attempt: eff.Attempt, Via: verdict.Via}
+	switch {
+	case verdict.Held():
+		ended.Result = steer.ResultHeld
+		fl.end(node, ended)
+	case verdict.Via == "":
+		fl.dial(node, eff.Replica, hangTime, func(reached bool) { fl.answer(node, eff, ended, reached) })
+	default:
+		fl.after(hopTime, func() { fl.passOn(node, fl.named(verdict.Via), eff, ended) })
+	}
+}
+
+func (fl *fleet) named(name string) *fleetNode {
+	return fl.nodes[slices.IndexFunc(fl.nodes, func(node *fleetNode) bool { return node.name == name })]
+}
+
+// answer ends an attempt whose connection to the replica succeeded, or did not.
+func (fl *fleet) answer(node *fleetNode, eff steer.Send, ended steer.AttemptEnded, reached bool) {
+	if !reached {
+		ended.Result = steer.ResultNotSent
+		fl.end(node, ended)
+		return
+	}
+	if node.st.PathsInDoubt() && ended.Via == "" {
+		fl.reduce(node, steer.PathObserved{Replica: eff.Replica.Name, Reached: true})
+	}
+	sent := fl.now
+	fl.after(answerTime, func() {
+		fl.reduce(node, steer.ResponseReceived{Replica: eff.Replica.Name, Born: eff.Replica.Born, Sent: sent})
+		fl.reduce(node, steer.Began{ID: eff.ID, Attempt: eff.Attempt})
+		if req := fl.requests[eff.ID]; req.beganAt.IsZero() {
+			req.beganAt = fl.now
+		}
+	})
+	ended.Result = steer.ResultDone
+	fl.after(finishTime, func() { fl.end(node, ended) })
+}
+
+// passOn carries out an attempt of the node at the peer.
+func (fl *fleet) passOn(node, peer *fleetNode, eff steer.Send, ended steer.AttemptEnded) {
+	verdict := fl.reduce(peer, steer.Sending{Targets: []steer.Target{{Replica: eff.Replica, Kind: eff.Kind, Granted: eff.Granted}}, ForPeer: true})
+	if verdict.Held() {
+		fl.after(hopTime, func() { fl.refused(node, peer, eff, ended, verdict) })
+		return
+	}
+	fl.dial(peer, eff.Replica, hangTime, func(reached bool) {
+		if !reached {
+			fl.reduce(peer, steer.PathObserved{Replica: eff.Replica.Name})
+			fl.vain(eff.ID)
+		} else {
+			peer.passedOn++
+		}
+		fl.answer(node, eff, ended, reached)
+	})
+}
+
+// refused tells the node that the peer passes its message not on.
+func (fl *fleet) refused(node, peer *fleetNode, eff steer.Send, ended steer.AttemptEnded, verdict steer.Verdict) {
+	fl.vain(eff.ID)
+	ev := steer.DetourFailed{Instance: peer.name, Service: eff.Replica.Service, Reason: "Refused"}
+	if !verdict.NoPath {
+		ev.Replica, ev.Reason = eff.Replica.Name, "HeldBack"
+	}
+	fl.reduce(node, ev)
+	ended.Result = steer.ResultHeld
+	fl.end(node, ended)
+}
+
+func (fl *fleet) vain(id steer.RequestID) { fl.requests[id].vain++ }
+
+func (fl *fleet) finish(eff steer.Finish) {
+	req := fl.requests[eff.ID]
+	req.done, req.endAt, req.refusal = true, fl.now, eff.Refusal
+}
+
+// load makes requests arrive at all instances, at each with the given rates a second, for the period.
+func (fl *fleet) load(perS map[*decl.Route]float64, period time.Duration) {
+	routes := slices.SortedFunc(maps.Keys(perS), func(a, b *decl.Route) int { return int(perS[b] - perS[a]) })
+	for until := fl.now.Add(period); fl.now.Before(until); fl.advance(10 * time.Millisecond) {
+		for _, node := range fl.nodes {
+			for _, route := range routes {
+				if !node.stopped && fl.random.Float64() < perS[route]/100 {
+					fl.arrive(node, route)
+				}
+			}
+		}
+	}
+}
+
+// patience is the time after which a caller leaves if no answer has begun.
+const patience = 2 * time.Second
+
+func (fl *fleet) arrive(node *fleetNode, route *decl.Route) {
+	fl.nextID++
+	id := fl.nextID
+	req := &fleetRequest{node: node, at: fl.now, service: route.Shares[0].Service}
+	fl.requests[id] = req
+	ev := steer.Arrived{
+		ID: id, Route: route, Name: fmt.Sprint(id), Organisation: "parish", Digest: steer.Digest(id),
+		Deadline: fl.now.Add(route.Timeout.Std()), LeavesAt: fl.now.Add(patience),
+	}
+	if route.Stream {
+		ev.Prompt, ev.Answer = 5000, 1000
+	}
+	fl.reduce(node, ev)
+	fl.after(patience, func() {
+		if !req.done {
+			req.left = true
+			fl.reduce(node, steer.CallerGone{ID: id})
+		}
+	})
+}
+
+// served returns the share of the requests in the time that were answered, among those of the chosen instances.
+func (fl *fleet) served(from, to time.Time, chosen func(req *fleetRequest) bool) (share float64, number int) {
+	answered := 0
+	for _, req := range fl.requests {
+		if req.at.Before(from) || !req.at.Before(to) || !chosen(req) {
+			continue
+		}
+		number++
+		if req.done && !req.left && req.refusal == nil {
+			answered++
+		}
+	}
+	if number == 0 {
+		return 1, 0
+	}
+	return float64(answered) / float64(number), number
+}
+
+// usualLoad is what callers ask of each instance in a second.
+var usualLoad = map[*decl.Route]float64{&short: 1.5, &lookup: 0.15}
+
+// cutNodes cuts the instances off from all services, in three parts 0.1 s apart.
+func (fl *fleet) cutNodes(nodes []*fleetNode) {
+	for i, node := range nodes {
+		fl.after(time.Duration(i%3)*100*time.Millisecond, func() { node.cut["lyric"], node.cut["board"] = true, true })
+	}
+}
+
+func TestCallersBehindLostPathsAreServedInLargeFleets(t *testing.T) {
+	// Many of a fleet's instances lose their links to all replicas at nearly the same moment. Each has few requests, so that it cannot
+	// find out alone, request by request, who else is cut off and which replicas are sound.
+	sizes := map[string]int{"6": 6, "18": 18, "60": 60, "300": 300}
+	cuts := map[string]func(number, fleet int) bool{
+		"one":           func(number, _ int) bool { return number == 0 },
+		"half":          func(number, _ int) bool { return number%2 == 0 },
+		"domain":        func(number, _ int) bool { return number%3 == 0 },
+		"two of three":  func(number, _ int) bool { return number/3%3 != 0 },
+		"all but three": func(number, size int) bool { return number < size-3 },
+		"all but one":   func(number, size int) bool { return number < size-1 },
+	}
+	for sizeName, size := range sizes {
+		for cutName, chosen := range cuts {
+			for _, silent := range []bool{true, false} {
+				t.Run(fmt.Sprintf("%s/%s/silent=%t", sizeName, cutName, silent), func(t *testing.T) {
+					t.Parallel()
+					checkServedBehindCut(t, size, chosen, silent)
+				})
+			}
+		}
+	}
+}
+
+// checkServedBehindCut checks what callers get behind a cut, from 3 s after it began.
+func checkServedBehindCut(t *testing.T, size int, chosen func(number, fleet int) bool, silent bool) {
+	fl := newFleet(1, size)
+	fl.silent = silent
+	var cut []*fleetNode
+	for i, node := range fl.nodes {
+		if chosen(i, size) {
+			cut = append(cut, node)
+		}
+	}
+	fl.load(usualLoad, 2*time.Second)
+	began := fl.now
+	fl.cutNodes(cut)
+	fl.load(usualLoad, 10*time.Second)
+	fl.advance(3 * time.Second)
+	from, to := began.Add(3*time.Second), began.Add(10*time.Second)
+	behind, number := fl.served(from, to, func(req *fleetRequest) bool { return slices.Contains(cut, req.node) })
+	others, _ := fl.served(from, to, func(req *fleetRequest) bool { return !slices.Contains(cut, req.node) })
+	allowed := others - 0.02
+	if size-len(cut) <= 2 {
+		allowed = 0.85
+	}
+	vain := fl.vainOf(from, to)
+	avoided, lostByAll := 0, 0
+	for _, node := range fl.nodes {
+		avoided = max(avoided, node.avoidedByReport)
+		lostByAll += node.lostByAll
+	}
+	t.Logf("%d of %d cut off: served %.3f of %d, others %.3f; asked in vain %d (95 in 100); avoided by report %d at most; lost by all %d",
+		len(cut), size, behind, number, others, vain, avoided, lostByAll)
+	assert.Check(t, behind >= allowed, "served %.3f", behind)
+	assert.Check(t, vain <= 3, "peers asked in vain: %d", vain)
+	assert.Check(t, avoided <= 1, "replicas avoided by report: %d", avoided)
+	assert.Check(t, lostByAll == 0, "lost by all: %d", lostByAll)
+}
+
+func TestCallersAreRefusedAtOnceIfNobodyHasAPath(t *testing.T) {
+	// All instances lose their links to the replicas. Their callers must not wait while one instance after the other is asked, and must
+	// be served soon after the first instance has its links again.
+	fl := newFleet(1, 60)
+	fl.silent = true
+	fl.load(usualLoad, 2*time.Second)
+	began := fl.now
+	fl.cutNodes(fl.nodes)
+	fl.load(usualLoad, 6*time.Second)
+	healed := fl.now
+	delete(fl.nodes[7].cut, "lyric")
+	fl.load(usualLoad, 4*time.Second)
+	fl.advance(3 * time.Second)
+	for _, req := range fl.requests {
+		if req.service != "lyric" || req.at.Before(began.Add(3*time.Second)) || !req.at.Before(healed.Add(-100*time.Millisecond)) {
+			continue
+		}
+		assert.Assert(t, req.done && !req.left && req.refusal != nil && req.refusal.NotRun && req.refusal.RetryAfter > 0, "%+v", req)
+		assert.Assert(t, req.endAt.Sub(req.at) < 100*time.Millisecond, "refused after %v", req.endAt.Sub(req.at))
+	}
+	share, number := fl.served(healed.Add(time.Second), healed.Add(4*time.Second), func(req *fleetRequest) bool { return req.service == "lyric" })
+	t.Logf("served again: %.3f of %d", share, number)
+	assert.Assert(t, share >= 0.85, "served again: %.3f", share)
+}
+
+func TestLostPathsToSeldomUsedServicesAreKnown(t *testing.T) {
+	// Half of sixty instances lose their links to a service of which each has a request in six seconds. Each request behind the cut must
+	// not wait for connections that hang, since other instances have found out before.
+	fl := newFleet(1, 60)
+	fl.silent = true
+	fl.load(usualLoad, 2*time.Second)
+	began := fl.now
+	for i, node := range fl.nodes {
+		node.cut["board"] = i%2 == 0
+	}
+	fl.load(usualLoad, 12*time.Second)
+	fl.advance(3 * time.Second)
+	timely, number := 0, 0
+	for _, req := range fl.requests {
+		if req.node.cut["board"] && req.service == "board" && !req.at.Before(began.Add(3*time.Second)) {
+			number++
+			if !req.beganAt.IsZero() && req.beganAt.Sub(req.at) <= lookup.Goal.Std() {
+				timely++
+			}
+		}
+	}
+	t.Logf("in time: %d of %d", timely, number)
+	assert.Assert(t, 100*timely >= 98*number, "in time: %d of %d", timely, number)
+}
+
+// vainOf returns how many peers a request in the time asked in vain, for 95 in 100 requests.
+func (fl *fleet) vainOf(from, to time.Time) int {
+	counts := []int{0}
+	for _, req := range fl.requests {
+		if !req.at.Before(from) && req.at.Before(to) {
+			counts = append(counts, req.vain)
+		}
+	}
+	slices.Sort(counts)
+	return counts[len(counts)*95/100]
+}
