Lost paths: every instance states its own, so that nobody searches

Callers behind cuts waited while one peer after the other was asked, and were refused or left; where nobody had a path they waited for 2 s. Cause: who can pass on was found by asking, one at a time, by each request, and forgotten after a second; peers that were passed over for a moment were taken for nobody who has a path, and then the replicas for failing. Mend: each note names the services to which its sender has lost its path; a change is told to all at once. paths.Fleet keeps that, what refusals showed and who served, and chooses. A path is lost by all only if all others are lost or gone; then requests are refused at once with a time to return. What an instance reported of replicas to which it has lost its path does not count. TestInstanceThatRefusedIsPassedOver expected the path to be given up; it now expects no way, no time to ask again, and the next statement to be heeded.

--- a/internal/paths/paths.go
+++ b/internal/paths/paths.go
@@ -1,6 +1,7 @@
 // Package paths decides whether an instance has lost its own path to the upstreams of a service, which looks like a failure of
 // every one of them. The evidence is that new connections to several upstreams fail in a row while none succeeds. What is
-// concluded from it holds for one service and one instance, until connections succeed again. Both fronts use it.
+// concluded from it holds for one service and one instance, until connections succeed again. Fleet holds what the other instances
+// state of theirs, and chooses the one through which a message goes. Both fronts use it.
 package paths
 
 import (
@@ -24,8 +25,10 @@
 	// firstProbes is the number of upstreams that are probed at once when a path is lost: if one answers, several upstreams
 	// failed at the same moment.
 	firstProbes = 3
-	// hopelessTime is how long a path does not count as lost after it was found that no other instance has one.
-	hopelessTime = time.Second
+	// aloneTime is how long a path does not count as lost after it was found that there are no other instances.
+	aloneTime = time.Second
+	// probeMaxAge is how long the result of a probe is waited for.
+	probeMaxAge = time.Second
 )
 
 // Path is what an instance knows of its path to the upstreams of one service.
@@ -44,13 +47,21 @@
 	probeAt time.Time
 	// probeAll reports whether that one is of all upstreams, since one was reached.
 	probeAll bool
-	// hopelessUntil is until when the path does not count as lost, since no instance has one.
-	hopelessUntil time.Time
+	// aloneUntil is until when the path does not count as lost, since there are no other instances.
+	aloneUntil time.Time
+	// probedAt holds when each upstream was probed whose result is not known yet.
+	probedAt map[string]time.Time
+	// confirmed reports whether the first probes after the loss have failed, too.
+	confirmed bool
 }
 
 // Lost reports whether the path is lost.
 func (pa *Path) Lost() bool { return !pa.LostAt.IsZero() }
 
+// Confirmed reports whether the path is lost and none of the first probes after the loss succeeded, so that it is not a matter of several
+// upstreams that failed at the same moment. Only then do others learn of it.
+func (pa *Path) Confirmed() bool { return pa.Lost() && pa.confirmed }
+
 // InDoubt reports whether a connection that succeeds would change anything.
 func (pa *Path) InDoubt() bool { return pa.Lost() || len(pa.failed) > 0 }
 
@@ -65,6 +76,7 @@
 // before.
 func (pa *Path) Failed(now time.Time, upstream string, upstreams int, doubtful bool) bool {
 	delete(pa.reached, upstream)
+	delete(pa.probedAt, upstream)
 	if pa.failed == nil {
 		pa.failed = map[string]time.Time{}
 	}
@@ -74,10 +86,14 @@
 	if doubtful || !pa.RegainedAt.IsZero() && now.Sub(pa.RegainedAt) < relapseTime {
 		needed = 1
 	}
-	if pa.Lost() || len(pa.failed) < needed || now.Before(pa.hopelessUntil) {
+	if pa.Lost() {
+		pa.confirmed = pa.confirmed || len(pa.reached) == 0 && !pa.probing(now)
+		return false
+	}
+	if len(pa.failed) < needed || now.Before(pa.aloneUntil) {
 		return false
 	}
-	pa.LostAt, pa.probeAt, pa.probeAll = now, now, false
+	pa.LostAt, pa.probeAt, pa.probeAll, pa.confirmed = now, now, false, false
 	pa.reached, pa.dead = map[string]bool{}, map[string]bool{}
 	return true
 }
@@ -85,6 +101,7 @@
 // Reached records that a new connection to the upstream succeeded. The path is regained once all of the service's upstreams are reached,
 // but for those that no other instance reaches either. It reports whether it is regained by that.
 func (pa *Path) Reached(now time.Time, upstream string, upstreams []string) bool {
+	delete(pa.probedAt, upstream)
 	if !pa.Lost() {
 		clear(pa.failed)
 		return false
@@ -123,10 +140,26 @@
 
 func (pa *Path) end() { pa.LostAt, pa.reached, pa.dead = time.Time{}, nil, nil }
 
-// GiveUp records that no other instance has a path either. The failures still count.
+// GiveUp records that there are no other instances. The failures still count.
 func (pa *Path) GiveUp(now time.Time) {
 	pa.end()
-	pa.hopelessUntil = now.Add(hopelessTime)
+	pa.aloneUntil = now.Add(aloneTime)
+}
+
+// probing reports whether the result of a probe is not known yet.
+func (pa *Path) probing(now time.Time) bool {
+	maps.DeleteFunc(pa.probedAt, func(_ string, at time.Time) bool { return now.Sub(at) > probeMaxAge })
+	return len(pa.probedAt) > 0
+}
+
+// probe records that the upstreams are probed.
+func (pa *Path) probe(now time.Time, upstreams ...string) {
+	if pa.probedAt == nil {
+		pa.probedAt = map[string]time.Time{}
+	}
+	for _, name := range upstreams {
+		pa.probedAt[name] = now
+	}
 }
 
 // Probes returns which of the upstreams to probe now, none if no probe is due. While none is reached that is one at a time.
@@ -149,5 +182,6 @@
 	for _, name := range left {
 		pa.failed[name] = now
 	}
+	pa.probe(now, left...)
 	return left
 }
--- a/internal/relay/detour.go
+++ b/internal/relay/detour.go
@@ -53,6 +53,16 @@
 	detourDied = "Died"
 )
 
+// Values of detourReasonHeader that the sender distinguishes.
+const (
+	// reasonNoPath means that the peer has lost its path to the service, or may have.
+	reasonNoPath = "no path"
+	// reasonTooMany means that the peer has maxDetours messages or maxDetourBytes under way.
+	reasonTooMany = "too many"
+	// reasonDraining means that the peer is shutting down.
+	reasonDraining = "draining"
+)
+
 // detourRequest is what a peer is sent: the message and the request as the replica is to receive it. The number of a field is never
 // given to another one.
 type detourRequest struct {
@@ -160,14 +170,32 @@
 
 // detourFailed reports that the peer has not sent the message, and returns HeldBack.
 func (in *Instance) detourFailed(via string, msg message, result, reason string) error {
-	ev := steer.DetourFailed{Instance: via, Service: msg.to.Replica.Service, Reason: result + ": " + reason}
-	if result == detourHeldBack {
+	ev := steer.DetourFailed{Instance: via, Service: msg.to.Replica.Service, Cause: detourCause(result, reason), Reason: result + ": " + reason}
+	if ev.Cause == steer.DetourHeldBack {
 		ev.Replica = msg.to.Replica.Name
 	}
 	in.apply(ev)
 	return HeldBack.New("relay: the instance %s has not passed a message to %s on (%s); another way is tried", via, msg.to.Replica.Name, reason)
 }
 
+// detourCause returns the cause of a failed detour from the result and the reason that the peer stated. An Instance of an earlier release
+// states no reason.
+func detourCause(result, reason string) steer.DetourCause {
+	switch {
+	case result == detourHeldBack:
+		return steer.DetourHeldBack
+	case result != detourRefused:
+		return steer.DetourUnreached
+	case reason == reasonNoPath:
+		return steer.DetourNoPath
+	case reason == reasonTooMany:
+		return steer.DetourBusy
+	case reason == "":
+		return steer.DetourNoPathUnstated
+	}
+	return steer.DetourUnreached
+}
+
 // detourResponse turns the peer's response into the replica's.
 func (in *Instance) detourResponse(via string, msg message, resp *http.Response) (*http.Response, error) {
 	status, err := strconv.Atoi(resp.Header.Get(detourStatusHeader))
--- a/internal/relay/passon.go
+++ b/internal/relay/passon.go
@@ -68,7 +68,7 @@
 func (in *Instance) refusesDetours(req *http.Request) string {
 	switch {
 	case in.draining.Load():
-		return "draining"
+		return reasonDraining
 	case !in.isPeerAddress(req.RemoteAddr):
 		return "not an instance"
 	}
@@ -77,7 +77,7 @@
 	if open > maxDetours || bytes > maxDetourBytes {
 		in.detours.Add(-1)
 		in.detourBytes.Add(-size)
-		return "too many"
+		return reasonTooMany
 	}
 	return ""
 }
@@ -132,7 +132,7 @@
 	resp, _, err := pg.in.exchange(pg.dr.NewConnection, msg, pg.dr.replicaRequest(ctx, pg.replica.Address))
 	switch {
 	case errorx.IsOfType(err, NoPath):
-		pg.refuse(detourRefused, "no path")
+		pg.refuse(detourRefused, reasonNoPath)
 		return
 	case isHeldBack(err):
 		pg.refuse(detourHeldBack, heldBackBy(err))
--- a/internal/steer/announce.go
+++ b/internal/steer/announce.go
@@ -107,6 +107,8 @@
 	NoPath bool
 	// Via is the instance through which the message goes, empty if it is sent directly.
 	Via string
+	// RetryAt is when an instance may be able to pass the message on although none is now, zero if it is not known that one may.
+	RetryAt time.Time
 }
 
 // Held reports whether the message must not be sent.
@@ -140,18 +142,18 @@
 	}
 	via, ok := st.via(&ev.Targets[0], ev.ForPeer)
 	if !ok {
-		st.emit(Verdict{NoPath: true})
+		st.emit(Verdict{NoPath: true, RetryAt: via.RetryAt})
 		return
 	}
-	if via != "" && !ev.Repeated {
-		st.emit(LogLine{Message: "sent through another instance", Request: ev.Request, Replica: ev.Targets[0].Replica.Name, Service: ev.Targets[0].Replica.Service, Send: ev.Targets[0].Kind.String(), Via: via})
+	if via.Peer != "" && !ev.Repeated {
+		st.emit(LogLine{Message: "sent through another instance", Request: ev.Request, Replica: ev.Targets[0].Replica.Name, Service: ev.Targets[0].Replica.Service, Send: ev.Targets[0].Kind.String(), Via: via.Peer})
 	}
 	for i := range ev.Targets {
 		if rep, ok := st.replicas[ev.Targets[i].Replica.Name]; ok && !ev.Repeated {
 			rep.rest.Pass(st.now, uint64(ev.ID), ev.Targets[i].Kind)
 		}
 	}
-	st.emit(Verdict{Via: via})
+	st.emit(Verdict{Via: via.Peer})
 }
 
 // heldBy returns the announcement that holds the message back from the target, or notice.None.
--- a/internal/steer/effect.go
+++ b/internal/steer/effect.go
@@ -81,6 +81,8 @@
 	ReasonLeaving Reason = "ReplicasLeaving"
 	// ReasonResting means that all replicas of the service have asked this instance for rest.
 	ReasonResting Reason = "ReplicasResting"
+	// ReasonNoPath means that no instance has a path to the replicas.
+	ReasonNoPath Reason = "NoPath"
 	// ReasonOutdated means that a decision to send is too old to be carried out. No caller sees it.
 	ReasonOutdated Reason = "Outdated"
 )
--- a/internal/steer/event.go
+++ b/internal/steer/event.go
@@ -119,6 +119,15 @@
 	FaultyReplica string
 }
 
+// answered reports whether the replica answered.
+func (ev *AttemptEnded) answered() bool {
+	switch ev.Result {
+	case ResultDone, ResultAnswered, ResultNotRun, ResultMisdirected:
+		return true
+	}
+	return false
+}
+
 // Replica is one incarnation of an upstream process.
 type Replica struct {
 	// Name is unique among the replicas.
--- a/internal/steer/fleet_test.go
+++ b/internal/steer/fleet_test.go
@@ -23,6 +23,7 @@
 	steps  stepHeap
 	count  int
 	nodes  []*fleetNode
+	byName map[string]*fleetNode
 	// silent reports whether connections over a cut link hang. Otherwise they are refused.
 	silent bool
 	// noteLoss is the share of notes that are lost.
@@ -88,10 +89,11 @@
 
 // newFleet starts the instances, with three engines for every four of them.
 func newFleet(seed uint64, instances int) *fleet {
-	fl := &fleet{now: start.Add(-warmUp), random: rand.New(rand.NewPCG(seed, 1)), requests: map[steer.RequestID]*fleetRequest{}}
+	fl := &fleet{now: start.Add(-warmUp), random: rand.New(rand.NewPCG(seed, 1)), requests: map[steer.RequestID]*fleetRequest{}, byName: map[string]*fleetNode{}}
 	list := fleetReplicas(max(3, instances*3/4), fleetDomains)
 	for i := range instances {
-		fl.nodes = append(fl.nodes, &fleetNode{name: fmt.Sprintf("instance-%03d", i), domain: fleetDomains[i%len(fleetDomains)], cut: map[string]bool{}})
+		node := &fleetNode{name: fmt.Sprintf("instance-%03d", i), domain: fleetDomains[i%len(fleetDomains)], cut: map[string]bool{}}
+		fl.nodes, fl.byName[node.name] = append(fl.nodes, node), node
 	}
 	for _, node := range fl.nodes {
 		fl.boot(node, list)
@@ -182,8 +184,15 @@
 }
 
 func (fl *fleet) sendNote(from *fleetNode, eff steer.SendNote) {
-	for _, node := range fl.nodes {
-		if node == from || eff.To != nil && !slices.Contains(eff.To, node.name) || fl.random.Float64() < fl.noteLoss {
+	recipients := fl.nodes
+	if eff.To != nil {
+		recipients = nil
+		for _, name := range eff.To {
+			recipients = append(recipients, fl.byName[name])
+		}
+	}
+	for _, node := range recipients {
+		if node == from || fl.random.Float64() < fl.noteLoss {
 			continue
 		}
 		fl.after(time.Millisecond+time.Duration(fl.random.Int64N(int64(3*time.Millisecond))), func() { fl.reduce(node, steer.NoteReceived{Note: eff.Note}) })
@@ -219,14 +228,10 @@
 	case verdict.Via == "":
 		fl.dial(node, eff.Replica, hangTime, func(reached bool) { fl.answer(node, eff, ended, reached) })
 	default:
-		fl.after(hopTime, func() { fl.passOn(node, fl.named(verdict.Via), eff, ended) })
+		fl.after(hopTime, func() { fl.passOn(node, fl.byName[verdict.Via], eff, ended) })
 	}
 }
 
-func (fl *fleet) named(name string) *fleetNode {
-	return fl.nodes[slices.IndexFunc(fl.nodes, func(node *fleetNode) bool { return node.name == name })]
-}
-
 // answer ends an attempt whose connection to the replica succeeded, or did not.
 func (fl *fleet) answer(node *fleetNode, eff steer.Send, ended steer.AttemptEnded, reached bool) {
 	if !reached {
@@ -257,22 +262,23 @@
 		return
 	}
 	fl.dial(peer, eff.Replica, hangTime, func(reached bool) {
-		if !reached {
-			fl.reduce(peer, steer.PathObserved{Replica: eff.Replica.Name})
-			fl.vain(eff.ID)
-		} else {
+		if reached {
 			peer.passedOn++
+			fl.answer(node, eff, ended, true)
+			return
 		}
-		fl.answer(node, eff, ended, reached)
+		fl.reduce(peer, steer.PathObserved{Replica: eff.Replica.Name})
+		fl.vain(eff.ID)
+		fl.answer(node, eff, ended, false)
 	})
 }
 
 // refused tells the node that the peer passes its message not on.
 func (fl *fleet) refused(node, peer *fleetNode, eff steer.Send, ended steer.AttemptEnded, verdict steer.Verdict) {
 	fl.vain(eff.ID)
-	ev := steer.DetourFailed{Instance: peer.name, Service: eff.Replica.Service, Reason: "Refused"}
+	ev := steer.DetourFailed{Instance: peer.name, Service: eff.Replica.Service, Cause: steer.DetourNoPath}
 	if !verdict.NoPath {
-		ev.Replica, ev.Reason = eff.Replica.Name, "HeldBack"
+		ev.Replica, ev.Cause = eff.Replica.Name, steer.DetourHeldBack
 	}
 	fl.reduce(node, ev)
 	ended.Result = steer.ResultHeld
--- a/internal/steer/list.go
+++ b/internal/steer/list.go
@@ -154,6 +154,5 @@
 	}
 	st.logEndsOfRest(rested)
 	st.dropExpiredPeers()
-	st.dropDetourPauses()
 	st.dropExpiredGrants()
 }
--- a/internal/steer/note.go
+++ b/internal/steer/note.go
@@ -51,6 +51,8 @@
 	Suspicions []Suspicion `cbor:"20,keyasint,omitempty"`
 	// Cleared reports parts of prompts that a replica has answered since others crashed under them.
 	Cleared []ClearedPart `cbor:"21,keyasint,omitempty"`
+	// LostPaths names the services to which the instance has lost its path. Every note has the whole list.
+	LostPaths []string `cbor:"22,keyasint,omitempty"`
 }
 
 // Suspicion reports the parts of a prompt that was sent to a replica that crashed.
--- a/internal/steer/path.go
+++ b/internal/steer/path.go
@@ -8,13 +8,11 @@
 	"dandelionsail.example/dandelionsail/internal/paths"
 )
 
-// Lost paths. Load pattern: some instances lose their links to all replicas of a service for seconds, while callers, the list's store
-// and the other instances reach them. To such an instance every replica seems to fail. It must not conclude that they do: it sends
+// Lost paths. Load pattern: some instances, up to nearly all, lose their links to all replicas of a service for seconds, while callers, the
+// list's store and the other instances reach them. To such an instance every replica seems to fail. It must not conclude that they do: it sends
 // through another instance, and does not tell the others to avoid replicas that they reach. Package paths decides when a
-// path is lost.
-
-// detourPause is how long an instance that did not pass a message on is not asked again for the same service.
-const detourPause = time.Second
+// path is lost and through whom messages go. All notes of an instance name the services to which it has lost its path, so that nobody
+// has to ask.
 
 // PathObserved reports whether a new connection of this instance to a replica succeeded.
 type PathObserved struct {
@@ -26,12 +24,31 @@
 type DetourFailed struct {
 	Instance string
 	Service  string
-	// Replica is the replica to which that instance sends nothing now, empty if it passes nothing on to any replica of the service.
+	// Cause is why it did not.
+	Cause DetourCause
+	// Replica is the replica to which that instance sends nothing now if the Cause is DetourHeldBack.
 	Replica string
 	// Reason is what that instance stated, or why it was not reached, for the log.
 	Reason string
 }
 
+// DetourCause is why another instance did not pass a message on.
+type DetourCause int
+
+// The causes.
+const (
+	// DetourUnreached means that the instance does not answer or leaves.
+	DetourUnreached DetourCause = iota
+	// DetourNoPath means that the instance has lost its path, too.
+	DetourNoPath
+	// DetourNoPathUnstated means the same at an instance of an earlier release, whose notes do not state it.
+	DetourNoPathUnstated
+	// DetourBusy means that the instance has too much under way.
+	DetourBusy
+	// DetourHeldBack means that the instance sends nothing to the replica now.
+	DetourHeldBack
+)
+
 // ProbePaths requests new connections to the replicas. A PathObserved follows for each.
 type ProbePaths struct{ Replicas []Replica }
 
@@ -39,9 +56,6 @@
 func (DetourFailed) isEvent() {}
 func (ProbePaths) isEffect()  {}
 
-// detourKey identifies an instance through which messages to a service go.
-type detourKey struct{ instance, service string }
-
 // pathObserved applies what a new connection shows of the path to the replica's service.
 func (st *State) pathObserved(ev PathObserved) {
 	rep, ok := st.replicas[ev.Replica]
@@ -55,14 +69,17 @@
 	svc := st.serviceOf(rep.Service)
 	lostAt := svc.path.LostAt
 	if svc.path.Reached(st.now, rep.Name, st.candidateNames(svc)) {
-		st.logRegained(svc, lostAt)
+		st.regained(svc, lostAt)
 	}
 	st.probePaths(svc)
 	st.dispatch()
 }
 
-func (st *State) logRegained(svc *service, lostAt time.Time) {
+// regained records that the path to the service is not lost any more.
+func (st *State) regained(svc *service, lostAt time.Time) {
+	svc.lostByAll = false
 	st.emit(LogLine{Message: "path regained", Service: svc.name, Age: st.now.Sub(lostAt)})
+	st.stateLostPaths()
 }
 
 // unreachedByOthers records that another instance did not reach the replica either.
@@ -71,7 +88,7 @@
 	svc := st.serviceOf(rep.Service)
 	lostAt := svc.path.LostAt
 	if svc.path.Dead(st.now, rep.Name, st.candidateNames(svc)) {
-		st.logRegained(svc, lostAt)
+		st.regained(svc, lostAt)
 	}
 }
 
@@ -80,15 +97,16 @@
 func (st *State) unreached(rep *replica) bool {
 	svc := st.serviceOf(rep.Service)
 	if !svc.path.Failed(st.now, rep.Name, len(st.candidates(svc)), st.otherPathLost(svc)) {
+		st.stateLostPaths()
 		return svc.path.Lost()
 	}
-	if st.detourPeer(svc) == "" {
+	if len(st.others) == 0 {
 		svc.path.GiveUp(st.now)
 		return false
 	}
 	st.emit(LogLine{Message: "path lost", Service: svc.name, Replica: rep.Name, Attempt: svc.path.Failures()})
 	for _, other := range svc.replicas {
-		if other.downCause == notice.Failing && other.downReporter == "" {
+		if other.downCause == notice.Failing && (other.downReporter == "" || st.fleet.Lost(st.now, other.downReporter, svc.name)) {
 			other.succeeded()
 		}
 	}
@@ -96,6 +114,33 @@
 	return true
 }
 
+// stateLostPaths tells all others at once which paths are lost if that has changed.
+func (st *State) stateLostPaths() {
+	var names []string
+	for name, svc := range st.services {
+		if svc.path.Confirmed() {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	if !slices.Equal(names, st.statedLostPaths) {
+		st.statedLostPaths = names
+		st.emit(SendNote{Note: st.note(Note{})})
+	}
+}
+
+// receiveLostPaths applies what another instance states of its paths. What it reported of the replicas of a service to which it has lost
+// its path does not count any more.
+func (st *State) receiveLostPaths(nt *Note) {
+	for _, name := range st.fleet.Stated(st.now, nt.From, nt.LostPaths) {
+		svc, ok := st.services[name]
+		if !ok {
+			continue
+		}
+		st.distrust(svc, nt.From)
+	}
+}
+
 // otherPathLost reports whether the path to another service is lost.
 func (st *State) otherPathLost(svc *service) bool {
 	for _, other := range st.services {
@@ -142,67 +187,64 @@
 	return names
 }
 
-// via returns the instance through which a message to the replica goes, empty if it is sent directly. ok is false if the path is
+// via returns the instance through which a message to the replica goes, none if it is sent directly. ok is false if the path is
 // lost and no other instance can pass the message on, or may, since it is passed on for another instance already. A probe shows
 // whether this instance reaches the replica, and so takes no detour.
-func (st *State) via(target *Target, forPeer bool) (name string, ok bool) {
-	svc, known := st.services[target.Replica.Service]
-	if !known || target.Kind == notice.Probe || svc.path.Direct(target.Replica.Name) {
-		return "", true
+func (st *State) via(target *Target, forPeer bool) (choice paths.Choice, ok bool) {
+	rep, known := st.replicas[target.Replica.Name]
+	if !known || target.Kind == notice.Probe {
+		return paths.Choice{}, true
 	}
 	if forPeer {
-		return "", false
-	}
-	if name = st.detourPeer(svc); name != "" {
-		return name, true
+		return paths.Choice{}, st.pathOf(rep).Direct(rep.Name)
 	}
-	st.giveUpPath(svc)
-	return "", false
+	return st.wayTo(rep)
 }
 
-// giveUpPath concludes that the replicas of the service fail, since no other instance reaches them either.
-func (st *State) giveUpPath(svc *service) {
-	st.emit(LogLine{Message: "path lost by all instances", Service: svc.name, Age: st.now.Sub(svc.path.LostAt)})
-	for _, rep := range svc.replicas {
-		if !svc.path.Direct(rep.Name) {
-			rep.failed(st.now, notice.Failing, "")
-		}
+// wayTo returns the instance through which messages to the replica go now, none if they are sent directly. ok is false if there is no way.
+func (st *State) wayTo(rep *replica) (choice paths.Choice, ok bool) {
+	svc := st.serviceOf(rep.Service)
+	if svc.path.Direct(rep.Name) {
+		return paths.Choice{}, true
+	}
+	choice = st.fleet.Choose(st.now, st.random, svc.name, st.pathPeers())
+	lostByAll := choice == paths.Choice{}
+	if lostByAll && !svc.lostByAll {
+		st.emit(LogLine{Message: "path lost by all instances", Service: svc.name, Age: st.now.Sub(svc.path.LostAt)})
 	}
-	svc.path.GiveUp(st.now)
+	svc.lostByAll = lostByAll
+	return choice, choice.Peer != ""
 }
 
-// detourPeer returns an instance that may pass messages on to the replicas of the service, empty if there is none. One of the own failure
-// domain is preferred, and otherwise the choice is random, which spreads the messages.
-func (st *State) detourPeer(svc *service) string {
-	var near, far []string
+// pathPeers returns the other instances as package paths takes them.
+func (st *State) pathPeers() []paths.Peer {
+	peers := make([]paths.Peer, 0, len(st.others))
 	for _, other := range st.others {
-		if _, heard := st.peers[other.Name]; !heard && len(st.peers) > 0 {
-			continue
-		}
-		if st.now.Before(st.detourPauses[detourKey{other.Name, svc.name}]) {
-			continue
-		}
-		if other.FailureDomain == st.Options.FailureDomain {
-			near = append(near, other.Name)
-			continue
-		}
-		far = append(far, other.Name)
-	}
-	if len(near) == 0 {
-		near = far
-	}
-	if len(near) == 0 {
-		return ""
+		_, heard := st.peers[other.Name]
+		peers = append(peers, paths.Peer{Name: other.Name, Near: other.FailureDomain == st.Options.FailureDomain, Heard: heard})
 	}
-	return near[st.random.IntN(len(near))]
+	return peers
+}
+
+// noPathRetryAfter is how long a caller should wait whose request no instance can send. It is spread so that the callers do not return
+// together.
+func (st *State) noPathRetryAfter() time.Duration {
+	return busyRetryAfter + time.Duration(st.random.Int64N(int64(busyRetryAfter)))
 }
 
 // detourFailed passes the instance, or the replica, over for a while.
 func (st *State) detourFailed(ev DetourFailed) {
-	if rep, ok := st.replicas[ev.Replica]; ok {
-		st.failedBehindDetour(rep, ev.Instance, ev.Instance)
-	} else {
-		st.pauseDetours(ev.Instance, ev.Service)
+	switch ev.Cause {
+	case DetourHeldBack:
+		if rep, ok := st.replicas[ev.Replica]; ok {
+			st.failedBehindDetour(rep, ev.Instance, ev.Instance)
+		}
+	case DetourNoPath, DetourNoPathUnstated:
+		st.fleet.Refused(st.now, ev.Instance, ev.Service, ev.Cause == DetourNoPath)
+	case DetourBusy:
+		st.fleet.Busy(st.now, ev.Instance, ev.Service)
+	case DetourUnreached:
+		st.fleet.Unreached(st.now, ev.Instance, ev.Service)
 	}
 	st.emit(LogLine{Message: "detour failed", Replica: ev.Replica, Service: ev.Service, Via: ev.Instance, Invalid: ev.Reason})
 }
@@ -216,19 +258,6 @@
 	}
 }
 
-func (st *State) pauseDetours(instance, service string) {
-	st.detourPauses[detourKey{instance, service}] = st.now.Add(detourPause)
-}
-
-// dropDetourPauses drops the pauses that are over.
-func (st *State) dropDetourPauses() {
-	for key, until := range st.detourPauses {
-		if !st.now.Before(until) {
-			delete(st.detourPauses, key)
-		}
-	}
-}
-
 // PathsInDoubt reports whether a new connection that succeeds would change anything.
 func (st *State) PathsInDoubt() bool {
 	for _, svc := range st.services {
--- a/internal/steer/path_test.go
+++ b/internal/steer/path_test.go
@@ -79,12 +79,25 @@
 	in.withPeers(1, 1)
 	in.losePath()
 	assert.Equal(t, in.gate(replicaOf("lyric-0"), false).Via, "near-0")
-	in.reduce(steer.DetourFailed{Instance: "near-0", Service: "lyric", Reason: "Refused"})
+	in.reduce(steer.DetourFailed{Instance: "near-0", Service: "lyric", Cause: steer.DetourNoPath})
 	assert.Equal(t, in.gate(replicaOf("lyric-0"), false).Via, "far-0")
-	in.reduce(steer.DetourFailed{Instance: "far-0", Service: "lyric", Reason: "Refused"})
+	in.reduce(steer.DetourFailed{Instance: "far-0", Service: "lyric", Cause: steer.DetourNoPath})
 	verdict := in.gate(replicaOf("lyric-0"), false)
-	assert.Assert(t, verdict.NoPath && verdict.Held())
-	assert.Equal(t, len(in.st.LostPaths(in.now)), 0)
+	assert.Assert(t, verdict.NoPath && verdict.Held() && verdict.RetryAt.IsZero())
+	in.reduce(steer.NoteReceived{Note: steer.Note{From: "far-0", Run: 1}})
+	assert.Equal(t, in.gate(replicaOf("lyric-0"), false).Via, "far-0")
+}
+
+func TestInstanceThatHasTooMuchUnderWayIsAskedAgainSoon(t *testing.T) {
+	// The only instance that has a path is busy for a moment. Requests must wait for it, and not be refused as if nobody had a path.
+	in := newInstance(t, "one", 8)
+	in.withPeers(1, 0)
+	in.losePath()
+	in.reduce(steer.DetourFailed{Instance: "near-0", Service: "lyric", Cause: steer.DetourBusy})
+	verdict := in.gate(replicaOf("lyric-0"), false)
+	assert.Assert(t, verdict.NoPath && verdict.RetryAt.After(in.now))
+	in.advance(verdict.RetryAt.Sub(in.now))
+	assert.Equal(t, in.gate(replicaOf("lyric-0"), false).Via, "near-0")
 }
 
 func TestDetourHasOneHop(t *testing.T) {
@@ -116,7 +129,7 @@
 	in.losePath()
 	probe := steer.Sending{Targets: []steer.Target{{Replica: replicaOf("lyric-0"), Kind: notice.Probe}}}
 	assert.Equal(t, find[steer.Verdict](t, in.reduce(probe)), steer.Verdict{})
-	in.reduce(steer.DetourFailed{Instance: "near-0", Service: "lyric", Reason: "Refused"})
+	in.reduce(steer.DetourFailed{Instance: "near-0", Service: "lyric", Cause: steer.DetourNoPath})
 	assert.Equal(t, find[steer.Verdict](t, in.reduce(probe)), steer.Verdict{})
 	assert.Equal(t, len(in.st.LostPaths(in.now)), 1)
 }
--- a/internal/steer/peer.go
+++ b/internal/steer/peer.go
@@ -39,6 +39,7 @@
 	nt.Run = st.Options.Run
 	nt.UptimeMs = st.uptimeMs()
 	nt.Waiting = len(st.waiting)
+	nt.LostPaths = st.statedLostPaths
 	return nt
 }
 
@@ -83,6 +84,7 @@
 		}
 	}
 	st.sumPeerDemand()
+	st.fleet.DropExpired(st.now)
 	st.summarizeLimits()
 	st.summaries++
 	if len(kept) == 0 && st.summaries%idleSummaryInterval != 0 {
@@ -122,6 +124,9 @@
 	}
 	pr := st.peerOf(nt)
 	pr.lastNoteAt = st.now
+	if nt.UptimeMs >= pr.uptimeMs {
+		st.receiveLostPaths(&nt)
+	}
 	pr.uptimeMs = nt.UptimeMs
 	pr.waiting = max(0, nt.Waiting)
 	if nt.Full {
@@ -166,6 +171,7 @@
 	pr, ok := st.peers[nt.From]
 	if ok && pr.run != nt.Run {
 		st.dropPeer(nt.From, pr)
+		st.fleet.Forget(nt.From)
 		ok = false
 	}
 	if !ok {
--- a/internal/steer/report.go
+++ b/internal/steer/report.go
@@ -26,6 +26,9 @@
 	}
 	pr.reports[rep.Name] = st.now
 	svc := st.serviceOf(rep.Service)
+	if st.fleet.Lost(st.now, reporter, svc.name) {
+		return
+	}
 	count := 0
 	for _, other := range st.candidates(svc) {
 		if at, ok := pr.reports[other.Name]; ok && st.now.Sub(at) < reportWindow {
--- a/internal/steer/retry.go
+++ b/internal/steer/retry.go
@@ -59,6 +59,9 @@
 // recordOutcome updates the health of the replica at fault from the result of an attempt.
 func (st *State) recordOutcome(req *request, ev AttemptEnded) {
 	rep := st.atFault(req, ev.FaultyReplica)
+	if ev.Via != "" && ev.answered() {
+		st.fleet.Served(st.now, ev.Via, rep.Service)
+	}
 	switch ev.Result {
 	case ResultNotRun:
 		// If another replica caused the refusal, rep is that one: a helper that is leaving or gone. One that has said when it wants
@@ -93,7 +96,9 @@
 	if ev.Via != "" {
 		// Whoever passed it on has informed the others.
 		if ev.Result == ResultSilent {
-			st.pauseDetours(ev.Via, rep.Service)
+			st.fleet.Unreached(st.now, ev.Via, rep.Service)
+			st.failedBehindDetour(rep, "", ev.Via)
+			return
 		}
 		st.unreachedByOthers(rep, ev.Via)
 		return
@@ -106,14 +111,19 @@
 
 // markDown makes the replica unusable for a while. If it was usable here, the other instances are informed.
 func (st *State) markDown(rep *replica, cause notice.Announcement) {
-	wasUnusable := !rep.usable(st.now)
+	if st.avoid(rep, cause) && (cause != notice.Failing || st.pathOf(rep).Failures() < minDoubtfulFailures) {
+		st.notifyOthers(rep, cause)
+	}
+}
+
+// avoid makes the replica unusable for a while, and reports whether it was usable.
+func (st *State) avoid(rep *replica, cause notice.Announcement) bool {
+	wasUsable := rep.usable(st.now)
 	rep.failed(st.now, cause, "")
-	if !wasUnusable {
+	if wasUsable {
 		st.emit(LogLine{Message: "replica avoided", Replica: rep.Name, Attempt: rep.failures, Source: sourceAttempt})
-		if cause != notice.Failing || st.pathOf(rep).Failures() < minDoubtfulFailures {
-			st.notifyOthers(rep, cause)
-		}
 	}
+	return wasUsable
 }
 
 // minDoubtfulFailures is the number of replicas in a row that this instance has not reached from which the others are not told that
@@ -174,8 +184,16 @@
 			st.refuse(req, ReasonBudget, busyRetryAfter)
 			return
 		}
+		choice, ok := st.wayTo(req.reps[0])
+		if !ok && choice.RetryAt.IsZero() {
+			st.refuse(req, ReasonNoPath, st.noPathRetryAfter())
+			return
+		}
 		req.heldBack++
 		req.notBefore = st.now.Add(heldBackoff)
+		if choice.RetryAt.After(req.notBefore) {
+			req.notBefore = choice.RetryAt
+		}
 		st.waiting = append(st.waiting, req)
 		return
 	}
--- a/internal/steer/state.go
+++ b/internal/steer/state.go
@@ -51,8 +51,10 @@
 	claims []*request
 	// peers holds, by name, what the notes of each other instance have reported.
 	peers map[string]*peer
-	// detourPauses holds until when instances are not asked to pass messages on.
-	detourPauses map[detourKey]time.Time
+	// fleet is what is known of the other instances' paths.
+	fleet paths.Fleet
+	// statedLostPaths names the services to which this instance has stated that it has lost its path.
+	statedLostPaths []string
 	// others lists the other live instances, sorted by name.
 	others []Instance
 	// otherNames lists the names of others, in the same order.
@@ -125,6 +127,8 @@
 	candidates []*replica
 	// path is this instance's path to the replicas.
 	path paths.Path
+	// lostByAll reports whether the path is lost and those of all other instances are, as far as known.
+	lostByAll bool
 	// nextRetryAt is the earliest retry time for the next caller that is refused because of the replicas' rate limits.
 	nextRetryAt time.Time
 }
@@ -230,7 +234,6 @@
 		replicas:        map[string]*replica{},
 		requests:        map[RequestID]*request{},
 		peers:           map[string]*peer{},
-		detourPauses:    map[detourKey]time.Time{},
 		live:            1,
 		allowances:      map[string]*budget.Allowance{},
 		division:        budget.Division{Window: opts.Budget.Window, Lag: opts.ListLag},
