Failures: a replica fails only if another one is reached after it

Cause: one failed connection counted as the replica's failure, at the instance that saw it, at those that it told, and at those whose messages it passed on. Each reporter was doubted alone, so that thirty of them were believed. Mend: after a failure another replica is probed, the witness; the others are told only if it is reached. A peer that is in doubt refuses for want of a path instead of holding back, and says NotWritten only if it reaches a witness. TestFailureIsReportedOnceAnotherReplicaIsReached, TestPeerInDoubtHoldsNothingBack.

--- a/internal/paths/paths.go
+++ b/internal/paths/paths.go
@@ -162,6 +162,15 @@
 	}
 }
 
+// NeedsWitness reports whether another upstream is to be probed after a failure, to find out whether it was the upstream's, and records that it is.
+func (pa *Path) NeedsWitness(now time.Time, witness string) bool {
+	if pa.Lost() || pa.probing(now) {
+		return false
+	}
+	pa.probe(now, witness)
+	return true
+}
+
 // Probes returns which of the upstreams to probe now, none if no probe is due. While none is reached that is one at a time.
 func (pa *Path) Probes(now time.Time, upstreams []string) []string {
 	if !pa.Lost() || now.Before(pa.probeAt) {
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -193,6 +193,23 @@
 	return true, reached
 }
 
+// confirmsFailure reports whether it is the replica's fault that a new connection to it has failed: another one accepts a connection.
+func (in *Instance) confirmsFailure(ctx context.Context, replica steer.Replica) bool {
+	in.apply(steer.PathObserved{Replica: replica.Name})
+	in.mu.Lock()
+	witness, ok := in.state.Witness(replica.Name)
+	in.mu.Unlock()
+	if !ok {
+		return false
+	}
+	reached := !in.refusesConnections(ctx, witness)
+	if ctx.Err() != nil {
+		return false
+	}
+	in.apply(steer.PathObserved{Replica: witness.Name, Reached: reached})
+	return reached
+}
+
 // probePaths opens a connection to each of the replicas and closes it again.
 func (in *Instance) probePaths(eff steer.ProbePaths) {
 	for _, replica := range eff.Replicas {
--- a/internal/relay/passon.go
+++ b/internal/relay/passon.go
@@ -138,8 +138,9 @@
 		pg.refuse(detourHeldBack, heldBackBy(err))
 		return
 	case isNotWritten(err):
-		if ctx.Err() == nil {
-			pg.in.apply(steer.PathObserved{Replica: pg.replica.Name})
+		if ctx.Err() == nil && !pg.in.confirmsFailure(ctx, pg.replica) {
+			pg.refuse(detourRefused, reasonNoPath)
+			return
 		}
 		pg.refuse(detourNotWritten, "not reached")
 		return
--- a/internal/steer/announce.go
+++ b/internal/steer/announce.go
@@ -131,6 +131,11 @@
 	for i := range ev.Targets {
 		target := &ev.Targets[i]
 		if ann := st.heldBy(&ev, target); ann != notice.None {
+			if ann == notice.Failing && ev.ForPeer && st.pathInDoubt(target.Replica.Service) {
+				// It may be this instance's path that fails.
+				st.emit(Verdict{NoPath: true})
+				return
+			}
 			st.emit(LogLine{Message: "send held back", Request: ev.Request, Replica: target.Replica.Name, Send: target.Kind.String(), Announcement: ann.String()})
 			st.emit(Verdict{HeldBy: ann})
 			return
--- a/internal/steer/fleet_test.go
+++ b/internal/steer/fleet_test.go
@@ -267,9 +267,27 @@
 			fl.answer(node, eff, ended, true)
 			return
 		}
-		fl.reduce(peer, steer.PathObserved{Replica: eff.Replica.Name})
-		fl.vain(eff.ID)
-		fl.answer(node, eff, ended, false)
+		fl.confirm(peer, eff.Replica, func(confirmed bool) {
+			if confirmed {
+				fl.answer(node, eff, ended, false)
+				return
+			}
+			fl.refused(node, peer, eff, ended, steer.Verdict{NoPath: true})
+		})
+	})
+}
+
+// confirm calls done with whether it is the replica's fault that the instance has not reached it: the instance reaches another one.
+func (fl *fleet) confirm(node *fleetNode, replica steer.Replica, done func(confirmed bool)) {
+	fl.reduce(node, steer.PathObserved{Replica: replica.Name})
+	witness, ok := node.st.Witness(replica.Name)
+	if !ok {
+		done(false)
+		return
+	}
+	fl.dial(node, witness, probeHangTime, func(reached bool) {
+		fl.reduce(node, steer.PathObserved{Replica: witness.Name, Reached: reached})
+		done(reached)
 	})
 }
 
--- a/internal/steer/path.go
+++ b/internal/steer/path.go
@@ -71,6 +71,7 @@
 	if svc.path.Reached(st.now, rep.Name, st.candidateNames(svc)) {
 		st.regained(svc, lostAt)
 	}
+	st.confirmFailures(svc, rep)
 	st.probePaths(svc)
 	st.dispatch()
 }
@@ -82,6 +83,28 @@
 	st.stateLostPaths()
 }
 
+// confirmFailures tells the others which replicas of the service fail, since a connection to another one has succeeded after they failed.
+// While the path is lost nothing is concluded, since links may work again one after the other.
+func (st *State) confirmFailures(svc *service, reached *replica) {
+	if svc.path.Lost() {
+		return
+	}
+	for _, rep := range svc.replicas {
+		if rep.unconfirmed && rep != reached {
+			rep.unconfirmed = false
+			st.notifyOthers(rep, notice.Failing)
+		}
+	}
+}
+
+// probeWitness probes another replica of the service after a failure: only if that one is reached, the failure is the replica's.
+func (st *State) probeWitness(rep *replica) {
+	witness, ok := st.Witness(rep.Name)
+	if ok && st.drain == nil && st.pathOf(rep).NeedsWitness(st.now, witness.Name) {
+		st.emit(ProbePaths{Replicas: []Replica{witness}})
+	}
+}
+
 // unreachedByOthers records that another instance did not reach the replica either.
 func (st *State) unreachedByOthers(rep *replica, via string) {
 	st.failedBehindDetour(rep, "", via)
@@ -232,6 +255,9 @@
 	return busyRetryAfter + time.Duration(st.random.Int64N(int64(busyRetryAfter)))
 }
 
+// pathInDoubt reports whether the path to the service may be lost.
+func (st *State) pathInDoubt(service string) bool { return st.serviceOf(service).path.InDoubt() }
+
 // detourFailed passes the instance, or the replica, over for a while.
 func (st *State) detourFailed(ev DetourFailed) {
 	switch ev.Cause {
--- a/internal/steer/path_test.go
+++ b/internal/steer/path_test.go
@@ -220,3 +220,28 @@
 	assert.Equal(t, len(in.st.LostPaths(in.now)), 0)
 	assert.Equal(t, in.gate(replicaOf("lyric-0"), false).Via, "")
 }
+
+func TestFailureIsReportedOnceAnotherReplicaIsReached(t *testing.T) {
+	// The first replica that an instance does not reach may be sound, and its own path lost. Many instances that are cut off at once must not
+	// make the others avoid one sound replica each. A replica that died must be reported nevertheless, as soon as that is known.
+	in := newInstance(t, "one", 8)
+	in.withPeers(2, 0)
+	sent, _ := firstSend(in.arrive(&short, 5000))
+	effects := in.end(sent, steer.ResultNotSent)
+	assert.Equal(t, len(announcedDown(effects)), 0)
+	probed := find[steer.ProbePaths](t, effects).Replicas[0]
+	assert.Assert(t, probed.Name != sent.Replica.Name)
+	effects = in.reduce(steer.PathObserved{Replica: probed.Name, Reached: true})
+	assert.DeepEqual(t, announcedDown(effects), []string{sent.Replica.Name})
+}
+
+func TestPeerInDoubtHoldsNothingBack(t *testing.T) {
+	// A peer that has just failed to reach a replica may have lost its path. It must not tell another instance that the replica fails.
+	in := newInstance(t, "one", 8)
+	in.withPeers(2, 0)
+	sent, _ := firstSend(in.arrive(&short, 5000))
+	probed := find[steer.ProbePaths](t, in.end(sent, steer.ResultNotSent)).Replicas[0]
+	assert.Assert(t, in.gate(sent.Replica, true).NoPath)
+	in.reduce(steer.PathObserved{Replica: probed.Name, Reached: true})
+	assert.Equal(t, in.gate(sent.Replica, true).HeldBy, notice.Failing)
+}
--- a/internal/steer/replica.go
+++ b/internal/steer/replica.go
@@ -71,6 +71,8 @@
 	downCause notice.Announcement
 	// downReporter names the instance that reported that failure, empty if it occurred here.
 	downReporter string
+	// unconfirmed reports whether the failure is not known to be the replica's, since no connection to another one has succeeded after it.
+	unconfirmed bool
 	// heardAt is when the replica last answered this instance.
 	heardAt time.Time
 	// diedAt is when it last died while it ran a request of this instance.
@@ -109,6 +111,7 @@
 
 func (rep *replica) succeeded() {
 	rep.failures = 0
+	rep.unconfirmed = false
 	rep.downUntil = time.Time{}
 }
 
--- a/internal/steer/retry.go
+++ b/internal/steer/retry.go
@@ -103,15 +103,21 @@
 		st.unreachedByOthers(rep, ev.Via)
 		return
 	}
-	if (ev.Result == ResultNotSent || ev.Unreachable) && st.unreached(rep) {
+	if ev.Result != ResultNotSent && !ev.Unreachable {
+		st.markDown(rep, notice.Failing)
 		return
 	}
-	st.markDown(rep, notice.Failing)
+	if st.unreached(rep) {
+		return
+	}
+	st.avoid(rep, notice.Failing)
+	rep.unconfirmed = true
+	st.probeWitness(rep)
 }
 
 // markDown makes the replica unusable for a while. If it was usable here, the other instances are informed.
 func (st *State) markDown(rep *replica, cause notice.Announcement) {
-	if st.avoid(rep, cause) && (cause != notice.Failing || st.pathOf(rep).Failures() < minDoubtfulFailures) {
+	if st.avoid(rep, cause) {
 		st.notifyOthers(rep, cause)
 	}
 }
@@ -126,10 +132,6 @@
 	return wasUsable
 }
 
-// minDoubtfulFailures is the number of replicas in a row that this instance has not reached from which the others are not told that
-// one more fails: it may be this instance's path.
-const minDoubtfulFailures = 2
-
 // markDownByReport makes the replica unusable for a while because the named instance reported that it fails.
 func (st *State) markDownByReport(rep *replica, reporter string) {
 	wasUsable := rep.usable(st.now)
