Completions front: who has no path is remembered, and where nobody has one, requests are refused at once

Callers waited while a whole failure domain was asked, 19 instances for each request, and were sent to upstreams directly, with the path lost, once all others had refused within a second. Cause: the same as on the relay front: a refusal was forgotten after a second, and refused for a moment was taken for nobody. Mend: paths.Fleet chooses here, too, from refusals and answers, which count for 10 s. One lost path in the own failure domain makes instances of others as likely to be asked. If all have refused, the request is refused at once with a time to return; probes find the end. Instances of this front do not state lost paths to each other yet.

--- a/internal/core/state.go
+++ b/internal/core/state.go
@@ -3,6 +3,7 @@
 package core
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"dandelionsail.example/dandelionsail/internal/admit"
@@ -50,10 +51,9 @@
 	paths map[string]*paths.Path
 	// pathsInDoubt is what the last effect.PathsInDoubt stated.
 	pathsInDoubt bool
-	// forwards counts the requests that were passed on, which spreads them over the instances.
-	forwards uint64
-	// forwardPauses holds until when instances are not asked to take requests.
-	forwardPauses map[forwardKey]time.Time
+	// fleet is what is known of the other instances' paths.
+	fleet  paths.Fleet
+	random *rand.Rand
 	// Instances are the live instances of the membership, or the platform's list in an instance without peers.
 	Instances []event.Instance
 	// Draining reports whether new requests are refused because the instance is shutting down.
@@ -153,7 +153,7 @@
 		Route:          route.New(opts.FailureDomain, opts.Seed),
 		Requests:       map[event.RequestID]*Request{},
 		paths:          map[string]*paths.Path{},
-		forwardPauses:  map[forwardKey]time.Time{},
+		random:         rand.New(rand.NewPCG(opts.Seed, opts.Seed)),
 		quarantine:     newQuarantine(),
 		table:          newTable(&decl.Config{}),
 		reasonCounters: map[reasonKey]string{},
@@ -196,6 +196,8 @@
 		st.handlePathObserved(ev)
 	case event.ForwardFailed:
 		st.handleForwardFailed(ev)
+	case event.ForwardTaken:
+		st.fleet.Served(st.now, ev.Instance, ev.Service)
 	case event.ClaimSettled:
 		st.handleClaimSettled(ev)
 	case event.PermitAnswered:
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -64,6 +64,7 @@
 		in.forwardFailed(cl, eff, errorText(refused))
 		return false
 	}
+	in.loop.Submit(event.ForwardTaken{Instance: eff.To.Name, Service: cl.service})
 	in.log.Info().Str("Request", cl.name).Str("Via", eff.To.Name).Str("Service", cl.service).Int("Status", resp.StatusCode).
 		Str("ForwardedAs", resp.Header.Get(HeaderRequestID)).Msg("request passed on: the path to its service is lost")
 	cl.passOn(resp)
@@ -87,7 +88,7 @@
 // forwardFailed reports that the instance did not take the request, and submits the request again.
 func (in *Instance) forwardFailed(cl *call, eff effect.Forward, err error) {
 	in.log.Info().Str("Request", cl.name).Str("Via", eff.To.Name).Str("Service", cl.service).Err(err).Msg("request not taken by another instance")
-	in.loop.Submit(event.ForwardFailed{Instance: eff.To.Name, Service: cl.service})
+	in.loop.Submit(event.ForwardFailed{Instance: eff.To.Name, Service: cl.service, NoPath: err == errorText(effect.ReasonNoPath)})
 	in.loop.Submit(cl.arrival)
 }
 
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -53,7 +53,14 @@
 }
 
 // ForwardFailed reports that another instance did not take a request for the service.
-type ForwardFailed struct{ Instance, Service string }
+type ForwardFailed struct {
+	Instance, Service string
+	// NoPath reports whether it refused since it has lost its path, too. Otherwise it was not reached or leaves.
+	NoPath bool
+}
+
+// ForwardTaken reports that another instance has answered a request for the service.
+type ForwardTaken struct{ Instance, Service string }
 
 // CallerGone reports that the caller closed its connection.
 type CallerGone struct{ ID RequestID }
@@ -319,3 +326,4 @@
 func (Ticked) isEvent()             {}
 func (PathObserved) isEvent()       {}
 func (ForwardFailed) isEvent()      {}
+func (ForwardTaken) isEvent()       {}
--- a/internal/paths/fleet.go
+++ b/internal/paths/fleet.go
@@ -146,6 +146,7 @@
 func (fl *Fleet) Choose(now time.Time, random *rand.Rand, service string, peers []Peer) Choice {
 	var sound, unknown pool
 	var retryAt time.Time
+	// nearLost is the number of instances of the own failure domain that have lost their path, with this one.
 	nearLost := 1
 	for _, peer := range peers {
 		pp := fl.peers[peer.Name][service]
@@ -164,12 +165,15 @@
 			unknown.add(peer)
 		}
 	}
-	for _, candidates := range []*pool{&sound, &unknown} {
-		if names := candidates.preferred(nearLost); len(names) > 0 {
-			return Choice{Peer: names[random.IntN(len(names))]}
-		}
+	names := sound.preferred(nearLost <= maxInstancesForOne*len(sound.near))
+	if len(names) == 0 {
+		// One lost path in the own failure domain makes others there likely.
+		names = unknown.preferred(nearLost == 1)
+	}
+	if len(names) == 0 {
+		return Choice{RetryAt: retryAt}
 	}
-	return Choice{RetryAt: retryAt}
+	return Choice{Peer: names[random.IntN(len(names))]}
 }
 
 // pool holds peers that are as good as each other.
@@ -187,9 +191,9 @@
 // other failure domains do, too.
 const maxInstancesForOne = 2
 
-// preferred returns the peers to choose from, where the given number of instances of the own failure domain have lost their paths.
-func (po *pool) preferred(nearLost int) []string {
-	if nearLost <= maxInstancesForOne*len(po.near) {
+// preferred returns the peers to choose from: all, or only those of the own failure domain if there are any.
+func (po *pool) preferred(near bool) []string {
+	if near && len(po.near) > 0 {
 		return po.near
 	}
 	return slices.Concat(po.near, po.far)
