Lost paths: a connection that hangs counts if the request's time ends before, and one lost path makes the others be checked

Cause: a connection attempt that ended with its caller's time was no evidence, also if it had hung for longer than any live replica takes, so that the path never counted as lost; and the loss of the path to one service said nothing of those to others. Evidence: TestRequestsThatEndBeforeTheirConnectionDoesShowALostPath, TestLossOfOnePathMakesTheInstanceCheckItsOthers failed before. TestCallerThatLeavesDuringDialBlamesNobody holds.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -141,12 +141,14 @@
 		return result
 	}
 	defer att.release()
+	began := time.Now()
 	resp, ri, err := att.in.exchange(att.eff.NewConnection, att.message(), att.newRequest(attemptCtx))
 	if isHeldBack(err) {
 		return steer.ResultHeld
 	}
 	if isNotWritten(err) {
 		att.ended.GivenUp = ctx.Err() != nil
+		att.ended.Hung = att.ended.GivenUp && time.Since(began) >= probeTimeout
 		return steer.ResultNotSent
 	}
 	if err != nil {
--- a/internal/steer/event.go
+++ b/internal/steer/event.go
@@ -108,6 +108,8 @@
 	Via string
 	// GivenUp reports whether the caller left, or its time ended, before anything was sent, so that the result says nothing of the replica.
 	GivenUp bool
+	// Hung reports whether, if GivenUp is set, a new connection to the replica had been under way for longer than a live replica takes.
+	Hung bool
 	// Pause is the longest time between two events of the stream.
 	Pause time.Duration
 	// PauseAt is when the longest pause ended.
--- a/internal/steer/path.go
+++ b/internal/steer/path.go
@@ -1,6 +1,7 @@
 package steer
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -146,9 +147,27 @@
 		}
 	}
 	slices.Sort(names)
-	if !slices.Equal(names, st.statedLostPaths) {
-		st.statedLostPaths = names
-		st.emit(SendNote{Note: st.note(Note{})})
+	if slices.Equal(names, st.statedLostPaths) {
+		return
+	}
+	another := len(names) > len(st.statedLostPaths)
+	st.statedLostPaths = names
+	st.emit(SendNote{Note: st.note(Note{})})
+	if another {
+		st.checkPaths()
+	}
+}
+
+// checkPaths finds out whether more paths are lost without waiting until requests fail.
+func (st *State) checkPaths() {
+	for _, name := range slices.Sorted(maps.Keys(st.services)) {
+		st.checkPath(st.services[name])
+	}
+}
+
+func (st *State) checkPath(svc *service) {
+	if st.drain == nil {
+		st.probe(svc, svc.path.Check(st.now, st.random, st.candidateNames(svc)))
 	}
 }
 
@@ -162,9 +181,7 @@
 			continue
 		}
 		st.distrust(svc, nt.From)
-		if st.drain == nil {
-			st.probe(svc, svc.path.Check(st.now, st.random, st.candidateNames(svc)))
-		}
+		st.checkPath(svc)
 	}
 }
 
--- a/internal/steer/path_test.go
+++ b/internal/steer/path_test.go
@@ -245,3 +245,39 @@
 	in.reduce(steer.PathObserved{Replica: probed.Name, Reached: true})
 	assert.Equal(t, in.gate(sent.Replica, true).HeldBy, notice.Failing)
 }
+
+func TestRequestsThatEndBeforeTheirConnectionDoesShowALostPath(t *testing.T) {
+	// Over cut links connections hang. Where the time of requests ends before that of a connection, no attempt ever fails by itself. The path is
+	// lost nevertheless if a connection that hung is followed by a probe that fails. The replica is not blamed for the caller's time.
+	in := newInstance(t, "one", 8)
+	in.withPeers(1, 0)
+	sent, _ := firstSend(in.arrive(&short, 5000))
+	effects := in.reduce(steer.AttemptEnded{ID: sent.ID, Attempt: sent.Attempt, Result: steer.ResultNotSent, GivenUp: true, Hung: true})
+	assert.Assert(t, !in.gate(sent.Replica, false).Held())
+	probed := find[steer.ProbePaths](t, effects).Replicas[0]
+	in.reduce(steer.PathObserved{Replica: probed.Name})
+	assert.Equal(t, in.gate(sent.Replica, false).Via, "near-0")
+}
+
+func TestLossOfOnePathMakesTheInstanceCheckItsOthers(t *testing.T) {
+	// An instance that is cut off from the engines may be from other services, too, for which it has few requests.
+	in := newInstance(t, "one", 8)
+	in.withPeers(1, 0)
+	_, effects := in.losePath()
+	for _, eff := range effects {
+		if eff, ok := eff.(steer.ProbePaths); ok {
+			for _, rep := range eff.Replicas {
+				effects = in.reduce(steer.PathObserved{Replica: rep.Name})
+			}
+		}
+	}
+	checked := map[string]bool{}
+	for _, eff := range effects {
+		if eff, ok := eff.(steer.ProbePaths); ok {
+			for _, rep := range eff.Replicas {
+				checked[rep.Service] = true
+			}
+		}
+	}
+	assert.Assert(t, checked["board"], "%v", checked)
+}
--- a/internal/steer/retry.go
+++ b/internal/steer/retry.go
@@ -91,6 +91,9 @@
 // attemptFailed records an attempt that did not reach the replica, or whose replica fell silent and accepts no connection.
 func (st *State) attemptFailed(rep *replica, ev *AttemptEnded) {
 	if ev.GivenUp {
+		if ev.Hung && ev.Via == "" && !st.unreached(rep) {
+			st.probeWitness(rep)
+		}
 		return
 	}
 	if ev.Via != "" {
