--- a/internal/relay/follow.go
+++ b/internal/relay/follow.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net"
 	"time"
 
-	"dandelionsail.example/dandelionsail/internal/delay"
 	"dandelionsail.example/dandelionsail/internal/posit"
 )
 
@@ -16,9 +14,6 @@
 	// confirmShare is the interval between two confirmation requests by an Instance that is not a poller, as a share of
 	// ConfigLag.
 	confirmShare = 0.35
-	// maxAgeShare is the maximum age of a usable confirmation, as a share of ConfigLag. An Instance that sends an older
-	// one cannot reach the store itself, and accepting its confirmation would hide every change made in the store since.
-	maxAgeShare = 0.4
 	// storeTimeout is the timeout of one call to the store. A connection that died silently delays the call by little
 	// more than this.
 	storeTimeout = 600 * time.Millisecond
@@ -35,15 +30,6 @@
 	// maxStaleReads is how many stale reads are tried before the first linearizable call. A stale read costs a tenth of
 	// a linearizable call, and all instances may start at once.
 	maxStaleReads = 10
-	// announceTTL is how long an announcement of this Instance is valid unless it is renewed.
-	announceTTL = 40 * time.Second
-	// announceInterval is how often the announcement is renewed.
-	announceInterval = 15 * time.Second
-	// minAnnounceBackoff is the pause after a failed announcement. It doubles up to maxAnnounceBackoff because the
-	// previous announcement is still valid and the store charges for every call, rejected ones included.
-	minAnnounceBackoff = time.Second
-	// maxAnnounceBackoff is the maximum pause after a failed announcement.
-	maxAnnounceBackoff = 8 * time.Second
 	// readyTokenShare is the share of TokenLife without a confirmation after which the Instance becomes unready, so
 	// that callers go to instances where their tokens are still accepted.
 	readyTokenShare = 0.55
@@ -203,92 +189,6 @@
 	return fl.loaded && fl.in.configured() && fl.in.gossip.hasPeers()
 }
 
-// confirmByPeers asks pollers in turn to confirm the state and reports whether one did.
-func (fl *follower) confirmByPeers(ctx context.Context) bool {
-	for _, from := range fl.in.gossip.pickPollers(fl.pollerCount()) {
-		if fl.confirmByPeer(ctx, from) {
-			fl.pollers = fl.pollerCount() / 2
-			return true
-		}
-	}
-	return false
-}
-
-// confirmByRegularPollers asks the regular pollers at the same time to confirm the state, if further instances are taken as
-// pollers, and reports whether one did. If so, these are not needed any more.
-func (fl *follower) confirmByRegularPollers(ctx context.Context) bool {
-	if fl.pollerCount() == storePollers {
-		return false
-	}
-	requestedAt := bootTime()
-	for from, conf := range fl.in.gossip.requestConfirmations(ctx, fl.in.gossip.pollerAddresses(storePollers), fl.position()) {
-		if fl.isOld(&conf) || fl.catchUp(ctx, from, &conf) != nil {
-			continue
-		}
-		if fl.acceptConfirmation(requestedAt, &conf) || fl.confirmByPeer(ctx, from) {
-			withPosition(fl.in.log.Info().Int("Pollers", storePollers), fl.position()).Msg("state confirmed by a regular poller; no more instances are taken as pollers")
-			fl.pollers = storePollers
-			return true
-		}
-	}
-	return false
-}
-
-// maxConfirmRounds is the maximum number of requests for one confirmation. Several are sent if the changes do not fit
-// into one response.
-const maxConfirmRounds = 256
-
-// confirmByPeer requests the changes from the Instance at the address until the state here has reached its position,
-// and reports whether that Instance confirmed the state. The confirmation is dated to when the request was sent, minus
-// the age stated in the response. So neither a suspended process nor a late datagram can extend a token's lifetime, and
-// a confirmation never becomes younger when it is passed on.
-func (fl *follower) confirmByPeer(ctx context.Context, from *net.UDPAddr) bool {
-	for range maxConfirmRounds {
-		requestedAt := bootTime()
-		conf, ok := fl.in.gossip.requestConfirmation(ctx, from, fl.position())
-		fl.in.recordTime("Peers.Wait", bootTime()-requestedAt)
-		if !ok {
-			fl.in.count("Peers.Unanswered")
-			return false
-		}
-		if fl.isOld(&conf) {
-			fl.adoptConfiguration(ctx, from, &conf)
-			return false
-		}
-		if err := fl.catchUp(ctx, from, &conf); err != nil {
-			fl.in.count("Peers.NotFollowed")
-			return false
-		}
-		fl.adoptConfiguration(ctx, from, &conf)
-		if fl.acceptConfirmation(requestedAt, &conf) {
-			return true
-		}
-	}
-	return false
-}
-
-// isOld reports whether the confirmation is too old to be used, and counts it if so.
-func (fl *follower) isOld(conf *confirmation) bool {
-	if time.Duration(conf.AgeMs)*time.Millisecond <= time.Duration(maxAgeShare*float64(fl.in.opts.ConfigLag)) {
-		return false
-	}
-	fl.in.count("Peers.Old")
-	return true
-}
-
-// acceptConfirmation records the confirmation if the state here has reached its position, and reports whether it has. A
-// confirmation from before a return of the store, or of an Instance that does not know of it, proves nothing.
-func (fl *follower) acceptConfirmation(requestedAt time.Duration, conf *confirmation) bool {
-	if have := fl.position(); have.Before(conf.position()) || !have.SameEra(conf.position()) {
-		return false
-	}
-	fl.in.count("Confirmed.ByPeer")
-	fl.in.recordTime("Peers.Age", time.Duration(conf.AgeMs)*time.Millisecond)
-	fl.markReachable()
-	fl.confirm(requestedAt - time.Duration(conf.AgeMs)*time.Millisecond)
-	return true
-}
-
 // pollStore polls the store, applies any changes and reports whether the store responded and the state is up to date.
 func (fl *follower) pollStore(ctx context.Context) bool {
 	limited, cancel := context.WithTimeout(ctx, storeTimeout)
@@ -343,37 +243,6 @@
 	withPosition(fl.in.log.Warn().Err(err), fl.position()).Msg("store unreachable; the last state stays in use")
 }
 
-// announce registers this Instance in the store, where the others find it, and renews the entry. A restarted Instance
-// renews the entry of its earlier run: when all instances restart at once, as after a power failure, creating new
-// entries would be most of the load on the store. After a return of the store an entry that the copy lacks is written again
-// at once.
-func (in *Instance) announce(ctx context.Context) error {
-	self, backoff := in.self, minAnnounceBackoff
-	pause := minAnnounceBackoff
-	for {
-		timer := time.NewTimer(pause)
-		select {
-		case <-ctx.Done():
-			timer.Stop()
-			return ctx.Err()
-		case <-timer.C:
-		case self = <-in.ownEntry:
-			delay.For(ctx, rand.N(in.returnWindow()))
-		}
-		timer.Stop()
-		limited, cancel := context.WithTimeout(ctx, storeTimeout)
-		in.count("Store.Announcements")
-		err := in.directory.Announce(limited, self, announceTTL)
-		cancel()
-		if err == nil {
-			pause, backoff = announceInterval, minAnnounceBackoff
-			continue
-		}
-		pause = backoff
-		backoff = min(2*backoff, maxAnnounceBackoff)
-	}
-}
-
 // fresh reports whether the last confirmation, from the store or from a peer, is younger than the given share of
 // TokenLife.
 func (in *Instance) fresh(share float64) bool {
