--- a/internal/steer/fleet_test.go
+++ b/internal/steer/fleet_test.go
@@ -497,3 +497,37 @@
 	slices.Sort(counts)
 	return counts[len(counts)*95/100]
 }
+
+func TestCallersBehindLostPathsAreServedThoughNotesAreLost(t *testing.T) {
+	// A tenth of the notes is lost, among them those that state lost paths. What refusals show must make up for it.
+	fl := newFleet(1, 60)
+	fl.silent, fl.noteLoss = true, 0.1
+	fl.load(usualLoad, 2*time.Second)
+	began := fl.now
+	fl.cutNodes(fl.nodes[3:])
+	fl.load(usualLoad, 8*time.Second)
+	fl.advance(3 * time.Second)
+	from, to := began.Add(3*time.Second), began.Add(8*time.Second)
+	share, number := fl.served(from, to, func(req *fleetRequest) bool { return slices.Contains(fl.nodes[3:], req.node) })
+	t.Logf("served %.3f of %d, asked in vain %d", share, number, fl.vainOf(from, to))
+	assert.Assert(t, share >= 0.98, "served %.3f", share)
+	assert.Assert(t, fl.vainOf(from, to) <= 3)
+}
+
+func TestSecondCutHitsThoseThatHelp(t *testing.T) {
+	// Half of the instances are cut off, and four seconds later all others but three, through which the messages of the first half went.
+	fl := newFleet(1, 60)
+	fl.silent = true
+	fl.load(usualLoad, 2*time.Second)
+	fl.cutNodes(fl.nodes[30:])
+	fl.load(usualLoad, 4*time.Second)
+	began := fl.now
+	fl.cutNodes(fl.nodes[3:30])
+	fl.load(usualLoad, 8*time.Second)
+	fl.advance(3 * time.Second)
+	from, to := began.Add(3*time.Second), began.Add(8*time.Second)
+	share, number := fl.served(from, to, func(req *fleetRequest) bool { return slices.Contains(fl.nodes[3:], req.node) })
+	t.Logf("served %.3f of %d, asked in vain %d", share, number, fl.vainOf(from, to))
+	assert.Assert(t, share >= 0.98, "served %.3f", share)
+	assert.Assert(t, fl.vainOf(from, to) <= 3)
+}
--- a/internal/steer/path_test.go
+++ b/internal/steer/path_test.go
@@ -281,3 +281,28 @@
 	}
 	assert.Assert(t, checked["board"], "%v", checked)
 }
+
+func TestLateNoteBringsNoLostPathBack(t *testing.T) {
+	// A note from before the end of a loss arrives late. The instance has a path again.
+	in := newInstance(t, "one", 8)
+	in.withPeers(1, 0)
+	in.losePath()
+	in.reduce(steer.NoteReceived{Note: steer.Note{From: "near-0", Run: 1, UptimeMs: 2000}})
+	in.reduce(steer.NoteReceived{Note: steer.Note{From: "near-0", Run: 1, UptimeMs: 1000, LostPaths: []string{"lyric"}}})
+	assert.Equal(t, in.gate(replicaOf("lyric-0"), false).Via, "near-0")
+	in.reduce(steer.NoteReceived{Note: steer.Note{From: "near-0", Run: 1, UptimeMs: 3000, LostPaths: []string{"lyric"}}})
+	assert.Assert(t, in.gate(replicaOf("lyric-0"), false).NoPath)
+}
+
+func TestRefusalOfEarlierReleaseIsRemembered(t *testing.T) {
+	// Notes of an earlier release do not name lost paths. They must not make this instance ask again what was just refused.
+	in := newInstance(t, "one", 8)
+	in.withPeers(2, 0)
+	in.losePath()
+	in.reduce(steer.DetourFailed{Instance: "near-0", Service: "lyric", Cause: steer.DetourNoPathUnstated})
+	for range 20 {
+		in.reduce(steer.NoteReceived{Note: steer.Note{From: "near-0", Run: 1, UptimeMs: in.now.Sub(start).Milliseconds()}})
+		assert.Equal(t, in.gate(replicaOf("lyric-0"), false).Via, "near-1")
+		in.advance(100 * time.Millisecond)
+	}
+}
