--- a/internal/cause/cause.go
+++ b/internal/cause/cause.go
@@ -15,6 +15,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"maps"
 	"slices"
 	"time"
@@ -447,6 +448,26 @@
 	return found
 }
 
+// MustWait reports whether a request with the features may not be sent now, although it is not to be refused for what was found. Of the
+// requests with features of a cause one runs at a time, and shows whether it crashes its upstream. One whose upstream has crashed, at diedAt,
+// waits until that is known of others with the same features first: if it is the cause, it would take the next upstream down. running
+// yields the features of the others under way whose answers have not gone on for long enough.
+func (tb *Table) MustWait(now, diedAt time.Time, found Finding, features []Feature, running iter.Seq[[]Feature]) bool {
+	ca := found.Cause
+	if now.Sub(diedAt) < DoubtTime && ca.Holds(features) {
+		return true
+	}
+	if now.Sub(ca.First) < tb.rules.MinSpan {
+		return false
+	}
+	for others := range running {
+		if ca.Touches(others) {
+			return true
+		}
+	}
+	return false
+}
+
 // NoteRefusal records that a request was refused for the cause, which is held for as long as such requests come.
 func (tb *Table) NoteRefusal(now time.Time, ca *Cause) { tb.refusedAt[ca.Key()] = now }
 
--- a/internal/core/parts.go
+++ b/internal/core/parts.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"iter"
 	"strconv"
 	"time"
 
@@ -72,25 +73,24 @@
 	return names
 }
 
-// heldByCause reports whether the request may not be sent now because of features that may crash upstreams. Of the requests with such features
-// one runs at a time. One whose upstream has crashed waits first for others with the same features to be answered.
+// heldByCause reports whether the request may not be sent now because of features that may crash upstreams.
 func (st *State) heldByCause(req *Request) bool {
 	found := st.judgeFeatures(&req.Arrived)
 	if found.Cause == nil || found.Refused {
 		return false
 	}
-	if st.now.Sub(req.diedAt) < cause.DoubtTime && found.Cause.Holds(req.Features) {
-		return true
-	}
-	if st.now.Sub(found.Cause.First) < causeRules.MinSpan {
-		return false
-	}
-	for _, other := range st.Requests {
-		if other != req && other.Phase == PhaseRunning && !st.isProven(other) && found.Cause.Touches(other.Features) {
-			return true
+	return st.quarantine.causes.MustWait(st.now, req.diedAt, found, req.Features, st.unprovenFeatures(req))
+}
+
+// unprovenFeatures yields the features of the other requests under way whose answers have not gone on for long enough.
+func (st *State) unprovenFeatures(req *Request) iter.Seq[[]cause.Feature] {
+	return func(yield func(features []cause.Feature) bool) {
+		for _, other := range st.Requests {
+			if other != req && other.Phase == PhaseRunning && !st.isProven(other) && !yield(other.Features) {
+				return
+			}
 		}
 	}
-	return false
 }
 
 // isProven reports whether the answer of the attempt under way has gone on for so long that it does not crash the upstream.
--- a/internal/steer/parts.go
+++ b/internal/steer/parts.go
@@ -1,6 +1,7 @@
 package steer
 
 import (
+	"iter"
 	"maps"
 	"slices"
 	"time"
@@ -81,29 +82,24 @@
 	st.emit(LogLine{Message: "part of prompts tried", Request: req.Name, Parts: found.Cause.Features, Crashes: found.Cause.Crashes, Age: st.now.Sub(found.Cause.Last)})
 }
 
-// heldByCause reports whether the request may not be sent now because of parts that may crash replicas. Of the requests with such parts one
-// runs at a time, and shows whether it does. One whose replica has crashed waits until that is known of others first: if it is the cause, it
-// would take the next replica down.
+// heldByCause reports whether the request may not be sent now because of parts that may crash replicas.
 func (st *State) heldByCause(req *request) bool {
 	found := st.judgeParts(req)
 	if found.Cause == nil || req.trial {
 		return false
 	}
-	if found.Refused {
-		return true
-	}
-	if st.now.Sub(req.diedAt) < cause.DoubtTime && found.Cause.Holds(req.Parts) {
-		return true
-	}
-	if st.now.Sub(found.Cause.First) < causeRules.MinSpan {
-		return false
-	}
-	for _, other := range st.requests {
-		if other != req && !other.proven && (other.running || other.claiming) && found.Cause.Touches(other.Parts) {
-			return true
+	return found.Refused || st.causes.MustWait(st.now, req.diedAt, found, req.Parts, st.unprovenParts(req))
+}
+
+// unprovenParts yields the parts of the other requests under way whose answers have not gone on for long enough.
+func (st *State) unprovenParts(req *request) iter.Seq[[]Part] {
+	return func(yield func(parts []Part) bool) {
+		for _, other := range st.requests {
+			if other != req && !other.proven && (other.running || other.claiming) && !yield(other.Parts) {
+				return
+			}
 		}
 	}
-	return false
 }
 
 // proveParts clears the parts of a prompt whose answer has gone on for long enough.
