--- a/internal/core/path_test.go
+++ b/internal/core/path_test.go
@@ -89,7 +89,7 @@
 	// A whole failure domain has lost its path. With few requests at an instance, each must not ask all of the domain again.
 	in := newForwardingAmong(t, 20)
 	in.losePath()
-	var vain []int
+	var refusals []int
 	for range 100 {
 		asked := 0
 		for {
@@ -101,11 +101,11 @@
 			asked++
 			in.reduce(event.ForwardFailed{Instance: to.Name, Service: "lyric", NoPath: true})
 		}
-		vain = append(vain, asked)
+		refusals = append(refusals, asked)
 		in.now = in.now.Add(700 * time.Millisecond)
 	}
-	slices.Sort(vain)
-	assert.Assert(t, vain[95] <= 3, "%v", vain)
+	slices.Sort(refusals)
+	assert.Assert(t, refusals[95] <= 3, "%v", refusals)
 }
 
 func TestCallersAreRefusedAtOnceIfNoInstanceTakesRequests(t *testing.T) {
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -63,6 +63,7 @@
 	addString(entry, "Service", line.Service)
 	addString(entry, "Via", line.Via)
 	addString(entry, "Invalid", line.Invalid)
+	addString(entry, "Cause", line.Cause)
 	addString(entry, "Send", line.Send)
 	if len(line.PassedOver) > 0 {
 		entry.Strs("PassedOver", line.PassedOver)
--- a/internal/steer/effect.go
+++ b/internal/steer/effect.go
@@ -169,6 +169,8 @@
 	Wrote time.Duration
 	// Invalid quotes an announcement whose value cannot be used.
 	Invalid string
+	// Cause is why another instance did not pass a message on.
+	Cause string
 	// Budget is what a decision about a repeat was based on.
 	Budget *budget.Use
 	// End is set on the last line of a request that was admitted.
--- a/internal/steer/fleet_test.go
+++ b/internal/steer/fleet_test.go
@@ -56,9 +56,9 @@
 	endAt time.Time
 	// service is the name of the service.
 	service string
-	// vain counts the instances that did not pass the request on.
-	vain    int
-	refusal *steer.Refusal
+	// refusals counts the instances that did not pass the request on.
+	refusals int
+	refusal  *steer.Refusal
 	// beganAt is when the answer began, zero if it did not.
 	beganAt time.Time
 	// done reports whether the instance has finished the request, and left whether the caller left before.
@@ -293,7 +293,7 @@
 
 // refused tells the node that the peer passes its message not on.
 func (fl *fleet) refused(node, peer *fleetNode, eff steer.Send, ended steer.AttemptEnded, verdict steer.Verdict) {
-	fl.vain(eff.ID)
+	fl.countRefusal(eff.ID)
 	ev := steer.DetourFailed{Instance: peer.name, Service: eff.Replica.Service, Cause: steer.DetourNoPath}
 	if !verdict.NoPath {
 		ev.Replica, ev.Cause = eff.Replica.Name, steer.DetourHeldBack
@@ -303,7 +303,7 @@
 	fl.end(node, ended)
 }
 
-func (fl *fleet) vain(id steer.RequestID) { fl.requests[id].vain++ }
+func (fl *fleet) countRefusal(id steer.RequestID) { fl.requests[id].refusals++ }
 
 func (fl *fleet) finish(eff steer.Finish) {
 	req := fl.requests[eff.ID]
@@ -422,16 +422,16 @@
 	if size-len(cut) <= 2 {
 		allowed = 0.85
 	}
-	vain := fl.vainOf(from, to)
+	refusals := fl.refusalsOf(from, to)
 	avoided, lostByAll := 0, 0
 	for _, node := range fl.nodes {
 		avoided = max(avoided, node.avoidedByReport)
 		lostByAll += node.lostByAll
 	}
-	t.Logf("%d of %d cut off: served %.3f of %d, others %.3f; asked in vain %d (95 in 100); avoided by report %d at most; lost by all %d",
-		len(cut), size, behind, number, others, vain, avoided, lostByAll)
+	t.Logf("%d of %d cut off: served %.3f of %d, others %.3f; refusals %d (95 in 100); avoided by report %d at most; lost by all %d",
+		len(cut), size, behind, number, others, refusals, avoided, lostByAll)
 	assert.Check(t, behind >= allowed, "served %.3f", behind)
-	assert.Check(t, vain <= 3, "peers asked in vain: %d", vain)
+	assert.Check(t, refusals <= 3, "refusals: %d", refusals)
 	assert.Check(t, avoided <= 1, "replicas avoided by report: %d", avoided)
 	assert.Check(t, lostByAll == 0, "lost by all: %d", lostByAll)
 }
@@ -486,12 +486,12 @@
 	assert.Assert(t, 100*timely >= 98*number, "in time: %d of %d", timely, number)
 }
 
-// vainOf returns how many peers a request in the time asked in vain, for 95 in 100 requests.
-func (fl *fleet) vainOf(from, to time.Time) int {
+// refusalsOf returns how many instances refused to pass on a request in the time, for 95 in 100 requests.
+func (fl *fleet) refusalsOf(from, to time.Time) int {
 	counts := []int{0}
 	for _, req := range fl.requests {
 		if !req.at.Before(from) && req.at.Before(to) {
-			counts = append(counts, req.vain)
+			counts = append(counts, req.refusals)
 		}
 	}
 	slices.Sort(counts)
@@ -509,9 +509,9 @@
 	fl.advance(3 * time.Second)
 	from, to := began.Add(3*time.Second), began.Add(8*time.Second)
 	share, number := fl.served(from, to, func(req *fleetRequest) bool { return slices.Contains(fl.nodes[3:], req.node) })
-	t.Logf("served %.3f of %d, asked in vain %d", share, number, fl.vainOf(from, to))
+	t.Logf("served %.3f of %d, refusals %d", share, number, fl.refusalsOf(from, to))
 	assert.Assert(t, share >= 0.98, "served %.3f", share)
-	assert.Assert(t, fl.vainOf(from, to) <= 3)
+	assert.Assert(t, fl.refusalsOf(from, to) <= 3)
 }
 
 func TestSecondCutHitsThoseThatHelp(t *testing.T) {
@@ -527,7 +527,7 @@
 	fl.advance(3 * time.Second)
 	from, to := began.Add(3*time.Second), began.Add(8*time.Second)
 	share, number := fl.served(from, to, func(req *fleetRequest) bool { return slices.Contains(fl.nodes[3:], req.node) })
-	t.Logf("served %.3f of %d, asked in vain %d", share, number, fl.vainOf(from, to))
+	t.Logf("served %.3f of %d, refusals %d", share, number, fl.refusalsOf(from, to))
 	assert.Assert(t, share >= 0.98, "served %.3f", share)
-	assert.Assert(t, fl.vainOf(from, to) <= 3)
+	assert.Assert(t, fl.refusalsOf(from, to) <= 3)
 }
--- a/internal/steer/path.go
+++ b/internal/steer/path.go
@@ -293,7 +293,7 @@
 	case DetourUnreached:
 		st.fleet.Unreached(st.now, ev.Instance, ev.Service)
 	}
-	st.emit(LogLine{Message: "detour failed", Replica: ev.Replica, Service: ev.Service, Via: ev.Instance, Invalid: ev.Reason})
+	st.emit(LogLine{Message: "detour failed", Replica: ev.Replica, Service: ev.Service, Via: ev.Instance, Cause: ev.Reason})
 }
 
 // failedBehindDetour makes the replica unusable for a while because of what became of a message through the named instance.
