--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -193,7 +193,8 @@
 	return true, reached
 }
 
-// confirmsFailure reports whether it is the replica's fault that a new connection to it has failed: another one accepts a connection.
+// confirmsFailure reports whether it is the replica's fault that a new connection to it has failed: another one accepts a connection. It
+// returns false, too, if ctx ends before that is known.
 func (in *Instance) confirmsFailure(ctx context.Context, replica steer.Replica) bool {
 	in.apply(steer.PathObserved{Replica: replica.Name})
 	in.mu.Lock()
--- a/internal/relay/passon.go
+++ b/internal/relay/passon.go
@@ -138,7 +138,7 @@
 		pg.refuse(detourHeldBack, heldBackBy(err))
 		return
 	case isNotWritten(err):
-		if ctx.Err() == nil && !pg.in.confirmsFailure(ctx, pg.replica) {
+		if ctx.Err() == nil && !pg.in.confirmsFailure(ctx, pg.replica) && ctx.Err() == nil {
 			pg.refuse(detourRefused, reasonNoPath)
 			return
 		}
