--- a/internal/notice/notice.go
+++ b/internal/notice/notice.go
@@ -61,6 +61,10 @@
 	Returning
 	// RateLimited is an upstream that stated how many requests a second it accepts from all instances together.
 	RateLimited
+	// Warming is an upstream that is cold and accepts only so many requests a second from all instances together.
+	Warming
+	// Evacuated is an upstream in a failure domain that the operators have evacuated.
+	Evacuated
 	// Failing is an upstream that broke off, fell silent or refused a connection.
 	Failing
 	// Misdirecting is an upstream whose address another one has taken.
@@ -133,6 +137,14 @@
 		First: NeedsGrant, Retry: NeedsGrant, Resumption: NeedsGrant, Part: Held, Reservation: Held, Renewal: Allowed,
 		Release: Allowed, LoadQuery: Held, Order: Held, Probe: Allowed,
 	}},
+	Warming: {Name: "Warming", ToAll: true, Treatments: [Kinds]Treatment{
+		First: NeedsGrant, Retry: NeedsGrant, Resumption: NeedsGrant, Part: Held, Reservation: Held, Renewal: Allowed,
+		Release: Allowed, LoadQuery: Held, Order: Held, Probe: Allowed,
+	}},
+	Evacuated: {Name: "Evacuated", ToAll: true, Treatments: [Kinds]Treatment{
+		First: Held, Retry: Held, Resumption: Held, Part: Held, Reservation: Held, Renewal: Allowed, Release: Allowed,
+		LoadQuery: Held, Order: Held, Probe: Held,
+	}},
 	Failing:      failureRule("Failing"),
 	Misdirecting: failureRule("Misdirecting"),
 	Refusing:     failureRule("Refusing"),
--- a/internal/notice/parse.go
+++ b/internal/notice/parse.go
@@ -18,6 +18,10 @@
 	Leaving bool
 	// Rest is how long the upstream, which refused the request, wants no requests from this instance; 0 if it states no time.
 	Rest time.Duration
+	// ColdKnown reports whether the answer states for how long the upstream is still cold.
+	ColdKnown bool
+	// Cold is how long the upstream is still cold, if ColdKnown.
+	Cold time.Duration
 	// Invalid quotes the announcements whose value cannot be used.
 	Invalid []string
 }
@@ -28,6 +32,8 @@
 	Leaving string
 	// Limit is set to a rate limit in requests per second.
 	Limit string
+	// Cold is set to how long in ms the upstream is still cold.
+	Cold string
 }
 
 // headerRetryAfter is a time in seconds, which may have a fraction. In the 503 of an upstream it is how long the upstream wants
@@ -47,6 +53,14 @@
 			ann.Invalid = append(ann.Invalid, names.Leaving+": "+text)
 		}
 	}
+	if text := get(header, names.Cold); text != "" {
+		var millis float64
+		if millis, ann.ColdKnown = parseNumber(text); ann.ColdKnown {
+			ann.Cold = time.Duration(min(millis, float64(MaxCold.Milliseconds())) * float64(time.Millisecond))
+		} else {
+			ann.Invalid = append(ann.Invalid, names.Cold+": "+text)
+		}
+	}
 	if text := get(header, headerRetryAfter); text != "" && status == http.StatusServiceUnavailable {
 		var valid bool
 		if ann.Rest, valid = parseSeconds(text); !valid {
@@ -69,6 +83,9 @@
 // MaxRest is the longest rest, to which a longer one is cut.
 const MaxRest = 24 * time.Hour
 
+// MaxCold is the longest time for which an upstream counts as cold by one of its answers. A longer one is cut to it.
+const MaxCold = time.Hour
+
 // parseSeconds parses a time in seconds of at most MaxRest. It reports false if the text is not a finite number of at least 0,
 // as a date is not.
 func parseSeconds(text string) (period time.Duration, valid bool) {
--- a/internal/relay/ports.go
+++ b/internal/relay/ports.go
@@ -71,6 +71,8 @@
 	Peers    []Peer
 	// Quarantines are the entries about parts of prompts.
 	Quarantines []Quarantine
+	// Evacuated names the failure domains that the operators have evacuated.
+	Evacuated []string
 }
 
 // Peer is another Instance and the address at which it receives notes.
@@ -101,6 +103,15 @@
 	Routing bool `cbor:"6,keyasint,omitempty"`
 	// Quarantine was recorded.
 	Quarantine *Quarantine `cbor:"7,keyasint,omitempty"`
+	// Evacuation was begun or ended.
+	Evacuation *Evacuation `cbor:"8,keyasint,omitempty"`
+}
+
+// Evacuation is the operators' request that nothing new be sent to the replicas of a failure domain.
+type Evacuation struct {
+	FailureDomain string `cbor:"1,keyasint,omitempty"`
+	// Ended reports that the request was taken back.
+	Ended bool `cbor:"2,keyasint,omitempty"`
 }
 
 // Protocol translates the headers of requests and responses.
--- a/internal/steer/announce.go
+++ b/internal/steer/announce.go
@@ -55,6 +55,17 @@
 		inForce: func(rep *replica, _ time.Time) bool { return rep.limit != nil },
 		reason:  ReasonLimited,
 	},
+	notice.Warming: {
+		Rule:    notice.Rules[notice.Warming],
+		inForce: func(rep *replica, now time.Time) bool { return now.Before(rep.coldUntil) },
+		endsAt:  func(rep *replica) time.Time { return rep.coldUntil },
+		reason:  ReasonLimited,
+	},
+	notice.Evacuated: {
+		Rule:    notice.Rules[notice.Evacuated],
+		inForce: func(rep *replica, _ time.Time) bool { return rep.evacuated },
+		reason:  ReasonEvacuated,
+	},
 	notice.Failing:      failureRule(notice.Failing),
 	notice.Misdirecting: failureRule(notice.Misdirecting),
 	notice.Refusing:     failureRule(notice.Refusing),
@@ -244,6 +255,9 @@
 	if ann.Rest > 0 {
 		st.startRest(rep, ann.Rest)
 	}
+	if ann.ColdKnown {
+		rep.coldUntil = st.now.Add(ann.Cold)
+	}
 	for _, text := range ann.Invalid {
 		text = text[:min(len(text), maxInvalidText)]
 		if !slices.Contains(rep.invalidAnnouncements, text) && len(rep.invalidAnnouncements) < maxInvalidLines {
--- a/internal/steer/announce_test.go
+++ b/internal/steer/announce_test.go
@@ -39,6 +39,10 @@
 	notice.RateLimited: func(in *instance) {
 		in.announce("lyric-0", notice.Announced{Limited: true, PerS: 2})
 	},
+	notice.Warming: func(in *instance) {
+		in.announce("lyric-0", notice.Announced{ColdKnown: true, Cold: time.Second})
+	},
+	notice.Evacuated: func(in *instance) { in.reduce(steer.Evacuated{FailureDomains: []string{"a"}}) },
 	notice.Failing: func(in *instance) {
 		in.reduce(steer.NoteReceived{Note: steer.Note{From: "two", Run: 1, Down: []string{"lyric-0"}}})
 	},
@@ -57,6 +61,8 @@
 	notice.Resting:      {notice.Probe},
 	notice.Returning:    {notice.Renewal, notice.Release, notice.LoadQuery, notice.Order, notice.Probe},
 	notice.RateLimited:  {notice.Renewal, notice.Release, notice.Probe},
+	notice.Warming:      {notice.Renewal, notice.Release, notice.Probe},
+	notice.Evacuated:    {notice.Renewal, notice.Release},
 	notice.Failing:      {notice.Renewal, notice.Release, notice.LoadQuery, notice.Order, notice.Probe},
 	notice.Misdirecting: {notice.Renewal, notice.Release, notice.LoadQuery, notice.Order, notice.Probe},
 	notice.Refusing:     {notice.Renewal, notice.Release, notice.LoadQuery, notice.Order, notice.Probe},
--- a/internal/steer/effect.go
+++ b/internal/steer/effect.go
@@ -79,6 +79,8 @@
 	ReasonLimited Reason = "RateLimited"
 	// ReasonLeaving means that all replicas of the service leave.
 	ReasonLeaving Reason = "ReplicasLeaving"
+	// ReasonEvacuated means that the operators have evacuated the failure domains of all replicas of the service that remain.
+	ReasonEvacuated Reason = "ReplicasEvacuated"
 	// ReasonResting means that all replicas of the service have asked this instance for rest.
 	ReasonResting Reason = "ReplicasResting"
 	// ReasonNoPath means that no instance has a path to the replicas.
--- a/internal/steer/event.go
+++ b/internal/steer/event.go
@@ -143,8 +143,13 @@
 	Slots int `cbor:"6,keyasint,omitempty"`
 	// Leaving reports whether the replica is draining and must get no new requests.
 	Leaving bool `cbor:"7,keyasint,omitempty"`
+	// ColdMs is how much longer in ms the replica is cold, as of when its entry was written, or ColdUnknown.
+	ColdMs int64 `cbor:"8,keyasint,omitempty"`
 }
 
+// ColdUnknown stands for an entry that does not state how long its replica is cold.
+const ColdUnknown = -1
+
 // Listed carries the complete list of registered replicas.
 type Listed struct {
 	Replicas []Replica
@@ -190,6 +195,13 @@
 	Used int64
 }
 
+// Evacuated carries the failure domains that the operators have evacuated, all of them: nothing new is sent to their replicas.
+type Evacuated struct {
+	FailureDomains []string
+	// Revision is the revision of the list's store at which they were, for the log.
+	Revision int64
+}
+
 // ResponseReceived reports the header of a replica's answer to any kind of request.
 type ResponseReceived struct {
 	Replica string
@@ -238,6 +250,7 @@
 func (Peered) isEvent()           {}
 func (NoteReceived) isEvent()     {}
 func (LoadReported) isEvent()     {}
+func (Evacuated) isEvent()        {}
 func (ResponseReceived) isEvent() {}
 func (Sending) isEvent()          {}
 func (StoodStill) isEvent()       {}
--- a/internal/steer/grantrequest.go
+++ b/internal/steer/grantrequest.go
@@ -219,12 +219,16 @@
 	if req.grant.rep != nil {
 		return block{}, false
 	}
-	first, leaving, others := block{}, 0, 0
+	first, leaving, evacuated, others := block{}, 0, 0, 0
 	for _, rep := range st.candidates(st.serviceOf(req.service)) {
 		if rep.Leaving {
 			leaving++
 			continue
 		}
+		if rep.evacuated {
+			evacuated++
+			continue
+		}
 		others++
 		reason, until := st.availableAt(rep, req)
 		if until.Sub(st.now) <= st.maxWait(req) {
@@ -234,7 +238,10 @@
 			first = block{reason, until}
 		}
 	}
-	if leaving > 0 && others == 0 && !req.begun {
+	if leaving+evacuated > 0 && others == 0 && !req.begun {
+		if evacuated > 0 {
+			return block{reason: ReasonEvacuated}, true
+		}
 		return block{reason: ReasonLeaving}, true
 	}
 	return first, first.reason != ""
--- a/internal/steer/replica.go
+++ b/internal/steer/replica.go
@@ -81,6 +81,10 @@
 	rest notice.Rest
 	// limit is nil while the replica states no rate limit.
 	limit *rateLimit
+	// coldUntil is until when the replica is cold, zero if it is not known to have been.
+	coldUntil time.Time
+	// evacuated reports whether the operators have evacuated its failure domain.
+	evacuated bool
 	// limitEnded is when the last limit was known to be over.
 	limitEnded time.Time
 	// invalidAnnouncements holds the announcements of unusable value that were logged.
--- a/internal/steer/state.go
+++ b/internal/steer/state.go
@@ -294,6 +294,8 @@
 		st.pathObserved(ev)
 	case DetourFailed:
 		st.detourFailed(ev)
+	case Evacuated:
+		st.evacuate(ev)
 	case StoodStill:
 		st.stoodStill(ev)
 	case DeathsReceived:
--- a/pkg/decl/routing.go
+++ b/pkg/decl/routing.go
@@ -87,8 +87,21 @@
 	Connections int
 	// Engine is the declared performance of a model engine; nil for plain services.
 	Engine *Engine
+	// SlowStart is what a replica accepts while it is cold; the zero value is no limit.
+	SlowStart SlowStart
 }
 
+// SlowStart is the limit on the requests to a cold replica: one that has just started, or whose caches were dropped.
+type SlowStart struct {
+	// Duration is how long a replica is cold after its start.
+	Duration Duration
+	// PerS is how many requests a second a cold replica accepts from all instances together.
+	PerS float64
+}
+
+// Applies reports whether cold replicas have a limit.
+func (ss SlowStart) Applies() bool { return ss.Duration > 0 && ss.PerS > 0 }
+
 // Index builds the index of Find, whose time then depends on the depth of the path instead of the number of routes.
 // Operators add hundreds of routes at once. Index must be called again after Routes has changed, and not concurrently with
 // Find.
