Slots of engines that many instances use are asked for, not claimed from all

A note about each start goes to 115 instances: its copies take 8 to 9 ms to leave a link of 14 Mbit/s, while a claim waits 4 ms, and an instance has an allowance of some nine changes a second, beyond which they wait up to 0.1 s. Change: where 48 other instances or more use an engine, a request asks the one that decides on it (internal/steer/slot.go); begins and ends are reported to that one at once. The model has a rate at which notes leave an instance (LinkMbps); scenario many-instances. Failed first: TestManyInstancesFillAnEngineNoFurtherThanItsSlots (60 sends to an engine of 4 slots). Tests changed: TestStartsOnLastSlotsExceedTheMessageRate keeps its claim in a fleet below the bound; TestUrgentChangesAreNotDelayed has a case for each of claim and slot request.

--- a/internal/model/instance.go
+++ b/internal/model/instance.go
@@ -22,6 +22,8 @@
 	requests map[steer.RequestID]*request
 	lastID   steer.RequestID
 	stopped  bool
+	// linkFreeAt is when the notes sent so far have left the instance.
+	linkFreeAt time.Time
 }
 
 // request is one request of a caller to an instance.
--- a/internal/model/world.go
+++ b/internal/model/world.go
@@ -214,19 +214,43 @@
 	return ids
 }
 
+const (
+	// noteBytes is the size in bytes of a note without jobs, with the headers of its datagram.
+	noteBytes = 120
+	// jobBytes is the size in bytes of a job in a note.
+	jobBytes = 90
+	// idBytes is the size in bytes of the ID of a job that has begun or ended.
+	idBytes = 9
+)
+
+// linkDelay returns how long in ms a copy of the note waits until it has left the instance.
+func (in *instance) linkDelay(nt *steer.Note) float64 {
+	if in.wd.sc.LinkMbps == 0 {
+		return 0
+	}
+	size := noteBytes + jobBytes*(len(nt.Jobs)+len(nt.SlotRequests)) + idBytes*(len(nt.Begun)+len(nt.Ended)+len(nt.OpenJobs))
+	if in.linkFreeAt.Before(in.wd.now) {
+		in.linkFreeAt = in.wd.now
+	}
+	in.linkFreeAt = in.linkFreeAt.Add(time.Duration(float64(size) * 8000 / in.wd.sc.LinkMbps))
+	return ms(in.linkFreeAt.Sub(in.wd.now))
+}
+
 // deliverNote delivers a note to its receivers after a random delay. Each copy may be lost.
 func (wd *world) deliverNote(from *instance, eff steer.SendNote) {
 	for _, in := range wd.instances {
 		if in == nil || in == from || eff.To != nil && !slices.Contains(eff.To, in.name) {
 			continue
 		}
+		sent := from.linkDelay(&eff.Note)
 		if wd.random.Float64() < wd.sc.NoteLoss {
 			continue
 		}
 		// Each receiver gets a copy of its own, as if it decoded the note.
 		nt := eff.Note
 		nt.Jobs = slices.Clone(nt.Jobs)
-		wd.after(wd.sc.NoteDelay*(0.5+wd.random.Float64()), func() { in.reduce(steer.NoteReceived{Note: nt}) })
+		nt.SlotRequests = slices.Clone(nt.SlotRequests)
+		wd.after(sent+wd.sc.NoteDelay*(0.5+wd.random.Float64()), func() { in.reduce(steer.NoteReceived{Note: nt}) })
 	}
 }
 
--- a/internal/steer/batch.go
+++ b/internal/steer/batch.go
@@ -86,7 +86,8 @@
 	if req.claiming || st.readsAlone(req) {
 		maxDelay = 0
 	}
-	urgent := nearlyFull(req.reps[0])
+	// An engine whose slots are asked for is not filled beyond them, so that nobody has to learn of the start at once.
+	urgent := nearlyFull(req.reps[0]) && !st.asksForSlot(req.reps[0])
 	for _, sub := range st.audiences(req.reps) {
 		wait := st.sendDelay(sub, maxDelay)
 		if urgent && st.mayOverdraw() {
@@ -115,6 +116,7 @@
 
 // announceBegun announces that the request's answer began.
 func (st *State) announceBegun(req *request) {
+	st.notifyGranter(req, Note{Begun: []JobID{req.job}})
 	for _, sub := range st.audiences(req.reps) {
 		pend := st.pendingFor(sub, st.sendDelay(sub, maxBatchDelay))
 		pend.note.Begun = append(pend.note.Begun, req.job)
@@ -125,6 +127,7 @@
 // announceEnded announces that the request's job has ended: for a withdrawn claim without delay, and where slots are scarce
 // sooner than elsewhere, since other instances may wait for one.
 func (st *State) announceEnded(req *request) {
+	st.notifyGranter(req, Note{Ended: []JobID{req.job}})
 	maxDelay := maxEndBatchDelay
 	switch {
 	case req.claiming:
--- a/internal/steer/claim.go
+++ b/internal/steer/claim.go
@@ -44,13 +44,16 @@
 func (st *State) resolveClaims() {
 	var due []*request
 	st.claims = slices.DeleteFunc(st.claims, func(req *request) bool {
-		elapsed := st.now.Sub(req.sentAt) >= claimDelay
+		elapsed := st.now.Sub(req.sentAt) >= req.claimWait()
 		if elapsed {
 			due = append(due, req)
 		}
 		return elapsed
 	})
 	for _, req := range due {
+		if req.slot.granter != "" && !st.slotUnanswered(req) {
+			continue
+		}
 		if st.winsClaim(req) {
 			req.claiming = false
 			st.send(req)
@@ -63,19 +66,32 @@
 	}
 }
 
+// claimWait is how long the claim waits: for competing claims, or for the answer to a slot request.
+func (req *request) claimWait() time.Duration {
+	if req.slot.granter != "" {
+		return slotTimeout
+	}
+	return claimDelay
+}
+
 // withdrawClaim drops the request's claim and the booking for it.
 func (st *State) withdrawClaim(req *request) {
-	st.claims = slices.DeleteFunc(st.claims, func(other *request) bool { return other == req })
 	st.unbook(req)
+	st.dropClaim(req)
+}
+
+// dropClaim ends the request's claim and keeps its booking.
+func (st *State) dropClaim(req *request) {
+	st.claims = slices.DeleteFunc(st.claims, func(other *request) bool { return other == req })
 	req.claiming = false
 }
 
 // winsClaim reports whether the replica has a slot left for the request once all claims of higher rank have theirs.
 func (st *State) winsClaim(req *request) bool {
-	rep := req.reps[0]
-	if rep.limit != nil || st.planBlocked(req) || st.catchingUp() || st.quarantined(req) {
+	if st.claimBarred(req) {
 		return false
 	}
+	rep := req.reps[0]
 	excess := -rep.freeSlots()
 	if excess <= 0 {
 		return true
@@ -95,6 +111,11 @@
 	return outranked >= excess
 }
 
+// claimBarred reports whether the request must not be sent as it was placed, whoever has the slot.
+func (st *State) claimBarred(req *request) bool {
+	return req.reps[0].limit != nil || st.planBlocked(req) || st.catchingUp() || st.quarantined(req)
+}
+
 // planBlocked reports whether an announcement holds the request, or a part of its prompt, back from a replica of its plan.
 func (st *State) planBlocked(req *request) bool {
 	for i, rep := range req.reps {
--- a/internal/steer/note.go
+++ b/internal/steer/note.go
@@ -53,6 +53,10 @@
 	Cleared []ClearedPart `cbor:"21,keyasint,omitempty"`
 	// LostPaths names the services to which the instance has lost its path. Every note has the whole list.
 	LostPaths []string `cbor:"22,keyasint,omitempty"`
+	// SlotRequests asks the recipient for slots of engines.
+	SlotRequests []SlotRequest `cbor:"30,keyasint,omitempty"`
+	// SlotGrants answers the recipient's SlotRequests.
+	SlotGrants []SlotGrant `cbor:"31,keyasint,omitempty"`
 }
 
 // Suspicion reports the parts of a prompt that was sent to a replica that crashed.
@@ -160,6 +164,7 @@
 	dropped += dropInvalid(&nt.Limits, (*Limit).valid)
 	dropped += dropInvalid(&nt.GrantRequests, (*GrantRequest).valid)
 	dropped += dropInvalid(&nt.Grants, (*Grant).valid)
+	dropped += dropInvalid(&nt.SlotRequests, (*SlotRequest).valid)
 	dropped += dropInvalid(&nt.Departures, func(dep *Departure) bool { return dep.Replica != "" })
 	dropped += dropInvalid(&nt.GrantReturns, func(ret *GrantReturn) bool { return ret.Replica != "" })
 	return dropped, nt.From != ""
--- a/internal/steer/peer.go
+++ b/internal/steer/peer.go
@@ -151,6 +151,8 @@
 	for i := range nt.Limits {
 		st.receiveLimit(&nt.Limits[i])
 	}
+	st.receiveSlotRequests(nt.From, pr, nt.SlotRequests)
+	st.receiveSlotGrants(nt.SlotGrants)
 	st.receiveGrantRequests(nt.From, nt.GrantRequests)
 	st.receiveGrants(nt.Grants)
 	st.receiveGrantReturns(nt.From, nt.GrantReturns)
--- a/internal/steer/place.go
+++ b/internal/steer/place.go
@@ -234,10 +234,11 @@
 		if !ok {
 			continue
 		}
+		refused := st.now.Before(rep.fullUntil) || st.now.Before(req.avoidUntil[rep.Name])
 		cand := st.candidateOf(svc, req, rep)
 		// A wait for the rate limit delays the request as a longer rest of the current pass would.
 		cand.estimate.left += ms(wait)
-		cand.canAnswer = rep.running() < svc.engine.Slots && st.mayTakeSlot(rep, req, waiting)
+		cand.canAnswer = !refused && rep.running() < svc.engine.Slots && st.mayTakeSlot(rep, req, waiting)
 		engines = append(engines, cand)
 	}
 	return engines
--- a/internal/steer/queue.go
+++ b/internal/steer/queue.go
@@ -66,6 +66,9 @@
 	if pl.reps[0].limit != nil {
 		return st.requestGrant(req, pl.reps[0])
 	}
+	if st.asksForSlot(pl.reps[0]) {
+		return st.requestSlot(req, pl)
+	}
 	req.claiming = st.contested(&pl)
 	st.book(req, pl)
 	if req.claiming {
--- a/internal/steer/replica.go
+++ b/internal/steer/replica.go
@@ -81,6 +81,8 @@
 	rest notice.Rest
 	// limit is nil while the replica states no rate limit.
 	limit *rateLimit
+	// fullUntil is until when the replica is taken to have no free slot, since a slot was refused.
+	fullUntil time.Time
 	// coldUntil is until when the replica is cold, zero if it is not known to have been.
 	coldUntil time.Time
 	// evacuated reports whether the operators have evacuated its failure domain.
--- a/internal/steer/serve.go
+++ b/internal/steer/serve.go
@@ -74,13 +74,18 @@
 
 // bookCurrentJob books the plan under the current job ID, which a GrantRequest may already have used.
 func (st *State) bookCurrentJob(req *request, pl plan) {
+	st.announceStart(req, st.reserveJob(req, pl))
+}
+
+// reserveJob books the plan under the current job ID here, without an announcement.
+func (st *State) reserveJob(req *request, pl plan) Job {
 	req.plan = pl
 	req.reps = append(req.reps[:0], pl.reps...)
 	req.reservations = append(req.reservations[:0], pl.reservations...)
 	req.sentAt = st.now
 	job := req.booked(st.now)
 	st.startJob(jobKey{id: req.job}, &job)
-	st.announceStart(req, job)
+	return job
 }
 
 // jobsPerRequest is how many jobs of one request have distinct IDs. After that many jobs an ID is used again. By then, peers
@@ -91,6 +96,10 @@
 // unbook removes the request's job from its replicas and announces its end.
 func (st *State) unbook(req *request) {
 	st.endJob(jobKey{id: req.job}, req.reps)
+	if req.slot.granter != "" {
+		st.giveSlotBack(req)
+		return
+	}
 	st.announceEnded(req)
 }
 
--- a/internal/steer/state.go
+++ b/internal/steer/state.go
@@ -161,6 +161,10 @@
 	running bool
 	// claiming reports whether the request holds a claim on reps that other instances may still contest.
 	claiming bool
+	// slot is the engine's slot for which the request has asked, with an empty granter if there is none.
+	slot pendingSlot
+	// slotRefusals counts the engines at which the request was refused a slot since it began to wait.
+	slotRefusals int
 	// job identifies the current grant request, claim or attempt.
 	job JobID
 	// jobs counts the jobs of the request so far.
