Evacuations are followed, kept over a return of the store, and heeded in subsets and paths

Replicas of evacuated failure domains are in no subset, are no candidates and say nothing of paths; the instances there are hosted by the other failure domains by a hash of their names. A configuration that cannot be decoded is logged.

--- a/internal/paths/paths.go
+++ b/internal/paths/paths.go
@@ -212,3 +212,15 @@
 	pa.probe(now, left...)
 	return left
 }
+
+// Forget removes the upstream, which is not used any more, from what shows whether the path is lost. upstreams are those left. It reports
+// whether the path is regained by that.
+func (pa *Path) Forget(now time.Time, upstream string, upstreams []string) bool {
+	for _, times := range []map[string]time.Time{pa.failed, pa.probedAt} {
+		delete(times, upstream)
+	}
+	for _, marks := range []map[string]bool{pa.reached, pa.dead} {
+		delete(marks, upstream)
+	}
+	return pa.Lost() && (len(upstreams) == 0 || len(pa.reached) > 0) && pa.endIfWhole(now, upstreams)
+}
--- a/internal/relay/confirm.go
+++ b/internal/relay/confirm.go
@@ -18,7 +18,7 @@
 // Since of the Era.
 type confirmRequest struct {
 	// Nonce identifies the request. A request without one is answered by an announcement, and only if the recipient has a later
-	// configuration in force.
+	// configuration in force or keeps an evacuation that the store has lost.
 	Nonce uint64 `cbor:"1,keyasint,omitempty"`
 	Since int64  `cbor:"2,keyasint,omitempty"`
 	// Era is missing in requests of instances whose version knows no eras.
@@ -48,6 +48,8 @@
 	Era int64 `cbor:"6,keyasint,omitempty"`
 	// Version is the version of the configuration in force at the sender.
 	Version int64 `cbor:"7,keyasint,omitempty"`
+	// Kept are the evacuations in force at the sender that the store has lost.
+	Kept []keptEvacuation `cbor:"8,keyasint,omitempty"`
 }
 
 // position returns the position that the sender has reached.
@@ -101,7 +103,7 @@
 	if gs.in.missesReturn(req.since(), req.Version) {
 		trySend(gs.newPositions, to)
 	}
-	if req.Nonce == 0 && req.Version < gs.in.version() {
+	if req.Nonce == 0 && (req.Version < gs.in.version() || len(gs.in.kept()) > 0) {
 		gs.writeDatagram(gs.encode(gs.announcement()), to)
 	}
 	if req.Nonce == 0 || gs.in.confirmed.Load() == 0 {
@@ -110,7 +112,7 @@
 	// The position is read after the age: in between it can only become newer than what the age proves. The version is read
 	// before the position, which follows it.
 	age := gs.in.confirmedAge()
-	conf := confirmation{Nonce: req.Nonce, AgeMs: age.Milliseconds() + 1, Version: gs.in.version()}
+	conf := confirmation{Nonce: req.Nonce, AgeMs: age.Milliseconds() + 1, Version: gs.in.version(), Kept: gs.in.kept()}
 	since := req.since()
 	if since.Era == 0 {
 		// An instance whose version knows no eras takes its revision for one of this era.
@@ -199,7 +201,7 @@
 func (gs *gossip) announcement() packet {
 	version := gs.in.version()
 	at := gs.in.changes.position()
-	return packet{Confirmation: &confirmation{Revision: at.Revision, Era: at.Era, Version: version}}
+	return packet{Confirmation: &confirmation{Revision: at.Revision, Era: at.Era, Version: version, Kept: gs.in.kept()}}
 }
 
 // announcePosition sends the current position to all other instances. One that misses it learns of it by its next
--- a/internal/relay/entries.go
+++ b/internal/relay/entries.go
@@ -15,6 +15,8 @@
 	mu       sync.Mutex
 	replicas map[string]steer.Replica
 	peers    map[string]Peer
+	// evacuated holds the evacuated failure domains that the store names, sorted.
+	evacuated []string
 }
 
 // replace replaces all entries.
@@ -49,9 +51,35 @@
 	}
 }
 
+// setEvacuated replaces the evacuated failure domains.
+func (ent *entries) setEvacuated(names []string) {
+	ent.mu.Lock()
+	defer ent.mu.Unlock()
+	ent.evacuated = names
+}
+
+// isEvacuated reports whether the store names the failure domain as evacuated.
+func (ent *entries) isEvacuated(name string) bool {
+	ent.mu.Lock()
+	defer ent.mu.Unlock()
+	return slices.Contains(ent.evacuated, name)
+}
+
+// hasReplicaIn reports whether a replica is registered in the failure domain.
+func (ent *entries) hasReplicaIn(name string) bool {
+	ent.mu.Lock()
+	defer ent.mu.Unlock()
+	for _, rep := range ent.replicas {
+		if rep.FailureDomain == name {
+			return true
+		}
+	}
+	return false
+}
+
 // lists returns all entries.
-func (ent *entries) lists() (replicas []steer.Replica, peers []Peer) {
+func (ent *entries) lists() (replicas []steer.Replica, peers []Peer, evacuated []string) {
 	ent.mu.Lock()
 	defer ent.mu.Unlock()
-	return slices.Collect(maps.Values(ent.replicas)), slices.Collect(maps.Values(ent.peers))
+	return slices.Collect(maps.Values(ent.replicas)), slices.Collect(maps.Values(ent.peers)), ent.evacuated
 }
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -185,8 +185,8 @@
 	if !ok {
 		return true, true
 	}
-	reached := !in.refusesConnections(ctx, witness)
-	if ctx.Err() != nil {
+	reached, known := in.probe(ctx, witness)
+	if !known {
 		return true, false
 	}
 	in.apply(steer.PathObserved{Replica: witness.Name, Reached: reached})
@@ -203,8 +203,8 @@
 	if !ok {
 		return false
 	}
-	reached := !in.refusesConnections(ctx, witness)
-	if ctx.Err() != nil {
+	reached, known := in.probe(ctx, witness)
+	if !known {
 		return false
 	}
 	in.apply(steer.PathObserved{Replica: witness.Name, Reached: reached})
@@ -215,7 +215,10 @@
 func (in *Instance) probePaths(eff steer.ProbePaths) {
 	for _, replica := range eff.Replicas {
 		in.background.Go(func() {
-			reached := !in.refusesConnections(context.Background(), replica)
+			reached, known := in.probe(context.Background(), replica)
+			if !known {
+				return
+			}
 			in.count("Paths.Probes")
 			in.apply(steer.PathObserved{Replica: replica.Name, Reached: reached})
 		})
@@ -225,13 +228,20 @@
 // refusesConnections reports whether the replica fails to accept a new connection within probeTimeout. It returns false
 // if ctx ends first or if the probe is held back.
 func (in *Instance) refusesConnections(ctx context.Context, replica steer.Replica) bool {
+	reached, known := in.probe(ctx, replica)
+	return known && !reached
+}
+
+// probe reports whether the replica accepts a new connection within probeTimeout. known is false if ctx ends first or if the probe is held
+// back, so that nothing follows from it.
+func (in *Instance) probe(ctx context.Context, replica steer.Replica) (reached, known bool) {
 	if _, err := in.checkMessage(message{to: steer.Target{Replica: replica, Kind: notice.Probe}}, false); err != nil {
-		return false
+		return false, false
 	}
 	conn, err := newDialer(in.opts.Dial, probeTimeout)(ctx, "tcp", replica.Address)
 	if err != nil {
-		return ctx.Err() == nil
+		return false, ctx.Err() == nil
 	}
 	_ = conn.Close()
-	return false
+	return true, true
 }
--- a/internal/relay/follow.go
+++ b/internal/relay/follow.go
@@ -68,6 +68,10 @@
 	askedForVersions bool
 	// lastReturn is the position at which the return was noticed.
 	lastReturn posit.Position
+	// evacuations are the evacuated failure domains.
+	evacuations evacuations
+	// lastUndecodable is the error that was logged last for a configuration that cannot be decoded.
+	lastUndecodable string
 }
 
 func (fl *follower) run(ctx context.Context) error {
@@ -82,6 +86,7 @@
 			pause = fl.syncFromPeer(ctx, from)
 		}
 		timer.Stop()
+		fl.dropLostEvacuations()
 	}
 	return ctx.Err()
 }
--- a/internal/relay/followpeers.go
+++ b/internal/relay/followpeers.go
@@ -70,6 +70,7 @@
 			return false
 		}
 		fl.adoptConfiguration(ctx, from, &conf)
+		fl.adoptEvacuations(from, &conf)
 		if fl.acceptConfirmation(requestedAt, &conf) {
 			return true
 		}
--- a/internal/relay/gossip.go
+++ b/internal/relay/gossip.go
@@ -213,7 +213,7 @@
 	case pk.Request != nil:
 		gs.handleConfirmRequest(*pk.Request, from)
 	case pk.Confirmation != nil && pk.Confirmation.Nonce == 0:
-		if gs.in.isBehind(pk.Confirmation.position(), pk.Confirmation.Version) {
+		if gs.in.isBehind(pk.Confirmation.position(), pk.Confirmation.Version) || gs.in.missesEvacuation(pk.Confirmation.Kept) {
 			trySend(gs.newPositions, from)
 		}
 	case pk.Confirmation != nil:
--- a/internal/relay/instance.go
+++ b/internal/relay/instance.go
@@ -89,8 +89,10 @@
 	// changes holds the revision of the Directory that is in use and the last changes up to it.
 	changes changeLog
 	// entries holds the entries of the Directory in use.
-	entries  entries
-	draining atomic.Bool
+	entries entries
+	// keptEvacuations holds until when those evacuations stay in force that the store has lost, nil before the first read of the Directory.
+	keptEvacuations atomic.Pointer[map[string]time.Time]
+	draining        atomic.Bool
 	// detours is the number of messages that are being passed on for other instances.
 	detours atomic.Int64
 	// detourBytes is the size in bytes of these messages.
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -64,6 +64,13 @@
 	addString(entry, "Via", line.Via)
 	addString(entry, "Invalid", line.Invalid)
 	addString(entry, "Cause", line.Cause)
+	addString(entry, "FailureDomain", line.FailureDomain)
+	if line.Revision > 0 {
+		entry.Int64("Revision", line.Revision)
+	}
+	if line.Replicas > 0 {
+		entry.Int("Replicas", line.Replicas)
+	}
 	addString(entry, "Send", line.Send)
 	if len(line.PassedOver) > 0 {
 		entry.Strs("PassedOver", line.PassedOver)
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -39,6 +39,7 @@
 	in.updateRepeatMetrics()
 	in.updatePathMetrics()
 	in.updateQuarantineMetrics()
+	in.updateEvacuationMetrics()
 	in.gauge("Responses.BufferedBytes", in.buffers.bytes.Load())
 	in.gauge("Log.Dropped", in.dropped())
 	in.gauge("Process.Goroutines", int64(runtime.NumGoroutine()))
--- a/internal/relay/ports.go
+++ b/internal/relay/ports.go
@@ -23,6 +23,8 @@
 	BadOption = Errors.NewType("bad_option")
 	// OrderFailed reports that a replica or another Instance did not carry out a request of this Instance.
 	OrderFailed = Errors.NewType("order_failed")
+	// UndecodableConfig reports that the Directory holds a configuration that cannot be decoded.
+	UndecodableConfig = Errors.NewType("undecodable_config")
 )
 
 // Directory is the store that holds the configuration, the replicas and the other instances.
@@ -37,7 +39,7 @@
 	// after the returned position.
 	Changes(ctx context.Context, after posit.Position) ([]Change, posit.Position, error)
 	// Routing returns the configuration as of the given position or a later one of the same era. A stale read costs the
-	// store little, and may fail because it is too old.
+	// store little, and may fail because it is too old. The error is UndecodableConfig if the configuration cannot be decoded.
 	Routing(ctx context.Context, stale bool, atLeast posit.Position) (*decl.Routing, error)
 	// Announce registers this Instance until the TTL expires; announcing again renews it. A nonzero peer.Lease.ID is the
 	// lease of an existing entry with the same contents, which is renewed instead of being written again.
@@ -66,9 +68,11 @@
 	// page's.
 	Position posit.Position
 	// Routing is nil if there is no readable configuration.
-	Routing  *decl.Routing
-	Replicas []steer.Replica
-	Peers    []Peer
+	Routing *decl.Routing
+	// RoutingError is an UndecodableConfig if there is a configuration that cannot be decoded.
+	RoutingError error
+	Replicas     []steer.Replica
+	Peers        []Peer
 	// Quarantines are the entries about parts of prompts.
 	Quarantines []Quarantine
 	// Evacuated names the failure domains that the operators have evacuated.
--- a/internal/relay/return_test.go
+++ b/internal/relay/return_test.go
@@ -179,7 +179,7 @@
 		copies := []kept{copyNow()}
 		inForce := make([]int64, len(ins))
 		check := func(i int) {
-			replicas, _ := ins[i].entries.lists()
+			replicas, _, _ := ins[i].entries.lists()
 			assert.Equal(rt, len(replicas), len(dir.snap.Replicas))
 			for _, rep := range dir.snap.Replicas {
 				assert.Assert(rt, slices.Contains(replicas, rep), rep.Name)
--- a/internal/relay/share.go
+++ b/internal/relay/share.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/joomcode/errorx"
 
 	"dandelionsail.example/dandelionsail/internal/posit"
 	"dandelionsail.example/dandelionsail/internal/steer"
@@ -28,6 +29,8 @@
 	Era      int64           `cbor:"3,keyasint,omitempty"`
 	Replicas []steer.Replica `cbor:"4,keyasint,omitempty"`
 	Peers    []Peer          `cbor:"5,keyasint,omitempty"`
+	// Evacuated names the failure domains that the operators have evacuated, as the store does.
+	Evacuated []string `cbor:"6,keyasint,omitempty"`
 }
 
 // position returns the position up to which all changes are in the state.
@@ -58,8 +61,8 @@
 func (in *Instance) serveDirectory(w http.ResponseWriter, _ *http.Request) {
 	// The position is read first: in between the contents can only become newer, and the changes after it are applied again.
 	at := in.changes.position()
-	replicas, peers := in.entries.lists()
-	in.serveShared(w, "Peers.DirectoriesShared", sharedState{Era: at.Era, Revision: at.Revision, Replicas: replicas, Peers: peers})
+	replicas, peers, evacuated := in.entries.lists()
+	in.serveShared(w, "Peers.DirectoriesShared", sharedState{Era: at.Era, Revision: at.Revision, Replicas: replicas, Peers: peers, Evacuated: evacuated})
 }
 
 // serveShared responds with the state and the configuration in force, and counts the response.
@@ -98,7 +101,7 @@
 	if at := shared.position(); at.Before(atLeast) {
 		return Snapshot{}, OrderFailed.New("relay: the instance at %s sent the directory of %s instead of %s; it is requested again", from, at, atLeast)
 	}
-	return Snapshot{Position: shared.position(), Routing: shared.Routing, Replicas: shared.Replicas, Peers: shared.Peers}, nil
+	return Snapshot{Position: shared.position(), Routing: shared.Routing, Replicas: shared.Replicas, Peers: shared.Peers, Evacuated: shared.Evacuated}, nil
 }
 
 // fetchShared returns what the Instance at the address serves to its peers under the path.
@@ -127,7 +130,7 @@
 
 // routingAt returns the configuration as of the position or later: from the store, whose stale reads cost little, or
 // from the Instance that announced it. That Instance is asked first while the store rejects this one. from is nil if
-// the store itself announced the position.
+// the store itself announced the position. The result is nil if the configuration cannot be decoded, so that the last one stays in use.
 func (fl *follower) routingAt(ctx context.Context, from *net.UDPAddr, atLeast posit.Position) (*decl.Routing, error) {
 	if from != nil && time.Since(fl.routingFailedAt) < refusalCooldown {
 		if routing, err := fl.in.fetchRouting(ctx, from, atLeast); err == nil {
@@ -138,9 +141,14 @@
 	defer cancel()
 	fl.in.count("Store.Configurations")
 	routing, err := fl.in.directory.Routing(limited, fl.trustsStaleReads(), atLeast)
-	if err != nil && fl.trustsStaleReads() {
+	if err != nil && !isUndecodable(err) && fl.trustsStaleReads() {
 		routing, err = fl.in.directory.Routing(limited, false, atLeast)
 	}
+	if isUndecodable(err) {
+		// No other instance can decode it either.
+		fl.logUndecodable(err, atLeast)
+		return nil, nil
+	}
 	if err == nil || from == nil {
 		return routing, err
 	}
@@ -148,3 +156,21 @@
 	withPosition(fl.in.log.Info().Err(err), atLeast).Msg("reading the configuration from the store failed; fetching it from the instance that announced it")
 	return fl.in.fetchRouting(ctx, from, atLeast)
 }
+
+// isUndecodable reports whether the error says that the store's configuration cannot be decoded.
+func isUndecodable(err error) bool { return errorx.IsOfType(err, UndecodableConfig) }
+
+// logUndecodable logs, once for each such configuration, that the store's cannot be decoded. at is where it was read.
+func (fl *follower) logUndecodable(err error, at posit.Position) {
+	if err == nil || err.Error() == fl.lastUndecodable {
+		return
+	}
+	fl.lastUndecodable = err.Error()
+	fl.in.count("Config.Undecodable")
+	line := withPosition(fl.in.log.Error().Err(err), at)
+	if !fl.in.configured() {
+		line.Msg("configuration in the store cannot be decoded; there is none to use")
+		return
+	}
+	line.Int64("Version", fl.in.version()).Msg("configuration in the store cannot be decoded; the last one stays in use")
+}
--- a/internal/relay/update.go
+++ b/internal/relay/update.go
@@ -129,15 +129,19 @@
 	}
 	fl.loaded = true
 	fl.in.entries.replace(snap.Replicas, snap.Peers)
+	// Before the replicas are listed, so that nothing is placed at those of an evacuated failure domain in between.
+	fl.replaceEvacuations(snap.Evacuated, snap.Position, returned)
 	if snap.Position != have {
 		fl.in.changes.reset(snap.Position)
 	}
 	for i := range snap.Quarantines {
 		fl.in.applyQuarantine(&snap.Quarantines[i])
 	}
+	fl.logUndecodable(snap.RoutingError, snap.Position)
 	fl.in.install(snap.Routing)
 	fl.in.setPeers(fl.knownPeers())
 	fl.in.apply(steer.Listed{Replicas: snap.Replicas, AfterOutage: fl.storeDown || returned, FromCopy: returned})
+	fl.warnOfUnknownDomains(snap.Position)
 }
 
 // reportOwnEntry hands announce this Instance's entry, with its lease if the directory holds the entry with the same address
@@ -183,6 +187,10 @@
 		all.Replicas = append(all.Replicas, page.Replicas...)
 		all.Peers = append(all.Peers, page.Peers...)
 		all.Quarantines = append(all.Quarantines, page.Quarantines...)
+		all.Evacuated = append(all.Evacuated, page.Evacuated...)
+		if page.RoutingError != nil {
+			all.RoutingError = page.RoutingError
+		}
 		if next == "" {
 			return all, nil
 		}
@@ -200,6 +208,8 @@
 // only some of the changes would count as complete. The changes come from the Instance at the address, or from the
 // store if from is nil.
 func (fl *follower) applyChanges(ctx context.Context, from *net.UDPAddr, changes []Change, upTo posit.Position) error {
+	// Evacuations come first: they must not wait until the configuration can be read.
+	fl.applyEvacuations(changes, upTo, from)
 	listChanged, peersChanged, configuredAt := fl.classify(changes, upTo)
 	if configuredAt != nil {
 		routing, err := fl.routingAt(ctx, from, *configuredAt)
@@ -219,6 +229,7 @@
 	fl.in.entries.apply(changes)
 	fl.in.changes.add(changes, upTo)
 	fl.in.apply(listChanged)
+	fl.warnOfUnknownDomains(upTo)
 	return nil
 }
 
--- a/internal/steer/announce.go
+++ b/internal/steer/announce.go
@@ -313,7 +313,9 @@
 // of replicas, for the log. Failures that another instance reported are counted apart.
 func (st *State) passedOver(service string) []string {
 	var counts, reported [notice.Announcements]int
-	for _, rep := range st.candidates(st.serviceOf(service)) {
+	svc := st.serviceOf(service)
+	counts[notice.Evacuated] = len(svc.replicas) - len(st.inUse(svc))
+	for _, rep := range st.candidates(svc) {
 		ann := rep.blockedBy(notice.First, st.now)
 		if announcementRules[ann].failure && rep.downReporter != "" {
 			reported[ann]++
--- a/internal/steer/batch.go
+++ b/internal/steer/batch.go
@@ -177,6 +177,14 @@
 	return pend
 }
 
+// flushAll sends all notes that are being batched.
+func (st *State) flushAll() {
+	for _, pend := range st.outbox {
+		pend.due = st.now
+	}
+	st.flushOutbox()
+}
+
 // flushOutbox sends the notes that are due, and asks for a wake-up when the next one is.
 func (st *State) flushOutbox() {
 	next := time.Time{}
--- a/internal/steer/effect.go
+++ b/internal/steer/effect.go
@@ -171,6 +171,12 @@
 	Wrote time.Duration
 	// Invalid quotes an announcement whose value cannot be used.
 	Invalid string
+	// FailureDomain is the failure domain that the operators have evacuated.
+	FailureDomain string
+	// Revision is the store's revision at which it was read.
+	Revision int64
+	// Replicas is the number of replicas that the decision affects.
+	Replicas int
 	// Cause is why another instance did not pass a message on.
 	Cause string
 	// Budget is what a decision about a repeat was based on.
--- a/internal/steer/evacuate.go
+++ b/internal/steer/evacuate.go
@@ -1,14 +1,180 @@
 package steer
 
-import "slices"
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // Evacuation of failure domains. Load pattern: the operators empty a failure domain at the peak, and its callers and work move to the
-// others at once; later they bring it back, perhaps with replicas that have become cold.
+// others at once; later they bring it back, perhaps with replicas that have become cold. The replicas of an evacuated failure domain
+// stay registered, but they are in no subset and are no candidates, and notice.Evacuated holds back what is decided already.
+
+// evacuations is what this instance knows of the evacuated failure domains.
+type evacuations struct {
+	// since holds, by failure domain, when the evacuation came into force here.
+	since map[string]time.Time
+	// hosts caches the failure domains over which the instances of the evacuated ones are distributed, sorted; nil until it is computed.
+	hosts []string
+}
 
-// evacuate applies the set of evacuated failure domains.
+// has reports whether the failure domain is evacuated.
+func (evs *evacuations) has(domain string) bool {
+	_, ok := evs.since[domain]
+	return ok
+}
+
+// evacuate applies the set of evacuated failure domains. What has been placed in one of them and not been sent is placed anew with its
+// own time, and the new users of each subset learn the load of this instance without waiting for its next summary.
 func (st *State) evacuate(ev Evacuated) {
-	for _, rep := range st.replicas {
-		rep.evacuated = slices.Contains(ev.FailureDomains, rep.FailureDomain)
+	before := st.evacuations.since
+	since := make(map[string]time.Time, len(ev.FailureDomains))
+	for _, domain := range ev.FailureDomains {
+		at, ok := before[domain]
+		if !ok {
+			at = st.now
+		}
+		since[domain] = at
 	}
+	if maps.EqualFunc(before, since, func(_, _ time.Time) bool { return true }) {
+		return
+	}
+	st.flushAll()
+	st.evacuations.since = since
+	st.resetSubsets()
+	st.logEvacuations(before, ev.Revision)
+	var left []*replica
+	for _, name := range slices.Sorted(maps.Keys(st.replicas)) {
+		rep := st.replicas[name]
+		was := rep.evacuated
+		rep.evacuated = st.evacuations.has(rep.FailureDomain)
+		switch {
+		case rep.evacuated && !was:
+			left = append(left, rep)
+		case was && !rep.evacuated:
+			st.warmAfterEvacuation(rep)
+		}
+	}
+	for _, rep := range left {
+		st.forgetPath(rep)
+	}
+	st.withdrawBlockedClaims()
 	st.dispatch()
+	st.expire()
+	st.sendSummaries()
+}
+
+// logEvacuations logs which evacuations have come into force and which have ended since the set before.
+func (st *State) logEvacuations(before map[string]time.Time, revision int64) {
+	now, replicas := st.evacuations.since, st.EvacuatedReplicas()
+	for _, domain := range slices.Sorted(maps.Keys(now)) {
+		if _, ok := before[domain]; !ok {
+			st.emit(LogLine{Message: "evacuation in force", FailureDomain: domain, Revision: revision, Replicas: replicas[domain]})
+		}
+	}
+	for _, domain := range slices.Sorted(maps.Keys(before)) {
+		if _, ok := now[domain]; !ok {
+			st.emit(LogLine{Message: "evacuation ended", FailureDomain: domain, Revision: revision, Age: st.now.Sub(before[domain])})
+		}
+	}
+}
+
+// EvacuatedReplicas returns the number of registered replicas in each evacuated failure domain.
+func (st *State) EvacuatedReplicas() map[string]int {
+	counts := make(map[string]int, len(st.evacuations.since))
+	for domain := range st.evacuations.since {
+		counts[domain] = 0
+	}
+	for _, rep := range st.replicas {
+		if !rep.gone && st.evacuations.has(rep.FailureDomain) {
+			counts[rep.FailureDomain]++
+		}
+	}
+	return counts
+}
+
+// warmAfterEvacuation treats the replica as cold from the end of the evacuation on, since it had no requests meanwhile.
+func (st *State) warmAfterEvacuation(rep *replica) {
+	if st.Routing == nil {
+		return
+	}
+	if ss := st.Routing.Services[rep.Service].SlowStart; ss.Applies() {
+		rep.coldUntil = later(rep.coldUntil, st.now.Add(ss.Duration.Std()))
+	}
+}
+
+// forgetPath removes the replica from what shows whether the path to its service is lost.
+func (st *State) forgetPath(rep *replica) {
+	rep.unconfirmed = false
+	svc := st.serviceOf(rep.Service)
+	lostAt := svc.path.LostAt
+	if svc.path.Forget(st.now, rep.Name, st.candidateNames(svc)) {
+		st.regained(svc, lostAt)
+	}
+}
+
+// withdrawBlockedClaims withdraws the claims on slots of replicas to which nothing may be sent any more. Their requests are placed anew.
+func (st *State) withdrawBlockedClaims() {
+	for _, req := range slices.Clone(st.claims) {
+		if st.planBlocked(req) {
+			st.emit(LogLine{Message: "claim withdrawn", Request: req.Name, Replica: req.reps[0].Name, Age: st.now.Sub(req.at)})
+			st.withdrawClaim(req)
+			st.waiting = append(st.waiting, req)
+		}
+	}
+}
+
+// inUse returns the service's replicas outside evacuated failure domains. They are cached until the replicas or the evacuations change.
+func (st *State) inUse(svc *service) []*replica {
+	if len(st.evacuations.since) == 0 {
+		return svc.replicas
+	}
+	if svc.used == nil {
+		svc.used = []*replica{}
+		for _, rep := range svc.replicas {
+			if !rep.evacuated {
+				svc.used = append(svc.used, rep)
+			}
+		}
+	}
+	return svc.used
+}
+
+// hostOf returns the failure domain whose subsets serve the named instance or replica of the given failure domain: its own, or while that
+// is evacuated one of the others, by rendezvous hashing of the name. All instances that know the same instances and evacuations
+// choose the same one, and when one more failure domain is evacuated, only those move that it hosted.
+func (st *State) hostOf(domain, name string) string {
+	if !st.evacuations.has(domain) {
+		return domain
+	}
+	best, highest := domain, uint64(0)
+	for _, host := range st.hosts() {
+		if hash := xxhash.Sum64String(name + "/" + host); hash > highest {
+			best, highest = host, hash
+		}
+	}
+	return best
+}
+
+// hosts returns the failure domains that are not evacuated and that have instances, sorted.
+func (st *State) hosts() []string {
+	if st.evacuations.hosts == nil {
+		st.evacuations.hosts = []string{}
+		for _, inst := range append([]Instance{st.self()}, st.others...) {
+			if !st.evacuations.has(inst.FailureDomain) {
+				st.evacuations.hosts = append(st.evacuations.hosts, inst.FailureDomain)
+			}
+		}
+		slices.Sort(st.evacuations.hosts)
+		st.evacuations.hosts = slices.Compact(st.evacuations.hosts)
+	}
+	return st.evacuations.hosts
+}
+
+// hosted returns the instance with the failure domain whose subsets serve it.
+func (st *State) hosted(inst Instance) Instance {
+	inst.FailureDomain = st.hostOf(inst.FailureDomain, inst.Name)
+	return inst
 }
--- a/internal/steer/grant.go
+++ b/internal/steer/grant.go
@@ -78,7 +78,7 @@
 	if svc.engine == nil {
 		return subset{}
 	}
-	return st.layoutOf(svc).ofReplica(rep)
+	return st.subsetOf(rep)
 }
 
 // granter returns the name of the instance that grants sends to the replica, as far as is known here.
--- a/internal/steer/grantrequest.go
+++ b/internal/steer/grantrequest.go
@@ -219,16 +219,14 @@
 	if req.grant.rep != nil {
 		return block{}, false
 	}
-	first, leaving, evacuated, others := block{}, 0, 0, 0
-	for _, rep := range st.candidates(st.serviceOf(req.service)) {
+	svc := st.serviceOf(req.service)
+	evacuated := len(svc.replicas) - len(st.inUse(svc))
+	first, leaving, others := block{}, 0, 0
+	for _, rep := range st.candidates(svc) {
 		if rep.Leaving {
 			leaving++
 			continue
 		}
-		if rep.evacuated {
-			evacuated++
-			continue
-		}
 		others++
 		reason, until := st.availableAt(rep, req)
 		if until.Sub(st.now) <= st.maxWait(req) {
--- a/internal/steer/list.go
+++ b/internal/steer/list.go
@@ -82,6 +82,10 @@
 			st.markLeaving(rep, sourceList)
 		}
 		item.Leaving = rep.Leaving
+		if item.FailureDomain != rep.FailureDomain && len(st.evacuations.since) > 0 {
+			rep.evacuated = st.evacuations.has(item.FailureDomain)
+			st.serviceOf(rep.Service).resetLayout()
+		}
 		rep.Replica = item
 		if rep.gone {
 			rep.gone = false
@@ -92,7 +96,7 @@
 	if ok {
 		st.detach(rep)
 	}
-	rep = &replica{Replica: item, slow: 1, announcedSlow: 1}
+	rep = &replica{Replica: item, slow: 1, announcedSlow: 1, evacuated: st.evacuations.has(item.FailureDomain)}
 	st.replicas[item.Name] = rep
 	st.addToService(rep)
 }
--- a/internal/steer/path.go
+++ b/internal/steer/path.go
@@ -60,7 +60,7 @@
 // pathObserved applies what a new connection shows of the path to the replica's service.
 func (st *State) pathObserved(ev PathObserved) {
 	rep, ok := st.replicas[ev.Replica]
-	if !ok || rep.gone {
+	if !ok || rep.gone || rep.evacuated {
 		return
 	}
 	if !ev.Reached {
@@ -109,6 +109,9 @@
 // unreachedByOthers records that another instance did not reach the replica either.
 func (st *State) unreachedByOthers(rep *replica, via string) {
 	st.failedBehindDetour(rep, "", via)
+	if rep.evacuated {
+		return
+	}
 	svc := st.serviceOf(rep.Service)
 	lostAt := svc.path.LostAt
 	if svc.path.Dead(st.now, rep.Name, st.candidateNames(svc)) {
@@ -119,6 +122,10 @@
 // unreached records that a new connection of this instance to the replica failed. It reports whether that is put down to the
 // instance's own path, which it is from the failure that makes the path count as lost.
 func (st *State) unreached(rep *replica) bool {
+	if rep.evacuated {
+		// The operators may be about to switch it off.
+		return false
+	}
 	svc := st.serviceOf(rep.Service)
 	if !svc.path.Failed(st.now, rep.Name, len(st.candidates(svc)), st.otherPathLost(svc)) {
 		st.stateLostPaths()
--- a/internal/steer/peer.go
+++ b/internal/steer/peer.go
@@ -63,13 +63,26 @@
 // use the replicas of a job receive the job. All that share this instance's engines receive a note even without jobs, as a
 // heartbeat.
 func (st *State) summarize() {
-	jobs := map[subset][]Job{}
+	kept, jobs := st.openJobs()
+	st.sumPeerDemand()
+	st.fleet.DropExpired(st.now)
+	st.summarizeLimits()
+	st.summaries++
+	if len(kept) == 0 && st.summaries%idleSummaryInterval != 0 {
+		return
+	}
+	st.sendJobs(kept, jobs)
+}
+
+// openJobs returns the jobs of this instance that have not ended, and those at the replicas of each subset. All subsets that this
+// instance uses of the engines are among them.
+func (st *State) openJobs() (kept []JobID, jobs map[subset][]Job) {
+	jobs = map[subset][]Job{}
 	for _, svc := range st.services {
 		if svc.engine != nil {
 			jobs[st.ownSubset(svc)] = nil
 		}
 	}
-	var kept []JobID
 	for _, id := range slices.Sorted(maps.Keys(st.requests)) {
 		req := st.requests[id]
 		if !req.running && !req.claiming {
@@ -83,13 +96,14 @@
 			jobs[sub] = append(jobs[sub], job)
 		}
 	}
-	st.sumPeerDemand()
-	st.fleet.DropExpired(st.now)
-	st.summarizeLimits()
-	st.summaries++
-	if len(kept) == 0 && st.summaries%idleSummaryInterval != 0 {
-		return
-	}
+	return kept, jobs
+}
+
+// sendSummaries sends the jobs of this instance at once, also if there are none.
+func (st *State) sendSummaries() { st.sendJobs(st.openJobs()) }
+
+// sendJobs sends each subset's users the jobs at its replicas, and which jobs are open in all.
+func (st *State) sendJobs(kept []JobID, jobs map[subset][]Job) {
 	for _, sub := range sortedSubsets(jobs) {
 		st.sendSummary(sub, kept, jobs[sub])
 	}
--- a/internal/steer/place.go
+++ b/internal/steer/place.go
@@ -63,6 +63,7 @@
 func (st *State) placePlain(svc *service, req *request) (plan, bool) {
 	var best *replica
 	var minCost float64
+	near := st.nearDomain()
 	for _, rep := range st.candidates(svc) {
 		if !rep.usable(st.now) || slices.Contains(req.tried, rep.Name) {
 			continue
@@ -72,7 +73,7 @@
 			continue
 		}
 		cost := float64(len(rep.works))*rep.slow + float64(rep.failures) + wait.Seconds()*waitSecondCost
-		if rep.FailureDomain != st.Options.FailureDomain {
+		if rep.FailureDomain != near {
 			cost += 0.5
 		}
 		cost += 0.1 * st.random.Float64()
--- a/internal/steer/retry.go
+++ b/internal/steer/retry.go
@@ -114,6 +114,9 @@
 		return
 	}
 	st.avoid(rep, notice.Failing)
+	if rep.evacuated {
+		return
+	}
 	rep.unconfirmed = true
 	st.probeWitness(rep)
 }
--- a/internal/steer/state.go
+++ b/internal/steer/state.go
@@ -95,6 +95,8 @@
 	longestTimeouts map[string]time.Duration
 	// missing holds, by replica name, from when on a replica that a possibly incomplete list left out is treated as gone.
 	missing map[string]time.Time
+	// evacuations holds the failure domains that the operators have evacuated.
+	evacuations evacuations
 	// heldBack holds, by replica name, the entries of replicas that were gone before the list's store returned from a copy.
 	heldBack map[string]heldEntry
 	// lastUnanswered holds, by instance name, when an instance last failed to answer a GrantRequest.
@@ -123,6 +125,8 @@
 	replicas []*replica
 	// layout is how the replicas are split into subsets, nil until it is computed.
 	layout *layout
+	// used caches the replicas outside evacuated failure domains, nil until they are computed.
+	used []*replica
 	// candidates caches the replicas of the subset that this instance uses, nil until they are computed.
 	candidates []*replica
 	// path is this instance's path to the replicas.
--- a/internal/steer/subset.go
+++ b/internal/steer/subset.go
@@ -86,9 +86,9 @@
 	return subset{domain: domain, part: partAmong(parts), parts: parts}
 }
 
-// ofReplica returns the subset that contains the replica, by a hash of its name.
-func (lay *layout) ofReplica(rep *replica) subset {
-	return lay.subsetFor(rep.FailureDomain, func(parts int) int { return int(xxhash.Sum64String(rep.Name) % uint64(parts)) })
+// ofReplica returns the subset that contains the named replica of the failure domain, by a hash of its name.
+func (lay *layout) ofReplica(name, domain string) subset {
+	return lay.subsetFor(domain, func(parts int) int { return int(xxhash.Sum64String(name) % uint64(parts)) })
 }
 
 // ofInstance returns the subset that an instance uses. It is chosen by rendezvous hashing: each subset is ranked by a hash of
@@ -117,22 +117,23 @@
 
 // newLayout computes the layout of the service. A plain service, which has no engine, is never split.
 func (st *State) newLayout(svc *service) *layout {
-	if svc.engine == nil || len(svc.replicas) < minSplitReplicas {
+	used := st.inUse(svc)
+	if svc.engine == nil || len(used) < minSplitReplicas {
 		return &layout{}
 	}
 	replicas := map[string]int{}
-	for _, rep := range svc.replicas {
+	for _, rep := range used {
 		replicas[rep.FailureDomain]++
 	}
 	instances := st.instancesByDomain()
-	if canSplitByDomain(replicas, instances, len(svc.replicas)) {
+	if canSplitByDomain(replicas, instances, len(used)) {
 		lay := &layout{byDomain: true, parts: map[string]int{}}
 		for domain, count := range replicas {
 			lay.parts[domain] = partCount(count, instances[domain])
 		}
 		return lay
 	}
-	parts := partCount(len(svc.replicas), st.live)
+	parts := partCount(len(used), st.live)
 	if parts == 1 {
 		return &layout{}
 	}
@@ -169,11 +170,11 @@
 	return parts
 }
 
-// instancesByDomain returns the number of instances in each failure domain, including this one.
+// instancesByDomain returns the number of instances that each failure domain serves, including this one.
 func (st *State) instancesByDomain() map[string]int {
-	counts := map[string]int{st.Options.FailureDomain: 1}
+	counts := map[string]int{st.hosted(st.self()).FailureDomain: 1}
 	for _, inst := range st.others {
-		counts[inst.FailureDomain]++
+		counts[st.hosted(inst).FailureDomain]++
 	}
 	return counts
 }
@@ -183,20 +184,28 @@
 }
 
 // ownSubset returns the subset of the service that this instance uses.
-func (st *State) ownSubset(svc *service) subset { return st.layoutOf(svc).ofInstance(st.self()) }
+func (st *State) ownSubset(svc *service) subset {
+	return st.layoutOf(svc).ofInstance(st.hosted(st.self()))
+}
+
+// subsetOf returns the subset that contains the replica. A replica of an evacuated failure domain is in none: the subset returned is one
+// whose users learn of its running work.
+func (st *State) subsetOf(rep *replica) subset {
+	return st.layoutOf(st.serviceOf(rep.Service)).ofReplica(rep.Name, st.hostOf(rep.FailureDomain, rep.Name))
+}
 
 // candidates returns the replicas that this instance considers for a request: those of its subset. If too few of them are
 // usable, as after the loss of a failure domain's replicas, it returns all replicas of the service.
 func (st *State) candidates(svc *service) []*replica {
 	lay := st.layoutOf(svc)
 	if lay.unsplit() {
-		return svc.replicas
+		return st.inUse(svc)
 	}
 	if svc.candidates == nil {
-		own := lay.ofInstance(st.self())
+		own := st.ownSubset(svc)
 		svc.candidates = []*replica{}
-		for _, rep := range svc.replicas {
-			if lay.ofReplica(rep) == own {
+		for _, rep := range st.inUse(svc) {
+			if st.subsetOf(rep) == own {
 				svc.candidates = append(svc.candidates, rep)
 			}
 		}
@@ -208,7 +217,7 @@
 		}
 	}
 	if usable < minUsableReplicas {
-		return svc.replicas
+		return st.inUse(svc)
 	}
 	return svc.candidates
 }
@@ -218,9 +227,18 @@
 func (st *State) audience(rep *replica) subset {
 	svc := st.serviceOf(rep.Service)
 	if svc.engine == nil && st.plainNotesStayInDomain() {
-		return subset{domain: st.Options.FailureDomain, parts: 1}
+		return subset{domain: st.nearDomain(), parts: 1}
+	}
+	return st.subsetOf(rep)
+}
+
+// nearDomain returns the failure domain whose plain replicas this instance prefers. Where notes about plain calls stay in one, it is the one
+// to which they are sent, also while this instance's own is evacuated.
+func (st *State) nearDomain() string {
+	if st.plainNotesStayInDomain() {
+		return st.hosted(st.self()).FailureDomain
 	}
-	return st.layoutOf(svc).ofReplica(rep)
+	return st.Options.FailureDomain
 }
 
 // plainNotesStayInDomain reports whether notes about calls to plain services are sent only within this instance's failure
@@ -239,7 +257,7 @@
 	lay := layout{byDomain: sub.domain != "", parts: map[string]int{sub.domain: sub.parts}}
 	names := []string{}
 	for _, inst := range st.others {
-		if lay.ofInstance(inst) == sub {
+		if lay.ofInstance(st.hosted(inst)) == sub {
 			names = append(names, inst.Name)
 		}
 	}
@@ -264,22 +282,29 @@
 	}
 	st.live = len(st.others) + 1
 	st.division.ListRead(st.now, st.otherNames, ev.Listed)
+	st.resetSubsets()
+}
+
+// resetSubsets discards all that is cached of the subsets.
+func (st *State) resetSubsets() {
+	st.evacuations.hosts = nil
 	clear(st.usersOf)
 	for _, svc := range st.services {
 		svc.resetLayout()
 	}
 }
 
-// resetLayout discards the cached layout and candidates of the service.
+// resetLayout discards the cached layout, replicas in use and candidates of the service.
 func (svc *service) resetLayout() {
 	svc.layout = nil
+	svc.used = nil
 	svc.candidates = nil
 }
 
 // queriesLoad reports whether this instance should query the replica for its load. Of the instances that use the replica's
 // subset, only the first by name does. An instance that is not heard, as peerPrecedes checks, is passed over.
 func (st *State) queriesLoad(svc *service, rep *replica) bool {
-	sub := st.layoutOf(svc).ofReplica(rep)
+	sub := st.subsetOf(rep)
 	if sub == (subset{}) {
 		return !slices.ContainsFunc(slices.Collect(maps.Keys(st.peers)), st.peerPrecedes)
 	}
