Tests of evacuations without a network and with instances that ask each other

Follower: changes, whole reads, peers, a return of the store with and without the key, unusable names, a configuration that cannot be decoded. TestConfirmedStateIsComplete draws evacuations.

--- /dev/null
+++ b/internal/relay/evacuate_test.go
@@ -0,0 +1,277 @@
+package relay
+
+import (
+	"bytes"
+	"context"
+	"maps"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+	"gotest.tools/v3/assert"
+
+	"dandelionsail.example/dandelionsail/internal/posit"
+	"dandelionsail.example/dandelionsail/internal/steer"
+	"dandelionsail.example/dandelionsail/pkg/decl"
+)
+
+// evacuated returns the failure domains whose evacuation is in force at the reducer.
+func (in *Instance) evacuated() []string {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return slices.Sorted(maps.Keys(in.state.EvacuatedReplicas()))
+}
+
+// evacuate writes or removes the operators' request in the directory.
+func (dir *fakeDirectory) evacuate(domain string, ended bool) {
+	dir.snap.Evacuated = slices.DeleteFunc(slices.Clone(dir.snap.Evacuated), func(other string) bool { return other == domain })
+	if !ended {
+		dir.snap.Evacuated = append(dir.snap.Evacuated, domain)
+	}
+	dir.addChange(Change{Evacuation: &Evacuation{FailureDomain: domain, Ended: ended}})
+}
+
+func names(list ...string) []string { return list }
+
+func TestEvacuationIsFollowed(t *testing.T) {
+	// An evacuation is written or removed. An instance that polls learns it from the changes or, if the history is gone, from the whole
+	// directory; one that asks others learns it from them.
+	for name, forgetful := range map[string]bool{"changes": false, "history lost": true} {
+		t.Run(name, func(t *testing.T) {
+			dir := newFakeDirectory()
+			one, two := newTestInstance(t, "one", dir), newTestInstance(t, "two", dir)
+			registerAll(dir, one, two)
+			poller, asking := &follower{in: one}, &follower{in: two}
+			for _, fl := range []*follower{poller, asking} {
+				assert.Assert(t, fl.pollStore(t.Context()))
+			}
+			check := func(want ...string) {
+				t.Helper()
+				if forgetful {
+					dir.changes = nil
+				}
+				assert.Assert(t, poller.pollStore(t.Context()))
+				assert.Assert(t, slices.Equal(one.evacuated(), want), one.evacuated())
+				assert.Assert(t, asking.confirmByPeer(t.Context(), one.gossip.conn.LocalAddr().(*net.UDPAddr)))
+				assert.Assert(t, slices.Equal(two.evacuated(), want), two.evacuated())
+			}
+			dir.evacuate("a", false)
+			check("a")
+			dir.evacuate("b", false)
+			check("a", "b")
+			dir.evacuate("a", true)
+			dir.evacuate("a", false)
+			check("a", "b")
+			dir.evacuate("a", true)
+			check("b")
+			dir.evacuate("b", true)
+			check()
+		})
+	}
+}
+
+// failingRouting is a Directory whose configuration cannot be read.
+type failingRouting struct {
+	*fakeDirectory
+	err error
+}
+
+func (dir failingRouting) Routing(context.Context, bool, posit.Position) (*decl.Routing, error) {
+	return nil, dir.err
+}
+
+func TestEvacuationDoesNotWaitForConfiguration(t *testing.T) {
+	// The operators write a configuration and evacuate a failure domain, and the configuration cannot be read. Both changes are in one
+	// batch, of which nothing counted as applied until the configuration was read.
+	dir := newFakeDirectory()
+	in := newTestInstance(t, "one", dir)
+	fl := &follower{in: in}
+	assert.Assert(t, fl.pollStore(t.Context()))
+	dir.addChange(Change{Routing: true})
+	dir.evacuate("a", false)
+	in.directory = failingRouting{dir, OrderFailed.New("away")}
+	dir.failingPages = 100
+	assert.Assert(t, !fl.pollStore(t.Context()))
+	assert.DeepEqual(t, in.evacuated(), names("a"))
+}
+
+// loggedTo makes the instance log into the buffer.
+func (in *Instance) loggedTo(buf *bytes.Buffer) {
+	in.log = &log.Logger{Level: log.InfoLevel, Writer: log.IOWriter{Writer: buf}}
+}
+
+func TestUndecodableConfigurationIsLogged(t *testing.T) {
+	// The operators write a configuration that cannot be decoded. One line must say that the last one stays in use, and the changes beside
+	// it take effect.
+	dir := newFakeDirectory()
+	in := newTestInstance(t, "one", dir)
+	fl := &follower{in: in}
+	assert.Assert(t, fl.pollStore(t.Context()))
+	var buf bytes.Buffer
+	in.loggedTo(&buf)
+	bad := UndecodableConfig.New("ColdStartS is a string")
+	in.directory = failingRouting{dir, bad}
+	dir.addChange(Change{Routing: true})
+	dir.evacuate("a", false)
+	assert.Assert(t, fl.pollStore(t.Context()))
+	assert.DeepEqual(t, in.evacuated(), names("a"))
+	assert.Equal(t, in.version(), int64(1))
+	dir.snap.Routing, dir.snap.RoutingError = nil, bad
+	dir.changes = nil
+	dir.addChange(Change{})
+	dir.changes = nil
+	assert.Assert(t, fl.pollStore(t.Context()))
+	assert.Equal(t, in.version(), int64(1))
+	assert.Equal(t, strings.Count(buf.String(), "cannot be decoded"), 1, buf.String())
+	assert.Assert(t, strings.Contains(buf.String(), "the last one stays in use"), buf.String())
+}
+
+func TestUnusableFailureDomainsAreLoggedOnce(t *testing.T) {
+	// Operators evacuate failure domains with an empty name, one that no replica is in, and very long and odd names. Each causes one line.
+	// The rest stays in use, and what is too long for a datagram is not passed on.
+	long, odd := strings.Repeat("x", 5000), "a/\n\x00 ü"
+	for name, asChanges := range map[string]bool{"changes": true, "whole directory": false} {
+		t.Run(name, func(t *testing.T) {
+			dir := newFakeDirectory()
+			dir.snap.Replicas = []steer.Replica{{Name: "board-0", Service: "board", FailureDomain: "a", Slots: 1}}
+			one, two := newTestInstance(t, "one", dir), newTestInstance(t, "two", dir)
+			registerAll(dir, one, two)
+			var buf bytes.Buffer
+			one.loggedTo(&buf)
+			poller, asking := &follower{in: one}, &follower{in: two}
+			assert.Assert(t, poller.pollStore(t.Context()))
+			assert.Assert(t, asking.pollStore(t.Context()))
+			for range 3 {
+				for _, domain := range []string{"", "nowhere", long, odd, "a"} {
+					dir.evacuate(domain, false)
+				}
+				if !asChanges {
+					dir.changes = nil
+				}
+				assert.Assert(t, poller.pollStore(t.Context()))
+			}
+			want := slices.Sorted(slices.Values(names("a", odd, "nowhere")))
+			assert.DeepEqual(t, one.evacuated(), want)
+			assert.Assert(t, asking.confirmByPeer(t.Context(), one.gossip.conn.LocalAddr().(*net.UDPAddr)))
+			assert.DeepEqual(t, two.evacuated(), want)
+			assert.Equal(t, strings.Count(buf.String(), `"evacuation ignored"`), 2, buf.String())
+			assert.Equal(t, strings.Count(buf.String(), "has no replicas"), 2, buf.String())
+			assert.Equal(t, strings.Count(buf.String(), `"evacuation seen"`), 3, buf.String())
+			assert.Assert(t, buf.Len() < 5000, "%d bytes logged", buf.Len())
+		})
+	}
+}
+
+func TestEvacuationLostByStoreStaysInForce(t *testing.T) {
+	// The store returns from a copy that lacks an evacuation. It stays in force until the operators have had time to write it again; if they
+	// write or remove it, that counts.
+	cases := map[string]struct {
+		after  func(dir *fakeDirectory, fl *follower)
+		expect []string
+	}{
+		"just after":          {func(*fakeDirectory, *follower) {}, names("a")},
+		"written again":       {func(dir *fakeDirectory, fl *follower) { dir.evacuate("a", false); expireLost(fl) }, names("a")},
+		"written and removed": {func(dir *fakeDirectory, _ *follower) { dir.evacuate("a", false); dir.evacuate("a", true) }, nil},
+		"removed":             {func(dir *fakeDirectory, _ *follower) { dir.evacuate("a", true) }, nil},
+		"time has passed":     {func(_ *fakeDirectory, fl *follower) { expireLost(fl) }, nil},
+		"another return":      {func(dir *fakeDirectory, _ *follower) { dir.returnTo(7) }, names("a")},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			dir := newFakeDirectory()
+			dir.returnTo(7)
+			in := newTestInstance(t, "one", dir)
+			fl := &follower{in: in}
+			dir.evacuate("a", false)
+			assert.Assert(t, fl.pollStore(t.Context()))
+			dir.returnTo(7)
+			dir.snap.Evacuated = nil
+			assert.Assert(t, fl.pollStore(t.Context()))
+			assert.DeepEqual(t, in.evacuated(), names("a"))
+			tc.after(dir, fl)
+			assert.Assert(t, fl.pollStore(t.Context()))
+			fl.dropLostEvacuations()
+			assert.Assert(t, slices.Equal(in.evacuated(), tc.expect), in.evacuated())
+		})
+	}
+}
+
+// expireLost lets the time pass in which lost evacuations stay in force.
+func expireLost(fl *follower) {
+	for name, until := range fl.evacuations.lost {
+		fl.evacuations.lost[name] = until.Add(-lostEvacuationTime)
+	}
+}
+
+func TestEvacuationInCopyIsInForceAgain(t *testing.T) {
+	// An evacuation has ended, and the store returns from a copy that contains it. It is in force until the store says otherwise.
+	dir := newFakeDirectory()
+	dir.returnTo(7)
+	in := newTestInstance(t, "one", dir)
+	fl := &follower{in: in}
+	dir.evacuate("a", false)
+	assert.Assert(t, fl.pollStore(t.Context()))
+	dir.evacuate("a", true)
+	assert.Assert(t, fl.pollStore(t.Context()))
+	assert.Equal(t, len(in.evacuated()), 0)
+	dir.returnTo(8)
+	dir.snap.Evacuated = names("a")
+	assert.Assert(t, fl.pollStore(t.Context()))
+	assert.DeepEqual(t, in.evacuated(), names("a"))
+	dir.evacuate("a", true)
+	assert.Assert(t, fl.pollStore(t.Context()))
+	assert.Equal(t, len(in.evacuated()), 0)
+}
+
+func TestNewInstanceLearnsLostEvacuation(t *testing.T) {
+	// The store has returned from a copy without an evacuation, and an instance starts before the operators have written it again. It must
+	// learn of it from the others, and for no longer than they keep it. Once the operators have removed it, a late packet must not bring it back.
+	dir := newFakeDirectory()
+	dir.returnTo(7)
+	one, two := newTestInstance(t, "one", dir), newTestInstance(t, "two", dir)
+	registerAll(dir, one, two)
+	older, started := &follower{in: one}, &follower{in: two}
+	dir.evacuate("a", false)
+	assert.Assert(t, older.pollStore(t.Context()))
+	dir.returnTo(7)
+	dir.snap.Evacuated = nil
+	assert.Assert(t, older.pollStore(t.Context()))
+	assert.Assert(t, started.pollStore(t.Context()))
+	assert.Equal(t, len(two.evacuated()), 0)
+	started.askForVersions()
+	var from *net.UDPAddr
+	select {
+	case from = <-two.gossip.newPositions:
+	case <-time.After(time.Second):
+		t.Fatal("no answer")
+	}
+	assert.Assert(t, started.confirmByPeer(t.Context(), from))
+	assert.DeepEqual(t, two.evacuated(), names("a"))
+	assert.Assert(t, !started.evacuations.lost["a"].After(older.evacuations.lost["a"].Add(10*time.Millisecond)))
+	dir.evacuate("a", true)
+	assert.Assert(t, started.pollStore(t.Context()))
+	assert.Equal(t, len(two.evacuated()), 0)
+	started.adoptEvacuations(from, &confirmation{Era: 2, Revision: 8, Kept: one.kept()})
+	assert.Equal(t, len(two.evacuated()), 0)
+}
+
+func TestDirectoryOfPeerNamesEvacuations(t *testing.T) {
+	// The store rejects an instance and returns from a copy. The directory that the others serve must contain the evacuations.
+	dir := newFakeDirectory()
+	dir.returnTo(7)
+	in := newTestInstance(t, "one", dir)
+	dir.evacuate("a", false)
+	assert.Assert(t, (&follower{in: in}).pollStore(t.Context()))
+	server := httptest.NewServer(http.HandlerFunc(in.serveDirectory))
+	defer server.Close()
+	from, err := net.ResolveUDPAddr("udp", server.Listener.Addr().String())
+	assert.NilError(t, err)
+	snap, err := in.fetchDirectory(t.Context(), from, posit.Position{Era: 1, Revision: 8})
+	assert.NilError(t, err)
+	assert.DeepEqual(t, snap.Evacuated, names("a"))
+}
--- a/internal/relay/follow_test.go
+++ b/internal/relay/follow_test.go
@@ -87,7 +87,7 @@
 	dir.mu.Lock()
 	defer dir.mu.Unlock()
 	if after != "" {
-		return Snapshot{Position: dir.snap.Position.Next(), Routing: dir.snap.Routing, Peers: dir.snap.Peers}, "", nil
+		return Snapshot{Position: dir.snap.Position.Next(), Routing: dir.snap.Routing, Peers: dir.snap.Peers, Evacuated: dir.snap.Evacuated}, "", nil
 	}
 	page := Snapshot{Position: dir.snap.Position, Replicas: dir.snap.Replicas}
 	dir.fullReads.Add(1)
--- a/internal/relay/return_test.go
+++ b/internal/relay/return_test.go
@@ -157,7 +157,8 @@
 func TestConfirmedStateIsComplete(t *testing.T) {
 	// Replicas come and go and configurations change while the store returns from copies of any age, and instances poll it or ask each
 	// other in any order. Whenever an instance counts its state as confirmed, that state is the store's, and the configuration in
-	// force is never older than the store's, nor than an earlier one.
+	// force is never older than the store's, nor than an earlier one. The evacuations in force are those of the store and those that a return has
+	// lost.
 	rapid.Check(t, func(rt *rapid.T) {
 		dir := newFakeDirectory()
 		dir.changesPerCall = rapid.IntRange(1, 5).Draw(rt, "changesPerCall")
@@ -168,7 +169,7 @@
 			changes []Change
 		}
 		copyNow := func() kept {
-			return kept{Snapshot{Position: dir.snap.Position, Routing: dir.snap.Routing, Replicas: slices.Clone(dir.snap.Replicas), Peers: dir.snap.Peers}, slices.Clone(dir.changes)}
+			return kept{Snapshot{Position: dir.snap.Position, Routing: dir.snap.Routing, Replicas: slices.Clone(dir.snap.Replicas), Peers: dir.snap.Peers, Evacuated: slices.Clone(dir.snap.Evacuated)}, slices.Clone(dir.changes)}
 		}
 		ins := []*Instance{newTestInstance(t, "one", dir), newTestInstance(t, "two", dir), newTestInstance(t, "three", dir)}
 		registerAll(dir, ins...)
@@ -179,7 +180,15 @@
 		copies := []kept{copyNow()}
 		inForce := make([]int64, len(ins))
 		check := func(i int) {
-			replicas, _, _ := ins[i].entries.lists()
+			replicas, _, evacuated := ins[i].entries.lists()
+			lost := followers[i].evacuations.lost
+			assert.Assert(rt, slices.Equal(evacuated, slices.Sorted(slices.Values(dir.snap.Evacuated))))
+			evacuatedNow := ins[i].state.EvacuatedReplicas()
+			assert.Equal(rt, len(evacuatedNow), len(lost)+len(dir.snap.Evacuated))
+			for domain := range evacuatedNow {
+				_, kept := lost[domain]
+				assert.Assert(rt, kept != slices.Contains(dir.snap.Evacuated, domain), domain)
+			}
 			assert.Equal(rt, len(replicas), len(dir.snap.Replicas))
 			for _, rep := range dir.snap.Replicas {
 				assert.Assert(rt, slices.Contains(replicas, rep), rep.Name)
@@ -190,7 +199,7 @@
 		}
 		for range rapid.IntRange(1, 40).Draw(rt, "steps") {
 			i := rapid.IntRange(0, len(ins)-1).Draw(rt, "instance")
-			switch rapid.SampledFrom([]string{"replica", "replica", "gone", "routing", "copy", "return", "poll", "ask", "poll", "ask"}).Draw(rt, "step") {
+			switch step := rapid.SampledFrom([]string{"replica", "replica", "gone", "routing", "evacuate", "evacuate", "end", "copy", "return", "poll", "ask", "poll", "ask"}).Draw(rt, "step"); step {
 			case "replica":
 				rep := steer.Replica{Name: "r" + strconv.Itoa(rapid.IntRange(0, 9).Draw(rt, "replica")), Service: "board", Address: "a", Slots: 1 + len(dir.changes)}
 				dir.snap.Replicas = append(slices.DeleteFunc(dir.snap.Replicas, func(other steer.Replica) bool { return other.Name == rep.Name }), rep)
@@ -205,6 +214,13 @@
 				version++
 				dir.snap.Routing = &decl.Routing{Version: version}
 				dir.addChange(Change{Routing: true})
+			case "evacuate", "end":
+				domain := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(rt, "domain")
+				dir.snap.Evacuated = slices.DeleteFunc(slices.Clone(dir.snap.Evacuated), func(other string) bool { return other == domain })
+				if step == "evacuate" {
+					dir.snap.Evacuated = append(dir.snap.Evacuated, domain)
+				}
+				dir.addChange(Change{Evacuation: &Evacuation{FailureDomain: domain, Ended: step == "end"}})
 			case "copy":
 				copies = append(copies, copyNow())
 			case "return":
