Connections to replicas: counted by cause, kept as long as the replica keeps them

Cause: nothing counted why a connection was opened. Idle connections were closed after 3 s whatever the replica's Keep-Alive header said. A refusal (503 not run, 421) whose body nobody read closed its connection: three refusals took three connections. A request was written to a kept connection that the replica had closed before net/http's reading goroutine had noticed, and counted as one that may have run.

Change: internal/conns keeps account of open and idle connections and of the stated timeouts, without I/O. internal/relay counts new connections by cause, closes idle ones a second (at most a third of the timeout) before the replica does, after 30 s if it states no timeout, reads a refusal's body of at most 16 KB within 20 ms, and asks the socket whether the replica has closed a kept connection before anything is written to it. trip.Do takes hooks.

--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -49,7 +49,7 @@
 	req.Header.Set(HeaderForwardedBy, in.opts.Name)
 	req.Header.Set(HeaderDeadline, max(time.Millisecond, time.Until(cl.deadline)).String())
 	req.Host = cl.req.Host
-	res, err := trip.Do(in.forwarder, req, nil)
+	res, err := trip.Do(in.forwarder, req, trip.Hooks{})
 	switch {
 	case err != nil && !res.Written && ctx.Err() == nil:
 		in.forwardFailed(cl, eff, err)
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -23,9 +23,10 @@
 const (
 	// dialTimeout is the timeout for opening a connection; a live replica accepts one within a few milliseconds.
 	dialTimeout = 600 * time.Millisecond
-	// replicaIdleTimeout is how long an idle connection to a replica is kept. It is shorter than the replicas' own
-	// timeout.
-	replicaIdleTimeout = 3 * time.Second
+	// peerIdleTimeout is how long an idle connection to another Instance is kept.
+	peerIdleTimeout = 3 * time.Second
+	// maxIdlePerHost is how many idle connections to one address are kept.
+	maxIdlePerHost = 4
 	// probeTimeout is the timeout of refusesConnections, which checks whether a replica still accepts connections after
 	// an attempt broke or its replica fell silent.
 	probeTimeout = 250 * time.Millisecond
@@ -47,14 +48,14 @@
 	}
 }
 
-// newTransport returns a transport that opens its connections by dial.
-func newTransport(dial notice.Dialer, disableKeepAlives bool) *http.Transport {
+// newTransport returns a transport that opens its connections by dial and keeps idle ones for the given time.
+func newTransport(dial notice.Dialer, disableKeepAlives bool, idleTimeout time.Duration) *http.Transport {
 	return &http.Transport{
 		DialContext:         trip.CountingDialer(notice.CheckedDialer(dial)),
 		DisableCompression:  true,
 		DisableKeepAlives:   disableKeepAlives,
-		MaxIdleConnsPerHost: 4,
-		IdleConnTimeout:     replicaIdleTimeout,
+		MaxIdleConnsPerHost: maxIdlePerHost,
+		IdleConnTimeout:     idleTimeout,
 		ReadBufferSize:      4 << 10,
 		WriteBufferSize:     4 << 10,
 	}
@@ -208,7 +209,7 @@
 	if via := att.via.Load(); via != nil {
 		return !att.in.acceptsConnections(ctx, *via)
 	}
-	refused := att.in.refusesConnections(ctx, att.eff.Replica)
+	refused := att.in.refusesConnections(withCause(ctx, causeReplicaProbe), att.eff.Replica)
 	att.unreachable.Store(refused)
 	return refused
 }
@@ -312,8 +313,10 @@
 	}
 	switch {
 	case ri.Misdirected:
+		drainBody(resp)
 		return steer.ResultMisdirected
 	case ri.NotRun:
+		drainBody(resp)
 		return steer.ResultNotRun
 	case !ri.Sealed || resp.Header.Get("Content-Encoding") != "":
 		return steer.ResultBroken
@@ -323,6 +326,24 @@
 	return att.receiveWhole(ctx, resp)
 }
 
+const (
+	// maxDrained is the maximum length in bytes of a refusal's body that is read so that its connection can be kept.
+	maxDrained = 16 << 10
+	// drainTimeout is the timeout for reading it. The body usually arrives together with the header.
+	drainTimeout = 20 * time.Millisecond
+)
+
+// drainBody reads the rest of the body of a refusal, which nobody wants: net/http closes the connection of a response whose body is
+// closed before its end.
+func drainBody(resp *http.Response) {
+	if resp.ContentLength < 0 || resp.ContentLength > maxDrained {
+		return
+	}
+	timer := time.AfterFunc(drainTimeout, func() { _ = resp.Body.Close() })
+	defer timer.Stop()
+	_, _ = io.Copy(io.Discard, resp.Body)
+}
+
 // receiveWhole buffers the response until it is complete, so that another attempt can replace one whose response is cut
 // off. A successful response is written to the caller; one that is too long to be buffered is passed on while it arrives. An
 // error response, or any response if the caller was sent a header before, is kept in errorResponse instead.
--- a/internal/relay/detour.go
+++ b/internal/relay/detour.go
@@ -124,7 +124,7 @@
 	for stale := 0; ; stale++ {
 		try := *hop
 		try.Body, _ = hop.GetBody()
-		res, err := trip.Do(transport, &try, nil)
+		res, err := trip.Do(transport, &try, trip.Hooks{})
 		if err == nil || !res.StaleConn || stale == maxStaleConns {
 			return res, err
 		}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -66,7 +66,7 @@
 		return err
 	}
 	sent := time.Now()
-	req = req.WithContext(notice.WithCheck(req.Context(), recheck))
+	req = req.WithContext(withCause(notice.WithCheck(req.Context(), recheck), causeOf(newConnection, &msg)))
 	var resp *http.Response
 	if verdict.Via != "" {
 		if msg.via != nil {
@@ -110,13 +110,15 @@
 			}
 			try.Body = body
 		}
-		res, err := trip.Do(transport, &try, func(reused bool) { in.connected(msg.to.Replica, reused) })
+		use := connUse{conns: in.conns}
+		res, err := trip.Do(transport, &try, use.hooks(func(reused bool) { in.connected(msg.to.Replica, reused) }))
 		if res.Writes > 1 {
 			in.count("Messages.WrittenAgain")
 			in.log.Error().Str("Request", msg.request).Str("Replica", msg.to.Replica.Name).Int("Writes", res.Writes).Msg("request written again by the HTTP client")
 		}
 		switch {
 		case err == nil:
+			use.answered(res.Response.Header)
 			return res.Response, nil
 		case res.Written, isHeldBack(err):
 			return nil, err
@@ -176,7 +178,7 @@
 // examineFailure finds out why a replica has broken off an answer. unreachable reports that it accepts no new connection, and died that
 // the replica is at fault: another one does. If neither does, it is more likely that this Instance has lost its path.
 func (in *Instance) examineFailure(ctx context.Context, replica steer.Replica) (unreachable, died bool) {
-	if ctx.Err() != nil || !in.refusesConnections(ctx, replica) {
+	if ctx.Err() != nil || !in.refusesConnections(withCause(ctx, causeReplicaProbe), replica) {
 		return false, false
 	}
 	in.mu.Lock()
@@ -185,7 +187,7 @@
 	if !ok {
 		return true, true
 	}
-	reached := !in.refusesConnections(ctx, witness)
+	reached := !in.refusesConnections(withCause(ctx, causePathProbe), witness)
 	if ctx.Err() != nil {
 		return true, false
 	}
@@ -203,7 +205,7 @@
 	if !ok {
 		return false
 	}
-	reached := !in.refusesConnections(ctx, witness)
+	reached := !in.refusesConnections(withCause(ctx, causePathProbe), witness)
 	if ctx.Err() != nil {
 		return false
 	}
@@ -215,7 +217,7 @@
 func (in *Instance) probePaths(eff steer.ProbePaths) {
 	for _, replica := range eff.Replicas {
 		in.background.Go(func() {
-			reached := !in.refusesConnections(context.Background(), replica)
+			reached := !in.refusesConnections(withCause(context.Background(), causePathProbe), replica)
 			in.count("Paths.Probes")
 			in.apply(steer.PathObserved{Replica: replica.Name, Reached: reached})
 		})
@@ -223,12 +225,12 @@
 }
 
 // refusesConnections reports whether the replica fails to accept a new connection within probeTimeout. It returns false
-// if ctx ends first or if the probe is held back.
+// if ctx ends first or if the probe is held back. ctx holds the cause of the connection.
 func (in *Instance) refusesConnections(ctx context.Context, replica steer.Replica) bool {
 	if _, err := in.checkMessage(message{to: steer.Target{Replica: replica, Kind: notice.Probe}}, false); err != nil {
 		return false
 	}
-	conn, err := newDialer(in.opts.Dial, probeTimeout)(ctx, "tcp", replica.Address)
+	conn, err := in.conns.dialer(newDialer(in.opts.Dial, probeTimeout))(ctx, "tcp", replica.Address)
 	if err != nil {
 		return ctx.Err() == nil
 	}
--- a/internal/relay/exchange_test.go
+++ b/internal/relay/exchange_test.go
@@ -101,7 +101,7 @@
 	arrived := 0
 	in, replica := newExchangeTest(t, func(http.ResponseWriter, *http.Request) { arrived++ })
 	dialing, proceed := make(chan struct{}), make(chan struct{})
-	slow := newTransport(newDialer(nil, dialTimeout), true)
+	slow := newTransport(newDialer(nil, dialTimeout), true, time.Second)
 	slow.DialContext = notice.CheckedDialer(func(ctx context.Context, network, address string) (net.Conn, error) {
 		close(dialing)
 		<-proceed
--- a/internal/relay/instance.go
+++ b/internal/relay/instance.go
@@ -19,6 +19,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"dandelionsail.example/dandelionsail/internal/budget"
+	"dandelionsail.example/dandelionsail/internal/conns"
 	"dandelionsail.example/dandelionsail/internal/delay"
 	"dandelionsail.example/dandelionsail/internal/pause"
 	"dandelionsail.example/dandelionsail/internal/steer"
@@ -60,6 +61,8 @@
 	pooled *http.Transport
 	// unpooled opens a new connection for each request.
 	unpooled *http.Transport
+	// conns keeps account of the connections of pooled and unpooled.
+	conns *replicaConns
 	// pooledPeer reuses connections to other instances.
 	pooledPeer *http.Transport
 	// unpooledPeer opens a new connection to another Instance for each request.
@@ -127,16 +130,17 @@
 		log:            logger,
 		registry:       metrics.NewRegistry(),
 		dropped:        dropped,
-		pooled:         newTransport(newDialer(opts.Dial, dialTimeout), false),
-		unpooled:       newTransport(newDialer(opts.Dial, dialTimeout), true),
-		pooledPeer:     newTransport(newDialer(nil, detourDialTimeout), false),
-		unpooledPeer:   newTransport(newDialer(nil, detourDialTimeout), true),
+		pooledPeer:     newTransport(newDialer(nil, detourDialTimeout), false, peerIdleTimeout),
+		unpooledPeer:   newTransport(newDialer(nil, detourDialTimeout), true, peerIdleTimeout),
 		calls:          map[steer.RequestID]*call{},
 		firstConfirmed: make(chan struct{}),
 		peersListed:    make(chan struct{}),
 		ownEntry:       make(chan Peer, 1),
 		pauses:         pause.Detector{MaxGap: maxEventGap, MaxWait: steer.MaxCatchUp},
 	}
+	in.conns = newReplicaConns(in.count)
+	in.pooled = newTransport(in.conns.dialer(newDialer(opts.Dial, dialTimeout)), false, conns.MaxIdle)
+	in.unpooled = newTransport(in.conns.dialer(newDialer(opts.Dial, dialTimeout)), true, conns.MaxIdle)
 	in.state = steer.New(steer.Options{
 		Name: opts.Name, FailureDomain: opts.FailureDomain, Run: run, Seed: seed, MissingTime: opts.MissingTime,
 		Tuning:  opts.Tuning,
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -38,6 +38,7 @@
 	in.updateAnnouncementMetrics()
 	in.updateRepeatMetrics()
 	in.updatePathMetrics()
+	in.updateConnectionMetrics()
 	in.updateQuarantineMetrics()
 	in.gauge("Responses.BufferedBytes", in.buffers.bytes.Load())
 	in.gauge("Log.Dropped", in.dropped())
--- /dev/null
+++ b/internal/relay/replicaconn.go
@@ -0,0 +1,226 @@
+package relay
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"dandelionsail.example/dandelionsail/internal/conns"
+	"dandelionsail.example/dandelionsail/internal/notice"
+	"dandelionsail.example/dandelionsail/internal/trip"
+)
+
+// connCause is why a connection to a replica was opened. It is the last part of a metric's name.
+type connCause string
+
+const (
+	// causeRequired is a request that may run only once and is given no kept connection.
+	causeRequired connCause = "Required"
+	// causeNoneIdle is a request for which there was no idle connection.
+	causeNoneIdle connCause = "NoneIdle"
+	// causeOrder is an order, a reservation or a load query for which there was no idle connection.
+	causeOrder connCause = "Order"
+	// causePassedOn is a message of another Instance for which there was no idle connection.
+	causePassedOn connCause = "PassedOn"
+	// causeReplicaProbe is a probe of whether a replica is alive.
+	causeReplicaProbe connCause = "ReplicaProbe"
+	// causePathProbe is a probe of another replica, which shows whether the path is lost.
+	causePathProbe connCause = "PathProbe"
+)
+
+// causeOf returns the cause of a connection that is opened for the message.
+func causeOf(newConnection bool, msg *message) connCause {
+	switch {
+	case msg.forPeer:
+		return causePassedOn
+	case newConnection:
+		return causeRequired
+	case msg.to.Kind == notice.Reservation, msg.to.Kind == notice.Renewal, msg.to.Kind == notice.Release, msg.to.Kind == notice.LoadQuery:
+		return causeOrder
+	}
+	return causeNoneIdle
+}
+
+// causeKey is the context key of the cause of a connection.
+type causeKey struct{}
+
+// withCause returns a context for opening a connection for the cause.
+func withCause(ctx context.Context, cause connCause) context.Context {
+	return context.WithValue(ctx, causeKey{}, cause)
+}
+
+// replicaConns keeps account of the connections to replicas and closes those that were idle for too long. It is safe for concurrent use.
+type replicaConns struct {
+	// count counts an event by the name of its metric.
+	count func(name string)
+	// changed reports whether table has changes for the reducer.
+	changed atomic.Bool
+	// mu guards table and all.
+	mu    sync.Mutex
+	table *conns.Table
+	// all holds the open connections by their entries in table.
+	all map[*conns.Conn]*replicaConn
+}
+
+func newReplicaConns(count func(name string)) *replicaConns {
+	return &replicaConns{count: count, table: conns.New(), all: map[*conns.Conn]*replicaConn{}}
+}
+
+// dialer returns a dialer whose connections are counted by their causes and kept account of.
+func (rcs *replicaConns) dialer(dial notice.Dialer) notice.Dialer {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		cause, _ := ctx.Value(causeKey{}).(connCause)
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			rcs.count("Connections.Failed." + string(cause))
+			return nil, err
+		}
+		rcs.count("Connections.Opened." + string(cause))
+		rcs.mu.Lock()
+		defer rcs.mu.Unlock()
+		rc := &replicaConn{Conn: conn, conns: rcs, entry: rcs.table.Opened(address, time.Now())}
+		rc.timer = time.AfterFunc(conns.MaxIdle, rc.expire)
+		rcs.all[rc.entry] = rc
+		rcs.changed.Store(rcs.table.HasChanges())
+		return rc, nil
+	}
+}
+
+// replicaConn is a connection to a replica.
+type replicaConn struct {
+	net.Conn
+	conns *replicaConns
+	entry *conns.Conn
+	// timer calls expire.
+	timer *time.Timer
+}
+
+// Close implements net.Conn.
+func (rc *replicaConn) Close() error {
+	rc.conns.mu.Lock()
+	rc.timer.Stop()
+	rc.conns.table.Closed(rc.entry)
+	delete(rc.conns.all, rc.entry)
+	rc.conns.changed.Store(rc.conns.table.HasChanges())
+	rc.conns.mu.Unlock()
+	return rc.Conn.Close()
+}
+
+// expire closes the connection if it has been idle for too long. A request that is given it meanwhile writes nothing and gets another one.
+func (rc *replicaConn) expire() {
+	rc.conns.mu.Lock()
+	left, idle := rc.conns.table.Expiry(rc.entry, time.Now())
+	if idle && left > 0 {
+		rc.timer.Reset(left)
+	}
+	rc.conns.mu.Unlock()
+	if idle && left == 0 {
+		rc.conns.count("Connections.Expired")
+		_ = rc.Close()
+	}
+}
+
+// connUse is the use of a connection by one message.
+type connUse struct {
+	conns *replicaConns
+	// conn is nil before the message has a connection.
+	conn *replicaConn
+	// number is the number of the use.
+	number int
+}
+
+// hooks returns the hooks for sending the message. connected is called with whether a kept connection is used.
+func (cu *connUse) hooks(connected func(reused bool)) trip.Hooks {
+	return trip.Hooks{
+		Connected: func(conn net.Conn, reused bool) {
+			connected(reused)
+			cu.begin(conn, reused)
+		},
+		Kept: cu.end,
+	}
+}
+
+// begin records that the message was given the connection, and closes a kept one that its replica may be closing.
+func (cu *connUse) begin(conn net.Conn, reused bool) {
+	rc, ok := conn.(*replicaConn)
+	if !ok {
+		return
+	}
+	cu.conns.mu.Lock()
+	number, usable := cu.conns.table.Taken(rc.entry, time.Now())
+	cu.conn, cu.number = rc, number
+	rc.timer.Stop()
+	cu.conns.changed.Store(cu.conns.table.HasChanges())
+	cu.conns.mu.Unlock()
+	switch {
+	case !reused:
+	case usable && !closedByPeer(rc.Conn):
+		cu.conns.count("Connections.Reused")
+	default:
+		_ = rc.Close()
+	}
+}
+
+// closedByPeer reports whether the replica is known to have closed the idle connection, or to have sent something on it. net/http learns
+// of that in another goroutine, which may run too late: the request would be written, and nobody could tell whether it ran.
+func closedByPeer(conn net.Conn) bool {
+	sys, ok := conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sys.SyscallConn()
+	if err != nil {
+		return true
+	}
+	closed := true
+	// Control does not wait for the goroutine of net/http that reads from the connection, as Read would.
+	err = raw.Control(func(fd uintptr) {
+		var buf [1]byte
+		_, _, err := unix.Recvfrom(int(fd), buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		closed = err != unix.EAGAIN && err != unix.EINTR
+	})
+	return err != nil || closed
+}
+
+// answered records the header of the response.
+func (cu *connUse) answered(header http.Header) {
+	cu.conns.mu.Lock()
+	defer cu.conns.mu.Unlock()
+	if cu.conn != nil {
+		cu.conns.table.Answered(cu.conn.entry, header)
+		cu.resetTimer()
+	}
+}
+
+// end records that the connection was kept after the response.
+func (cu *connUse) end() {
+	cu.conns.mu.Lock()
+	defer cu.conns.mu.Unlock()
+	if cu.conn != nil {
+		cu.conns.table.Returned(cu.conn.entry, cu.number, time.Now())
+		cu.resetTimer()
+		cu.conns.changed.Store(cu.conns.table.HasChanges())
+	}
+}
+
+// resetTimer sets the timer of the connection if it is idle. mu is held.
+func (cu *connUse) resetTimer() {
+	if left, idle := cu.conns.table.Expiry(cu.conn.entry, time.Now()); idle {
+		cu.conn.timer.Reset(left)
+	}
+}
+
+// updateConnectionMetrics sets the gauges of the connections to replicas.
+func (in *Instance) updateConnectionMetrics() {
+	in.conns.mu.Lock()
+	open, idle := in.conns.table.Counts()
+	in.conns.mu.Unlock()
+	in.gauge("Connections.Open", int64(open))
+	in.gauge("Connections.Idle", int64(idle))
+}
--- a/internal/trip/trip.go
+++ b/internal/trip/trip.go
@@ -51,10 +51,28 @@
 	Writes int
 }
 
-// Do sends the request over the transport, whose connections must come from a CountingDialer. connected, unless it is nil, is called with whether a kept connection is used.
-func Do(transport *http.Transport, req *http.Request, connected func(reused bool)) (Result, error) {
-	tr := trace{connected: connected}
-	req = req.WithContext(httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{GotConn: tr.gotConn}))
+// Hooks are functions that are called while a request is sent. Each may be nil.
+type Hooks struct {
+	// Connected is called before anything is written, with the connection as the dialer under the CountingDialer returned it and with
+	// whether it is a kept one. If it closes the connection, nothing is written, and a kept one counts as a StaleConn.
+	Connected func(conn net.Conn, reused bool)
+	// Kept is called when the connection is kept after the response, with the connection of the last call of Connected. It may be
+	// called after the connection was given to the next request.
+	Kept func()
+}
+
+// Do sends the request over the transport, whose connections must come from a CountingDialer.
+func Do(transport *http.Transport, req *http.Request, hooks Hooks) (Result, error) {
+	tr := trace{connected: hooks.Connected}
+	clientTrace := &httptrace.ClientTrace{GotConn: tr.gotConn}
+	if hooks.Kept != nil {
+		clientTrace.PutIdleConn = func(err error) {
+			if err == nil {
+				hooks.Kept()
+			}
+		}
+	}
+	req = req.WithContext(httptrace.WithClientTrace(req.Context(), clientTrace))
 	preventRepeats(req)
 	resp, err := transport.RoundTrip(req)
 	result := tr.result()
@@ -86,7 +104,7 @@
 
 // trace records the connections that a request is given.
 type trace struct {
-	connected func(reused bool)
+	connected func(conn net.Conn, reused bool)
 	mu        sync.Mutex
 	// conn is the latest connection, nil before the first or if it does not count.
 	conn net.Conn
@@ -103,12 +121,14 @@
 		tr.writes++
 	}
 	tr.conn, tr.before, tr.reused = info.Conn, 0, info.Reused
+	dialed := info.Conn
 	if cc, ok := info.Conn.(*countingConn); ok {
 		tr.before = cc.written.Load()
+		dialed = cc.Conn
 	}
 	tr.mu.Unlock()
 	if tr.connected != nil {
-		tr.connected(info.Reused)
+		tr.connected(dialed, info.Reused)
 	}
 }
 
--- a/internal/trip/trip_test.go
+++ b/internal/trip/trip_test.go
@@ -84,14 +84,14 @@
 			transport := &http.Transport{DialContext: trip.CountingDialer((&net.Dialer{}).DialContext)}
 			defer transport.CloseIdleConnections()
 			for range 3 {
-				res, err := trip.Do(transport, srv.request(t, tc.method, tc.body, tc.key), nil)
+				res, err := trip.Do(transport, srv.request(t, tc.method, tc.body, tc.key), trip.Hooks{})
 				assert.NilError(t, err)
 				assert.NilError(t, res.Response.Body.Close())
 				assert.Equal(t, srv.body, tc.body)
 			}
 			srv.broken.Store(true)
 			before := srv.arrived.Load()
-			res, err := trip.Do(transport, srv.request(t, tc.method, tc.body, tc.key), nil)
+			res, err := trip.Do(transport, srv.request(t, tc.method, tc.body, tc.key), trip.Hooks{})
 			assert.Assert(t, err != nil)
 			assert.Equal(t, srv.arrived.Load()-before, int32(1))
 			assert.Assert(t, res.Written && !res.StaleConn && res.Writes == 1)
@@ -111,15 +111,15 @@
 				return closedConn{conn, &closed}, err
 			})}
 			defer transport.CloseIdleConnections()
-			res, err := trip.Do(transport, srv.request(t, method, "body", ""), nil)
+			res, err := trip.Do(transport, srv.request(t, method, "body", ""), trip.Hooks{})
 			assert.NilError(t, err)
 			assert.NilError(t, res.Response.Body.Close())
 			closed.Store(true)
-			res, err = trip.Do(transport, srv.request(t, method, "body", ""), nil)
+			res, err = trip.Do(transport, srv.request(t, method, "body", ""), trip.Hooks{})
 			assert.Assert(t, err != nil)
 			assert.Assert(t, !res.Written && res.StaleConn)
 			closed.Store(false)
-			_, err = trip.Do(transport, srv.request(t, method, "body", ""), nil)
+			_, err = trip.Do(transport, srv.request(t, method, "body", ""), trip.Hooks{})
 			assert.NilError(t, err)
 			assert.Equal(t, srv.arrived.Load(), int32(2))
 		})
@@ -130,7 +130,7 @@
 	srv := newServer(t)
 	req := srv.request(t, "GET", "", "")
 	srv.Close()
-	res, err := trip.Do(&http.Transport{DialContext: trip.CountingDialer((&net.Dialer{}).DialContext)}, req, nil)
+	res, err := trip.Do(&http.Transport{DialContext: trip.CountingDialer((&net.Dialer{}).DialContext)}, req, trip.Hooks{})
 	assert.Assert(t, err != nil)
 	assert.DeepEqual(t, res, trip.Result{})
 }
--- a/internal/upstr/client.go
+++ b/internal/upstr/client.go
@@ -197,7 +197,11 @@
 	if err != nil {
 		return nil, err
 	}
-	res, err := trip.Do(cl.transport(call), req, call.Connected)
+	hooks := trip.Hooks{}
+	if call.Connected != nil {
+		hooks.Connected = func(_ net.Conn, reused bool) { call.Connected(reused) }
+	}
+	res, err := trip.Do(cl.transport(call), req, hooks)
 	if err == nil {
 		cl.readAnnounced(call, sent, res.Response)
 		return res.Response, nil
