Slow start: sends to cold replicas need grants, by all signs that a replica is cold

Cause: nothing decided from which sign and until when a replica is cold, and the row Warming held back everything, since no grant could be had. Change: warm.go keeps three kinds of signs for each replica (entry, observation, failure after which it may have restarted) and tells other instances by notes. The schedule of grants (sendSchedule) is separate from the rate limit that a replica states, so that a replica has one if it is limited, cold or both; the lower rate applies, and a cold replica's sends are counted over one second. Requests with a grant return to placement when the cold state ends, or when another replica becomes warm that is better. Retry-After is the request's turn or the end of the cold state. The test of the table of announcements now configures slow start for the row Warming, which does not apply without.

--- a/internal/steer/announce.go
+++ b/internal/steer/announce.go
@@ -245,7 +245,7 @@
 	Born int64 `cbor:"2,keyasint,omitempty"`
 }
 
-// receiveAnnounced applies what an answer of the replica announces, but for its rate limit.
+// receiveAnnounced applies what an answer of the replica announces, but for its rate limit and its cold state.
 func (st *State) receiveAnnounced(rep *replica, ann *notice.Announced) {
 	if ann.Leaving && st.markLeaving(rep, sourceAnswer) {
 		// The others spare their callers a failed attempt if they are notified. Only an instance that received the announcement
@@ -255,9 +255,6 @@
 	if ann.Rest > 0 {
 		st.startRest(rep, ann.Rest)
 	}
-	if ann.ColdKnown {
-		rep.coldUntil = st.now.Add(ann.Cold)
-	}
 	for _, text := range ann.Invalid {
 		text = text[:min(len(text), maxInvalidText)]
 		if !slices.Contains(rep.invalidAnnouncements, text) && len(rep.invalidAnnouncements) < maxInvalidLines {
@@ -282,7 +279,7 @@
 	case ann == notice.Leaving:
 		st.emit(SendNote{Note: st.note(Note{Departures: []Departure{{Replica: rep.Name, Born: rep.Born}}}), To: st.usersUnlessAll(st.audience(rep))})
 	default:
-		st.emit(SendNote{Note: st.note(Note{Down: []string{rep.Name}})})
+		st.emit(SendNote{Note: st.note(Note{Down: []string{rep.Name}, Cold: st.suspectedRestart(rep)})})
 	}
 }
 
@@ -339,6 +336,8 @@
 	Announcement notice.Announcement
 	// EndsAt is when it ends, zero if that is not known.
 	EndsAt time.Time
+	// FailureDomain is that of the replica.
+	FailureDomain string
 }
 
 // InForce returns the announcements in force at the listed replicas, sorted by kind and by the name of the replica.
@@ -352,7 +351,7 @@
 			if rep.gone || !rule.inForce(rep, now) {
 				continue
 			}
-			status := AnnouncementStatus{Replica: name, Announcement: ann}
+			status := AnnouncementStatus{Replica: name, Announcement: ann, FailureDomain: rep.FailureDomain}
 			if rule.endsAt != nil {
 				status.EndsAt = rule.endsAt(rep)
 			}
--- a/internal/steer/announce_test.go
+++ b/internal/steer/announce_test.go
@@ -40,6 +40,7 @@
 		in.announce("lyric-0", notice.Announced{Limited: true, PerS: 2})
 	},
 	notice.Warming: func(in *instance) {
+		in.reduce(steer.Configured{Routing: slowStartRouting(2)})
 		in.announce("lyric-0", notice.Announced{ColdKnown: true, Cold: time.Second})
 	},
 	notice.Evacuated: func(in *instance) { in.reduce(steer.Evacuated{FailureDomains: []string{"a"}}) },
--- a/internal/steer/claim.go
+++ b/internal/steer/claim.go
@@ -73,7 +73,7 @@
 // winsClaim reports whether the replica has a slot left for the request once all claims of higher rank have theirs.
 func (st *State) winsClaim(req *request) bool {
 	rep := req.reps[0]
-	if rep.limit != nil || st.planBlocked(req) || st.catchingUp() || st.quarantined(req) {
+	if rep.schedule != nil || st.planBlocked(req) || st.catchingUp() || st.quarantined(req) {
 		return false
 	}
 	excess := -rep.freeSlots()
--- a/internal/steer/export_test.go
+++ b/internal/steer/export_test.go
@@ -8,3 +8,6 @@
 	}
 	return count
 }
+
+// WarmAfterEvacuation ends the evacuation of the named replica's failure domain for the replica.
+func (st *State) WarmAfterEvacuation(name string) { st.warmAfterEvacuation(st.replicas[name]) }
--- a/internal/steer/grant.go
+++ b/internal/steer/grant.go
@@ -37,6 +37,54 @@
 	grantRetention = time.Second
 )
 
+// sendSchedule paces the sends to a replica that accepts only so many requests a second from all instances together, since it
+// states a rate limit or is cold.
+type sendSchedule struct {
+	// availableAt is when a send is next likely to be granted, by the newest refusal of the granting instance.
+	availableAt time.Time
+	// bucket paces the sends that this instance grants. Only the granting instance uses it.
+	bucket *rate.Limiter
+	// grants holds the granted sends that no job is known to have used. They are already counted. Only the granting instance
+	// uses it.
+	grants map[jobKey]grantedSend
+	// topValue is the highest value among the recent grant requests.
+	topValue float64
+	// topValueAt is when topValue was set.
+	topValueAt time.Time
+	// topGrants counts the grants since the last one to a request below topValue.
+	topGrants int
+	// refusals counts the grant requests refused since the last grant because no send was available in time at all.
+	refusals int
+	// used counts the sends of this instance, without memory reservations, since it learnt that the replica has a limit or is cold.
+	used int64
+}
+
+// updateSchedule starts the schedule of a replica whose sends need grants from now on, and drops that of one whose sends need none.
+func (st *State) updateSchedule(rep *replica) {
+	switch {
+	case rep.limit == nil && !st.isCold(rep):
+		rep.schedule = nil
+	case rep.schedule != nil:
+		// What was refused at another rate says nothing of when a send is available at this one.
+		rep.schedule.availableAt = time.Time{}
+	default:
+		rep.schedule = &sendSchedule{bucket: rate.NewLimiter(rate.Limit(st.maxRate(rep)), limitBurst), grants: map[jobKey]grantedSend{}}
+	}
+}
+
+// maxRate returns how many requests a second a replica with a schedule accepts from all instances together: the lower of its limit
+// and of what it accepts while it is cold.
+func (st *State) maxRate(rep *replica) float64 {
+	perS := float64(maxPerS)
+	if rep.limit != nil {
+		perS = rep.limit.perS
+	}
+	if st.isCold(rep) {
+		perS = min(perS, st.serviceOf(rep.Service).slowStart.PerS)
+	}
+	return perS
+}
+
 // GrantRequest requests a send to a rate-limited replica from the instance that grants them.
 type GrantRequest struct {
 	Job     JobID  `cbor:"1,keyasint,omitempty"`
@@ -51,6 +99,8 @@
 	// Recent counts the sends of all instances within the last limitSpan that the asking instance knows of. The granting
 	// instance may know of fewer if it has just taken over or if notes to it were lost.
 	Recent int `cbor:"6,keyasint,omitempty"`
+	// RecentCold counts, if the asking instance takes the replica for cold, the sends within the last coldSpan likewise.
+	RecentCold int `cbor:"7,keyasint,omitempty"`
 }
 
 // maxValue is the highest value accepted in a GrantRequest, far above that of the longest prompt.
@@ -67,7 +117,7 @@
 }
 
 func (gq *GrantRequest) valid() bool {
-	return gq.Replica != "" && gq.AcceptedWaitMs >= 0 && gq.MaxWaitMs >= 0 && gq.Value >= 0 && gq.Value <= maxValue && gq.Recent >= 0
+	return gq.Replica != "" && gq.AcceptedWaitMs >= 0 && gq.MaxWaitMs >= 0 && gq.Value >= 0 && gq.Value <= maxValue && gq.Recent >= 0 && gq.RecentCold >= 0
 }
 
 func (gr *Grant) valid() bool { return gr.Replica != "" && gr.AfterMs >= 0 }
@@ -135,7 +185,7 @@
 // grantRate returns how many sends a second this instance grants. Renewals of memory reservations are subtracted from the
 // limit.
 func (st *State) grantRate(rep *replica) float64 {
-	perS := rep.limit.perS - reservationRate*float64(rep.reservations())
+	perS := st.maxRate(rep) - reservationRate*float64(rep.reservations())
 	if st.isSubstitute(rep) {
 		perS *= substituteShare
 	}
@@ -145,46 +195,57 @@
 // grant books a send if one is available within the wait that the request accepts and that its value allows. It returns the
 // time until the send or, if ok is false, the time after which the request should ask again.
 func (st *State) grant(rep *replica, key jobKey, gq *GrantRequest) (after time.Duration, ok bool) {
-	rl := rep.limit
-	if granted, known := rl.grants[key]; known {
+	sched := rep.schedule
+	if granted, known := sched.grants[key]; known {
 		// The answer was lost, so the request asked again.
 		return max(0, granted.at.Sub(st.now)), true
 	}
 	perS := st.grantRate(rep)
-	rl.bucket.SetLimitAt(st.now, rate.Limit(perS))
-	reserved := rl.bucket.ReserveN(st.now, 1)
+	sched.bucket.SetLimitAt(st.now, rate.Limit(perS))
+	reserved := sched.bucket.ReserveN(st.now, 1)
 	after = reserved.DelayFrom(st.now)
-	// No window of limitSpan may contain more sends than the rate allows, including those from before the limit was
-	// received.
-	maxInSpan := int(perS*limitSpan.Seconds()) + 1
-	if len(rep.sends) >= maxInSpan {
-		after = max(after, rep.sends[len(rep.sends)-maxInSpan].Add(limitSpan).Sub(st.now))
-	} else if gq.Recent >= maxInSpan {
-		// The asking instance knows of sends that were not counted here. It is unknown when they leave the window, so the
-		// delay is the interval between two sends.
-		after = max(after, duration(1000/perS))
+	if rep.limit != nil {
+		after = max(after, rep.limitDelay(st.now, perS, gq.Recent))
+	}
+	if st.isCold(rep) {
+		after = max(after, rep.coldDelay(st.now, perS, gq.RecentCold))
 	}
 	value := float64(gq.Value)
-	maxWait := min(time.Duration(gq.MaxWaitMs)*time.Millisecond, rl.maxDelayFor(st.now, value))
+	maxWait := min(time.Duration(gq.MaxWaitMs)*time.Millisecond, sched.maxDelayFor(st.now, value))
 	if after > min(maxWait, time.Duration(gq.AcceptedWaitMs)*time.Millisecond) {
 		reserved.CancelAt(st.now)
 		if after <= maxWait {
 			// When the request asks again, it may accept this wait.
 			return after, false
 		}
-		rl.refusals++
-		return after + min(limitSpan, duration(1000*float64(rl.refusals)/(retriesPerSend*perS))), false
+		sched.refusals++
+		return after + min(limitSpan, duration(1000*float64(sched.refusals)/(retriesPerSend*perS))), false
 	}
-	rl.refusals = 0
-	rl.topGrants++
-	if value < rl.topValue {
-		rl.topGrants = 0
+	sched.refusals = 0
+	sched.topGrants++
+	if value < sched.topValue {
+		sched.topGrants = 0
 	}
 	rep.recordSend(st.now, st.now.Add(after))
-	rl.grants[key] = grantedSend{at: st.now.Add(after), reserved: reserved}
+	sched.grants[key] = grantedSend{at: st.now.Add(after), reserved: reserved}
 	return after, true
 }
 
+// limitDelay returns the time until the next send at the rate leaves no window of limitSpan with more sends than the rate allows,
+// including those from before the limit was received. recent is how many sends of the last limitSpan the asking instance knows of.
+func (rep *replica) limitDelay(now time.Time, perS float64, recent int) time.Duration {
+	maxInSpan := int(perS*limitSpan.Seconds()) + 1
+	if len(rep.sends) >= maxInSpan {
+		return rep.sends[len(rep.sends)-maxInSpan].Add(limitSpan).Sub(now)
+	}
+	if recent >= maxInSpan {
+		// The asking instance knows of sends that were not counted here. It is unknown when they leave the window, so the
+		// delay is the interval between two sends.
+		return duration(1000 / perS)
+	}
+	return 0
+}
+
 // grantedSend is a send that was granted.
 type grantedSend struct {
 	// at is when it may be sent.
@@ -195,14 +256,14 @@
 
 // takeBack makes a granted send that will not be used available to others.
 func (st *State) takeBack(rep *replica, key jobKey) {
-	if rep.limit == nil {
+	if rep.schedule == nil {
 		return
 	}
-	granted, ok := rep.limit.grants[key]
+	granted, ok := rep.schedule.grants[key]
 	if !ok {
 		return
 	}
-	delete(rep.limit.grants, key)
+	delete(rep.schedule.grants, key)
 	granted.reserved.CancelAt(st.now)
 	if i := slices.Index(rep.sends, granted.at); i >= 0 {
 		rep.sends = slices.Delete(rep.sends, i, i+1)
@@ -227,15 +288,15 @@
 // maxDelayFor returns how far ahead a send for a request of the value may be granted, and records the value if it is the
 // highest of the last topValueTTL. The far end of the queue is reserved for the highest values: if sends were granted in
 // order of arrival alone, many short requests would crowd out the few of higher value.
-func (rl *rateLimit) maxDelayFor(now time.Time, value float64) time.Duration {
-	if value >= rl.topValue || now.Sub(rl.topValueAt) > topValueTTL {
-		rl.topValue, rl.topValueAt = value, now
+func (sched *sendSchedule) maxDelayFor(now time.Time, value float64) time.Duration {
+	if value >= sched.topValue || now.Sub(sched.topValueAt) > topValueTTL {
+		sched.topValue, sched.topValueAt = value, now
 		return maxGrantDelay
 	}
-	if rl.topGrants >= maxTopGrants {
+	if sched.topGrants >= maxTopGrants {
 		return maxGrantDelay
 	}
-	return time.Duration(value / rl.topValue * float64(maxGrantDelay))
+	return time.Duration(value / sched.topValue * float64(maxGrantDelay))
 }
 
 // dropExpiredGrants drops expired grants for whose sends no note arrived, and the expired entries of lastUnanswered.
@@ -246,12 +307,12 @@
 		}
 	}
 	for _, rep := range st.replicas {
-		if rep.limit == nil {
+		if rep.schedule == nil {
 			continue
 		}
-		for key, granted := range rep.limit.grants {
+		for key, granted := range rep.schedule.grants {
 			if st.now.Sub(granted.at) > grantRetention {
-				delete(rep.limit.grants, key)
+				delete(rep.schedule.grants, key)
 			}
 		}
 	}
@@ -262,16 +323,16 @@
 	for i := range requests {
 		gq := &requests[i]
 		rep, ok := st.replicas[gq.Replica]
-		if !ok || rep.limit == nil && rep.limitEnded.IsZero() {
-			// This instance does not know the replica, or not the incarnation whose limit the asking instance knows. For lack of
-			// an answer the asking one turns to the next instance by rank, which may know it.
+		if !ok || rep.schedule == nil && rep.limitEnded.IsZero() && !st.knowsCold(rep) {
+			// This instance does not know the replica, or not the incarnation whose limit or cold state the asking instance knows.
+			// For lack of an answer the asking one turns to the next instance by rank, which may know it.
 			continue
 		}
 		nt := Note{}
 		grant := Grant{Job: gq.Job, Replica: gq.Replica}
-		if rep.limit == nil {
-			// The limit has ended, so the request may be sent at once.
-			nt.Limits = []Limit{st.limitOf(rep)}
+		if rep.schedule == nil {
+			// The limit or the cold state has ended, so the request may be sent at once.
+			nt.Limits, nt.Cold = st.newestLimit(rep), st.newestCold(rep)
 		} else {
 			after, ok := st.grant(rep, jobKey{from, gq.Job}, gq)
 			grant.AfterMs, grant.Refused = millis(after+time.Millisecond-1), !ok
--- a/internal/steer/grantrequest.go
+++ b/internal/steer/grantrequest.go
@@ -62,13 +62,13 @@
 // limitWait returns how long a request is likely to wait until it is granted a send to the replica. It returns false if that
 // is too long or if the request avoids the replica for now.
 func (st *State) limitWait(rep *replica, req *request) (time.Duration, bool) {
-	if rep.limit == nil {
+	if rep.schedule == nil {
 		return 0, true
 	}
 	if st.now.Before(req.avoidUntil[rep.Name]) {
 		return 0, false
 	}
-	wait := max(0, rep.limit.availableAt.Sub(st.now))
+	wait := max(0, rep.schedule.availableAt.Sub(st.now))
 	return wait, wait == 0 || wait <= st.maxWait(req)
 }
 
@@ -77,7 +77,7 @@
 func (st *State) requestGrant(req *request, rep *replica) bool {
 	st.nextJob(req)
 	req.grant = pendingGrant{rep: rep, job: req.job, granter: st.granter(rep), at: st.now, tries: 1}
-	req.grant.acceptedWait = min(st.maxWait(req), max(0, rep.limit.availableAt.Sub(st.now))+grantSlack)
+	req.grant.acceptedWait = min(st.maxWait(req), max(0, rep.schedule.availableAt.Sub(st.now))+grantSlack)
 	if req.grant.granter != st.Options.Name {
 		st.sendGrantRequest(req)
 		return false
@@ -91,12 +91,17 @@
 // newGrantRequest returns the GrantRequest for the send that the request has asked for.
 func (st *State) newGrantRequest(req *request) GrantRequest {
 	rep := req.grant.rep
-	return GrantRequest{Job: req.grant.job, Replica: rep.Name, AcceptedWaitMs: millis(req.grant.acceptedWait), MaxWaitMs: millis(st.maxWait(req)), Value: float32(req.value), Recent: rep.recentSends(st.now)}
+	gq := GrantRequest{Job: req.grant.job, Replica: rep.Name, AcceptedWaitMs: millis(req.grant.acceptedWait), MaxWaitMs: millis(st.maxWait(req)), Value: float32(req.value), Recent: rep.recentSends(st.now, limitSpan)}
+	if st.isCold(rep) {
+		gq.RecentCold = rep.recentSends(st.now, coldSpan)
+	}
+	return gq
 }
 
-// sendGrantRequest sends the GrantRequest, together with the limit as known here, to the granting instance.
+// sendGrantRequest sends the GrantRequest, together with the limit and the cold state as known here, to the granting instance.
 func (st *State) sendGrantRequest(req *request) {
-	nt := Note{Limits: []Limit{st.limitOf(req.grant.rep)}, GrantRequests: []GrantRequest{st.newGrantRequest(req)}}
+	rep := req.grant.rep
+	nt := Note{Limits: st.newestLimit(rep), Cold: st.newestCold(rep), GrantRequests: []GrantRequest{st.newGrantRequest(req)}}
 	st.emit(SendNote{Note: st.note(nt), To: []string{req.grant.granter}})
 	st.emit(Wake{After: grantTimeout})
 }
@@ -108,17 +113,20 @@
 		pg.granted, pg.sendAt = true, st.now.Add(after)
 		if after > 0 {
 			st.emit(Wake{After: after})
+			st.logColdWait(req, "request waits for cold replica", after)
 		}
 		return
 	}
-	if pg.rep.limit != nil {
-		pg.rep.limit.availableAt = st.now.Add(after)
+	if pg.rep.schedule != nil {
+		pg.rep.schedule.availableAt = st.now.Add(after)
 	}
 	if after <= pg.acceptedWait {
 		// Sends are available, but reserved for requests of higher value.
 		req.avoid(pg.rep, st.now.Add(avoidTime))
 	}
-	st.emit(LogLine{Message: "rate limit leaves no room", Request: req.Name, Replica: pg.rep.Name, Age: st.now.Sub(req.at), Estimate: after})
+	if pg.rep.limit != nil || !st.logColdWait(req, "slow start leaves no room", after) {
+		st.emit(LogLine{Message: "rate limit leaves no room", Request: req.Name, Replica: pg.rep.Name, Age: st.now.Sub(req.at), Estimate: after})
+	}
 	req.grant = pendingGrant{}
 }
 
@@ -128,9 +136,11 @@
 func (st *State) followGrant(req *request) bool {
 	pg := &req.grant
 	switch {
-	case pg.rep.limit == nil || !pg.rep.usable(st.now):
+	case pg.rep.schedule == nil || !pg.rep.usable(st.now):
 	case pg.granted && st.now.Before(pg.sendAt):
-		return false
+		if !st.betterThanGrant(req) {
+			return false
+		}
 	case pg.granted && st.now.Sub(pg.sendAt) <= grantValidity:
 		if pl, ok := st.placeAt(req, pg.rep); ok {
 			st.bookCurrentJob(req, pl)
@@ -161,7 +171,7 @@
 func (st *State) dropGrant(req *request) {
 	pg := req.grant
 	req.grant = pendingGrant{}
-	if pg.rep == nil || pg.rep.limit == nil {
+	if pg.rep == nil || pg.rep.schedule == nil {
 		return
 	}
 	if pg.granter == st.Options.Name {
@@ -253,10 +263,14 @@
 	if ann := rep.blockedBy(notice.First, st.now); ann != notice.None {
 		return announcementRules[ann].reason, announcementRules[ann].endsAt(rep)
 	}
-	if rep.limit == nil {
+	if rep.schedule == nil {
 		return "", time.Time{}
 	}
-	return ReasonLimited, later(rep.limit.availableAt, req.avoidUntil[rep.Name])
+	until := later(rep.schedule.availableAt, req.avoidUntil[rep.Name])
+	if rep.limit == nil && until.After(rep.coldUntil) {
+		until = rep.coldUntil
+	}
+	return ReasonLimited, until
 }
 
 // retryAfterBlock returns the time after which a caller that was refused because of the block should retry.
@@ -283,8 +297,8 @@
 	svc := st.serviceOf(req.service)
 	perS := 0.0
 	for _, rep := range st.candidates(svc) {
-		if rep.usable(st.now) && rep.limit != nil {
-			perS += max(minRate, rep.limit.perS)
+		if rep.usable(st.now) && rep.schedule != nil {
+			perS += max(minRate, st.maxRate(rep))
 		}
 	}
 	interval := duration(1000 * float64(st.live) / max(minRate, perS))
@@ -292,6 +306,10 @@
 	if latest := st.now.Add(maxRetryAfter); svc.nextRetryAt.After(latest) {
 		svc.nextRetryAt = latest
 	}
+	if end, ok := st.firstColdEnd(svc); ok && svc.nextRetryAt.After(end) {
+		// From the end of the cold state on there is more capacity. The callers return spread over the time after it.
+		return max(notRunDelay, end.Sub(st.now)) + time.Duration(st.random.Int64N(int64(retrySpread)))
+	}
 	after := max(notRunDelay, svc.nextRetryAt.Sub(st.now))
 	svc.nextRetryAt = svc.nextRetryAt.Add(interval)
 	return after
--- a/internal/steer/limit.go
+++ b/internal/steer/limit.go
@@ -5,8 +5,6 @@
 	"math"
 	"slices"
 	"time"
-
-	"golang.org/x/time/rate"
 )
 
 // Rate limits of replicas. An overloaded replica states in its answers how many requests a second it accepts from all
@@ -48,23 +46,6 @@
 	reportedAt time.Time
 	// announced is when this instance last sent the limit to all others.
 	announced time.Time
-	// availableAt is when a send is next likely to be granted, by the newest refusal of the granting instance.
-	availableAt time.Time
-	// bucket paces the sends that this instance grants. Only the granting instance uses it.
-	bucket *rate.Limiter
-	// grants holds the granted sends that no job is known to have used. They are already counted. Only the granting instance
-	// uses it.
-	grants map[jobKey]grantedSend
-	// topValue is the highest value among the recent grant requests.
-	topValue float64
-	// topValueAt is when topValue was set.
-	topValueAt time.Time
-	// topGrants counts the grants since the last one to a request below topValue.
-	topGrants int
-	// refusals counts the grant requests refused since the last grant because no send was available in time at all.
-	refusals int
-	// used counts the sends of this instance, without memory reservations, since it learnt that the replica has a limit.
-	used int64
 }
 
 // Limit reports a replica's rate limit in a note.
@@ -93,6 +74,7 @@
 	rep.heardAt = st.now
 	rep.rest.AnsweredSince(ev.Sent)
 	st.receiveAnnounced(rep, &ev.Announced)
+	st.receiveColdAnswer(rep, &ev)
 	if !ev.Limited {
 		if st.endLimit(rep, ev.Sent) {
 			st.sendLimit(rep, st.limitOf(rep), true)
@@ -122,7 +104,8 @@
 	}
 	perS = min(perS, maxPerS)
 	if rep.limit == nil {
-		rep.limit = &rateLimit{perS: perS, reportedAt: reportedAt, bucket: rate.NewLimiter(rate.Limit(perS), limitBurst), grants: map[jobKey]grantedSend{}}
+		rep.limit = &rateLimit{perS: perS, reportedAt: reportedAt}
+		st.updateSchedule(rep)
 		st.emit(LogLine{Message: "rate limit named", Replica: rep.Name, PerS: perS, Age: st.now.Sub(reportedAt)})
 		return true
 	}
@@ -147,6 +130,7 @@
 	}
 	rep.limit = nil
 	rep.limitEnded = sent
+	st.updateSchedule(rep)
 	st.emit(LogLine{Message: "rate limit ended", Replica: rep.Name, Age: st.now.Sub(sent)})
 	return true
 }
@@ -159,6 +143,14 @@
 	return Limit{Replica: rep.Name, Born: rep.Born, PerS: rep.limit.perS, AgeMs: st.ageMs(rep.limit.reportedAt)}
 }
 
+// newestLimit returns what is known of the replica's limit for a note, nothing if it never had one.
+func (st *State) newestLimit(rep *replica) []Limit {
+	if rep.limit == nil && rep.limitEnded.IsZero() {
+		return nil
+	}
+	return []Limit{st.limitOf(rep)}
+}
+
 // ageMs returns the time since at in ms, for a note.
 func (st *State) ageMs(at time.Time) int32 {
 	return millis(min(max(0, st.now.Sub(at)), maxLimitAge))
@@ -240,11 +232,11 @@
 	rep.sends = slices.Insert(rep.sends, idx, at)
 }
 
-// recentSends counts the requests that reached the replica within the last limitSpan.
-func (rep *replica) recentSends(now time.Time) int {
+// recentSends counts the requests that reached the replica within the last span, which is at most limitSpan.
+func (rep *replica) recentSends(now time.Time, span time.Duration) int {
 	count := 0
 	for _, at := range rep.sends {
-		if now.Sub(at) < limitSpan && !at.After(now) {
+		if now.Sub(at) < span && !at.After(now) {
 			count++
 		}
 	}
@@ -266,13 +258,13 @@
 // memory reservation for it.
 func (st *State) countSends(req *request) {
 	for i, rep := range req.reps {
-		if rep.limit != nil {
-			rep.limit.used++
+		if rep.schedule != nil {
+			rep.schedule.used++
 		}
 		if i == 0 && req.grant.granter == st.Options.Name && req.grant.rep == rep {
 			// The send was counted when it was granted.
-			if rep.limit != nil {
-				delete(rep.limit.grants, jobKey{id: req.job})
+			if rep.schedule != nil {
+				delete(rep.schedule.grants, jobKey{id: req.job})
 			}
 			continue
 		}
@@ -288,10 +280,10 @@
 	if isLoadReport(key.from) {
 		return
 	}
-	if rep.limit != nil && idx == 0 {
-		if _, ok := rep.limit.grants[key]; ok {
+	if rep.schedule != nil && idx == 0 {
+		if _, ok := rep.schedule.grants[key]; ok {
 			// The send was counted when it was granted.
-			delete(rep.limit.grants, key)
+			delete(rep.schedule.grants, key)
 			return
 		}
 	}
@@ -316,7 +308,7 @@
 func (st *State) Limits(now time.Time) []LimitStatus {
 	var list []LimitStatus
 	for _, rep := range st.limitedReplicas() {
-		list = append(list, LimitStatus{Replica: rep.Name, PerS: rep.limit.perS, Recent: rep.recentSends(now), Used: rep.limit.used})
+		list = append(list, LimitStatus{Replica: rep.Name, PerS: rep.limit.perS, Recent: rep.recentSends(now, limitSpan), Used: rep.schedule.used})
 	}
 	return list
 }
--- a/internal/steer/limit_world_test.go
+++ b/internal/steer/limit_world_test.go
@@ -27,6 +27,8 @@
 	replicas []steer.Replica
 	// limits holds the rate that each limited replica states, by name, in requests a second.
 	limits map[string]float64
+	// routing is the configuration of the instances that start from now on.
+	routing *decl.Routing
 	// limitedSince holds when each replica first stated a limit.
 	limitedSince map[string]time.Time
 	// limitedUntil holds when each replica last ended its limit.
@@ -108,9 +110,14 @@
 var usualBudget = budget.Rule{Ratio: 0.2, Slack: 20, Window: 10 * time.Second}
 
 func newLimitWorld(seed uint64, instances int, list []steer.Replica, budget budget.Rule) *limitWorld {
+	return newStartedWorld(seed, instances, list, budget, warmUp)
+}
+
+// newStartedWorld returns a world whose instances started the given time ago.
+func newStartedWorld(seed uint64, instances int, list []steer.Replica, budget budget.Rule, uptime time.Duration) *limitWorld {
 	lw := &limitWorld{
-		now: start.Add(-warmUp), random: rand.New(rand.NewPCG(seed, 1)), delay: 2 * time.Millisecond,
-		budget: budget, replicas: list, limits: map[string]float64{}, limitedSince: map[string]time.Time{}, limitedUntil: map[string]time.Time{},
+		now: start.Add(-uptime), random: rand.New(rand.NewPCG(seed, 1)), delay: 2 * time.Millisecond,
+		budget: budget, replicas: list, routing: &decl.Routing{Version: 1, Services: map[string]decl.Pool{"lyric": {Engine: &figures}, "board": {}}}, limits: map[string]float64{}, limitedSince: map[string]time.Time{}, limitedUntil: map[string]time.Time{},
 		routes: map[steer.RequestID]string{}, arrived: map[string]int{}, served: map[string]int{},
 	}
 	for i := range instances {
@@ -122,7 +129,7 @@
 		lw.every(node, time.Second, steer.Summarized{})
 		lw.every(node, 200*time.Millisecond, steer.ListConfirmed{})
 	}
-	lw.advance(warmUp)
+	lw.advance(uptime)
 	return lw
 }
 
@@ -138,7 +145,7 @@
 		Name: node.name, FailureDomain: node.domain, Run: node.run, Seed: lw.random.Uint64(), MissingTime: 2 * time.Second,
 		Budget: lw.budget,
 	})
-	lw.reduce(node, steer.Configured{Routing: &decl.Routing{Version: 1, Services: map[string]decl.Pool{"lyric": {Engine: &figures}, "board": {}}}})
+	lw.reduce(node, steer.Configured{Routing: lw.routing})
 	var others []steer.Instance
 	for _, other := range lw.nodes {
 		if other != node {
--- a/internal/steer/list.go
+++ b/internal/steer/list.go
@@ -16,9 +16,10 @@
 	for _, item := range ev.Replicas {
 		named[item.Name] = true
 		if !st.holdsBack(item, ev.FromCopy) {
-			st.register(item)
+			st.register(item, false)
 		}
 	}
+	st.listRead = true
 	maps.DeleteFunc(st.heldBack, func(name string, _ heldEntry) bool { return !named[name] })
 	var missing []string
 	for name, rep := range st.replicas {
@@ -36,7 +37,7 @@
 // listChanged applies the changes of the list. Its cost grows with the changes, not with the number of replicas.
 func (st *State) listChanged(ev ListChanged) {
 	for _, item := range ev.Replicas {
-		st.register(item)
+		st.register(item, true)
 	}
 	for _, name := range ev.Gone {
 		delete(st.heldBack, name)
@@ -71,12 +72,14 @@
 	return held || known && fromCopy && item.Born < rep.Born
 }
 
-func (st *State) register(item Replica) {
+// register applies the entry of a replica. written reports whether the entry is known to have been written since it was last read.
+func (st *State) register(item Replica, written bool) {
 	delete(st.missing, item.Name)
 	delete(st.heldBack, item.Name)
 	rep, ok := st.replicas[item.Name]
 	if ok && item.Born <= rep.Born && rep.Address == item.Address && rep.Service == item.Service {
 		// An entry with an earlier start is older than the known incarnation.
+		current := item.Born == rep.Born
 		item.Born = rep.Born
 		if item.Leaving {
 			st.markLeaving(rep, sourceList)
@@ -87,14 +90,18 @@
 			rep.gone = false
 			st.addToService(rep)
 		}
+		if current {
+			st.receiveColdEntry(rep, written)
+		}
 		return
 	}
 	if ok {
 		st.detach(rep)
 	}
-	rep = &replica{Replica: item, slow: 1, announcedSlow: 1}
+	rep = st.newReplica(item, rep)
 	st.replicas[item.Name] = rep
 	st.addToService(rep)
+	st.receiveColdEntry(rep, true)
 }
 
 // addToService adds the replica to its service, from which detach removed it if it was registered before.
@@ -140,7 +147,7 @@
 	}
 	for _, name := range slices.Sorted(maps.Keys(st.heldBack)) {
 		if entry := st.heldBack[name]; !st.now.Before(entry.until) {
-			st.register(entry.Replica)
+			st.register(entry.Replica, false)
 		}
 	}
 	var rested []*replica
--- a/internal/steer/note.go
+++ b/internal/steer/note.go
@@ -53,6 +53,8 @@
 	Cleared []ClearedPart `cbor:"21,keyasint,omitempty"`
 	// LostPaths names the services to which the instance has lost its path. Every note has the whole list.
 	LostPaths []string `cbor:"22,keyasint,omitempty"`
+	// Cold reports replicas that are cold, or that are not any more.
+	Cold []Cold `cbor:"26,keyasint,omitempty"`
 }
 
 // Suspicion reports the parts of a prompt that was sent to a replica that crashed.
@@ -158,6 +160,7 @@
 	dropped += dropInvalid(&nt.Suspicions, (*Suspicion).valid)
 	dropped += dropInvalid(&nt.Cleared, (*ClearedPart).valid)
 	dropped += dropInvalid(&nt.Limits, (*Limit).valid)
+	dropped += dropInvalid(&nt.Cold, (*Cold).valid)
 	dropped += dropInvalid(&nt.GrantRequests, (*GrantRequest).valid)
 	dropped += dropInvalid(&nt.Grants, (*Grant).valid)
 	dropped += dropInvalid(&nt.Departures, func(dep *Departure) bool { return dep.Replica != "" })
--- a/internal/steer/path.go
+++ b/internal/steer/path.go
@@ -109,6 +109,7 @@
 // unreachedByOthers records that another instance did not reach the replica either.
 func (st *State) unreachedByOthers(rep *replica, via string) {
 	st.failedBehindDetour(rep, "", via)
+	st.suspectRestart(rep)
 	svc := st.serviceOf(rep.Service)
 	lostAt := svc.path.LostAt
 	if svc.path.Dead(st.now, rep.Name, st.candidateNames(svc)) {
@@ -132,6 +133,7 @@
 	for _, other := range svc.replicas {
 		if other.downCause == notice.Failing && (other.downReporter == "" || st.fleet.Lost(st.now, other.downReporter, svc.name)) {
 			other.succeeded()
+			st.dropSuspectedRestart(other)
 		}
 	}
 	st.probePaths(svc)
--- a/internal/steer/peer.go
+++ b/internal/steer/peer.go
@@ -86,6 +86,7 @@
 	st.sumPeerDemand()
 	st.fleet.DropExpired(st.now)
 	st.summarizeLimits()
+	st.summarizeCold()
 	st.summaries++
 	if len(kept) == 0 && st.summaries%idleSummaryInterval != 0 {
 		return
@@ -151,6 +152,7 @@
 	for i := range nt.Limits {
 		st.receiveLimit(&nt.Limits[i])
 	}
+	st.receiveCold(nt.Cold)
 	st.receiveGrantRequests(nt.From, nt.GrantRequests)
 	st.receiveGrants(nt.Grants)
 	st.receiveGrantReturns(nt.From, nt.GrantReturns)
@@ -163,6 +165,7 @@
 			st.reported(pr, nt.From, rep)
 		}
 	}
+	st.receiveSuspectedRestarts(nt.Cold)
 }
 
 // peerOf returns the instance's entry for the run of the note. Runs are only compared for equality, since a clock that was
@@ -231,11 +234,16 @@
 
 // dropExpiredPeers drops the instances from which no note arrived for peerTimeout.
 func (st *State) dropExpiredPeers() {
-	for _, from := range slices.Sorted(maps.Keys(st.peers)) {
-		if pr := st.peers[from]; st.now.Sub(pr.lastNoteAt) > peerTimeout {
-			st.dropPeer(from, pr)
+	var expired []string
+	for from, pr := range st.peers {
+		if st.now.Sub(pr.lastNoteAt) > peerTimeout {
+			expired = append(expired, from)
 		}
 	}
+	slices.Sort(expired)
+	for _, from := range expired {
+		st.dropPeer(from, st.peers[from])
+	}
 }
 
 // startJob books a job at its replicas and returns those of them that are known here.
--- a/internal/steer/place.go
+++ b/internal/steer/place.go
@@ -109,7 +109,7 @@
 	canAnswer bool
 	// freeTokens is the free memory in tokens.
 	freeTokens int64
-	// limited is set while the engine states a rate limit. Each part of a prompt and each reservation of memory would
+	// limited is set while the engine states a rate limit or is cold. Each part of a prompt and each reservation of memory would
 	// count against that limit, so the engine takes no part of a prompt that several engines read.
 	limited bool
 }
@@ -245,14 +245,14 @@
 
 // candidateOf returns the replica as a candidate for the request. canAnswer is left to the calling function.
 func (st *State) candidateOf(svc *service, req *request, rep *replica) candidate {
-	cand := candidate{rep: rep, limited: rep.limit != nil, estimate: rep.forecast(svc.engine, &st.tune, st.now), freeTokens: rep.free(svc.engine)}
+	cand := candidate{rep: rep, limited: rep.schedule != nil, estimate: rep.forecast(svc.engine, &st.tune, st.now), freeTokens: rep.free(svc.engine)}
 	cand.readsLong = st.readsLong(rep, &cand.estimate)
 	cand.spreadCost = st.tune.spreadCost(rep, req)
 	cand.penalty = st.tune.Crowding * st.random.Float64()
 	if rep.FailureDomain != st.Options.FailureDomain {
 		cand.penalty += st.tune.FarCost
 	}
-	if cand.limited && st.now.Sub(rep.limit.reportedAt) > limitProbeAge {
+	if rep.limit != nil && st.now.Sub(rep.limit.reportedAt) > limitProbeAge {
 		cand.penalty -= limitProbeBonus
 	}
 	return cand
--- a/internal/steer/queue.go
+++ b/internal/steer/queue.go
@@ -63,7 +63,7 @@
 	if !ok {
 		return false
 	}
-	if pl.reps[0].limit != nil {
+	if pl.reps[0].schedule != nil {
 		return st.requestGrant(req, pl.reps[0])
 	}
 	req.claiming = st.contested(&pl)
--- a/internal/steer/replica.go
+++ b/internal/steer/replica.go
@@ -81,7 +81,11 @@
 	rest notice.Rest
 	// limit is nil while the replica states no rate limit.
 	limit *rateLimit
-	// coldUntil is until when the replica is cold, zero if it is not known to have been.
+	// schedule paces the sends to the replica. It is nil while they need no grants.
+	schedule *sendSchedule
+	// cold is what is known of the replica's cold state.
+	cold coldState
+	// coldUntil is until when the replica counts as cold here, zero if it never did or its service has no slow start.
 	coldUntil time.Time
 	// evacuated reports whether the operators have evacuated its failure domain.
 	evacuated bool
--- a/internal/steer/report.go
+++ b/internal/steer/report.go
@@ -50,6 +50,7 @@
 	for _, rep := range svc.replicas {
 		if rep.downReporter == reporter && rep.downCause == notice.Failing && st.now.Before(rep.downUntil) {
 			rep.succeeded()
+			st.dropSuspectedRestart(rep)
 			st.emit(LogLine{Message: "report ignored: its sender seems cut off", Replica: rep.Name, Reporter: reporter})
 		}
 	}
--- a/internal/steer/retry.go
+++ b/internal/steer/retry.go
@@ -78,7 +78,11 @@
 	case ResultBroken:
 		if ev.Died {
 			rep.diedAt = st.now
-			st.markDown(rep, notice.Failing)
+			wasUsable := st.avoid(rep, notice.Failing)
+			st.suspectRestart(rep)
+			if wasUsable {
+				st.notifyOthers(rep, notice.Failing)
+			}
 			st.countDeath(req)
 			return
 		}
@@ -114,6 +118,7 @@
 		return
 	}
 	st.avoid(rep, notice.Failing)
+	st.suspectRestart(rep)
 	rep.unconfirmed = true
 	st.probeWitness(rep)
 }
--- a/internal/steer/state.go
+++ b/internal/steer/state.go
@@ -97,6 +97,10 @@
 	missing map[string]time.Time
 	// heldBack holds, by replica name, the entries of replicas that were gone before the list's store returned from a copy.
 	heldBack map[string]heldEntry
+	// listRead reports whether the list of replicas was read.
+	listRead bool
+	// coldEndsAt is when the first cold replica is not cold any more, zero if none is cold.
+	coldEndsAt time.Time
 	// lastUnanswered holds, by instance name, when an instance last failed to answer a GrantRequest.
 	lastUnanswered map[string]time.Time
 	// wakeAt is the time of the wake-up that was last requested for the waiting requests.
@@ -129,6 +133,10 @@
 	path paths.Path
 	// lostByAll reports whether the path is lost and those of all other instances are, as far as known.
 	lostByAll bool
+	// slowStart is what the replicas accept while they are cold.
+	slowStart decl.SlowStart
+	// warmedAt is when the cold state of one of the replicas last ended.
+	warmedAt time.Time
 	// nextRetryAt is the earliest retry time for the next caller that is refused because of the replicas' rate limits.
 	nextRetryAt time.Time
 }
@@ -261,6 +269,7 @@
 		st.startedAt = now
 	}
 	st.effects = st.effects[:0]
+	st.endCold()
 	switch ev := ev.(type) {
 	case Arrived:
 		st.arrived(ev)
@@ -368,8 +377,10 @@
 	for name, pool := range ev.Routing.Services {
 		svc := st.serviceOf(name)
 		svc.engine = pool.Engine
+		svc.slowStart = usableSlowStart(pool.SlowStart)
 		svc.resetLayout()
 	}
+	st.reviewAllCold()
 	st.dispatch()
 }
 
@@ -379,6 +390,7 @@
 		svc = &service{name: name}
 		if st.Routing != nil {
 			svc.engine = st.Routing.Services[name].Engine
+			svc.slowStart = usableSlowStart(st.Routing.Services[name].SlowStart)
 		}
 		st.services[name] = svc
 	}
