--- a/internal/steer/claim.go
+++ b/internal/steer/claim.go
@@ -113,7 +113,7 @@
 
 // claimBarred reports whether the request must not be sent as it was placed, whoever has the slot.
 func (st *State) claimBarred(req *request) bool {
-	return req.reps[0].limit != nil || st.planBlocked(req) || st.catchingUp() || st.quarantined(req)
+	return req.reps[0].schedule != nil || st.planBlocked(req) || st.catchingUp() || st.quarantined(req)
 }
 
 // planBlocked reports whether an announcement holds the request, or a part of its prompt, back from a replica of its plan.
--- a/internal/steer/evacuate.go
+++ b/internal/steer/evacuate.go
@@ -95,16 +95,6 @@
 	return counts
 }
 
-// warmAfterEvacuation treats the replica as cold from the end of the evacuation on, since it had no requests meanwhile.
-func (st *State) warmAfterEvacuation(rep *replica) {
-	if st.Routing == nil {
-		return
-	}
-	if ss := st.Routing.Services[rep.Service].SlowStart; ss.Applies() {
-		rep.coldUntil = later(rep.coldUntil, st.now.Add(ss.Duration.Std()))
-	}
-}
-
 // forgetPath removes the replica from what shows whether the path to its service is lost.
 func (st *State) forgetPath(rep *replica) {
 	rep.unconfirmed = false
--- a/internal/steer/replica.go
+++ b/internal/steer/replica.go
@@ -83,7 +83,11 @@
 	limit *rateLimit
 	// fullUntil is until when the replica is taken to have no free slot, since a slot was refused.
 	fullUntil time.Time
-	// coldUntil is until when the replica is cold, zero if it is not known to have been.
+	// schedule paces the sends to the replica. It is nil while they need no grants.
+	schedule *sendSchedule
+	// cold is what is known of the replica's cold state.
+	cold coldState
+	// coldUntil is until when the replica counts as cold here, zero if it never did or its service has no slow start.
 	coldUntil time.Time
 	// evacuated reports whether the operators have evacuated its failure domain.
 	evacuated bool
