Tests: replicas of two failure domains that are down are taken for a lost path

Load pattern: in a burst the replicas of two of three failure domains respond to nobody, the second a second after the first.

Class of the fault: a part is taken for the whole. paths.Path and the witness both conclude from two replicas, drawn among those that the instance uses, on the path to all; where two thirds of the replicas are down, or all of the instance's subset, two failures in a row and a failing witness are the usual case. What another failure domain shows, and what the others have reported, is not asked.

--- a/internal/steer/fleet_test.go
+++ b/internal/steer/fleet_test.go
@@ -30,6 +30,12 @@
 	noteLoss float64
 	nextID   steer.RequestID
 	requests map[steer.RequestID]*fleetRequest
+	// down holds the replicas that respond to nobody.
+	down map[string]bool
+	// engines is the number of engines.
+	engines int
+	// answeredBy counts the answers of each replica.
+	answeredBy map[string]int
 }
 
 // fleetNode is one instance.
@@ -45,6 +51,10 @@
 	avoidedByReport int
 	// lostByAll counts the times that the instance concluded that nobody has a path.
 	lostByAll int
+	// lines counts the log lines by message.
+	lines map[string]int
+	// probes counts the connections that carried nothing, and unanswered the attempts whose connection failed.
+	probes, unanswered int
 }
 
 // fleetRequest is one request of a caller.
@@ -87,10 +97,18 @@
 
 // newFleet starts the instances, with three engines for every four of them.
 func newFleet(seed uint64, instances int) *fleet {
-	fl := &fleet{now: start.Add(-warmUp), random: rand.New(rand.NewPCG(seed, 1)), requests: map[steer.RequestID]*fleetRequest{}, byName: map[string]*fleetNode{}}
-	list := fleetReplicas(max(3, instances*3/4), fleetDomains)
+	return newFleetBefore(seed, instances, max(3, instances*3/4))
+}
+
+// newFleetBefore starts the instances before the number of engines.
+func newFleetBefore(seed uint64, instances, engines int) *fleet {
+	fl := &fleet{
+		now: start.Add(-warmUp), random: rand.New(rand.NewPCG(seed, 1)), requests: map[steer.RequestID]*fleetRequest{}, byName: map[string]*fleetNode{},
+		down: map[string]bool{}, answeredBy: map[string]int{}, engines: engines,
+	}
+	list := fleetReplicas(engines, fleetDomains)
 	for i := range instances {
-		node := &fleetNode{name: fmt.Sprintf("instance-%03d", i), domain: fleetDomains[i%len(fleetDomains)], cut: map[string]bool{}}
+		node := &fleetNode{name: fmt.Sprintf("instance-%03d", i), domain: fleetDomains[i%len(fleetDomains)], cut: map[string]bool{}, lines: map[string]int{}}
 		fl.nodes, fl.byName[node.name] = append(fl.nodes, node), node
 	}
 	for _, node := range fl.nodes {
@@ -153,6 +171,7 @@
 		case steer.Send:
 			fl.send(node, eff)
 		case steer.ProbePaths:
+			node.probes += len(eff.Replicas)
 			for _, replica := range eff.Replicas {
 				fl.dial(node, replica, probeHangTime, func(reached bool) {
 					fl.reduce(node, steer.PathObserved{Replica: replica.Name, Reached: reached})
@@ -170,6 +189,7 @@
 }
 
 func (fl *fleet) countLine(node *fleetNode, line steer.LogLine) {
+	node.lines[line.Message]++
 	switch {
 	case line.Message == "replica avoided" && line.Source == "note":
 		node.avoidedByReport++
@@ -197,7 +217,7 @@
 // dial calls done with whether a new connection of the instance to the replica succeeds. One that hangs fails at the timeout.
 func (fl *fleet) dial(node *fleetNode, replica steer.Replica, timeout time.Duration, done func(reached bool)) {
 	switch {
-	case !node.cut[replica.Service]:
+	case !node.cut[replica.Service] && !fl.down[replica.Name]:
 		fl.after(time.Millisecond, func() { done(true) })
 	case fl.silent:
 		fl.after(timeout, func() { done(false) })
@@ -230,6 +250,7 @@
 // answer ends an attempt whose connection to the replica succeeded, or did not.
 func (fl *fleet) answer(node *fleetNode, eff steer.Send, ended steer.AttemptEnded, reached bool) {
 	if !reached {
+		node.unanswered++
 		ended.Result = steer.ResultNotSent
 		fl.end(node, ended)
 		return
@@ -239,6 +260,10 @@
 	}
 	sent := fl.now
 	fl.after(answerTime, func() {
+		if fl.down[eff.Replica.Name] {
+			return
+		}
+		fl.answeredBy[eff.Replica.Name]++
 		fl.reduce(node, steer.ResponseReceived{Replica: eff.Replica.Name, Born: eff.Replica.Born, Sent: sent})
 		fl.reduce(node, steer.Began{ID: eff.ID, Attempt: eff.Attempt})
 		if req := fl.requests[eff.ID]; req.beganAt.IsZero() {
@@ -246,7 +271,30 @@
 		}
 	})
 	ended.Result = steer.ResultDone
-	fl.after(finishTime, func() { fl.end(node, ended) })
+	fl.after(finishTime, func() {
+		if fl.down[eff.Replica.Name] {
+			fl.broken(node, eff, ended)
+			return
+		}
+		fl.end(node, ended)
+	})
+}
+
+// broken ends an attempt whose replica went down while it answered, as relay.Instance does: a stream that is silent, or a connection that is
+// reset, is followed by a new connection.
+func (fl *fleet) broken(node *fleetNode, eff steer.Send, ended steer.AttemptEnded) {
+	ended.Result = steer.ResultBroken
+	silence := time.Duration(0)
+	if fl.silent {
+		ended.Result, silence = steer.ResultSilent, eff.FirstTimeout
+	}
+	fl.after(silence, func() {
+		node.probes++
+		fl.dial(node, eff.Replica, probeHangTime, func(reached bool) {
+			ended.Unreachable = !reached
+			fl.end(node, ended)
+		})
+	})
 }
 
 // passOn carries out an attempt of the node at the peer.
@@ -280,6 +328,7 @@
 		done(false)
 		return
 	}
+	node.probes++
 	fl.dial(node, witness, probeHangTime, func(reached bool) {
 		fl.reduce(node, steer.PathObserved{Replica: witness.Name, Reached: reached})
 		done(reached)
--- /dev/null
+++ b/internal/steer/outage_test.go
@@ -0,0 +1,186 @@
+package steer_test
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"dandelionsail.example/dandelionsail/pkg/decl"
+)
+
+// burstLoad is what callers ask of each instance in a second of a burst.
+var burstLoad = map[*decl.Route]float64{&short: 3, &lookup: 0.3}
+
+// outageSizes holds the numbers of instances and engines. The services of 80 and of 300 instances are split into subsets by failure domain.
+var outageSizes = map[string]struct{ instances, engines int }{
+	"6":   {6, 6},
+	"80":  {80, 78},
+	"116": {116, 60},
+	"300": {300, 240},
+}
+
+// setDown makes the replicas of the failure domain respond to nobody, or to all again.
+func (fl *fleet) setDown(domain string, down bool) {
+	for _, replica := range fleetReplicas(fl.engines, fleetDomains) {
+		if replica.FailureDomain == domain {
+			fl.down[replica.Name] = down
+		}
+	}
+}
+
+// lines returns how many log lines with the message all instances have written.
+func (fl *fleet) lines(message string) int {
+	count := 0
+	for _, node := range fl.nodes {
+		count += node.lines[message]
+	}
+	return count
+}
+
+// connections returns how many connections carried nothing, and how many for messages failed, on average at each
+// instance.
+func (fl *fleet) connections() (probes, unanswered float64) {
+	for _, node := range fl.nodes {
+		probes += float64(node.probes)
+		unanswered += float64(node.unanswered)
+	}
+	return probes / float64(len(fl.nodes)), unanswered / float64(len(fl.nodes))
+}
+
+func all(*fleetRequest) bool { return true }
+
+func TestReplicasThatAreDownAreNoLostPath(t *testing.T) {
+	// In a burst the replicas of two of three failure domains respond to nobody, the second a second after the first, for two seconds each.
+	// All instances took that for a lost path of their own, again and again: they sent through each other, where the messages were held back,
+	// and opened connections without end.
+	for name, size := range outageSizes {
+		for _, silent := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s/silent=%t", name, silent), func(t *testing.T) {
+				t.Parallel()
+				fl := newFleetBefore(1, size.instances, size.engines)
+				fl.silent = silent
+				fl.load(burstLoad, 2*time.Second)
+				began := fl.now
+				fl.setDown("a", true)
+				fl.load(burstLoad, time.Second)
+				fl.setDown("b", true)
+				fl.load(burstLoad, time.Second)
+				fl.setDown("a", false)
+				fl.load(burstLoad, time.Second)
+				fl.setDown("b", false)
+				healed := fl.now
+				fl.load(burstLoad, 4*time.Second)
+				returned := fl.leastUsed()
+				fl.advance(3 * time.Second)
+				probes, unanswered := fl.connections()
+				during, number := fl.served(began.Add(time.Second), healed, all)
+				after, _ := fl.served(healed.Add(time.Second), healed.Add(4*time.Second), all)
+				t.Logf("paths lost %d, regained %d, by all %d; through others %d; probes %.1f, attempts without connection %.1f at each instance; served during %.3f of %d, after %.3f; answers of the least used failure domain %.2f of the mean",
+					fl.lines("path lost"), fl.lines("path regained"), fl.lines("path lost by all instances"), fl.lines("sent through another instance"), probes, unanswered, during, number, after, returned)
+				assert.Check(t, fl.lines("path lost") == 0, "paths lost: %d", fl.lines("path lost"))
+				assert.Check(t, fl.lines("sent through another instance") == 0, "through others: %d", fl.lines("sent through another instance"))
+				assert.Check(t, probes <= maxOutageProbes, "probes: %.1f", probes)
+				assert.Check(t, unanswered <= maxOutageAttempts, "attempts without connection: %.1f", unanswered)
+				assert.Check(t, during >= 0.9, "served during the outage: %.3f", during)
+				assert.Check(t, after >= 0.98, "served after the outage: %.3f", after)
+				assert.Check(t, returned >= 0.6, "answers of the least used failure domain: %.2f of the mean", returned)
+			})
+		}
+	}
+}
+
+const (
+	// maxOutageProbes and maxOutageAttempts are the maximum numbers of connections at each instance that carry nothing, and of attempts that
+	// fail, for outages of two failure domains of two seconds each.
+	maxOutageProbes   = 40
+	maxOutageAttempts = 12
+)
+
+// leastUsed plays on for two seconds and returns how many answers come from the engines of the failure domain that gives the fewest, as a
+// part of the mean.
+func (fl *fleet) leastUsed() float64 {
+	before := maps.Clone(fl.answeredBy)
+	fl.load(burstLoad, 2*time.Second)
+	counts, total := map[string]int{}, 0
+	for _, replica := range fleetReplicas(fl.engines, fleetDomains) {
+		if replica.Service == "lyric" {
+			count := fl.answeredBy[replica.Name] - before[replica.Name]
+			counts[replica.FailureDomain] += count
+			total += count
+		}
+	}
+	return float64(slices.Min(slices.Collect(maps.Values(counts)))*len(counts)) / float64(total)
+}
+
+func TestInstanceCutOffWhileReplicasAreDownServesItsCallers(t *testing.T) {
+	// Two of three failure domains are down for everybody when one instance loses its links to all replicas. Its callers must be served
+	// through another one, and the others must not take the outage for a lost path of theirs.
+	for name, size := range outageSizes {
+		for _, silent := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s/silent=%t", name, silent), func(t *testing.T) {
+				t.Parallel()
+				fl := newFleetBefore(1, size.instances, size.engines)
+				fl.silent = silent
+				fl.load(usualLoad, 2*time.Second)
+				fl.setDown("a", true)
+				fl.setDown("b", true)
+				fl.load(usualLoad, 2*time.Second)
+				began := fl.now
+				cut := fl.nodes[:3]
+				fl.cutNodes(cut)
+				fl.load(usualLoad, 10*time.Second)
+				fl.advance(3 * time.Second)
+				behind := func(req *fleetRequest) bool { return req.node.cut["lyric"] }
+				share, number := fl.served(began.Add(3*time.Second), began.Add(10*time.Second), behind)
+				others, _ := fl.served(began.Add(3*time.Second), began.Add(10*time.Second), func(req *fleetRequest) bool { return !behind(req) })
+				lost := 0
+				for _, node := range fl.nodes[3:] {
+					lost += node.lines["path lost"]
+				}
+				t.Logf("served %.3f of %d, others %.3f; paths lost by others %d", share, number, others, lost)
+				assert.Check(t, share >= others-0.05, "served %.3f, others %.3f", share, others)
+				assert.Check(t, others >= 0.95, "others %.3f", others)
+				assert.Check(t, lost == 0, "paths lost by others: %d", lost)
+			})
+		}
+	}
+}
+
+func TestReplicasThatComeBackOneByOneAreUsed(t *testing.T) {
+	// The replicas of all failure domains are down, and come back one after the other. Requests must be refused at once with a time to return
+	// while none is there, and be served by those that are back instead of being refused for those that are not.
+	for name, size := range outageSizes {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			fl := newFleetBefore(1, size.instances, size.engines)
+			fl.load(usualLoad, 2*time.Second)
+			began := fl.now
+			for _, domain := range fleetDomains {
+				fl.setDown(domain, true)
+			}
+			fl.load(usualLoad, 6*time.Second)
+			returns := fl.now
+			for i := range fl.engines {
+				fl.after(time.Duration(i)*6*time.Second/time.Duration(fl.engines), func() { fl.down[fmt.Sprint("lyric-", i)] = false })
+			}
+			fl.load(usualLoad, 8*time.Second)
+			fl.advance(3 * time.Second)
+			prompts := func(req *fleetRequest) bool { return req.service == "lyric" }
+			for _, req := range fl.requests {
+				if !prompts(req) || req.at.Before(began.Add(3*time.Second)) || !req.at.Before(returns.Add(-time.Second)) {
+					continue
+				}
+				assert.Assert(t, req.done && !req.left && req.refusal != nil && req.refusal.NotRun && req.refusal.RetryAfter > 0, "%+v", req)
+				assert.Assert(t, req.endAt.Sub(req.at) < 400*time.Millisecond, "refused after %v", req.endAt.Sub(req.at))
+			}
+			share, number := fl.served(returns.Add(3*time.Second), returns.Add(8*time.Second), prompts)
+			probes, unanswered := fl.connections()
+			t.Logf("served %.3f of %d while they come back; probes %.1f, attempts without connection %.1f", share, number, probes, unanswered)
+			assert.Check(t, share >= 0.9, "served %.3f", share)
+		})
+	}
+}
