Replicas that are down are told from a lost path

Cause: paths.Path took failures of any two upstreams in a row for the loss of the path, and the witness was drawn among the replicas that the instance uses, mostly of its own failure domain. Now a path is lost only if upstreams of all failure domains (three at most) fail in a row while none succeeds, and at least as many as before that no instance without a loss has reported. After a failure one upstream of each other failure domain is probed. A failure domain whose upstreams fail in a row (three, or reported as failing and one of them) while another one is reached counts as down: its replicas are avoided, one is probed each 0.4 s, and four more once one was reached. The list counts, too: failures of replicas that leave, are gone or have started anew show nothing of the path.

All 48 cases of TestCallersBehindLostPathsAreServedInLargeFleets pass unchanged.

--- /dev/null
+++ b/internal/paths/outage.go
@@ -0,0 +1,440 @@
+package paths
+
+import (
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Outages. Load pattern: the upstreams of a failure domain respond to nobody for seconds, and those of another one soon after. To an instance
+// that uses the upstreams of one failure domain first, that looks like the loss of its path. Two things tell the cases apart: connections to
+// upstreams of other failure domains succeed, and other instances that state no loss have reported the same upstreams. A failure domain whose
+// upstreams fail in a row while another one is reached counts as down: nothing is sent there but a few probes until they succeed.
+
+const (
+	// maxWitnessDomains is the maximum number of failure domains whose upstreams must fail before the path counts as lost, so that the
+	// probes after a failure are few however many failure domains there are.
+	maxWitnessDomains = 3
+	// minOutageFailures is the number of upstreams of a failure domain that must fail in a row before the failure domain counts as down. With two,
+	// upstreams that crash one by one would often take their failure domain with them.
+	minOutageFailures = 3
+	// returnProbes is the number of further upstreams of a failure domain that must be reached, after the first, before the failure domain
+	// does not count as down any more.
+	returnProbes = 4
+)
+
+// Verdict is what is concluded from a failure.
+type Verdict int
+
+// The verdicts.
+const (
+	// TooFew means that too few upstreams have failed for any conclusion.
+	TooFew Verdict = iota
+	// DomainsLeft means that upstreams of some failure domain have not failed.
+	DomainsLeft
+	// ReportedByOthers means that instances that state no loss have reported the upstreams that fail.
+	ReportedByOthers
+	// PathLost means that the path is lost.
+	PathLost
+)
+
+// String returns the name of the verdict for the log.
+func (vd Verdict) String() string {
+	return [...]string{"TooFew", "DomainsLeft", "ReportedByOthers", "PathLost"}[vd]
+}
+
+// outage is what is known of the failures in one failure domain.
+type outage struct {
+	// failed holds when upstreams of the failure domain failed, for those that failed since one of them was reached.
+	failed map[string]time.Time
+	// down reports whether the failure domain counts as down.
+	down bool
+	// reached names the upstreams that were reached since.
+	reached map[string]bool
+	// round names the upstreams of the last round of probes whose result is not known yet.
+	round map[string]bool
+	// roundFailed reports whether one of that round has failed.
+	roundFailed bool
+	// probeAt is when the next round is due.
+	probeAt time.Time
+	// checkedAt is when the failure domain was last probed because of reports.
+	checkedAt time.Time
+}
+
+// report is another instance's report that an upstream fails.
+type report struct {
+	at       time.Time
+	reporter string
+}
+
+// FailedElsewhere records that an instance through which a message went while the path is lost does not reach the upstream, or avoids it. The
+// failure domain counts as down if that holds for several of its upstreams: the others tell what the probes of this instance cannot.
+func (pa *Path) FailedElsewhere(now time.Time, upstream string) {
+	out := pa.outageOf(upstream)
+	if out == nil || !pa.Lost() {
+		return
+	}
+	out.failed[upstream] = now
+	maps.DeleteFunc(out.failed, func(_ string, at time.Time) bool { return now.Sub(at) > maxAge })
+	if !out.down && len(out.failed) >= min(minOutageFailures, len(pa.members[pa.domains[upstream]])) {
+		out.down, out.reached, out.round, out.probeAt = true, map[string]bool{}, nil, now
+	}
+}
+
+// ServedElsewhere records that the upstream answered through another instance, so that its failure domain is not down.
+func (pa *Path) ServedElsewhere(upstream string) { pa.endOutage(pa.domains[upstream]) }
+
+// SetDomains sets the failure domain of each upstream that is in use. What is known of others does not count any more.
+func (pa *Path) SetDomains(domains map[string]string) {
+	pa.domains = domains
+	pa.members = map[string][]string{}
+	for _, name := range slices.Sorted(maps.Keys(domains)) {
+		pa.members[domains[name]] = append(pa.members[domains[name]], name)
+	}
+	unknown := func(name string, _ time.Time) bool { _, ok := domains[name]; return !ok }
+	maps.DeleteFunc(pa.failed, unknown)
+	maps.DeleteFunc(pa.outages, func(domain string, out *outage) bool {
+		maps.DeleteFunc(out.failed, unknown)
+		return len(pa.members[domain]) == 0 || len(pa.members) < 2
+	})
+}
+
+// Forget drops the failures of the upstream, since the list says that it has started anew, which explains them.
+func (pa *Path) Forget(upstream string) {
+	delete(pa.failed, upstream)
+	delete(pa.reports, upstream)
+	if out := pa.outages[pa.domains[upstream]]; out != nil {
+		delete(out.failed, upstream)
+	}
+}
+
+// SeveralDomains reports whether the upstreams are in several failure domains.
+func (pa *Path) SeveralDomains() bool { return len(pa.members) > 1 }
+
+// Down reports whether the upstream's failure domain counts as down and the upstream was not reached since.
+func (pa *Path) Down(upstream string) bool {
+	out := pa.outages[pa.domains[upstream]]
+	return out != nil && out.down && !out.reached[upstream]
+}
+
+// DownDomains returns the failure domains that count as down, sorted.
+func (pa *Path) DownDomains() []string {
+	var list []string
+	for domain, out := range pa.outages {
+		if out.down {
+			list = append(list, domain)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
+// OutageFailures returns the number of upstreams of the failure domain that have failed in a row.
+func (pa *Path) OutageFailures(domain string) int {
+	if out := pa.outages[domain]; out != nil {
+		return len(out.failed)
+	}
+	return 0
+}
+
+// outageOf returns the record of the upstream's failure domain, nil if it is the only one.
+func (pa *Path) outageOf(upstream string) *outage {
+	domain, ok := pa.domains[upstream]
+	if !ok || !pa.SeveralDomains() {
+		return nil
+	}
+	if pa.outages == nil {
+		pa.outages = map[string]*outage{}
+	}
+	out := pa.outages[domain]
+	if out == nil {
+		out = &outage{failed: map[string]time.Time{}}
+		pa.outages[domain] = out
+	}
+	return out
+}
+
+// isDown reports whether the failure domain counts as down.
+func (pa *Path) isDown(domain string) bool {
+	out := pa.outages[domain]
+	return out != nil && out.down
+}
+
+// failedInDomain records the failure in the upstream's failure domain.
+func (pa *Path) failedInDomain(now time.Time, upstream string) {
+	out := pa.outageOf(upstream)
+	if out == nil {
+		return
+	}
+	out.failed[upstream] = now
+	delete(out.reached, upstream)
+	if out.round[upstream] {
+		delete(out.round, upstream)
+		out.roundFailed = true
+	}
+}
+
+// reachedInDomain records that the upstream was reached.
+func (pa *Path) reachedInDomain(now time.Time, upstream string) {
+	domain, ok := pa.domains[upstream]
+	if !ok || !pa.SeveralDomains() {
+		return
+	}
+	if pa.reachedAt == nil {
+		pa.reachedAt = map[string]time.Time{}
+	}
+	pa.reachedAt[domain] = now
+	out := pa.outages[domain]
+	if out == nil {
+		return
+	}
+	delete(pa.reports, upstream)
+	if !out.down {
+		clear(out.failed)
+		return
+	}
+	delete(out.failed, upstream)
+	if len(out.reached) == 0 {
+		out.probeAt = now
+	}
+	out.reached[upstream] = true
+	if len(out.round) > 0 && out.round[upstream] {
+		delete(out.round, upstream)
+		if len(out.round) == 0 && !out.roundFailed && len(out.reached) > 1 {
+			pa.endOutage(domain)
+		}
+	}
+	if len(out.reached) >= len(pa.members[domain]) {
+		pa.endOutage(domain)
+	}
+}
+
+// endOutage records that the failure domain is not down any more. What others reported of it before does not count any more.
+func (pa *Path) endOutage(domain string) {
+	if out := pa.outages[domain]; out != nil {
+		*out = outage{failed: map[string]time.Time{}, checkedAt: out.checkedAt}
+	}
+	maps.DeleteFunc(pa.reports, func(name string, _ report) bool { return pa.domains[name] == domain })
+}
+
+// conclude finds out which failure domains are down: their upstreams fail while one of another failure domain is reached.
+func (pa *Path) conclude(now time.Time) {
+	if pa.Lost() {
+		return
+	}
+	for domain, out := range pa.outages {
+		if out.down {
+			continue
+		}
+		maps.DeleteFunc(out.failed, func(_ string, at time.Time) bool { return now.Sub(at) > maxAge })
+		count := 0
+		for _, name := range pa.members[domain] {
+			if _, failed := out.failed[name]; failed || pa.reported(now, name) {
+				count++
+			}
+		}
+		if len(out.failed) == 0 || count < min(minOutageFailures, len(pa.members[domain])) || !pa.reachedElsewhere(out, domain) {
+			continue
+		}
+		out.down, out.reached, out.round, out.probeAt = true, map[string]bool{}, nil, now.Add(probeInterval)
+		maps.DeleteFunc(pa.failed, func(name string, _ time.Time) bool { return pa.domains[name] == domain })
+	}
+}
+
+// reachedElsewhere reports whether an upstream of another failure domain was reached after the first of the failures. A connection from before
+// it says nothing of the path: it may have been lost in between.
+func (pa *Path) reachedElsewhere(out *outage, domain string) bool {
+	first := slices.MinFunc(slices.Collect(maps.Values(out.failed)), time.Time.Compare)
+	for other, at := range pa.reachedAt {
+		if other != domain && at.After(first) {
+			return true
+		}
+	}
+	return false
+}
+
+// Reported records that the reporter, which states no loss, does not reach the upstream but reaches others. It returns which upstreams to
+// probe: if several of one failure domain are reported, one of them, to find out whether it is down.
+func (pa *Path) Reported(now time.Time, random *rand.Rand, upstream, reporter string) []string {
+	if pa.reports == nil {
+		pa.reports = map[string]report{}
+	}
+	pa.reports[upstream] = report{now, reporter}
+	out := pa.outageOf(upstream)
+	if out == nil || out.down || pa.Lost() || !out.checkedAt.IsZero() && now.Sub(out.checkedAt) < checkInterval {
+		return nil
+	}
+	domain := pa.domains[upstream]
+	count := 0
+	for _, name := range pa.members[domain] {
+		if pa.reported(now, name) {
+			count++
+		}
+	}
+	if count < min(minOutageFailures, len(pa.members[domain])) {
+		return nil
+	}
+	out.checkedAt = now
+	chosen := pa.pick(random, domain)
+	pa.probe(now, chosen)
+	return []string{chosen}
+}
+
+// Distrust drops the reports of an instance that has lost its path.
+func (pa *Path) Distrust(reporter string) {
+	maps.DeleteFunc(pa.reports, func(_ string, rp report) bool { return rp.reporter == reporter })
+}
+
+// reported reports whether another instance that states no loss did not reach the upstream.
+func (pa *Path) reported(now time.Time, upstream string) bool {
+	rp, ok := pa.reports[upstream]
+	return ok && now.Sub(rp.at) <= maxAge
+}
+
+// judge returns what the failures show of the path if the given number of them is needed.
+func (pa *Path) judge(now time.Time, needed int) Verdict {
+	if len(pa.failed) < needed {
+		return TooFew
+	}
+	failures, left := 0, 0
+	domains := map[string]bool{}
+	for name := range pa.failed {
+		if !pa.reported(now, name) {
+			failures++
+		}
+		domains[pa.domains[name]] = true
+	}
+	for domain, names := range pa.members {
+		if !pa.isDown(domain) {
+			left += len(names)
+		}
+	}
+	if pa.SeveralDomains() && left > 0 {
+		if len(domains) < min(maxWitnessDomains, len(pa.members)-len(pa.DownDomains())) {
+			return DomainsLeft
+		}
+		if left < len(pa.domains) {
+			// Where few failure domains are left, a single failure may be the upstream's.
+			needed = min(max(needed, minFailures), left)
+		}
+	}
+	if failures < needed {
+		return ReportedByOthers
+	}
+	return PathLost
+}
+
+// Witnesses returns which upstreams to probe after the upstream has failed, to find out whether it is the path: one of each failure domain that
+// has not failed, or another one of the same if all others are down. It is for upstreams in several failure domains; ok is false otherwise.
+func (pa *Path) Witnesses(now time.Time, random *rand.Rand, upstream string) (names []string, ok bool) {
+	domain, known := pa.domains[upstream]
+	if !known || !pa.SeveralDomains() {
+		return nil, false
+	}
+	if pa.Lost() || pa.probing(now) {
+		return nil, true
+	}
+	failed := map[string]bool{domain: true}
+	for name := range pa.failed {
+		failed[pa.domains[name]] = true
+	}
+	for _, other := range pa.domainsInTurn(random) {
+		if len(names) < maxWitnessDomains-1 && !failed[other] && !pa.isDown(other) {
+			names = append(names, pa.pick(random, other))
+		}
+	}
+	if len(names) == 0 {
+		others := slices.DeleteFunc(slices.Clone(pa.members[domain]), func(name string) bool { return name == upstream })
+		if len(others) == 0 {
+			return nil, true
+		}
+		names = append(names, others[random.IntN(len(others))])
+	}
+	pa.probe(now, names...)
+	return names, true
+}
+
+// OutageProbes returns which upstreams of failure domains that are down to probe now: one each, and some more once one was reached.
+func (pa *Path) OutageProbes(now time.Time, random *rand.Rand) []string {
+	if pa.Lost() {
+		return nil
+	}
+	var chosen []string
+	for _, domain := range pa.DownDomains() {
+		out := pa.outages[domain]
+		if now.Before(out.probeAt) {
+			continue
+		}
+		count := 1
+		if len(out.reached) > 0 {
+			count = returnProbes
+		}
+		left := slices.DeleteFunc(slices.Clone(pa.members[domain]), func(name string) bool { return out.reached[name] })
+		random.Shuffle(len(left), func(i, j int) { left[i], left[j] = left[j], left[i] })
+		left = left[:min(count, len(left))]
+		out.round, out.roundFailed, out.probeAt = map[string]bool{}, false, now.Add(probeInterval)
+		for _, name := range left {
+			out.round[name] = true
+		}
+		chosen = append(chosen, left...)
+	}
+	return chosen
+}
+
+// domainsInTurn returns the failure domains in random order.
+func (pa *Path) domainsInTurn(random *rand.Rand) []string {
+	domains := slices.Sorted(maps.Keys(pa.members))
+	random.Shuffle(len(domains), func(i, j int) { domains[i], domains[j] = domains[j], domains[i] })
+	return domains
+}
+
+// oneOfEach returns one upstream of each of several failure domains that are not down, and at least as many as must fail before the path counts
+// as lost, if there are.
+func (pa *Path) oneOfEach(random *rand.Rand) []string {
+	var chosen, rest []string
+	for _, domain := range pa.domainsInTurn(random) {
+		if pa.isDown(domain) || len(chosen) == maxWitnessDomains {
+			continue
+		}
+		name := pa.pick(random, domain)
+		chosen = append(chosen, name)
+		rest = append(rest, slices.DeleteFunc(slices.Clone(pa.members[domain]), func(other string) bool { return other == name })...)
+	}
+	if len(chosen) < minFailures {
+		chosen = append(chosen, rest[:min(minFailures-len(chosen), len(rest))]...)
+	}
+	return chosen
+}
+
+// pick returns an upstream of the failure domain, if possible one that has not failed.
+func (pa *Path) pick(random *rand.Rand, domain string) string {
+	names := pa.members[domain]
+	if out := pa.outages[domain]; out != nil && len(out.failed) > 0 {
+		left := slices.DeleteFunc(slices.Clone(names), func(name string) bool { _, failed := out.failed[name]; return failed })
+		if len(left) > 0 {
+			names = left
+		}
+	}
+	return names[random.IntN(len(names))]
+}
+
+// allDown reports whether all failure domains count as down, so that none shows that the path is not lost.
+func (pa *Path) allDown() bool {
+	for domain := range pa.members {
+		if !pa.isDown(domain) {
+			return false
+		}
+	}
+	return true
+}
+
+// outageKnown reports whether failures in some failure domain are not followed by a success.
+func (pa *Path) outageKnown() bool {
+	for _, out := range pa.outages {
+		if out.down || len(out.failed) > 0 {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/paths/paths.go
+++ b/internal/paths/paths.go
@@ -1,5 +1,5 @@
 // Package paths decides whether an instance has lost its own path to the upstreams of a service, which looks like a failure of
-// every one of them. The evidence is that new connections to several upstreams fail in a row while none succeeds. What is
+// every one of them. The evidence is that new connections to several upstreams, of all failure domains, fail in a row while none succeeds. What is
 // concluded from it holds for one service and one instance, until connections succeed again. Fleet holds what the other instances
 // state of theirs, and chooses the one through which a message goes. Both fronts use it.
 package paths
@@ -26,6 +26,8 @@
 	// firstProbes is the number of upstreams that are probed at once when a path is lost: if one answers, several upstreams
 	// failed at the same moment.
 	firstProbes = 3
+	// partialProbes is the number of upstreams that are probed at once while upstreams come back one by one.
+	partialProbes = 8
 	// aloneTime is how long a path does not count as lost after it was found that there are no other instances.
 	aloneTime = time.Second
 	// checkInterval is the minimum interval of the checks that the lost paths of other instances give rise to.
@@ -58,6 +60,22 @@
 	probedAt map[string]time.Time
 	// confirmed reports whether the first probes after the loss have failed, too.
 	confirmed bool
+	// Judged is what was concluded from the last failure, while the path is not lost.
+	Judged Verdict
+	// domains holds the failure domain of each upstream in use, and members the upstreams of each failure domain, sorted. Both are nil if
+	// nothing is known of failure domains.
+	domains map[string]string
+	members map[string][]string
+	// outages holds what is known of the failures in each failure domain.
+	outages map[string]*outage
+	// reachedAt holds when a connection to an upstream of each failure domain last succeeded.
+	reachedAt map[string]time.Time
+	// reports holds the last report of another instance about each upstream.
+	reports map[string]report
+	// partial reports whether a probe has failed since the last round of probes of all upstreams: only some of them are back.
+	partial bool
+	// roundSize is the size of the next such round, 0 for all.
+	roundSize int
 }
 
 // Lost reports whether the path is lost.
@@ -67,12 +85,18 @@
 // upstreams that failed at the same moment. Only then do others learn of it.
 func (pa *Path) Confirmed() bool { return pa.Lost() && pa.confirmed }
 
-// InDoubt reports whether a connection that succeeds would change anything.
+// InDoubt reports whether the path is or may be lost.
 func (pa *Path) InDoubt() bool { return pa.Lost() || len(pa.failed) > 0 }
 
+// Observed reports whether a connection that succeeds would change anything.
+func (pa *Path) Observed() bool { return pa.InDoubt() || pa.outageKnown() }
+
 // Direct reports whether messages to the upstream should be sent without a detour.
 func (pa *Path) Direct(upstream string) bool { return !pa.Lost() || pa.reached[upstream] }
 
+// ReachesSome reports whether the path is lost and some upstreams are reached nevertheless.
+func (pa *Path) ReachesSome() bool { return pa.Lost() && len(pa.reached) > 0 }
+
 // Failures returns the number of upstreams that failed since a connection succeeded.
 func (pa *Path) Failures() int { return len(pa.failed) }
 
@@ -82,6 +106,12 @@
 func (pa *Path) Failed(now time.Time, upstream string, upstreams int, doubtful bool) bool {
 	delete(pa.reached, upstream)
 	delete(pa.probedAt, upstream)
+	pa.failedInDomain(now, upstream)
+	pa.conclude(now)
+	if !pa.Lost() && pa.isDown(pa.domains[upstream]) && !pa.allDown() {
+		pa.Judged = DomainsLeft
+		return false
+	}
 	if pa.failed == nil {
 		pa.failed = map[string]time.Time{}
 	}
@@ -92,13 +122,15 @@
 		needed = 1
 	}
 	if pa.Lost() {
+		pa.partial = true
 		pa.confirmed = pa.confirmed || len(pa.reached) == 0 && !pa.probing(now)
 		return false
 	}
-	if len(pa.failed) < needed || now.Before(pa.aloneUntil) {
+	pa.Judged = pa.judge(now, needed)
+	if pa.Judged != PathLost || now.Before(pa.aloneUntil) {
 		return false
 	}
-	pa.LostAt, pa.probeAt, pa.probeAll, pa.confirmed = now, now, false, false
+	pa.LostAt, pa.probeAt, pa.probeAll, pa.confirmed, pa.roundSize = now, now, false, false, 0
 	pa.reached, pa.dead = map[string]bool{}, map[string]bool{}
 	return true
 }
@@ -107,15 +139,17 @@
 // but for those that no other instance reaches either. It reports whether it is regained by that.
 func (pa *Path) Reached(now time.Time, upstream string, upstreams []string) bool {
 	delete(pa.probedAt, upstream)
+	pa.reachedInDomain(now, upstream)
 	if !pa.Lost() {
 		clear(pa.failed)
+		pa.conclude(now)
 		return false
 	}
 	delete(pa.failed, upstream)
 	delete(pa.dead, upstream)
 	if !pa.reached[upstream] && !pa.probeAll {
 		pa.probeAll = true
-		if soon := now.Add(probeAllDelay); soon.Before(pa.probeAt) {
+		if soon := now.Add(probeAllDelay); soon.Before(pa.probeAt) && (!pa.partial || pa.roundSize == 0) {
 			pa.probeAt = soon
 		}
 	}
@@ -132,9 +166,10 @@
 	return len(pa.reached) > 0 && pa.endIfWhole(now, upstreams)
 }
 
-// endIfWhole ends the loss if no upstream is left that others may reach and this instance does not.
+// endIfWhole ends the loss if no upstream is left that others may reach and this instance does not. Those of a failure domain that was down
+// before the loss are not waited for.
 func (pa *Path) endIfWhole(now time.Time, upstreams []string) bool {
-	if slices.ContainsFunc(upstreams, func(name string) bool { return !pa.reached[name] && !pa.dead[name] }) {
+	if slices.ContainsFunc(upstreams, func(name string) bool { return !pa.reached[name] && !pa.dead[name] && !pa.isDown(pa.domains[name]) }) {
 		return false
 	}
 	pa.end()
@@ -176,6 +211,9 @@
 	pa.checkedAt = now
 	first := random.IntN(len(upstreams))
 	chosen := slices.Concat(upstreams[first:], upstreams[:first])[:min(minFailures, len(upstreams))]
+	if pa.SeveralDomains() {
+		chosen = pa.oneOfEach(random)
+	}
 	pa.probe(now, chosen...)
 	return chosen
 }
@@ -197,7 +235,7 @@
 	count := 1
 	switch {
 	case pa.probeAll:
-		count = len(upstreams)
+		count = pa.nextRoundSize(len(upstreams))
 	case now.Equal(pa.LostAt):
 		count = firstProbes
 	}
@@ -212,3 +250,20 @@
 	pa.probe(now, left...)
 	return left
 }
+
+// nextRoundSize returns how many upstreams to probe since one was reached: all, at first. If some of them fail, the upstreams come back one by
+// one, and a round of all after each would be a connection to each upstream at each instance several times a second: few are probed then,
+// and twice as many as before once all of those were reached.
+func (pa *Path) nextRoundSize(upstreams int) int {
+	size := upstreams
+	switch {
+	case pa.roundSize == 0:
+		pa.roundSize = upstreams
+	case pa.partial:
+		size = partialProbes
+	default:
+		size = min(upstreams, 2*pa.roundSize)
+	}
+	pa.roundSize, pa.partial = size, false
+	return size
+}
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -61,10 +61,14 @@
 	addString(entry, "Source", line.Source)
 	addString(entry, "Reporter", line.Reporter)
 	addString(entry, "Service", line.Service)
+	addString(entry, "FailureDomain", line.FailureDomain)
 	addString(entry, "Via", line.Via)
 	addString(entry, "Invalid", line.Invalid)
 	addString(entry, "Cause", line.Cause)
 	addString(entry, "Send", line.Send)
+	if len(line.FailureDomains) > 0 {
+		entry.Strs("FailureDomains", line.FailureDomains)
+	}
 	if len(line.PassedOver) > 0 {
 		entry.Strs("PassedOver", line.PassedOver)
 	}
--- a/internal/steer/announce.go
+++ b/internal/steer/announce.go
@@ -66,7 +66,7 @@
 		inForce: func(rep *replica, _ time.Time) bool { return rep.evacuated },
 		reason:  ReasonEvacuated,
 	},
-	notice.Failing:      failureRule(notice.Failing),
+	notice.Failing:      failingRule(),
 	notice.Misdirecting: failureRule(notice.Misdirecting),
 	notice.Refusing:     failureRule(notice.Refusing),
 }
@@ -81,6 +81,15 @@
 	}
 }
 
+// failingRule is failureRule for notice.Failing, which is in force, too, while the failure domain of the replica counts as down.
+func failingRule() announcementRule {
+	rule := failureRule(notice.Failing)
+	failed := rule.inForce
+	rule.inForce = func(rep *replica, now time.Time) bool { return failed(rep, now) || now.Before(rep.outageUntil) }
+	rule.endsAt = func(rep *replica) time.Time { return later(rep.downUntil, rep.outageUntil) }
+	return rule
+}
+
 // Sending reports that a message is about to be sent to its targets. Exactly one Verdict follows.
 type Sending struct {
 	// ID is the request that the message belongs to, 0 if there is none.
@@ -187,7 +196,7 @@
 		if !rule.inForce(rep, st.now) {
 			continue
 		}
-		if rule.failure && ev.ForPeer && rep.downReporter != "" {
+		if rule.failure && ev.ForPeer && rep.downReporter != "" && !st.now.Before(rep.outageUntil) {
 			// The report may come from the very instance that has lost its path.
 			continue
 		}
@@ -293,6 +302,7 @@
 		return false
 	}
 	rep.Leaving = true
+	st.serviceOf(rep.Service).domainsKnown = false
 	st.emit(LogLine{Message: "replica leaves", Replica: rep.Name, Announcement: notice.Leaving.String(), Source: source})
 	return true
 }
--- a/internal/steer/effect.go
+++ b/internal/steer/effect.go
@@ -151,6 +151,10 @@
 	Reporter string
 	// Service is the service that the decision is about.
 	Service string
+	// FailureDomain is the failure domain that the decision is about.
+	FailureDomain string
+	// FailureDomains names failure domains that count as down.
+	FailureDomains []string
 	// Via names the instance through which a message goes.
 	Via string
 	// Rest is how long the replica asked for rest.
@@ -171,7 +175,7 @@
 	Wrote time.Duration
 	// Invalid quotes an announcement whose value cannot be used.
 	Invalid string
-	// Cause is why another instance did not pass a message on.
+	// Cause is why another instance did not pass a message on, or why failures are not put down to the path.
 	Cause string
 	// Budget is what a decision about a repeat was based on.
 	Budget *budget.Use
--- a/internal/steer/list.go
+++ b/internal/steer/list.go
@@ -92,6 +92,10 @@
 	if ok {
 		st.detach(rep)
 	}
+	if ok {
+		// Its failures are those of the process that has ended.
+		st.serviceOf(item.Service).path.Forget(item.Name)
+	}
 	rep = &replica{Replica: item, slow: 1, announcedSlow: 1}
 	st.replicas[item.Name] = rep
 	st.addToService(rep)
--- /dev/null
+++ b/internal/steer/outage.go
@@ -0,0 +1,138 @@
+package steer
+
+import (
+	"slices"
+	"time"
+
+	"dandelionsail.example/dandelionsail/internal/notice"
+	"dandelionsail.example/dandelionsail/internal/paths"
+)
+
+// Failure domains that are down. Load pattern: the replicas of a failure domain, or of all but one, respond to nobody for seconds. Package paths
+// concludes it from own connections and from what others report. Meanwhile the replicas of the failure domain count as failing, and nothing
+// goes there but probes, so that the number of connections depends on the number of instances and not on that of requests.
+
+const (
+	// outageLease is how long replicas of a failure domain that is down are avoided after the last probe that failed. It only ends an outage
+	// if there are no probes, as while the path is lost.
+	outageLease = 2 * time.Second
+	// lossLogInterval is the minimum interval of the lines that say why failures are not put down to the path, for one service.
+	lossLogInterval = 5 * time.Second
+)
+
+// updateDomains tells the service's path the failure domains of the replicas that may be sent to.
+func (st *State) updateDomains(svc *service) {
+	if svc.domainsKnown {
+		return
+	}
+	svc.domainsKnown = true
+	domains := make(map[string]string, len(svc.replicas))
+	for _, rep := range svc.replicas {
+		if !rep.Leaving && !rep.evacuated {
+			domains[rep.Name] = rep.FailureDomain
+		}
+	}
+	svc.path.SetDomains(domains)
+	st.reviewOutages(svc)
+}
+
+// reviewOutages applies which failure domains count as down, and probes them where that is due.
+func (st *State) reviewOutages(svc *service) {
+	down := svc.path.DownDomains()
+	for _, domain := range down {
+		if !slices.Contains(svc.downDomains, domain) {
+			st.emit(LogLine{Message: "failure domain down", Service: svc.name, FailureDomain: domain, Attempt: svc.path.OutageFailures(domain)})
+		}
+	}
+	for _, domain := range svc.downDomains {
+		if !slices.Contains(down, domain) {
+			st.emit(LogLine{Message: "failure domain up", Service: svc.name, FailureDomain: domain})
+			st.endOutage(svc, domain)
+		}
+	}
+	svc.downDomains = down
+	if len(down) == 0 {
+		return
+	}
+	if !svc.path.Lost() {
+		for _, rep := range svc.replicas {
+			if svc.path.Down(rep.Name) {
+				rep.outageUntil = st.now.Add(outageLease)
+			}
+		}
+	}
+	if st.drain == nil {
+		st.probe(svc, svc.path.OutageProbes(st.now, st.random))
+	}
+}
+
+// failedElsewhere records that another instance does not reach the replica or avoids it, while the path of this one is lost. A failure
+// domain that is down stays so for a while.
+func (st *State) failedElsewhere(rep *replica) {
+	svc := st.serviceOf(rep.Service)
+	svc.path.FailedElsewhere(st.now, rep.Name)
+	st.reviewOutages(svc)
+	if !slices.Contains(svc.downDomains, rep.FailureDomain) {
+		return
+	}
+	for _, other := range svc.replicas {
+		if other.FailureDomain == rep.FailureDomain {
+			other.outageUntil = st.now.Add(outageLease)
+		}
+	}
+}
+
+// servedElsewhere records that the replica answered through another instance.
+func (st *State) servedElsewhere(rep *replica) {
+	svc := st.serviceOf(rep.Service)
+	if slices.Contains(svc.downDomains, rep.FailureDomain) {
+		svc.path.ServedElsewhere(rep.Name)
+		st.reviewOutages(svc)
+	}
+}
+
+// endOutage makes the replicas of the failure domain usable again, those too that have failed during the outage.
+func (st *State) endOutage(svc *service, domain string) {
+	for _, rep := range svc.replicas {
+		if rep.FailureDomain == domain {
+			st.endFailure(rep)
+		}
+	}
+}
+
+// endFailure makes the replica usable again that was reached after it had failed.
+func (st *State) endFailure(rep *replica) {
+	rep.outageUntil = time.Time{}
+	if rep.downCause == notice.Failing && st.now.Before(rep.downUntil) {
+		rep.succeeded()
+	}
+}
+
+// reviewAllOutages does what reviewOutages does for all services.
+func (st *State) reviewAllOutages() {
+	for _, svc := range st.services {
+		if len(svc.downDomains) > 0 {
+			st.updateDomains(svc)
+			st.reviewOutages(svc)
+		}
+	}
+}
+
+// logNoLoss says why failures of several replicas are not put down to the path.
+func (st *State) logNoLoss(svc *service) {
+	judged := svc.path.Judged
+	if judged != paths.DomainsLeft && judged != paths.ReportedByOthers {
+		return
+	}
+	if !svc.noLossLoggedAt.IsZero() && st.now.Sub(svc.noLossLoggedAt) < lossLogInterval {
+		return
+	}
+	svc.noLossLoggedAt = st.now
+	st.emit(LogLine{Message: "failures not put down to the path", Service: svc.name, Cause: judged.String(), Attempt: svc.path.Failures(), FailureDomains: svc.path.DownDomains()})
+}
+
+// avoidsUnreached reports whether the replica must not be chosen since this instance does not reach it, no other instance has a path, and
+// others are reached: a request placed there would be refused although those can serve it.
+func (st *State) avoidsUnreached(svc *service, rep *replica) bool {
+	return svc.lostByAll && svc.path.ReachesSome() && !svc.path.Direct(rep.Name)
+}
--- a/internal/steer/path.go
+++ b/internal/steer/path.go
@@ -64,14 +64,21 @@
 		return
 	}
 	if !ev.Reached {
-		st.unreached(rep)
+		if !st.unreached(rep) {
+			st.probeFurther(rep)
+		}
 		return
 	}
 	svc := st.serviceOf(rep.Service)
-	lostAt := svc.path.LostAt
+	st.updateDomains(svc)
+	lostAt, wasDown := svc.path.LostAt, svc.path.Down(rep.Name)
 	if svc.path.Reached(st.now, rep.Name, st.candidateNames(svc)) {
 		st.regained(svc, lostAt)
 	}
+	if wasDown {
+		st.endFailure(rep)
+	}
+	st.reviewOutages(svc)
 	st.confirmFailures(svc, rep)
 	st.probePaths(svc)
 	st.dispatch()
@@ -100,12 +107,25 @@
 
 // probeWitness probes another replica of the service after a failure: only if that one is reached, the failure is the replica's.
 func (st *State) probeWitness(rep *replica) {
+	st.probeFurther(rep)
+	svc := st.serviceOf(rep.Service)
 	witness, ok := st.Witness(rep.Name)
-	if ok && st.drain == nil && st.pathOf(rep).NeedsWitness(st.now, witness.Name) {
+	if ok && st.drain == nil && !svc.path.SeveralDomains() && svc.path.NeedsWitness(st.now, witness.Name) {
 		st.emit(ProbePaths{Replicas: []Replica{witness}})
 	}
 }
 
+// probeFurther probes other failure domains after a probe has failed, which shows within a few probes whether the whole failure domain is down.
+func (st *State) probeFurther(rep *replica) {
+	svc := st.serviceOf(rep.Service)
+	if st.drain != nil || svc.path.Down(rep.Name) {
+		return
+	}
+	if names, ok := svc.path.Witnesses(st.now, st.random, rep.Name); ok {
+		st.probe(svc, names)
+	}
+}
+
 // unreachedByOthers records that another instance did not reach the replica either.
 func (st *State) unreachedByOthers(rep *replica, via string) {
 	st.failedBehindDetour(rep, "", via)
@@ -120,7 +140,13 @@
 // instance's own path, which it is from the failure that makes the path count as lost.
 func (st *State) unreached(rep *replica) bool {
 	svc := st.serviceOf(rep.Service)
-	if !svc.path.Failed(st.now, rep.Name, len(st.candidates(svc)), st.otherPathLost(svc)) {
+	st.updateDomains(svc)
+	lost := svc.path.Failed(st.now, rep.Name, len(st.candidates(svc)), st.otherPathLost(svc))
+	st.reviewOutages(svc)
+	if !lost {
+		if !svc.path.Lost() {
+			st.logNoLoss(svc)
+		}
 		st.stateLostPaths()
 		return svc.path.Lost()
 	}
@@ -166,6 +192,7 @@
 }
 
 func (st *State) checkPath(svc *service) {
+	st.updateDomains(svc)
 	if st.drain == nil {
 		st.probe(svc, svc.path.Check(st.now, st.random, st.candidateNames(svc)))
 	}
@@ -303,12 +330,13 @@
 	if wasUsable {
 		st.emit(LogLine{Message: "replica avoided", Replica: rep.Name, Attempt: rep.failures, Source: sourceDetour, Reporter: via})
 	}
+	st.failedElsewhere(rep)
 }
 
 // PathsInDoubt reports whether a new connection that succeeds would change anything.
 func (st *State) PathsInDoubt() bool {
 	for _, svc := range st.services {
-		if svc.path.InDoubt() {
+		if svc.path.Observed() {
 			return true
 		}
 	}
--- a/internal/steer/place.go
+++ b/internal/steer/place.go
@@ -64,7 +64,7 @@
 	var best *replica
 	var minCost float64
 	for _, rep := range st.candidates(svc) {
-		if !rep.usable(st.now) || slices.Contains(req.tried, rep.Name) {
+		if !rep.usable(st.now) || st.avoidsUnreached(svc, rep) || slices.Contains(req.tried, rep.Name) {
 			continue
 		}
 		wait, ok := st.limitWait(rep, req)
@@ -227,7 +227,7 @@
 	engines := make([]candidate, 0, len(replicas))
 	waiting := st.waitingRequests(svc)
 	for _, rep := range replicas {
-		if !rep.usable(st.now) || slices.Contains(req.tried, rep.Name) {
+		if !rep.usable(st.now) || st.avoidsUnreached(svc, rep) || slices.Contains(req.tried, rep.Name) {
 			continue
 		}
 		wait, ok := st.limitWait(rep, req)
--- a/internal/steer/replica.go
+++ b/internal/steer/replica.go
@@ -71,6 +71,8 @@
 	downCause notice.Announcement
 	// downReporter names the instance that reported that failure, empty if it occurred here.
 	downReporter string
+	// outageUntil is until when the replica is avoided because its failure domain counts as down.
+	outageUntil time.Time
 	// unconfirmed reports whether the failure is not known to be the replica's, since no connection to another one has succeeded after it.
 	unconfirmed bool
 	// heardAt is when the replica last answered this instance.
@@ -116,7 +118,7 @@
 func (rep *replica) succeeded() {
 	rep.failures = 0
 	rep.unconfirmed = false
-	rep.downUntil = time.Time{}
+	rep.downUntil, rep.outageUntil = time.Time{}, time.Time{}
 }
 
 // running counts the requests that occupy a slot.
--- a/internal/steer/report.go
+++ b/internal/steer/report.go
@@ -43,10 +43,15 @@
 		return
 	}
 	st.markDownByReport(rep, reporter)
+	st.updateDomains(svc)
+	if st.drain == nil {
+		st.probe(svc, svc.path.Reported(st.now, st.random, rep.Name, reporter))
+	}
 }
 
 // distrust makes the replicas usable again that are avoided only because the instance reported them.
 func (st *State) distrust(svc *service, reporter string) {
+	svc.path.Distrust(reporter)
 	for _, rep := range svc.replicas {
 		if rep.downReporter == reporter && rep.downCause == notice.Failing && st.now.Before(rep.downUntil) {
 			rep.succeeded()
--- a/internal/steer/retry.go
+++ b/internal/steer/retry.go
@@ -61,6 +61,7 @@
 	rep := st.atFault(req, ev.FaultyReplica)
 	if ev.Via != "" && ev.answered() {
 		st.fleet.Served(st.now, ev.Via, rep.Service)
+		st.servedElsewhere(rep)
 	}
 	switch ev.Result {
 	case ResultNotRun:
--- a/internal/steer/state.go
+++ b/internal/steer/state.go
@@ -127,6 +127,12 @@
 	candidates []*replica
 	// path is this instance's path to the replicas.
 	path paths.Path
+	// domainsKnown reports whether path knows the failure domains of the replicas.
+	domainsKnown bool
+	// downDomains names the failure domains that count as down, sorted.
+	downDomains []string
+	// noLossLoggedAt is when it was last logged why failures are not put down to the path.
+	noLossLoggedAt time.Time
 	// lostByAll reports whether the path is lost and those of all other instances are, as far as known.
 	lostByAll bool
 	// nextRetryAt is the earliest retry time for the next caller that is refused because of the replicas' rate limits.
@@ -314,6 +320,7 @@
 		st.abortAtStop()
 		st.dropExpired()
 		st.probeLostPaths()
+		st.reviewAllOutages()
 		st.dispatch()
 	}
 	st.reviewCauses()
--- a/internal/steer/subset.go
+++ b/internal/steer/subset.go
@@ -274,6 +274,7 @@
 func (svc *service) resetLayout() {
 	svc.layout = nil
 	svc.candidates = nil
+	svc.domainsKnown = false
 }
 
 // queriesLoad reports whether this instance should query the replica for its load. Of the instances that use the replica's
