Completions front: replicas that are down are told from a lost path

The same decision as on the relay front: after a failure one upstream of each other failure domain is probed, and requests are passed on only if all fail. On the reducer, two of three failure domains down, 20 requests: 20 passed on to another instance before, 0 now, 20 probes; where none is reached, all 20 are passed on, before and now (go test ./internal/core -run TestUpstreamsOfOneFailureDomainThatAreDownAreNoLostPath).

--- a/internal/core/path.go
+++ b/internal/core/path.go
@@ -37,6 +37,19 @@
 	return names
 }
 
+// observedPath returns the path to the service, which knows the failure domains of the upstreams listed now.
+func (st *State) observedPath(service string) *paths.Path {
+	pa := st.pathOf(service)
+	domains := map[string]string{}
+	for _, rep := range st.Route.Services[service] {
+		if !rep.Upstream.Leaving {
+			domains[rep.Upstream.Name] = rep.Upstream.FailureDomain
+		}
+	}
+	pa.SetDomains(domains)
+	return pa
+}
+
 // witness returns the address of an upstream of the service that is not among those of the attempt and not known to be dead, empty if
 // there is none.
 func (st *State) witness(service string, attempted []event.Upstream) string {
@@ -56,9 +69,16 @@
 
 // unreached records that a new connection to the upstream failed, and reports whether the path to the service is lost.
 func (st *State) unreached(service, upstream string) bool {
-	pa := st.pathOf(service)
+	pa := st.observedPath(service)
 	if !pa.Failed(st.now, upstream, len(st.upstreamNames(service)), false) {
-		return pa.Lost()
+		if pa.Lost() {
+			return true
+		}
+		st.reviewOutages(service, pa)
+		if names, ok := pa.Witnesses(st.now, st.random, upstream); ok && !pa.Down(upstream) {
+			st.probeUpstreams(names)
+		}
+		return false
 	}
 	if len(st.forwardPeers()) == 0 {
 		pa.GiveUp(st.now)
@@ -79,11 +99,12 @@
 				st.unreached(service, rep.Upstream.Name)
 				return
 			}
-			pa := st.pathOf(service)
+			pa := st.observedPath(service)
 			if pa.Reached(st.now, rep.Upstream.Name, st.upstreamNames(service)) {
 				st.emit(effect.CountAndLog{Counter: "Paths.Regained", LogMessage: "path regained", Subject: service})
 			}
 			st.probe(service, pa)
+			st.reviewOutages(service, pa)
 			return
 		}
 	}
@@ -95,6 +116,21 @@
 	st.fleet.DropExpired(st.now)
 	for service, pa := range st.paths {
 		st.probe(service, pa)
+		st.reviewOutages(service, pa)
+	}
+}
+
+// reviewOutages logs which failure domains of the service count as down, if that has changed, and probes them where that is due.
+func (st *State) reviewOutages(service string, pa *paths.Path) {
+	began, ended := pa.OutageChanges()
+	for _, domain := range began {
+		st.emit(effect.CountAndLog{Counter: "Paths.DomainsDown", LogMessage: "upstreams of the failure domain " + strconv.Quote(domain) + " are down", Subject: service})
+	}
+	for _, domain := range ended {
+		st.emit(effect.CountAndLog{Counter: "Paths.DomainsUp", LogMessage: "upstreams of the failure domain " + strconv.Quote(domain) + " are reached again", Subject: service})
+	}
+	if !st.Draining {
+		st.probeUpstreams(pa.OutageProbes(st.now, st.random))
 	}
 }
 
@@ -102,9 +138,15 @@
 	if !pa.Lost() || st.Draining {
 		return
 	}
+	st.probeUpstreams(pa.Probes(st.now, st.upstreamNames(service)))
+}
+
+func (st *State) probeUpstreams(names []string) {
 	var addresses []string
-	for _, name := range pa.Probes(st.now, st.upstreamNames(service)) {
-		addresses = append(addresses, st.Route.Replicas[name].Upstream.Address)
+	for _, name := range names {
+		if rep, ok := st.Route.Replicas[name]; ok {
+			addresses = append(addresses, rep.Upstream.Address)
+		}
 	}
 	if len(addresses) > 0 {
 		st.emit(effect.ProbePaths{Addresses: addresses})
@@ -197,7 +239,7 @@
 func (st *State) reportDoubt() {
 	doubt := false
 	for _, pa := range st.paths {
-		doubt = doubt || pa.InDoubt()
+		doubt = doubt || pa.Observed()
 	}
 	if doubt != st.pathsInDoubt {
 		st.pathsInDoubt = doubt
--- a/internal/core/path_test.go
+++ b/internal/core/path_test.go
@@ -152,3 +152,50 @@
 	finish := one[effect.Finish](t, effects)
 	assert.Equal(t, finish.Refusal.RunState, effect.Unknown)
 }
+
+func TestUpstreamsOfOneFailureDomainThatAreDownAreNoLostPath(t *testing.T) {
+	// Two of three failure domains respond to nobody. The upstreams that fail are of those two; requests must go on to the third and not
+	// through other instances, which do not reach more. An instance that reaches none at all passes its requests on nevertheless.
+	for name, reached := range map[string]bool{"the third is reached": true, "none is reached": false} {
+		t.Run(name, func(t *testing.T) {
+			in := newForwarding(t)
+			var listed []event.Upstream
+			for i := range 9 {
+				listed = append(listed, event.Upstream{Name: fmt.Sprint("lyric-", i), Service: "lyric", Address: fmt.Sprint("127.0.0.1:", i), FailureDomain: string(rune('a' + i%3))})
+			}
+			in.reduce(event.UpstreamsListed{Upstreams: listed})
+			probed, forwarded := 0, 0
+			for i := range 20 {
+				effects := slices.Clone(in.reduce(event.Ticked{}))
+				effects = append(effects, in.reduce(event.Arrived{ID: event.RequestID(i + 1), Deadline: in.now.Add(10 * time.Second), Service: "lyric", PromptTokens: 1000, Idempotent: true})...)
+				for len(effects) > 0 {
+					var next []effect.Effect
+					for _, eff := range effects {
+						switch eff := eff.(type) {
+						case effect.Send:
+							up := eff.Upstreams[0]
+							result := event.ResultNotSent
+							if reached && up.FailureDomain == "c" {
+								result = event.ResultDone
+							}
+							next = append(next, in.reduce(event.AttemptEnded{ID: eff.ID, Attempt: eff.Attempt, Upstream: up.Name, Result: result})...)
+						case effect.ProbePaths:
+							for _, address := range eff.Addresses {
+								probed++
+								number := slices.IndexFunc(listed, func(up event.Upstream) bool { return up.Address == address })
+								next = append(next, in.reduce(event.PathObserved{Address: address, Reached: reached && listed[number].FailureDomain == "c"})...)
+							}
+						case effect.Forward:
+							forwarded++
+						}
+					}
+					effects = next
+				}
+				in.now = in.now.Add(100 * time.Millisecond)
+			}
+			t.Logf("forwarded %d, probed %d", forwarded, probed)
+			assert.Assert(t, (forwarded == 0) == reached, "forwarded: %d", forwarded)
+			assert.Assert(t, probed <= 40, "probed: %d", probed)
+		})
+	}
+}
--- a/internal/paths/outage.go
+++ b/internal/paths/outage.go
@@ -130,6 +130,15 @@
 	return list
 }
 
+// OutageChanges returns the failure domains that count as down since the last call, and those that do not any more, sorted.
+func (pa *Path) OutageChanges() (began, ended []string) {
+	down := pa.DownDomains()
+	began = slices.DeleteFunc(slices.Clone(down), func(domain string) bool { return slices.Contains(pa.stated, domain) })
+	ended = slices.DeleteFunc(slices.Clone(pa.stated), func(domain string) bool { return slices.Contains(down, domain) })
+	pa.stated = down
+	return began, ended
+}
+
 // OutageFailures returns the number of upstreams of the failure domain that have failed in a row.
 func (pa *Path) OutageFailures(domain string) int {
 	if out := pa.outages[domain]; out != nil {
--- a/internal/paths/paths.go
+++ b/internal/paths/paths.go
@@ -68,6 +68,8 @@
 	members map[string][]string
 	// outages holds what is known of the failures in each failure domain.
 	outages map[string]*outage
+	// stated names the failure domains that the last call of OutageChanges found down.
+	stated []string
 	// reachedAt holds when a connection to an upstream of each failure domain last succeeded.
 	reachedAt map[string]time.Time
 	// reports holds the last report of another instance about each upstream.
--- a/internal/steer/outage.go
+++ b/internal/steer/outage.go
@@ -38,20 +38,16 @@
 
 // reviewOutages applies which failure domains count as down, and probes them where that is due.
 func (st *State) reviewOutages(svc *service) {
-	down := svc.path.DownDomains()
-	for _, domain := range down {
-		if !slices.Contains(svc.downDomains, domain) {
-			st.emit(LogLine{Message: "failure domain down", Service: svc.name, FailureDomain: domain, Attempt: svc.path.OutageFailures(domain)})
-		}
+	began, ended := svc.path.OutageChanges()
+	for _, domain := range began {
+		st.emit(LogLine{Message: "failure domain down", Service: svc.name, FailureDomain: domain, Attempt: svc.path.OutageFailures(domain)})
 	}
-	for _, domain := range svc.downDomains {
-		if !slices.Contains(down, domain) {
-			st.emit(LogLine{Message: "failure domain up", Service: svc.name, FailureDomain: domain})
-			st.endOutage(svc, domain)
-		}
+	for _, domain := range ended {
+		st.emit(LogLine{Message: "failure domain up", Service: svc.name, FailureDomain: domain})
+		st.endOutage(svc, domain)
 	}
-	svc.downDomains = down
-	if len(down) == 0 {
+	svc.downDomains = svc.path.DownDomains()
+	if len(svc.downDomains) == 0 {
 		return
 	}
 	if !svc.path.Lost() {
