--- a/internal/steer/evacuate.go
+++ b/internal/steer/evacuate.go
@@ -100,7 +100,7 @@
 	rep.unconfirmed = false
 	svc := st.serviceOf(rep.Service)
 	lostAt := svc.path.LostAt
-	if svc.path.Forget(st.now, rep.Name, st.candidateNames(svc)) {
+	if svc.path.Drop(st.now, rep.Name, st.candidateNames(svc)) {
 		st.regained(svc, lostAt)
 	}
 }
--- a/internal/steer/list.go
+++ b/internal/steer/list.go
@@ -102,6 +102,10 @@
 	if ok {
 		st.detach(rep)
 	}
+	if ok {
+		// Its failures are those of the process that has ended.
+		st.serviceOf(item.Service).path.Forget(item.Name)
+	}
 	rep = st.newReplica(item, rep)
 	rep.evacuated = st.evacuations.has(item.FailureDomain)
 	st.replicas[item.Name] = rep
--- a/internal/steer/subset.go
+++ b/internal/steer/subset.go
@@ -299,6 +299,7 @@
 	svc.layout = nil
 	svc.used = nil
 	svc.candidates = nil
+	svc.domainsKnown = false
 }
 
 // queriesLoad reports whether this instance should query the replica for its load. Of the instances that use the replica's
