--- a/internal/steer/evacuate_test.go
+++ b/internal/steer/evacuate_test.go
@@ -241,7 +241,8 @@
 	// All replicas of a failure domain fail, which makes the path count as lost, and the operators evacuate it. The replicas that remain are
 	// reached: the loss must end, or messages would take detours for as long as the evacuation lasts.
 	in := newDomainInstance(t, "a", "b")
-	for _, name := range []string{"lyric-b0", "lyric-b1"} {
+	// One of the other failure domain fails as well: without it, the path would not count as lost.
+	for _, name := range []string{"lyric-b0", "lyric-b1", "lyric-a0"} {
 		in.reduce(steer.PathObserved{Replica: name})
 	}
 	assert.Equal(t, len(in.st.LostPaths(in.now)), 1)
--- a/internal/steer/peer.go
+++ b/internal/steer/peer.go
@@ -166,6 +166,7 @@
 	for i := range nt.Limits {
 		st.receiveLimit(&nt.Limits[i])
 	}
+	st.receiveCold(nt.Cold)
 	st.receiveSlotRequests(nt.From, pr, nt.SlotRequests)
 	st.receiveSlotGrants(nt.SlotGrants)
 	st.receiveGrantRequests(nt.From, nt.GrantRequests)
