Evacuations: instances of earlier versions, evidence for paths

An instance that follows one of an earlier version during a rolling update would have taken the change for an irrelevant one; it now reads the store again. Claims need no withdrawal of their own: without it the same test passes, as resolveClaims withdraws them within 4 ms.

--- a/internal/relay/confirm.go
+++ b/internal/relay/confirm.go
@@ -50,6 +50,9 @@
 	Version int64 `cbor:"7,keyasint,omitempty"`
 	// Kept are the evacuations in force at the sender that the store has lost.
 	Kept []keptEvacuation `cbor:"8,keyasint,omitempty"`
+	// Evacuations reports whether Changes contains those of evacuations. Instances of earlier versions pass them on as changes that are
+	// irrelevant.
+	Evacuations bool `cbor:"9,keyasint,omitempty"`
 }
 
 // position returns the position that the sender has reached.
@@ -112,7 +115,7 @@
 	// The position is read after the age: in between it can only become newer than what the age proves. The version is read
 	// before the position, which follows it.
 	age := gs.in.confirmedAge()
-	conf := confirmation{Nonce: req.Nonce, AgeMs: age.Milliseconds() + 1, Version: gs.in.version(), Kept: gs.in.kept()}
+	conf := confirmation{Nonce: req.Nonce, AgeMs: age.Milliseconds() + 1, Version: gs.in.version(), Kept: gs.in.kept(), Evacuations: true}
 	since := req.since()
 	if since.Era == 0 {
 		// An instance whose version knows no eras takes its revision for one of this era.
--- a/internal/relay/evacuate.go
+++ b/internal/relay/evacuate.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math/rand/v2"
 	"net"
 	"slices"
 	"strings"
@@ -54,6 +55,18 @@
 // maxKeptEvacuations is the maximum number of them in a packet, which must fit into a datagram.
 const maxKeptEvacuations = 8
 
+// missesEvacuations reports whether changes that an Instance of an earlier version sent may have been evacuations.
+func (conf *confirmation) missesEvacuations() bool {
+	return !conf.Evacuations && slices.ContainsFunc(conf.Changes, func(chg Change) bool { return chg == Change{Revision: chg.Revision} })
+}
+
+// readEvacuations has the whole directory read soon, since the evacuations may have changed without this Instance knowing how.
+func (fl *follower) readEvacuations() {
+	if fl.reread.IsZero() {
+		fl.reread = time.Now().Add(rand.N(fl.in.returnWindow()))
+	}
+}
+
 // replaceEvacuations applies the whole set that the store names. returned reports whether the store has returned from a copy, so that the set
 // may lack some that are in force.
 func (fl *follower) replaceEvacuations(names []string, at posit.Position, returned bool) {
--- a/internal/relay/evacuate_test.go
+++ b/internal/relay/evacuate_test.go
@@ -256,8 +256,20 @@
 	dir.evacuate("a", true)
 	assert.Assert(t, started.pollStore(t.Context()))
 	assert.Equal(t, len(two.evacuated()), 0)
-	started.adoptEvacuations(from, &confirmation{Era: 2, Revision: 8, Kept: one.kept()})
+	late := confirmation{Era: 2, Revision: 8, Kept: one.kept()}
+	assert.Equal(t, len(late.Kept), 1)
+	assert.Assert(t, started.position().SameEra(late.position()))
+	started.adoptEvacuations(from, &late)
 	assert.Equal(t, len(two.evacuated()), 0)
+	// The same at an instance that has applied the operators' changes and taken nothing from others.
+	three := newTestInstance(t, "three", dir)
+	other := &follower{in: three}
+	assert.Assert(t, other.pollStore(t.Context()))
+	dir.evacuate("a", false)
+	dir.evacuate("a", true)
+	assert.Assert(t, other.pollStore(t.Context()))
+	other.adoptEvacuations(from, &late)
+	assert.Equal(t, len(three.evacuated()), 0)
 }
 
 func TestDirectoryOfPeerNamesEvacuations(t *testing.T) {
@@ -275,3 +287,27 @@
 	assert.NilError(t, err)
 	assert.DeepEqual(t, snap.Evacuated, names("a"))
 }
+
+func TestEvacuationPassesEarlierVersions(t *testing.T) {
+	// During a rolling update an instance asks one of an earlier version, which does not know evacuations: it sends their changes as
+	// irrelevant ones, and its directory names none. The evacuation must be read from the store, and one in force must stay so.
+	dir := newFakeDirectory()
+	in := newTestInstance(t, "one", dir)
+	fl := &follower{in: in}
+	assert.Assert(t, fl.pollStore(t.Context()))
+	dir.evacuate("a", false)
+	dir.snap.Position.Revision = 9
+	earlier := &confirmation{Revision: 8, UpTo: 8, Changes: []Change{{Revision: 8}}}
+	assert.NilError(t, fl.catchUp(t.Context(), nil, earlier))
+	assert.Equal(t, len(in.evacuated()), 0)
+	assert.Assert(t, !fl.reread.IsZero())
+	fl.reread = time.Now()
+	fl.rereadIfDue(t.Context())
+	assert.DeepEqual(t, in.evacuated(), names("a"))
+	fl.replaceState(&Snapshot{Position: posit.Position{Revision: 10}, evacuationsUnknown: true})
+	assert.DeepEqual(t, in.evacuated(), names("a"))
+	known := &confirmation{Revision: 11, UpTo: 11, Changes: []Change{{Revision: 11}}, Evacuations: true}
+	fl.reread = time.Time{}
+	assert.NilError(t, fl.catchUp(t.Context(), nil, known))
+	assert.Assert(t, fl.reread.IsZero())
+}
--- a/internal/relay/ports.go
+++ b/internal/relay/ports.go
@@ -77,6 +77,8 @@
 	Quarantines []Quarantine
 	// Evacuated names the failure domains that the operators have evacuated.
 	Evacuated []string
+	// evacuationsUnknown reports whether the contents come from an Instance that does not know the evacuations.
+	evacuationsUnknown bool
 }
 
 // Peer is another Instance and the address at which it receives notes.
--- a/internal/relay/share.go
+++ b/internal/relay/share.go
@@ -31,6 +31,8 @@
 	Peers    []Peer          `cbor:"5,keyasint,omitempty"`
 	// Evacuated names the failure domains that the operators have evacuated, as the store does.
 	Evacuated []string `cbor:"6,keyasint,omitempty"`
+	// Evacuations reports whether Evacuated is known. It is missing from instances of earlier versions.
+	Evacuations bool `cbor:"7,keyasint,omitempty"`
 }
 
 // position returns the position up to which all changes are in the state.
@@ -62,7 +64,7 @@
 	// The position is read first: in between the contents can only become newer, and the changes after it are applied again.
 	at := in.changes.position()
 	replicas, peers, evacuated := in.entries.lists()
-	in.serveShared(w, "Peers.DirectoriesShared", sharedState{Era: at.Era, Revision: at.Revision, Replicas: replicas, Peers: peers, Evacuated: evacuated})
+	in.serveShared(w, "Peers.DirectoriesShared", sharedState{Era: at.Era, Revision: at.Revision, Replicas: replicas, Peers: peers, Evacuated: evacuated, Evacuations: true})
 }
 
 // serveShared responds with the state and the configuration in force, and counts the response.
@@ -101,7 +103,7 @@
 	if at := shared.position(); at.Before(atLeast) {
 		return Snapshot{}, OrderFailed.New("relay: the instance at %s sent the directory of %s instead of %s; it is requested again", from, at, atLeast)
 	}
-	return Snapshot{Position: shared.position(), Routing: shared.Routing, Replicas: shared.Replicas, Peers: shared.Peers, Evacuated: shared.Evacuated}, nil
+	return Snapshot{Position: shared.position(), Routing: shared.Routing, Replicas: shared.Replicas, Peers: shared.Peers, Evacuated: shared.Evacuated, evacuationsUnknown: !shared.Evacuations}, nil
 }
 
 // fetchShared returns what the Instance at the address serves to its peers under the path.
--- a/internal/relay/update.go
+++ b/internal/relay/update.go
@@ -130,7 +130,11 @@
 	fl.loaded = true
 	fl.in.entries.replace(snap.Replicas, snap.Peers)
 	// Before the replicas are listed, so that nothing is placed at those of an evacuated failure domain in between.
-	fl.replaceEvacuations(snap.Evacuated, snap.Position, returned)
+	if snap.evacuationsUnknown {
+		fl.readEvacuations()
+	} else {
+		fl.replaceEvacuations(snap.Evacuated, snap.Position, returned)
+	}
 	if snap.Position != have {
 		fl.in.changes.reset(snap.Position)
 	}
@@ -279,6 +283,9 @@
 		return fl.readReturned(ctx, from, conf.position())
 	}
 	if conf.appliesTo(have) {
+		if conf.missesEvacuations() {
+			fl.readEvacuations()
+		}
 		return fl.applyChanges(ctx, from, conf.Changes, have.At(conf.UpTo))
 	}
 	err := fl.readAll(ctx, fl.trustsStaleReads())
--- a/internal/steer/evacuate.go
+++ b/internal/steer/evacuate.go
@@ -26,8 +26,8 @@
 	return ok
 }
 
-// evacuate applies the set of evacuated failure domains. What has been placed in one of them and not been sent is placed anew with its
-// own time, and the new users of each subset learn the load of this instance without waiting for its next summary.
+// evacuate applies the set of evacuated failure domains. What waits for a replica in one of them is placed anew with its own time; a claim
+// there is withdrawn when it is due. The new users of each subset learn the load of this instance without waiting for its next summary.
 func (st *State) evacuate(ev Evacuated) {
 	before := st.evacuations.since
 	since := make(map[string]time.Time, len(ev.FailureDomains))
@@ -60,7 +60,6 @@
 	for _, rep := range left {
 		st.forgetPath(rep)
 	}
-	st.withdrawBlockedClaims()
 	st.dispatch()
 	st.expire()
 	st.sendSummaries()
@@ -115,17 +114,6 @@
 	}
 }
 
-// withdrawBlockedClaims withdraws the claims on slots of replicas to which nothing may be sent any more. Their requests are placed anew.
-func (st *State) withdrawBlockedClaims() {
-	for _, req := range slices.Clone(st.claims) {
-		if st.planBlocked(req) {
-			st.emit(LogLine{Message: "claim withdrawn", Request: req.Name, Replica: req.reps[0].Name, Age: st.now.Sub(req.at)})
-			st.withdrawClaim(req)
-			st.waiting = append(st.waiting, req)
-		}
-	}
-}
-
 // inUse returns the service's replicas outside evacuated failure domains. They are cached until the replicas or the evacuations change.
 func (st *State) inUse(svc *service) []*replica {
 	if len(st.evacuations.since) == 0 {
--- a/internal/steer/evacuate_test.go
+++ b/internal/steer/evacuate_test.go
@@ -237,6 +237,50 @@
 	assert.Equal(t, len(in.st.LostPaths(in.now)), 1, "failures of what remains count")
 }
 
+func TestConnectionsToEvacuatedReplicasAreNoEvidence(t *testing.T) {
+	// A connection for the release of a reservation reaches an evacuated replica, or an attempt that was decided before fails there. Neither
+	// says anything of the replicas that remain.
+	t.Run("reached", func(t *testing.T) {
+		in := newDomainInstance(t, "a", "b")
+		in.evacuate("b")
+		in.reduce(steer.PathObserved{Replica: "lyric-a0"})
+		in.reduce(steer.PathObserved{Replica: "lyric-b0", Reached: true})
+		in.reduce(steer.PathObserved{Replica: "lyric-a1"})
+		assert.Equal(t, len(in.st.LostPaths(in.now)), 1)
+	})
+	t.Run("attempts fail", func(t *testing.T) {
+		in := newDomainInstance(t, "a", "b")
+		in.evacuate("a")
+		var sent []steer.Send
+		for range 6 {
+			sent = append(sent, in.waitForSend(time.Second, in.arrive(&update, 0)))
+		}
+		in.evacuate("b")
+		for _, eff := range sent {
+			for _, eff := range in.end(eff, steer.ResultNotSent) {
+				if note, ok := eff.(steer.SendNote); ok {
+					assert.Equal(t, len(note.Note.Down), 0, "the others need not know")
+				}
+				_, probes := eff.(steer.ProbePaths)
+				assert.Assert(t, !probes)
+			}
+		}
+		assert.Equal(t, len(in.st.LostPaths(in.now)), 0)
+	})
+}
+
+func TestNothingIsPassedOnToEvacuatedReplicas(t *testing.T) {
+	// Another instance, which has lost its path and may not know of the evacuation yet, asks this one to pass messages on.
+	in := newDomainInstance(t, "a", "b")
+	in.evacuate("b")
+	for kind := range notice.Kinds {
+		target := steer.Target{Replica: steer.Replica{Name: "lyric-b0", Born: 1, Service: "lyric"}, Kind: kind}
+		vd := find[steer.Verdict](t, in.reduce(steer.Sending{Targets: []steer.Target{target}, ForPeer: true}))
+		passes := kind == notice.Renewal || kind == notice.Release
+		assert.Equal(t, vd.Held(), !passes, kind.String())
+	}
+}
+
 func TestPathLossEndsWithWhatRemains(t *testing.T) {
 	// All replicas of a failure domain fail, which makes the path count as lost, and the operators evacuate it. The replicas that remain are
 	// reached: the loss must end, or messages would take detours for as long as the evacuation lasts.
