Requests are refused at once if only failure domains that are down remain; gauge of those

A request waited until its goal was out of reach if all replicas left were avoided since their failure domain is down (for example with the third one leaving).

--- a/internal/paths/outage.go
+++ b/internal/paths/outage.go
@@ -96,7 +96,7 @@
 	maps.DeleteFunc(pa.failed, unknown)
 	maps.DeleteFunc(pa.outages, func(domain string, out *outage) bool {
 		maps.DeleteFunc(out.failed, unknown)
-		return len(pa.members[domain]) == 0 || len(pa.members) < 2
+		return len(pa.members[domain]) == 0
 	})
 }
 
@@ -150,7 +150,7 @@
 // outageOf returns the record of the upstream's failure domain, nil if it is the only one.
 func (pa *Path) outageOf(upstream string) *outage {
 	domain, ok := pa.domains[upstream]
-	if !ok || !pa.SeveralDomains() {
+	if !ok || !pa.SeveralDomains() && pa.outages[domain] == nil {
 		return nil
 	}
 	if pa.outages == nil {
@@ -187,7 +187,7 @@
 // reachedInDomain records that the upstream was reached.
 func (pa *Path) reachedInDomain(now time.Time, upstream string) {
 	domain, ok := pa.domains[upstream]
-	if !ok || !pa.SeveralDomains() {
+	if !ok {
 		return
 	}
 	if pa.reachedAt == nil {
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -68,8 +68,10 @@
 	in.unregister("Paths.LostMs.")
 	in.mu.Lock()
 	lost := in.state.LostPaths(time.Now())
+	down := in.state.DownDomains()
 	in.mu.Unlock()
 	in.gauge("Paths.Lost", int64(len(lost)))
+	in.gauge("Paths.DomainsDown", int64(down))
 	for service, age := range lost {
 		in.gauge("Paths.LostMs."+service, age.Milliseconds())
 	}
--- a/internal/steer/effect.go
+++ b/internal/steer/effect.go
@@ -85,6 +85,8 @@
 	ReasonResting Reason = "ReplicasResting"
 	// ReasonNoPath means that no instance has a path to the replicas.
 	ReasonNoPath Reason = "NoPath"
+	// ReasonDown means that the failure domains of all replicas of the service that remain are down.
+	ReasonDown Reason = "ReplicasDown"
 	// ReasonOutdated means that a decision to send is too old to be carried out. No caller sees it.
 	ReasonOutdated Reason = "Outdated"
 )
--- a/internal/steer/grantrequest.go
+++ b/internal/steer/grantrequest.go
@@ -214,7 +214,7 @@
 
 // blocked reports whether what the service's replicas have announced holds the request back for longer than it may wait: all
 // of them leave, or those that remain accept nothing in time. A replica that failed may accept the request again at any time,
-// so the request waits while only failures hold it back. So does one whose answer has begun if all replicas leave.
+// so the request waits while only failures hold it back, unless the failure domain of a replica is down. So does one whose answer has begun if all replicas leave.
 func (st *State) blocked(req *request) (block, bool) {
 	if req.grant.rep != nil {
 		return block{}, false
@@ -251,6 +251,9 @@
 // does not now. The reason is empty if that is a failure.
 func (st *State) availableAt(rep *replica, req *request) (Reason, time.Time) {
 	if ann := rep.blockedBy(notice.First, st.now); ann != notice.None {
+		if ann == notice.Failing && st.now.Before(rep.outageUntil) {
+			return ReasonDown, later(rep.downUntil, st.now.Add(outageProbeTime))
+		}
 		return announcementRules[ann].reason, announcementRules[ann].endsAt(rep)
 	}
 	if rep.limit == nil {
@@ -265,7 +268,7 @@
 	switch bl.reason {
 	case ReasonLimited:
 		return st.retryAfterLimit(req, bl.until)
-	case ReasonResting:
+	case ReasonResting, ReasonDown:
 		return bl.until.Sub(st.now) + spread
 	}
 	// A replica that takes the place of the leaving ones has to start and to be listed first.
--- a/internal/steer/outage.go
+++ b/internal/steer/outage.go
@@ -16,6 +16,8 @@
 	// outageLease is how long replicas of a failure domain that is down are avoided after the last probe that failed. It only ends an outage
 	// if there are no probes, as while the path is lost.
 	outageLease = 2 * time.Second
+	// outageProbeTime is how long it takes at least until a replica whose failure domain is down can be used again: the interval of the probes.
+	outageProbeTime = 400 * time.Millisecond
 	// lossLogInterval is the minimum interval of the lines that say why failures are not put down to the path, for one service.
 	lossLogInterval = 5 * time.Second
 )
@@ -104,6 +106,15 @@
 	}
 }
 
+// DownDomains returns how many failure domains of services count as down.
+func (st *State) DownDomains() int {
+	count := 0
+	for _, svc := range st.services {
+		count += len(svc.downDomains)
+	}
+	return count
+}
+
 // reviewAllOutages does what reviewOutages does for all services.
 func (st *State) reviewAllOutages() {
 	for _, svc := range st.services {
--- a/internal/steer/outage_test.go
+++ b/internal/steer/outage_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"dandelionsail.example/dandelionsail/internal/notice"
+	"dandelionsail.example/dandelionsail/internal/steer"
 	"dandelionsail.example/dandelionsail/pkg/decl"
 )
 
@@ -191,3 +192,26 @@
 		})
 	}
 }
+
+func TestRequestsAreRefusedAtOnceIfOnlyFailureDomainsThatAreDownRemain(t *testing.T) {
+	// The replicas of a failure domain are down, and the only other replica leaves. A request must not wait until its goal has passed, nor be
+	// sent blind.
+	in := newInstance(t, "one", 0)
+	in.withPeers(1, 1)
+	list := replicas(4)
+	list = append(list, steer.Replica{Name: "lyric-far", Born: 1, Service: "lyric", Address: "far", FailureDomain: "b", Slots: 16})
+	in.reduce(steer.Listed{Replicas: list})
+	for i := range 3 {
+		in.reduce(steer.PathObserved{Replica: list[i].Name})
+	}
+	in.now = in.now.Add(time.Millisecond)
+	in.reduce(steer.PathObserved{Replica: "lyric-far", Reached: true})
+	assert.Equal(t, in.st.DownDomains(), 1)
+	assert.Equal(t, find[steer.Send](t, in.arrive(&short, 5000)).Replica.Name, "lyric-far")
+	list[len(list)-1].Leaving = true
+	in.reduce(steer.Listed{Replicas: list})
+	none[steer.Send](t, in.arrive(&short, 5000))
+	fin := find[steer.Finish](t, in.advance(10*time.Millisecond))
+	assert.Equal(t, fin.Refusal.Reason, steer.ReasonDown)
+	assert.Assert(t, fin.Refusal.NotRun && fin.Refusal.RetryAfter >= 400*time.Millisecond, "%+v", fin.Refusal)
+}
