A loss of the path leaves failure domains that are down avoided; reports of one are checked by a probe first (test)

When the path was lost, replicas that had failed here were made usable again, those of a failure domain that was known to be down among them. They stay avoided.

--- a/internal/paths/paths.go
+++ b/internal/paths/paths.go
@@ -260,7 +260,6 @@
 	size := upstreams
 	switch {
 	case pa.roundSize == 0:
-		pa.roundSize = upstreams
 	case pa.partial:
 		size = partialProbes
 	default:
--- a/internal/steer/outage_test.go
+++ b/internal/steer/outage_test.go
@@ -215,3 +215,32 @@
 	assert.Equal(t, fin.Refusal.Reason, steer.ReasonDown)
 	assert.Assert(t, fin.Refusal.NotRun && fin.Refusal.RetryAfter >= 400*time.Millisecond, "%+v", fin.Refusal)
 }
+
+func TestFailureDomainThatOthersReportIsCheckedFirst(t *testing.T) {
+	// Others report replicas of a failure domain, but may themselves be cut off from it alone. The instance must find out with a few connections
+	// whether it is down, neither by requests that fail one after the other nor by believing them.
+	for name, reached := range map[string]bool{"it is down": false, "only the reporters do not reach it": true} {
+		t.Run(name, func(t *testing.T) {
+			in := newInstance(t, "one", 0)
+			in.withPeers(2, 2)
+			in.reduce(steer.Listed{Replicas: append(replicas(8), steer.Replica{Name: "lyric-far", Born: 1, Service: "lyric", Address: "far", FailureDomain: "b", Slots: 16})})
+			var effects []steer.Effect
+			for i, reporter := range []string{"near-0", "near-1", "far-0"} {
+				effects = in.reduce(steer.NoteReceived{Note: steer.Note{From: reporter, Run: 1, Down: []string{fmt.Sprint("lyric-", i)}}})
+			}
+			assert.Equal(t, in.st.DownDomains(), 0)
+			probed := find[steer.ProbePaths](t, effects).Replicas
+			assert.Equal(t, len(probed), 1)
+			effects = in.reduce(steer.PathObserved{Replica: probed[0].Name, Reached: reached})
+			if reached {
+				none[steer.ProbePaths](t, effects)
+				assert.Equal(t, in.st.DownDomains(), 0)
+				return
+			}
+			assert.Equal(t, find[steer.ProbePaths](t, effects).Replicas[0].Name, "lyric-far")
+			in.now = in.now.Add(time.Millisecond)
+			in.reduce(steer.PathObserved{Replica: "lyric-far", Reached: true})
+			assert.Equal(t, in.st.DownDomains(), 1)
+		})
+	}
+}
--- a/internal/steer/path.go
+++ b/internal/steer/path.go
@@ -156,7 +156,7 @@
 	}
 	st.emit(LogLine{Message: "path lost", Service: svc.name, Replica: rep.Name, Attempt: svc.path.Failures()})
 	for _, other := range svc.replicas {
-		if other.downCause == notice.Failing && (other.downReporter == "" || st.fleet.Lost(st.now, other.downReporter, svc.name)) {
+		if other.downCause == notice.Failing && !svc.path.Down(other.Name) && (other.downReporter == "" || st.fleet.Lost(st.now, other.downReporter, svc.name)) {
 			other.succeeded()
 		}
 	}
