--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -43,6 +43,10 @@
 	return min(timeout-margin, MaxIdle)
 }
 
+// ProvenAge is how long ago the last response may have ended on a connection that counts as proven alive. Meanwhile the replica, or the
+// path to it, may fail without a sign, so the time is short.
+const ProvenAge = time.Second
+
 // Conn is one connection to a replica. It belongs to the Table that returned it.
 type Conn struct {
 	host *host
@@ -56,8 +60,8 @@
 // host is what is known of the connections to one address.
 type host struct {
 	address string
-	// open counts the connections.
-	open int
+	// conns holds the open connections.
+	conns map[*Conn]struct{}
 	// idle counts those that are idle.
 	idle int
 	// limit is how long a connection may be idle.
@@ -83,12 +87,12 @@
 func (tbl *Table) Opened(address string, now time.Time) *Conn {
 	hst, ok := tbl.hosts[address]
 	if !ok {
-		hst = &host{address: address, limit: MaxIdle}
+		hst = &host{address: address, limit: MaxIdle, conns: map[*Conn]struct{}{}}
 		tbl.hosts[address] = hst
 	}
-	hst.open++
 	tbl.open++
 	conn := &Conn{host: hst}
+	hst.conns[conn] = struct{}{}
 	tbl.beginIdle(conn, now)
 	return conn
 }
@@ -100,17 +104,22 @@
 	}
 	tbl.endIdle(conn)
 	conn.closed = true
-	conn.host.open--
+	delete(conn.host.conns, conn)
 	tbl.open--
-	if conn.host.open == 0 {
+	if len(conn.host.conns) == 0 {
 		delete(tbl.hosts, conn.host.address)
 	}
 }
 
 // Taken begins a use of the connection and returns its number. ok reports whether the connection may be used: it is open, and was
-// not idle for so long that the replica may be closing it.
-func (tbl *Table) Taken(conn *Conn, now time.Time) (use int, ok bool) {
-	usable := !conn.closed && (conn.idleSince.IsZero() || now.Sub(conn.idleSince) < conn.host.limit)
+// not idle for so long that the replica may be closing it. If proven is set, it must also have been proven alive by a response that
+// ended less than ProvenAge ago, and in the first half of the time for which it may be idle.
+func (tbl *Table) Taken(conn *Conn, now time.Time, proven bool) (use int, ok bool) {
+	limit := conn.host.limit
+	if proven {
+		limit = min(limit/2, ProvenAge)
+	}
+	usable := !conn.closed && (conn.idleSince.IsZero() || now.Sub(conn.idleSince) < limit)
 	tbl.endIdle(conn)
 	conn.use++
 	return conn.use, usable
@@ -135,6 +144,21 @@
 	}
 }
 
+// Excess returns the connection to the address that has been idle the longest if more than maxIdle are, and nil otherwise.
+func (tbl *Table) Excess(address string, maxIdle int) *Conn {
+	hst, ok := tbl.hosts[address]
+	if !ok || hst.idle <= maxIdle {
+		return nil
+	}
+	var oldest *Conn
+	for conn := range hst.conns {
+		if !conn.idleSince.IsZero() && (oldest == nil || conn.idleSince.Before(oldest.idleSince)) {
+			oldest = conn
+		}
+	}
+	return oldest
+}
+
 // endIdle takes the connection from the idle ones.
 func (tbl *Table) endIdle(conn *Conn) {
 	if conn.idleSince.IsZero() {
@@ -189,11 +213,3 @@
 
 // Counts returns the number of open connections and of those that are idle.
 func (tbl *Table) Counts() (open, idle int) { return tbl.open, tbl.idle }
-
-// CountsOf returns the number of open connections to the address and of those that are idle.
-func (tbl *Table) CountsOf(address string) (open, idle int) {
-	if hst, ok := tbl.hosts[address]; ok {
-		return hst.open, hst.idle
-	}
-	return 0, 0
-}
--- a/internal/conns/conns_test.go
+++ b/internal/conns/conns_test.go
@@ -44,13 +44,13 @@
 		t.Run(name, func(t *testing.T) {
 			tbl := conns.New()
 			conn := tbl.Opened("a", start)
-			use, _ := tbl.Taken(conn, start)
+			use, _ := tbl.Taken(conn, start, false)
 			tbl.Answered(conn, keepAlive(tc.header))
 			tbl.Returned(conn, use, start)
 			left, idle := tbl.Expiry(conn, start)
 			assert.Assert(t, idle)
 			assert.Equal(t, left, tc.limit)
-			_, ok := tbl.Taken(conn, start.Add(tc.limit))
+			_, ok := tbl.Taken(conn, start.Add(tc.limit), false)
 			assert.Assert(t, !ok)
 		})
 	}
@@ -59,7 +59,7 @@
 func TestShortTimeoutsLeaveSomeTime(t *testing.T) {
 	tbl := conns.New()
 	conn := tbl.Opened("a", start)
-	use, _ := tbl.Taken(conn, start)
+	use, _ := tbl.Taken(conn, start, false)
 	tbl.Answered(conn, keepAlive("timeout=1"))
 	tbl.Returned(conn, use, start)
 	left, _ := tbl.Expiry(conn, start)
@@ -70,9 +70,9 @@
 	// One answer states the timeout, the next one on another connection does not: an error's header is often shorter.
 	tbl := conns.New()
 	first, second := tbl.Opened("a", start), tbl.Opened("a", start)
-	tbl.Taken(first, start)
+	tbl.Taken(first, start, false)
 	tbl.Answered(first, keepAlive("timeout=5"))
-	use, _ := tbl.Taken(second, start)
+	use, _ := tbl.Taken(second, start, false)
 	tbl.Answered(second, http.Header{})
 	tbl.Returned(second, use, start)
 	left, _ := tbl.Expiry(second, start)
@@ -83,8 +83,8 @@
 	// net/http reports that a connection is kept after it may have given it to the next request. That connection is in use.
 	tbl := conns.New()
 	conn := tbl.Opened("a", start)
-	first, _ := tbl.Taken(conn, start)
-	second, ok := tbl.Taken(conn, start)
+	first, _ := tbl.Taken(conn, start, false)
+	second, ok := tbl.Taken(conn, start, false)
 	assert.Assert(t, ok)
 	tbl.Returned(conn, first, start)
 	_, idle := tbl.Expiry(conn, start)
@@ -105,7 +105,7 @@
 	}
 	check(nil)
 	first := tbl.Opened("a", start)
-	use, _ := tbl.Taken(first, start)
+	use, _ := tbl.Taken(first, start, false)
 	check(nil)
 	tbl.Returned(first, use, start)
 	check(map[string]bool{"a": true})
@@ -114,7 +114,7 @@
 	tbl.Closed(second)
 	tbl.Closed(second)
 	check(nil)
-	use, _ = tbl.Taken(first, start)
+	use, _ = tbl.Taken(first, start, false)
 	tbl.Returned(first, use, start)
 	check(nil)
 	tbl.Closed(first)
@@ -125,3 +125,51 @@
 	assert.Equal(t, open, 0)
 	assert.Equal(t, idle, 0)
 }
+
+func TestProvenConnection(t *testing.T) {
+	// A request that may run only once is given a kept connection only if a response has just ended on it: on one that has gone silent
+	// meanwhile, it would be lost.
+	cases := map[string]struct {
+		header string
+		age    time.Duration
+		ok     bool
+	}{
+		"just answered":            {"", 0, true},
+		"answered recently":        {"", conns.ProvenAge - time.Millisecond, true},
+		"answered too long ago":    {"", conns.ProvenAge, false},
+		"soon closed by a replica": {"timeout=2", 700 * time.Millisecond, false},
+		"nothing is kept":          {"timeout=0", 0, false},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			tbl := conns.New()
+			conn := tbl.Opened("a", start)
+			use, _ := tbl.Taken(conn, start, false)
+			tbl.Answered(conn, keepAlive(tc.header))
+			tbl.Returned(conn, use, start)
+			_, ok := tbl.Taken(conn, start.Add(tc.age), true)
+			assert.Equal(t, ok, tc.ok)
+		})
+	}
+}
+
+func TestExcessIsTheConnectionThatWasIdleTheLongest(t *testing.T) {
+	tbl := conns.New()
+	assert.Assert(t, tbl.Excess("a", 0) == nil)
+	var list []*conns.Conn
+	for i := range 3 {
+		at := start.Add(time.Duration(i) * time.Second)
+		conn := tbl.Opened("a", at)
+		use, _ := tbl.Taken(conn, at, false)
+		if i < 2 {
+			tbl.Returned(conn, use, at)
+		}
+		list = append(list, conn)
+	}
+	assert.Assert(t, tbl.Excess("a", 2) == nil)
+	assert.Equal(t, tbl.Excess("a", 1), list[0])
+	tbl.Closed(list[0])
+	assert.Assert(t, tbl.Excess("a", 1) == nil)
+	assert.Equal(t, tbl.Excess("a", 0), list[1])
+	assert.Assert(t, tbl.Excess("b", 0) == nil)
+}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -55,7 +55,8 @@
 
 // exchange sends the message to its replica and returns the response, unless an announcement holds the message back. All
 // messages to replicas pass through exchange, and all that replicas announce in their answers is read here. newConnection prevents
-// the use of a kept connection. If the path to the replica is lost, the message goes through another Instance.
+// the use of a kept connection, unless the replica's service declares how many connections it accepts: then a kept connection is used
+// that was just proven alive. If the path to the replica is lost, the message goes through another Instance.
 func (in *Instance) exchange(newConnection bool, msg message, req *http.Request) (*http.Response, ResponseInfo, error) {
 	verdict, err := in.checkMessage(msg, false)
 	if err != nil {
@@ -74,7 +75,8 @@
 		}
 		resp, err = in.exchangeVia(verdict.Via, newConnection, msg, req)
 	} else {
-		resp, err = in.sendOnce(in.transport(newConnection), msg, req)
+		use := connUse{conns: in.conns, bound: verdict.Connections, proven: newConnection}
+		resp, err = in.sendOnce(in.transport(newConnection && !verdict.Connections.Bounded), use, msg, req)
 	}
 	if err != nil {
 		return nil, ResponseInfo{}, err
@@ -100,7 +102,7 @@
 
 // sendOnce sends the request. It chooses another connection as long as nothing was written because the kept one that was chosen had
 // been closed by the replica. The error is NotWritten if nothing of the request has left this Instance.
-func (in *Instance) sendOnce(transport *http.Transport, msg message, req *http.Request) (*http.Response, error) {
+func (in *Instance) sendOnce(transport *http.Transport, use connUse, msg message, req *http.Request) (*http.Response, error) {
 	for stale := 0; ; stale++ {
 		try := *req
 		if req.GetBody != nil {
@@ -110,7 +112,7 @@
 			}
 			try.Body = body
 		}
-		use := connUse{conns: in.conns}
+		use := use
 		res, err := trip.Do(transport, &try, use.hooks(func(reused bool) { in.connected(msg.to.Replica, reused) }))
 		if res.Writes > 1 {
 			in.count("Messages.WrittenAgain")
--- a/internal/relay/instance.go
+++ b/internal/relay/instance.go
@@ -293,6 +293,11 @@
 			in.perform(eff)
 		}
 	}
+	if changed := in.conns.takeChanges(); changed != nil {
+		for _, eff := range in.state.Reduce(now, steer.IdleConnections{Changed: changed}) {
+			in.perform(eff)
+		}
+	}
 	effects := in.state.Reduce(now, ev)
 	if _, ok := ev.(steer.DeathsReceived); ok {
 		in.pauses.Received(now)
--- a/internal/relay/replicaconn.go
+++ b/internal/relay/replicaconn.go
@@ -13,6 +13,7 @@
 
 	"dandelionsail.example/dandelionsail/internal/conns"
 	"dandelionsail.example/dandelionsail/internal/notice"
+	"dandelionsail.example/dandelionsail/internal/steer"
 	"dandelionsail.example/dandelionsail/internal/trip"
 )
 
@@ -41,7 +42,7 @@
 		return causePassedOn
 	case newConnection:
 		return causeRequired
-	case msg.to.Kind == notice.Reservation, msg.to.Kind == notice.Renewal, msg.to.Kind == notice.Release, msg.to.Kind == notice.LoadQuery:
+	case msg.to.Kind == notice.Reservation, msg.to.Kind == notice.Renewal, msg.to.Kind == notice.Release, msg.to.Kind == notice.LoadQuery, msg.to.Kind == notice.Order:
 		return causeOrder
 	}
 	return causeNoneIdle
@@ -84,7 +85,7 @@
 		rcs.count("Connections.Opened." + string(cause))
 		rcs.mu.Lock()
 		defer rcs.mu.Unlock()
-		rc := &replicaConn{Conn: conn, conns: rcs, entry: rcs.table.Opened(address, time.Now())}
+		rc := &replicaConn{Conn: conn, conns: rcs, address: address, entry: rcs.table.Opened(address, time.Now())}
 		rc.timer = time.AfterFunc(conns.MaxIdle, rc.expire)
 		rcs.all[rc.entry] = rc
 		rcs.changed.Store(rcs.table.HasChanges())
@@ -95,8 +96,9 @@
 // replicaConn is a connection to a replica.
 type replicaConn struct {
 	net.Conn
-	conns *replicaConns
-	entry *conns.Conn
+	conns   *replicaConns
+	address string
+	entry   *conns.Conn
 	// timer calls expire.
 	timer *time.Timer
 }
@@ -104,31 +106,45 @@
 // Close implements net.Conn.
 func (rc *replicaConn) Close() error {
 	rc.conns.mu.Lock()
+	rc.remove()
+	rc.conns.mu.Unlock()
+	return rc.Conn.Close()
+}
+
+// remove removes the connection from the account. A message that is given it from now on closes it and writes nothing to it, so that it can
+// be closed without breaking a message off. conns.mu is held.
+func (rc *replicaConn) remove() {
 	rc.timer.Stop()
 	rc.conns.table.Closed(rc.entry)
 	delete(rc.conns.all, rc.entry)
 	rc.conns.changed.Store(rc.conns.table.HasChanges())
-	rc.conns.mu.Unlock()
-	return rc.Conn.Close()
 }
 
 // expire closes the connection if it has been idle for too long. A request that is given it meanwhile writes nothing and gets another one.
 func (rc *replicaConn) expire() {
 	rc.conns.mu.Lock()
 	left, idle := rc.conns.table.Expiry(rc.entry, time.Now())
-	if idle && left > 0 {
+	overdue := idle && left == 0
+	switch {
+	case overdue:
+		rc.remove()
+	case idle:
 		rc.timer.Reset(left)
 	}
 	rc.conns.mu.Unlock()
-	if idle && left == 0 {
+	if overdue {
 		rc.conns.count("Connections.Expired")
-		_ = rc.Close()
+		_ = rc.Conn.Close()
 	}
 }
 
 // connUse is the use of a connection by one message.
 type connUse struct {
 	conns *replicaConns
+	// bound is how many idle connections to the replica may be kept.
+	bound steer.ConnectionBound
+	// proven requests a new connection or one that was just proven alive.
+	proven bool
 	// conn is nil before the message has a connection.
 	conn *replicaConn
 	// number is the number of the use.
@@ -153,7 +169,7 @@
 		return
 	}
 	cu.conns.mu.Lock()
-	number, usable := cu.conns.table.Taken(rc.entry, time.Now())
+	number, usable := cu.conns.table.Taken(rc.entry, time.Now(), cu.proven)
 	cu.conn, cu.number = rc, number
 	rc.timer.Stop()
 	cu.conns.changed.Store(cu.conns.table.HasChanges())
@@ -198,14 +214,28 @@
 	}
 }
 
-// end records that the connection was kept after the response.
+// end records that the connection was kept after the response. If that is one more than may be kept, the one that has been idle the
+// longest is closed. net/http may just have given that one to another message, which then writes nothing and gets another connection.
 func (cu *connUse) end() {
 	cu.conns.mu.Lock()
-	defer cu.conns.mu.Unlock()
-	if cu.conn != nil {
-		cu.conns.table.Returned(cu.conn.entry, cu.number, time.Now())
-		cu.resetTimer()
-		cu.conns.changed.Store(cu.conns.table.HasChanges())
+	if cu.conn == nil {
+		cu.conns.mu.Unlock()
+		return
+	}
+	cu.conns.table.Returned(cu.conn.entry, cu.number, time.Now())
+	cu.resetTimer()
+	var excess *replicaConn
+	if cu.bound.Bounded {
+		excess = cu.conns.all[cu.conns.table.Excess(cu.conn.address, cu.bound.MaxIdle)]
+	}
+	if excess != nil {
+		excess.remove()
+	}
+	cu.conns.changed.Store(cu.conns.table.HasChanges())
+	cu.conns.mu.Unlock()
+	if excess != nil {
+		cu.conns.count("Connections.OverPart")
+		_ = excess.Conn.Close()
 	}
 }
 
@@ -216,6 +246,18 @@
 	}
 }
 
+// takeChanges returns the addresses to which the first idle connection was kept, or the last one lost, since the last call. It costs
+// next to nothing if there are none.
+func (rcs *replicaConns) takeChanges() map[string]bool {
+	if !rcs.changed.Load() {
+		return nil
+	}
+	rcs.mu.Lock()
+	defer rcs.mu.Unlock()
+	rcs.changed.Store(false)
+	return rcs.table.Changes()
+}
+
 // updateConnectionMetrics sets the gauges of the connections to replicas.
 func (in *Instance) updateConnectionMetrics() {
 	in.conns.mu.Lock()
--- a/internal/relay/replicaconn_test.go
+++ b/internal/relay/replicaconn_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -15,6 +16,7 @@
 	"github.com/rcrowley/go-metrics"
 	"gotest.tools/v3/assert"
 
+	"dandelionsail.example/dandelionsail/internal/conns"
 	"dandelionsail.example/dandelionsail/internal/notice"
 	"dandelionsail.example/dandelionsail/internal/steer"
 	"dandelionsail.example/dandelionsail/pkg/decl"
@@ -65,10 +67,15 @@
 	return count
 }
 
-// newConnTest returns an Instance that knows the replica.
+// newConnTest returns an Instance that knows the replica, whose service declares no number of connections.
 func newConnTest(t *testing.T, rep *connReplica) *Instance {
-	in := New(Options{Name: "one", FailureDomain: "a", Seed: 1}, nil, headerProtocol{}, &log.Logger{Level: log.PanicLevel}, func() int64 { return 0 })
-	in.apply(steer.Configured{Routing: &decl.Routing{Version: 1, Services: map[string]decl.Pool{"board": {}}}})
+	return newBoundedTest(t, rep, Options{Name: "one", FailureDomain: "a", Seed: 1}, 0)
+}
+
+// newBoundedTest returns an Instance that knows the replica, whose service declares the number of connections.
+func newBoundedTest(t *testing.T, rep *connReplica, opts Options, connections int) *Instance {
+	in := New(opts, nil, headerProtocol{}, &log.Logger{Level: log.PanicLevel}, func() int64 { return 0 })
+	in.apply(steer.Configured{Routing: &decl.Routing{Version: 1, Services: map[string]decl.Pool{"board": {Connections: connections}}}})
 	in.apply(steer.Listed{Replicas: []steer.Replica{rep.Replica}})
 	t.Cleanup(in.pooled.CloseIdleConnections)
 	return in
@@ -272,49 +279,257 @@
 
 func TestReplicaThatClosesKeptConnectionsGetsEachRequestAtMostOnce(t *testing.T) {
 	// A replica closes idle connections at any moment, without stating a timeout, while requests arrive. A request that meets a closed
-	// connection goes to another one if nothing was written, and otherwise counts as broken: it must never arrive twice.
-	var mu sync.Mutex
-	arrived := map[string]int{}
-	rep := startConnReplica(t, 0, func(_ http.ResponseWriter, req *http.Request) {
-		mu.Lock()
-		defer mu.Unlock()
-		arrived[req.Header.Get("Number")]++
+	// connection goes to another one if nothing was written, and otherwise counts as broken: it must never arrive twice, and one that may
+	// run only once must use the kept connections all the same. Real replicas close idle connections far less often.
+	cases := map[string]struct {
+		once        bool
+		connections int
+	}{
+		"repeatable":                     {false, 0},
+		"may run once":                   {true, 100},
+		"may run once, nothing declared": {true, 0},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			var mu sync.Mutex
+			arrived := map[string]int{}
+			rep := startConnReplica(t, 0, func(_ http.ResponseWriter, req *http.Request) {
+				mu.Lock()
+				defer mu.Unlock()
+				arrived[req.Header.Get("Number")]++
+			})
+			in := newBoundedTest(t, rep, Options{Name: "one", FailureDomain: "a", Seed: 1}, tc.connections)
+			ctx, cancel := context.WithCancel(t.Context())
+			closed := make(chan struct{})
+			go func() {
+				defer close(closed)
+				for ctx.Err() == nil {
+					rep.closeIdle()
+					time.Sleep(300 * time.Microsecond)
+				}
+			}()
+			answered := map[string]bool{}
+			for number := range 2000 {
+				name := strconv.Itoa(number)
+				req, err := http.NewRequest(http.MethodGet, "http://"+rep.Address+"/", nil)
+				assert.NilError(t, err)
+				req.Header.Set("Number", name)
+				resp, _, err := in.exchange(tc.once, message{to: steer.Target{Replica: rep.Replica, Kind: notice.First}}, req)
+				if err == nil {
+					_, _ = io.Copy(io.Discard, resp.Body)
+					_ = resp.Body.Close()
+				}
+				answered[name] = err == nil
+			}
+			cancel()
+			<-closed
+			mu.Lock()
+			defer mu.Unlock()
+			count := 0
+			for name, ok := range answered {
+				assert.Assert(t, arrived[name] <= 1, "request %s arrived %d times", name, arrived[name])
+				if ok {
+					count++
+					assert.Equal(t, arrived[name], 1)
+				}
+			}
+			t.Logf("%d of 2000 answered, %d connections opened, %d used again", count, rep.opened.Load(), in.counted("Connections.Reused"))
+			assert.Assert(t, count > 1000, "%d", count)
+			assert.Equal(t, in.counted("Connections.Reused") > 0, !tc.once || tc.connections > 0)
+			assert.Equal(t, in.counted("Messages.WrittenAgain"), int64(0))
+		})
+	}
+}
+
+func TestRequestThatMayRunOnceUsesAConnectionThatWasJustProvenAlive(t *testing.T) {
+	// A kept connection goes silent without a reset. Written to it, a request that may run only once would be lost, since nobody could
+	// tell whether it ran. Such a request is given a kept connection only if a response has just ended on it, and otherwise replaces it.
+	rep := startConnReplica(t, 0, func(w http.ResponseWriter, req *http.Request) {
+		w.Header().Set("Closing", strconv.FormatBool(req.Close))
 	})
-	in := newConnTest(t, rep)
-	ctx, cancel := context.WithCancel(t.Context())
-	closed := make(chan struct{})
-	go func() {
-		defer close(closed)
-		for ctx.Err() == nil {
-			rep.closeIdle()
-			time.Sleep(300 * time.Microsecond)
+	var silent atomic.Bool
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		return &silentConn{Conn: conn, since: &silent, opened: !silent.Load()}, err
+	}
+	in := newBoundedTest(t, rep, Options{Name: "one", FailureDomain: "a", Seed: 1, Dial: dial}, 100)
+	msg := message{to: steer.Target{Replica: rep.Replica, Kind: notice.First}}
+	for range 5 {
+		assert.NilError(t, in.exchangeWhole(true, msg))
+	}
+	assert.Equal(t, rep.opened.Load(), int64(1))
+	assert.Equal(t, in.counted("Connections.Opened.Required"), int64(1))
+	assert.Equal(t, in.counted("Connections.Reused"), int64(4))
+	silent.Store(true)
+	time.Sleep(conns.ProvenAge + 10*time.Millisecond)
+	assert.NilError(t, in.exchangeWhole(true, msg))
+	assert.Equal(t, rep.opened.Load(), int64(2))
+	in.updateConnectionMetrics()
+	assert.Equal(t, in.registry.Get("Connections.Open").(metrics.Gauge).Value(), int64(1))
+}
+
+// silentConn is a connection that loses what is written to it from some moment on, if it was opened before.
+type silentConn struct {
+	net.Conn
+	since  *atomic.Bool
+	opened bool
+}
+
+func (sc *silentConn) Write(raw []byte) (int, error) {
+	if sc.opened && sc.since.Load() {
+		// Write reports that the connection is closed, if it is.
+		if _, err := sc.Conn.Write(nil); err != nil {
+			return 0, err
 		}
-	}()
-	sent := map[string]bool{}
-	for number := range 2000 {
-		name := string(rune('a'+number%26)) + time.Duration(number).String()
-		req, err := http.NewRequest(http.MethodGet, "http://"+rep.Address+"/", nil)
-		assert.NilError(t, err)
-		req.Header.Set("Number", name)
-		resp, _, err := in.exchange(false, message{to: steer.Target{Replica: rep.Replica, Kind: notice.First}}, req)
-		if err == nil {
-			_, _ = io.Copy(io.Discard, resp.Body)
-			_ = resp.Body.Close()
+		return len(raw), nil
+	}
+	return sc.Conn.Write(raw)
+}
+
+func TestRequestThatMayRunOnceHasAConnectionOfItsOwnUnlessConnectionsAreDeclared(t *testing.T) {
+	// A configuration that declares no number of connections asks for no change: the replica is sent what it was sent before.
+	for _, connections := range []int{0, 100} {
+		t.Run(strconv.Itoa(connections), func(t *testing.T) {
+			var closes atomic.Int64
+			rep := startConnReplica(t, 0, func(_ http.ResponseWriter, req *http.Request) {
+				if req.Close {
+					closes.Add(1)
+				}
+			})
+			in := newBoundedTest(t, rep, Options{Name: "one", FailureDomain: "a", Seed: 1}, connections)
+			for range 3 {
+				assert.NilError(t, in.exchangeWhole(true, message{to: steer.Target{Replica: rep.Replica, Kind: notice.First}}))
+			}
+			want := map[int]int64{0: 3, 100: 1}[connections]
+			assert.Equal(t, rep.opened.Load(), want)
+			assert.Equal(t, closes.Load(), map[int]int64{0: 3, 100: 0}[connections])
+		})
+	}
+}
+
+func TestInstancesKeepFewerConnectionsThanTheReplicaAccepts(t *testing.T) {
+	// Five instances send two requests at a time to a replica that accepts 12 connections and has 4 slots. Before, each kept both
+	// connections, and up to four: what the next instance opened was reset. After a restart of all instances the sum must hold, too.
+	var inUse sync.WaitGroup
+	release := make(chan struct{})
+	rep := startConnReplica(t, 0, func(http.ResponseWriter, *http.Request) {
+		inUse.Done()
+		<-release
+	})
+	names := []string{"one", "two", "three", "four", "five"}
+	for range 2 {
+		var all []*Instance
+		for _, name := range names {
+			in := newBoundedTest(t, rep, Options{Name: name, FailureDomain: "a", Seed: 1}, 12)
+			var others []steer.Instance
+			for _, other := range names {
+				if other != name {
+					others = append(others, steer.Instance{Name: other, FailureDomain: "a"})
+				}
+			}
+			in.apply(steer.Peered{Instances: others, Listed: true})
+			all = append(all, in)
+		}
+		for _, in := range all {
+			inUse.Add(2)
+			release = make(chan struct{})
+			var ended sync.WaitGroup
+			for range 2 {
+				ended.Go(func() {
+					assert.Check(t, in.exchangeWhole(false, message{to: steer.Target{Replica: rep.Replica, Kind: notice.First}}))
+				})
+			}
+			inUse.Wait()
+			close(release)
+			ended.Wait()
+			_, idle := in.countConnections()
+			assert.Assert(t, idle <= 1, "%d", idle)
+		}
+		sum := 0
+		for _, in := range all {
+			open, _ := in.countConnections()
+			sum += open
+		}
+		assert.Assert(t, sum > 0 && sum <= 5, "%d", sum)
+		for _, in := range all {
+			in.pooled.CloseIdleConnections()
 		}
-		sent[name] = err == nil
 	}
-	cancel()
-	<-closed
-	mu.Lock()
-	defer mu.Unlock()
-	answered := 0
-	for name, ok := range sent {
-		assert.Assert(t, arrived[name] <= 1, "request %s arrived %d times", name, arrived[name])
-		if ok {
-			answered++
-			assert.Equal(t, arrived[name], 1)
+}
+
+// countConnections returns the number of connections, and of those that are idle.
+func (in *Instance) countConnections() (open, idle int) {
+	in.conns.mu.Lock()
+	defer in.conns.mu.Unlock()
+	return in.conns.table.Counts()
+}
+
+func TestReplicaThatRestartsCostsOneConnection(t *testing.T) {
+	// A replica restarts on its address while connections to it are kept. The first request after that must not be written to one of
+	// them, and one connection must do for all that follow one another.
+	for name, once := range map[string]bool{"repeatable": false, "may run once": true} {
+		t.Run(name, func(t *testing.T) {
+			rep := startConnReplica(t, 0, func(http.ResponseWriter, *http.Request) {})
+			in := newBoundedTest(t, rep, Options{Name: "one", FailureDomain: "a", Seed: 1}, 100)
+			msg := message{to: steer.Target{Replica: rep.Replica, Kind: notice.First}}
+			assert.NilError(t, in.exchangeWhole(once, msg))
+			rep.Close()
+			listener, err := net.Listen("tcp", rep.Address)
+			assert.NilError(t, err)
+			again := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})}
+			served := make(chan error, 1)
+			go func() { served <- again.Serve(listener) }()
+			for range 10 {
+				assert.NilError(t, in.exchangeWhole(once, msg))
+			}
+			assert.Equal(t, in.counted("Connections.Opened.NoneIdle")+in.counted("Connections.Opened.Required"), int64(2))
+			assert.NilError(t, again.Close())
+			assert.Equal(t, <-served, http.ErrServerClosed)
+		})
+	}
+}
+
+func TestReducerPrefersAReplicaWithAnIdleConnection(t *testing.T) {
+	// Guards against a reducer that is not told where idle connections are, or not told that one was closed.
+	boards := []*connReplica{}
+	list := []steer.Replica{}
+	for i := range 2 {
+		rep := startConnReplica(t, 0, func(http.ResponseWriter, *http.Request) {})
+		rep.Name = "board-" + strconv.Itoa(i)
+		boards, list = append(boards, rep), append(list, rep.Replica)
+	}
+	in := newBoundedTest(t, boards[0], Options{Name: "one", FailureDomain: "a", Seed: 1}, 100)
+	in.apply(steer.Listed{Replicas: list})
+	choose := func() string {
+		cl := &call{id: steer.RequestID(in.nextID.Add(1)), effects: make(chan steer.Effect, effectQueueSize)}
+		in.mu.Lock()
+		in.calls[cl.id] = cl
+		in.mu.Unlock()
+		route := &decl.Route{Name: "look", Shares: []decl.Share{{Service: "board", Weight: 1}}, Repeats: decl.RetryAny, Attempts: 2, Timeout: decl.Duration(time.Second), Goal: decl.Duration(time.Second)}
+		in.apply(steer.Arrived{ID: cl.id, Route: route, Deadline: time.Now().Add(time.Second), LeavesAt: time.Now().Add(time.Second)})
+		sent := (<-cl.effects).(steer.Send)
+		in.apply(steer.AttemptEnded{ID: cl.id, Attempt: sent.Attempt, Result: steer.ResultDone})
+		return sent.Replica.Name
+	}
+	for i, rep := range boards {
+		assert.NilError(t, in.exchangeWhole(false, message{to: steer.Target{Replica: rep.Replica, Kind: notice.First}}))
+		for range 8 {
+			assert.Equal(t, choose(), rep.Name)
+		}
+		for rep.closeIdle() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		for deadline := time.Now().Add(time.Second); !in.conns.changed.Load() && time.Now().Before(deadline); {
+			time.Sleep(time.Millisecond)
+		}
+		assert.Assert(t, in.conns.changed.Load())
+		if i == 0 {
+			continue
+		}
+		chosen := map[string]bool{}
+		for range 20 {
+			chosen[choose()] = true
 		}
+		assert.Equal(t, len(chosen), 2)
 	}
-	assert.Assert(t, answered > 1000, "%d", answered)
-	assert.Equal(t, in.counted("Messages.WrittenAgain"), int64(0))
 }
--- a/internal/steer/announce.go
+++ b/internal/steer/announce.go
@@ -120,6 +120,8 @@
 	Via string
 	// RetryAt is when an instance may be able to pass the message on although none is now, zero if it is not known that one may.
 	RetryAt time.Time
+	// Connections is how many idle connections to the replica may be kept.
+	Connections ConnectionBound
 }
 
 // Held reports whether the message must not be sent.
@@ -169,7 +171,11 @@
 			rep.rest.Pass(st.now, uint64(ev.ID), ev.Targets[i].Kind)
 		}
 	}
-	st.emit(Verdict{Via: via.Peer})
+	verdict := Verdict{Via: via.Peer}
+	if rep, ok := st.replicas[ev.Targets[0].Replica.Name]; ok {
+		verdict.Connections = st.connectionBound(rep)
+	}
+	st.emit(verdict)
 }
 
 // heldBy returns the announcement that holds the message back from the target, or notice.None.
--- a/internal/steer/list.go
+++ b/internal/steer/list.go
@@ -102,6 +102,7 @@
 	svc := st.serviceOf(rep.Service)
 	svc.replicas = append(svc.replicas, rep)
 	svc.resetLayout()
+	st.generation++
 	st.emit(LogLine{Message: "replica joins", Replica: rep.Name})
 }
 
@@ -128,6 +129,7 @@
 	svc := st.serviceOf(rep.Service)
 	svc.replicas = slices.DeleteFunc(svc.replicas, func(other *replica) bool { return other == rep })
 	svc.resetLayout()
+	st.generation++
 }
 
 // dropExpired drops what has expired: missing replicas whose time has passed, entries that were held back long enough, removed ones without work, timed-out peers
--- a/internal/steer/place.go
+++ b/internal/steer/place.go
@@ -68,13 +68,14 @@
 			continue
 		}
 		wait, ok := st.limitWait(rep, req)
-		if !ok || len(rep.works) >= rep.Slots+plainQueue {
+		if !ok || len(rep.works) >= rep.Slots+plainQueue || st.connectionsFull(rep) {
 			continue
 		}
 		cost := float64(len(rep.works))*rep.slow + float64(rep.failures) + wait.Seconds()*waitSecondCost
 		if rep.FailureDomain != st.Options.FailureDomain {
 			cost += 0.5
 		}
+		cost += st.connectionCost(rep, st.tune.PlainConnectionCost)
 		cost += 0.1 * st.random.Float64()
 		if best == nil || cost < minCost {
 			best, minCost = rep, cost
@@ -103,7 +104,7 @@
 	// penalty is added to the cost when engines are compared, although no caller loses it. A bonus is subtracted from it
 	// if a request should check whether the engine's rate limit still holds.
 	penalty float64
-	// spreadCost is added likewise, but only if the engine is the one that answers.
+	// spreadCost is added likewise, but only if the engine is the one that answers. It includes the cost of a new connection.
 	spreadCost float64
 	// canAnswer is set if the engine has a free slot that the request may take, and not only room to help.
 	canAnswer bool
@@ -237,7 +238,7 @@
 		cand := st.candidateOf(svc, req, rep)
 		// A wait for the rate limit delays the request as a longer rest of the current pass would.
 		cand.estimate.left += ms(wait)
-		cand.canAnswer = rep.running() < svc.engine.Slots && st.mayTakeSlot(rep, req, waiting)
+		cand.canAnswer = rep.running() < svc.engine.Slots && !st.connectionsFull(rep) && st.mayTakeSlot(rep, req, waiting)
 		engines = append(engines, cand)
 	}
 	return engines
@@ -247,7 +248,7 @@
 func (st *State) candidateOf(svc *service, req *request, rep *replica) candidate {
 	cand := candidate{rep: rep, limited: rep.limit != nil, estimate: rep.forecast(svc.engine, &st.tune, st.now), freeTokens: rep.free(svc.engine)}
 	cand.readsLong = st.readsLong(rep, &cand.estimate)
-	cand.spreadCost = st.tune.spreadCost(rep, req)
+	cand.spreadCost = st.tune.spreadCost(rep, req) + st.connectionCost(rep, st.tune.NewConnectionCost)
 	cand.penalty = st.tune.Crowding * st.random.Float64()
 	if rep.FailureDomain != st.Options.FailureDomain {
 		cand.penalty += st.tune.FarCost
--- a/internal/steer/replica.go
+++ b/internal/steer/replica.go
@@ -83,6 +83,8 @@
 	limit *rateLimit
 	// coldUntil is until when the replica is cold, zero if it is not known to have been.
 	coldUntil time.Time
+	// connections caches how many idle connections this instance may keep to the replica.
+	connections cachedBound
 	// evacuated reports whether the operators have evacuated its failure domain.
 	evacuated bool
 	// limitEnded is when the last limit was known to be over.
--- a/internal/steer/state.go
+++ b/internal/steer/state.go
@@ -61,6 +61,10 @@
 	otherNames []string
 	// live counts the live instances, this one included.
 	live int
+	// generation counts the changes of the instances, the list of replicas and the configuration.
+	generation int
+	// idleAddresses holds the addresses of replicas to which this instance has an idle connection.
+	idleAddresses map[string]bool
 	// usersOf caches the names of the other instances that use a subset.
 	usersOf map[subset][]string
 	// outbox holds the note that is being batched for the users of each subset.
@@ -245,6 +249,8 @@
 		heldBack:        map[string]heldEntry{},
 		lastUnanswered:  map[string]time.Time{},
 		usersOf:         map[subset][]string{},
+		idleAddresses:   map[string]bool{},
+		generation:      1,
 		outbox:          map[subset]*pending{},
 		meanPrompts:     map[string]float64{},
 		longestTimeouts: map[string]time.Duration{},
@@ -294,6 +300,8 @@
 		st.pathObserved(ev)
 	case DetourFailed:
 		st.detourFailed(ev)
+	case IdleConnections:
+		st.idleConnections(ev)
 	case Evacuated:
 		st.evacuate(ev)
 	case StoodStill:
@@ -365,6 +373,7 @@
 		return
 	}
 	st.Routing = ev.Routing
+	st.generation++
 	for name, pool := range ev.Routing.Services {
 		svc := st.serviceOf(name)
 		svc.engine = pool.Engine
--- a/internal/steer/subset.go
+++ b/internal/steer/subset.go
@@ -265,6 +265,7 @@
 	st.live = len(st.others) + 1
 	st.division.ListRead(st.now, st.otherNames, ev.Listed)
 	clear(st.usersOf)
+	st.generation++
 	for _, svc := range st.services {
 		svc.resetLayout()
 	}
