Placement: weights of a new connection chosen by a model; fleet test of the sum of connections

Cause: the first weight (0.015) decides among equals only, but streams gather by SpreadCost (0.1), so that equals are few.

Change: NewConnectionCost 0.06, PlainConnectionCost 0.4.

--- a/internal/steer/fleet_test.go
+++ b/internal/steer/fleet_test.go
@@ -28,6 +28,12 @@
 	silent bool
 	// noteLoss is the share of notes that are lost.
 	noteLoss float64
+	// connections is the number of connections that each replica accepts, 0 if that is not declared.
+	connections int
+	// connect, unless nil, is called for each attempt that reaches its replica and returns what is called at its end.
+	connect func(node *fleetNode, eff steer.Send, bound steer.ConnectionBound) (disconnect func())
+	// tuning holds the weights of all instances; the zero value stands for the defaults.
+	tuning   steer.Tuning
 	nextID   steer.RequestID
 	requests map[steer.RequestID]*fleetRequest
 }
@@ -87,7 +93,12 @@
 
 // newFleet starts the instances, with three engines for every four of them.
 func newFleet(seed uint64, instances int) *fleet {
-	fl := &fleet{now: start.Add(-warmUp), random: rand.New(rand.NewPCG(seed, 1)), requests: map[steer.RequestID]*fleetRequest{}, byName: map[string]*fleetNode{}}
+	return newTunedFleet(seed, instances, 0, steer.Tuning{})
+}
+
+// newTunedFleet does the same for replicas that accept the number of connections, with the weights.
+func newTunedFleet(seed uint64, instances, connections int, tuning steer.Tuning) *fleet {
+	fl := &fleet{connections: connections, tuning: tuning, now: start.Add(-warmUp), random: rand.New(rand.NewPCG(seed, 1)), requests: map[steer.RequestID]*fleetRequest{}, byName: map[string]*fleetNode{}}
 	list := fleetReplicas(max(3, instances*3/4), fleetDomains)
 	for i := range instances {
 		node := &fleetNode{name: fmt.Sprintf("instance-%03d", i), domain: fleetDomains[i%len(fleetDomains)], cut: map[string]bool{}}
@@ -101,8 +112,8 @@
 }
 
 func (fl *fleet) boot(node *fleetNode, list []steer.Replica) {
-	node.st = steer.New(steer.Options{Name: node.name, FailureDomain: node.domain, Run: 1, Seed: fl.random.Uint64(), MissingTime: 2 * time.Second, Budget: usualBudget})
-	fl.reduce(node, steer.Configured{Routing: &decl.Routing{Version: 1, Services: map[string]decl.Pool{"lyric": {Engine: &figures}, "board": {}}}})
+	node.st = steer.New(steer.Options{Name: node.name, FailureDomain: node.domain, Run: 1, Seed: fl.random.Uint64(), MissingTime: 2 * time.Second, Budget: usualBudget, Tuning: fl.tuning})
+	fl.reduce(node, steer.Configured{Routing: &decl.Routing{Version: 1, Services: map[string]decl.Pool{"lyric": {Engine: &figures, Connections: fl.connections}, "board": {Connections: fl.connections}}}})
 	var others []steer.Instance
 	for _, other := range fl.nodes {
 		if other != node {
@@ -221,7 +232,12 @@
 		ended.Result = steer.ResultHeld
 		fl.end(node, ended)
 	case verdict.Via == "":
-		fl.dial(node, eff.Replica, hangTime, func(reached bool) { fl.answer(node, eff, ended, reached) })
+		fl.dial(node, eff.Replica, hangTime, func(reached bool) {
+			if reached && fl.connect != nil {
+				fl.after(finishTime, fl.connect(node, eff, verdict.Connections))
+			}
+			fl.answer(node, eff, ended, reached)
+		})
 	default:
 		fl.after(hopTime, func() { fl.passOn(node, fl.byName[verdict.Via], eff, ended) })
 	}
--- a/internal/steer/tuning.go
+++ b/internal/steer/tuning.go
@@ -53,11 +53,11 @@
 	// FarCost is the cost of a replica outside of the instance's own failure domain.
 	FarCost float64
 	// NewConnectionCost is the cost of an engine that answers over a new connection, where the service declares how many connections
-	// a replica accepts; 0 disables it. It decides between engines that cost nearly the same: half of Crowding is enough
-	// to prefer one of several engines to which there is an idle connection.
+	// a replica accepts; 0 disables it. It decides between engines that cost nearly the same: it is above Crowding
+	// and below SpreadCost, so that streams still gather.
 	NewConnectionCost float64
 	// PlainConnectionCost is the same for a plain replica, in requests in progress. It is less than the 0.5 of another failure
-	// domain and more than the chance between equals; 0 disables it.
+	// domain, so that an instance does not stay with a replica there, and more than the chance between equals; 0 disables it.
 	PlainConnectionCost float64
 
 	// MaxEngines is the maximum number of engines that read one prompt.
@@ -95,7 +95,7 @@
 func DefaultTuning() Tuning {
 	return Tuning{
 		RiskFrom: 0.4, RiskTo: 1.3, RiskPower: 1.6, LateShare: 0.75, GiveUp: 5000, Safety: 0.8, GapSafety: 0.87, LeaveSafety: 0.87, LeaveCost: 1, MinCostShare: 0.3,
-		TimeShare: 0.025, BacklogShare: 0.7, SpreadCost: 0.1, FullShare: 1, Crowding: 0.03, FarCost: 0.005, NewConnectionCost: 0.015, PlainConnectionCost: 0.3,
+		TimeShare: 0.025, BacklogShare: 0.7, SpreadCost: 0.1, FullShare: 1, Crowding: 0.03, FarCost: 0.005, NewConnectionCost: 0.06, PlainConnectionCost: 0.4,
 		MaxEngines: 16, MinSplit: 60, LongRead: 60, OverdueShare: 0.3,
 		KindPower: 0.7, BaseValue: 1.3, FixedShare: 0.3, MaxLengthFactor: 4,
 		LateGoalShare: 0.4, MaxRewaitShare: 0.2, MinFirstTryShare: 0.84, PatientShare: 1.0 / 3,
