--- a/internal/steer/replica.go
+++ b/internal/steer/replica.go
@@ -91,6 +91,8 @@
 	cold coldState
 	// coldUntil is until when the replica counts as cold here, zero if it never did or its service has no slow start.
 	coldUntil time.Time
+	// connections caches how many idle connections this instance may keep to the replica.
+	connections cachedBound
 	// evacuated reports whether the operators have evacuated its failure domain.
 	evacuated bool
 	// limitEnded is when the last limit was known to be over.
--- a/internal/steer/subset.go
+++ b/internal/steer/subset.go
@@ -289,6 +289,7 @@
 func (st *State) resetSubsets() {
 	st.evacuations.hosts = nil
 	clear(st.usersOf)
+	st.generation++
 	for _, svc := range st.services {
 		svc.resetLayout()
 	}
