--- a/internal/steer/connections.go
+++ b/internal/steer/connections.go
@@ -70,7 +70,7 @@
 		return 0
 	}
 	svc := st.serviceOf(rep.Service)
-	sub := st.layoutOf(svc).ofReplica(rep)
+	sub := st.subsetOf(rep)
 	users := st.usersUnlessAll(sub)
 	if users == nil {
 		return divide(idle, st.rank(rep, st.otherNames), len(st.otherNames)+1+unlisted)
--- a/internal/steer/outage_test.go
+++ b/internal/steer/outage_test.go
@@ -49,9 +49,9 @@
 	return count
 }
 
-// connections returns how many connections carried nothing, and how many for messages failed, on average at each
+// openedConnections returns how many connections carried nothing, and how many for messages failed, on average at each
 // instance.
-func (fl *fleet) connections() (probes, unanswered float64) {
+func (fl *fleet) openedConnections() (probes, unanswered float64) {
 	for _, node := range fl.nodes {
 		probes += float64(node.probes)
 		unanswered += float64(node.unanswered)
@@ -85,7 +85,7 @@
 				avoided := fl.avoided()
 				fl.load(burstLoad, 3*time.Second)
 				fl.advance(3 * time.Second)
-				probes, unanswered := fl.connections()
+				probes, unanswered := fl.openedConnections()
 				during, number := fl.served(began.Add(time.Second), healed, all)
 				after, _ := fl.served(healed.Add(time.Second), healed.Add(4*time.Second), all)
 				t.Logf("paths lost %d, regained %d, by all %d; through others %d; probes %.1f, attempts without connection %.1f at each instance; served during %.3f of %d, after %.3f; avoided a second later %.3f of the replicas",
@@ -186,7 +186,7 @@
 				assert.Assert(t, req.endAt.Sub(req.at) < 400*time.Millisecond, "refused after %v", req.endAt.Sub(req.at))
 			}
 			share, number := fl.served(returns.Add(3*time.Second), returns.Add(8*time.Second), prompts)
-			probes, unanswered := fl.connections()
+			probes, unanswered := fl.openedConnections()
 			t.Logf("served %.3f of %d while they come back; probes %.1f, attempts without connection %.1f", share, number, probes, unanswered)
 			assert.Check(t, share >= 0.9, "served %.3f", share)
 		})
