Slow start: an entry that a list repeats unchanged says nothing new, also if it says 0

Cause: a whole list read again with the same 0, from before a replica had become cold, ended what an answer had stated more than 2 s before. Change: only a changed value, or a change of the list, counts as written since. Result: the case "same list again after an answer" passes; with the change taken back on a copy it fails (0 s left instead of 7.9 s).

--- a/internal/steer/warm.go
+++ b/internal/steer/warm.go
@@ -160,7 +160,7 @@
 		return
 	case rep.ColdMs < 0:
 		lasts, source = st.slowStartOf(rep).Duration.Std(), sourceStart
-	case !written && rep.ColdMs > 0 && rep.ColdMs == cd.entryMs:
+	case !written && rep.ColdMs == cd.entryMs:
 		return
 	}
 	cd.entryMs, cd.entryAt, cd.entryUntil = rep.ColdMs, st.now, st.now.Add(lasts)
--- a/internal/steer/warm_test.go
+++ b/internal/steer/warm_test.go
@@ -121,6 +121,11 @@
 			in.advance(2100 * time.Millisecond)
 			in.entry(1, 0)
 		}, 0},
+		"same list again after an answer": {func(in *instance) {
+			in.answer(10*time.Second, 0)
+			in.advance(2100 * time.Millisecond)
+			in.list(0)
+		}, 7900 * time.Millisecond},
 		"died": {func(in *instance) {
 			in.fail(steer.AttemptEnded{Result: steer.ResultBroken, Died: true, Unreachable: true})
 		}, 700*time.Millisecond + coldTime},
