--- a/internal/steer/outage_test.go
+++ b/internal/steer/outage_test.go
@@ -187,8 +187,11 @@
 			}
 			share, number := fl.served(returns.Add(3*time.Second), returns.Add(8*time.Second), prompts)
 			probes, unanswered := fl.connections()
-			t.Logf("served %.3f of %d while they come back; probes %.1f, attempts without connection %.1f", share, number, probes, unanswered)
+			lost, via := fl.lines("path lost"), fl.lines("sent through another instance")
+			t.Logf("served %.3f of %d while they come back; paths lost %d, through others %d; probes %.1f, attempts without connection %.1f", share, number, lost, via, probes, unanswered)
 			assert.Check(t, share >= 0.9, "served %.3f", share)
+			assert.Check(t, lost <= 2*size.instances, "paths lost, of two services: %d", lost)
+			assert.Check(t, via <= 5*size.instances, "through others: %d", via)
 		})
 	}
 }
