Engines of other subsets are asked for their slots

Change: an instance asks for the slot of an engine that is not in its own subset, as it does for one that many instances use. Failed first: TestEnginesOfOtherSubsetsAreAskedFor (no request for a slot).

--- a/internal/steer/batch.go
+++ b/internal/steer/batch.go
@@ -87,7 +87,7 @@
 		maxDelay = 0
 	}
 	// An engine whose slots are asked for is not filled beyond them, so that nobody has to learn of the start at once.
-	urgent := nearlyFull(req.reps[0]) && !st.asksForSlot(req.reps[0])
+	urgent := nearlyFull(req.reps[0]) && !st.isSharedWidely(req.reps[0])
 	for _, sub := range st.audiences(req.reps) {
 		wait := st.sendDelay(sub, maxDelay)
 		if urgent && st.mayOverdraw() {
--- a/internal/steer/slot.go
+++ b/internal/steer/slot.go
@@ -9,7 +9,8 @@
 // Slot requests. Load pattern: many small instances before few engines send short prompts at the same moment. Streams gather on few
 // engines, and a note about each start goes to all instances: over a small instance's link a hundred copies take 10 ms, and beyond
 // messageRate they wait for a tenth of a second. Meanwhile others fill the same engine, and requests wait there although slots are
-// free elsewhere. Where that many instances use an engine, a request therefore asks one of them for the slot, which is told of
+// free elsewhere. The same happens when the engines of a failure domain are down: its instances send to the engines of others, of whose
+// load they receive no notes. Where many instances use an engine, or this one does not otherwise use it, a request therefore asks one of them for the slot, which is told of
 // each start, begin and end at the engine by one message, and so knows its load exactly. It is the one that also grants sends to
 // the engine if it states a rate limit. What it doesn't answer in time goes as a claim does.
 
@@ -55,7 +56,13 @@
 
 // asksForSlot reports whether requests ask another instance for slots of the replica, or this one decides on them.
 func (st *State) asksForSlot(rep *replica) bool {
-	return st.serviceOf(rep.Service).engine != nil && st.recipients(st.grantingSubset(rep)) >= minSlotUsers
+	svc := st.serviceOf(rep.Service)
+	return svc.engine != nil && (st.isSharedWidely(rep) || st.subsetOf(rep) != st.ownSubset(svc))
+}
+
+// isSharedWidely reports whether so many instances use the engine that all of them ask for its slots.
+func (st *State) isSharedWidely(rep *replica) bool {
+	return st.recipients(st.grantingSubset(rep)) >= minSlotUsers
 }
 
 // requestSlot asks for a slot of the plan's answering engine. If this instance decides on it, the request is sent at once. It
