--- a/internal/steer/place.go
+++ b/internal/steer/place.go
@@ -29,6 +29,8 @@
 	// spreadCost is added to cost when plans are compared with each other, but not when a plan is compared with the value
 	// of the request, since no caller loses it.
 	spreadCost float64
+	// elsewhere reports whether the engine is in another subset, see placeElsewhere.
+	elsewhere bool
 }
 
 // placeAt returns the plan with the one replica alone, or false if it has no room.
--- a/internal/steer/queue.go
+++ b/internal/steer/queue.go
@@ -60,6 +60,9 @@
 		return st.followGrant(req)
 	}
 	pl, ok := st.place(req)
+	if other, found := st.placeElsewhere(req, &pl, ok); found {
+		pl, ok = other, true
+	}
 	if !ok {
 		return false
 	}
--- a/internal/steer/slot.go
+++ b/internal/steer/slot.go
@@ -27,6 +27,8 @@
 	maxSlotRefusals = 3
 	// slotEstimateSlack is by how much of the request's goal the engine's estimate may exceed the one by which it was chosen.
 	slotEstimateSlack = 0.15
+	// maxSlotHarm is the share of its value that a request may cost other requests at the engine.
+	maxSlotHarm = 0.25
 )
 
 // SlotRequest asks for a slot of an engine.
@@ -83,7 +85,7 @@
 	req.slot.granter = granter
 	st.claims = append(st.claims, req)
 	ask := SlotRequest{Job: job}
-	if req.slotRefusals < maxSlotRefusals {
+	if pl.elsewhere || req.slotRefusals < maxSlotRefusals {
 		ask.MaxFirstMs = millis(duration(pl.first + slotEstimateSlack*ms(req.Route.Goal.Std())))
 	}
 	st.emit(SendNote{Note: st.note(Note{SlotRequests: []SlotRequest{ask}}), To: []string{granter}})
@@ -112,14 +114,19 @@
 	}
 }
 
-// takesLonger reports whether the engine has so much to read that the request's answer would begin later than it accepts.
+// takesLonger reports whether the engine has so much to read that the request's answer would begin later than it accepts, or whether it
+// would delay other requests there too much.
 func (st *State) takesLonger(rep *replica, ask *SlotRequest) bool {
 	eng := st.serviceOf(rep.Service).engine
 	if eng == nil || ask.MaxFirstMs == 0 || len(ask.Job.Replicas) > 1 {
 		return false
 	}
 	estimate := rep.forecast(eng, &st.tune, st.now)
-	return estimate.firstEvent(eng.PrefillWork(ask.Job.Prompt, 1)) > float64(ask.MaxFirstMs)
+	part := eng.PrefillWork(ask.Job.Prompt, 1)
+	if estimate.firstEvent(part) > float64(ask.MaxFirstMs) {
+		return true
+	}
+	return st.harmToOthers(rep, &estimate, part) > maxSlotHarm*float64(ask.Job.Value)
 }
 
 // receiveSlotGrants sends the requests that were granted their slots, and places the others anew.
