Sort only the expired instances at a tick

Cause: dropExpiredPeers sorted the names of all other instances at each tick, which comes every 10 ms while requests wait. Change: it collects the expired ones and sorts these; the order in which they are dropped is the same.

--- a/internal/steer/peer.go
+++ b/internal/steer/peer.go
@@ -231,11 +231,16 @@
 
 // dropExpiredPeers drops the instances from which no note arrived for peerTimeout.
 func (st *State) dropExpiredPeers() {
-	for _, from := range slices.Sorted(maps.Keys(st.peers)) {
-		if pr := st.peers[from]; st.now.Sub(pr.lastNoteAt) > peerTimeout {
-			st.dropPeer(from, pr)
+	var expired []string
+	for from, pr := range st.peers {
+		if st.now.Sub(pr.lastNoteAt) > peerTimeout {
+			expired = append(expired, from)
 		}
 	}
+	slices.Sort(expired)
+	for _, from := range expired {
+		st.dropPeer(from, st.peers[from])
+	}
 }
 
 // startJob books a job at its replicas and returns those of them that are known here.
