Policy lab: organisations, urgencies, restarts and cut instances

Cause: the lab's callers had no organisation and no priority, and only all instances could stop at once, so that shares of organisations could be neither tested nor compared. Scenarios that set none of it run as before.

--- a/internal/model/caller.go
+++ b/internal/model/caller.go
@@ -84,7 +84,7 @@
 		leavesAt = at
 	}
 	in.reduce(steer.Arrived{
-		ID: req.id, Route: cl.route, Name: cl.class.Name, Prompt: cl.prompt, Answer: cl.answer, Deadline: req.deadline,
+		ID: req.id, Route: cl.route, Name: cl.class.Name, Organisation: cl.class.Organisation, Priority: cl.class.Priority, Prompt: cl.prompt, Answer: cl.answer, Deadline: req.deadline,
 		LeavesAt: leavesAt, StatedTimeout: millis(left), Digest: cl.digest,
 	})
 	cl.wd.after(ms(req.deadline.Sub(now)), func() { in.expire(req) })
--- a/internal/model/instance.go
+++ b/internal/model/instance.go
@@ -16,7 +16,9 @@
 
 // instance is one Instance from its start until it is stopped; a restart creates a new one.
 type instance struct {
-	wd       *world
+	wd *world
+	// index is the number of the instance, from 0.
+	index    int
 	name     string
 	state    *steer.State
 	requests map[steer.RequestID]*request
--- a/internal/model/result.go
+++ b/internal/model/result.go
@@ -53,8 +53,14 @@
 	P50 float64
 	// P90 is the 90th percentile of the time to the first event in ms.
 	P90 float64
+	// SmallestTenth is the share of the calls with the shortest prompts that were answered, of a tenth of all calls.
+	SmallestTenth float64
+	// LargestTenth is that of the calls with the longest prompts.
+	LargestTenth float64
 
 	worthSum
+	// sizes holds the length of each prompt and whether the call was answered.
+	sizes  []sizedOutcome
 	firsts []float64
 }
 
@@ -68,6 +74,32 @@
 	return ws.earned / ws.offered
 }
 
+// sizedOutcome is whether a call of some length was answered.
+type sizedOutcome struct {
+	prompt   int64
+	answered bool
+}
+
+// tenths returns the share of the calls that were answered, of the tenth with the shortest prompts and of that with the longest.
+func tenths(sizes []sizedOutcome) (smallest, largest float64) {
+	sorted := slices.SortedStableFunc(slices.Values(sizes), func(a, b sizedOutcome) int { return cmp.Compare(a.prompt, b.prompt) })
+	count := (len(sorted) + 9) / 10
+	return answeredShare(sorted[:count]), answeredShare(sorted[len(sorted)-count:])
+}
+
+func answeredShare(sizes []sizedOutcome) float64 {
+	if len(sizes) == 0 {
+		return 1
+	}
+	answered := 0.0
+	for _, so := range sizes {
+		if so.answered {
+			answered++
+		}
+	}
+	return answered / float64(len(sizes))
+}
+
 func newResult(sc *Scenario) *Result {
 	res := &Result{windows: make([]worthSum, int(sc.Seconds/windowSeconds)+1)}
 	for i := range sc.Classes {
@@ -100,6 +132,7 @@
 	if !cl.first.IsZero() {
 		cr.firsts = append(cr.firsts, ms(cl.first.Sub(cl.at)))
 	}
+	cr.sizes = append(cr.sizes, sizedOutcome{cl.prompt, cl.outcome == outcomeInTime || cl.outcome == outcomeLate})
 	win := &res.windows[int(cl.at.Sub(epoch).Seconds()/windowSeconds)]
 	for _, ws := range []*worthSum{&cr.worthSum, win} {
 		ws.offered += cl.worth
@@ -117,6 +150,7 @@
 		whole.earned += cr.earned
 		cr.Worth = round3(cr.share())
 		cr.P50, cr.P90 = quantile(cr.firsts, 0.5), quantile(cr.firsts, 0.9)
+		cr.SmallestTenth, cr.LargestTenth = tenths(cr.sizes)
 		if cr.Asked >= minClassRequests {
 			res.Class = min(res.Class, cr.share())
 		}
--- a/internal/model/scenario.go
+++ b/internal/model/scenario.go
@@ -18,6 +18,8 @@
 	Name string
 	// Seconds is how long requests arrive.
 	Seconds float64
+	// Settle is how long in seconds the run continues after the last arrival; 0 is settleSeconds.
+	Settle float64
 	// Instances is the number of instances. They and the replicas of both services are spread round-robin over the
 	// failure domains.
 	Instances      int
@@ -38,11 +40,17 @@
 	Bursts    []Burst
 	Outages   []Outage
 	Slowdowns []Slowdown
+	Restarts  []Restart
+	Cuts      []Cut
 }
 
 // Class is one class of requests.
 type Class struct {
 	Name string
+	// Organisation is whose callers these are, empty for none.
+	Organisation string
+	// Priority is the route's urgency; 0 is the most urgent.
+	Priority int
 	// PerSecond is the mean rate of calls, without retries.
 	PerSecond float64
 	// MeanPrompt is the mean of the log-normal lengths of prompts in tokens; 0 makes it a class of plain calls.
@@ -89,6 +97,12 @@
 // Slowdown multiplies the duration of the passes of the first Share of the engines by Times, from At for For seconds.
 type Slowdown struct{ At, For, Share, Times float64 }
 
+// Restart stops the first Share of the instances at At and starts them without any state after For seconds.
+type Restart struct{ At, For, Share float64 }
+
+// Cut loses all notes from and to the last Share of the instances, from At for For seconds. Their requests reach the replicas.
+type Cut struct{ At, For, Share float64 }
+
 // BadScenario is the error type of an invalid scenario file.
 var BadScenario = errorx.NewNamespace("model").NewType("bad_scenario")
 
@@ -138,6 +152,11 @@
 			return BadScenario.New("model: a slowdown of %s has Share %v and Times %v; set Share from 0 to 1 and Times of at least 1", sc.Name, slow.Share, slow.Times)
 		}
 	}
+	for _, share := range sc.disturbedShares() {
+		if share < 0 || share > 1 {
+			return BadScenario.New("model: a restart or cut of %s has Share %v; set a share from 0 to 1", sc.Name, share)
+		}
+	}
 	for _, burst := range sc.Bursts {
 		if !names[burst.Class] || burst.Times < 0 {
 			return BadScenario.New("model: a burst of %s is of class %q; set Class to a class of the scenario and Times to at least 0", sc.Name, burst.Class)
@@ -146,6 +165,18 @@
 	return nil
 }
 
+// disturbedShares returns the shares of the instances that the restarts and cuts affect.
+func (sc *Scenario) disturbedShares() []float64 {
+	var shares []float64
+	for _, rs := range sc.Restarts {
+		shares = append(shares, rs.Share)
+	}
+	for _, cut := range sc.Cuts {
+		shares = append(shares, cut.Share)
+	}
+	return shares
+}
+
 // rate returns the rate of the class at a time in seconds, bursts included.
 func (sc *Scenario) rate(cls *Class, at float64) float64 {
 	rate := cls.PerSecond
--- a/internal/model/world.go
+++ b/internal/model/world.go
@@ -1,6 +1,7 @@
 package model
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
 	"math"
@@ -88,11 +89,16 @@
 // the scenario and the seed, so different tunings are compared under the same load.
 func Run(sc *Scenario, tune steer.Tuning, seed uint64) *Result {
 	wd := newWorld(sc, tune, seed)
-	wd.startInstances()
+	wd.startInstances(len(wd.instances))
 	wd.scheduleArrivals(func(index int) { wd.newCall(index).sendRequest() })
 	for _, out := range sc.Outages {
-		wd.after(out.At*1000, wd.stopInstances)
-		wd.after((out.At+out.For)*1000, wd.startInstances)
+		wd.after(out.At*1000, func() { wd.stopInstances(len(wd.instances)) })
+		wd.after((out.At+out.For)*1000, func() { wd.startInstances(len(wd.instances)) })
+	}
+	for _, rs := range sc.Restarts {
+		count := int(math.Ceil(rs.Share * float64(len(wd.instances))))
+		wd.after(rs.At*1000, func() { wd.stopInstances(count) })
+		wd.after((rs.At+rs.For)*1000, func() { wd.startInstances(count) })
 	}
 	wd.runEvents()
 	wd.result.computeTotals()
@@ -110,9 +116,9 @@
 	return wd
 }
 
-// runEvents runs the scheduled events in order until settleSeconds after the last arrival.
+// runEvents runs the scheduled events in order until the run has settled after the last arrival.
 func (wd *world) runEvents() {
-	end := epoch.Add(millis((wd.sc.Seconds + settleSeconds) * 1000))
+	end := epoch.Add(millis((wd.sc.Seconds + cmp.Or(wd.sc.Settle, settleSeconds)) * 1000))
 	for len(wd.queue) > 0 && wd.queue[0].at.Before(end) {
 		next := heap.Pop(&wd.queue).(scheduledEvent)
 		wd.now = next.at
@@ -148,22 +154,22 @@
 		}
 		wd.routing.Routes = append(wd.routing.Routes, decl.Route{
 			Name: cls.Name, Shares: []decl.Share{{Service: service, Weight: 1}}, Repeats: cls.Repeats, Stream: cls.MeanPrompt > 0,
-			Timeout: decl.Duration(millis(cls.Timeout)), Goal: decl.Duration(millis(cls.Goal)), Gap: decl.Duration(millis(cls.Gap)), Attempts: max(1, cls.Attempts),
+			Priority: cls.Priority, Timeout: decl.Duration(millis(cls.Timeout)), Goal: decl.Duration(millis(cls.Goal)), Gap: decl.Duration(millis(cls.Gap)), Attempts: max(1, cls.Attempts),
 		})
 	}
 }
 
-// startInstances starts all instances, after an outage with random delays of up to 200 ms.
-func (wd *world) startInstances() {
+// startInstances starts the first instances, after an outage with random delays of up to 200 ms.
+func (wd *world) startInstances(count int) {
 	wd.runs++
-	for i := range wd.instances {
+	for i := range count {
 		run := wd.runs
 		wd.after(200*wd.random.Float64()*float64(min(1, run-1)), func() { wd.startInstance(i, run) })
 	}
 }
 
 func (wd *world) startInstance(index int, run int64) {
-	in := &instance{wd: wd, name: wd.instanceName(index), requests: map[steer.RequestID]*request{}}
+	in := &instance{wd: wd, index: index, name: wd.instanceName(index), requests: map[steer.RequestID]*request{}}
 	in.state = steer.New(steer.Options{
 		Name: in.name, FailureDomain: wd.failureDomain(index), Run: run, Seed: wd.seed*1000 + uint64(index) + uint64(run)*100,
 		MissingTime: 2 * time.Second, Tuning: wd.tune,
@@ -189,9 +195,9 @@
 
 func (wd *world) instanceName(index int) string { return fmt.Sprintf("instance-%03d", index) }
 
-// stopInstances stops all instances, which lose their state, and breaks the connections of their callers.
-func (wd *world) stopInstances() {
-	for i, in := range wd.instances {
+// stopInstances stops the first instances, which lose their state, and breaks the connections of their callers.
+func (wd *world) stopInstances(count int) {
+	for i, in := range wd.instances[:count] {
 		if in == nil {
 			continue
 		}
@@ -216,7 +222,11 @@
 
 // deliverNote delivers a note to its receivers after a random delay. Each copy may be lost.
 func (wd *world) deliverNote(from *instance, eff steer.SendNote) {
+	fromCut := wd.cutOff(from.index)
 	for _, in := range wd.instances {
+		if in != nil && in != from && (fromCut || wd.cutOff(in.index)) {
+			continue
+		}
 		if in == nil || in == from || eff.To != nil && !slices.Contains(eff.To, in.name) {
 			continue
 		}
@@ -230,6 +240,17 @@
 	}
 }
 
+// cutOff reports whether notes from and to the instance are lost now.
+func (wd *world) cutOff(index int) bool {
+	at := wd.now.Sub(epoch).Seconds()
+	for _, cut := range wd.sc.Cuts {
+		if at >= cut.At && at < cut.At+cut.For && float64(index) >= (1-cut.Share)*float64(len(wd.instances)) {
+			return true
+		}
+	}
+	return false
+}
+
 // scheduleArrivals schedules the arrivals of each class as a Poisson process, thinned from the peak rate to the current
 // one.
 func (wd *world) scheduleArrivals(arrived func(index int)) {
