Fair shares of organisations and a balance of urgencies while capacity is scarce

Cause: neither the organisation nor the priority of a request weighed in who waits, is placed or is refused. An instance that hears nobody does not place them. ShareWeight 0 disables all of it.

--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -61,6 +61,7 @@
 	addString(entry, "Source", line.Source)
 	addString(entry, "Reporter", line.Reporter)
 	addString(entry, "Service", line.Service)
+	addString(entry, "Organisation", line.Organisation)
 	addString(entry, "Via", line.Via)
 	addString(entry, "Invalid", line.Invalid)
 	addString(entry, "Cause", line.Cause)
--- a/internal/steer/effect.go
+++ b/internal/steer/effect.go
@@ -175,6 +175,8 @@
 	Cause string
 	// Budget is what a decision about a repeat was based on.
 	Budget *budget.Use
+	// Organisation is whose request the decision is about, if that matters to it.
+	Organisation string
 	// End is set on the last line of a request that was admitted.
 	End *Outcome
 }
--- a/internal/steer/note.go
+++ b/internal/steer/note.go
@@ -53,6 +53,8 @@
 	Cleared []ClearedPart `cbor:"21,keyasint,omitempty"`
 	// LostPaths names the services to which the instance has lost its path. Every note has the whole list.
 	LostPaths []string `cbor:"22,keyasint,omitempty"`
+	// Uses reports what organisations asked of the services, while requests wait. Only notes with Full set carry it.
+	Uses []ServiceUse `cbor:"23,keyasint,omitempty"`
 }
 
 // Suspicion reports the parts of a prompt that was sent to a replica that crashed.
@@ -162,6 +164,7 @@
 	dropped += dropInvalid(&nt.Grants, (*Grant).valid)
 	dropped += dropInvalid(&nt.Departures, func(dep *Departure) bool { return dep.Replica != "" })
 	dropped += dropInvalid(&nt.GrantReturns, func(ret *GrantReturn) bool { return ret.Replica != "" })
+	dropped += dropInvalid(&nt.Uses, (*ServiceUse).valid)
 	return dropped, nt.From != ""
 }
 
--- a/internal/steer/peer.go
+++ b/internal/steer/peer.go
@@ -23,6 +23,8 @@
 	waiting int
 	// demand is the work that callers requested of the engines through that instance.
 	demand Demand
+	// uses is what organisations asked of the services through that instance.
+	uses []ServiceUse
 }
 
 const (
@@ -84,22 +86,23 @@
 		}
 	}
 	st.sumPeerDemand()
+	uses := st.ownUses()
 	st.fleet.DropExpired(st.now)
 	st.summarizeLimits()
 	st.summaries++
-	if len(kept) == 0 && st.summaries%idleSummaryInterval != 0 {
+	if len(kept) == 0 && len(uses) == 0 && st.summaries%idleSummaryInterval != 0 {
 		return
 	}
 	for _, sub := range sortedSubsets(jobs) {
-		st.sendSummary(sub, kept, jobs[sub])
+		st.sendSummary(sub, kept, jobs[sub], uses)
 	}
 }
 
 // sendSummary sends the jobs to the users of the subset, split into as many notes as needed.
-func (st *State) sendSummary(sub subset, kept []JobID, jobs []Job) {
+func (st *State) sendSummary(sub subset, kept []JobID, jobs []Job, uses []ServiceUse) {
 	to := st.usersUnlessAll(sub)
 	first := min(len(jobs), maxSummaryJobs)
-	st.emit(SendNote{Note: st.note(Note{Full: true, OpenJobs: kept, Jobs: jobs[:first], Demand: st.demand.decay(st.now)}), To: to})
+	st.emit(SendNote{Note: st.note(Note{Full: true, OpenJobs: kept, Jobs: jobs[:first], Demand: st.demand.decay(st.now), Uses: uses}), To: to})
 	for part := range slices.Chunk(jobs[first:], maxSummaryJobs) {
 		st.emit(SendNote{Note: st.note(Note{Jobs: part}), To: to})
 	}
@@ -124,6 +127,7 @@
 	}
 	pr := st.peerOf(nt)
 	pr.lastNoteAt = st.now
+	st.lastNoteAt = st.now
 	if nt.UptimeMs >= pr.uptimeMs {
 		st.receiveLostPaths(&nt)
 	}
@@ -135,6 +139,7 @@
 		if nt.Demand.valid() {
 			pr.demand = nt.Demand
 		}
+		st.receiveUses(pr, nt.Uses)
 	}
 	for i := range nt.Jobs {
 		st.startPeerJob(nt.From, pr, &nt.Jobs[i])
@@ -226,6 +231,7 @@
 	for _, id := range slices.Sorted(maps.Keys(pr.jobs)) {
 		st.endPeerJob(from, pr, id)
 	}
+	st.usesChanged = st.usesChanged || len(pr.uses) > 0
 	delete(st.peers, from)
 }
 
--- a/internal/steer/place.go
+++ b/internal/steer/place.go
@@ -26,6 +26,8 @@
 	// cost is the value that callers are expected to lose: that of the request, of other requests on the same engines,
 	// and of requests that the engine time displaces (see prices).
 	cost float64
+	// ownLoss is the part of cost that the request's own caller is expected to lose.
+	ownLoss float64
 	// spreadCost is added to cost when plans are compared with each other, but not when a plan is compared with the value
 	// of the request, since no caller loses it.
 	spreadCost float64
@@ -49,7 +51,7 @@
 // the request may cost now.
 func (st *State) place(req *request) (plan, bool) {
 	svc := st.services[req.service]
-	if svc == nil {
+	if svc == nil || req.yields != yieldsNot && st.hearsNobody() {
 		return plan{}, false
 	}
 	if svc.engine == nil {
@@ -68,7 +70,7 @@
 			continue
 		}
 		wait, ok := st.limitWait(rep, req)
-		if !ok || len(rep.works) >= rep.Slots+plainQueue {
+		if !ok || len(rep.works) >= plainCapacity(rep, req) {
 			continue
 		}
 		cost := float64(len(rep.works))*rep.slow + float64(rep.failures) + wait.Seconds()*waitSecondCost
@@ -90,6 +92,15 @@
 // order of urgency.
 const plainQueue = 2
 
+// plainCapacity is how many requests may be at the plain replica for the request to be sent there. One that gives way to others
+// leaves the places beyond the slots to them.
+func plainCapacity(rep *replica, req *request) int {
+	if req.yields != yieldsNot {
+		return max(1, rep.Slots)
+	}
+	return rep.Slots + plainQueue
+}
+
 // waitSecondCost is the number of requests in progress at a plain replica that cost as much as a wait of one second for
 // its rate limit.
 const waitSecondCost = 20
@@ -159,7 +170,13 @@
 			best, found = pl, true
 		}
 	}
-	return best, found && best.cost < req.value*st.maxCostShare(req, &best)
+	return best, found && st.worthCost(req, &best)
+}
+
+// worthCost reports whether the request may cost what the plan costs.
+func (st *State) worthCost(req *request, pl *plan) bool {
+	allowed := req.value * st.maxCostShare(req, pl)
+	return pl.cost < allowed && pl.cost-pl.ownLoss < allowed*st.costShareWhileScarce(req)
 }
 
 // maxEngines is how many engines may read one prompt together.
@@ -216,7 +233,9 @@
 	if len(pl.reps) < count {
 		return plan{}, false
 	}
-	pl.cost += st.lateness(req, pl.first)
+	lateness := st.lateness(req, pl.first)
+	pl.ownLoss = quotes[answering].pauseLoss + lateness
+	pl.cost += lateness
 	pl.cost += (price.reading*float64(count)*pl.part + price.idle*pl.first) / 1000
 	return pl, true
 }
--- a/internal/steer/queue.go
+++ b/internal/steer/queue.go
@@ -15,6 +15,7 @@
 	}
 	for _, req := range st.waiting {
 		st.markLate(req)
+		st.rankShare(req)
 	}
 	slices.SortStableFunc(st.waiting, st.compareUrgency)
 	kept := st.waiting[:0]
@@ -28,7 +29,7 @@
 }
 
 // compareUrgency orders requests that can still be in time before those for which it is too late, and each of the two groups
-// by goal. Under overload the second group would otherwise delay the first, and make all requests late in turn.
+// by whether they give way to others, then by goal. Under overload the second group would otherwise delay the first, and make all requests late in turn.
 func (st *State) compareUrgency(a, b *request) int {
 	tooLateA, tooLateB := st.tooLate(a), st.tooLate(b)
 	if tooLateA != tooLateB {
@@ -37,6 +38,9 @@
 		}
 		return -1
 	}
+	if order := compareShares(a, b); order != 0 {
+		return order
+	}
 	return a.goal.Compare(b.goal)
 }
 
@@ -61,6 +65,7 @@
 	}
 	pl, ok := st.place(req)
 	if !ok {
+		st.recordUnplaced(req)
 		return false
 	}
 	if pl.reps[0].limit != nil {
@@ -78,11 +83,12 @@
 }
 
 // expire refuses requests that have waited for too long. expired are those whose caller would leave before any answer.
-// outOfTime are first tries that would be late: their callers can retry once more, and so learn now when to do so. blocked are
+// outOfTime are first tries that would be late: their callers can retry once more, and so learn now when to do so. gaveWay are first
+// tries that gave way to others for too long. blocked are
 // those that the replicas' announcements keep waiting for too long. quarantined are those whose content was quarantined while they
 // waited. From Draining.RefuseWaitingAt on, all that wait are refused.
 func (st *State) expire() {
-	var expired, outOfTime, draining, quarantined []*request
+	var expired, outOfTime, gaveWay, draining, quarantined []*request
 	var blocked []blockedRequest
 	for _, req := range st.waiting {
 		switch {
@@ -96,6 +102,8 @@
 			// It keeps waiting, since it was granted a send in time.
 		case req.tries() == 0 && !req.triedBefore && st.outOfTime(req):
 			outOfTime = append(outOfTime, req)
+		case req.tries() == 0 && !req.triedBefore && st.gaveWayTooLong(req):
+			gaveWay = append(gaveWay, req)
 		default:
 			if bl, ok := st.blocked(req); ok {
 				blocked = append(blocked, blockedRequest{req, bl})
@@ -111,6 +119,10 @@
 	for _, req := range outOfTime {
 		st.refuse(req, ReasonBusy, st.retryAfter(req))
 	}
+	for _, req := range gaveWay {
+		st.emit(LogLine{Message: "refused to keep shares", Request: req.Name, Service: req.service, Organisation: req.Organisation, Age: st.now.Sub(req.at), Times: req.used})
+		st.refuse(req, ReasonBusy, st.retryAfterYield(req))
+	}
 	for _, held := range blocked {
 		st.refuse(held.request, held.reason, st.retryAfterBlock(held.request, held.block))
 	}
--- a/internal/steer/retry.go
+++ b/internal/steer/retry.go
@@ -38,6 +38,8 @@
 	}
 	if ev.Result != ResultNotSent && ev.Result != ResultNotRun && ev.Result != ResultMisdirected && ev.Result != ResultHeld {
 		req.runs++
+	} else {
+		st.recordUsed(req, -1)
 	}
 	switch {
 	case ev.Result == ResultDone:
--- a/internal/steer/serve.go
+++ b/internal/steer/serve.go
@@ -36,6 +36,7 @@
 		st.recordDemand(eng, req)
 	}
 	st.requests[ev.ID] = req
+	st.recordAsked(req)
 	st.allowanceOf(req.service).CountRequest(st.now)
 	st.waiting = append(st.waiting, req)
 	st.dispatch()
@@ -119,6 +120,8 @@
 	}
 	eff.FirstTimeout, eff.GapTimeout = st.progressTimeouts(req, pl)
 	st.countSends(req)
+	st.recordUsed(req, 1)
+	st.recordDecided(req, true)
 	st.emit(eff)
 	st.emit(LogLine{
 		Message: "request sent", Request: req.Name, Replica: pl.reps[0].Name, Age: st.now.Sub(req.at),
@@ -269,6 +272,7 @@
 	}
 	st.dropGrant(req)
 	st.releaseCharge(req)
+	st.recordDecided(req, false)
 	delete(st.requests, req.ID)
 	st.waiting = slices.DeleteFunc(st.waiting, func(other *request) bool { return other == req })
 	st.emit(fin)
--- a/internal/steer/state.go
+++ b/internal/steer/state.go
@@ -111,8 +111,16 @@
 	demand demandMeter
 	// peerDemand is the sum of what the other instances announced, as of this instance's last summary.
 	peerDemand Demand
-	random     *rand.Rand
-	effects    []Effect
+	// shares holds what organisations asked and used of each service.
+	shares map[string]*serviceShares
+	// lastNoteAt is when the newest note of any instance arrived.
+	lastNoteAt time.Time
+	// usesChanged reports whether other instances announced uses that are not in the sums yet.
+	usesChanged bool
+	// usesSummedAt is when these sums were last computed.
+	usesSummedAt time.Time
+	random       *rand.Rand
+	effects      []Effect
 }
 
 // service is the pool of replicas of one service.
@@ -215,6 +223,14 @@
 	notBefore time.Time
 	// grant is the requested or granted send to a rate-limited replica. Its rep is nil if there is none.
 	grant pendingGrant
+	// yields is why the request gives way to others, see rankShare.
+	yields yieldReason
+	// yieldLogged reports whether that was logged.
+	yieldLogged bool
+	// used is how many times its share the organisation of a request with yieldsToShares uses.
+	used float64
+	// decided reports whether the request was counted as sent or refused, see recordDecided.
+	decided bool
 	// avoidUntil holds, by replica name, until when the request skips a rate-limited replica.
 	avoidUntil map[string]time.Time
 }
@@ -246,6 +262,7 @@
 		lastUnanswered:  map[string]time.Time{},
 		usersOf:         map[subset][]string{},
 		outbox:          map[subset]*pending{},
+		shares:          map[string]*serviceShares{},
 		meanPrompts:     map[string]float64{},
 		longestTimeouts: map[string]time.Duration{},
 		random:          rand.New(rand.NewPCG(opts.Seed, opts.Seed)),
--- a/internal/steer/tuning.go
+++ b/internal/steer/tuning.go
@@ -82,6 +82,9 @@
 	MinFirstTryShare float64 `json:"FirstTry"`
 	// PatientShare is the share of the time left for which callers wait when they are asked to retry later.
 	PatientShare float64
+	// ShareWeight is the share of what a placement may cost that is withheld from requests that give way to others while
+	// capacity is scarce; 0 disables shares of organisations and the balance of urgencies.
+	ShareWeight float64
 }
 
 // DefaultTuning returns the weights that apply unless others are set.
@@ -91,7 +94,7 @@
 		TimeShare: 0.025, BacklogShare: 0.7, SpreadCost: 0.1, FullShare: 1, Crowding: 0.03, FarCost: 0.005,
 		MaxEngines: 16, MinSplit: 60, LongRead: 60, OverdueShare: 0.3,
 		KindPower: 0.7, BaseValue: 1.3, FixedShare: 0.3, MaxLengthFactor: 4,
-		LateGoalShare: 0.4, MaxRewaitShare: 0.2, MinFirstTryShare: 0.84, PatientShare: 1.0 / 3,
+		LateGoalShare: 0.4, MaxRewaitShare: 0.2, MinFirstTryShare: 0.84, PatientShare: 1.0 / 3, ShareWeight: 0.88,
 	}
 }
 
@@ -126,7 +129,7 @@
 	shares := map[string]float64{
 		"LateShare": tune.LateShare, "Safety": tune.Safety, "GapSafety": tune.GapSafety, "LeaveSafety": tune.LeaveSafety, "CalmShare": tune.MinCostShare,
 		"FixedShare": tune.FixedShare, "LastCall": tune.LateGoalShare, "VainShare": tune.MaxRewaitShare, "FirstTry": tune.MinFirstTryShare,
-		"PatientShare": tune.PatientShare, "OverdueShare": tune.OverdueShare,
+		"PatientShare": tune.PatientShare, "OverdueShare": tune.OverdueShare, "ShareWeight": tune.ShareWeight,
 	}
 	for name, share := range shares {
 		if share < 0 || share > 1 {
