Shares count only where the configuration has several organisations or urgencies; instances that know no load wait

Change: shares need tokens of two organisations, or two priorities. What gives way waits for 1.1 s after a start. Use decays in steps of 50 ms, since each decay visits all organisations.

--- a/internal/model/world.go
+++ b/internal/model/world.go
@@ -145,9 +145,12 @@
 		wd.plains[rep.Name] = &plainReplica{wd: wd, replica: rep}
 	}
 	eng := wd.sc.Engine
-	wd.routing = &decl.Routing{Version: 1, Services: map[string]decl.Pool{serviceModel: {Engine: &eng}, servicePlain: {}}}
+	wd.routing = &decl.Routing{Version: 1, Services: map[string]decl.Pool{serviceModel: {Engine: &eng}, servicePlain: {}}, Tokens: map[string]string{}}
 	for i := range wd.sc.Classes {
 		cls := &wd.sc.Classes[i]
+		if cls.Organisation != "" {
+			wd.routing.Tokens[decl.TokenDigest(cls.Organisation)] = cls.Organisation
+		}
 		service := serviceModel
 		if cls.MeanPrompt == 0 {
 			service = servicePlain
--- a/internal/steer/place.go
+++ b/internal/steer/place.go
@@ -51,7 +51,7 @@
 // the request may cost now.
 func (st *State) place(req *request) (plan, bool) {
 	svc := st.services[req.service]
-	if svc == nil || req.yields != yieldsNot && st.hearsNobody() {
+	if svc == nil || req.yields != yieldsNot && st.loadUnknown() {
 		return plan{}, false
 	}
 	if svc.engine == nil {
--- a/internal/steer/share.go
+++ b/internal/steer/share.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"dandelionsail.example/dandelionsail/pkg/decl"
 )
 
 // Fair shares of organisations where capacity is scarce. Load pattern: one organisation asks for several times what is left to it,
@@ -21,6 +23,8 @@
 	// useTimeConstant is the time in which past use decays to 1/e. It is long enough to hold some requests of a small
 	// organisation, and shorter than a burst.
 	useTimeConstant = 5 * time.Second
+	// decayInterval is the minimum time between two decays, which visit all organisations that asked in the last seconds.
+	decayInterval = 50 * time.Millisecond
 	// scarceTime is how long a service counts as scarce after a request could not be placed: longer than the interval of
 	// the summaries, so that all instances learn of it.
 	scarceTime = 3 * time.Second
@@ -35,7 +39,7 @@
 	shareMargin = 1.25
 	// unservedMargin is how many times what was used all organisations together must ask for before any is above its share.
 	unservedMargin = 1.1
-	// maxUsesInNote is the maximum number of organisations in a summary, over all services: one takes up to 33 bytes. They are those that
+	// maxUsesInNote is the maximum number of organisations in a summary, over all services: one takes up to 31 bytes. They are those that
 	// asked this instance for most.
 	maxUsesInNote = 32
 	// useSumInterval is the minimum time between two sums of what the other instances announced. One takes 0.1 ms and more with hundreds of
@@ -155,10 +159,10 @@
 // they then have one share together.
 func organisationHash(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
 
-// decay lets the own use decay up to now.
+// decay lets the own use decay up to now, or up to decayInterval ago.
 func (sh *serviceShares) decay(now time.Time) {
 	elapsed := now.Sub(sh.ownAt)
-	if elapsed <= 0 {
+	if elapsed < decayInterval {
 		return
 	}
 	keep := math.Exp(-elapsed.Seconds() / useTimeConstant.Seconds())
@@ -285,9 +289,30 @@
 	return yielding
 }
 
+// dividesShares reports whether the configuration has several organisations or urgencies. If not, there is nothing to divide, and
+// the instances send no uses.
+func dividesShares(routing *decl.Routing) bool {
+	org, orgs := "", 0
+	for _, name := range routing.Tokens {
+		if orgs == 0 || name != org {
+			org = name
+			orgs++
+		}
+		if orgs > 1 {
+			return true
+		}
+	}
+	for i := range routing.Routes {
+		if routing.Routes[i].Priority != routing.Routes[0].Priority {
+			return true
+		}
+	}
+	return len(routing.Priorities) > 1
+}
+
 // sharesOf returns what is known of the use of the service, or nil if shares do not count.
 func (st *State) sharesOf(service string) *serviceShares {
-	if st.tune.ShareWeight == 0 {
+	if st.tune.ShareWeight == 0 || !st.dividesShares {
 		return nil
 	}
 	sh, ok := st.shares[service]
@@ -410,18 +435,21 @@
 	return min(1, share)
 }
 
-// hearsNobody reports whether no note has arrived for longer than is likely while requests wait, when all instances send summaries.
-// An instance that is cut off from the others takes busy engines for idle ones, and would send there what is to give way. It does so again once it
-// has forgotten the others, after peerTimeout.
-func (st *State) hearsNobody() bool {
+// loadUnknown reports whether this instance cannot know how busy the replicas are: it has started so recently that not all others have
+// sent a summary since, or no note has arrived for longer than is likely while requests wait, when all instances send summaries.
+// It would take busy engines for idle ones, and send there what is to give way. One that is cut off does so again once it has forgotten
+// the others, after peerTimeout.
+func (st *State) loadUnknown() bool {
 	if len(st.peers) == 0 {
 		return false
 	}
 	silence := max(minSilence, maxMissedNotes*time.Second/time.Duration(len(st.peers)))
-	return st.now.Sub(st.lastNoteAt) > silence
+	return st.now.Sub(st.startedAt) < firstSummaries || st.now.Sub(st.lastNoteAt) > silence
 }
 
 const (
+	// firstSummaries is the time after a start in which all other instances send a summary.
+	firstSummaries = 1100 * time.Millisecond
 	// minSilence is the shortest time without notes that counts as silence.
 	minSilence = 100 * time.Millisecond
 	// maxMissedNotes is how many summaries must be missing at least, of those that the other instances send once a second.
--- a/internal/steer/share_internal_test.go
+++ b/internal/steer/share_internal_test.go
@@ -6,7 +6,10 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"gotest.tools/v3/assert"
+
+	"dandelionsail.example/dandelionsail/pkg/decl"
 )
 
 func used(wanted, got float64) use {
@@ -66,6 +69,24 @@
 	}
 }
 
+func TestSharesCountWhereThereIsSomethingToDivide(t *testing.T) {
+	// A deployment with one organisation and one urgency must send the same bytes as without shares, also while requests wait.
+	cases := map[string]struct {
+		routing decl.Routing
+		want    bool
+	}{
+		"nothing":                    {},
+		"one organisation":           {routing: decl.Routing{Tokens: map[string]string{"1": "parish", "2": "parish"}}},
+		"two organisations":          {routing: decl.Routing{Tokens: map[string]string{"1": "parish", "2": "abbey", "3": "parish"}}, want: true},
+		"routes of one urgency":      {routing: decl.Routing{Routes: []decl.Route{{Priority: 3}, {Priority: 3}}}},
+		"routes of two urgencies":    {routing: decl.Routing{Routes: []decl.Route{{Priority: 3}, {Priority: 0}}}, want: true},
+		"organisations of their own": {routing: decl.Routing{Priorities: map[string]int{"parish": 1, "abbey": 2}}, want: true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) { assert.Equal(t, dividesShares(&tc.routing), tc.want) })
+	}
+}
+
 func TestUseDecays(t *testing.T) {
 	// What was used long ago must not count against an organisation, and one that asks for nothing any more must not be kept.
 	sh, now := newServiceShares(), time.Unix(1000, 0)
@@ -79,6 +100,7 @@
 func TestSummaryNamesOnlyTheOrganisationsThatAskForMost(t *testing.T) {
 	// With 1,700 organisations a summary that named all would not fit into a datagram.
 	st := New(Options{Name: "one"})
+	st.dividesShares = true
 	st.now = time.Unix(1000, 0)
 	st.serviceOf("lyric")
 	for i := range 1700 {
@@ -90,12 +112,22 @@
 	assert.Equal(t, len(uses), 1)
 	assert.Equal(t, len(uses[0].Organisations), maxUsesInNote)
 	assert.Equal(t, uses[0].Organisations[0].Asked, uint32(1700))
+	small, err := cbor.Marshal(uses)
+	assert.NilError(t, err)
+	for i := range uses[0].Organisations {
+		uses[0].Organisations[i] = OrganisationUse{Organisation: math.MaxUint32, Asked: math.MaxUint32, AskedMemory: math.MaxUint32, Used: math.MaxUint32, UsedMemory: math.MaxUint32}
+	}
+	large, err := cbor.Marshal(uses)
+	assert.NilError(t, err)
+	t.Logf("%d bytes for %d organisations, at most %d", len(small), maxUsesInNote, len(large))
+	assert.Assert(t, len(large) <= 1024+32)
 }
 
 func TestWrongSummariesAreBounded(t *testing.T) {
 	// One instance, by a fault or on purpose, claims that an organisation asks for more than there is, or lists more than a
 	// summary has. Its callers must not be refused at all other instances for that.
 	st := New(Options{Name: "one"})
+	st.dividesShares = true
 	st.now, st.live = time.Unix(1000, 0), 80
 	svc := st.serviceOf("board")
 	for range 10 {
--- a/internal/steer/state.go
+++ b/internal/steer/state.go
@@ -115,6 +115,8 @@
 	shares map[string]*serviceShares
 	// lastNoteAt is when the newest note of any instance arrived.
 	lastNoteAt time.Time
+	// dividesShares reports whether the configuration has several organisations or urgencies, so that shares count.
+	dividesShares bool
 	// usesChanged reports whether other instances announced uses that are not in the sums yet.
 	usesChanged bool
 	// usesSummedAt is when these sums were last computed.
@@ -382,6 +384,7 @@
 		return
 	}
 	st.Routing = ev.Routing
+	st.dividesShares = dividesShares(ev.Routing)
 	for name, pool := range ev.Routing.Services {
 		svc := st.serviceOf(name)
 		svc.engine = pool.Engine
