--- a/internal/steer/peer.go
+++ b/internal/steer/peer.go
@@ -23,6 +23,8 @@
 	waiting int
 	// demand is the work that callers requested of the engines through that instance.
 	demand Demand
+	// uses is what organisations asked of the services through that instance.
+	uses []ServiceUse
 }
 
 const (
@@ -65,14 +67,15 @@
 func (st *State) summarize() {
 	kept, jobs := st.openJobs()
 	st.sumPeerDemand()
+	uses := st.ownUses()
 	st.fleet.DropExpired(st.now)
 	st.summarizeLimits()
 	st.summarizeCold()
 	st.summaries++
-	if len(kept) == 0 && st.summaries%idleSummaryInterval != 0 {
+	if len(kept) == 0 && len(uses) == 0 && st.summaries%idleSummaryInterval != 0 {
 		return
 	}
-	st.sendJobs(kept, jobs)
+	st.sendJobs(kept, jobs, uses)
 }
 
 // openJobs returns the jobs of this instance that have not ended, and those at the replicas of each subset. All subsets that this
@@ -101,20 +104,23 @@
 }
 
 // sendSummaries sends the jobs of this instance at once, also if there are none.
-func (st *State) sendSummaries() { st.sendJobs(st.openJobs()) }
+func (st *State) sendSummaries() {
+	kept, jobs := st.openJobs()
+	st.sendJobs(kept, jobs, st.ownUses())
+}
 
-// sendJobs sends each subset's users the jobs at its replicas, and which jobs are open in all.
-func (st *State) sendJobs(kept []JobID, jobs map[subset][]Job) {
+// sendJobs sends each subset's users the jobs at its replicas, which jobs are open in all, and what organisations use.
+func (st *State) sendJobs(kept []JobID, jobs map[subset][]Job, uses []ServiceUse) {
 	for _, sub := range sortedSubsets(jobs) {
-		st.sendSummary(sub, kept, jobs[sub])
+		st.sendSummary(sub, kept, jobs[sub], uses)
 	}
 }
 
 // sendSummary sends the jobs to the users of the subset, split into as many notes as needed.
-func (st *State) sendSummary(sub subset, kept []JobID, jobs []Job) {
+func (st *State) sendSummary(sub subset, kept []JobID, jobs []Job, uses []ServiceUse) {
 	to := st.usersUnlessAll(sub)
 	first := min(len(jobs), maxSummaryJobs)
-	st.emit(SendNote{Note: st.note(Note{Full: true, OpenJobs: kept, Jobs: jobs[:first], Demand: st.demand.decay(st.now)}), To: to})
+	st.emit(SendNote{Note: st.note(Note{Full: true, OpenJobs: kept, Jobs: jobs[:first], Demand: st.demand.decay(st.now), Uses: uses}), To: to})
 	for part := range slices.Chunk(jobs[first:], maxSummaryJobs) {
 		st.emit(SendNote{Note: st.note(Note{Jobs: part}), To: to})
 	}
@@ -139,6 +145,7 @@
 	}
 	pr := st.peerOf(nt)
 	pr.lastNoteAt = st.now
+	st.lastNoteAt = st.now
 	if nt.UptimeMs >= pr.uptimeMs {
 		st.receiveLostPaths(&nt)
 	}
@@ -150,6 +157,7 @@
 		if nt.Demand.valid() {
 			pr.demand = nt.Demand
 		}
+		st.receiveUses(pr, nt.Uses)
 	}
 	for i := range nt.Jobs {
 		st.startPeerJob(nt.From, pr, &nt.Jobs[i])
@@ -245,6 +253,7 @@
 	for _, id := range slices.Sorted(maps.Keys(pr.jobs)) {
 		st.endPeerJob(from, pr, id)
 	}
+	st.usesChanged = st.usesChanged || len(pr.uses) > 0
 	delete(st.peers, from)
 }
 
