--- a/internal/steer/spill.go
+++ b/internal/steer/spill.go
@@ -25,7 +25,7 @@
 // costs too much.
 func (st *State) placeElsewhere(req *request, own *plan, ok bool) (plan, bool) {
 	svc := st.services[req.service]
-	if svc == nil || svc.engine == nil || req.slotRefusals >= maxSpillTries || ok && own.cost < minSpillLoss*req.value {
+	if svc == nil || svc.engine == nil || req.yields != yieldsNot || req.slotRefusals >= maxSpillTries || ok && own.cost < minSpillLoss*req.value {
 		return plan{}, false
 	}
 	if req.tokens() > int64(memoryShare*float64(svc.engine.Memory)) {
