--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -119,7 +119,8 @@
 	if proven {
 		limit = min(limit/2, ProvenAge)
 	}
-	usable := !conn.closed && (conn.idleSince.IsZero() || now.Sub(conn.idleSince) < limit)
+	// Without a time since when it is idle, the end of the last use is not reported yet: the next one follows at once.
+	usable := !conn.closed && limit > 0 && (conn.idleSince.IsZero() || now.Sub(conn.idleSince) < limit)
 	tbl.endIdle(conn)
 	conn.use++
 	return conn.use, usable
--- a/internal/relay/replicaconn.go
+++ b/internal/relay/replicaconn.go
@@ -73,6 +73,9 @@
 	return &replicaConns{count: count, table: conns.New(), all: map[*conns.Conn]*replicaConn{}}
 }
 
+// minUnused is how long a new connection is kept at least until a message is given it.
+const minUnused = time.Second
+
 // dialer returns a dialer whose connections are counted by their causes and kept account of.
 func (rcs *replicaConns) dialer(dial notice.Dialer) notice.Dialer {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -86,7 +89,9 @@
 		rcs.mu.Lock()
 		defer rcs.mu.Unlock()
 		rc := &replicaConn{Conn: conn, conns: rcs, address: address, entry: rcs.table.Opened(address, time.Now())}
-		rc.timer = time.AfterFunc(conns.MaxIdle, rc.expire)
+		// The message that it is opened for must be given it first, also if the replica keeps no idle connection.
+		left, _ := rcs.table.Expiry(rc.entry, time.Now())
+		rc.timer = time.AfterFunc(max(left, minUnused), rc.expire)
 		rcs.all[rc.entry] = rc
 		rcs.changed.Store(rcs.table.HasChanges())
 		return rc, nil
--- a/internal/relay/replicaconn_test.go
+++ b/internal/relay/replicaconn_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -81,9 +82,12 @@
 	return in
 }
 
-// exchangeWhole sends a message and reads the whole response.
+// exchangeWhole sends a message and reads the whole response. One that may run only once is a POST with a body.
 func (in *Instance) exchangeWhole(newConnection bool, msg message) error {
 	req, err := http.NewRequest(http.MethodGet, "http://"+msg.to.Replica.Address+"/", nil)
+	if newConnection {
+		req, err = http.NewRequest(http.MethodPost, "http://"+msg.to.Replica.Address+"/", strings.NewReader("body"))
+	}
 	if err != nil {
 		return err
 	}
@@ -242,6 +246,32 @@
 	assert.Equal(t, in.counted("Messages.StaleConnections"), int64(0))
 }
 
+func TestReplicaThatKeepsNoIdleConnections(t *testing.T) {
+	// A replica states that it keeps idle connections for no time, as is known from an answer that goes on. A connection that is opened
+	// for a message must not count as overdue before the message is given it.
+	release := make(chan struct{})
+	defer close(release)
+	var first atomic.Bool
+	rep := startConnReplica(t, 0, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Keep-Alive", "timeout=0")
+		_ = http.NewResponseController(w).Flush()
+		if first.CompareAndSwap(false, true) {
+			<-release
+		}
+	})
+	in := newConnTest(t, rep)
+	msg := message{to: steer.Target{Replica: rep.Replica, Kind: notice.First}}
+	req, err := http.NewRequest(http.MethodGet, "http://"+rep.Address+"/", nil)
+	assert.NilError(t, err)
+	resp, _, err := in.exchange(false, msg, req)
+	assert.NilError(t, err)
+	for range 20 {
+		assert.NilError(t, in.exchangeWhole(false, msg))
+	}
+	assert.Equal(t, in.counted("Connections.Reused"), int64(0))
+	assert.NilError(t, resp.Body.Close())
+}
+
 func TestOverdueConnectionIsNotUsed(t *testing.T) {
 	// The process stood still for longer than the replica keeps idle connections, so that no timer could close them. The next request
 	// comes before the timers: it must not be written to such a connection.
