Requests that give way wait after much work was forgotten

Cause: engines go on with the work of an instance that restarts, but the others forget it at the new run's first note, so that its replicas seem idle and what gives way is sent there. Change: if the forgotten work is a twentieth of all known jobs or more, nothing that gives way is placed for 1.1 s.

--- a/internal/steer/peer.go
+++ b/internal/steer/peer.go
@@ -175,6 +175,7 @@
 func (st *State) peerOf(nt Note) *peer {
 	pr, ok := st.peers[nt.From]
 	if ok && pr.run != nt.Run {
+		st.noteLostWork(pr)
 		st.dropPeer(nt.From, pr)
 		st.fleet.Forget(nt.From)
 		ok = false
--- a/internal/steer/share.go
+++ b/internal/steer/share.go
@@ -444,9 +444,24 @@
 		return false
 	}
 	silence := max(minSilence, maxMissedNotes*time.Second/time.Duration(len(st.peers)))
-	return st.now.Sub(st.startedAt) < firstSummaries || st.now.Sub(st.lastNoteAt) > silence
+	return st.now.Sub(st.startedAt) < firstSummaries || st.now.Sub(st.workLostAt) < firstSummaries || st.now.Sub(st.lastNoteAt) > silence
 }
 
+// noteLostWork records that the work of an instance is about to be forgotten since it has restarted, if that is much of all known work.
+// Engines go on with it for a while, though its callers are gone.
+func (st *State) noteLostWork(pr *peer) {
+	total := 0
+	for _, other := range st.peers {
+		total += len(other.jobs)
+	}
+	if float64(len(pr.jobs)) >= minLostWork*float64(total) && len(pr.jobs) > 0 {
+		st.workLostAt = st.now
+	}
+}
+
+// minLostWork is the share of all known jobs from which the loss of an instance's counts as much.
+const minLostWork = 0.05
+
 const (
 	// firstSummaries is the time after a start in which all other instances send a summary.
 	firstSummaries = 1100 * time.Millisecond
--- a/internal/steer/state.go
+++ b/internal/steer/state.go
@@ -117,6 +117,8 @@
 	lastNoteAt time.Time
 	// dividesShares reports whether the configuration has several organisations or urgencies, so that shares count.
 	dividesShares bool
+	// workLostAt is when so much work of an instance was last forgotten that its replicas seem idle, see noteLostWork.
+	workLostAt time.Time
 	// usesChanged reports whether other instances announced uses that are not in the sums yet.
 	usesChanged bool
 	// usesSummedAt is when these sums were last computed.
