Shares of organisations are off by default

The large organisations of these sites are above an equal share whenever something waits, and what they lose is more than what the others gain.

--- a/internal/steer/tuning.go
+++ b/internal/steer/tuning.go
@@ -90,7 +90,8 @@
 	// PatientShare is the share of the time left for which callers wait when they are asked to retry later.
 	PatientShare float64
 	// ShareWeight is the share of what a placement may cost that is withheld from requests that give way to others while
-	// capacity is scarce; 0 disables shares of organisations and the balance of urgencies.
+	// capacity is scarce; 0, the default, disables shares of organisations and the balance of urgencies. FairShareWeight is the value
+	// to set where a single organisation must not take from the others.
 	ShareWeight float64
 }
 
@@ -101,10 +102,15 @@
 		TimeShare: 0.025, BacklogShare: 0.7, SpreadCost: 0.1, FullShare: 1, Crowding: 0.03, FarCost: 0.005, NewConnectionCost: 0.06, PlainConnectionCost: 0.4,
 		MaxEngines: 16, MinSplit: 60, LongRead: 60, OverdueShare: 0.3,
 		KindPower: 0.7, BaseValue: 1.3, FixedShare: 0.3, MaxLengthFactor: 4,
-		LateGoalShare: 0.4, MaxRewaitShare: 0.2, MinFirstTryShare: 0.84, PatientShare: 1.0 / 3, ShareWeight: 0.88,
+		LateGoalShare: 0.4, MaxRewaitShare: 0.2, MinFirstTryShare: 0.84, PatientShare: 1.0 / 3,
 	}
 }
 
+// FairShareWeight is the ShareWeight at which organisations that ask for their share at most are served nearly as well beside one that asks
+// for ten times its share as without it. It is not the default: while capacity is scarce, it takes more from the large organisations than
+// the others gain.
+const FairShareWeight = 0.88
+
 // BadTuning is the error type of weights that cannot be used.
 var BadTuning = errorx.NewNamespace("steer").NewType("bad_tuning")
 
