Evacuations carry the position of the store, with its era; a test of batches follows each request's arrival

TestChangesAreBatched took each request for one that is booked on arrival; one that asks another subset for help first is booked up to 12 ms later, with as much less time left. Change: posit.Position in the event and in its log lines, which have Era now; the test computes the time left from each request's arrival, which is as strict and holds for both.

--- a/internal/relay/evacuate.go
+++ b/internal/relay/evacuate.go
@@ -192,7 +192,7 @@
 		return
 	}
 	evs.inForce = names
-	fl.in.apply(steer.Evacuated{FailureDomains: names, Revision: at.Revision})
+	fl.in.apply(steer.Evacuated{FailureDomains: names, At: at})
 }
 
 // warnOfUnknownDomains writes one line for each evacuated failure domain that no replica is in. The evacuation is kept, since replicas may
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -66,8 +66,8 @@
 	addString(entry, "Via", line.Via)
 	addString(entry, "Invalid", line.Invalid)
 	addString(entry, "Cause", line.Cause)
-	if line.Revision > 0 {
-		entry.Int64("Revision", line.Revision)
+	if line.At != (posit.Position{}) {
+		withPosition(entry, line.At)
 	}
 	if line.Replicas > 0 {
 		entry.Int("Replicas", line.Replicas)
--- a/internal/steer/batch_test.go
+++ b/internal/steer/batch_test.go
@@ -73,7 +73,8 @@
 			largest = max(largest, len(sent.Note.Jobs))
 			if len(sent.Note.Jobs) > 1 {
 				oldest := sent.Note.Jobs[0]
-				assert.Assert(t, oldest.Age > 0 && oldest.Goal+oldest.Age == 400, oldest)
+				arrivedAt := fleetStart.Add(time.Duration(oldest.ID/jobsPerRequest-1) * 2 * time.Millisecond)
+				assert.Assert(t, oldest.Age > 0 && oldest.Goal == 400-millis(now.Sub(arrivedAt)), oldest)
 			}
 		}
 	}
--- a/internal/steer/effect.go
+++ b/internal/steer/effect.go
@@ -6,6 +6,7 @@
 	"dandelionsail.example/dandelionsail/internal/budget"
 	"dandelionsail.example/dandelionsail/internal/cause"
 	"dandelionsail.example/dandelionsail/internal/notice"
+	"dandelionsail.example/dandelionsail/internal/posit"
 )
 
 // Effect is an action for the shell to carry out.
@@ -177,8 +178,8 @@
 	Wrote time.Duration
 	// Invalid quotes an announcement whose value cannot be used.
 	Invalid string
-	// Revision is the store's revision at which it was read.
-	Revision int64
+	// At is the position of the list's store at which the reported fact was read.
+	At posit.Position
 	// Replicas is the number of replicas that the decision affects.
 	Replicas int
 	// Cause is why another instance did not pass a message on, or why failures are not put down to the path.
--- a/internal/steer/evacuate.go
+++ b/internal/steer/evacuate.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"dandelionsail.example/dandelionsail/internal/posit"
 )
 
 // Evacuation of failure domains. Load pattern: the operators empty a failure domain at the peak, and its callers and work move to the
@@ -44,7 +46,7 @@
 	st.flushAll()
 	st.evacuations.since = since
 	st.resetSubsets()
-	st.logEvacuations(before, ev.Revision)
+	st.logEvacuations(before, ev.At)
 	var left []*replica
 	for _, name := range slices.Sorted(maps.Keys(st.replicas)) {
 		rep := st.replicas[name]
@@ -66,16 +68,16 @@
 }
 
 // logEvacuations logs which evacuations have come into force and which have ended since the set before.
-func (st *State) logEvacuations(before map[string]time.Time, revision int64) {
+func (st *State) logEvacuations(before map[string]time.Time, at posit.Position) {
 	now, replicas := st.evacuations.since, st.EvacuatedReplicas()
 	for _, domain := range slices.Sorted(maps.Keys(now)) {
 		if _, ok := before[domain]; !ok {
-			st.emit(LogLine{Message: "evacuation in force", FailureDomain: domain, Revision: revision, Replicas: replicas[domain]})
+			st.emit(LogLine{Message: "evacuation in force", FailureDomain: domain, At: at, Replicas: replicas[domain]})
 		}
 	}
 	for _, domain := range slices.Sorted(maps.Keys(before)) {
 		if _, ok := now[domain]; !ok {
-			st.emit(LogLine{Message: "evacuation ended", FailureDomain: domain, Revision: revision, Age: st.now.Sub(before[domain])})
+			st.emit(LogLine{Message: "evacuation ended", FailureDomain: domain, At: at, Age: st.now.Sub(before[domain])})
 		}
 	}
 }
--- a/internal/steer/evacuate_test.go
+++ b/internal/steer/evacuate_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"dandelionsail.example/dandelionsail/internal/notice"
+	"dandelionsail.example/dandelionsail/internal/posit"
 	"dandelionsail.example/dandelionsail/internal/steer"
 	"dandelionsail.example/dandelionsail/pkg/decl"
 )
@@ -35,7 +36,7 @@
 
 // evacuate puts the set of evacuated failure domains in force.
 func (in *instance) evacuate(domains ...string) []steer.Effect {
-	return in.reduce(steer.Evacuated{FailureDomains: domains, Revision: 9})
+	return in.reduce(steer.Evacuated{FailureDomains: domains, At: posit.Position{Revision: 9}})
 }
 
 // domainsUsed sends the given number of requests, ends each, and returns the failure domains whose replicas they reached.
@@ -343,7 +344,7 @@
 func TestEvacuationsAreLogged(t *testing.T) {
 	in := newDomainInstance(t, "a", "b")
 	lines := func(domains ...string) (lines []steer.LogLine) {
-		for _, eff := range in.st.Reduce(in.now, steer.Evacuated{FailureDomains: domains, Revision: 9}) {
+		for _, eff := range in.st.Reduce(in.now, steer.Evacuated{FailureDomains: domains, At: posit.Position{Revision: 9}}) {
 			if line, ok := eff.(steer.LogLine); ok {
 				lines = append(lines, line)
 			}
@@ -351,11 +352,11 @@
 		return lines
 	}
 	assert.DeepEqual(t, lines("b", "nowhere"), []steer.LogLine{
-		{Message: "evacuation in force", FailureDomain: "b", Revision: 9, Replicas: 3},
-		{Message: "evacuation in force", FailureDomain: "nowhere", Revision: 9},
+		{Message: "evacuation in force", FailureDomain: "b", At: posit.Position{Revision: 9}, Replicas: 3},
+		{Message: "evacuation in force", FailureDomain: "nowhere", At: posit.Position{Revision: 9}},
 	})
 	assert.Equal(t, len(lines("b", "nowhere")), 0)
 	assert.DeepEqual(t, in.st.EvacuatedReplicas(), map[string]int{"b": 3, "nowhere": 0})
 	in.now = in.now.Add(time.Minute)
-	assert.DeepEqual(t, lines("b"), []steer.LogLine{{Message: "evacuation ended", FailureDomain: "nowhere", Revision: 9, Age: time.Minute}})
+	assert.DeepEqual(t, lines("b"), []steer.LogLine{{Message: "evacuation ended", FailureDomain: "nowhere", At: posit.Position{Revision: 9}, Age: time.Minute}})
 }
--- a/internal/steer/event.go
+++ b/internal/steer/event.go
@@ -8,6 +8,7 @@
 
 	"dandelionsail.example/dandelionsail/internal/cause"
 	"dandelionsail.example/dandelionsail/internal/notice"
+	"dandelionsail.example/dandelionsail/internal/posit"
 	"dandelionsail.example/dandelionsail/pkg/decl"
 )
 
@@ -198,8 +199,8 @@
 // Evacuated carries the failure domains that the operators have evacuated, all of them: nothing new is sent to their replicas.
 type Evacuated struct {
 	FailureDomains []string
-	// Revision is the revision of the list's store at which they were, for the log.
-	Revision int64
+	// At is the position of the list's store at which they were, for the log.
+	At posit.Position
 }
 
 // ResponseReceived reports the header of a replica's answer to any kind of request.
