--- a/internal/steer/subset.go
+++ b/internal/steer/subset.go
@@ -19,7 +19,8 @@
 
 const (
 	// minSplitReplicas is the number of replicas from which a service is split. All instances use all replicas of a smaller
-	// service.
+	// service, unless there are more than minSlotUsers of them and each failure domain can be split separately: a note to so many
+	// takes too long, and what a failure domain cannot do is placed in another one.
 	minSplitReplicas = 64
 	// minSubsetReplicas is the minimum average number of replicas in a subset: as many as may read parts of one prompt
 	// together, by the default of Tuning.MaxEngines.
@@ -118,7 +119,7 @@
 // newLayout computes the layout of the service. A plain service, which has no engine, is never split.
 func (st *State) newLayout(svc *service) *layout {
 	used := st.inUse(svc)
-	if svc.engine == nil || len(used) < minSplitReplicas {
+	if svc.engine == nil || len(used) < minSplitReplicas && st.live <= minSlotUsers {
 		return &layout{}
 	}
 	replicas := map[string]int{}
@@ -126,7 +127,11 @@
 		replicas[rep.FailureDomain]++
 	}
 	instances := st.instancesByDomain()
-	if canSplitByDomain(replicas, instances, len(used)) {
+	byDomain := canSplitByDomain(replicas, instances, len(used))
+	if !byDomain && len(used) < minSplitReplicas {
+		return &layout{}
+	}
+	if byDomain {
 		lay := &layout{byDomain: true, parts: map[string]int{}}
 		for domain, count := range replicas {
 			lay.parts[domain] = partCount(count, instances[domain])
--- a/internal/steer/subset_test.go
+++ b/internal/steer/subset_test.go
@@ -49,6 +49,7 @@
 	}{
 		"small fleet, not split":        {fleet{6, 14, 3}, 14, 5},
 		"60 instances":                  {fleet{60, 45, 3}, 45, 59},
+		"116 instances, few engines":    {fleet{116, 60, 3}, 20, 38},
 		"195 instances":                 {fleet{195, 112, 5}, 23, 38},
 		"one failure domain":            {fleet{195, 112, 1}, 40, 70},
 		"300 instances":                 {fleet{300, 2250, 5}, 140, 20},
