--- a/internal/model/result.go
+++ b/internal/model/result.go
@@ -55,7 +55,7 @@
 	P90 float64
 	// SmallestTenth is the share of the calls with the shortest prompts that were answered, of a tenth of all calls.
 	SmallestTenth float64
-	// LargestTenth is that of the calls with the longest prompts.
+	// LargestTenth is the share of the calls with the longest prompts that were answered, of a tenth of all calls.
 	LargestTenth float64
 
 	worthSum
@@ -74,9 +74,11 @@
 	return ws.earned / ws.offered
 }
 
-// sizedOutcome is whether a call of some length was answered.
+// sizedOutcome is the outcome of a call.
 type sizedOutcome struct {
-	prompt   int64
+	// prompt is the length of the prompt in tokens.
+	prompt int64
+	// answered reports whether the call was answered, in time or late.
 	answered bool
 }
 
@@ -87,6 +89,7 @@
 	return answeredShare(sorted[:count]), answeredShare(sorted[len(sorted)-count:])
 }
 
+// answeredShare returns the share of the calls that were answered, 1 if there are none.
 func answeredShare(sizes []sizedOutcome) float64 {
 	if len(sizes) == 0 {
 		return 1
--- a/internal/model/scenario.go
+++ b/internal/model/scenario.go
@@ -49,7 +49,7 @@
 // Class is one class of requests.
 type Class struct {
 	Name string
-	// Organisation is whose callers these are, empty for none.
+	// Organisation is the organisation of the callers, empty for none.
 	Organisation string
 	// Priority is the route's urgency; 0 is the most urgent.
 	Priority int
@@ -102,7 +102,7 @@
 // Restart stops the first Share of the instances at At and starts them without any state after For seconds.
 type Restart struct{ At, For, Share float64 }
 
-// Cut loses all notes from and to the last Share of the instances, from At for For seconds. Their requests reach the replicas.
+// Cut drops all notes from and to the last Share of the instances, from At for For seconds. Their requests still reach the replicas.
 type Cut struct{ At, For, Share float64 }
 
 // BadScenario is the error type of an invalid scenario file.
--- a/internal/model/share_test.go
+++ b/internal/model/share_test.go
@@ -14,7 +14,7 @@
 const (
 	// shareCapacity is about how many requests of a sharedClass an engine answers in time in a second.
 	shareCapacity = 3.5
-	// smallOrganisations is the number of organisations beside the one that floods.
+	// smallOrganisations is the number of organisations in addition to the one that floods.
 	smallOrganisations = 4
 	// smallDemand is what each of these asks for, as a share of the capacity. An equal share is 0.2.
 	smallDemand = 0.13
@@ -72,7 +72,7 @@
 	}
 }
 
-// smallWorth is the mean share of their worth that the small organisations got.
+// smallWorth returns the mean share of their worth that the small organisations got.
 func smallWorth(res *model.Result) float64 {
 	total := 0.0
 	for _, cr := range res.Classes[:smallOrganisations] {
@@ -81,7 +81,7 @@
 	return total / smallOrganisations
 }
 
-// meanOf returns the mean of a figure over runs with the seeds from 1 on.
+// meanOf returns the mean of a figure over runs, whose seeds count from 1.
 func meanOf(sc *model.Scenario, tune steer.Tuning, seeds int, figure func(res *model.Result) float64) float64 {
 	total := 0.0
 	for seed := range seeds {
@@ -182,7 +182,7 @@
 	}
 }
 
-// answeredShare is the share of the class's calls that were answered.
+// answeredShare returns the share of the class's calls that were answered.
 func answeredShare(res *model.Result, class int) float64 {
 	cr := &res.Classes[class]
 	return float64(cr.InTime+cr.Late) / float64(cr.Asked)
--- a/internal/steer/announce.go
+++ b/internal/steer/announce.go
@@ -81,7 +81,7 @@
 	}
 }
 
-// failingRule is failureRule for notice.Failing, which is in force, too, while the failure domain of the replica counts as down.
+// failingRule returns failureRule for notice.Failing, extended to be in force also while the replica's failure domain counts as down.
 func failingRule() announcementRule {
 	rule := failureRule(notice.Failing)
 	failed := rule.inForce
--- a/internal/steer/batch.go
+++ b/internal/steer/batch.go
@@ -86,7 +86,7 @@
 	if req.claiming || st.readsAlone(req) {
 		maxDelay = 0
 	}
-	// An engine whose slots are asked for is not filled beyond them, so that nobody has to learn of the start at once.
+	// An engine whose slots are requested is not filled beyond them, so the start need not be announced at once.
 	urgent := nearlyFull(req.reps[0]) && !st.isSharedWidely(req.reps[0])
 	for _, sub := range st.audiences(req.reps) {
 		wait := st.sendDelay(sub, maxDelay)
--- a/internal/steer/claim.go
+++ b/internal/steer/claim.go
@@ -111,7 +111,7 @@
 	return outranked >= excess
 }
 
-// claimBarred reports whether the request must not be sent as it was placed, whoever has the slot.
+// claimBarred reports whether the request must not be sent as it was placed, even if it has the slot.
 func (st *State) claimBarred(req *request) bool {
 	return req.reps[0].schedule != nil || st.planBlocked(req) || st.catchingUp() || st.quarantined(req)
 }
--- a/internal/steer/claim_test.go
+++ b/internal/steer/claim_test.go
@@ -19,7 +19,7 @@
 	delay time.Duration
 	// copyTime is how long a copy of a note takes to leave its instance, after the copies before it.
 	copyTime time.Duration
-	// cut names instances to which and from which no note arrives.
+	// cut holds the names of the instances to and from which no notes arrive.
 	cut   map[string]bool
 	names []string
 	sts   map[string]*steer.State
--- a/internal/steer/connections.go
+++ b/internal/steer/connections.go
@@ -16,28 +16,30 @@
 	// connectionReserve is the share of a replica's connections that is neither for requests in its slots nor for idle connections,
 	// but for orders, probes, messages passed on for other instances and requests that other instances have just sent.
 	connectionReserve = 1.0 / 8
-	// outsiderShare is the share of the idle connections that is for instances that use another subset of the service. They use the
-	// replica if their own subset has failed.
+	// outsiderShare is the share of the idle connections that is for instances of other subsets of the service. They use the replica
+	// if their own subset has failed.
 	outsiderShare = 1.0 / 4
 )
 
 // ConnectionBound is how many idle connections this instance may keep to a replica. The zero value sets no bound.
 type ConnectionBound struct {
+	// Bounded reports whether there is a bound.
 	Bounded bool
+	// MaxIdle is the maximum number of idle connections if Bounded is set.
 	MaxIdle int
 }
 
-// cachedBound is the bound of a replica.
+// cachedBound is the cached ConnectionBound of a replica.
 type cachedBound struct {
 	ConnectionBound
-	// generation is the State's at which it was computed.
+	// generation is State.generation when it was computed.
 	generation int
 	// at is when it was computed.
 	at time.Time
 }
 
-// boundAge is the age up to which a cached bound is used if the generation is the same. Instances that are not listed any more cease to
-// count without an event.
+// boundAge is the maximum age of a cached bound of the same generation. It is needed because no event reports when instances that are
+// not listed any more cease to count.
 const boundAge = time.Second
 
 // connectionBound returns how many idle connections this instance may keep to the replica.
@@ -54,7 +56,7 @@
 	return rep.connections.ConnectionBound
 }
 
-// maxConnections is the declared number of connections that a replica of the service accepts, 0 if none is declared.
+// maxConnections returns the declared number of connections that a replica of the service accepts, 0 if none is declared.
 func (st *State) maxConnections(service string) int {
 	if st.Routing == nil {
 		return 0
@@ -96,11 +98,12 @@
 	return rank
 }
 
+// connectionHash is the value by which rank orders the instances for the replica.
 func connectionHash(instance string, rep *replica) uint64 {
 	return xxhash.Sum64String(instance + "/" + rep.Name + "/" + strconv.FormatInt(rep.Born, 36))
 }
 
-// divide returns the part of the one with the given rank if the total is divided into whole parts that add up to it.
+// divide returns the part with the given rank if the total is divided into count whole parts that differ by at most 1 and add up to it.
 func divide(total, rank, count int) int {
 	part := total / count
 	if rank < total%count {
@@ -109,8 +112,11 @@
 	return part
 }
 
-// IdleConnections reports the addresses to which this instance has got its first idle connection, with true, or lost its last one.
-type IdleConnections struct{ Changed map[string]bool }
+// IdleConnections reports a change in whether this instance has idle connections.
+type IdleConnections struct {
+	// Changed maps each affected address to whether there is now an idle connection to it.
+	Changed map[string]bool
+}
 
 func (IdleConnections) isEvent() {}
 
@@ -124,8 +130,8 @@
 	}
 }
 
-// connectionCost returns the cost if the answering replica needs a new connection, and otherwise 0. It is 0 for a service that declares no
-// number of connections.
+// connectionCost returns the cost if a request to the replica needs a new connection, and 0 otherwise or if the service declares no number
+// of connections.
 func (st *State) connectionCost(rep *replica, cost float64) float64 {
 	if cost == 0 || st.idleAddresses[rep.Address] || st.maxConnections(rep.Service) == 0 {
 		return 0
@@ -133,7 +139,7 @@
 	return cost
 }
 
-// connectionsFull reports whether the replica has as many requests as it may have connections in use.
+// connectionsFull reports whether the running requests take all connections of the replica that requests may use.
 func (st *State) connectionsFull(rep *replica) bool {
 	connections := st.maxConnections(rep.Service)
 	return connections > 0 && rep.running() >= max(1, connections-int(connectionReserve*float64(connections)))
--- a/internal/steer/connections_world_test.go
+++ b/internal/steer/connections_world_test.go
@@ -108,7 +108,7 @@
 	Timeout: seconds(2), Goal: decl.Duration(300 * time.Millisecond), Attempts: 1,
 }
 
-// quietLoad is the load of an instance on a quiet day, in requests a second.
+// quietLoad is a low load of an instance, in requests a second.
 var quietLoad = map[*decl.Route]float64{&short: 1.2, &lookup: 0.4, &onceRoute: 0.21}
 
 func TestConnectionsOfAFleetStayBelowTheBound(t *testing.T) {
--- a/internal/steer/effect.go
+++ b/internal/steer/effect.go
@@ -177,7 +177,7 @@
 	Wrote time.Duration
 	// Invalid quotes an announcement whose value cannot be used.
 	Invalid string
-	// Revision is the store's revision at which it was read.
+	// Revision is the store's revision at which the set of evacuated failure domains was read.
 	Revision int64
 	// Replicas is the number of replicas that the decision affects.
 	Replicas int
--- a/internal/steer/evacuate.go
+++ b/internal/steer/evacuate.go
@@ -9,8 +9,8 @@
 )
 
 // Evacuation of failure domains. Load pattern: the operators empty a failure domain at the peak, and its callers and work move to the
-// others at once; later they bring it back, perhaps with replicas that have become cold. The replicas of an evacuated failure domain
-// stay registered, but they are in no subset and are no candidates, and notice.Evacuated holds back what is decided already.
+// others at once; later the evacuation ends, and the replicas may be cold. The replicas of an evacuated failure domain stay
+// registered, but they are in no subset and are no candidates, and notice.Evacuated holds back messages whose sending is decided already.
 
 // evacuations is what this instance knows of the evacuated failure domains.
 type evacuations struct {
@@ -26,8 +26,9 @@
 	return ok
 }
 
-// evacuate applies the set of evacuated failure domains. What waits for a replica in one of them is placed anew with its own time; a claim
-// there is withdrawn when it is due. The new users of each subset learn the load of this instance without waiting for its next summary.
+// evacuate applies the set of evacuated failure domains. Requests that wait for a replica in one of them are placed anew and keep their
+// deadlines; a claim there is withdrawn when it is due. Summaries are sent at once, so that the new users of each subset know the load of
+// this instance.
 func (st *State) evacuate(ev Evacuated) {
 	before := st.evacuations.since
 	since := make(map[string]time.Time, len(ev.FailureDomains))
@@ -54,7 +55,7 @@
 		case rep.evacuated && !was:
 			left = append(left, rep)
 		case was && !rep.evacuated:
-			st.warmAfterEvacuation(rep)
+			st.markColdAfterEvacuation(rep)
 		}
 	}
 	for _, rep := range left {
@@ -94,7 +95,7 @@
 	return counts
 }
 
-// forgetPath removes the replica from what shows whether the path to its service is lost.
+// forgetPath removes the replica from the evidence on whether the path to its service is lost.
 func (st *State) forgetPath(rep *replica) {
 	rep.unconfirmed = false
 	svc := st.serviceOf(rep.Service)
@@ -120,9 +121,9 @@
 	return svc.used
 }
 
-// hostOf returns the failure domain whose subsets serve the named instance or replica of the given failure domain: its own, or while that
-// is evacuated one of the others, by rendezvous hashing of the name. All instances that know the same instances and evacuations
-// choose the same one, and when one more failure domain is evacuated, only those move that it hosted.
+// hostOf returns the failure domain whose subsets serve the named instance or replica of the given failure domain. That is its own or,
+// while that is evacuated, one of the others by rendezvous hashing of the name. All instances that know the same instances and
+// evacuations choose the same one. When another failure domain is evacuated, only the instances and replicas that it hosted move.
 func (st *State) hostOf(domain, name string) string {
 	if !st.evacuations.has(domain) {
 		return domain
@@ -151,7 +152,7 @@
 	return st.evacuations.hosts
 }
 
-// hosted returns the instance with the failure domain whose subsets serve it.
+// hosted returns a copy of the instance whose failure domain is its host's.
 func (st *State) hosted(inst Instance) Instance {
 	inst.FailureDomain = st.hostOf(inst.FailureDomain, inst.Name)
 	return inst
--- a/internal/steer/evacuate_test.go
+++ b/internal/steer/evacuate_test.go
@@ -155,8 +155,8 @@
 }
 
 func TestRequestIsRefusedAtOnceIfAllAreEvacuated(t *testing.T) {
-	// All failure domains with replicas of a service are evacuated, or the other replicas leave. Callers must be told at once that nothing
-	// ran and when to come back, and nothing may be sent.
+	// All failure domains with replicas of a service are evacuated, or the other replicas leave. Callers must be refused at once, with
+	// a statement that nothing ran and a time to retry at, and nothing may be sent.
 	cases := map[string]func(in *instance){
 		"all evacuated":         func(in *instance) { in.evacuate("a", "b") },
 		"evacuated by turns":    func(in *instance) { in.evacuate("b"); in.evacuate("a", "b") },
--- a/internal/steer/event.go
+++ b/internal/steer/event.go
@@ -195,10 +195,11 @@
 	Used int64
 }
 
-// Evacuated carries the failure domains that the operators have evacuated, all of them: nothing new is sent to their replicas.
+// Evacuated carries all failure domains that the operators have evacuated: nothing new is sent to their replicas.
 type Evacuated struct {
+	// FailureDomains is the complete set.
 	FailureDomains []string
-	// Revision is the revision of the list's store at which they were, for the log.
+	// Revision is the revision of the list's store at which the set was read, for the log.
 	Revision int64
 }
 
--- a/internal/steer/export_test.go
+++ b/internal/steer/export_test.go
@@ -10,4 +10,4 @@
 }
 
 // WarmAfterEvacuation ends the evacuation of the named replica's failure domain for the replica.
-func (st *State) WarmAfterEvacuation(name string) { st.warmAfterEvacuation(st.replicas[name]) }
+func (st *State) WarmAfterEvacuation(name string) { st.markColdAfterEvacuation(st.replicas[name]) }
--- a/internal/steer/fleet_test.go
+++ b/internal/steer/fleet_test.go
@@ -36,7 +36,7 @@
 	tuning   steer.Tuning
 	nextID   steer.RequestID
 	requests map[steer.RequestID]*fleetRequest
-	// down holds the replicas that respond to nobody.
+	// down holds the replicas that respond to no instance.
 	down map[string]bool
 	// engines is the number of engines.
 	engines int
--- a/internal/steer/grant.go
+++ b/internal/steer/grant.go
@@ -66,7 +66,7 @@
 	case rep.limit == nil && !st.isCold(rep):
 		rep.schedule = nil
 	case rep.schedule != nil:
-		// What was refused at another rate says nothing of when a send is available at this one.
+		// availableAt was estimated at another rate.
 		rep.schedule.availableAt = time.Time{}
 	default:
 		rep.schedule = &sendSchedule{bucket: rate.NewLimiter(rate.Limit(st.maxRate(rep)), limitBurst), grants: map[jobKey]grantedSend{}}
--- a/internal/steer/grantrequest.go
+++ b/internal/steer/grantrequest.go
@@ -224,7 +224,8 @@
 
 // blocked reports whether what the service's replicas have announced holds the request back for longer than it may wait: all
 // of them leave, or those that remain accept nothing in time. A replica that failed may accept the request again at any time,
-// so the request waits while only failures hold it back, unless the failure domain of a replica is down. So does one whose answer has begun if all replicas leave.
+// so the request waits while only failures hold it back, unless the failure domain of a replica is down. A request whose answer has begun
+// also waits if all replicas leave.
 func (st *State) blocked(req *request) (block, bool) {
 	if req.grant.rep != nil {
 		return block{}, false
--- a/internal/steer/outage.go
+++ b/internal/steer/outage.go
@@ -8,21 +8,22 @@
 	"dandelionsail.example/dandelionsail/internal/paths"
 )
 
-// Failure domains that are down. Load pattern: the replicas of a failure domain, or of all but one, respond to nobody for seconds. Package paths
-// concludes it from own connections and from what others report. Meanwhile the replicas of the failure domain count as failing, and nothing
-// goes there but probes, so that the number of connections depends on the number of instances and not on that of requests.
+// Failure domains that are down. Load pattern: the replicas of one failure domain, or of all but one, respond to no instance for seconds.
+// Package paths infers this from this instance's connections and from the reports of others. While it lasts, the replicas of the failure
+// domain count as failing and only probes are sent there, so that the number of connections depends on the number of instances and not on
+// that of requests.
 
 const (
-	// outageLease is how long replicas of a failure domain that is down are avoided after the last probe that failed. It only ends an outage
-	// if there are no probes, as while the path is lost.
+	// outageLease is how long replicas of a failure domain that is down are avoided after the last failed probe. An outage ends by it only
+	// if no probes are sent, such as while the path is lost.
 	outageLease = 2 * time.Second
-	// outageProbeTime is how long it takes at least until a replica whose failure domain is down can be used again: the interval of the probes.
+	// outageProbeTime is the minimum time until a replica whose failure domain is down can be used again: the interval of the probes.
 	outageProbeTime = 400 * time.Millisecond
-	// lossLogInterval is the minimum interval of the lines that say why failures are not put down to the path, for one service.
+	// lossLogInterval is the minimum interval between the log lines of one service that state why failures are not attributed to the path.
 	lossLogInterval = 5 * time.Second
 )
 
-// updateDomains tells the service's path the failure domains of the replicas that may be sent to.
+// updateDomains sets in the service's path the failure domains of the replicas that requests may be sent to.
 func (st *State) updateDomains(svc *service) {
 	if svc.domainsKnown {
 		return
@@ -38,7 +39,7 @@
 	st.reviewOutages(svc)
 }
 
-// reviewOutages applies which failure domains count as down, and probes them where that is due.
+// reviewOutages updates the replicas after changes in which failure domains count as down, and sends the probes that are due.
 func (st *State) reviewOutages(svc *service) {
 	began, ended := svc.path.OutageChanges()
 	for _, domain := range began {
@@ -64,8 +65,8 @@
 	}
 }
 
-// failedElsewhere records that another instance does not reach the replica or avoids it, while the path of this one is lost. A failure
-// domain that is down stays so for a while.
+// failedElsewhere records that another instance does not reach the replica or avoids it, while the path of this one is lost. It prolongs
+// the outage of the replica's failure domain, if that is down, by outageLease.
 func (st *State) failedElsewhere(rep *replica) {
 	svc := st.serviceOf(rep.Service)
 	svc.path.FailedElsewhere(st.now, rep.Name)
@@ -89,7 +90,7 @@
 	}
 }
 
-// endOutage makes the replicas of the failure domain usable again, those too that have failed during the outage.
+// endOutage makes the replicas of the failure domain usable again, including those that failed during the outage.
 func (st *State) endOutage(svc *service, domain string) {
 	for _, rep := range svc.replicas {
 		if rep.FailureDomain == domain {
@@ -98,7 +99,7 @@
 	}
 }
 
-// endFailure makes the replica usable again that was reached after it had failed.
+// endFailure makes a replica usable again after it was reached.
 func (st *State) endFailure(rep *replica) {
 	rep.outageUntil = time.Time{}
 	if rep.downCause == notice.Failing && st.now.Before(rep.downUntil) {
@@ -106,7 +107,7 @@
 	}
 }
 
-// DownDomains returns how many failure domains of services count as down.
+// DownDomains returns how many failure domains count as down, summed over the services.
 func (st *State) DownDomains() int {
 	count := 0
 	for _, svc := range st.services {
@@ -115,7 +116,7 @@
 	return count
 }
 
-// reviewAllOutages does what reviewOutages does for all services.
+// reviewAllOutages calls reviewOutages for each service that has failure domains that are down.
 func (st *State) reviewAllOutages() {
 	for _, svc := range st.services {
 		if len(svc.downDomains) > 0 {
@@ -125,7 +126,7 @@
 	}
 }
 
-// logNoLoss says why failures of several replicas are not put down to the path.
+// logNoLoss logs why failures of several replicas are not attributed to the path.
 func (st *State) logNoLoss(svc *service) {
 	judged := svc.path.Judged
 	if judged != paths.DomainsLeft && judged != paths.ReportedByOthers {
@@ -138,8 +139,8 @@
 	st.emit(LogLine{Message: "failures not put down to the path", Service: svc.name, Cause: judged.String(), Attempt: svc.path.Failures(), FailureDomains: svc.path.DownDomains()})
 }
 
-// avoidsUnreached reports whether the replica must not be chosen since this instance does not reach it, no other instance has a path, and
-// others are reached: a request placed there would be refused although those can serve it.
+// avoidsUnreached reports whether the replica must not be chosen: this instance does not reach it, no other instance has a path, and other
+// replicas are reached. A request placed there would be refused although those can serve it.
 func (st *State) avoidsUnreached(svc *service, rep *replica) bool {
 	return svc.lostByAll && svc.path.ReachesSome() && !svc.path.Direct(rep.Name)
 }
--- a/internal/steer/outage_test.go
+++ b/internal/steer/outage_test.go
@@ -31,7 +31,7 @@
 	return sizes
 }
 
-// setDown makes the replicas of the failure domain respond to nobody, or to all again.
+// setDown makes the replicas of the failure domain respond to no instance, or to all again.
 func (fl *fleet) setDown(domain string, down bool) {
 	for _, replica := range fleetReplicas(fl.engines, fleetDomains) {
 		if replica.FailureDomain == domain {
@@ -62,9 +62,9 @@
 func all(*fleetRequest) bool { return true }
 
 func TestReplicasThatAreDownAreNoLostPath(t *testing.T) {
-	// In a burst the replicas of two of three failure domains respond to nobody, the second a second after the first, for two seconds each.
-	// All instances took that for a lost path of their own, again and again: they sent through each other, where the messages were held back,
-	// and opened connections without end.
+	// In a burst the replicas of two of three failure domains respond to no instance, the second a second after the first, for two seconds each.
+	// Guards against instances that take that for a loss of their own paths: they sent messages through each other, which held them back, and
+	// opened connections without a bound.
 	for name, size := range outageSizes {
 		for _, silent := range []bool{true, false} {
 			t.Run(fmt.Sprintf("%s/silent=%t", name, silent), func(t *testing.T) {
@@ -124,7 +124,7 @@
 }
 
 func TestInstanceCutOffWhileReplicasAreDownServesItsCallers(t *testing.T) {
-	// Two of three failure domains are down for everybody when one instance loses its links to all replicas. Its callers must be served
+	// Two of three failure domains are down for all instances when one instance loses its links to all replicas. Its callers must be served
 	// through another one, and the others must not take the outage for a lost path of theirs.
 	for name, size := range smallOutageSizes() {
 		for _, silent := range []bool{true, false} {
@@ -198,7 +198,7 @@
 
 func TestRequestsAreRefusedAtOnceIfOnlyFailureDomainsThatAreDownRemain(t *testing.T) {
 	// The replicas of a failure domain are down, and the only other replica leaves. A request must not wait until its goal has passed, nor be
-	// sent blind.
+	// sent to a replica that is down.
 	in := newInstance(t, "one", 0)
 	in.withPeers(1, 1)
 	list := replicas(4)
@@ -221,7 +221,7 @@
 
 func TestFailureDomainThatOthersReportIsCheckedFirst(t *testing.T) {
 	// Others report replicas of a failure domain, but may themselves be cut off from it alone. The instance must find out with a few connections
-	// whether it is down, neither by requests that fail one after the other nor by believing them.
+	// whether it is down, not by requests that fail one after the other, and not from these reports alone.
 	for name, reached := range map[string]bool{"it is down": false, "only the reporters do not reach it": true} {
 		t.Run(name, func(t *testing.T) {
 			in := newInstance(t, "one", 0)
--- a/internal/steer/path.go
+++ b/internal/steer/path.go
@@ -115,7 +115,8 @@
 	}
 }
 
-// probeFurther probes other failure domains after a probe has failed, which shows within a few probes whether the whole failure domain is down.
+// probeFurther probes other failure domains after a replica was not reached, to determine within a few probes whether its whole failure
+// domain is down.
 func (st *State) probeFurther(rep *replica) {
 	svc := st.serviceOf(rep.Service)
 	if st.drain != nil || svc.path.Down(rep.Name) {
--- a/internal/steer/peer.go
+++ b/internal/steer/peer.go
@@ -103,7 +103,7 @@
 	return kept, jobs
 }
 
-// sendSummaries sends the jobs of this instance at once, also if there are none.
+// sendSummaries sends the summaries of this instance at once, even if it has no jobs.
 func (st *State) sendSummaries() {
 	kept, jobs := st.openJobs()
 	st.sendJobs(kept, jobs, st.ownUses())
--- a/internal/steer/place.go
+++ b/internal/steer/place.go
@@ -96,8 +96,8 @@
 // order of urgency.
 const plainQueue = 2
 
-// plainCapacity is how many requests may be at the plain replica for the request to be sent there. One that gives way to others
-// leaves the places beyond the slots to them.
+// plainCapacity returns the number of requests at the plain replica from which on the request is not sent there. A request that gives
+// way to others uses the slots only and not the queue behind them.
 func plainCapacity(rep *replica, req *request) int {
 	if req.yields != yieldsNot {
 		return max(1, rep.Slots)
@@ -177,7 +177,7 @@
 	return best, found && st.worthCost(req, &best)
 }
 
-// worthCost reports whether the request may cost what the plan costs.
+// worthCost reports whether the cost of the plan is within what the request may cost, in all and to other requests.
 func (st *State) worthCost(req *request, pl *plan) bool {
 	allowed := req.value * st.maxCostShare(req, pl)
 	return pl.cost < allowed && pl.cost-pl.ownLoss < allowed*st.costShareWhileScarce(req)
--- a/internal/steer/queue.go
+++ b/internal/steer/queue.go
@@ -29,7 +29,8 @@
 }
 
 // compareUrgency orders requests that can still be in time before those for which it is too late, and each of the two groups
-// by whether they give way to others, then by goal. Under overload the second group would otherwise delay the first, and make all requests late in turn.
+// by whether they give way to others, then by goal. Under overload the second group would otherwise delay the first, and make all
+// requests late in turn.
 func (st *State) compareUrgency(a, b *request) int {
 	tooLateA, tooLateB := st.tooLate(a), st.tooLate(b)
 	if tooLateA != tooLateB {
--- a/internal/steer/share.go
+++ b/internal/steer/share.go
@@ -12,12 +12,12 @@
 	"dandelionsail.example/dandelionsail/pkg/decl"
 )
 
-// Fair shares of organisations where capacity is scarce. Load pattern: one organisation asks for several times what is left to it,
-// and its requests, which are many, take nearly all that engines offer, while those of the others are late or refused. Each
-// instance keeps, by service and organisation, what was asked for and what was used over the last seconds, and announces
-// it in its summaries while requests wait. What all of them used while requests waited is what there is to divide: with max-min
-// fairness, each organisation's share is what it asks for, but at most the level at which the shares add up to that. No
-// instance decides for another one, so a lost or late summary only makes the level at one instance differ from that at others.
+// Fair shares of organisations where capacity is scarce. Load pattern: one organisation asks for several times its share, and its many
+// requests take nearly all that engines offer, while those of the others are late or refused. Each instance records, by service and
+// organisation, what was asked for and what was used over the last seconds, and announces it in its summaries while requests wait. The
+// capacity to divide is what all organisations used while requests waited. By max-min fairness, each organisation's share is what it asks
+// for, but at most the level at which the shares add up to the capacity. Each instance decides for itself, so a lost or late summary
+// only makes its level differ from that of others.
 
 const (
 	// useTimeConstant is the time in which past use decays to 1/e. It is long enough to hold some requests of a small
@@ -28,19 +28,19 @@
 	// scarceTime is how long a service counts as scarce after a request could not be placed: longer than the interval of
 	// the summaries, so that all instances learn of it.
 	scarceTime = 3 * time.Second
-	// minScarceWait is the age at which a request that cannot be placed shows that its service is scarce. Younger ones often wait for
-	// a note or for the end of a pass only.
+	// minScarceWait is the minimum age of a request that cannot be placed for its service to count as scarce. Younger requests often
+	// wait only for a note or for the end of a pass.
 	minScarceWait = 20 * time.Millisecond
-	// minScarceShare is the share of its goal that such a request must have waited besides. Long prompts wait for a cheap
-	// place though engines suffice.
+	// minScarceShare is the minimum share of its goal that such a request must also have waited. Long prompts wait for a cheap
+	// placement even where engines suffice.
 	minScarceShare = 0.1
-	// shareMargin is how many times its share an organisation must ask for to count as above it. Estimates of what was
-	// used differ by less among instances.
+	// shareMargin is how many times its share an organisation must ask for to count as above it. The estimates of different
+	// instances of what was used differ by less.
 	shareMargin = 1.25
 	// unservedMargin is how many times what was used all organisations together must ask for before any is above its share.
 	unservedMargin = 1.1
-	// maxUsesInNote is the maximum number of organisations in a summary, over all services: one takes up to 31 bytes. They are those that
-	// asked this instance for most.
+	// maxUsesInNote is the maximum number of organisations in a summary, over all services: one takes up to 31 bytes. Those that asked
+	// this instance for most of a service are named.
 	maxUsesInNote = 32
 	// useSumInterval is the minimum time between two sums of what the other instances announced. One takes 0.1 ms and more with hundreds of
 	// instances.
@@ -52,12 +52,12 @@
 	peerUseFactor = 4
 	// plainRate is the rate of calls in a slot of a plain replica, in calls a second, on which that bound is based.
 	plainRate = 50
-	// minKindAsked is how many requests of a kind must have been decided on before its part of served ones counts.
+	// minKindAsked is the minimum number of requests of a kind that were sent or refused for the share of served ones to count.
 	minKindAsked = 4
-	// kindMargin is by how much more often than a less urgent kind a more urgent one is to be served. It makes up for what the
-	// instances learn late, so that the more urgent kind is not served less often by more than some hundredths.
+	// kindMargin is by how much the served share of a more urgent kind is to exceed that of a less urgent one. It compensates for late
+	// summaries, so that the more urgent kind is not served less often by more than some hundredths.
 	kindMargin = 0.03
-	// servedShare is the part of a kind's requests from which it counts as served in full.
+	// servedShare is the minimum share of sent requests for a kind to count as served in full.
 	servedShare = 0.97
 	// negligibleUse is the use in ms below which an organisation is forgotten.
 	negligibleUse = 0.5
@@ -73,13 +73,14 @@
 
 func (rs resources) scale(by float64) resources { return resources{rs.time * by, rs.memory * by} }
 
-// dominant is the larger of the two: the one that limits who needs it most.
+// dominant returns the larger of the two amounts.
 func (rs resources) dominant() float64 { return max(rs.time, rs.memory) }
 
 // use is what an organisation asked a service for, and what it used.
 type use struct{ asked, used resources }
 
-// wanted is the amount that the organisation asks for. Retries are not asked for, but used.
+// wanted returns the amount that the organisation asks for. What it used may be more than what it asked for, since retries count as use
+// only.
 func (us use) wanted() float64 { return max(us.asked.dominant(), us.used.dominant()) }
 
 // kindUse counts the requests of one urgency that were sent or refused.
@@ -131,12 +132,12 @@
 	// others is the sum of what the other instances announced, as of this instance's last summary.
 	others     map[uint32]use
 	otherKinds map[int]kindUse
-	// scarceUntil is until when the service counts as scarce, since a request waited in vain at any instance.
+	// scarceUntil is until when the service counts as scarce, since an instance could not place a request.
 	scarceUntil time.Time
 	// waitedUntil is scarceUntil by the requests of this instance alone.
 	waitedUntil time.Time
 	division    division
-	// aboveLogged holds the organisations that were logged as above their share and have not been at it since.
+	// aboveLogged holds the organisations that were logged as above their share and have been so since.
 	aboveLogged map[uint32]bool
 }
 
@@ -159,7 +160,7 @@
 // they then have one share together.
 func organisationHash(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
 
-// decay lets the own use decay up to now, or up to decayInterval ago.
+// decay applies the decay of the own use since ownAt, unless that is less than decayInterval ago.
 func (sh *serviceShares) decay(now time.Time) {
 	elapsed := now.Sub(sh.ownAt)
 	if elapsed < decayInterval {
@@ -203,7 +204,7 @@
 	sh.kinds[priority] = ku
 }
 
-// divide returns the division of what was used among those who ask.
+// divide returns the division of the service, computed anew if it is older than divisionAge.
 func (sh *serviceShares) divide(now time.Time) *division {
 	if now.Sub(sh.division.at) < divisionAge {
 		return &sh.division
@@ -255,8 +256,8 @@
 		left -= want
 	}
 	if wanted[0] > shareMargin*level {
-		// What was used is less than what there is while much is held back. If all asked for more than their share of it, nothing would be
-		// left to tell them apart.
+		// While many requests are held back, what was used is less than the capacity. If all organisations were above their share of
+		// it, all would give way alike, so the level is the mean of what they ask for.
 		level = total / float64(len(wanted))
 	}
 	above = map[uint32]float64{}
@@ -323,7 +324,8 @@
 	return sh
 }
 
-// costOf estimates what the request takes: prefill alone, and the part of a full engine's passes that writes its answer; the memory for as long.
+// costOf estimates the resources that the request takes: the time is that of its prefill alone and its part of a full engine's passes while
+// the answer is written; the memory is held for the prefill and all of these passes.
 func (st *State) costOf(req *request) resources {
 	eng := st.serviceOf(req.service).engine
 	if eng == nil {
@@ -337,14 +339,14 @@
 	}
 }
 
-// recordAsked records what a request asks for. Callers that come back have asked before.
+// recordAsked records what a request asks for. Retries of callers do not count again.
 func (st *State) recordAsked(req *request) {
 	if sh := st.sharesOf(req.service); sh != nil && !req.triedBefore {
 		sh.add(st.now, organisationHash(req.Organisation), st.costOf(req), resources{})
 	}
 }
 
-// recordUsed records that the request is sent or, with a sign of -1, that an attempt has not run.
+// recordUsed records what the request uses when it is sent or, with a sign of -1, withdraws this since the attempt has not run.
 func (st *State) recordUsed(req *request, sign float64) {
 	if sh := st.sharesOf(req.service); sh != nil {
 		sh.add(st.now, organisationHash(req.Organisation), resources{}, st.costOf(req).scale(sign))
@@ -359,7 +361,7 @@
 	}
 }
 
-// recordUnplaced records that no place was found for the request.
+// recordUnplaced records that no place was found for the request: if it has waited for long enough, its service counts as scarce.
 func (st *State) recordUnplaced(req *request) {
 	if sh := st.sharesOf(req.service); sh != nil && st.now.Sub(req.at) >= max(minScarceWait, time.Duration(minScarceShare*float64(req.Route.Goal.Std()))) {
 		sh.waitedUntil = st.now.Add(scarceTime)
@@ -421,9 +423,9 @@
 	return cmp.Or(cmp.Compare(a.yields, b.yields), cmp.Compare(a.used, b.used))
 }
 
-// costShareWhileScarce is the part of what a request's placement may cost that it may cost others. What its own caller loses is not weighed
-// against others, and a prompt longer than the mean of its kind may cost them more: the longest ones, whose answers are rarely certain to
-// be in time, would otherwise hardly ever be placed.
+// costShareWhileScarce returns the share of its cost limit that a request's placement may cost other requests. It is below 1 only
+// for requests that give way. It rises with the length of prompts longer than the mean of their kind: the longest ones, whose answers are
+// rarely certain to be in time, would otherwise hardly ever be placed. The loss of the request's own caller is not limited by it.
 func (st *State) costShareWhileScarce(req *request) float64 {
 	if req.yields == yieldsNot {
 		return 1
@@ -436,9 +438,9 @@
 }
 
 // loadUnknown reports whether this instance cannot know how busy the replicas are: it has started so recently that not all others have
-// sent a summary since, or no note has arrived for longer than is likely while requests wait, when all instances send summaries.
-// It would take busy engines for idle ones, and send there what is to give way. One that is cut off does so again once it has forgotten
-// the others, after peerTimeout.
+// sent a summary since, it has just forgotten much work, or no note has arrived for longer than is likely while all instances send
+// summaries. It would take busy engines for idle ones and send them requests that are to give way. After peerTimeout, an instance that is
+// cut off knows no others, and the result is false.
 func (st *State) loadUnknown() bool {
 	if len(st.peers) == 0 {
 		return false
@@ -447,8 +449,8 @@
 	return st.now.Sub(st.startedAt) < firstSummaries || st.now.Sub(st.workLostAt) < firstSummaries || st.now.Sub(st.lastNoteAt) > silence
 }
 
-// noteLostWork records that the work of an instance is about to be forgotten since it has restarted, if that is much of all known work.
-// Engines go on with it for a while, though its callers are gone.
+// noteLostWork records that the work of an instance is about to be forgotten since it has restarted, if that is at least minLostWork of
+// all known work. Engines continue with it for a while although its callers are gone.
 func (st *State) noteLostWork(pr *peer) {
 	total := 0
 	for _, other := range st.peers {
@@ -459,20 +461,20 @@
 	}
 }
 
-// minLostWork is the share of all known jobs from which the loss of an instance's counts as much.
+// minLostWork is the minimum share of all known jobs that the jobs of a restarted instance must have for noteLostWork to record it.
 const minLostWork = 0.05
 
 const (
 	// firstSummaries is the time after a start in which all other instances send a summary.
 	firstSummaries = 1100 * time.Millisecond
-	// minSilence is the shortest time without notes that counts as silence.
+	// minSilence is the minimum time without notes after which the load is unknown.
 	minSilence = 100 * time.Millisecond
-	// maxMissedNotes is how many summaries must be missing at least, of those that the other instances send once a second.
+	// maxMissedNotes is the number of missing summaries after which the load is unknown. Each other instance sends one a second.
 	maxMissedNotes = 5
 )
 
-// ownUses returns what organisations asked of the services at this instance, for its summary. It is nil unless requests wait
-// somewhere, so that a deployment without scarcity sends nothing more.
+// ownUses returns what organisations asked of the services at this instance, for its summary. It is nil unless a service is scarce, so
+// that summaries are otherwise no larger.
 func (st *State) ownUses() []ServiceUse {
 	var uses []ServiceUse
 	room := maxUsesInNote
@@ -505,6 +507,7 @@
 // useScale is the number of units in which notes count one request.
 const useScale = 100
 
+// wholeUse rounds the amount for a note.
 func wholeUse(amount float64) uint32 { return uint32(min(max(0, math.Round(amount)), math.MaxUint32)) }
 
 // sumPeerUses adds up what the other instances announced, in the order of their names, each bounded by what one instance can
@@ -539,10 +542,10 @@
 	}
 }
 
-// maxPeerRequests is the maximum number of requests of one urgency that count of one instance.
+// maxPeerRequests is the maximum number of requests of one urgency that sumPeerUses counts for one instance.
 const maxPeerRequests = 500
 
-// maxPeerUse is the maximum use of an organisation that counts of one instance.
+// maxPeerUse returns the maximum use of an organisation that sumPeerUses counts for one instance.
 func (st *State) maxPeerUse(service string) float64 {
 	svc := st.services[service]
 	if svc == nil {
@@ -574,16 +577,16 @@
 }
 
 // gaveWayTooLong reports whether a request that gives way to others has waited for so long that it is unlikely to be placed in
-// time. It is refused then, so that its caller learns at once when to come back.
+// time. It is then refused with a time to retry at.
 func (st *State) gaveWayTooLong(req *request) bool {
 	return req.yields == yieldsToShares && st.now.Sub(req.at) >= time.Duration(maxYieldShare*float64(req.Route.Goal.Std()))
 }
 
-// maxYieldShare is the share of its goal for which a request that gives way to others waits for a place.
+// maxYieldShare is the share of its goal after which a request that gives way to others is refused.
 const maxYieldShare = 0.25
 
-// retryAfterYield is when what the organisation of a refused request used will have fallen to its share, if that is later than
-// the time at which others may retry.
+// retryAfterYield returns the time until what the organisation of a refused request used has decayed to its share, but at least
+// retryAfter and otherwise at most PatientShare of the time to the deadline.
 func (st *State) retryAfterYield(req *request) time.Duration {
 	after := st.retryAfter(req)
 	if req.used <= 1 {
--- a/internal/steer/slot.go
+++ b/internal/steer/slot.go
@@ -8,22 +8,24 @@
 
 // Slot requests. Load pattern: many small instances before few engines send short prompts at the same moment. Streams gather on few
 // engines, and a note about each start goes to all instances: over a small instance's link a hundred copies take 10 ms, and beyond
-// messageRate they wait for a tenth of a second. Meanwhile others fill the same engine, and requests wait there although slots are
-// free elsewhere. The same happens when the engines of a failure domain are down: its instances send to the engines of others, of whose
-// load they receive no notes. Where many instances use an engine, or this one does not otherwise use it, a request therefore asks one of them for the slot, which is told of
-// each start, begin and end at the engine by one message, and so knows its load exactly. It is the one that also grants sends to
-// the engine if it states a rate limit. What it doesn't answer in time goes as a claim does.
+// messageRate they wait for a tenth of a second. Until the notes arrive, other instances fill the same engine, and requests wait there
+// although slots are free elsewhere. The same happens when the engines of a failure domain are down: its instances send to engines of
+// other failure domains, of whose load they receive no notes.
+//
+// Where many instances use an engine, or where it is outside this instance's subset, a request therefore asks the engine's granting
+// instance for the slot. That instance receives one message for each start, begin and end at the engine, and so knows its load. If it
+// does not answer within slotTimeout, the request is handled as a claim.
 
 const (
-	// minSlotUsers is the number of instances that use an engine from which its slots are asked for. Notes to fewer arrive within
-	// claimDelay.
+	// minSlotUsers is the minimum number of other instances that use an engine for its slots to be requested. Notes to fewer
+	// instances arrive within claimDelay.
 	minSlotUsers = 48
-	// slotTimeout is how long the answer to a slot request is waited for: several round trips of a note between failure domains.
+	// slotTimeout is how long a request waits for the answer to its slot request: several round trips of a note between failure domains.
 	slotTimeout = 12 * time.Millisecond
-	// slotPause is how long an engine that had no slot is taken for full. By then, the ends of some of its streams are known.
+	// slotPause is how long an engine that had no free slot is taken for full. Within this time, the ends of some of its streams become known.
 	slotPause = 20 * time.Millisecond
-	// maxSlotRefusals is the number of engines that may refuse a request since they have more to read than it assumed. Further ones
-	// are only asked for a slot, so that the request finds a place while the news of all engines are old.
+	// maxSlotRefusals is the number of refusals after which a slot request in the own subset sets no MaxFirstMs. Only a full engine
+	// refuses it then for its load, so that the request finds a place although what is known here of all engines is outdated.
 	maxSlotRefusals = 3
 	// slotEstimateSlack is by how much of the request's goal the engine's estimate may exceed the one by which it was chosen.
 	slotEstimateSlack = 0.15
@@ -50,7 +52,7 @@
 	Full bool `cbor:"3,keyasint,omitempty"`
 }
 
-// pendingSlot is a slot for which a request has asked.
+// pendingSlot is a slot that was requested and neither granted nor refused yet.
 type pendingSlot struct {
 	// granter names the instance that was asked, empty if none was.
 	granter string
@@ -62,13 +64,13 @@
 	return svc.engine != nil && (st.isSharedWidely(rep) || st.subsetOf(rep) != st.ownSubset(svc))
 }
 
-// isSharedWidely reports whether so many instances use the engine that all of them ask for its slots.
+// isSharedWidely reports whether at least minSlotUsers other instances use the engine.
 func (st *State) isSharedWidely(rep *replica) bool {
 	return st.recipients(st.grantingSubset(rep)) >= minSlotUsers
 }
 
-// requestSlot asks for a slot of the plan's answering engine. If this instance decides on it, the request is sent at once. It
-// reports whether the request need not wait in the queue.
+// requestSlot asks the granting instance for a slot of the plan's answering engine. If that is this instance, the request is sent at
+// once if a slot is free. It reports whether the request leaves the queue.
 func (st *State) requestSlot(req *request, pl plan) bool {
 	granter := st.granter(pl.reps[0])
 	if granter == st.Options.Name {
@@ -114,8 +116,8 @@
 	}
 }
 
-// takesLonger reports whether the engine has so much to read that the request's answer would begin later than it accepts, or whether it
-// would delay other requests there too much.
+// takesLonger reports whether the answer to the request would begin later than MaxFirstMs, or whether the request would delay other
+// requests at the engine too much.
 func (st *State) takesLonger(rep *replica, ask *SlotRequest) bool {
 	eng := st.serviceOf(rep.Service).engine
 	if eng == nil || ask.MaxFirstMs == 0 || len(ask.Job.Replicas) > 1 {
@@ -162,7 +164,7 @@
 	}
 }
 
-// useSlot sends the request, whose claim is decided.
+// useSlot sends the request after its slot was granted or its claim won.
 func (st *State) useSlot(req *request) {
 	st.dropClaim(req)
 	req.slot = pendingSlot{}
@@ -172,8 +174,8 @@
 	st.send(req)
 }
 
-// slotUnanswered ends the wait for an instance that does not answer, and reports whether the request's claim still has to be decided.
-// The claim was not announced to the others, which learn of the start.
+// slotUnanswered ends the wait for an instance that has not answered, and reports whether the request's claim is still undecided. The
+// claim was not announced to other instances; if it wins, the start is.
 func (st *State) slotUnanswered(req *request) bool {
 	granter := req.slot.granter
 	st.lastUnanswered[granter] = st.now
@@ -185,7 +187,7 @@
 	return true
 }
 
-// giveSlotBack ends the job at the instance that was asked for its slot. No other knows of it.
+// giveSlotBack ends the job at the granting instance, the only other one that knows of it.
 func (st *State) giveSlotBack(req *request) {
 	st.emit(SendNote{Note: st.note(Note{Ended: []JobID{req.job}}), To: []string{req.slot.granter}})
 	req.slot = pendingSlot{}
--- a/internal/steer/spill.go
+++ b/internal/steer/spill.go
@@ -6,23 +6,24 @@
 	"dandelionsail.example/dandelionsail/pkg/decl"
 )
 
-// Help between subsets. Load pattern: the callers of one failure domain ask for more than its engines can do in time, while those of
-// another one have capacity. What finds no place in time in the own subset is placed at an engine of another one, of which nothing is
-// known here: the instance that decides on its slots, which knows its load, is asked and refuses what would be late or would delay
-// its own callers. So no load is announced between subsets, and no news that is old sends all requests to the same engine.
+// Help between subsets. Load pattern: the callers of one failure domain ask for more than its engines can do in time, while the engines
+// of another one have capacity. A request that finds no place in time in the own subset is placed at an engine of another one, whose load
+// is not known here. Its granting instance, which knows the load, is asked for a slot and refuses requests that would be late or would
+// delay others at the engine. So subsets need not announce their load to each other, and outdated reports of load cannot direct all
+// requests to the same engine.
 
 const (
-	// minSpillLoss is the share of a request's value that its place in the own subset must be expected to cost before another subset
-	// is asked for help.
+	// minSpillLoss is the share of a request's value that its placement in the own subset must be expected to cost before another
+	// subset is asked.
 	minSpillLoss = 0.5
 	// maxSpillTries is the number of engines of other subsets that a request asks.
 	maxSpillTries = 4
-	// spillSample is the number of engines of other subsets, chosen at random, of which the cheapest is asked.
+	// spillSample is the maximum number of engines of other subsets, chosen at random, of which the cheapest is asked.
 	spillSample = 4
 )
 
-// placeElsewhere returns a plan with an engine of another subset if the plan with the own ones, of which ok reports whether there is one,
-// costs too much.
+// placeElsewhere returns a plan with an engine of another subset, and true, if there is no plan in the own subset or it costs too much.
+// own is that plan; ok reports whether there is one.
 func (st *State) placeElsewhere(req *request, own *plan, ok bool) (plan, bool) {
 	svc := st.services[req.service]
 	if svc == nil || svc.engine == nil || req.yields != yieldsNot || req.slotRefusals >= maxSpillTries || ok && own.cost < minSpillLoss*req.value {
@@ -44,7 +45,7 @@
 	return pl, true
 }
 
-// spillEngines returns some usable engines outside of the candidates of this instance.
+// spillEngines returns up to spillSample random engines of other subsets that may be asked for a slot.
 func (st *State) spillEngines(svc *service, req *request) []candidate {
 	all, own := st.inUse(svc), st.candidates(svc)
 	if len(all) == len(own) {
@@ -67,7 +68,7 @@
 	return engines
 }
 
-// spillTries is how many engines are looked at to find spillSample of them.
+// spillTries is the number of random draws with which spillEngines looks for spillSample engines.
 const spillTries = 4 * spillSample
 
 // mayTakeSpill reports whether the engine of another subset may be asked for a slot for the request.
--- a/internal/steer/spill_test.go
+++ b/internal/steer/spill_test.go
@@ -44,7 +44,7 @@
 }
 
 func TestSubsetWithCapacityAsksForNoHelp(t *testing.T) {
-	// Guards against traffic between failure domains that nobody needs.
+	// Guards against slot requests to other failure domains although the own one serves the request in time.
 	st := fullSubset(4)
 	assert.Equal(t, len(slotRequests(sentNotes(st, fleetStart, arrival(fleetStart, 1, 5000)))), 0)
 }
--- a/internal/steer/state.go
+++ b/internal/steer/state.go
@@ -105,7 +105,7 @@
 	heldBack map[string]heldEntry
 	// listRead reports whether the list of replicas was read.
 	listRead bool
-	// coldEndsAt is when the first cold replica is not cold any more, zero if none is cold.
+	// coldEndsAt is the earliest end of a replica's cold state, zero if none is cold.
 	coldEndsAt time.Time
 	// lastUnanswered holds, by instance name, when an instance last failed to answer a GrantRequest.
 	lastUnanswered map[string]time.Time
@@ -127,11 +127,11 @@
 	lastNoteAt time.Time
 	// dividesShares reports whether the configuration has several organisations or urgencies, so that shares count.
 	dividesShares bool
-	// workLostAt is when so much work of an instance was last forgotten that its replicas seem idle, see noteLostWork.
+	// workLostAt is when much work of a restarted instance was last forgotten, so that its replicas seem idle, see noteLostWork.
 	workLostAt time.Time
 	// usesChanged reports whether other instances announced uses that are not in the sums yet.
 	usesChanged bool
-	// usesSummedAt is when these sums were last computed.
+	// usesSummedAt is when the sums of the other instances' uses were last computed.
 	usesSummedAt time.Time
 	random       *rand.Rand
 	effects      []Effect
@@ -255,7 +255,7 @@
 	grant pendingGrant
 	// yields is why the request gives way to others, see rankShare.
 	yields yieldReason
-	// yieldLogged reports whether that was logged.
+	// yieldLogged reports whether it was logged that the request gives way to others.
 	yieldLogged bool
 	// used is how many times its share the organisation of a request with yieldsToShares uses.
 	used float64
--- a/internal/steer/subset.go
+++ b/internal/steer/subset.go
@@ -188,8 +188,8 @@
 	return st.layoutOf(svc).ofInstance(st.hosted(st.self()))
 }
 
-// subsetOf returns the subset that contains the replica. A replica of an evacuated failure domain is in none: the subset returned is one
-// whose users learn of its running work.
+// subsetOf returns the subset that contains the replica. A replica of an evacuated failure domain is in none; for it, subsetOf returns the
+// subset whose users receive the notes about its running work.
 func (st *State) subsetOf(rep *replica) subset {
 	return st.layoutOf(st.serviceOf(rep.Service)).ofReplica(rep.Name, st.hostOf(rep.FailureDomain, rep.Name))
 }
@@ -232,8 +232,8 @@
 	return st.subsetOf(rep)
 }
 
-// nearDomain returns the failure domain whose plain replicas this instance prefers. Where notes about plain calls stay in one, it is the one
-// to which they are sent, also while this instance's own is evacuated.
+// nearDomain returns the failure domain whose plain replicas this instance prefers. Where notes about plain calls stay in one failure
+// domain, it is the one to which they are sent, also while this instance's own is evacuated.
 func (st *State) nearDomain() string {
 	if st.plainNotesStayInDomain() {
 		return st.hosted(st.self()).FailureDomain
--- a/internal/steer/subset_evacuate_test.go
+++ b/internal/steer/subset_evacuate_test.go
@@ -11,7 +11,7 @@
 
 func TestSubsetsAgreeDuringEvacuations(t *testing.T) {
 	// A failure domain is evacuated, and its instances are hosted by the others. All instances must compute the same split, or some would
-	// not hear of work at replicas that they use and would count its slots as free. No replica in use may be left without users, no instance
+	// receive no notes about work at replicas that they use and would count its slots as free. No replica in use may be left without users, no instance
 	// without replicas, and the instances of an evacuated failure domain must not all be hosted by the same other one.
 	fleets := map[string]fleet{
 		"6 instances":   {6, 14, 3},
@@ -137,7 +137,7 @@
 
 func TestPlainNotesFollowHost(t *testing.T) {
 	// In a large fleet, notes about plain calls stay in one failure domain. The instances of an evacuated one call the replicas of their
-	// host: its instances must hear of that.
+	// host: its instances must receive notes about these calls.
 	fl := fleet{195, 112, 5}
 	st := fl.instance(1)
 	st.Reduce(fleetStart, Evacuated{FailureDomains: []string{"domain-1"}})
--- a/internal/steer/warm.go
+++ b/internal/steer/warm.go
@@ -17,25 +17,25 @@
 // service restart, or a failure domain returns with empty caches, while hundreds of instances send to them. This file decides
 // which replicas are cold and until when; grant.go paces the sends to them as it does for replicas with a rate limit.
 //
-// The cold state is known from three kinds of signs, which are kept apart since they are withdrawn for different reasons: the
-// entry in the list, observations (answers, the end of an evacuation, others' notes), and failures after which the replica may
-// have restarted. The replica is cold until the latest end of the three.
+// The cold state is derived from three kinds of signs: the entry in the list, observations (answers, the end of an evacuation,
+// notes of other instances), and failures after which the replica may have restarted. They are kept apart since they are
+// withdrawn for different reasons. The replica is cold until the latest end of the three.
 
 const (
 	// coldSpan is the sliding window over which the sends to a cold replica are counted.
 	coldSpan = time.Second
-	// maxEntryAge is how long before it is read an entry may have been written: replicas write theirs every 1.2 s, and the list's
-	// store may be slow. What was observed within this time before an entry was read may be newer than the entry.
+	// maxEntryAge is the maximum time between the writing and the reading of an entry: replicas write theirs every 1.2 s, and the
+	// list's store may be slow. An observation from within this time before an entry was read may be newer than the entry.
 	maxEntryAge = 2 * time.Second
-	// coldMargin is the difference up to which two statements about the cold state count as the same. What another instance
-	// repeats arrives a few milliseconds late; without a margin each repetition would prolong the cold state.
+	// coldMargin is the difference in time up to which two statements about the cold state count as the same. A statement that
+	// another instance repeats arrives a few milliseconds late; without a margin each repetition would prolong the cold state.
 	coldMargin = 100 * time.Millisecond
 	// maxColdEndSpread is the time over which the instances' ends of the cold state are spread. If it ended at all of them at
-	// the same moment, each would send its waiting requests to the replica, which seems idle, before it has heard of the others'.
+	// the same moment, each would take the replica for idle and send it all waiting requests before the notes of the others arrive.
 	maxColdEndSpread = 250 * time.Millisecond
 )
 
-// Sources of the cold state in the log, beside those of announcements.
+// Sources of the cold state in the log, in addition to those of announcements.
 const (
 	sourceStart      = "start"
 	sourceEvacuation = "evacuation"
@@ -51,11 +51,13 @@
 	entryUntil time.Time
 	// observedAt is when the newest observation was made.
 	observedAt time.Time
-	// observedProvenAt is the time before which it was certainly not made: another instance may have read it in an entry.
+	// observedProvenAt is the earliest time to which that observation can refer: another instance may have read it in an entry,
+	// which is older than its reading.
 	observedProvenAt time.Time
 	// observedUntil is until when the replica is cold by that observation.
 	observedUntil time.Time
-	// failedAt is when the replica last failed in a way after which it may have restarted, zero if that is withdrawn.
+	// failedAt is when the replica last failed in a way after which it may have restarted, zero if there was no such failure or
+	// it is withdrawn.
 	failedAt time.Time
 	// failedUntil is until when the replica is cold if it has restarted.
 	failedUntil time.Time
@@ -73,7 +75,7 @@
 	return later(later(cd.entryAt, cd.observedAt), cd.failedAt)
 }
 
-// provenAt returns the time of which the signs are certainly not older, since an entry may have been written before it was read.
+// provenAt returns the earliest time to which the newest sign can refer, since an entry may have been written before it was read.
 func (cd *coldState) provenAt() time.Time {
 	return later(later(cd.entryAt.Add(-maxEntryAge), cd.observedProvenAt), cd.failedAt)
 }
@@ -96,7 +98,7 @@
 	}
 }
 
-// observe records an observation that was made at the given time, and certainly not before provenAt.
+// observe records an observation that was made at the given time and refers to no time before provenAt.
 func (cd *coldState) observe(at, provenAt, until time.Time) {
 	cd.observedAt, cd.observedProvenAt, cd.observedUntil = at, provenAt, until
 }
@@ -139,8 +141,8 @@
 	return 0
 }
 
-// newReplica returns the replica of the entry. before is its earlier incarnation, nil if none is known: what was sent to that lately
-// may arrive at the new one, if it has the same address, so it counts against what the new one accepts while it is cold.
+// newReplica returns the replica of the entry. before is its earlier incarnation, nil if none is known. Requests that were recently
+// sent to that may arrive at the new one if it has the same address, so they count against what the new one accepts while cold.
 func (st *State) newReplica(item Replica, before *replica) *replica {
 	rep := &replica{Replica: item, slow: 1, announcedSlow: 1}
 	if before != nil && st.slowStartOf(rep).Applies() {
@@ -167,7 +169,7 @@
 	// The entry replaces what was observed before it can have been written.
 	cd.replaceBefore(st.now.Add(-maxEntryAge))
 	if st.reviewCold(rep, source) && st.granter(rep) == st.Options.Name {
-		// The others read the list, too. The note is for those that have no contact to its store, so one of it suffices.
+		// The other instances read the list, too. The note is for those without contact to its store, so that of one instance suffices.
 		st.announceCold(rep)
 	}
 }
@@ -180,7 +182,7 @@
 	cd := &rep.cold
 	until := st.now.Add(ev.Cold)
 	if !ev.Sent.After(cd.observedAt) && !until.After(cd.until()) {
-		// Something newer is known: answers on different connections overtake each other.
+		// A newer observation is known: answers on different connections overtake each other.
 		return
 	}
 	cd.replaceBefore(ev.Sent)
@@ -193,9 +195,9 @@
 	}
 }
 
-// warmAfterEvacuation treats the replica as cold, since the evacuation of its failure domain has ended: the replica got no requests
-// meanwhile and may have restarted or dropped its caches. All instances learn of the end by themselves.
-func (st *State) warmAfterEvacuation(rep *replica) {
+// markColdAfterEvacuation records that the replica is cold, since the evacuation of its failure domain has ended: the replica got no
+// requests during it and may have restarted or dropped its caches. No note is sent, since each instance receives the end itself.
+func (st *State) markColdAfterEvacuation(rep *replica) {
 	if ss := st.slowStartOf(rep); ss.Applies() {
 		rep.cold.observe(st.now, st.now, later(rep.cold.observedUntil, st.now.Add(ss.Duration.Std())))
 		st.reviewCold(rep, sourceEvacuation)
@@ -212,15 +214,16 @@
 	}
 }
 
-// dropSuspectedRestart withdraws what suspectRestart has recorded, since the failure was this instance's own or its reporter's.
+// dropSuspectedRestart withdraws what suspectRestart has recorded, since the path of this instance or of the reporter had failed and
+// not the replica.
 func (st *State) dropSuspectedRestart(rep *replica) {
 	rep.cold.failedAt, rep.cold.failedUntil = time.Time{}, time.Time{}
 	st.reviewCold(rep, sourceAttempt)
 }
 
-// reviewCold updates coldUntil from the signs. source is that of the newest sign. It reports whether that is news for other
-// instances: the replica has become cold, or stays so for noticeably longer.
-func (st *State) reviewCold(rep *replica, source string) (news bool) {
+// reviewCold updates coldUntil from the signs. source is that of the newest sign. It reports whether other instances need a note: the
+// replica has become cold, or stays so for more than coldMargin longer.
+func (st *State) reviewCold(rep *replica, source string) (changed bool) {
 	until := rep.cold.until()
 	if !st.slowStartOf(rep).Applies() || !st.now.Before(until) {
 		if st.isCold(rep) {
@@ -268,7 +271,7 @@
 	st.updateSchedule(rep)
 }
 
-// sourceTime is the source of an end that came by time alone.
+// sourceTime is the source in the log if a cold state ends because its time has passed.
 const sourceTime = "time"
 
 // endCold ends the cold states whose time has passed. It is called before each event.
@@ -299,8 +302,8 @@
 	return ok && pl.reps[0].schedule == nil
 }
 
-// firstColdEnd returns when the first of the service's usable replicas, of those that this instance considers, is not cold any
-// more and accepts requests without grants. ok is false if none is cold or all are limited besides.
+// firstColdEnd returns the earliest end of a cold state among the service's usable candidates without a rate limit: that replica then
+// accepts requests without grants. ok is false if there is no such replica.
 func (st *State) firstColdEnd(svc *service) (end time.Time, ok bool) {
 	for _, rep := range st.candidates(svc) {
 		if rep.usable(st.now) && rep.limit == nil && st.isCold(rep) && (!ok || rep.coldUntil.Before(end)) {
@@ -317,9 +320,9 @@
 	Born int64 `cbor:"2,keyasint,omitempty"`
 	// LeftMs is how much longer in ms the replica is cold, 0 if it is not any more.
 	LeftMs int64 `cbor:"3,keyasint,omitempty"`
-	// AgeMs is how long ago in ms the newest sign of that arrived.
+	// AgeMs is how long ago in ms the newest sign of the cold state arrived.
 	AgeMs int32 `cbor:"4,keyasint,omitempty"`
-	// ProvenAgeMs is how old in ms the newest sign can be at most: an entry may have been written long before it was read.
+	// ProvenAgeMs is the maximum age in ms of the newest sign: an entry may have been written long before it was read.
 	ProvenAgeMs int32 `cbor:"5,keyasint,omitempty"`
 	// Failed reports that the sign is a failure that the same note reports, after which the replica may have restarted.
 	Failed bool `cbor:"6,keyasint,omitempty"`
@@ -329,12 +332,10 @@
 	return cd.Replica != "" && cd.LeftMs >= 0 && cd.LeftMs <= maxColdLeft.Milliseconds() && cd.AgeMs >= 0 && cd.ProvenAgeMs >= 0
 }
 
-// maxColdLeft is the longest time for which a replica is cold by a note: after a failure, the pause that follows it precedes the slow
-// start.
+// maxColdLeft is the maximum of Cold.LeftMs: after a failure, a pause precedes the slow start.
 const maxColdLeft = notice.MaxCold + maxFailurePause
 
-// newestCold returns what is known of the replica's cold state for a note, nothing if nothing is known or its service has no slow
-// start.
+// newestCold returns what is known of the replica's cold state for a note, nil if there is no sign or its service has no slow start.
 func (st *State) newestCold(rep *replica) []Cold {
 	if !st.knowsCold(rep) {
 		return nil
@@ -343,8 +344,8 @@
 	return []Cold{{Replica: rep.Name, Born: rep.Born, LeftMs: left.Milliseconds(), AgeMs: st.ageMs(rep.cold.newestAt()), ProvenAgeMs: st.ageMs(rep.cold.provenAt())}}
 }
 
-// suspectedRestart returns the report of the replica's suspected restart for the note that reports its failure, nothing if
-// there is none.
+// suspectedRestart returns the report of the replica's suspected restart for the note that reports its failure, nil if none is
+// suspected.
 func (st *State) suspectedRestart(rep *replica) []Cold {
 	if !st.slowStartOf(rep).Applies() || !st.now.Before(rep.cold.failedUntil) {
 		return nil
@@ -361,7 +362,7 @@
 	st.emit(SendNote{Note: st.note(Note{Cold: st.newestCold(rep)}), To: st.usersUnlessAll(st.grantingSubset(rep))})
 }
 
-// summarizeCold repeats the cold state of the replicas for which this instance grants sends, for instances that have not heard of it.
+// summarizeCold repeats the cold state of the replicas for which this instance grants sends, for instances that missed earlier notes.
 func (st *State) summarizeCold() {
 	if st.coldEndsAt.IsZero() {
 		return
@@ -392,20 +393,20 @@
 	return list
 }
 
-// receiveCold applies the cold states from another instance's note, but for those after failures.
+// receiveCold applies the cold states from another instance's note, except suspected restarts.
 func (st *State) receiveCold(states []Cold) {
 	for i := range states {
 		cold := &states[i]
 		rep, ok := st.replicas[cold.Replica]
-		// A later incarnation than the one known here counts: an instance without contact to the list's store learns so that the
-		// replica has restarted.
+		// A later incarnation than the one known here is accepted: by it, an instance without contact to the list's store learns
+		// that the replica has restarted.
 		if !ok || rep.Born > cold.Born || cold.Failed {
 			continue
 		}
 		newestAt := st.now.Add(-time.Duration(cold.AgeMs) * time.Millisecond)
 		provenAt := st.now.Add(-time.Duration(cold.ProvenAgeMs) * time.Millisecond)
 		until := st.now.Add(time.Duration(cold.LeftMs) * time.Millisecond)
-		// Where it is not certain which of two statements is the newer one, the one by which the replica is cold for longer counts.
+		// If it is uncertain which of two statements is newer, the one with the later end of the cold state applies.
 		switch {
 		case cold.LeftMs > 0 && (newestAt.After(rep.cold.provenAt()) || cold.Born > rep.Born) && until.After(rep.cold.until().Add(coldMargin)):
 			rep.cold.observe(newestAt, provenAt, until)
@@ -416,14 +417,14 @@
 			continue
 		}
 		if st.reviewCold(rep, sourceNote) && st.granter(rep) == st.Options.Name {
-			// The sender may have read it in the list, and others may have no contact to the list's store.
+			// The sender may have read the state in the list without sending it to all, and some may have no contact to the list's store.
 			st.announceCold(rep)
 		}
 	}
 }
 
-// receiveSuspectedRestarts applies the suspected restarts from a note whose reports of failures were applied already: they count
-// only if those do, since their sender may have lost its own path.
+// receiveSuspectedRestarts applies the suspected restarts from a note. The note's reports of failures must have been applied before: a
+// suspected restart counts only if the failure does, since the sender may have lost its own path.
 func (st *State) receiveSuspectedRestarts(states []Cold) {
 	for i := range states {
 		cold := &states[i]
--- a/internal/steer/warm_failure_test.go
+++ b/internal/steer/warm_failure_test.go
@@ -79,14 +79,14 @@
 		},
 		"two thirds out of touch": {
 			before: func(cw *coldWorld) {
-				cw.outOfTouch = func(node *limitNode) bool { return cw.number(node)%3 > 0 }
+				cw.withoutList = func(node *limitNode) bool { return cw.number(node)%3 > 0 }
 			},
 			minUse: 0.8,
 		},
 		"out of touch, and no answer states it": {
 			before: func(cw *coldWorld) {
 				cw.inAnswers = false
-				cw.outOfTouch = func(node *limitNode) bool { return cw.number(node)%3 > 0 }
+				cw.withoutList = func(node *limitNode) bool { return cw.number(node)%3 > 0 }
 			},
 			minUse: 0.8,
 		},
@@ -184,7 +184,7 @@
 }
 
 func TestEndOfColdStateCausesNoBurst(t *testing.T) {
-	// Guards against a crowd at the end: all instances hold requests back for the same replica, and its cold state ends at all of
+	// Guards against a burst at the end of the cold state: all instances hold requests back for the same replica, and its cold state ends at all of
 	// them at the same moment, so that it, idle by the knowledge of each, gets all of them at once.
 	cw := newColdWorld(1, 60, spreadReplicas(3, 3))
 	cw.load(4*coldPerS*3, 6*time.Second, &short, 5000)
@@ -212,7 +212,7 @@
 	// A replica drops its caches and stays as it is. One answer states that before its next entry does; all instances must know
 	// it a few milliseconds later, those without contact to the list's store included.
 	cw := newColdWorld(1, 30, spreadReplicas(3, 3))
-	cw.outOfTouch = func(*limitNode) bool { return true }
+	cw.withoutList = func(*limitNode) bool { return true }
 	cw.turnCold("lyric-0", coldTime)
 	cw.reduce(cw.nodes[7], steer.ResponseReceived{Replica: "lyric-0", Born: 1, Sent: cw.now, Announced: coldAnswer(coldTime)})
 	assert.Equal(t, cw.coldNodes("lyric-0"), 1)
--- a/internal/steer/warm_test.go
+++ b/internal/steer/warm_test.go
@@ -265,8 +265,8 @@
 }
 
 func TestRequestBeyondTheRateIsRefusedWithItsTurn(t *testing.T) {
-	// A request that cannot go within the bound in its time must not wait for nothing: its caller is told at once when there is
-	// capacity, at the latest when the replica is warm, and not all callers the same time.
+	// A request that cannot go within the bound in its time must be refused at once, with a time to retry at when there is
+	// capacity, at the latest when the replica is warm. The callers must not all get the same time.
 	in := newSlowInstance(t, 1)
 	in.answer(time.Second, 0)
 	refused := map[time.Duration]bool{}
@@ -490,7 +490,7 @@
 }
 
 func TestNoteOfColdStateIsSentOnce(t *testing.T) {
-	// Many answers say that a replica is cold. The cost of telling the others must not grow with the answers, nor with the
+	// Many answers say that a replica is cold. The number of notes to the others must not grow with the answers, nor with the
 	// instances that read the same entry.
 	in := newSlowInstance(t, 1)
 	in.reduce(steer.Peered{Instances: []steer.Instance{{Name: "two", FailureDomain: "a"}, {Name: "three", FailureDomain: "a"}}, Listed: true})
@@ -502,7 +502,7 @@
 	}
 	assert.Equal(t, count, 1)
 
-	// An engine that turns cold and warm by turns.
+	// An engine that is cold and warm in turn.
 	in, count = newSlowInstance(t, 1), 0
 	in.reduce(steer.Peered{Instances: []steer.Instance{{Name: "two", FailureDomain: "a"}, {Name: "three", FailureDomain: "a"}}, Listed: true})
 	for i := range 50 {
@@ -512,7 +512,7 @@
 	}
 	assert.Assert(t, count >= 1 && count <= 3, count)
 
-	// Entries, which the others read, too: one of the three instances tells.
+	// The others read the entries, too, so only one of the three instances sends notes.
 	in, count = newSlowInstance(t, 30), 0
 	in.reduce(steer.Peered{Instances: []steer.Instance{{Name: "two", FailureDomain: "a"}, {Name: "three", FailureDomain: "a"}}, Listed: true})
 	for _, entry := range replicas(30) {
--- a/internal/steer/warm_world_test.go
+++ b/internal/steer/warm_world_test.go
@@ -20,14 +20,14 @@
 	inAnswers, inEntries bool
 	// down holds the names of the replicas that do not run.
 	down map[string]bool
-	// outOfTouch reports whether the instance receives no entries. If it is nil, all do.
-	outOfTouch func(node *limitNode) bool
+	// withoutList reports whether the instance receives no entries. If it is nil, all do.
+	withoutList func(node *limitNode) bool
 	// entryDelay is the longest time from writing an entry until an instance reads it.
 	entryDelay time.Duration
 }
 
 const (
-	// coldUptime is for how long the instances have run at the beginning: until each has heard of all others.
+	// coldUptime is for how long the instances have run at the beginning: until each has received notes of all others.
 	coldUptime = 2200 * time.Millisecond
 	// coldPerS is what a cold replica accepts in the simulations.
 	coldPerS = 14
@@ -76,7 +76,7 @@
 	cw.after(entryInterval, func() { cw.writeEntries(replica) })
 }
 
-// writeEntry makes the replica write its entry, which all instances in touch read a moment later.
+// writeEntry makes the replica write its entry, which all instances but those of withoutList read after up to entryDelay.
 func (cw *coldWorld) writeEntry(replica string) {
 	if cw.down[replica] {
 		return
@@ -88,7 +88,7 @@
 	}
 	entry := cw.replicas[i]
 	for _, node := range cw.nodes {
-		if cw.outOfTouch != nil && cw.outOfTouch(node) {
+		if cw.withoutList != nil && cw.withoutList(node) {
 			continue
 		}
 		cw.inRun(node, time.Duration(cw.random.Int64N(int64(cw.entryDelay))), func() {
@@ -106,7 +106,7 @@
 	}
 }
 
-// stop ends the replicas, whose entries all instances see removed.
+// stop ends the replicas and removes their entries at all instances.
 func (cw *coldWorld) stop(replicas []string) {
 	for _, name := range replicas {
 		cw.down[name] = true
