Comments of evacuations, outages and connections to replicas in plain terms

Unexported names that meant something else elsewhere are renamed (conns.Table.note, paths.Path.stated, domainsInTurn).

--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -1,5 +1,4 @@
-// Package conns keeps account of the connections to replicas: which of them are in use, which are idle, and until when an idle one
-// may be used. It does no I/O and reads no clock.
+// Package conns tracks the connections to replicas: which of them are in use, which are idle, and until when an idle one may be used. It does no I/O and reads no clock.
 package conns
 
 import (
@@ -43,8 +42,8 @@
 	return min(timeout-margin, MaxIdle)
 }
 
-// ProvenAge is how long ago the last response may have ended on a connection that counts as proven alive. Meanwhile the replica, or the
-// path to it, may fail without a sign, so the time is short.
+// ProvenAge is the maximum time since the end of the last response on a connection that counts as proven alive. It is short because
+// the replica, or the path to it, may have failed since then without a sign.
 const ProvenAge = time.Second
 
 // Conn is one connection to a replica. It belongs to the Table that returned it.
@@ -54,7 +53,8 @@
 	use int
 	// idleSince is when the last use ended or, before the first one, when the connection was opened; zero while it is in use.
 	idleSince time.Time
-	closed    bool
+	// closed is set once the connection was removed from the Table.
+	closed bool
 }
 
 // host is what is known of the connections to one address.
@@ -62,7 +62,7 @@
 	address string
 	// conns holds the open connections.
 	conns map[*Conn]struct{}
-	// idle counts those that are idle.
+	// idle is the number of idle connections.
 	idle int
 	// limit is how long a connection may be idle.
 	limit time.Duration
@@ -71,19 +71,20 @@
 // Table holds the connections to all replicas. It is not safe for concurrent use.
 type Table struct {
 	hosts map[string]*host
-	// changed holds the addresses whose having an idle connection has changed since the last call of Changes.
+	// changed holds the addresses that have got their first idle connection (true) or lost their last one (false) since the last call
+	// of Changes.
 	changed map[string]bool
-	// open counts the connections.
+	// open is the number of open connections.
 	open int
-	// idle counts those that are idle.
+	// idle is the number of idle connections.
 	idle int
 }
 
 // New returns a Table without connections.
 func New() *Table { return &Table{hosts: map[string]*host{}, changed: map[string]bool{}} }
 
-// Opened adds a connection to the address. It is idle until it is taken, which may never be: a request may have been given another
-// connection meanwhile.
+// Opened adds a connection to the address. It is idle until it is taken. That may never happen, since the request that it was opened
+// for may have been given another connection.
 func (tbl *Table) Opened(address string, now time.Time) *Conn {
 	hst, ok := tbl.hosts[address]
 	if !ok {
@@ -119,15 +120,15 @@
 	if proven {
 		limit = min(limit/2, ProvenAge)
 	}
-	// Without a time since when it is idle, the end of the last use is not reported yet: the next one follows at once.
+	// If idleSince is zero, this use follows the last one so closely that the end of the last one has not been reported yet.
 	usable := !conn.closed && limit > 0 && (conn.idleSince.IsZero() || now.Sub(conn.idleSince) < limit)
 	tbl.endIdle(conn)
 	conn.use++
 	return conn.use, usable
 }
 
-// Returned ends the use of that number, after which the connection is idle. It has no effect if another use has begun since: the end of
-// a use may be reported after the beginning of the next one.
+// Returned ends the use with the given number and makes the connection idle. It has no effect if another use has begun since, because
+// the end of a use may be reported after the beginning of the next one.
 func (tbl *Table) Returned(conn *Conn, use int, now time.Time) {
 	if conn.closed || conn.use != use || !conn.idleSince.IsZero() {
 		return
@@ -135,13 +136,13 @@
 	tbl.beginIdle(conn, now)
 }
 
-// beginIdle adds the connection to the idle ones.
+// beginIdle marks the connection as idle since now.
 func (tbl *Table) beginIdle(conn *Conn, now time.Time) {
 	conn.idleSince = now
 	conn.host.idle++
 	tbl.idle++
 	if conn.host.idle == 1 {
-		tbl.note(conn.host)
+		tbl.markChanged(conn.host)
 	}
 }
 
@@ -160,7 +161,7 @@
 	return oldest
 }
 
-// endIdle takes the connection from the idle ones.
+// endIdle marks the connection as in use. It has no effect if the connection is not idle.
 func (tbl *Table) endIdle(conn *Conn) {
 	if conn.idleSince.IsZero() {
 		return
@@ -169,13 +170,13 @@
 	conn.host.idle--
 	tbl.idle--
 	if conn.host.idle == 0 {
-		tbl.note(conn.host)
+		tbl.markChanged(conn.host)
 	}
 }
 
-// note records that an address has got its first idle connection or lost its last one. If both have happened since the last call of
+// markChanged records that an address has got its first idle connection or lost its last one. If both have happened since the last call of
 // Changes, nothing has changed.
-func (tbl *Table) note(hst *host) {
+func (tbl *Table) markChanged(hst *host) {
 	if _, ok := tbl.changed[hst.address]; ok {
 		delete(tbl.changed, hst.address)
 		return
@@ -198,8 +199,8 @@
 	return max(0, conn.idleSince.Add(conn.host.limit).Sub(now)), true
 }
 
-// Changes returns the addresses to which there is an idle connection now and was none at the last call, with true, and those for which
-// it is the other way round, with false. It returns nil if there are none.
+// Changes returns the addresses that have got their first idle connection since the last call, with true, and those that have lost their
+// last one, with false. It returns nil if there are none.
 func (tbl *Table) Changes() map[string]bool {
 	if len(tbl.changed) == 0 {
 		return nil
--- a/internal/core/path.go
+++ b/internal/core/path.go
@@ -37,7 +37,7 @@
 	return names
 }
 
-// observedPath returns the path to the service, which knows the failure domains of the upstreams listed now.
+// observedPath returns the path to the service after updating the failure domains of its upstreams from the current list.
 func (st *State) observedPath(service string) *paths.Path {
 	pa := st.pathOf(service)
 	domains := map[string]string{}
@@ -120,7 +120,8 @@
 	}
 }
 
-// reviewOutages logs which failure domains of the service count as down, if that has changed, and probes them where that is due.
+// reviewOutages logs the failure domains of the service that began or ceased to count as down, and sends the probes that are due to
+// those that are down.
 func (st *State) reviewOutages(service string, pa *paths.Path) {
 	began, ended := pa.OutageChanges()
 	for _, domain := range began {
@@ -141,6 +142,7 @@
 	st.probeUpstreams(pa.Probes(st.now, st.upstreamNames(service)))
 }
 
+// probeUpstreams probes those of the upstreams that are still listed.
 func (st *State) probeUpstreams(names []string) {
 	var addresses []string
 	for _, name := range names {
--- a/internal/notice/notice.go
+++ b/internal/notice/notice.go
@@ -61,7 +61,7 @@
 	Returning
 	// RateLimited is an upstream that stated how many requests a second it accepts from all instances together.
 	RateLimited
-	// Warming is an upstream that is cold and accepts only so many requests a second from all instances together.
+	// Warming is an upstream that is cold and accepts a limited number of requests a second from all instances together.
 	Warming
 	// Evacuated is an upstream in a failure domain that the operators have evacuated.
 	Evacuated
--- a/internal/notice/parse.go
+++ b/internal/notice/parse.go
@@ -32,7 +32,7 @@
 	Leaving string
 	// Limit is set to a rate limit in requests per second.
 	Limit string
-	// Cold is set to how long in ms the upstream is still cold.
+	// Cold is set to the time in ms for which the upstream is still cold.
 	Cold string
 }
 
@@ -83,7 +83,7 @@
 // MaxRest is the longest rest, to which a longer one is cut.
 const MaxRest = 24 * time.Hour
 
-// MaxCold is the longest time for which an upstream counts as cold by one of its answers. A longer one is cut to it.
+// MaxCold is the maximum time for which an upstream counts as cold after one of its answers, to which a longer one is cut.
 const MaxCold = time.Hour
 
 // parseSeconds parses a time in seconds of at most MaxRest. It reports false if the text is not a finite number of at least 0,
--- a/internal/paths/outage.go
+++ b/internal/paths/outage.go
@@ -7,33 +7,33 @@
 	"time"
 )
 
-// Outages. Load pattern: the upstreams of a failure domain respond to nobody for seconds, and those of another one soon after. To an instance
-// that uses the upstreams of one failure domain first, that looks like the loss of its path. Two things tell the cases apart: connections to
-// upstreams of other failure domains succeed, and other instances that state no loss have reported the same upstreams. A failure domain whose
-// upstreams fail in a row while another one is reached counts as down: nothing is sent there but a few probes until they succeed.
+// An outage makes all upstreams of a failure domain unresponsive to all instances for seconds, and those of another failure domain may
+// follow soon after. To an instance that prefers the upstreams of one failure domain, an outage looks like the loss of its path. Two
+// observations distinguish an outage: connections to upstreams of other failure domains succeed, and instances that state no loss have
+// reported the same upstreams. A failure domain whose upstreams fail in a row while another one is reached counts as down. Until its
+// upstreams are reached again, only a few probes are sent to it.
 
 const (
-	// maxWitnessDomains is the maximum number of failure domains whose upstreams must fail before the path counts as lost, so that the
-	// probes after a failure are few however many failure domains there are.
+	// maxWitnessDomains is the maximum number of failure domains in which upstreams must fail before the path counts as lost. It bounds
+	// the probes after a failure if there are many failure domains.
 	maxWitnessDomains = 3
 	// minOutageFailures is the number of upstreams of a failure domain that must fail in a row before the failure domain counts as down. With two,
-	// upstreams that crash one by one would often take their failure domain with them.
+	// a failure domain would often count as down because of two independent crashes.
 	minOutageFailures = 3
-	// returnProbes is the number of further upstreams of a failure domain that must be reached, after the first, before the failure domain
-	// does not count as down any more.
+	// returnProbes is the number of further upstreams of a failure domain that are probed at once after the first was reached. If all of
+	// them are reached, the failure domain no longer counts as down.
 	returnProbes = 4
 )
 
-// Verdict is what is concluded from a failure.
+// Verdict is the conclusion from a failure.
 type Verdict int
 
-// The verdicts.
 const (
 	// TooFew means that too few upstreams have failed for any conclusion.
 	TooFew Verdict = iota
-	// DomainsLeft means that upstreams of some failure domain have not failed.
+	// DomainsLeft means that failures are missing in some failure domain, which may still be reached.
 	DomainsLeft
-	// ReportedByOthers means that instances that state no loss have reported the upstreams that fail.
+	// ReportedByOthers means that instances that state no loss have reported the same upstreams as failing.
 	ReportedByOthers
 	// PathLost means that the path is lost.
 	PathLost
@@ -46,30 +46,34 @@
 
 // outage is what is known of the failures in one failure domain.
 type outage struct {
-	// failed holds when upstreams of the failure domain failed, for those that failed since one of them was reached.
+	// failed holds the times of the failures by upstream. It is cleared when an upstream of the failure domain is reached, unless the
+	// failure domain is down: then only that upstream is removed.
 	failed map[string]time.Time
 	// down reports whether the failure domain counts as down.
 	down bool
-	// reached names the upstreams that were reached since.
+	// reached names the upstreams that were reached since the failure domain went down.
 	reached map[string]bool
 	// round names the upstreams of the last round of probes whose result is not known yet.
 	round map[string]bool
-	// roundFailed reports whether one of that round has failed.
+	// roundFailed reports whether a probe of that round has failed.
 	roundFailed bool
 	// probeAt is when the next round is due.
 	probeAt time.Time
-	// checkedAt is when the failure domain was last probed because of reports.
+	// checkedAt is when the failure domain was last probed because other instances reported its upstreams.
 	checkedAt time.Time
 }
 
 // report is another instance's report that an upstream fails.
 type report struct {
-	at       time.Time
+	// at is when the report arrived.
+	at time.Time
+	// reporter is the name of the other instance.
 	reporter string
 }
 
-// FailedElsewhere records that an instance through which a message went while the path is lost does not reach the upstream, or avoids it. The
-// failure domain counts as down if that holds for several of its upstreams: the others tell what the probes of this instance cannot.
+// FailedElsewhere records that another instance, through which a message went while the path is lost, does not reach the upstream or avoids
+// it. The failure domain counts as down if that holds for several of its upstreams. Probes of this instance could not show it, since they
+// fail while its path is lost.
 func (pa *Path) FailedElsewhere(now time.Time, upstream string) {
 	out := pa.outageOf(upstream)
 	if out == nil || !pa.Lost() {
@@ -85,7 +89,7 @@
 // ServedElsewhere records that the upstream answered through another instance, so that its failure domain is not down.
 func (pa *Path) ServedElsewhere(upstream string) { pa.endOutage(pa.domains[upstream]) }
 
-// SetDomains sets the failure domain of each upstream that is in use. What is known of others does not count any more.
+// SetDomains sets the failure domain of each upstream in use, and drops the failures of all other upstreams.
 func (pa *Path) SetDomains(domains map[string]string) {
 	pa.domains = domains
 	pa.members = map[string][]string{}
@@ -100,7 +104,7 @@
 	})
 }
 
-// Forget drops the failures of the upstream, since the list says that it has started anew, which explains them.
+// Forget drops the failures of the upstream. It is called when the list shows that the upstream has restarted, which explains them.
 func (pa *Path) Forget(upstream string) {
 	delete(pa.failed, upstream)
 	delete(pa.reports, upstream)
@@ -112,7 +116,7 @@
 // SeveralDomains reports whether the upstreams are in several failure domains.
 func (pa *Path) SeveralDomains() bool { return len(pa.members) > 1 }
 
-// Down reports whether the upstream's failure domain counts as down and the upstream was not reached since.
+// Down reports whether the upstream's failure domain counts as down and the upstream has not been reached since it went down.
 func (pa *Path) Down(upstream string) bool {
 	out := pa.outages[pa.domains[upstream]]
 	return out != nil && out.down && !out.reached[upstream]
@@ -130,16 +134,16 @@
 	return list
 }
 
-// OutageChanges returns the failure domains that count as down since the last call, and those that do not any more, sorted.
+// OutageChanges returns the failure domains that began to count as down since the last call and those that ceased to, both sorted.
 func (pa *Path) OutageChanges() (began, ended []string) {
 	down := pa.DownDomains()
-	began = slices.DeleteFunc(slices.Clone(down), func(domain string) bool { return slices.Contains(pa.stated, domain) })
-	ended = slices.DeleteFunc(slices.Clone(pa.stated), func(domain string) bool { return slices.Contains(down, domain) })
-	pa.stated = down
+	began = slices.DeleteFunc(slices.Clone(down), func(domain string) bool { return slices.Contains(pa.lastDown, domain) })
+	ended = slices.DeleteFunc(slices.Clone(pa.lastDown), func(domain string) bool { return slices.Contains(down, domain) })
+	pa.lastDown = down
 	return began, ended
 }
 
-// OutageFailures returns the number of upstreams of the failure domain that have failed in a row.
+// OutageFailures returns the number of upstreams of the failure domain that have failed and were not reached since.
 func (pa *Path) OutageFailures(domain string) int {
 	if out := pa.outages[domain]; out != nil {
 		return len(out.failed)
@@ -147,7 +151,8 @@
 	return 0
 }
 
-// outageOf returns the record of the upstream's failure domain, nil if it is the only one.
+// outageOf returns the record of the upstream's failure domain and creates it if needed. It returns nil if the failure domain is unknown,
+// or if it is the only one and has no record.
 func (pa *Path) outageOf(upstream string) *outage {
 	domain, ok := pa.domains[upstream]
 	if !ok || !pa.SeveralDomains() && pa.outages[domain] == nil {
@@ -219,7 +224,7 @@
 	}
 }
 
-// endOutage records that the failure domain is not down any more. What others reported of it before does not count any more.
+// endOutage records that the failure domain is not down any more, and drops the reports of other instances about it.
 func (pa *Path) endOutage(domain string) {
 	if out := pa.outages[domain]; out != nil {
 		*out = outage{failed: map[string]time.Time{}, checkedAt: out.checkedAt}
@@ -227,7 +232,7 @@
 	maps.DeleteFunc(pa.reports, func(name string, _ report) bool { return pa.domains[name] == domain })
 }
 
-// conclude finds out which failure domains are down: their upstreams fail while one of another failure domain is reached.
+// conclude marks the failure domains as down whose upstreams fail while an upstream of another failure domain is reached.
 func (pa *Path) conclude(now time.Time) {
 	if pa.Lost() {
 		return
@@ -251,8 +256,8 @@
 	}
 }
 
-// reachedElsewhere reports whether an upstream of another failure domain was reached after the first of the failures. A connection from before
-// it says nothing of the path: it may have been lost in between.
+// reachedElsewhere reports whether an upstream of another failure domain was reached after the first of the failures. An earlier connection
+// proves nothing, since the path may have been lost after it.
 func (pa *Path) reachedElsewhere(out *outage, domain string) bool {
 	first := slices.MinFunc(slices.Collect(maps.Values(out.failed)), time.Time.Compare)
 	for other, at := range pa.reachedAt {
@@ -263,8 +268,8 @@
 	return false
 }
 
-// Reported records that the reporter, which states no loss, does not reach the upstream but reaches others. It returns which upstreams to
-// probe: if several of one failure domain are reported, one of them, to find out whether it is down.
+// Reported records that the reporter, which states no loss, does not reach the upstream but reaches others. If several upstreams of the
+// failure domain are reported, it returns an upstream of it to probe, which shows whether the failure domain is down.
 func (pa *Path) Reported(now time.Time, random *rand.Rand, upstream, reporter string) []string {
 	if pa.reports == nil {
 		pa.reports = map[string]report{}
@@ -301,7 +306,7 @@
 	return ok && now.Sub(rp.at) <= maxAge
 }
 
-// judge returns what the failures show of the path if the given number of them is needed.
+// judge returns the verdict on the path if the given number of failures is needed for its loss.
 func (pa *Path) judge(now time.Time, needed int) Verdict {
 	if len(pa.failed) < needed {
 		return TooFew
@@ -324,7 +329,7 @@
 			return DomainsLeft
 		}
 		if left < len(pa.domains) {
-			// Where few failure domains are left, a single failure may be the upstream's.
+			// With few failure domains left, a single failure may be due to the upstream instead of the path.
 			needed = min(max(needed, minFailures), left)
 		}
 	}
@@ -334,8 +339,9 @@
 	return PathLost
 }
 
-// Witnesses returns which upstreams to probe after the upstream has failed, to find out whether it is the path: one of each failure domain that
-// has not failed, or another one of the same if all others are down. It is for upstreams in several failure domains; ok is false otherwise.
+// Witnesses returns the upstreams to probe after the given one has failed, to find out whether the path is lost. They are one upstream in
+// each of up to maxWitnessDomains-1 failure domains that have no failures and are not down or, if there are none, another one of the same
+// failure domain. ok is false unless the upstream's failure domain is known and there are several.
 func (pa *Path) Witnesses(now time.Time, random *rand.Rand, upstream string) (names []string, ok bool) {
 	domain, known := pa.domains[upstream]
 	if !known || !pa.SeveralDomains() {
@@ -348,7 +354,7 @@
 	for name := range pa.failed {
 		failed[pa.domains[name]] = true
 	}
-	for _, other := range pa.domainsInTurn(random) {
+	for _, other := range pa.shuffledDomains(random) {
 		if len(names) < maxWitnessDomains-1 && !failed[other] && !pa.isDown(other) {
 			names = append(names, pa.pick(random, other))
 		}
@@ -364,7 +370,7 @@
 	return names, true
 }
 
-// OutageProbes returns which upstreams of failure domains that are down to probe now: one each, and some more once one was reached.
+// OutageProbes returns the upstreams to probe now in failure domains that are down: one in each, and returnProbes once one was reached.
 func (pa *Path) OutageProbes(now time.Time, random *rand.Rand) []string {
 	if pa.Lost() {
 		return nil
@@ -391,18 +397,18 @@
 	return chosen
 }
 
-// domainsInTurn returns the failure domains in random order.
-func (pa *Path) domainsInTurn(random *rand.Rand) []string {
+// shuffledDomains returns the failure domains in random order.
+func (pa *Path) shuffledDomains(random *rand.Rand) []string {
 	domains := slices.Sorted(maps.Keys(pa.members))
 	random.Shuffle(len(domains), func(i, j int) { domains[i], domains[j] = domains[j], domains[i] })
 	return domains
 }
 
-// oneOfEach returns one upstream of each of several failure domains that are not down, and at least as many as must fail before the path counts
-// as lost, if there are.
+// oneOfEach returns one upstream of each of up to maxWitnessDomains failure domains that are not down. If these are fewer than minFailures, it
+// adds further upstreams of the same failure domains.
 func (pa *Path) oneOfEach(random *rand.Rand) []string {
 	var chosen, rest []string
-	for _, domain := range pa.domainsInTurn(random) {
+	for _, domain := range pa.shuffledDomains(random) {
 		if pa.isDown(domain) || len(chosen) == maxWitnessDomains {
 			continue
 		}
@@ -428,7 +434,7 @@
 	return names[random.IntN(len(names))]
 }
 
-// allDown reports whether all failure domains count as down, so that none shows that the path is not lost.
+// allDown reports whether all failure domains count as down. Then no failure domain can show that the path is not lost.
 func (pa *Path) allDown() bool {
 	for domain := range pa.members {
 		if !pa.isDown(domain) {
@@ -438,7 +444,7 @@
 	return true
 }
 
-// outageKnown reports whether failures in some failure domain are not followed by a success.
+// outageKnown reports whether a failure domain is down or has failures that no success has followed.
 func (pa *Path) outageKnown() bool {
 	for _, out := range pa.outages {
 		if out.down || len(out.failed) > 0 {
--- a/internal/paths/paths.go
+++ b/internal/paths/paths.go
@@ -26,7 +26,7 @@
 	// firstProbes is the number of upstreams that are probed at once when a path is lost: if one answers, several upstreams
 	// failed at the same moment.
 	firstProbes = 3
-	// partialProbes is the number of upstreams that are probed at once while upstreams come back one by one.
+	// partialProbes is the number of upstreams in a round of probes after a round in which some have failed.
 	partialProbes = 8
 	// aloneTime is how long a path does not count as lost after it was found that there are no other instances.
 	aloneTime = time.Second
@@ -60,7 +60,7 @@
 	probedAt map[string]time.Time
 	// confirmed reports whether the first probes after the loss have failed, too.
 	confirmed bool
-	// Judged is what was concluded from the last failure, while the path is not lost.
+	// Judged is the verdict on the last failure that occurred while the path was not lost.
 	Judged Verdict
 	// domains holds the failure domain of each upstream in use, and members the upstreams of each failure domain, sorted. Both are nil if
 	// nothing is known of failure domains.
@@ -68,15 +68,15 @@
 	members map[string][]string
 	// outages holds what is known of the failures in each failure domain.
 	outages map[string]*outage
-	// stated names the failure domains that the last call of OutageChanges found down.
-	stated []string
+	// lastDown names the failure domains that the last call of OutageChanges found down.
+	lastDown []string
 	// reachedAt holds when a connection to an upstream of each failure domain last succeeded.
 	reachedAt map[string]time.Time
 	// reports holds the last report of another instance about each upstream.
 	reports map[string]report
-	// partial reports whether a probe has failed since the last round of probes of all upstreams: only some of them are back.
+	// partial reports whether a connection has failed since the last round of probes began, so that only some upstreams are back.
 	partial bool
-	// roundSize is the size of the next such round, 0 for all.
+	// roundSize is the number of upstreams in the last such round, 0 before the first.
 	roundSize int
 }
 
@@ -96,7 +96,7 @@
 // Direct reports whether messages to the upstream should be sent without a detour.
 func (pa *Path) Direct(upstream string) bool { return !pa.Lost() || pa.reached[upstream] }
 
-// ReachesSome reports whether the path is lost and some upstreams are reached nevertheless.
+// ReachesSome reports whether the path is lost although some upstreams are reached.
 func (pa *Path) ReachesSome() bool { return pa.Lost() && len(pa.reached) > 0 }
 
 // Failures returns the number of upstreams that failed since a connection succeeded.
@@ -168,8 +168,8 @@
 	return len(pa.reached) > 0 && pa.endIfWhole(now, upstreams)
 }
 
-// endIfWhole ends the loss if no upstream is left that others may reach and this instance does not. Those of a failure domain that was down
-// before the loss are not waited for.
+// endIfWhole ends the loss if no upstream is left that others may reach and this instance does not. It does not
+// wait for upstreams of failure domains that are down.
 func (pa *Path) endIfWhole(now time.Time, upstreams []string) bool {
 	if slices.ContainsFunc(upstreams, func(name string) bool { return !pa.reached[name] && !pa.dead[name] && !pa.isDown(pa.domains[name]) }) {
 		return false
@@ -253,8 +253,8 @@
 	return left
 }
 
-// Drop removes the upstream, which is not used any more, from what shows whether the path is lost. upstreams are those left. It reports
-// whether the path is regained by that.
+// Drop removes the record of an upstream that is not used any more. upstreams are the remaining ones. It reports whether the path is
+// regained by that.
 func (pa *Path) Drop(now time.Time, upstream string, upstreams []string) bool {
 	for _, times := range []map[string]time.Time{pa.failed, pa.probedAt} {
 		delete(times, upstream)
@@ -265,9 +265,9 @@
 	return pa.Lost() && (len(upstreams) == 0 || len(pa.reached) > 0) && pa.endIfWhole(now, upstreams)
 }
 
-// nextRoundSize returns how many upstreams to probe since one was reached: all, at first. If some of them fail, the upstreams come back one by
-// one, and a round of all after each would be a connection to each upstream at each instance several times a second: few are probed then,
-// and twice as many as before once all of those were reached.
+// nextRoundSize returns how many of the upstreams to probe after one was reached. The first round probes all. If some of them fail, the
+// upstreams come back one by one, and probing all after each would open a connection from each instance to each upstream several times a
+// second. The next round is then partialProbes, and each round in which none fails doubles the size.
 func (pa *Path) nextRoundSize(upstreams int) int {
 	size := upstreams
 	switch {
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -25,7 +25,7 @@
 	dialTimeout = 600 * time.Millisecond
 	// peerIdleTimeout is how long an idle connection to another Instance is kept.
 	peerIdleTimeout = 3 * time.Second
-	// maxIdlePerHost is how many idle connections to one address are kept.
+	// maxIdlePerHost is the maximum number of idle connections to one address.
 	maxIdlePerHost = 4
 	// probeTimeout is the timeout of refusesConnections, which checks whether a replica still accepts connections after
 	// an attempt broke or its replica fell silent.
@@ -333,8 +333,8 @@
 	drainTimeout = 20 * time.Millisecond
 )
 
-// drainBody reads the rest of the body of a refusal, which nobody wants: net/http closes the connection of a response whose body is
-// closed before its end.
+// drainBody reads and discards the rest of a refusal's body, since net/http closes the connection of a response whose body is closed
+// before its end.
 func drainBody(resp *http.Response) {
 	if resp.ContentLength < 0 || resp.ContentLength > maxDrained {
 		return
--- a/internal/relay/confirm.go
+++ b/internal/relay/confirm.go
@@ -50,8 +50,8 @@
 	Version int64 `cbor:"7,keyasint,omitempty"`
 	// Kept are the evacuations in force at the sender that the store has lost.
 	Kept []keptEvacuation `cbor:"8,keyasint,omitempty"`
-	// Evacuations reports whether Changes contains those of evacuations. Instances of earlier versions pass them on as changes that are
-	// irrelevant.
+	// Evacuations reports whether Changes contains the changes of evacuations. Instances of earlier versions pass these on as irrelevant
+	// changes.
 	Evacuations bool `cbor:"9,keyasint,omitempty"`
 }
 
--- a/internal/relay/entries.go
+++ b/internal/relay/entries.go
@@ -15,7 +15,7 @@
 	mu       sync.Mutex
 	replicas map[string]steer.Replica
 	peers    map[string]Peer
-	// evacuated holds the evacuated failure domains that the store names, sorted.
+	// evacuated holds the names of the evacuated failure domains in the store, sorted.
 	evacuated []string
 }
 
--- a/internal/relay/evacuate.go
+++ b/internal/relay/evacuate.go
@@ -14,17 +14,17 @@
 	"dandelionsail.example/dandelionsail/internal/steer"
 )
 
-// The evacuated failure domains are followed like the rest of the directory: read as a whole, updated by changes, passed on by peers. The
-// reducer is told the whole set whenever it has changed.
+// The follower keeps the set of evacuated failure domains like the rest of the directory: it reads the set as a whole, updates it by
+// changes, and receives both from peers as well. The reducer gets the whole set whenever it has changed.
 
 const (
-	// lostEvacuationTime is how long an evacuation stays in force that a return of the store has lost, so that the operators can write it
-	// again: they do within some seconds.
+	// lostEvacuationTime is how long an evacuation stays in force after a return of the store has lost it. The operators write it again
+	// within some seconds.
 	lostEvacuationTime = 10 * time.Second
-	// maxDomainName is the maximum length in bytes of a failure domain's name that can be evacuated. A change must fit into a datagram
-	// to the other instances together with others.
+	// maxDomainName is the maximum length in bytes of the name of a failure domain that can be evacuated. The change must fit into a
+	// datagram together with others.
 	maxDomainName = 256
-	// maxDomainLogged is the maximum length in bytes at which the name of a failure domain is logged.
+	// maxDomainLogged is the length in bytes to which the name of a failure domain is cut in the log.
 	maxDomainLogged = 60
 	// evacuatedPrefix is the name prefix of the gauges of evacuated replicas.
 	evacuatedPrefix = "Evacuated.Replicas."
@@ -32,27 +32,28 @@
 
 // evacuations is what the follower knows of evacuated failure domains.
 type evacuations struct {
-	// stored holds those that the store names, and whether the name was compared with those of the replicas' failure domains.
+	// stored holds the names that the store contains, each with whether warnOfUnknownDomains has checked it.
 	stored map[string]bool
-	// lost holds, by name, until when those stay in force that a return of the store has lost.
+	// lost holds the evacuations that a return of the store has lost, each with the time until which it stays in force.
 	lost map[string]time.Time
-	// inForce is the sorted set that the reducer was told last.
+	// inForce is the sorted set that the reducer received last.
 	inForce []string
-	// ignored holds the unusable names for which a line was written.
+	// ignored holds the unusable names that were logged.
 	ignored map[string]bool
-	// settled holds the names that are not taken from other instances any more, since the store has named them or one was taken.
+	// settled holds the names that adoptEvacuations no longer takes from other instances: those that the store has contained or changed,
+	// and those that were taken before.
 	settled map[string]bool
 }
 
-// keptEvacuation is an evacuation that a return of the store has lost and that stays in force for a while, as one Instance states it to
-// another that may have started since.
+// keptEvacuation is an evacuation that a return of the store has lost and that stays in force for LeftMs. An Instance sends it to others,
+// since they may have started after the return.
 type keptEvacuation struct {
 	FailureDomain string `cbor:"1,keyasint,omitempty"`
-	// LeftMs is for how long in ms it stays in force.
+	// LeftMs is the time in ms for which it stays in force.
 	LeftMs int64 `cbor:"2,keyasint,omitempty"`
 }
 
-// maxKeptEvacuations is the maximum number of them in a packet, which must fit into a datagram.
+// maxKeptEvacuations is the maximum number of kept evacuations in a packet, which must fit into a datagram.
 const maxKeptEvacuations = 8
 
 // missesEvacuations reports whether changes that an Instance of an earlier version sent may have been evacuations.
@@ -60,15 +61,16 @@
 	return !conf.Evacuations && slices.ContainsFunc(conf.Changes, func(chg Change) bool { return chg == Change{Revision: chg.Revision} })
 }
 
-// readEvacuations has the whole directory read soon, since the evacuations may have changed without this Instance knowing how.
+// readEvacuations schedules a read of the whole directory within the return window, because a peer of an earlier version cannot pass
+// evacuations on.
 func (fl *follower) readEvacuations() {
 	if fl.reread.IsZero() {
 		fl.reread = time.Now().Add(rand.N(fl.in.returnWindow()))
 	}
 }
 
-// replaceEvacuations applies the whole set that the store names. returned reports whether the store has returned from a copy, so that the set
-// may lack some that are in force.
+// replaceEvacuations replaces the stored set by names. returned reports whether the store has returned from a copy: evacuations that are
+// then missing from names stay in force for lostEvacuationTime.
 func (fl *follower) replaceEvacuations(names []string, at posit.Position, returned bool) {
 	evs := &fl.evacuations
 	before := evs.stored
@@ -99,8 +101,8 @@
 	fl.publishEvacuations(at)
 }
 
-// applyEvacuations applies the changes up to the position, which come from the Instance at the address or from the store. Changes of unusable
-// names are cleared, so that they are not passed on.
+// applyEvacuations applies the changes up to the position. They come from the Instance at the address, or from the store if from is nil.
+// Changes with unusable names are cleared, so that they are not passed on.
 func (fl *follower) applyEvacuations(changes []Change, upTo posit.Position, from *net.UDPAddr) {
 	changed := false
 	for i := range changes {
@@ -114,7 +116,7 @@
 			continue
 		}
 		changed = true
-		// The operators have written or removed the key since the store returned.
+		// The change shows that the operators have written or removed the key since the store returned.
 		delete(fl.evacuations.lost, name)
 		fl.evacuations.settle(name)
 		_, known := fl.evacuations.stored[name]
@@ -132,7 +134,7 @@
 	}
 }
 
-// settle records that the name is not taken from other instances any more.
+// settle adds the name to settled.
 func (evs *evacuations) settle(name string) {
 	if evs.settled == nil {
 		evs.settled = map[string]bool{}
@@ -140,7 +142,7 @@
 	evs.settled[name] = true
 }
 
-// store records that the store names the failure domain.
+// store adds the name to stored, not yet checked by warnOfUnknownDomains.
 func (evs *evacuations) store(name string) {
 	if evs.stored == nil {
 		evs.stored = map[string]bool{}
@@ -148,7 +150,7 @@
 	evs.stored[name] = false
 }
 
-// usableDomain reports whether the name may be that of a failure domain, and writes a line the first time it may not.
+// usableDomain reports whether a failure domain of that name can be evacuated. It logs each unusable name once.
 func (fl *follower) usableDomain(name string, at posit.Position) bool {
 	if name != "" && len(name) <= maxDomainName {
 		return true
@@ -174,7 +176,7 @@
 // maxIgnoredDomains is the maximum number of unusable names that are remembered so that each is logged once.
 const maxIgnoredDomains = 64
 
-// publishEvacuations tells the reducer the set if it has changed.
+// publishEvacuations updates what is served to peers, and sends the set in force to the reducer if it has changed.
 func (fl *follower) publishEvacuations(at posit.Position) {
 	evs := &fl.evacuations
 	union := maps.Clone(evs.lost)
@@ -195,8 +197,8 @@
 	fl.in.apply(steer.Evacuated{FailureDomains: names, Revision: at.Revision})
 }
 
-// warnOfUnknownDomains writes one line for each evacuated failure domain that no replica is in. The evacuation is kept, since replicas may
-// appear there.
+// warnOfUnknownDomains logs each evacuated failure domain without replicas once. The evacuation is kept, since replicas may register there
+// later.
 func (fl *follower) warnOfUnknownDomains(at posit.Position) {
 	for _, name := range slices.Sorted(maps.Keys(fl.evacuations.stored)) {
 		if checked := fl.evacuations.stored[name]; checked {
@@ -209,7 +211,7 @@
 	}
 }
 
-// keepEvacuation keeps an evacuation in force that the store has lost.
+// keepEvacuation keeps an evacuation that the store has lost in force for the period.
 func (fl *follower) keepEvacuation(name string, period time.Duration) {
 	if fl.evacuations.lost == nil {
 		fl.evacuations.lost = map[string]time.Time{}
@@ -232,7 +234,7 @@
 	}
 }
 
-// kept returns the evacuations that the store has lost and that are still in force here.
+// kept returns at most maxKeptEvacuations evacuations that the store has lost and that are still in force here.
 func (in *Instance) kept() (kept []keptEvacuation) {
 	lost := in.keptEvacuations.Load()
 	if lost == nil {
@@ -258,8 +260,8 @@
 	})
 }
 
-// adoptEvacuations puts those evacuations into force here that the store has lost and another Instance keeps. Only an Instance that has
-// started since the store returned does so, since any other keeps them itself.
+// adoptEvacuations puts evacuations into force that the store has lost and the Instance at the address keeps. Only an Instance that has
+// started since the store returned needs them: any other keeps them itself.
 func (fl *follower) adoptEvacuations(from *net.UDPAddr, conf *confirmation) {
 	if len(conf.Kept) == 0 || !fl.returnedAt.IsZero() || !fl.position().SameEra(conf.position()) {
 		return
@@ -279,8 +281,8 @@
 	}
 }
 
-// logEvacuation logs what is known of the evacuation as of the position, and counts it. The age of the state is how long the change
-// may have been in the store.
+// logEvacuation logs and counts a change of the evacuation. ConfirmedMs in the line is the maximum time for which the change may have been
+// in the store.
 func (fl *follower) logEvacuation(message, name string, at posit.Position, from *net.UDPAddr) {
 	fl.in.count("Evacuations.Count." + message)
 	source := "store"
@@ -294,12 +296,12 @@
 	entry.Msg(message)
 }
 
-// withDomain adds the name of a failure domain to a line.
+// withDomain adds the name of a failure domain, cut to maxDomainLogged, to a log line.
 func withDomain(entry *log.Entry, name string) *log.Entry {
 	return entry.Str("FailureDomain", strings.ToValidUTF8(name[:min(len(name), maxDomainLogged)], ""))
 }
 
-// updateEvacuationMetrics replaces the gauges of the replicas in each evacuated failure domain.
+// updateEvacuationMetrics replaces the gauges of the evacuated failure domains and of the replicas in each.
 func (in *Instance) updateEvacuationMetrics() {
 	in.mu.Lock()
 	counts := in.state.EvacuatedReplicas()
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -55,8 +55,8 @@
 
 // exchange sends the message to its replica and returns the response, unless an announcement holds the message back. All
 // messages to replicas pass through exchange, and all that replicas announce in their answers is read here. newConnection prevents
-// the use of a kept connection, unless the replica's service declares how many connections it accepts: then a kept connection is used
-// that was just proven alive. If the path to the replica is lost, the message goes through another Instance.
+// the use of a kept connection. If the replica's service declares how many connections it accepts, a kept connection that was just
+// proven alive is used nevertheless. If the path to the replica is lost, the message goes through another Instance.
 func (in *Instance) exchange(newConnection bool, msg message, req *http.Request) (*http.Response, ResponseInfo, error) {
 	verdict, err := in.checkMessage(msg, false)
 	if err != nil {
@@ -237,7 +237,7 @@
 }
 
 // probe reports whether the replica accepts a new connection within probeTimeout. known is false if ctx ends first or if the probe is held
-// back, so that nothing follows from it.
+// back.
 func (in *Instance) probe(ctx context.Context, replica steer.Replica) (reached, known bool) {
 	if _, err := in.checkMessage(message{to: steer.Target{Replica: replica, Kind: notice.Probe}}, false); err != nil {
 		return false, false
--- a/internal/relay/follow.go
+++ b/internal/relay/follow.go
@@ -70,7 +70,7 @@
 	lastReturn posit.Position
 	// evacuations are the evacuated failure domains.
 	evacuations evacuations
-	// lastUndecodable is the error that was logged last for a configuration that cannot be decoded.
+	// lastUndecodable is the last logged error of a configuration that cannot be decoded.
 	lastUndecodable string
 }
 
--- a/internal/relay/instance.go
+++ b/internal/relay/instance.go
@@ -61,7 +61,7 @@
 	pooled *http.Transport
 	// unpooled opens a new connection for each request.
 	unpooled *http.Transport
-	// conns keeps account of the connections of pooled and unpooled.
+	// conns tracks the connections of pooled and unpooled.
 	conns *replicaConns
 	// pooledPeer reuses connections to other instances.
 	pooledPeer *http.Transport
@@ -93,7 +93,8 @@
 	changes changeLog
 	// entries holds the entries of the Directory in use.
 	entries entries
-	// keptEvacuations holds until when those evacuations stay in force that the store has lost, nil before the first read of the Directory.
+	// keptEvacuations holds the evacuations that the store has lost, each with the time until which it stays in force. It is nil before
+	// the first read of the Directory.
 	keptEvacuations atomic.Pointer[map[string]time.Time]
 	draining        atomic.Bool
 	// detours is the number of messages that are being passed on for other instances.
--- a/internal/relay/ports.go
+++ b/internal/relay/ports.go
@@ -77,7 +77,7 @@
 	Quarantines []Quarantine
 	// Evacuated names the failure domains that the operators have evacuated.
 	Evacuated []string
-	// evacuationsUnknown reports whether the contents come from an Instance that does not know the evacuations.
+	// evacuationsUnknown reports whether the contents come from an Instance of an earlier version, which knows no evacuations.
 	evacuationsUnknown bool
 }
 
@@ -109,14 +109,14 @@
 	Routing bool `cbor:"6,keyasint,omitempty"`
 	// Quarantine was recorded.
 	Quarantine *Quarantine `cbor:"7,keyasint,omitempty"`
-	// Evacuation was begun or ended.
+	// Evacuation is one that was begun or ended.
 	Evacuation *Evacuation `cbor:"8,keyasint,omitempty"`
 }
 
 // Evacuation is the operators' request that nothing new be sent to the replicas of a failure domain.
 type Evacuation struct {
 	FailureDomain string `cbor:"1,keyasint,omitempty"`
-	// Ended reports that the request was taken back.
+	// Ended reports whether the request was withdrawn.
 	Ended bool `cbor:"2,keyasint,omitempty"`
 }
 
--- a/internal/relay/replicaconn.go
+++ b/internal/relay/replicaconn.go
@@ -17,17 +17,17 @@
 	"dandelionsail.example/dandelionsail/internal/trip"
 )
 
-// connCause is why a connection to a replica was opened. It is the last part of a metric's name.
+// connCause is the reason for opening a connection to a replica. It is the last part of a metric's name.
 type connCause string
 
 const (
-	// causeRequired is a request that may run only once and is given no kept connection.
+	// causeRequired is a request that may run only once and for which no kept connection is used.
 	causeRequired connCause = "Required"
 	// causeNoneIdle is a request for which there was no idle connection.
 	causeNoneIdle connCause = "NoneIdle"
 	// causeOrder is an order, a reservation or a load query for which there was no idle connection.
 	causeOrder connCause = "Order"
-	// causePassedOn is a message of another Instance for which there was no idle connection.
+	// causePassedOn is a message that is passed on for another Instance and for which there was no idle connection.
 	causePassedOn connCause = "PassedOn"
 	// causeReplicaProbe is a probe of whether a replica is alive.
 	causeReplicaProbe connCause = "ReplicaProbe"
@@ -56,7 +56,7 @@
 	return context.WithValue(ctx, causeKey{}, cause)
 }
 
-// replicaConns keeps account of the connections to replicas and closes those that were idle for too long. It is safe for concurrent use.
+// replicaConns tracks the connections to replicas and closes those that were idle for too long. It is safe for concurrent use.
 type replicaConns struct {
 	// count counts an event by the name of its metric.
 	count func(name string)
@@ -73,10 +73,10 @@
 	return &replicaConns{count: count, table: conns.New(), all: map[*conns.Conn]*replicaConn{}}
 }
 
-// minUnused is how long a new connection is kept at least until a message is given it.
+// minUnused is the minimum time for which a new connection that no message has used yet is kept.
 const minUnused = time.Second
 
-// dialer returns a dialer whose connections are counted by their causes and kept account of.
+// dialer returns a dialer whose connections are tracked and counted by their causes.
 func (rcs *replicaConns) dialer(dial notice.Dialer) notice.Dialer {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		cause, _ := ctx.Value(causeKey{}).(connCause)
@@ -89,7 +89,7 @@
 		rcs.mu.Lock()
 		defer rcs.mu.Unlock()
 		rc := &replicaConn{Conn: conn, conns: rcs, address: address, entry: rcs.table.Opened(address, time.Now())}
-		// The message that it is opened for must be given it first, also if the replica keeps no idle connection.
+		// The connection must last until the message that it is opened for is given it, also if the replica keeps no idle connections.
 		left, _ := rcs.table.Expiry(rc.entry, time.Now())
 		rc.timer = time.AfterFunc(max(left, minUnused), rc.expire)
 		rcs.all[rc.entry] = rc
@@ -101,9 +101,12 @@
 // replicaConn is a connection to a replica.
 type replicaConn struct {
 	net.Conn
-	conns   *replicaConns
+	// conns tracks the connection.
+	conns *replicaConns
+	// address is the replica's address.
 	address string
-	entry   *conns.Conn
+	// entry is the connection's entry in conns.table.
+	entry *conns.Conn
 	// timer calls expire.
 	timer *time.Timer
 }
@@ -116,8 +119,8 @@
 	return rc.Conn.Close()
 }
 
-// remove removes the connection from the account. A message that is given it from now on closes it and writes nothing to it, so that it can
-// be closed without breaking a message off. conns.mu is held.
+// remove stops tracking the connection. A message that is given it from now on closes it and writes nothing to it, so that closing it
+// breaks off no message. conns.mu is held.
 func (rc *replicaConn) remove() {
 	rc.timer.Stop()
 	rc.conns.table.Closed(rc.entry)
@@ -125,7 +128,8 @@
 	rc.conns.changed.Store(rc.conns.table.HasChanges())
 }
 
-// expire closes the connection if it has been idle for too long. A request that is given it meanwhile writes nothing and gets another one.
+// expire closes the connection if it has been idle for too long. A request that is given it at the same moment writes nothing to it and
+// gets another one.
 func (rc *replicaConn) expire() {
 	rc.conns.mu.Lock()
 	left, idle := rc.conns.table.Expiry(rc.entry, time.Now())
@@ -145,6 +149,7 @@
 
 // connUse is the use of a connection by one message.
 type connUse struct {
+	// conns tracks the connection.
 	conns *replicaConns
 	// bound is how many idle connections to the replica may be kept.
 	bound steer.ConnectionBound
@@ -152,7 +157,7 @@
 	proven bool
 	// conn is nil before the message has a connection.
 	conn *replicaConn
-	// number is the number of the use.
+	// number is the number that conns.Table gave to the use.
 	number int
 }
 
@@ -188,8 +193,8 @@
 	}
 }
 
-// closedByPeer reports whether the replica is known to have closed the idle connection, or to have sent something on it. net/http learns
-// of that in another goroutine, which may run too late: the request would be written, and nobody could tell whether it ran.
+// closedByPeer reports whether the replica is known to have closed the idle connection, or to have sent something on it. net/http
+// notices that in another goroutine, which may run too late: the request would be written, and it would be unknown whether it ran.
 func closedByPeer(conn net.Conn) bool {
 	sys, ok := conn.(syscall.Conn)
 	if !ok {
@@ -209,7 +214,7 @@
 	return err != nil || closed
 }
 
-// answered records the header of the response.
+// answered records the timeout of idle connections in the header of the response.
 func (cu *connUse) answered(header http.Header) {
 	cu.conns.mu.Lock()
 	defer cu.conns.mu.Unlock()
@@ -219,8 +224,9 @@
 	}
 }
 
-// end records that the connection was kept after the response. If that is one more than may be kept, the one that has been idle the
-// longest is closed. net/http may just have given that one to another message, which then writes nothing and gets another connection.
+// end records that the connection was kept after the response. If there are now more idle connections than may be kept, it closes the one
+// that has been idle the longest. net/http may just have given that one to another message, which then writes nothing to it and gets
+// another connection.
 func (cu *connUse) end() {
 	cu.conns.mu.Lock()
 	if cu.conn == nil {
@@ -251,8 +257,8 @@
 	}
 }
 
-// takeChanges returns the addresses to which the first idle connection was kept, or the last one lost, since the last call. It costs
-// next to nothing if there are none.
+// takeChanges returns the addresses to which the first idle connection was kept, or the last one lost, since the last call. If there
+// are none, it costs one atomic read.
 func (rcs *replicaConns) takeChanges() map[string]bool {
 	if !rcs.changed.Load() {
 		return nil
--- a/internal/relay/share.go
+++ b/internal/relay/share.go
@@ -29,7 +29,7 @@
 	Era      int64           `cbor:"3,keyasint,omitempty"`
 	Replicas []steer.Replica `cbor:"4,keyasint,omitempty"`
 	Peers    []Peer          `cbor:"5,keyasint,omitempty"`
-	// Evacuated names the failure domains that the operators have evacuated, as the store does.
+	// Evacuated holds the names of the evacuated failure domains in the store.
 	Evacuated []string `cbor:"6,keyasint,omitempty"`
 	// Evacuations reports whether Evacuated is known. It is missing from instances of earlier versions.
 	Evacuations bool `cbor:"7,keyasint,omitempty"`
@@ -159,10 +159,10 @@
 	return fl.in.fetchRouting(ctx, from, atLeast)
 }
 
-// isUndecodable reports whether the error says that the store's configuration cannot be decoded.
+// isUndecodable reports whether the error is an UndecodableConfig.
 func isUndecodable(err error) bool { return errorx.IsOfType(err, UndecodableConfig) }
 
-// logUndecodable logs, once for each such configuration, that the store's cannot be decoded. at is where it was read.
+// logUndecodable logs that the store's configuration at the position cannot be decoded, once for each error.
 func (fl *follower) logUndecodable(err error, at posit.Position) {
 	if err == nil || err.Error() == fl.lastUndecodable {
 		return
--- a/internal/relay/update.go
+++ b/internal/relay/update.go
@@ -129,7 +129,7 @@
 	}
 	fl.loaded = true
 	fl.in.entries.replace(snap.Replicas, snap.Peers)
-	// Before the replicas are listed, so that nothing is placed at those of an evacuated failure domain in between.
+	// Evacuations are applied before the replicas are listed, so that nothing is placed at those of an evacuated failure domain.
 	if snap.evacuationsUnknown {
 		fl.readEvacuations()
 	} else {
@@ -212,7 +212,7 @@
 // only some of the changes would count as complete. The changes come from the Instance at the address, or from the
 // store if from is nil.
 func (fl *follower) applyChanges(ctx context.Context, from *net.UDPAddr, changes []Change, upTo posit.Position) error {
-	// Evacuations come first: they must not wait until the configuration can be read.
+	// Evacuations are applied first, since they must take effect even if the configuration cannot be read.
 	fl.applyEvacuations(changes, upTo, from)
 	listChanged, peersChanged, configuredAt := fl.classify(changes, upTo)
 	if configuredAt != nil {
--- a/internal/trip/trip.go
+++ b/internal/trip/trip.go
@@ -53,11 +53,11 @@
 
 // Hooks are functions that are called while a request is sent. Each may be nil.
 type Hooks struct {
-	// Connected is called before anything is written, with the connection as the dialer under the CountingDialer returned it and with
-	// whether it is a kept one. If it closes the connection, nothing is written, and a kept one counts as a StaleConn.
+	// Connected is called before anything is written. conn is the connection that the dialer wrapped by the CountingDialer returned, and
+	// reused reports whether it is a kept one. If Connected closes it, nothing is written, and a kept one counts as a StaleConn.
 	Connected func(conn net.Conn, reused bool)
-	// Kept is called when the connection is kept after the response, with the connection of the last call of Connected. It may be
-	// called after the connection was given to the next request.
+	// Kept is called when the connection of the last call of Connected is kept after the response. It may be called after that
+	// connection was given to the next request.
 	Kept func()
 }
 
@@ -104,6 +104,7 @@
 
 // trace records the connections that a request is given.
 type trace struct {
+	// connected is Hooks.Connected.
 	connected func(conn net.Conn, reused bool)
 	mu        sync.Mutex
 	// conn is the latest connection, nil before the first or if it does not count.
--- a/pkg/decl/routing.go
+++ b/pkg/decl/routing.go
@@ -87,7 +87,7 @@
 	Connections int
 	// Engine is the declared performance of a model engine; nil for plain services.
 	Engine *Engine
-	// SlowStart is what a replica accepts while it is cold; the zero value is no limit.
+	// SlowStart is the limit on the requests to a cold replica; the zero value is no limit.
 	SlowStart SlowStart
 }
 
@@ -95,11 +95,11 @@
 type SlowStart struct {
 	// Duration is how long a replica is cold after its start.
 	Duration Duration
-	// PerS is how many requests a second a cold replica accepts from all instances together.
+	// PerS is the number of requests a second that a cold replica accepts from all instances together.
 	PerS float64
 }
 
-// Applies reports whether cold replicas have a limit.
+// Applies reports whether there is a limit on the requests to cold replicas.
 func (ss SlowStart) Applies() bool { return ss.Duration > 0 && ss.PerS > 0 }
 
 // Index builds the index of Find, whose time then depends on the depth of the path instead of the number of routes.
