Head comments of tests and design notes in plain terms

Some head comments told a course of events without the failure that the test guards against, and sentences of the design notes had no clear subject. They are rewritten; no check, fact or figure differs.

--- a/internal/conns/conns_test.go
+++ b/internal/conns/conns_test.go
@@ -67,7 +67,7 @@
 }
 
 func TestTimeoutAppliesToAllConnectionsOfTheReplica(t *testing.T) {
-	// One answer states the timeout, the next one on another connection does not: an error's header is often shorter.
+	// The header of an error often lacks the timeout. One that a response on another connection has stated must then still apply.
 	tbl := conns.New()
 	first, second := tbl.Opened("a", start), tbl.Opened("a", start)
 	tbl.Taken(first, start, false)
@@ -80,7 +80,7 @@
 }
 
 func TestEndOfAUseAfterTheNextHasBegun(t *testing.T) {
-	// net/http reports that a connection is kept after it may have given it to the next request. That connection is in use.
+	// net/http may report that a connection is kept after giving it to the next request. The connection must then count as in use.
 	tbl := conns.New()
 	conn := tbl.Opened("a", start)
 	first, _ := tbl.Taken(conn, start, false)
@@ -127,8 +127,8 @@
 }
 
 func TestProvenConnection(t *testing.T) {
-	// A request that may run only once is given a kept connection only if a response has just ended on it: on one that has gone silent
-	// meanwhile, it would be lost.
+	// A request that may run only once is given a kept connection only if a response has just ended on it: on a connection that has
+	// gone silent since, the request would be lost.
 	cases := map[string]struct {
 		header string
 		age    time.Duration
--- a/internal/core/path_test.go
+++ b/internal/core/path_test.go
@@ -154,8 +154,8 @@
 }
 
 func TestUpstreamsOfOneFailureDomainThatAreDownAreNoLostPath(t *testing.T) {
-	// Two of three failure domains respond to nobody. The upstreams that fail are of those two; requests must go on to the third and not
-	// through other instances, which do not reach more. An instance that reaches none at all passes its requests on nevertheless.
+	// Two of three failure domains respond to no instance. Requests must go to the third one and not through other instances, which do not
+	// reach more upstreams. An instance that reaches none of the three must still pass its requests on.
 	for name, reached := range map[string]bool{"the third is reached": true, "none is reached": false} {
 		t.Run(name, func(t *testing.T) {
 			in := newForwarding(t)
--- a/internal/paths/outage_test.go
+++ b/internal/paths/outage_test.go
@@ -27,8 +27,8 @@
 }
 
 func TestOnlyFailuresInAllFailureDomainsLoseThePath(t *testing.T) {
-	// Upstreams of one failure domain after the other stop responding. Neither may that count as a lost path while the others are reached, nor
-	// may an instance that reaches none miss that its path is lost.
+	// The upstreams of one failure domain after the other stop responding. While others are reached, the path must not count as lost. If none
+	// is reached, it must.
 	fail := func(pa *paths.Path, names ...string) {
 		for i, name := range names {
 			pa.Failed(start.Add(time.Duration(i)*10*time.Millisecond), name, 12, false)
@@ -93,8 +93,8 @@
 }
 
 func TestPathIsLostIfAllFailureDomainsCountAsDown(t *testing.T) {
-	// Each failure domain was found down while another one was reached, one after the other. No failure domain is left that shows whether the
-	// path is lost. Failures must count again, or the instance would send nothing through others although it reaches nothing.
+	// The failure domains were found down one after the other, each while another one was reached, so that none is left to show whether the
+	// path is lost. Failures must then count again, or the instance would send nothing through others although it reaches nothing.
 	pa, names := domainPath()
 	now := start
 	for _, turn := range []struct{ down, up string }{{"a", "b"}, {"b", "c"}, {"c", "a"}} {
@@ -111,8 +111,8 @@
 }
 
 func TestProbesOfFailureDomainThatIsDownAreFew(t *testing.T) {
-	// While a failure domain is down it costs a connection each 0.4 s. It is up within a second after its upstreams are, but not for a single
-	// one of them: the first requests would all fail at the others.
+	// A failure domain that is down must cost only one connection each 0.4 s. It must count as up within a second after its upstreams are
+	// back, but not after only one of them is: the first requests would fail at the others.
 	pa, names := domainPath()
 	random := rand.New(rand.NewPCG(1, 1))
 	for _, name := range []string{"a0", "a1", "a2"} {
--- a/internal/relay/announce_test.go
+++ b/internal/relay/announce_test.go
@@ -14,7 +14,7 @@
 )
 
 func TestColdReplicasAreCountedByFailureDomain(t *testing.T) {
-	// Guards against a failure domain that returns cold and that nobody sees: its gauge must show it, and go when it is warm.
+	// Guards against a failure domain whose cold replicas the metrics do not show. The gauge must disappear when they are warm.
 	in := New(Options{Name: "one", TokenLife: time.Second}, newFakeDirectory(), nil, &log.Logger{Level: log.PanicLevel}, func() int64 { return 0 })
 	slow := decl.SlowStart{Duration: decl.Duration(time.Minute), PerS: 14}
 	in.apply(steer.Configured{Routing: &decl.Routing{Version: 1, Services: map[string]decl.Pool{"s": {SlowStart: slow}}}})
--- a/internal/relay/evacuate_size_test.go
+++ b/internal/relay/evacuate_size_test.go
@@ -10,12 +10,12 @@
 	"gotest.tools/v3/assert"
 )
 
-// evacuateSizeVariable names the variable with the number of instances, such as 300.
+// evacuateSizeVariable is the name of the environment variable that sets the number of instances.
 const evacuateSizeVariable = "DANDELIONSAIL_EVACUATE_SIZE"
 
 func TestEvacuationIsInForceWithinASecond(t *testing.T) {
-	// The operators write and remove an evacuation at moments of their own. 99 of 100 instances must follow within a second of the store's
-	// answer, at the usual ConfigLag: three of them poll the store, and the others must hear of it from these and not by their own turn.
+	// Guards against an evacuation that takes effect late. With the usual ConfigLag, 99 of 100 instances must follow within a second of the
+	// store's answer. Three of them poll the store; the others must receive the change from these, and not by their own next request.
 	size, rounds := 40, 4
 	if text := os.Getenv(evacuateSizeVariable); text != "" {
 		var err error
--- a/internal/relay/evacuate_test.go
+++ b/internal/relay/evacuate_test.go
@@ -39,8 +39,8 @@
 func names(list ...string) []string { return list }
 
 func TestEvacuationIsFollowed(t *testing.T) {
-	// An evacuation is written or removed. An instance that polls learns it from the changes or, if the history is gone, from the whole
-	// directory; one that asks others learns it from them.
+	// An evacuation is written or removed. A poller must read it from the changes or, if the store has lost its history, from the whole
+	// directory. An instance that requests confirmations must receive it with them.
 	for name, forgetful := range map[string]bool{"changes": false, "history lost": true} {
 		t.Run(name, func(t *testing.T) {
 			dir := newFakeDirectory()
@@ -86,8 +86,8 @@
 }
 
 func TestEvacuationDoesNotWaitForConfiguration(t *testing.T) {
-	// The operators write a configuration and evacuate a failure domain, and the configuration cannot be read. Both changes are in one
-	// batch, of which nothing counted as applied until the configuration was read.
+	// A configuration that cannot be read and an evacuation arrive in one batch of changes. Guards against an evacuation that waits until
+	// the configuration can be read.
 	dir := newFakeDirectory()
 	in := newTestInstance(t, "one", dir)
 	fl := &follower{in: in}
@@ -106,8 +106,8 @@
 }
 
 func TestUndecodableConfigurationIsLogged(t *testing.T) {
-	// The operators write a configuration that cannot be decoded. One line must say that the last one stays in use, and the changes beside
-	// it take effect.
+	// The operators write a configuration that cannot be decoded. One line must say that the last one stays in use, and the other changes
+	// of the batch must take effect.
 	dir := newFakeDirectory()
 	in := newTestInstance(t, "one", dir)
 	fl := &follower{in: in}
@@ -132,8 +132,8 @@
 }
 
 func TestUnusableFailureDomainsAreLoggedOnce(t *testing.T) {
-	// Operators evacuate failure domains with an empty name, one that no replica is in, and very long and odd names. Each causes one line.
-	// The rest stays in use, and what is too long for a datagram is not passed on.
+	// Operators evacuate failure domains with an empty name, one that no replica is in, and very long and odd names. Each must cause
+	// one line. The other evacuations must be in force, and a name that is too long for a datagram must not be passed on.
 	long, odd := strings.Repeat("x", 5000), "a/\n\x00 ü"
 	for name, asChanges := range map[string]bool{"changes": true, "whole directory": false} {
 		t.Run(name, func(t *testing.T) {
@@ -168,8 +168,8 @@
 }
 
 func TestEvacuationLostByStoreStaysInForce(t *testing.T) {
-	// The store returns from a copy that lacks an evacuation. It stays in force until the operators have had time to write it again; if they
-	// write or remove it, that counts.
+	// The store returns from a copy that lacks an evacuation. The evacuation must stay in force until the operators have had time to write
+	// it again. If they write or remove it in that time, their change must take effect.
 	cases := map[string]struct {
 		after  func(dir *fakeDirectory, fl *follower)
 		expect []string
@@ -201,7 +201,7 @@
 	}
 }
 
-// expireLost lets the time pass in which lost evacuations stay in force.
+// expireLost ends the time for which lost evacuations stay in force.
 func expireLost(fl *follower) {
 	for name, until := range fl.evacuations.lost {
 		fl.evacuations.lost[name] = until.Add(-lostEvacuationTime)
@@ -209,7 +209,8 @@
 }
 
 func TestEvacuationInCopyIsInForceAgain(t *testing.T) {
-	// An evacuation has ended, and the store returns from a copy that contains it. It is in force until the store says otherwise.
+	// An evacuation has ended, and the store returns from a copy that contains it. It must be in force until it is removed from the store
+	// again.
 	dir := newFakeDirectory()
 	dir.returnTo(7)
 	in := newTestInstance(t, "one", dir)
@@ -261,7 +262,7 @@
 	assert.Assert(t, started.position().SameEra(late.position()))
 	started.adoptEvacuations(from, &late)
 	assert.Equal(t, len(two.evacuated()), 0)
-	// The same at an instance that has applied the operators' changes and taken nothing from others.
+	// A late packet must not bring it back either at an instance that has taken nothing from others.
 	three := newTestInstance(t, "three", dir)
 	other := &follower{in: three}
 	assert.Assert(t, other.pollStore(t.Context()))
@@ -290,7 +291,7 @@
 
 func TestEvacuationPassesEarlierVersions(t *testing.T) {
 	// During a rolling update an instance asks one of an earlier version, which does not know evacuations: it sends their changes as
-	// irrelevant ones, and its directory names none. The evacuation must be read from the store, and one in force must stay so.
+	// irrelevant ones, and its directory names none. The evacuation must be read from the store, and one that is in force must stay in force.
 	dir := newFakeDirectory()
 	in := newTestInstance(t, "one", dir)
 	fl := &follower{in: in}
--- a/internal/relay/replicaconn_test.go
+++ b/internal/relay/replicaconn_test.go
@@ -109,7 +109,7 @@
 }
 
 func TestConnectionsAreCountedByCause(t *testing.T) {
-	// Without these counters nobody can tell which of the many new connections could be avoided.
+	// Guards against a connection that is counted under another cause: the counters show which new connections could be avoided.
 	cases := map[string]struct {
 		newConnection bool
 		msg           message
@@ -247,8 +247,8 @@
 }
 
 func TestReplicaThatKeepsNoIdleConnections(t *testing.T) {
-	// A replica states that it keeps idle connections for no time, as is known from an answer that goes on. A connection that is opened
-	// for a message must not count as overdue before the message is given it.
+	// The header of an unfinished response states that the replica keeps no idle connections. A connection that is then opened for a
+	// message must not count as overdue before the message is given it.
 	release := make(chan struct{})
 	defer close(release)
 	var first atomic.Bool
@@ -294,7 +294,7 @@
 }
 
 func TestNothingIsWrittenToAConnectionThatTheReplicaHasClosed(t *testing.T) {
-	// A replica closes an idle connection, and a request comes before net/http has read that. Written to the closed connection, the
+	// A replica closes an idle connection, and a request is sent before net/http has noticed. Written to the closed connection, the
 	// request would count as one that may have run, though it never arrived.
 	rep := startConnReplica(t, 0, func(http.ResponseWriter, *http.Request) {})
 	in := newConnTest(t, rep)
@@ -372,8 +372,8 @@
 }
 
 func TestRequestThatMayRunOnceUsesAConnectionThatWasJustProvenAlive(t *testing.T) {
-	// A kept connection goes silent without a reset. Written to it, a request that may run only once would be lost, since nobody could
-	// tell whether it ran. Such a request is given a kept connection only if a response has just ended on it, and otherwise replaces it.
+	// A kept connection goes silent without a reset. Written to it, a request that may run only once would fail, since it would be unknown
+	// whether it ran. Such a request is given a kept connection only if a response has just ended on it, and otherwise replaces it.
 	rep := startConnReplica(t, 0, func(w http.ResponseWriter, req *http.Request) {
 		w.Header().Set("Closing", strconv.FormatBool(req.Close))
 	})
@@ -398,7 +398,7 @@
 	assert.Equal(t, in.registry.Get("Connections.Open").(metrics.Gauge).Value(), int64(1))
 }
 
-// silentConn is a connection that loses what is written to it from some moment on, if it was opened before.
+// silentConn is a connection that loses what is written to it once since is set, if it was opened before.
 type silentConn struct {
 	net.Conn
 	since  *atomic.Bool
@@ -417,7 +417,8 @@
 }
 
 func TestRequestThatMayRunOnceHasAConnectionOfItsOwnUnlessConnectionsAreDeclared(t *testing.T) {
-	// A configuration that declares no number of connections asks for no change: the replica is sent what it was sent before.
+	// If the configuration declares no number of connections, such a request must open a connection of its own. Otherwise it must use the
+	// kept one, whose last response has just ended.
 	for _, connections := range []int{0, 100} {
 		t.Run(strconv.Itoa(connections), func(t *testing.T) {
 			var closes atomic.Int64
@@ -438,8 +439,8 @@
 }
 
 func TestInstancesKeepFewerConnectionsThanTheReplicaAccepts(t *testing.T) {
-	// Five instances send two requests at a time to a replica that accepts 12 connections and has 4 slots. Before, each kept both
-	// connections, and up to four: what the next instance opened was reset. After a restart of all instances the sum must hold, too.
+	// Five instances send two requests at a time to a replica that accepts 12 connections and has 4 slots. If each kept
+	// up to four connections, the replica would reset what the next instance opens. The sum must also hold after all instances restart.
 	var inUse sync.WaitGroup
 	release := make(chan struct{})
 	rep := startConnReplica(t, 0, func(http.ResponseWriter, *http.Request) {
@@ -520,7 +521,7 @@
 }
 
 func TestReducerPrefersAReplicaWithAnIdleConnection(t *testing.T) {
-	// Guards against a reducer that is not told where idle connections are, or not told that one was closed.
+	// Guards against idle connections, or the closing of one, that are not reported to the reducer.
 	boards := []*connReplica{}
 	list := []steer.Replica{}
 	for i := range 2 {
