Comments of grants name cold replicas

Cause: grants, grant requests and limitAnnounceInterval apply to cold replicas since slow start was added, and candidates leaves out evacuated failure domains, but their comments named rate limits and all replicas only. No code is changed.

--- a/internal/steer/connections_world_test.go
+++ b/internal/steer/connections_world_test.go
@@ -12,7 +12,7 @@
 	"dandelionsail.example/dandelionsail/pkg/decl"
 )
 
-// connWorld keeps account of the connections of a fleet as relay.Instance does.
+// connWorld simulates the connections of a fleet as relay.Instance keeps them.
 type connWorld struct {
 	fl     *fleet
 	tables map[*fleetNode]*conns.Table
--- a/internal/steer/grant.go
+++ b/internal/steer/grant.go
@@ -10,12 +10,12 @@
 	"golang.org/x/time/rate"
 )
 
-// Grants of sends to rate-limited replicas. One instance grants all sends to a limited replica. It is chosen by rendezvous
-// hashing of the replica's name, so no election is needed. It keeps a single schedule: a request for the replica asks for a
-// send, and the answer states when it may be sent or when to ask again. The capacity thus follows demand from one request to
-// the next, and the limit may be lower than the number of instances. Where instances disagree on which one grants, each of
-// the granting ones receives notes of the others' sends and counts them. An instance that receives notes from only some of
-// the others grants only the corresponding share of the limit.
+// Grants of sends to replicas that have a rate limit or are cold, here called limited. One instance grants all sends to a
+// limited replica. It is chosen by rendezvous hashing of the replica's name, so no election is needed. It keeps a single
+// schedule: a request for the replica asks for a send, and the answer states when it may be sent or when to ask again. The
+// capacity thus follows demand from one request to the next, and the limit may be lower than the number of instances.
+// Where instances disagree on which one grants, each of the granting ones receives notes of the others' sends and counts
+// them. An instance that receives notes from only some of the others grants only the corresponding share of the limit.
 
 const (
 	// unresponsiveTime is how long an instance that did not answer is skipped when the granting instance is chosen.
@@ -86,7 +86,7 @@
 	return perS
 }
 
-// GrantRequest requests a send to a rate-limited replica from the instance that grants them.
+// GrantRequest requests a send to a replica that has a rate limit or is cold from the instance that grants them.
 type GrantRequest struct {
 	Job     JobID  `cbor:"1,keyasint,omitempty"`
 	Replica string `cbor:"2,keyasint,omitempty"`
@@ -100,7 +100,7 @@
 	// Recent counts the sends of all instances within the last limitSpan that the asking instance knows of. The granting
 	// instance may know of fewer if it has just taken over or if notes to it were lost.
 	Recent int `cbor:"6,keyasint,omitempty"`
-	// RecentCold counts, if the asking instance takes the replica for cold, the sends within the last coldSpan likewise.
+	// RecentCold counts those within the last coldSpan. It is set only if the asking instance takes the replica for cold.
 	RecentCold int `cbor:"7,keyasint,omitempty"`
 }
 
@@ -183,8 +183,7 @@
 	return float64(reachable) / float64(registered)
 }
 
-// grantRate returns how many sends a second this instance grants. Renewals of memory reservations are subtracted from the
-// limit.
+// grantRate returns how many sends a second this instance grants. Renewals of memory reservations are subtracted from maxRate.
 func (st *State) grantRate(rep *replica) float64 {
 	perS := st.maxRate(rep) - reservationRate*float64(rep.reservations())
 	if st.isSubstitute(rep) {
--- a/internal/steer/limit.go
+++ b/internal/steer/limit.go
@@ -30,7 +30,8 @@
 	limitProbeAge = 2 * time.Second
 	// limitProbeBonus is the bonus in value that placement gives to such a check.
 	limitProbeBonus = 0.5
-	// limitAnnounceInterval is the minimum time between two notes to all users of a replica about changes of its limit.
+	// limitAnnounceInterval is the minimum time between two notes to all users of a replica about changes of its limit or of its
+	// cold state.
 	// Grant requests carry the changes in between to the granting instance, and its periodic summaries to the others.
 	limitAnnounceInterval = 200 * time.Millisecond
 	// maxPerS is the highest rate, in requests a second, that is accepted in a note from the network. A replica's higher limit
--- a/internal/steer/subset.go
+++ b/internal/steer/subset.go
@@ -195,7 +195,7 @@
 }
 
 // candidates returns the replicas that this instance considers for a request: those of its subset. If too few of them are
-// usable, as after the loss of a failure domain's replicas, it returns all replicas of the service.
+// usable, as after the loss of a failure domain's replicas, it returns all replicas of the service outside evacuated failure domains.
 func (st *State) candidates(svc *service) []*replica {
 	lay := st.layoutOf(svc)
 	if lay.unsplit() {
--- a/internal/steer/warm_test.go
+++ b/internal/steer/warm_test.go
@@ -407,7 +407,7 @@
 	assert.Assert(t, repeated == 1, repeated)
 }
 
-// coldNotes counts the notes about cold states that ask for nothing.
+// coldNotes counts the notes about cold states without grant requests.
 func coldNotes(effects []steer.Effect) (count int) {
 	for _, eff := range effects {
 		if note, ok := eff.(steer.SendNote); ok && len(note.Note.Cold) > 0 && len(note.Note.GrantRequests) == 0 {
--- a/internal/steer/warm_world_test.go
+++ b/internal/steer/warm_world_test.go
@@ -10,8 +10,8 @@
 	"dandelionsail.example/dandelionsail/pkg/decl"
 )
 
-// coldWorld simulates several reducers that share replicas with slow start. The replicas write entries into the list that say for
-// how long they are cold, and may say so in their answers.
+// coldWorld simulates several reducers that share replicas with slow start. The replicas write entries into the list that state for
+// how long they are cold, and may state it in their answers.
 type coldWorld struct {
 	*limitWorld
 	// coldFrom and coldUntil hold, by replica name, when the latest cold state began and when it ends.
@@ -97,7 +97,7 @@
 	}
 }
 
-// turnCold makes the replica cold for the time, with the same incarnation. It says so with its next entry and answers, or at once
+// turnCold makes the replica cold for the time, with the same incarnation. It states so with its next entry and answers, or at once
 // in an entry if its answers state nothing.
 func (cw *coldWorld) turnCold(replica string, lasts time.Duration) {
 	cw.coldFrom[replica], cw.coldUntil[replica] = cw.now, cw.now.Add(lasts)
