--- a/internal/steer/grantrequest.go
+++ b/internal/steer/grantrequest.go
@@ -6,8 +6,9 @@
 	"dandelionsail.example/dandelionsail/internal/notice"
 )
 
-// Requests for sends to replicas that have a rate limit or are cold, here called limited. A request that is placed at a limited replica asks the granting instance for
-// a send. If one is granted, it waits for the granted time. If it is refused, it looks for another replica.
+// Requests for sends to replicas that have a rate limit or are cold, here called limited. A request that is placed at a limited
+// replica asks the granting instance for a send. If one is granted, it waits for the granted time. If it is refused, it looks for
+// another replica.
 
 const (
 	// grantTimeout is how long to wait for the answer to a grant request: several round trips of a note.
