--- a/internal/steer/slot.go
+++ b/internal/steer/slot.go
@@ -107,7 +107,9 @@
 		grant := SlotGrant{Job: job.ID}
 		if _, known := pr.jobs[job.ID]; !known {
 			grant.Full = rep.freeSlots() <= 0
-			grant.Refused = grant.Full || rep.blockedBy(notice.First, st.now) != notice.None || st.takesLonger(rep, &asks[i])
+			// The other instance does not know yet of a rate limit, or that the replica is cold: the request needs a grant of another kind.
+			needsGrant := rep.schedule != nil
+			grant.Refused = grant.Full || needsGrant || rep.blockedBy(notice.First, st.now) != notice.None || st.takesLonger(rep, &asks[i])
 		}
 		if !grant.Refused {
 			st.startPeerJob(from, pr, job)
--- a/internal/steer/spill_test.go
+++ b/internal/steer/spill_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"dandelionsail.example/dandelionsail/internal/notice"
 )
 
 // fullSubset returns an instance whose own engines have no free slot. It knows nothing of the engines of the two other failure domains.
@@ -85,3 +87,18 @@
 	assert.Assert(t, ask(1, 30_000, 1).Refused)
 	assert.Assert(t, !ask(2, 30_000, 20).Refused, "a request of far higher value is refused")
 }
+
+func TestSlotsOfLimitedEnginesAreRefused(t *testing.T) {
+	// Guards against sends past a rate limit: the asking instance does not know of the limit yet, the deciding one does.
+	st := fleet{80, 78, 3}.instance(3)
+	rep := st.candidates(st.services["lyric"])[0]
+	st.Reduce(fleetStart, ResponseReceived{Replica: rep.Name, Sent: fleetStart, Announced: notice.Announced{Limited: true, PerS: 2}})
+	job := Job{ID: 1, Replicas: []string{rep.Name}, Prompt: 1000, Answer: 100, Goal: 400, Gap: 300, Value: 1, Claim: true}
+	for _, sent := range sentNotes(st, fleetStart, NoteReceived{Note: Note{From: "instance-7", Run: 1, SlotRequests: []SlotRequest{{Job: job}}}}) {
+		for _, grant := range sent.Note.SlotGrants {
+			assert.Assert(t, grant.Refused)
+			return
+		}
+	}
+	t.Fatal("no answer")
+}
