--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -71,7 +71,7 @@
 // Table holds the connections to all replicas. It is not safe for concurrent use.
 type Table struct {
 	hosts map[string]*host
-	// changed holds the addresses that have got their first idle connection (true) or lost their last one (false) since the last call
+	// changed holds the addresses that have got their first idle connection (true) or lost their last one (false) since the previous call
 	// of Changes.
 	changed map[string]bool
 	// open is the number of open connections.
@@ -174,7 +174,7 @@
 	}
 }
 
-// markChanged records that an address has got its first idle connection or lost its last one. If both have happened since the last call of
+// markChanged records that an address has got its first idle connection or lost its last one. If both have happened since the previous call of
 // Changes, nothing has changed.
 func (tbl *Table) markChanged(hst *host) {
 	if _, ok := tbl.changed[hst.address]; ok {
@@ -199,7 +199,7 @@
 	return max(0, conn.idleSince.Add(conn.host.limit).Sub(now)), true
 }
 
-// Changes returns the addresses that have got their first idle connection since the last call, with true, and those that have lost their
+// Changes returns the addresses that have got their first idle connection since the previous call, with true, and those that have lost their
 // last one, with false. It returns nil if there are none.
 func (tbl *Table) Changes() map[string]bool {
 	if len(tbl.changed) == 0 {
--- a/internal/paths/outage.go
+++ b/internal/paths/outage.go
@@ -134,7 +134,7 @@
 	return list
 }
 
-// OutageChanges returns the failure domains that began to count as down since the last call and those that ceased to, both sorted.
+// OutageChanges returns the failure domains that began to count as down since the previous call and those that ceased to, both sorted.
 func (pa *Path) OutageChanges() (began, ended []string) {
 	down := pa.DownDomains()
 	began = slices.DeleteFunc(slices.Clone(down), func(domain string) bool { return slices.Contains(pa.lastDown, domain) })
--- a/internal/paths/paths.go
+++ b/internal/paths/paths.go
@@ -68,7 +68,7 @@
 	members map[string][]string
 	// outages holds what is known of the failures in each failure domain.
 	outages map[string]*outage
-	// lastDown names the failure domains that the last call of OutageChanges found down.
+	// lastDown names the failure domains that OutageChanges last found down.
 	lastDown []string
 	// reachedAt holds when a connection to an upstream of each failure domain last succeeded.
 	reachedAt map[string]time.Time
--- a/internal/relay/replicaconn.go
+++ b/internal/relay/replicaconn.go
@@ -257,7 +257,7 @@
 	}
 }
 
-// takeChanges returns the addresses to which the first idle connection was kept, or the last one lost, since the last call. If there
+// takeChanges returns the addresses to which the first idle connection was kept, or the last one lost, since the previous call. If there
 // are none, it costs one atomic read.
 func (rcs *replicaConns) takeChanges() map[string]bool {
 	if !rcs.changed.Load() {
--- a/internal/steer/share_internal_test.go
+++ b/internal/steer/share_internal_test.go
@@ -30,7 +30,7 @@
 		level float64
 		above []uint32
 	}{
-		"nobody":                            {all: nil},
+		"no organisation":                   {all: nil},
 		"all served":                        {all: map[uint32]use{1: used(10, 10), 2: used(90, 90)}},
 		"one asks for more than it may":     {all: map[uint32]use{1: used(10, 5), 2: used(20, 15), 3: used(200, 70)}, level: 60, above: []uint32{3}},
 		"two ask for more":                  {all: map[uint32]use{1: used(10, 10), 2: used(100, 50), 3: used(200, 40)}, level: 45, above: []uint32{2, 3}},
--- a/internal/steer/warm_test.go
+++ b/internal/steer/warm_test.go
@@ -352,7 +352,7 @@
 		answer := in.grantFor(steer.GrantRequest{Job: 1, RecentCold: coldPerS + 1}, cold)
 		assert.Assert(t, answer != nil && answer.Grants[0].AfterMs > 1000/coldPerS)
 	})
-	t.Run("tells of sends", func(t *testing.T) {
+	t.Run("reports sends", func(t *testing.T) {
 		in := newSlowInstance(t, 8)
 		in.reduce(steer.Peered{Instances: []steer.Instance{{Name: "two", FailureDomain: "a"}}, Listed: true})
 		in.note(steer.Note{UptimeMs: 1})
