Outages: one place begins one; names of a test

Cause: FailedElsewhere and conclude set the same four fields of an outage. Change: outage.begin; behaviour, bounds and checks as before. Checked: formatter, vet, tests of paths and core whole, some of steer; the whole script was not run on it.

--- a/internal/paths/outage.go
+++ b/internal/paths/outage.go
@@ -63,6 +63,11 @@
 	checkedAt time.Time
 }
 
+// begin records that the failure domain counts as down, and when the first round of probes is due.
+func (out *outage) begin(probeAt time.Time) {
+	out.down, out.reached, out.round, out.probeAt = true, map[string]bool{}, nil, probeAt
+}
+
 // report is another instance's report that an upstream fails.
 type report struct {
 	// at is when the report arrived.
@@ -82,7 +87,7 @@
 	out.failed[upstream] = now
 	maps.DeleteFunc(out.failed, func(_ string, at time.Time) bool { return now.Sub(at) > maxAge })
 	if !out.down && len(out.failed) >= min(minOutageFailures, len(pa.members[pa.domains[upstream]])) {
-		out.down, out.reached, out.round, out.probeAt = true, map[string]bool{}, nil, now
+		out.begin(now)
 	}
 }
 
@@ -251,7 +256,7 @@
 		if len(out.failed) == 0 || count < min(minOutageFailures, len(pa.members[domain])) || !pa.reachedElsewhere(out, domain) {
 			continue
 		}
-		out.down, out.reached, out.round, out.probeAt = true, map[string]bool{}, nil, now.Add(probeInterval)
+		out.begin(now.Add(probeInterval))
 		maps.DeleteFunc(pa.failed, func(name string, _ time.Time) bool { return pa.domains[name] == domain })
 	}
 }
--- a/internal/steer/warm_test.go
+++ b/internal/steer/warm_test.go
@@ -363,7 +363,7 @@
 				}
 			}
 		}
-		asked, told := 0, 0
+		asked, counted := 0, 0
 		for i := range 8 {
 			in.announce(fmt.Sprint("lyric-", i), coldAnswer(coldTime))
 		}
@@ -371,11 +371,11 @@
 			for _, eff := range in.arrive(&short, 5000) {
 				if note, ok := eff.(steer.SendNote); ok && len(note.Note.GrantRequests) > 0 {
 					asked++
-					told += note.Note.GrantRequests[0].RecentCold
+					counted += note.Note.GrantRequests[0].RecentCold
 				}
 			}
 		}
-		assert.Assert(t, asked > 0 && told >= asked, "%d asked, %d told", asked, told)
+		assert.Assert(t, asked > 0 && counted >= asked, "%d asked, %d counted", asked, counted)
 	})
 	t.Run("knows better", func(t *testing.T) {
 		in := newSlowInstance(t, 1)
