--- a/review/_stand/fleet.go
+++ b/review/_stand/fleet.go
@@ -34,8 +34,8 @@
 	// store is the machine's link to the store, inbound the link from all other machines to it.
 	store   *link
 	inbound *link
-	cmd   *exec.Cmd
-	ended chan struct{}
+	cmd     *exec.Cmd
+	ended   chan struct{}
 }
 
 // fleet is a small deployment: a store, replicas and machines.
--- a/review/_stand/link.go
+++ b/review/_stand/link.go
@@ -15,8 +15,8 @@
 	cut     atomic.Bool
 	// silences reports whether the sender with the IP address is cut off. It is nil if that makes no difference.
 	silences func(ip string) bool
-	mu      sync.Mutex
-	open    []net.Conn
+	mu       sync.Mutex
+	open     []net.Conn
 }
 
 // newLink listens on a free port for both, and passes on what arrives there.
