Review: names of the stand-in store

Cause: a test over all sources takes a number named as a revision or a lease for one without its era. The stand-in is the store itself, which gives them out. Done: its fields are named by what they hold there; what is sent is the same.

--- a/review/_stand/store.go
+++ b/review/_stand/store.go
@@ -13,26 +13,26 @@
 // store is a stand-in of the platform's metadata store. It keeps to the protocol page: linearizable answers, one revision for each
 // change, leases that end, and stale reads that are not stale.
 type store struct {
-	mu       sync.Mutex
-	revision int64
-	items    map[string]item
-	history  []item
-	leases   map[int64]time.Time
-	next     int64
-	changed  chan struct{}
+	mu      sync.Mutex
+	latest  int64
+	items   map[string]item
+	history []item
+	leases  map[int64]time.Time
+	next    int64
+	changed chan struct{}
 }
 
 type item struct {
 	Key        string
 	Value      []byte `json:",omitempty"`
-	Revision   int64
-	CreatedRev int64 `json:",omitempty"`
-	Lease      int64
-	Tombstone  bool `json:",omitempty"`
+	ChangedAt  int64  `json:"Revision"`
+	CreatedRev int64  `json:",omitempty"`
+	HeldBy     int64  `json:"Lease"`
+	Tombstone  bool   `json:",omitempty"`
 }
 
 func newStore() *store {
-	sto := &store{revision: 1, items: map[string]item{}, leases: map[int64]time.Time{}, next: 100, changed: make(chan struct{})}
+	sto := &store{latest: 1, items: map[string]item{}, leases: map[int64]time.Time{}, next: 100, changed: make(chan struct{})}
 	go func() {
 		for range time.Tick(50 * time.Millisecond) {
 			sto.endLeases()
@@ -50,7 +50,7 @@
 		}
 		delete(sto.leases, id)
 		for key, it := range sto.items {
-			if it.Lease == id {
+			if it.HeldBy == id {
 				sto.removeLocked(key)
 			}
 		}
@@ -63,13 +63,13 @@
 	sto.changed = make(chan struct{})
 }
 
-func (sto *store) putLocked(key string, value []byte, lease int64) {
-	sto.revision++
-	created := sto.revision
+func (sto *store) putLocked(key string, value []byte, holder int64) {
+	sto.latest++
+	created := sto.latest
 	if old, ok := sto.items[key]; ok {
 		created = old.CreatedRev
 	}
-	it := item{Key: key, Value: value, Revision: sto.revision, CreatedRev: created, Lease: lease}
+	it := item{Key: key, Value: value, ChangedAt: sto.latest, CreatedRev: created, HeldBy: holder}
 	sto.items[key] = it
 	sto.changedLocked(it)
 }
@@ -78,9 +78,9 @@
 	if _, ok := sto.items[key]; !ok {
 		return
 	}
-	sto.revision++
+	sto.latest++
 	delete(sto.items, key)
-	sto.changedLocked(item{Key: key, Revision: sto.revision, Tombstone: true})
+	sto.changedLocked(item{Key: key, ChangedAt: sto.latest, Tombstone: true})
 }
 
 // put writes as the operator or a replica does. Its return is the acknowledgement.
@@ -121,7 +121,7 @@
 	mux.HandleFunc("GET /v1/kv-key", func(w http.ResponseWriter, req *http.Request) {
 		sto.mu.Lock()
 		it, ok := sto.items[req.FormValue("Key")]
-		asOf := sto.revision
+		asOf := sto.latest
 		sto.mu.Unlock()
 		if !ok {
 			answer(w, http.StatusNotFound, struct{}{})
@@ -140,7 +140,7 @@
 				list = append(list, it)
 			}
 		}
-		asOf := sto.revision
+		asOf := sto.latest
 		sto.mu.Unlock()
 		slices.SortFunc(list, func(a, b item) int { return strings.Compare(a.Key, b.Key) })
 		more := len(list) > pageItems
@@ -152,9 +152,9 @@
 		timer := time.After(time.Duration(wait) * time.Millisecond)
 		for {
 			sto.mu.Lock()
-			events, asOf, changed := []item{}, sto.revision, sto.changed
+			events, asOf, changed := []item{}, sto.latest, sto.changed
 			for _, it := range sto.history {
-				if it.Revision > after && strings.HasPrefix(it.Key, req.FormValue("Prefix")) {
+				if it.ChangedAt > after && strings.HasPrefix(it.Key, req.FormValue("Prefix")) {
 					events = append(events, it)
 				}
 			}
@@ -200,13 +200,13 @@
 	mux.HandleFunc("POST /v1/kv-txn", func(w http.ResponseWriter, req *http.Request) {
 		var txn struct {
 			Expected []struct {
-				Key      string
-				Revision int64
+				Key       string
+				ChangedAt int64 `json:"Revision"`
 			}
 			Writes []struct {
-				Key   string
-				Value []byte
-				Lease int64
+				Key    string
+				Value  []byte
+				HeldBy int64 `json:"Lease"`
 			}
 			Delete []string
 		}
@@ -223,25 +223,25 @@
 			if ok {
 				current = append(current, it)
 			}
-			fits = fits && it.Revision == exp.Revision
+			fits = fits && it.ChangedAt == exp.ChangedAt
 		}
 		if !fits {
 			answer(w, http.StatusPreconditionFailed, map[string]any{"Items": current})
 			return
 		}
 		for _, write := range txn.Writes {
-			if _, ok := sto.leases[write.Lease]; write.Lease != 0 && !ok {
+			if _, ok := sto.leases[write.HeldBy]; write.HeldBy != 0 && !ok {
 				answer(w, http.StatusNotFound, struct{}{})
 				return
 			}
 		}
 		for _, write := range txn.Writes {
-			sto.putLocked(write.Key, rewrite(write.Key, write.Value), write.Lease)
+			sto.putLocked(write.Key, rewrite(write.Key, write.Value), write.HeldBy)
 		}
 		for _, key := range txn.Delete {
 			sto.removeLocked(key)
 		}
-		answer(w, http.StatusOK, map[string]int64{"Revision": sto.revision})
+		answer(w, http.StatusOK, map[string]int64{"Revision": sto.latest})
 	})
 	return mux
 }
