--- a/review/_stand/main.go
+++ b/review/_stand/main.go
@@ -10,7 +10,6 @@
 func main() {
 	cases := map[string]func(rec *recorder, trouble bool) bool{
 		"revoked-public": revokedPublic,
-		"starved-tenant": starvedTenant,
 		"garbled-status": garbledStatus,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
