Review: case 4, a request that comes at several machines at once is never in quarantine

Cause: a replica counts as crashed by a request only if another replica accepts a connection at that moment. Copies of the request that come at once at several machines crash all three replicas of the plain service together, so no machine counts a death, and the request crashes them again whenever it comes.

--- a/review/_drill/fleet.go
+++ b/review/_drill/fleet.go
@@ -108,13 +108,6 @@
 	return nd
 }
 
-// restart starts the ended node again with the same settings.
-func (nd *node) restart(tmp string) *node {
-	again := &node{name: nd.name, front: nd.front, ready: nd.ready, peer: nd.peer, env: nd.env, ended: make(chan struct{})}
-	again.run(tmp)
-	return again
-}
-
 // run starts the node's process.
 func (nd *node) run(tmp string) {
 	log, err := os.OpenFile(filepath.Join(tmp, nd.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
--- a/review/_drill/main.go
+++ b/review/_drill/main.go
@@ -17,7 +17,7 @@
 	tmp, err := os.MkdirTemp("", "drill")
 	check(err)
 	rec := newRecord(os.Args[2])
-	cases := map[string]func(rec *record, tmp string, trouble bool) bool{"memory": runMemory, "forget": runForget, "entry": runEntry}
+	cases := map[string]func(rec *record, tmp string, trouble bool) bool{"memory": runMemory, "atonce": runAtOnce, "entry": runEntry}
 	run, ok := cases[os.Args[1]]
 	if !ok {
 		check(fmt.Errorf("no case %s", os.Args[1]))
--- a/review/_drill/replica.go
+++ b/review/_drill/replica.go
@@ -53,17 +53,19 @@
 	}
 }
 
-// crash ends the replica: its listener and its connections are gone at once, and its entry after three heartbeats.
-func (rp *replica) crash() {
+// crash ends the replica: its listener and its connections are gone at once, and its entry after three heartbeats. It reports whether the
+// replica had not ended before.
+func (rp *replica) crash() bool {
 	rp.mu.Lock()
 	defer rp.mu.Unlock()
 	if rp.dead {
-		return
+		return false
 	}
 	rp.dead = true
 	close(rp.stop)
 	_ = rp.server.Close()
 	time.AfterFunc(3600*time.Millisecond, func() { rp.st.delete("servers/" + rp.id) })
+	return true
 }
 
 func (rp *replica) serve(w http.ResponseWriter, req *http.Request) {
