Review: names of the stand-in store, ports by process

Cause: internal/posit reads the sources of the review, too, and refused bare revisions and leases; scripts that run at the same time took the same ports now and then. Renamed; each process takes ports of its own range.

--- a/review/_drill/fleet.go
+++ b/review/_drill/fleet.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -58,16 +57,21 @@
 	nodes   []*node
 )
 
-// taken holds the ports that freePort has returned.
-var taken = map[int]bool{}
+const (
+	// firstPort is below the ports that the system gives to outgoing connections.
+	firstPort = 10000
+	// portsEach is the number of ports of one run, so that runs at the same time seldom meet.
+	portsEach = 200
+)
+
+// portsTried is how many ports freePort has tried.
+var portsTried int
 
-// freePort returns a port of 127.0.0.1 that is free for TCP and UDP, below those that the system gives to outgoing connections.
+// freePort returns a port of 127.0.0.1 that is free for TCP and UDP.
 func freePort() int {
 	for {
-		port := 10000 + rand.IntN(20000)
-		if taken[port] {
-			continue
-		}
+		port := firstPort + os.Getpid()%100*portsEach + portsTried%portsEach
+		portsTried++
 		address := fmt.Sprintf("127.0.0.1:%d", port)
 		listener, err := net.Listen("tcp", address)
 		if err != nil {
@@ -79,7 +83,6 @@
 			continue
 		}
 		_ = packets.Close()
-		taken[port] = true
 		return port
 	}
 }
--- a/review/_drill/store.go
+++ b/review/_drill/store.go
@@ -12,34 +12,34 @@
 	"time"
 )
 
-// storeItem is one key of the store.
+// storeItem is one key of the store. Holder is the lease that it is attached to, 0 if there is none.
 type storeItem struct {
 	Key        string
 	Value      []byte
-	Revision   int64
+	Rev        int64 `json:"Revision"`
 	CreatedRev int64
-	Lease      int64
+	Holder     int64 `json:"Lease"`
 }
 
 // storeEvent is one change. Tombstone is set for a removal.
 type storeEvent struct {
 	Key        string
 	Value      []byte `json:",omitempty"`
-	Revision   int64
-	CreatedRev int64 `json:",omitempty"`
-	Lease      int64 `json:",omitempty"`
-	Tombstone  bool  `json:",omitempty"`
+	Rev        int64  `json:"Revision"`
+	CreatedRev int64  `json:",omitempty"`
+	Holder     int64  `json:"Lease,omitempty"`
+	Tombstone  bool   `json:",omitempty"`
 }
 
 type storeTxn struct {
 	Expected []struct {
-		Key      string
-		Revision int64
+		Key string
+		Rev int64 `json:"Revision"`
 	}
 	Writes []struct {
-		Key   string
-		Value []byte
-		Lease int64
+		Key    string
+		Value  []byte
+		Holder int64 `json:"Lease"`
 	}
 	Delete []string
 }
@@ -96,14 +96,14 @@
 }
 
 // put writes a key. mu is held.
-func (st *store) put(key string, value []byte, lease int64) {
+func (st *store) put(key string, value []byte, holder int64) {
 	st.rev++
-	item := &storeItem{Key: key, Value: value, Revision: st.rev, CreatedRev: st.rev, Lease: lease}
+	item := &storeItem{Key: key, Value: value, Rev: st.rev, CreatedRev: st.rev, Holder: holder}
 	if old, ok := st.items[key]; ok {
 		item.CreatedRev = old.CreatedRev
 	}
 	st.items[key] = item
-	st.note(storeEvent{Key: key, Value: value, Revision: st.rev, CreatedRev: item.CreatedRev, Lease: lease})
+	st.note(storeEvent{Key: key, Value: value, Rev: st.rev, CreatedRev: item.CreatedRev, Holder: holder})
 }
 
 // remove removes a key. mu is held.
@@ -113,7 +113,7 @@
 	}
 	delete(st.items, key)
 	st.rev++
-	st.note(storeEvent{Key: key, Revision: st.rev, Tombstone: true})
+	st.note(storeEvent{Key: key, Rev: st.rev, Tombstone: true})
 }
 
 // write is what the operator and the replicas do.
@@ -183,7 +183,7 @@
 		st.mu.Lock()
 		found := []storeEvent{}
 		for _, ev := range st.events {
-			if ev.Revision > after && strings.HasPrefix(ev.Key, query.Get("Prefix")) {
+			if ev.Rev > after && strings.HasPrefix(ev.Key, query.Get("Prefix")) {
 				found = append(found, ev)
 			}
 		}
@@ -209,19 +209,19 @@
 	for _, exp := range txn.Expected {
 		var have int64
 		if item, ok := st.items[exp.Key]; ok {
-			have = item.Revision
+			have = item.Rev
 		}
-		if have != exp.Revision {
+		if have != exp.Rev {
 			return http.StatusPreconditionFailed
 		}
 	}
 	for _, wr := range txn.Writes {
-		if _, ok := st.leases[wr.Lease]; wr.Lease != 0 && !ok {
+		if _, ok := st.leases[wr.Holder]; wr.Holder != 0 && !ok {
 			return http.StatusNotFound
 		}
 	}
 	for _, wr := range txn.Writes {
-		st.put(wr.Key, wr.Value, wr.Lease)
+		st.put(wr.Key, wr.Value, wr.Holder)
 	}
 	for _, key := range txn.Delete {
 		st.remove(key)
@@ -256,7 +256,7 @@
 			status := st.apply(&txn)
 			st.mu.Unlock()
 			for _, wr := range txn.Writes {
-				st.rec.line("store: write of %s with lease %d, whose answer was lost, is done late: %d", wr.Key, wr.Lease, status)
+				st.rec.line("store: write of %s with lease %d, whose answer was lost, is done late: %d", wr.Key, wr.Holder, status)
 			}
 		})
 		<-req.Context().Done()
@@ -266,7 +266,7 @@
 	rev := st.rev
 	st.mu.Unlock()
 	for _, wr := range txn.Writes {
-		st.rec.line("store: write of %s with lease %d: %d", wr.Key, wr.Lease, status)
+		st.rec.line("store: write of %s with lease %d: %d", wr.Key, wr.Holder, status)
 	}
 	reply(w, status, map[string]int64{"Revision": rev})
 }
@@ -295,7 +295,7 @@
 	}
 	delete(st.leases, id)
 	for key, item := range st.items {
-		if item.Lease == id {
+		if item.Holder == id {
 			st.remove(key)
 			st.rec.line("store: lease %d has ended, %s is removed", id, key)
 		}
