Relay: a line for each send without a whole answer, with its connection and what the answer named

The logs could not tell why a request was sent again: whether nothing of it had left, or a replica had refused it, and whether that refusal was the answer to this request. Each connection to a replica now has a number and counts the answers that it has received; the line has these, the bytes written, the time until the first byte came back, the status, the request that the answer names and its statement that nothing ran. An answer whose bytes were there before the request was written is counted. No decision changes. Tests of relay and trip pass.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -93,9 +93,26 @@
 		att.ended.Unreachable, att.ended.Died = in.examineFailure(ctx, eff.Replica)
 	}
 	att.ended.Begun = cl.headerSent.Load()
+	if att.ended.Result != steer.ResultDone {
+		att.logTrace()
+	}
 	return att.ended
 }
 
+// logTrace logs how the attempt's request was sent and what came back, so that it can be told why the request was or was not sent again.
+func (att *attempt) logTrace() {
+	entry := att.in.log.Info().Str("Request", att.cl.info.Name).Int("Attempt", att.eff.Attempt).
+		Str("Replica", att.eff.Replica.Name).Int64("Born", att.eff.Replica.Born).Str("Result", att.ended.Result.String())
+	addString(entry, "Via", att.ended.Via)
+	if tr := att.trace; tr.Conn != 0 {
+		entry.Int64("Connection", tr.Conn).Bool("Kept", tr.Kept).Int64("Answers", tr.Answers).Int64("Written", tr.Written).Int64("WaitedUs", tr.Waited.Microseconds())
+	}
+	if att.ended.Status != 0 {
+		entry.Int("Status", att.ended.Status).Str("Named", att.answer.Name).Bool("NotRun", att.answer.NotRun)
+	}
+	entry.Msg("attempt without a whole answer")
+}
+
 // attempt is one attempt under way.
 type attempt struct {
 	in    *Instance
@@ -124,6 +141,10 @@
 	checks atomic.Int32
 	// lastEvent is the time of the last event, zero before the first. Only the goroutine that reads the response uses it.
 	lastEvent time.Time
+	// trace describes the connection that the request was written to.
+	trace trip.Trace
+	// answer is what the replica's answer states.
+	answer ResponseInfo
 	// sharedLastEvent is the same time, nil before the first event, for the timer's goroutine. It points to a time.Time
 	// instead of holding Unix nanoseconds because only a time.Time keeps the monotonic clock reading.
 	sharedLastEvent atomic.Pointer[time.Time]
@@ -162,7 +183,7 @@
 // message returns the attempt's request as exchange takes it.
 func (att *attempt) message() message {
 	name := att.cl.info.Name
-	msg := message{id: att.cl.id, request: name, name: name, to: steer.Target{Replica: att.eff.Replica, Kind: att.eff.Kind, Granted: att.eff.Granted}, decidedAt: att.eff.DecidedAt, via: &att.via}
+	msg := message{id: att.cl.id, request: name, name: name, to: steer.Target{Replica: att.eff.Replica, Kind: att.eff.Kind, Granted: att.eff.Granted}, decidedAt: att.eff.DecidedAt, via: &att.via, trace: &att.trace}
 	if hasReservations(&att.eff) {
 		// The reservations were made on the same decision.
 		msg.decidedAt = att.reservedAt
@@ -305,6 +326,7 @@
 }
 
 func (att *attempt) receive(ctx context.Context, resp *http.Response, ri ResponseInfo) steer.Result {
+	att.answer = ri
 	att.ended.Status = resp.StatusCode
 	att.ended.FaultyReplica = ri.FaultyReplica
 	if ri.Name != att.cl.info.Name && ri.Name != "" {
--- a/internal/relay/detour.go
+++ b/internal/relay/detour.go
@@ -104,6 +104,7 @@
 	}
 	in.count("Detours.Sent")
 	res, err := in.roundTripPeer(transport, hop)
+	msg.record(res.Trace)
 	if err != nil && !res.Written {
 		if req.Context().Err() != nil {
 			return nil, NotWritten.Wrap(err, "relay: a message to %s was given up before it was sent", msg.to.Replica.Name)
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -51,6 +51,15 @@
 	// via receives the name of the Instance through which the message is sent, unless it is nil. It stays empty if the message is sent
 	// directly.
 	via *atomic.Pointer[string]
+	// trace receives, unless it is nil, what is known of the connection that the message was written to.
+	trace *trip.Trace
+}
+
+// record stores the trace for the sender.
+func (msg *message) record(trace trip.Trace) {
+	if msg.trace != nil {
+		*msg.trace = trace
+	}
 }
 
 // exchange sends the message to its replica and returns the response, unless an announcement holds the message back. All
@@ -114,12 +123,18 @@
 		}
 		use := use
 		res, err := trip.Do(transport, &try, use.hooks(func(reused bool) { in.connected(msg.to.Replica, reused) }))
+		msg.record(res.Trace)
 		if res.Writes > 1 {
 			in.count("Messages.WrittenAgain")
 			in.log.Error().Str("Request", msg.request).Str("Replica", msg.to.Replica.Name).Int("Writes", res.Writes).Msg("request written again by the HTTP client")
 		}
 		switch {
 		case err == nil:
+			if res.Trace.Early {
+				in.count("Messages.AnsweredEarly")
+				in.log.Error().Str("Request", msg.request).Str("Replica", msg.to.Replica.Name).Int64("Connection", res.Trace.Conn).
+					Int64("Answers", res.Trace.Answers).Int("Status", res.Response.StatusCode).Msg("answer came before the request was written")
+			}
 			use.answered(res.Response.Header)
 			return res.Response, nil
 		case res.Written, isHeldBack(err):
--- a/internal/trip/trip.go
+++ b/internal/trip/trip.go
@@ -12,33 +12,101 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
-// CountingDialer returns a dialer whose connections count what is written to them.
+// lastConn is the number of the connection that was opened last.
+var lastConn atomic.Int64
+
+// CountingDialer returns a dialer whose connections count what is written to them and record when they are read from.
 func CountingDialer(dial func(ctx context.Context, network, address string) (net.Conn, error)) func(ctx context.Context, network, address string) (net.Conn, error) {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dial(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
-		return &countingConn{Conn: conn}, nil
+		return &countingConn{Conn: conn, number: lastConn.Add(1)}, nil
 	}
 }
 
-// countingConn counts the bytes written.
+// countingConn counts the bytes written, and records for its current use when the write began and when the first byte came back.
 type countingConn struct {
 	net.Conn
+	// number identifies the connection in the log.
+	number  int64
 	written atomic.Int64
+	// answers is the number of responses that were received on the connection.
+	answers atomic.Int64
+	// mu guards the fields below.
+	mu sync.Mutex
+	// used reports whether the connection has been given to a request.
+	used bool
+	// wroteAt is when the write of the current request began, zero before that.
+	wroteAt time.Time
+	// readAt is when the first bytes were read after wroteAt, zero before that.
+	readAt time.Time
+	// readBefore reports whether bytes were read after the last response's and before wroteAt. They belong to no request.
+	readBefore bool
 }
 
 // Write implements net.Conn. While it lasts, all of the bytes count as written.
 func (cc *countingConn) Write(raw []byte) (int, error) {
 	cc.written.Add(int64(len(raw)))
+	cc.mu.Lock()
+	if cc.wroteAt.IsZero() {
+		cc.wroteAt = time.Now()
+	}
+	cc.mu.Unlock()
 	count, err := cc.Conn.Write(raw)
 	cc.written.Add(int64(count - len(raw)))
 	return count, err
 }
 
+// Read implements net.Conn.
+func (cc *countingConn) Read(buf []byte) (int, error) {
+	count, err := cc.Conn.Read(buf)
+	if count > 0 {
+		cc.mu.Lock()
+		defer cc.mu.Unlock()
+		switch {
+		case cc.wroteAt.IsZero():
+			cc.readBefore = true
+		case cc.readAt.IsZero():
+			cc.readAt = time.Now()
+		}
+	}
+	return count, err
+}
+
+// beginUse prepares the connection for the next request. It returns the number of bytes written until now.
+func (cc *countingConn) beginUse() int64 {
+	cc.mu.Lock()
+	defer cc.mu.Unlock()
+	if cc.used {
+		// net/http closes a kept connection on which bytes arrive between two requests, unless it is just given to the next one.
+		cc.wroteAt, cc.readAt, cc.readBefore = time.Time{}, time.Time{}, false
+	}
+	cc.used = true
+	return cc.written.Load()
+}
+
+// Trace describes the connection that a request was written to last, and when the answer came.
+type Trace struct {
+	// Conn is the number of the connection, 0 if there was none.
+	Conn int64
+	// Answers is the number of responses that the connection had received before.
+	Answers int64
+	// Kept reports whether the connection was used before.
+	Kept bool
+	// Written is the number of bytes of the request that were written.
+	Written int64
+	// Waited is the time from the beginning of the write to the first byte that was read after it, 0 if none was.
+	Waited time.Duration
+	// Early reports that bytes of the response were there before the write began, or that none came after it. Such a response is not one
+	// to this request.
+	Early bool
+}
+
 // Result is what became of a request.
 type Result struct {
 	Response *http.Response
@@ -49,6 +117,7 @@
 	StaleConn bool
 	// Writes is the number of connections to which the request was written, as far as known. More than one is a defect.
 	Writes int
+	Trace  Trace
 }
 
 // Hooks are functions that are called while a request is sent. Each may be nil.
@@ -80,6 +149,7 @@
 	if err != nil {
 		return result, err
 	}
+	tr.answered()
 	result.Written, result.StaleConn = true, false
 	return result, nil
 }
@@ -124,7 +194,7 @@
 	tr.conn, tr.before, tr.reused = info.Conn, 0, info.Reused
 	dialed := info.Conn
 	if cc, ok := info.Conn.(*countingConn); ok {
-		tr.before = cc.written.Load()
+		tr.before = cc.beginUse()
 		dialed = cc.Conn
 	}
 	tr.mu.Unlock()
@@ -148,5 +218,29 @@
 	}
 	res.Written = res.Writes > 0
 	res.StaleConn = !res.Written && tr.conn != nil && tr.reused
+	if cc, ok := tr.conn.(*countingConn); ok {
+		res.Trace = cc.trace()
+		res.Trace.Kept, res.Trace.Written = tr.reused, cc.written.Load()-tr.before
+	}
 	return res
 }
+
+// answered counts a response of the latest connection.
+func (tr *trace) answered() {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	if cc, ok := tr.conn.(*countingConn); ok {
+		cc.answers.Add(1)
+	}
+}
+
+// trace describes the current use of the connection.
+func (cc *countingConn) trace() Trace {
+	cc.mu.Lock()
+	defer cc.mu.Unlock()
+	tr := Trace{Conn: cc.number, Answers: cc.answers.Load(), Early: cc.readBefore || cc.readAt.IsZero()}
+	if !cc.readAt.IsZero() {
+		tr.Waited = cc.readAt.Sub(cc.wroteAt)
+	}
+	return tr
+}
