Relay: a request that may run once is sent again only with a proof that it has not run

What callers saw: an update ran at two or three replicas, or was answered 503, which promises that it has not run, although it had.

Cause: each place that sent or received decided by itself what 'not run' means, by the kind of failure. Three of them were wrong. An answer without a request ID on a kept connection, such as a late copy of an earlier refusal, was taken for the answer. X-Not-Executed counted with any status, also with 200, 500 and 504. An answer of a peer without a statement of what became of the message counted as 'not passed on'.

Mend: one type, norun.Proof, made by three functions of one package: nothing was written, the replica's own answer to this request refuses it, or the peer states one of the two. The reducer counts an attempt as a run unless it has a proof, whatever its result. A peer states the proof of the answer that it passes on, since it alone knows the connection. A retry of what may run once has a connection of its own.

Tests changed, as strict: reducers' tests give each result its proof, and the histories of requests also draw refusals without one.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"dandelionsail.example/dandelionsail/internal/hops"
+	"dandelionsail.example/dandelionsail/internal/norun"
 	"dandelionsail.example/dandelionsail/internal/notice"
 	"dandelionsail.example/dandelionsail/internal/steer"
 	"dandelionsail.example/dandelionsail/internal/trip"
@@ -85,6 +86,7 @@
 	cl.mu.Unlock()
 	att := &attempt{in: in, cl: cl, eff: eff, expiresAt: make([]time.Time, len(eff.Helpers)), ended: steer.AttemptEnded{ID: cl.id, Attempt: eff.Attempt}}
 	att.ended.Result = att.run(ctx)
+	att.ended.Proof = att.fate.proof
 	att.ended.Unreachable = att.unreachable.Load()
 	if via := att.via.Load(); via != nil {
 		att.ended.Via = *via
@@ -104,13 +106,16 @@
 	entry := att.in.log.Info().Str("Request", att.cl.info.Name).Int("Attempt", att.eff.Attempt).
 		Str("Replica", att.eff.Replica.Name).Int64("Born", att.eff.Replica.Born).Str("Result", att.ended.Result.String())
 	addString(entry, "Via", att.ended.Via)
-	if tr := att.trace; tr.Conn != 0 {
+	if tr := att.fate.trace; tr.Conn != 0 {
 		entry.Int64("Connection", tr.Conn).Bool("Kept", tr.Kept).Int64("Answers", tr.Answers).Int64("Written", tr.Written).Int64("WaitedUs", tr.Waited.Microseconds())
 	}
 	if att.ended.Status != 0 {
-		entry.Int("Status", att.ended.Status).Str("Named", att.answer.Name).Bool("NotRun", att.answer.NotRun)
+		entry.Int("Status", att.ended.Status).Str("Named", att.fate.answer.Name).Bool("NotRun", att.fate.answer.NotRun)
+	}
+	entry.Str("Proof", att.ended.Proof.String()).Msg("attempt without a whole answer")
+	if att.ended.Proof != norun.None {
+		att.in.count("Attempts.NotRun." + att.ended.Proof.String() + "." + repeatKind(att.cl.route))
 	}
-	entry.Msg("attempt without a whole answer")
 }
 
 // attempt is one attempt under way.
@@ -141,10 +146,8 @@
 	checks atomic.Int32
 	// lastEvent is the time of the last event, zero before the first. Only the goroutine that reads the response uses it.
 	lastEvent time.Time
-	// trace describes the connection that the request was written to.
-	trace trip.Trace
-	// answer is what the replica's answer states.
-	answer ResponseInfo
+	// fate is what became of the request.
+	fate fate
 	// sharedLastEvent is the same time, nil before the first event, for the timer's goroutine. It points to a time.Time
 	// instead of holding Unix nanoseconds because only a time.Time keeps the monotonic clock reading.
 	sharedLastEvent atomic.Pointer[time.Time]
@@ -159,16 +162,17 @@
 	att.limit.Store(int64(limit))
 	att.timer = time.AfterFunc(limit, func() { att.checkSilence(attemptCtx, cancel) })
 	defer att.timer.Stop()
+	att.fate.proof = norun.OfWrite(false)
 	if result := att.reserve(attemptCtx); result != 0 {
 		return result
 	}
 	defer att.release()
 	began := time.Now()
 	resp, ri, err := att.in.exchange(att.eff.NewConnection, att.message(), att.newRequest(attemptCtx))
-	if isHeldBack(err) {
+	if isHeldBack(err) && att.fate.proof != norun.None {
 		return steer.ResultHeld
 	}
-	if isNotWritten(err) {
+	if isNotWritten(err) && att.fate.proof != norun.None {
 		att.ended.GivenUp = ctx.Err() != nil
 		att.ended.Hung = att.ended.GivenUp && time.Since(began) >= probeTimeout
 		return steer.ResultNotSent
@@ -183,7 +187,7 @@
 // message returns the attempt's request as exchange takes it.
 func (att *attempt) message() message {
 	name := att.cl.info.Name
-	msg := message{id: att.cl.id, request: name, name: name, to: steer.Target{Replica: att.eff.Replica, Kind: att.eff.Kind, Granted: att.eff.Granted}, decidedAt: att.eff.DecidedAt, via: &att.via, trace: &att.trace}
+	msg := message{id: att.cl.id, request: name, name: name, to: steer.Target{Replica: att.eff.Replica, Kind: att.eff.Kind, Granted: att.eff.Granted}, decidedAt: att.eff.DecidedAt, via: &att.via, fate: &att.fate}
 	if hasReservations(&att.eff) {
 		// The reservations were made on the same decision.
 		msg.decidedAt = att.reservedAt
@@ -326,7 +330,6 @@
 }
 
 func (att *attempt) receive(ctx context.Context, resp *http.Response, ri ResponseInfo) steer.Result {
-	att.answer = ri
 	att.ended.Status = resp.StatusCode
 	att.ended.FaultyReplica = ri.FaultyReplica
 	if ri.Name != att.cl.info.Name && ri.Name != "" {
@@ -335,10 +338,10 @@
 	}
 	switch {
 	case ri.Misdirected:
-		drainBody(resp)
+		att.drainRefusal(resp)
 		return steer.ResultMisdirected
 	case ri.NotRun:
-		drainBody(resp)
+		att.drainRefusal(resp)
 		return steer.ResultNotRun
 	case !ri.Sealed || resp.Header.Get("Content-Encoding") != "":
 		return steer.ResultBroken
@@ -355,6 +358,15 @@
 	drainTimeout = 20 * time.Millisecond
 )
 
+// drainRefusal reads the rest of a refusal, so that its connection is kept. A refusal that may be a late one to an earlier request is left unread,
+// which closes the connection: the answer to this request may follow on it.
+func (att *attempt) drainRefusal(resp *http.Response) {
+	if att.fate.proof == norun.None && att.cl.info.Name != "" {
+		return
+	}
+	drainBody(resp)
+}
+
 // drainBody reads and discards the rest of a refusal's body, since net/http closes the connection of a response whose body is closed
 // before its end.
 func drainBody(resp *http.Response) {
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -236,6 +236,14 @@
 	return "plain"
 }
 
+// repeatKind returns whether the route's requests may run once or again, as metric names state it.
+func repeatKind(route *decl.Route) string {
+	if route.Repeats == decl.RetryNone {
+		return "once"
+	}
+	return "repeatable"
+}
+
 // finish ends the caller's request: if it failed, with the replica's error response or a refusal, or by cutting the
 // connection if a response has begun.
 func (in *Instance) finish(cl *call, eff steer.Finish) {
--- a/internal/relay/callerconn_test.go
+++ b/internal/relay/callerconn_test.go
@@ -44,7 +44,8 @@
 		},
 		"draining": func(server interface {
 			Shutdown(ctx context.Context) error
-		}) {
+		},
+		) {
 			go func() { _ = server.Shutdown(context.Background()) }()
 		},
 	}
--- a/internal/relay/detour.go
+++ b/internal/relay/detour.go
@@ -14,6 +14,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"dandelionsail.example/dandelionsail/internal/hops"
+	"dandelionsail.example/dandelionsail/internal/norun"
 	"dandelionsail.example/dandelionsail/internal/notice"
 	"dandelionsail.example/dandelionsail/internal/steer"
 	"dandelionsail.example/dandelionsail/internal/trip"
@@ -31,6 +32,8 @@
 	detourLengthHeader = "Detour-Length"
 	// detourResultHeader carries what became of a message. It is a trailer once the response has begun.
 	detourResultHeader = "Detour-Result"
+	// detourProofHeader carries the proof that the replica's answer is, if it proves that the request has not run.
+	detourProofHeader = "Detour-Proof"
 	// detourReasonHeader says for the log why a message was not passed on.
 	detourReasonHeader = "Detour-Reason"
 	// detourDialTimeout is the timeout for opening a connection to a peer, which is a live Instance and near.
@@ -104,7 +107,7 @@
 	}
 	in.count("Detours.Sent")
 	res, err := in.roundTripPeer(transport, hop)
-	msg.record(res.Trace)
+	msg.record(res)
 	if err != nil && !res.Written {
 		if req.Context().Err() != nil {
 			return nil, NotWritten.Wrap(err, "relay: a message to %s was given up before it was sent", msg.to.Replica.Name)
@@ -117,7 +120,7 @@
 		}
 		return nil, err
 	}
-	return in.detourResponse(via, msg, res.Response)
+	return in.detourResponse(via, &msg, res.Response)
 }
 
 // roundTripPeer sends the request to a peer, over another kept connection as long as the chosen one was closed meanwhile.
@@ -198,11 +201,12 @@
 }
 
 // detourResponse turns the peer's response into the replica's.
-func (in *Instance) detourResponse(via string, msg message, resp *http.Response) (*http.Response, error) {
+func (in *Instance) detourResponse(via string, msg *message, resp *http.Response) (*http.Response, error) {
 	status, err := strconv.Atoi(resp.Header.Get(detourStatusHeader))
 	if err != nil {
 		_ = resp.Body.Close()
-		return nil, in.detourError(via, msg, resp)
+		msg.prove(norun.OfStatement(statesNotSent(resp)))
+		return nil, in.detourError(via, *msg, resp)
 	}
 	resp.StatusCode = status
 	resp.Status = strconv.Itoa(status) + " " + http.StatusText(status)
@@ -218,20 +222,33 @@
 	return resp, nil
 }
 
+// statesNotSent reports whether the peer states that it has not sent the message. An Instance whose version knows no detours has no handler for
+// them and answers 404. Any other answer without a result, such as one of the peer's HTTP server, leaves that open.
+func statesNotSent(resp *http.Response) bool {
+	switch resp.Header.Get(detourResultHeader) {
+	case detourRefused, detourHeldBack, detourNotWritten:
+		return true
+	case "":
+		return resp.StatusCode == http.StatusNotFound
+	}
+	return false
+}
+
 // detourError returns the error for a response that carries none of the replica's.
 func (in *Instance) detourError(via string, msg message, resp *http.Response) error {
-	switch result := resp.Header.Get(detourResultHeader); result {
-	case detourNotWritten:
+	result := resp.Header.Get(detourResultHeader)
+	switch {
+	case result == detourNotWritten:
 		return NotWritten.New("relay: the instance %s has not reached %s either; the request goes to another replica", via, msg.to.Replica.Name)
-	case detourBroken, detourDied:
-		return &detourBreak{died: result == detourDied}
-	default:
-		// An Instance whose version knows no detours answers 404.
+	case statesNotSent(resp):
 		if result == "" {
 			result = resp.Status
 		}
 		return in.detourFailed(via, msg, result, resp.Header.Get(detourReasonHeader))
+	case result == "":
+		_ = in.detourFailed(via, msg, resp.Status, "no result stated")
 	}
+	return &detourBreak{died: result == detourDied}
 }
 
 // detourBreak reports that the peer has sent the message and that its response is missing or incomplete.
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -8,6 +8,7 @@
 
 	"github.com/joomcode/errorx"
 
+	"dandelionsail.example/dandelionsail/internal/norun"
 	"dandelionsail.example/dandelionsail/internal/notice"
 	"dandelionsail.example/dandelionsail/internal/steer"
 	"dandelionsail.example/dandelionsail/internal/trip"
@@ -51,14 +52,31 @@
 	// via receives the name of the Instance through which the message is sent, unless it is nil. It stays empty if the message is sent
 	// directly.
 	via *atomic.Pointer[string]
-	// trace receives, unless it is nil, what is known of the connection that the message was written to.
-	trace *trip.Trace
+	// fate receives, unless it is nil, what became of the message.
+	fate *fate
 }
 
-// record stores the trace for the sender.
-func (msg *message) record(trace trip.Trace) {
-	if msg.trace != nil {
-		*msg.trace = trace
+// fate is what became of a message.
+type fate struct {
+	// trace describes the connection that the message was written to.
+	trace trip.Trace
+	// proof is why the message has not run, if that is certain.
+	proof norun.Proof
+	// answer is what the replica's answer states.
+	answer ResponseInfo
+}
+
+// record stores the result of a send for the sender.
+func (msg *message) record(res trip.Result) {
+	if msg.fate != nil {
+		msg.fate.trace, msg.fate.proof = res.Trace, norun.OfWrite(res.Written)
+	}
+}
+
+// prove stores the proof for the sender.
+func (msg *message) prove(proof norun.Proof) {
+	if msg.fate != nil {
+		msg.fate.proof = proof
 	}
 }
 
@@ -67,6 +85,7 @@
 // the use of a kept connection. If the replica's service declares how many connections it accepts, a kept connection that was just
 // proven alive is used nevertheless. If the path to the replica is lost, the message goes through another Instance.
 func (in *Instance) exchange(newConnection bool, msg message, req *http.Request) (*http.Response, ResponseInfo, error) {
+	msg.prove(norun.OfWrite(false))
 	verdict, err := in.checkMessage(msg, false)
 	if err != nil {
 		return nil, ResponseInfo{}, err
@@ -85,12 +104,15 @@
 		resp, err = in.exchangeVia(verdict.Via, newConnection, msg, req)
 	} else {
 		use := connUse{conns: in.conns, bound: verdict.Connections, proven: newConnection}
-		resp, err = in.sendOnce(in.transport(newConnection && !verdict.Connections.Bounded), use, msg, req)
+		// A retry has its own connection: on one that carried the request before, the answer to the first send could be taken for its own.
+		unpooled := newConnection && (!verdict.Connections.Bounded || msg.to.Kind == notice.Retry)
+		resp, err = in.sendOnce(in.transport(unpooled), use, msg, req)
 	}
 	if err != nil {
 		return nil, ResponseInfo{}, err
 	}
 	ri := in.protocol.ParseResponse(resp)
+	msg.answered(verdict.Via, resp, ri)
 	if !ri.Misdirected && (ri.Name == "" || ri.Name == msg.name) {
 		// Another answer would be one of another replica, or one to an earlier request on the connection.
 		in.apply(steer.ResponseReceived{Replica: msg.to.Replica.Name, Born: msg.to.Replica.Born, Sent: sent, Announced: ri.Announced})
@@ -98,6 +120,23 @@
 	return resp, ri, nil
 }
 
+// answered stores the replica's answer for the sender, with the proof that it is. The peer that has passed a message on knows the connection, and so
+// states the proof itself.
+func (msg *message) answered(via string, resp *http.Response, ri ResponseInfo) {
+	if msg.fate == nil {
+		return
+	}
+	msg.fate.answer = ri
+	refusal := ri.NotRun || ri.Misdirected
+	if via != "" {
+		states := refusal && resp.Header.Get(detourProofHeader) != "" && (ri.Name == "" || ri.Name == msg.name)
+		msg.fate.proof = norun.OfStatement(states)
+		return
+	}
+	tr := &msg.fate.trace
+	msg.fate.proof = norun.OfAnswer(norun.Answer{Refusal: refusal, Request: msg.name, Named: ri.Name, Kept: tr.Kept, Early: tr.Early})
+}
+
 // transport returns the transport to replicas with or without kept connections.
 func (in *Instance) transport(newConnection bool) *http.Transport {
 	if newConnection {
@@ -123,7 +162,7 @@
 		}
 		use := use
 		res, err := trip.Do(transport, &try, use.hooks(func(reused bool) { in.connected(msg.to.Replica, reused) }))
-		msg.record(res.Trace)
+		msg.record(res)
 		if res.Writes > 1 {
 			in.count("Messages.WrittenAgain")
 			in.log.Error().Str("Request", msg.request).Str("Replica", msg.to.Replica.Name).Int("Writes", res.Writes).Msg("request written again by the HTTP client")
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -97,6 +97,7 @@
 	if line.Status > 0 {
 		entry.Int("Status", line.Status)
 	}
+	addString(entry, "Proof", line.Proof)
 	if line.Budget != nil {
 		entry.Float64("Requests", line.Budget.Requests).Float64("Used", line.Budget.Used).
 			Float64("Allowed", math.Round(line.Budget.Allowed*10)/10).Int("Instances", line.Budget.Part.Instances)
--- a/internal/relay/passon.go
+++ b/internal/relay/passon.go
@@ -11,6 +11,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/joomcode/errorx"
 
+	"dandelionsail.example/dandelionsail/internal/norun"
 	"dandelionsail.example/dandelionsail/internal/steer"
 )
 
@@ -115,6 +116,8 @@
 	status int
 	// result is the detourResultHeader that is sent.
 	result string
+	// fate is what became of the message.
+	fate fate
 	// reason is the detourReasonHeader that is sent, empty if the response was passed on.
 	reason string
 }
@@ -123,7 +126,7 @@
 func (pg *passage) passOn(ctx context.Context, receivedAt time.Time) {
 	msg := message{
 		// The ID distinguishes the message from this Instance's own requests; the reducer knows no request of that ID.
-		id: steer.RequestID(pg.in.nextID.Add(1)), request: pg.dr.Request, name: pg.dr.Name, decidedAt: receivedAt, forPeer: true,
+		id: steer.RequestID(pg.in.nextID.Add(1)), request: pg.dr.Request, name: pg.dr.Name, decidedAt: receivedAt, forPeer: true, fate: &pg.fate,
 		to: steer.Target{Replica: pg.replica, Kind: pg.dr.Kind, Granted: pg.dr.Granted},
 	}
 	if pg.dr.ExpiresInMs > 0 {
@@ -131,6 +134,9 @@
 	}
 	resp, _, err := pg.in.exchange(pg.dr.NewConnection, msg, pg.dr.replicaRequest(ctx, pg.replica.Address))
 	switch {
+	case err != nil && pg.fate.proof == norun.None:
+		pg.refuse(pg.failure(ctx), "broken")
+		return
 	case errorx.IsOfType(err, NoPath):
 		pg.refuse(detourRefused, reasonNoPath)
 		return
@@ -173,6 +179,9 @@
 	header := pg.w.Header()
 	copyHeader(header, resp.Header)
 	header.Set(detourStatusHeader, strconv.Itoa(resp.StatusCode))
+	if pg.fate.proof != norun.None {
+		header.Set(detourProofHeader, pg.fate.proof.String())
+	}
 	if resp.ContentLength >= 0 {
 		header.Set(detourLengthHeader, strconv.FormatInt(resp.ContentLength, 10))
 	}
--- a/internal/steer/claim_test.go
+++ b/internal/steer/claim_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"dandelionsail.example/dandelionsail/internal/norun"
 	"dandelionsail.example/dandelionsail/internal/steer"
 	"dandelionsail.example/dandelionsail/pkg/decl"
 )
@@ -155,7 +156,7 @@
 	cc.arrive(cc.names[0], 1)
 	cc.advance(20 * time.Millisecond)
 	assert.Equal(t, len(cc.sends), 1)
-	cc.reduce(cc.names[0], steer.AttemptEnded{ID: 1, Attempt: 1, Result: steer.ResultNotSent})
+	cc.reduce(cc.names[0], steer.AttemptEnded{ID: 1, Attempt: 1, Result: steer.ResultNotSent, Proof: norun.Unwritten})
 	list := replicas(2)[:2]
 	list[0].Slots, list[1].Slots = 1, 1
 	for _, name := range cc.names {
--- a/internal/steer/effect.go
+++ b/internal/steer/effect.go
@@ -164,6 +164,8 @@
 	Rest time.Duration
 	// Status is the HTTP status of the replica's answer.
 	Status int
+	// Proof is why the attempt's request has not run, "None" if it may have.
+	Proof string
 	// Send is the kind of a message that was held back.
 	Send string
 	// PassedOver lists why replicas were passed over, with the number of replicas.
--- a/internal/steer/event.go
+++ b/internal/steer/event.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"dandelionsail.example/dandelionsail/internal/cause"
+	"dandelionsail.example/dandelionsail/internal/norun"
 	"dandelionsail.example/dandelionsail/internal/notice"
 	"dandelionsail.example/dandelionsail/internal/posit"
 	"dandelionsail.example/dandelionsail/pkg/decl"
@@ -97,6 +98,8 @@
 	ID      RequestID
 	Attempt int
 	Result  Result
+	// Proof is why the request has not run because of the attempt. Without one it may have run, whatever the Result.
+	Proof norun.Proof
 	// Begun reports whether the caller already has the start of an answer, so that only the rest of it can follow.
 	Begun bool
 	// Unreachable reports whether the replica accepted no new connection after it broke off the answer or fell silent.
--- a/internal/steer/fleet_test.go
+++ b/internal/steer/fleet_test.go
@@ -11,6 +11,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"dandelionsail.example/dandelionsail/internal/norun"
 	"dandelionsail.example/dandelionsail/internal/steer"
 	"dandelionsail.example/dandelionsail/pkg/decl"
 )
@@ -249,7 +250,7 @@
 	ended := steer.AttemptEnded{ID: eff.ID, Attempt: eff.Attempt, Via: verdict.Via}
 	switch {
 	case verdict.Held():
-		ended.Result = steer.ResultHeld
+		ended.Result, ended.Proof = steer.ResultHeld, norun.Unwritten
 		fl.end(node, ended)
 	case verdict.Via == "":
 		fl.dial(node, eff.Replica, hangTime, func(reached bool) {
@@ -267,7 +268,7 @@
 func (fl *fleet) answer(node *fleetNode, eff steer.Send, ended steer.AttemptEnded, reached bool) {
 	if !reached {
 		node.unanswered++
-		ended.Result = steer.ResultNotSent
+		ended.Result, ended.Proof = steer.ResultNotSent, norun.Unwritten
 		fl.end(node, ended)
 		return
 	}
@@ -359,7 +360,7 @@
 		ev.Replica, ev.Cause = eff.Replica.Name, steer.DetourHeldBack
 	}
 	fl.reduce(node, ev)
-	ended.Result = steer.ResultHeld
+	ended.Result, ended.Proof = steer.ResultHeld, norun.Unwritten
 	fl.end(node, ended)
 }
 
--- a/internal/steer/life_test.go
+++ b/internal/steer/life_test.go
@@ -7,6 +7,7 @@
 	"pgregory.net/rapid"
 
 	"dandelionsail.example/dandelionsail/internal/budget"
+	"dandelionsail.example/dandelionsail/internal/norun"
 	"dandelionsail.example/dandelionsail/internal/steer"
 	"dandelionsail.example/dandelionsail/pkg/decl"
 )
@@ -49,12 +50,16 @@
 		rhs.rt.Fatalf("request %d of %s sent after its end", eff.ID, rh.route.Name)
 	}
 	result := outcomes[rhs.lw.random.IntN(len(outcomes))]
-	end := steer.AttemptEnded{ID: eff.ID, Attempt: eff.Attempt, Result: result, Died: rhs.lw.chance(0.1) == 1, Status: 500}
+	end := steer.AttemptEnded{ID: eff.ID, Attempt: eff.Attempt, Result: result, Proof: proofOf(result), Died: rhs.lw.chance(0.1) == 1, Status: 500}
+	if rhs.lw.chance(0.2) == 1 {
+		// A refusal that may not be the answer to this request proves nothing.
+		end.Proof = norun.None
+	}
 	rh.sent++
 	if rh.sent > 1 && rh.route.Repeats == decl.RetryNone && rh.ran > 0 {
 		rhs.rt.Fatalf("request %d of %s sent again after it may have run", eff.ID, rh.route.Name)
 	}
-	if result != steer.ResultNotSent && result != steer.ResultNotRun && result != steer.ResultMisdirected {
+	if end.Proof == norun.None {
 		rh.ran++
 	}
 	if rh.ran > rh.route.Attempts {
--- a/internal/steer/limit_world_test.go
+++ b/internal/steer/limit_world_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"dandelionsail.example/dandelionsail/internal/budget"
+	"dandelionsail.example/dandelionsail/internal/norun"
 	"dandelionsail.example/dandelionsail/internal/notice"
 	"dandelionsail.example/dandelionsail/internal/steer"
 	"dandelionsail.example/dandelionsail/pkg/decl"
@@ -273,7 +274,7 @@
 func (lw *limitWorld) send(node *limitNode, eff steer.Send) {
 	if !lw.mayPass(node, eff) {
 		lw.inRun(node, time.Millisecond, func() {
-			lw.reduce(node, steer.AttemptEnded{ID: eff.ID, Attempt: eff.Attempt, Result: steer.ResultHeld})
+			lw.reduce(node, steer.AttemptEnded{ID: eff.ID, Attempt: eff.Attempt, Result: steer.ResultHeld, Proof: norun.Unwritten})
 		})
 		return
 	}
@@ -299,7 +300,7 @@
 			lw.told(node, eff.Replica.Name, ann)
 			lw.reduce(node, steer.ResponseReceived{Replica: eff.Replica.Name, Born: eff.Replica.Born, Sent: sent, Announced: ann})
 			if refused {
-				lw.reduce(node, steer.AttemptEnded{ID: eff.ID, Attempt: eff.Attempt, Result: steer.ResultNotRun, Status: 503})
+				lw.reduce(node, steer.AttemptEnded{ID: eff.ID, Attempt: eff.Attempt, Result: steer.ResultNotRun, Proof: norun.Refused, Status: 503})
 				return
 			}
 			lw.reduce(node, steer.Began{ID: eff.ID, Attempt: eff.Attempt})
--- a/internal/steer/path_test.go
+++ b/internal/steer/path_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"dandelionsail.example/dandelionsail/internal/norun"
 	"dandelionsail.example/dandelionsail/internal/notice"
 	"dandelionsail.example/dandelionsail/internal/steer"
 )
@@ -158,7 +159,7 @@
 	in.withPeers(1, 0)
 	_, effects := in.losePath()
 	sent := in.waitForSend(50*time.Millisecond, effects)
-	effects = in.reduce(steer.AttemptEnded{ID: sent.ID, Attempt: sent.Attempt, Result: steer.ResultNotSent, Via: "near-0"})
+	effects = in.reduce(steer.AttemptEnded{ID: sent.ID, Attempt: sent.Attempt, Result: steer.ResultNotSent, Proof: norun.Unwritten, Via: "near-0"})
 	assert.Equal(t, len(announcedDown(effects)), 0)
 	next := in.waitForSend(50*time.Millisecond, effects)
 	assert.Assert(t, next.Replica.Name != sent.Replica.Name)
@@ -172,7 +173,7 @@
 	for range 4 {
 		sent := in.waitForSend(50*time.Millisecond, in.arrive(&short, 5000))
 		in.reduce(steer.CallerGone{ID: sent.ID})
-		effects := in.reduce(steer.AttemptEnded{ID: sent.ID, Attempt: sent.Attempt, Result: steer.ResultNotSent, GivenUp: true})
+		effects := in.reduce(steer.AttemptEnded{ID: sent.ID, Attempt: sent.Attempt, Result: steer.ResultNotSent, Proof: norun.Unwritten, GivenUp: true})
 		assert.Equal(t, len(announcedDown(effects)), 0)
 	}
 	assert.Equal(t, len(in.st.LostPaths(in.now)), 0)
@@ -252,7 +253,7 @@
 	in := newInstance(t, "one", 8)
 	in.withPeers(1, 0)
 	sent, _ := firstSend(in.arrive(&short, 5000))
-	effects := in.reduce(steer.AttemptEnded{ID: sent.ID, Attempt: sent.Attempt, Result: steer.ResultNotSent, GivenUp: true, Hung: true})
+	effects := in.reduce(steer.AttemptEnded{ID: sent.ID, Attempt: sent.Attempt, Result: steer.ResultNotSent, Proof: norun.Unwritten, GivenUp: true, Hung: true})
 	assert.Assert(t, !in.gate(sent.Replica, false).Held())
 	probed := find[steer.ProbePaths](t, effects).Replicas[0]
 	in.reduce(steer.PathObserved{Replica: probed.Name})
--- a/internal/steer/place_test.go
+++ b/internal/steer/place_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"dandelionsail.example/dandelionsail/internal/norun"
 	"dandelionsail.example/dandelionsail/internal/steer"
 	"dandelionsail.example/dandelionsail/pkg/decl"
 )
@@ -205,10 +206,11 @@
 					sent := running[id]
 					delete(running, id)
 					result := steer.Result(rapid.IntRange(1, 9).Draw(rt, "result"))
-					if result != steer.ResultNotSent && result != steer.ResultNotRun && result != steer.ResultMisdirected {
+					proof := proofOf(result)
+					if proof == norun.None {
 						runs[id]++
 					}
-					record(in.reduce(steer.AttemptEnded{ID: id, Attempt: sent.Attempt, Result: result, Died: rapid.Bool().Draw(rt, "died")}))
+					record(in.reduce(steer.AttemptEnded{ID: id, Attempt: sent.Attempt, Result: result, Proof: proof, Died: rapid.Bool().Draw(rt, "died")}))
 				}
 			case 2:
 				record(in.advance(time.Duration(rapid.IntRange(1, 3000).Draw(rt, "ms")) * time.Millisecond))
--- a/internal/steer/retry.go
+++ b/internal/steer/retry.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"dandelionsail.example/dandelionsail/internal/norun"
 	"dandelionsail.example/dandelionsail/internal/notice"
 	"dandelionsail.example/dandelionsail/pkg/decl"
 )
@@ -36,7 +37,7 @@
 	if ev.Result != ResultNotSent && ev.Result != ResultHeld {
 		st.recordArrival(req)
 	}
-	if ev.Result != ResultNotSent && ev.Result != ResultNotRun && ev.Result != ResultMisdirected && ev.Result != ResultHeld {
+	if ev.Proof == norun.None {
 		req.runs++
 	} else {
 		st.recordUsed(req, -1)
@@ -185,7 +186,7 @@
 // retry queues the request for another attempt after a failed one if mayRepeat allows it, the deadline has not passed and
 // the request is not in quarantine. Otherwise it refuses the request.
 func (st *State) retry(req *request, ev AttemptEnded) {
-	st.emit(LogLine{Message: "attempt failed: " + ev.Result.String(), Request: req.Name, Replica: req.reps[0].Name, Age: st.now.Sub(req.at), Attempt: req.attempt, Status: ev.Status})
+	st.emit(LogLine{Message: "attempt failed: " + ev.Result.String(), Request: req.Name, Replica: req.reps[0].Name, Age: st.now.Sub(req.at), Attempt: req.attempt, Status: ev.Status, Proof: ev.Proof.String()})
 	req.failureHeld = ev.Result == ResultAnswered || req.failureHeld
 	if !st.now.Before(req.Deadline) {
 		st.refuse(req, ReasonDeadline, 0)
@@ -195,7 +196,7 @@
 		st.refuseQuarantined(req)
 		return
 	}
-	if ev.Result == ResultHeld {
+	if ev.Result == ResultHeld && ev.Proof != norun.None {
 		if req.overBudget {
 			st.refuse(req, ReasonBudget, busyRetryAfter)
 			return
@@ -231,7 +232,7 @@
 	st.waiting = append(st.waiting, req)
 }
 
-// mayRepeat reports whether the request may be sent again: either it certainly did not run, or its route declares that
+// mayRepeat reports whether the request may be sent again: either each attempt has a proof that it did not run, or its route declares that
 // requests may run again. Repeats are bounded by maxSends, the route's attempts and, in chargeRepeat, the budget that all instances share.
 func (st *State) mayRepeat(req *request, ev AttemptEnded) bool {
 	if req.tries() >= maxSends || req.runs >= req.Route.Attempts {
--- a/internal/steer/steer_test.go
+++ b/internal/steer/steer_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"dandelionsail.example/dandelionsail/internal/budget"
+	"dandelionsail.example/dandelionsail/internal/norun"
 	"dandelionsail.example/dandelionsail/internal/steer"
 	"dandelionsail.example/dandelionsail/pkg/decl"
 )
@@ -135,7 +136,18 @@
 
 // end ends the attempt with the result.
 func (in *instance) end(sent steer.Send, result steer.Result) []steer.Effect {
-	return in.reduce(steer.AttemptEnded{ID: sent.ID, Attempt: sent.Attempt, Result: result})
+	return in.reduce(steer.AttemptEnded{ID: sent.ID, Attempt: sent.Attempt, Result: result, Proof: proofOf(result)})
+}
+
+// proofOf returns the proof that goes with the result if nothing else is known.
+func proofOf(result steer.Result) norun.Proof {
+	switch result {
+	case steer.ResultNotSent, steer.ResultHeld:
+		return norun.Unwritten
+	case steer.ResultNotRun, steer.ResultMisdirected:
+		return norun.Refused
+	}
+	return norun.None
 }
 
 // find returns the only effect of the type and fails if there is none or more than one.
@@ -178,9 +190,9 @@
 		again  bool
 		notRun bool
 	}{
-		"update, connection refused": {&update, steer.AttemptEnded{Result: steer.ResultNotSent}, true, true},
-		"update, refused as not run": {&update, steer.AttemptEnded{Result: steer.ResultNotRun}, true, true},
-		"update, misdirected":        {&update, steer.AttemptEnded{Result: steer.ResultMisdirected}, true, true},
+		"update, connection refused": {&update, steer.AttemptEnded{Result: steer.ResultNotSent, Proof: norun.Unwritten}, true, true},
+		"update, refused as not run": {&update, steer.AttemptEnded{Result: steer.ResultNotRun, Proof: norun.Refused}, true, true},
+		"update, misdirected":        {&update, steer.AttemptEnded{Result: steer.ResultMisdirected, Proof: norun.Refused}, true, true},
 		"update, broken":             {&update, steer.AttemptEnded{Result: steer.ResultBroken}, false, false},
 		"update, silent":             {&update, steer.AttemptEnded{Result: steer.ResultSilent}, false, false},
 		"lookup, broken":             {&lookup, steer.AttemptEnded{Result: steer.ResultBroken}, true, false},
--- a/internal/steer/subset_test.go
+++ b/internal/steer/subset_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"dandelionsail.example/dandelionsail/internal/norun"
 	"dandelionsail.example/dandelionsail/internal/notice"
 	"dandelionsail.example/dandelionsail/pkg/decl"
 )
@@ -170,7 +171,7 @@
 			st := fleet{tc.instances, 20, 5}.instance(0)
 			route := decl.Route{Name: "read", Shares: []decl.Share{{Service: "board", Weight: 1}}, Repeats: decl.RetryAny, Timeout: decl.Duration(time.Second), Goal: decl.Duration(time.Second), Attempts: 2}
 			st.Reduce(fleetStart, Arrived{ID: 1, Route: &route, Deadline: fleetStart.Add(time.Second), LeavesAt: fleetStart.Add(time.Second)})
-			st.Reduce(fleetStart, AttemptEnded{ID: 1, Attempt: 1, Result: ResultNotRun})
+			st.Reduce(fleetStart, AttemptEnded{ID: 1, Attempt: 1, Result: ResultNotRun, Proof: norun.Refused})
 			assert.Equal(t, !st.replicas["board-0"].usable(fleetStart), tc.avoided)
 		})
 	}
--- a/internal/steer/warm_test.go
+++ b/internal/steer/warm_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"dandelionsail.example/dandelionsail/internal/norun"
 	"dandelionsail.example/dandelionsail/internal/notice"
 	"dandelionsail.example/dandelionsail/internal/steer"
 	"dandelionsail.example/dandelionsail/pkg/decl"
@@ -130,20 +131,20 @@
 			in.fail(steer.AttemptEnded{Result: steer.ResultBroken, Died: true, Unreachable: true})
 		}, 700*time.Millisecond + coldTime},
 		"unreachable": {func(in *instance) {
-			in.fail(steer.AttemptEnded{Result: steer.ResultNotSent})
+			in.fail(steer.AttemptEnded{Result: steer.ResultNotSent, Proof: norun.Unwritten})
 		}, 700*time.Millisecond + coldTime},
 		"fell silent and refuses connections": {func(in *instance) {
 			in.fail(steer.AttemptEnded{Result: steer.ResultSilent, Unreachable: true})
 		}, 700*time.Millisecond + coldTime},
 		"not reached by another instance either": {func(in *instance) {
-			in.fail(steer.AttemptEnded{Result: steer.ResultNotSent, Via: "two"})
+			in.fail(steer.AttemptEnded{Result: steer.ResultNotSent, Proof: norun.Unwritten, Via: "two"})
 		}, 700*time.Millisecond + coldTime},
 		"fell silent, but accepts connections": {func(in *instance) {
 			in.fail(steer.AttemptEnded{Result: steer.ResultSilent})
 		}, 0},
-		"refused": {func(in *instance) { in.fail(steer.AttemptEnded{Result: steer.ResultNotRun}) }, 0},
+		"refused": {func(in *instance) { in.fail(steer.AttemptEnded{Result: steer.ResultNotRun, Proof: norun.Refused}) }, 0},
 		"entry is newer than the failure": {func(in *instance) {
-			in.fail(steer.AttemptEnded{Result: steer.ResultNotSent})
+			in.fail(steer.AttemptEnded{Result: steer.ResultNotSent, Proof: norun.Unwritten})
 			in.advance(2100 * time.Millisecond)
 			in.entry(1, 0)
 		}, 0},
@@ -192,7 +193,7 @@
 			in.entry(1, 1800)
 			in.answer(2*time.Second, 0)
 			in.st.WarmAfterEvacuation("lyric-0")
-			in.fail(steer.AttemptEnded{Result: steer.ResultNotSent})
+			in.fail(steer.AttemptEnded{Result: steer.ResultNotSent, Proof: norun.Unwritten})
 		}, 0},
 		"slow start configured later": {func(in *instance) {
 			in.reduce(steer.Configured{Routing: &decl.Routing{Version: 3, Services: map[string]decl.Pool{"lyric": {Engine: &figures}}}})
@@ -425,7 +426,7 @@
 	for range 6 {
 		for _, eff := range in.arrive(&short, 5000) {
 			if sent, ok := eff.(steer.Send); ok {
-				in.reduce(steer.AttemptEnded{ID: sent.ID, Attempt: sent.Attempt, Result: steer.ResultNotSent})
+				in.reduce(steer.AttemptEnded{ID: sent.ID, Attempt: sent.Attempt, Result: steer.ResultNotSent, Proof: norun.Unwritten})
 			}
 		}
 	}
