Relay: a caller's connection on which a request arrives is not closed as idle

What callers saw, or would have: a kept connection ends before any byte of the answer. The caller takes its request for unread and sends it to another instance, and it runs at both.

Cause: http.Server counts a connection as idle until it has read the head of the next request whole. The timer of idle connections closed it in between, and the request was served all the same.

Mend: the connection itself decides, under one lock, whether bytes have arrived or it is closed: the timer does nothing once bytes of a request have arrived, and what is read after the close is not handed to http.Server.

Evidence: TestRequestOnAConnectionThatTheInstanceClosesIsNotServed, case 'idle for too long': 2 served, 1 answered before; passes now. Its case 'draining' passed before, since http.Server looks for a shutdown after it has read a head.

--- a/internal/relay/instance.go
+++ b/internal/relay/instance.go
@@ -203,7 +203,7 @@
 		case <-serveCtx.Done():
 		}
 		defer stop()
-		in.drain(callerServer, peerServer)
+		in.drain(callerServer.Server, peerServer)
 		return errors.Join(readyServer.Close(), peerServer.Close())
 	})
 	in.log.Info().Str("Instance", in.opts.Name).Str("Address", in.opts.Listen).Msg("started")
@@ -215,8 +215,9 @@
 	return err
 }
 
-func (in *Instance) newCallerServer(handler http.Handler, errorLog *stdlog.Logger) *http.Server {
-	return &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeader, ErrorLog: errorLog, ConnState: newIdleConns(in.idleLimit).track}
+func (in *Instance) newCallerServer(handler http.Handler, errorLog *stdlog.Logger) *callerServer {
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeader, ErrorLog: errorLog}
+	return newCallerServer(server, in.idleLimit)
 }
 
 // handleHangups logs that SIGHUP has no effect: all settings come from flags and the environment and are read only at
