Relay: a request is not repeated if its route lets it run only once by now

What callers saw, or would have: a request that came on a repeatable route runs twice although the operators have declared meanwhile that the route's requests run once.

Cause: the kind of the route when the request came decided about repeats for as long as it was open.

Mend: a request runs once if its route when it came or the one in force for its path says so. Requests that wait to be repeated end when the configuration changes; one that has not run goes on.

TestAttemptResultDecidesRetry has cases without a proof.

--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -150,7 +150,7 @@
 	cl.id = steer.RequestID(in.nextID.Add(1))
 	cl.contentDigest = cl.digest()
 	return steer.Arrived{
-		ID: cl.id, Route: cl.route, Name: cl.info.Name, Organisation: cl.org, Priority: priority,
+		ID: cl.id, Route: cl.route, Path: cl.req.URL.Path, Name: cl.info.Name, Organisation: cl.org, Priority: priority,
 		Prompt: cl.info.Prompt, Answer: cl.info.Answer, Deadline: cl.deadline, LeavesAt: callerLeavesAt(cl.route, cl.arrived, cl.deadline),
 		Digest: cl.contentDigest, Parts: cl.info.Parts, StatedTimeout: cl.info.StatedTimeout,
 	}
--- a/internal/steer/event.go
+++ b/internal/steer/event.go
@@ -29,6 +29,8 @@
 type Arrived struct {
 	ID    RequestID
 	Route *decl.Route
+	// Path is the path that the route was found for.
+	Path string
 	// Name is the request ID that the caller sees, for the log.
 	Name         string
 	Organisation string
--- a/internal/steer/queue.go
+++ b/internal/steer/queue.go
@@ -58,7 +58,7 @@
 // trySend places the request, and sends it, books a claim for it or asks for a grant. The result is false if the request has
 // to stay in the queue: if it cannot be placed now, waits for a grant, or is held because of deaths under its content.
 func (st *State) trySend(req *request) bool {
-	if st.heldByDeaths(req) {
+	if st.heldByDeaths(req) || st.mustNotRunAgain(req) {
 		return false
 	}
 	if req.grant.rep != nil {
@@ -93,9 +93,9 @@
 // outOfTime are first tries that would be late: their callers can retry once more, and so learn now when to do so. gaveWay are first
 // tries that gave way to others for too long. blocked are
 // those that the replicas' announcements keep waiting for too long. quarantined are those whose content was quarantined while they
-// waited. From Draining.RefuseWaitingAt on, all that wait are refused.
+// waited, and changed those that may run only once by now. From Draining.RefuseWaitingAt on, all that wait are refused.
 func (st *State) expire() {
-	var expired, outOfTime, gaveWay, draining, quarantined []*request
+	var expired, outOfTime, gaveWay, draining, quarantined, changed []*request
 	var blocked []blockedRequest
 	for _, req := range st.waiting {
 		switch {
@@ -103,6 +103,8 @@
 			draining = append(draining, req)
 		case st.quarantined(req):
 			quarantined = append(quarantined, req)
+		case st.mustNotRunAgain(req):
+			changed = append(changed, req)
 		case !st.now.Before(req.Deadline) || !req.begun && !st.now.Before(req.LeavesAt) || st.waitedTooLong(req):
 			expired = append(expired, req)
 		case req.hasTimelyGrant():
@@ -123,6 +125,9 @@
 	for _, req := range quarantined {
 		st.refuseQuarantined(req)
 	}
+	for _, req := range changed {
+		st.refuse(req, ReasonUpstream, 0)
+	}
 	for _, req := range outOfTime {
 		st.refuse(req, ReasonBusy, st.retryAfter(req))
 	}
--- a/internal/steer/retry.go
+++ b/internal/steer/retry.go
@@ -238,11 +238,29 @@
 	if req.tries() >= maxSends || req.runs >= req.Route.Attempts {
 		return false
 	}
-	return req.runs == 0 || repeatable(req, ev)
+	return req.runs == 0 || st.repeatable(req, ev)
 }
 
+// runsOnce reports whether the request may run only once, by its route when it arrived or by the one in force now.
+func (st *State) runsOnce(req *request) bool {
+	if req.Route.Repeats == decl.RetryNone {
+		return true
+	}
+	if st.Routing == nil {
+		return false
+	}
+	now := st.Routing.Find(req.Route.Host, req.Path)
+	return now != nil && now.Repeats == decl.RetryNone
+}
+
+// mustNotRunAgain reports whether a request that waits to be repeated may no longer be, since its route has changed.
+func (st *State) mustNotRunAgain(req *request) bool { return req.runs > 0 && st.runsOnce(req) }
+
 // repeatable reports whether the route allows a request that may have run to run again after this result.
-func repeatable(req *request, ev AttemptEnded) bool {
+func (st *State) repeatable(req *request, ev AttemptEnded) bool {
+	if st.runsOnce(req) {
+		return false
+	}
 	switch req.Route.Repeats {
 	case decl.RetryAny:
 		return !req.begun
--- a/internal/steer/serve.go
+++ b/internal/steer/serve.go
@@ -109,7 +109,7 @@
 	pl := &req.plan
 	eff := Send{
 		ID: req.ID, Replica: pl.reps[0].Replica, Priority: req.Priority,
-		NewConnection: req.Route.Repeats == decl.RetryNone, Deadline: req.Deadline, DecidedAt: st.now, Kind: req.sendKind(),
+		NewConnection: st.runsOnce(req), Deadline: req.Deadline, DecidedAt: st.now, Kind: req.sendKind(),
 		Granted: req.grant.granted && req.grant.rep == pl.reps[0],
 	}
 	req.attempt++
--- a/internal/steer/steer_test.go
+++ b/internal/steer/steer_test.go
@@ -101,7 +101,7 @@
 func (in *instance) arrive(route *decl.Route, prompt int64) []steer.Effect {
 	in.next++
 	ev := steer.Arrived{
-		ID: in.next, Route: route, Name: "request", Organisation: "parish", Prompt: prompt, Digest: steer.Digest(in.next),
+		ID: in.next, Route: route, Path: route.Prefix, Name: "request", Organisation: "parish", Prompt: prompt, Digest: steer.Digest(in.next),
 		Deadline: in.now.Add(route.Timeout.Std()), LeavesAt: in.now.Add(max(2*time.Second, 4*route.Goal.Std())),
 	}
 	if prompt > 0 {
@@ -194,6 +194,10 @@
 		"update, refused as not run": {&update, steer.AttemptEnded{Result: steer.ResultNotRun, Proof: norun.Refused}, true, true},
 		"update, misdirected":        {&update, steer.AttemptEnded{Result: steer.ResultMisdirected, Proof: norun.Refused}, true, true},
 		"update, broken":             {&update, steer.AttemptEnded{Result: steer.ResultBroken}, false, false},
+		"update, refusal, no proof":  {&update, steer.AttemptEnded{Result: steer.ResultNotRun}, false, false},
+		"update, not sent, no proof": {&update, steer.AttemptEnded{Result: steer.ResultNotSent}, false, false},
+		"update, held, no proof":     {&update, steer.AttemptEnded{Result: steer.ResultHeld}, false, false},
+		"update, through a peer":     {&update, steer.AttemptEnded{Result: steer.ResultNotRun, Proof: norun.Stated, Via: "two"}, true, true},
 		"update, silent":             {&update, steer.AttemptEnded{Result: steer.ResultSilent}, false, false},
 		"lookup, broken":             {&lookup, steer.AttemptEnded{Result: steer.ResultBroken}, true, false},
 		"lookup, failure":            {&lookup, steer.AttemptEnded{Result: steer.ResultAnswered, Status: 500}, true, false},
@@ -227,6 +231,24 @@
 	return 0
 }
 
+func TestWaitingRepeatEndsIfItsKindChanges(t *testing.T) {
+	// Guards against a request that runs twice: it waits to be sent again when the operators declare that the requests of its route run once.
+	in := newInstance(t, "one", 0)
+	route := lookup
+	route.Host, route.Prefix = "hall.example", "/look/"
+	all := replicas(0)
+	in.reduce(steer.Listed{Replicas: all[:1]})
+	first := find[steer.Send](t, in.arrive(&route, 0))
+	none[steer.Finish](t, in.end(first, steer.ResultBroken))
+	once := route
+	once.Repeats = decl.RetryNone
+	effects := in.reduce(steer.Configured{Routing: &decl.Routing{Version: 2, Routes: []decl.Route{once}, Services: map[string]decl.Pool{"board": {}}}})
+	effects = append(effects, in.reduce(steer.Listed{Replicas: all})...)
+	effects = append(effects, in.advance(50*time.Millisecond)...)
+	none[steer.Send](t, effects)
+	assert.Assert(t, !find[steer.Finish](t, effects).Refusal.NotRun)
+}
+
 func TestRouteAttemptsLimitRuns(t *testing.T) {
 	// Two replicas break off their answers to a lookup whose route allows two attempts. A third attempt would exceed what the
 	// operators allow, so the caller gets an error without the guarantee that the request did not run.
