Store client: two returns of the store never have the same era

Cause: the store holds the number of its era in a record. It returned twice within seconds, the second time from a copy without the record of the first return. The first instance to notice had not noticed the first return, and gave the second one the number of the first. The claim's holder, which knew that number, took both for the same: it did not read the store again and did not write the claim that was lost, and the key was free for others.

Mend: an instance that meets a cluster that is new to it accepts the record only if its era is above the one that it knows, and raises it otherwise. Those that have accepted the lower number learn of the higher one by announcements, and read the record again (CheckEra).

Fencing numbers and leases are made of the same era.

Remains: until an instance hears of the higher number, 8 s at most, its fencing numbers are lower than those of the others; engines refuse the lower ones.

--- a/internal/conf/follow.go
+++ b/internal/conf/follow.go
@@ -408,8 +408,8 @@
 // wrong announcement does not keep it in a loop.
 func (fl *Follower) fetch(ctx context.Context, announcement wire.ConfigAnnouncement) {
 	if announcement.Era > fl.lg.st.Era().Number {
-		// Any answer of the store names its era.
-		_, _, _ = fl.lg.readManifest(ctx)
+		// If the service does not answer, the next announcement leads to another try.
+		_ = fl.lg.st.CheckEra(ctx)
 	}
 	for announcement.Version > fl.Version() {
 		before := fl.Version()
--- a/internal/store/era.go
+++ b/internal/store/era.go
@@ -79,6 +79,19 @@
 	if era, ok := er.lookUp(cluster); ok {
 		return era, nil
 	}
+	return er.resolve(ctx, calls)
+}
+
+// Check reads the record again, since another instance may have replaced it by one with a higher era.
+func (er *Eras) Check(ctx context.Context, calls Calls) error {
+	er.resolving.Lock()
+	defer er.resolving.Unlock()
+	_, err := er.resolve(ctx, calls)
+	return err
+}
+
+// resolve reads the record of the present cluster, or writes it. er.resolving is held.
+func (er *Eras) resolve(ctx context.Context, calls Calls) (int64, error) {
 	for range maxEraAttempts {
 		answer, err := calls.Range(ctx, RangeRequest{Key: []byte(eraKey)})
 		if err != nil {
@@ -119,12 +132,14 @@
 }
 
 // recordOf returns the record for the present cluster, and whether the service holds it already. A copy may lack the last
-// record, so the era is above each that this process has seen.
+// record, so the era is above each that this process has seen. That holds also for a record that another instance has written which has
+// not seen the last one: two clusters with one era would be taken for the same, and what the service has lost would not be written again.
 func (er *Eras) recordOf(have Pair, present uint64) (record eraRecord, recorded bool) {
 	er.mu.Lock()
 	defer er.mu.Unlock()
 	known := have.Exists() && json.Unmarshal(have.Value, &record) == nil
-	if known && record.Cluster == present {
+	isNewHere := er.record.Cluster != 0 && er.record.Cluster != present
+	if known && record.Cluster == present && !(isNewHere && record.Era <= er.record.Era) {
 		return record, true
 	}
 	next := eraRecord{Cluster: present, Since: time.Now().UnixMilli()}
--- a/internal/store/era_test.go
+++ b/internal/store/era_test.go
@@ -86,6 +86,36 @@
 	assert.Equal(t, eraOf(one), int64(2))
 }
 
+func TestSecondReturnHasAHigherEra(t *testing.T) {
+	// Guards against two returns with one number: the second is from a copy without the record of the first, and an instance notices it first
+	// that has not noticed the first. An instance that knows the first must notice the second, and the others learn the higher number.
+	platform, one, server := newService(t, stand.Rates{})
+	two, three := store.New(address(server)), store.New(address(server))
+	defer two.Close()
+	defer three.Close()
+	for _, client := range []*store.Client{one, two, three} {
+		_, _ = client.Get(t.Context(), "k")
+	}
+	from := platform.KV.Copy()
+	for range 2 {
+		ended := one.Era().Ended
+		before := one.Era().Number
+		platform.KV.ReturnFrom(from)
+		for _, client := range []*store.Client{two, three} {
+			if before > 0 {
+				_, _ = client.Get(t.Context(), "k")
+			}
+		}
+		_, _ = one.Get(t.Context(), "k")
+		<-ended
+		assert.Equal(t, one.Era().Number, before+1)
+	}
+	assert.NilError(t, two.CheckEra(t.Context()))
+	assert.Equal(t, two.Era().Number, one.Era().Number)
+	assert.NilError(t, three.CheckEra(t.Context()))
+	assert.Equal(t, three.Era().Number, one.Era().Number)
+}
+
 func TestLeaseOfAnotherEraIsNotRenewed(t *testing.T) {
 	platform, client, server := newService(t, stand.Rates{})
 	_, _ = client.Get(t.Context(), "k")
--- a/internal/store/protocol.go
+++ b/internal/store/protocol.go
@@ -30,6 +30,9 @@
 // Era implements Store.
 func (pr *Protocol) Era() Era { return pr.eras.Now() }
 
+// CheckEra implements Store.
+func (pr *Protocol) CheckEra(ctx context.Context) error { return pr.eras.Check(ctx, pr.Calls) }
+
 // eraOf returns the era of an answer, or the error of its call.
 func (pr *Protocol) eraOf(ctx context.Context, header Header, err error) (int64, error) {
 	if err != nil {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -16,6 +16,8 @@
 type Store interface {
 	// Era returns the era of the latest answer.
 	Era() Era
+	// CheckEra reads the record of the era again. Call it if another instance knows of a higher era.
+	CheckEra(ctx context.Context) error
 	// Get returns the pair, or a Missing error.
 	Get(ctx context.Context, key string) (Pair, error)
 	// List returns up to limit pairs whose keys have the prefix and are not below from, in key order.
