Relay: what was passed on is answered, also after the process stood still

What callers saw: a kept connection closes before any byte of an answer, although the request was passed on. The caller takes it for unread, as the protocol allows, and sends it to another instance: it runs at two replicas.

Cause: an instance that was frozen while a replica worked for it. After the request's time plus 0.3 s the write deadline of its connection had passed, so that the answer, a 504, could not be written. If the instance was draining, the end of its grace period had passed too, and http.Server.Close came before the attempts were aborted and their callers answered. A request that arrived then could still be sent to a replica. The class: a connection whose request was passed on is closed by the instance itself.

Mend: an answer gets 0.3 s to be written from the moment at which it is ready. After the grace period what is still open is aborted and answered before the connections close. From the moment at which attempts are aborted none begins.

TestNothingIsSentAfterAttemptsAreAborted fails without its line.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -73,6 +73,7 @@
 	copyHeader(cl.w.Header(), rsp.header)
 	cl.w.Header().Set("Content-Length", strconv.Itoa(len(rsp.body)))
 	cl.headerSent.Store(true)
+	cl.allowWrite()
 	cl.w.WriteHeader(rsp.status)
 	_, _ = cl.w.Write(rsp.body)
 }
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -24,7 +24,7 @@
 	defaultTimeout = 30 * time.Second
 	// noConfigRetryAfter is the Retry-After sent by an Instance without a usable configuration.
 	noConfigRetryAfter = 300 * time.Millisecond
-	// writeGrace is how long after a request's deadline its error response may still be written.
+	// writeGrace is how long an answer may take to be written, and how long after a request's deadline parts of one may be.
 	writeGrace = 300 * time.Millisecond
 )
 
@@ -244,12 +244,21 @@
 	return "repeatable"
 }
 
+// allowWrite lets the answer be written although the time for it is over, because the process stood still. A caller whose kept connection closes
+// before any byte of an answer takes its request for unread and sends it again, but it may have run.
+func (cl *call) allowWrite() {
+	if at := time.Now().Add(writeGrace); at.After(cl.deadline.Add(writeGrace)) {
+		_ = cl.control.SetWriteDeadline(at)
+	}
+}
+
 // finish ends the caller's request: if it failed, with the replica's error response or a refusal, or by cutting the
 // connection if a response has begun.
 func (in *Instance) finish(cl *call, eff steer.Finish) {
 	if eff.DeliverFailure || eff.Refusal != nil && !eff.Refusal.NotRun {
 		in.gossip.awaitDeathAcks(cl.req.Context(), cl.contentDigest)
 	}
+	cl.allowWrite()
 	switch {
 	case eff.DeliverFailure && !cl.headerSent.Load() && cl.errorResponse != nil:
 		cl.errorResponse.write(cl)
--- a/internal/relay/instance.go
+++ b/internal/relay/instance.go
@@ -29,6 +29,8 @@
 const (
 	// shutdownMargin is the part of the grace period that is left when the process exits by itself.
 	shutdownMargin = 400 * time.Millisecond
+	// answerTime is how long open requests may take to be answered after the grace period. It is less than shutdownMargin.
+	answerTime = 300 * time.Millisecond
 	// drainQueueShare is the share of the grace period during which requests may still wait for a replica.
 	drainQueueShare = 0.25
 	// headerTimeout is the maximum time to read a request's header.
--- a/internal/relay/ready.go
+++ b/internal/relay/ready.go
@@ -25,7 +25,7 @@
 	defer cancel()
 	if err := callerServer.Shutdown(limited); err != nil {
 		in.log.Warn().Int("Open", in.open()).Err(err).Msg("grace period expired with open requests")
-		_ = callerServer.Close()
+		in.answerOpen(callerServer)
 	}
 	// What is being passed on for other instances ends like the requests of callers.
 	if err := peerServer.Shutdown(limited); err != nil {
@@ -34,6 +34,17 @@
 	in.background.Wait()
 }
 
+// answerOpen ends what is still open with an answer, and closes the connections then. Requests are open at the end of the grace period if the
+// process stood still until then. A connection that closes without an answer would make its caller send the request again, which may have run.
+func (in *Instance) answerOpen(callerServer *http.Server) {
+	in.apply(steer.Ticked{})
+	limited, cancel := context.WithTimeout(context.Background(), answerTime)
+	defer cancel()
+	if callerServer.Shutdown(limited) != nil {
+		_ = callerServer.Close()
+	}
+}
+
 func (in *Instance) open() int {
 	in.mu.Lock()
 	defer in.mu.Unlock()
--- a/internal/steer/queue.go
+++ b/internal/steer/queue.go
@@ -58,7 +58,7 @@
 // trySend places the request, and sends it, books a claim for it or asks for a grant. The result is false if the request has
 // to stay in the queue: if it cannot be placed now, waits for a grant, or is held because of deaths under its content.
 func (st *State) trySend(req *request) bool {
-	if st.heldByDeaths(req) || st.mustNotRunAgain(req) {
+	if st.heldByDeaths(req) || st.mustNotRunAgain(req) || st.abortsAttempts() {
 		return false
 	}
 	if req.grant.rep != nil {
--- a/internal/steer/retry.go
+++ b/internal/steer/retry.go
@@ -49,7 +49,7 @@
 			st.clearParts(req)
 		}
 		st.finish(req, Finish{ID: req.ID}, "answered")
-	case st.drain != nil && !st.now.Before(st.drain.AbortAt):
+	case st.abortsAttempts():
 		st.refuse(req, ReasonDraining, drainRetryAfter)
 	case req.disconnected || ev.Result == ResultCancelled:
 		st.finish(req, Finish{ID: req.ID}, "caller left")
--- a/internal/steer/serve.go
+++ b/internal/steer/serve.go
@@ -287,10 +287,14 @@
 	st.emit(fin)
 }
 
+// abortsAttempts reports whether the process is about to end, so that no attempt may be running or begin. One that began now could go on at the
+// replica after the connection of its caller was closed.
+func (st *State) abortsAttempts() bool { return st.drain != nil && !st.now.Before(st.drain.AbortAt) }
+
 // abortAtStop ends the running attempts shortly before the process is killed. Their callers then get an error answer right
 // away and need not detect a connection that is cut.
 func (st *State) abortAtStop() {
-	if st.drain == nil || st.now.Before(st.drain.AbortAt) {
+	if !st.abortsAttempts() {
 		return
 	}
 	for _, id := range slices.Sorted(maps.Keys(st.requests)) {
--- a/internal/steer/steer_test.go
+++ b/internal/steer/steer_test.go
@@ -372,6 +372,16 @@
 	assert.Assert(t, fin.Refusal.NotRun && fin.Refusal.RetryAfter > 0)
 }
 
+func TestNothingIsSentAfterAttemptsAreAborted(t *testing.T) {
+	// Guards against a request that runs although its caller gets no answer: it arrives just before the process ends, and its connection is closed.
+	in := newInstance(t, "one", 1)
+	in.reduce(steer.Draining{RefuseWaitingAt: in.now.Add(-time.Second), AbortAt: in.now})
+	effects := in.arrive(&update, 0)
+	effects = append(effects, in.advance(10*time.Millisecond)...)
+	none[steer.Send](t, effects)
+	assert.Assert(t, find[steer.Finish](t, effects).Refusal.NotRun)
+}
+
 func TestStopAbortsRunningAttempts(t *testing.T) {
 	// An answer has not begun when the grace period of the shutdown ends. The caller must get an error without the guarantee
 	// that the request did not run, and not a connection that is cut.
