Completions front: a call is sent again only with a proof that it has not run

What callers saw, or would have: a payment runs twice.

The header that nothing ran counted in any answer, also in one that may be a late answer to an earlier call on the connection, and with 200. A call that was held back counted as unsent whatever had been written.

Evidence: TestStatementThatMayBeOfAnotherCallIsNoRefusal, six cases, comes with the mend; TestRefusalReportsWhetherRequestRan has cases without a proof. Tests of core, entry, upstr and model pass.

--- a/internal/core/announce_test.go
+++ b/internal/core/announce_test.go
@@ -8,6 +8,7 @@
 
 	"dandelionsail.example/dandelionsail/internal/effect"
 	"dandelionsail.example/dandelionsail/internal/event"
+	"dandelionsail.example/dandelionsail/internal/norun"
 )
 
 func TestAnnouncedLeavingOutlivesList(t *testing.T) {
@@ -19,7 +20,7 @@
 	leaving := sent.Upstreams[0].Name
 	in.reduce(event.UpstreamAnnounced{Upstream: leaving, Address: leaving + ":1", Leaving: true})
 	in.listEngines("lyric-0", "lyric-1")
-	in.reduce(event.AttemptEnded{ID: 1, Attempt: 1, Upstream: leaving, Result: event.ResultHeld})
+	in.reduce(event.AttemptEnded{ID: 1, Attempt: 1, Upstream: leaving, Result: event.ResultHeld, Proof: norun.Unwritten})
 	in.now = in.now.Add(10 * time.Millisecond)
 	again, ok := find[effect.Send](in.reduce(event.Ticked{}))
 	assert.Assert(t, ok, "not sent again")
@@ -70,7 +71,7 @@
 	in := newInstance(t)
 	in.listEngines("lyric-0")
 	only[effect.Send](t, in.arriveLyric(1, 1))
-	in.reduce(event.AttemptEnded{ID: 1, Attempt: 1, Upstream: "lyric-0", Result: event.ResultNotRun, RetryAfter: time.Second})
+	in.reduce(event.AttemptEnded{ID: 1, Attempt: 1, Upstream: "lyric-0", Result: event.ResultNotRun, Proof: norun.Refused, RetryAfter: time.Second})
 	finish, ok := find[effect.Finish](in.reduce(event.UpstreamAnnounced{Upstream: "lyric-0", Address: "lyric-0:1", Leaving: true}))
 	assert.Assert(t, ok, "still waiting")
 	assert.Equal(t, finish.Refusal.Reason, effect.ReasonNoUpstream)
--- a/internal/core/path_test.go
+++ b/internal/core/path_test.go
@@ -11,6 +11,7 @@
 	"dandelionsail.example/dandelionsail/internal/core"
 	"dandelionsail.example/dandelionsail/internal/effect"
 	"dandelionsail.example/dandelionsail/internal/event"
+	"dandelionsail.example/dandelionsail/internal/norun"
 	"dandelionsail.example/dandelionsail/pkg/decl"
 )
 
@@ -48,8 +49,8 @@
 func (in *instance) losePath() []effect.Effect {
 	in.t.Helper()
 	sent := one[effect.Send](in.t, in.arrive(event.Arrived{Service: "lyric", PromptTokens: 1000, Idempotent: true}))
-	again := one[effect.Send](in.t, in.reduce(event.AttemptEnded{ID: 1, Attempt: 1, Upstream: sent.Upstreams[0].Name, Result: event.ResultNotSent}))
-	return in.reduce(event.AttemptEnded{ID: 1, Attempt: 2, Upstream: again.Upstreams[0].Name, Result: event.ResultNotSent})
+	again := one[effect.Send](in.t, in.reduce(event.AttemptEnded{ID: 1, Attempt: 1, Upstream: sent.Upstreams[0].Name, Result: event.ResultNotSent, Proof: norun.Unwritten}))
+	return in.reduce(event.AttemptEnded{ID: 1, Attempt: 2, Upstream: again.Upstreams[0].Name, Result: event.ResultNotSent, Proof: norun.Unwritten})
 }
 
 func TestRequestIsForwardedOnceThePathIsLost(t *testing.T) {
@@ -147,7 +148,7 @@
 		if again == nil {
 			break
 		}
-		effects = in.reduce(event.AttemptEnded{ID: 1, Attempt: attempt, Upstream: again.Upstreams[0].Name, Result: event.ResultNotSent})
+		effects = in.reduce(event.AttemptEnded{ID: 1, Attempt: attempt, Upstream: again.Upstreams[0].Name, Result: event.ResultNotSent, Proof: norun.Unwritten})
 	}
 	finish := one[effect.Finish](t, effects)
 	assert.Equal(t, finish.Refusal.RunState, effect.Unknown)
@@ -174,11 +175,11 @@
 						switch eff := eff.(type) {
 						case effect.Send:
 							up := eff.Upstreams[0]
-							result := event.ResultNotSent
+							result, proof := event.ResultNotSent, norun.Unwritten
 							if reached && up.FailureDomain == "c" {
-								result = event.ResultDone
+								result, proof = event.ResultDone, norun.None
 							}
-							next = append(next, in.reduce(event.AttemptEnded{ID: eff.ID, Attempt: eff.Attempt, Upstream: up.Name, Result: result})...)
+							next = append(next, in.reduce(event.AttemptEnded{ID: eff.ID, Attempt: eff.Attempt, Upstream: up.Name, Result: result, Proof: proof})...)
 						case effect.ProbePaths:
 							for _, address := range eff.Addresses {
 								probed++
--- a/internal/core/retry.go
+++ b/internal/core/retry.go
@@ -9,6 +9,7 @@
 
 	"dandelionsail.example/dandelionsail/internal/effect"
 	"dandelionsail.example/dandelionsail/internal/event"
+	"dandelionsail.example/dandelionsail/internal/norun"
 	"dandelionsail.example/dandelionsail/pkg/decl"
 )
 
@@ -34,7 +35,7 @@
 	if ev.Result != event.ResultNotSent && ev.Result != event.ResultHeld {
 		st.settleRetry(req)
 	}
-	if ev.Result != event.ResultNotSent && ev.Result != event.ResultNotRun && ev.Result != event.ResultHeld {
+	if ev.Proof == norun.None {
 		req.MayHaveRun = true
 	}
 	switch {
@@ -85,7 +86,7 @@
 
 // retry queues the request for another attempt if that is safe and allowed, and otherwise ends it.
 func (st *State) retry(req *Request, ev event.AttemptEnded) {
-	if ev.Result == event.ResultHeld {
+	if ev.Result == event.ResultHeld && ev.Proof != norun.None {
 		st.releasePermit(req)
 		req.NotBefore = st.now.Add(heldBackoff)
 		st.enqueueAgain(req)
--- a/internal/core/retry_test.go
+++ b/internal/core/retry_test.go
@@ -8,6 +8,7 @@
 
 	"dandelionsail.example/dandelionsail/internal/effect"
 	"dandelionsail.example/dandelionsail/internal/event"
+	"dandelionsail.example/dandelionsail/internal/norun"
 	"dandelionsail.example/dandelionsail/pkg/decl"
 )
 
@@ -139,13 +140,16 @@
 	// an answer may or may not have run the request.
 	cases := map[string]struct {
 		result   event.Result
+		proof    norun.Proof
 		answered bool
 		ran      effect.RunState
 	}{
-		"expired before an answer": {event.ResultExpired, false, effect.Unknown},
-		"expired within an answer": {event.ResultExpired, true, effect.HasRun},
-		"never sent":               {event.ResultNotSent, false, effect.NotRun},
-		"refused":                  {event.ResultNotRun, false, effect.NotRun},
+		"expired before an answer": {event.ResultExpired, norun.None, false, effect.Unknown},
+		"expired within an answer": {event.ResultExpired, norun.None, true, effect.HasRun},
+		"never sent":               {event.ResultNotSent, norun.Unwritten, false, effect.NotRun},
+		"refused":                  {event.ResultNotRun, norun.Refused, false, effect.NotRun},
+		"never sent, no proof":     {event.ResultNotSent, norun.None, false, effect.Unknown},
+		"refused, no proof":        {event.ResultNotRun, norun.None, false, effect.Unknown},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -155,7 +159,7 @@
 				in.reduce(event.AnswerStarted{ID: 1, Attempt: 1})
 			}
 			in.now = in.now.Add(10 * time.Second)
-			finish := only[effect.Finish](t, in.reduce(event.AttemptEnded{ID: 1, Attempt: 1, Upstream: "lyric-0", Result: tc.result}))
+			finish := only[effect.Finish](t, in.reduce(event.AttemptEnded{ID: 1, Attempt: 1, Upstream: "lyric-0", Result: tc.result, Proof: tc.proof}))
 			assert.Equal(t, finish.Refusal.RunState, tc.ran)
 			assert.Equal(t, finish.Refusal.Reason, effect.ReasonDeadline)
 		})
@@ -167,7 +171,7 @@
 	// would answer the same.
 	in := newInstance(t)
 	only[effect.Send](t, in.arriveLyric(1, 7))
-	finish := only[effect.Finish](t, in.reduce(event.AttemptEnded{ID: 1, Attempt: 1, Upstream: "lyric-0", Result: event.ResultNotRun, Status: 400}))
+	finish := only[effect.Finish](t, in.reduce(event.AttemptEnded{ID: 1, Attempt: 1, Upstream: "lyric-0", Result: event.ResultNotRun, Proof: norun.Refused, Status: 400}))
 	assert.Equal(t, finish.Refusal.Reason, effect.ReasonRejected)
 	assert.Equal(t, finish.Refusal.RunState, effect.NotRun)
 }
@@ -180,7 +184,7 @@
 	for id := event.RequestID(1); id <= 30; id++ {
 		sent := only[effect.Send](t, in.arriveLyric(id, byte(id)))
 		in.reduce(event.CallerGone{ID: id})
-		in.reduce(event.AttemptEnded{ID: id, Attempt: 1, Upstream: sent.Upstreams[0].Name, Result: event.ResultNotSent})
+		in.reduce(event.AttemptEnded{ID: id, Attempt: 1, Upstream: sent.Upstreams[0].Name, Result: event.ResultNotSent, Proof: norun.Unwritten})
 	}
 	for name, rep := range in.st.Route.Replicas {
 		assert.Equal(t, rep.Failures+rep.Ejections, 0, name)
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -14,6 +14,7 @@
 	"dandelionsail.example/dandelionsail/internal/effect"
 	"dandelionsail.example/dandelionsail/internal/event"
 	"dandelionsail.example/dandelionsail/internal/hops"
+	"dandelionsail.example/dandelionsail/internal/norun"
 	"dandelionsail.example/dandelionsail/internal/notice"
 	"dandelionsail.example/dandelionsail/internal/upstr"
 )
@@ -38,6 +39,7 @@
 	}
 	ended.Offset = cl.offset
 	ended.Result = attemptResult(ctx, watched, err, cl)
+	ended.Proof = proofOf(err)
 	ended.RetryAfter = retryAfter(err)
 	if refused := refusalStatus(err); refused != 0 {
 		ended.Status = refused
@@ -258,10 +260,6 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	ended.Status = resp.StatusCode
-	if resp.Header.Get(upstr.HeaderRunState) == upstr.RunStateNotRun {
-		return upstr.NotRun.New("entry: the service refused the call and ran nothing").
-			WithProperty(upstr.PropertyRetryAfter, upstr.RetryAfter(resp.Header))
-	}
 	wd.progress()
 	in.notifyAnswerStarted(cl)
 	cl.startPlain(resp)
@@ -336,6 +334,12 @@
 	}
 }
 
+// proofOf returns the proof that the error carries, if the request has certainly not run.
+func proofOf(err error) norun.Proof {
+	proof, _ := property(err, upstr.PropertyProof).(norun.Proof)
+	return proof
+}
+
 // refusalStatus returns the HTTP status that the error carries, or 0 if it carries none.
 func refusalStatus(err error) int {
 	value, _ := property(err, upstr.PropertyStatus).(int)
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -7,6 +7,7 @@
 
 	"dandelionsail.example/dandelionsail/internal/cause"
 	"dandelionsail.example/dandelionsail/internal/deaths"
+	"dandelionsail.example/dandelionsail/internal/norun"
 	"dandelionsail.example/dandelionsail/pkg/decl"
 )
 
@@ -77,6 +78,8 @@
 	Attempt  int
 	Upstream string
 	Result   Result
+	// Proof is why the request has not run because of the attempt. Without one it may have run, whatever the Result.
+	Proof norun.Proof
 	// Offset is the number of complete tokens of the answer passed on to the caller so far, over all attempts.
 	Offset int64
 	// RetryAfter is the delay that the upstream asked for, 0 if it asked for none.
--- a/internal/upstr/client.go
+++ b/internal/upstr/client.go
@@ -19,6 +19,7 @@
 	"github.com/joomcode/errorx"
 
 	"dandelionsail.example/dandelionsail/internal/event"
+	"dandelionsail.example/dandelionsail/internal/norun"
 	"dandelionsail.example/dandelionsail/internal/notice"
 	"dandelionsail.example/dandelionsail/internal/trip"
 )
@@ -189,7 +190,7 @@
 // Do implements Plain. All calls to upstreams but the probe of Died pass through it.
 func (cl *Client) Do(ctx context.Context, call Call) (*http.Response, error) {
 	if err := cl.check(call); err != nil {
-		return nil, err
+		return nil, withProof(err, norun.OfWrite(false))
 	}
 	sent := time.Now()
 	ctx = notice.WithCheck(ctx, func() error { return cl.check(call) })
@@ -204,15 +205,42 @@
 	res, err := trip.Do(cl.transport(call), req, hooks)
 	if err == nil {
 		cl.readAnnounced(call, sent, res.Response)
+		if res.Response.Header.Get(HeaderRunState) == RunStateNotRun {
+			defer drain(res.Response.Body)
+			return nil, refusalError(call, res)
+		}
 		return res.Response, nil
 	}
-	if errorx.IsOfType(err, Held) {
-		return nil, err
+	proof := norun.OfWrite(res.Written)
+	switch {
+	case proof == norun.None:
+		return nil, Failed.Wrap(err, "upstr: no answer from %s; the request may have run", call.Address)
+	case errorx.IsOfType(err, Held):
+		return nil, withProof(err, proof)
 	}
-	if !res.Written {
-		return nil, NotSent.Wrap(err, "upstr: nothing was sent to %s; check that it runs and that the address is right", call.Address)
+	return nil, withProof(NotSent.Wrap(err, "upstr: nothing was sent to %s; check that it runs and that the address is right", call.Address), proof)
+}
+
+// withProof adds the proof to the error.
+func withProof(err error, proof norun.Proof) error {
+	if typed := errorx.Cast(err); typed != nil {
+		return typed.WithProperty(PropertyProof, proof)
 	}
-	return nil, Failed.Wrap(err, "upstr: no answer from %s; the request may have run", call.Address)
+	return err
+}
+
+// refusalError returns the error for an answer which states that the call was not run. If the answer may belong to an earlier call on the
+// connection, or does not refuse anything, it states nothing of this one.
+func refusalError(call Call, res trip.Result) error {
+	resp := res.Response
+	proof := norun.OfAnswer(norun.Answer{
+		Refusal: resp.StatusCode >= http.StatusBadRequest, Request: call.Request, Named: resp.Header.Get(HeaderRequest),
+		Kept: res.Trace.Kept, Early: res.Trace.Early,
+	})
+	if proof == norun.None {
+		return answerError(Failed, call.Address, resp)
+	}
+	return withProof(answerError(NotRun, call.Address, resp), proof)
 }
 
 // readAnnounced reports what the answer announces. An answer that names another request is a late one to an earlier call.
@@ -226,7 +254,7 @@
 func newRequest(ctx context.Context, call Call) (*http.Request, error) {
 	target, err := url.Parse("http://" + call.Address + call.Path)
 	if err != nil {
-		return nil, NotSent.Wrap(err, "upstr: invalid path %q", call.Path)
+		return nil, withProof(NotSent.Wrap(err, "upstr: invalid path %q", call.Path), norun.OfWrite(false))
 	}
 	req := &http.Request{
 		Method:        call.Method,
@@ -258,7 +286,7 @@
 		return rd, nil
 	}
 	defer drain(resp.Body)
-	return nil, statusError(call.Address, resp)
+	return nil, answerError(Failed, call.Address, resp)
 }
 
 func engineHeader(call Call) http.Header {
@@ -279,11 +307,8 @@
 	return header
 }
 
-func statusError(address string, resp *http.Response) error {
-	kind := Failed
-	if resp.Header.Get(HeaderRunState) == RunStateNotRun {
-		kind = NotRun
-	}
+// answerError returns the error of the type for an answer with a status that is no success.
+func answerError(kind *errorx.Type, address string, resp *http.Response) error {
 	err := kind.New("upstr: %s answered %s", address, resp.Status)
 	return err.WithProperty(PropertyStatus, resp.StatusCode).
 		WithProperty(PropertyRetryAfter, RetryAfter(resp.Header))
@@ -317,7 +342,7 @@
 	}
 	defer drain(resp.Body)
 	if resp.StatusCode != http.StatusOK {
-		return "", statusError(call.Address, resp)
+		return "", answerError(Failed, call.Address, resp)
 	}
 	var answer struct{ Handle string }
 	if err := json.NewDecoder(resp.Body).Decode(&answer); err != nil {
@@ -378,7 +403,7 @@
 		return Fenced.New("upstr: %s rejected an outdated fencing number; send the order from the current lease holder", call.Address)
 	}
 	if resp.StatusCode/100 != 2 {
-		return statusError(call.Address, resp)
+		return answerError(Failed, call.Address, resp)
 	}
 	if out == nil {
 		return nil
--- /dev/null
+++ b/internal/upstr/refusal_test.go
@@ -0,0 +1,62 @@
+package upstr_test
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/joomcode/errorx"
+	"gotest.tools/v3/assert"
+
+	"dandelionsail.example/dandelionsail/internal/upstr"
+)
+
+func TestStatementThatMayBeOfAnotherCallIsNoRefusal(t *testing.T) {
+	// Guards against a call that runs twice: a statement that nothing ran is taken from an answer that may belong to an earlier call on the
+	// connection, or from one that is no refusal.
+	cases := map[string]struct {
+		kept   bool
+		status int
+		named  string
+		kind   *errorx.Type
+	}{
+		"named":               {false, 503, "call", upstr.NotRun},
+		"named, kept":         {true, 503, "call", upstr.NotRun},
+		"unnamed":             {false, 503, "", upstr.NotRun},
+		"unnamed, kept":       {true, 503, "", upstr.Failed},
+		"another call":        {true, 503, "earlier", upstr.Failed},
+		"an answer after all": {false, 200, "call", upstr.Failed},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			calls := 0
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				if calls++; calls == 1 && tc.kept {
+					return
+				}
+				conn, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					return
+				}
+				name := ""
+				if tc.named != "" {
+					name = "X-Request-Id: " + tc.named + "\r\n"
+				}
+				_, _ = fmt.Fprintf(conn, "HTTP/1.1 %d Status\r\n%sX-Run-State: NotRun\r\nContent-Length: 0\r\n\r\n", tc.status, name)
+				_ = conn.Close()
+			}))
+			defer server.Close()
+			client := upstr.New()
+			defer client.Close()
+			call := upstr.Call{Address: server.Listener.Addr().String(), Method: http.MethodPost, Path: "/", Request: "call"}
+			if tc.kept {
+				resp, err := client.Do(t.Context(), call)
+				assert.NilError(t, err)
+				_ = resp.Body.Close()
+			}
+			_, err := client.Do(t.Context(), call)
+			assert.Assert(t, errorx.IsOfType(err, tc.kind), "%v", err)
+		})
+	}
+}
--- a/internal/upstr/upstr.go
+++ b/internal/upstr/upstr.go
@@ -61,7 +61,7 @@
 
 // Plain calls plain HTTP services.
 type Plain interface {
-	// Do sends a call and returns the response, whose body the caller must close. The error is NotSent or Failed.
+	// Do sends a call and returns the response, whose body the caller must close. The error is NotSent, NotRun or Failed.
 	Do(ctx context.Context, call Call) (*http.Response, error)
 }
 
@@ -156,6 +156,8 @@
 	Fenced = Errors.NewType("fenced")
 	// PropertyStatus holds the HTTP status of a rejected request.
 	PropertyStatus = errorx.RegisterProperty("status")
+	// PropertyProof holds the norun.Proof of an error after which the call has certainly not run.
+	PropertyProof = errorx.RegisterProperty("proof")
 	// PropertyRetryAfter holds the time.Duration after which the upstream asks for a retry.
 	PropertyRetryAfter = errorx.RegisterProperty("retry_after")
 )
