Relay: an answer with an invalid status line is a broken one, and no attempt ends without a result

Cause: net/http reads a status below 100 and panics when it is to be written. The panic went past the reducer, for which the attempt ran on and held its slot.

Mend: an answer with a status outside 200 to 599 counts as broken. A panic in an attempt, whatever its cause, ends the attempt as broken, with a line and the metric Attempts.Panicked.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -4,10 +4,12 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/url"
+	"runtime/debug"
 	"slices"
 	"strconv"
 	"strings"
@@ -31,6 +33,8 @@
 	// probeTimeout is the timeout of refusesConnections, which checks whether a replica still accepts connections after
 	// an attempt broke or its replica fell silent.
 	probeTimeout = 250 * time.Millisecond
+	// maxStatus is the highest status that an answer may have.
+	maxStatus = 599
 	// minTimeLeft is the minimum time left that a replica is told, even if less is left until the deadline.
 	minTimeLeft = time.Millisecond
 )
@@ -79,7 +83,12 @@
 }
 
 // runAttempt sends the request to a replica, forwards its response and returns how the attempt ended.
-func (in *Instance) runAttempt(cl *call, eff steer.Send) steer.AttemptEnded {
+func (in *Instance) runAttempt(cl *call, eff steer.Send) (ended steer.AttemptEnded) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			ended = in.attemptPanicked(cl, eff, cause)
+		}
+	}()
 	ctx, cancel := context.WithDeadline(cl.req.Context(), eff.Deadline)
 	defer cancel()
 	cl.mu.Lock()
@@ -102,6 +111,14 @@
 	return att.ended
 }
 
+// attemptPanicked returns the end of an attempt that panicked, which is a defect. Without an end the reducer would count the attempt as running at
+// its replica for good.
+func (in *Instance) attemptPanicked(cl *call, eff steer.Send, cause any) steer.AttemptEnded {
+	in.count("Attempts.Panicked")
+	in.log.Error().Str("Request", cl.info.Name).Str("Replica", eff.Replica.Name).Str("Cause", fmt.Sprint(cause)).Bytes("Stack", debug.Stack()).Msg("attempt panicked")
+	return steer.AttemptEnded{ID: cl.id, Attempt: eff.Attempt, Result: steer.ResultBroken, Begun: cl.headerSent.Load()}
+}
+
 // logTrace logs how the attempt's request was sent and what came back, so that it can be told why the request was or was not sent again.
 func (att *attempt) logTrace() {
 	entry := att.in.log.Info().Str("Request", att.cl.info.Name).Int("Attempt", att.eff.Attempt).
@@ -337,6 +354,10 @@
 		// The response names another request: it is a late one to an earlier request on a reused connection.
 		return steer.ResultBroken
 	}
+	if resp.StatusCode < http.StatusOK || resp.StatusCode > maxStatus {
+		// net/http reads such a status and panics when it is to be written.
+		return steer.ResultBroken
+	}
 	switch {
 	case ri.Misdirected:
 		att.drainRefusal(resp)
