Relay: public routes trust no unconfirmed token

Cause: a public route was admitted before the check of how old the table of tokens is.

Mend: a request on a public route whose token is known is admitted as on other routes: 503 while the tokens are not confirmed. Requests without a token, or with one that is not known, go on.

--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -104,10 +104,11 @@
 	if cl.info.Token != "" {
 		cl.org = routing.Tokens[decl.TokenDigest(cl.info.Token)]
 	}
-	if cl.route.Public {
+	if cl.route.Public && cl.org == "" {
 		return true
 	}
-	// A revoked token must not be accepted for longer than TokenLife, even by an Instance that cannot reach the store.
+	// A revoked token must not be accepted for longer than TokenLife, even by an Instance that cannot reach the store. On a public route it
+	// would still make the request that of its Organisation.
 	if !in.fresh(1) {
 		cl.w.Header().Set("Connection", "close")
 		in.reject(cl, http.StatusServiceUnavailable, "tokens unconfirmed", noConfigRetryAfter)
