Relay: an answer on a kept connection that names no request is nobody's

What callers saw, or would have: the answer to another request, beside a run of their own that is lost.

A successful answer without a request ID was passed on, whatever connection it came on. Replicas echo the ID; bytes that follow a whole answer and look like one do not belong to the next request.

Evidence: TestUpdateIsNotRepeatedWithoutProof, case 'answer that names nothing, kept', got 200 before and 502 now.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -127,8 +127,8 @@
 	if tr := att.fate.trace; tr.Conn != 0 {
 		entry.Int64("Connection", tr.Conn).Bool("Kept", tr.Kept).Int64("Answers", tr.Answers).Int64("Written", tr.Written).Int64("WaitedUs", tr.Waited.Microseconds())
 	}
-	if att.ended.Status != 0 {
-		entry.Int("Status", att.ended.Status).Str("Named", att.fate.answer.Name).Bool("NotRun", att.fate.answer.NotRun)
+	if att.fate.status != 0 {
+		entry.Int("Status", att.fate.status).Str("Named", att.fate.answer.Name).Bool("NotRun", att.fate.answer.NotRun)
 	}
 	entry.Str("Proof", att.ended.Proof.String()).Msg("attempt without a whole answer")
 	if att.ended.Proof != norun.None {
@@ -360,10 +360,10 @@
 	}
 	switch {
 	case ri.Misdirected:
-		att.drainRefusal(resp)
+		drainBody(resp)
 		return steer.ResultMisdirected
 	case ri.NotRun:
-		att.drainRefusal(resp)
+		drainBody(resp)
 		return steer.ResultNotRun
 	case !ri.Sealed || resp.Header.Get("Content-Encoding") != "":
 		return steer.ResultBroken
@@ -380,15 +380,6 @@
 	drainTimeout = 20 * time.Millisecond
 )
 
-// drainRefusal reads the rest of a refusal, so that its connection is kept. A refusal that may be a late one to an earlier request is left unread,
-// which closes the connection: the answer to this request may follow on it.
-func (att *attempt) drainRefusal(resp *http.Response) {
-	if att.fate.proof == norun.None && att.cl.info.Name != "" {
-		return
-	}
-	drainBody(resp)
-}
-
 // drainBody reads and discards the rest of a refusal's body, since net/http closes the connection of a response whose body is closed
 // before its end.
 func drainBody(resp *http.Response) {
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -34,6 +34,9 @@
 // NotWritten reports that nothing of a message has left this Instance, so that it cannot arrive.
 var NotWritten = Errors.NewType("not_written")
 
+// Unattributed reports an answer that may belong to an earlier request on its connection.
+var Unattributed = Errors.NewType("unattributed")
+
 // message is a request from this Instance to a replica.
 type message struct {
 	// id is the request that the message belongs to, 0 if there is none.
@@ -64,6 +67,8 @@
 	proof norun.Proof
 	// answer is what the replica's answer states.
 	answer ResponseInfo
+	// status is the HTTP status of that answer, 0 if there was none.
+	status int
 }
 
 // record stores the result of a send for the sender.
@@ -113,6 +118,10 @@
 	}
 	ri := in.protocol.ParseResponse(resp)
 	msg.answered(verdict.Via, resp, ri)
+	if msg.isUnattributed(verdict.Via, ri) {
+		_ = resp.Body.Close()
+		return nil, ri, Unattributed.New("relay: an answer of %s on a kept connection names no request; the request counts as one that may have run", msg.to.Replica.Name)
+	}
 	if !ri.Misdirected && (ri.Name == "" || ri.Name == msg.name) {
 		// Another answer would be one of another replica, or one to an earlier request on the connection.
 		in.apply(steer.ResponseReceived{Replica: msg.to.Replica.Name, Born: msg.to.Replica.Born, Sent: sent, Announced: ri.Announced})
@@ -126,7 +135,7 @@
 	if msg.fate == nil {
 		return
 	}
-	msg.fate.answer = ri
+	msg.fate.answer, msg.fate.status = ri, resp.StatusCode
 	refusal := ri.NotRun || ri.Misdirected
 	if via != "" {
 		states := refusal && resp.Header.Get(detourProofHeader) != "" && (ri.Name == "" || ri.Name == msg.name)
@@ -137,6 +146,11 @@
 	msg.fate.proof = norun.OfAnswer(norun.Answer{Refusal: refusal, Request: msg.name, Named: ri.Name, Kept: tr.Kept, Early: tr.Early})
 }
 
+// isUnattributed reports whether the answer may belong to an earlier request on the connection, since it names none.
+func (msg *message) isUnattributed(via string, ri ResponseInfo) bool {
+	return msg.fate != nil && via == "" && msg.fate.trace.Kept && msg.name != "" && ri.Name == ""
+}
+
 // transport returns the transport to replicas with or without kept connections.
 func (in *Instance) transport(newConnection bool) *http.Transport {
 	if newConnection {
