Detours: only the instance that passes a request on states a proof

A replica's answer that goes through another instance may carry any header, also one that the instances use among themselves. The instance that passes it on removes it, and the sender removes it from what the caller gets.

--- a/internal/relay/detour.go
+++ b/internal/relay/detour.go
@@ -208,6 +208,7 @@
 		msg.prove(norun.OfStatement(statesNotSent(resp)))
 		return nil, in.detourError(via, *msg, resp)
 	}
+	msg.prove(norun.OfStatement(resp.Header.Get(detourProofHeader) != ""))
 	resp.StatusCode = status
 	resp.Status = strconv.Itoa(status) + " " + http.StatusText(status)
 	resp.ContentLength = -1
@@ -215,7 +216,7 @@
 		resp.ContentLength = length
 		resp.Header.Set("Content-Length", strconv.FormatInt(length, 10))
 	}
-	for _, name := range []string{detourStatusHeader, detourLengthHeader} {
+	for _, name := range []string{detourStatusHeader, detourLengthHeader, detourProofHeader} {
 		resp.Header.Del(name)
 	}
 	resp.Body = &detourBody{resp: resp, body: resp.Body}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -130,7 +130,7 @@
 }
 
 // answered stores the replica's answer for the sender, with the proof that it is. The peer that has passed a message on knows the connection, and so
-// states the proof itself.
+// has stated the proof itself; it counts only if the answer is a refusal of this request.
 func (msg *message) answered(via string, resp *http.Response, ri ResponseInfo) {
 	if msg.fate == nil {
 		return
@@ -138,8 +138,9 @@
 	msg.fate.answer, msg.fate.status = ri, resp.StatusCode
 	refusal := ri.NotRun || ri.Misdirected
 	if via != "" {
-		states := refusal && resp.Header.Get(detourProofHeader) != "" && (ri.Name == "" || ri.Name == msg.name)
-		msg.fate.proof = norun.OfStatement(states)
+		if !refusal || ri.Name != "" && ri.Name != msg.name {
+			msg.fate.proof = norun.None
+		}
 		return
 	}
 	tr := &msg.fate.trace
--- a/internal/relay/passon.go
+++ b/internal/relay/passon.go
@@ -179,6 +179,7 @@
 	header := pg.w.Header()
 	copyHeader(header, resp.Header)
 	header.Set(detourStatusHeader, strconv.Itoa(resp.StatusCode))
+	header.Del(detourProofHeader)
 	if pg.fate.proof != norun.None {
 		header.Set(detourProofHeader, pg.fate.proof.String())
 	}
