--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -119,7 +119,7 @@
 	return steer.AttemptEnded{ID: cl.id, Attempt: eff.Attempt, Result: steer.ResultBroken, Begun: cl.headerSent.Load()}
 }
 
-// logTrace logs how the attempt's request was sent and what came back, so that it can be told why the request was or was not sent again.
+// logTrace logs how the request was sent and what came back, which explains why it was sent again or not.
 func (att *attempt) logTrace() {
 	entry := att.in.log.Info().Str("Request", att.cl.info.Name).Int("Attempt", att.eff.Attempt).
 		Str("Replica", att.eff.Replica.Name).Int64("Born", att.eff.Replica.Born).Str("Result", att.ended.Result.String())
