Completions front: a refusal without a proof stays a refusal, and orders are as before

An engine's refusal that names no request on a kept connection had become a failure, which counts against the engine, and an order that was refused as outdated a refusal.

Now such an answer is a refusal without a proof: the engine is treated as one that refuses, and the request as one that may have run. Orders, which belong to no request, are read as before. Tests of upstr, stand, entry and core pass; TestStatementThatMayBeOfAnotherCallIsNoProof checks the proof in place of the type.

--- a/internal/upstr/client.go
+++ b/internal/upstr/client.go
@@ -205,7 +205,7 @@
 	res, err := trip.Do(cl.transport(call), req, hooks)
 	if err == nil {
 		cl.readAnnounced(call, sent, res.Response)
-		if res.Response.Header.Get(HeaderRunState) == RunStateNotRun {
+		if call.Request != "" && statesNotRun(res.Response) {
 			defer drain(res.Response.Body)
 			return nil, refusalError(call, res)
 		}
@@ -221,26 +221,29 @@
 	return nil, withProof(NotSent.Wrap(err, "upstr: nothing was sent to %s; check that it runs and that the address is right", call.Address), proof)
 }
 
-// withProof adds the proof to the error.
+// withProof adds the proof to the error, if there is one.
 func withProof(err error, proof norun.Proof) error {
+	if proof == norun.None {
+		return err
+	}
 	if typed := errorx.Cast(err); typed != nil {
 		return typed.WithProperty(PropertyProof, proof)
 	}
 	return err
 }
 
-// refusalError returns the error for an answer which states that the call was not run. If the answer may belong to an earlier call on the
-// connection, or does not refuse anything, it states nothing of this one.
+// statesNotRun reports whether the answer refuses a call and states that it was not run.
+func statesNotRun(resp *http.Response) bool {
+	return resp.StatusCode >= http.StatusBadRequest && resp.Header.Get(HeaderRunState) == RunStateNotRun
+}
+
+// refusalError returns the error for an answer which states that the call of a request was not run. It has a proof unless the answer may belong
+// to an earlier call on the connection.
 func refusalError(call Call, res trip.Result) error {
-	resp := res.Response
 	proof := norun.OfAnswer(norun.Answer{
-		Refusal: resp.StatusCode >= http.StatusBadRequest, Request: call.Request, Named: resp.Header.Get(HeaderRequest),
-		Kept: res.Trace.Kept, Early: res.Trace.Early,
+		Refusal: true, Request: call.Request, Named: res.Response.Header.Get(HeaderRequest), Kept: res.Trace.Kept, Early: res.Trace.Early,
 	})
-	if proof == norun.None {
-		return answerError(Failed, call.Address, resp)
-	}
-	return withProof(answerError(NotRun, call.Address, resp), proof)
+	return withProof(statusError(call.Address, res.Response), proof)
 }
 
 // readAnnounced reports what the answer announces. An answer that names another request is a late one to an earlier call.
@@ -286,7 +289,7 @@
 		return rd, nil
 	}
 	defer drain(resp.Body)
-	return nil, answerError(Failed, call.Address, resp)
+	return nil, statusError(call.Address, resp)
 }
 
 func engineHeader(call Call) http.Header {
@@ -307,8 +310,11 @@
 	return header
 }
 
-// answerError returns the error of the type for an answer with a status that is no success.
-func answerError(kind *errorx.Type, address string, resp *http.Response) error {
+func statusError(address string, resp *http.Response) error {
+	kind := Failed
+	if statesNotRun(resp) {
+		kind = NotRun
+	}
 	err := kind.New("upstr: %s answered %s", address, resp.Status)
 	return err.WithProperty(PropertyStatus, resp.StatusCode).
 		WithProperty(PropertyRetryAfter, RetryAfter(resp.Header))
@@ -342,7 +348,7 @@
 	}
 	defer drain(resp.Body)
 	if resp.StatusCode != http.StatusOK {
-		return "", answerError(Failed, call.Address, resp)
+		return "", statusError(call.Address, resp)
 	}
 	var answer struct{ Handle string }
 	if err := json.NewDecoder(resp.Body).Decode(&answer); err != nil {
@@ -403,7 +409,7 @@
 		return Fenced.New("upstr: %s rejected an outdated fencing number; send the order from the current lease holder", call.Address)
 	}
 	if resp.StatusCode/100 != 2 {
-		return answerError(Failed, call.Address, resp)
+		return statusError(call.Address, resp)
 	}
 	if out == nil {
 		return nil
