Relay: an answer is written although the process stands still while it is

Cause: an instance's log has the first send as answered after 26 ms. The process was frozen between the handler's write, which goes into a buffer, and the write to the connection. The write deadline passed meanwhile, whatever it had been set to just before.

Mend: a short answer, which needs no caller that reads, may take 10 s to be written; a long one 0.3 s from when it is ready. The first event of a stream is written like a short answer.

An unnamed answer on a kept connection is nobody's answer, but the replica's all the same: what it announces is heeded.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -77,7 +77,7 @@
 	copyHeader(cl.w.Header(), rsp.header)
 	cl.w.Header().Set("Content-Length", strconv.Itoa(len(rsp.body)))
 	cl.headerSent.Store(true)
-	cl.allowWrite()
+	cl.allowWrite(len(rsp.body))
 	cl.w.WriteHeader(rsp.status)
 	_, _ = cl.w.Write(rsp.body)
 }
@@ -425,6 +425,7 @@
 		att.cl.w.Header().Set("Content-Length", strconv.FormatInt(resp.ContentLength, 10))
 	}
 	att.cl.headerSent.Store(true)
+	att.cl.allowWrite(len(begun))
 	att.cl.w.WriteHeader(resp.StatusCode)
 	if _, err := att.cl.w.Write(begun); err != nil {
 		return steer.ResultCancelled
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -24,7 +24,7 @@
 	defaultTimeout = 30 * time.Second
 	// noConfigRetryAfter is the Retry-After sent by an Instance without a usable configuration.
 	noConfigRetryAfter = 300 * time.Millisecond
-	// writeGrace is how long an answer may take to be written, and how long after a request's deadline parts of one may be.
+	// writeGrace is how long a long answer may take to be written, and how long after a request's deadline parts of one may be.
 	writeGrace = 300 * time.Millisecond
 )
 
@@ -84,7 +84,7 @@
 		timeout = defaultTimeout
 	}
 	cl.deadline = arrived.Add(min(timeout, cl.route.Timeout.Std()))
-	_ = cl.control.SetWriteDeadline(cl.deadline.Add(writeGrace))
+	cl.limitWrites()
 	cl.arrived = arrived
 	in.process(cl, in.arrivedEvent(cl))
 }
@@ -245,21 +245,35 @@
 	return "repeatable"
 }
 
-// allowWrite lets the answer be written although the time for it is over, because the process stood still. A caller whose kept connection closes
-// before any byte of an answer takes its request for unread and sends it again, but it may have run.
-func (cl *call) allowWrite() {
-	if at := time.Now().Add(writeGrace); at.After(cl.deadline.Add(writeGrace)) {
+const (
+	// shortAnswer is the maximum size in bytes of an answer that the buffers of a connection take without waiting for the caller to read.
+	shortAnswer = 16 << 10
+	// shortAnswerTime is how long a short answer may take to be written. It outlasts the time for which the process may stand still in between.
+	shortAnswerTime = 10 * time.Second
+)
+
+// allowWrite lets an answer of the given size be written although the process stands still before or while it is. A caller whose kept connection
+// closes before any byte of an answer takes its request for unread and sends it again, but it may have run.
+func (cl *call) allowWrite(size int) {
+	period := writeGrace
+	if size <= shortAnswer {
+		period = shortAnswerTime
+	}
+	if at := time.Now().Add(period); at.After(cl.deadline.Add(writeGrace)) {
 		_ = cl.control.SetWriteDeadline(at)
 	}
 }
 
+// limitWrites sets the time until which parts of an answer may be written. A caller that stops reading does not hold the request for longer.
+func (cl *call) limitWrites() { _ = cl.control.SetWriteDeadline(cl.deadline.Add(writeGrace)) }
+
 // finish ends the caller's request: if it failed, with the replica's error response or a refusal, or by cutting the
 // connection if a response has begun.
 func (in *Instance) finish(cl *call, eff steer.Finish) {
 	if eff.DeliverFailure || eff.Refusal != nil && !eff.Refusal.NotRun {
 		in.gossip.awaitDeathAcks(cl.req.Context(), cl.contentDigest)
 	}
-	cl.allowWrite()
+	cl.allowWrite(0)
 	switch {
 	case eff.DeliverFailure && !cl.headerSent.Load() && cl.errorResponse != nil:
 		cl.errorResponse.write(cl)
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -118,14 +118,14 @@
 	}
 	ri := in.protocol.ParseResponse(resp)
 	msg.answered(verdict.Via, resp, ri)
-	if msg.isUnattributed(verdict.Via, ri) {
-		_ = resp.Body.Close()
-		return nil, ri, Unattributed.New("relay: an answer of %s on a kept connection names no request; the request counts as one that may have run", msg.to.Replica.Name)
-	}
 	if !ri.Misdirected && (ri.Name == "" || ri.Name == msg.name) {
 		// Another answer would be one of another replica, or one to an earlier request on the connection.
 		in.apply(steer.ResponseReceived{Replica: msg.to.Replica.Name, Born: msg.to.Replica.Born, Sent: sent, Announced: ri.Announced})
 	}
+	if msg.isUnattributed(verdict.Via, ri) {
+		_ = resp.Body.Close()
+		return nil, ri, Unattributed.New("relay: an answer of %s on a kept connection names no request; the request counts as one that may have run", msg.to.Replica.Name)
+	}
 	return resp, ri, nil
 }
 
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -69,6 +69,10 @@
 	if end == 0 {
 		return buf, true
 	}
+	if !att.cl.headerSent.Load() {
+		att.cl.allowWrite(end)
+		defer att.cl.limitWrites()
+	}
 	att.startResponse(resp)
 	att.recordProgress()
 	if _, err := att.cl.w.Write(buf[:end]); err != nil {
