--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -96,7 +96,7 @@
 	cl.mu.Unlock()
 	att := &attempt{in: in, cl: cl, eff: eff, expiresAt: make([]time.Time, len(eff.Helpers)), ended: steer.AttemptEnded{ID: cl.id, Attempt: eff.Attempt}}
 	att.ended.Result = att.run(ctx)
-	att.ended.Proof = att.fate.proof
+	att.ended.Proof = att.delivery.proof
 	att.ended.Unreachable = att.unreachable.Load()
 	if via := att.via.Load(); via != nil {
 		att.ended.Via = *via
@@ -124,11 +124,11 @@
 	entry := att.in.log.Info().Str("Request", att.cl.info.Name).Int("Attempt", att.eff.Attempt).
 		Str("Replica", att.eff.Replica.Name).Int64("Born", att.eff.Replica.Born).Str("Result", att.ended.Result.String())
 	addString(entry, "Via", att.ended.Via)
-	if tr := att.fate.trace; tr.Conn != 0 {
+	if tr := att.delivery.trace; tr.Conn != 0 {
 		entry.Int64("Connection", tr.Conn).Bool("Kept", tr.Kept).Int64("Answers", tr.Answers).Int64("Written", tr.Written).Int64("WaitedUs", tr.Waited.Microseconds())
 	}
-	if att.fate.status != 0 {
-		entry.Int("Status", att.fate.status).Str("Named", att.fate.answer.Name).Bool("NotRun", att.fate.answer.NotRun)
+	if att.delivery.status != 0 {
+		entry.Int("Status", att.delivery.status).Str("Named", att.delivery.answer.Name).Bool("NotRun", att.delivery.answer.NotRun)
 	}
 	entry.Str("Proof", att.ended.Proof.String()).Msg("attempt without a whole answer")
 	if att.ended.Proof != norun.None {
@@ -164,8 +164,8 @@
 	checks atomic.Int32
 	// lastEvent is the time of the last event, zero before the first. Only the goroutine that reads the response uses it.
 	lastEvent time.Time
-	// fate is what became of the request.
-	fate fate
+	// delivery is what became of the request.
+	delivery delivery
 	// sharedLastEvent is the same time, nil before the first event, for the timer's goroutine. It points to a time.Time
 	// instead of holding Unix nanoseconds because only a time.Time keeps the monotonic clock reading.
 	sharedLastEvent atomic.Pointer[time.Time]
@@ -180,17 +180,17 @@
 	att.limit.Store(int64(limit))
 	att.timer = time.AfterFunc(limit, func() { att.checkSilence(attemptCtx, cancel) })
 	defer att.timer.Stop()
-	att.fate.proof = norun.OfWrite(false)
+	att.delivery.proof = norun.OfWrite(false)
 	if result := att.reserve(attemptCtx); result != 0 {
 		return result
 	}
 	defer att.release()
 	began := time.Now()
 	resp, ri, err := att.in.exchange(att.eff.NewConnection, att.message(), att.newRequest(attemptCtx))
-	if isHeldBack(err) && att.fate.proof != norun.None {
+	if isHeldBack(err) && att.delivery.proof != norun.None {
 		return steer.ResultHeld
 	}
-	if isNotWritten(err) && att.fate.proof != norun.None {
+	if isNotWritten(err) && att.delivery.proof != norun.None {
 		att.ended.GivenUp = ctx.Err() != nil
 		att.ended.Hung = att.ended.GivenUp && time.Since(began) >= probeTimeout
 		return steer.ResultNotSent
@@ -205,7 +205,7 @@
 // message returns the attempt's request as exchange takes it.
 func (att *attempt) message() message {
 	name := att.cl.info.Name
-	msg := message{id: att.cl.id, request: name, name: name, to: steer.Target{Replica: att.eff.Replica, Kind: att.eff.Kind, Granted: att.eff.Granted}, decidedAt: att.eff.DecidedAt, via: &att.via, fate: &att.fate}
+	msg := message{id: att.cl.id, request: name, name: name, to: steer.Target{Replica: att.eff.Replica, Kind: att.eff.Kind, Granted: att.eff.Granted}, decidedAt: att.eff.DecidedAt, via: &att.via, delivery: &att.delivery}
 	if hasReservations(&att.eff) {
 		// The reservations were made on the same decision.
 		msg.decidedAt = att.reservedAt
--- a/internal/relay/detour.go
+++ b/internal/relay/detour.go
@@ -205,10 +205,10 @@
 	status, err := strconv.Atoi(resp.Header.Get(detourStatusHeader))
 	if err != nil {
 		_ = resp.Body.Close()
-		msg.prove(norun.OfStatement(statesNotSent(resp)))
+		msg.setProof(norun.OfStatement(statesNotSent(resp)))
 		return nil, in.detourError(via, *msg, resp)
 	}
-	msg.prove(norun.OfStatement(resp.Header.Get(detourProofHeader) != ""))
+	msg.setProof(norun.OfStatement(resp.Header.Get(detourProofHeader) != ""))
 	resp.StatusCode = status
 	resp.Status = strconv.Itoa(status) + " " + http.StatusText(status)
 	resp.ContentLength = -1
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -55,12 +55,12 @@
 	// via receives the name of the Instance through which the message is sent, unless it is nil. It stays empty if the message is sent
 	// directly.
 	via *atomic.Pointer[string]
-	// fate receives, unless it is nil, what became of the message.
-	fate *fate
+	// delivery receives, unless it is nil, what became of the message.
+	delivery *delivery
 }
 
-// fate is what became of a message.
-type fate struct {
+// delivery is what became of a message.
+type delivery struct {
 	// trace describes the connection that the message was written to.
 	trace trip.Trace
 	// proof is why the message has not run, if that is certain.
@@ -73,15 +73,15 @@
 
 // record stores the result of a send for the sender.
 func (msg *message) record(res trip.Result) {
-	if msg.fate != nil {
-		msg.fate.trace, msg.fate.proof = res.Trace, norun.OfWrite(res.Written)
+	if msg.delivery != nil {
+		msg.delivery.trace, msg.delivery.proof = res.Trace, norun.OfWrite(res.Written)
 	}
 }
 
-// prove stores the proof for the sender.
-func (msg *message) prove(proof norun.Proof) {
-	if msg.fate != nil {
-		msg.fate.proof = proof
+// setProof stores the proof for the sender.
+func (msg *message) setProof(proof norun.Proof) {
+	if msg.delivery != nil {
+		msg.delivery.proof = proof
 	}
 }
 
@@ -90,7 +90,7 @@
 // the use of a kept connection. If the replica's service declares how many connections it accepts, a kept connection that was just
 // proven alive is used nevertheless. If the path to the replica is lost, the message goes through another Instance.
 func (in *Instance) exchange(newConnection bool, msg message, req *http.Request) (*http.Response, ResponseInfo, error) {
-	msg.prove(norun.OfWrite(false))
+	msg.setProof(norun.OfWrite(false))
 	verdict, err := in.checkMessage(msg, false)
 	if err != nil {
 		return nil, ResponseInfo{}, err
@@ -132,24 +132,24 @@
 // answered stores the replica's answer for the sender, with the proof that it is. The peer that has passed a message on knows the connection, and so
 // has stated the proof itself; it counts only if the answer is a refusal of this request.
 func (msg *message) answered(via string, resp *http.Response, ri ResponseInfo) {
-	if msg.fate == nil {
+	if msg.delivery == nil {
 		return
 	}
-	msg.fate.answer, msg.fate.status = ri, resp.StatusCode
+	msg.delivery.answer, msg.delivery.status = ri, resp.StatusCode
 	refusal := ri.NotRun || ri.Misdirected
 	if via != "" {
 		if !refusal || ri.Name != "" && ri.Name != msg.name {
-			msg.fate.proof = norun.None
+			msg.delivery.proof = norun.None
 		}
 		return
 	}
-	tr := &msg.fate.trace
-	msg.fate.proof = norun.OfAnswer(norun.Answer{Refusal: refusal, Request: msg.name, Named: ri.Name, Kept: tr.Kept, Early: tr.Early})
+	tr := &msg.delivery.trace
+	msg.delivery.proof = norun.OfAnswer(norun.Answer{Refusal: refusal, Request: msg.name, Named: ri.Name, Kept: tr.Kept, Early: tr.Early})
 }
 
 // isUnattributed reports whether the answer may belong to an earlier request on the connection, since it names none.
 func (msg *message) isUnattributed(via string, ri ResponseInfo) bool {
-	return msg.fate != nil && via == "" && msg.fate.trace.Kept && msg.name != "" && ri.Name == ""
+	return msg.delivery != nil && via == "" && msg.delivery.trace.Kept && msg.name != "" && ri.Name == ""
 }
 
 // transport returns the transport to replicas with or without kept connections.
--- a/internal/relay/passon.go
+++ b/internal/relay/passon.go
@@ -116,8 +116,8 @@
 	status int
 	// result is the detourResultHeader that is sent.
 	result string
-	// fate is what became of the message.
-	fate fate
+	// delivery is what became of the message.
+	delivery delivery
 	// reason is the detourReasonHeader that is sent, empty if the response was passed on.
 	reason string
 }
@@ -126,7 +126,7 @@
 func (pg *passage) passOn(ctx context.Context, receivedAt time.Time) {
 	msg := message{
 		// The ID distinguishes the message from this Instance's own requests; the reducer knows no request of that ID.
-		id: steer.RequestID(pg.in.nextID.Add(1)), request: pg.dr.Request, name: pg.dr.Name, decidedAt: receivedAt, forPeer: true, fate: &pg.fate,
+		id: steer.RequestID(pg.in.nextID.Add(1)), request: pg.dr.Request, name: pg.dr.Name, decidedAt: receivedAt, forPeer: true, delivery: &pg.delivery,
 		to: steer.Target{Replica: pg.replica, Kind: pg.dr.Kind, Granted: pg.dr.Granted},
 	}
 	if pg.dr.ExpiresInMs > 0 {
@@ -134,7 +134,7 @@
 	}
 	resp, _, err := pg.in.exchange(pg.dr.NewConnection, msg, pg.dr.replicaRequest(ctx, pg.replica.Address))
 	switch {
-	case err != nil && pg.fate.proof == norun.None:
+	case err != nil && pg.delivery.proof == norun.None:
 		pg.refuse(pg.failure(ctx), "broken")
 		return
 	case errorx.IsOfType(err, NoPath):
@@ -180,8 +180,8 @@
 	copyHeader(header, resp.Header)
 	header.Set(detourStatusHeader, strconv.Itoa(resp.StatusCode))
 	header.Del(detourProofHeader)
-	if pg.fate.proof != norun.None {
-		header.Set(detourProofHeader, pg.fate.proof.String())
+	if pg.delivery.proof != norun.None {
+		header.Set(detourProofHeader, pg.delivery.proof.String())
 	}
 	if resp.ContentLength >= 0 {
 		header.Set(detourLengthHeader, strconv.FormatInt(resp.ContentLength, 10))
