relay: answer 400 to a request whose body breaks off

Cause: readBody returned without an answer if the body could not be read to its end, and net/http completes such a handler as 200 with an empty body. What callers saw: one that closed only its sending half in the middle of a body, or sent a malformed chunk, read "200 OK" although no replica had its request.

Now such a request is answered 400 with Connection: close, since nobody knows where the next request would begin.

--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -122,7 +122,7 @@
 }
 
 // readBody reads the whole request body and reports whether that succeeded. It rejects a request whose body is too
-// long.
+// long or breaks off. Without an answer of its own to a broken body, net/http would answer 200 with an empty body.
 func (in *Instance) readBody(cl *call) bool {
 	limit := in.opts.MaxBody
 	if configured := in.routing.Load().Limits.BodyBytes; configured > 0 {
@@ -139,7 +139,11 @@
 	}
 	if _, ok := err.(*http.MaxBytesError); ok {
 		in.reject(cl, http.StatusRequestEntityTooLarge, "body too long", 0)
+		return false
 	}
+	// Where the next request would begin on the connection is unknown.
+	cl.w.Header().Set("Connection", "close")
+	in.reject(cl, http.StatusBadRequest, "body incomplete", 0)
 	return false
 }
 
