--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -21,8 +21,8 @@
 	"dandelionsail.example/dandelionsail/internal/plat"
 )
 
-// programVariable is the environment variable that selects the program which a re-executed binary runs.
-const programVariable = "DANDELIONSAIL_PROGRAM"
+// ProgramVariable is the environment variable that selects the program which a re-executed binary runs.
+const ProgramVariable = "DANDELIONSAIL_PROGRAM"
 
 // Programs of a fleet.
 const (
@@ -33,7 +33,7 @@
 // Dispatch runs the program that the environment selects and exits, or returns if it selects none. A binary that starts
 // fleets calls it first, so that every process of a fleet is the same build as its test.
 func Dispatch(programs map[string]func(args []string) int) {
-	run, ok := programs[os.Getenv(programVariable)]
+	run, ok := programs[os.Getenv(ProgramVariable)]
 	if ok {
 		os.Exit(run(os.Args[1:]))
 	}
@@ -77,7 +77,7 @@
 		}
 	}
 	pr := &Process{Name: name, cmd: exec.Command(executable, args...), ended: make(chan error, 1)}
-	pr.cmd.Env = append(os.Environ(), programVariable+"="+program)
+	pr.cmd.Env = append(os.Environ(), ProgramVariable+"="+program)
 	pr.cmd.Stderr = fl.Logs
 	// The kernel kills the process when its parent dies, so that it does not outlive the test that started it.
 	pr.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
