relay: no success for a caller that has closed its sending half

Cause: a caller that closes its sending half counts as gone, and its request is ended without an answer. The handler returned, and net/http completed the answer: as 200 with an empty body, or, in the middle of a stream, with the chunk that ends it. What callers saw that only close their sending half after the request: an empty "200 OK" that no replica gave, or a part of a stream that looks whole.

Now a request ends without an error only if the caller was sent a replica's whole answer; otherwise the caller gets 502 with Connection: close, which promises nothing, or the connection is cut if part of an answer was sent.

--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -49,6 +49,8 @@
 	lastEventID string
 	// errorResponse is a replica's error response, held until it is clear that no other response follows.
 	errorResponse *response
+	// complete reports whether the caller was sent a replica's whole answer.
+	complete bool
 	// arrived is when the request arrived.
 	arrived time.Time
 	// buffered is the size in bytes of the responses that are buffered for the call.
@@ -212,7 +214,9 @@
 		case eff := <-cl.effects:
 			switch eff := eff.(type) {
 			case steer.Send:
-				in.apply(in.runAttempt(cl, eff))
+				ended := in.runAttempt(cl, eff)
+				cl.complete = ended.Result == steer.ResultDone
+				in.apply(ended)
 			case steer.Finish:
 				in.finish(cl, eff)
 				return
@@ -272,7 +276,8 @@
 func (cl *call) limitWrites() { _ = cl.control.SetWriteDeadline(cl.deadline.Add(writeGrace)) }
 
 // finish ends the caller's request: if it failed, with the replica's error response or a refusal, or by cutting the
-// connection if a response has begun.
+// connection if a response has begun. A caller counts as gone once it has closed its sending half, and may still read: without an
+// error or a cut, net/http would complete its answer as an empty 200, or the part of a stream that was sent as the whole.
 func (in *Instance) finish(cl *call, eff steer.Finish) {
 	if eff.DeliverFailure || eff.Refusal != nil && !eff.Refusal.NotRun {
 		in.gossip.awaitDeathAcks(cl.req.Context(), cl.contentDigest)
@@ -281,12 +286,15 @@
 	switch {
 	case eff.DeliverFailure && !cl.headerSent.Load() && cl.errorResponse != nil:
 		cl.errorResponse.write(cl)
-	case eff.Refusal == nil && !eff.DeliverFailure:
+	case eff.Refusal == nil && !eff.DeliverFailure && cl.complete:
 	case cl.headerSent.Load():
 		// Part of the response is sent; only a cut connection shows the caller that the rest is missing.
 		panic(http.ErrAbortHandler)
 	case eff.Refusal != nil:
 		in.reject(cl, statusCode(eff.Refusal), string(eff.Refusal.Reason), eff.Refusal.RetryAfter)
+	default:
+		cl.w.Header().Set("Connection", "close")
+		in.reject(cl, http.StatusBadGateway, "caller left", 0)
 	}
 }
 
