The last line of a process says why it ends, and failures of its parts are counted

Cause. relay and entry logged "stopped" whatever had ended them, with no signal, part, error or number of open requests. A process that could not open a socket logged nothing but an "error:" on standard error, and lines that the output did not accept were lost without a trace.

What an operator saw: processes that had ended, and logs and metrics that did not tell a SIGTERM from a failed listener.

Now the line "stopped" has Reason (the signal, or "failure"), Open, and Part and Error if a part failed; a part that fails is logged as "part failed" when that happens and counted as Parts.Failed.NAME; Log.Failed counts the lines that could not be written. The limit of lines a second does not apply to the last line, so that a burst at the end cannot drop it.

--- a/internal/cmds/relay.go
+++ b/internal/cmds/relay.go
@@ -31,7 +31,7 @@
 	logger := tool.Logger()
 	logger.Writer = writer
 	cmd.Dial = RelayDialer
-	in := relay.New(cmd.Options, platform.New(cmd.Store), platform.Protocol{}, logger, writer.Dropped)
+	in := relay.New(cmd.Options, platform.New(cmd.Store), platform.Protocol{}, logger, writer)
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
 	defer signal.Stop(hangups)
--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -27,6 +27,7 @@
 	"dandelionsail.example/dandelionsail/internal/peers"
 	"dandelionsail.example/dandelionsail/internal/plat"
 	"dandelionsail.example/dandelionsail/internal/store"
+	"dandelionsail.example/dandelionsail/internal/tasks"
 	"dandelionsail.example/dandelionsail/internal/upstr"
 	"dandelionsail.example/dandelionsail/pkg/decl"
 
@@ -60,6 +61,7 @@
 	claims        *once.Claims
 	leases        *lease.Holder
 	log           *log.Logger
+	monitor       *tasks.Monitor
 	// Meter holds the instance's counters, timers and service-level burn.
 	Meter *meter.Meter
 	// peers is the transport to the other instances, nil in an instance without peer keys.
@@ -110,6 +112,7 @@
 		calls:     map[event.RequestID]*call{},
 		readers:   map[string]context.CancelFunc{},
 	}
+	in.monitor = tasks.NewMonitor(logger, in.incCounter)
 	if opts.Dial != nil {
 		in.upstream = upstr.NewWithDialer(opts.Dial)
 	}
@@ -151,13 +154,11 @@
 }
 
 // Run listens on the configured addresses and serves until the context ends, then drains and returns.
+// Its last line says why it returns.
 func (in *Instance) Run(ctx context.Context) error {
-	listener, err := net.Listen("tcp", in.opts.Listen)
-	if err != nil {
-		return Errors.NewType("listen").Wrap(err, "entry: --listen %s cannot be used; choose a free address", in.opts.Listen)
-	}
-	peer, err := in.OpenPeers()
+	listener, peer, err := in.open()
 	if err != nil {
+		in.monitor.LogEnd(ctx, in.opts.Name, 0, err)
 		return err
 	}
 	// If the configured ports are 0, the starter of the process reads the chosen addresses from this output.
@@ -165,6 +166,16 @@
 	return in.Serve(ctx, listener)
 }
 
+// open opens the sockets for callers and peers, and returns the address of the one for peers.
+func (in *Instance) open() (listener net.Listener, peer string, err error) {
+	listener, err = net.Listen("tcp", in.opts.Listen)
+	if err != nil {
+		return nil, "", Errors.NewType("listen").Wrap(err, "entry: --listen %s cannot be used; choose a free address", in.opts.Listen)
+	}
+	peer, err = in.OpenPeers()
+	return listener, peer, err
+}
+
 // Serve is like Run, but serves callers on a given listener. Peers are connected only if OpenPeers was called before.
 func (in *Instance) Serve(ctx context.Context, listener net.Listener) error {
 	// Requests in flight finish after ctx has ended, so the parts run under a context that ends only after the drain.
@@ -178,19 +189,20 @@
 	}
 	in.attachPeerTransport()
 	group, parts := errgroup.WithContext(parts)
-	group.Go(func() error { return in.loop.Run(parts) })
-	group.Go(func() error { return in.follower.Run(parts) })
-	group.Go(func() error { return in.follower.RunCompaction(parts) })
-	group.Go(func() error { return in.pollPlatform(parts) })
-	group.Go(func() error { return in.claims.Run(parts) })
-	group.Go(func() error { return in.leases.Run(parts) })
-	group.Go(func() error { return in.runCoordination(parts) })
-	group.Go(func() error { return in.Meter.Run(parts, in.log) })
-	group.Go(func() error { return in.serveMetrics(parts) })
+	start := func(name string, run func(ctx context.Context) error) { group.Go(in.monitor.Part(parts, name, run)) }
+	start("loop", in.loop.Run)
+	start("follower", in.follower.Run)
+	start("compaction", in.follower.RunCompaction)
+	start("platform", in.pollPlatform)
+	start("claims", in.claims.Run)
+	start("leases", in.leases.Run)
+	start("coordination", in.runCoordination)
+	start("meter", func(ctx context.Context) error { return in.Meter.Run(ctx, in.log) })
+	start("metrics", in.serveMetrics)
 	if in.peers != nil {
-		group.Go(func() error { return in.peers.Run(parts) })
+		start("peers", in.peers.Run)
 	}
-	group.Go(func() error { return in.serveCallers(server, listener) })
+	start("listen", func(context.Context) error { return in.serveCallers(server, listener) })
 	group.Go(func() error {
 		select {
 		case <-ctx.Done():
@@ -202,6 +214,7 @@
 	in.log.Info().Str("Instance", in.opts.Name).Str("Address", listener.Addr().String()).Msg("serving")
 	err := group.Wait()
 	in.close()
+	in.monitor.LogEnd(ctx, in.opts.Name, int(in.openCalls()), err)
 	if ctx.Err() != nil || err == context.Canceled {
 		return nil
 	}
@@ -283,7 +296,6 @@
 	in.upstream.Close()
 	in.store.Close()
 	in.platform.Close()
-	in.log.Info().Str("Instance", in.opts.Name).Msg("stopped")
 }
 
 // acceptConfig applies a version of the configuration. The follower calls it sequentially, with increasing versions.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -67,8 +67,9 @@
 	keyDir string
 }
 
-// Start runs a program with the arguments and waits for its first line of output, which holds its addresses.
-func (fl *Fleet) Start(program, name string, args ...string) (*Process, error) {
+// Command returns a program with the arguments that has not started, for tests which need its descriptors or its first
+// moments. Its owner waits for its end.
+func (fl *Fleet) Command(program string, args ...string) (*exec.Cmd, error) {
 	executable := fl.Executable
 	if executable == "" {
 		var err error
@@ -76,11 +77,21 @@
 			return nil, err
 		}
 	}
-	pr := &Process{Name: name, cmd: exec.Command(executable, args...), ended: make(chan error, 1)}
-	pr.cmd.Env = append(os.Environ(), ProgramVariable+"="+program)
-	pr.cmd.Stderr = fl.Logs
+	cmd := exec.Command(executable, args...)
+	cmd.Env = append(os.Environ(), ProgramVariable+"="+program)
 	// The kernel kills the process when its parent dies, so that it does not outlive the test that started it.
-	pr.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	return cmd, nil
+}
+
+// Start runs a program with the arguments and waits for its first line of output, which holds its addresses.
+func (fl *Fleet) Start(program, name string, args ...string) (*Process, error) {
+	cmd, err := fl.Command(program, args...)
+	if err != nil {
+		return nil, err
+	}
+	pr := &Process{Name: name, cmd: cmd, ended: make(chan error, 1)}
+	pr.cmd.Stderr = fl.Logs
 	out, err := pr.cmd.StdoutPipe()
 	if err != nil {
 		return nil, err
--- a/internal/lines/lines.go
+++ b/internal/lines/lines.go
@@ -19,14 +19,29 @@
 	async   *log.AsyncWriter
 	limiter *rate.Limiter
 	dropped atomic.Int64
+	failed  atomic.Int64
+}
+
+// output passes lines on and counts those that could not be written.
+type output struct {
+	to io.Writer
+	wr *Writer
+}
+
+// Write implements io.Writer.
+func (out output) Write(line []byte) (int, error) {
+	count, err := out.to.Write(line)
+	if err != nil {
+		out.wr.failed.Add(1)
+	}
+	return count, err
 }
 
 // New returns a writer that writes at most perSecond lines per second to out.
 func New(out io.Writer, perSecond int) *Writer {
-	return &Writer{
-		async:   &log.AsyncWriter{Writer: &log.IOWriter{Writer: out}, ChannelSize: backlog, DiscardOnFull: true},
-		limiter: rate.NewLimiter(rate.Limit(perSecond), perSecond),
-	}
+	wr := &Writer{limiter: rate.NewLimiter(rate.Limit(perSecond), perSecond)}
+	wr.async = &log.AsyncWriter{Writer: &log.IOWriter{Writer: output{out, wr}}, ChannelSize: backlog, DiscardOnFull: true}
+	return wr
 }
 
 // WriteEntry implements log.Writer. It returns 0 for a dropped line.
@@ -46,5 +61,11 @@
 // Dropped returns the number of dropped lines.
 func (wr *Writer) Dropped() int64 { return wr.dropped.Load() }
 
+// Failed returns the number of lines that the output did not accept, because its reader has gone or its disk is full.
+func (wr *Writer) Failed() int64 { return wr.failed.Load() }
+
+// Unlimit removes the limit of the rate. It is called when the process ends, so that the line which says why is not dropped.
+func (wr *Writer) Unlimit() { wr.limiter.SetLimit(rate.Inf) }
+
 // Close writes the buffered lines.
 func (wr *Writer) Close() error { return wr.async.Close() }
--- a/internal/lines/lines_test.go
+++ b/internal/lines/lines_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"strings"
+	"syscall"
 	"testing"
 
 	"github.com/phuslu/log"
@@ -47,3 +48,33 @@
 	close(out.release)
 	assert.NilError(t, wr.Close())
 }
+
+// brokenWriter is an output that accepts nothing.
+type brokenWriter struct{}
+
+func (brokenWriter) Write([]byte) (int, error) { return 0, syscall.EPIPE }
+
+func TestFailedWritesAreCounted(t *testing.T) {
+	// The reader of the log has gone. Without a counter nothing tells a process whose log is lost from one that logs nothing.
+	wr := lines.New(brokenWriter{}, 100)
+	logger := log.Logger{Level: log.InfoLevel, Writer: wr}
+	for range 3 {
+		logger.Info().Msg("decided")
+	}
+	_ = wr.Close()
+	assert.Equal(t, wr.Failed(), int64(3))
+}
+
+func TestLastLineIsNotLimited(t *testing.T) {
+	// A burst of lines has used up the rate when the process ends. The line that says why it ends must not be dropped.
+	var out bytes.Buffer
+	wr := lines.New(&out, 1)
+	logger := log.Logger{Level: log.InfoLevel, Writer: wr}
+	for range 10 {
+		logger.Info().Msg("decided")
+	}
+	wr.Unlimit()
+	logger.Info().Msg("stopped")
+	assert.NilError(t, wr.Close())
+	assert.Assert(t, strings.Contains(out.String(), "stopped"), out.String())
+}
--- a/internal/relay/announce_test.go
+++ b/internal/relay/announce_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"io"
 	"testing"
 	"time"
 
@@ -8,6 +9,7 @@
 	"github.com/rcrowley/go-metrics"
 	"gotest.tools/v3/assert"
 
+	"dandelionsail.example/dandelionsail/internal/lines"
 	"dandelionsail.example/dandelionsail/internal/notice"
 	"dandelionsail.example/dandelionsail/internal/steer"
 	"dandelionsail.example/dandelionsail/pkg/decl"
@@ -15,7 +17,7 @@
 
 func TestColdReplicasAreCountedByFailureDomain(t *testing.T) {
 	// Guards against a failure domain whose cold replicas the metrics do not show. The gauge must disappear when they are warm.
-	in := New(Options{Name: "one", TokenLife: time.Second}, newFakeDirectory(), nil, &log.Logger{Level: log.PanicLevel}, func() int64 { return 0 })
+	in := New(Options{Name: "one", TokenLife: time.Second}, newFakeDirectory(), nil, &log.Logger{Level: log.PanicLevel}, lines.New(io.Discard, 1))
 	slow := decl.SlowStart{Duration: decl.Duration(time.Minute), PerS: 14}
 	in.apply(steer.Configured{Routing: &decl.Routing{Version: 1, Services: map[string]decl.Pool{"s": {SlowStart: slow}}}})
 	list := []steer.Replica{
--- a/internal/relay/exchange_test.go
+++ b/internal/relay/exchange_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"go/ast"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -13,6 +14,7 @@
 	"github.com/phuslu/log"
 	"gotest.tools/v3/assert"
 
+	"dandelionsail.example/dandelionsail/internal/lines"
 	"dandelionsail.example/dandelionsail/internal/notice"
 	"dandelionsail.example/dandelionsail/internal/source"
 	"dandelionsail.example/dandelionsail/internal/steer"
@@ -34,7 +36,7 @@
 func newExchangeTest(t *testing.T, answer http.HandlerFunc) (*Instance, steer.Replica) {
 	server := httptest.NewServer(answer)
 	t.Cleanup(server.Close)
-	in := New(Options{Name: "one", FailureDomain: "a", Seed: 1}, nil, headerProtocol{}, &log.Logger{Level: log.PanicLevel}, func() int64 { return 0 })
+	in := New(Options{Name: "one", FailureDomain: "a", Seed: 1}, nil, headerProtocol{}, &log.Logger{Level: log.PanicLevel}, lines.New(io.Discard, 1))
 	replica := steer.Replica{Name: "board-0", Born: 1, Service: "board", Address: server.Listener.Addr().String(), Slots: 4}
 	in.apply(steer.Configured{Routing: &decl.Routing{Version: 1, Services: map[string]decl.Pool{"board": {}}}})
 	in.apply(steer.Listed{Replicas: []steer.Replica{replica}})
--- a/internal/relay/follow_test.go
+++ b/internal/relay/follow_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"strconv"
 	"sync"
@@ -12,6 +13,7 @@
 	"github.com/phuslu/log"
 	"gotest.tools/v3/assert"
 
+	"dandelionsail.example/dandelionsail/internal/lines"
 	"dandelionsail.example/dandelionsail/internal/posit"
 	"dandelionsail.example/dandelionsail/internal/steer"
 	"dandelionsail.example/dandelionsail/pkg/decl"
@@ -107,7 +109,7 @@
 
 // newTestInstance returns an Instance that runs nothing but its gossip.
 func newTestInstance(t *testing.T, name string, dir *fakeDirectory) *Instance {
-	in := New(Options{Name: name, PeerListen: "127.0.0.1:0", TokenLife: time.Second, ConfigLag: 400 * time.Millisecond, MissingTime: time.Minute}, dir, nil, &log.Logger{Level: log.PanicLevel}, func() int64 { return 0 })
+	in := New(Options{Name: name, PeerListen: "127.0.0.1:0", TokenLife: time.Second, ConfigLag: 400 * time.Millisecond, MissingTime: time.Minute}, dir, nil, &log.Logger{Level: log.PanicLevel}, lines.New(io.Discard, 1))
 	gs, err := openGossip(in)
 	assert.NilError(t, err)
 	in.gossip = gs
@@ -303,7 +305,7 @@
 
 func FuzzPacket(f *testing.F) {
 	f.Add([]byte{})
-	in := New(Options{Name: "one", PeerListen: "127.0.0.1:0", TokenLife: time.Second}, newFakeDirectory(), nil, &log.Logger{Level: log.PanicLevel}, func() int64 { return 0 })
+	in := New(Options{Name: "one", PeerListen: "127.0.0.1:0", TokenLife: time.Second}, newFakeDirectory(), nil, &log.Logger{Level: log.PanicLevel}, lines.New(io.Discard, 1))
 	gs, err := openGossip(in)
 	if err != nil {
 		f.Fatal(err)
--- a/internal/relay/instance.go
+++ b/internal/relay/instance.go
@@ -23,6 +23,7 @@
 	"dandelionsail.example/dandelionsail/internal/delay"
 	"dandelionsail.example/dandelionsail/internal/pause"
 	"dandelionsail.example/dandelionsail/internal/steer"
+	"dandelionsail.example/dandelionsail/internal/tasks"
 	"dandelionsail.example/dandelionsail/pkg/decl"
 )
 
@@ -57,8 +58,8 @@
 	protocol  Protocol
 	log       *log.Logger
 	registry  metrics.Registry
-	// dropped returns how many lines of the log were dropped.
-	dropped func() int64
+	output    LogOutput
+	monitor   *tasks.Monitor
 	// pooled reuses connections to replicas.
 	pooled *http.Transport
 	// unpooled opens a new connection for each request.
@@ -119,8 +120,18 @@
 	pauses pause.Detector
 }
 
-// New returns an Instance that has not started. dropped returns how many lines the logger has dropped.
-func New(opts Options, directory Directory, protocol Protocol, logger *log.Logger, dropped func() int64) *Instance {
+// LogOutput is where the logger's lines go.
+type LogOutput interface {
+	// Dropped returns how many lines were dropped because there were too many.
+	Dropped() int64
+	// Failed returns how many lines could not be written.
+	Failed() int64
+	// Unlimit ends the dropping of lines beyond a rate.
+	Unlimit()
+}
+
+// New returns an Instance that has not started. output is where the lines of the logger go.
+func New(opts Options, directory Directory, protocol Protocol, logger *log.Logger, output LogOutput) *Instance {
 	seed := opts.Seed
 	if seed == 0 {
 		seed = xxhash.Sum64String(opts.Name)
@@ -134,7 +145,7 @@
 		protocol:       protocol,
 		log:            logger,
 		registry:       metrics.NewRegistry(),
-		dropped:        dropped,
+		output:         output,
 		pooledPeer:     newTransport(newDialer(nil, detourDialTimeout), false, peerIdleTimeout),
 		unpooledPeer:   newTransport(newDialer(nil, detourDialTimeout), true, peerIdleTimeout),
 		calls:          map[steer.RequestID]*call{},
@@ -143,6 +154,7 @@
 		ownEntry:       make(chan Peer, 1),
 		pauses:         pause.Detector{MaxGap: maxEventGap, MaxWait: steer.MaxCatchUp},
 	}
+	in.monitor = tasks.NewMonitor(logger, in.count)
 	in.conns = newReplicaConns(in.count)
 	in.pooled = newTransport(in.conns.dialer(newDialer(opts.Dial, dialTimeout)), false, conns.MaxIdle)
 	in.unpooled = newTransport(in.conns.dialer(newDialer(opts.Dial, dialTimeout)), true, conns.MaxIdle)
@@ -155,8 +167,18 @@
 	return in
 }
 
-// Run serves until the context ends, then drains and returns. hangups delivers SIGHUP.
+// Run serves until the context ends, then drains and returns. hangups delivers SIGHUP. Its last line says why it returns.
 func (in *Instance) Run(ctx context.Context, hangups <-chan os.Signal) error {
+	err := in.serveAll(ctx, hangups)
+	in.output.Unlimit()
+	in.monitor.LogEnd(ctx, in.opts.Name, in.open(), err)
+	if ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
+
+func (in *Instance) serveAll(ctx context.Context, hangups <-chan os.Signal) error {
 	debug.SetGCPercent(gcPercent)
 	in.startedAt = time.Now()
 	callerListener, err := listen("listen", in.opts.Listen)
@@ -171,8 +193,7 @@
 	if err != nil {
 		return err
 	}
-	in.gossip, err = openGossip(in)
-	if err != nil {
+	if in.gossip, err = openGossip(in); err != nil {
 		return err
 	}
 	serveCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
@@ -189,16 +210,17 @@
 	peerMux.HandleFunc("POST "+detourPath, in.serveDetour)
 	peerServer := &http.Server{Handler: peerMux, ReadHeaderTimeout: headerTimeout, ErrorLog: errorLog}
 	group, serveCtx := errgroup.WithContext(serveCtx)
-	group.Go(func() error { return (&follower{in: in}).run(serveCtx) })
-	group.Go(func() error { return in.announce(serveCtx) })
-	group.Go(func() error { return in.tick(serveCtx) })
-	group.Go(func() error { return in.gossip.run(serveCtx) })
-	group.Go(func() error { return in.awaitDeaths(serveCtx) })
-	group.Go(func() error { return in.serveMetrics(serveCtx) })
-	group.Go(func() error { return in.handleHangups(serveCtx, hangups) })
-	group.Go(func() error { return ignoreServerClosed(callerServer.Serve(callerListener)) })
-	group.Go(func() error { return ignoreServerClosed(readyServer.Serve(readyListener)) })
-	group.Go(func() error { return ignoreServerClosed(peerServer.Serve(peerListener)) })
+	start := func(name string, run func(ctx context.Context) error) { group.Go(in.monitor.Part(serveCtx, name, run)) }
+	start("follower", (&follower{in: in}).run)
+	start("announce", in.announce)
+	start("tick", in.tick)
+	start("gossip", in.gossip.run)
+	start("deaths", in.awaitDeaths)
+	start("metrics", in.serveMetrics)
+	start("hangups", func(ctx context.Context) error { return in.handleHangups(ctx, hangups) })
+	start("listen", func(context.Context) error { return ignoreServerClosed(callerServer.Serve(callerListener)) })
+	start("ready-listen", func(context.Context) error { return ignoreServerClosed(readyServer.Serve(readyListener)) })
+	start("peer-listen", func(context.Context) error { return ignoreServerClosed(peerServer.Serve(peerListener)) })
 	group.Go(func() error {
 		select {
 		case <-ctx.Done():
@@ -209,12 +231,7 @@
 		return errors.Join(readyServer.Close(), peerServer.Close())
 	})
 	in.log.Info().Str("Instance", in.opts.Name).Str("Address", in.opts.Listen).Msg("started")
-	err = group.Wait()
-	in.log.Info().Str("Instance", in.opts.Name).Msg("stopped")
-	if ctx.Err() != nil {
-		return nil
-	}
-	return err
+	return group.Wait()
 }
 
 func (in *Instance) newCallerServer(handler http.Handler, errorLog *stdlog.Logger) *callerServer {
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -42,7 +42,8 @@
 	in.updateQuarantineMetrics()
 	in.updateEvacuationMetrics()
 	in.gauge("Responses.BufferedBytes", in.buffers.bytes.Load())
-	in.gauge("Log.Dropped", in.dropped())
+	in.gauge("Log.Dropped", in.output.Dropped())
+	in.gauge("Log.Failed", in.output.Failed())
 	in.gauge("Process.Goroutines", int64(runtime.NumGoroutine()))
 	var memory runtime.MemStats
 	runtime.ReadMemStats(&memory)
--- a/internal/relay/replicaconn_test.go
+++ b/internal/relay/replicaconn_test.go
@@ -18,6 +18,7 @@
 	"gotest.tools/v3/assert"
 
 	"dandelionsail.example/dandelionsail/internal/conns"
+	"dandelionsail.example/dandelionsail/internal/lines"
 	"dandelionsail.example/dandelionsail/internal/notice"
 	"dandelionsail.example/dandelionsail/internal/steer"
 	"dandelionsail.example/dandelionsail/pkg/decl"
@@ -75,7 +76,7 @@
 
 // newBoundedTest returns an Instance that knows the replica, whose service declares the number of connections.
 func newBoundedTest(t *testing.T, rep *connReplica, opts Options, connections int) *Instance {
-	in := New(opts, nil, headerProtocol{}, &log.Logger{Level: log.PanicLevel}, func() int64 { return 0 })
+	in := New(opts, nil, headerProtocol{}, &log.Logger{Level: log.PanicLevel}, lines.New(io.Discard, 1))
 	in.apply(steer.Configured{Routing: &decl.Routing{Version: 1, Services: map[string]decl.Pool{"board": {Connections: connections}}}})
 	in.apply(steer.Listed{Replicas: []steer.Replica{rep.Replica}})
 	t.Cleanup(in.pooled.CloseIdleConnections)
--- /dev/null
+++ b/internal/tasks/tasks.go
@@ -0,0 +1,70 @@
+// Package tasks runs the parts of a serving process, each on a goroutine of its own, and records why a part failed and why
+// the process ends.
+package tasks
+
+import (
+	"context"
+	"sync"
+
+	"github.com/phuslu/log"
+)
+
+// Monitor records the failures of the parts of one instance, in its log and in its counters.
+type Monitor struct {
+	log *log.Logger
+	// count raises the counter of the given name by one.
+	count func(counter string)
+	mu    sync.Mutex
+	// failed is the part that failed last, empty if none has.
+	failed string
+}
+
+// NewMonitor returns a Monitor that has recorded nothing.
+func NewMonitor(logger *log.Logger, count func(counter string)) *Monitor {
+	return &Monitor{log: logger, count: count}
+}
+
+// Part returns a function that runs the part and records its error. The end of the context is no failure.
+func (mo *Monitor) Part(ctx context.Context, name string, run func(ctx context.Context) error) func() error {
+	return func() error {
+		err := run(ctx)
+		if err != nil && ctx.Err() == nil {
+			mo.fail(name, err)
+		}
+		return err
+	}
+}
+
+// fail logs and counts the failure of a part.
+func (mo *Monitor) fail(name string, err error) {
+	mo.mu.Lock()
+	mo.failed = name
+	mo.mu.Unlock()
+	mo.count("Parts.Failed." + name)
+	mo.log.Error().Str("Part", name).Err(err).Msg("part failed")
+}
+
+// LogEnd logs why the process ends: the cause with which the context ended, or the part that failed and its error. open is
+// the number of requests that are still open.
+func (mo *Monitor) LogEnd(ctx context.Context, instance string, open int, err error) {
+	entry := mo.log.Info()
+	if ctx.Err() == nil {
+		entry = mo.log.Error()
+	}
+	entry.Str("Instance", instance).Int("Open", open)
+	switch {
+	case ctx.Err() != nil:
+		entry.Str("Reason", context.Cause(ctx).Error())
+	case err != nil:
+		entry.Str("Reason", "failure")
+	}
+	mo.mu.Lock()
+	defer mo.mu.Unlock()
+	if mo.failed != "" {
+		entry.Str("Part", mo.failed)
+	}
+	if err != nil {
+		entry.Err(err)
+	}
+	entry.Msg("stopped")
+}
