Signals: handlers are installed first and stay until the process has ended

Cause. relay installed the handler of SIGHUP after the flags were parsed and all packages initialized, and removed all handlers when the drain had ended; entry handled neither SIGHUP nor SIGPIPE. Go ends a process that writes to a pipe on descriptor 1 or 2 whose reader has gone. In each case the default action ended the process, with the requests that it held and without a last line.

What an operator saw: processes that ended with the status of SIGHUP or SIGPIPE and a log that stops; after a drain, that status instead of 0.

Package sigs installs the handlers when it is initialized. Commands that do not serve get the default actions back, so that a closed terminal ends them. A failed write of the log no longer makes the exit status 1. What remains: 32 to 34, which os/signal cannot handle, and the time between exec and the initialization of the package.

--- a/internal/cmds/entry.go
+++ b/internal/cmds/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"dandelionsail.example/dandelionsail/internal/entry"
+	"dandelionsail.example/dandelionsail/internal/sigs"
 	"dandelionsail.example/dandelionsail/internal/tool"
 )
 
@@ -10,11 +11,12 @@
 }
 
 // Execute implements flags.Commander.
-func (cmd *entryCommand) Execute(_ []string) error {
+func (cmd *entryCommand) Execute(_ []string) error { return cmd.Serve() }
+
+// Serve implements tool.Server.
+func (cmd *entryCommand) Serve() error {
 	if err := cmd.Check(); err != nil {
 		return tool.Usage(err)
 	}
-	ctx, stop := tool.Context()
-	defer stop()
-	return entry.New(cmd.Options, tool.Logger()).Run(ctx)
+	return entry.New(cmd.Options, tool.Logger()).Run(sigs.Context(), sigs.Hangups())
 }
--- a/internal/cmds/relay.go
+++ b/internal/cmds/relay.go
@@ -1,14 +1,12 @@
 package cmds
 
 import (
-	"errors"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"dandelionsail.example/dandelionsail/internal/lines"
 	"dandelionsail.example/dandelionsail/internal/notice"
 	"dandelionsail.example/dandelionsail/internal/relay"
+	"dandelionsail.example/dandelionsail/internal/sigs"
 	"dandelionsail.example/dandelionsail/internal/tool"
 	"dandelionsail.example/dandelionsail/platform"
 )
@@ -21,19 +19,20 @@
 }
 
 // Execute implements flags.Commander.
-func (cmd *relayCommand) Execute(_ []string) error {
+func (cmd *relayCommand) Execute(_ []string) error { return cmd.Serve() }
+
+// Serve implements tool.Server.
+func (cmd *relayCommand) Serve() error {
 	if err := cmd.Check(); err != nil {
 		return tool.Usage(err)
 	}
-	ctx, stop := tool.Context()
-	defer stop()
 	writer := lines.New(os.Stdout, cmd.LogLines)
 	logger := tool.Logger()
 	logger.Writer = writer
 	cmd.Dial = RelayDialer
 	in := relay.New(cmd.Options, platform.New(cmd.Store), platform.Protocol{}, logger, writer)
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
-	return errors.Join(in.Run(ctx, hangups), writer.Close())
+	err := in.Run(sigs.Context(), sigs.Hangups())
+	// A line that could not be written is counted in Log.Failed. It is no failure of the process.
+	_ = writer.Close()
+	return err
 }
--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -8,6 +8,7 @@
 	"hash/fnv"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -62,6 +63,8 @@
 	leases        *lease.Holder
 	log           *log.Logger
 	monitor       *tasks.Monitor
+	// hangups delivers SIGHUP; nil delivers none.
+	hangups <-chan os.Signal
 	// Meter holds the instance's counters, timers and service-level burn.
 	Meter *meter.Meter
 	// peers is the transport to the other instances, nil in an instance without peer keys.
@@ -155,7 +158,8 @@
 
 // Run listens on the configured addresses and serves until the context ends, then drains and returns.
 // Its last line says why it returns.
-func (in *Instance) Run(ctx context.Context) error {
+// hangups delivers SIGHUP.
+func (in *Instance) Run(ctx context.Context, hangups <-chan os.Signal) error {
 	listener, peer, err := in.open()
 	if err != nil {
 		in.monitor.LogEnd(ctx, in.opts.Name, 0, err)
@@ -163,9 +167,22 @@
 	}
 	// If the configured ports are 0, the starter of the process reads the chosen addresses from this output.
 	fmt.Println(strings.TrimSpace(listener.Addr().String() + " " + peer))
+	in.hangups = hangups
 	return in.Serve(ctx, listener)
 }
 
+// handleHangups logs that SIGHUP has no effect: all settings are read at startup only.
+func (in *Instance) handleHangups(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-in.hangups:
+			in.log.Info().Str("Instance", in.opts.Name).Msg("SIGHUP ignored: settings are read at startup only; restart to change them")
+		}
+	}
+}
+
 // open opens the sockets for callers and peers, and returns the address of the one for peers.
 func (in *Instance) open() (listener net.Listener, peer string, err error) {
 	listener, err = net.Listen("tcp", in.opts.Listen)
@@ -199,6 +216,7 @@
 	start("coordination", in.runCoordination)
 	start("meter", func(ctx context.Context) error { return in.Meter.Run(ctx, in.log) })
 	start("metrics", in.serveMetrics)
+	start("hangups", in.handleHangups)
 	if in.peers != nil {
 		start("peers", in.peers.Run)
 	}
--- a/internal/tool/tool.go
+++ b/internal/tool/tool.go
@@ -11,6 +11,8 @@
 
 	"github.com/jessevdk/go-flags"
 	"github.com/phuslu/log"
+
+	"dandelionsail.example/dandelionsail/internal/sigs"
 )
 
 // Exit codes of the programs.
@@ -42,8 +44,25 @@
 	return &CodedError{Code: ExitUsage, Err: err}
 }
 
+// Server is a command that serves callers. Signals other than SIGTERM and SIGINT do not end it; package sigs handles them.
+type Server interface {
+	flags.Commander
+	// Serve runs until SIGTERM or SIGINT.
+	Serve() error
+}
+
 // Main parses the arguments, runs the command that they name and returns the exit code.
 func Main(parser *flags.Parser, args []string) int {
+	parser.CommandHandler = func(cmd flags.Commander, args []string) error {
+		if server, ok := cmd.(Server); ok {
+			return server.Serve()
+		}
+		sigs.Restore()
+		if cmd == nil {
+			return nil
+		}
+		return cmd.Execute(args)
+	}
 	_, err := parser.ParseArgs(args)
 	if err == nil {
 		return ExitOK
@@ -69,7 +88,7 @@
 	return ExitUsage
 }
 
-// Context returns a context that SIGINT or SIGTERM cancels.
+// Context returns a context that SIGINT or SIGTERM cancels, for commands that do not serve.
 func Context() (context.Context, context.CancelFunc) {
 	return signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 }
