Leave unusable entries of the directory out as a whole

What operators saw: an entry at the key "servers/", with no name, made each instance that follows through another one read the whole directory, for each write of that entry: the instances reject a confirmation with a replica without a name. Replicas with a port out of range, port 0, a host name, an address of no process, 2^62 slots or names of 8,000 bytes were taken into the pool, and one with the address of the instance itself sent requests back to it. Nothing named an entry that was left out.

Cause: only the types of the fields and the state were checked, each decoder for itself, and what other instances pass on was not checked at all.

Evidence, before, TestNamelessEntriesDoNotKeepPeersFromFollowing on:

invalid_test.go:58: assertion failed: 3 (int64) != 2 (reads int64)

(one read of the whole directory more than without the entry), and TestInstanceStartsBesideInvalidEntries:

invalid_test.go:150: assertion failed: -1 (int64) != 97 (int64)

(no gauge; the request after it were served). 97 kinds of odd entries, one after the other among the replicas, instances and quarantines, with a request after each, before two real instances: all requests were served before and after this change. encoding/json bounds the depth at 10,000, so that 100,000 nested lists end as an error.

Now relay.CheckReplica, CheckPeer and CheckQuarantine decide, for what the store and what other instances send. An entry that fails is left out as a whole, and what was registered under its name is gone; one line names it and the reason, one more says that it is good again or gone, and the gauge Entries.Invalid counts them. Replicas and instances need an IP address: a host name is not looked up. An entry of more than 64 kB is not parsed. A page or watch with an item whose fields have other types loses that item alone.

Fixtures of three tests had replicas without an address, or with the address "a", which instances no longer take from each other. They have an address now; the assertions are the same.

--- a/internal/relay/instance.go
+++ b/internal/relay/instance.go
@@ -96,6 +96,8 @@
 	changes changeLog
 	// entries holds the entries of the Directory in use.
 	entries entries
+	// invalid holds the entries of the Directory that cannot be used.
+	invalid invalidEntries
 	// keptEvacuations holds the evacuations that the store has lost, each with the time until which it stays in force. It is nil before
 	// the first read of the Directory.
 	keptEvacuations atomic.Pointer[map[string]time.Time]
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -34,6 +34,7 @@
 	}
 	in.gauge("Store.Polls", polls)
 	in.gauge("Peers.Known", int64(len(*in.gossip.peers.Load())))
+	in.gauge("Entries.Invalid", int64(in.invalid.count()))
 	in.updateLimitMetrics()
 	in.updateAnnouncementMetrics()
 	in.updateRepeatMetrics()
--- a/internal/relay/ports.go
+++ b/internal/relay/ports.go
@@ -50,6 +50,8 @@
 
 // Quarantine is an entry of the Directory about parts of prompts that crash replicas.
 type Quarantine struct {
+	// Name is the end of the entry's key, empty if the record comes from another Instance.
+	Name string `cbor:"-"`
 	// Parts are those that came together in all crashes.
 	Parts []steer.Part `cbor:"1,keyasint,omitempty"`
 	// Crashes is the number of replicas that had crashed.
@@ -77,6 +79,8 @@
 	Quarantines []Quarantine
 	// Evacuated names the failure domains that the operators have evacuated.
 	Evacuated []string
+	// Invalid holds the entries that are left out because they cannot be used.
+	Invalid []InvalidEntry
 	// evacuationsUnknown reports whether the contents come from an Instance of an earlier version, which knows no evacuations.
 	evacuationsUnknown bool
 }
@@ -92,8 +96,8 @@
 	Lease posit.Lease `cbor:"-"`
 }
 
-// Change is one change in a Directory. At most one field after Revision is set; none is set if the change is irrelevant
-// to Instances.
+// Change is one change in a Directory. At most one field after Revision is set, or Invalid and the name of what it removes; none is set if
+// the change is irrelevant to Instances.
 type Change struct {
 	// Revision is the change's revision in the era of the changes that it is part of.
 	Revision int64 `cbor:"1,keyasint,omitempty"`
@@ -111,6 +115,8 @@
 	Quarantine *Quarantine `cbor:"7,keyasint,omitempty"`
 	// Evacuation is one that was begun or ended.
 	Evacuation *Evacuation `cbor:"8,keyasint,omitempty"`
+	// Invalid is an entry that cannot be used; what was registered under its name before is removed. An empty Reason reports that it is gone.
+	Invalid *InvalidEntry `cbor:"9,keyasint,omitempty"`
 }
 
 // Evacuation is the operators' request that nothing new be sent to the replicas of a failure domain.
--- a/internal/relay/quarantine.go
+++ b/internal/relay/quarantine.go
@@ -24,7 +24,7 @@
 // recordQuarantine writes the cause to the Directory. It does not block.
 func (in *Instance) recordQuarantine(ca cause.Cause) {
 	wall := clock.Steady(in.startedAt, time.Now())
-	qua := Quarantine{Parts: ca.Features, Crashes: ca.Crashes, LastCrashMs: wall.Add(-time.Since(ca.Last)).UnixMilli(), Callers: ca.Callers}
+	qua := Quarantine{Parts: ca.Features, Crashes: ca.Crashes, LastCrashMs: wall.Add(-time.Since(ca.Last)).UnixMilli(), Callers: ca.Callers[:min(len(ca.Callers), maxQuarantineCallers)]}
 	in.background.Go(func() {
 		for backoff := minAnnounceBackoff; ; backoff *= 2 {
 			ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
--- a/internal/relay/share.go
+++ b/internal/relay/share.go
@@ -103,7 +103,9 @@
 	if at := shared.position(); at.Before(atLeast) {
 		return Snapshot{}, OrderFailed.New("relay: the instance at %s sent the directory of %s instead of %s; it is requested again", from, at, atLeast)
 	}
-	return Snapshot{Position: shared.position(), Routing: shared.Routing, Replicas: shared.Replicas, Peers: shared.Peers, Evacuated: shared.Evacuated, evacuationsUnknown: !shared.Evacuations}, nil
+	snap := Snapshot{Position: shared.position(), Routing: shared.Routing, Replicas: shared.Replicas, Peers: shared.Peers, Evacuated: shared.Evacuated, evacuationsUnknown: !shared.Evacuations}
+	snap.check()
+	return snap, nil
 }
 
 // fetchShared returns what the Instance at the address serves to its peers under the path.
--- a/internal/relay/update.go
+++ b/internal/relay/update.go
@@ -144,7 +144,9 @@
 	fl.logUndecodable(snap.RoutingError, snap.Position)
 	fl.in.install(snap.Routing)
 	fl.in.setPeers(fl.knownPeers())
-	fl.in.apply(steer.Listed{Replicas: snap.Replicas, AfterOutage: fl.storeDown || returned, FromCopy: returned})
+	replicas, own := fl.in.splitOwn(snap.Replicas)
+	fl.in.replaceInvalid(slices.Concat(snap.Invalid, own))
+	fl.in.apply(steer.Listed{Replicas: replicas, AfterOutage: fl.storeDown || returned, FromCopy: returned})
 	fl.warnOfUnknownDomains(snap.Position)
 }
 
@@ -192,6 +194,7 @@
 		all.Peers = append(all.Peers, page.Peers...)
 		all.Quarantines = append(all.Quarantines, page.Quarantines...)
 		all.Evacuated = append(all.Evacuated, page.Evacuated...)
+		all.Invalid = append(all.Invalid, page.Invalid...)
 		if page.RoutingError != nil {
 			all.RoutingError = page.RoutingError
 		}
@@ -230,6 +233,7 @@
 			fl.in.applyQuarantine(qua)
 		}
 	}
+	fl.in.applyInvalid(changes)
 	fl.in.entries.apply(changes)
 	fl.in.changes.add(changes, upTo)
 	fl.in.apply(listChanged)
@@ -247,6 +251,8 @@
 		case chg.Routing:
 			at := upTo.At(chg.Revision)
 			configuredAt = &at
+		case chg.Replica != nil && fl.in.isOwnAddress(chg.Replica.Address):
+			latest[chg.Replica.Name] = nil
 		case chg.Replica != nil:
 			latest[chg.Replica.Name] = chg.Replica
 		case chg.RemovedReplica != "":
@@ -282,6 +288,9 @@
 	if !conf.position().SameEra(have) {
 		return fl.readReturned(ctx, from, conf.position())
 	}
+	for i := range conf.Changes {
+		conf.Changes[i].check()
+	}
 	if conf.appliesTo(have) {
 		if conf.missesEvacuations() {
 			fl.readEvacuations()
