Bound the changes in a confirmation by their size

What operators saw: while entries of replicas with long names changed, instances that follow through another one got no confirmation from it: "packet not sent: encoding failed or packet too long". After the lifetime of tokens without one, an instance refuses its callers; before, it polls the store itself, which charges for it.

Cause: a confirmation held up to 24 changes, whatever their length, and a datagram holds 8 kB. One entry with a zone of 8,000 bytes, or 24 with the longest names that the store accepts, were too much.

Evidence, before, TestLongEntriesReachOtherInstances on:

invalid_test.go:19: assertion failed: expression is false: second.confirmByPeer(t.Context(), localAddress(one))

Now the changes of whole revisions are taken as long as their size, by an upper bound, fits beside eight kept evacuations; the rest follows with the next request. A single revision that does not fit is not passed on, and the directory is read instead, as for changes that are no longer held. TestSizeOfChangesIsBounded encodes such confirmations with extreme values of all fields.

--- a/internal/relay/changelog.go
+++ b/internal/relay/changelog.go
@@ -24,6 +24,8 @@
 	// maxExtraChanges is how many changes may exceed changesPerResponse so that the changes of one revision stay
 	// together.
 	maxExtraChanges = 32
+	// maxChangesBytes is the maximum size in bytes of the changes in one response. It leaves room for maxKeptEvacuations in the datagram.
+	maxChangesBytes = maxDatagram - maxKeptEvacuations*(maxDomainName+32) - 256
 )
 
 // reset discards all changes after the whole Directory was read at the position.
@@ -66,19 +68,52 @@
 	for first < len(chl.changes) && !have.Before(have.At(chl.changes[first].Revision)) {
 		first++
 	}
-	last := min(first+changesPerResponse, len(chl.changes))
-	if last == len(chl.changes) {
-		return chl.changes[first:], chl.upTo
-	}
-	for last < len(chl.changes) && sameRevision(&chl.changes[last], &chl.changes[last-1]) {
-		last++
+	last, size := first, 0
+	for end := first; end < len(chl.changes) && end-first < changesPerResponse; {
+		end, size = chl.endOfRevision(end, size)
+		if size > maxChangesBytes {
+			break
+		}
+		last = end
 	}
-	if last-first > changesPerResponse+maxExtraChanges {
+	switch {
+	case last == len(chl.changes):
+		return chl.changes[first:], chl.upTo
+	case last == first, last-first > changesPerResponse+maxExtraChanges:
 		return nil, have
 	}
 	return chl.changes[first:last], have.At(chl.changes[last-1].Revision)
 }
 
+// endOfRevision returns the index after the changes that were made together with the one at the index, and adds their size.
+func (chl *changeLog) endOfRevision(at, size int) (end, total int) {
+	for end = at; end < len(chl.changes) && sameRevision(&chl.changes[end], &chl.changes[at]); end++ {
+		size += chl.changes[end].size()
+	}
+	return end, size
+}
+
+// size returns an upper bound of the encoded size of the change in bytes.
+func (chg *Change) size() int {
+	size := 32 + len(chg.RemovedReplica) + len(chg.RemovedPeer)
+	if rep := chg.Replica; rep != nil {
+		size += 64 + len(rep.Name) + len(rep.Service) + len(rep.Address) + len(rep.FailureDomain)
+	}
+	if peer := chg.Peer; peer != nil {
+		size += 32 + len(peer.Name) + len(peer.Address) + len(peer.FailureDomain)
+	}
+	if qua := chg.Quarantine; qua != nil {
+		size += 64 + 9*(len(qua.Parts)+len(qua.Callers))
+	}
+	if chg.Evacuation != nil {
+		size += 16 + len(chg.Evacuation.FailureDomain)
+	}
+	if chg.Invalid != nil {
+		size += 32 + len(chg.Invalid.Name) + len(chg.Invalid.Reason)
+	}
+	return size
+}
+
 // sameRevision reports whether two changes of one era were made together.
 func sameRevision(a, b *Change) bool {
 	var era posit.Position
--- a/internal/relay/changelog_test.go
+++ b/internal/relay/changelog_test.go
@@ -1,12 +1,17 @@
 package relay
 
 import (
+	"math"
+	"strconv"
+	"strings"
 	"testing"
 
+	"github.com/fxamacker/cbor/v2"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
 	"dandelionsail.example/dandelionsail/internal/posit"
+	"dandelionsail.example/dandelionsail/internal/steer"
 )
 
 // era is the era of the positions in these tests.
@@ -77,3 +82,64 @@
 	assert.Equal(t, len(changes), 0)
 	assert.Equal(t, upTo, before)
 }
+
+func TestLongEntriesReachOtherInstances(t *testing.T) {
+	// The entries of replicas have the longest names that are accepted. If a response with the changes were too long for a datagram, it would not be
+	// sent, and every Instance that asks for it would be left without confirmations and changes.
+	dir := newFakeDirectory()
+	one, two := newTestInstance(t, "one", dir), newTestInstance(t, "two", dir)
+	registerAll(dir, one, two)
+	first, second := &follower{in: one}, &follower{in: two}
+	assert.NilError(t, first.readAll(t.Context(), false))
+	assert.NilError(t, second.readAll(t.Context(), false))
+	long := strings.Repeat("x", maxNameBytes-3)
+	for i := range 3 * changesPerResponse {
+		dir.addChange(Change{Replica: &steer.Replica{Name: strconv.Itoa(100+i) + long, Service: "abc" + long, Address: "10.0.0.1:8080", FailureDomain: strings.Repeat("y", maxDomainName), Slots: maxSlots, Born: maxBornMs, ColdMs: math.MaxInt64}})
+	}
+	assert.Assert(t, first.pollStore(t.Context()))
+	reads := dir.fullReads.Load()
+	assert.Assert(t, second.confirmByPeer(t.Context(), localAddress(one)))
+	assert.Equal(t, second.position(), first.position())
+	assert.Equal(t, dir.fullReads.Load(), reads)
+}
+
+func TestSizeOfChangesIsBounded(t *testing.T) {
+	// Whatever is in the changes, a response with them must fit into a datagram.
+	rapid.Check(t, func(rt *rapid.T) {
+		var chl changeLog
+		chl.reset(era.At(0))
+		text := func(limit int) string { return strings.Repeat("x", rapid.IntRange(0, limit).Draw(rt, "length")) }
+		for revision := range int64(rapid.IntRange(1, 40).Draw(rt, "revisions")) {
+			chg := Change{Revision: math.MaxInt64 - 50 + revision}
+			switch rapid.IntRange(0, 4).Draw(rt, "kind") {
+			case 0:
+				chg.Replica = &steer.Replica{Name: text(maxNameBytes), Service: text(maxNameBytes), Address: text(60), FailureDomain: text(maxDomainName), Slots: maxSlots, Born: maxBornMs, ColdMs: math.MaxInt64, Leaving: true}
+			case 1:
+				chg.Peer = &Peer{Name: text(maxNameBytes), Address: text(60), FailureDomain: text(maxDomainName)}
+			case 2:
+				chg.Quarantine = &Quarantine{Crashes: math.MaxInt64, LastCrashMs: math.MaxInt64, Ended: true, Callers: []uint64{math.MaxUint64, math.MaxUint64}}
+				for range rapid.IntRange(1, 600).Draw(rt, "parts") {
+					chg.Quarantine.Parts = append(chg.Quarantine.Parts, math.MaxUint64)
+				}
+			case 3:
+				chg.Evacuation = &Evacuation{FailureDomain: text(maxDomainName), Ended: true}
+			case 4:
+				chg = InvalidChange(chg.Revision, InvalidEntry{EntryReplica, text(2 * maxNameBytes), text(200)})
+			}
+			chl.add([]Change{chg}, era.At(chg.Revision))
+		}
+		changes, upTo := chl.since(era.At(0))
+		conf := confirmation{Nonce: math.MaxUint64, Revision: math.MaxInt64, AgeMs: math.MaxInt64, Changes: changes, UpTo: upTo.Revision, Era: math.MaxInt64, Version: math.MaxInt64, Evacuations: true}
+		for range maxKeptEvacuations {
+			conf.Kept = append(conf.Kept, keptEvacuation{strings.Repeat("z", maxDomainName), math.MaxInt64})
+		}
+		raw, err := cbor.Marshal(packet{Confirmation: &conf})
+		assert.NilError(rt, err)
+		assert.Assert(rt, len(raw) <= maxDatagram, len(raw))
+		size := 0
+		for i := range chl.changes[:1] {
+			size += chl.changes[i].size()
+		}
+		assert.Assert(rt, len(changes) > 0 || size > maxChangesBytes)
+	})
+}
