Never ask a resolver for the address of another instance

What operators saw: an entry among those of the instances with a host name for its address would stop the goroutine that follows the store, for as long as the resolver takes, at each change of the instances. After the lifetime of tokens the instance refuses its callers.

Cause: net.ResolveUDPAddr looks host names up.

Now the address is parsed.

--- a/internal/relay/gossip.go
+++ b/internal/relay/gossip.go
@@ -5,6 +5,7 @@
 	"context"
 	"maps"
 	"net"
+	"net/netip"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -264,8 +265,10 @@
 			order = append(order, nil)
 			continue
 		}
-		address, err := net.ResolveUDPAddr("udp", peer.Address)
-		if err != nil {
+		// The address is not resolved: that would ask a resolver for a host name, and may take seconds.
+		parsed, err := netip.ParseAddrPort(peer.Address)
+		address := net.UDPAddrFromAddrPort(parsed)
+		if err != nil || parsed.Port() == 0 {
 			in.log.Warn().Str("Instance", peer.Name).Str("Address", peer.Address).Msg("peer skipped: invalid address")
 			continue
 		}
--- a/internal/relay/gossip_test.go
+++ b/internal/relay/gossip_test.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"context"
+	"net"
 	"testing"
 
 	"github.com/fxamacker/cbor/v2"
@@ -38,3 +40,19 @@
 		})
 	}
 }
+
+func TestPeerNamesAreNotResolved(t *testing.T) {
+	// The entry of another Instance has a host name instead of an IP address. A resolver would be asked by the goroutine that follows the store, which
+	// stands still for as long as the resolver takes.
+	in := newTestInstance(t, "one", newFakeDirectory())
+	asked := make(chan struct{}, 1)
+	resolver := net.DefaultResolver
+	net.DefaultResolver = &net.Resolver{PreferGo: true, Dial: func(context.Context, string, string) (net.Conn, error) {
+		trySend(asked, struct{}{})
+		return nil, OrderFailed.New("no resolver")
+	}}
+	t.Cleanup(func() { net.DefaultResolver = resolver })
+	in.setPeers(peersByName([]Peer{{Name: "two", Address: "127.0.0.1:9"}, {Name: "three", Address: "peer.example.:9"}, {Name: "four", Address: "127.0.0.1:http"}, {Name: "five", Address: "127.0.0.1:70000"}}))
+	assert.Equal(t, len(*in.gossip.peers.Load()), 1)
+	assert.Equal(t, len(asked), 0, "a resolver was asked")
+}
