--- a/internal/relay/front_test.go
+++ b/internal/relay/front_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -10,6 +11,7 @@
 	"github.com/phuslu/log"
 	"gotest.tools/v3/assert"
 
+	"dandelionsail.example/dandelionsail/internal/lines"
 	"dandelionsail.example/dandelionsail/internal/steer"
 	"dandelionsail.example/dandelionsail/pkg/decl"
 )
@@ -33,7 +35,7 @@
 // newFront returns an Instance that serves callers at the address. Requests below /stream/ may be resumed, the others run once. Its replica answers by
 // the handler; there is none if that is nil.
 func newFront(t *testing.T, answer http.HandlerFunc) (in *Instance, address string) {
-	in = New(Options{Name: "one", FailureDomain: "a", Seed: 1, MaxBody: 1 << 20}, nil, anyRequest{}, &log.Logger{Level: log.PanicLevel}, func() int64 { return 0 })
+	in = New(Options{Name: "one", FailureDomain: "a", Seed: 1, MaxBody: 1 << 20}, nil, anyRequest{}, &log.Logger{Level: log.PanicLevel}, lines.New(io.Discard, 1))
 	plain := decl.Route{
 		Name: "plain", Host: "hall.example", Prefix: "/", Shares: []decl.Share{{Service: "board", Weight: 1}}, Public: true, Attempts: 1,
 		Timeout: decl.Duration(5 * time.Second), Goal: decl.Duration(time.Second),
