Book prompts without a length with no work left

What callers saw: 503 "Overloaded" for prompts, while an engine runs a request whose X-Token-Usage is missing, zero or unreadable. Two such requests, of any caller, keep all others from two engines until they are answered.

Cause: what is left of a prompt was scaled by 1 - age/time. Without a length the time is 0, and with an age of 0 the share is NaN. So is then each forecast for the engine, and no comparison with NaN holds: the engine is never chosen. A job in a note of another instance had the same effect.

Evidence, before, on:

--- FAIL: TestPromptsOfNoLengthKeepRequestsFromNoReplica (0.00s) invalid_test.go:89: assertion failed: expression is false: in.now.Before(until): nothing was sent --- FAIL: TestPromptsWithoutLengthLeaveEnginesUsable/0,0 (12.72s) invalid_test.go:263: timed out waiting for: the arrival

The second is with a real instance: the arrival is that of the second such request. Now the share is computed only if there is work.

--- a/internal/steer/peer.go
+++ b/internal/steer/peer.go
@@ -298,7 +298,8 @@
 			part := eng.PrefillWork(job.Prompt, len(job.Replicas))
 			alone := part.AloneTime(eng)
 			wk.long = alone > st.tune.LongRead
-			if !job.Begun {
+			// Without a length of the prompt nothing is left, and the share of it would be NaN, as would each forecast for the engine.
+			if !job.Begun && alone > 0 {
 				wk.left = part.Scale(max(0, 1-float64(job.Age)/alone))
 			}
 			switch {
