Drop the parts of notes whose numbers are none

What callers saw: nothing on record. A note in which a pace is NaN kept all prompts from being sent for seconds, in a test.

Cause: Pace had no check, and the limits that the reducer applies, max and min, return NaN for NaN. A job's value and age were not checked either.

Evidence, before, on:

--- FAIL: TestOddNotesKeepRequestsFromNoReplica/pace_NaN (0.00s) invalid_test.go:77: assertion failed: expression is false: in.now.Before(until): nothing was sent

The other odd numbers of that test did no harm before.

--- a/internal/steer/note.go
+++ b/internal/steer/note.go
@@ -173,6 +173,7 @@
 	dropped += dropInvalid(&nt.Departures, func(dep *Departure) bool { return dep.Replica != "" })
 	dropped += dropInvalid(&nt.GrantReturns, func(ret *GrantReturn) bool { return ret.Replica != "" })
 	dropped += dropInvalid(&nt.Uses, (*ServiceUse).valid)
+	dropped += dropInvalid(&nt.Paces, (*Pace).valid)
 	return dropped, nt.From != ""
 }
 
@@ -187,6 +188,10 @@
 	if len(job.Replicas) == 0 || job.Prompt < 0 || job.Answer < 0 || job.Prompt > maxTokens || job.Answer > maxTokens {
 		return false
 	}
+	// NaN fails the comparisons, too.
+	if job.Age < 0 || !(job.Value >= 0 && job.Value <= maxValue) {
+		return false
+	}
 	return !slices.ContainsFunc(job.Reservations, func(tokens int64) bool { return tokens < 0 || tokens > maxTokens })
 }
 
--- a/internal/steer/pace.go
+++ b/internal/steer/pace.go
@@ -33,6 +33,9 @@
 	Times   float32 `cbor:"2,keyasint,omitempty"`
 }
 
+// valid reports whether the pace is a number. In a forecast, NaN would keep the engine from being chosen.
+func (pc *Pace) valid() bool { return pc.Replica != "" && pc.Times >= 0 }
+
 // learnPace compares the pass that has just ended with the engine's declared figures. It ignores passes in which
 // anything was read.
 func (st *State) learnPace(eng *decl.Engine, rep *replica, pass time.Duration) {
