--- a/internal/relay/invalid_test.go
+++ b/internal/relay/invalid_test.go
@@ -2,14 +2,21 @@
 
 import (
 	"bytes"
+	"math"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/phuslu/log"
 	"gotest.tools/v3/assert"
 
+	"dandelionsail.example/dandelionsail/internal/posit"
 	"dandelionsail.example/dandelionsail/internal/steer"
+	"dandelionsail.example/dandelionsail/pkg/decl"
 )
 
 func TestUnusableEntryIsLoggedOnce(t *testing.T) {
@@ -87,3 +94,85 @@
 
 // localAddress returns the address at which the Instance receives datagrams.
 func localAddress(in *Instance) *net.UDPAddr { return in.gossip.conn.LocalAddr().(*net.UDPAddr) }
+
+// newFuzzInstance returns an Instance whose gossip is open, for targets that pass it what peers send.
+func newFuzzInstance(f *testing.F) (*Instance, *follower) {
+	in := New(Options{Name: "one", PeerListen: "127.0.0.1:0", TokenLife: time.Second, ConfigLag: time.Second, MaxBody: 1 << 20}, newFakeDirectory(), nil, &log.Logger{Level: log.PanicLevel}, func() int64 { return 0 })
+	gs, err := openGossip(in)
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Cleanup(func() { _ = gs.conn.Close() })
+	in.gossip = gs
+	return in, &follower{in: in}
+}
+
+// FuzzShared serves arbitrary bytes as another Instance's directory and configuration, and applies what can be decoded.
+func FuzzShared(f *testing.F) {
+	in, fl := newFuzzInstance(f)
+	for _, shared := range []sharedState{
+		{Revision: 9, Era: 1, Routing: &decl.Routing{Version: 2, Routes: []decl.Route{{Name: "r", Host: "h", Prefix: "/", Shares: []decl.Share{{Service: "s", Weight: 1}}}}}, Replicas: []steer.Replica{{Name: "a", Service: "s", Address: "10.0.0.1:80", Slots: 1}}, Peers: []Peer{{Name: "two", Address: "127.0.0.1:9"}}, Evacuated: []string{"a"}, Evacuations: true},
+		{Revision: math.MinInt64, Era: math.MaxInt64, Routing: &decl.Routing{Version: math.MinInt64}, Replicas: []steer.Replica{{Slots: math.MinInt}}, Peers: []Peer{{}}},
+	} {
+		raw, err := cbor.Marshal(shared)
+		assert.NilError(f, err)
+		f.Add(raw)
+	}
+	served := []byte{}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(served) }))
+	f.Cleanup(server.Close)
+	from := server.Listener.Addr().(*net.TCPAddr)
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		served = raw
+		snap, err := in.fetchDirectory(t.Context(), &net.UDPAddr{IP: from.IP, Port: from.Port}, posit.Position{})
+		if err != nil {
+			return
+		}
+		for i := range snap.Replicas {
+			assert.NilError(t, CheckReplica(&snap.Replicas[i]))
+		}
+		fl.replaceState(&snap)
+		snap.Routing.Find("h", "/a/b")
+		in.apply(steer.Ticked{})
+	})
+}
+
+// FuzzChanges applies the changes of an arbitrary confirmation.
+func FuzzChanges(f *testing.F) {
+	in, fl := newFuzzInstance(f)
+	in.install(&decl.Routing{Version: math.MaxInt64})
+	for _, changes := range [][]Change{
+		{{Replica: &steer.Replica{Name: "a", Service: "s", Address: "10.0.0.1:80", Slots: 1}}, {RemovedReplica: "a"}, {Peer: &Peer{Name: "two", Address: "127.0.0.1:9"}}, {RemovedPeer: "two"}},
+		{{Replica: &steer.Replica{Slots: math.MinInt}}, {Peer: &Peer{}}, {Quarantine: &Quarantine{}}, {Evacuation: &Evacuation{}}, {Invalid: &InvalidEntry{Kind: 99}}},
+		{{Quarantine: &Quarantine{Parts: []steer.Part{1}, Crashes: math.MaxInt, LastCrashMs: math.MaxInt64, Ended: true}}, {Evacuation: &Evacuation{FailureDomain: "a", Ended: true}}},
+	} {
+		raw, err := cbor.Marshal(changes)
+		assert.NilError(f, err)
+		f.Add(raw)
+	}
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		var conf confirmation
+		if len(raw) > maxDatagram || cbor.Unmarshal(raw, &conf.Changes) != nil {
+			return
+		}
+		conf.Evacuations = true
+		at := fl.position()
+		if at.Revision > 1<<40 {
+			in.changes.reset(posit.Position{})
+			at = fl.position()
+		}
+		for i := range conf.Changes {
+			conf.Changes[i].Routing = false
+			conf.Changes[i].Revision = at.Revision + 1 + int64(i)
+		}
+		conf.Revision = at.Revision + int64(len(conf.Changes))
+		conf.UpTo = conf.Revision
+		fl.peers = map[string]Peer{}
+		in.entries.replace(nil, nil)
+		if len(conf.Changes) > 0 {
+			assert.NilError(t, fl.catchUp(t.Context(), nil, &conf))
+			assert.Equal(t, fl.position().Revision, conf.Revision)
+		}
+		in.apply(steer.Ticked{})
+	})
+}
