Relay: the silence of a replica ends no answer

A stream without an event for 1.1 s (four gaps of its route if that is longer) counted as dead: the shell cancelled the attempt as "silent" and only then asked the reducer whether another run may follow. Where none may, the caller's connection was cut in the middle of an answer although the replica was sound: an engine preempts its newest request in the middle of the stream and reads it again while its other streams go on, and connectionStalled took exactly that for a dead connection. What callers saw: a stream that may not be resumed, or has no attempt, replica or budget left, ends with a closed connection 1.1 s after its last event.

The shell reports FellSilent and ends nothing. The reducer grants another run if the request may be repeated and an attempt of its route, a replica with room and the budget are there now; it charges the repeat and aborts the silent attempt with the proof cutoff.Resumed. Otherwise the attempt goes on, and the silence is reported again each limit.

What waits in the socket, and a caller that is being written to, are no silence.

What the silent cut gained: streams that may be resumed are resumed as before. A connection whose other end acknowledges nothing for 3 s although something was sent is ended (TCP_INFO); keep-alive probes show the same for a connection on which nothing was sent. TCP_USER_TIMEOUT is not set, since Linux applies it also to a replica that does not read a long body. Reservations of memory are not renewed while a replica is silent for over 5 s.

A replica that sends events to others is not avoided any more for one silent stream. Logged and counted: silence seen and ended, another run granted, the attempt goes on and why, an answer that ended early with its proof, the time for which the process stood still.

TestSilenceCheckWhileResponseBegins looks at the same race in the new function.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -3,19 +3,18 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/url"
 	"runtime/debug"
-	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
 
+	"dandelionsail.example/dandelionsail/internal/cutoff"
 	"dandelionsail.example/dandelionsail/internal/hops"
 	"dandelionsail.example/dandelionsail/internal/norun"
 	"dandelionsail.example/dandelionsail/internal/notice"
@@ -89,20 +88,20 @@
 			ended = in.attemptPanicked(cl, eff, cause)
 		}
 	}()
-	ctx, cancel := context.WithDeadline(cl.req.Context(), eff.Deadline)
-	defer cancel()
+	ctx, end, release := cutoff.Context(cl.req.Context(), eff.Deadline)
+	defer release()
 	cl.mu.Lock()
-	cl.attempt, cl.cancel = eff.Attempt, cancel
+	cl.attempt, cl.cancel = eff.Attempt, end
 	cl.mu.Unlock()
-	att := &attempt{in: in, cl: cl, eff: eff, expiresAt: make([]time.Time, len(eff.Helpers)), ended: steer.AttemptEnded{ID: cl.id, Attempt: eff.Attempt}}
+	att := &attempt{in: in, cl: cl, eff: eff, end: end, expiresAt: make([]time.Time, len(eff.Helpers)), ended: steer.AttemptEnded{ID: cl.id, Attempt: eff.Attempt}}
 	att.ended.Result = att.run(ctx)
 	att.ended.Proof = att.delivery.proof
 	att.ended.Unreachable = att.unreachable.Load()
 	if via := att.via.Load(); via != nil {
 		att.ended.Via = *via
 	}
-	if att.ended.Result == steer.ResultBroken && ctx.Err() == nil && att.ended.Via == "" {
-		att.ended.Unreachable, att.ended.Died = in.examineFailure(ctx, eff.Replica)
+	if att.ended.Result == steer.ResultBroken && att.ended.Via == "" {
+		att.examine()
 	}
 	att.ended.Begun = cl.headerSent.Load()
 	if att.ended.Result != steer.ResultDone {
@@ -111,6 +110,13 @@
 	return att.ended
 }
 
+// examine finds out why the replica has broken off its answer. The attempt's own context has ended if its connection was found to be dead.
+func (att *attempt) examine() {
+	limited, stop := context.WithDeadline(att.cl.req.Context(), att.eff.Deadline)
+	defer stop()
+	att.ended.Unreachable, att.ended.Died = att.in.examineFailure(limited, att.eff.Replica)
+}
+
 // attemptPanicked returns the end of an attempt that panicked, which is a defect. Without an end the reducer would count the attempt as running at
 // its replica for good.
 func (in *Instance) attemptPanicked(cl *call, eff steer.Send, cause any) steer.AttemptEnded {
@@ -130,7 +136,12 @@
 	if att.delivery.status != 0 {
 		entry.Int("Status", att.delivery.status).Str("Named", att.delivery.answer.Name).Bool("NotRun", att.delivery.answer.NotRun)
 	}
-	entry.Str("Proof", att.ended.Proof.String()).Msg("attempt without a whole answer")
+	silence, stood, seen := att.watch.last()
+	if seen {
+		entry.Int64("SilentMs", silence.Milliseconds()).Int64("StoodStillMs", stood.Milliseconds())
+	}
+	entry.Str("End", att.ended.End.String()).Bool("Begun", att.ended.Begun).Str("Proof", att.ended.Proof.String()).Msg("attempt without a whole answer")
+	att.in.count("Attempts.Ended." + att.ended.End.String())
 	if att.ended.Proof != norun.None {
 		att.in.count("Attempts.NotRun." + att.ended.Proof.String() + "." + repeatKind(att.cl.route))
 	}
@@ -142,15 +153,15 @@
 	cl    *call
 	eff   steer.Send
 	ended steer.AttemptEnded
-	// silent reports whether checkSilence ended the attempt because the replica made no progress in time.
-	silent atomic.Bool
-	// unreachable reports whether checkSilence found that the replica accepts no connection.
+	// end ends the attempt with a proof that its answer will not go on.
+	end cutoff.CancelFunc
+	// watch notices that the replica is silent.
+	watch *silenceWatch
+	// unreachable reports whether watch found that the replica accepts no connection.
 	unreachable atomic.Bool
 	// via names the Instance through which the attempt is sent, nil if it is sent directly.
 	via atomic.Pointer[string]
-	// timer calls checkSilence.
-	timer *time.Timer
-	// cancel cancels the attempt and the renewal of its reservations.
+	// cancel ends the renewal of the attempt's reservations.
 	cancel context.CancelFunc
 	// reservedAt is when the last of the attempt's reservations was made.
 	reservedAt time.Time
@@ -158,40 +169,29 @@
 	expiresAt []time.Time
 	// renewalDone is closed when the renewal has ended; nil if it was not started.
 	renewalDone chan struct{}
-	// limit is how long in nanoseconds the replica may currently be silent.
-	limit atomic.Int64
-	// checks counts the calls of checkSilence since the last event.
-	checks atomic.Int32
 	// lastEvent is the time of the last event, zero before the first. Only the goroutine that reads the response uses it.
 	lastEvent time.Time
 	// delivery is what became of the request.
 	delivery delivery
-	// sharedLastEvent is the same time, nil before the first event, for the timer's goroutine. It points to a time.Time
-	// instead of holding Unix nanoseconds because only a time.Time keeps the monotonic clock reading.
-	sharedLastEvent atomic.Pointer[time.Time]
 }
 
 func (att *attempt) run(ctx context.Context) steer.Result {
-	// The silence timer cancels only attemptCtx, so ctx still shows whether the caller or the deadline ended the attempt.
-	attemptCtx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	att.cancel = cancel
-	limit := firstByteLimit(&att.eff)
-	att.limit.Store(int64(limit))
-	att.timer = time.AfterFunc(limit, func() { att.checkSilence(attemptCtx, cancel) })
-	defer att.timer.Stop()
+	renewing := att.renewal(ctx)
+	defer att.cancel()
+	att.watch = att.watchSilence(ctx, firstByteLimit(&att.eff))
+	defer att.watch.stop()
 	att.delivery.proof = norun.OfWrite(false)
-	if result := att.reserve(attemptCtx); result != 0 {
+	if result := att.reserve(renewing); result != 0 {
 		return result
 	}
 	defer att.release()
 	began := time.Now()
-	resp, ri, err := att.in.exchange(att.eff.NewConnection, att.message(), att.newRequest(attemptCtx))
+	resp, ri, err := att.in.exchange(att.eff.NewConnection, att.message(), att.newRequest(ctx))
 	if isHeldBack(err) && att.delivery.proof != norun.None {
 		return steer.ResultHeld
 	}
 	if isNotWritten(err) && att.delivery.proof != norun.None {
-		att.ended.GivenUp = ctx.Err() != nil
+		att.ended.GivenUp = cutoff.Of(ctx).IsOwn()
 		att.ended.Hung = att.ended.GivenUp && time.Since(began) >= probeTimeout
 		return steer.ResultNotSent
 	}
@@ -202,6 +202,13 @@
 	return att.receive(ctx, resp, ri)
 }
 
+// renewal returns the context of the renewal of the attempt's reservations, which cancel ends.
+func (att *attempt) renewal(ctx context.Context) context.Context {
+	renewing, cancel := context.WithCancel(ctx)
+	att.cancel = cancel
+	return renewing
+}
+
 // message returns the attempt's request as exchange takes it.
 func (att *attempt) message() message {
 	name := att.cl.info.Name
@@ -216,89 +223,33 @@
 	return msg
 }
 
-// checkSilence ends the attempt if its replica is silent. Up to maxChecks times in a row, a replica does not count as
-// silent if other requests recently received events from it or if it accepts a new connection: it then has more work
-// than estimated, and a retry elsewhere would waste the part of the prompt that it has processed. TCP keep-alive probes
-// detect a connection that only seems open, and connectionStalled one that delivers no events. An attempt with
-// reservations is ended without these checks if no response to the caller has begun.
-func (att *attempt) checkSilence(ctx context.Context, cancel context.CancelFunc) {
-	limit := time.Duration(att.limit.Load())
-	if hasReservations(&att.eff) && !att.cl.headerSent.Load() {
-		att.silent.Store(true)
-		cancel()
-		return
-	}
-	var replicaLastEvent time.Time
-	if at, ok := att.in.lastEvents.Load(att.eff.Replica.Name); ok {
-		replicaLastEvent = at.(time.Time)
-	}
-	if att.checks.Add(1) <= maxChecks && !connectionStalled(att.sharedLastEvent.Load(), replicaLastEvent, limit) {
-		if since := time.Since(replicaLastEvent); since < limit {
-			att.timer.Reset(limit - since)
-			return
-		}
-		if !att.unreachableNow(ctx) {
-			att.timer.Reset(limit)
-			return
-		}
-	}
-	att.silent.Store(true)
-	cancel()
-}
-
-// unreachableNow reports whether the next hop of the attempt accepts no new connection: the replica, or the Instance through which the
-// attempt goes.
-func (att *attempt) unreachableNow(ctx context.Context) bool {
-	if via := att.via.Load(); via != nil {
-		return !att.in.acceptsConnections(ctx, *via)
-	}
-	refused := att.in.refusesConnections(withCause(ctx, causeReplicaProbe), att.eff.Replica)
-	att.unreachable.Store(refused)
-	return refused
-}
-
-// connectionStalled reports whether other requests received events from the replica more than half the limit after this
-// request's last event, which is nil if it received none. An engine sends the events of all its streams together, so a
-// connection that receives none while others do is dead although the replica is alive. Without this check such a stream
-// would wait until its caller leaves, as long as others receive events.
-func connectionStalled(lastEvent *time.Time, replicaLastEvent time.Time, limit time.Duration) bool {
-	return lastEvent != nil && replicaLastEvent.Sub(*lastEvent) > limit/2
-}
-
-// hasReservations reports whether helpers reserve memory for the attempt.
-func hasReservations(eff *steer.Send) bool {
-	return slices.ContainsFunc(eff.Helpers, func(helper steer.Helper) bool { return helper.Tokens > 0 })
-}
-
-// firstByteLimit returns the maximum time until the response begins. It is shorter for an attempt with reservations:
-// the reservation of memory that no request uses must not be renewed for as long as a silent replica is assumed to be
-// working.
-func firstByteLimit(eff *steer.Send) time.Duration {
-	if hasReservations(eff) {
-		return min(eff.FirstTimeout, maxUnusedReservation)
-	}
-	return eff.FirstTimeout
-}
-
-// maxChecks is how many times in a row, without an event in between, a silent replica is assumed to be working on a
-// request because it accepts connections or sends events to other requests.
-const maxChecks = 3
-
-// failureResult classifies an attempt that may have arrived and ended with the error, without a complete response. ctx is the one that
-// silence does not cancel.
+// failureResult classifies an attempt that may have arrived and ended with the error, without a complete response.
 func (att *attempt) failureResult(ctx context.Context, err error) steer.Result {
 	att.ended.Died = diedBehindDetour(err)
+	att.ended.End = cutoff.OfRead(ctx, err)
 	switch {
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+	case att.ended.End.IsDeadline():
 		return steer.ResultExpired
-	case att.silent.Load():
+	case att.ended.End.IsResumption():
 		return steer.ResultSilent
-	case ctx.Err() != nil:
+	case att.ended.End.IsOwn():
 		return steer.ResultCancelled
 	}
 	return steer.ResultBroken
 }
 
+// callerFailed returns the result of an attempt whose caller was written to with the error.
+func (att *attempt) callerFailed(err error) steer.Result {
+	att.ended.End = cutoff.OfWrite(err)
+	return steer.ResultCancelled
+}
+
+// unusable returns the result of an attempt whose replica has answered with something that the caller cannot be given.
+func (att *attempt) unusable() steer.Result {
+	att.ended.End = cutoff.OfAnswer(true)
+	return steer.ResultBroken
+}
+
 func (att *attempt) newRequest(ctx context.Context) *http.Request {
 	cl := att.cl
 	req := (&http.Request{
@@ -352,11 +303,11 @@
 	att.ended.FaultyReplica = ri.FaultyReplica
 	if ri.Name != att.cl.info.Name && ri.Name != "" {
 		// The response names another request: it is a late one to an earlier request on a reused connection.
-		return steer.ResultBroken
+		return att.unusable()
 	}
 	if resp.StatusCode < http.StatusOK || resp.StatusCode > maxStatus {
 		// net/http reads such a status and panics when it is to be written.
-		return steer.ResultBroken
+		return att.unusable()
 	}
 	switch {
 	case ri.Misdirected:
@@ -366,7 +317,7 @@
 		drainBody(resp)
 		return steer.ResultNotRun
 	case !ri.Sealed || resp.Header.Get("Content-Encoding") != "":
-		return steer.ResultBroken
+		return att.unusable()
 	case att.cl.route.Stream && resp.StatusCode < http.StatusMultipleChoices:
 		return att.stream(ctx, resp)
 	}
@@ -404,7 +355,7 @@
 	if resp.StatusCode >= http.StatusMultipleChoices || att.cl.headerSent.Load() {
 		if !whole {
 			att.in.log.Warn().Str("Request", att.cl.info.Name).Str("Replica", att.eff.Replica.Name).Int("Status", resp.StatusCode).Msg("error response too long to be kept")
-			return steer.ResultBroken
+			return att.unusable()
 		}
 		att.cl.errorResponse = rsp
 		return steer.ResultAnswered
@@ -428,11 +379,11 @@
 	att.cl.allowWrite(len(begun))
 	att.cl.w.WriteHeader(resp.StatusCode)
 	if _, err := att.cl.w.Write(begun); err != nil {
-		return steer.ResultCancelled
+		return att.callerFailed(err)
 	}
 	rest := &bodyReader{body: resp.Body}
 	if _, err := io.Copy(att.cl.w, rest); err != nil && rest.err == nil {
-		return steer.ResultCancelled
+		return att.callerFailed(err)
 	}
 	if rest.err != nil {
 		return att.failureResult(ctx, rest.err)
--- a/internal/relay/attempt_test.go
+++ b/internal/relay/attempt_test.go
@@ -13,9 +13,9 @@
 )
 
 func TestConnectionStalled(t *testing.T) {
-	// Guards against a stream that hangs until its caller leaves, eight seconds and more: its connection dies midway
-	// while the replica continues to serve others, whose events make the replica look alive. The engine sends the
-	// events of all streams together, so a stream without events while others have some is given up.
+	// Guards against a stream that hangs until its caller leaves, eight seconds and more, although it may be resumed: its connection dies
+	// midway while the replica continues to serve others, whose events make the replica look alive. The engine sends the
+	// events of all streams together, so the silence of a stream without events while others have some is reported at once.
 	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	const limit = 1100 * time.Millisecond
 	cases := map[string]struct {
@@ -37,15 +37,17 @@
 }
 
 func TestSilenceCheckWhileResponseBegins(t *testing.T) {
-	// The silence timer of an attempt with reservations fires in the moment in which its response begins. It looks at whether
-	// the caller has a header already, which the goroutine that reads the response writes. The race detector guards this.
+	// An attempt with reservations is looked at in the moment in which its response begins. That depends on whether the caller has a header
+	// already, which the goroutine that reads the response writes. The race detector guards this.
 	in := newTestInstance(t, "one", newFakeDirectory())
 	cl := &call{w: httptest.NewRecorder(), req: httptest.NewRequest(http.MethodPost, "/", nil)}
 	att := &attempt{in: in, cl: cl, eff: steer.Send{Helpers: []steer.Helper{{Tokens: 1}}}}
+	att.watch = att.watchSilence(t.Context(), time.Hour)
+	defer att.watch.stop()
 	checked := make(chan struct{})
 	go func() {
 		defer close(checked)
-		att.checkSilence(t.Context(), func() {})
+		att.watch.look()
 	}()
 	att.startResponse(&http.Response{Header: http.Header{}})
 	<-checked
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"context"
 	"io"
 	"math"
 	"net/http"
@@ -12,6 +11,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"dandelionsail.example/dandelionsail/internal/cutoff"
 	"dandelionsail.example/dandelionsail/internal/steer"
 	"dandelionsail.example/dandelionsail/pkg/decl"
 )
@@ -60,8 +60,8 @@
 	mu sync.Mutex
 	// attempt is the number of the last attempt that was started.
 	attempt int
-	// cancel cancels that attempt.
-	cancel context.CancelFunc
+	// cancel ends that attempt.
+	cancel cutoff.CancelFunc
 }
 
 // serve handles one request from its arrival to its end.
@@ -228,12 +228,12 @@
 	}
 }
 
-// abort cancels the attempt if it is the call's last one.
-func (cl *call) abort(attempt int) {
+// abort ends the attempt with the proof if it is the call's last one.
+func (cl *call) abort(attempt int, proof cutoff.Proof) {
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
 	if cl.attempt == attempt && cl.cancel != nil {
-		cl.cancel()
+		cl.cancel(proof)
 	}
 }
 
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -69,6 +69,8 @@
 	answer ResponseInfo
 	// status is the HTTP status of that answer, 0 if there was none.
 	status int
+	// conn is the connection that the message was given last, nil if there is none or the message goes through another Instance.
+	conn atomic.Pointer[replicaConn]
 }
 
 // record stores the result of a send for the sender.
@@ -176,6 +178,9 @@
 			try.Body = body
 		}
 		use := use
+		if msg.delivery != nil {
+			use.given = &msg.delivery.conn
+		}
 		res, err := trip.Do(transport, &try, use.hooks(func(reused bool) { in.connected(msg.to.Replica, reused) }))
 		msg.record(res)
 		if res.Writes > 1 {
--- a/internal/relay/instance.go
+++ b/internal/relay/instance.go
@@ -340,7 +340,7 @@
 		in.deliver(eff.ID, eff)
 	case steer.Abort:
 		if cl, ok := in.calls[eff.ID]; ok {
-			cl.abort(eff.Attempt)
+			cl.abort(eff.Attempt, eff.Proof)
 		}
 	case steer.SendNote:
 		in.sendNote(eff)
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -98,6 +98,10 @@
 		entry.Int("Status", line.Status)
 	}
 	addString(entry, "Proof", line.Proof)
+	addString(entry, "Ended", line.Ended)
+	if line.Silent > 0 {
+		entry.Int64("SilentMs", line.Silent.Milliseconds()).Int64("StoodStillMs", line.StoodStill.Milliseconds())
+	}
 	if line.Budget != nil {
 		entry.Float64("Requests", line.Budget.Requests).Float64("Used", line.Budget.Used).
 			Float64("Allowed", math.Round(line.Budget.Allowed*10)/10).Int("Instances", line.Budget.Part.Instances)
--- a/internal/relay/replicaconn.go
+++ b/internal/relay/replicaconn.go
@@ -157,6 +157,8 @@
 	proven bool
 	// conn is nil before the message has a connection.
 	conn *replicaConn
+	// given receives conn for the sender, unless it is nil.
+	given *atomic.Pointer[replicaConn]
 	// number is the number that conns.Table gave to the use.
 	number int
 }
@@ -178,6 +180,9 @@
 	if !ok {
 		return
 	}
+	if cu.given != nil {
+		cu.given.Store(rc)
+	}
 	cu.conns.mu.Lock()
 	number, usable := cu.conns.table.Taken(rc.entry, time.Now(), cu.proven)
 	cu.conn, cu.number = rc, number
--- a/internal/relay/reservation.go
+++ b/internal/relay/reservation.go
@@ -22,8 +22,9 @@
 	// reservationTTL is how long a reservation lasts unless it is renewed. It is less than an engine may hold unused
 	// memory.
 	reservationTTL = 3500 * time.Millisecond
-	// maxUnusedReservation is how long memory may be reserved before its request's response begins. Engines may hold
-	// memory that no request uses for nine seconds, and the last renewal remains in effect for reservationTTL.
+	// maxUnusedReservation is how long memory may be reserved while nothing shows that its request uses it, since the response has not begun or
+	// its replica is silent. Engines may hold memory that no request uses for nine seconds, and the last renewal remains in effect for
+	// reservationTTL.
 	maxUnusedReservation = 5 * time.Second
 	// orderTimeout is the timeout of one order.
 	orderTimeout = 500 * time.Millisecond
@@ -82,11 +83,14 @@
 	return 0
 }
 
-// renew renews the reservations until the attempt's context ends. release waits for it to return, so that no renewal
-// follows a release.
+// renew renews the reservations until the attempt's context ends, except while the replica is silent for too long. release waits for it to return,
+// so that no renewal follows a release.
 func (att *attempt) renew(ctx context.Context) {
 	defer close(att.renewalDone)
 	for delay.For(ctx, steer.ReservationRenewInterval) {
+		if att.watch.reservesInVain() {
+			continue
+		}
 		for i := range att.eff.Helpers {
 			if att.eff.Helpers[i].Tokens == 0 {
 				continue
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -23,9 +23,9 @@
 		}
 		count, err := resp.Body.Read(buf[len(buf):cap(buf)])
 		buf = buf[:len(buf)+count]
-		rest, ok := att.forward(resp, buf)
-		if !ok {
-			return steer.ResultCancelled
+		rest, writeErr := att.forward(resp, buf)
+		if writeErr != nil {
+			return att.callerFailed(writeErr)
 		}
 		buf = append(buf[:0], rest...)
 		if err == io.EOF && len(bytes.TrimSpace(buf)) == 0 && !att.endedUnbegun() {
@@ -52,9 +52,9 @@
 	return resp.ContentLength < 0 && (isDetour || len(resp.TransferEncoding) == 0)
 }
 
-// forward writes the complete events at the start of buf to the caller and returns the remaining bytes. ok reports
-// whether the caller could be written to.
-func (att *attempt) forward(resp *http.Response, buf []byte) (rest []byte, ok bool) {
+// forward writes the complete events at the start of buf to the caller and returns the remaining bytes. The error is one of writing to the
+// caller.
+func (att *attempt) forward(resp *http.Response, buf []byte) (rest []byte, err error) {
 	end := 0
 	for {
 		length := eventLength(buf[end:])
@@ -67,7 +67,7 @@
 		end += length
 	}
 	if end == 0 {
-		return buf, true
+		return buf, nil
 	}
 	if !att.cl.headerSent.Load() {
 		att.cl.allowWrite(end)
@@ -75,13 +75,14 @@
 	}
 	att.startResponse(resp)
 	att.recordProgress()
+	defer att.watch.wrote()
 	if _, err := att.cl.w.Write(buf[:end]); err != nil {
-		return nil, false
+		return nil, err
 	}
 	if err := att.cl.control.Flush(); err != nil {
-		return nil, false
+		return nil, err
 	}
-	return buf[end:], true
+	return buf[end:], nil
 }
 
 // startResponse applies Began unless the attempt has forwarded an event already, and sends the caller the replica's
@@ -99,7 +100,7 @@
 	att.cl.w.WriteHeader(http.StatusOK)
 }
 
-// recordProgress records that events arrived and restarts the silence timer.
+// recordProgress records that events arrived.
 func (att *attempt) recordProgress() {
 	now := time.Now()
 	if !att.lastEvent.IsZero() {
@@ -110,11 +111,8 @@
 		}
 	}
 	att.lastEvent = now
-	att.sharedLastEvent.Store(&now)
-	att.checks.Store(0)
 	att.in.lastEvents.Store(att.eff.Replica.Name, now)
-	att.limit.Store(int64(att.eff.GapTimeout))
-	att.timer.Reset(att.eff.GapTimeout)
+	att.watch.progressed(now, att.eff.GapTimeout)
 }
 
 // eventLength returns the length of the event at the start of buf, including the empty line that ends it, or 0 if the
--- /dev/null
+++ b/internal/relay/tcpinfo.go
@@ -0,0 +1,34 @@
+package relay
+
+import (
+	"net"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// hasUnread reports whether bytes that were received on the connection have not been read yet.
+func hasUnread(conn net.Conn) bool {
+	unread := false
+	descriptor(conn, func(fd int) {
+		var buf [1]byte
+		count, _, err := unix.Recvfrom(fd, buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		unread = err == nil && count > 0
+	})
+	return unread
+}
+
+// acknowledgement reports whether something that was sent on the connection is not acknowledged, and the time since anything was received from the
+// other end. Its operating system acknowledges what arrives also while its process is stopped or does not read, so that a connection on which
+// nothing comes back is dead. TCP_USER_TIMEOUT is not set for that: Linux applies it also to an upstream that does not read a long body, which is
+// alive.
+func acknowledgement(conn net.Conn) (unacknowledged bool, sinceReceived time.Duration) {
+	descriptor(conn, func(fd int) {
+		info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+		if err == nil {
+			unacknowledged = info.Unacked > 0
+			sinceReceived = time.Duration(info.Last_ack_recv) * time.Millisecond
+		}
+	})
+	return unacknowledged, sinceReceived
+}
--- a/internal/steer/effect.go
+++ b/internal/steer/effect.go
@@ -5,6 +5,7 @@
 
 	"dandelionsail.example/dandelionsail/internal/budget"
 	"dandelionsail.example/dandelionsail/internal/cause"
+	"dandelionsail.example/dandelionsail/internal/cutoff"
 	"dandelionsail.example/dandelionsail/internal/notice"
 	"dandelionsail.example/dandelionsail/internal/posit"
 )
@@ -31,9 +32,9 @@
 	Kind notice.Kind
 	// Granted reports whether the attempt has a grant for a rate-limited replica.
 	Granted bool
-	// FirstTimeout is the timeout for the first byte of the answer.
+	// FirstTimeout is the time without a first byte of the answer after which its replica is looked at.
 	FirstTimeout time.Duration
-	// GapTimeout is the timeout between two parts of the answer.
+	// GapTimeout is the time between two parts of the answer after which its replica is looked at.
 	GapTimeout time.Duration
 }
 
@@ -44,10 +45,11 @@
 	Tokens int64
 }
 
-// Abort ends a running attempt.
+// Abort ends a running attempt with the proof that its answer does not go on.
 type Abort struct {
 	ID      RequestID
 	Attempt int
+	Proof   cutoff.Proof
 }
 
 // Finish ends a request. Exactly one follows each Arrived.
@@ -166,6 +168,12 @@
 	Status int
 	// Proof is why the attempt's request has not run, "None" if it may have.
 	Proof string
+	// Ended is why the attempt ended without a complete answer, "None" if that is not known.
+	Ended string
+	// Silent is how long a replica has sent nothing, without the time for which this process stood still.
+	Silent time.Duration
+	// StoodStill is how long this process stood still meanwhile.
+	StoodStill time.Duration
 	// Send is the kind of a message that was held back.
 	Send string
 	// PassedOver lists why replicas were passed over, with the number of replicas.
--- a/internal/steer/event.go
+++ b/internal/steer/event.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"dandelionsail.example/dandelionsail/internal/cause"
+	"dandelionsail.example/dandelionsail/internal/cutoff"
 	"dandelionsail.example/dandelionsail/internal/norun"
 	"dandelionsail.example/dandelionsail/internal/notice"
 	"dandelionsail.example/dandelionsail/internal/posit"
@@ -68,6 +69,23 @@
 	Pause time.Duration
 }
 
+// FellSilent reports that the replica of an attempt has sent nothing for the attempt's timeout and was not seen to be at work. The attempt goes on
+// unless an Abort follows. The event is repeated while the silence lasts.
+type FellSilent struct {
+	ID      RequestID
+	Attempt int
+	// Silent is the time since the last event or since the attempt began, without StoodStill.
+	Silent time.Duration
+	// StoodStill is how long this process stood still in that time.
+	StoodStill time.Duration
+	// OthersHeard reports whether the replica has sent events to other requests meanwhile.
+	OthersHeard bool
+	// Unreachable reports whether the replica, or the instance through which the attempt goes, accepted no new connection.
+	Unreachable bool
+	// Via is the instance that passes the attempt on, empty if it was sent directly.
+	Via string
+}
+
 // Result is how an attempt ended.
 type Result int
 
@@ -85,7 +103,7 @@
 	ResultMisdirected
 	// ResultBroken is an answer that is missing or incomplete.
 	ResultBroken
-	// ResultSilent is an answer that made no progress within its timeout.
+	// ResultSilent is an answer that made no progress within its timeout, and in whose place another run was granted.
 	ResultSilent
 	// ResultExpired is an attempt that was ended by the request's deadline.
 	ResultExpired
@@ -102,6 +120,8 @@
 	Result  Result
 	// Proof is why the request has not run because of the attempt. Without one it may have run, whatever the Result.
 	Proof norun.Proof
+	// End is why the attempt ended without a complete answer. A begun answer ends only with such a proof, see cutoff.
+	End cutoff.Proof
 	// Begun reports whether the caller already has the start of an answer, so that only the rest of it can follow.
 	Begun bool
 	// Unreachable reports whether the replica accepted no new connection after it broke off the answer or fell silent.
@@ -250,6 +270,7 @@
 func (CallerGone) isEvent()       {}
 func (Began) isEvent()            {}
 func (Progressed) isEvent()       {}
+func (FellSilent) isEvent()       {}
 func (AttemptEnded) isEvent()     {}
 func (Listed) isEvent()           {}
 func (ListChanged) isEvent()      {}
--- a/internal/steer/repeat.go
+++ b/internal/steer/repeat.go
@@ -55,10 +55,11 @@
 	return false
 }
 
-// recordArrival records that the attempt under way has certainly arrived by now, if it ever does.
+// recordArrival records that the attempt under way has certainly arrived by now, if it ever does. If another run was granted in its place, the
+// charge is for that one.
 func (st *State) recordArrival(req *request) {
 	req.arrived = true
-	if req.charged {
+	if req.charged && !req.resumes {
 		req.charged = false
 		st.allowanceOf(req.service).Settle(st.now)
 	}
--- a/internal/steer/retry.go
+++ b/internal/steer/retry.go
@@ -1,7 +1,6 @@
 package steer
 
 import (
-	"slices"
 	"time"
 
 	"dandelionsail.example/dandelionsail/internal/norun"
@@ -29,6 +28,9 @@
 	if ev.Pause > req.pause {
 		req.pause, req.pauseAt = ev.Pause, ev.PauseAt
 	}
+	if !req.attemptBeganAt.IsZero() && ev.Result != ResultDone {
+		st.recordEnd(req, ev)
+	}
 	st.unbook(req)
 	for _, rep := range req.reps {
 		rep.rest.EndTrial(uint64(req.ID), ev.Result == ResultDone)
@@ -75,8 +77,12 @@
 		}
 	case ResultDone, ResultAnswered:
 		rep.succeeded()
-	case ResultNotSent, ResultSilent:
+	case ResultNotSent:
 		st.attemptFailed(rep, &ev)
+	case ResultSilent:
+		if !req.silent {
+			st.attemptFailed(rep, &ev)
+		}
 	case ResultMisdirected:
 		st.markDown(rep, notice.Misdirecting)
 	case ResultBroken:
@@ -222,9 +228,7 @@
 		st.refuse(req, ReasonBudget, busyRetryAfter)
 		return
 	}
-	if lostPath := ev.Via == "" && st.pathOf(req.reps[0]).Lost(); !lostPath && !slices.Contains(req.tried, req.reps[0].Name) {
-		req.tried = append(req.tried, req.reps[0].Name)
-	}
+	st.recordTried(req, ev.Via)
 	if ev.Result == ResultNotRun {
 		req.notBefore = st.now.Add(notRunDelay)
 	}
--- a/internal/steer/serve.go
+++ b/internal/steer/serve.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"dandelionsail.example/dandelionsail/internal/cutoff"
 	"dandelionsail.example/dandelionsail/internal/notice"
 	"dandelionsail.example/dandelionsail/pkg/decl"
 )
@@ -114,7 +115,7 @@
 	}
 	req.attempt++
 	req.running = true
-	req.aborted = false
+	req.aborted, req.resumes, req.silent = false, false, false
 	req.attemptBeganAt, req.progressedAt = time.Time{}, time.Time{}
 	req.events, req.proven = 0, false
 	eff.Attempt = req.attempt
@@ -152,7 +153,8 @@
 
 func millis(dur time.Duration) int32 { return int32(dur / time.Millisecond) }
 
-// Progress timeouts. An engine sends nothing while it reads a prompt, so the timeout of a stream follows the estimate.
+// Progress timeouts. An engine sends nothing while it reads a prompt, so the timeout of a stream follows the estimate. No answer ends because one
+// has passed, see fellSilent.
 const (
 	// progressTimeoutFactor is the timeout for the first byte as a multiple of its estimate.
 	progressTimeoutFactor = 2.5
@@ -163,7 +165,7 @@
 	minSplitProgressTimeout = 1900 * time.Millisecond
 )
 
-// progressTimeouts returns how long the answer may take to begin and how long it may then pause.
+// progressTimeouts returns how long the answer may take to begin and how long it may then pause before its replica is looked at.
 func (st *State) progressTimeouts(req *request, pl *plan) (first, gap time.Duration) {
 	left := req.Deadline.Sub(st.now)
 	if !req.Route.Stream {
@@ -208,6 +210,7 @@
 		return
 	}
 	req.progressedAt = st.now
+	req.silent = false
 	req.events++
 	st.proveParts(req)
 	rep := req.reps[0]
@@ -228,7 +231,7 @@
 	}
 	req.disconnected = true
 	if req.running {
-		st.abort(req)
+		st.abort(req, cutoff.OfCaller(req.disconnected))
 		return
 	}
 	if req.claiming {
@@ -237,10 +240,11 @@
 	st.finish(req, Finish{ID: req.ID}, "caller left")
 }
 
-func (st *State) abort(req *request) {
+// abort ends the running attempt with the proof.
+func (st *State) abort(req *request, proof cutoff.Proof) {
 	if !req.aborted {
 		req.aborted = true
-		st.emit(Abort{ID: req.ID, Attempt: req.attempt})
+		st.emit(Abort{ID: req.ID, Attempt: req.attempt, Proof: proof})
 	}
 }
 
@@ -251,6 +255,9 @@
 		st.finish(req, Finish{ID: req.ID, DeliverFailure: true}, "failure delivered")
 		return
 	}
+	if req.begun {
+		st.emit(LogLine{Message: "answer ended early", Request: req.Name, Replica: req.reps[0].Name, Reason: reason, Age: st.now.Sub(req.at), Attempt: req.attempt, Ended: req.ended.String(), Wrote: req.wrote()})
+	}
 	refusal := &Refusal{Reason: reason, NotRun: req.runs == 0, RetryAfter: retryAfter}
 	st.emit(LogLine{Message: "request refused", Request: req.Name, Reason: reason, Age: st.now.Sub(req.at), Attempt: req.attempt, Tokens: req.Prompt, PassedOver: st.passedOver(req.service), End: st.outcomeOf(req)})
 	st.finish(req, Finish{ID: req.ID, Refusal: refusal}, "")
@@ -299,7 +306,7 @@
 	}
 	for _, id := range slices.Sorted(maps.Keys(st.requests)) {
 		if req := st.requests[id]; req.running {
-			st.abort(req)
+			st.abort(req, cutoff.OfStop(st.now, st.drain.AbortAt))
 		}
 	}
 }
--- a/internal/steer/state.go
+++ b/internal/steer/state.go
@@ -6,6 +6,7 @@
 
 	"dandelionsail.example/dandelionsail/internal/budget"
 	"dandelionsail.example/dandelionsail/internal/cause"
+	"dandelionsail.example/dandelionsail/internal/cutoff"
 	"dandelionsail.example/dandelionsail/internal/deaths"
 	"dandelionsail.example/dandelionsail/internal/paths"
 	"dandelionsail.example/dandelionsail/pkg/decl"
@@ -222,6 +223,8 @@
 	tried []string
 	// begun reports whether the answer has begun in any attempt.
 	begun bool
+	// ended is why the last attempt in which the answer was under way ended.
+	ended cutoff.Proof
 	// firstAt is when the answer began.
 	firstAt time.Time
 	// attemptBeganAt is when the current attempt's answer began, zero before.
@@ -244,6 +247,10 @@
 	disconnected bool
 	// aborted reports whether an Abort was emitted for the running attempt.
 	aborted bool
+	// resumes reports whether another run was granted in place of the running attempt, see fellSilent. Its repeat is charged already.
+	resumes bool
+	// silent reports whether the replica of the running attempt was recorded as silent since its last event.
+	silent bool
 	// failureHeld reports whether the shell, which carries out the effects, holds a replica's error answer that can be
 	// delivered.
 	failureHeld bool
@@ -320,6 +327,8 @@
 		st.began(ev)
 	case Progressed:
 		st.progressed(ev)
+	case FellSilent:
+		st.fellSilent(ev)
 	case AttemptEnded:
 		st.attemptEnded(ev)
 	case Listed:
