--- a/internal/relay/invalid_test.go
+++ b/internal/relay/invalid_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"io"
 	"math"
 	"net"
 	"net/http"
@@ -14,6 +15,7 @@
 	"github.com/phuslu/log"
 	"gotest.tools/v3/assert"
 
+	"dandelionsail.example/dandelionsail/internal/lines"
 	"dandelionsail.example/dandelionsail/internal/posit"
 	"dandelionsail.example/dandelionsail/internal/steer"
 	"dandelionsail.example/dandelionsail/pkg/decl"
@@ -97,7 +99,7 @@
 
 // newFuzzInstance returns an Instance whose gossip is open, for targets that pass it what peers send.
 func newFuzzInstance(f *testing.F) (*Instance, *follower) {
-	in := New(Options{Name: "one", PeerListen: "127.0.0.1:0", TokenLife: time.Second, ConfigLag: time.Second, MaxBody: 1 << 20}, newFakeDirectory(), nil, &log.Logger{Level: log.PanicLevel}, func() int64 { return 0 })
+	in := New(Options{Name: "one", PeerListen: "127.0.0.1:0", TokenLife: time.Second, ConfigLag: time.Second, MaxBody: 1 << 20}, newFakeDirectory(), nil, &log.Logger{Level: log.PanicLevel}, lines.New(io.Discard, 1))
 	gs, err := openGossip(in)
 	if err != nil {
 		f.Fatal(err)
