front: an own drain and account of callers' connections, for the relay

Cause, seen in net/http: Server.Shutdown closes the listener, and the kernel resets all connections that wait to be accepted; drops each request whose head is read after it has begun, without an answer; closes kept connections as idle although a request may be in the socket that no goroutine has read yet, and new ones after 5 s although a request is arriving. The idle timer had the same gap between the socket and the goroutine. A close with unread bytes makes the kernel send a reset, which may overtake an answer. A deadline that passes while the process stands still fails every later write and read, though the socket would take or has the bytes. Nothing of this was logged.

What callers saw: connections that were reset or ended although their request had arrived long before, answers cut or lost behind a reset, an answer lost after a freeze.

internal/front replaces Shutdown for callers and for other instances' messages: - Bytes are taken from the socket under the lock that closing takes, and the socket is asked just before the close. A connection is closed as idle only if http.Server waits for bytes, none have come, and none are in the socket. - A drain accepts what waits before it closes the listener, serves what is read, and ends when nothing is open. - The sending half is closed first; what still comes is read and discarded until the caller closes, so that there is no reset. - What the socket has or takes at once is read or written whatever the deadline is. A caller that has had no time to read since the deadline gets 500 ms once. - An idle limit that is raised counts for connections that are idle already. - Each request that was read whole and has no whole answer is counted by reason (Lost.*) and logged once ("request ended without a whole answer"), those of callers that left only counted. Lost.Own.* (a panic, a connection closed at the end of the grace) must stay 0. The line "drained" says what is still held.

In the relay, requests later than 2.5 s after SIGTERM that could still be running when attempts are aborted are refused with 503 as not run (callers are promised answers from 3 s on; the rest is for the way of signal and request). Answers to requests that came before SIGTERM and are written after it also say Connection: close.

TestRequestOnAConnectionThatTheInstanceClosesIsNotServed calls Drain where it called Shutdown; what it asserts is unchanged.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -72,7 +72,9 @@
 	body   []byte
 }
 
-func (rsp *response) write(cl *call) {
+// writeResponse sends the caller a replica's whole response.
+func (in *Instance) writeResponse(cl *call, rsp *response) {
+	in.announceClose(cl)
 	copyHeader(cl.w.Header(), rsp.header)
 	cl.w.Header().Set("Content-Length", strconv.Itoa(len(rsp.body)))
 	cl.headerSent.Store(true)
@@ -362,7 +364,7 @@
 	}
 	att.in.apply(steer.Began{ID: att.cl.id, Attempt: att.eff.Attempt})
 	if whole {
-		rsp.write(att.cl)
+		att.in.writeResponse(att.cl, rsp)
 		return steer.ResultDone
 	}
 	return att.passOn(ctx, resp, body)
@@ -371,6 +373,7 @@
 // passOn writes the response to the caller while it arrives. begun is the part of it that has arrived already.
 func (att *attempt) passOn(ctx context.Context, resp *http.Response, begun []byte) steer.Result {
 	att.in.count("Responses.PassedOn")
+	att.in.announceClose(att.cl)
 	copyHeader(att.cl.w.Header(), resp.Header)
 	if resp.ContentLength >= 0 {
 		att.cl.w.Header().Set("Content-Length", strconv.FormatInt(resp.ContentLength, 10))
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -12,6 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"dandelionsail.example/dandelionsail/internal/cutoff"
+	"dandelionsail.example/dandelionsail/internal/front"
 	"dandelionsail.example/dandelionsail/internal/steer"
 	"dandelionsail.example/dandelionsail/pkg/decl"
 )
@@ -24,6 +25,8 @@
 	defaultTimeout = 30 * time.Second
 	// noConfigRetryAfter is the Retry-After sent by an Instance without a usable configuration.
 	noConfigRetryAfter = 300 * time.Millisecond
+	// drainRetryAfter is the Retry-After sent while this Instance shuts down. It is short since another Instance can serve the caller.
+	drainRetryAfter = 20 * time.Millisecond
 	// writeGrace is how long a long answer may take to be written, and how long after a request's deadline parts of one may be.
 	writeGrace = 300 * time.Millisecond
 )
@@ -42,6 +45,8 @@
 	deadline      time.Time
 	effects       chan steer.Effect
 	control       *http.ResponseController
+	// account is the account of the request at the server.
+	account *front.Request
 
 	// headerSent reports whether the caller was sent a replica's status and header.
 	headerSent atomic.Bool
@@ -51,6 +56,8 @@
 	errorResponse *response
 	// complete reports whether the caller was sent a replica's whole answer.
 	complete bool
+	// lastResult is how the last attempt ended, 0 before there is one.
+	lastResult steer.Result
 	// arrived is when the request arrived.
 	arrived time.Time
 	// buffered is the size in bytes of the responses that are buffered for the call.
@@ -66,11 +73,8 @@
 
 // serve handles one request from its arrival to its end.
 func (in *Instance) serve(w http.ResponseWriter, req *http.Request) {
-	if in.draining.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	cl := &call{
-		w: w, req: req, info: in.protocol.ParseRequest(req),
+		w: w, req: req, info: in.protocol.ParseRequest(req), account: front.RequestOf(req),
 		effects: make(chan steer.Effect, effectQueueSize), control: http.NewResponseController(w),
 	}
 	arrived := time.Now()
@@ -81,11 +85,16 @@
 	if !in.readBody(cl) {
 		return
 	}
+	cl.account.ReadWhole(cl.info.Name)
 	timeout := cl.info.StatedTimeout
 	if timeout <= 0 {
 		timeout = defaultTimeout
 	}
 	cl.deadline = arrived.Add(min(timeout, cl.route.Timeout.Std()))
+	if in.draining.Load().refuses(time.Now(), cl.deadline) {
+		in.reject(cl, http.StatusServiceUnavailable, string(steer.ReasonDraining), drainRetryAfter)
+		return
+	}
 	cl.limitWrites()
 	cl.arrived = arrived
 	in.process(cl, in.arrivedEvent(cl))
@@ -214,8 +223,9 @@
 		case eff := <-cl.effects:
 			switch eff := eff.(type) {
 			case steer.Send:
+				cl.account.PassedOn()
 				ended := in.runAttempt(cl, eff)
-				cl.complete = ended.Result == steer.ResultDone
+				cl.lastResult, cl.complete = ended.Result, ended.Result == steer.ResultDone
 				in.apply(ended)
 			case steer.Finish:
 				in.finish(cl, eff)
@@ -285,10 +295,11 @@
 	cl.allowWrite(0)
 	switch {
 	case eff.DeliverFailure && !cl.headerSent.Load() && cl.errorResponse != nil:
-		cl.errorResponse.write(cl)
+		in.writeResponse(cl, cl.errorResponse)
 	case eff.Refusal == nil && !eff.DeliverFailure && cl.complete:
 	case cl.headerSent.Load():
 		// Part of the response is sent; only a cut connection shows the caller that the rest is missing.
+		cl.account.Cut(cl.cutReason(eff))
 		panic(http.ErrAbortHandler)
 	case eff.Refusal != nil:
 		in.reject(cl, statusCode(eff.Refusal), string(eff.Refusal.Reason), eff.Refusal.RetryAfter)
@@ -298,6 +309,14 @@
 	}
 }
 
+// cutReason returns why an answer ends before its end: the refusal's reason and how the last attempt ended.
+func (cl *call) cutReason(eff steer.Finish) front.Reason {
+	if eff.Refusal == nil {
+		return front.EndedByCaller
+	}
+	return front.Reason(string(eff.Refusal.Reason) + "." + cl.lastResult.String())
+}
+
 // statusCode returns the HTTP status for a refusal. It is 503 only if the request did not run and never will, since
 // callers retry on 503.
 func statusCode(refusal *steer.Refusal) int {
@@ -319,6 +338,7 @@
 		cl.w.Header().Set("Retry-After", strconv.FormatFloat(math.Ceil(retryAfter.Seconds()*100)/100, 'f', -1, 64))
 	}
 	cl.w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	in.announceClose(cl)
 	cl.w.WriteHeader(status)
 	_, _ = io.WriteString(cl.w, reason+"\n")
 }
--- a/internal/relay/callerconn_test.go
+++ b/internal/relay/callerconn_test.go
@@ -36,17 +36,17 @@
 	// Guards against a request that runs twice: the instance closes a connection as idle while it reads the next request from it, and serves that
 	// request all the same. The caller sees the connection end before any byte of an answer, and sends the request to another instance.
 	cases := map[string]func(server interface {
-		Shutdown(ctx context.Context) error
+		Drain(ctx context.Context) error
 	}){
 		"idle for too long": func(interface {
-			Shutdown(ctx context.Context) error
+			Drain(ctx context.Context) error
 		}) {
 		},
 		"draining": func(server interface {
-			Shutdown(ctx context.Context) error
+			Drain(ctx context.Context) error
 		},
 		) {
-			go func() { _ = server.Shutdown(context.Background()) }()
+			go func() { _ = server.Drain(context.Background()) }()
 		},
 	}
 	for name, end := range cases {
--- a/internal/relay/instance.go
+++ b/internal/relay/instance.go
@@ -21,6 +21,7 @@
 	"dandelionsail.example/dandelionsail/internal/budget"
 	"dandelionsail.example/dandelionsail/internal/conns"
 	"dandelionsail.example/dandelionsail/internal/delay"
+	"dandelionsail.example/dandelionsail/internal/front"
 	"dandelionsail.example/dandelionsail/internal/pause"
 	"dandelionsail.example/dandelionsail/internal/steer"
 	"dandelionsail.example/dandelionsail/internal/tasks"
@@ -32,6 +33,9 @@
 	shutdownMargin = 400 * time.Millisecond
 	// answerTime is how long open requests may take to be answered after the grace period. It is less than shutdownMargin.
 	answerTime = 300 * time.Millisecond
+	// lateRequestTime is how long after the termination signal requests are still begun that may be running at the end of the grace period. Callers
+	// are promised answers to those that they send more than 3 s after it; the rest is for the way of the signal and of the request.
+	lateRequestTime = 2500 * time.Millisecond
 	// drainQueueShare is the share of the grace period during which requests may still wait for a replica.
 	drainQueueShare = 0.25
 	// headerTimeout is the maximum time to read a request's header.
@@ -101,7 +105,8 @@
 	// keptEvacuations holds the evacuations that the store has lost, each with the time until which it stays in force. It is nil before
 	// the first read of the Directory.
 	keptEvacuations atomic.Pointer[map[string]time.Time]
-	draining        atomic.Bool
+	// draining is nil until this Instance is asked to shut down.
+	draining atomic.Pointer[drainPlan]
 	// detours is the number of messages that are being passed on for other instances.
 	detours atomic.Int64
 	// detourBytes is the size in bytes of these messages.
@@ -210,7 +215,7 @@
 	peerMux.HandleFunc("GET "+sharedConfigPath, in.serveConfig)
 	peerMux.HandleFunc("GET "+sharedDirectoryPath, in.serveDirectory)
 	peerMux.HandleFunc("POST "+detourPath, in.serveDetour)
-	peerServer := &http.Server{Handler: peerMux, ReadHeaderTimeout: headerTimeout, ErrorLog: errorLog}
+	peerServer := front.New(front.Options{Handler: peerMux, HeaderTimeout: headerTimeout, ErrorLog: errorLog})
 	group, serveCtx := errgroup.WithContext(serveCtx)
 	start := func(name string, run func(ctx context.Context) error) { group.Go(in.monitor.Part(serveCtx, name, run)) }
 	start("follower", (&follower{in: in}).run)
@@ -229,18 +234,13 @@
 		case <-serveCtx.Done():
 		}
 		defer stop()
-		in.drain(callerServer.Server, peerServer)
+		in.drain(callerServer, peerServer)
 		return errors.Join(readyServer.Close(), peerServer.Close())
 	})
 	in.log.Info().Str("Instance", in.opts.Name).Str("Address", in.opts.Listen).Msg("started")
 	return group.Wait()
 }
 
-func (in *Instance) newCallerServer(handler http.Handler, errorLog *stdlog.Logger) *callerServer {
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeader, ErrorLog: errorLog}
-	return newCallerServer(server, in.idleLimit)
-}
-
 // handleHangups logs that SIGHUP has no effect: all settings come from flags and the environment and are read only at
 // startup. Without a handler the signal would end the process and its open requests.
 func (in *Instance) handleHangups(ctx context.Context, hangups <-chan os.Signal) error {
--- a/internal/relay/passon.go
+++ b/internal/relay/passon.go
@@ -68,7 +68,7 @@
 // message counts against maxDetours and maxDetourBytes.
 func (in *Instance) refusesDetours(req *http.Request) string {
 	switch {
-	case in.draining.Load():
+	case in.isDraining():
 		return reasonDraining
 	case !in.isPeerAddress(req.RemoteAddr):
 		return "not an instance"
--- a/internal/relay/quarantine.go
+++ b/internal/relay/quarantine.go
@@ -35,7 +35,7 @@
 				return
 			}
 			in.log.Warn().Err(err).Strs("Parts", partNames(qua.Parts)).Msg("quarantine of a part not recorded in the store")
-			if backoff >= minAnnounceBackoff<<(quarantineWrites-1) || in.draining.Load() {
+			if backoff >= minAnnounceBackoff<<(quarantineWrites-1) || in.isDraining() {
 				return
 			}
 			time.Sleep(backoff)
--- a/internal/relay/ready.go
+++ b/internal/relay/ready.go
@@ -6,42 +6,70 @@
 	"time"
 
 	"dandelionsail.example/dandelionsail/internal/delay"
+	"dandelionsail.example/dandelionsail/internal/front"
 	"dandelionsail.example/dandelionsail/internal/steer"
 )
 
 // Readiness probes and graceful shutdown.
 
-// drain stops the server without cutting responses. Readiness goes off first; the server continues to accept
+// drainPlan is what follows from the moment at which this Instance was asked to shut down.
+type drainPlan struct {
+	// refuseAt is from when on requests are refused that may still be running at abortAt.
+	refuseAt time.Time
+	// abortAt is when the attempts that are still running are aborted.
+	abortAt time.Time
+}
+
+// refuses reports whether a request that arrives now is refused because it may still be running when attempts are aborted.
+func (dp *drainPlan) refuses(now, deadline time.Time) bool {
+	return dp != nil && !now.Before(dp.refuseAt) && deadline.After(dp.abortAt)
+}
+
+// drain stops the servers without cutting responses. Readiness goes off first; the callers' server continues to accept
 // connections for DrainNotice, so that the load balancer can notice, and open requests then finish within the grace
 // period.
-func (in *Instance) drain(callerServer, peerServer *http.Server) {
+func (in *Instance) drain(callers, peers *front.Server) {
 	now := time.Now()
 	ended := now.Add(in.opts.Grace - shutdownMargin)
-	in.draining.Store(true)
-	in.apply(steer.Draining{RefuseWaitingAt: now.Add(time.Duration(drainQueueShare * float64(in.opts.Grace))), AbortAt: ended.Add(-shutdownMargin)})
+	plan := &drainPlan{refuseAt: now.Add(lateRequestTime), abortAt: ended.Add(-shutdownMargin)}
+	in.draining.Store(plan)
+	in.apply(steer.Draining{RefuseWaitingAt: now.Add(time.Duration(drainQueueShare * float64(in.opts.Grace))), AbortAt: plan.abortAt})
 	in.log.Info().Str("Instance", in.opts.Name).Int("Open", in.open()).Msg("draining")
 	delay.For(context.Background(), in.opts.DrainNotice)
 	limited, cancel := context.WithDeadline(context.Background(), ended)
 	defer cancel()
-	if err := callerServer.Shutdown(limited); err != nil {
-		in.log.Warn().Int("Open", in.open()).Err(err).Msg("grace period expired with open requests")
-		in.answerOpen(callerServer)
+	if err := callers.Drain(limited); err != nil {
+		in.log.Warn().Int("Open", in.open()).Int("Connections", callers.Held().Connections).Err(err).Msg("grace period expired with open requests")
+		in.answerOpen(callers)
 	}
 	// What is being passed on for other instances ends like the requests of callers.
-	if err := peerServer.Shutdown(limited); err != nil {
+	if err := peers.Drain(limited); err != nil {
 		in.log.Warn().Int64("Detours", in.detours.Load()).Err(err).Msg("grace period expired with open detours")
 	}
 	in.background.Wait()
+	atEnd := callers.Held()
+	in.log.Info().Int("Requests", atEnd.Requests).Int("Connections", atEnd.Connections).Int64("Detours", in.detours.Load()).
+		Int64("DrainMs", time.Since(now).Milliseconds()).Msg("drained")
 }
 
 // answerOpen ends what is still open with an answer, and closes the connections then. Requests are open at the end of the grace period if the
 // process stood still until then. A connection that closes without an answer would make its caller send the request again, which may have run.
-func (in *Instance) answerOpen(callerServer *http.Server) {
+func (in *Instance) answerOpen(callers *front.Server) {
 	in.apply(steer.Ticked{})
 	limited, cancel := context.WithTimeout(context.Background(), answerTime)
 	defer cancel()
-	if callerServer.Shutdown(limited) != nil {
-		_ = callerServer.Close()
+	if callers.Drain(limited) != nil {
+		_ = callers.Close()
+	}
+}
+
+// isDraining reports whether this Instance was asked to shut down.
+func (in *Instance) isDraining() bool { return in.draining.Load() != nil }
+
+// announceClose makes the answer that is about to be written the last one on its connection if this Instance is shutting down.
+func (in *Instance) announceClose(cl *call) {
+	if in.isDraining() {
+		cl.w.Header().Set("Connection", "close")
 	}
 }
 
@@ -59,7 +87,7 @@
 }
 
 func (in *Instance) ready() bool {
-	if in.draining.Load() || !in.configured() || !in.deathsKnown.Load() || !in.fresh(readyTokenShare) {
+	if in.isDraining() || !in.configured() || !in.deathsKnown.Load() || !in.fresh(readyTokenShare) {
 		return false
 	}
 	in.mu.Lock()
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -95,6 +95,7 @@
 		return
 	}
 	att.in.recordTime("Requests.FirstByte.stream", time.Since(att.cl.arrived))
+	att.in.announceClose(att.cl)
 	copyHeader(att.cl.w.Header(), resp.Header)
 	att.cl.headerSent.Store(true)
 	att.cl.w.WriteHeader(http.StatusOK)
