entry: drain and account of callers' connections as on the relay

Cause: as on the relay, http.Server.Shutdown drops what waits to be accepted, what is read after it has begun, and what lies in sockets unread; closes with unread bytes reset the answer; nothing was logged. The completions front now serves callers by internal/front, counts Lost.* by reason, logs a line for each but those whose caller left, and says in the line "drained" what it still holds.

A body that breaks off is answered 400 with Connection: close; the header was missing where the caller closed its sending half. TestCallerThatClosesItsSendingHalfReadsNoFalseSuccess, before: /body_is_not_sent: callers_test.go:71: assertion failed: expression is false: resp.Close Its other cases hold without a mend, since the reducer ends such requests with an error; a request that ends with neither an error nor an upstream's whole answer is now answered 502 or cut in any case.

TestDrainOverTLS holds for HTTP/1.1 and HTTP/2, whose connections http.Server goes on to end by itself.

--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -10,6 +10,7 @@
 	"dandelionsail.example/dandelionsail/internal/body"
 	"dandelionsail.example/dandelionsail/internal/effect"
 	"dandelionsail.example/dandelionsail/internal/event"
+	"dandelionsail.example/dandelionsail/internal/front"
 	"dandelionsail.example/dandelionsail/internal/once"
 )
 
@@ -46,6 +47,10 @@
 	arrival event.Arrived
 	// headerSent means that the status and header were sent to the caller.
 	headerSent bool
+	// complete means that the caller was sent an upstream's whole answer, or that the whole is assembled.
+	complete bool
+	// account is the account of the request at the server.
+	account *front.Request
 	// offset is the number of answer tokens forwarded so far, over all attempts.
 	offset int64
 	// firstAt is when the answer began.
@@ -67,7 +72,7 @@
 
 func newCall(w http.ResponseWriter, req *http.Request, arrived time.Time) *call {
 	return &call{
-		w: w, req: req, arrived: arrived,
+		w: w, req: req, arrived: arrived, account: front.RequestOf(req),
 		effects: make(chan effect.Effect, effectBuffer),
 		control: http.NewResponseController(w),
 	}
@@ -82,6 +87,7 @@
 	ev.ID = cl.id
 	cl.arrival = ev
 	cl.w.Header().Set(HeaderRequestID, cl.name)
+	cl.account.ReadWhole(cl.name)
 	in.register(cl)
 	defer in.unregister(cl)
 	// Without a write deadline, a caller that stops reading would hold its request and the upstream's memory beyond the
@@ -108,8 +114,12 @@
 		case eff := <-cl.effects:
 			switch eff := eff.(type) {
 			case effect.Send:
-				in.loop.Submit(in.attempt(cl, eff))
+				cl.account.PassedOn()
+				ended := in.attempt(cl, eff)
+				cl.complete = ended.Result == event.ResultDone
+				in.loop.Submit(ended)
 			case effect.Forward:
+				cl.account.PassedOn()
 				if in.forward(cl, eff) {
 					return
 				}
@@ -173,7 +183,8 @@
 	return ctx, cancel
 }
 
-// finish sends the caller what is still missing: the replayed answer, the error or the assembled answer.
+// finish sends the caller what is still missing: the replayed answer, the error or the assembled answer. A caller counts as gone once it has closed
+// its sending half, and may still read: without an error or a cut, the part of an answer that there is would look whole.
 func (in *Instance) finish(cl *call, eff effect.Finish) {
 	switch {
 	case eff.Replay != nil:
@@ -186,6 +197,9 @@
 			in.awaitQuarantineAcks(cl)
 		}
 		cl.writeError(fromRefusal(eff.Refusal))
+	case !cl.complete:
+		cl.w.Header().Set("Connection", "close")
+		cl.writeError(fromRefusal(&effect.Refusal{Reason: effect.ReasonOutcome, RunState: effect.Unknown, Remedy: "keep both halves of the connection open"}))
 	case cl.body != nil && !cl.body.Stream:
 		cl.answer.write(cl)
 	}
@@ -200,6 +214,7 @@
 	}
 	if cl.body == nil {
 		// Part of a plain service's response was sent. Only an aborted connection shows the caller that it is incomplete.
+		cl.account.Cut(front.Reason(ae.Code))
 		panic(http.ErrAbortHandler)
 	}
 	_, _ = cl.w.Write([]byte("event: error\ndata: "))
--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -131,6 +131,8 @@
 	if _, ok := err.(*http.MaxBytesError); ok {
 		return nil, tooLarge(in.opts.MaxBody)
 	}
+	// Where the next request would begin on the connection is unknown.
+	w.Header().Set("Connection", "close")
 	return nil, badRequest(http.StatusBadRequest, "IncompleteBody", "the body ended early or came too slowly; send it whole")
 }
 
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -10,6 +10,7 @@
 
 	"dandelionsail.example/dandelionsail/internal/effect"
 	"dandelionsail.example/dandelionsail/internal/event"
+	"dandelionsail.example/dandelionsail/internal/front"
 	"dandelionsail.example/dandelionsail/internal/hops"
 	"dandelionsail.example/dandelionsail/internal/trip"
 )
@@ -92,6 +93,9 @@
 	in.loop.Submit(cl.arrival)
 }
 
+// passedOnBroken means that the answer of the instance to which a request was passed on broke off.
+const passedOnBroken front.Reason = "PassedOnBroken"
+
 // passOn sends the caller the answer as it arrives. An answer that breaks off ends the caller's connection, so that it does not look whole.
 func (cl *call) passOn(resp *http.Response) {
 	header := cl.w.Header()
@@ -113,6 +117,7 @@
 			return
 		}
 		if err != nil {
+			cl.account.Cut(passedOnBroken)
 			panic(http.ErrAbortHandler)
 		}
 	}
--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"hash/fnv"
 	"net"
@@ -15,6 +16,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/errgroup"
 
 	"dandelionsail.example/dandelionsail/internal/conf"
@@ -22,6 +24,7 @@
 	"dandelionsail.example/dandelionsail/internal/deaths"
 	"dandelionsail.example/dandelionsail/internal/delay"
 	"dandelionsail.example/dandelionsail/internal/event"
+	"dandelionsail.example/dandelionsail/internal/front"
 	"dandelionsail.example/dandelionsail/internal/lease"
 	"dandelionsail.example/dandelionsail/internal/meter"
 	"dandelionsail.example/dandelionsail/internal/once"
@@ -198,12 +201,13 @@
 	// Requests in flight finish after ctx has ended, so the parts run under a context that ends only after the drain.
 	parts, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	server := &http.Server{
-		Handler:           in.guard(in.routes()),
-		ReadHeaderTimeout: readHeaderTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-	}
+	server := front.New(front.Options{
+		Handler:       in.guard(in.routes()),
+		HeaderTimeout: readHeaderTimeout,
+		IdleTimeout:   idleTimeout,
+		MaxHeader:     maxHeaderBytes,
+		Lost:          in.recordLoss,
+	})
 	in.attachPeerTransport()
 	group, parts := errgroup.WithContext(parts)
 	start := func(name string, run func(ctx context.Context) error) { group.Go(in.monitor.Part(parts, name, run)) }
@@ -248,7 +252,7 @@
 
 // drain shuts down without aborting requests: it turns readiness off, waits DrainNotice for the load balancer to notice, and
 // lets the admitted requests finish within DrainTime.
-func (in *Instance) drain(ctx context.Context, server *http.Server) error {
+func (in *Instance) drain(ctx context.Context, server *front.Server) error {
 	in.draining.Store(true)
 	in.log.Info().Str("Instance", in.opts.Name).Msg("draining")
 	delay.For(ctx, in.opts.DrainNotice)
@@ -256,9 +260,11 @@
 	in.rebroadcastQuarantine()
 	deadline, cancel := context.WithTimeout(ctx, in.opts.DrainTime)
 	defer cancel()
-	err := server.Shutdown(deadline)
+	err := server.Drain(deadline)
 	in.waitSettled(deadline)
-	return err
+	held := server.Held()
+	in.log.Info().Str("Instance", in.opts.Name).Int("Requests", held.Requests).Int("Connections", held.Connections).Msg("drained")
+	return errors.Join(err, server.Close())
 }
 
 // waitSettled waits until the outcomes of all claims are recorded or the context ends. If the process ended before, the
@@ -290,6 +296,23 @@
 	return count
 }
 
+// recordLoss counts and logs a request that was read whole and whose caller got no whole answer. What is counted below Lost.Own is the fault of
+// this instance, and should never happen.
+func (in *Instance) recordLoss(loss front.Loss) {
+	metrics.GetOrRegisterCounter("Lost."+string(loss.Reason), in.Meter.Registry).Inc(1)
+	entry := in.log.Info()
+	switch {
+	case loss.Reason == front.EndedByCaller:
+		// Callers leave often.
+		return
+	case loss.Reason.IsOwnFault():
+		metrics.GetOrRegisterCounter("Lost.Own."+string(loss.Reason), in.Meter.Registry).Inc(1)
+		entry = in.log.Error()
+	}
+	entry.Str("Request", loss.Request).Str("Reason", string(loss.Reason)).Bool("PassedOn", loss.PassedOn).Int64("Written", loss.Written).
+		Int64("AgeMs", loss.Age.Milliseconds()).Err(loss.Err).Msg("request ended without a whole answer")
+}
+
 // guard is the middleware around all routes.
 //
 // While the instance drains, it sets Connection: close on each answer. Otherwise the caller could send its next request on a
--- a/internal/entry/tls.go
+++ b/internal/entry/tls.go
@@ -2,13 +2,13 @@
 
 import (
 	"net"
-	"net/http"
 
+	"dandelionsail.example/dandelionsail/internal/front"
 	"dandelionsail.example/dandelionsail/internal/peers"
 )
 
 // serveCallers serves callers on the listener, over TLS if a certificate is configured.
-func (in *Instance) serveCallers(server *http.Server, listener net.Listener) error {
+func (in *Instance) serveCallers(server *front.Server, listener net.Listener) error {
 	if in.opts.TLSCert == "" {
 		return ignoreClosed(server.Serve(listener))
 	}
@@ -16,6 +16,5 @@
 	if err != nil {
 		return BadOption.Wrap(err, "entry: --tls-cert and --tls-key cannot be used")
 	}
-	server.TLSConfig = keys.ServerTLS()
-	return ignoreClosed(server.ServeTLS(listener, "", ""))
+	return ignoreClosed(server.ServeTLS(listener, keys.ServerTLS()))
 }
