--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -214,7 +214,7 @@
 	}
 	if cl.body == nil {
 		// Part of a plain service's response was sent. Only an aborted connection shows the caller that it is incomplete.
-		cl.account.Cut(front.Reason(ae.Code))
+		cl.account.Cut(front.Reason(ae.Code), ae.Message)
 		panic(http.ErrAbortHandler)
 	}
 	_, _ = cl.w.Write([]byte("event: error\ndata: "))
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -117,7 +117,7 @@
 			return
 		}
 		if err != nil {
-			cl.account.Cut(passedOnBroken)
+			cl.account.Cut(passedOnBroken, err.Error())
 			panic(http.ErrAbortHandler)
 		}
 	}
--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -309,7 +309,7 @@
 		metrics.GetOrRegisterCounter("Lost.Own."+string(loss.Reason), in.Meter.Registry).Inc(1)
 		entry = in.log.Error()
 	}
-	entry.Str("Request", loss.Request).Str("Reason", string(loss.Reason)).Bool("PassedOn", loss.PassedOn).Int64("Written", loss.Written).
+	entry.Str("Request", loss.Request).Str("Reason", string(loss.Reason)).Str("Detail", loss.Detail).Bool("PassedOn", loss.PassedOn).Int64("Written", loss.Written).
 		Int64("AgeMs", loss.Age.Milliseconds()).Err(loss.Err).Msg("request ended without a whole answer")
 }
 
--- a/internal/front/account.go
+++ b/internal/front/account.go
@@ -29,6 +29,8 @@
 	// Request is the ID that the caller gave to it.
 	Request string
 	Reason  Reason
+	// Detail is what the handler knows besides the reason.
+	Detail string
 	// PassedOn reports whether it was sent to a replica.
 	PassedOn bool
 	// Written is the number of bytes of the answer that were written.
@@ -46,7 +48,7 @@
 	name     atomic.Pointer[string]
 	passedOn atomic.Bool
 	// cut is why the handler ends the answer before its end, nil if it does not.
-	cut      atomic.Pointer[Reason]
+	cut      atomic.Pointer[cutOff]
 	returned atomic.Bool
 	panicked atomic.Bool
 }
@@ -69,8 +71,14 @@
 // PassedOn records that the request was sent to a replica.
 func (rq *Request) PassedOn() { rq.passedOn.Store(true) }
 
-// Cut records why the handler is about to end an answer before its end.
-func (rq *Request) Cut(reason Reason) { rq.cut.Store(&reason) }
+// cutOff is why a handler ends an answer before its end.
+type cutOff struct {
+	reason Reason
+	detail string
+}
+
+// Cut records why the handler is about to end an answer before its end. The reason becomes a part of a metric's name, the detail only of the log.
+func (rq *Request) Cut(reason Reason, detail string) { rq.cut.Store(&cutOff{reason, detail}) }
 
 // beginRequest begins the account of a request.
 func (cn *conn) beginRequest() *Request {
@@ -109,7 +117,7 @@
 	case cn.callerLeft:
 		return EndedByCaller, true
 	case cut != nil:
-		return *cut, true
+		return cut.reason, true
 	case isTimeout(cn.writeError):
 		return EndedByWriteDeadline, true
 	}
@@ -127,6 +135,9 @@
 	cn.request = nil
 	loss := Loss{Request: *rq.name.Load(), Reason: reason, PassedOn: rq.passedOn.Load(), Written: cn.written, Age: time.Since(rq.at), Err: cn.writeError}
 	cn.mu.Unlock()
+	if cut := rq.cut.Load(); cut != nil {
+		loss.Detail = cut.detail
+	}
 	if cn.srv.opts.Lost != nil {
 		cn.srv.opts.Lost(loss)
 	}
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -447,7 +447,7 @@
 			rq.PassedOn()
 			_, _ = io.WriteString(w, "begun")
 			_ = http.NewResponseController(w).Flush()
-			rq.Cut("Silent")
+			rq.Cut("Silent", "for 2 s")
 			panic(http.ErrAbortHandler)
 		}, stay, "Silent"},
 		"panic": {func(_ http.ResponseWriter, req *http.Request) {
@@ -489,6 +489,7 @@
 			loss := <-wd.lost
 			assert.Equal(t, loss.Reason, tc.reason)
 			assert.Equal(t, loss.Request, "one")
+			assert.Equal(t, loss.Detail == "for 2 s", loss.Reason == "Silent")
 			assert.Equal(t, loss.PassedOn, loss.Reason == "Silent")
 			assert.Equal(t, loss.Written > 0, loss.Reason == "Silent")
 		})
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -299,7 +299,7 @@
 	case eff.Refusal == nil && !eff.DeliverFailure && cl.complete:
 	case cl.headerSent.Load():
 		// Part of the response is sent; only a cut connection shows the caller that the rest is missing.
-		cl.account.Cut(cl.cutReason(eff))
+		cl.recordCut(eff)
 		panic(http.ErrAbortHandler)
 	case eff.Refusal != nil:
 		in.reject(cl, statusCode(eff.Refusal), string(eff.Refusal.Reason), eff.Refusal.RetryAfter)
@@ -309,12 +309,13 @@
 	}
 }
 
-// cutReason returns why an answer ends before its end: the refusal's reason and how the last attempt ended.
-func (cl *call) cutReason(eff steer.Finish) front.Reason {
-	if eff.Refusal == nil {
-		return front.EndedByCaller
+// recordCut records why an answer is about to end before its end.
+func (cl *call) recordCut(eff steer.Finish) {
+	reason := front.EndedByCaller
+	if eff.Refusal != nil {
+		reason = front.Reason(eff.Refusal.Reason)
 	}
-	return front.Reason(string(eff.Refusal.Reason) + "." + cl.lastResult.String())
+	cl.account.Cut(reason, "last attempt "+cl.lastResult.String())
 }
 
 // statusCode returns the HTTP status for a refusal. It is 503 only if the request did not run and never will, since
--- a/internal/relay/front_test.go
+++ b/internal/relay/front_test.go
@@ -1,27 +1,25 @@
 package relay
 
 import (
-	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
 	"time"
 
-	"github.com/phuslu/log"
 	"gotest.tools/v3/assert"
 
-	"dandelionsail.example/dandelionsail/internal/lines"
 	"dandelionsail.example/dandelionsail/internal/steer"
 	"dandelionsail.example/dandelionsail/pkg/decl"
 )
 
-// anyRequest is a Protocol that reads and sends only the ID of a request. All answers of replicas bear the seal.
+// anyRequest is a Protocol that reads only the ID and the timeout of a request. All answers of replicas bear the seal.
 type anyRequest struct{ Protocol }
 
 // ParseRequest implements Protocol.
 func (anyRequest) ParseRequest(req *http.Request) RequestInfo {
-	return RequestInfo{Name: req.Header.Get("X-Request-Id")}
+	timeout, _ := time.ParseDuration(req.Header.Get("Timeout"))
+	return RequestInfo{Name: req.Header.Get("X-Request-Id"), StatedTimeout: timeout}
 }
 
 // SetHeaders implements Protocol.
@@ -35,7 +33,8 @@
 // newFront returns an Instance that serves callers at the address. Requests below /stream/ may be resumed, the others run once. Its replica answers by
 // the handler; there is none if that is nil.
 func newFront(t *testing.T, answer http.HandlerFunc) (in *Instance, address string) {
-	in = New(Options{Name: "one", FailureDomain: "a", Seed: 1, MaxBody: 1 << 20}, nil, anyRequest{}, &log.Logger{Level: log.PanicLevel}, lines.New(io.Discard, 1))
+	in = newTestInstance(t, "one", newFakeDirectory())
+	in.protocol, in.opts.MaxBody = anyRequest{}, 1<<20
 	plain := decl.Route{
 		Name: "plain", Host: "hall.example", Prefix: "/", Shares: []decl.Share{{Service: "board", Weight: 1}}, Public: true, Attempts: 1,
 		Timeout: decl.Duration(5 * time.Second), Goal: decl.Duration(time.Second),
--- a/internal/relay/idle.go
+++ b/internal/relay/idle.go
@@ -34,7 +34,7 @@
 	if loss.Reason.IsOwnFault() {
 		entry = in.log.Error()
 	}
-	entry.Str("Request", loss.Request).Str("Reason", string(loss.Reason)).Bool("PassedOn", loss.PassedOn).Int64("Written", loss.Written).
+	entry.Str("Request", loss.Request).Str("Reason", string(loss.Reason)).Str("Detail", loss.Detail).Bool("PassedOn", loss.PassedOn).Int64("Written", loss.Written).
 		Int64("AgeMs", loss.Age.Milliseconds()).Err(loss.Err).Msg("request ended without a whole answer")
 }
 
