--- a/internal/cutoff/cutoff_test.go
+++ b/internal/cutoff/cutoff_test.go
@@ -86,7 +86,7 @@
 	"relay/fetchShared":      "a call to another instance",
 	"relay/routingAt":        "a call to another instance",
 	"relay/fetchLoad":        "a load query",
-	"relay/Run":              "the parts of an instance, which end when all requests have",
+	"relay/serveAll":         "the parts of an instance, which end when all requests have",
 	"relay/drain":            "the end of the grace period",
 	"relay/answerOpen":       "the end of the grace period",
 	"relay/announce":         "the renewal of the own entry, and its removal",
