Descriptors: a log that nobody reads and descriptors that are used up end no process and hold none up

Cause. lines.Writer.Close waited for the output without a bound, entry wrote its log and its address synchronously, and tool.Main its error: with a pipe that is full and that nobody reads, a relay outlived its grace and an entry instance never served. A line after Close was sent to a closed channel, which is a panic: a timer of the reducer that fires while the process ends logs such lines. http.Server ends at each error of Accept that it does not know to be temporary, such as ENOBUFS or ENOMEM, and all parts of the process with it.

What an operator saw: a process that is killed at the end of its grace although nothing is open; status 2 and a stack after a drain; a process that drains without a signal. Callers saw connections closed by the kill.

Close and Print wait for at most nine checks of 10 ms, which fits between the last answers and the end of the grace; checks are counted, so that a process which stands still in between keeps its last lines. entry has the same writer as relay, at 1000 lines a second, and both export Log.Dropped and Log.Failed. Lines after Close are dropped. ports.Listener accepts until it is closed, with a pause of 5 to 100 ms, a line and Accept.Failed.NAME.

--- a/internal/cmds/demo.go
+++ b/internal/cmds/demo.go
@@ -55,7 +55,7 @@
 		defer cancel()
 		ctx = limited
 	}
-	logger := tool.Logger()
+	logger := tool.Logger(&log.IOWriter{Writer: os.Stderr})
 	if !cmd.Verbose {
 		logger.SetLevel(log.ErrorLevel)
 	}
--- a/internal/cmds/entry.go
+++ b/internal/cmds/entry.go
@@ -1,11 +1,17 @@
 package cmds
 
 import (
+	"os"
+
 	"dandelionsail.example/dandelionsail/internal/entry"
+	"dandelionsail.example/dandelionsail/internal/lines"
 	"dandelionsail.example/dandelionsail/internal/sigs"
 	"dandelionsail.example/dandelionsail/internal/tool"
 )
 
+// entryLogLines is the maximum number of log lines per second of an entry instance, which logs no line per request.
+const entryLogLines = 1000
+
 type entryCommand struct {
 	entry.Options
 }
@@ -18,5 +24,10 @@
 	if err := cmd.Check(); err != nil {
 		return tool.Usage(err)
 	}
-	return entry.New(cmd.Options, tool.Logger()).Run(sigs.Context(), sigs.Hangups())
+	writer := lines.New(os.Stderr, entryLogLines)
+	cmd.LogOutput = writer
+	err := entry.New(cmd.Options, tool.Logger(writer)).Run(sigs.Context(), sigs.Hangups())
+	// A line that could not be written is counted in Log.Failed. It is no failure of the process.
+	_ = writer.Close()
+	return err
 }
--- a/internal/cmds/relay.go
+++ b/internal/cmds/relay.go
@@ -27,8 +27,7 @@
 		return tool.Usage(err)
 	}
 	writer := lines.New(os.Stdout, cmd.LogLines)
-	logger := tool.Logger()
-	logger.Writer = writer
+	logger := tool.Logger(writer)
 	cmd.Dial = RelayDialer
 	in := relay.New(cmd.Options, platform.New(cmd.Store), platform.Protocol{}, logger, writer)
 	err := in.Run(sigs.Context(), sigs.Hangups())
--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"hash/fnv"
 	"net"
 	"net/http"
@@ -26,10 +25,12 @@
 	"dandelionsail.example/dandelionsail/internal/event"
 	"dandelionsail.example/dandelionsail/internal/front"
 	"dandelionsail.example/dandelionsail/internal/lease"
+	"dandelionsail.example/dandelionsail/internal/lines"
 	"dandelionsail.example/dandelionsail/internal/meter"
 	"dandelionsail.example/dandelionsail/internal/once"
 	"dandelionsail.example/dandelionsail/internal/peers"
 	"dandelionsail.example/dandelionsail/internal/plat"
+	"dandelionsail.example/dandelionsail/internal/ports"
 	"dandelionsail.example/dandelionsail/internal/store"
 	"dandelionsail.example/dandelionsail/internal/tasks"
 	"dandelionsail.example/dandelionsail/internal/upstr"
@@ -165,11 +166,11 @@
 func (in *Instance) Run(ctx context.Context, hangups <-chan os.Signal) error {
 	listener, peer, err := in.open()
 	if err != nil {
-		in.monitor.LogEnd(ctx, in.opts.Name, 0, err)
+		in.logEnd(ctx, err)
 		return err
 	}
 	// If the configured ports are 0, the starter of the process reads the chosen addresses from this output.
-	fmt.Println(strings.TrimSpace(listener.Addr().String() + " " + peer))
+	lines.Print(os.Stdout, strings.TrimSpace(listener.Addr().String()+" "+peer)+"\n")
 	in.hangups = hangups
 	return in.Serve(ctx, listener)
 }
@@ -186,6 +187,14 @@
 	}
 }
 
+// logEnd logs why the instance ends.
+func (in *Instance) logEnd(ctx context.Context, err error) {
+	if in.opts.LogOutput != nil {
+		in.opts.LogOutput.Unlimit()
+	}
+	in.monitor.LogEnd(ctx, in.opts.Name, int(in.openCalls()), err)
+}
+
 // open opens the sockets for callers and peers, and returns the address of the one for peers.
 func (in *Instance) open() (listener net.Listener, peer string, err error) {
 	listener, err = net.Listen("tcp", in.opts.Listen)
@@ -224,7 +233,8 @@
 	if in.peers != nil {
 		start("peers", in.peers.Run)
 	}
-	start("listen", func(context.Context) error { return in.serveCallers(server, listener) })
+	callers := ports.NewListener(listener, in.monitor.AcceptFailed("listen"))
+	start("listen", func(context.Context) error { return in.serveCallers(server, callers) })
 	group.Go(func() error {
 		select {
 		case <-ctx.Done():
@@ -236,7 +246,7 @@
 	in.log.Info().Str("Instance", in.opts.Name).Str("Address", listener.Addr().String()).Msg("serving")
 	err := group.Wait()
 	in.close()
-	in.monitor.LogEnd(ctx, in.opts.Name, int(in.openCalls()), err)
+	in.logEnd(ctx, err)
 	if ctx.Err() != nil || err == context.Canceled {
 		return nil
 	}
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -37,6 +37,10 @@
 	in.gauge("Config.Version", in.config.Load().cfg.Version)
 	in.gauge("Requests.Open", in.openCalls())
 	in.stateGauges()
+	if out := in.opts.LogOutput; out != nil {
+		in.gauge("Log.Dropped", out.Dropped())
+		in.gauge("Log.Failed", out.Failed())
+	}
 	in.gauge("Process.Goroutines", int64(runtime.NumGoroutine()))
 	var memory runtime.MemStats
 	runtime.ReadMemStats(&memory)
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -10,6 +10,7 @@
 	"dandelionsail.example/dandelionsail/internal/notice"
 	"dandelionsail.example/dandelionsail/internal/peers"
 	"dandelionsail.example/dandelionsail/internal/route"
+	"dandelionsail.example/dandelionsail/internal/tasks"
 )
 
 var (
@@ -46,6 +47,8 @@
 	PeerKey       string        `long:"peer-key" env:"DANDELIONSAIL_PEER_KEY" description:"file with the certificate's private key"`
 	// PeerKeys take precedence over the files. The demonstration and tests generate them in memory.
 	PeerKeys *peers.Keys `no-flag:"true"`
+	// LogOutput is where the lines of the logger go, nil if that is unknown.
+	LogOutput tasks.LogOutput `no-flag:"true"`
 	// Dial opens connections to upstreams. It is nil outside tests, which cut the instance off from its upstreams with it.
 	Dial notice.Dialer `no-flag:"true"`
 }
--- a/internal/lines/lines_test.go
+++ b/internal/lines/lines_test.go
@@ -5,6 +5,8 @@
 	"strings"
 	"syscall"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/phuslu/log"
 	"gotest.tools/v3/assert"
@@ -78,3 +80,30 @@
 	assert.NilError(t, wr.Close())
 	assert.Assert(t, strings.Contains(out.String(), "stopped"), out.String())
 }
+
+func TestFullOutputDoesNotBlockTheEnd(t *testing.T) {
+	// Nobody reads the log any more, and the pipe is full. The process must not wait for it at its end, until it is killed.
+	synctest.Test(t, func(t *testing.T) {
+		out := blockedWriter{make(chan struct{})}
+		wr := lines.New(out, 100)
+		logger := log.Logger{Level: log.InfoLevel, Writer: wr}
+		logger.Info().Msg("stopped")
+		start := time.Now()
+		assert.ErrorIs(t, wr.Close(), lines.ErrBlocked)
+		lines.Print(out, "error")
+		assert.Assert(t, time.Since(start) < 200*time.Millisecond)
+		close(out.release)
+	})
+}
+
+func TestLineAfterTheEndIsDropped(t *testing.T) {
+	// A timer or a connection that is still at work when the process ends writes a line after the writer was closed. The writer sent it
+	// to a closed channel, which ended the process with a panic instead of status 0.
+	var out bytes.Buffer
+	wr := lines.New(&out, 100)
+	logger := log.Logger{Level: log.InfoLevel, Writer: wr}
+	assert.NilError(t, wr.Close())
+	logger.Info().Msg("decided")
+	assert.Equal(t, wr.Dropped(), int64(1))
+	assert.NilError(t, wr.Close())
+}
--- a/internal/relay/instance.go
+++ b/internal/relay/instance.go
@@ -23,6 +23,7 @@
 	"dandelionsail.example/dandelionsail/internal/delay"
 	"dandelionsail.example/dandelionsail/internal/front"
 	"dandelionsail.example/dandelionsail/internal/pause"
+	"dandelionsail.example/dandelionsail/internal/ports"
 	"dandelionsail.example/dandelionsail/internal/steer"
 	"dandelionsail.example/dandelionsail/internal/tasks"
 	"dandelionsail.example/dandelionsail/pkg/decl"
@@ -62,7 +63,7 @@
 	protocol  Protocol
 	log       *log.Logger
 	registry  metrics.Registry
-	output    LogOutput
+	output    tasks.LogOutput
 	monitor   *tasks.Monitor
 	// pooled reuses connections to replicas.
 	pooled *http.Transport
@@ -127,18 +128,8 @@
 	pauses pause.Detector
 }
 
-// LogOutput is where the logger's lines go.
-type LogOutput interface {
-	// Dropped returns how many lines were dropped because there were too many.
-	Dropped() int64
-	// Failed returns how many lines could not be written.
-	Failed() int64
-	// Unlimit ends the dropping of lines beyond a rate.
-	Unlimit()
-}
-
 // New returns an Instance that has not started. output is where the lines of the logger go.
-func New(opts Options, directory Directory, protocol Protocol, logger *log.Logger, output LogOutput) *Instance {
+func New(opts Options, directory Directory, protocol Protocol, logger *log.Logger, output tasks.LogOutput) *Instance {
 	seed := opts.Seed
 	if seed == 0 {
 		seed = xxhash.Sum64String(opts.Name)
@@ -188,15 +179,15 @@
 func (in *Instance) serveAll(ctx context.Context, hangups <-chan os.Signal) error {
 	debug.SetGCPercent(gcPercent)
 	in.startedAt = time.Now()
-	callerListener, err := listen("listen", in.opts.Listen)
+	callerListener, err := in.listen("listen", in.opts.Listen)
 	if err != nil {
 		return err
 	}
-	readyListener, err := listen("ready-listen", in.opts.ReadyListen)
+	readyListener, err := in.listen("ready-listen", in.opts.ReadyListen)
 	if err != nil {
 		return err
 	}
-	peerListener, err := listen("peer-listen", in.opts.PeerListen)
+	peerListener, err := in.listen("peer-listen", in.opts.PeerListen)
 	if err != nil {
 		return err
 	}
@@ -254,12 +245,12 @@
 	}
 }
 
-func listen(flag, address string) (net.Listener, error) {
+func (in *Instance) listen(flag, address string) (net.Listener, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, Errors.NewType("listen").Wrap(err, "relay: --%s %s cannot be used; choose a free address", flag, address)
 	}
-	return listener, nil
+	return ports.NewListener(listener, in.monitor.AcceptFailed(flag)), nil
 }
 
 func ignoreServerClosed(err error) error {
--- a/internal/tasks/tasks.go
+++ b/internal/tasks/tasks.go
@@ -9,6 +9,16 @@
 	"github.com/phuslu/log"
 )
 
+// LogOutput is where a log's lines go.
+type LogOutput interface {
+	// Dropped returns how many lines were dropped because there were too many.
+	Dropped() int64
+	// Failed returns how many lines could not be written.
+	Failed() int64
+	// Unlimit ends the dropping of lines beyond a rate.
+	Unlimit()
+}
+
 // Monitor records the failures of the parts of one instance, in its log and in its counters.
 type Monitor struct {
 	log *log.Logger
@@ -44,6 +54,14 @@
 	mo.log.Error().Str("Part", name).Err(err).Msg("part failed")
 }
 
+// AcceptFailed returns a function that logs and counts failures to accept a connection at the named address.
+func (mo *Monitor) AcceptFailed(name string) func(err error) {
+	return func(err error) {
+		mo.count("Accept.Failed." + name)
+		mo.log.Warn().Str("Part", name).Err(err).Msg("connection not accepted; trying again")
+	}
+}
+
 // LogEnd logs why the process ends: the cause with which the context ended, or the part that failed and its error. open is
 // the number of requests that are still open.
 func (mo *Monitor) LogEnd(ctx context.Context, instance string, open int, err error) {
--- a/internal/tool/tool.go
+++ b/internal/tool/tool.go
@@ -12,6 +12,7 @@
 	"github.com/jessevdk/go-flags"
 	"github.com/phuslu/log"
 
+	"dandelionsail.example/dandelionsail/internal/lines"
 	"dandelionsail.example/dandelionsail/internal/sigs"
 )
 
@@ -70,7 +71,7 @@
 	if flagErr, ok := errors.AsType[*flags.Error](err); ok {
 		return printUsage(parser, flagErr)
 	}
-	fmt.Fprintln(os.Stderr, "error:", err)
+	lines.Print(os.Stderr, fmt.Sprintln("error:", err))
 	if coded, ok := errors.AsType[*CodedError](err); ok {
 		return coded.Code
 	}
@@ -93,7 +94,7 @@
 	return signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 }
 
-// Logger returns a logger that writes JSON lines to standard error.
-func Logger() *log.Logger {
-	return &log.Logger{Level: log.InfoLevel, TimeFormat: "2006-01-02T15:04:05.000Z07:00", Writer: &log.IOWriter{Writer: os.Stderr}}
+// Logger returns a logger of JSON lines.
+func Logger(to log.Writer) *log.Logger {
+	return &log.Logger{Level: log.InfoLevel, TimeFormat: "2006-01-02T15:04:05.000Z07:00", Writer: to}
 }
