Bound the size of events and of the heads of answers

What callers saw: nothing by itself. What operators would see: a process that ends by itself, since it holds what a replica sends as one event that never ends, as fast as it arrives, until the stream counts as silent some seconds later.

Cause: a stream's buffer was doubled without a limit until its event was complete. On the completions front each line of an event was bounded, but not the number of its lines. Heads of answers were bounded by net/http at 10 MB.

and TestEndlessEventFailsTheStream reads all of its 64 MB:

reader_test.go: assertion failed: bytes read

Now an event has at most a megabyte on both fronts, and a head 256 kB; an attempt with more is one that may have run.

--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -31,8 +31,9 @@
 			defer cancel()
 			return (&net.Dialer{}).DialContext(limited, network, address)
 		}),
-		DisableKeepAlives:  true,
-		DisableCompression: true,
+		DisableKeepAlives:      true,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: trip.MaxHeadBytes,
 	}
 }
 
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -62,6 +62,8 @@
 		IdleConnTimeout:     idleTimeout,
 		ReadBufferSize:      4 << 10,
 		WriteBufferSize:     4 << 10,
+		// Without a limit of its own, net/http reads and holds 10 MB of a head that does not end.
+		MaxResponseHeaderBytes: trip.MaxHeadBytes,
 	}
 }
 
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -13,11 +13,19 @@
 // readBufferSize is the initial size in bytes of the buffer for a stream.
 const readBufferSize = 4 << 10
 
+// maxEventBytes is the maximum size in bytes of one event, far above that of an engine's. Without a limit an event that does not end is held as fast as it
+// arrives, until the stream counts as silent: gigabytes.
+const maxEventBytes = 1 << 20
+
 // stream forwards a stream of events, each only once it is complete: a replica may fail in the middle of an event, and
 // the replica that resumes the stream sends that event again from its start.
 func (att *attempt) stream(ctx context.Context, resp *http.Response) steer.Result {
 	buf := make([]byte, 0, readBufferSize)
 	for {
+		if len(buf) >= maxEventBytes {
+			att.in.log.Warn().Str("Request", att.cl.info.Name).Str("Replica", att.eff.Replica.Name).Int("Bytes", len(buf)).Msg("event too long")
+			return steer.ResultBroken
+		}
 		if len(buf) == cap(buf) {
 			buf = append(make([]byte, 0, 2*cap(buf)), buf...)
 		}
--- a/internal/trip/trip.go
+++ b/internal/trip/trip.go
@@ -90,6 +90,9 @@
 	return cc.written.Load()
 }
 
+// MaxHeadBytes is the maximum size in bytes of the head of an answer, for transports of requests that are passed on.
+const MaxHeadBytes = 256 << 10
+
 // Trace describes the connection that a request was written to last, and when the answer came.
 type Trace struct {
 	// Conn is the number of the connection, 0 if there was none.
--- a/internal/upstr/client.go
+++ b/internal/upstr/client.go
@@ -89,6 +89,8 @@
 		IdleConnTimeout:     idleTimeout,
 		WriteBufferSize:     64 << 10,
 		ReadBufferSize:      32 << 10,
+		// Without a limit of its own, net/http reads and holds 10 MB of a head that does not end.
+		MaxResponseHeaderBytes: trip.MaxHeadBytes,
 	}
 }
 
--- a/internal/upstr/reader.go
+++ b/internal/upstr/reader.go
@@ -11,6 +11,8 @@
 const (
 	// maxLineBytes bounds one line of a stream; a longer line fails the stream.
 	maxLineBytes = 64 << 10
+	// maxEventBytes bounds the data of one event, which may have many lines; more fails the stream.
+	maxEventBytes = 1 << 20
 	// maxPending bounds the chunks that wait for an earlier one; beyond it the stream counts as broken and is resumed.
 	maxPending = 64
 )
@@ -123,6 +125,9 @@
 		case "id":
 			matches, offset = rd.parseID(value)
 		case "data":
+			if len(rd.data)+len(value) > maxEventBytes {
+				return false, 0, bufio.ErrBufferFull
+			}
 			rd.addData(value, hasData)
 			hasData = true
 		}
--- a/internal/upstr/reader_test.go
+++ b/internal/upstr/reader_test.go
@@ -136,3 +136,34 @@
 		}
 	}
 }
+
+// endlessLines returns the text again and again, up to 64 MB, and counts the bytes.
+type endlessLines struct {
+	text string
+	read int
+}
+
+func (el *endlessLines) Read(buf []byte) (int, error) {
+	if el.read > 64<<20 {
+		return 0, io.ErrUnexpectedEOF
+	}
+	count := 0
+	for count < len(buf) {
+		buf[count] = el.text[(el.read+count)%len(el.text)]
+		count++
+	}
+	el.read += count
+	return count, nil
+}
+
+func (el *endlessLines) Close() error { return nil }
+
+func TestEndlessEventFailsTheStream(t *testing.T) {
+	// An engine sends data lines without the empty line that ends an event. They must not be held as fast as they arrive until the stream counts as silent.
+	for _, text := range []string{"data: x\n", "data: " + strings.Repeat("y", 60_000) + "\n", "data: x", "id: a/0\ndata: x\n"} {
+		lines := &endlessLines{text: text}
+		_, err := upstr.NewReader(lines, "a", 0).Next()
+		assert.Assert(t, err != nil)
+		assert.Assert(t, lines.read < 16<<20, "%d bytes read", lines.read)
+	}
+}
