Pass a message without headers on instead of panicking

What callers saw: nothing. A message that another instance asks to pass on, and that has no header at all, ended the handler with a panic, which net/http logs and recovers from; the other instance saw a closed connection, so that the request counted as one that may have run. The instances of this project always send headers.

Cause: the header of a decoded message without one is a nil map, to which the empty User-Agent was added.

FuzzDetour asks an instance to pass arbitrary messages on. FuzzAnswer sends answers that are cut, and in which bytes are replaced, through the front for callers. TestAnswersCutBehindDetour and TestAnswersCutBetweenInstances cut answers at the replica and between two instances: no fault found.

--- a/internal/relay/detour.go
+++ b/internal/relay/detour.go
@@ -319,6 +319,10 @@
 		Method: dr.Method, Host: dr.Host, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 		URL: target, Header: hops.EndToEnd(dr.Header),
 	}).WithContext(ctx)
+	if req.Header == nil {
+		// The sender has sent none.
+		req.Header = http.Header{}
+	}
 	if _, ok := req.Header["User-Agent"]; !ok {
 		req.Header["User-Agent"] = []string{""}
 	}
