--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -21,8 +21,8 @@
 	"dandelionsail.example/dandelionsail/internal/plat"
 )
 
-// ProgramVariable is the environment variable that selects the program which a re-executed binary runs.
-const ProgramVariable = "DANDELIONSAIL_PROGRAM"
+// programVariable is the environment variable that selects the program which a re-executed binary runs.
+const programVariable = "DANDELIONSAIL_PROGRAM"
 
 // Programs of a fleet.
 const (
@@ -33,7 +33,7 @@
 // Dispatch runs the program that the environment selects and exits, or returns if it selects none. A binary that starts
 // fleets calls it first, so that every process of a fleet is the same build as its test.
 func Dispatch(programs map[string]func(args []string) int) {
-	run, ok := programs[os.Getenv(ProgramVariable)]
+	run, ok := programs[os.Getenv(programVariable)]
 	if ok {
 		os.Exit(run(os.Args[1:]))
 	}
@@ -78,7 +78,7 @@
 		}
 	}
 	cmd := exec.Command(executable, args...)
-	cmd.Env = append(os.Environ(), ProgramVariable+"="+program)
+	cmd.Env = append(os.Environ(), programVariable+"="+program)
 	// The kernel kills the process when its parent dies, so that it does not outlive the test that started it.
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	return cmd, nil
