relay: hold bodies and answers within the memory of the process

What callers saw: fifty of them send bodies of MaxBodyBytes (4 MB) to one instance, the process passes 284 MB, the platform kills it, and 19 or 20 requests of kept connections that replicas are running end without an answer.

Cause: each body was read whole with io.ReadAll, which leaves the smaller buffers to the garbage collector (10.0 MB for a body of 4.2 MB), and held until the request's end. Nothing bounded the sum, and the runtime did not know the limit.

Now one account bounds the bodies of callers, buffered answers and what is passed on for other instances. A body that does not fit waits unread on its socket for at most half of its request's time, or is refused with 503 and Retry-After as not run; the rest of it is discarded first, so that the caller reads the answer. Bodies are read into buffers of their declared length and let go when the answer begins, unless the stream can be resumed. Not when the body was written: a replica may refuse it as not run then, and it is sent elsewhere. A body must arrive within the request's time, and a long one within 2 s while others wait. A message to another instance carries the body without copies of it (three before). Answers beyond the bound are passed on while they arrive, as before.

The runtime collects garbage early from 0.8 of it.

TestBurstOfLongBodiesStaysWithinMemory without the bound: peak of 52,428,836 bytes held where 14,400,000 are allowed.

--- a/internal/cmds/relay.go
+++ b/internal/cmds/relay.go
@@ -29,6 +29,7 @@
 	writer := lines.New(os.Stdout, cmd.LogLines)
 	logger := tool.Logger(writer)
 	cmd.Dial = RelayDialer
+	cmd.Memory.Apply()
 	in := relay.New(cmd.Options, platform.New(cmd.Store), platform.Protocol{}, logger, writer)
 	err := in.Run(sigs.Context(), sigs.Hangups())
 	// A line that could not be written is counted in Log.Failed. It is no failure of the process.
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -261,9 +260,9 @@
 		URL:    targetURL(cl.req, att.eff.Replica.Address),
 		Header: hops.EndToEnd(cl.req.Header),
 	}).WithContext(ctx)
-	if len(cl.body) > 0 {
-		req.GetBody = func() (io.ReadCloser, error) { return io.NopCloser(bytes.NewReader(cl.body)), nil }
-		req.ContentLength = int64(len(cl.body))
+	if cl.body.length > 0 {
+		req.GetBody = cl.body.open
+		req.ContentLength = int64(cl.body.length)
 	}
 	if _, ok := req.Header["User-Agent"]; !ok {
 		// Otherwise net/http adds its own User-Agent.
@@ -350,7 +349,7 @@
 // off. A successful response is written to the caller; one that is too long to be buffered is passed on while it arrives. An
 // error response, or any response if the caller was sent a header before, is kept in errorResponse instead.
 func (att *attempt) receiveWhole(ctx context.Context, resp *http.Response) steer.Result {
-	body, whole, err := att.in.buffers.read(resp.Body)
+	body, whole, err := att.in.buffers.read(resp.Body, resp.ContentLength)
 	att.cl.buffered += cap(body)
 	if err != nil {
 		return att.failureResult(ctx, err)
@@ -364,7 +363,7 @@
 		att.cl.errorResponse = rsp
 		return steer.ResultAnswered
 	}
-	att.in.apply(steer.Began{ID: att.cl.id, Attempt: att.eff.Attempt})
+	att.began()
 	if whole {
 		att.in.writeResponse(att.cl, rsp)
 		return steer.ResultDone
@@ -372,6 +371,12 @@
 	return att.passOn(ctx, resp, body)
 }
 
+// began states that the response to the caller begins.
+func (att *attempt) began() {
+	att.in.apply(steer.Began{ID: att.cl.id, Attempt: att.eff.Attempt})
+	att.cl.body.answerBegan()
+}
+
 // passOn writes the response to the caller while it arrives. begun is the part of it that has arrived already.
 func (att *attempt) passOn(ctx context.Context, resp *http.Response, begun []byte) steer.Result {
 	att.in.count("Responses.PassedOn")
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -39,7 +39,7 @@
 	info  RequestInfo
 	route *decl.Route
 	org   string
-	body  []byte
+	body  heldBody
 	// contentDigest identifies the request's content.
 	contentDigest steer.Digest
 	deadline      time.Time
@@ -82,21 +82,22 @@
 	if !in.admit(cl) {
 		return
 	}
-	if !in.readBody(cl) {
-		return
-	}
-	cl.account.ReadWhole(cl.info.Name)
 	timeout := cl.info.StatedTimeout
 	if timeout <= 0 {
 		timeout = defaultTimeout
 	}
 	cl.deadline = arrived.Add(min(timeout, cl.route.Timeout.Std()))
+	cl.arrived = arrived
+	cl.limitWrites()
+	defer cl.body.end()
+	if !in.readBody(cl) {
+		return
+	}
+	cl.account.ReadWhole(cl.info.Name)
 	if in.draining.Load().refuses(time.Now(), cl.deadline) {
 		in.reject(cl, http.StatusServiceUnavailable, string(steer.ReasonDraining), drainRetryAfter)
 		return
 	}
-	cl.limitWrites()
-	cl.arrived = arrived
 	in.process(cl, in.arrivedEvent(cl))
 }
 
@@ -132,32 +133,6 @@
 	return true
 }
 
-// readBody reads the whole request body and reports whether that succeeded. It rejects a request whose body is too
-// long or breaks off. Without an answer of its own to a broken body, net/http would answer 200 with an empty body.
-func (in *Instance) readBody(cl *call) bool {
-	limit := in.opts.MaxBody
-	if configured := in.routing.Load().Limits.BodyBytes; configured > 0 {
-		limit = configured
-	}
-	if cl.req.ContentLength > limit {
-		in.reject(cl, http.StatusRequestEntityTooLarge, "body too long", 0)
-		return false
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(cl.w, cl.req.Body, limit))
-	if err == nil {
-		cl.body = body
-		return true
-	}
-	if _, ok := err.(*http.MaxBytesError); ok {
-		in.reject(cl, http.StatusRequestEntityTooLarge, "body too long", 0)
-		return false
-	}
-	// Where the next request would begin on the connection is unknown.
-	cl.w.Header().Set("Connection", "close")
-	in.reject(cl, http.StatusBadRequest, "body incomplete", 0)
-	return false
-}
-
 func (in *Instance) arrivedEvent(cl *call) steer.Arrived {
 	priority := cl.route.Priority
 	if orgPriority, ok := in.routing.Load().Priorities[cl.org]; ok {
@@ -199,7 +174,7 @@
 	for _, part := range []string{cl.org, "\n", cl.req.Method, "\n", cl.req.RequestURI, "\n"} {
 		_, _ = hash.WriteString(part)
 	}
-	_, _ = hash.Write(cl.body)
+	_, _ = hash.Write(cl.body.data)
 	return steer.Digest(hash.Sum64())
 }
 
--- a/internal/relay/detour.go
+++ b/internal/relay/detour.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/binary"
 	"errors"
 	"io"
 	"net/http"
@@ -127,7 +128,11 @@
 func (in *Instance) roundTripPeer(transport *http.Transport, hop *http.Request) (trip.Result, error) {
 	for stale := 0; ; stale++ {
 		try := *hop
-		try.Body, _ = hop.GetBody()
+		body, err := hop.GetBody()
+		if err != nil {
+			return trip.Result{}, err
+		}
+		try.Body = body
 		res, err := trip.Do(transport, &try, trip.Hooks{})
 		if err == nil || !res.StaleConn || stale == maxStaleConns {
 			return res, err
@@ -151,15 +156,6 @@
 	if deadline, ok := req.Context().Deadline(); ok {
 		dr.TimeLeftMs = max(1, time.Until(deadline).Milliseconds())
 	}
-	if req.GetBody != nil {
-		body, err := req.GetBody()
-		if err == nil {
-			dr.Body, err = io.ReadAll(body)
-		}
-		if err != nil {
-			return nil, NotWritten.Wrap(err, "relay: the body of a message to %s cannot be read again", msg.to.Replica.Name)
-		}
-	}
 	raw, err := cbor.Marshal(dr)
 	if err != nil {
 		return nil, NotWritten.Wrap(err, "relay: a message to %s cannot be encoded for another instance", msg.to.Replica.Name)
@@ -168,10 +164,35 @@
 	if err != nil {
 		return nil, NotWritten.Wrap(err, "relay: cannot build a request to the instance at %s; check its registered address", address)
 	}
+	if req.GetBody != nil && req.ContentLength > 0 {
+		withBody(hop, raw, req)
+	}
 	hop.Header.Set("Content-Type", "application/cbor")
 	return hop, nil
 }
 
+// cborBody is the head of detourRequest.Body as the last field of an encoded detourRequest: its number, and that a byte string follows whose length
+// is stated in four bytes.
+const cborBody = "\x0e\x5a"
+
+// withBody adds the body of req to hop, whose body so far is raw, an encoded detourRequest without one. Encoding it with the others would hold the
+// body several times. The first byte of raw is the head of a map with less than 23 fields, which ends in their number.
+func withBody(hop *http.Request, raw []byte, req *http.Request) {
+	raw[0]++
+	raw = binary.BigEndian.AppendUint32(append(raw, cborBody...), uint32(req.ContentLength))
+	hop.ContentLength = int64(len(raw)) + req.ContentLength
+	hop.GetBody = func() (io.ReadCloser, error) {
+		body, err := req.GetBody()
+		if err != nil {
+			return nil, err
+		}
+		return struct {
+			io.Reader
+			io.Closer
+		}{io.MultiReader(bytes.NewReader(raw), body), body}, nil
+	}
+}
+
 // detourFailed reports that the peer has not sent the message, and returns HeldBack.
 func (in *Instance) detourFailed(via string, msg message, result, reason string) error {
 	ev := steer.DetourFailed{Instance: via, Service: msg.to.Replica.Service, Cause: detourCause(result, reason), Reason: result + ": " + reason}
--- a/internal/relay/instance.go
+++ b/internal/relay/instance.go
@@ -22,6 +22,7 @@
 	"dandelionsail.example/dandelionsail/internal/conns"
 	"dandelionsail.example/dandelionsail/internal/delay"
 	"dandelionsail.example/dandelionsail/internal/front"
+	"dandelionsail.example/dandelionsail/internal/memory"
 	"dandelionsail.example/dandelionsail/internal/pause"
 	"dandelionsail.example/dandelionsail/internal/ports"
 	"dandelionsail.example/dandelionsail/internal/steer"
@@ -76,7 +77,9 @@
 	// unpooledPeer opens a new connection to another Instance for each request.
 	unpooledPeer *http.Transport
 	gossip       *gossip
-	// buffers holds how much memory the responses take that are buffered until they are complete.
+	// memory counts what is held for callers and other instances.
+	memory *memory.Account
+	// buffers buffers responses until they are complete.
 	buffers buffers
 
 	routing atomic.Pointer[decl.Routing]
@@ -110,8 +113,6 @@
 	draining atomic.Pointer[drainPlan]
 	// detours is the number of messages that are being passed on for other instances.
 	detours atomic.Int64
-	// detourBytes is the size in bytes of these messages.
-	detourBytes atomic.Int64
 	// pathsInDoubt reports whether a new connection to a replica is news for the reducer.
 	pathsInDoubt atomic.Bool
 	// background counts the load polls and reservation requests under way that no caller waits for.
@@ -150,9 +151,11 @@
 		firstConfirmed: make(chan struct{}),
 		peersListed:    make(chan struct{}),
 		ownEntry:       make(chan Peer, 1),
+		memory:         memory.New(opts.Memory.Bound()),
 		pauses:         pause.Detector{MaxGap: maxEventGap, MaxWait: steer.MaxCatchUp},
 	}
 	in.monitor = tasks.NewMonitor(logger, in.count)
+	in.buffers.account = in.memory
 	in.conns = newReplicaConns(in.count)
 	in.pooled = newTransport(in.conns.dialer(newDialer(opts.Dial, dialTimeout)), false, conns.MaxIdle)
 	in.unpooled = newTransport(in.conns.dialer(newDialer(opts.Dial, dialTimeout)), true, conns.MaxIdle)
--- a/internal/relay/options.go
+++ b/internal/relay/options.go
@@ -4,6 +4,7 @@
 	"net"
 	"time"
 
+	"dandelionsail.example/dandelionsail/internal/memory"
 	"dandelionsail.example/dandelionsail/internal/notice"
 	"dandelionsail.example/dandelionsail/internal/steer"
 )
@@ -26,6 +27,7 @@
 	BudgetSlack   float64       `long:"budget-slack" env:"DANDELIONSAIL_BUDGET_SLACK" description:"retries that they may send in a window in addition to the ratio" default:"20"`
 	BudgetWindow  time.Duration `long:"budget-window" env:"DANDELIONSAIL_BUDGET_WINDOW" description:"window of the retry budget" default:"10s"`
 	MaxBody       int64         `long:"max-body" env:"DANDELIONSAIL_MAX_BODY" description:"maximum size of a request body in bytes unless the configuration sets one" default:"8388608"`
+	Memory        memory.Limit  `long:"memory" env:"DANDELIONSAIL_MEMORY" description:"memory in MB that this process may use; the bodies and answers that it holds are bounded by it; 0 sets no bound" default:"256"`
 	LogLines      int           `long:"log-lines" env:"DANDELIONSAIL_LOG_LINES" description:"maximum number of log lines per second; further lines are dropped and counted" default:"400"`
 	Tuning        steer.Tuning  `long:"tuning" env:"DANDELIONSAIL_TUNING" description:"JSON object of policy parameters that differ from their defaults, such as {\"MaxEngines\":4}"`
 	// Dial opens connections to replicas. It is nil outside tests, which cut the instance off from its replicas with it.
--- a/internal/relay/passon.go
+++ b/internal/relay/passon.go
@@ -11,6 +11,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/joomcode/errorx"
 
+	"dandelionsail.example/dandelionsail/internal/memory"
 	"dandelionsail.example/dandelionsail/internal/norun"
 	"dandelionsail.example/dandelionsail/internal/steer"
 )
@@ -19,10 +20,13 @@
 	// maxDetours is the maximum number of messages that this Instance passes on for others at the same time. Their responses
 	// are not buffered, so that it bounds connections rather than memory: two descriptors for each, of the 4,000 of a small machine.
 	maxDetours = 384
-	// maxDetourBytes is the maximum size in bytes of the messages that are held for others at the same time.
+	// maxDetourBytes is the maximum size in bytes of the messages that are held for others at the same time. The bound of the memory account
+	// holds as well.
 	maxDetourBytes = 32 << 20
 	// maxDetourMeta is the maximum size in bytes of a detourRequest beyond the body of the caller's request.
 	maxDetourMeta = 256 << 10
+	// detourReadTime is how long a peer may take to send a message.
+	detourReadTime = 5 * time.Second
 	// detourBuffer is the size in bytes of the buffer through which a response is passed on.
 	detourBuffer = 8 << 10
 )
@@ -36,11 +40,10 @@
 		return
 	}
 	defer in.detours.Add(-1)
-	defer in.detourBytes.Add(-max(0, req.ContentLength))
+	defer in.memory.Release(memory.Detours, req.ContentLength)
 	receivedAt := time.Now()
-	var dr detourRequest
-	raw, err := io.ReadAll(http.MaxBytesReader(w, req.Body, in.opts.MaxBody+maxDetourMeta))
-	if err != nil || cbor.Unmarshal(raw, &dr) != nil {
+	dr, ok := in.readDetour(w, req)
+	if !ok {
 		refuseDetour(w, detourRefused, "malformed")
 		return
 	}
@@ -57,27 +60,43 @@
 		defer cancel()
 		ctx = limited
 	}
-	pg := &passage{in: in, w: w, dr: &dr, replica: replica}
+	pg := &passage{in: in, w: w, dr: dr, replica: replica}
 	pg.passOn(ctx, receivedAt)
 	in.count("Detours.PassedOn")
 	in.log.Info().Str("Request", dr.Request).Str("Replica", dr.Replica).Str("For", dr.From).Int("Status", pg.status).Str("Result", pg.result).Str("Reason", pg.reason).
 		Int64("AgeMs", time.Since(receivedAt).Milliseconds()).Msg("passed on for another instance")
 }
 
+// readDetour reads and decodes the message. Its encoded form is no longer held and counted when readDetour returns.
+func (in *Instance) readDetour(w http.ResponseWriter, req *http.Request) (dr *detourRequest, ok bool) {
+	defer in.memory.Release(memory.Detours, req.ContentLength)
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(detourReadTime))
+	raw := make([]byte, req.ContentLength)
+	if _, err := io.ReadFull(req.Body, raw); err != nil {
+		return nil, false
+	}
+	_ = control.SetReadDeadline(time.Time{})
+	dr = &detourRequest{}
+	return dr, cbor.Unmarshal(raw, dr) == nil
+}
+
 // refusesDetours returns why this Instance passes nothing on for the sender of the request, empty if it does. In that case the
-// message counts against maxDetours and maxDetourBytes.
+// message counts against maxDetours and maxDetourBytes, twice as long as it is held both encoded and decoded.
 func (in *Instance) refusesDetours(req *http.Request) string {
 	switch {
 	case in.isDraining():
 		return reasonDraining
 	case !in.isPeerAddress(req.RemoteAddr):
 		return "not an instance"
+	case req.ContentLength < 0 || req.ContentLength > in.opts.MaxBody+maxDetourMeta:
+		return "malformed"
+	case !in.memory.TryNew(memory.Detours, 2*req.ContentLength):
+		return reasonTooMany
 	}
-	size := max(0, req.ContentLength)
-	open, bytes := in.detours.Add(1), in.detourBytes.Add(size)
-	if open > maxDetours || bytes > maxDetourBytes {
+	if in.detours.Add(1) > maxDetours || in.memory.Held(memory.Detours) > 2*maxDetourBytes {
 		in.detours.Add(-1)
-		in.detourBytes.Add(-size)
+		in.memory.Release(memory.Detours, 2*req.ContentLength)
 		return reasonTooMany
 	}
 	return ""
--- a/internal/relay/ready.go
+++ b/internal/relay/ready.go
@@ -35,6 +35,8 @@
 	in.draining.Store(plan)
 	in.apply(steer.Draining{RefuseWaitingAt: now.Add(time.Duration(drainQueueShare * float64(in.opts.Grace))), AbortAt: plan.abortAt})
 	in.log.Info().Str("Instance", in.opts.Name).Int("Open", in.open()).Msg("draining")
+	// Requests wait for memory no longer than for a replica.
+	time.AfterFunc(time.Duration(drainQueueShare*float64(in.opts.Grace)), in.memory.Close)
 	delay.For(context.Background(), in.opts.DrainNotice)
 	limited, cancel := context.WithDeadline(context.Background(), ended)
 	defer cancel()
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -97,7 +97,7 @@
 // header unless the caller has one already: a later replica only continues the stream of the first.
 func (att *attempt) startResponse(resp *http.Response) {
 	if att.lastEvent.IsZero() {
-		att.in.apply(steer.Began{ID: att.cl.id, Attempt: att.eff.Attempt})
+		att.began()
 	}
 	if att.cl.headerSent.Load() {
 		return
