relay: wait for memory for at most 0.3 of a request's time

The platform's callers give up a request that is not read for a third of the time they have, so that half of it was too long.

--- a/internal/relay/body.go
+++ b/internal/relay/body.go
@@ -17,16 +17,17 @@
 // that does not fit waits on its socket, where the caller's window bounds it, or is refused before it has run anywhere.
 
 const (
-	// memoryWaitShare is the share of a request's time that it may wait for memory; the rest is for its answer.
-	memoryWaitShare = 0.5
+	// memoryWaitShare is the share of a request's time that it may wait for memory. The rest is for its answer, or for another try: callers
+	// wait no longer than a third of their time before they send a request again.
+	memoryWaitShare = 0.3
 	// memoryRetryAfter is the Retry-After of a request that was refused for memory. A body is typically held for about as long.
 	memoryRetryAfter = time.Second
 	// slowBodyTime is how long the reading of a long body may take while other requests wait for memory. A body of 4 MB arrives
 	// in 1.6 s over a link of 20 Mbit/s.
 	slowBodyTime = 2 * time.Second
 	// discardTime is how long the body of a refused request is read and discarded. A connection that closes with unread bytes is
-	// reset, which can discard the answer before the caller has read it.
-	discardTime = 300 * time.Millisecond
+	// reset, which can discard the answer before the caller has read it. On a busy machine 300 ms are not enough for 4 MB.
+	discardTime = time.Second
 	// chunkedReserve is the reservation for a body of unknown length in relation to the maximum length: while its buffer is replaced
 	// by one of twice the size, both are held.
 	chunkedReserve = 1.5
