relay: judge a slow body by its progress

A long body was interrupted when it took two seconds while others waited for memory.

Now a body gives way to others if nothing of it has arrived for a second, or if it will not be there by its deadline at its pace so far.

--- a/internal/relay/body.go
+++ b/internal/relay/body.go
@@ -22,9 +22,10 @@
 	memoryWaitShare = 0.3
 	// memoryRetryAfter is the Retry-After of a request that was refused for memory. A body is typically held for about as long.
 	memoryRetryAfter = time.Second
-	// slowBodyTime is how long the reading of a long body may take while other requests wait for memory. A body of 4 MB arrives
-	// in 1.6 s over a link of 20 Mbit/s.
-	slowBodyTime = 2 * time.Second
+	// slowBodyTime is how long a long body may make no progress while other requests wait for memory, and from when on its pace counts.
+	slowBodyTime = time.Second
+	// slowCheckPeriod is the time between two checks of a body that takes longer than slowBodyTime.
+	slowCheckPeriod = 250 * time.Millisecond
 	// discardTime is how long the body of a refused request is read and discarded. A connection that closes with unread bytes is
 	// reset, which can discard the answer before the caller has read it. On a busy machine 300 ms are not enough for 4 MB.
 	discardTime = time.Second
@@ -213,7 +214,7 @@
 		}
 		whole := make([]byte, length)
 		copy(whole, buf)
-		if err := in.readLong(cl, func() error {
+		if err := in.readLong(cl, from, length-first, func(from io.Reader) error {
 			_, err := io.ReadFull(from, whole[first:])
 			return err
 		}); err != nil {
@@ -239,7 +240,7 @@
 		if err := in.reserveBody(cl, int64(chunkedReserve*float64(limit))-memory.SmallBody); err != nil {
 			return err
 		}
-		err = in.readLong(cl, func() error {
+		err = in.readLong(cl, from, -1, func(from io.Reader) error {
 			// The reader returns an error for the byte after the limit.
 			buf, _, err = readInto(from, buf, int(limit)+1)
 			return err
@@ -275,51 +276,88 @@
 	return buf, false, nil
 }
 
-// readLong calls read, which reads a body with a long reservation. If that takes longer than slowBodyTime while other requests
-// wait for memory, the read ends with errSlowBody.
-func (in *Instance) readLong(cl *call, read func() error) error {
-	guard := &slowGuard{pressed: in.memory.Pressed, interrupt: func() { _ = cl.control.SetReadDeadline(time.Now()) }}
+// readLong calls read with a reader of the rest of a body that has a long reservation and is yet to have the given number of bytes, negative if
+// that is unknown. If the caller stops sending, or sends too slowly for its deadline, while other requests wait for memory, the read
+// ends with errSlowBody.
+func (in *Instance) readLong(cl *call, from io.Reader, rest int64, read func(from io.Reader) error) error {
+	guard := &slowGuard{
+		from: from, rest: rest, deadline: cl.deadline, pressed: in.memory.Pressed,
+		interrupt: func() { _ = cl.control.SetReadDeadline(time.Now()) },
+	}
 	guard.start()
-	err := read()
+	err := read(guard)
 	if guard.end() && err != nil {
 		return errSlowBody
 	}
 	return err
 }
 
-// slowGuard interrupts a read that takes too long while other requests wait for memory.
+// slowGuard is a reader of a body. It interrupts a read that makes too little progress while other requests wait for memory.
 type slowGuard struct {
+	from io.Reader
+	// rest is the number of bytes that were yet to arrive at the start, negative if that is unknown.
+	rest      int64
+	deadline  time.Time
 	pressed   func() bool
 	interrupt func()
+	// received is the number of bytes that have arrived since the start.
+	received atomic.Int64
 	// mu guards the fields below.
-	mu    sync.Mutex
-	timer *time.Timer
+	mu        sync.Mutex
+	startedAt time.Time
+	timer     *time.Timer
+	// seen is the number of bytes that had arrived at the last check that found new ones, and seenAt its time.
+	seen   int64
+	seenAt time.Time
 	// ended reports whether the read is over, after which it must not be interrupted any more.
 	ended bool
 	// interrupted reports whether the read was interrupted.
 	interrupted bool
 }
 
-// slowCheckPeriod is the time between two checks of a read that takes longer than slowBodyTime.
-const slowCheckPeriod = 250 * time.Millisecond
+// Read implements io.Reader.
+func (sg *slowGuard) Read(buf []byte) (int, error) {
+	count, err := sg.from.Read(buf)
+	sg.received.Add(int64(count))
+	return count, err
+}
 
 func (sg *slowGuard) start() {
 	sg.mu.Lock()
 	defer sg.mu.Unlock()
+	sg.startedAt = time.Now()
+	sg.seenAt = sg.startedAt
 	sg.timer = time.AfterFunc(slowBodyTime, sg.check)
 }
 
 func (sg *slowGuard) check() {
 	sg.mu.Lock()
 	defer sg.mu.Unlock()
-	switch {
-	case sg.ended:
-	case sg.pressed():
+	if sg.ended {
+		return
+	}
+	now := time.Now()
+	slow := sg.isSlow(now)
+	if slow && sg.pressed() {
 		sg.interrupted = true
 		sg.interrupt()
-	default:
-		sg.timer.Reset(slowCheckPeriod)
+		return
+	}
+	sg.timer.Reset(slowCheckPeriod)
+}
+
+// isSlow reports whether nothing has arrived for slowBodyTime, or whether the body will not be there by the deadline at its pace so far. sg.mu
+// is held.
+func (sg *slowGuard) isSlow(now time.Time) bool {
+	received := sg.received.Load()
+	if received > sg.seen {
+		sg.seen, sg.seenAt = received, now
+	}
+	if now.Sub(sg.seenAt) >= slowBodyTime {
+		return true
 	}
+	pace := float64(received) / float64(now.Sub(sg.startedAt))
+	return sg.rest >= 0 && pace*float64(sg.deadline.Sub(now)) < float64(sg.rest-received)
 }
 
 // end states that the read is over and reports whether it was interrupted.
