entry: hold bodies within the memory of the process

The entry front bounds a body's length (MaxBody) and the time to send it (BodyTimeout), but not the sum of what is held: fifty callers with bodies of 1 MB are all read at once, and each body is held until its answer ends.

A body that does not fit waits for up to a second or is refused with 503 and Retry-After as not run.

--- a/internal/cmds/entry.go
+++ b/internal/cmds/entry.go
@@ -24,6 +24,7 @@
 	if err := cmd.Check(); err != nil {
 		return tool.Usage(err)
 	}
+	cmd.Memory.Apply()
 	writer := lines.New(os.Stderr, entryLogLines)
 	cmd.LogOutput = writer
 	err := entry.New(cmd.Options, tool.Logger(writer)).Run(sigs.Context(), sigs.Hangups())
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -31,6 +31,8 @@
 	deadline time.Time
 	// raw is the request's body as received.
 	raw []byte
+	// reserved is the number of bytes that are reserved for it in the memory account.
+	reserved int64
 	// body is nil for plain services.
 	body         *body.Body
 	organisation string
--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -9,10 +9,12 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/rcrowley/go-metrics"
 
 	"dandelionsail.example/dandelionsail/internal/body"
 	"dandelionsail.example/dandelionsail/internal/cause"
 	"dandelionsail.example/dandelionsail/internal/event"
+	"dandelionsail.example/dandelionsail/internal/memory"
 	"dandelionsail.example/dandelionsail/pkg/decl"
 )
 
@@ -25,6 +27,7 @@
 // handle authenticates the organisation, parses its request and serves it.
 func (in *Instance) handle(w http.ResponseWriter, req *http.Request, parse requestParser) {
 	cl := newCall(w, req, time.Now())
+	defer func() { in.memory.Release(memory.Bodies, cl.reserved) }()
 	dir := in.config.Load()
 	org, ok := dir.organisation(req)
 	if !ok {
@@ -51,7 +54,7 @@
 }
 
 func (in *Instance) parseCompletion(cl *call, dir *directory) (event.Arrived, *apiError) {
-	raw, ae := in.readBody(cl.w, cl.req)
+	raw, ae := in.readBody(cl)
 	if ae != nil {
 		return event.Arrived{}, ae
 	}
@@ -117,25 +120,69 @@
 	return event.Digest(hash.Sum(nil))
 }
 
-// readBody reads the whole body, limited in length by MaxBody and in time by BodyTimeout.
-func (in *Instance) readBody(w http.ResponseWriter, req *http.Request) ([]byte, *apiError) {
-	if req.ContentLength > in.opts.MaxBody {
+// readBody reads the whole body, limited in length by MaxBody and in time by BodyTimeout. It waits for memory if the body does not fit.
+func (in *Instance) readBody(cl *call) ([]byte, *apiError) {
+	if cl.req.ContentLength > in.opts.MaxBody {
 		return nil, tooLarge(in.opts.MaxBody)
 	}
-	raw, err := readAll(http.MaxBytesReader(w, req.Body, in.opts.MaxBody), req.ContentLength)
+	from := http.MaxBytesReader(cl.w, cl.req.Body, in.opts.MaxBody)
+	if ae := in.reserveBody(cl, from); ae != nil {
+		return nil, ae
+	}
+	raw, err := readAll(from, cl.req.ContentLength)
 	if err == nil {
+		if cl.req.ContentLength < 0 {
+			in.memory.Release(memory.Bodies, cl.reserved-int64(cap(raw)))
+			cl.reserved = int64(cap(raw))
+		}
 		// If the read deadline stayed in force, the server would take the caller as disconnected when it passes.
-		_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+		_ = cl.control.SetReadDeadline(time.Time{})
 		return raw, nil
 	}
 	if _, ok := err.(*http.MaxBytesError); ok {
 		return nil, tooLarge(in.opts.MaxBody)
 	}
 	// Where the next request would begin on the connection is unknown.
-	w.Header().Set("Connection", "close")
+	cl.w.Header().Set("Connection", "close")
 	return nil, badRequest(http.StatusBadRequest, "IncompleteBody", "the body ended early or came too slowly; send it whole")
 }
 
+const (
+	// memoryWait is the maximum time that a request waits for memory before its body is read.
+	memoryWait = time.Second
+	// memoryRetryAfter is the Retry-After of a request that was refused for memory.
+	memoryRetryAfter = time.Second
+	// discardTime is how long the body of a refused request is read and discarded. A connection that closes with unread bytes is reset, which
+	// can discard the answer before the caller has read it.
+	discardTime = time.Second
+)
+
+// reserveBody reserves memory for the call's body, or discards the body and returns the error to answer with. A body of unknown length may
+// take the whole MaxBody, of which its last two buffers hold half as much again.
+func (in *Instance) reserveBody(cl *call, from io.Reader) *apiError {
+	size := cl.req.ContentLength
+	if size < 0 {
+		size = in.opts.MaxBody + in.opts.MaxBody/2
+	}
+	waited, err := in.memory.Reserve(cl.req.Context(), memory.Bodies, size, memoryWait)
+	if err == nil {
+		cl.reserved = size
+		if waited > 0 {
+			// The time to send the body begins when it is read.
+			_ = cl.control.SetReadDeadline(time.Now().Add(in.opts.BodyTimeout))
+			in.log.Info().Str("Instance", in.opts.Name).Str("Organisation", cl.organisation).Int64("Bytes", size).Int64("WaitedMs", waited.Milliseconds()).Msg("waited for memory")
+		}
+		return nil
+	}
+	metrics.GetOrRegisterCounter("Memory.Refused."+string(err.(memory.Refusal)), in.Meter.Registry).Inc(1)
+	in.log.Info().Str("Instance", in.opts.Name).Str("Organisation", cl.organisation).Int64("Bytes", size).Int64("HeldBytes", in.memory.Total()).Err(err).Msg("refused for memory")
+	_ = cl.control.SetReadDeadline(time.Now().Add(discardTime))
+	_, _ = io.Copy(io.Discard, from)
+	ae := badRequest(http.StatusServiceUnavailable, "MemoryUsedUp", "the instance has no memory for the body now, and nothing has run; send it again later")
+	ae.RetryAfter = memoryRetryAfter
+	return ae
+}
+
 func tooLarge(limit int64) *apiError {
 	return badRequest(http.StatusRequestEntityTooLarge, "BodyTooLarge", fmt.Sprintf("the body has more than %d bytes; shorten it", limit))
 }
--- a/internal/entry/export_test.go
+++ b/internal/entry/export_test.go
@@ -20,3 +20,6 @@
 	in.loop.View(func(st *core.State) { requests = len(st.Requests) })
 	return calls, requests
 }
+
+// MemoryGauges calls set with the gauges of the memory account.
+func (in *Instance) MemoryGauges(set func(name string, value int64)) { in.memory.Gauges(set) }
--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -26,6 +26,7 @@
 	"dandelionsail.example/dandelionsail/internal/front"
 	"dandelionsail.example/dandelionsail/internal/lease"
 	"dandelionsail.example/dandelionsail/internal/lines"
+	"dandelionsail.example/dandelionsail/internal/memory"
 	"dandelionsail.example/dandelionsail/internal/meter"
 	"dandelionsail.example/dandelionsail/internal/once"
 	"dandelionsail.example/dandelionsail/internal/peers"
@@ -71,6 +72,8 @@
 	hangups <-chan os.Signal
 	// Meter holds the instance's counters, timers and service-level burn.
 	Meter *meter.Meter
+	// memory counts the bodies that are held for callers.
+	memory *memory.Account
 	// peers is the transport to the other instances, nil in an instance without peer keys.
 	peers *peers.QUIC
 	// listedPeers holds the peer addresses of the other listed instances; the pointer is never nil.
@@ -116,6 +119,7 @@
 		platform:  plat.New(opts.Platform),
 		log:       logger,
 		Meter:     meter.New(),
+		memory:    memory.New(opts.Memory.Bound()),
 		calls:     map[event.RequestID]*call{},
 		readers:   map[string]context.CancelFunc{},
 	}
@@ -265,6 +269,7 @@
 func (in *Instance) drain(ctx context.Context, server *front.Server) error {
 	in.draining.Store(true)
 	in.log.Info().Str("Instance", in.opts.Name).Msg("draining")
+	in.memory.Close()
 	delay.For(ctx, in.opts.DrainNotice)
 	in.loop.Submit(event.DrainStarted{})
 	in.rebroadcastQuarantine()
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -41,6 +41,7 @@
 		in.gauge("Log.Dropped", out.Dropped())
 		in.gauge("Log.Failed", out.Failed())
 	}
+	in.memory.Gauges(in.gauge)
 	in.gauge("Process.Goroutines", int64(runtime.NumGoroutine()))
 	var memory runtime.MemStats
 	runtime.ReadMemStats(&memory)
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -7,6 +7,7 @@
 
 	"github.com/joomcode/errorx"
 
+	"dandelionsail.example/dandelionsail/internal/memory"
 	"dandelionsail.example/dandelionsail/internal/notice"
 	"dandelionsail.example/dandelionsail/internal/peers"
 	"dandelionsail.example/dandelionsail/internal/route"
@@ -34,6 +35,7 @@
 	DrainTime     time.Duration `long:"drain-time" env:"DANDELIONSAIL_DRAIN_TIME" description:"longest time for streams to finish at a stop" default:"10m"`
 	DrainNotice   time.Duration `long:"drain-notice" env:"DANDELIONSAIL_DRAIN_NOTICE" description:"time for the balancer to see that readiness is off" default:"3s"`
 	MaxBody       int64         `long:"max-body" env:"DANDELIONSAIL_MAX_BODY" description:"longest request body in bytes" default:"8388608"`
+	Memory        memory.Limit  `long:"memory" env:"DANDELIONSAIL_MEMORY" description:"memory in MB that this process may use; the bodies that it holds are bounded by it; 0 sets no bound" default:"0"`
 	BodyTimeout   time.Duration `long:"body-timeout" env:"DANDELIONSAIL_BODY_TIMEOUT" description:"longest time for a caller to send its body" default:"30s"`
 	MetricsListen string        `long:"metrics-listen" env:"DANDELIONSAIL_METRICS_LISTEN" description:"address for metrics and health, host:port, without authentication; empty serves none"`
 	Profiling     bool          `long:"profiling" env:"DANDELIONSAIL_PROFILING" description:"serve profiles of the process at the metrics address"`
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -22,6 +22,6 @@
 	if ae != nil {
 		return event.Arrived{}, ae
 	}
-	cl.raw, ae = in.readBody(cl.w, cl.req)
+	cl.raw, ae = in.readBody(cl)
 	return event.Arrived{Service: service, Deadline: deadline, Idempotent: svc.Idempotent(cl.req.Method)}, ae
 }
--- a/internal/entry/rig_test.go
+++ b/internal/entry/rig_test.go
@@ -17,6 +17,7 @@
 	"dandelionsail.example/dandelionsail/internal/conf"
 	"dandelionsail.example/dandelionsail/internal/entry"
 	"dandelionsail.example/dandelionsail/internal/load"
+	"dandelionsail.example/dandelionsail/internal/memory"
 	"dandelionsail.example/dandelionsail/internal/plat"
 	"dandelionsail.example/dandelionsail/internal/stand"
 	"dandelionsail.example/dandelionsail/pkg/decl"
@@ -44,6 +45,8 @@
 	Models []http.Handler
 	// Plain are the handlers of the plain service's upstreams.
 	Plain []http.Handler
+	// Memory is the instance's, 0 for no bound.
+	Memory memory.Limit
 	// Progress is the services' ProgressTimeout.
 	Progress time.Duration
 	// Via maps an upstream's address to the one that the platform lists; nil lists the upstream's own address.
@@ -77,7 +80,7 @@
 	rg.instance = entry.New(entry.Options{
 		Name: "entry-0", FailureDomain: "a", Listen: rg.address, Platform: platform, Store: platform,
 		ListPeriod: 50 * time.Millisecond, LoadPeriod: time.Second, DrainTime: 10 * time.Second,
-		MaxBody: 8 << 20, BodyTimeout: 300 * time.Millisecond,
+		MaxBody: 8 << 20, BodyTimeout: 300 * time.Millisecond, Memory: opts.Memory,
 	}, logger)
 	ctx, stop := context.WithCancel(context.Background())
 	rg.stop = stop
--- a/internal/memory/account.go
+++ b/internal/memory/account.go
@@ -38,7 +38,7 @@
 	holdGain = 0.1
 )
 
-// Refusal is why a reservation was refused. It is the error of Reserve.
+// Refusal is why a reservation was refused. Each error of Reserve is one.
 type Refusal string
 
 // Values of Refusal.
@@ -120,6 +120,19 @@
 	return ac.small.count.Load() + ac.large.count.Load(), ac.small.bytes + ac.large.bytes
 }
 
+// Gauges calls set with the name and the value of each gauge: the bound, what is held in all and by kind, the highest sum, and what waits.
+func (ac *Account) Gauges(set func(name string, value int64)) {
+	set("Memory.BoundBytes", ac.Bound())
+	set("Memory.TotalBytes", ac.Total())
+	set("Memory.PeakBytes", ac.Peak())
+	for kind := range kinds {
+		set("Memory.HeldBytes."+kind.String(), ac.Held(kind))
+	}
+	waiting, bytes := ac.Waiting()
+	set("Memory.Waiting", waiting)
+	set("Memory.WaitingBytes", bytes)
+}
+
 // Pressed reports whether reservations wait.
 func (ac *Account) Pressed() bool { return ac.small.count.Load() > 0 || ac.large.count.Load() > 0 }
 
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -44,7 +44,7 @@
 	in.updateQuarantineMetrics()
 	in.updateEvacuationMetrics()
 	in.gauge("Responses.BufferedBytes", in.memory.Held(memory.Answers))
-	in.updateMemoryMetrics()
+	in.memory.Gauges(in.gauge)
 	in.gauge("Log.Dropped", in.output.Dropped())
 	in.gauge("Log.Failed", in.output.Failed())
 	in.gauge("Process.Goroutines", int64(runtime.NumGoroutine()))
@@ -84,19 +84,6 @@
 	in.gauge("Detours.Open", in.detours.Load())
 }
 
-// updateMemoryMetrics sets the gauges of the memory account: its bound, what is held in all and by kind, the highest sum, and what waits for memory.
-func (in *Instance) updateMemoryMetrics() {
-	in.gauge("Memory.BoundBytes", in.memory.Bound())
-	in.gauge("Memory.TotalBytes", in.memory.Total())
-	in.gauge("Memory.PeakBytes", in.memory.Peak())
-	for _, kind := range []memory.Kind{memory.Bodies, memory.Answers, memory.Detours} {
-		in.gauge("Memory.HeldBytes."+kind.String(), in.memory.Held(kind))
-	}
-	waiting, bytes := in.memory.Waiting()
-	in.gauge("Memory.Waiting", waiting)
-	in.gauge("Memory.WaitingBytes", bytes)
-}
-
 // updateQuarantineMetrics sets the gauge of the causes of crashes, such as parts of prompts, for which requests are refused.
 func (in *Instance) updateQuarantineMetrics() {
 	in.mu.Lock()
