relay: tests of the memory bound set it without a race

TestRefusalForMemoryReachesTheCaller and TestStalledSenderMakesRoomForOthers replaced the account of an Instance that serves already. The race detector reported it since the tests no longer install a configuration afterwards, which the handler reads first.

--- a/internal/relay/body_test.go
+++ b/internal/relay/body_test.go
@@ -138,6 +138,13 @@
 	}
 }
 
+// boundMemory sets what may be held. Requests that arrive later see that, since each loads the routing first.
+func (in *Instance) boundMemory(bound int64) {
+	in.memory = memory.New(bound)
+	in.buffers.account = in.memory
+	in.routing.Store(in.routing.Load())
+}
+
 // dialFront opens a connection on which requests can be sent and their answers read.
 func dialFront(t *testing.T, address string) (net.Conn, *bufio.Reader) {
 	conn, err := net.Dial("tcp", address)
@@ -160,7 +167,7 @@
 	// Guards against a refusal that its caller never reads: the connection closes while it still sends its body, and the reset discards the
 	// answer. A caller that finds its connection cut does not know whether its request has run.
 	in, address := newFront(t, nil)
-	in.memory = memory.New(256 << 10)
+	in.boundMemory(256 << 10)
 	conn, reader := dialFront(t, address)
 	body := strings.Repeat("x", 1<<20)
 	for i, head := range []string{fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body), fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body), body)} {
@@ -191,7 +198,7 @@
 func TestStalledSenderMakesRoomForOthers(t *testing.T) {
 	// Guards against a caller that announces a long body, stops in the middle of it, and so keeps everybody else's long body from being read.
 	in, address := newFront(t, nil)
-	in.memory = memory.New(1300 << 10)
+	in.boundMemory(1300 << 10)
 	stalled, stalledReader := dialFront(t, address)
 	head := "POST / HTTP/1.1\r\nHost: hall.example\r\nX-Request-Id: %s\r\nContent-Length: 1048576\r\n\r\n%s"
 	_, err := fmt.Fprintf(stalled, head, "stalled", strings.Repeat("x", memory.SmallBody+1))
