Follow the platform's list beside entries that cannot be used

What callers saw: after some time failures of requests to upstreams that were gone, and none of the upstreams that had come. What operators saw: "instance list changed state", and a list that stays as it was for as long as one entry of another writer is in it.

Cause: one field of another type, such as a name that is a number, failed the whole list. Other odd entries, with a port out of range or without a name, were taken for upstreams.

Now each entry is decoded and checked by itself. One that cannot be used is left out, with one line when it appears and one when it is good again or gone, and counts in the gauge Entries.Invalid.

--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -369,9 +369,21 @@
 	return in.listed.Load() && in.quarantineReady.Load() && !in.draining.Load() && in.config.Load().cfg.Version > 0
 }
 
+// noteInvalid logs the entries of the list that cannot be used, and those that can be used again or are gone, once each.
+func (in *Instance) noteInvalid(listing, before *plat.Listing) {
+	for _, name := range listing.NewInvalid(before) {
+		in.log.Warn().Str("Entry", name).Str("Reason", listing.Invalid[name]).Msg("entry of the instance list left out: it cannot be used")
+	}
+	for _, name := range before.NewInvalid(listing) {
+		in.log.Info().Str("Entry", name).Msg("entry of the instance list usable again or gone")
+	}
+	in.gauge("Entries.Invalid", int64(len(listing.Invalid)))
+}
+
 // pollPlatform reads the platform's instance list once per ListPeriod and distributes it until the context ends.
 func (in *Instance) pollPlatform(ctx context.Context) error {
 	failing := false
+	var before plat.Listing
 	for ctx.Err() == nil {
 		listing, err := in.platform.List(ctx)
 		if (err != nil) != failing && ctx.Err() == nil {
@@ -379,6 +391,8 @@
 			in.log.Warn().Bool("Failing", failing).Err(err).Msg("instance list changed state")
 		}
 		if err == nil {
+			in.noteInvalid(&listing, &before)
+			before = listing
 			ups, insts := listing.Events()
 			in.announcements.list(time.Now(), ups.Upstreams)
 			in.loop.Submit(ups)
--- a/internal/plat/plat.go
+++ b/internal/plat/plat.go
@@ -39,7 +39,11 @@
 }
 
 // Listing is the whole list.
-type Listing struct{ Instances []Entry }
+type Listing struct {
+	Instances []Entry
+	// Invalid holds why entries are left out that cannot be used, by name.
+	Invalid map[string]string `json:"-"`
+}
 
 var (
 	// Errors is the namespace of the errors that this package returns.
