Pass on what follows the last event of a stream

What callers saw: a 200 whose body lacks the empty lines or blanks that the replica sent after the last event, framed as whole.

Cause: events are passed on one by one, and a rest of nothing but white space was taken for the end and dropped.

Evidence, before: FuzzAnswer found it after 30 s, as the seeds show that it has now:

--- FAIL: FuzzAnswer/seed#108 cutanswer_test.go:239: assertion failed: a success "id: 1\ndata: a\n\nid: 2\ndata: b\n\n" instead of "id: 1\ndata: a\n\nid: 2\ndata: b\n\n\n"

Now the rest is written before the attempt ends as done.

--- a/internal/relay/cutanswer_test.go
+++ b/internal/relay/cutanswer_test.go
@@ -193,6 +193,10 @@
 			f.Add(uint8(shape), uint16(1000), uint8(end), uint16(52), []byte("-"))
 		}
 	}
+	// Empty lines and blanks after the last event of a stream.
+	for _, end := range []string{"\n", "\r\n", " ", "\n\n\n"} {
+		f.Add(uint8(8), uint16(1000), uint8(endClose), uint16(1000), []byte(end))
+	}
 	in, _ := newFuzzInstance(f)
 	rep := newCutReplica(f)
 	in.knowCutReplica(rep.Addr().String())
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -38,6 +38,10 @@
 		buf = append(buf[:0], rest...)
 		if err == io.EOF && len(bytes.TrimSpace(buf)) == 0 && !att.endedUnbegun() {
 			att.startResponse(resp)
+			// Empty lines after the last event belong to the body, which is passed on unchanged.
+			if _, err := att.cl.w.Write(buf); err != nil {
+				return steer.ResultCancelled
+			}
 			att.ended.OpenEnded = isOpenEnded(resp)
 			return steer.ResultDone
 		}
