Take an answer with a status out of range for broken off on both fronts

What callers saw: on the completions front, the status 101 of a plain service's answer as the answer to a request that asked for no other protocol: a success without the service's body, and a connection that carries no further answers. Relay instances took such an answer for broken off already.

Cause: only the relay front checked the status that net/http had read.

Evidence, before, TestCutAnswersOfUpstreams on:

cut_test.go:83: assertion failed: expression is false: err != nil || status >= 400: /board/1, status 101: 101 ""

Now package trip, by which both fronts send, returns an error for a status below 200 or above 599, and the request is one that may have run. The test also cuts answers of plain services and engines in the head and the body, by a close and a reset: nothing else failed.

--- a/internal/trip/trip.go
+++ b/internal/trip/trip.go
@@ -95,6 +95,9 @@
 // MaxHeadBytes is the maximum size in bytes of the head of an answer, for transports of requests that are passed on.
 const MaxHeadBytes = 256 << 10
 
+// maxStatus is the highest status that an answer may have.
+const maxStatus = 599
+
 // maxNameLogged is the length in bytes to which a header's name is cut in an error.
 const maxNameLogged = 60
 
@@ -166,6 +169,12 @@
 	}
 	tr.answered()
 	result.Written, result.StaleConn = true, false
+	if resp.StatusCode < http.StatusOK || resp.StatusCode > maxStatus {
+		// net/http reads such a status. It panics when one below 100 is to be written, and after a 101 what follows is no body.
+		_ = resp.Body.Close()
+		result.Response = nil
+		return result, InvalidHead.New("trip: the answer has the status %d; the request counts as one that may have run", resp.StatusCode)
+	}
 	if name, ok := invalidName(resp.Header); ok {
 		_ = resp.Body.Close()
 		result.Response = nil
