--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -168,9 +168,12 @@
 // Its last line says why it returns.
 // hangups delivers SIGHUP.
 func (in *Instance) Run(ctx context.Context, hangups <-chan os.Signal) error {
-	listener, peer, err := in.open()
+	listener, peer, err := in.open(ctx)
 	if err != nil {
 		in.logEnd(ctx, err)
+		if ctx.Err() != nil {
+			return nil
+		}
 		return err
 	}
 	// If the configured ports are 0, the starter of the process reads the chosen addresses from this output.
@@ -200,13 +203,17 @@
 }
 
 // open opens the sockets for callers and peers, and returns the address of the one for peers.
-func (in *Instance) open() (listener net.Listener, peer string, err error) {
-	listener, err = net.Listen("tcp", in.opts.Listen)
+func (in *Instance) open(ctx context.Context) (listener net.Listener, peer string, err error) {
+	// The address for callers comes last: until then they are refused and go to another instance, instead of waiting.
+	peer, err = ports.Bind(ctx, in.monitor.BindFailed("peer-listen", in.opts.PeerListen), in.OpenPeers)
+	if err != nil {
+		return nil, "", err
+	}
+	listener, err = ports.Bind(ctx, in.monitor.BindFailed("listen", in.opts.Listen), func() (net.Listener, error) { return net.Listen("tcp", in.opts.Listen) })
 	if err != nil {
 		return nil, "", Errors.NewType("listen").Wrap(err, "entry: --listen %s cannot be used; choose a free address", in.opts.Listen)
 	}
-	peer, err = in.OpenPeers()
-	return listener, peer, err
+	return listener, peer, nil
 }
 
 // Serve is like Run, but serves callers on a given listener. Peers are connected only if OpenPeers was called before.
@@ -232,7 +239,7 @@
 	start("leases", in.leases.Run)
 	start("coordination", in.runCoordination)
 	start("meter", func(ctx context.Context) error { return in.Meter.Run(ctx, in.log) })
-	start("metrics", in.serveMetrics)
+	group.Go(in.monitor.Repeated(parts, "metrics", in.serveMetrics))
 	start("hangups", in.handleHangups)
 	if in.peers != nil {
 		start("peers", in.peers.Run)
--- a/internal/relay/follow_test.go
+++ b/internal/relay/follow_test.go
@@ -110,7 +110,7 @@
 // newTestInstance returns an Instance that runs nothing but its gossip.
 func newTestInstance(t *testing.T, name string, dir *fakeDirectory) *Instance {
 	in := New(Options{Name: name, PeerListen: "127.0.0.1:0", TokenLife: time.Second, ConfigLag: 400 * time.Millisecond, MissingTime: time.Minute}, dir, nil, &log.Logger{Level: log.PanicLevel}, lines.New(io.Discard, 1))
-	gs, err := openGossip(in)
+	gs, err := openGossip(t.Context(), in)
 	assert.NilError(t, err)
 	in.gossip = gs
 	ctx, cancel := context.WithCancel(context.Background())
@@ -306,7 +306,7 @@
 func FuzzPacket(f *testing.F) {
 	f.Add([]byte{})
 	in := New(Options{Name: "one", PeerListen: "127.0.0.1:0", TokenLife: time.Second}, newFakeDirectory(), nil, &log.Logger{Level: log.PanicLevel}, lines.New(io.Discard, 1))
-	gs, err := openGossip(in)
+	gs, err := openGossip(context.Background(), in)
 	if err != nil {
 		f.Fatal(err)
 	}
--- a/internal/relay/gossip.go
+++ b/internal/relay/gossip.go
@@ -17,6 +17,7 @@
 
 	"dandelionsail.example/dandelionsail/internal/deaths"
 	"dandelionsail.example/dandelionsail/internal/delay"
+	"dandelionsail.example/dandelionsail/internal/ports"
 	"dandelionsail.example/dandelionsail/internal/steer"
 )
 
@@ -73,12 +74,12 @@
 	DeathsRequested bool `cbor:"6,keyasint,omitempty"`
 }
 
-func openGossip(in *Instance) (*gossip, error) {
+func openGossip(ctx context.Context, in *Instance) (*gossip, error) {
 	address, err := net.ResolveUDPAddr("udp", in.opts.PeerListen)
 	if err != nil {
 		return nil, BadOption.Wrap(err, "relay: --peer-listen is %q; give an IP address and a port", in.opts.PeerListen)
 	}
-	conn, err := net.ListenUDP("udp", address)
+	conn, err := ports.Bind(ctx, in.monitor.BindFailed("peer-listen", in.opts.PeerListen), func() (*net.UDPConn, error) { return net.ListenUDP("udp", address) })
 	if err != nil {
 		return nil, Errors.NewType("listen").Wrap(err, "relay: --peer-listen %s cannot be used; choose a free address", in.opts.PeerListen)
 	}
--- a/internal/relay/instance.go
+++ b/internal/relay/instance.go
@@ -182,19 +182,21 @@
 func (in *Instance) serveAll(ctx context.Context, hangups <-chan os.Signal) error {
 	debug.SetGCPercent(gcPercent)
 	in.startedAt = time.Now()
-	callerListener, err := in.listen("listen", in.opts.Listen)
-	if err != nil {
+	// The address for callers comes last: until then they are refused and go to another instance, instead of waiting.
+	var err error
+	if in.gossip, err = openGossip(ctx, in); err != nil {
 		return err
 	}
-	readyListener, err := in.listen("ready-listen", in.opts.ReadyListen)
+	peerListener, err := in.listen(ctx, "peer-listen", in.opts.PeerListen)
 	if err != nil {
 		return err
 	}
-	peerListener, err := in.listen("peer-listen", in.opts.PeerListen)
+	readyListener, err := in.listen(ctx, "ready-listen", in.opts.ReadyListen)
 	if err != nil {
 		return err
 	}
-	if in.gossip, err = openGossip(in); err != nil {
+	callerListener, err := in.listen(ctx, "listen", in.opts.Listen)
+	if err != nil {
 		return err
 	}
 	serveCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
@@ -217,7 +219,7 @@
 	start("tick", in.tick)
 	start("gossip", in.gossip.run)
 	start("deaths", in.awaitDeaths)
-	start("metrics", in.serveMetrics)
+	group.Go(in.monitor.Repeated(serveCtx, "metrics", in.serveMetrics))
 	start("hangups", func(ctx context.Context) error { return in.handleHangups(ctx, hangups) })
 	start("listen", func(context.Context) error { return ignoreServerClosed(callerServer.Serve(callerListener)) })
 	start("ready-listen", func(context.Context) error { return ignoreServerClosed(readyServer.Serve(readyListener)) })
@@ -248,8 +250,8 @@
 	}
 }
 
-func (in *Instance) listen(flag, address string) (net.Listener, error) {
-	listener, err := net.Listen("tcp", address)
+func (in *Instance) listen(ctx context.Context, flag, address string) (net.Listener, error) {
+	listener, err := ports.Bind(ctx, in.monitor.BindFailed(flag, address), func() (net.Listener, error) { return net.Listen("tcp", address) })
 	if err != nil {
 		return nil, Errors.NewType("listen").Wrap(err, "relay: --%s %s cannot be used; choose a free address", flag, address)
 	}
--- a/internal/tasks/tasks.go
+++ b/internal/tasks/tasks.go
@@ -5,8 +5,11 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/phuslu/log"
+
+	"dandelionsail.example/dandelionsail/internal/delay"
 )
 
 // LogOutput is where a log's lines go.
@@ -45,6 +48,36 @@
 	}
 }
 
+const (
+	// minBackoff is the pause before a part that has failed runs again. It doubles up to maxBackoff, and is minBackoff again
+	// after a part has run for longer than that.
+	minBackoff = 100 * time.Millisecond
+	// maxBackoff is the maximum pause. A part that fails again and again costs a line in each.
+	maxBackoff = 5 * time.Second
+)
+
+// Repeated is like Part, but runs the part again, after a pause, each time that it fails.
+func (mo *Monitor) Repeated(ctx context.Context, name string, run func(ctx context.Context) error) func() error {
+	return func() error {
+		backoff := minBackoff
+		for {
+			start := time.Now()
+			err := run(ctx)
+			if err == nil || ctx.Err() != nil {
+				return err
+			}
+			mo.fail(name, err)
+			if time.Since(start) > maxBackoff {
+				backoff = minBackoff
+			}
+			if !delay.For(ctx, backoff) {
+				return ctx.Err()
+			}
+			backoff = min(2*backoff, maxBackoff)
+		}
+	}
+}
+
 // fail logs and counts the failure of a part.
 func (mo *Monitor) fail(name string, err error) {
 	mo.mu.Lock()
@@ -54,6 +87,14 @@
 	mo.log.Error().Str("Part", name).Err(err).Msg("part failed")
 }
 
+// BindFailed returns a function that logs and counts a failure to listen at the named address.
+func (mo *Monitor) BindFailed(name, address string) func(err error) {
+	return func(err error) {
+		mo.count("Bind.Failed." + name)
+		mo.log.Warn().Str("Part", name).Str("Address", address).Err(err).Msg("address not available; trying again")
+	}
+}
+
 // AcceptFailed returns a function that logs and counts failures to accept a connection at the named address.
 func (mo *Monitor) AcceptFailed(name string) func(err error) {
 	return func(err error) {
