relay: abort running attempts in the last sixth of a short grace, too

Cause: attempts were aborted 0.8 s before the end of the grace period, whatever its length. What callers saw at a grace of 3 s: their requests were cut 2.2 s after SIGTERM although the replica was at work; they are promised 2.5 s.

Each of the two margins is now 400 ms or a twelfth of the grace, whichever is less. At 8 s nothing changes.

TestAttemptsAreAbortedInTheLastSixthOfTheGrace with the fixed margins: drain_test.go:76: assertion failed: plan.abortAt.Sub(now) is less than grace * 5 / 6: 2.2s

Reading from a caller's socket no longer allocates a closure for each read.

--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -34,6 +34,14 @@
 	srv *Server
 	// raw gives access to the socket. It is nil for a connection that is none, in tests.
 	raw syscall.RawConn
+	// receive is receiveNow, so that it need not be allocated for each Read.
+	receive func(fd uintptr) bool
+	// reading holds the arguments and the results of receive. Only the goroutine that is in Read uses it.
+	reading struct {
+		buf   []byte
+		count int
+		err   error
+	}
 
 	// mu guards the fields below. Bytes are taken from the socket under mu, so that none can arrive unnoticed.
 	mu sync.Mutex
@@ -77,6 +85,7 @@
 	cn := &conn{Conn: nc, srv: srv, lastRead: time.Now()}
 	if sys, ok := nc.(syscall.Conn); ok {
 		cn.raw, _ = sys.SyscallConn()
+		cn.receive = cn.receiveNow
 	}
 	return cn
 }
@@ -86,19 +95,14 @@
 	if cn.raw == nil {
 		return cn.readOther(buf)
 	}
-	var count int
-	var err error
-	receive := func(fd uintptr) (done bool) {
-		count, done, err = cn.receive(int(fd), buf)
-		return done
-	}
-	failed := cn.raw.Read(receive)
+	cn.reading.buf = buf
+	failed := cn.raw.Read(cn.receive)
 	if failed == nil {
-		return count, err
+		return cn.reading.count, cn.reading.err
 	}
 	done := false
-	if isTimeout(failed) && cn.raw.Control(func(fd uintptr) { done = receive(fd) }) == nil && done {
-		return count, err
+	if isTimeout(failed) && cn.raw.Control(func(fd uintptr) { done = cn.receiveNow(fd) }) == nil && done {
+		return cn.reading.count, cn.reading.err
 	}
 	cn.mu.Lock()
 	defer cn.mu.Unlock()
@@ -109,8 +113,13 @@
 	return 0, failed
 }
 
-// receive takes bytes from the socket without waiting. done is false if there are none.
-func (cn *conn) receive(fd int, buf []byte) (count int, done bool, err error) {
+// receiveNow takes bytes from the socket without waiting, and returns false if there are none.
+func (cn *conn) receiveNow(fd uintptr) (done bool) {
+	cn.reading.count, done, cn.reading.err = cn.take(int(fd), cn.reading.buf)
+	return done
+}
+
+func (cn *conn) take(fd int, buf []byte) (count int, done bool, err error) {
 	cn.mu.Lock()
 	defer cn.mu.Unlock()
 	cn.waiting = false
--- a/internal/relay/drain_test.go
+++ b/internal/relay/drain_test.go
@@ -67,6 +67,19 @@
 	}
 }
 
+func TestAttemptsAreAbortedInTheLastSixthOfTheGrace(t *testing.T) {
+	// Guards against a request that is cut before the time that its caller is promised, and against a process that is killed before it has answered.
+	now := time.Now()
+	for _, grace := range []time.Duration{time.Second, 3 * time.Second, 8 * time.Second, time.Minute} {
+		t.Run(grace.String(), func(t *testing.T) {
+			plan := newDrainPlan(now, grace)
+			assert.Check(t, plan.abortAt.Sub(now) >= grace*5/6, plan.abortAt.Sub(now))
+			assert.Check(t, plan.abortAt.Before(plan.endAt))
+			assert.Check(t, plan.endAt.Add(plan.answerTime).Before(now.Add(grace)))
+		})
+	}
+}
+
 func TestAnswerOfARouteThatChangesMeanwhile(t *testing.T) {
 	// Guards against a request that is cut because a new configuration changes its route while it runs.
 	route := func(change func(route *decl.Route)) []decl.Route {
--- a/internal/relay/instance.go
+++ b/internal/relay/instance.go
@@ -31,10 +31,13 @@
 )
 
 const (
-	// shutdownMargin is the part of the grace period that is left when the process exits by itself.
-	shutdownMargin = 400 * time.Millisecond
-	// answerTime is how long open requests may take to be answered after the grace period. It is less than shutdownMargin.
-	answerTime = 300 * time.Millisecond
+	// maxShutdownMargin is the maximum part of the grace period that is left when the process exits by itself, and between that and the moment at which
+	// running attempts are aborted.
+	maxShutdownMargin = 400 * time.Millisecond
+	// shutdownMarginShare bounds that part as a share of the grace period. Callers are promised that what runs is aborted in its last sixth only.
+	shutdownMarginShare = 1.0 / 12
+	// answerShare is the share of that part for which open requests may take to be answered after it has begun.
+	answerShare = 0.75
 	// lateRequestTime is how long after the termination signal requests are still begun that may be running at the end of the grace period. Callers
 	// are promised answers to those that they send more than 3 s after it; the rest is for the way of the signal and of the request.
 	lateRequestTime = 2500 * time.Millisecond
--- a/internal/relay/ready.go
+++ b/internal/relay/ready.go
@@ -18,6 +18,16 @@
 	refuseAt time.Time
 	// abortAt is when the attempts that are still running are aborted.
 	abortAt time.Time
+	// endAt is when the process exits by itself, unless requests are still open then.
+	endAt time.Time
+	// answerTime is how long these may take to be answered.
+	answerTime time.Duration
+}
+
+func newDrainPlan(now time.Time, grace time.Duration) *drainPlan {
+	margin := min(maxShutdownMargin, time.Duration(shutdownMarginShare*float64(grace)))
+	endAt := now.Add(grace - margin)
+	return &drainPlan{refuseAt: now.Add(lateRequestTime), abortAt: endAt.Add(-margin), endAt: endAt, answerTime: time.Duration(answerShare * float64(margin))}
 }
 
 // refuses reports whether a request that arrives now is refused because it may still be running when attempts are aborted.
@@ -30,19 +40,18 @@
 // period.
 func (in *Instance) drain(callers, peers *front.Server) {
 	now := time.Now()
-	ended := now.Add(in.opts.Grace - shutdownMargin)
-	plan := &drainPlan{refuseAt: now.Add(lateRequestTime), abortAt: ended.Add(-shutdownMargin)}
+	plan := newDrainPlan(now, in.opts.Grace)
 	in.draining.Store(plan)
 	in.apply(steer.Draining{RefuseWaitingAt: now.Add(time.Duration(drainQueueShare * float64(in.opts.Grace))), AbortAt: plan.abortAt})
 	in.log.Info().Str("Instance", in.opts.Name).Int("Open", in.open()).Msg("draining")
 	// Requests wait for memory no longer than for a replica.
 	time.AfterFunc(time.Duration(drainQueueShare*float64(in.opts.Grace)), in.memory.Close)
 	delay.For(context.Background(), in.opts.DrainNotice)
-	limited, cancel := context.WithDeadline(context.Background(), ended)
+	limited, cancel := context.WithDeadline(context.Background(), plan.endAt)
 	defer cancel()
 	if err := callers.Drain(limited); err != nil {
 		in.log.Warn().Int("Open", in.open()).Int("Connections", callers.Held().Connections).Err(err).Msg("grace period expired with open requests")
-		in.answerOpen(callers)
+		in.answerOpen(callers, plan)
 	}
 	// What is being passed on for other instances ends like the requests of callers.
 	if err := peers.Drain(limited); err != nil {
@@ -56,9 +65,9 @@
 
 // answerOpen ends what is still open with an answer, and closes the connections then. Requests are open at the end of the grace period if the
 // process stood still until then. A connection that closes without an answer would make its caller send the request again, which may have run.
-func (in *Instance) answerOpen(callers *front.Server) {
+func (in *Instance) answerOpen(callers *front.Server, plan *drainPlan) {
 	in.apply(steer.Ticked{})
-	limited, cancel := context.WithTimeout(context.Background(), answerTime)
+	limited, cancel := context.WithTimeout(context.Background(), plan.answerTime)
 	defer cancel()
 	if callers.Drain(limited) != nil {
 		_ = callers.Close()
