Relay: streams that break off late are resumed, over a new connection after a silence

A request whose answer has begun was placed by the time for its first event. Once that, and the time at which its caller would have left without one, had passed by two seconds or so, any placement seemed to lose all of its worth, and worthCost refused it: a stream that broke off or fell silent five seconds after its arrival was never resumed although engines were idle. It waited for a place until its deadline and then ended early.

Second cause, seen in the same test: the resumption went over a kept connection to the other replica. What had silenced one connection without an error had silenced all that were kept.

A begun answer is weighed by when its caller leaves after its last event, or by its deadline if the caller is still there then. An attempt that follows a silence asks for a new connection or one that was just proven alive. The measure of a silence without standstills is a type of its own (internal/quiet), for both fronts.

--- a/internal/relay/silence.go
+++ b/internal/relay/silence.go
@@ -9,26 +9,16 @@
 	"time"
 
 	"dandelionsail.example/dandelionsail/internal/cutoff"
+	"dandelionsail.example/dandelionsail/internal/quiet"
 	"dandelionsail.example/dandelionsail/internal/steer"
 )
 
-const (
-	// maxChecks is how many times in a row, without an event in between, a silent replica is assumed to be working on a
-	// request because it accepts connections or sends events to other requests.
-	maxChecks = 3
-	// silenceSlices is the number of timers after which a replica counts as silent. Each of them shows that the process runs.
-	silenceSlices = 8
-	// maxLateSlices is how many late timers in a row delay the verdict. A process that is late all the time must still notice a dead connection.
-	maxLateSlices = 16
-	// maxTimerDelay is how late a timer may be without the process having stood still.
-	maxTimerDelay = 100 * time.Millisecond
-)
+// maxChecks is how many times in a row, without an event in between, a silent replica is assumed to be working on a
+// request because it accepts connections or sends events to other requests.
+const maxChecks = 3
 
 // silenceWatch notices that the replica of an attempt sends nothing. It ends no attempt for that: it reports the silence to the reducer, which may
 // grant another run. Only a connection whose other end acknowledges nothing is ended.
-//
-// Time for which the process stood still does not count, since what the replica sent meanwhile waits in the socket. A timer that fires late shows
-// it. The time is divided into slices, and the last one has to be on time, so that what waits is read before.
 type silenceWatch struct {
 	att *attempt
 	ctx context.Context
@@ -36,18 +26,8 @@
 	mu sync.Mutex
 	// timer calls tick.
 	timer *time.Timer
-	// limit is how long the replica may be silent before it is looked at.
-	limit time.Duration
-	// since is when the last event arrived, or the attempt began.
-	since time.Time
-	// armedAt is when the timer was set.
-	armedAt time.Time
-	// slices counts the slices since the last event or the last look.
-	slices int
-	// late counts the timers in a row that fired late.
-	late int
-	// stood is how long the process has stood still since the last event.
-	stood time.Duration
+	// clock measures the silence.
+	clock quiet.Clock
 	// checks counts in how many looks in a row the replica seemed to be working.
 	checks int
 	// events counts the events, so that a look notices one that arrived meanwhile.
@@ -62,12 +42,11 @@
 
 // watchSilence starts to watch the attempt, whose answer should begin within the limit.
 func (att *attempt) watchSilence(ctx context.Context, limit time.Duration) *silenceWatch {
-	now := time.Now()
-	sw := &silenceWatch{att: att, ctx: ctx, limit: limit, since: now}
+	sw := &silenceWatch{att: att, ctx: ctx}
 	sw.mu.Lock()
 	defer sw.mu.Unlock()
-	sw.timer = time.AfterFunc(limit/silenceSlices, sw.tick)
-	sw.armedAt = now
+	sw.clock.Heard(time.Now(), limit)
+	sw.timer = time.AfterFunc(sw.clock.Timer(), sw.tick)
 	return sw
 }
 
@@ -85,15 +64,16 @@
 	defer sw.mu.Unlock()
 	if sw.seen {
 		sw.seen = false
+		silent, stood := sw.clock.Silent(now)
 		sw.att.in.count("Silences.Ended")
 		sw.att.in.log.Info().Str("Request", sw.att.cl.info.Name).Int("Attempt", sw.att.eff.Attempt).Str("Replica", sw.att.eff.Replica.Name).
-			Int64("SilentMs", now.Sub(sw.since).Milliseconds()).Int64("StoodStillMs", sw.stood.Milliseconds()).Msg("silence of a replica ended")
+			Int64("SilentMs", silent.Milliseconds()).Int64("StoodStillMs", stood.Milliseconds()).Msg("silence of a replica ended")
 	}
-	sw.limit, sw.since = limit, now
+	sw.clock.Heard(now, limit)
 	sw.events++
-	sw.late, sw.checks, sw.stood = 0, 0, 0
+	sw.checks = 0
 	sw.writing = true
-	sw.restart(now)
+	sw.arm()
 }
 
 // wrote records that the event was written.
@@ -103,17 +83,10 @@
 	sw.writing = false
 }
 
-// restart begins the first slice. mu is held.
-func (sw *silenceWatch) restart(now time.Time) {
-	sw.slices = 0
-	sw.arm(now)
-}
-
-// arm sets the timer to the end of the next slice. mu is held.
-func (sw *silenceWatch) arm(now time.Time) {
+// arm sets the timer. mu is held.
+func (sw *silenceWatch) arm() {
 	if !sw.ended {
-		sw.armedAt = now
-		sw.timer.Reset(sw.limit / silenceSlices)
+		sw.timer.Reset(sw.clock.Timer())
 	}
 }
 
@@ -121,34 +94,26 @@
 func (sw *silenceWatch) reservesInVain() bool {
 	sw.mu.Lock()
 	defer sw.mu.Unlock()
-	return time.Since(sw.since)-sw.stood > max(maxUnusedReservation, sw.limit)
+	silent, _ := sw.clock.Silent(time.Now())
+	return silent > max(maxUnusedReservation, sw.clock.Limit())
 }
 
-// tick is called at the end of each slice.
+// tick is called when the timer fires.
 func (sw *silenceWatch) tick() {
-	if sw.sliceEnded(time.Now()) {
+	if sw.timerEnded(time.Now()) {
 		sw.look()
 	}
 }
 
-// sliceEnded counts a slice and reports whether the replica has to be looked at now.
-func (sw *silenceWatch) sliceEnded(now time.Time) bool {
+// timerEnded reports whether the replica has to be looked at now.
+func (sw *silenceWatch) timerEnded(now time.Time) bool {
 	sw.mu.Lock()
 	defer sw.mu.Unlock()
 	if sw.ended {
 		return false
 	}
-	if late := now.Sub(sw.armedAt) - sw.limit/silenceSlices; late > maxTimerDelay {
-		sw.stood += late
-		sw.late++
-	} else {
-		sw.late = 0
-	}
-	if !sw.writing {
-		sw.slices++
-	}
-	if sw.slices < silenceSlices || sw.late > 0 && sw.late <= maxLateSlices {
-		sw.arm(now)
+	if !sw.clock.TimerEnded(now, !sw.writing) {
+		sw.arm()
 		return false
 	}
 	return true
@@ -176,7 +141,7 @@
 		return
 	}
 	sw.mu.Lock()
-	limit, since, isBegun := sw.limit, sw.since, sw.events > 0
+	limit, since, isBegun := sw.clock.Limit(), sw.clock.Since(), sw.events > 0
 	sw.checks++
 	mayWork := sw.checks <= maxChecks
 	sw.mu.Unlock()
@@ -204,19 +169,20 @@
 	}
 }
 
-// lookAgain starts the next slices, unless an event has started them.
+// lookAgain begins the limit anew, unless an event has.
 func (sw *silenceWatch) lookAgain() {
 	sw.mu.Lock()
 	defer sw.mu.Unlock()
-	if sw.slices >= silenceSlices {
-		sw.restart(time.Now())
+	if sw.clock.IsOver() {
+		sw.clock.Restart(time.Now())
+		sw.arm()
 	}
 }
 
 // report reports the silence to the reducer, unless an event has arrived meanwhile, and goes on watching.
 func (sw *silenceWatch) report(ev steer.FellSilent) {
 	sw.mu.Lock()
-	if sw.ended || sw.slices < silenceSlices {
+	if sw.ended || !sw.clock.IsOver() {
 		sw.mu.Unlock()
 		return
 	}
@@ -226,12 +192,12 @@
 	}
 	now := time.Now()
 	ev.ID, ev.Attempt = sw.att.cl.id, sw.att.eff.Attempt
-	ev.StoodStill = sw.stood
-	ev.Silent = now.Sub(sw.since) - sw.stood
+	ev.Silent, ev.StoodStill = sw.clock.Silent(now)
 	if via := sw.att.via.Load(); via != nil {
 		ev.Via = *via
 	}
-	sw.restart(now)
+	sw.clock.Restart(now)
+	sw.arm()
 	sw.mu.Unlock()
 	sw.att.in.apply(ev)
 }
@@ -289,5 +255,6 @@
 	}
 	sw.mu.Lock()
 	defer sw.mu.Unlock()
-	return time.Since(sw.since) - sw.stood, sw.stood, sw.seen
+	silent, stood = sw.clock.Silent(time.Now())
+	return silent, stood, sw.seen
 }
--- a/internal/steer/effect.go
+++ b/internal/steer/effect.go
@@ -23,7 +23,8 @@
 	// Priority is passed on to the engine; 0 is the most urgent.
 	Priority int
 	// NewConnection requests a new connection. The replica may just have closed an idle keep-alive connection, and a
-	// request that breaks on it could not be retried because it may have run.
+	// request that breaks on it could not be retried because it may have run. After a silence the kept connections to all replicas may be
+	// silent for good, since something on the path has lost their state.
 	NewConnection bool
 	Deadline      time.Time
 	// DecidedAt is when the attempt was decided on.
--- a/internal/steer/queue.go
+++ b/internal/steer/queue.go
@@ -187,6 +187,9 @@
 // together.
 func (st *State) markLate(req *request) {
 	if req.late {
+		if req.begun {
+			req.goal = st.resumptionGoal(req)
+		}
 		return
 	}
 	readTime := st.minReadTime(req)
@@ -199,9 +202,23 @@
 	req.late = true
 	req.originalGoal, req.originalValue = req.goal, req.value
 	req.goal = req.LeavesAt
+	if req.begun {
+		req.goal = st.resumptionGoal(req)
+	}
 	req.value *= 1 - st.tune.LateShare
 }
 
+// resumptionGoal returns when an answer that has begun should go on: before its caller leaves, who waits as long after an event as for the first one,
+// or until its deadline if it is still there by then. With the goal of the first event, an answer that breaks off some seconds after that goal would
+// lose all its value by any placement and would never be sent again.
+func (st *State) resumptionGoal(req *request) time.Time {
+	leavesAt := req.lastEventAt.Add(req.LeavesAt.Sub(req.at))
+	if st.now.Before(leavesAt) && leavesAt.Before(req.Deadline) {
+		return leavesAt
+	}
+	return req.Deadline
+}
+
 // minReadTime is how long as many engines as may read the prompt together take to read it if they have nothing else to do.
 // It is 0 for a plain service.
 func (st *State) minReadTime(req *request) time.Duration {
--- a/internal/steer/retry.go
+++ b/internal/steer/retry.go
@@ -25,6 +25,7 @@
 	}
 	req.running = false
 	req.begun = req.begun || ev.Begun
+	req.afterSilence = ev.Result == ResultSilent
 	if ev.Pause > req.pause {
 		req.pause, req.pauseAt = ev.Pause, ev.PauseAt
 	}
--- a/internal/steer/serve.go
+++ b/internal/steer/serve.go
@@ -110,7 +110,7 @@
 	pl := &req.plan
 	eff := Send{
 		ID: req.ID, Replica: pl.reps[0].Replica, Priority: req.Priority,
-		NewConnection: st.runsOnce(req), Deadline: req.Deadline, DecidedAt: st.now, Kind: req.sendKind(),
+		NewConnection: st.runsOnce(req) || req.afterSilence, Deadline: req.Deadline, DecidedAt: st.now, Kind: req.sendKind(),
 		Granted: req.grant.granted && req.grant.rep == pl.reps[0],
 	}
 	req.attempt++
@@ -190,7 +190,7 @@
 		req.firstAt = st.now
 	}
 	req.begun = true
-	req.attemptBeganAt, req.progressedAt = st.now, st.now
+	req.attemptBeganAt, req.progressedAt, req.lastEventAt = st.now, st.now, st.now
 	req.events++
 	st.recordArrival(req)
 	for _, rep := range req.reps {
@@ -209,7 +209,7 @@
 	if !ok || ev.Attempt != req.attempt || len(req.reps) == 0 {
 		return
 	}
-	req.progressedAt = st.now
+	req.progressedAt, req.lastEventAt = st.now, st.now
 	req.silent = false
 	req.events++
 	st.proveParts(req)
--- a/internal/steer/silence_test.go
+++ b/internal/steer/silence_test.go
@@ -1,6 +1,7 @@
 package steer_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -69,7 +70,7 @@
 					assert.Equal(t, abort.Proof, cutoff.Resumed)
 					none[steer.Abort](t, in.reduce(tc.event))
 					again := in.waitForSend(100*time.Millisecond, in.end(sent, steer.ResultSilent))
-					assert.Assert(t, again.Replica.Name != sent.Replica.Name)
+					assert.Assert(t, again.Replica.Name != sent.Replica.Name && again.NewConnection)
 					return
 				}
 				none[steer.Abort](t, effects)
@@ -158,3 +159,33 @@
 		})
 	}
 }
+
+func TestStreamThatBreaksOffLateIsResumed(t *testing.T) {
+	// Guards against a stream that breaks off, or falls silent, some seconds after it has begun and is not resumed although engines are idle: the time
+	// at which its caller would have left without a first event has passed, so that any placement seemed to lose all of its value. It would wait for a
+	// replica until its deadline.
+	for name, end := range map[string]func(in *instance, sent steer.Send) []steer.Effect{
+		"broken": func(in *instance, sent steer.Send) []steer.Effect { return in.end(sent, steer.ResultBroken) },
+		"silent": func(in *instance, sent steer.Send) []steer.Effect {
+			find[steer.Abort](in.t, in.reduce(steer.FellSilent{ID: sent.ID, Attempt: sent.Attempt}))
+			return in.end(sent, steer.ResultSilent)
+		},
+	} {
+		for _, route := range []*decl.Route{&short, &long} {
+			for _, age := range []time.Duration{100 * time.Millisecond, 2 * time.Second, 3 * time.Second, 5 * time.Second, 9 * time.Second} {
+				for _, silent := range []time.Duration{0, 1100 * time.Millisecond, 4400 * time.Millisecond} {
+					t.Run(fmt.Sprintf("%s, %s, begun for %s, silent for %s", name, route.Name, age, silent), func(t *testing.T) {
+						in := newInstance(t, "one", 4)
+						sent := find[steer.Send](t, in.arrive(route, 2000))
+						in.reduce(steer.Began{ID: sent.ID, Attempt: sent.Attempt})
+						in.now = in.now.Add(max(0, age-silent))
+						in.reduce(steer.Progressed{ID: sent.ID, Attempt: sent.Attempt})
+						in.advance(min(silent, age))
+						again := in.waitForSend(50*time.Millisecond, end(in, sent))
+						assert.Assert(t, again.Replica.Name != sent.Replica.Name)
+					})
+				}
+			}
+		}
+	}
+}
--- a/internal/steer/state.go
+++ b/internal/steer/state.go
@@ -239,6 +239,8 @@
 	trial bool
 	// progressedAt is when the current attempt's last event arrived, zero before the first.
 	progressedAt time.Time
+	// lastEventAt is when the answer's last event arrived in any attempt, zero before the first.
+	lastEventAt time.Time
 	// pause is the longest pause of the answer so far.
 	pause time.Duration
 	// pauseAt is when the longest pause ended.
@@ -249,6 +251,8 @@
 	aborted bool
 	// resumes reports whether another run was granted in place of the running attempt, see fellSilent. Its repeat is charged already.
 	resumes bool
+	// afterSilence reports whether the last attempt was given up for the silence of its replica.
+	afterSilence bool
 	// silent reports whether the replica of the running attempt was recorded as silent since its last event.
 	silent bool
 	// failureHeld reports whether the shell, which carries out the effects, holds a replica's error answer that can be
