--- a/internal/relay/invalid_test.go
+++ b/internal/relay/invalid_test.go
@@ -100,7 +100,7 @@
 // newFuzzInstance returns an Instance whose gossip is open, for targets that pass it what peers send.
 func newFuzzInstance(f *testing.F) (*Instance, *follower) {
 	in := New(Options{Name: "one", PeerListen: "127.0.0.1:0", TokenLife: time.Second, ConfigLag: time.Second, MaxBody: 1 << 20}, newFakeDirectory(), nil, &log.Logger{Level: log.PanicLevel}, lines.New(io.Discard, 1))
-	gs, err := openGossip(in)
+	gs, err := openGossip(f.Context(), in)
 	if err != nil {
 		f.Fatal(err)
 	}
