Signals: SIGHUP is ignored before the Go runtime starts

The handlers are installed when package sigs is initialized, after the start of the runtime. On a busy machine that takes tens of milliseconds, and SIGHUP ended the process until then.

What an operator saw: a process that was sent SIGHUP just after its start ended with the status of that signal.

A constructor of the C library ignores SIGHUP before; the handlers replace that. Commands that do not serve get the default action back, which TestHangupEndsCommandsThatDoNotServe checks (without restoreEarly it does not end: the runtime keeps what was ignored when it started). Without cgo everything is as before. What remains is the time between exec and the constructor.

--- a/internal/sigs/sigs.go
+++ b/internal/sigs/sigs.go
@@ -1,6 +1,7 @@
-// Package sigs handles the signals of the serving programs. Its handlers are installed when the package is initialized, and
-// it imports nothing but a few packages of the standard library, so that the other packages are initialized after it: until
-// then, and after a handler is removed, a signal has its default action, which ends the process and its open requests.
+// Package sigs handles the signals of the serving programs. SIGHUP is ignored from before the start of the Go runtime on, where
+// the C library is linked. The handlers are installed when the package is initialized, and it imports nothing but a few
+// packages of the standard library, so that the other packages are initialized after it: until then, and after a handler is
+// removed, a signal has its default action, which ends the process and its open requests.
 //
 // What each signal does to a serving program:
 //
@@ -46,6 +47,7 @@
 // ends them.
 func Restore() {
 	signal.Reset(syscall.SIGPIPE, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGINT)
+	restoreEarly()
 }
 
 // Hangups delivers SIGHUP.
