--- a/internal/front/drain.go
+++ b/internal/front/drain.go
@@ -91,12 +91,9 @@
 // stop makes Accept end once no connection waits. The kernel resets those that wait when the listener is closed, and their requests may have arrived
 // long before.
 func (ln *listener) stop(ctx context.Context) {
-	limited, ok := ln.Listener.(interface{ SetDeadline(at time.Time) error })
-	if !ok {
+	ln.stopping.Store(true)
+	if limited, ok := ln.Listener.(interface{ SetDeadline(at time.Time) error }); !ok || limited.SetDeadline(time.Now()) != nil {
 		_ = ln.Close()
-	} else {
-		ln.stopping.Store(true)
-		_ = limited.SetDeadline(time.Now())
 	}
 	select {
 	case <-ln.ended:
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"dandelionsail.example/dandelionsail/internal/ports"
 )
 
 // world is a Server on real sockets.
@@ -125,38 +127,46 @@
 
 func TestConnectionsThatWaitToBeAcceptedAreServed(t *testing.T) {
 	// Guards against requests that are reset unread: when a listener is closed, the kernel resets the connections that wait to be accepted. Their
-	// requests may have arrived long before, on a machine whose processors are busy.
-	inner, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	gate := make(chan struct{})
-	wd := serveOn(t, gatedListener{inner.(*net.TCPListener), gate}, answerOK, nil)
-	var callers []*caller
-	for range 20 {
-		ca := wd.dial()
-		ca.send(request)
-		callers = append(callers, ca)
-	}
-	// The listener is known to the server once Serve has begun.
-	for {
-		wd.srv.mu.Lock()
-		serving := len(wd.srv.listeners) == 1
-		wd.srv.mu.Unlock()
-		if serving {
-			break
-		}
-		time.Sleep(time.Millisecond)
+	// requests may have arrived long before, on a machine whose processors are busy. The listener of a process is wrapped, and must not hide this.
+	cases := map[string]func(inner net.Listener) net.Listener{
+		"socket":         func(inner net.Listener) net.Listener { return inner },
+		"ports.Listener": func(inner net.Listener) net.Listener { return ports.NewListener(inner, func(error) {}) },
 	}
-	done := wd.drain()
-	time.Sleep(10 * time.Millisecond)
-	close(gate)
-	for _, ca := range callers {
-		status, body := ca.receive()
-		assert.Equal(t, status, 200)
-		assert.Equal(t, body, "ok")
-		ca.end()
-		_ = ca.Close()
+	for name, wrap := range cases {
+		t.Run(name, func(t *testing.T) {
+			inner, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.NilError(t, err)
+			gate := make(chan struct{})
+			wd := serveOn(t, wrap(gatedListener{inner.(*net.TCPListener), gate}), answerOK, nil)
+			var callers []*caller
+			for range 20 {
+				ca := wd.dial()
+				ca.send(request)
+				callers = append(callers, ca)
+			}
+			// The listener is known to the server once Serve has begun.
+			for !wd.serves() {
+				time.Sleep(time.Millisecond)
+			}
+			done := wd.drain()
+			time.Sleep(10 * time.Millisecond)
+			close(gate)
+			for _, ca := range callers {
+				status, body := ca.receive()
+				assert.Equal(t, status, 200)
+				assert.Equal(t, body, "ok")
+				ca.end()
+				_ = ca.Close()
+			}
+			assert.NilError(t, <-done)
+		})
 	}
-	assert.NilError(t, <-done)
+}
+
+func (wd *world) serves() bool {
+	wd.srv.mu.Lock()
+	defer wd.srv.mu.Unlock()
+	return len(wd.srv.listeners) == 1
 }
 
 func TestRequestThatArrivesWhileDrainingIsAnswered(t *testing.T) {
--- a/internal/ports/accept.go
+++ b/internal/ports/accept.go
@@ -4,7 +4,9 @@
 import (
 	"errors"
 	"net"
+	"os"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -31,12 +33,12 @@
 	return &Listener{Listener: from, report: report, closed: make(chan struct{})}
 }
 
-// Accept implements net.Listener. It fails only when the listener is closed.
+// Accept implements net.Listener. It fails only when the listener is closed or its deadline has passed.
 func (li *Listener) Accept() (net.Conn, error) {
 	pause := minAcceptPause
 	for {
 		conn, err := li.Listener.Accept()
-		if err == nil || errors.Is(err, net.ErrClosed) {
+		if err == nil || errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) {
 			return conn, err
 		}
 		li.report(err)
@@ -49,6 +51,22 @@
 	}
 }
 
+// SetDeadline sets the time from which on Accept fails. A server that drains ends Accept by it and then takes the connections that wait.
+func (li *Listener) SetDeadline(at time.Time) error {
+	if limited, ok := li.Listener.(interface{ SetDeadline(at time.Time) error }); ok {
+		return limited.SetDeadline(at)
+	}
+	return errors.ErrUnsupported
+}
+
+// SyscallConn implements syscall.Conn, so that a server that drains can ask whether connections wait.
+func (li *Listener) SyscallConn() (syscall.RawConn, error) {
+	if socket, ok := li.Listener.(syscall.Conn); ok {
+		return socket.SyscallConn()
+	}
+	return nil, errors.ErrUnsupported
+}
+
 // Close implements net.Listener.
 func (li *Listener) Close() error {
 	li.once.Do(func() { close(li.closed) })
