Completions: the silence of an upstream ends no answer

The watchdog of an attempt cancelled it when its upstream had sent nothing for the ProgressTimeout of its service, and the reducer decided only then whether another attempt may follow. What callers saw: the answer of a plain service, or one whose attempts or retry budget were used up, cut in its middle although the upstream was sound.

The watchdog reports event.FellSilent and ends nothing. The reducer grants another attempt if the request may be repeated, fewer than six attempts in a row made no progress, a replica has room and the budget allows it; it charges the retry and aborts with cutoff.Resumed. Otherwise the attempt goes on. Time for which the process stood still does not count (internal/quiet). TestAnswersEndWithProofsOnly covers this front and its reducer as well.

--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -92,7 +92,7 @@
 	req.Attempt++
 	req.SentAt = st.now
 	req.Upstreams = upstreams
-	req.Aborted = false
+	req.Aborted, req.resumes, req.silent = false, false, false
 	req.answerStartedAt, req.sentOffset = time.Time{}, req.Offset
 	load := st.requestLoad(req)
 	// If there are several upstreams, each prefills an equal part of the prompt.
@@ -116,7 +116,7 @@
 	})
 }
 
-// prefillSlack is how many times its estimated time a prefill may take before the engine counts as silent.
+// prefillSlack is how many times its estimated time a prefill may take before the silence of the engine is reported.
 const prefillSlack = 3
 
 // firstProgressTimeout returns the timeout for the first byte of the answer, 0 for plain services. It covers the prefill of
--- a/internal/core/finish.go
+++ b/internal/core/finish.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"dandelionsail.example/dandelionsail/internal/cutoff"
 	"dandelionsail.example/dandelionsail/internal/effect"
 	"dandelionsail.example/dandelionsail/internal/event"
 )
@@ -14,18 +15,19 @@
 	}
 	req.Gone = true
 	if req.Phase == PhaseRunning {
-		st.abort(req)
+		st.abort(req, cutoff.OfCaller(req.Gone))
 		return
 	}
 	st.finish(req, nil)
 }
 
-func (st *State) abort(req *Request) {
+// abort ends the attempt under way with the proof.
+func (st *State) abort(req *Request, proof cutoff.Proof) {
 	if req.Aborted {
 		return
 	}
 	req.Aborted = true
-	st.emit(effect.Abort{ID: req.ID, Attempt: req.Attempt})
+	st.emit(effect.Abort{ID: req.ID, Attempt: req.Attempt, Proof: proof})
 }
 
 // failureRefusal returns the refusal of a request that failed for the given reason. It reports that the request has run
--- a/internal/core/retry.go
+++ b/internal/core/retry.go
@@ -31,6 +31,9 @@
 	if !ok || req.Phase != PhaseRunning || ev.Attempt != req.Attempt {
 		return
 	}
+	if !req.answerStartedAt.IsZero() && ev.Result != event.ResultDone {
+		st.recordEnd(req, ev)
+	}
 	st.settleUpstreams(req, ev)
 	if ev.Result != event.ResultNotSent && ev.Result != event.ResultHeld {
 		st.settleRetry(req)
@@ -175,9 +178,10 @@
 	return allowed
 }
 
-// settleRetry ends the charge of an attempt that has certainly arrived by now, if it ever does.
+// settleRetry ends the charge of an attempt that has certainly arrived by now, if it ever does. If another attempt was granted in its place, the charge
+// is for that one.
 func (st *State) settleRetry(req *Request) {
-	if req.charged {
+	if req.charged && !req.resumes {
 		req.charged = false
 		st.Admit.SettleRetry(st.now, req.Organisation)
 	}
--- a/internal/core/state.go
+++ b/internal/core/state.go
@@ -115,6 +115,10 @@
 	Gone bool
 	// Aborted reports whether an effect.Abort was emitted for the attempt under way.
 	Aborted bool
+	// resumes reports whether another attempt was granted in place of the one under way, see handleFellSilent. Its retry is charged already.
+	resumes bool
+	// silent reports whether the silence of the attempt under way was counted.
+	silent bool
 	// Claimed reports whether the idempotency key is recorded.
 	Claimed bool
 	// Permit is the name of the reservation held, empty if there is none.
@@ -190,6 +194,8 @@
 		st.handleCallerGone(ev)
 	case event.AnswerStarted:
 		st.handleAnswerStarted(ev)
+	case event.FellSilent:
+		st.handleFellSilent(ev)
 	case event.AttemptEnded:
 		st.handleAttemptEnded(ev)
 	case event.PathObserved:
--- a/internal/cutoff/cutoff_test.go
+++ b/internal/cutoff/cutoff_test.go
@@ -89,11 +89,26 @@
 	"relay/serveAll":         "the parts of an instance, which end when all requests have",
 	"relay/drain":            "the end of the grace period",
 	"relay/answerOpen":       "the end of the grace period",
-	"relay/announce":         "the renewal of the own entry, and its removal",
+
+	"entry/handleUpstreamFailure": "a probe after the end of an attempt",
+	"entry/freeSegments":          "a call that frees memory",
+	"entry/drop":                  "a call that frees memory",
+	"entry/claim":                 "a call to the store",
+	"entry/recordOutcome":         "a call to the store",
+	"entry/newForwarder":          "a connection that is being opened has no answer",
+	"entry/forward":               "the request's deadline",
+	"entry/sendQuarantine":        "a call to another instance",
+	"entry/requestQuarantine":     "a call to another instance",
+	"entry/updateReaders":         "the reading of an upstream's reports",
+	"entry/readReports":           "the reading of an upstream's reports",
+	"entry/readCacheEvents":       "the reading of an upstream's reports",
+	"entry/Serve":                 "the parts of an instance, which end when all requests have",
+	"entry/drain":                 "the end of the grace period",
+	"relay/announce":              "the renewal of the own entry, and its removal",
 }
 
 // fronts are the packages whose goroutines carry answers to callers, and reducers those that decide on attempts.
-var fronts, reducers = []string{"relay"}, []string{"steer"}
+var fronts, reducers = []string{"relay", "entry"}, []string{"steer", "core"}
 
 func TestAnswersEndWithProofsOnly(t *testing.T) {
 	// Guards against the next place that ends an answer under way by its own verdict: a timer, a probe or a cancelled context. An attempt's context
--- a/internal/effect/effect.go
+++ b/internal/effect/effect.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"dandelionsail.example/dandelionsail/internal/cause"
+	"dandelionsail.example/dandelionsail/internal/cutoff"
 	"dandelionsail.example/dandelionsail/internal/event"
 	"dandelionsail.example/dandelionsail/internal/wire"
 )
@@ -30,9 +31,9 @@
 	NewConnection bool
 	// Deadline is the time by which the attempt must have ended.
 	Deadline time.Time
-	// ProgressTimeout is the maximum time without progress.
+	// ProgressTimeout is the time without progress after which the silence is reported.
 	ProgressTimeout time.Duration
-	// FirstProgressTimeout is the maximum time without progress before the first byte of the answer; 0 means ProgressTimeout.
+	// FirstProgressTimeout is the same before the first byte of the answer; 0 means ProgressTimeout.
 	FirstProgressTimeout time.Duration
 	// Witness is the address of another upstream of the service, empty if there is none. If it accepts no connection either, the path
 	// to them has been lost, and none has died.
@@ -52,10 +53,12 @@
 // PathsInDoubt states whether new connections that succeed are to be reported by an event.PathObserved.
 type PathsInDoubt struct{ InDoubt bool }
 
-// Abort ends an attempt. Its event.AttemptEnded carries ResultCancelled unless the attempt has already ended otherwise.
+// Abort ends an attempt with the proof that its answer does not go on. Its event.AttemptEnded carries ResultCancelled, or ResultSilent if another
+// attempt was granted, unless the attempt has already ended otherwise.
 type Abort struct {
 	ID      event.RequestID
 	Attempt int
+	Proof   cutoff.Proof
 }
 
 // Finish ends a request that has no attempt under way. Exactly one Finish follows each event.Arrived.
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -11,6 +11,7 @@
 
 	"github.com/joomcode/errorx"
 
+	"dandelionsail.example/dandelionsail/internal/cutoff"
 	"dandelionsail.example/dandelionsail/internal/effect"
 	"dandelionsail.example/dandelionsail/internal/event"
 	"dandelionsail.example/dandelionsail/internal/hops"
@@ -25,27 +26,25 @@
 
 // attempt sends the request to an upstream, forwards the answer to the caller and returns how the attempt ended.
 func (in *Instance) attempt(cl *call, eff effect.Send) event.AttemptEnded {
-	ctx, cancel := cl.begin(eff)
-	defer cancel()
-	watched, cancelWatched := context.WithCancelCause(ctx)
-	defer cancelWatched(nil)
+	ctx, release := cl.begin(eff)
+	defer release()
 	last := eff.Upstreams[len(eff.Upstreams)-1]
 	ended := event.AttemptEnded{ID: cl.id, Attempt: eff.Attempt, Upstream: last.Name}
 	var err error
 	if cl.body != nil {
-		err = in.stream(watched, cl, eff, cancelWatched, &ended)
+		err = in.stream(ctx, cl, eff, &ended)
 	} else {
-		err = in.exchange(watched, cl, eff, cancelWatched, &ended)
+		err = in.exchange(ctx, cl, eff, &ended)
 	}
 	ended.Offset = cl.offset
-	ended.Result = attemptResult(ctx, watched, err, cl)
+	ended.Result, ended.End = attemptResult(ctx, err, cl)
 	ended.Proof = proofOf(err)
 	ended.RetryAfter = retryAfter(err)
 	if refused := refusalStatus(err); refused != 0 {
 		ended.Status = refused
 		ended.Alive = true
 	}
-	in.handleUpstreamFailure(ctx, cl, eff, &ended)
+	in.handleUpstreamFailure(cl, eff, &ended)
 	return ended
 }
 
@@ -61,7 +60,10 @@
 
 // handleUpstreamFailure checks whether an upstream that failed or broke off is still alive, and asks a silent engine to free
 // the request.
-func (in *Instance) handleUpstreamFailure(ctx context.Context, cl *call, eff effect.Send, ended *event.AttemptEnded) {
+func (in *Instance) handleUpstreamFailure(cl *call, eff effect.Send, ended *event.AttemptEnded) {
+	// The attempt's own context has ended if another attempt was granted.
+	ctx, cancel := context.WithDeadline(cl.req.Context(), eff.Deadline)
+	defer cancel()
 	up := upstreamOf(eff, ended.Upstream)
 	switch ended.Result {
 	case event.ResultFailed, event.ResultBroken:
@@ -129,17 +131,17 @@
 
 // stream forwards a model's answer chunk by chunk. If the attempt has several upstreams, all but the last one prefill
 // segments of the prompt first.
-func (in *Instance) stream(ctx context.Context, cl *call, eff effect.Send, cancel context.CancelCauseFunc, ended *event.AttemptEnded) error {
+func (in *Instance) stream(ctx context.Context, cl *call, eff effect.Send, ended *event.AttemptEnded) error {
 	var imports []string
 	if len(eff.Upstreams) > 1 {
 		defer in.freeSegments(eff)
-		handles, err := in.prefill(ctx, cl, eff, cancel, ended)
+		handles, err := in.prefill(ctx, cl, eff, ended)
 		if err != nil {
 			return err
 		}
 		imports = handles
 	}
-	wd := startWatchdog(cancel, eff.FirstProgressTimeout, eff.ProgressTimeout)
+	wd := startWatchdog(in.reportSilence(cl, eff, ended.Upstream), eff.FirstProgressTimeout, eff.ProgressTimeout)
 	defer wd.stop()
 	up := cl.upstreamCall(eff)
 	up.Imports = imports
@@ -194,6 +196,7 @@
 // more is set, the next chunk is available already and the write is not flushed.
 func (cl *call) forwardChunk(chunk upstr.Chunk, more bool) error {
 	cl.offset = chunk.Offset + 1
+	cl.forwarded.Store(cl.offset)
 	if !cl.body.Stream {
 		return cl.answer.add(chunk.Data)
 	}
@@ -240,11 +243,11 @@
 }
 
 // exchange sends a call to a plain service and forwards its response.
-func (in *Instance) exchange(ctx context.Context, cl *call, eff effect.Send, cancel context.CancelCauseFunc, ended *event.AttemptEnded) error {
+func (in *Instance) exchange(ctx context.Context, cl *call, eff effect.Send, ended *event.AttemptEnded) error {
 	// How long a call takes depends on the plain service, so its response may begin as late as the deadline. A connection
-	// that is reused from an earlier call may have gone silent, so there the response must begin within
-	// eff.ProgressTimeout; the retry uses a new connection.
-	wd := startWatchdog(cancel, time.Until(eff.Deadline), eff.ProgressTimeout)
+	// that is reused from an earlier call may have gone silent, so there a response that has not begun within
+	// eff.ProgressTimeout is reported as silent; the retry uses a new connection.
+	wd := startWatchdog(in.reportSilence(cl, eff, ended.Upstream), time.Until(eff.Deadline), eff.ProgressTimeout)
 	defer wd.stop()
 	up := cl.upstreamCall(eff)
 	up.Body = bytes.NewReader(cl.raw)
@@ -309,28 +312,31 @@
 	}
 }
 
-// attemptResult classifies the end of an attempt. The order of the cases matters: a cancelled context breaks the connection
-// as well, and the cancellation is then the cause to report.
-func attemptResult(ctx, watched context.Context, err error, cl *call) event.Result {
+// attemptResult classifies the end of an attempt, with the proof that its answer does not go on. The order of the cases matters: a cancelled context
+// breaks the connection as well, and the cancellation is then the cause to report.
+func attemptResult(ctx context.Context, err error, cl *call) (event.Result, cutoff.Proof) {
+	proof := cutoff.OfRead(ctx, err)
 	switch {
 	case err == nil:
-		return event.ResultDone
+		return event.ResultDone, proof
 	case errorx.IsOfType(err, upstr.Held):
-		return event.ResultHeld
+		return event.ResultHeld, proof
 	case errorx.IsOfType(err, upstr.NotSent):
-		return event.ResultNotSent
+		return event.ResultNotSent, proof
 	case errorx.IsOfType(err, upstr.NotRun):
-		return event.ResultNotRun
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		return event.ResultExpired
-	case ctx.Err() != nil || errors.Is(err, errCallerWrite):
-		return event.ResultCancelled
-	case context.Cause(watched) == errSilent:
-		return event.ResultSilent
+		return event.ResultNotRun, proof
+	case proof.IsDeadline():
+		return event.ResultExpired, proof
+	case errors.Is(err, errCallerWrite):
+		return event.ResultCancelled, cutoff.OfWrite(err)
+	case proof.IsOwn():
+		return event.ResultCancelled, proof
+	case proof.IsResumption():
+		return event.ResultSilent, proof
 	case cl.offset > 0 || cl.headerSent:
-		return event.ResultBroken
+		return event.ResultBroken, proof
 	default:
-		return event.ResultFailed
+		return event.ResultFailed, proof
 	}
 }
 
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -5,9 +5,11 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"dandelionsail.example/dandelionsail/internal/body"
+	"dandelionsail.example/dandelionsail/internal/cutoff"
 	"dandelionsail.example/dandelionsail/internal/effect"
 	"dandelionsail.example/dandelionsail/internal/event"
 	"dandelionsail.example/dandelionsail/internal/front"
@@ -55,6 +57,8 @@
 	account *front.Request
 	// offset is the number of answer tokens forwarded so far, over all attempts.
 	offset int64
+	// forwarded is offset for the watchdog's goroutine.
+	forwarded atomic.Int64
 	// firstAt is when the answer began.
 	firstAt time.Time
 	// lastAt is when the last chunk was flushed or the answer ended.
@@ -68,8 +72,8 @@
 	mu sync.Mutex
 	// attempt is the number of the running attempt.
 	attempt int
-	// cancel cancels the running attempt.
-	cancel context.CancelFunc
+	// cancel ends the running attempt.
+	cancel cutoff.CancelFunc
 }
 
 func newCall(w http.ResponseWriter, req *http.Request, arrived time.Time) *call {
@@ -171,18 +175,18 @@
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
 	if cl.attempt == eff.Attempt && cl.cancel != nil {
-		cl.cancel()
+		cl.cancel(eff.Proof)
 	}
 }
 
-// begin returns the context of an attempt. It ends when the caller disconnects, at the deadline or by an abort.
-func (cl *call) begin(eff effect.Send) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithDeadline(cl.req.Context(), eff.Deadline)
+// begin returns the context of an attempt. It ends when the caller disconnects, at the deadline or by an abort. release frees its resources.
+func (cl *call) begin(eff effect.Send) (ctx context.Context, release func()) {
+	ctx, cancel, release := cutoff.Context(cl.req.Context(), eff.Deadline)
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
 	cl.attempt = eff.Attempt
 	cl.cancel = cancel
-	return ctx, cancel
+	return ctx, release
 }
 
 // finish sends the caller what is still missing: the replayed answer, the error or the assembled answer. A caller counts as gone once it has closed
--- a/internal/entry/ends_test.go
+++ b/internal/entry/ends_test.go
@@ -227,3 +227,26 @@
 	}
 	rg.waitEmpty()
 }
+
+func TestSilenceInTheMiddleOfAnAnswerDoesNotEndIt(t *testing.T) {
+	// Guards against an answer that is cut although its upstream is sound: it sends nothing for longer than the ProgressTimeout in the middle of the
+	// answer, and no other attempt can go on with it.
+	const silence, progress = 900 * time.Millisecond, 200 * time.Millisecond
+	pausing := http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		_, _ = io.Copy(io.Discard, req.Body)
+		w.Header().Set("Content-Length", "10")
+		_, _ = io.WriteString(w, "first")
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(silence)
+		_, _ = io.WriteString(w, "then.")
+	})
+	rg := newRig(t, rigOptions{Plain: []http.Handler{pausing, pausing}, Progress: progress})
+	for name, header := range map[string]http.Header{"runs once": {}, "may be repeated": {"Idempotency-Key": {"key"}}} {
+		resp, err := rg.caller.Do(t.Context(), http.MethodPost, "/board/next", []byte("{}"), header)
+		assert.NilError(t, err, name)
+		content, err := io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		assert.NilError(t, err, name)
+		assert.Equal(t, string(content), "firstthen.", name)
+	}
+}
--- a/internal/entry/segments.go
+++ b/internal/entry/segments.go
@@ -42,7 +42,7 @@
 
 // prefill has all engines but the last compute their segments one after the other, each with the caches of the previous
 // segments imported, and returns the handles of their exported caches. It sets ended.Upstream to the engine in use.
-func (in *Instance) prefill(ctx context.Context, cl *call, eff effect.Send, cancel context.CancelCauseFunc, ended *event.AttemptEnded) ([]string, error) {
+func (in *Instance) prefill(ctx context.Context, cl *call, eff effect.Send, ended *event.AttemptEnded) ([]string, error) {
 	var handles []string
 	last := len(eff.Upstreams) - 1
 	for i, up := range eff.Upstreams[:last] {
@@ -59,7 +59,7 @@
 		call.Method = http.MethodPost
 		call.Imports = handles
 		call.Body, call.Length = cl.body.Streamed()
-		handle, err := in.prefillSegment(ctx, call, from, to, eff.FirstProgressTimeout, cancel)
+		handle, err := in.prefillSegment(ctx, call, from, to, eff.FirstProgressTimeout, in.reportSilence(cl, eff, up.Name))
 		if err != nil {
 			return nil, err
 		}
@@ -69,9 +69,9 @@
 	return handles, nil
 }
 
-func (in *Instance) prefillSegment(ctx context.Context, call upstr.Call, from, to int64, limit time.Duration, cancel context.CancelCauseFunc) (string, error) {
+func (in *Instance) prefillSegment(ctx context.Context, call upstr.Call, from, to int64, limit time.Duration, report func(silent, stood time.Duration)) (string, error) {
 	// An engine gives no sign of progress before the segment is complete.
-	wd := startWatchdog(cancel, limit, limit)
+	wd := startWatchdog(report, limit, limit)
 	defer wd.stop()
 	return in.upstream.Prefill(ctx, call, from, to)
 }
--- a/internal/entry/watchdog.go
+++ b/internal/entry/watchdog.go
@@ -1,58 +1,64 @@
 package entry
 
 import (
-	"context"
-	"errors"
 	"sync"
 	"time"
-)
 
-// errSilent is the cancellation cause of an attempt whose upstream made no progress.
-var errSilent = errors.New("entry: the upstream made no progress within its time limit")
+	"dandelionsail.example/dandelionsail/internal/effect"
+	"dandelionsail.example/dandelionsail/internal/event"
+	"dandelionsail.example/dandelionsail/internal/quiet"
+)
 
-// watchdog cancels an attempt whose upstream makes no progress. A connection can stay open although something on the path
+// watchdog reports an upstream that makes no progress. A connection can stay open although something on the path
 // between the two ends has lost its state. No error ever occurs then, and without the watchdog the caller would wait until
-// its deadline.
+// its deadline even if its request may go on elsewhere. An upstream that is silent may be sound, so the watchdog ends nothing.
 type watchdog struct {
-	cancel context.CancelCauseFunc
-	// period is the maximum time between two signs of progress.
+	// report is called with the time of the silence, and that for which the process stood still meanwhile.
+	report func(silent, stood time.Duration)
+	// period is the time between two signs of progress after which the silence is reported.
 	period time.Duration
 
 	mu    sync.Mutex
 	timer *time.Timer
-	// lastProgress is the time of the last sign of progress, or of the start.
-	lastProgress time.Time
-	// limit is how long the upstream may currently be silent. 0 suspends the watchdog, because the attempt is waiting for
-	// the caller.
-	limit time.Duration
+	// clock measures the silence.
+	clock quiet.Clock
+	// suspended means that the attempt is waiting for the caller, not for the upstream.
+	suspended bool
 	// progressed means that there was progress at least once.
 	progressed bool
-	// ended means that the watchdog was stopped or has cancelled the attempt.
+	// ended means that the watchdog was stopped.
 	ended bool
 }
 
-// startWatchdog starts a watchdog. first is the maximum time until the first sign of progress; 0 means the period.
-func startWatchdog(cancel context.CancelCauseFunc, first, period time.Duration) *watchdog {
+// reportSilence returns the function that reports the silence of an upstream of the attempt to the reducer.
+func (in *Instance) reportSilence(cl *call, eff effect.Send, upstream string) func(silent, stood time.Duration) {
+	return func(silent, stood time.Duration) {
+		in.loop.Submit(event.FellSilent{ID: cl.id, Attempt: eff.Attempt, Upstream: upstream, Offset: cl.forwarded.Load(), Silent: silent, StoodStill: stood})
+	}
+}
+
+// startWatchdog starts a watchdog. first is the time until the first sign of progress after which the silence is reported; 0 means the period.
+func startWatchdog(report func(silent, stood time.Duration), first, period time.Duration) *watchdog {
 	if first <= 0 {
 		first = period
 	}
-	wd := &watchdog{cancel: cancel, period: period, lastProgress: time.Now(), limit: first}
+	wd := &watchdog{report: report, period: period}
 	wd.mu.Lock()
 	defer wd.mu.Unlock()
-	wd.timer = time.AfterFunc(first, wd.check)
+	wd.clock.Heard(time.Now(), first)
+	wd.timer = time.AfterFunc(wd.clock.Timer(), wd.check)
 	return wd
 }
 
-// progress records a sign of progress. Only the first one resets the timer; afterwards the timer checks the time of the last
-// progress when it fires, because a reset for each chunk would cost more than the chunk.
+// progress records a sign of progress. Only the first one resets the timer, because a reset for each chunk would cost more than the chunk.
 func (wd *watchdog) progress() {
 	wd.mu.Lock()
 	defer wd.mu.Unlock()
-	wd.lastProgress = time.Now()
-	wd.limit = wd.period
+	wd.clock.Heard(time.Now(), wd.period)
+	wd.suspended = false
 	if !wd.progressed && !wd.ended {
 		wd.progressed = true
-		wd.timer.Reset(wd.period)
+		wd.timer.Reset(wd.clock.Timer())
 	}
 }
 
@@ -60,39 +66,38 @@
 func (wd *watchdog) suspend() {
 	wd.mu.Lock()
 	defer wd.mu.Unlock()
-	wd.limit = 0
+	wd.suspended = true
 }
 
-// shortenLimit lowers the limit for the first sign of progress and restarts the timer with it. A higher limit has no effect.
+// shortenLimit lowers the limit for the first sign of progress and begins it anew. A higher limit has no effect.
 func (wd *watchdog) shortenLimit(limit time.Duration) {
 	wd.mu.Lock()
 	defer wd.mu.Unlock()
-	if wd.ended || limit >= wd.limit {
+	if wd.ended || limit >= wd.clock.Limit() {
 		return
 	}
-	wd.limit = limit
-	wd.timer.Reset(limit)
+	wd.clock.Heard(time.Now(), limit)
+	wd.timer.Reset(wd.clock.Timer())
 }
 
-// check cancels the attempt if the upstream has been silent for too long. Otherwise it resets the timer to the earliest time
-// at which that can be the case.
+// check reports the silence if it has lasted for the limit, and then again each time that it has.
 func (wd *watchdog) check() {
+	now := time.Now()
 	wd.mu.Lock()
-	defer wd.mu.Unlock()
 	if wd.ended {
+		wd.mu.Unlock()
 		return
 	}
-	if wd.limit == 0 {
-		wd.timer.Reset(wd.period)
-		return
+	isOver := wd.clock.TimerEnded(now, !wd.suspended)
+	silent, stood := wd.clock.Silent(now)
+	if isOver {
+		wd.clock.Restart(now)
 	}
-	left := wd.limit - time.Since(wd.lastProgress)
-	if left <= 0 {
-		wd.ended = true
-		wd.cancel(errSilent)
-		return
+	wd.timer.Reset(wd.clock.Timer())
+	wd.mu.Unlock()
+	if isOver {
+		wd.report(silent, stood)
 	}
-	wd.timer.Reset(left)
 }
 
 // stop stops the watchdog for good.
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"dandelionsail.example/dandelionsail/internal/cause"
+	"dandelionsail.example/dandelionsail/internal/cutoff"
 	"dandelionsail.example/dandelionsail/internal/deaths"
 	"dandelionsail.example/dandelionsail/internal/norun"
 	"dandelionsail.example/dandelionsail/pkg/decl"
@@ -72,6 +73,20 @@
 	Attempt int
 }
 
+// FellSilent reports that the upstream of an attempt has sent nothing for its progress timeout. The attempt goes on unless an effect.Abort follows. The
+// event is repeated while the silence lasts.
+type FellSilent struct {
+	ID       RequestID
+	Attempt  int
+	Upstream string
+	// Offset is the number of complete tokens of the answer passed on to the caller so far, over all attempts.
+	Offset int64
+	// Silent is the time since the last sign of progress or since the attempt began, without StoodStill.
+	Silent time.Duration
+	// StoodStill is how long this process stood still in that time.
+	StoodStill time.Duration
+}
+
 // AttemptEnded reports the result of one attempt to send a request to an upstream.
 type AttemptEnded struct {
 	ID       RequestID
@@ -80,6 +95,8 @@
 	Result   Result
 	// Proof is why the request has not run because of the attempt. Without one it may have run, whatever the Result.
 	Proof norun.Proof
+	// End is why the attempt ended without a complete answer. A begun answer ends only with such a proof, see cutoff.
+	End cutoff.Proof
 	// Offset is the number of complete tokens of the answer passed on to the caller so far, over all attempts.
 	Offset int64
 	// RetryAfter is the delay that the upstream asked for, 0 if it asked for none.
@@ -105,7 +122,7 @@
 	ResultFailed
 	// ResultBroken is an answer that ended without its end marker.
 	ResultBroken
-	// ResultSilent is an answer without progress for the service's ProgressTimeout.
+	// ResultSilent is an answer without progress for the service's ProgressTimeout, and in whose place another attempt was granted.
 	ResultSilent
 	// ResultExpired is an attempt that was ended by the request's deadline.
 	ResultExpired
@@ -311,6 +328,7 @@
 func (Arrived) isEvent()            {}
 func (CallerGone) isEvent()         {}
 func (AnswerStarted) isEvent()      {}
+func (FellSilent) isEvent()         {}
 func (AttemptEnded) isEvent()       {}
 func (LoadReported) isEvent()       {}
 func (UpstreamAnnounced) isEvent()  {}
--- a/pkg/decl/service.go
+++ b/pkg/decl/service.go
@@ -38,8 +38,8 @@
 	// MaxDeadline is the longest deadline that a caller may ask for; at least Deadline. 0 means DefaultMaxDeadline, or Deadline
 	// if that is longer.
 	MaxDeadline Duration `json:",omitzero"`
-	// ProgressTimeout is how long an upstream may send nothing within an answer before it is treated as dead; 0 means
-	// DefaultProgressTimeout.
+	// ProgressTimeout is how long an upstream may send nothing within an answer before the request goes on elsewhere, if it may be repeated, a replica has
+	// room and the retry budget allows it; no answer ends for that. 0 means DefaultProgressTimeout.
 	ProgressTimeout Duration `json:",omitzero"`
 	// MemoryTokens is how many tokens one engine's memory holds; 0 for plain services.
 	MemoryTokens int64 `json:",omitzero"`
