--- a/internal/core/retry.go
+++ b/internal/core/retry.go
@@ -32,7 +32,7 @@
 		return
 	}
 	if !req.answerStartedAt.IsZero() && ev.Result != event.ResultDone {
-		st.recordEnd(req, ev)
+		st.recordEnd(ev)
 	}
 	st.settleUpstreams(req, ev)
 	if ev.Result != event.ResultNotSent && ev.Result != event.ResultHeld {
--- a/internal/core/silence.go
+++ b/internal/core/silence.go
@@ -73,7 +73,7 @@
 }
 
 // recordEnd counts why an attempt whose answer had begun ended. One without a proof is a defect.
-func (st *State) recordEnd(req *Request, ev event.AttemptEnded) {
+func (st *State) recordEnd(ev event.AttemptEnded) {
 	st.count("Answers.Ended." + ev.End.String())
 	if ev.End == cutoff.None {
 		st.emit(effect.CountAndLog{Counter: "Answers.EndedWithoutProof", LogMessage: "answer ended without proof", Subject: ev.Upstream})
