Parts: none of them ends a process by an error or a panic

All parts of an instance were in one errgroup: the first error, for instance of the metrics or of an accept, ended the context of all others, and the process drained without a signal. A panic in a goroutine that net/http does not recover ended the process at once with all requests that it held: in the reducer from a timer, a poll, a datagram or an odd entry of the list, and in a dial, which net/http runs on a goroutine of its own. An odd entry would do so in all instances at the same time.

What an operator saw: "stopped" without a signal, or status 2 and a stack on standard error; callers saw their connections closed without an answer.

Monitor.Start decides in one place what an error of a part means: a line, a counter, and another run after 100 ms to 5 s. Only SIGTERM, SIGINT, an address that stays taken at the start and unusable TLS keys at the start end a process by its own decision; no error of a part while it serves justifies that callers are served by nobody. Servers open their address again when they run again. The end waits for parts for at most 50 ms (entry: 5 s, in which outcomes of claims and leases are written) and names those that have not ended. tasks.Guard catches panics, which are logged with their stack and counted as Panics.Count.NAME; a panic in the reducer is caught around the event, so that neither the ticks nor the request that sent the event end. The state of the reducer is kept: an event changes it by itself, net/http has always recovered panics of events that requests send, and the alternative ends all instances for the same odd entry. Panics are caught in the serving programs only; tests see them. What cannot be caught: errors that the runtime calls fatal, such as concurrent writes to a map, and panics in goroutines of libraries.

--- a/internal/cmds/entry.go
+++ b/internal/cmds/entry.go
@@ -27,7 +27,9 @@
 	cmd.Memory.Apply()
 	writer := lines.New(os.Stderr, entryLogLines)
 	cmd.LogOutput = writer
-	err := entry.New(cmd.Options, tool.Logger(writer)).Run(sigs.Context(), sigs.Hangups())
+	in := entry.New(cmd.Options, tool.Logger(writer))
+	in.CatchPanics()
+	err := in.Run(sigs.Context(), sigs.Hangups())
 	// A line that could not be written is counted in Log.Failed. It is no failure of the process.
 	_ = writer.Close()
 	return err
--- a/internal/cmds/relay.go
+++ b/internal/cmds/relay.go
@@ -31,6 +31,7 @@
 	cmd.Dial = RelayDialer
 	cmd.Memory.Apply()
 	in := relay.New(cmd.Options, platform.New(cmd.Store), platform.Protocol{}, logger, writer)
+	in.CatchPanics()
 	err := in.Run(sigs.Context(), sigs.Hangups())
 	// A line that could not be written is counted in Log.Failed. It is no failure of the process.
 	_ = writer.Close()
--- a/internal/conf/follow.go
+++ b/internal/conf/follow.go
@@ -17,6 +17,7 @@
 	"dandelionsail.example/dandelionsail/internal/event"
 	"dandelionsail.example/dandelionsail/internal/peers"
 	"dandelionsail.example/dandelionsail/internal/store"
+	"dandelionsail.example/dandelionsail/internal/tasks"
 	"dandelionsail.example/dandelionsail/internal/wire"
 	"dandelionsail.example/dandelionsail/pkg/decl"
 )
@@ -144,9 +145,9 @@
 // Run keeps the configuration up to date until the context ends.
 func (fl *Follower) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return fl.fetchAnnounced(ctx) })
-	group.Go(func() error { return fl.followReturns(ctx) })
-	group.Go(func() error { return fl.follow(ctx) })
+	group.Go(tasks.GuardError("follower announcements", func() error { return fl.fetchAnnounced(ctx) }))
+	group.Go(tasks.GuardError("follower returns", func() error { return fl.followReturns(ctx) }))
+	group.Go(tasks.GuardError("follower", func() error { return fl.follow(ctx) }))
 	return group.Wait()
 }
 
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -7,6 +7,7 @@
 	"dandelionsail.example/dandelionsail/internal/effect"
 	"dandelionsail.example/dandelionsail/internal/event"
 	"dandelionsail.example/dandelionsail/internal/pause"
+	"dandelionsail.example/dandelionsail/internal/tasks"
 )
 
 // eventBacklog is the number of events that can wait for the reducer before Submit blocks.
@@ -53,6 +54,7 @@
 	done := make(chan struct{})
 	call := func(st *State) {
 		defer close(done)
+		defer func() { tasks.Caught("view", recover(), nil) }()
 		fn(st)
 	}
 	select {
@@ -109,6 +111,7 @@
 }
 
 func (lp *Loop) reduceOne(ev event.Event) {
+	defer func() { tasks.Caught("reducer", recover(), nil) }()
 	for _, eff := range lp.state.Reduce(time.Now(), ev) {
 		lp.perform(eff)
 	}
--- a/internal/entry/claims.go
+++ b/internal/entry/claims.go
@@ -7,6 +7,7 @@
 	"dandelionsail.example/dandelionsail/internal/effect"
 	"dandelionsail.example/dandelionsail/internal/event"
 	"dandelionsail.example/dandelionsail/internal/once"
+	"dandelionsail.example/dandelionsail/internal/tasks"
 )
 
 // settleTimeout is how long an instance tries to record the outcome of a claim. If it fails, a resend gets OutcomeUnknown.
@@ -29,13 +30,13 @@
 	}
 	ky := once.Key{Organisation: eff.Organisation, Service: eff.Service, Key: eff.Key}
 	name := cl.name
-	in.settling.Go(func() {
+	in.settling.Go(tasks.Guard("claim", func() {
 		ctx, cancel := context.WithDeadline(context.Background(), eff.Deadline)
 		defer cancel()
 		result, out := in.claims.Claim(ctx, ky, eff.Digest, name)
 		in.incCounter("Claims." + claimCounters[result])
 		in.loop.Submit(event.ClaimSettled{ID: eff.ID, Result: result, Outcome: out})
-	})
+	}))
 }
 
 // recordOutcome records the outcome of a claimed request, or releases the claim, in the background.
@@ -46,11 +47,11 @@
 	if cl := in.find(eff.ID); cl != nil && !eff.Unknown {
 		out = cl.outcome.Outcome()
 	}
-	in.settling.Go(func() {
+	in.settling.Go(tasks.Guard("claim outcome", func() {
 		ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
 		defer cancel()
 		if err := in.claims.Settle(ctx, ky, name, out, eff.Release); err != nil {
 			in.log.Warn().Err(err).Msg("cannot record the outcome of a claim; resends get OutcomeUnknown")
 		}
-	})
+	}))
 }
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -12,6 +12,7 @@
 	"dandelionsail.example/dandelionsail/internal/event"
 	"dandelionsail.example/dandelionsail/internal/front"
 	"dandelionsail.example/dandelionsail/internal/hops"
+	"dandelionsail.example/dandelionsail/internal/tasks"
 	"dandelionsail.example/dandelionsail/internal/trip"
 )
 
@@ -127,9 +128,9 @@
 // probePaths opens a connection to each of the upstreams and closes it again.
 func (in *Instance) probePaths(eff effect.ProbePaths) {
 	for _, address := range eff.Addresses {
-		in.pending.Go(func() {
+		in.pending.Go(tasks.Guard("path probe", func() {
 			in.loop.Submit(event.PathObserved{Address: address, Reached: in.upstream.Reaches(context.Background(), address)})
-		})
+		}))
 	}
 }
 
--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -16,7 +16,6 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
-	"golang.org/x/sync/errgroup"
 
 	"dandelionsail.example/dandelionsail/internal/conf"
 	"dandelionsail.example/dandelionsail/internal/core"
@@ -228,42 +227,65 @@
 		MaxHeader:     maxHeaderBytes,
 		Lost:          in.recordLoss,
 	})
+	serve, err := in.callerServe(server)
+	if err != nil {
+		in.logEnd(ctx, err)
+		return err
+	}
 	in.attachPeerTransport()
-	group, parts := errgroup.WithContext(parts)
-	start := func(name string, run func(ctx context.Context) error) { group.Go(in.monitor.Part(parts, name, run)) }
-	start("loop", in.loop.Run)
-	start("follower", in.follower.Run)
-	start("compaction", in.follower.RunCompaction)
-	start("platform", in.pollPlatform)
-	start("claims", in.claims.Run)
-	start("leases", in.leases.Run)
-	start("coordination", in.runCoordination)
-	start("meter", func(ctx context.Context) error { return in.Meter.Run(ctx, in.log) })
-	group.Go(in.monitor.Repeated(parts, "metrics", in.serveMetrics))
-	start("hangups", in.handleHangups)
+	in.monitor.Start(parts, "loop", in.loop.Run)
+	in.monitor.Start(parts, "follower", in.follower.Run)
+	in.monitor.Start(parts, "compaction", in.follower.RunCompaction)
+	in.monitor.Start(parts, "platform", in.pollPlatform)
+	in.monitor.Start(parts, "claims", in.claims.Run)
+	in.monitor.Start(parts, "leases", in.leases.Run)
+	in.monitor.Start(parts, "coordination", in.runCoordination)
+	in.monitor.Start(parts, "meter", func(ctx context.Context) error { return in.Meter.Run(ctx, in.log) })
+	in.monitor.Start(parts, "metrics", in.serveMetrics)
+	in.monitor.Start(parts, "hangups", in.handleHangups)
 	if in.peers != nil {
-		start("peers", in.peers.Run)
+		in.monitor.Start(parts, "peers", in.peers.Run)
 	}
-	callers := ports.NewListener(listener, in.monitor.AcceptFailed("listen"))
-	start("listen", func(context.Context) error { return in.serveCallers(server, callers) })
-	group.Go(func() error {
-		select {
-		case <-ctx.Done():
-		case <-parts.Done():
-		}
-		defer stop()
-		return in.drain(parts, server)
-	})
+	in.monitor.Start(parts, "listen", in.serveOn(listener, serve))
 	in.log.Info().Str("Instance", in.opts.Name).Str("Address", listener.Addr().String()).Msg("serving")
-	err := group.Wait()
+	<-ctx.Done()
+	tasks.Guard("drain", func() {
+		if err := in.drain(parts, server); err != nil {
+			in.log.Warn().Int64("Open", in.openCalls()).Err(err).Msg("drain time expired with open requests")
+		}
+	})()
+	stop()
+	in.monitor.Wait(partsTimeout)
 	in.close()
-	in.logEnd(ctx, err)
-	if ctx.Err() != nil || err == context.Canceled {
-		return nil
+	in.logEnd(ctx, nil)
+	return nil
+}
+
+// partsTimeout is how long the end waits for parts that do not end with their context. It is longer than the outcomes of
+// claims and the leases take that parts write after that.
+const partsTimeout = 5 * time.Second
+
+// serveOn returns a part that serves on the listener. A server closes its listener when it ends, so the part opens a new one
+// if it runs again.
+func (in *Instance) serveOn(opened net.Listener, serve func(net.Listener) error) func(context.Context) error {
+	address, next := opened.Addr().String(), opened
+	return func(ctx context.Context) error {
+		listener := next
+		next = nil
+		if listener == nil {
+			var err error
+			listener, err = ports.Bind(ctx, in.monitor.BindFailed("listen", address), func() (net.Listener, error) { return net.Listen("tcp", address) })
+			if err != nil {
+				return err
+			}
+		}
+		return ignoreClosed(serve(ports.NewListener(listener, in.monitor.AcceptFailed("listen"))))
 	}
-	return err
 }
 
+// CatchPanics makes the process, which serves nothing but this instance, go on after a panic in one of its goroutines.
+func (in *Instance) CatchPanics() { tasks.CatchPanics(in.monitor) }
+
 func ignoreClosed(err error) error {
 	if err == http.ErrServerClosed {
 		return nil
@@ -298,10 +320,10 @@
 		delay.For(ctx, settlePollPeriod)
 	}
 	settled := make(chan struct{})
-	go func() {
+	go tasks.Guard("settled", func() {
 		defer close(settled)
 		in.settling.Wait()
-	}()
+	})()
 	select {
 	case <-settled:
 	case <-ctx.Done():
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -8,6 +8,7 @@
 
 	"dandelionsail.example/dandelionsail/internal/event"
 	"dandelionsail.example/dandelionsail/internal/peers"
+	"dandelionsail.example/dandelionsail/internal/tasks"
 	"dandelionsail.example/dandelionsail/internal/wire"
 )
 
@@ -64,7 +65,7 @@
 	}
 	if address == in.peers.Address() {
 		// The reducer's goroutine calls this and would deadlock if it waited for space in its own event queue.
-		in.pending.Go(func() { in.handlePeerMessage(context.Background(), in.opts.Name, msg) })
+		in.pending.Go(tasks.Guard("own message", func() { in.handlePeerMessage(context.Background(), in.opts.Name, msg) }))
 		return
 	}
 	in.peers.Send(address, msg)
--- a/internal/entry/perform.go
+++ b/internal/entry/perform.go
@@ -5,6 +5,7 @@
 
 	"dandelionsail.example/dandelionsail/internal/effect"
 	"dandelionsail.example/dandelionsail/internal/event"
+	"dandelionsail.example/dandelionsail/internal/tasks"
 	"dandelionsail.example/dandelionsail/internal/wire"
 )
 
@@ -47,7 +48,7 @@
 			in.sendToPeer(eff.To, quarantineMessage(entry))
 		}
 	case effect.RequestQuarantine:
-		in.pending.Go(func() { in.catchUpQuarantine(eff.Standstill) })
+		in.pending.Go(tasks.Guard("quarantine catch-up", func() { in.catchUpQuarantine(eff.Standstill) }))
 	case effect.CloseIdle:
 		in.upstream.CloseIdle(eff.Address)
 	case effect.CountAndLog:
--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -14,6 +14,7 @@
 	"dandelionsail.example/dandelionsail/internal/delay"
 	"dandelionsail.example/dandelionsail/internal/effect"
 	"dandelionsail.example/dandelionsail/internal/event"
+	"dandelionsail.example/dandelionsail/internal/tasks"
 	"dandelionsail.example/dandelionsail/internal/wire"
 )
 
@@ -45,11 +46,11 @@
 	acked := make(chan struct{})
 	digest := eff.Quarantined.Digest
 	in.quarantineAcks.Store(digest, acked)
-	in.pending.Go(func() {
+	in.pending.Go(tasks.Guard("quarantine announcement", func() {
 		defer close(acked)
 		defer in.quarantineAcks.CompareAndDelete(digest, acked)
 		in.sendQuarantine(quarantineMessage(eff.Quarantined))
-	})
+	}))
 }
 
 // announceAnswered sends the peers the features once. What is lost is announced again with the next answer.
@@ -72,7 +73,7 @@
 	var acked atomic.Int64
 	started, recipients := time.Now(), in.quarantineRecipients()
 	for _, address := range recipients {
-		group.Go(func() error {
+		group.Go(tasks.GuardError("quarantine message", func() error {
 			if err := in.requestUntilAnswered(ctx, address, msg); err != nil {
 				in.incCounter("Quarantine.NotAcknowledged")
 				in.peers.Send(address, msg)
@@ -80,7 +81,7 @@
 			}
 			acked.Add(1)
 			return nil
-		})
+		}))
 	}
 	_ = group.Wait()
 	in.log.Info().Hex("Digest", msg.Digest[:digestLogged]).Int("Deaths", msg.Deaths).Strs("Peers", recipients).Int64("Acked", acked.Load()).
@@ -195,14 +196,14 @@
 		in.quarantineReady.Store(true)
 		return
 	}
-	in.pending.Go(func() {
+	in.pending.Go(tasks.Guard("quarantine list", func() {
 		defer in.quarantineReady.Store(true)
 		for _, address := range addresses[:min(len(addresses), quarantinePeers)] {
 			if err := in.requestQuarantine(address); err != nil {
 				in.log.Warn().Str("Peer", address).Err(err).Msg("cannot get the quarantine list from a peer")
 			}
 		}
-	})
+	}))
 }
 
 // catchUpQuarantine requests the quarantine entries of some peers, after this instance has stood still, and reports the first
@@ -226,7 +227,9 @@
 func (in *Instance) requestFromAny(addresses []string) bool {
 	answered := make(chan error, len(addresses))
 	for _, address := range addresses {
-		in.pending.Go(func() { answered <- in.requestQuarantine(address) })
+		in.pending.Go(tasks.Guard("quarantine request", func() {
+			answered <- tasks.GuardError("quarantine request", func() error { return in.requestQuarantine(address) })()
+		}))
 	}
 	for range addresses {
 		err := <-answered
--- a/internal/entry/reports.go
+++ b/internal/entry/reports.go
@@ -10,6 +10,7 @@
 
 	"dandelionsail.example/dandelionsail/internal/delay"
 	"dandelionsail.example/dandelionsail/internal/event"
+	"dandelionsail.example/dandelionsail/internal/tasks"
 	"dandelionsail.example/dandelionsail/pkg/decl"
 )
 
@@ -27,8 +28,8 @@
 		if in.readers[key] == nil {
 			reader, stop := context.WithCancel(ctx)
 			in.readers[key] = stop
-			in.pending.Go(func() { in.readReports(reader, up) })
-			in.pending.Go(func() { in.readCacheEvents(reader, up) })
+			in.pending.Go(tasks.Guard("load reports", func() { in.readReports(reader, up) }))
+			in.pending.Go(tasks.Guard("cache events", func() { in.readCacheEvents(reader, up) }))
 		}
 	}
 	for key, stop := range in.readers {
--- a/internal/entry/segments.go
+++ b/internal/entry/segments.go
@@ -14,6 +14,7 @@
 	"dandelionsail.example/dandelionsail/internal/delay"
 	"dandelionsail.example/dandelionsail/internal/effect"
 	"dandelionsail.example/dandelionsail/internal/event"
+	"dandelionsail.example/dandelionsail/internal/tasks"
 	"dandelionsail.example/dandelionsail/internal/upstr"
 )
 
@@ -81,13 +82,13 @@
 func (in *Instance) freeSegments(eff effect.Send) {
 	var group sync.WaitGroup
 	for _, up := range eff.Upstreams[:len(eff.Upstreams)-1] {
-		group.Go(func() {
+		group.Go(tasks.Guard("segment drop", func() {
 			ctx, cancel := context.WithTimeout(context.Background(), dropTimeout)
 			defer cancel()
 			if err := in.upstream.Drop(ctx, up.Address, eff.Permit); err != nil && !engineGone(err) {
 				in.free(up, eff.Permit)
 			}
-		})
+		}))
 	}
 	group.Wait()
 }
@@ -96,7 +97,7 @@
 // freeTimeout has passed. The time in which the engine rests does not count, unless this instance drains: otherwise the engine
 // would lose the memory for good. What a stopped instance leaves behind is swept by the others.
 func (in *Instance) free(up event.Upstream, request string) {
-	in.pending.Go(func() {
+	in.pending.Go(tasks.Guard("segment free", func() {
 		for giveUpAt := time.Now().Add(freeTimeout); time.Now().Before(giveUpAt); {
 			err := in.drop(up, request)
 			if err == nil || engineGone(err) {
@@ -107,7 +108,7 @@
 			}
 			delay.For(context.Background(), freeRetryDelay)
 		}
-	})
+	}))
 }
 
 func (in *Instance) drop(up event.Upstream, request string) error {
--- a/internal/entry/tls.go
+++ b/internal/entry/tls.go
@@ -7,14 +7,15 @@
 	"dandelionsail.example/dandelionsail/internal/peers"
 )
 
-// serveCallers serves callers on the listener, over TLS if a certificate is configured.
-func (in *Instance) serveCallers(server *front.Server, listener net.Listener) error {
+// callerServe returns the function that serves callers on a listener, over TLS if a certificate is configured.
+func (in *Instance) callerServe(server *front.Server) (func(net.Listener) error, error) {
 	if in.opts.TLSCert == "" {
-		return ignoreClosed(server.Serve(listener))
+		return server.Serve, nil
 	}
 	keys, err := peers.LoadKeys("", in.opts.TLSCert, in.opts.TLSKey)
 	if err != nil {
-		return BadOption.Wrap(err, "entry: --tls-cert and --tls-key cannot be used")
+		return nil, BadOption.Wrap(err, "entry: --tls-cert and --tls-key cannot be used")
 	}
-	return ignoreClosed(server.ServeTLS(listener, keys.ServerTLS()))
+	config := keys.ServerTLS()
+	return func(listener net.Listener) error { return server.ServeTLS(listener, config) }, nil
 }
--- a/internal/entry/watchdog.go
+++ b/internal/entry/watchdog.go
@@ -7,6 +7,7 @@
 	"dandelionsail.example/dandelionsail/internal/effect"
 	"dandelionsail.example/dandelionsail/internal/event"
 	"dandelionsail.example/dandelionsail/internal/quiet"
+	"dandelionsail.example/dandelionsail/internal/tasks"
 )
 
 // watchdog reports an upstream that makes no progress. A connection can stay open although something on the path
@@ -46,7 +47,7 @@
 	wd.mu.Lock()
 	defer wd.mu.Unlock()
 	wd.clock.Heard(time.Now(), first)
-	wd.timer = time.AfterFunc(wd.clock.Timer(), wd.check)
+	wd.timer = time.AfterFunc(wd.clock.Timer(), tasks.Guard("watchdog", wd.check))
 	return wd
 }
 
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"dandelionsail.example/dandelionsail/internal/tasks"
 )
 
 const (
@@ -254,7 +256,7 @@
 	cn.idleSince = time.Now()
 	cn.stopTimer()
 	if cn.srv.opts.IdleLimit != nil {
-		cn.timer = time.AfterFunc(cn.srv.opts.IdleLimit(), cn.closeOverdue)
+		cn.timer = time.AfterFunc(cn.srv.opts.IdleLimit(), tasks.Guard("idle connection", cn.closeOverdue))
 	}
 }
 
@@ -350,7 +352,7 @@
 		return nil
 	}
 	_ = half.CloseWrite()
-	go cn.linger()
+	go tasks.Guard("closing connection", cn.linger)()
 	return nil
 }
 
--- a/internal/front/drain.go
+++ b/internal/front/drain.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sys/unix"
 
 	"dandelionsail.example/dandelionsail/internal/delay"
+	"dandelionsail.example/dandelionsail/internal/tasks"
 )
 
 const (
@@ -83,7 +84,7 @@
 	srv.mu.Unlock()
 	var stops sync.WaitGroup
 	for _, ln := range all {
-		stops.Go(func() { ln.stop(ctx) })
+		stops.Go(tasks.Guard("listener's end", func() { ln.stop(ctx) }))
 	}
 	stops.Wait()
 }
--- a/internal/lines/lines.go
+++ b/internal/lines/lines.go
@@ -11,6 +11,8 @@
 
 	"github.com/phuslu/log"
 	"golang.org/x/time/rate"
+
+	"dandelionsail.example/dandelionsail/internal/tasks"
 )
 
 // backlog is the number of buffered lines. At a few hundred bytes each they take less than a megabyte.
@@ -111,7 +113,7 @@
 // within runs write and returns its error, or ErrBlocked if it takes too long.
 func within(write func() error) error {
 	ended := make(chan error, 1)
-	go func() { ended <- write() }()
+	go tasks.Guard("output", func() { ended <- write() })()
 	for range closeChecks {
 		select {
 		case err := <-ended:
--- a/internal/meter/serve.go
+++ b/internal/meter/serve.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+
+	"dandelionsail.example/dandelionsail/internal/tasks"
 )
 
 // headerTimeout limits the time to read the header of a request.
@@ -23,15 +25,15 @@
 	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
 	var group errgroup.Group
-	group.Go(func() error {
+	group.Go(tasks.GuardError("metrics server", func() error {
 		if err := server.Serve(listener); err != http.ErrServerClosed {
 			return err
 		}
 		return nil
-	})
-	group.Go(func() error {
+	}))
+	group.Go(tasks.GuardError("metrics end", func() error {
 		<-ctx.Done()
 		return server.Close()
-	})
+	}))
 	return group.Wait()
 }
--- a/internal/once/once.go
+++ b/internal/once/once.go
@@ -16,6 +16,7 @@
 	"dandelionsail.example/dandelionsail/internal/delay"
 	"dandelionsail.example/dandelionsail/internal/event"
 	"dandelionsail.example/dandelionsail/internal/store"
+	"dandelionsail.example/dandelionsail/internal/tasks"
 	"dandelionsail.example/dandelionsail/pkg/decl"
 )
 
@@ -86,7 +87,7 @@
 func (cs *Claims) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
 	for _, wk := range cs.workers {
-		group.Go(func() error { return wk.run(ctx) })
+		group.Go(tasks.GuardError("claims worker", func() error { return wk.run(ctx) }))
 	}
 	return group.Wait()
 }
--- a/internal/order/keeper.go
+++ b/internal/order/keeper.go
@@ -10,6 +10,7 @@
 
 	"dandelionsail.example/dandelionsail/internal/event"
 	"dandelionsail.example/dandelionsail/internal/lease"
+	"dandelionsail.example/dandelionsail/internal/tasks"
 	"dandelionsail.example/dandelionsail/internal/upstr"
 	"dandelionsail.example/dandelionsail/pkg/decl"
 )
@@ -90,10 +91,10 @@
 			ro = NewRollout()
 			kp.rollouts[pl.name] = ro
 		}
-		group.Go(func() error {
+		group.Go(tasks.GuardError("orders", func() error {
 			kp.sendNext(ctx, pl, ro, held)
 			return nil
-		})
+		}))
 	}
 	_ = group.Wait()
 }
--- a/internal/peers/link.go
+++ b/internal/peers/link.go
@@ -9,6 +9,7 @@
 
 	"github.com/quic-go/quic-go"
 
+	"dandelionsail.example/dandelionsail/internal/tasks"
 	"dandelionsail.example/dandelionsail/internal/wire"
 )
 
@@ -127,10 +128,10 @@
 	}
 	// Both directions have to end, so that neither peer keeps the stream after a failure.
 	defer stream.CancelRead(0)
-	stop := context.AfterFunc(ctx, func() {
+	stop := context.AfterFunc(ctx, tasks.Guard("stream end", func() {
 		stream.CancelRead(0)
 		stream.CancelWrite(0)
-	})
+	}))
 	defer stop()
 	if _, err := stream.Write(raw); err != nil {
 		return nil, err
--- a/internal/peers/quic.go
+++ b/internal/peers/quic.go
@@ -9,6 +9,7 @@
 	"github.com/quic-go/quic-go"
 	"golang.org/x/sync/errgroup"
 
+	"dandelionsail.example/dandelionsail/internal/tasks"
 	"dandelionsail.example/dandelionsail/internal/wire"
 )
 
@@ -169,8 +170,8 @@
 	qu.group = group
 	qu.ctx = ctx
 	qu.groupMu.Unlock()
-	group.Go(func() error { return qu.accept(ctx, listener) })
-	group.Go(func() error { return qu.recheck(ctx) })
+	group.Go(tasks.GuardError("peers accept", func() error { return qu.accept(ctx, listener) }))
+	group.Go(tasks.GuardError("peers recheck", func() error { return qu.recheck(ctx) }))
 	<-ctx.Done()
 	qu.groupMu.Lock()
 	qu.group = nil
@@ -190,10 +191,10 @@
 		return false
 	}
 	ctx := qu.ctx
-	qu.group.Go(func() error {
+	qu.group.Go(tasks.GuardError("peers stream", func() error {
 		work(ctx)
 		return nil
-	})
+	}))
 	return true
 }
 
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -18,6 +18,7 @@
 	"dandelionsail.example/dandelionsail/internal/norun"
 	"dandelionsail.example/dandelionsail/internal/notice"
 	"dandelionsail.example/dandelionsail/internal/steer"
+	"dandelionsail.example/dandelionsail/internal/tasks"
 	"dandelionsail.example/dandelionsail/internal/trip"
 )
 
@@ -340,7 +341,7 @@
 	if resp.ContentLength < 0 || resp.ContentLength > maxDrained {
 		return
 	}
-	timer := time.AfterFunc(drainTimeout, func() { _ = resp.Body.Close() })
+	timer := time.AfterFunc(drainTimeout, tasks.Guard("body end", func() { _ = resp.Body.Close() }))
 	defer timer.Stop()
 	_, _ = io.Copy(io.Discard, resp.Body)
 }
--- a/internal/relay/body.go
+++ b/internal/relay/body.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"dandelionsail.example/dandelionsail/internal/memory"
+	"dandelionsail.example/dandelionsail/internal/tasks"
 	"dandelionsail.example/dandelionsail/pkg/decl"
 )
 
@@ -327,7 +328,7 @@
 	defer sg.mu.Unlock()
 	sg.startedAt = time.Now()
 	sg.seenAt = sg.startedAt
-	sg.timer = time.AfterFunc(slowBodyTime, sg.check)
+	sg.timer = time.AfterFunc(slowBodyTime, tasks.Guard("slow body", sg.check))
 }
 
 func (sg *slowGuard) check() {
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -11,6 +11,7 @@
 	"dandelionsail.example/dandelionsail/internal/norun"
 	"dandelionsail.example/dandelionsail/internal/notice"
 	"dandelionsail.example/dandelionsail/internal/steer"
+	"dandelionsail.example/dandelionsail/internal/tasks"
 	"dandelionsail.example/dandelionsail/internal/trip"
 )
 
@@ -292,14 +293,14 @@
 // probePaths opens a connection to each of the replicas and closes it again.
 func (in *Instance) probePaths(eff steer.ProbePaths) {
 	for _, replica := range eff.Replicas {
-		in.background.Go(func() {
+		in.background.Go(tasks.Guard("path probe", func() {
 			reached, known := in.probe(withCause(context.Background(), causePathProbe), replica)
 			if !known {
 				return
 			}
 			in.count("Paths.Probes")
 			in.apply(steer.PathObserved{Replica: replica.Name, Reached: reached})
-		})
+		}))
 	}
 }
 
--- a/internal/relay/gossip.go
+++ b/internal/relay/gossip.go
@@ -13,12 +13,12 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
-	"golang.org/x/sync/errgroup"
 
 	"dandelionsail.example/dandelionsail/internal/deaths"
 	"dandelionsail.example/dandelionsail/internal/delay"
 	"dandelionsail.example/dandelionsail/internal/ports"
 	"dandelionsail.example/dandelionsail/internal/steer"
+	"dandelionsail.example/dandelionsail/internal/tasks"
 )
 
 const (
@@ -28,6 +28,8 @@
 	maxDatagram = 8 << 10
 	// noteQueueSize is how many notes wait to be sent before new ones are dropped.
 	noteQueueSize = 256
+	// receivePause is the pause after a datagram could not be received.
+	receivePause = 5 * time.Millisecond
 	// unackedQueueSize is how many packets wait for repeatUnacked. A replica that crashes has at most its slots in flight.
 	unackedQueueSize = 128
 	// ackQueueSize is how many acknowledgements wait for repeatUnacked. A lost one is made up for by the next repetition.
@@ -94,16 +96,12 @@
 }
 
 func (gs *gossip) run(ctx context.Context) error {
-	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return gs.send(ctx) })
-	group.Go(func() error { return gs.summarize(ctx) })
-	group.Go(func() error { return gs.receive(ctx) })
-	group.Go(func() error { return gs.repeatUnacked(ctx) })
-	group.Go(func() error {
-		<-ctx.Done()
-		return gs.conn.Close()
-	})
-	return group.Wait()
+	gs.in.monitor.Start(ctx, "gossip send", gs.send)
+	gs.in.monitor.Start(ctx, "gossip summaries", gs.summarize)
+	gs.in.monitor.Start(ctx, "gossip receive", gs.receive)
+	gs.in.monitor.Start(ctx, "gossip repeat", gs.repeatUnacked)
+	<-ctx.Done()
+	return gs.conn.Close()
 }
 
 // enqueue queues a note without blocking. If the queue is full the note is dropped, and the next summary replaces it.
@@ -181,6 +179,8 @@
 			if ctx.Err() != nil {
 				return ctx.Err()
 			}
+			// An error that stays must not take a processor.
+			delay.For(ctx, receivePause)
 			continue
 		}
 		gs.handleDatagram(buf[:count], from)
@@ -188,6 +188,7 @@
 }
 
 func (gs *gossip) handleDatagram(raw []byte, from *net.UDPAddr) {
+	defer func() { tasks.Caught("datagram", recover(), nil) }()
 	var pk packet
 	if err := cbor.Unmarshal(raw, &pk); err != nil || !gs.handlePacket(pk, from) {
 		gs.in.count("Packets.Unreadable")
--- a/internal/relay/instance.go
+++ b/internal/relay/instance.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	stdlog "log"
 	"net"
 	"net/http"
@@ -16,7 +15,6 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/phuslu/log"
 	"github.com/rcrowley/go-metrics"
-	"golang.org/x/sync/errgroup"
 
 	"dandelionsail.example/dandelionsail/internal/budget"
 	"dandelionsail.example/dandelionsail/internal/conns"
@@ -41,6 +39,8 @@
 	// lateRequestTime is how long after the termination signal requests are still begun that may be running at the end of the grace period. Callers
 	// are promised answers to those that they send more than 3 s after it; the rest is for the way of the signal and of the request.
 	lateRequestTime = 2500 * time.Millisecond
+	// partsTimeout is how long the end waits for parts that do not end with their context.
+	partsTimeout = 50 * time.Millisecond
 	// drainQueueShare is the share of the grace period during which requests may still wait for a replica.
 	drainQueueShare = 0.25
 	// headerTimeout is the maximum time to read a request's header.
@@ -215,31 +215,45 @@
 	peerMux.HandleFunc("GET "+sharedDirectoryPath, in.serveDirectory)
 	peerMux.HandleFunc("POST "+detourPath, in.serveDetour)
 	peerServer := front.New(front.Options{Handler: peerMux, HeaderTimeout: headerTimeout, ErrorLog: errorLog})
-	group, serveCtx := errgroup.WithContext(serveCtx)
-	start := func(name string, run func(ctx context.Context) error) { group.Go(in.monitor.Part(serveCtx, name, run)) }
-	start("follower", (&follower{in: in}).run)
-	start("announce", in.announce)
-	start("tick", in.tick)
-	start("gossip", in.gossip.run)
-	start("deaths", in.awaitDeaths)
-	group.Go(in.monitor.Repeated(serveCtx, "metrics", in.serveMetrics))
-	start("hangups", func(ctx context.Context) error { return in.handleHangups(ctx, hangups) })
-	start("listen", func(context.Context) error { return ignoreServerClosed(callerServer.Serve(callerListener)) })
-	start("ready-listen", func(context.Context) error { return ignoreServerClosed(readyServer.Serve(readyListener)) })
-	start("peer-listen", func(context.Context) error { return ignoreServerClosed(peerServer.Serve(peerListener)) })
-	group.Go(func() error {
-		select {
-		case <-ctx.Done():
-		case <-serveCtx.Done():
-		}
-		defer stop()
-		in.drain(callerServer, peerServer)
-		return errors.Join(readyServer.Close(), peerServer.Close())
-	})
+	in.monitor.Start(serveCtx, "follower", (&follower{in: in}).run)
+	in.monitor.Start(serveCtx, "announce", in.announce)
+	in.monitor.Start(serveCtx, "tick", in.tick)
+	in.monitor.Start(serveCtx, "gossip", in.gossip.run)
+	in.monitor.Start(serveCtx, "deaths", in.awaitDeaths)
+	in.monitor.Start(serveCtx, "metrics", in.serveMetrics)
+	in.monitor.Start(serveCtx, "hangups", func(ctx context.Context) error { return in.handleHangups(ctx, hangups) })
+	in.monitor.Start(serveCtx, "listen", in.serveOn(callerListener, "listen", in.opts.Listen, callerServer.Serve))
+	in.monitor.Start(serveCtx, "ready-listen", in.serveOn(readyListener, "ready-listen", in.opts.ReadyListen, readyServer.Serve))
+	in.monitor.Start(serveCtx, "peer-listen", in.serveOn(peerListener, "peer-listen", in.opts.PeerListen, peerServer.Serve))
 	in.log.Info().Str("Instance", in.opts.Name).Str("Address", in.opts.Listen).Msg("started")
-	return group.Wait()
+	<-ctx.Done()
+	tasks.Guard("drain", func() { in.drain(callerServer, peerServer) })()
+	_, _ = readyServer.Close(), peerServer.Close()
+	stop()
+	in.monitor.Wait(partsTimeout)
+	return nil
+}
+
+// serveOn returns a part that serves on the listener. A server closes its listener when it ends, so the part opens a new one
+// if it runs again.
+func (in *Instance) serveOn(opened net.Listener, flag, address string, serve func(net.Listener) error) func(context.Context) error {
+	next := opened
+	return func(ctx context.Context) error {
+		listener := next
+		next = nil
+		if listener == nil {
+			var err error
+			if listener, err = in.listen(ctx, flag, address); err != nil {
+				return err
+			}
+		}
+		return ignoreServerClosed(serve(listener))
+	}
 }
 
+// CatchPanics makes the process, which serves nothing but this Instance, go on after a panic in one of its goroutines.
+func (in *Instance) CatchPanics() { tasks.CatchPanics(in.monitor) }
+
 // handleHangups logs that SIGHUP has no effect: all settings come from flags and the environment and are read only at
 // startup. Without a handler the signal would end the process and its open requests.
 func (in *Instance) handleHangups(ctx context.Context, hangups <-chan os.Signal) error {
@@ -299,10 +313,12 @@
 	return in.state.Waiting()
 }
 
-// apply passes an event to the reducer and performs the effects that it returns. None of them blocks.
+// apply passes an event to the reducer and performs the effects that it returns. None of them blocks. A panic in the reducer
+// must not reach the caller, which may be a part that all requests need, or a request that would end without an answer.
 func (in *Instance) apply(ev steer.Event) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
+	defer func() { tasks.Caught("reducer", recover(), nil) }()
 	for _, eff := range in.reduce(ev) {
 		in.perform(eff)
 	}
@@ -344,17 +360,17 @@
 	case steer.SendNote:
 		in.sendNote(eff)
 	case steer.Wake:
-		time.AfterFunc(eff.After, func() { in.apply(steer.Ticked{}) })
+		time.AfterFunc(eff.After, tasks.Guard("wake", func() { in.apply(steer.Ticked{}) }))
 	case steer.RequestDeaths:
 		known := in.gossip.requestDeaths()
-		in.background.Go(func() {
+		in.background.Go(tasks.Guard("deaths", func() {
 			select {
 			case <-known:
 			case <-time.After(2 * deathAckTimeout):
 				// The gossip has ended, since this Instance stops.
 			}
 			in.apply(steer.DeathsReceived(eff))
-		})
+		}))
 	case steer.ProbePaths:
 		in.probePaths(eff)
 	case steer.RecordCause:
--- a/internal/relay/loadpoll.go
+++ b/internal/relay/loadpoll.go
@@ -8,6 +8,7 @@
 
 	"dandelionsail.example/dandelionsail/internal/notice"
 	"dandelionsail.example/dandelionsail/internal/steer"
+	"dandelionsail.example/dandelionsail/internal/tasks"
 )
 
 const (
@@ -20,14 +21,14 @@
 // pollLoads polls each engine's load in the background. An engine that does not answer continues to count as idle.
 func (in *Instance) pollLoads(eff steer.QueryLoad) {
 	for _, replica := range eff.Replicas {
-		in.background.Go(func() {
+		in.background.Go(tasks.Guard("load poll", func() {
 			running, used, err := in.fetchLoad(replica)
 			if err != nil {
 				in.log.Info().Str("Replica", replica.Name).Err(err).Msg("load poll failed; engine counts as idle")
 				return
 			}
 			in.apply(steer.LoadReported{Replica: replica.Name, Running: running, Used: used})
-		})
+		}))
 	}
 }
 
--- a/internal/relay/quarantine.go
+++ b/internal/relay/quarantine.go
@@ -7,6 +7,7 @@
 	"dandelionsail.example/dandelionsail/internal/cause"
 	"dandelionsail.example/dandelionsail/internal/clock"
 	"dandelionsail.example/dandelionsail/internal/steer"
+	"dandelionsail.example/dandelionsail/internal/tasks"
 )
 
 // Parts of prompts that crash replicas are recorded in the Directory, which all instances follow anyway: if all of them end at the same
@@ -25,7 +26,7 @@
 func (in *Instance) recordQuarantine(ca cause.Cause) {
 	wall := clock.Steady(in.startedAt, time.Now())
 	qua := Quarantine{Parts: ca.Features, Crashes: ca.Crashes, LastCrashMs: wall.Add(-time.Since(ca.Last)).UnixMilli(), Callers: ca.Callers[:min(len(ca.Callers), maxQuarantineCallers)]}
-	in.background.Go(func() {
+	in.background.Go(tasks.Guard("quarantine record", func() {
 		for backoff := minAnnounceBackoff; ; backoff *= 2 {
 			ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 			in.count("Store.Quarantines")
@@ -40,7 +41,7 @@
 			}
 			time.Sleep(backoff)
 		}
-	})
+	}))
 }
 
 // applyQuarantine passes a record on to the reducer. Its age is that of the crash, however late the record is read. Later than at the start, the other
--- a/internal/relay/ready.go
+++ b/internal/relay/ready.go
@@ -8,6 +8,7 @@
 	"dandelionsail.example/dandelionsail/internal/delay"
 	"dandelionsail.example/dandelionsail/internal/front"
 	"dandelionsail.example/dandelionsail/internal/steer"
+	"dandelionsail.example/dandelionsail/internal/tasks"
 )
 
 // Readiness probes and graceful shutdown.
@@ -45,7 +46,7 @@
 	in.apply(steer.Draining{RefuseWaitingAt: now.Add(time.Duration(drainQueueShare * float64(in.opts.Grace))), AbortAt: plan.abortAt})
 	in.log.Info().Str("Instance", in.opts.Name).Int("Open", in.open()).Msg("draining")
 	// Requests wait for memory no longer than for a replica.
-	time.AfterFunc(time.Duration(drainQueueShare*float64(in.opts.Grace)), in.memory.Close)
+	time.AfterFunc(time.Duration(drainQueueShare*float64(in.opts.Grace)), tasks.Guard("memory in the drain", in.memory.Close))
 	delay.For(context.Background(), in.opts.DrainNotice)
 	limited, cancel := context.WithDeadline(context.Background(), plan.endAt)
 	defer cancel()
--- a/internal/relay/replicaconn.go
+++ b/internal/relay/replicaconn.go
@@ -14,6 +14,7 @@
 	"dandelionsail.example/dandelionsail/internal/conns"
 	"dandelionsail.example/dandelionsail/internal/notice"
 	"dandelionsail.example/dandelionsail/internal/steer"
+	"dandelionsail.example/dandelionsail/internal/tasks"
 	"dandelionsail.example/dandelionsail/internal/trip"
 )
 
@@ -78,7 +79,9 @@
 
 // dialer returns a dialer whose connections are tracked and counted by their causes.
 func (rcs *replicaConns) dialer(dial notice.Dialer) notice.Dialer {
-	return func(ctx context.Context, network, address string) (net.Conn, error) {
+	// net/http dials on goroutines of its own.
+	return func(ctx context.Context, network, address string) (_ net.Conn, err error) {
+		defer func() { tasks.Caught("dial", recover(), &err) }()
 		cause, _ := ctx.Value(causeKey{}).(connCause)
 		conn, err := dial(ctx, network, address)
 		if err != nil {
@@ -91,7 +94,7 @@
 		rc := &replicaConn{Conn: conn, conns: rcs, address: address, entry: rcs.table.Opened(address, time.Now())}
 		// The connection must last until the message that it is opened for is given it, also if the replica keeps no idle connections.
 		left, _ := rcs.table.Expiry(rc.entry, time.Now())
-		rc.timer = time.AfterFunc(max(left, minUnused), rc.expire)
+		rc.timer = time.AfterFunc(max(left, minUnused), tasks.Guard("connection expiry", rc.expire))
 		rcs.all[rc.entry] = rc
 		rcs.changed.Store(rcs.table.HasChanges())
 		return rc, nil
--- a/internal/relay/reservation.go
+++ b/internal/relay/reservation.go
@@ -13,6 +13,7 @@
 	"dandelionsail.example/dandelionsail/internal/delay"
 	"dandelionsail.example/dandelionsail/internal/notice"
 	"dandelionsail.example/dandelionsail/internal/steer"
+	"dandelionsail.example/dandelionsail/internal/tasks"
 )
 
 // Memory is reserved at helpers for a prompt that exceeds one engine's memory. A reservation is short and is renewed
@@ -52,14 +53,14 @@
 		if att.eff.Helpers[i].Tokens == 0 {
 			continue
 		}
-		group.Go(func() error {
+		group.Go(tasks.GuardError("reservation", func() error {
 			err := att.order(limited, i, notice.Reservation)
 			if err != nil && !isHeldBack(err) && limited.Err() == nil {
 				// Once one order has failed the others are cancelled, which is no fault of their helpers.
 				refusals[i] = att.eff.Helpers[i].Name
 			}
 			return err
-		})
+		}))
 	}
 	if !hasReservations(&att.eff) {
 		return 0
@@ -79,7 +80,7 @@
 	}
 	att.reservedAt = time.Now()
 	att.renewalDone = make(chan struct{})
-	go att.renew(ctx)
+	go tasks.Guard("renewal", func() { att.renew(ctx) })()
 	return 0
 }
 
@@ -109,7 +110,7 @@
 	}
 	att.cancel()
 	in := att.in
-	in.background.Go(func() {
+	in.background.Go(tasks.Guard("release", func() {
 		if att.renewalDone != nil {
 			<-att.renewalDone
 		}
@@ -123,7 +124,7 @@
 				}
 			}
 		}
-	})
+	}))
 }
 
 // order sends an order of the kind, which is notice.Reservation, notice.Renewal or notice.Release, and returns an error unless
--- a/internal/relay/silence.go
+++ b/internal/relay/silence.go
@@ -11,6 +11,7 @@
 	"dandelionsail.example/dandelionsail/internal/cutoff"
 	"dandelionsail.example/dandelionsail/internal/quiet"
 	"dandelionsail.example/dandelionsail/internal/steer"
+	"dandelionsail.example/dandelionsail/internal/tasks"
 )
 
 // maxChecks is how many times in a row, without an event in between, a silent replica is assumed to be working on a
@@ -46,7 +47,7 @@
 	sw.mu.Lock()
 	defer sw.mu.Unlock()
 	sw.clock.Heard(time.Now(), limit)
-	sw.timer = time.AfterFunc(sw.clock.Timer(), sw.tick)
+	sw.timer = time.AfterFunc(sw.clock.Timer(), tasks.Guard("silence watch", sw.tick))
 	return sw
 }
 
--- a/internal/store/etcd.go
+++ b/internal/store/etcd.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/joomcode/errorx"
+
+	"dandelionsail.example/dandelionsail/internal/tasks"
 )
 
 const (
@@ -99,7 +101,7 @@
 	create := WatchRequest{Create: WatchCreate{Key: []byte(prefix), RangeEnd: RangeEnd(prefix)}}
 	ctx, cancel := context.WithCancel(ctx)
 	// Without this timeout, a service that accepts the call and never answers would block the caller forever.
-	openTimer := time.AfterFunc(callTimeout, cancel)
+	openTimer := time.AfterFunc(callTimeout, tasks.Guard("watch timeout", cancel))
 	resp, err := cl.transport.post(ctx, "/v3/watch", create)
 	if err != nil {
 		cancel()
@@ -122,10 +124,10 @@
 		return nil, err
 	}
 	changes := make(chan Change, watchBuffer)
-	go func() {
+	go tasks.Guard("watch", func() {
 		defer cancel()
 		readChanges(ctx, era, resp.Body, lines, changes)
-	}()
+	})()
 	return changes, nil
 }
 
--- a/internal/tasks/tasks.go
+++ b/internal/tasks/tasks.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -30,22 +32,14 @@
 	mu    sync.Mutex
 	// failed is the part that failed last, empty if none has.
 	failed string
+	// running counts the parts that have not ended, by name.
+	running map[string]int
+	parts   sync.WaitGroup
 }
 
 // NewMonitor returns a Monitor that has recorded nothing.
 func NewMonitor(logger *log.Logger, count func(counter string)) *Monitor {
-	return &Monitor{log: logger, count: count}
-}
-
-// Part returns a function that runs the part and records its error. The end of the context is no failure.
-func (mo *Monitor) Part(ctx context.Context, name string, run func(ctx context.Context) error) func() error {
-	return func() error {
-		err := run(ctx)
-		if err != nil && ctx.Err() == nil {
-			mo.fail(name, err)
-		}
-		return err
-	}
+	return &Monitor{log: logger, count: count, running: map[string]int{}}
 }
 
 const (
@@ -56,25 +50,62 @@
 	maxBackoff = 5 * time.Second
 )
 
-// Repeated is like Part, but runs the part again, after a pause, each time that it fails.
-func (mo *Monitor) Repeated(ctx context.Context, name string, run func(ctx context.Context) error) func() error {
-	return func() error {
-		backoff := minBackoff
-		for {
-			start := time.Now()
-			err := run(ctx)
-			if err == nil || ctx.Err() != nil {
-				return err
-			}
-			mo.fail(name, err)
-			if time.Since(start) > maxBackoff {
-				backoff = minBackoff
-			}
-			if !delay.For(ctx, backoff) {
-				return ctx.Err()
-			}
-			backoff = min(2*backoff, maxBackoff)
+// Start runs a part on a goroutine of its own until the context ends. A part that fails or panics is logged and counted, and
+// runs again after a pause: no error of a part justifies that callers are not served any more. A part that returns nil has done
+// its work.
+func (mo *Monitor) Start(ctx context.Context, name string, run func(ctx context.Context) error) {
+	mo.mu.Lock()
+	mo.running[name]++
+	mo.mu.Unlock()
+	mo.parts.Go(Guard(name, func() {
+		defer mo.ended(name)
+		mo.repeat(ctx, name, run)
+	}))
+}
+
+func (mo *Monitor) repeat(ctx context.Context, name string, run func(ctx context.Context) error) {
+	backoff := minBackoff
+	for {
+		start := time.Now()
+		err := GuardError(name, func() error { return run(ctx) })()
+		if err == nil || ctx.Err() != nil {
+			return
+		}
+		mo.fail(name, err)
+		if time.Since(start) > maxBackoff {
+			backoff = minBackoff
 		}
+		if !delay.For(ctx, backoff) {
+			return
+		}
+		backoff = min(2*backoff, maxBackoff)
+	}
+}
+
+func (mo *Monitor) ended(name string) {
+	mo.mu.Lock()
+	defer mo.mu.Unlock()
+	if mo.running[name]--; mo.running[name] == 0 {
+		delete(mo.running, name)
+	}
+}
+
+// Wait waits until all parts have ended, at most for the limit. A part that does not end when its context does must not keep
+// the process past its grace period; the log names it.
+func (mo *Monitor) Wait(limit time.Duration) {
+	all := make(chan struct{})
+	go Guard("parts", func() {
+		defer close(all)
+		mo.parts.Wait()
+	})()
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-all:
+	case <-timer.C:
+		mo.mu.Lock()
+		defer mo.mu.Unlock()
+		mo.log.Warn().Strs("Parts", slices.Sorted(maps.Keys(mo.running))).Msg("parts have not ended; the process does not wait for them")
 	}
 }
 
