--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"hash/fnv"
+	stdlog "log"
 	"net"
 	"net/http"
 	"os"
@@ -178,6 +179,8 @@
 	// If the configured ports are 0, the starter of the process reads the chosen addresses from this output.
 	lines.Print(os.Stdout, strings.TrimSpace(listener.Addr().String()+" "+peer)+"\n")
 	in.hangups = hangups
+	stdlog.SetOutput(in.monitor.LibraryLog())
+	stdlog.SetFlags(0)
 	return in.Serve(ctx, listener)
 }
 
@@ -225,6 +228,7 @@
 		HeaderTimeout: readHeaderTimeout,
 		IdleTimeout:   idleTimeout,
 		MaxHeader:     maxHeaderBytes,
+		ErrorLog:      stdlog.New(in.monitor.LibraryLog(), "", 0),
 		Lost:          in.recordLoss,
 	})
 	serve, err := in.callerServe(server)
--- a/internal/relay/announce.go
+++ b/internal/relay/announce.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"dandelionsail.example/dandelionsail/internal/notice"
+	"dandelionsail.example/dandelionsail/internal/steer"
 )
 
 // announcedPrefix is the name prefix of the gauges of what replicas have announced.
@@ -13,9 +14,8 @@
 // announcement in force, for each whose end is known the time left in ms, and the number of cold replicas in each failure domain.
 func (in *Instance) updateAnnouncementMetrics() {
 	now := time.Now()
-	in.mu.Lock()
-	list := in.state.InForce(now)
-	in.mu.Unlock()
+	var list []steer.AnnouncementStatus
+	in.view(func(st *steer.State) { list = st.InForce(now) })
 	in.unregister(announcedPrefix)
 	var counts [notice.Announcements]int64
 	cold := map[string]int64{}
--- a/internal/relay/evacuate.go
+++ b/internal/relay/evacuate.go
@@ -303,9 +303,8 @@
 
 // updateEvacuationMetrics replaces the gauges of the evacuated failure domains and of the replicas in each.
 func (in *Instance) updateEvacuationMetrics() {
-	in.mu.Lock()
-	counts := in.state.EvacuatedReplicas()
-	in.mu.Unlock()
+	var counts map[string]int
+	in.view(func(st *steer.State) { counts = st.EvacuatedReplicas() })
 	in.unregister(evacuatedPrefix)
 	in.gauge("Evacuated.Domains", int64(len(counts)))
 	for name, count := range counts {
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -258,9 +258,9 @@
 	if ctx.Err() != nil || !in.refusesConnections(withCause(ctx, causeReplicaProbe), replica) {
 		return false, false
 	}
-	in.mu.Lock()
-	witness, ok := in.state.Witness(replica.Name)
-	in.mu.Unlock()
+	var witness steer.Replica
+	ok := false
+	in.view(func(st *steer.State) { witness, ok = st.Witness(replica.Name) })
 	if !ok {
 		return true, true
 	}
@@ -276,9 +276,9 @@
 // returns false, too, if ctx ends before that is known.
 func (in *Instance) confirmsFailure(ctx context.Context, replica steer.Replica) bool {
 	in.apply(steer.PathObserved{Replica: replica.Name})
-	in.mu.Lock()
-	witness, ok := in.state.Witness(replica.Name)
-	in.mu.Unlock()
+	var witness steer.Replica
+	ok := false
+	in.view(func(st *steer.State) { witness, ok = st.Witness(replica.Name) })
 	if !ok {
 		return false
 	}
--- a/internal/relay/instance.go
+++ b/internal/relay/instance.go
@@ -205,8 +205,8 @@
 	serveCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	// net/http logs connection errors to the standard logger; this redirects them to the structured log.
-	errorLog := stdlog.New(libraryLog{in.log}, "", 0)
-	stdlog.SetOutput(libraryLog{in.log})
+	errorLog := stdlog.New(in.monitor.LibraryLog(), "", 0)
+	stdlog.SetOutput(in.monitor.LibraryLog())
 	stdlog.SetFlags(0)
 	callerServer := in.newCallerServer(http.HandlerFunc(in.serve), errorLog)
 	readyServer := &http.Server{Handler: http.HandlerFunc(in.readyz), ReadHeaderTimeout: headerTimeout, ErrorLog: errorLog}
@@ -313,6 +313,14 @@
 	return in.state.Waiting()
 }
 
+// view calls look with the state of the reducer, which it must not keep. The lock is released even if look panics: net/http or
+// tasks.Guard catches the panic, and the instance would stand still with the lock held.
+func (in *Instance) view(look func(st *steer.State)) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	look(in.state)
+}
+
 // apply passes an event to the reducer and performs the effects that it returns. None of them blocks. A panic in the reducer
 // must not reach the caller, which may be a part that all requests need, or a request that would end without an answer.
 func (in *Instance) apply(ev steer.Event) {
--- a/internal/relay/limit.go
+++ b/internal/relay/limit.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"dandelionsail.example/dandelionsail/internal/steer"
+
 	"github.com/rcrowley/go-metrics"
 )
 
@@ -12,9 +14,8 @@
 // updateLimitMetrics replaces the gauges of the rate limits in force: for each limit its rate, the recent sends of all
 // instances that are known here, and the sends of this Instance.
 func (in *Instance) updateLimitMetrics() {
-	in.mu.Lock()
-	limits := in.state.Limits(time.Now())
-	in.mu.Unlock()
+	var limits []steer.LimitStatus
+	in.view(func(st *steer.State) { limits = st.Limits(time.Now()) })
 	in.unregister(limitPrefix)
 	in.gauge(limitPrefix+"InForce", int64(len(limits)))
 	for _, limit := range limits {
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -3,7 +3,6 @@
 import (
 	"math"
 	"strconv"
-	"strings"
 
 	"github.com/phuslu/log"
 
@@ -11,19 +10,6 @@
 	"dandelionsail.example/dandelionsail/internal/steer"
 )
 
-// libraryLog redirects the output of the standard logger to the structured log.
-type libraryLog struct{ to *log.Logger }
-
-// maxLibraryText is the maximum length of a redirected line, which may quote input from a peer.
-const maxLibraryText = 120
-
-// Write implements io.Writer.
-func (ll libraryLog) Write(line []byte) (int, error) {
-	text := strings.TrimSpace(string(line[:min(len(line), maxLibraryText)]))
-	ll.to.Warn().Str("Library", text).Msg("net/http reported a connection error")
-	return len(line), nil
-}
-
 // withPosition adds a position to a line.
 func withPosition(entry *log.Entry, at posit.Position) *log.Entry {
 	return entry.Int64("Era", at.Era).Int64("Revision", at.Revision)
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -9,8 +9,10 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"dandelionsail.example/dandelionsail/internal/budget"
 	"dandelionsail.example/dandelionsail/internal/memory"
 	"dandelionsail.example/dandelionsail/internal/meter"
+	"dandelionsail.example/dandelionsail/internal/steer"
 )
 
 // serveMetrics serves counters, gauges and histograms at --metrics-listen, if it is set.
@@ -58,9 +60,9 @@
 // updateRepeatMetrics sets the gauges of the repeat budget: this instance's part of the slack in millionths and the number of instances
 // that it was divided by, and how many repeats were charged, have arrived, were never sent, and were refused.
 func (in *Instance) updateRepeatMetrics() {
-	in.mu.Lock()
-	part, totals := in.state.RepeatStatus(time.Now())
-	in.mu.Unlock()
+	var part budget.Part
+	var totals budget.Totals
+	in.view(func(st *steer.State) { part, totals = st.RepeatStatus(time.Now()) })
 	in.gauge("Repeats.PartMillionths", int64(1e6*part.Share))
 	in.gauge("Repeats.Instances", int64(part.Instances))
 	in.gauge("Repeats.Charged", totals.Taken)
@@ -72,10 +74,9 @@
 // updatePathMetrics sets the gauges of lost paths: how long in ms each service has been reached through other instances only.
 func (in *Instance) updatePathMetrics() {
 	in.unregister("Paths.LostMs.")
-	in.mu.Lock()
-	lost := in.state.LostPaths(time.Now())
-	down := in.state.DownDomains()
-	in.mu.Unlock()
+	var lost map[string]time.Duration
+	down := 0
+	in.view(func(st *steer.State) { lost, down = st.LostPaths(time.Now()), st.DownDomains() })
 	in.gauge("Paths.Lost", int64(len(lost)))
 	in.gauge("Paths.DomainsDown", int64(down))
 	for service, age := range lost {
@@ -86,9 +87,8 @@
 
 // updateQuarantineMetrics sets the gauge of the causes of crashes, such as parts of prompts, for which requests are refused.
 func (in *Instance) updateQuarantineMetrics() {
-	in.mu.Lock()
-	parts := in.state.QuarantinedParts()
-	in.mu.Unlock()
+	parts := 0
+	in.view(func(st *steer.State) { parts = st.QuarantinedParts() })
 	in.gauge("Quarantine.Parts", int64(parts))
 }
 
--- a/internal/relay/passon.go
+++ b/internal/relay/passon.go
@@ -47,9 +47,9 @@
 		refuseDetour(w, detourRefused, "malformed")
 		return
 	}
-	in.mu.Lock()
-	replica, known := in.state.Lookup(dr.Replica, dr.Born)
-	in.mu.Unlock()
+	var replica steer.Replica
+	known := false
+	in.view(func(st *steer.State) { replica, known = st.Lookup(dr.Replica, dr.Born) })
 	if !known {
 		refuseDetour(w, detourHeldBack, "unknown replica")
 		return
--- a/internal/tasks/tasks_test.go
+++ b/internal/tasks/tasks_test.go
@@ -7,8 +7,12 @@
 	"go/ast"
 	"go/parser"
 	"go/token"
+	stdlog "log"
+	"net/http"
+	"net/http/httptest"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -46,9 +50,10 @@
 				tasks.CatchPanics(mo)
 				defer tasks.CatchPanics(nil)
 				ctx, cancel := context.WithCancel(t.Context())
-				runs, served := 0, false
+				var runs atomic.Int64
+				served := false
 				mo.Start(ctx, "part", func(ctx context.Context) error {
-					if runs++; runs <= 3 {
+					if runs.Add(1) <= 3 {
 						return tc.fail()
 					}
 					<-ctx.Done()
@@ -56,7 +61,7 @@
 				})
 				mo.Start(ctx, "other", func(ctx context.Context) error {
 					<-ctx.Done()
-					served = runs == 4
+					served = runs.Load() == 4
 					return ctx.Err()
 				})
 				time.Sleep(time.Minute)
@@ -106,6 +111,24 @@
 	assert.ErrorContains(t, tasks.GuardError("work", func() error { panic("odd") })(), "work panicked: odd")
 }
 
+func TestPanicOfRequestIsLoggedWithItsStack(t *testing.T) {
+	// Guards against a panic in a request whose stack is cut off after a few characters, and that no counter shows. net/http recovers it.
+	var out bytes.Buffer
+	counts := map[string]int{}
+	logger := stdlog.New(newMonitor(&out, counts).LibraryLog(), "", 0)
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic("odd") }))
+	server.Config.ErrorLog = logger
+	server.Start()
+	_, err := server.Client().Get(server.URL)
+	assert.Assert(t, err != nil)
+	server.Close()
+	logger.Print(strings.Repeat("x", 1000))
+	assert.Equal(t, counts["Panics.Count.request"], 1)
+	for _, part := range []string{`"message":"panic caught"`, ": odd", "TestPanicOfRequestIsLoggedWithItsStack", `"Library":"` + strings.Repeat("x", 120) + `"`} {
+		assert.Assert(t, strings.Contains(out.String(), part), "no %s in %s", part, out.String())
+	}
+}
+
 // module is the path of this module.
 const module = "dandelionsail.example/dandelionsail/"
 
