Sources: an invalid change is made without a bare revision; a passed deadline is named

TestRevisionsAndLeasesHaveEras and TestTimesAreTurnedIntoNumbersInKnownPlaces failed on the merged code: a parameter held a revision without its era, and internal/front makes a time in the past from a number, which no step of the time of day can harm.

--- a/internal/clock/sources_test.go
+++ b/internal/clock/sources_test.go
@@ -17,6 +17,7 @@
 	"internal/bench/storeslopes.go": "a key that nothing else has",
 	"internal/certs/certs.go":       "a serial number",
 	"internal/entry/instance.go":    "names of a run; a later run with a lower number refutes what the others say of it",
+	"internal/front/conn.go":        "a deadline that has passed whatever the time of day is",
 	"internal/relay/instance.go":    "a name of a run, compared for equality alone",
 	"internal/relay/quarantine.go":  "a record in the store, which other instances read; the own times are steady, and a clock that is off moves the end of a quarantine",
 	"internal/once/segment.go":      "deadlines of claims in the store, which other instances read; claims are kept for half an hour after them",
--- a/internal/relay/invalid.go
+++ b/internal/relay/invalid.go
@@ -155,16 +155,18 @@
 		return
 	}
 	inv.Reason = ReasonOf(err)
-	*chg = InvalidChange(chg.Revision, inv)
+	at := chg.Revision
+	*chg = InvalidChange(inv)
+	chg.Revision = at
 }
 
-// InvalidChange returns the change to an entry that cannot be used: the entry that was there before is gone.
-func InvalidChange(revision int64, inv InvalidEntry) Change {
+// InvalidChange returns the change to an entry that cannot be used, without its Revision: the entry that was there before is gone.
+func InvalidChange(inv InvalidEntry) Change {
 	if len(inv.Name) > maxNameBytes {
 		inv.Name = strings.ToValidUTF8(inv.Name[:maxNameBytes], "")
-		return Change{Revision: revision, Invalid: &inv}
+		return Change{Invalid: &inv}
 	}
-	chg := Change{Revision: revision, Invalid: &inv}
+	chg := Change{Invalid: &inv}
 	switch inv.Kind {
 	case EntryReplica:
 		chg.RemovedReplica = inv.Name
