--- a/internal/relay/ready.go
+++ b/internal/relay/ready.go
@@ -58,12 +58,26 @@
 	if err := peers.Drain(limited); err != nil {
 		in.log.Warn().Int64("Detours", in.detours.Load()).Err(err).Msg("grace period expired with open detours")
 	}
-	in.background.Wait()
+	in.awaitBackground(limited)
 	atEnd := callers.Held()
 	in.log.Info().Int("Requests", atEnd.Requests).Int("Connections", atEnd.Connections).Int64("Detours", in.detours.Load()).
 		Int64("DrainMs", time.Since(now).Milliseconds()).Msg("drained")
 }
 
+// awaitBackground waits until the calls under way that no caller waits for have ended, or until the context ends: the process must not outlast its
+// grace period for them.
+func (in *Instance) awaitBackground(ctx context.Context) {
+	ended := make(chan struct{})
+	go tasks.Guard("background", func() {
+		defer close(ended)
+		in.background.Wait()
+	})()
+	select {
+	case <-ended:
+	case <-ctx.Done():
+	}
+}
+
 // answerOpen ends what is still open with an answer, and closes the connections then. Requests are open at the end of the grace period if the
 // process stood still until then. A connection that closes without an answer would make its caller send the request again, which may have run.
 func (in *Instance) answerOpen(callers *front.Server, plan *drainPlan) {
