Steer: the simulated fleet reports silence as the relay does

The fleet of the reducer's tests ended silent attempts as ResultSilent by itself, which no shell does any more. It now reports FellSilent after each limit, ends an attempt with what the reducer's Abort proves, and otherwise at its deadline.

--- a/internal/steer/fleet_test.go
+++ b/internal/steer/fleet_test.go
@@ -71,6 +71,9 @@
 	endAt time.Time
 	// service is the name of the service.
 	service string
+	// attempt is the number of the last attempt, and via the instance that passed it on, empty if it was sent directly.
+	attempt int
+	via     string
 	// refusals counts the instances that did not pass the request on.
 	refusals int
 	refusal  *steer.Refusal
@@ -190,7 +193,11 @@
 				})
 			}
 		case steer.Abort:
-			fl.end(node, steer.AttemptEnded{ID: eff.ID, Attempt: eff.Attempt, Result: steer.ResultCancelled})
+			ended := steer.AttemptEnded{ID: eff.ID, Attempt: eff.Attempt, Via: fl.requests[eff.ID].via, Result: steer.ResultCancelled, End: eff.Proof}
+			if eff.Proof.IsResumption() {
+				ended.Result = steer.ResultSilent
+			}
+			fl.end(node, ended)
 		case steer.Finish:
 			fl.finish(eff)
 		case steer.LogLine:
@@ -248,6 +255,7 @@
 	target := steer.Target{Replica: eff.Replica, Kind: eff.Kind, Granted: eff.Granted}
 	verdict := fl.reduce(node, steer.Sending{ID: eff.ID, Targets: []steer.Target{target}, DecidedAt: eff.DecidedAt})
 	ended := steer.AttemptEnded{ID: eff.ID, Attempt: eff.Attempt, Via: verdict.Via}
+	fl.requests[eff.ID].attempt, fl.requests[eff.ID].via = eff.Attempt, verdict.Via
 	switch {
 	case verdict.Held():
 		ended.Result, ended.Proof = steer.ResultHeld, norun.Unwritten
@@ -297,19 +305,36 @@
 	})
 }
 
-// broken ends an attempt whose replica went down while it answered, as relay.Instance does: a stream that is silent, or a connection that is
-// reset, is followed by a new connection.
+// broken ends an attempt whose replica went down while it answered, as relay.Instance does: a connection that is reset is followed by a new
+// connection. One that is silent is reported, and ends at the deadline unless another attempt is granted.
 func (fl *fleet) broken(node *fleetNode, eff steer.Send, ended steer.AttemptEnded) {
-	ended.Result = steer.ResultBroken
-	silence := time.Duration(0)
 	if fl.silent {
-		ended.Result, silence = steer.ResultSilent, eff.FirstTimeout
+		ended.Result = steer.ResultExpired
+		fl.after(eff.Deadline.Sub(fl.now), func() { fl.end(node, ended) })
+		fl.watch(node, eff, ended.Via)
+		return
 	}
-	fl.after(silence, func() {
+	ended.Result = steer.ResultBroken
+	node.probes++
+	fl.dial(node, eff.Replica, probeHangTime, func(reached bool) {
+		ended.Unreachable = !reached
+		fl.end(node, ended)
+	})
+}
+
+// watch reports the silence of an attempt's replica after each of its limits until the deadline. The reducer ignores the reports after the attempt.
+func (fl *fleet) watch(node *fleetNode, eff steer.Send, via string) {
+	if !fl.now.Add(eff.FirstTimeout).Before(eff.Deadline) {
+		return
+	}
+	fl.after(eff.FirstTimeout, func() {
+		if req := fl.requests[eff.ID]; req.done || req.attempt != eff.Attempt {
+			return
+		}
 		node.probes++
 		fl.dial(node, eff.Replica, probeHangTime, func(reached bool) {
-			ended.Unreachable = !reached
-			fl.end(node, ended)
+			fl.reduce(node, steer.FellSilent{ID: eff.ID, Attempt: eff.Attempt, Silent: eff.FirstTimeout, Unreachable: !reached, Via: via})
+			fl.watch(node, eff, via)
 		})
 	})
 }
