Silence: a run that is granted cuts no answer that begins in the same moment

The reducer grants another run for a silence, and the first event of the silent attempt is read before the attempt is aborted. The header was sent, the attempt ended as silent, and a request that may not be resumed could not go on.

Now Began comes before the header, and the shell sends none if another run was granted before; from Began on, none is granted to a request that may not be resumed. On the completions front the grant and the begin of a plain answer exclude each other. A begun answer that waits in the drain is refused only when attempts are aborted.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -264,11 +264,26 @@
 	defer func() { _ = resp.Body.Close() }()
 	ended.Status = resp.StatusCode
 	wd.progress()
+	if !cl.beginPlain(ctx) {
+		return ctx.Err()
+	}
 	in.notifyAnswerStarted(cl)
 	cl.startPlain(resp)
 	return cl.copyPlain(resp.Body, wd)
 }
 
+// beginPlain states that the response begins, and reports whether it may: not if another run was granted in place of the attempt meanwhile. From then
+// on such a grant does not end the attempt.
+func (cl *call) beginPlain(ctx context.Context) bool {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	if cutoff.Of(ctx).IsResumption() {
+		return false
+	}
+	cl.plainBegun = true
+	return true
+}
+
 // startPlain sends the status and header of a plain service's response to the caller.
 func (cl *call) startPlain(resp *http.Response) {
 	header := cl.w.Header()
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -74,6 +74,8 @@
 	attempt int
 	// cancel ends the running attempt.
 	cancel cutoff.CancelFunc
+	// plainBegun reports whether the header of a plain service's response is about to be sent. Such a response cannot be resumed.
+	plainBegun bool
 }
 
 func newCall(w http.ResponseWriter, req *http.Request, arrived time.Time) *call {
@@ -174,7 +176,7 @@
 	}
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
-	if cl.attempt == eff.Attempt && cl.cancel != nil {
+	if cl.attempt == eff.Attempt && cl.cancel != nil && !(cl.plainBegun && eff.Proof.IsResumption()) {
 		cl.cancel(eff.Proof)
 	}
 }
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -364,18 +364,26 @@
 		att.cl.errorResponse = rsp
 		return steer.ResultAnswered
 	}
-	att.began()
+	goesOn := att.began(ctx)
 	if whole {
 		att.in.writeResponse(att.cl, rsp)
 		return steer.ResultDone
 	}
+	if !goesOn {
+		return att.failureResult(ctx, errReplaced)
+	}
 	return att.passOn(ctx, resp, body)
 }
 
-// began states that the response to the caller begins.
-func (att *attempt) began() {
+// began states that the response to the caller begins. It returns false if another run was granted in place of the attempt before the reducer
+// heard of that. From Began on, none is granted to a request that may not be resumed.
+func (att *attempt) began(ctx context.Context) bool {
 	att.in.apply(steer.Began{ID: att.cl.id, Attempt: att.eff.Attempt})
+	if cutoff.Of(ctx).IsResumption() {
+		return false
+	}
 	att.cl.body.answerBegan()
+	return true
 }
 
 // passOn writes the response to the caller while it arrives. begun is the part of it that has arrived already.
--- a/internal/relay/attempt_test.go
+++ b/internal/relay/attempt_test.go
@@ -49,7 +49,7 @@
 		defer close(checked)
 		att.watch.look()
 	}()
-	att.startResponse(&http.Response{Header: http.Header{}})
+	att.startResponse(t.Context(), &http.Response{Header: http.Header{}})
 	<-checked
 	assert.Assert(t, cl.headerSent.Load())
 }
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -31,13 +32,18 @@
 		}
 		count, err := resp.Body.Read(buf[len(buf):cap(buf)])
 		buf = buf[:len(buf)+count]
-		rest, writeErr := att.forward(resp, buf)
+		rest, writeErr := att.forward(ctx, resp, buf)
+		if writeErr == errReplaced {
+			return att.failureResult(ctx, errReplaced)
+		}
 		if writeErr != nil {
 			return att.callerFailed(writeErr)
 		}
 		buf = append(buf[:0], rest...)
 		if err == io.EOF && len(bytes.TrimSpace(buf)) == 0 && !att.endedUnbegun() {
-			att.startResponse(resp)
+			if !att.startResponse(ctx, resp) {
+				return att.failureResult(ctx, errReplaced)
+			}
 			// Empty lines after the last event belong to the body, which is passed on unchanged.
 			if _, err := att.cl.w.Write(buf); err != nil {
 				return steer.ResultCancelled
@@ -64,17 +70,20 @@
 	return resp.ContentLength < 0 && (isDetour || len(resp.TransferEncoding) == 0)
 }
 
+// errReplaced means that another run was granted in place of an attempt before its answer could begin.
+var errReplaced = errors.New("relay: another run was granted before the answer began")
+
 // forward writes the complete events at the start of buf to the caller and returns the remaining bytes. The error is one of writing to the
-// caller.
-func (att *attempt) forward(resp *http.Response, buf []byte) (rest []byte, err error) {
-	end := 0
+// caller, or errReplaced.
+func (att *attempt) forward(ctx context.Context, resp *http.Response, buf []byte) (rest []byte, err error) {
+	end, lastID := 0, att.cl.lastEventID
 	for {
 		length := eventLength(buf[end:])
 		if length == 0 {
 			break
 		}
 		if id, found := eventID(buf[end : end+length]); found {
-			att.cl.lastEventID = id
+			lastID = id
 		}
 		end += length
 	}
@@ -85,7 +94,10 @@
 		att.cl.allowWrite(end)
 		defer att.cl.limitWrites()
 	}
-	att.startResponse(resp)
+	if !att.startResponse(ctx, resp) {
+		return nil, errReplaced
+	}
+	att.cl.lastEventID = lastID
 	att.recordProgress()
 	defer att.watch.wrote()
 	if _, err := att.cl.w.Write(buf[:end]); err != nil {
@@ -98,19 +110,21 @@
 }
 
 // startResponse applies Began unless the attempt has forwarded an event already, and sends the caller the replica's
-// header unless the caller has one already: a later replica only continues the stream of the first.
-func (att *attempt) startResponse(resp *http.Response) {
-	if att.lastEvent.IsZero() {
-		att.began()
+// header unless the caller has one already: a later replica only continues the stream of the first. It returns false, and
+// sends nothing, if another run was granted in place of the attempt before the answer began.
+func (att *attempt) startResponse(ctx context.Context, resp *http.Response) bool {
+	if att.lastEvent.IsZero() && !att.began(ctx) {
+		return false
 	}
 	if att.cl.headerSent.Load() {
-		return
+		return true
 	}
 	att.in.recordTime("Requests.FirstByte.stream", time.Since(att.cl.arrived))
 	att.in.announceClose(att.cl)
 	copyHeader(att.cl.w.Header(), resp.Header)
 	att.cl.headerSent.Store(true)
 	att.cl.w.WriteHeader(http.StatusOK)
+	return true
 }
 
 // recordProgress records that events arrived.
--- a/internal/steer/queue.go
+++ b/internal/steer/queue.go
@@ -93,13 +93,13 @@
 // outOfTime are first tries that would be late: their callers can retry once more, and so learn now when to do so. gaveWay are first
 // tries that gave way to others for too long. blocked are
 // those that the replicas' announcements keep waiting for too long. quarantined are those whose content was quarantined while they
-// waited, and changed those that may run only once by now. From Draining.RefuseWaitingAt on, all that wait are refused.
+// waited, and changed those that may run only once by now. draining are those that the end of the process refuses.
 func (st *State) expire() {
 	var expired, outOfTime, gaveWay, draining, quarantined, changed []*request
 	var blocked []blockedRequest
 	for _, req := range st.waiting {
 		switch {
-		case st.drain != nil && !st.now.Before(st.drain.RefuseWaitingAt):
+		case st.refusesWaiting(req):
 			draining = append(draining, req)
 		case st.quarantined(req):
 			quarantined = append(quarantined, req)
@@ -143,6 +143,12 @@
 	}
 }
 
+// refusesWaiting reports whether the process ends too soon for a request that waits. An answer that has begun goes on waiting for another run until
+// attempts are aborted: its caller can only be cut off, and cannot send the request elsewhere.
+func (st *State) refusesWaiting(req *request) bool {
+	return st.drain != nil && !st.now.Before(st.drain.RefuseWaitingAt) && (!req.begun || st.abortsAttempts())
+}
+
 // outOfTime reports whether a first try has waited until its answer could hardly begin by its original goal.
 func (st *State) outOfTime(req *request) bool {
 	if req.late {
--- a/internal/steer/serve.go
+++ b/internal/steer/serve.go
@@ -183,7 +183,8 @@
 
 func (st *State) began(ev Began) {
 	req, ok := st.requests[ev.ID]
-	if !ok || ev.Attempt != req.attempt {
+	if !ok || ev.Attempt != req.attempt || req.resumes {
+		// The answer of an attempt in whose place another run was granted is not forwarded any more.
 		return
 	}
 	if !req.begun {
