Silence: time before a request counts for no dead connection

The time since the last acknowledgement includes that for which a kept connection was idle, so that after 3 s without use one lost packet made it count as dead at the first look. What callers saw: an attempt that ends after some 1.1 s; found by the review, which dropped the packets of one end by a socket filter (dead 200 ms after the first unacknowledged byte). Now the time counts from the last event, or from the start of the attempt.

--- a/internal/relay/silence.go
+++ b/internal/relay/silence.go
@@ -131,7 +131,7 @@
 		return
 	}
 	if conn != nil {
-		if proof := cutoff.OfConnection(acknowledgement(conn.Conn)); proof != cutoff.None {
+		if proof := sw.proofOfConnection(conn.Conn); proof != cutoff.None {
 			att.in.count("Silences.Dead")
 			att.end(proof)
 			return
@@ -170,6 +170,16 @@
 	}
 }
 
+// proofOfConnection returns the proof that the state of the connection is. Nothing was expected before the request was sent: on a kept connection the
+// last packet may be older.
+func (sw *silenceWatch) proofOfConnection(conn net.Conn) cutoff.Proof {
+	sw.mu.Lock()
+	since := sw.clock.Since()
+	sw.mu.Unlock()
+	unacknowledged, received := acknowledgement(conn)
+	return cutoff.OfConnection(unacknowledged, min(received, time.Since(since)))
+}
+
 // lookAgain begins the limit anew, unless an event has.
 func (sw *silenceWatch) lookAgain() {
 	sw.mu.Lock()
