Callers' connections: a part of a request holds one for the header's time only

Cause. http.Server waits for the first four bytes of a request on a kept connection without a limit, and the timer of idle connections left alone a connection on which bytes had arrived. What operators would see: descriptors that are used up by callers that send one to three bytes. TestPartOfARequestDoesNotHoldAConnectionForGood fails by its read deadline without the mend.

--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -267,18 +267,19 @@
 	}
 }
 
-// closeOverdue closes the connection if it has been idle for too long. The limit may have been raised since it became idle.
+// closeOverdue closes the connection if it has been idle for too long. The limit may have been raised since it became idle. A part of a request holds the
+// connection for HeaderTimeout: http.Server limits the time for the rest only once four bytes are there.
 func (cn *conn) closeOverdue() {
 	left := time.Until(cn.idleFrom().Add(cn.srv.opts.IdleLimit()))
 	if left <= 0 {
-		if cn.closeQuiet(0) {
+		if cn.closeQuiet(cn.srv.opts.HeaderTimeout) {
 			return
 		}
 		left = recheckIdle
 	}
 	cn.mu.Lock()
 	defer cn.mu.Unlock()
-	if cn.timer != nil && !cn.received {
+	if cn.timer != nil {
 		cn.timer.Reset(left)
 	}
 }
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -531,3 +531,19 @@
 	assert.Equal(t, wd.srv.Drain(limited), context.DeadlineExceeded)
 	assert.Equal(t, wd.srv.Held(), Held{Connections: 1, Requests: 1})
 }
+
+func TestPartOfARequestDoesNotHoldAConnectionForGood(t *testing.T) {
+	// Guards against descriptors that are used up: a caller sends two bytes on a kept connection and then nothing. The timer of idle connections left it
+	// alone, and http.Server waits without a limit for the first four bytes.
+	wd := newWorld(t, func(http.ResponseWriter, *http.Request) {}, func(opts *Options) {
+		opts.HeaderTimeout = 300 * time.Millisecond
+		opts.IdleLimit = func() time.Duration { return 200 * time.Millisecond }
+	})
+	ca := wd.dial()
+	ca.send(request)
+	ca.receive()
+	ca.send("GE")
+	_ = ca.SetReadDeadline(time.Now().Add(20 * time.Second))
+	_, err := ca.reader.ReadByte()
+	assert.Assert(t, err != nil && !isTimeout(err), err)
+}
