Peers: a panic in one message ends no others

A caught panic came back as an error, which ended the group and the transport; that closes its socket and cannot be opened again. What operators would see: "quic: transport closed" every 5 s, and no word of quarantines, claims and configuration until a restart. Connections are accepted again after an error, too.

--- a/internal/peers/quic.go
+++ b/internal/peers/quic.go
@@ -9,6 +9,7 @@
 	"github.com/quic-go/quic-go"
 	"golang.org/x/sync/errgroup"
 
+	"dandelionsail.example/dandelionsail/internal/delay"
 	"dandelionsail.example/dandelionsail/internal/tasks"
 	"dandelionsail.example/dandelionsail/internal/wire"
 )
@@ -24,6 +25,8 @@
 	// between two peers may lose the state of a connection, which then stays open but silent for good, while a new
 	// connection works.
 	silenceTimeout = time.Second
+	// acceptPause is the pause after connections could not be accepted.
+	acceptPause = 100 * time.Millisecond
 	// recheckInterval is how often connections are checked against replaced keys and unused links are removed.
 	recheckInterval = 2 * time.Second
 	// streamTimeout bounds the reading of one message, the writing of its answer, and the sending of a queued message that
@@ -170,7 +173,14 @@
 	qu.group = group
 	qu.ctx = ctx
 	qu.groupMu.Unlock()
-	group.Go(tasks.GuardError("peers accept", func() error { return qu.accept(ctx, listener) }))
+	group.Go(tasks.GuardError("peers accept", func() error {
+		// The transport cannot be opened again: nothing but the end of the context may end its parts.
+		for ctx.Err() == nil {
+			tasks.Guard("peers connection", func() { _ = qu.accept(ctx, listener) })()
+			delay.For(ctx, acceptPause)
+		}
+		return ctx.Err()
+	}))
 	group.Go(tasks.GuardError("peers recheck", func() error { return qu.recheck(ctx) }))
 	<-ctx.Done()
 	qu.groupMu.Lock()
@@ -192,7 +202,8 @@
 	}
 	ctx := qu.ctx
 	qu.group.Go(tasks.GuardError("peers stream", func() error {
-		work(ctx)
+		// A panic in one message must not end the others.
+		tasks.Guard("peers message", func() { work(ctx) })()
 		return nil
 	}))
 	return true
