Requests end also if the reducer's outcome is lost, and at the end of the drain

A panic in the reducer is caught, and the effects of that event are lost: the request waited for them past its deadline and after its caller had left, with its connection and the memory of its body.

Shown by the review: a call that ends neither at its deadline nor when its caller leaves, and EOF for an update that runs at the end of the drain.

Now each request ends by itself a second or two after its deadline with 504 (completions: OutcomeUnknown), a line and Requests.WithoutOutcome, and the open requests of the completions front get OutcomeUnknown shortly before the drain time is over.

--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -117,6 +117,8 @@
 // handleEffects carries out the call's effects until its Finish, and reports to the reducer when the caller disconnects.
 func (in *Instance) handleEffects(cl *call) {
 	gone := cl.req.Context().Done()
+	overdue, isAsked := time.NewTimer(time.Until(cl.deadline)+outcomeMargin), false
+	defer overdue.Stop()
 	for {
 		select {
 		case eff := <-cl.effects:
@@ -138,10 +140,31 @@
 		case <-gone:
 			gone = nil
 			in.loop.Submit(event.CallerGone{ID: cl.id})
+		case <-overdue.C:
+			if isAsked {
+				in.endWithoutOutcome(cl)
+				return
+			}
+			isAsked = true
+			in.loop.Submit(event.CallerGone{ID: cl.id})
+			overdue.Reset(outcomeMargin)
 		}
 	}
 }
 
+// outcomeMargin is how long after a request's deadline its outcome is waited for, once before the reducer is told that nobody waits any more
+// and once after.
+const outcomeMargin = time.Second
+
+// endWithoutOutcome ends a request for which the reducer has sent no Finish, which is a defect: a panic in the reducer was caught, and the effects
+// of that event are lost. Without this the caller, the connection and the body would be held for good.
+func (in *Instance) endWithoutOutcome(cl *call) {
+	in.incCounter("Requests.WithoutOutcome")
+	in.log.Error().Str("Request", cl.name).Int64("AgeMs", time.Since(cl.arrived).Milliseconds()).Msg("request ended without an outcome of the reducer")
+	cl.w.Header().Set("Connection", "close")
+	cl.writeError(fromRefusal(&effect.Refusal{Reason: effect.ReasonOutcome, RunState: effect.Unknown, Remedy: "send it again if it may run twice"}))
+}
+
 func (in *Instance) register(cl *call) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
--- a/internal/entry/callers_test.go
+++ b/internal/entry/callers_test.go
@@ -72,3 +72,26 @@
 		})
 	}
 }
+
+func TestRequestsThatRunAtTheEndOfTheDrainAreAnswered(t *testing.T) {
+	// Guards against a request that ends without an answer although it may have run: its upstream is at work when the drain time is over, and the
+	// connections are closed.
+	arrived, release := make(chan struct{}), make(chan struct{})
+	upstream := http.HandlerFunc(func(_ http.ResponseWriter, req *http.Request) {
+		_, _ = io.Copy(io.Discard, req.Body)
+		close(arrived)
+		<-release
+	})
+	rg := newRig(t, rigOptions{Plain: []http.Handler{upstream}, Progress: time.Hour, DrainTime: 2 * time.Second})
+	t.Cleanup(func() { close(release) })
+	conn, err := net.Dial("tcp", rg.address)
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, withLength("/board/next", "x"))
+	assert.NilError(t, err)
+	<-arrived
+	rg.stop()
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, http.StatusBadGateway)
+}
--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -7,9 +7,11 @@
 	"errors"
 	"hash/fnv"
 	stdlog "log"
+	"maps"
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -308,6 +310,8 @@
 	in.rebroadcastQuarantine()
 	deadline, cancel := context.WithTimeout(ctx, in.opts.DrainTime)
 	defer cancel()
+	ending := time.AfterFunc(in.opts.DrainTime-min(maxAnswerTime, in.opts.DrainTime/4), tasks.Guard("end of the drain", in.endOpenCalls))
+	defer ending.Stop()
 	err := server.Drain(deadline)
 	in.waitSettled(deadline)
 	held := server.Held()
@@ -315,6 +319,22 @@
 	return errors.Join(err, server.Close())
 }
 
+// maxAnswerTime is the maximum part of DrainTime in which the requests that are still open are answered.
+const maxAnswerTime = 500 * time.Millisecond
+
+// endOpenCalls ends what is still open shortly before the connections are closed, as if its callers had left. They get an error that says that the
+// outcome is unknown, and not a connection that is closed without an answer.
+func (in *Instance) endOpenCalls() {
+	in.mu.Lock()
+	open := slices.Collect(maps.Keys(in.calls))
+	in.mu.Unlock()
+	for _, id := range open {
+		in.loop.Submit(event.CallerGone{ID: id})
+	}
+	in.incCounter("Drain.Expired")
+	in.log.Warn().Int("Open", len(open)).Msg("drain time is nearly over; open requests are ended")
+}
+
 // waitSettled waits until the outcomes of all claims are recorded or the context ends. If the process ended before, the
 // claim of a request that did run, or certainly did not, would stay recorded as possibly running, and a resend would get
 // OutcomeUnknown.
--- a/internal/entry/rig_test.go
+++ b/internal/entry/rig_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -47,6 +48,8 @@
 	Plain []http.Handler
 	// Memory is the instance's, 0 for no bound.
 	Memory memory.Limit
+	// DrainTime is the instance's, 10 s if it is 0.
+	DrainTime time.Duration
 	// Progress is the services' ProgressTimeout.
 	Progress time.Duration
 	// Via maps an upstream's address to the one that the platform lists; nil lists the upstream's own address.
@@ -79,7 +82,7 @@
 	logger := &log.Logger{Level: log.PanicLevel}
 	rg.instance = entry.New(entry.Options{
 		Name: "entry-0", FailureDomain: "a", Listen: rg.address, Platform: platform, Store: platform,
-		ListPeriod: 50 * time.Millisecond, LoadPeriod: time.Second, DrainTime: 10 * time.Second,
+		ListPeriod: 50 * time.Millisecond, LoadPeriod: time.Second, DrainTime: cmp.Or(opts.DrainTime, 10*time.Second),
 		MaxBody: 8 << 20, BodyTimeout: 300 * time.Millisecond, Memory: opts.Memory,
 	}, logger)
 	ctx, stop := context.WithCancel(context.Background())
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -193,6 +193,8 @@
 	defer func() { in.recordTime("Requests.Whole."+routeKind(cl.route), time.Since(cl.arrived)) }()
 	in.apply(ev)
 	callerGone := cl.req.Context().Done()
+	overdue, isAsked := time.NewTimer(time.Until(cl.deadline)+outcomeMargin), false
+	defer overdue.Stop()
 	for {
 		select {
 		case eff := <-cl.effects:
@@ -209,10 +211,37 @@
 		case <-callerGone:
 			callerGone = nil
 			in.apply(steer.CallerGone{ID: cl.id})
+		case <-overdue.C:
+			if isAsked {
+				in.endWithoutOutcome(cl)
+				return
+			}
+			// The process may have stood still, and the reducer not have heard that the deadline has passed.
+			isAsked = true
+			in.apply(steer.Ticked{})
+			overdue.Reset(outcomeMargin)
 		}
 	}
 }
 
+// outcomeMargin is how long after a request's deadline its outcome is waited for, once before the reducer is asked and once after.
+const outcomeMargin = time.Second
+
+// endWithoutOutcome ends a request for which the reducer has sent no Finish, which is a defect: a panic in the reducer was caught, and the effects
+// of that event are lost. Without this the caller, the connection and the body would be held for good.
+func (in *Instance) endWithoutOutcome(cl *call) {
+	in.count("Requests.WithoutOutcome")
+	in.log.Error().Str("Request", cl.info.Name).Int64("AgeMs", time.Since(cl.arrived).Milliseconds()).Msg("request ended without an outcome of the reducer")
+	in.apply(steer.CallerGone{ID: cl.id})
+	cl.allowWrite(0)
+	if cl.headerSent.Load() {
+		cl.account.Cut("WithoutOutcome", "")
+		panic(http.ErrAbortHandler)
+	}
+	cl.w.Header().Set("Connection", "close")
+	in.reject(cl, http.StatusGatewayTimeout, "no outcome", 0)
+}
+
 // abort ends the attempt with the proof if it is the call's last one.
 func (cl *call) abort(attempt int, proof cutoff.Proof) {
 	cl.mu.Lock()
