Test of connections that are not kept: the first request is the first that arrives

The handler sent its header before it took the flag, so that the second request, which follows the header, could take it and wait for good: the test hung for ten minutes once. What it asserts is unchanged.

--- a/internal/relay/replicaconn_test.go
+++ b/internal/relay/replicaconn_test.go
@@ -254,9 +254,10 @@
 	defer close(release)
 	var first atomic.Bool
 	rep := startConnReplica(t, 0, func(w http.ResponseWriter, _ *http.Request) {
+		isFirst := first.CompareAndSwap(false, true)
 		w.Header().Set("Keep-Alive", "timeout=0")
 		_ = http.NewResponseController(w).Flush()
-		if first.CompareAndSwap(false, true) {
+		if isFirst {
 			<-release
 		}
 	})
