--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -19,6 +19,7 @@
 
 	"dandelionsail.example/dandelionsail/internal/certs"
 	"dandelionsail.example/dandelionsail/internal/plat"
+	"dandelionsail.example/dandelionsail/internal/sigs"
 )
 
 // programVariable is the environment variable that selects the program which a re-executed binary runs.
@@ -37,6 +38,8 @@
 	if ok {
 		os.Exit(run(os.Args[1:]))
 	}
+	// SIGINT and SIGTERM end the test itself; package sigs handles them for the programs.
+	sigs.Restore()
 }
 
 // startTimeout is the time within which a new process must print its address.
