Bodies that stop give their memory back while others wait, on both fronts

Callers saw 503 for long bodies on the completions front until the time for other callers' bodies was over, since some callers had begun bodies and stopped: the whole body was reserved and nothing watched how it arrived. The relay watched it only beyond the first 64 KB. In the tests of internal/abuse: ordinary clients give each try an ID and a body of its own. Ports lie below those of outgoing connections, of which the crowd has so many that a process did not get its port, and a failed start no longer hangs the test. New is a manner with answers of the process itself.

--- a/internal/abuse/crowd_test.go
+++ b/internal/abuse/crowd_test.go
@@ -38,8 +38,8 @@
 
 // target is a port, and the request that it reads a body of.
 type target struct {
-	// path is where bodies are sent to, page what has the longest answer.
-	path, page string
+	// path is where bodies are sent to, page what has the longest answer, and own what the process answers itself in any case.
+	path, page, own string
 	// header is sent with requests that are to pass the checks of their header.
 	header string
 }
@@ -127,6 +127,9 @@
 	"answers that are not read": func(mb *member, tg target) {
 		mb.sayEndlessly("", func(int) string { return "GET " + tg.page + " HTTP/1.1\r\nHost: hall.example\r\n" + tg.header + "\r\n" })
 	},
+	"own answers that are not read": func(mb *member, tg target) {
+		mb.sayEndlessly("", func(int) string { return "GET " + tg.own + " HTTP/1.1\r\nHost: hall.example\r\n\r\n" })
+	},
 	"silent": func(mb *member, _ target) { mb.connect() },
 }
 
@@ -137,13 +140,13 @@
 	secure bool
 	target target
 }{
-	"relay, callers":   {startRelay, "listen", false, target{"/update/1", "/update/1", relayHeader}},
-	"relay, readiness": {startRelay, "ready", false, target{"/v1/readyz", "/v1/readyz", ""}},
-	"relay, peers":     {startRelay, "peer", false, target{"/detour", "/directory", ""}},
-	"relay, metrics":   {startRelay, "metrics", false, target{"/metrics", "/metrics", ""}},
-	"entry, callers":   {startPlainEntry, "listen", false, target{"/board/next", "/v1/models", entryHeader}},
-	"entry, TLS":       {startSecureEntry, "listen", true, target{"/board/next", "/v1/models", entryHeader}},
-	"entry, metrics":   {startPlainEntry, "metrics", false, target{"/metrics", "/metrics", ""}},
+	"relay, callers":   {startRelay, "listen", false, target{"/update/1", "/update/1", "/nowhere", relayHeader}},
+	"relay, readiness": {startRelay, "ready", false, target{"/v1/readyz", "/v1/readyz", "/nowhere", ""}},
+	"relay, peers":     {startRelay, "peer", false, target{"/detour", "/directory", "/nowhere", ""}},
+	"relay, metrics":   {startRelay, "metrics", false, target{"/metrics", "/metrics", "/nowhere", ""}},
+	"entry, callers":   {startPlainEntry, "listen", false, target{"/board/next", "/v1/models", "/healthz", entryHeader}},
+	"entry, TLS":       {startSecureEntry, "listen", true, target{"/board/next", "/v1/models", "/healthz", entryHeader}},
+	"entry, metrics":   {startPlainEntry, "metrics", false, target{"/metrics", "/metrics", "/nowhere", ""}},
 }
 
 const (
@@ -176,6 +179,10 @@
 func (cr *crowd) leave() {
 	for _, mb := range cr.members {
 		for _, conn := range mb.conns {
+			if secure, ok := conn.(*tls.Conn); ok {
+				// TLS would wait until its own end is written.
+				conn = secure.NetConn()
+			}
 			_ = conn.Close()
 		}
 		mb.conns = nil
--- a/internal/abuse/process_test.go
+++ b/internal/abuse/process_test.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -94,12 +95,17 @@
 	return text[max(0, len(text)-4000):]
 }
 
+// The ports of the processes are below those that the kernel gives to outgoing connections, of which the crowds have many.
+const firstPort, lastPort = 20_000, 30_000
+
 // newAddress returns an address whose port is free for TCP and UDP.
 func newAddress(t *testing.T) string {
 	for range 100 {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		assert.NilError(t, err)
-		address := listener.Addr().String()
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
 		udp, err := net.ListenPacket("udp", address)
 		_ = listener.Close()
 		if err == nil {
@@ -122,7 +128,7 @@
 	}
 	pr.peer = pr.addresses["peer"]
 	pr.requests = func() []ordinary {
-		header := map[string]string{"X-Request-Id": "ordinary", "X-Deadline-Ms": "2000", "Authorization": "Token " + key}
+		header := map[string]string{"X-Deadline-Ms": "2000", "Authorization": "Token " + key}
 		return []ordinary{
 			{http.MethodPost, "http://" + pr.addresses["listen"] + "/update/1", "hymn 101", header, http.StatusOK},
 			{http.MethodGet, "http://" + pr.addresses["ready"] + "/v1/readyz", "", nil, http.StatusOK},
@@ -193,11 +199,11 @@
 			pr.t.Logf("log of %s:\n%s", command, pr.log.tail())
 		}
 	})
-	pr.checkServing("before the crowd came")
 	go func() {
 		defer close(sampled)
 		pr.sample()
 	}()
+	pr.checkServing("before the crowd came")
 	return pr
 }
 
@@ -221,12 +227,21 @@
 	}
 }
 
+// tries numbers the requests of ordinary clients.
+var tries atomic.Int64
+
+// send sends the request. Each is one of its own, with its own ID and body: a client that repeats one does so within its deadline only.
 func (or ordinary) send(client *http.Client) error {
-	req, err := http.NewRequest(or.method, or.url, strings.NewReader(or.body))
+	name, body := fmt.Sprint("ordinary-", tries.Add(1)), ""
+	if or.method == http.MethodPost {
+		body = name + or.body
+	}
+	req, err := http.NewRequest(or.method, or.url, strings.NewReader(body))
 	if err != nil {
 		return err
 	}
 	req.Host = "hall.example"
+	req.Header.Set("X-Request-Id", name)
 	for name, value := range or.header {
 		req.Header.Set(name, value)
 	}
--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -129,7 +129,7 @@
 	if ae := in.reserveBody(cl, from); ae != nil {
 		return nil, ae
 	}
-	raw, err := readAll(from, cl.req.ContentLength)
+	raw, err := in.receive(cl, from)
 	if err == nil {
 		if cl.req.ContentLength < 0 {
 			in.memory.Release(memory.Bodies, cl.reserved-int64(cap(raw)))
@@ -144,9 +144,26 @@
 	}
 	// Where the next request would begin on the connection is unknown.
 	cl.w.Header().Set("Connection", "close")
+	if err == memory.SlowBody {
+		return nil, memoryUsedUp()
+	}
 	return nil, badRequest(http.StatusBadRequest, "IncompleteBody", "the body ended early or came too slowly; send it whole")
 }
 
+// receive reads the body, for which memory is reserved. If the caller stops sending while others wait for memory, the error is memory.SlowBody.
+func (in *Instance) receive(cl *call, from io.Reader) ([]byte, error) {
+	guard := &memory.SlowGuard{
+		From: from, Rest: cl.req.ContentLength, Deadline: time.Now().Add(in.opts.BodyTimeout), Pressed: in.memory.Pressed,
+		Interrupt: func() { _ = cl.control.SetReadDeadline(time.Now()) },
+	}
+	guard.Start()
+	raw, err := readAll(guard, cl.req.ContentLength)
+	if guard.End() && err != nil {
+		return nil, memory.SlowBody
+	}
+	return raw, err
+}
+
 const (
 	// memoryWait is the maximum time that a request waits for memory before its body is read.
 	memoryWait = time.Second
@@ -178,7 +195,12 @@
 	in.log.Info().Str("Instance", in.opts.Name).Str("Organisation", cl.organisation).Int64("Bytes", size).Int64("HeldBytes", in.memory.Total()).Err(err).Msg("refused for memory")
 	_ = cl.control.SetReadDeadline(time.Now().Add(discardTime))
 	_, _ = io.Copy(io.Discard, from)
-	ae := badRequest(http.StatusServiceUnavailable, "MemoryUsedUp", "the instance has no memory for the body now, and nothing has run; send it again later")
+	return memoryUsedUp()
+}
+
+// memoryUsedUp returns the refusal of a request that has found no memory. It has not run.
+func memoryUsedUp() *apiError {
+	ae := badRequest(http.StatusServiceUnavailable, "MemoryUsedUp", "the instance has no memory for the request now, and nothing has run; send it again later")
 	ae.RetryAfter = memoryRetryAfter
 	return ae
 }
--- a/internal/relay/body.go
+++ b/internal/relay/body.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"dandelionsail.example/dandelionsail/internal/memory"
-	"dandelionsail.example/dandelionsail/internal/tasks"
 	"dandelionsail.example/dandelionsail/pkg/decl"
 )
 
@@ -23,10 +22,6 @@
 	memoryWaitShare = 0.3
 	// memoryRetryAfter is the Retry-After of a request that was refused for memory. A body is typically held for about as long.
 	memoryRetryAfter = time.Second
-	// slowBodyTime is how long a long body may make no progress while other requests wait for memory, and from when on its pace counts.
-	slowBodyTime = time.Second
-	// slowCheckPeriod is the time between two checks of a body that takes longer than slowBodyTime.
-	slowCheckPeriod = 250 * time.Millisecond
 	// discardTime is how long the body of a refused request is read and discarded. A connection that closes with unread bytes is
 	// reset, which can discard the answer before the caller has read it. On a busy machine 300 ms are not enough for 4 MB.
 	discardTime = time.Second
@@ -190,9 +185,6 @@
 	return false
 }
 
-// errSlowBody means that a long body arrived slowly while other requests waited for memory.
-const errSlowBody = memory.Refusal("body too slow while others wait")
-
 // receiveBody reserves memory for the body and reads it. The first SmallBody bytes are read before the rest is reserved, so that a
 // caller that sends nothing holds little.
 func (in *Instance) receiveBody(cl *call, limit int64) error {
@@ -206,7 +198,10 @@
 		return err
 	}
 	buf := make([]byte, first)
-	if _, err := io.ReadFull(from, buf); err != nil {
+	if err := in.readGuarded(cl, from, first, func(from io.Reader) error {
+		_, err := io.ReadFull(from, buf)
+		return err
+	}); err != nil {
 		return err
 	}
 	if length > first {
@@ -233,7 +228,11 @@
 	if err := in.reserveBody(cl, memory.SmallBody); err != nil {
 		return err
 	}
-	buf, whole, err := readInto(from, make([]byte, 0, minBuffer), memory.SmallBody)
+	buf, whole := make([]byte, 0, minBuffer), false
+	err := in.readGuarded(cl, from, -1, func(from io.Reader) (err error) {
+		buf, whole, err = readInto(from, buf, memory.SmallBody)
+		return err
+	})
 	if err != nil {
 		return err
 	}
@@ -279,95 +278,23 @@
 
 // readLong calls read with a reader of the rest of a body that has a long reservation and is yet to have the given number of bytes, negative if
 // that is unknown. If the caller stops sending, or sends too slowly for its deadline, while other requests wait for memory, the read
-// ends with errSlowBody.
+// ends with memory.SlowBody.
 func (in *Instance) readLong(cl *call, from io.Reader, rest int64, read func(from io.Reader) error) error {
-	guard := &slowGuard{
-		from: from, rest: rest, deadline: cl.deadline, pressed: in.memory.Pressed,
-		interrupt: func() { _ = cl.control.SetReadDeadline(time.Now()) },
-	}
-	guard.start()
-	err := read(guard)
-	if guard.end() && err != nil {
-		return errSlowBody
-	}
-	return err
-}
-
-// slowGuard is a reader of a body. It interrupts a read that makes too little progress while other requests wait for memory.
-type slowGuard struct {
-	from io.Reader
-	// rest is the number of bytes that were yet to arrive at the start, negative if that is unknown.
-	rest      int64
-	deadline  time.Time
-	pressed   func() bool
-	interrupt func()
-	// received is the number of bytes that have arrived since the start.
-	received atomic.Int64
-	// mu guards the fields below.
-	mu        sync.Mutex
-	startedAt time.Time
-	timer     *time.Timer
-	// seen is the number of bytes that had arrived at the last check that found new ones, and seenAt its time.
-	seen   int64
-	seenAt time.Time
-	// ended reports whether the read is over, after which it must not be interrupted any more.
-	ended bool
-	// interrupted reports whether the read was interrupted.
-	interrupted bool
-}
-
-// Read implements io.Reader.
-func (sg *slowGuard) Read(buf []byte) (int, error) {
-	count, err := sg.from.Read(buf)
-	sg.received.Add(int64(count))
-	return count, err
+	return in.readGuarded(cl, from, rest, read)
 }
 
-func (sg *slowGuard) start() {
-	sg.mu.Lock()
-	defer sg.mu.Unlock()
-	sg.startedAt = time.Now()
-	sg.seenAt = sg.startedAt
-	sg.timer = time.AfterFunc(slowBodyTime, tasks.Guard("slow body", sg.check))
-}
-
-func (sg *slowGuard) check() {
-	sg.mu.Lock()
-	defer sg.mu.Unlock()
-	if sg.ended {
-		return
-	}
-	now := time.Now()
-	slow := sg.isSlow(now)
-	if slow && sg.pressed() {
-		sg.interrupted = true
-		sg.interrupt()
-		return
-	}
-	sg.timer.Reset(slowCheckPeriod)
-}
-
-// isSlow reports whether nothing has arrived for slowBodyTime, or whether the body will not be there by the deadline at its pace so far. sg.mu
-// is held.
-func (sg *slowGuard) isSlow(now time.Time) bool {
-	received := sg.received.Load()
-	if received > sg.seen {
-		sg.seen, sg.seenAt = received, now
+// readGuarded is readLong for a body that has any reservation.
+func (in *Instance) readGuarded(cl *call, from io.Reader, rest int64, read func(from io.Reader) error) error {
+	guard := &memory.SlowGuard{
+		From: from, Rest: rest, Deadline: cl.deadline, Pressed: in.memory.Pressed,
+		Interrupt: func() { _ = cl.control.SetReadDeadline(time.Now()) },
 	}
-	if now.Sub(sg.seenAt) >= slowBodyTime {
-		return true
+	guard.Start()
+	err := read(guard)
+	if guard.End() && err != nil {
+		return memory.SlowBody
 	}
-	pace := float64(received) / float64(now.Sub(sg.startedAt))
-	return sg.rest >= 0 && pace*float64(sg.deadline.Sub(now)) < float64(sg.rest-received)
-}
-
-// end states that the read is over and reports whether it was interrupted.
-func (sg *slowGuard) end() bool {
-	sg.mu.Lock()
-	defer sg.mu.Unlock()
-	sg.ended = true
-	sg.timer.Stop()
-	return sg.interrupted
+	return err
 }
 
 // reserveBody reserves memory for a part of the call's body, and waits for its turn if there is none. The error is a memory.Refusal.
@@ -404,7 +331,7 @@
 // discardBody reads the rest of the body within discardTime and reports whether that succeeded. A caller that waits for "100 Continue" has not
 // sent it.
 func (in *Instance) discardBody(cl *call, refusal memory.Refusal, limit int64) bool {
-	if refusal == errSlowBody || refusal == memory.CallerLeft || cl.req.Header.Get("Expect") != "" {
+	if refusal == memory.SlowBody || refusal == memory.CallerLeft || cl.req.Header.Get("Expect") != "" {
 		return false
 	}
 	_ = cl.control.SetReadDeadline(time.Now().Add(discardTime))
