Gossip: what is kept of senders that are not in the list is bounded

A process grew with each datagram that anybody sent to its port for peers: each name in a note became an instance, with all jobs and ends of jobs that it stated. What a stranger states is still believed within these bounds, as before; that is not mended here.

--- a/internal/relay/gossip.go
+++ b/internal/relay/gossip.go
@@ -43,7 +43,11 @@
 	conn *net.UDPConn
 	// peers holds the addresses of the other instances, by name.
 	peers atomic.Pointer[map[string]*net.UDPAddr]
-	queue chan steer.SendNote
+	// known holds the same addresses.
+	known atomic.Pointer[map[netip.AddrPort]struct{}]
+	// strangers are the senders that are not among them.
+	strangers strangers
+	queue     chan steer.SendNote
 	// ranked holds the addresses of all instances in the order in which they are chosen as pollers, nil for this
 	// Instance.
 	ranked atomic.Pointer[[]*net.UDPAddr]
@@ -77,11 +81,10 @@
 }
 
 func openGossip(ctx context.Context, in *Instance) (*gossip, error) {
-	address, err := net.ResolveUDPAddr("udp", in.opts.PeerListen)
-	if err != nil {
+	if _, err := net.ResolveUDPAddr("udp", in.opts.PeerListen); err != nil {
 		return nil, BadOption.Wrap(err, "relay: --peer-listen is %q; give an IP address and a port", in.opts.PeerListen)
 	}
-	conn, err := ports.Bind(ctx, in.monitor.BindFailed("peer-listen", in.opts.PeerListen), func() (*net.UDPConn, error) { return net.ListenUDP("udp", address) })
+	conn, err := ports.Bind(ctx, in.monitor.BindFailed("peer-listen", in.opts.PeerListen), func() (*net.UDPConn, error) { return ports.ListenDatagrams(in.opts.PeerListen) })
 	if err != nil {
 		return nil, Errors.NewType("listen").Wrap(err, "relay: --peer-listen %s cannot be used; choose a free address", in.opts.PeerListen)
 	}
@@ -91,6 +94,7 @@
 		unacked: make(chan *unacked, unackedQueueSize), acks: make(chan ack, ackQueueSize),
 	}
 	gs.peers.Store(&map[string]*net.UDPAddr{})
+	gs.known.Store(&map[netip.AddrPort]struct{}{})
 	gs.ranked.Store(&[]*net.UDPAddr{nil})
 	return gs, nil
 }
@@ -200,7 +204,7 @@
 func (gs *gossip) handlePacket(pk packet, from *net.UDPAddr) bool {
 	switch {
 	case pk.Note != nil:
-		if !gs.handleNote(pk.Note) {
+		if !gs.handleNote(pk.Note, from) {
 			return false
 		}
 		if pk.AckID != 0 {
@@ -228,7 +232,11 @@
 }
 
 // handleNote applies a note of another Instance and reports whether it was valid.
-func (gs *gossip) handleNote(note *steer.Note) bool {
+func (gs *gossip) handleNote(note *steer.Note, from *net.UDPAddr) bool {
+	if _, known := (*gs.known.Load())[unmapped(from)]; !known && !gs.strangers.admits(from, note.From, time.Now()) {
+		gs.in.count("Notes.FromStrangers")
+		return true
+	}
 	dropped, usable := note.DropInvalid()
 	if !usable {
 		return false
@@ -242,6 +250,12 @@
 	return true
 }
 
+// unmapped returns the address in the form in which the list holds it.
+func unmapped(address *net.UDPAddr) netip.AddrPort {
+	at := address.AddrPort()
+	return netip.AddrPortFrom(at.Addr().Unmap(), at.Port())
+}
+
 func trySend[Value any](to chan Value, value Value) {
 	select {
 	case to <- value:
@@ -259,7 +273,7 @@
 	slices.SortFunc(ranked, func(a, b Peer) int {
 		return cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name))
 	})
-	addresses := make(map[string]*net.UDPAddr, len(ranked))
+	addresses, known := make(map[string]*net.UDPAddr, len(ranked)), make(map[netip.AddrPort]struct{}, len(ranked))
 	var order []*net.UDPAddr
 	var others []steer.Instance
 	for _, peer := range ranked {
@@ -275,10 +289,12 @@
 			continue
 		}
 		addresses[peer.Name] = address
+		known[unmapped(address)] = struct{}{}
 		others = append(others, steer.Instance{Name: peer.Name, FailureDomain: peer.FailureDomain})
 		order = append(order, address)
 	}
 	in.gossip.peers.Store(&addresses)
+	in.gossip.known.Store(&known)
 	in.gossip.ranked.Store(&order)
 	in.peersListedOnce.Do(func() { close(in.peersListed) })
 	_, listed := peers[in.self.Name]
--- a/internal/steer/peer.go
+++ b/internal/steer/peer.go
@@ -35,6 +35,21 @@
 	endedRetention = 3 * time.Second
 )
 
+const (
+	// maxPeerJobs is how many jobs, and how many ends of jobs, are kept of an instance in the list, far more than one has at a time.
+	maxPeerJobs = 1 << 14
+	// maxUnlistedJobs is the same for an instance that is not in the list, which may not exist.
+	maxUnlistedJobs = 256
+)
+
+// maxJobs returns how many jobs, and how many ends of jobs, are kept of the instance.
+func (st *State) maxJobs(from string) int {
+	if _, listed := slices.BinarySearch(st.otherNames, from); listed {
+		return maxPeerJobs
+	}
+	return maxUnlistedJobs
+}
+
 // note returns the note with the fields set that describe this instance.
 func (st *State) note(nt Note) Note {
 	nt.From = st.Options.Name
@@ -159,15 +174,20 @@
 		}
 		st.receiveUses(pr, nt.Uses)
 	}
+	limit := st.maxJobs(nt.From)
 	for i := range nt.Jobs {
-		st.startPeerJob(nt.From, pr, &nt.Jobs[i])
+		if _, known := pr.jobs[nt.Jobs[i].ID]; known || len(pr.jobs) < limit {
+			st.startPeerJob(nt.From, pr, &nt.Jobs[i])
+		}
 	}
 	for _, id := range nt.Begun {
 		st.beginJob(jobKey{nt.From, id}, pr.jobs[id], nt.BegunAge <= millis(maxLiveBeginAge))
 	}
 	for _, id := range nt.Ended {
 		st.endPeerJob(nt.From, pr, id)
-		pr.ended[id] = st.now
+		if len(pr.ended) < limit {
+			pr.ended[id] = st.now
+		}
 	}
 	st.receiveDeaths(nt.From, nt.Deaths)
 	st.receiveSuspicions(&nt)
