Connections: what all of them hold is bounded for all ports of a process

Callers' and others' connections made a process hold as much as they liked: nothing bounded their number; the ports for readiness, peers and metrics took heads of 1 MB, and short lines take eight times their bytes; HTTP/2 held 250 heads and 1 MB of bodies a connection; the kernel's buffers grew to megabytes; a refused connection held its descriptor for seconds; a handler that reads no body waited for it for ever.

Without room, connections that serve nobody are closed, and none with a request at work. All servers are made by internal/front now, with bounds on the times for bodies and answers where a handler sets none. The kernel's buffers are set by SO_RCVBUF and SO_SNDBUF. A try with TCP_WINDOW_CLAMP failed: of 32 KB it made bodies of 1 MB too slow on loopback (TestLongBodiesStayWithinMemory), and of 64 KB it did not hold, since the kernel raises it with its buffer (56 MB unread on 99 connections).

Why it works: each byte of a head is counted before it is parsed, and what a closed connection took is given back when its goroutine has ended. Tests changed: front's and relay's give their servers a Limiter, which New requires.

--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -14,6 +14,7 @@
 	"dandelionsail.example/dandelionsail/internal/body"
 	"dandelionsail.example/dandelionsail/internal/cause"
 	"dandelionsail.example/dandelionsail/internal/event"
+	"dandelionsail.example/dandelionsail/internal/front"
 	"dandelionsail.example/dandelionsail/internal/memory"
 	"dandelionsail.example/dandelionsail/pkg/decl"
 )
@@ -152,6 +153,9 @@
 
 // receive reads the body, for which memory is reserved. If the caller stops sending while others wait for memory, the error is memory.SlowBody.
 func (in *Instance) receive(cl *call, from io.Reader) ([]byte, error) {
+	if cl.reserved > memory.SmallBody {
+		defer front.ReceiveLong(cl.req)()
+	}
 	guard := &memory.SlowGuard{
 		From: from, Rest: cl.req.ContentLength, Deadline: time.Now().Add(in.opts.BodyTimeout), Pressed: in.memory.Pressed,
 		Interrupt: func() { _ = cl.control.SetReadDeadline(time.Now()) },
--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -76,6 +76,8 @@
 	Meter *meter.Meter
 	// memory counts the bodies that are held for callers.
 	memory *memory.Account
+	// limiter bounds the connections to this instance.
+	limiter *front.Limiter
 	// peers is the transport to the other instances, nil in an instance without peer keys.
 	peers *peers.QUIC
 	// listedPeers holds the peer addresses of the other listed instances; the pointer is never nil.
@@ -125,6 +127,7 @@
 		calls:     map[event.RequestID]*call{},
 		readers:   map[string]context.CancelFunc{},
 	}
+	in.limiter = front.NewLimiter(in.memory, opts.Descriptors.Connections())
 	in.monitor = tasks.NewMonitor(logger, in.incCounter)
 	if opts.Dial != nil {
 		in.upstream = upstr.NewWithDialer(opts.Dial)
@@ -213,7 +216,7 @@
 	if err != nil {
 		return nil, "", err
 	}
-	listener, err = ports.Bind(ctx, in.monitor.BindFailed("listen", in.opts.Listen), func() (net.Listener, error) { return net.Listen("tcp", in.opts.Listen) })
+	listener, err = ports.Bind(ctx, in.monitor.BindFailed("listen", in.opts.Listen), func() (net.Listener, error) { return ports.Listen(in.opts.Listen) })
 	if err != nil {
 		return nil, "", Errors.NewType("listen").Wrap(err, "entry: --listen %s cannot be used; choose a free address", in.opts.Listen)
 	}
@@ -227,6 +230,9 @@
 	defer stop()
 	server := front.New(front.Options{
 		Handler:       in.guard(in.routes()),
+		Limiter:       in.limiter,
+		Callers:       true,
+		Refuse:        func(w http.ResponseWriter, _ *http.Request) { memoryUsedUp().write(w) },
 		HeaderTimeout: readHeaderTimeout,
 		IdleTimeout:   idleTimeout,
 		MaxHeader:     maxHeaderBytes,
@@ -280,7 +286,7 @@
 		next = nil
 		if listener == nil {
 			var err error
-			listener, err = ports.Bind(ctx, in.monitor.BindFailed("listen", address), func() (net.Listener, error) { return net.Listen("tcp", address) })
+			listener, err = ports.Bind(ctx, in.monitor.BindFailed("listen", address), func() (net.Listener, error) { return ports.Listen(address) })
 			if err != nil {
 				return err
 			}
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -13,7 +13,7 @@
 
 // serveMetrics serves metrics, health checks and profiles at MetricsListen, if that is set.
 func (in *Instance) serveMetrics(ctx context.Context) error {
-	err := meter.Serve(ctx, in.opts.MetricsListen, in.metricsRoutes())
+	err := meter.Serve(ctx, in.opts.MetricsListen, in.metricsRoutes(), in.limiter)
 	if err != nil {
 		return BadOption.Wrap(err, "entry: --metrics-listen %s cannot be used; choose a free address", in.opts.MetricsListen)
 	}
@@ -42,6 +42,7 @@
 		in.gauge("Log.Failed", out.Failed())
 	}
 	in.memory.Gauges(in.gauge)
+	in.limiter.Gauges(in.gauge)
 	in.gauge("Process.Goroutines", int64(runtime.NumGoroutine()))
 	var memory runtime.MemStats
 	runtime.ReadMemStats(&memory)
--- a/internal/front/account.go
+++ b/internal/front/account.go
@@ -47,6 +47,8 @@
 	// name is the caller's ID, set when the request was read whole.
 	name     atomic.Pointer[string]
 	passedOn atomic.Bool
+	// noBody reports whether the request has no body, so that it was read whole with its head.
+	noBody bool
 	// cut is why the handler ends the answer before its end, nil if it does not.
 	cut      atomic.Pointer[cutOff]
 	returned atomic.Bool
@@ -55,6 +57,9 @@
 
 // RequestOf returns the account of the request. One that is not accounted for, such as a test's, gets an account that nobody reads.
 func RequestOf(req *http.Request) *Request {
+	if rq, _ := req.Context().Value(streamKey{}).(*Request); rq != nil {
+		return rq
+	}
 	if cn, _ := req.Context().Value(connKey{}).(*conn); cn != nil {
 		cn.mu.Lock()
 		defer cn.mu.Unlock()
@@ -65,6 +70,10 @@
 	return &Request{}
 }
 
+func newRequest(req *http.Request) *Request {
+	return &Request{at: time.Now(), noBody: req.ContentLength == 0}
+}
+
 // ReadWhole records that the request was read to its end. From then on it must be answered. name is the caller's ID of it.
 func (rq *Request) ReadWhole(name string) { rq.name.Store(&name) }
 
@@ -81,10 +90,10 @@
 func (rq *Request) Cut(reason Reason, detail string) { rq.cut.Store(&cutOff{reason, detail}) }
 
 // beginRequest begins the account of a request.
-func (cn *conn) beginRequest() *Request {
+func (cn *conn) beginRequest(req *http.Request) *Request {
 	cn.mu.Lock()
 	defer cn.mu.Unlock()
-	cn.request = &Request{at: time.Now()}
+	cn.request = newRequest(req)
 	cn.written, cn.writeError = 0, nil
 	return cn.request
 }
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -20,6 +21,8 @@
 	lingerQuiet = 500 * time.Millisecond
 	// lingerTime is the maximum time for which it reads and discards what its caller still sends, such as the rest of a long body that was refused.
 	lingerTime = 5 * time.Second
+	// lingerBytes is the maximum number of bytes that it reads and discards, more than the rest of a body that is not far over the limit.
+	lingerBytes = 16 << 20
 	// lingerBuffer is the size in bytes of the buffer for that.
 	lingerBuffer = 4 << 10
 	// recheckIdle is how long a connection that should be closed as idle is left open if a request may be on its way.
@@ -45,6 +48,18 @@
 		err   error
 	}
 
+	// isFree and charged are what the connection has taken from the Limiter, which guards them. isFreed reports whether it was given back.
+	isFree  bool
+	charged int64
+	isFreed bool
+	// head is the number of bytes of the current head that were received. Only the goroutine that reads heads uses it.
+	head int
+	// refusedStreams is the number of refused requests under way on a connection with HTTP/2.
+	refusedStreams atomic.Int64
+	// writes is held while a connection with HTTP/2 is written to. It is not read meanwhile: the answers to what a caller sends that does not read
+	// would pile up.
+	writes sync.Mutex
+
 	// mu guards the fields below. Bytes are taken from the socket under mu, so that none can arrive unnoticed.
 	mu sync.Mutex
 	// secure reports whether the connection carries TLS.
@@ -63,6 +78,19 @@
 	idleSince time.Time
 	// closed reports whether the connection has ended for http.Server. What arrives then is not read.
 	closed bool
+	// closedAt is when it ended.
+	closedAt time.Time
+	// left reports whether http.Server has closed it, after which no goroutine serves it.
+	left bool
+	// headSince is when the connection was accepted or the first byte of the current head arrived.
+	headSince time.Time
+	// writingSince is when the write under way began, zero if there is none.
+	writingSince time.Time
+	// streams holds the requests under way on a connection with HTTP/2, and streamBytes is what they take.
+	streams     map[*Request]struct{}
+	streamBytes int64
+	// readDeadline is the time until which the caller may send what is being read, zero if it is not bounded.
+	readDeadline time.Time
 	// lingers reports whether linger was started.
 	lingers bool
 	// released reports whether the socket is closed.
@@ -84,7 +112,8 @@
 }
 
 func newConn(srv *Server, nc net.Conn) *conn {
-	cn := &conn{Conn: nc, srv: srv, lastRead: time.Now()}
+	now := time.Now()
+	cn := &conn{Conn: nc, srv: srv, lastRead: now, headSince: now}
 	if sys, ok := nc.(syscall.Conn); ok {
 		cn.raw, _ = sys.SyscallConn()
 		cn.receive = cn.receiveNow
@@ -92,8 +121,36 @@
 	return cn
 }
 
-// Read implements net.Conn. It reads what has arrived also if the read deadline has passed, as it may have while the process stood still.
+// Read implements net.Conn. What is read of a head is counted.
 func (cn *conn) Read(buf []byte) (int, error) {
+	isHead, isHTTP2 := cn.reads()
+	if isHTTP2 {
+		cn.awaitWrite()
+	}
+	count, err := cn.receiveInto(buf)
+	if isHead && count > 0 && err == nil {
+		if err = cn.headRead(count); err != nil {
+			return 0, err
+		}
+	}
+	return count, err
+}
+
+// reads returns whether a head is read next, and whether the connection carries HTTP/2.
+func (cn *conn) reads() (isHead, isHTTP2 bool) {
+	cn.mu.Lock()
+	defer cn.mu.Unlock()
+	return !cn.active && !cn.http2, cn.http2
+}
+
+// awaitWrite waits until nothing is being written.
+func (cn *conn) awaitWrite() {
+	cn.writes.Lock()
+	defer cn.writes.Unlock()
+}
+
+// receiveInto reads what has arrived also if the read deadline has passed, as it may have while the process stood still.
+func (cn *conn) receiveInto(buf []byte) (int, error) {
 	if cn.raw == nil {
 		return cn.readOther(buf)
 	}
@@ -145,10 +202,19 @@
 		cn.callerLeft = true
 		return 0, true, io.EOF
 	}
-	cn.received, cn.lastRead = true, time.Now()
+	cn.arrived()
 	return count, true, nil
 }
 
+// arrived records that bytes have arrived. mu is held.
+func (cn *conn) arrived() {
+	cn.lastRead = time.Now()
+	if !cn.received && !cn.idleSince.IsZero() {
+		cn.headSince = cn.lastRead
+	}
+	cn.received = true
+}
+
 // readOther reads from a connection that is no socket.
 func (cn *conn) readOther(buf []byte) (int, error) {
 	cn.mu.Lock()
@@ -162,7 +228,7 @@
 		return 0, io.EOF
 	}
 	if count > 0 {
-		cn.received, cn.lastRead = true, time.Now()
+		cn.arrived()
 	}
 	cn.callerLeft = cn.callerLeft || err != nil && !isTimeout(err)
 	return count, err
@@ -172,6 +238,10 @@
 // stands still; what the socket takes at once is written nevertheless, and the caller gets lateWriteTime to read the rest.
 func (cn *conn) Write(buf []byte) (int, error) {
 	began := time.Now()
+	if cn.beginWrite(began) {
+		cn.writes.Lock()
+		defer cn.writes.Unlock()
+	}
 	count, err := cn.Conn.Write(buf)
 	for isTimeout(err) && cn.raw != nil {
 		taken := 0
@@ -193,12 +263,36 @@
 	cn.mu.Lock()
 	defer cn.mu.Unlock()
 	cn.written += int64(count)
+	cn.writingSince = time.Time{}
 	if err != nil && cn.writeError == nil {
 		cn.writeError = err
 	}
 	return count, err
 }
 
+// beginWrite records that a write begins and returns whether the connection carries HTTP/2.
+func (cn *conn) beginWrite(now time.Time) bool {
+	cn.mu.Lock()
+	defer cn.mu.Unlock()
+	cn.writingSince = now
+	return cn.http2
+}
+
+// SetReadDeadline implements net.Conn.
+func (cn *conn) SetReadDeadline(at time.Time) error {
+	cn.mu.Lock()
+	defer cn.mu.Unlock()
+	cn.readDeadline = at
+	return cn.Conn.SetReadDeadline(at)
+}
+
+// hasReadDeadline reports whether the time to send what is being read is bounded.
+func (cn *conn) hasReadDeadline() bool {
+	cn.mu.Lock()
+	defer cn.mu.Unlock()
+	return !cn.readDeadline.IsZero()
+}
+
 // extendWrite gives the caller lateWriteTime once if it has had no time to read: the write began after its deadline, or the caller has read since the
 // deadline. It reports whether it does.
 func (cn *conn) extendWrite(began time.Time, hasRead bool) bool {
@@ -221,7 +315,7 @@
 
 // SetDeadline implements net.Conn.
 func (cn *conn) SetDeadline(at time.Time) error {
-	return errors.Join(cn.Conn.SetReadDeadline(at), cn.SetWriteDeadline(at))
+	return errors.Join(cn.SetReadDeadline(at), cn.SetWriteDeadline(at))
 }
 
 // send writes what the socket takes without waiting.
@@ -252,6 +346,7 @@
 func (cn *conn) beginIdle() {
 	cn.mu.Lock()
 	defer cn.mu.Unlock()
+	cn.headEnded()
 	cn.active, cn.received, cn.waiting = false, false, false
 	cn.idleSince = time.Now()
 	cn.stopTimer()
@@ -317,7 +412,7 @@
 	if !quiet {
 		return false
 	}
-	cn.closed = true
+	cn.closed, cn.closedAt = true, time.Now()
 	cn.stopTimer()
 	// http.Server notices this, and calls Close.
 	_ = cn.Conn.SetReadDeadline(time.Unix(1, 0))
@@ -336,11 +431,23 @@
 
 // Close implements net.Conn. The socket is closed when the caller has closed its side, or after lingerQuiet: if bytes of the caller were left in
 // it or came later, the kernel would send a reset, which may overtake the answer.
-func (cn *conn) Close() error { return cn.end() }
+func (cn *conn) Close() error {
+	cn.mu.Lock()
+	left := cn.left
+	cn.left = true
+	released := cn.released
+	cn.mu.Unlock()
+	if released && !left {
+		cn.srv.opts.Limiter.freed(cn)
+	}
+	return cn.end()
+}
 
 func (cn *conn) end() error {
 	cn.mu.Lock()
-	cn.closed = true
+	if !cn.closed {
+		cn.closed, cn.closedAt = true, time.Now()
+	}
 	cn.stopTimer()
 	lingers := cn.lingers
 	cn.lingers = true
@@ -361,11 +468,14 @@
 func (cn *conn) linger() {
 	buf := make([]byte, lingerBuffer)
 	until := time.Now().Add(lingerTime)
-	for now := time.Now(); now.Before(until); now = time.Now() {
+	discarded := 0
+	for now := time.Now(); now.Before(until) && discarded < lingerBytes; now = time.Now() {
 		_ = cn.Conn.SetReadDeadline(now.Add(lingerQuiet))
-		if _, err := cn.Conn.Read(buf); err != nil {
+		count, err := cn.Conn.Read(buf)
+		if err != nil {
 			break
 		}
+		discarded += count
 	}
 	_ = cn.release()
 }
@@ -373,7 +483,7 @@
 // release closes the socket. It may wait for a Read in another goroutine, so that mu must not be held.
 func (cn *conn) release() error {
 	cn.mu.Lock()
-	released := cn.released
+	released, left := cn.released, cn.left
 	cn.released = true
 	cn.mu.Unlock()
 	if released {
@@ -382,15 +492,27 @@
 	cn.srv.mu.Lock()
 	delete(cn.srv.conns, cn)
 	cn.srv.mu.Unlock()
+	cn.srv.opts.Limiter.closed(cn)
+	if left {
+		cn.srv.opts.Limiter.freed(cn)
+	}
 	return cn.Conn.Close()
 }
 
-// foundHTTP2 reports whether the connection carries HTTP/2, once its TLS handshake has ended.
+// foundHTTP2 reports whether the connection carries HTTP/2, once its TLS handshake has ended. It takes memory for that, or closes the connection.
 func (cn *conn) foundHTTP2(secure *tls.Conn) bool {
 	http2 := secure.ConnectionState().NegotiatedProtocol == "h2"
 	cn.mu.Lock()
-	defer cn.mu.Unlock()
+	begins := http2 && !cn.http2
 	cn.secure, cn.http2 = true, http2
+	if begins {
+		cn.streams = map[*Request]struct{}{}
+	}
+	cn.mu.Unlock()
+	lim := cn.srv.opts.Limiter
+	if begins && !lim.charge(cn, http2Bytes, lim.account.TryConnection) {
+		cn.abort()
+	}
 	return http2
 }
 
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -17,9 +17,15 @@
 // Options are the settings of a Server.
 type Options struct {
 	Handler http.Handler
+	// Limiter bounds the connections. All servers of a process share it.
+	Limiter *Limiter
+	// Callers reports whether the connections are those of callers, and not of probes, other instances and readers of metrics.
+	Callers bool
+	// Refuse answers a request on a connection with HTTP/2 for which there is no memory. It has not run. If Refuse is nil, the answer is a 503.
+	Refuse http.HandlerFunc
 	// HeaderTimeout is the maximum time from the first byte of a request's header to its last one.
 	HeaderTimeout time.Duration
-	// MaxHeader is the maximum size of a request's header in bytes.
+	// MaxHeader is the maximum size of a request's header in bytes, 0 for DefaultMaxHeader.
 	MaxHeader int
 	ErrorLog  *log.Logger
 	// IdleLimit returns how long a connection may currently be idle. It is nil if IdleTimeout says so.
@@ -30,11 +36,32 @@
 	Lost func(Loss)
 }
 
+const (
+	// DefaultMaxHeader is the maximum size of a request's header in bytes if nothing else is set.
+	DefaultMaxHeader = 64 << 10
+	// bodyTimeout is how long a body may take to arrive, and writeTimeout how long an answer may take to be written, if the handler sets no time of
+	// its own.
+	bodyTimeout, writeTimeout = time.Minute, 2 * time.Minute
+	// discardTime is how long the rest of a body that no handler has read is waited for.
+	discardTime = time.Second
+	// maxStreams is how many requests may be under way on a connection with HTTP/2.
+	maxStreams = 100
+	// http2Window is how many bytes of bodies a connection with HTTP/2 holds that no handler has read, and streamWindow how many of them may be of
+	// one request.
+	http2Window, streamWindow = 512 << 10, 256 << 10
+	// maxFrame is the maximum size of a frame that is read. A connection holds one.
+	maxFrame = 16 << 10
+	// refusedRetryAfter is the Retry-After of a request that was refused for memory, in seconds.
+	refusedRetryAfter = "1"
+)
+
 // Server serves callers by an http.Server, whose Shutdown it replaces: that drops requests that were read whole, and connections on which one
 // has arrived.
 type Server struct {
 	opts Options
 	http *http.Server
+	// secure reports whether the connections carry TLS.
+	secure atomic.Bool
 	// closing reports whether Close was called, from which on connections end at once.
 	closing atomic.Bool
 
@@ -50,6 +77,15 @@
 
 // New returns a Server that serves nothing yet.
 func New(opts Options) *Server {
+	if opts.Limiter == nil {
+		panic("front: a server needs the Limiter of its process")
+	}
+	if opts.MaxHeader == 0 {
+		opts.MaxHeader = DefaultMaxHeader
+	}
+	if opts.Refuse == nil {
+		opts.Refuse = refuse
+	}
 	srv := &Server{opts: opts, conns: map[*conn]struct{}{}, listeners: map[*listener]struct{}{}}
 	srv.http = &http.Server{
 		Handler:           http.HandlerFunc(srv.serve),
@@ -58,6 +94,10 @@
 		MaxHeaderBytes:    opts.MaxHeader,
 		ErrorLog:          opts.ErrorLog,
 		ConnState:         track,
+		HTTP2: &http.HTTP2Config{
+			MaxConcurrentStreams: maxStreams, MaxReadFrameSize: maxFrame, MaxReceiveBufferPerConnection: http2Window, MaxReceiveBufferPerStream: streamWindow,
+			WriteByteTimeout: writeTimeout,
+		},
 		ConnContext: func(ctx context.Context, nc net.Conn) context.Context {
 			return context.WithValue(ctx, connKey{}, connOf(nc))
 		},
@@ -83,6 +123,7 @@
 	}
 	defer srv.remove(ln)
 	srv.http.TLSConfig = config
+	srv.secure.Store(true)
 	return srv.ended(srv.http.ServeTLS(ln, "", ""))
 }
 
@@ -142,26 +183,67 @@
 	return list
 }
 
-// connKey is the context key of a request's connection.
-type connKey struct{}
+// connKey is the context key of a request's connection, and streamKey that of the account of a request on a connection with HTTP/2.
+type (
+	connKey   struct{}
+	streamKey struct{}
+)
 
 // serve calls the handler and records how it ended.
 func (srv *Server) serve(w http.ResponseWriter, req *http.Request) {
 	cn, _ := req.Context().Value(connKey{}).(*conn)
-	if cn == nil || req.ProtoMajor != 1 {
-		// The requests of an HTTP/2 connection run at the same time; they are not accounted for.
+	if cn == nil {
 		srv.opts.Handler.ServeHTTP(w, req)
 		return
 	}
-	rq := cn.beginRequest()
+	limitTimes(w, req)
+	if req.ProtoMajor != 1 {
+		srv.serveStream(cn, w, req)
+		return
+	}
+	rq := cn.beginRequest(req)
 	defer func() {
 		// A panic goes on to net/http, which logs it and closes the connection.
 		rq.panicked.Store(!rq.returned.Load())
+		if req.ContentLength != 0 && cn.hasReadDeadline() {
+			// The handler has not read the whole body, and net/http waits for some of the rest.
+			_ = cn.SetReadDeadline(time.Now().Add(discardTime))
+		}
 	}()
 	srv.opts.Handler.ServeHTTP(w, req)
 	rq.returned.Store(true)
 }
 
+// limitTimes bounds the times for the body and the answer of a request. Handlers that read a body to its end lift the first one.
+func limitTimes(w http.ResponseWriter, req *http.Request) {
+	control := http.NewResponseController(w)
+	_ = control.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if req.ContentLength != 0 {
+		_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
+	}
+}
+
+// serveStream serves a request on a connection with HTTP/2, whose requests run at the same time. They are not accounted for as lost.
+func (srv *Server) serveStream(cn *conn, w http.ResponseWriter, req *http.Request) {
+	rq, size := newRequest(req), streamSize(req)
+	switch cn.beginStream(rq, size) {
+	case streamAdmitted:
+		defer cn.endStream(rq, size)
+		srv.opts.Handler.ServeHTTP(w, req.WithContext(context.WithValue(req.Context(), streamKey{}, rq)))
+	case streamRefused:
+		defer cn.refusedStreams.Add(-1)
+		srv.opts.Refuse(w, req)
+		// The answer is written before the request counts as ended.
+		_ = http.NewResponseController(w).Flush()
+	}
+}
+
+// refuse answers a request for which there is no memory. It has not run.
+func refuse(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Retry-After", refusedRetryAfter)
+	http.Error(w, "no memory for the request now; send it again later", http.StatusServiceUnavailable)
+}
+
 // track follows the states of a connection, as http.Server.ConnState.
 func track(nc net.Conn, state http.ConnState) {
 	cn := connOf(nc)
@@ -207,7 +289,10 @@
 	for {
 		nc, err := ln.Listener.Accept()
 		if err == nil {
-			return ln.srv.add(nc), nil
+			if cn := ln.srv.add(nc); cn != nil {
+				return cn, nil
+			}
+			continue
 		}
 		if !ln.stopping.Load() || !isTimeout(err) {
 			return nil, err
@@ -225,11 +310,16 @@
 	return err
 }
 
-// add takes charge of a connection.
+// add takes charge of a connection, or closes it and returns nil if there is no room for it.
 func (srv *Server) add(nc net.Conn) *conn {
 	cn := newConn(srv, nc)
+	cn.limitKernel()
 	srv.mu.Lock()
-	defer srv.mu.Unlock()
 	srv.conns[cn] = struct{}{}
+	srv.mu.Unlock()
+	if !srv.opts.Limiter.admit(cn) {
+		cn.abort()
+		return nil
+	}
 	return cn
 }
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -14,6 +14,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"dandelionsail.example/dandelionsail/internal/memory"
 	"dandelionsail.example/dandelionsail/internal/ports"
 )
 
@@ -36,7 +37,7 @@
 
 func serveOn(t *testing.T, inner net.Listener, handler http.HandlerFunc, change func(opts *Options)) *world {
 	wd := &world{t: t, address: inner.Addr().String(), lost: make(chan Loss, 100), ended: make(chan error, 1)}
-	opts := Options{Handler: handler, HeaderTimeout: 8 * time.Second, Lost: func(loss Loss) { wd.lost <- loss }}
+	opts := Options{Limiter: NewLimiter(memory.New(0), 10_000), Handler: handler, HeaderTimeout: 8 * time.Second, Lost: func(loss Loss) { wd.lost <- loss }}
 	if change != nil {
 		change(&opts)
 	}
@@ -240,7 +241,7 @@
 	defer func() { _ = sent.Close() }()
 	accepted, err := inner.Accept()
 	assert.NilError(t, err)
-	srv := New(Options{})
+	srv := New(Options{Limiter: NewLimiter(memory.New(0), 10_000)})
 	cn := srv.add(accepted)
 	defer func() { _ = cn.release() }()
 	assert.Check(t, !cn.closeQuiet(0), "closed before its goroutine has run")
--- /dev/null
+++ b/internal/front/limiter.go
@@ -0,0 +1,440 @@
+package front
+
+import (
+	"cmp"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"golang.org/x/sys/unix"
+
+	"dandelionsail.example/dandelionsail/internal/memory"
+)
+
+const (
+	// freeConnections is how many connections take no memory from the account. The process needs those of its calm state in any case, and the
+	// account leaves memory for them.
+	freeConnections = 64
+	// connectionBytes is what each further one takes: 24 KB of the process for its goroutine and its buffers, and what the kernel holds in
+	// receiveWindow and sendBuffer.
+	connectionBytes = 24<<10 + receiveWindow + sendBuffer
+	// receiveWindow is the maximum number of bytes that the kernel receives on a connection and that nobody has read, and longReceiveWindow
+	// that of a connection with a body whose memory is reserved. Without a window of ours the kernel lets it grow to some MB.
+	receiveWindow, longReceiveWindow = 64 << 10, 1 << 20
+	// sendBuffer is how many bytes the kernel takes of an answer that the caller does not read. It doubles the number for its own use.
+	sendBuffer = 16 << 10
+	// tlsBytes is what a connection with TLS takes besides, for its records.
+	tlsBytes = 48 << 10
+	// http2Bytes is what a connection with HTTP/2 takes besides: what its streams have received and nobody has read, and control frames that
+	// wait to be written.
+	http2Bytes = http2Window + 128<<10
+	// freeHead is the size in bytes of a head that takes nothing besides connectionBytes.
+	freeHead = 4 << 10
+	// headFactor is what each further byte of a head takes. Short header lines take that much: a line of five bytes has an entry in a map, a
+	// name and a list of values.
+	headFactor = 12
+	// streamBytes is what a request on a connection with HTTP/2 takes without its head.
+	streamBytes = 32 << 10
+	// maxStreamBytes is what the requests on one connection with HTTP/2 may take.
+	maxStreamBytes = 4 << 20
+	// maxRefusedStreams is how many refused requests on one connection may be under way. A caller that does not read the refusals has more.
+	maxRefusedStreams = 16
+	// callersShare is the share of the connections that callers may have, and othersShare that of readiness probes, other instances and the readers of
+	// metrics. None of them can keep the others out.
+	callersShare, othersShare = 0.875, 0.25
+	// evictShare is the share of the connections that are closed at once when there is no room for another one, so that not every new
+	// connection has to look at all others.
+	evictShare = 1.0 / 32
+	// chargeTries is how often memory for a head is tried to take before its connection is closed, and chargePause the pause between two tries.
+	chargeTries, chargePause = 20, 5 * time.Millisecond
+	// stallTime is how long a request must have stalled before its connection is closed to make room.
+	stallTime = time.Second
+)
+
+// Limiter bounds what the connections of a process hold, over all its servers: how many there are, and what they take of the memory account.
+// If there is no room for another one, it closes those that serve nobody: connections that were refused and whose callers do not close them, then
+// those that have not sent a whole head, then idle ones, and then those whose callers have stalled in a request. If all others are at work, the
+// new one is refused.
+type Limiter struct {
+	account *memory.Account
+	// max is the maximum number of connections.
+	max int
+
+	// mu guards the fields below, and isFree, charged and isFreed of each conn. It may be acquired while a conn's mu is held, and not the other way round.
+	mu sync.Mutex
+	// conns holds the connections that are not closed.
+	conns map[*conn]struct{}
+	// callers is how many of them are connections of callers.
+	callers int
+	// free is how many connections take no memory from the account.
+	free int
+
+	// refused counts the connections that were refused, evicted those that were closed to make room, by their stage.
+	refused atomic.Int64
+	evicted [stages]atomic.Int64
+}
+
+// NewLimiter returns a Limiter for at most the given number of connections, whose memory is counted in the account.
+func NewLimiter(account *memory.Account, max int) *Limiter {
+	return &Limiter{account: account, max: max, conns: map[*conn]struct{}{}}
+}
+
+// Gauges calls set with the name and the value of each gauge: the connections and their maximum, and how many were refused or closed to make room.
+func (lim *Limiter) Gauges(set func(name string, value int64)) {
+	lim.mu.Lock()
+	open := len(lim.conns)
+	lim.mu.Unlock()
+	set("Connections.Open", int64(open))
+	set("Connections.Max", int64(lim.max))
+	set("Connections.Refused", lim.refused.Load())
+	for stage := range stages {
+		set("Connections.Evicted."+stage.String(), lim.evicted[stage].Load())
+	}
+}
+
+// stage is what a connection does. Those that come first are closed first to make room.
+type stage int
+
+const (
+	// stageEnded is a connection that has ended and whose caller has not closed it.
+	stageEnded stage = iota
+	// stageHead is one of which no whole head has arrived yet.
+	stageHead
+	// stageIdle is one that is kept between requests.
+	stageIdle
+	// stageStalled is one with a request that has not arrived whole and of which nothing arrives, or with an answer that the caller does not read.
+	stageStalled
+	// stages is the number of stages in which a connection may be closed to make room.
+	stages
+	// stageServing is a connection with a request at work.
+	stageServing = stages
+)
+
+// String returns the stage's name as metrics state it.
+func (sg stage) String() string { return [stages]string{"Ended", "Head", "Idle", "Stalled"}[sg] }
+
+// admit takes charge of a connection, or returns false if there is no room for it.
+func (lim *Limiter) admit(cn *conn) bool {
+	for {
+		if lim.tryAdmit(cn) {
+			return true
+		}
+		if lim.evict(cn) == 0 {
+			lim.refused.Add(1)
+			return false
+		}
+	}
+}
+
+func (lim *Limiter) tryAdmit(cn *conn) bool {
+	lim.mu.Lock()
+	defer lim.mu.Unlock()
+	if len(lim.conns) >= lim.max || !lim.hasShare(cn.srv.opts.Callers) {
+		return false
+	}
+	if lim.free < freeConnections {
+		lim.free++
+		cn.isFree = true
+	} else if size := cn.size(); lim.account.TryConnection(size) {
+		cn.charged += size
+	} else {
+		return false
+	}
+	lim.conns[cn] = struct{}{}
+	if cn.srv.opts.Callers {
+		lim.callers++
+	}
+	return true
+}
+
+// size returns what the connection takes.
+func (cn *conn) size() int64 {
+	if cn.srv.secure.Load() {
+		return connectionBytes + tlsBytes
+	}
+	return connectionBytes
+}
+
+// hasShare reports whether there may be another connection of callers, or of others. mu is held.
+func (lim *Limiter) hasShare(callers bool) bool {
+	if callers {
+		return lim.callers < int(callersShare*float64(lim.max))
+	}
+	return len(lim.conns)-lim.callers < int(othersShare*float64(lim.max))
+}
+
+// closed makes room for another connection, since the socket of this one is closed.
+func (lim *Limiter) closed(cn *conn) {
+	lim.mu.Lock()
+	defer lim.mu.Unlock()
+	if _, ok := lim.conns[cn]; ok && cn.srv.opts.Callers {
+		lim.callers--
+	}
+	delete(lim.conns, cn)
+}
+
+// freed gives back the memory that the connection has taken, since no goroutine serves it any more and its socket is closed.
+func (lim *Limiter) freed(cn *conn) {
+	lim.mu.Lock()
+	defer lim.mu.Unlock()
+	if cn.isFree {
+		lim.free--
+	}
+	lim.account.Release(memory.Connections, cn.charged)
+	cn.isFree, cn.charged, cn.isFreed = false, 0, true
+}
+
+// candidate is a connection that may be closed to make room.
+type candidate struct {
+	cn    *conn
+	stage stage
+	since time.Time
+}
+
+// evict closes connections other than cn, of callers or of others as cn is, to make room, and returns how many.
+func (lim *Limiter) evict(cn *conn) (count int) {
+	lim.mu.Lock()
+	var list []candidate
+	for other := range lim.conns {
+		if other.srv.opts.Callers == cn.srv.opts.Callers {
+			list = append(list, candidate{cn: other})
+		}
+	}
+	lim.mu.Unlock()
+	now := time.Now()
+	for i := range list {
+		list[i].stage, list[i].since = list[i].cn.stage(now)
+	}
+	slices.SortFunc(list, func(a, b candidate) int { return cmp.Or(cmp.Compare(a.stage, b.stage), a.since.Compare(b.since)) })
+	for _, cd := range list {
+		if cd.stage == stageServing || count > int(evictShare*float64(len(list))) {
+			break
+		}
+		if cd.cn != cn && cd.cn.evict(cd.stage) {
+			lim.evicted[cd.stage].Add(1)
+			count++
+		}
+	}
+	return count
+}
+
+// charge takes memory for what the connection has received, by one of the account's functions, and makes room if there is none. It reports whether
+// the connection has it. One that was closed meanwhile has not.
+func (lim *Limiter) charge(cn *conn, size int64, try func(size int64) bool) bool {
+	for tries := 0; !try(size); tries++ {
+		lim.evict(cn)
+		if tries == chargeTries {
+			return false
+		}
+		// The memory of a closed connection is given back when its goroutine has ended.
+		time.Sleep(chargePause)
+	}
+	lim.mu.Lock()
+	defer lim.mu.Unlock()
+	if _, ok := lim.conns[cn]; !ok {
+		lim.account.Release(memory.Connections, size)
+		return false
+	}
+	cn.charged += size
+	return true
+}
+
+// uncharge gives memory back that was taken by charge.
+func (lim *Limiter) uncharge(cn *conn, size int64) {
+	lim.mu.Lock()
+	defer lim.mu.Unlock()
+	if !cn.isFreed {
+		cn.charged -= size
+		lim.account.Release(memory.Connections, size)
+	}
+}
+
+// Handshake takes memory for the handshake of a connection between instances, or returns false if there is none. release gives it back.
+func (lim *Limiter) Handshake() (release func(), ok bool) {
+	if !lim.account.TryHead(handshakeBytes) {
+		return nil, false
+	}
+	return sync.OnceFunc(func() { lim.account.Release(memory.Connections, handshakeBytes) }), true
+}
+
+// handshakeBytes is what a handshake of QUIC takes until its end.
+const handshakeBytes = 96 << 10
+
+// noMemory is the error of a read for which there is no memory. net/http closes the connection without an answer then: the request was not read,
+// and its caller may send it again.
+var noMemory = errorx.NewNamespace("front").NewType("no_memory").New("front: no memory for the head; send the request again later")
+
+// headRead takes memory for a part of a head that was received. The error ends the connection.
+func (cn *conn) headRead(count int) error {
+	before := cn.head
+	cn.head += count
+	extra := max(cn.head, freeHead) - max(before, freeHead)
+	if extra == 0 || cn.srv.opts.Limiter.charge(cn, int64(headFactor*extra), cn.srv.opts.Limiter.account.TryHead) {
+		return nil
+	}
+	cn.abort()
+	return &net.OpError{Op: "read", Net: "tcp", Source: cn.LocalAddr(), Addr: cn.RemoteAddr(), Err: noMemory}
+}
+
+// headEnded gives back what the head has taken, when its request has ended. mu is held.
+func (cn *conn) headEnded() {
+	if extra := max(cn.head, freeHead) - freeHead; extra > 0 {
+		cn.srv.opts.Limiter.uncharge(cn, int64(headFactor*extra))
+	}
+	cn.head = 0
+}
+
+// stage returns what the connection does and since when.
+func (cn *conn) stage(now time.Time) (stage, time.Time) {
+	cn.mu.Lock()
+	defer cn.mu.Unlock()
+	switch {
+	case cn.closed:
+		return stageEnded, cn.closedAt
+	case cn.http2 && len(cn.streams) == 0:
+		// A caller that only sends pings counts as idle too.
+		return stageIdle, cn.lastRead
+	case cn.http2 || cn.active:
+		return cn.stageOfRequest(now)
+	case cn.received || cn.idleSince.IsZero():
+		return stageHead, cn.headSince
+	}
+	return stageIdle, cn.idleSince
+}
+
+// stageOfRequest is stage for a connection with requests. mu is held.
+func (cn *conn) stageOfRequest(now time.Time) (stage, time.Time) {
+	if at := cn.writingSince; !at.IsZero() && now.Sub(at) >= stallTime {
+		return stageStalled, at
+	}
+	if now.Sub(cn.lastRead) < stallTime || cn.request != nil && cn.request.isWhole() {
+		return stageServing, time.Time{}
+	}
+	for rq := range cn.streams {
+		if rq.isWhole() {
+			return stageServing, time.Time{}
+		}
+	}
+	return stageStalled, cn.lastRead
+}
+
+// isWhole reports whether the request was read to its end.
+func (rq *Request) isWhole() bool { return rq.noBody || rq.name.Load() != nil }
+
+// evict closes the connection to make room and reports whether it did. An idle one is closed only if no request is arriving on it.
+func (cn *conn) evict(from stage) bool {
+	if from == stageIdle && !cn.isHTTP2() {
+		return cn.closeQuiet(0) && cn.release() == nil
+	}
+	return cn.abort()
+}
+
+func (cn *conn) isHTTP2() bool {
+	cn.mu.Lock()
+	defer cn.mu.Unlock()
+	return cn.http2
+}
+
+// abort resets the connection, so that the kernel holds nothing for it any more. It reports whether it was open.
+func (cn *conn) abort() bool {
+	if tcp, ok := cn.Conn.(interface{ SetLinger(sec int) error }); ok {
+		_ = tcp.SetLinger(0)
+	}
+	cn.mu.Lock()
+	released := cn.released
+	if !cn.closed {
+		cn.closed, cn.closedAt = true, time.Now()
+	}
+	cn.stopTimer()
+	cn.mu.Unlock()
+	_ = cn.release()
+	return !released
+}
+
+// limitKernel bounds what the kernel holds for the connection: the window in bytes for what nobody has read, and sendBuffer for what the caller
+// does not read. A system that knows no such bounds has others.
+func (cn *conn) limitKernel() {
+	if cn.raw == nil {
+		return
+	}
+	_ = cn.raw.Control(func(fd uintptr) {
+		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveWindow)
+		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, sendBuffer)
+	})
+}
+
+// setWindow sets how many bytes the kernel receives that nobody has read.
+func (cn *conn) setWindow(size int) {
+	if cn.raw != nil {
+		_ = cn.raw.Control(func(fd uintptr) { _ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, size) })
+	}
+}
+
+// ReceiveLong lets the kernel receive more of the request's body at a time, since memory is reserved for it and it is about to be read. The caller
+// calls done when it has read it.
+func ReceiveLong(req *http.Request) (done func()) {
+	cn, _ := req.Context().Value(connKey{}).(*conn)
+	if cn == nil || req.ProtoMajor != 1 {
+		return func() {}
+	}
+	cn.setWindow(longReceiveWindow)
+	return func() { cn.setWindow(receiveWindow) }
+}
+
+// streamResult is whether a request on a connection with HTTP/2 is let in.
+type streamResult int
+
+const (
+	streamAdmitted streamResult = iota
+	streamRefused
+	// streamAborted means that the connection was closed, since its caller does not read refusals.
+	streamAborted
+)
+
+// beginStream takes memory for a request on a connection with HTTP/2.
+func (cn *conn) beginStream(rq *Request, size int64) streamResult {
+	lim := cn.srv.opts.Limiter
+	cn.mu.Lock()
+	within := cn.streamBytes+size <= maxStreamBytes
+	cn.mu.Unlock()
+	if within && lim.charge(cn, size, lim.account.TryHead) {
+		cn.mu.Lock()
+		defer cn.mu.Unlock()
+		cn.streamBytes += size
+		cn.streams[rq] = struct{}{}
+		return streamAdmitted
+	}
+	if cn.refusedStreams.Add(1) > maxRefusedStreams {
+		cn.abort()
+		return streamAborted
+	}
+	return streamRefused
+}
+
+// endStream gives back what beginStream has taken.
+func (cn *conn) endStream(rq *Request, size int64) {
+	cn.srv.opts.Limiter.uncharge(cn, size)
+	cn.mu.Lock()
+	defer cn.mu.Unlock()
+	cn.streamBytes -= size
+	delete(cn.streams, rq)
+}
+
+// streamSize returns what a request on a connection with HTTP/2 takes.
+func streamSize(req *http.Request) int64 {
+	size := streamBytes + len(req.RequestURI)
+	for name, values := range req.Header {
+		size += len(name) + headerBytes
+		for _, value := range values {
+			size += len(value) + headerBytes
+		}
+	}
+	return int64(size)
+}
+
+// headerBytes is what a name or a value of a header takes besides its text.
+const headerBytes = 64
--- a/internal/front/tls_test.go
+++ b/internal/front/tls_test.go
@@ -9,6 +9,8 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"dandelionsail.example/dandelionsail/internal/memory"
 )
 
 func TestDrainOverTLS(t *testing.T) {
@@ -21,7 +23,7 @@
 			entered, leave := make(chan struct{}), make(chan struct{})
 			inner, err := net.Listen("tcp", "127.0.0.1:0")
 			assert.NilError(t, err)
-			srv := New(Options{Handler: http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+			srv := New(Options{Limiter: NewLimiter(memory.New(0), 10_000), Handler: http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 				RequestOf(req).ReadWhole("one")
 				if req.URL.Path == "/wait" {
 					close(entered)
--- a/internal/memory/account.go
+++ b/internal/memory/account.go
@@ -21,11 +21,15 @@
 	Answers
 	// Detours are messages that are passed on for other instances.
 	Detours
+	// Connections are the connections of callers and others, with the heads of their requests.
+	Connections
 	kinds
 )
 
 // String returns the kind's name as metrics state it.
-func (kd Kind) String() string { return [kinds]string{"Bodies", "Answers", "Detours"}[kd] }
+func (kd Kind) String() string {
+	return [kinds]string{"Bodies", "Answers", "Detours", "Connections"}[kd]
+}
 
 const (
 	// SmallBody is the maximum size in bytes of a reservation that does not wait behind larger ones. Callers of small requests are not
@@ -34,6 +38,11 @@
 	// largeShare is the share of the bound that larger reservations may use. The rest is left for small ones and for answers of requests
 	// that run already.
 	largeShare = 0.875
+	// connectionLevel is the level in relation to the bound up to which new connections are taken, so that a burst of bodies leaves room for them.
+	// The memory for it is among what Limit leaves for the kernel.
+	connectionLevel = 1.25
+	// headShare is the share of the bound that Connections may have taken for heads to be let in. The rest is left for bodies.
+	headShare = 0.25
 	// holdGain is the weight of the latest reservation in the average of the times for which large ones are held.
 	holdGain = 0.1
 )
@@ -139,6 +148,16 @@
 // Try reserves the bytes for something that has begun, or returns false if the bound does not allow that. It does not wait behind others.
 func (ac *Account) Try(kind Kind, size int) bool { return ac.take(kind, int64(size), ac.bound) }
 
+// TryConnection reserves the bytes for a new connection, or returns false if they do not fit.
+func (ac *Account) TryConnection(size int64) bool {
+	return ac.take(Connections, size, int64(connectionLevel*float64(ac.bound)))
+}
+
+// TryHead reserves the bytes for the head of a request, or returns false if they do not fit.
+func (ac *Account) TryHead(size int64) bool {
+	return (ac.bound == 0 || ac.Held(Connections)+size <= int64(headShare*float64(ac.bound))) && ac.take(Connections, size, ac.bound)
+}
+
 // TryNew reserves the bytes for something that has not begun, or returns false if they do not fit or others of
 // their class wait for their turn.
 func (ac *Account) TryNew(kind Kind, size int64) bool {
--- a/internal/relay/callerconn_test.go
+++ b/internal/relay/callerconn_test.go
@@ -13,6 +13,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"dandelionsail.example/dandelionsail/internal/front"
+	"dandelionsail.example/dandelionsail/internal/memory"
 	"dandelionsail.example/dandelionsail/pkg/decl"
 )
 
@@ -52,7 +54,7 @@
 	for name, end := range cases {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				in := &Instance{}
+				in := &Instance{limiter: front.NewLimiter(memory.New(0), 10_000)}
 				in.routing.Store(&decl.Routing{Limits: decl.CallerLimits{Idle: decl.Duration(time.Second)}})
 				served := 0
 				server := in.newCallerServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/relay/idle_test.go
+++ b/internal/relay/idle_test.go
@@ -11,6 +11,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"dandelionsail.example/dandelionsail/internal/front"
+	"dandelionsail.example/dandelionsail/internal/memory"
 	"dandelionsail.example/dandelionsail/pkg/decl"
 )
 
@@ -45,7 +47,7 @@
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				in := &Instance{}
+				in := &Instance{limiter: front.NewLimiter(memory.New(0), 10_000)}
 				in.routing.Store(&decl.Routing{Limits: decl.CallerLimits{Idle: decl.Duration(tc.configured)}})
 				server := in.newCallerServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) }), nil)
 				listener := &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
--- a/internal/relay/instance.go
+++ b/internal/relay/instance.go
@@ -46,6 +46,8 @@
 	drainQueueShare = 0.25
 	// headerTimeout is the maximum time to read a request's header.
 	headerTimeout = 8 * time.Second
+	// probeIdleTimeout is how long a connection for readiness probes may be idle.
+	probeIdleTimeout = time.Minute
 	// maxHeader is the maximum size of a request's header in bytes.
 	maxHeader = 64 << 10
 	// tickPeriod is the interval of Ticked events; while requests wait, the reducer asks for additional ones.
@@ -83,6 +85,8 @@
 	gossip       *gossip
 	// memory counts what is held for callers and other instances.
 	memory *memory.Account
+	// limiter bounds the connections to this Instance.
+	limiter *front.Limiter
 	// buffers buffers responses until they are complete.
 	buffers buffers
 
@@ -159,6 +163,7 @@
 		pauses:         pause.Detector{MaxGap: maxEventGap, MaxWait: steer.MaxCatchUp},
 	}
 	in.monitor = tasks.NewMonitor(logger, in.count)
+	in.limiter = front.NewLimiter(in.memory, opts.Descriptors.Connections())
 	in.buffers.account = in.memory
 	in.conns = newReplicaConns(in.count)
 	in.pooled = newTransport(in.conns.dialer(newDialer(opts.Dial, dialTimeout)), false, conns.MaxIdle)
@@ -210,12 +215,12 @@
 	stdlog.SetOutput(in.monitor.LibraryLog())
 	stdlog.SetFlags(0)
 	callerServer := in.newCallerServer(http.HandlerFunc(in.serve), errorLog)
-	readyServer := &http.Server{Handler: http.HandlerFunc(in.readyz), ReadHeaderTimeout: headerTimeout, ErrorLog: errorLog}
+	readyServer := front.New(front.Options{Limiter: in.limiter, Handler: http.HandlerFunc(in.readyz), HeaderTimeout: headerTimeout, IdleTimeout: probeIdleTimeout, ErrorLog: errorLog})
 	peerMux := http.NewServeMux()
 	peerMux.HandleFunc("GET "+sharedConfigPath, in.serveConfig)
 	peerMux.HandleFunc("GET "+sharedDirectoryPath, in.serveDirectory)
 	peerMux.HandleFunc("POST "+detourPath, in.serveDetour)
-	peerServer := front.New(front.Options{Handler: peerMux, HeaderTimeout: headerTimeout, ErrorLog: errorLog})
+	peerServer := front.New(front.Options{Limiter: in.limiter, Handler: peerMux, HeaderTimeout: headerTimeout, IdleTimeout: 2 * peerIdleTimeout, ErrorLog: errorLog})
 	in.monitor.Start(serveCtx, "follower", (&follower{in: in}).run)
 	in.monitor.Start(serveCtx, "announce", in.announce)
 	in.monitor.Start(serveCtx, "tick", in.tick)
@@ -269,7 +274,7 @@
 }
 
 func (in *Instance) listen(ctx context.Context, flag, address string) (net.Listener, error) {
-	listener, err := ports.Bind(ctx, in.monitor.BindFailed(flag, address), func() (net.Listener, error) { return net.Listen("tcp", address) })
+	listener, err := ports.Bind(ctx, in.monitor.BindFailed(flag, address), func() (net.Listener, error) { return ports.Listen(address) })
 	if err != nil {
 		return nil, Errors.NewType("listen").Wrap(err, "relay: --%s %s cannot be used; choose a free address", flag, address)
 	}
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -17,7 +17,7 @@
 
 // serveMetrics serves counters, gauges and histograms at --metrics-listen, if it is set.
 func (in *Instance) serveMetrics(ctx context.Context) error {
-	if err := meter.Serve(ctx, in.opts.MetricsListen, http.HandlerFunc(in.metrics)); err != nil {
+	if err := meter.Serve(ctx, in.opts.MetricsListen, http.HandlerFunc(in.metrics), in.limiter); err != nil {
 		return BadOption.Wrap(err, "relay: --metrics-listen %s cannot be used; choose a free address", in.opts.MetricsListen)
 	}
 	return nil
@@ -47,6 +47,7 @@
 	in.updateEvacuationMetrics()
 	in.gauge("Responses.BufferedBytes", in.memory.Held(memory.Answers))
 	in.memory.Gauges(in.gauge)
+	in.limiter.Gauges(in.gauge)
 	in.gauge("Log.Dropped", in.output.Dropped())
 	in.gauge("Log.Failed", in.output.Failed())
 	in.gauge("Process.Goroutines", int64(runtime.NumGoroutine()))
--- a/internal/relay/passon.go
+++ b/internal/relay/passon.go
@@ -42,6 +42,8 @@
 	defer in.detours.Add(-1)
 	defer in.memory.Release(memory.Detours, req.ContentLength)
 	receivedAt := time.Now()
+	// The message states how long its answer may take.
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Time{})
 	dr, ok := in.readDetour(w, req)
 	if !ok {
 		refuseDetour(w, detourRefused, "malformed")
--- a/internal/relay/share.go
+++ b/internal/relay/share.go
@@ -11,6 +11,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/joomcode/errorx"
 
+	"dandelionsail.example/dandelionsail/internal/memory"
 	"dandelionsail.example/dandelionsail/internal/posit"
 	"dandelionsail.example/dandelionsail/internal/steer"
 	"dandelionsail.example/dandelionsail/pkg/decl"
@@ -75,6 +76,12 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if !in.memory.Try(memory.Answers, len(raw)) {
+		in.count("Peers.SharesRefused")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer in.memory.Release(memory.Answers, int64(len(raw)))
 	in.count(counter)
 	w.Header().Set("Content-Type", "application/cbor")
 	w.Header().Set("Content-Length", strconv.Itoa(len(raw)))
