Peers: handshakes that strangers begin are bounded

Strangers that began handshakes at the port for peers of the completions front made the process hold 63 KB for each of them for two seconds. At most 64 are under way now, each with memory from the account; from 16 on, a sender that is not known must show first that it receives at its address (QUIC's Retry), so that deaf and forged senders take nothing. Known peers are let in besides.

--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -30,6 +30,7 @@
 	if err != nil {
 		return "", err
 	}
+	transport.Limit(in.limiter.Handshake)
 	in.peers = transport
 	in.registerPeerGauges()
 	if addr, err := netip.ParseAddrPort(transport.Address()); err == nil && !addr.Addr().IsUnspecified() {
--- a/internal/peers/quic.go
+++ b/internal/peers/quic.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"dandelionsail.example/dandelionsail/internal/delay"
+	"dandelionsail.example/dandelionsail/internal/ports"
 	"dandelionsail.example/dandelionsail/internal/tasks"
 	"dandelionsail.example/dandelionsail/internal/wire"
 )
@@ -59,6 +60,8 @@
 	handler Handler
 	socket  net.PacketConn
 	quic    *quic.Transport
+	// handshakes bounds the handshakes that others begin.
+	handshakes handshakes
 	// handlerSlots holds one token per stream whose message is being handled; its capacity is maxHandlers.
 	handlerSlots chan struct{}
 
@@ -89,7 +92,7 @@
 
 // Listen opens the UDP socket at the address. No message is received before Run.
 func Listen(address string, keys *Keys, handler Handler) (*QUIC, error) {
-	socket, err := net.ListenPacket("udp", address)
+	socket, err := ports.ListenDatagrams(address)
 	if err != nil {
 		return nil, Errors.NewType("listen").Wrap(err, "peers: UDP address %s cannot be used; choose a free one", address)
 	}
@@ -100,7 +103,11 @@
 		handlerSlots: make(chan struct{}, maxHandlers),
 		links:        map[string]*link{},
 	}
-	qu.quic = &quic.Transport{Conn: &countingConn{PacketConn: socket, qu: qu}}
+	qu.handshakes.known = qu.hasLink
+	qu.quic = &quic.Transport{
+		Conn:                &countingConn{PacketConn: socket, qu: qu},
+		VerifySourceAddress: qu.handshakes.mustVerify, ConnContext: qu.handshakes.begin,
+	}
 	return qu, nil
 }
 
@@ -215,6 +222,7 @@
 		if err != nil {
 			return ctx.Err()
 		}
+		endHandshake(conn)
 		// The peer dials from the socket that it listens on, so messages to its address can use this connection.
 		qu.linkTo(conn.RemoteAddr().String()).adopt(conn)
 		qu.serve(conn)
@@ -264,6 +272,17 @@
 	}
 }
 
+// hasLink reports whether there is a link to the address.
+func (qu *QUIC) hasLink(address string) bool {
+	qu.mu.Lock()
+	defer qu.mu.Unlock()
+	_, ok := qu.links[address]
+	return ok
+}
+
+// Limit makes reserve bound the memory of handshakes that others begin. It must be called before Run.
+func (qu *QUIC) Limit(reserve func() (release func(), ok bool)) { qu.handshakes.reserve = reserve }
+
 // linkTo returns the link to the address, after creating it if there is none.
 func (qu *QUIC) linkTo(address string) *link {
 	qu.mu.Lock()
