--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -154,7 +154,8 @@
 // receive reads the body, for which memory is reserved. If the caller stops sending while others wait for memory, the error is memory.SlowBody.
 func (in *Instance) receive(cl *call, from io.Reader) ([]byte, error) {
 	if cl.reserved > memory.SmallBody {
-		defer front.ReceiveLong(cl.req)()
+		done := front.ReceiveLong(cl.req)
+		defer done()
 	}
 	guard := &memory.SlowGuard{
 		From: from, Rest: cl.req.ContentLength, Deadline: time.Now().Add(in.opts.BodyTimeout), Pressed: in.memory.Pressed,
--- a/internal/front/limiter.go
+++ b/internal/front/limiter.go
@@ -79,8 +79,8 @@
 }
 
 // NewLimiter returns a Limiter for at most the given number of connections, whose memory is counted in the account.
-func NewLimiter(account *memory.Account, max int) *Limiter {
-	return &Limiter{account: account, max: max, conns: map[*conn]struct{}{}}
+func NewLimiter(account *memory.Account, connections int) *Limiter {
+	return &Limiter{account: account, max: connections, conns: map[*conn]struct{}{}}
 }
 
 // Gauges calls set with the name and the value of each gauge: the connections and their maximum, and how many were refused or closed to make room.
--- a/internal/relay/body.go
+++ b/internal/relay/body.go
@@ -281,7 +281,8 @@
 // that is unknown. If the caller stops sending, or sends too slowly for its deadline, while other requests wait for memory, the read
 // ends with memory.SlowBody.
 func (in *Instance) readLong(cl *call, from io.Reader, rest int64, read func(from io.Reader) error) error {
-	defer front.ReceiveLong(cl.req)()
+	done := front.ReceiveLong(cl.req)
+	defer done()
 	return in.readGuarded(cl, from, rest, read)
 }
 
