Limiter: room is made once for a new connection, and detours at work are not closed

A shortage of memory closed all connections that serve nobody for one new connection, since the memory of closed ones is given back a little later. A message that is passed on for another instance counted as stalled after a second, since nothing recorded that it was read whole.

--- a/internal/front/limiter.go
+++ b/internal/front/limiter.go
@@ -117,17 +117,14 @@
 // String returns the stage's name as metrics state it.
 func (sg stage) String() string { return [stages]string{"Ended", "Head", "Idle", "Stalled"}[sg] }
 
-// admit takes charge of a connection, or returns false if there is no room for it.
+// admit takes charge of a connection, or returns false if there is no room for it. It makes room once: the memory of closed connections is given back
+// a little later, and closing more of them for the same connection would not bring it sooner.
 func (lim *Limiter) admit(cn *conn) bool {
-	for {
-		if lim.tryAdmit(cn) {
-			return true
-		}
-		if lim.evict(cn) == 0 {
-			lim.refused.Add(1)
-			return false
-		}
+	if lim.tryAdmit(cn) || lim.evict(cn) > 0 && lim.tryAdmit(cn) {
+		return true
 	}
+	lim.refused.Add(1)
+	return false
 }
 
 func (lim *Limiter) tryAdmit(cn *conn) bool {
--- a/internal/relay/passon.go
+++ b/internal/relay/passon.go
@@ -11,6 +11,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/joomcode/errorx"
 
+	"dandelionsail.example/dandelionsail/internal/front"
 	"dandelionsail.example/dandelionsail/internal/memory"
 	"dandelionsail.example/dandelionsail/internal/norun"
 	"dandelionsail.example/dandelionsail/internal/steer"
@@ -79,6 +80,8 @@
 		return nil, false
 	}
 	_ = control.SetReadDeadline(time.Time{})
+	// A message that is at work is not closed to make room for others.
+	front.RequestOf(req).ReadWhole(detourPath)
 	dr = &detourRequest{}
 	return dr, cbor.Unmarshal(raw, dr) == nil
 }
