--- a/internal/front/limiter.go
+++ b/internal/front/limiter.go
@@ -3,14 +3,12 @@
 import (
 	"cmp"
 	"net"
-	"net/http"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/joomcode/errorx"
-	"golang.org/x/sys/unix"
 
 	"dandelionsail.example/dandelionsail/internal/memory"
 )
@@ -96,27 +94,6 @@
 	}
 }
 
-// stage is what a connection does. Those that come first are closed first to make room.
-type stage int
-
-const (
-	// stageEnded is a connection that has ended and whose caller has not closed it.
-	stageEnded stage = iota
-	// stageHead is one of which no whole head has arrived yet.
-	stageHead
-	// stageIdle is one that is kept between requests.
-	stageIdle
-	// stageStalled is one with a request that has not arrived whole and of which nothing arrives, or with an answer that the caller does not read.
-	stageStalled
-	// stages is the number of stages in which a connection may be closed to make room.
-	stages
-	// stageServing is a connection with a request at work.
-	stageServing = stages
-)
-
-// String returns the stage's name as metrics state it.
-func (sg stage) String() string { return [stages]string{"Ended", "Head", "Idle", "Stalled"}[sg] }
-
 // admit takes charge of a connection, or returns false if there is no room for it. It makes room once: the memory of closed connections is given back
 // a little later, and closing more of them for the same connection would not bring it sooner.
 func (lim *Limiter) admit(cn *conn) bool {
@@ -284,154 +261,3 @@
 	}
 	cn.head = 0
 }
-
-// stage returns what the connection does and since when.
-func (cn *conn) stage(now time.Time) (stage, time.Time) {
-	cn.mu.Lock()
-	defer cn.mu.Unlock()
-	switch {
-	case cn.closed:
-		return stageEnded, cn.closedAt
-	case cn.http2 && len(cn.streams) == 0:
-		// A caller that only sends pings counts as idle too.
-		return stageIdle, cn.lastRead
-	case cn.http2 || cn.active:
-		return cn.stageOfRequest(now)
-	case cn.received || cn.idleSince.IsZero():
-		return stageHead, cn.headSince
-	}
-	return stageIdle, cn.idleSince
-}
-
-// stageOfRequest is stage for a connection with requests. mu is held.
-func (cn *conn) stageOfRequest(now time.Time) (stage, time.Time) {
-	if at := cn.writingSince; !at.IsZero() && now.Sub(at) >= stallTime {
-		return stageStalled, at
-	}
-	if now.Sub(cn.lastRead) < stallTime || cn.request != nil && cn.request.isWhole() {
-		return stageServing, time.Time{}
-	}
-	for rq := range cn.streams {
-		if rq.isWhole() {
-			return stageServing, time.Time{}
-		}
-	}
-	return stageStalled, cn.lastRead
-}
-
-// isWhole reports whether the request was read to its end.
-func (rq *Request) isWhole() bool { return rq.noBody || rq.name.Load() != nil }
-
-// evict closes the connection to make room and reports whether it did. An idle one is closed only if no request is arriving on it.
-func (cn *conn) evict(from stage) bool {
-	if from == stageIdle && !cn.isHTTP2() {
-		return cn.closeQuiet(0) && cn.release() == nil
-	}
-	return cn.abort()
-}
-
-func (cn *conn) isHTTP2() bool {
-	cn.mu.Lock()
-	defer cn.mu.Unlock()
-	return cn.http2
-}
-
-// abort resets the connection, so that the kernel holds nothing for it any more. It reports whether it was open.
-func (cn *conn) abort() bool {
-	if tcp, ok := cn.Conn.(interface{ SetLinger(sec int) error }); ok {
-		_ = tcp.SetLinger(0)
-	}
-	cn.mu.Lock()
-	released := cn.released
-	if !cn.closed {
-		cn.closed, cn.closedAt = true, time.Now()
-	}
-	cn.stopTimer()
-	cn.mu.Unlock()
-	_ = cn.release()
-	return !released
-}
-
-// limitKernel bounds what the kernel holds for the connection: the window in bytes for what nobody has read, and sendBuffer for what the caller
-// does not read. A system that knows no such bounds has others.
-func (cn *conn) limitKernel() {
-	if cn.raw == nil {
-		return
-	}
-	_ = cn.raw.Control(func(fd uintptr) {
-		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveWindow)
-		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, sendBuffer)
-	})
-}
-
-// setWindow sets how many bytes the kernel receives that nobody has read.
-func (cn *conn) setWindow(size int) {
-	if cn.raw != nil {
-		_ = cn.raw.Control(func(fd uintptr) { _ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, size) })
-	}
-}
-
-// ReceiveLong lets the kernel receive more of the request's body at a time, since memory is reserved for it and it is about to be read. The caller
-// calls done when it has read it.
-func ReceiveLong(req *http.Request) (done func()) {
-	cn, _ := req.Context().Value(connKey{}).(*conn)
-	if cn == nil || req.ProtoMajor != 1 {
-		return func() {}
-	}
-	cn.setWindow(longReceiveWindow)
-	return func() { cn.setWindow(receiveWindow) }
-}
-
-// streamResult is whether a request on a connection with HTTP/2 is let in.
-type streamResult int
-
-const (
-	streamAdmitted streamResult = iota
-	streamRefused
-	// streamAborted means that the connection was closed, since its caller does not read refusals.
-	streamAborted
-)
-
-// beginStream takes memory for a request on a connection with HTTP/2.
-func (cn *conn) beginStream(rq *Request, size int64) streamResult {
-	lim := cn.srv.opts.Limiter
-	cn.mu.Lock()
-	within := cn.streamBytes+size <= maxStreamBytes
-	cn.mu.Unlock()
-	if within && lim.charge(cn, size, lim.account.TryHead) {
-		cn.mu.Lock()
-		defer cn.mu.Unlock()
-		cn.streamBytes += size
-		cn.streams[rq] = struct{}{}
-		return streamAdmitted
-	}
-	if cn.refusedStreams.Add(1) > maxRefusedStreams {
-		cn.abort()
-		return streamAborted
-	}
-	return streamRefused
-}
-
-// endStream gives back what beginStream has taken.
-func (cn *conn) endStream(rq *Request, size int64) {
-	cn.srv.opts.Limiter.uncharge(cn, size)
-	cn.mu.Lock()
-	defer cn.mu.Unlock()
-	cn.streamBytes -= size
-	delete(cn.streams, rq)
-}
-
-// streamSize returns what a request on a connection with HTTP/2 takes.
-func streamSize(req *http.Request) int64 {
-	size := streamBytes + len(req.RequestURI)
-	for name, values := range req.Header {
-		size += len(name) + headerBytes
-		for _, value := range values {
-			size += len(value) + headerBytes
-		}
-	}
-	return int64(size)
-}
-
-// headerBytes is what a name or a value of a header takes besides its text.
-const headerBytes = 64
