--- a/internal/front/limiter_test.go
+++ b/internal/front/limiter_test.go
@@ -60,7 +60,8 @@
 
 func TestConnectionsGiveTheirMemoryBack(t *testing.T) {
 	// Guards against memory that stays taken when connections have ended, in whatever way, until nobody is let in any more.
-	account := memory.New(64 << 20)
+	// All of them fit, so that none is closed to make room.
+	account := memory.New(1 << 30)
 	wd := limited(t, account, 3*freeConnections)
 	var conns []net.Conn
 	for number := range 2 * freeConnections {
@@ -74,8 +75,8 @@
 		_, err = io.WriteString(conn, head)
 		assert.NilError(t, err)
 	}
-	for account.Held(memory.Connections) < freeConnections*connectionBytes {
-		time.Sleep(time.Millisecond)
+	for deadline := time.Now().Add(10 * time.Second); account.Held(memory.Connections) < freeConnections*connectionBytes; time.Sleep(time.Millisecond) {
+		assert.Assert(t, time.Now().Before(deadline), account.Held(memory.Connections))
 	}
 	for _, conn := range conns {
 		_ = conn.Close()
