--- a/internal/relay/gossip.go
+++ b/internal/relay/gossip.go
@@ -45,9 +45,9 @@
 	peers atomic.Pointer[map[string]*net.UDPAddr]
 	// known holds the same addresses.
 	known atomic.Pointer[map[netip.AddrPort]struct{}]
-	// strangers are the senders that are not among them.
-	strangers strangers
-	queue     chan steer.SendNote
+	// unlisted are the senders that are not among them.
+	unlisted unlistedSenders
+	queue    chan steer.SendNote
 	// ranked holds the addresses of all instances in the order in which they are chosen as pollers, nil for this
 	// Instance.
 	ranked atomic.Pointer[[]*net.UDPAddr]
@@ -233,8 +233,8 @@
 
 // handleNote applies a note of another Instance and reports whether it was valid.
 func (gs *gossip) handleNote(note *steer.Note, from *net.UDPAddr) bool {
-	if _, known := (*gs.known.Load())[unmapped(from)]; !known && !gs.strangers.admits(from, note.From, time.Now()) {
-		gs.in.count("Notes.FromStrangers")
+	if _, known := (*gs.known.Load())[unmapped(from)]; !known && !gs.unlisted.admits(from, note.From, time.Now()) {
+		gs.in.count("Notes.FromUnlisted")
 		return true
 	}
 	dropped, usable := note.DropInvalid()
