Limiter: memory for a head is also taken back from connections to other ports

Heads at the port for metrics could hold all memory for heads, and callers with heads over 4 KB found none, since room was made among callers only. Found by reading.

--- a/internal/front/limiter.go
+++ b/internal/front/limiter.go
@@ -97,7 +97,8 @@
 // admit takes charge of a connection, or returns false if there is no room for it. It makes room once: the memory of closed connections is given back
 // a little later, and closing more of them for the same connection would not bring it sooner.
 func (lim *Limiter) admit(cn *conn) bool {
-	if lim.tryAdmit(cn) || lim.evict(cn) > 0 && lim.tryAdmit(cn) {
+	sameShare := func(other *conn) bool { return other.srv.opts.Callers == cn.srv.opts.Callers }
+	if lim.tryAdmit(cn) || lim.evict(cn, sameShare) > 0 && lim.tryAdmit(cn) {
 		return true
 	}
 	lim.refused.Add(1)
@@ -169,12 +170,15 @@
 	since time.Time
 }
 
-// evict closes connections other than cn, of callers or of others as cn is, to make room, and returns how many.
-func (lim *Limiter) evict(cn *conn) (count int) {
+// anyConn admits every connection.
+func anyConn(*conn) bool { return true }
+
+// evict closes connections other than cn to make room, of those that among admits, and returns how many.
+func (lim *Limiter) evict(cn *conn, among func(other *conn) bool) (count int) {
 	lim.mu.Lock()
 	var list []candidate
 	for other := range lim.conns {
-		if other.srv.opts.Callers == cn.srv.opts.Callers {
+		if among(other) {
 			list = append(list, candidate{cn: other})
 		}
 	}
@@ -200,7 +204,8 @@
 // the connection has it. One that was closed meanwhile has not.
 func (lim *Limiter) charge(cn *conn, size int64, try func(size int64) bool) bool {
 	for tries := 0; !try(size); tries++ {
-		lim.evict(cn)
+		// Connections to any port may hold the memory.
+		lim.evict(cn, anyConn)
 		if tries == chargeTries {
 			return false
 		}
