Long answers: the kernel takes more once the caller has read 256 KB

Callers of answers of 64 MB got a cut after the deadline: with a send buffer of 16 KB, which came with the bounds on connections, the answer did not pass in 2.3 s.

--- a/internal/front/account.go
+++ b/internal/front/account.go
@@ -95,6 +95,10 @@
 	defer cn.mu.Unlock()
 	cn.request = newRequest(req)
 	cn.written, cn.writeError = 0, nil
+	if cn.sendsLong {
+		cn.sendsLong = false
+		cn.setSendBuffer(sendBuffer)
+	}
 	return cn.request
 }
 
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -107,6 +107,8 @@
 	writeError error
 	// writeDeadline is the time until which a caller that does not read is waited for, zero if it is not bounded.
 	writeDeadline time.Time
+	// sendsLong reports whether the kernel takes longSendBuffer bytes.
+	sendsLong bool
 	// extended reports whether the caller was given lateWriteTime since writeDeadline was set.
 	extended bool
 }
@@ -234,9 +236,22 @@
 	return count, err
 }
 
-// Write implements net.Conn. The write deadline bounds how long a caller that does not read is waited for. It may also pass while the process
-// stands still; what the socket takes at once is written nevertheless, and the caller gets lateWriteTime to read the rest.
+// Write implements net.Conn. The first part of a long answer is written by itself, so that the kernel takes more at a time once the caller has read it.
 func (cn *conn) Write(buf []byte) (int, error) {
+	if len(buf) <= longAnswer {
+		return cn.write(buf)
+	}
+	first, err := cn.write(buf[:longAnswer])
+	if err != nil {
+		return first, err
+	}
+	rest, err := cn.write(buf[first:])
+	return first + rest, err
+}
+
+// write writes a part of an answer. The write deadline bounds how long a caller that does not read is waited for. It may also pass while the process
+// stands still; what the socket takes at once is written nevertheless, and the caller gets lateWriteTime to read the rest.
+func (cn *conn) write(buf []byte) (int, error) {
 	began := time.Now()
 	if cn.beginWrite(began) {
 		cn.writes.Lock()
@@ -263,6 +278,10 @@
 	cn.mu.Lock()
 	defer cn.mu.Unlock()
 	cn.written += int64(count)
+	if cn.written >= longAnswer && !cn.sendsLong {
+		cn.sendsLong = true
+		cn.setSendBuffer(longSendBuffer)
+	}
 	cn.writingSince = time.Time{}
 	if err != nil && cn.writeError == nil {
 		cn.writeError = err
--- a/internal/front/kernel.go
+++ b/internal/front/kernel.go
@@ -25,6 +25,13 @@
 	}
 }
 
+// setSendBuffer sets how many bytes the kernel takes of an answer that the caller has not read.
+func (cn *conn) setSendBuffer(size int) {
+	if cn.raw != nil {
+		_ = cn.raw.Control(func(fd uintptr) { _ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, size) })
+	}
+}
+
 // ReceiveLong lets the kernel receive more of the request's body at a time, since memory is reserved for it and it is about to be read. The caller
 // calls done when it has read it.
 func ReceiveLong(req *http.Request) (done func()) {
--- a/internal/front/limiter.go
+++ b/internal/front/limiter.go
@@ -25,6 +25,8 @@
 	receiveWindow, longReceiveWindow = 64 << 10, 1 << 20
 	// sendBuffer is how many bytes the kernel takes of an answer that the caller does not read. It doubles the number for its own use.
 	sendBuffer = 16 << 10
+	// longSendBuffer is the same for an answer of which the caller has read longAnswer bytes: a small buffer would make it slow.
+	longSendBuffer, longAnswer = 1 << 20, 256 << 10
 	// tlsBytes is what a connection with TLS takes besides, for its records.
 	tlsBytes = 48 << 10
 	// http2Bytes is what a connection with HTTP/2 takes besides: what its streams have received and nobody has read, and control frames that
