Tests: one allocator of ports for all test processes

The tests of clients that do not behave chose ports at random from 20,000 to 30,000, which the soaks' blocks of 12,000 to 32,000 hold: beside each other one could take the address of a process of the other that is down. The allocator of the platform's tests moves to internal/fleet with its test, and both use it.

--- a/platform/ports_test.go
+++ b/internal/fleet/address_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package fleet
 
 import (
 	"fmt"
@@ -14,12 +14,13 @@
 	// of ports must keep others from taking it, and must not return an address twice.
 	seen := map[string]bool{}
 	for range 2 * portBlock {
-		address := freeAddress(t)
+		address, err := FreeAddress()
+		assert.NilError(t, err)
 		assert.Assert(t, !seen[address], address)
 		seen[address] = true
 	}
-	assert.Assert(t, len(ports.held) > 1)
-	for _, held := range ports.held {
+	assert.Assert(t, len(addresses.held) > 1)
+	for _, held := range addresses.held {
 		_, err := net.Listen("tcp", held.Addr().String())
 		assert.Assert(t, err != nil, fmt.Sprint(held.Addr()))
 	}
