Bounds on clients: what stood twice stands once

Both fronts began and ended the guard of slow bodies by the same lines: SlowGuard.Watch does. The time for a body was set by front and then by the completions front's middleware: it is an option of front. The maximum of a head stood in three places with one value: it is front's. The end of a connection was recorded in three places, the kernel's buffers set in three. The sender's address was computed twice, in two forms. Some comments are reworded.

--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -152,7 +152,7 @@
 }
 
 // receive reads the body, for which memory is reserved. If the caller stops sending while others wait for memory, the error is memory.SlowBody.
-func (in *Instance) receive(cl *call, from io.Reader) ([]byte, error) {
+func (in *Instance) receive(cl *call, from io.Reader) (raw []byte, err error) {
 	if cl.reserved > memory.SmallBody {
 		done := front.ReceiveLong(cl.req)
 		defer done()
@@ -161,11 +161,10 @@
 		From: from, Rest: cl.req.ContentLength, Deadline: time.Now().Add(in.opts.BodyTimeout), Pressed: in.memory.Pressed,
 		Interrupt: func() { _ = cl.control.SetReadDeadline(time.Now()) },
 	}
-	guard.Start()
-	raw, err := readAll(guard, cl.req.ContentLength)
-	if guard.End() && err != nil {
-		return nil, memory.SlowBody
-	}
+	err = guard.Watch(func(from io.Reader) error {
+		raw, err = readAll(from, cl.req.ContentLength)
+		return err
+	})
 	return raw, err
 }
 
--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -44,7 +44,6 @@
 
 // Limits of the HTTP server for callers.
 const (
-	maxHeaderBytes    = 64 << 10
 	readHeaderTimeout = 10 * time.Second
 	idleTimeout       = 2 * time.Minute
 )
@@ -235,7 +234,7 @@
 		Refuse:        func(w http.ResponseWriter, _ *http.Request) { memoryUsedUp().write(w) },
 		HeaderTimeout: readHeaderTimeout,
 		IdleTimeout:   idleTimeout,
-		MaxHeader:     maxHeaderBytes,
+		BodyTimeout:   in.opts.BodyTimeout,
 		ErrorLog:      stdlog.New(in.monitor.LibraryLog(), "", 0),
 		Lost:          in.recordLoss,
 	})
@@ -391,18 +390,11 @@
 //
 // While the instance drains, it sets Connection: close on each answer. Otherwise the caller could send its next request on a
 // connection at the moment when the server closes it, and the request would be lost.
-//
-// It limits the time in which a body must arrive, also for requests that are refused without reading the body: the server
-// reads on before it answers, and a slow sender without a token would hold its connection forever. readBody clears the
-// limit after the body.
 func (in *Instance) guard(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		if in.draining.Load() {
 			w.Header().Set("Connection", "close")
 		}
-		if req.ContentLength != 0 {
-			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(in.opts.BodyTimeout))
-		}
 		next.ServeHTTP(w, req)
 	})
 }
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -431,8 +431,7 @@
 	if !quiet {
 		return false
 	}
-	cn.closed, cn.closedAt = true, time.Now()
-	cn.stopTimer()
+	cn.markClosed()
 	// http.Server notices this, and calls Close.
 	_ = cn.Conn.SetReadDeadline(time.Unix(1, 0))
 	return true
@@ -464,10 +463,7 @@
 
 func (cn *conn) end() error {
 	cn.mu.Lock()
-	if !cn.closed {
-		cn.closed, cn.closedAt = true, time.Now()
-	}
-	cn.stopTimer()
+	cn.markClosed()
 	lingers := cn.lingers
 	cn.lingers = true
 	cn.mu.Unlock()
@@ -483,6 +479,14 @@
 	return nil
 }
 
+// markClosed records that the connection has ended for http.Server. mu is held.
+func (cn *conn) markClosed() {
+	if !cn.closed {
+		cn.closed, cn.closedAt = true, time.Now()
+	}
+	cn.stopTimer()
+}
+
 // linger reads and discards what the caller still sends until the caller closes its side.
 func (cn *conn) linger() {
 	buf := make([]byte, lingerBuffer)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -25,9 +25,9 @@
 	Refuse http.HandlerFunc
 	// HeaderTimeout is the maximum time from the first byte of a request's header to its last one.
 	HeaderTimeout time.Duration
-	// MaxHeader is the maximum size of a request's header in bytes, 0 for DefaultMaxHeader.
-	MaxHeader int
-	ErrorLog  *log.Logger
+	// BodyTimeout is how long a body may take to arrive if the handler sets no time of its own, 0 for a minute.
+	BodyTimeout time.Duration
+	ErrorLog    *log.Logger
 	// IdleLimit returns how long a connection may currently be idle. It is nil if IdleTimeout says so.
 	IdleLimit func() time.Duration
 	// IdleTimeout is how long a connection may be idle, 0 if IdleLimit says so.
@@ -37,11 +37,12 @@
 }
 
 const (
-	// DefaultMaxHeader is the maximum size of a request's header in bytes if nothing else is set.
-	DefaultMaxHeader = 64 << 10
-	// bodyTimeout is how long a body may take to arrive, and writeTimeout how long an answer may take to be written, if the handler sets no time of
-	// its own.
-	bodyTimeout, writeTimeout = time.Minute, 2 * time.Minute
+	// maxHeader is the maximum size of a request's header in bytes.
+	maxHeader = 64 << 10
+	// defaultBodyTimeout is the BodyTimeout if none is set.
+	defaultBodyTimeout = time.Minute
+	// writeTimeout is how long an answer may take to be written if the handler sets no time of its own.
+	writeTimeout = 2 * time.Minute
 	// discardTime is how long the rest of a body that no handler has read is waited for.
 	discardTime = time.Second
 	// maxStreams is how many requests may be under way on a connection with HTTP/2.
@@ -80,8 +81,8 @@
 	if opts.Limiter == nil {
 		panic("front: a server needs the Limiter of its process")
 	}
-	if opts.MaxHeader == 0 {
-		opts.MaxHeader = DefaultMaxHeader
+	if opts.BodyTimeout == 0 {
+		opts.BodyTimeout = defaultBodyTimeout
 	}
 	if opts.Refuse == nil {
 		opts.Refuse = refuse
@@ -91,7 +92,7 @@
 		Handler:           http.HandlerFunc(srv.serve),
 		ReadHeaderTimeout: opts.HeaderTimeout,
 		IdleTimeout:       opts.IdleTimeout,
-		MaxHeaderBytes:    opts.MaxHeader,
+		MaxHeaderBytes:    maxHeader,
 		ErrorLog:          opts.ErrorLog,
 		ConnState:         track,
 		HTTP2: &http.HTTP2Config{
@@ -196,7 +197,7 @@
 		srv.opts.Handler.ServeHTTP(w, req)
 		return
 	}
-	limitTimes(w, req)
+	srv.limitTimes(w, req)
 	if req.ProtoMajor != 1 {
 		srv.serveStream(cn, w, req)
 		return
@@ -214,12 +215,13 @@
 	rq.returned.Store(true)
 }
 
-// limitTimes bounds the times for the body and the answer of a request. Handlers that read a body to its end lift the first one.
-func limitTimes(w http.ResponseWriter, req *http.Request) {
+// limitTimes bounds the times for the body and the answer of a request. The first one holds also for requests that are refused without reading the
+// body: net/http reads on before it answers, and a slow sender would hold its connection for good. Handlers that read a body to its end lift it.
+func (srv *Server) limitTimes(w http.ResponseWriter, req *http.Request) {
 	control := http.NewResponseController(w)
 	_ = control.SetWriteDeadline(time.Now().Add(writeTimeout))
 	if req.ContentLength != 0 {
-		_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
+		_ = control.SetReadDeadline(time.Now().Add(srv.opts.BodyTimeout))
 	}
 }
 
--- a/internal/front/kernel.go
+++ b/internal/front/kernel.go
@@ -6,29 +6,22 @@
 	"golang.org/x/sys/unix"
 )
 
-// limitKernel bounds what the kernel holds for the connection: the window in bytes for what nobody has read, and sendBuffer for what the caller
-// does not read. A system that knows no such bounds has others.
+// limitKernel bounds what the kernel holds for the connection.
 func (cn *conn) limitKernel() {
-	if cn.raw == nil {
-		return
-	}
-	_ = cn.raw.Control(func(fd uintptr) {
-		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveWindow)
-		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, sendBuffer)
-	})
+	cn.setWindow(receiveWindow)
+	cn.setSendBuffer(sendBuffer)
 }
 
-// setWindow sets how many bytes the kernel receives that nobody has read.
-func (cn *conn) setWindow(size int) {
-	if cn.raw != nil {
-		_ = cn.raw.Control(func(fd uintptr) { _ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, size) })
-	}
-}
+// setWindow sets how many bytes the kernel receives that the process has not read.
+func (cn *conn) setWindow(size int) { cn.setBuffer(unix.SO_RCVBUF, size) }
 
 // setSendBuffer sets how many bytes the kernel takes of an answer that the caller has not read.
-func (cn *conn) setSendBuffer(size int) {
+func (cn *conn) setSendBuffer(size int) { cn.setBuffer(unix.SO_SNDBUF, size) }
+
+// setBuffer sets the size of one of the socket's buffers. A system that refuses has bounds of its own.
+func (cn *conn) setBuffer(option, size int) {
 	if cn.raw != nil {
-		_ = cn.raw.Control(func(fd uintptr) { _ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, size) })
+		_ = cn.raw.Control(func(fd uintptr) { _ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, option, size) })
 	}
 }
 
--- a/internal/front/limiter.go
+++ b/internal/front/limiter.go
@@ -14,13 +14,12 @@
 )
 
 const (
-	// freeConnections is how many connections take no memory from the account. The process needs those of its calm state in any case, and the
-	// account leaves memory for them.
+	// freeConnections is how many connections take no memory from the account, which leaves memory for the connections of usual operation.
 	freeConnections = 64
 	// connectionBytes is what each further one takes: 24 KB of the process for its goroutine and its buffers, and what the kernel holds in
 	// receiveWindow and sendBuffer.
 	connectionBytes = 24<<10 + receiveWindow + sendBuffer
-	// receiveWindow is the maximum number of bytes that the kernel receives on a connection and that nobody has read, and longReceiveWindow
+	// receiveWindow is the maximum number of bytes that the kernel receives on a connection and that the process has not read, and longReceiveWindow
 	// that of a connection with a body whose memory is reserved. Without a window of ours the kernel lets it grow to some MB.
 	receiveWindow, longReceiveWindow = 64 << 10, 1 << 20
 	// sendBuffer is how many bytes the kernel takes of an answer that the caller does not read. It doubles the number for its own use.
@@ -29,7 +28,7 @@
 	longSendBuffer, longAnswer = 1 << 20, 256 << 10
 	// tlsBytes is what a connection with TLS takes besides, for its records.
 	tlsBytes = 48 << 10
-	// http2Bytes is what a connection with HTTP/2 takes besides: what its streams have received and nobody has read, and control frames that
+	// http2Bytes is what a connection with HTTP/2 takes besides: what its streams have received and no handler has read, and control frames that
 	// wait to be written.
 	http2Bytes = http2Window + 128<<10
 	// freeHead is the size in bytes of a head that takes nothing besides connectionBytes.
@@ -56,7 +55,7 @@
 )
 
 // Limiter bounds what the connections of a process hold, over all its servers: how many there are, and what they take of the memory account.
-// If there is no room for another one, it closes those that serve nobody: connections that were refused and whose callers do not close them, then
+// If there is no room for another one, it closes those without a request at work: connections that were refused and whose callers do not close them, then
 // those that have not sent a whole head, then idle ones, and then those whose callers have stalled in a request. If all others are at work, the
 // new one is refused.
 type Limiter struct {
--- a/internal/front/stage.go
+++ b/internal/front/stage.go
@@ -83,10 +83,7 @@
 	}
 	cn.mu.Lock()
 	released := cn.released
-	if !cn.closed {
-		cn.closed, cn.closedAt = true, time.Now()
-	}
-	cn.stopTimer()
+	cn.markClosed()
 	cn.mu.Unlock()
 	_ = cn.release()
 	return !released
--- a/internal/memory/slow.go
+++ b/internal/memory/slow.go
@@ -53,6 +53,16 @@
 	return count, err
 }
 
+// Watch calls read with the guard as its reader, and returns its error, or SlowBody if the read was interrupted.
+func (sg *SlowGuard) Watch(read func(from io.Reader) error) error {
+	sg.Start()
+	err := read(sg)
+	if sg.End() && err != nil {
+		return SlowBody
+	}
+	return err
+}
+
 // Start begins the checks.
 func (sg *SlowGuard) Start() {
 	sg.mu.Lock()
--- a/internal/relay/body.go
+++ b/internal/relay/body.go
@@ -292,12 +292,7 @@
 		From: from, Rest: rest, Deadline: cl.deadline, Pressed: in.memory.Pressed,
 		Interrupt: func() { _ = cl.control.SetReadDeadline(time.Now()) },
 	}
-	guard.Start()
-	err := read(guard)
-	if guard.End() && err != nil {
-		return memory.SlowBody
-	}
-	return err
+	return guard.Watch(read)
 }
 
 // reserveBody reserves memory for a part of the call's body, and waits for its turn if there is none. The error is a memory.Refusal.
--- a/internal/relay/gossip.go
+++ b/internal/relay/gossip.go
@@ -233,7 +233,8 @@
 
 // handleNote applies a note of another Instance and reports whether it was valid.
 func (gs *gossip) handleNote(note *steer.Note, from *net.UDPAddr) bool {
-	if _, known := (*gs.known.Load())[unmapped(from)]; !known && !gs.unlisted.admits(from, note.From, time.Now()) {
+	address := unmapped(from)
+	if _, known := (*gs.known.Load())[address]; !known && !gs.unlisted.admits(address, note.From, time.Now()) {
 		gs.in.count("Notes.FromUnlisted")
 		return true
 	}
--- a/internal/relay/idle.go
+++ b/internal/relay/idle.go
@@ -15,7 +15,7 @@
 // allows. A connection that is closed earlier than callers expect breaks the request that is just sent on it.
 func (in *Instance) newCallerServer(handler http.Handler, errorLog *stdlog.Logger) *front.Server {
 	return front.New(front.Options{
-		Limiter: in.limiter, Callers: true, Handler: handler, HeaderTimeout: headerTimeout, MaxHeader: maxHeader, ErrorLog: errorLog, IdleLimit: in.idleLimit, Lost: in.recordLoss,
+		Limiter: in.limiter, Callers: true, Handler: handler, HeaderTimeout: headerTimeout, ErrorLog: errorLog, IdleLimit: in.idleLimit, Lost: in.recordLoss,
 	})
 }
 
--- a/internal/relay/instance.go
+++ b/internal/relay/instance.go
@@ -48,8 +48,6 @@
 	headerTimeout = 8 * time.Second
 	// probeIdleTimeout is how long a connection for readiness probes may be idle.
 	probeIdleTimeout = time.Minute
-	// maxHeader is the maximum size of a request's header in bytes.
-	maxHeader = 64 << 10
 	// tickPeriod is the interval of Ticked events; while requests wait, the reducer asks for additional ones.
 	tickPeriod = 200 * time.Millisecond
 	// maxEventGap is the time between two events from which on the process has stood still. It is shorter than
--- a/internal/relay/unlisted.go
+++ b/internal/relay/unlisted.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"net"
 	"net/netip"
 	"sync"
 	"time"
@@ -31,17 +30,16 @@
 }
 
 // admits reports whether a note counts that speaks for the named instance and comes from the address.
-func (us *unlistedSenders) admits(from *net.UDPAddr, name string, now time.Time) bool {
+func (us *unlistedSenders) admits(from netip.AddrPort, name string, now time.Time) bool {
 	us.mu.Lock()
 	defer us.mu.Unlock()
-	address := from.AddrPort()
-	sender, ok := us.byAddress[address]
+	sender, ok := us.byAddress[from]
 	if !ok {
 		if !us.makeRoom(now) {
 			return false
 		}
 		sender = &unlistedSender{names: map[string]struct{}{}}
-		us.byAddress[address] = sender
+		us.byAddress[from] = sender
 	}
 	sender.lastAt = now
 	if _, ok := sender.names[name]; !ok && len(sender.names) >= maxUnlistedNames {
