Broken answers: failing tests

A replica or a server that an instance asks answers with what is no answer: it resets the connection of a long upload after a part of a body without a length; its status is 000; the name of a field holds a blank or a control byte; it sends bytes without end, or stops short of it, in a head or a body. And requests come late in the grace of a planned stop.

--- a/internal/entry/forward_test.go
+++ b/internal/entry/forward_test.go
@@ -54,6 +54,12 @@
 
 // startSecond runs a second instance, entry-1, with the links, and lists both.
 func (rg *rig) startSecond(ln *cutLinks) *rig {
+	rg.t.Helper()
+	return rg.startSecondWith(ln, 10*time.Second, 300*time.Millisecond)
+}
+
+// startSecondWith runs such an instance with the DrainTime and the BodyTimeout.
+func (rg *rig) startSecondWith(ln *cutLinks, drainTime, bodyTimeout time.Duration) *rig {
 	rg.t.Helper()
 	platform := rg.serve(rg.platform.Handler())
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -64,8 +70,8 @@
 	rg.platform.Put(plat.Entry{Name: "entry-1", Service: plat.ServiceEntry, Address: second.address, FailureDomain: "a", State: plat.StateLive})
 	second.instance = entry.New(entry.Options{
 		Name: "entry-1", FailureDomain: "a", Listen: second.address, Platform: platform, Store: platform,
-		ListPeriod: 50 * time.Millisecond, LoadPeriod: time.Second, DrainTime: 10 * time.Second,
-		MaxBody: 8 << 20, BodyTimeout: 300 * time.Millisecond, Dial: ln.dial,
+		ListPeriod: 50 * time.Millisecond, LoadPeriod: time.Second, DrainTime: drainTime,
+		MaxBody: 8 << 20, BodyTimeout: bodyTimeout, Dial: ln.dial,
 	}, &log.Logger{Level: log.PanicLevel})
 	ctx, stop := context.WithCancel(context.Background())
 	second.stop = stop
--- a/internal/entry/rig_test.go
+++ b/internal/entry/rig_test.go
@@ -19,6 +19,7 @@
 	"dandelionsail.example/dandelionsail/internal/entry"
 	"dandelionsail.example/dandelionsail/internal/load"
 	"dandelionsail.example/dandelionsail/internal/memory"
+	"dandelionsail.example/dandelionsail/internal/notice"
 	"dandelionsail.example/dandelionsail/internal/plat"
 	"dandelionsail.example/dandelionsail/internal/stand"
 	"dandelionsail.example/dandelionsail/pkg/decl"
@@ -50,10 +51,14 @@
 	Memory memory.Limit
 	// DrainTime is the instance's, 10 s if it is 0.
 	DrainTime time.Duration
+	// BodyTimeout is the instance's, 300 ms if it is 0.
+	BodyTimeout time.Duration
 	// Progress is the services' ProgressTimeout.
 	Progress time.Duration
 	// Via maps an upstream's address to the one that the platform lists; nil lists the upstream's own address.
 	Via func(address string) string
+	// Dial opens the instance's connections to upstreams, nil for the usual ones.
+	Dial notice.Dialer
 }
 
 // newRig starts the rig. When the test ends, the rig is stopped and the test fails if a goroutine is left.
@@ -83,7 +88,7 @@
 	rg.instance = entry.New(entry.Options{
 		Name: "entry-0", FailureDomain: "a", Listen: rg.address, Platform: platform, Store: platform,
 		ListPeriod: 50 * time.Millisecond, LoadPeriod: time.Second, DrainTime: cmp.Or(opts.DrainTime, 10*time.Second),
-		MaxBody: 8 << 20, BodyTimeout: 300 * time.Millisecond, Memory: opts.Memory,
+		MaxBody: 8 << 20, BodyTimeout: cmp.Or(opts.BodyTimeout, 300*time.Millisecond), Memory: opts.Memory, Dial: opts.Dial,
 	}, logger)
 	ctx, stop := context.WithCancel(context.Background())
 	rg.stop = stop
--- /dev/null
+++ b/internal/fault/reset.go
@@ -0,0 +1,129 @@
+package fault
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// writtenBeforeReset is how many bytes a connection of ResetDuringWrite passes on before it waits for the reset.
+	writtenBeforeReset = 16 << 10
+	// maxResetWait is how long such a connection waits for the reset, or for the other direction.
+	maxResetWait = 5 * time.Second
+)
+
+// Dialer opens a connection.
+type Dialer = func(ctx context.Context, network, address string) (net.Conn, error)
+
+// ResetDuringWrite returns a dialer for tests whose other end resets a TCP connection during a write, after it has sent something. The kernel
+// reports a reset to one call only. If that is a write, a read that follows finds an ordinary end. Which of the two comes first is chance; on these
+// connections it is always the write, and the write returns only after the read. A connection carries one request.
+func ResetDuringWrite(dial Dialer) Dialer {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &resetConn{Conn: conn, failed: make(chan struct{}), ended: make(chan struct{})}, nil
+	}
+}
+
+// resetConn is a connection of ResetDuringWrite.
+type resetConn struct {
+	net.Conn
+	// failed is closed when a write has failed, and ended when a read has ended or the connection is closed.
+	failed, ended       chan struct{}
+	failOnce, endedOnce sync.Once
+	// written is the number of bytes written. It belongs to the goroutine that writes.
+	written int
+	// answered reports whether bytes were read. It belongs to the goroutine that reads.
+	answered bool
+}
+
+// Write implements net.Conn.
+func (rc *resetConn) Write(raw []byte) (int, error) {
+	if rc.written > writtenBeforeReset {
+		rc.awaitReset()
+	}
+	count, err := rc.Conn.Write(raw)
+	rc.written += count
+	if err != nil {
+		rc.failOnce.Do(func() { close(rc.failed) })
+		awaitClosed(rc.ended)
+	}
+	return count, err
+}
+
+// Read implements net.Conn.
+func (rc *resetConn) Read(buf []byte) (int, error) {
+	if rc.answered {
+		rc.awaitWrite()
+	}
+	count, err := rc.Conn.Read(buf)
+	rc.answered = rc.answered || count > 0
+	if err != nil {
+		rc.endedOnce.Do(func() { close(rc.ended) })
+	}
+	return count, err
+}
+
+// Close implements net.Conn.
+func (rc *resetConn) Close() error {
+	rc.endedOnce.Do(func() { close(rc.ended) })
+	return rc.Conn.Close()
+}
+
+// awaitReset waits until the connection was reset.
+func (rc *resetConn) awaitReset() {
+	for until := time.Now().Add(maxResetWait); time.Now().Before(until) && !IsReset(rc.Conn); {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// awaitWrite waits until a write has failed, or there is something to read.
+func (rc *resetConn) awaitWrite() {
+	for until := time.Now().Add(maxResetWait); time.Now().Before(until) && unread(rc.Conn) == 0; {
+		select {
+		case <-rc.failed:
+			return
+		case <-time.After(time.Millisecond):
+		}
+	}
+}
+
+// IsReset reports whether the other end has reset the TCP connection, which is open at this end. It does not make the kernel report the reset.
+func IsReset(conn net.Conn) (reset bool) {
+	withDescriptor(conn, func(fd int) {
+		info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+		reset = err == nil && info.State == unix.BPF_TCP_CLOSE
+	})
+	return reset
+}
+
+// unread returns the number of bytes that have arrived on the TCP connection and were not read.
+func unread(conn net.Conn) (count int) {
+	withDescriptor(conn, func(fd int) { count, _ = unix.IoctlGetInt(fd, unix.TIOCINQ) })
+	return count
+}
+
+// withDescriptor calls use with the descriptor of a TCP connection.
+func withDescriptor(conn net.Conn, use func(fd int)) {
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		return
+	}
+	if raw, err := tcp.SyscallConn(); err == nil {
+		_ = raw.Control(func(fd uintptr) { use(int(fd)) })
+	}
+}
+
+func awaitClosed(ch <-chan struct{}) {
+	select {
+	case <-ch:
+	case <-time.After(maxResetWait):
+	}
+}
