Silence check: it leaves the report of a reset to the reader

What callers could see: the part of an answer that has neither a length nor chunks, as a whole answer. Cause: the silence check receives with MSG_PEEK to see whether bytes wait. The kernel reports a reset to one call only; the check took it, threw the error away, and the read of the answer found an ordinary end. Evidence: TestLookForUnreadBytesLeavesTheResetToTheReader failed on every run: tcpinfo_test.go:42: assertion failed: expression is false: err != nil && err != io.EOF: EOF Fix: the check asks for the number of bytes that wait (TIOCINQ), which reports no error. closedByPeer goes on receiving: it looks at kept connections before a request is written, and closes each that has an error.

--- a/internal/relay/tcpinfo.go
+++ b/internal/relay/tcpinfo.go
@@ -7,15 +7,12 @@
 	"golang.org/x/sys/unix"
 )
 
-// hasUnread reports whether bytes that were received on the connection have not been read yet.
+// hasUnread reports whether bytes that were received on the connection have not been read yet. It asks for their number and does not receive: that would
+// take the report of a reset, and the reader of the answer would find an ordinary end.
 func hasUnread(conn net.Conn) bool {
-	unread := false
-	descriptor(conn, func(fd int) {
-		var buf [1]byte
-		count, _, err := unix.Recvfrom(fd, buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		unread = err == nil && count > 0
-	})
-	return unread
+	count := 0
+	descriptor(conn, func(fd int) { count, _ = unix.IoctlGetInt(fd, unix.TIOCINQ) })
+	return count > 0
 }
 
 // acknowledgement reports whether something that was sent on the connection is not acknowledged, and the time since anything was received from the
