Answers: the end of a reset connection ends no answer

What callers saw: a replica answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was still being written; callers got the part as a complete answer. Cause: the kernel reports a reset to one call only. If that is the write of the upload, the read of the answer finds an ordinary end, which completes an answer that has neither a length nor chunks. Which call comes first is chance; fault.ResetDuringWrite makes it the write each time. The connections of trip, over which both fronts read all answers of replicas, upstreams and peers, return io.EOF only with a proof: no write has failed, and the socket is in the state that an ordinary end leads to. Anything else is the error of a reset. An ordinary end before the request was read whole stays one; if the replica then resets the connection because the upload goes on, the answer counts as broken off: one that is reset on the way is not complete.

--- a/internal/fault/reset.go
+++ b/internal/fault/reset.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -71,6 +72,9 @@
 	return count, err
 }
 
+// SyscallConn implements syscall.Conn.
+func (rc *resetConn) SyscallConn() (syscall.RawConn, error) { return rc.Conn.(syscall.Conn).SyscallConn() }
+
 // Close implements net.Conn.
 func (rc *resetConn) Close() error {
 	rc.endedOnce.Do(func() { close(rc.ended) })
--- a/internal/relay/replicaconn.go
+++ b/internal/relay/replicaconn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -114,6 +115,14 @@
 	timer *time.Timer
 }
 
+// SyscallConn implements syscall.Conn. What wraps the connection looks at its socket to tell a reset from an ordinary end.
+func (rc *replicaConn) SyscallConn() (syscall.RawConn, error) {
+	if sys, ok := rc.Conn.(syscall.Conn); ok {
+		return sys.SyscallConn()
+	}
+	return nil, errors.ErrUnsupported
+}
+
 // Close implements net.Conn.
 func (rc *replicaConn) Close() error {
 	rc.conns.mu.Lock()
--- a/internal/trip/trip.go
+++ b/internal/trip/trip.go
@@ -4,94 +4,17 @@
 package trip
 
 import (
-	"context"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/joomcode/errorx"
 )
 
-// lastConn is the number of the connection that was opened last.
-var lastConn atomic.Int64
-
-// CountingDialer returns a dialer whose connections count what is written to them and record when they are read from.
-func CountingDialer(dial func(ctx context.Context, network, address string) (net.Conn, error)) func(ctx context.Context, network, address string) (net.Conn, error) {
-	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		conn, err := dial(ctx, network, address)
-		if err != nil {
-			return nil, err
-		}
-		return &countingConn{Conn: conn, number: lastConn.Add(1)}, nil
-	}
-}
-
-// countingConn counts the bytes written, and records for its current use when the write began and when the first byte came back.
-type countingConn struct {
-	net.Conn
-	// number identifies the connection in the log.
-	number  int64
-	written atomic.Int64
-	// answers is the number of responses that were received on the connection.
-	answers atomic.Int64
-	// mu guards the fields below.
-	mu sync.Mutex
-	// used reports whether the connection has been given to a request.
-	used bool
-	// wroteAt is when the write of the current request began, zero before that.
-	wroteAt time.Time
-	// readAt is when the first bytes were read after wroteAt, zero before that.
-	readAt time.Time
-	// readBefore reports whether bytes were read after the last response's and before wroteAt. They belong to no request.
-	readBefore bool
-}
-
-// Write implements net.Conn. While it lasts, all of the bytes count as written.
-func (cc *countingConn) Write(raw []byte) (int, error) {
-	cc.written.Add(int64(len(raw)))
-	cc.mu.Lock()
-	if cc.wroteAt.IsZero() {
-		cc.wroteAt = time.Now()
-	}
-	cc.mu.Unlock()
-	count, err := cc.Conn.Write(raw)
-	cc.written.Add(int64(count - len(raw)))
-	return count, err
-}
-
-// Read implements net.Conn.
-func (cc *countingConn) Read(buf []byte) (int, error) {
-	count, err := cc.Conn.Read(buf)
-	if count > 0 {
-		cc.mu.Lock()
-		defer cc.mu.Unlock()
-		switch {
-		case cc.wroteAt.IsZero():
-			cc.readBefore = true
-		case cc.readAt.IsZero():
-			cc.readAt = time.Now()
-		}
-	}
-	return count, err
-}
-
-// beginUse prepares the connection for the next request. It returns the number of bytes written until now.
-func (cc *countingConn) beginUse() int64 {
-	cc.mu.Lock()
-	defer cc.mu.Unlock()
-	if cc.used {
-		// net/http closes a kept connection on which bytes arrive between two requests, unless it is just given to the next one.
-		cc.wroteAt, cc.readAt, cc.readBefore = time.Time{}, time.Time{}, false
-	}
-	cc.used = true
-	return cc.written.Load()
-}
-
 // MaxHeadBytes is the maximum size in bytes of the head of an answer, for transports of requests that are passed on.
 const MaxHeadBytes = 256 << 10
 
@@ -273,14 +196,3 @@
 		cc.answers.Add(1)
 	}
 }
-
-// trace describes the current use of the connection.
-func (cc *countingConn) trace() Trace {
-	cc.mu.Lock()
-	defer cc.mu.Unlock()
-	tr := Trace{Conn: cc.number, Answers: cc.answers.Load(), Early: cc.readBefore || cc.readAt.IsZero()}
-	if !cc.readAt.IsZero() {
-		tr.Waited = cc.readAt.Sub(cc.wroteAt)
-	}
-	return tr
-}
