What an instance itself asks is read like answers for callers

Cause: the clients of the store, of the platform's list and of other instances' configurations had transports of their own. On these, an answer whose head is none was believed (names with a blank too: the store's era is such a field), the end of a reset connection counted as an ordinary one, and up to 10 MB of a head without end were held. Evidence: TestInstanceBelievesNoAnswerWithABrokenHead failed on every run, for all ten calls: asks_test.go:110: assertion failed: ak.call(t.Context(), raw.Address()) is nil: blank in a name Fix: all transports of an instance come from trip.NewTransport. TestInstancesReadAnswersOverTheseTransportsOnly fails for the next one that does not. Not changed: the command line's client (internal/oper), load generators and stand-ins.

--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -26,16 +26,13 @@
 // newForwarder returns the transport to other instances' addresses for callers. It opens a connection for each request, since one that breaks
 // under a request would leave open whether the request arrived.
 func newForwarder() *http.Transport {
-	return &http.Transport{
-		DialContext: trip.CountingDialer(func(ctx context.Context, network, address string) (net.Conn, error) {
-			limited, cancel := context.WithTimeout(ctx, forwardDialTimeout)
-			defer cancel()
-			return (&net.Dialer{}).DialContext(limited, network, address)
-		}),
-		DisableKeepAlives:      true,
-		DisableCompression:     true,
-		MaxResponseHeaderBytes: trip.MaxHeadBytes,
-	}
+	transport := trip.NewTransport(func(ctx context.Context, network, address string) (net.Conn, error) {
+		limited, cancel := context.WithTimeout(ctx, forwardDialTimeout)
+		defer cancel()
+		return (&net.Dialer{}).DialContext(limited, network, address)
+	})
+	transport.DisableCompression, transport.DisableKeepAlives = true, true
+	return transport
 }
 
 // forward passes the caller's request on to another instance and its answer back. It returns false if that instance did not take
--- a/internal/plat/plat.go
+++ b/internal/plat/plat.go
@@ -6,12 +6,14 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
 	"github.com/joomcode/errorx"
 
 	"dandelionsail.example/dandelionsail/internal/event"
+	"dandelionsail.example/dandelionsail/internal/trip"
 )
 
 // PathInstances is the path at which the platform serves the list.
@@ -71,7 +73,7 @@
 
 // New returns a client of the platform at the address.
 func New(address string) *Client {
-	return &Client{address: address, http: &http.Client{Timeout: listTimeout, Transport: &http.Transport{}}}
+	return &Client{address: address, http: &http.Client{Timeout: listTimeout, Transport: trip.Client{Transport: trip.NewTransport((&net.Dialer{}).DialContext)}}}
 }
 
 // Close closes idle connections.
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -54,17 +54,11 @@
 
 // newTransport returns a transport that opens its connections by dial and keeps idle ones for the given time.
 func newTransport(dial notice.Dialer, disableKeepAlives bool, idleTimeout time.Duration) *http.Transport {
-	return &http.Transport{
-		DialContext:         trip.CountingDialer(notice.CheckedDialer(dial)),
-		DisableCompression:  true,
-		DisableKeepAlives:   disableKeepAlives,
-		MaxIdleConnsPerHost: maxIdlePerHost,
-		IdleConnTimeout:     idleTimeout,
-		ReadBufferSize:      4 << 10,
-		WriteBufferSize:     4 << 10,
-		// Without a limit of its own, net/http reads and holds 10 MB of a head that does not end.
-		MaxResponseHeaderBytes: trip.MaxHeadBytes,
-	}
+	transport := trip.NewTransport(notice.CheckedDialer(dial))
+	transport.DisableCompression, transport.DisableKeepAlives = true, disableKeepAlives
+	transport.MaxIdleConnsPerHost, transport.IdleConnTimeout = maxIdlePerHost, idleTimeout
+	transport.ReadBufferSize, transport.WriteBufferSize = 4<<10, 4<<10
+	return transport
 }
 
 // response is a complete response of a replica.
--- a/internal/relay/share.go
+++ b/internal/relay/share.go
@@ -14,6 +14,7 @@
 	"dandelionsail.example/dandelionsail/internal/memory"
 	"dandelionsail.example/dandelionsail/internal/posit"
 	"dandelionsail.example/dandelionsail/internal/steer"
+	"dandelionsail.example/dandelionsail/internal/trip"
 	"dandelionsail.example/dandelionsail/pkg/decl"
 )
 
@@ -123,7 +124,7 @@
 	if err != nil {
 		return shared, BadOption.Wrap(err, "relay: cannot build a request to the instance at %s; check its registered address", from)
 	}
-	resp, err := in.unpooledPeer.RoundTrip(req)
+	resp, err := (trip.Client{Transport: in.unpooledPeer}).RoundTrip(req)
 	if err != nil {
 		return shared, OrderFailed.Wrap(err, "relay: the instance at %s did not respond to %s; it is tried again later", from, path)
 	}
--- a/internal/store/etcd.go
+++ b/internal/store/etcd.go
@@ -14,6 +14,7 @@
 	"github.com/joomcode/errorx"
 
 	"dandelionsail.example/dandelionsail/internal/tasks"
+	"dandelionsail.example/dandelionsail/internal/trip"
 )
 
 const (
@@ -55,10 +56,11 @@
 	// dropped would look like a store in which nothing changes.
 	keepAlive := net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: time.Second, Count: 3}
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive}
-	connections := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 16, IdleConnTimeout: 30 * time.Second}
+	connections := trip.NewTransport(dialer.DialContext)
+	connections.MaxIdleConnsPerHost, connections.IdleConnTimeout = 16, 30*time.Second
 	// Redirects are not followed, because that would send a write twice.
 	noRedirects := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-	tr := &transport{base: "http://" + address, http: &http.Client{Transport: connections, CheckRedirect: noRedirects}}
+	tr := &transport{base: "http://" + address, http: &http.Client{Transport: trip.Client{Transport: connections}, CheckRedirect: noRedirects}}
 	return &Client{Protocol: Protocol{Calls: tr}, transport: tr}
 }
 
--- a/internal/upstr/client.go
+++ b/internal/upstr/client.go
@@ -81,17 +81,11 @@
 		}
 		return conn, err
 	}
-	return &http.Transport{
-		DialContext:         trip.CountingDialer(notice.CheckedDialer(dial)),
-		DisableKeepAlives:   disableKeepAlives,
-		DisableCompression:  true,
-		MaxIdleConnsPerHost: idlePerUpstream,
-		IdleConnTimeout:     idleTimeout,
-		WriteBufferSize:     64 << 10,
-		ReadBufferSize:      32 << 10,
-		// Without a limit of its own, net/http reads and holds 10 MB of a head that does not end.
-		MaxResponseHeaderBytes: trip.MaxHeadBytes,
-	}
+	transport := trip.NewTransport(notice.CheckedDialer(dial))
+	transport.DisableCompression, transport.DisableKeepAlives = true, disableKeepAlives
+	transport.MaxIdleConnsPerHost, transport.IdleConnTimeout = idlePerUpstream, idleTimeout
+	transport.WriteBufferSize, transport.ReadBufferSize = 64<<10, 32<<10
+	return transport
 }
 
 // check returns the error of Check if the call must not be sent.
