Relay, drain: what may not end in the grace period is refused from the start

What callers saw on other systems: in a planned stop, requests that came late in the grace were taken and passed on, and cut at its end without an answer. Here: streams that were read whole up to 2.5 s after the signal were passed on whatever time they may need, began, and were cut 6.8 s after it. Requests that come later were refused already, as not run (deadline after the moment at which attempts are aborted), also with bodies that arrive slowly. Cause: for 2.5 s every request was taken. What does not fit is refused at once with a promise and Retry-After; callers go elsewhere. Only an instance that knows no other goes on taking requests for 2.5 s: its callers have nowhere to go, and most requests end long before their deadlines.

--- a/internal/relay/drain_test.go
+++ b/internal/relay/drain_test.go
@@ -12,6 +12,7 @@
 	"github.com/rcrowley/go-metrics"
 	"gotest.tools/v3/assert"
 
+	"dandelionsail.example/dandelionsail/internal/cutoff"
 	"dandelionsail.example/dandelionsail/internal/front"
 	"dandelionsail.example/dandelionsail/pkg/decl"
 )
@@ -35,8 +36,8 @@
 	// Guards against a request that is begun late in the drain and cut at its end, after it may have run: it is refused before it is sent to a
 	// replica, unless its deadline comes before attempts are aborted.
 	now := time.Now()
-	early := &drainPlan{refuseAt: now.Add(time.Hour), abortAt: now.Add(2 * time.Hour)}
-	late := &drainPlan{refuseAt: now, abortAt: now.Add(4 * time.Second)}
+	early := &drainPlan{Stop: cutoff.Stop{TakeUntil: now.Add(time.Hour), AbortAt: now.Add(2 * time.Hour)}}
+	late := &drainPlan{Stop: cutoff.Stop{TakeUntil: now, AbortAt: now.Add(4 * time.Second)}}
 	cases := map[string]struct {
 		plan    *drainPlan
 		header  string
@@ -72,9 +73,9 @@
 	now := time.Now()
 	for _, grace := range []time.Duration{time.Second, 3 * time.Second, 8 * time.Second, time.Minute} {
 		t.Run(grace.String(), func(t *testing.T) {
-			plan := newDrainPlan(now, grace)
-			assert.Check(t, plan.abortAt.Sub(now) >= grace*5/6, plan.abortAt.Sub(now))
-			assert.Check(t, plan.abortAt.Before(plan.endAt))
+			plan := newDrainPlan(now, grace, false)
+			assert.Check(t, plan.AbortAt.Sub(now) >= grace*5/6, plan.AbortAt.Sub(now))
+			assert.Check(t, plan.AbortAt.Before(plan.endAt))
 			assert.Check(t, plan.endAt.Add(plan.answerTime).Before(now.Add(grace)))
 		})
 	}
--- a/internal/relay/instance.go
+++ b/internal/relay/instance.go
@@ -37,8 +37,9 @@
 	shutdownMarginShare = 1.0 / 12
 	// answerShare is the share of that part for which open requests may take to be answered after it has begun.
 	answerShare = 0.75
-	// lateRequestTime is how long after the termination signal requests are still begun that may be running at the end of the grace period. Callers
-	// are promised answers to those that they send more than 3 s after it; the rest is for the way of the signal and of the request.
+	// lateRequestTime is how long after the termination signal an Instance that knows no other still begins requests that may be running at the end of
+	// the grace period. Callers are promised answers to those that they send more than 3 s after it; the rest is for the way of the signal and of the
+	// request.
 	lateRequestTime = 2500 * time.Millisecond
 	// partsTimeout is how long the end waits for parts that do not end with their context.
 	partsTimeout = 50 * time.Millisecond
--- a/internal/relay/ready.go
+++ b/internal/relay/ready.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"dandelionsail.example/dandelionsail/internal/cutoff"
 	"dandelionsail.example/dandelionsail/internal/delay"
 	"dandelionsail.example/dandelionsail/internal/front"
 	"dandelionsail.example/dandelionsail/internal/steer"
@@ -15,25 +16,28 @@
 
 // drainPlan is what follows from the moment at which this Instance was asked to shut down.
 type drainPlan struct {
-	// refuseAt is from when on requests are refused that may still be running at abortAt.
-	refuseAt time.Time
-	// abortAt is when the attempts that are still running are aborted.
-	abortAt time.Time
+	// Stop says which requests are still taken, and when the attempts that are still running are aborted.
+	cutoff.Stop
 	// endAt is when the process exits by itself, unless requests are still open then.
 	endAt time.Time
 	// answerTime is how long these may take to be answered.
 	answerTime time.Duration
 }
 
-func newDrainPlan(now time.Time, grace time.Duration) *drainPlan {
+// newDrainPlan returns the plan of an Instance that is asked to shut down now. isAlone reports whether no other Instance is known.
+func newDrainPlan(now time.Time, grace time.Duration, isAlone bool) *drainPlan {
 	margin := min(maxShutdownMargin, time.Duration(shutdownMarginShare*float64(grace)))
 	endAt := now.Add(grace - margin)
-	return &drainPlan{refuseAt: now.Add(lateRequestTime), abortAt: endAt.Add(-margin), endAt: endAt, answerTime: time.Duration(answerShare * float64(margin))}
+	dp := &drainPlan{Stop: cutoff.Stop{AbortAt: endAt.Add(-margin), TakeUntil: now}, endAt: endAt, answerTime: time.Duration(answerShare * float64(margin))}
+	if isAlone {
+		dp.TakeUntil = now.Add(lateRequestTime)
+	}
+	return dp
 }
 
 // refuses reports whether a request that arrives now is refused because it may still be running when attempts are aborted.
 func (dp *drainPlan) refuses(now, deadline time.Time) bool {
-	return dp != nil && !now.Before(dp.refuseAt) && deadline.After(dp.abortAt)
+	return dp != nil && dp.Refuses(now, deadline)
 }
 
 // drain stops the servers without cutting responses. Readiness goes off first; the callers' server continues to accept
@@ -41,9 +45,9 @@
 // period.
 func (in *Instance) drain(callers, peers *front.Server) {
 	now := time.Now()
-	plan := newDrainPlan(now, in.opts.Grace)
+	plan := newDrainPlan(now, in.opts.Grace, len(*in.gossip.peers.Load()) == 0)
 	in.draining.Store(plan)
-	in.apply(steer.Draining{RefuseWaitingAt: now.Add(time.Duration(drainQueueShare * float64(in.opts.Grace))), AbortAt: plan.abortAt})
+	in.apply(steer.Draining{RefuseWaitingAt: now.Add(time.Duration(drainQueueShare * float64(in.opts.Grace))), AbortAt: plan.AbortAt})
 	in.log.Info().Str("Instance", in.opts.Name).Int("Open", in.open()).Msg("draining")
 	// Requests wait for memory no longer than for a replica.
 	time.AfterFunc(time.Duration(drainQueueShare*float64(in.opts.Grace)), tasks.Guard("memory in the drain", in.memory.Close))
