--- a/internal/core/state.go
+++ b/internal/core/state.go
@@ -4,9 +4,11 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"dandelionsail.example/dandelionsail/internal/admit"
+	"dandelionsail.example/dandelionsail/internal/cutoff"
 	"dandelionsail.example/dandelionsail/internal/effect"
 	"dandelionsail.example/dandelionsail/internal/event"
 	"dandelionsail.example/dandelionsail/internal/member"
@@ -58,6 +60,8 @@
 	Instances []event.Instance
 	// Draining reports whether new requests are refused because the instance is shutting down.
 	Draining bool
+	// stop is nil until the instance is asked to shut down.
+	stop *cutoff.Stop
 
 	now time.Time
 	// permits is nil without Options.Peers or without Options.Permits.
@@ -234,6 +238,11 @@
 		st.handleDemandReceived(ev)
 	case event.SharesReceived:
 		st.Admit.ApplyShares(st.now, ev.Shares)
+	case event.DrainAnnounced:
+		st.stop = &cutoff.Stop{AbortAt: ev.AbortAt, TakeUntil: st.now}
+		if !slices.ContainsFunc(st.Instances, func(inst event.Instance) bool { return inst.Name != st.Options.Name && !inst.Leaving }) {
+			st.stop.TakeUntil = ev.DrainAt
+		}
 	case event.DrainStarted:
 		st.Draining = true
 		st.reduceMembership(ev)
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -68,12 +68,15 @@
 	// outcome records a plain service's response for replays under the same idempotency key.
 	outcome once.Recorder
 
-	// mu guards attempt and cancel against abort.
+	// mu guards the fields below.
 	mu sync.Mutex
 	// attempt is the number of the running attempt.
 	attempt int
 	// cancel ends the running attempt.
 	cancel cutoff.CancelFunc
+	// cancelForward ends the passing on to another instance, nil if the call is not passed on. forwardEnded is the proof with which it was ended.
+	cancelForward cutoff.CancelFunc
+	forwardEnded  cutoff.Proof
 	// plainBegun reports whether the header of a plain service's response is about to be sent. Such a response cannot be resumed.
 	plainBegun bool
 }
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"dandelionsail.example/dandelionsail/internal/cutoff"
 	"dandelionsail.example/dandelionsail/internal/effect"
 	"dandelionsail.example/dandelionsail/internal/event"
 	"dandelionsail.example/dandelionsail/internal/front"
@@ -38,8 +39,8 @@
 // forward passes the caller's request on to another instance and its answer back. It returns false if that instance did not take
 // the request, which then arrives at the reducer again.
 func (in *Instance) forward(cl *call, eff effect.Forward) bool {
-	ctx, cancel := context.WithDeadline(cl.req.Context(), cl.deadline)
-	defer cancel()
+	ctx, release := cl.beginForward()
+	defer release()
 	req, err := http.NewRequestWithContext(ctx, cl.req.Method, "http://"+eff.To.Address+cl.req.URL.RequestURI(), bytes.NewReader(cl.raw))
 	if err != nil {
 		in.forwardFailed(cl, eff, err)
@@ -71,6 +72,26 @@
 	return true
 }
 
+// beginForward returns the context in which the call is passed on to another instance, which endForward ends. The reducer does not hold such a request.
+func (cl *call) beginForward() (ctx context.Context, release func()) {
+	ctx, cancel, release := cutoff.Context(cl.req.Context(), cl.deadline)
+	cl.mu.Lock()
+	cl.cancelForward = cancel
+	cancel(cl.forwardEnded)
+	cl.mu.Unlock()
+	return ctx, release
+}
+
+// endForward ends the passing on with the proof, if the call is passed on now or later.
+func (cl *call) endForward(proof cutoff.Proof) {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	cl.forwardEnded = proof
+	if cl.cancelForward != nil {
+		cl.cancelForward(proof)
+	}
+}
+
 // unsentState is what is known of a request that was not answered.
 func unsentState(written bool) effect.RunState {
 	if written {
--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -11,7 +11,6 @@
 	"net"
 	"net/http"
 	"os"
-	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -22,6 +21,7 @@
 
 	"dandelionsail.example/dandelionsail/internal/conf"
 	"dandelionsail.example/dandelionsail/internal/core"
+	"dandelionsail.example/dandelionsail/internal/cutoff"
 	"dandelionsail.example/dandelionsail/internal/deaths"
 	"dandelionsail.example/dandelionsail/internal/delay"
 	"dandelionsail.example/dandelionsail/internal/event"
@@ -310,12 +310,15 @@
 	in.draining.Store(true)
 	in.log.Info().Str("Instance", in.opts.Name).Msg("draining")
 	in.memory.Close()
+	lastTime := in.opts.DrainTime - min(maxAnswerTime, in.opts.DrainTime/4)
+	drainAt := time.Now().Add(in.opts.DrainNotice)
+	in.loop.Submit(event.DrainAnnounced{AbortAt: drainAt.Add(lastTime), DrainAt: drainAt})
 	delay.For(ctx, in.opts.DrainNotice)
 	in.loop.Submit(event.DrainStarted{})
 	in.rebroadcastQuarantine()
 	deadline, cancel := context.WithTimeout(ctx, in.opts.DrainTime)
 	defer cancel()
-	ending := time.AfterFunc(in.opts.DrainTime-min(maxAnswerTime, in.opts.DrainTime/4), tasks.Guard("end of the drain", in.endOpenCalls))
+	ending := time.AfterFunc(lastTime, tasks.Guard("end of the drain", in.endOpenCalls))
 	defer ending.Stop()
 	err := server.Drain(deadline)
 	in.waitSettled(deadline)
@@ -331,10 +334,12 @@
 // outcome is unknown, and not a connection that is closed without an answer.
 func (in *Instance) endOpenCalls() {
 	in.mu.Lock()
-	open := slices.Collect(maps.Keys(in.calls))
+	open := maps.Clone(in.calls)
 	in.mu.Unlock()
-	for _, id := range open {
+	now := time.Now()
+	for id, cl := range open {
 		in.loop.Submit(event.CallerGone{ID: id})
+		cl.endForward(cutoff.OfStop(now, now))
 	}
 	in.incCounter("Drain.Expired")
 	in.log.Warn().Int("Open", len(open)).Msg("drain time is nearly over; open requests are ended")
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -315,7 +315,15 @@
 // SharesReceived carries the shares of organisations' limits that this instance may use.
 type SharesReceived struct{ Shares []Share }
 
-// DrainStarted reports that this instance was asked to stop.
+// DrainAnnounced reports that this instance was asked to stop. It goes on taking requests that fit until DrainStarted.
+type DrainAnnounced struct {
+	// AbortAt is when the requests that are still running are ended.
+	AbortAt time.Time
+	// DrainAt is when DrainStarted follows.
+	DrainAt time.Time
+}
+
+// DrainStarted reports that this instance takes no more requests, since it was asked to stop.
 type DrainStarted struct{}
 
 // Ticked reports that time has passed. The shell sends it after the delay that the reducer asks for, which is at least
@@ -343,6 +351,7 @@
 func (QuarantineReceived) isEvent() {}
 func (DemandReceived) isEvent()     {}
 func (SharesReceived) isEvent()     {}
+func (DrainAnnounced) isEvent()     {}
 func (DrainStarted) isEvent()       {}
 func (Ticked) isEvent()             {}
 func (PathObserved) isEvent()       {}
