Prefill: the answer is read up to 64 KB

What could happen: an engine answers a prefill with bytes without end; the decoder keeps them all until the request's deadline, and the process runs out of memory with the requests of all callers.

--- a/internal/upstr/client.go
+++ b/internal/upstr/client.go
@@ -41,6 +41,8 @@
 	maxReportBytes = 1 << 20
 	// maxCacheEventsBytes bounds one response with cache events.
 	maxCacheEventsBytes = 8 << 20
+	// maxPrefillBytes bounds the answer to a prefill, which is a short handle.
+	maxPrefillBytes = 64 << 10
 )
 
 // Client implements Engine and Plain over net/http.
@@ -347,7 +349,7 @@
 		return "", statusError(call.Address, resp)
 	}
 	var answer struct{ Handle string }
-	if err := json.NewDecoder(resp.Body).Decode(&answer); err != nil {
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxPrefillBytes)).Decode(&answer); err != nil {
 		return "", Failed.Wrap(err, "upstr: decoding the prefill answer of %s failed", call.Address)
 	}
 	return answer.Handle, nil
