Answers: heads are bounded to 64 KB and 1,000 lines

What could happen: a faulty replica sends heads that do not end, or stop short of 256 KB, in answer to many requests. Short lines take several times their size once they are parsed, and no account counts them. Fix: a head of over 64 KB or 1,000 lines counts as none. The bound was 256 KB before, in bytes alone.

--- a/internal/trip/head.go
+++ b/internal/trip/head.go
@@ -9,8 +9,9 @@
 )
 
 const (
-	// MaxHeadBytes is the maximum size in bytes of the heads of an answer.
-	MaxHeadBytes = 256 << 10
+	// maxHeadBytes is the maximum size in bytes of the heads of an answer, and maxFields is the maximum number of their lines. A parsed line takes several times
+	// its size if it is short. Many answers whose heads do not end would else fill the memory.
+	maxHeadBytes, maxFields = 64 << 10, 1000
 	// maxStatus is the highest status that an answer may have.
 	maxStatus = 599
 	// maxLineKept is how many bytes of a line are kept, enough for a status and for the name that frames a body.
@@ -44,6 +45,8 @@
 	inValue bool
 	// returned reports whether the last byte was a CR, which only an LF may follow.
 	returned bool
+	// lines is the number of lines that have ended.
+	lines int
 }
 
 // check takes the next bytes of the connection. The error is an InvalidHead.
@@ -100,13 +103,16 @@
 		reason = hc.readStatus()
 		hc.inFields = true
 	case hc.length == 0 && hc.interim:
-		*hc = headCheck{line: hc.line}
+		*hc = headCheck{line: hc.line, lines: hc.lines}
 	case hc.length == 0:
 		hc.ended = true
 	case !hc.inValue:
 		reason = "a field without a value"
 	}
 	hc.line, hc.length, hc.inValue, hc.returned = hc.line[:0], 0, false, false
+	if hc.lines++; hc.lines > maxFields && reason == "" {
+		reason = "too many lines"
+	}
 	return reason
 }
 
--- a/internal/trip/transport.go
+++ b/internal/trip/transport.go
@@ -11,7 +11,7 @@
 	return &http.Transport{
 		DialContext: CountingDialer(dial),
 		// Without a limit of its own, net/http reads and holds 10 MB of a head that does not end.
-		MaxResponseHeaderBytes: MaxHeadBytes,
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 }
 
