Relay: the part of an event that has not ended is counted

What could happen: a faulty replica sends events that do not end in answer to many requests. Up to 1 MB of each was held, and no account counted it, so that the process could be killed for its memory with the requests of all callers. Fix: memory.Part counts what is held of an answer; all parts together take half of the account at most, so that bodies of requests find room. An event that finds none ends its stream as one that is broken off, as an event of over 1 MB does.

--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"dandelionsail.example/dandelionsail/internal/memory"
 	"dandelionsail.example/dandelionsail/internal/steer"
 )
 
@@ -22,12 +23,18 @@
 // the replica that resumes the stream sends that event again from its start.
 func (att *attempt) stream(ctx context.Context, resp *http.Response) steer.Result {
 	buf := make([]byte, 0, readBufferSize)
+	held := memory.Part{Account: att.in.memory}
+	defer held.Release()
 	for {
 		if len(buf) >= maxEventBytes {
 			att.in.log.Warn().Str("Request", att.cl.info.Name).Str("Replica", att.eff.Replica.Name).Int("Bytes", len(buf)).Msg("event too long")
 			return steer.ResultBroken
 		}
 		if len(buf) == cap(buf) {
+			if !held.Grow(cap(buf)) {
+				att.in.log.Warn().Str("Request", att.cl.info.Name).Str("Replica", att.eff.Replica.Name).Int("Bytes", len(buf)).Msg("no memory for an event")
+				return steer.ResultBroken
+			}
 			buf = append(make([]byte, 0, 2*cap(buf)), buf...)
 		}
 		count, err := resp.Body.Read(buf[len(buf):cap(buf)])
