Completions front: what is held of engines' answers is counted and bounded

What could happen: a faulty engine sends events that do not end, chunks whose first one never comes, or text beyond the tokens that were asked for. The first was held up to 1 MB, the second up to 64 chunks of 1 MB, the third without bound for callers that asked for no stream, of each of many answers; no account counted any of it. Fix: the reader and the assembled answer count what they hold in the account as a memory.Part; what finds no room breaks the attempt off. An answer to a caller without a stream ends as failed at the first token beyond those that were asked for. TestReaderCountsWhatItHolds: twenty such answers hold half of the bound at most, and give it back.

--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -5,12 +5,15 @@
 	"encoding/json"
 	"net/http"
 
+	"dandelionsail.example/dandelionsail/internal/memory"
 	"dandelionsail.example/dandelionsail/internal/upstr"
 )
 
 // answer assembles the chunks of a streamed answer for a caller that did not ask for a stream.
 type answer struct {
-	text   bytes.Buffer
+	text bytes.Buffer
+	// held counts text.
+	held   memory.Part
 	id     string
 	model  string
 	finish string
@@ -46,6 +49,9 @@
 		an.usage = doc.Usage
 	}
 	for _, choice := range doc.Choices {
+		if !an.grow(len(choice.Text) + len(choice.Delta.Content)) {
+			return upstr.Failed.New("entry: no memory for the upstream's answer, of which %d bytes have come", an.text.Len())
+		}
 		an.text.WriteString(choice.Text)
 		an.text.WriteString(choice.Delta.Content)
 		if choice.FinishReason != "" {
@@ -55,6 +61,20 @@
 	return nil
 }
 
+// grow makes room for more text, or returns false if there is no memory for it.
+func (an *answer) grow(size int) bool {
+	if an.text.Available() >= size {
+		return true
+	}
+	before := an.text.Cap()
+	if !an.held.Grow(before + size) {
+		return false
+	}
+	an.text.Grow(size)
+	an.held.Shrink(2*before + size - an.text.Cap())
+	return true
+}
+
 type message struct {
 	Role    string `json:"role"`
 	Content string `json:"content"`
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -146,6 +146,7 @@
 	up := cl.upstreamCall(eff)
 	up.Imports = imports
 	up.Body, up.Length = cl.body.Streamed()
+	up.Account = in.memory
 	up.Heartbeat = func() {
 		in.heartbeats.Store(up.Address, true)
 		wd.progress()
@@ -198,6 +199,9 @@
 	cl.offset = chunk.Offset + 1
 	cl.forwarded.Store(cl.offset)
 	if !cl.body.Stream {
+		if chunk.Offset >= cl.body.MaxTokens {
+			return upstr.Failed.New("entry: the upstream's answer goes on beyond the %d tokens that were asked for", cl.body.MaxTokens)
+		}
 		return cl.answer.add(chunk.Data)
 	}
 	cl.startStream()
--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -28,7 +28,11 @@
 // handle authenticates the organisation, parses its request and serves it.
 func (in *Instance) handle(w http.ResponseWriter, req *http.Request, parse requestParser) {
 	cl := newCall(w, req, time.Now())
-	defer func() { in.memory.Release(memory.Bodies, cl.reserved) }()
+	cl.answer.held.Account = in.memory
+	defer func() {
+		in.memory.Release(memory.Bodies, cl.reserved)
+		cl.answer.held.Release()
+	}()
 	dir := in.config.Load()
 	org, ok := dir.organisation(req)
 	if !ok {
--- a/internal/upstr/client.go
+++ b/internal/upstr/client.go
@@ -282,7 +282,7 @@
 		return nil, err
 	}
 	if resp.StatusCode == http.StatusOK {
-		rd := NewReader(resp.Body, call.Request, call.Offset)
+		rd := NewReader(resp.Body, call.Request, call.Offset, call.Account)
 		rd.Heartbeat = call.Heartbeat
 		return rd, nil
 	}
--- a/internal/upstr/reader.go
+++ b/internal/upstr/reader.go
@@ -3,9 +3,12 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"io"
 	"strconv"
 	"sync/atomic"
+
+	"dandelionsail.example/dandelionsail/internal/memory"
 )
 
 const (
@@ -41,11 +44,17 @@
 	data []byte
 	// pending holds chunks that arrived ahead of their turn, by offset; nil until the first one.
 	pending map[int64][]byte
+	// held counts data and pending.
+	held memory.Part
 }
 
-// NewReader returns a reader for the answer of the request from the token offset on.
-func NewReader(body io.ReadCloser, request string, offset int64) *Reader {
+// ErrMemory means that there is no memory for an event.
+var ErrMemory = errors.New("upstr: no memory for an event of the answer; it is asked for again elsewhere")
+
+// NewReader returns a reader for the answer of the request from the token offset on. What it holds is counted in the account, unless that is nil.
+func NewReader(body io.ReadCloser, request string, offset int64, account *memory.Account) *Reader {
 	return &Reader{
+		held:    memory.Part{Account: account},
 		body:    body,
 		buf:     bufio.NewReaderSize(body, maxLineBytes),
 		request: []byte(request),
@@ -61,6 +70,7 @@
 	for !rd.done {
 		if data, ok := rd.pending[rd.next]; ok {
 			delete(rd.pending, rd.next)
+			rd.held.Shrink(len(data))
 			return rd.deliver(data)
 		}
 		matches, offset, err := rd.readEvent()
@@ -75,7 +85,9 @@
 		case len(rd.pending) >= maxPending:
 			return Chunk{}, io.ErrUnexpectedEOF
 		default:
-			rd.addPending(offset)
+			if err := rd.addPending(offset); err != nil {
+				return Chunk{}, err
+			}
 		}
 	}
 	return Chunk{}, io.EOF
@@ -92,11 +104,16 @@
 	return chunk, nil
 }
 
-func (rd *Reader) addPending(offset int64) {
+func (rd *Reader) addPending(offset int64) error {
 	if rd.pending == nil {
 		rd.pending = map[int64][]byte{}
 	}
+	if !rd.held.Grow(len(rd.data)) {
+		return ErrMemory
+	}
+	rd.held.Shrink(len(rd.pending[offset]))
 	rd.pending[offset] = bytes.Clone(rd.data)
+	return nil
 }
 
 // readEvent reads up to the blank line that ends an event with data. It returns whether the event belongs to the
@@ -128,7 +145,9 @@
 			if len(rd.data)+len(value) > maxEventBytes {
 				return false, 0, bufio.ErrBufferFull
 			}
-			rd.addData(value, hasData)
+			if err := rd.addData(value, hasData); err != nil {
+				return false, 0, err
+			}
 			hasData = true
 		}
 	}
@@ -141,11 +160,19 @@
 }
 
 // addData appends one data line; several lines of one event are joined by line feeds.
-func (rd *Reader) addData(value []byte, join bool) {
+func (rd *Reader) addData(value []byte, join bool) error {
+	if need := len(rd.data) + len(value) + 1; need > cap(rd.data) {
+		size := max(need, 2*cap(rd.data))
+		if !rd.held.Grow(size - cap(rd.data)) {
+			return ErrMemory
+		}
+		rd.data = append(make([]byte, 0, size), rd.data...)
+	}
 	if join {
 		rd.data = append(rd.data, '\n')
 	}
 	rd.data = append(rd.data, value...)
+	return nil
 }
 
 // parseID parses an id field of the form "request/offset" and reports whether it belongs to the request.
@@ -177,5 +204,6 @@
 
 // Close implements Stream.
 func (rd *Reader) Close() error {
+	rd.held.Release()
 	return rd.body.Close()
 }
--- a/internal/upstr/reader_test.go
+++ b/internal/upstr/reader_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"dandelionsail.example/dandelionsail/internal/memory"
 	"dandelionsail.example/dandelionsail/internal/upstr"
 )
 
@@ -55,7 +56,7 @@
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
-			got, err := readAll(upstr.NewReader(io.NopCloser(strings.NewReader(tc.stream)), "r", 0))
+			got, err := readAll(upstr.NewReader(io.NopCloser(strings.NewReader(tc.stream)), "r", 0, nil))
 			assert.Equal(t, err, tc.err)
 			assert.Equal(t, strings.Join(got, " "), tc.want)
 		})
@@ -69,7 +70,7 @@
 	for offset := 1; offset < 200; offset++ {
 		stream.WriteString(event("r", offset, "x"))
 	}
-	got, err := readAll(upstr.NewReader(io.NopCloser(strings.NewReader(stream.String())), "r", 0))
+	got, err := readAll(upstr.NewReader(io.NopCloser(strings.NewReader(stream.String())), "r", 0, nil))
 	assert.Equal(t, err, io.ErrUnexpectedEOF)
 	assert.Equal(t, len(got), 0)
 }
@@ -77,11 +78,11 @@
 func TestReaderBuffered(t *testing.T) {
 	// Guards against delayed tokens. Part of the next event arrives with the current one and the rest much later. If
 	// the reader reported the partial event as buffered, the current token would not be flushed until the rest arrives.
-	rd := upstr.NewReader(io.NopCloser(strings.NewReader(event("r", 0, "a")+"id: r/1\nda")), "r", 0)
+	rd := upstr.NewReader(io.NopCloser(strings.NewReader(event("r", 0, "a")+"id: r/1\nda")), "r", 0, nil)
 	_, err := rd.Next()
 	assert.NilError(t, err)
 	assert.Assert(t, !rd.Buffered())
-	rd = upstr.NewReader(io.NopCloser(strings.NewReader(event("r", 0, "a")+event("r", 1, "b"))), "r", 0)
+	rd = upstr.NewReader(io.NopCloser(strings.NewReader(event("r", 0, "a")+event("r", 1, "b"))), "r", 0, nil)
 	_, err = rd.Next()
 	assert.NilError(t, err)
 	assert.Assert(t, rd.Buffered())
@@ -89,7 +90,7 @@
 
 func TestReaderHeartbeat(t *testing.T) {
 	beats := 0
-	rd := upstr.NewReader(io.NopCloser(strings.NewReader(": waiting\n\n: waiting\n\n"+event("r", 0, "[DONE]"))), "r", 0)
+	rd := upstr.NewReader(io.NopCloser(strings.NewReader(": waiting\n\n: waiting\n\n"+event("r", 0, "[DONE]"))), "r", 0, nil)
 	rd.Heartbeat = func() { beats++ }
 	_, err := readAll(rd)
 	assert.Equal(t, err, io.EOF)
@@ -102,7 +103,7 @@
 	f.Add([]byte(": c\n\nid: r/1\ndata: b\ndata: c\n\n" + event("r", 0, "a") + event("r", 2, "[DONE]")))
 	f.Add([]byte("id: r/9223372036854775807\ndata: a\n\n"))
 	f.Fuzz(func(t *testing.T, raw []byte) {
-		rd := upstr.NewReader(io.NopCloser(strings.NewReader(string(raw))), "r", 0)
+		rd := upstr.NewReader(io.NopCloser(strings.NewReader(string(raw))), "r", 0, nil)
 		for want := int64(0); ; want++ {
 			chunk, err := rd.Next()
 			if err != nil {
@@ -122,7 +123,7 @@
 	}
 	b.ReportAllocs()
 	for b.Loop() {
-		rd := upstr.NewReader(io.NopCloser(strings.NewReader(stream.String())), "entry-0.abcdefgh-1", 0)
+		rd := upstr.NewReader(io.NopCloser(strings.NewReader(stream.String())), "entry-0.abcdefgh-1", 0, nil)
 		if got, _ := readAllCount(rd); got != tokens {
 			b.Fatal(got)
 		}
@@ -162,8 +163,44 @@
 	// An engine sends data lines without the empty line that ends an event. They must not be held as fast as they arrive until the stream counts as silent.
 	for _, text := range []string{"data: x\n", "data: " + strings.Repeat("y", 60_000) + "\n", "data: x", "id: a/0\ndata: x\n"} {
 		lines := &endlessLines{text: text}
-		_, err := upstr.NewReader(lines, "a", 0).Next()
+		_, err := upstr.NewReader(lines, "a", 0, nil).Next()
 		assert.Assert(t, err != nil)
 		assert.Assert(t, lines.read < 16<<20, "%d bytes read", lines.read)
 	}
 }
+
+func TestReaderCountsWhatItHolds(t *testing.T) {
+	// Guards against memory that nobody counts: many engines send an event that does not end, or chunks whose first one never comes. Together they may hold
+	// half of the bound, and the rest is left for requests.
+	line := "data: " + strings.Repeat("x", 1<<10) + "\n"
+	for name, text := range map[string]string{"an event": strings.Repeat(line, 1000), "late chunks": late(60, 30<<10)} {
+		t.Run(name, func(t *testing.T) {
+			const bound = 4 << 20
+			account := memory.New(bound)
+			var readers []*upstr.Reader
+			refused := 0
+			for range 20 {
+				rd := upstr.NewReader(io.NopCloser(strings.NewReader(text)), "r", 0, account)
+				readers = append(readers, rd)
+				if _, err := rd.Next(); err == upstr.ErrMemory {
+					refused++
+				}
+				assert.Assert(t, account.Total() <= bound/2, account.Total())
+			}
+			assert.Assert(t, refused > 10, refused)
+			for _, rd := range readers {
+				assert.NilError(t, rd.Close())
+			}
+			assert.Equal(t, account.Total(), int64(0))
+		})
+	}
+}
+
+// late returns an answer without its first chunk.
+func late(chunks, size int) string {
+	var text strings.Builder
+	for offset := 1; offset < chunks; offset++ {
+		text.WriteString(event("r", offset, strings.Repeat("x", size)))
+	}
+	return text.String()
+}
--- a/internal/upstr/upstr.go
+++ b/internal/upstr/upstr.go
@@ -11,6 +11,7 @@
 	"github.com/joomcode/errorx"
 
 	"dandelionsail.example/dandelionsail/internal/event"
+	"dandelionsail.example/dandelionsail/internal/memory"
 	"dandelionsail.example/dandelionsail/internal/notice"
 )
 
@@ -95,6 +96,8 @@
 	NewConnection bool
 	// Connected, unless nil, is called once the call has its connection; reused reports whether earlier calls used it.
 	Connected func(reused bool)
+	// Account, unless nil, counts what is held of the answer. Engines only.
+	Account *memory.Account
 	// Heartbeat, unless nil, is called for each comment in a stream, which an engine sends to show that it is still
 	// working. Engines only.
 	Heartbeat func()
