Early refusals: a failed write waits until the answer that has come is read

What callers saw: a replica refuses a long upload at once with a whole 413, or 503, and closes the connection, which the kernel resets since the upload was not read. The caller got 502. Cause: net/http gives a request up with the error of its write, although the answer has arrived and its reader has not got to it. Reads after a reset return what has come and then fail, so that whole answers with a length or chunks are delivered, and parts count as broken off as before.

--- a/internal/fault/reset.go
+++ b/internal/fault/reset.go
@@ -13,6 +13,8 @@
 const (
 	// writtenBeforeReset is how many bytes a connection of ResetDuringWrite passes on before it waits for the reset.
 	writtenBeforeReset = 16 << 10
+	// lateRead is how long after a failed write a connection of WriteFailsFirst is read.
+	lateRead = 20 * time.Millisecond
 	// maxResetWait is how long such a connection waits for the reset, or for the other direction.
 	maxResetWait = 5 * time.Second
 )
@@ -23,13 +25,18 @@
 // ResetDuringWrite returns a dialer for tests whose other end resets a TCP connection during a write, after it has sent something. The kernel
 // reports a reset to one call only. If that is a write, a read that follows finds an ordinary end. Which of the two comes first is chance; on these
 // connections it is always the write, and the write returns only after the read. A connection carries one request.
-func ResetDuringWrite(dial Dialer) Dialer {
+func ResetDuringWrite(dial Dialer) Dialer { return resetDialer(dial, false) }
+
+// WriteFailsFirst returns a dialer for the same connections, on which the failed write returns at once and nothing is read until some time after it.
+func WriteFailsFirst(dial Dialer) Dialer { return resetDialer(dial, true) }
+
+func resetDialer(dial Dialer, readsLate bool) Dialer {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dial(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
-		return &resetConn{Conn: conn, failed: make(chan struct{}), ended: make(chan struct{})}, nil
+		return &resetConn{Conn: conn, failed: make(chan struct{}), ended: make(chan struct{}), readsLate: readsLate}, nil
 	}
 }
 
@@ -39,6 +46,8 @@
 	// failed is closed when a write has failed, and ended when a read has ended or the connection is closed.
 	failed, ended       chan struct{}
 	failOnce, endedOnce sync.Once
+	// readsLate reports whether reads wait until some time after a write has failed, and writes wait for no read.
+	readsLate bool
 	// written is the number of bytes written. It belongs to the goroutine that writes.
 	written int
 	// answered reports whether bytes were read. It belongs to the goroutine that reads.
@@ -54,14 +63,20 @@
 	rc.written += count
 	if err != nil {
 		rc.failOnce.Do(func() { close(rc.failed) })
-		awaitClosed(rc.ended)
+		if !rc.readsLate {
+			awaitClosed(rc.ended)
+		}
 	}
 	return count, err
 }
 
 // Read implements net.Conn.
 func (rc *resetConn) Read(buf []byte) (int, error) {
-	if rc.answered {
+	switch {
+	case rc.readsLate:
+		awaitClosed(rc.failed)
+		time.Sleep(lateRead)
+	case rc.answered:
 		rc.awaitWrite()
 	}
 	count, err := rc.Conn.Read(buf)
--- a/internal/trip/conn.go
+++ b/internal/trip/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"os"
@@ -13,6 +14,10 @@
 	"golang.org/x/sys/unix"
 )
 
+// maxReadAfterReset is for how long a write that has failed waits until what the other end had sent is read. It is there already, so that only a reader that waits for
+// its caller takes longer.
+const maxReadAfterReset = time.Second
+
 // lastConn is the number of the connection that was opened last.
 var lastConn atomic.Int64
 
@@ -26,7 +31,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &countingConn{Conn: conn, number: lastConn.Add(1)}, nil
+		return &countingConn{Conn: conn, number: lastConn.Add(1), ended: make(chan struct{})}, nil
 	}
 }
 
@@ -38,6 +43,9 @@
 	written atomic.Int64
 	// answers is the number of responses that were received on the connection.
 	answers atomic.Int64
+	// ended is closed when a read has failed or the connection is closed.
+	ended     chan struct{}
+	endedOnce sync.Once
 	// mu guards the fields below.
 	mu sync.Mutex
 	// used reports whether the connection has been given to a request.
@@ -68,13 +76,40 @@
 		cc.mu.Lock()
 		cc.writeFailed = true
 		cc.mu.Unlock()
+		cc.awaitReader(err)
 	}
 	return count, err
 }
 
+// awaitReader waits, if the other end has ended the connection, until all that it had sent is read or the connection is closed. net/http gives a request up once a
+// write fails, although its answer may have come: an upstream that refuses a long request at once and closes the connection resets it.
+func (cc *countingConn) awaitReader(err error) {
+	if !errors.Is(err, syscall.ECONNRESET) && !errors.Is(err, syscall.EPIPE) {
+		return
+	}
+	timer := time.NewTimer(maxReadAfterReset)
+	defer timer.Stop()
+	select {
+	case <-cc.ended:
+	case <-timer.C:
+	}
+}
+
+// Close implements net.Conn.
+func (cc *countingConn) Close() error {
+	cc.end()
+	return cc.Conn.Close()
+}
+
+// end states that nothing more is read.
+func (cc *countingConn) end() { cc.endedOnce.Do(func() { close(cc.ended) }) }
+
 // Read implements net.Conn. It returns io.EOF only if the other end is proven to have closed the connection in order.
 func (cc *countingConn) Read(buf []byte) (int, error) {
 	count, err := cc.Conn.Read(buf)
+	if err != nil {
+		defer cc.end()
+	}
 	if err == io.EOF && !cc.endedInOrder() {
 		err = &net.OpError{Op: "read", Net: "tcp", Source: cc.LocalAddr(), Addr: cc.RemoteAddr(), Err: os.NewSyscallError("read", syscall.ECONNRESET)}
 	}
