Callers with HTTP/1.0: an answer that breaks off ends with a reset

What callers saw: a part of an answer as a whole one. An answer of HTTP/1.0 has no chunks, and one that is passed on while it comes, a stream above all, has no length: it ends with the connection. The front ended a broken one in order. Evidence: TestBrokenAnswerToAnOldCallerIsReset failed on every run, on the relay (a stream and a long answer) and on the completions front (a plain service): oldcaller_test.go:41: assertion failed: expression is false: errors.Is(err, syscall.ECONNRESET): 15 bytes, <nil> Fix: where a handler ends an answer before its end and the request is older than HTTP/1.1, front resets the connection. Others see the missing length, chunk or frame as before. Not covered: HTTP/1.0 over TLS, whose orderly end the TLS library announces.

--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -93,6 +93,8 @@
 	readDeadline time.Time
 	// lingers reports whether linger was started.
 	lingers bool
+	// broken reports whether the answer that is being written ends before its end, and nothing but a reset shows that.
+	broken bool
 	// released reports whether the socket is closed.
 	released bool
 	// timer calls closeOverdue while the connection is idle.
@@ -464,9 +466,13 @@
 func (cn *conn) end() error {
 	cn.mu.Lock()
 	cn.markClosed()
-	lingers := cn.lingers
+	lingers, broken := cn.lingers, cn.broken
 	cn.lingers = true
 	cn.mu.Unlock()
+	if broken {
+		cn.abort()
+		return nil
+	}
 	half, ok := cn.Conn.(interface{ CloseWrite() error })
 	switch {
 	case cn.srv.closing.Load() || !ok:
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -206,6 +206,12 @@
 	defer func() {
 		// A panic goes on to net/http, which logs it and closes the connection.
 		rq.panicked.Store(!rq.returned.Load())
+		if rq.panicked.Load() && !req.ProtoAtLeast(1, 1) {
+			// The end of the connection ends an answer of HTTP/1.0. Only a reset shows that this one is not whole.
+			cn.mu.Lock()
+			cn.broken = true
+			cn.mu.Unlock()
+		}
 		if req.ContentLength != 0 && cn.hasReadDeadline() {
 			// The handler has not read the whole body, and net/http waits for some of the rest.
 			_ = cn.SetReadDeadline(time.Now().Add(discardTime))
