Answers that name two requests are answers to neither

Evidence: TestInvalidAnswersAreNotForwarded/of_two_requests failed: relay_test.go:138: assertion failed: ok (got.body string) != answer of board-1 (string) Fix: norun.Named, which both fronts read the name by, returns no ID for several different ones.

--- a/internal/norun/norun.go
+++ b/internal/norun/norun.go
@@ -1,6 +1,12 @@
 // Package norun decides what proves that a request has not run. Both fronts send a request that may run once again only with such a proof.
 package norun
 
+import (
+	"net/http"
+	"slices"
+	"strings"
+)
+
 // Proof says why a request that was sent, or was about to be, has not run and will not run because of that. Only the functions of this package
 // make one. The zero value proves nothing: the request may have run.
 type Proof uint8
@@ -42,6 +48,16 @@
 	Early bool
 }
 
+// Named returns the ID of the request that an answer names in the field, empty if it names none. One that names several is an answer to none of them: what is
+// returned then is no ID.
+func Named(header http.Header, field string) string {
+	ids := header.Values(field)
+	if len(ids) < 2 || !slices.ContainsFunc(ids, func(id string) bool { return id != ids[0] }) {
+		return header.Get(field)
+	}
+	return strings.Join(ids, ", ")
+}
+
 // OfAnswer returns the proof that the answer is, if it is a refusal of this request. On a kept connection the replica may send a late answer to an
 // earlier request, which only the ID tells apart. On a new one there was no earlier request.
 func OfAnswer(ans Answer) Proof {
--- a/internal/upstr/client.go
+++ b/internal/upstr/client.go
@@ -239,14 +239,14 @@
 // to an earlier call on the connection.
 func refusalError(call Call, res trip.Result) error {
 	proof := norun.OfAnswer(norun.Answer{
-		Refusal: true, Request: call.Request, Named: res.Response.Header.Get(HeaderRequest), Kept: res.Trace.Kept, Early: res.Trace.Early,
+		Refusal: true, Request: call.Request, Named: norun.Named(res.Response.Header, HeaderRequest), Kept: res.Trace.Kept, Early: res.Trace.Early,
 	})
 	return withProof(statusError(call.Address, res.Response), proof)
 }
 
 // readAnnounced reports what the answer announces. An answer that names another request is a late one to an earlier call.
 func (cl *Client) readAnnounced(call Call, sent time.Time, resp *http.Response) {
-	name := resp.Header.Get(HeaderRequest)
+	name := norun.Named(resp.Header, HeaderRequest)
 	if cl.Announced != nil && (name == "" || name == call.Request) {
 		cl.Announced(call, sent, notice.Parse(announcedNames, resp.StatusCode, resp.Header))
 	}
