Assembled answers: a chunk that is not added is asked for again

What callers could get: an answer without one of its chunks as a whole 200. Evidence: TestAnswerWithAChunkThatIsNoneMissesNothing failed on every run: broken_test.go:87: ... 200 {..."text":"02"...} Fix: the offset follows once the chunk is added.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -196,14 +196,10 @@
 // forwardChunk writes one chunk to the caller, or adds it to the assembled answer if the caller did not ask for a stream. If
 // more is set, the next chunk is available already and the write is not flushed.
 func (cl *call) forwardChunk(chunk upstr.Chunk, more bool) error {
-	cl.offset = chunk.Offset + 1
-	cl.forwarded.Store(cl.offset)
 	if !cl.body.Stream {
-		if chunk.Offset >= cl.body.MaxTokens {
-			return upstr.Failed.New("entry: the upstream's answer goes on beyond the %d tokens that were asked for", cl.body.MaxTokens)
-		}
-		return cl.answer.add(chunk.Data)
+		return cl.keepChunk(chunk)
 	}
+	cl.passed(chunk)
 	cl.startStream()
 	cl.line = append(cl.line[:0], "data: "...)
 	cl.line = append(cl.line, chunk.Data...)
@@ -221,6 +217,24 @@
 	return nil
 }
 
+// passed records that the chunk has reached the answer, which another attempt would resume after it.
+func (cl *call) passed(chunk upstr.Chunk) {
+	cl.offset = chunk.Offset + 1
+	cl.forwarded.Store(cl.offset)
+}
+
+// keepChunk adds a chunk to the assembled answer. One that is not added is asked for again: the answer would miss it.
+func (cl *call) keepChunk(chunk upstr.Chunk) error {
+	if chunk.Offset >= cl.body.MaxTokens {
+		return upstr.Failed.New("entry: the upstream's answer goes on beyond the %d tokens that were asked for", cl.body.MaxTokens)
+	}
+	if err := cl.answer.add(chunk.Data); err != nil {
+		return err
+	}
+	cl.passed(chunk)
+	return nil
+}
+
 // startStream sends the status and header of a streamed answer, unless they were sent before.
 func (cl *call) startStream() {
 	if cl.headerSent {
--- a/internal/entry/broken_test.go
+++ b/internal/entry/broken_test.go
@@ -1,6 +1,7 @@
 package entry_test
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -12,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"dandelionsail.example/dandelionsail/internal/fault"
+	"dandelionsail.example/dandelionsail/internal/upstr"
 )
 
 // rawUpstream answers each call with the text that is set before it reads the body, and resets the connection. REQUEST in the text stands for the call's ID.
@@ -55,3 +57,33 @@
 		})
 	}
 }
+
+func TestAnswerWithAChunkThatIsNoneMissesNothing(t *testing.T) {
+	// An engine sends a chunk that cannot be added to an answer for a caller without a stream. The attempt that follows must ask for that chunk again: an answer
+	// without it would look whole.
+	var calls atomic.Int64
+	engine := http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		if req.URL.Path != "/v1/completions" {
+			return
+		}
+		id, from := req.Header.Get("X-Request-Id"), 0
+		_, _ = fmt.Sscan(req.Header.Get(upstr.HeaderOffset), &from)
+		for offset := from; offset < 3; offset++ {
+			data := fmt.Sprintf(`{"choices":[{"text":"%d"}]}`, offset)
+			if offset == 1 && calls.Add(1) == 1 {
+				data = "no JSON"
+			}
+			_, _ = fmt.Fprintf(w, "id: %s/%d\ndata: %s\n\n", id, offset, data)
+		}
+		_, _ = fmt.Fprintf(w, "id: %s/3\ndata: [DONE]\n\n", id)
+	})
+	rg := newRig(t, rigOptions{Models: []http.Handler{engine, engine}})
+	rg.waitRetryBudget()
+	resp, err := rg.caller.Do(t.Context(), http.MethodPost, "/v1/completions", []byte(`{"model":"lyric","prompt":"p","max_tokens":3}`), nil)
+	assert.NilError(t, err)
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	assert.Assert(t, resp.StatusCode != http.StatusOK || strings.Contains(string(body), `"text":"012"`), "%d %s", resp.StatusCode, body)
+	assert.Assert(t, calls.Load() > 0)
+}
