--- a/internal/fault/reset.go
+++ b/internal/fault/reset.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"dandelionsail.example/dandelionsail/internal/ports"
 )
 
 const (
@@ -118,7 +120,7 @@
 
 // IsReset reports whether the other end has reset the TCP connection, which is open at this end. It does not make the kernel report the reset.
 func IsReset(conn net.Conn) (reset bool) {
-	withDescriptor(conn, func(fd int) {
+	ports.Descriptor(conn, func(fd int) {
 		info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
 		reset = err == nil && info.State == unix.BPF_TCP_CLOSE
 	})
@@ -127,21 +129,10 @@
 
 // unread returns the number of bytes that have arrived on the TCP connection and were not read.
 func unread(conn net.Conn) (count int) {
-	withDescriptor(conn, func(fd int) { count, _ = unix.IoctlGetInt(fd, unix.TIOCINQ) })
+	ports.Descriptor(conn, func(fd int) { count, _ = unix.IoctlGetInt(fd, unix.TIOCINQ) })
 	return count
 }
 
-// withDescriptor calls use with the descriptor of a TCP connection.
-func withDescriptor(conn net.Conn, use func(fd int)) {
-	tcp, ok := conn.(*net.TCPConn)
-	if !ok {
-		return
-	}
-	if raw, err := tcp.SyscallConn(); err == nil {
-		_ = raw.Control(func(fd uintptr) { use(int(fd)) })
-	}
-}
-
 func awaitClosed(ch <-chan struct{}) {
 	select {
 	case <-ch:
--- a/internal/relay/deadconn_test.go
+++ b/internal/relay/deadconn_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"dandelionsail.example/dandelionsail/internal/cutoff"
+	"dandelionsail.example/dandelionsail/internal/ports"
 )
 
 func TestConnectionThatWasIdleIsNotDead(t *testing.T) {
@@ -29,7 +30,7 @@
 	assert.NilError(t, err)
 	time.Sleep(cutoff.MaxUnacknowledged + 200*time.Millisecond)
 	// The peer's socket drops all packets from here on.
-	descriptor(peer, func(fd int) {
+	ports.Descriptor(peer, func(fd int) {
 		drop := []unix.SockFilter{{Code: unix.BPF_RET | unix.BPF_K}}
 		program := unix.SockFprog{Len: 1, Filter: (*unix.SockFilter)(unsafe.Pointer(&drop[0]))}
 		err = unix.SetsockoptSockFprog(fd, unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &program)
--- a/internal/relay/silence.go
+++ b/internal/relay/silence.go
@@ -5,7 +5,6 @@
 	"net"
 	"slices"
 	"sync"
-	"syscall"
 	"time"
 
 	"dandelionsail.example/dandelionsail/internal/cutoff"
@@ -245,19 +244,6 @@
 	return eff.FirstTimeout
 }
 
-// descriptor calls use with the file descriptor of the connection and reports whether it could.
-func descriptor(conn net.Conn, use func(fd int)) bool {
-	sys, ok := conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sys.SyscallConn()
-	if err != nil {
-		return false
-	}
-	return raw.Control(func(fd uintptr) { use(int(fd)) }) == nil
-}
-
 // last returns how long the replica was silent when the attempt ended, and how long the process stood still in that time, if the silence was
 // reported.
 func (sw *silenceWatch) last() (silent, stood time.Duration, seen bool) {
--- a/internal/relay/tcpinfo.go
+++ b/internal/relay/tcpinfo.go
@@ -5,13 +5,15 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"dandelionsail.example/dandelionsail/internal/ports"
 )
 
 // hasUnread reports whether bytes that were received on the connection have not been read yet. It asks for their number and does not receive: that would
 // take the report of a reset, and the reader of the answer would find an ordinary end.
 func hasUnread(conn net.Conn) bool {
 	count := 0
-	descriptor(conn, func(fd int) { count, _ = unix.IoctlGetInt(fd, unix.TIOCINQ) })
+	ports.Descriptor(conn, func(fd int) { count, _ = unix.IoctlGetInt(fd, unix.TIOCINQ) })
 	return count > 0
 }
 
@@ -20,7 +22,7 @@
 // nothing comes back is dead. TCP_USER_TIMEOUT is not set for that: Linux applies it also to an upstream that does not read a long body, which is
 // alive.
 func acknowledgement(conn net.Conn) (unacknowledged bool, sinceReceived time.Duration) {
-	descriptor(conn, func(fd int) {
+	ports.Descriptor(conn, func(fd int) {
 		info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
 		if err == nil {
 			unacknowledged = info.Unacked > 0
--- a/internal/trip/conn.go
+++ b/internal/trip/conn.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"dandelionsail.example/dandelionsail/internal/ports"
 )
 
 // maxReadAfterReset is for how long a write that has failed waits until what the other end had sent is read. It is there already, so that only a reader that waits for
@@ -142,17 +144,9 @@
 // isWaitingToClose reports whether the TCP connection is in the state in which its other end has closed it and this end has not. A connection whose socket
 // cannot be seen proves nothing.
 func isWaitingToClose(conn net.Conn) bool {
-	sys, ok := conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sys.SyscallConn()
-	if err != nil {
-		return false
-	}
 	waiting := false
-	_ = raw.Control(func(fd uintptr) {
-		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+	ports.Descriptor(conn, func(fd int) {
+		info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
 		waiting = err == nil && info.State == unix.BPF_TCP_CLOSE_WAIT
 	})
 	return waiting
@@ -164,7 +158,7 @@
 	defer cc.mu.Unlock()
 	if cc.used {
 		// net/http closes a kept connection on which bytes arrive between two requests, unless it is just given to the next one.
-		cc.wroteAt, cc.readAt, cc.readBefore, cc.head = time.Time{}, time.Time{}, false, headCheck{}
+		cc.wroteAt, cc.readAt, cc.readBefore, cc.head = time.Time{}, time.Time{}, false, headCheck{line: cc.head.line[:0]}
 	}
 	cc.used = true
 	return cc.written.Load()
