Counted buffers grow in one place

Events of both fronts and assembled answers grew their buffers by three pieces of code with the same rule and the same account; the one for a bytes.Buffer reserved too much and gave some back. memory.Part.Extend serves all three. Behaviour and assertions are the same.

--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"bytes"
 	"encoding/json"
 	"net/http"
 
@@ -11,7 +10,7 @@
 
 // answer assembles the chunks of a streamed answer for a caller that did not ask for a stream.
 type answer struct {
-	text bytes.Buffer
+	text []byte
 	// held counts text.
 	held   memory.Part
 	id     string
@@ -49,11 +48,11 @@
 		an.usage = doc.Usage
 	}
 	for _, choice := range doc.Choices {
-		if !an.grow(len(choice.Text) + len(choice.Delta.Content)) {
-			return upstr.Failed.New("entry: no memory for the upstream's answer, of which %d bytes have come", an.text.Len())
+		text, ok := an.held.Extend(an.text, len(choice.Text)+len(choice.Delta.Content))
+		if !ok {
+			return upstr.Failed.New("entry: no memory for the upstream's answer, of which %d bytes have come", len(an.text))
 		}
-		an.text.WriteString(choice.Text)
-		an.text.WriteString(choice.Delta.Content)
+		an.text = append(append(text, choice.Text...), choice.Delta.Content...)
 		if choice.FinishReason != "" {
 			an.finish = choice.FinishReason
 		}
@@ -61,20 +60,6 @@
 	return nil
 }
 
-// grow makes room for more text, or returns false if there is no memory for it.
-func (an *answer) grow(size int) bool {
-	if an.text.Available() >= size {
-		return true
-	}
-	before := an.text.Cap()
-	if !an.held.Grow(before + size) {
-		return false
-	}
-	an.text.Grow(size)
-	an.held.Shrink(2*before + size - an.text.Cap())
-	return true
-}
-
 type message struct {
 	Role    string `json:"role"`
 	Content string `json:"content"`
@@ -101,9 +86,9 @@
 	choice := wholeChoice{FinishReason: an.finish}
 	if cl.body.Chat {
 		doc.Object = "chat.completion"
-		choice.Message = &message{Role: "assistant", Content: an.text.String()}
+		choice.Message = &message{Role: "assistant", Content: string(an.text)}
 	} else {
-		choice.Text = an.text.String()
+		choice.Text = string(an.text)
 	}
 	doc.Choices = []wholeChoice{choice}
 	cl.w.Header().Set("Content-Type", "application/json")
--- a/internal/memory/part.go
+++ b/internal/memory/part.go
@@ -23,6 +23,19 @@
 	return true
 }
 
+// Extend returns a buffer with the contents of buf and room for the bytes in addition, of twice its size at least if it has to be a larger one. It counts what
+// the buffer has become larger by, and returns false if the bound does not allow that.
+func (pt *Part) Extend(buf []byte, size int) (extended []byte, ok bool) {
+	if cap(buf)-len(buf) >= size {
+		return buf, true
+	}
+	larger := max(2*cap(buf), len(buf)+size)
+	if !pt.Grow(larger - cap(buf)) {
+		return buf, false
+	}
+	return append(make([]byte, 0, larger), buf...), true
+}
+
 // Shrink gives the bytes back.
 func (pt *Part) Shrink(size int) {
 	if pt.Account != nil {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -30,13 +30,12 @@
 			att.in.log.Warn().Str("Request", att.cl.info.Name).Str("Replica", att.eff.Replica.Name).Int("Bytes", len(buf)).Msg("event too long")
 			return steer.ResultBroken
 		}
-		if len(buf) == cap(buf) {
-			if !held.Grow(cap(buf)) {
-				att.in.log.Warn().Str("Request", att.cl.info.Name).Str("Replica", att.eff.Replica.Name).Int("Bytes", len(buf)).Msg("no memory for an event")
-				return steer.ResultBroken
-			}
-			buf = append(make([]byte, 0, 2*cap(buf)), buf...)
+		extended, ok := held.Extend(buf, 1)
+		if !ok {
+			att.in.log.Warn().Str("Request", att.cl.info.Name).Str("Replica", att.eff.Replica.Name).Int("Bytes", len(buf)).Msg("no memory for an event")
+			return steer.ResultBroken
 		}
+		buf = extended
 		count, err := resp.Body.Read(buf[len(buf):cap(buf)])
 		buf = buf[:len(buf)+count]
 		rest, writeErr := att.forward(ctx, resp, buf)
--- a/internal/upstr/reader.go
+++ b/internal/upstr/reader.go
@@ -161,13 +161,11 @@
 
 // addData appends one data line; several lines of one event are joined by line feeds.
 func (rd *Reader) addData(value []byte, join bool) error {
-	if need := len(rd.data) + len(value) + 1; need > cap(rd.data) {
-		size := max(need, 2*cap(rd.data))
-		if !rd.held.Grow(size - cap(rd.data)) {
-			return ErrMemory
-		}
-		rd.data = append(make([]byte, 0, size), rd.data...)
+	extended, ok := rd.held.Extend(rd.data, len(value)+1)
+	if !ok {
+		return ErrMemory
 	}
+	rd.data = extended
 	if join {
 		rd.data = append(rd.data, '\n')
 	}
