--- a/internal/core/arrive.go
+++ b/internal/core/arrive.go
@@ -10,7 +10,7 @@
 )
 
 func (st *State) handleArrived(ev event.Arrived) {
-	if !st.Draining && !st.stop.Refuses(st.now, ev.Deadline) && st.forwardArrived(ev) {
+	if !st.refusesForStop(ev.Deadline) && st.forwardArrived(ev) {
 		return
 	}
 	if refusal := st.tryAdmit(ev); refusal != nil {
@@ -41,7 +41,7 @@
 // tryAdmit checks whether the request can be served and returns a refusal if not. It counts the request against its
 // organisation's limits as the last step, so that a refused request holds none of them.
 func (st *State) tryAdmit(ev event.Arrived) *effect.Refusal {
-	if st.Draining || st.stop.Refuses(st.now, ev.Deadline) {
+	if st.refusesForStop(ev.Deadline) {
 		return notRunRefusal(effect.ReasonDraining, time.Second, "send the request again; another instance will take it")
 	}
 	if !st.now.Before(ev.Deadline) {
--- a/internal/core/state.go
+++ b/internal/core/state.go
@@ -4,7 +4,6 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"dandelionsail.example/dandelionsail/internal/admit"
@@ -239,10 +238,7 @@
 	case event.SharesReceived:
 		st.Admit.ApplyShares(st.now, ev.Shares)
 	case event.DrainAnnounced:
-		st.stop = &cutoff.Stop{AbortAt: ev.AbortAt, TakeUntil: st.now}
-		if !slices.ContainsFunc(st.Instances, func(inst event.Instance) bool { return inst.Name != st.Options.Name && !inst.Leaving }) {
-			st.stop.TakeUntil = ev.DrainAt
-		}
+		st.handleDrainAnnounced(ev)
 	case event.DrainStarted:
 		st.Draining = true
 		st.reduceMembership(ev)
--- a/internal/entry/latedrain_test.go
+++ b/internal/entry/latedrain_test.go
@@ -37,8 +37,8 @@
 }
 
 func TestRequestsLateInADrainAreAnswered(t *testing.T) {
-	// An instance is asked to shut down, in calm. Requests come before and in all of its drain time, whose upstreams need longer than is left, also through
-	// another instance. Each that was read whole must be answered: those that were passed on, with an unknown outcome, and the later ones at once, as not run.
+	// An instance shuts down. Requests arrive before and during its drain time, also through another instance, and their upstreams need longer than is left. Each
+	// request that was read whole must be answered: one that was passed on, with an unknown outcome; a later one at once, as not run.
 	const drainTime = 2 * time.Second
 	for _, forwarded := range []bool{false, true} {
 		t.Run(fmt.Sprint("forwarded ", forwarded), func(t *testing.T) {
--- a/internal/entry/oldcaller_test.go
+++ b/internal/entry/oldcaller_test.go
@@ -14,7 +14,8 @@
 )
 
 func TestBrokenAnswerToAnOldCallerIsReset(t *testing.T) {
-	// A plain service breaks off its answer to a caller with HTTP/1.0, whose answer has no chunks and ends with its connection: only a reset tells that it is not whole.
+	// A plain service breaks off its answer. An answer to a caller with HTTP/1.0 has no chunks and ends with the connection, so that only a reset shows the caller
+	// that it is incomplete.
 	broken := http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		if req.Method != http.MethodPost {
 			return
--- a/internal/trip/trip.go
+++ b/internal/trip/trip.go
@@ -1,6 +1,7 @@
-// Package trip sends an HTTP request at most once, and lets only what is an answer pass: transports that read answers come from NewTransport. Go's HTTP client writes a request to another connection without notice if a kept
-// one breaks under it and the method, or a header of the caller, says that the request may be repeated. What arrives then was
-// decided by nobody and charged to no budget.
+// Package trip sends an HTTP request at most once and checks the answer. All transports over which an instance reads answers come from NewTransport.
+//
+// Go's HTTP client writes a request to another connection without notice if a kept one breaks under it and the method, or a header of the caller, says that
+// the request may be repeated. What arrives then was decided by nobody and charged to no budget.
 package trip
 
 import (
